Records, interfaces, settings and store in memory

Cause: parts are written side by side and need shared records and abstract base classes first. Ruled out: a package of fakes for all layers; its imports would point outward, so each layer holds its own. Change: core, settings loader (all errors at once), ObjectStore with its three outcomes, interfaces of peers, replica, standing, directory, engines, slots, ledger and admission, and small fakes. Conclusion: the interfaces are the ground for the thin path.

--- /dev/null
+++ b/basilpost/admin/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' HTTP interface and audit trail."""
--- /dev/null
+++ b/basilpost/cli/__init__.py
@@ -0,0 +1,1 @@
+"""One thin module for each command."""
--- /dev/null
+++ b/basilpost/cli/main.py
@@ -0,0 +1,11 @@
+"""The `basilpost` command; each subcommand is a thin module of its own."""
+
+import click
+
+import basilpost
+
+
+@click.group()
+@click.version_option(basilpost.__version__)
+def main() -> None:
+    """Serves models that span several VMs, and the plain services beside them."""
--- /dev/null
+++ b/basilpost/core/__init__.py
@@ -0,0 +1,1 @@
+"""Records, kernel and helpers that everything else builds on."""
--- /dev/null
+++ b/basilpost/core/codec.py
@@ -0,0 +1,64 @@
+"""Converts frozen data classes to and from JSON and msgpack.
+
+Objects in the store are JSON, so that operators can read them; messages between nodes are msgpack.
+Unknown keys are refused everywhere: a field that one side does not know is never dropped silently.
+"""
+
+import functools
+import json
+from typing import Any, TypeVar
+
+import cattrs
+import cattrs.preconf.json
+import cattrs.preconf.msgpack
+import msgpack
+
+T = TypeVar("T")
+
+
+@functools.cache
+def json_converter() -> cattrs.Converter:
+    """Returns the shared converter for JSON values."""
+    return cattrs.preconf.json.make_converter(forbid_extra_keys=True)
+
+
+@functools.cache
+def msgpack_converter() -> cattrs.Converter:
+    """Returns the shared converter for msgpack values."""
+    return cattrs.preconf.msgpack.make_converter(forbid_extra_keys=True)
+
+
+def to_json(record: Any) -> bytes:
+    """Encodes a record as compact JSON with sorted keys, so that equal records have equal bytes."""
+    plain = json_converter().unstructure(record)
+    return json.dumps(plain, sort_keys=True, separators=(",", ":")).encode()
+
+
+def from_json(raw: bytes, kind: type[T]) -> T:
+    """Decodes a record from JSON.
+
+    Raises:
+        ValueError: If the bytes are no JSON or do not fit the record.
+    """
+    try:
+        return json_converter().structure(json.loads(raw), kind)
+    except (cattrs.BaseValidationError, KeyError, TypeError) as error:
+        raise ValueError(f"not a {kind.__name__}: {error!r}") from error
+
+
+def to_msgpack(record: Any) -> bytes:
+    """Encodes a record as msgpack."""
+    packed: bytes = msgpack.packb(msgpack_converter().unstructure(record))
+    return packed
+
+
+def from_msgpack(raw: bytes, kind: type[T]) -> T:
+    """Decodes a record from msgpack.
+
+    Raises:
+        ValueError: If the bytes are no msgpack or do not fit the record.
+    """
+    try:
+        return msgpack_converter().structure(msgpack.unpackb(raw), kind)
+    except (cattrs.BaseValidationError, KeyError, TypeError, msgpack.UnpackException) as error:
+        raise ValueError(f"not a {kind.__name__}: {error!r}") from error
--- /dev/null
+++ b/basilpost/core/hashing.py
@@ -0,0 +1,38 @@
+"""Hashes that every node computes alike.
+
+Placement by rendezvous hashing lets nodes agree on an owner without talking to each other.
+"""
+
+import hashlib
+from collections.abc import Iterable
+
+import xxhash
+
+
+def rendezvous_order(key: str, candidates: Iterable[str]) -> list[str]:
+    """Orders candidates by their rendezvous weight for a key, the preferred one first."""
+    return sorted(candidates, key=lambda name: (-_weight(key, name), name))
+
+
+def rendezvous_choice(key: str, candidates: Iterable[str]) -> str | None:
+    """Returns the preferred candidate for a key, or None when there is none."""
+    return min(candidates, key=lambda name: (-_weight(key, name), name), default=None)
+
+
+def bucket_of(key: str, buckets: int) -> int:
+    """Maps a key to a bucket number from 0 to `buckets` - 1."""
+    return xxhash.xxh3_64_intdigest(key.encode()) % buckets
+
+
+def body_digest(body: bytes) -> str:
+    """Returns a collision-resistant digest of a request body, as hexadecimal text."""
+    return hashlib.sha256(body).hexdigest()
+
+
+def key_digest(secret: str) -> str:
+    """Returns the digest under which an API key or admin token is stored."""
+    return hashlib.sha256(secret.encode()).hexdigest()
+
+
+def _weight(key: str, name: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"{key}\0{name}".encode())
--- /dev/null
+++ b/basilpost/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for what is outside the system."""
--- /dev/null
+++ b/basilpost/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The callers' HTTP interface."""
--- /dev/null
+++ b/basilpost/groups/__init__.py
@@ -0,0 +1,1 @@
+"""Groups of VMs: tables, planning, control, credits and health."""
--- /dev/null
+++ b/basilpost/groups/fakes.py
@@ -0,0 +1,136 @@
+"""Small fakes of the interfaces to targets, for focused tests."""
+
+import asyncio
+from collections.abc import Callable
+
+from basilpost.core import data
+from basilpost.groups import engines, slots
+
+
+class FakeSlot(slots.Slot):
+    """A slot of `FakeSlots`."""
+
+    def __init__(self, *, owner: "FakeSlots", group: data.Group) -> None:
+        self._owner = owner
+        self._group = group
+        self.observation: data.Observation | None = None
+
+    def release(self, observation: data.Observation) -> None:
+        """Gives the slot back once."""
+        if self.observation is None:
+            self.observation = observation
+            self._owner.taken_by_id[self._group.group_id] -= 1
+            self._owner.released()
+
+
+class FakeSlots(slots.Slots):
+    """A fixed number of slots on each target."""
+
+    def __init__(self, *, limit: int = 16) -> None:
+        self.limit = limit
+        self.taken_by_id: dict[str, int] = {}
+        self.released: Callable[[], None] = lambda: None
+
+    def take(self, group: data.Group) -> slots.Slot | slots.NoSlot:
+        """Takes a slot below the limit."""
+        if self.free(group) <= 0:
+            return slots.NoSlot(reason=f"{group.group_id} is full")
+        self.taken_by_id[group.group_id] = self.taken_by_id.get(group.group_id, 0) + 1
+        return FakeSlot(owner=self, group=group)
+
+    def free(self, group: data.Group) -> int:
+        """Returns the slots left."""
+        return self.limit - self.taken_by_id.get(group.group_id, 0)
+
+    def load(self, group: data.Group) -> float:
+        """Returns the share taken."""
+        return self.taken_by_id.get(group.group_id, 0) / self.limit
+
+
+class FakeHealth(slots.Health):
+    """Healthy unless the test names the group."""
+
+    def __init__(self) -> None:
+        self.sick: set[str] = set()
+        self.reports: list[tuple[str, data.Observation]] = []
+
+    def healthy(self, group: data.Group) -> bool:
+        """Returns False for a named group."""
+        return group.group_id not in self.sick
+
+    def report(self, group: data.Group, observation: data.Observation) -> None:
+        """Keeps the report."""
+        self.reports.append((group.group_id, observation))
+
+
+class FakeEngine(engines.Engine):
+    """Runners in memory: a load takes `load_seconds`, then the runner is cold until warmed."""
+
+    def __init__(self, *, checks_fence: bool = True, load_seconds: float = 1.0) -> None:
+        self.checks_fence = checks_fence
+        self.load_seconds = load_seconds
+        self.status_by_address: dict[str, engines.RunnerStatus] = {}
+        self.dark: set[str] = set()
+        self.orders: list[tuple[str, engines.Order]] = []
+        self.loaded_at_by_address: dict[str, float] = {}
+
+    async def status(
+        self, address: str, *, plain: bool = False, timeout: float = 1.0
+    ) -> engines.RunnerStatus | engines.Unreachable:
+        """Reports a runner, whose load ends by the event loop's clock."""
+        if address in self.dark:
+            await asyncio.sleep(timeout)
+            return engines.Unreachable(reason=f"{address} is dark")
+        if plain:
+            return engines.RunnerStatus(vm_id=address, state=engines.RunnerState.READY)
+        found = self.status_by_address.get(address, engines.RunnerStatus(vm_id=address))
+        done_at = self.loaded_at_by_address.get(address, 0.0)
+        loaded = asyncio.get_running_loop().time() >= done_at
+        if found.state is engines.RunnerState.LOADING and loaded:
+            found = _with_state(found, engines.RunnerState.COLD)
+            self.status_by_address[address] = found
+        return found
+
+    async def order(
+        self, address: str, order: engines.Order, *, timeout: float = 2.0
+    ) -> engines.Accepted | engines.StaleFence | engines.Unreachable:
+        """Takes an order unless the runner is dark or the fencing number is old."""
+        if address in self.dark:
+            await asyncio.sleep(timeout)
+            return engines.Unreachable(reason=f"{address} is dark")
+        found = self.status_by_address.get(address, engines.RunnerStatus(vm_id=address))
+        if self.checks_fence and order.fence < found.fence:
+            return engines.StaleFence(reason=f"{address} has seen {found.fence}")
+        self.orders.append((address, order))
+        same = (found.model, found.model_version) == (order.model, order.model_version)
+        keeps = same and found.state in (engines.RunnerState.COLD, engines.RunnerState.READY)
+        if order.kind is engines.OrderKind.UNLOAD:
+            state = engines.RunnerState.EMPTY
+        else:
+            state = engines.RunnerState.COLD if keeps else engines.RunnerState.LOADING
+            if not keeps:
+                now = asyncio.get_running_loop().time()
+                self.loaded_at_by_address[address] = now + self.load_seconds
+        self.status_by_address[address] = engines.RunnerStatus(
+            vm_id=found.vm_id,
+            group_id=order.group_id,
+            generation=order.generation,
+            model=order.model,
+            model_version=order.model_version,
+            state=state,
+            fence=max(found.fence, order.fence),
+        )
+        return engines.Accepted()
+
+
+def _with_state(status: engines.RunnerStatus, state: engines.RunnerState) -> engines.RunnerStatus:
+    return engines.RunnerStatus(
+        vm_id=status.vm_id,
+        group_id=status.group_id,
+        generation=status.generation,
+        model=status.model,
+        model_version=status.model_version,
+        state=state,
+        in_flight=status.in_flight,
+        fence=status.fence,
+    )
--- /dev/null
+++ b/basilpost/load/__init__.py
@@ -0,0 +1,1 @@
+"""Load generation, experiments, history checks and reports."""
--- /dev/null
+++ b/basilpost/members/__init__.py
@@ -0,0 +1,1 @@
+"""Nodes that act together: leases, peer streams and replicated objects."""
--- /dev/null
+++ b/basilpost/members/replica.py
@@ -0,0 +1,40 @@
+"""The interface to a node's replica of stored objects.
+
+A replica keeps the highest version of each object that it has seen, from the store's watch or from
+peers, and never steps back, whatever a stale read says. It serves reads without a call to the store.
+"""
+
+import abc
+from collections.abc import Callable
+
+from basilpost.store import objects
+
+Listener = Callable[[objects.Change], None]
+
+
+class Replica(abc.ABC):
+    """Objects below the replicated prefixes, as this node knows them."""
+
+    @abc.abstractmethod
+    def get(self, key: str) -> objects.Stored | None:
+        """Returns the newest known version of an object, None if unknown or deleted."""
+
+    @abc.abstractmethod
+    def items(self, prefix: str) -> tuple[objects.Stored, ...]:
+        """Returns all known objects below a prefix, ordered by key."""
+
+    @abc.abstractmethod
+    def offer(self, change: objects.Change) -> bool:
+        """Takes in a change from any source; returns True if it was newer than what was known.
+
+        A node offers its own confirmed writes, so that they are in force here at once and spread
+        to the peers without waiting for the watch.
+        """
+
+    @abc.abstractmethod
+    def subscribe(self, prefix: str, listener: Listener) -> None:
+        """Calls the listener after each newer change below a prefix."""
+
+    @abc.abstractmethod
+    def store_contact_age(self) -> float:
+        """Returns the seconds since the store last answered this node's watch; infinite if never."""
--- /dev/null
+++ b/basilpost/members/standing.py
@@ -0,0 +1,42 @@
+"""The interface that tells whether this node may take new work.
+
+A node that hears neither the store nor a majority of the known nodes cannot tell a store outage
+from its own isolation; it stops taking new work, because its view may be outdated.
+"""
+
+import abc
+import dataclasses
+
+from basilpost.core import failure
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class InStanding:
+    """The node may take and dispatch new work."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class NotServing(failure.Failure):
+    """The node must not take or dispatch new work.
+
+    Attributes:
+        retry_after: Seconds after which a caller may try again.
+    """
+
+    retry_after: float = 1.0
+
+
+class Standing(abc.ABC):
+    """The node's own judgement of whether its view is current."""
+
+    @abc.abstractmethod
+    def check(self) -> InStanding | NotServing:
+        """Judges now; cheap enough to call before each dispatch."""
+
+    @abc.abstractmethod
+    def acknowledged_by_all(self, key: str, version: int) -> bool:
+        """Returns True if every node that may still dispatch has an object's version in force.
+
+        A node counts when it has acknowledged the version over a peer stream, or when it has been
+        silent for so long that it has stopped taking work by itself.
+        """
--- /dev/null
+++ b/basilpost/node/__init__.py
@@ -0,0 +1,1 @@
+"""Assembly of the node process."""
--- /dev/null
+++ b/basilpost/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of a target for a request: limits, queues, retries and quarantine."""
--- /dev/null
+++ b/basilpost/runs/__init__.py
@@ -0,0 +1,1 @@
+"""The ledger of non-idempotent requests."""
--- /dev/null
+++ b/basilpost/settings/loader.py
@@ -0,0 +1,221 @@
+"""Reads JSON with comments into checked records, and reports all errors of a file together."""
+
+import dataclasses
+import functools
+import math
+import pathlib
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+import cattrs
+import cattrs.errors
+import cattrs.gen
+import pyjson5
+
+from basilpost.core import failure
+from basilpost.settings import schema
+
+T = TypeVar("T")
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class SettingError(failure.Failure):
+    """One error of a settings file.
+
+    Attributes:
+        file: The file.
+        path: Key path, such as `gateway.listen.port`; empty for the whole file.
+        found: What was found there.
+        allowed: What is allowed there.
+    """
+
+    file: str
+    path: str
+    found: str
+    allowed: str
+
+    def __str__(self) -> str:
+        """Returns the error as one line."""
+        place = f"{self.file}: {self.path}" if self.path else self.file
+        return f"{place}: found {self.found}, allowed: {self.allowed}"
+
+
+class SettingsError(Exception):
+    """A settings file cannot be used; `errors` holds every reason."""
+
+    def __init__(self, errors: tuple[SettingError, ...]) -> None:
+        super().__init__("\n".join(str(error) for error in errors))
+        self.errors = errors
+
+
+def load_node_settings(path: str) -> schema.NodeSettings:
+    """Reads and checks the settings file of a node.
+
+    Raises:
+        SettingsError: With all errors of the file.
+    """
+    settings = load(path, schema.NodeSettings)
+    errors = tuple(check_node_settings(settings, file=path))
+    if errors:
+        raise SettingsError(errors)
+    return settings
+
+
+def load(path: str, kind: type[T]) -> T:
+    """Reads a file of JSON with comments into a record; unknown keys are refused.
+
+    Raises:
+        SettingsError: With all errors of the file.
+    """
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError((_error(path, "", str(error), "a readable UTF-8 file"),)) from error
+    return parse(text, kind, file=path)
+
+
+def parse(text: str, kind: type[T], *, file: str) -> T:
+    """Parses JSON with comments into a record.
+
+    Raises:
+        SettingsError: With all errors of the text.
+    """
+    try:
+        raw = pyjson5.decode(text)
+    except pyjson5.Json5Exception as error:
+        raise SettingsError((_error(file, "", str(error), "JSON with comments"),)) from error
+    try:
+        return _converter().structure(raw, kind)
+    except cattrs.BaseValidationError as error:
+        raise SettingsError(tuple(_flatten(error, file=file, path="", raw=raw))) from error
+
+
+def check_node_settings(settings: schema.NodeSettings, *, file: str) -> list[SettingError]:
+    """Checks what the types do not say: ranges, and values that must fit each other."""
+    timing = settings.timing
+    checks: list[tuple[bool, str, Any, str]] = [
+        (bool(settings.node_id), "node_id", settings.node_id, "a non-empty name"),
+        (bool(settings.failure_domain), "failure_domain", settings.failure_domain, "a name"),
+        (settings.log.format in ("json", "console"), "log.format", settings.log.format,
+         "json or console"),
+        (settings.log.level in ("debug", "info", "warning", "error"), "log.level",
+         settings.log.level, "debug, info, warning or error"),
+        (timing.lease_renewal * 2 <= timing.lease, "timing.lease_renewal", timing.lease_renewal,
+         f"at most half of timing.lease ({timing.lease})"),
+        (timing.heartbeat * 2 <= timing.peer_silence, "timing.heartbeat", timing.heartbeat,
+         f"at most half of timing.peer_silence ({timing.peer_silence})"),
+        (timing.isolation > timing.store_silence, "timing.isolation", timing.isolation,
+         f"more than timing.store_silence ({timing.store_silence})"),
+    ]  # fmt: skip
+    checks += [
+        (0 <= listen.port <= 65535, path, listen.port, "a port from 0 to 65535")
+        for path, listen in (
+            ("gateway.listen.port", settings.gateway.listen),
+            ("admin.port", settings.admin),
+            ("peers.listen.port", settings.peers.listen),
+        )
+    ]
+    checks += [
+        (getattr(timing, field.name) > 0, f"timing.{field.name}", getattr(timing, field.name),
+         "more than 0 seconds")
+        for field in dataclasses.fields(timing)
+    ]  # fmt: skip
+    checks += [
+        (url.startswith(("http://", "https://")), path, url, "an http:// or https:// URL")
+        for path, url in (
+            ("platform.object_api", settings.platform.object_api),
+            ("platform.vm_list", settings.platform.vm_list),
+        )
+    ]
+    positive = (
+        ("gateway.max_body_bytes", settings.gateway.max_body_bytes),
+        ("gateway.max_queued", settings.gateway.max_queued),
+        ("platform.calls_per_second", settings.platform.calls_per_second),
+        ("weight_store.loads_per_second", settings.weight_store.loads_per_second),
+    )
+    checks += [(value > 0, path, value, "more than 0") for path, value in positive]
+    return [
+        _error(file, path, repr(found), allowed)
+        for holds, path, found, allowed in checks
+        if not holds
+    ]
+
+
+@functools.cache
+def _converter() -> cattrs.Converter:
+    converter = cattrs.Converter(forbid_extra_keys=True, detailed_validation=True)
+    for kind in (str, int, float, bool):
+        converter.register_structure_hook(kind, _strict(kind))
+    return converter
+
+
+def _strict(kind: type) -> Callable[[Any, Any], Any]:
+    """Refuses a value of another JSON type instead of converting it."""
+
+    def structure(value: Any, _: Any) -> Any:
+        if kind is float and isinstance(value, int) and not isinstance(value, bool):
+            return float(value)
+        if type(value) is not kind or (isinstance(value, float) and not math.isfinite(value)):
+            raise TypeError(kind.__name__)
+        return value
+
+    return structure
+
+
+_KIND_TEXT = {
+    "str": "a string",
+    "int": "a whole number",
+    "float": "a number",
+    "bool": "true or false",
+}
+
+
+def _flatten(error: BaseException, *, file: str, path: str, raw: Any) -> list[SettingError]:
+    """Turns a tree of validation errors into one flat list with key paths."""
+    if isinstance(error, cattrs.errors.ForbiddenExtraKeysError):
+        allowed = ", ".join(field.name for field in dataclasses.fields(error.cl))
+        return [
+            _error(file, _join(path, key), "an unknown key", f"one of {allowed}")
+            for key in sorted(error.extra_fields)
+        ]
+    if isinstance(
+        error, cattrs.errors.IterableValidationError | cattrs.errors.ClassValidationError
+    ):
+        return [
+            found
+            for inner in error.exceptions
+            for found in _flatten(
+                inner, file=file, path=_join(path, _note_of(inner)), raw=_child(raw, inner)
+            )
+        ]
+    if isinstance(error, KeyError):
+        return [_error(file, _join(path, str(error.args[0])), "nothing", "this key is required")]
+    return [_error(file, path, repr(raw), _KIND_TEXT.get(str(error), str(error)))]
+
+
+def _note_of(error: BaseException) -> str:
+    """Returns the name or index that the converter noted on a nested error."""
+    for note in getattr(error, "__notes__", ()):
+        if isinstance(note, cattrs.AttributeValidationNote):
+            return "" if isinstance(error, KeyError) else note.name
+        if isinstance(note, cattrs.IterableValidationNote):
+            return str(note.index)
+    return ""
+
+
+def _child(raw: Any, error: BaseException) -> Any:
+    name = _note_of(error)
+    if isinstance(raw, dict) and name in raw:
+        return raw[name]
+    if isinstance(raw, list) and name.isdigit() and int(name) < len(raw):
+        return raw[int(name)]
+    return raw
+
+
+def _join(path: str, name: str) -> str:
+    return f"{path}.{name}" if path and name else path or name
+
+
+def _error(file: str, path: str, found: str, allowed: str) -> SettingError:
+    reason = f"{path or file}: found {found}"
+    return SettingError(reason=reason, file=file, path=path, found=found, allowed=allowed)
--- /dev/null
+++ b/basilpost/store/__init__.py
@@ -0,0 +1,1 @@
+"""Interfaces to the platform: object API, VM list and weight store."""
--- /dev/null
+++ b/basilpost/store/memory.py
@@ -0,0 +1,177 @@
+"""An object store in memory, for tests, the demo and the emulated object API.
+
+It can be told to be down, slow, or to lose answers after the change took effect.
+"""
+
+import asyncio
+import collections
+import dataclasses
+
+from basilpost.core import clock
+from basilpost.store import objects
+
+_HISTORY_CHANGES = 10_000
+
+
+@dataclasses.dataclass(kw_only=True)
+class Faults:
+    """What the store is made to do wrong.
+
+    Attributes:
+        down: True to answer nothing.
+        delay: Seconds added to each call.
+        lose_answers: Number of coming writes that take effect but whose answer is lost.
+    """
+
+    down: bool = False
+    delay: float = 0.0
+    lose_answers: int = 0
+
+
+class MemoryStore(objects.ObjectStore):
+    """Keeps objects in a dictionary and the latest changes for watches."""
+
+    def __init__(self) -> None:
+        self.faults = Faults()
+        self.calls_by_kind: collections.Counter[str] = collections.Counter()
+        self._stored_by_key: dict[str, objects.Stored] = {}
+        self._revision = 0
+        self._history: collections.deque[objects.Change] = collections.deque(
+            maxlen=_HISTORY_CHANGES
+        )
+        self._changed = asyncio.Event()
+
+    @property
+    def revision(self) -> int:
+        """Returns the revision of the latest change."""
+        return self._revision
+
+    async def get(
+        self,
+        key: str,
+        *,
+        timeout: float = 2.0,
+        urgency: objects.Urgency = objects.Urgency.NORMAL,
+    ) -> objects.Stored | objects.Missing | objects.Unavailable:
+        """Reads one object."""
+        if not await self._enter("get", timeout):
+            return objects.Unavailable(reason=f"get {key}: no answer within {timeout} s")
+        return self._stored_by_key.get(key) or objects.Missing(reason=f"no object {key}")
+
+    async def list(
+        self,
+        prefix: str,
+        *,
+        timeout: float = 5.0,
+        urgency: objects.Urgency = objects.Urgency.NORMAL,
+    ) -> objects.Listing | objects.Unavailable:
+        """Reads all objects below a prefix."""
+        if not await self._enter("list", timeout):
+            return objects.Unavailable(reason=f"list {prefix}: no answer within {timeout} s")
+        found = sorted(key for key in self._stored_by_key if key.startswith(prefix))
+        return objects.Listing(
+            objects=tuple(self._stored_by_key[key] for key in found), revision=self._revision
+        )
+
+    async def create(
+        self,
+        key: str,
+        value: bytes,
+        *,
+        timeout: float = 2.0,
+        urgency: objects.Urgency = objects.Urgency.NORMAL,
+    ) -> objects.Written | objects.Conflict | objects.Unavailable | objects.Unknown:
+        """Creates an object that must not exist."""
+        return await self._write("create", key, value, None, timeout)
+
+    async def update(
+        self,
+        key: str,
+        value: bytes,
+        *,
+        version: int,
+        timeout: float = 2.0,
+        urgency: objects.Urgency = objects.Urgency.NORMAL,
+    ) -> objects.Written | objects.Conflict | objects.Unavailable | objects.Unknown:
+        """Replaces an object whose version must be `version`."""
+        return await self._write("update", key, value, version, timeout)
+
+    async def delete(
+        self,
+        key: str,
+        *,
+        version: int,
+        timeout: float = 2.0,
+        urgency: objects.Urgency = objects.Urgency.NORMAL,
+    ) -> objects.Written | objects.Conflict | objects.Unavailable | objects.Unknown:
+        """Deletes an object whose version must be `version`."""
+        return await self._write("delete", key, None, version, timeout)
+
+    async def watch(
+        self, prefix: str, *, revision: int, wait: float = 10.0
+    ) -> objects.Changes | objects.Expired | objects.Unavailable:
+        """Waits up to `wait` seconds for changes below a prefix after a revision."""
+        if not await self._enter("watch", wait):
+            return objects.Unavailable(reason=f"watch {prefix}: no answer")
+        if self._history and revision + 1 < self._history[0].version:
+            return objects.Expired(reason=f"watch {prefix}: revision {revision} is too old")
+        deadline = clock.monotonic() + wait
+        while True:
+            found = self._changes_after(prefix, revision)
+            left = deadline - clock.monotonic()
+            if found or left <= 0:
+                return objects.Changes(changes=found, revision=self._revision)
+            changed = self._changed
+            try:
+                await asyncio.wait_for(changed.wait(), left)
+            except TimeoutError:
+                pass
+            if self.faults.down:
+                return objects.Unavailable(reason=f"watch {prefix}: the store went down")
+
+    def _changes_after(self, prefix: str, revision: int) -> tuple[objects.Change, ...]:
+        if revision >= self._revision:
+            return ()
+        return tuple(
+            change
+            for change in self._history
+            if change.version > revision and change.key.startswith(prefix)
+        )
+
+    async def _enter(self, kind: str, timeout: float) -> bool:
+        self.calls_by_kind[kind] += 1
+        if self.faults.down or self.faults.delay > timeout:
+            await asyncio.sleep(min(timeout, self.faults.delay or timeout))
+            return False
+        if self.faults.delay:
+            await asyncio.sleep(self.faults.delay)
+        return not self.faults.down
+
+    async def _write(
+        self, kind: str, key: str, value: bytes | None, version: int | None, timeout: float
+    ) -> objects.Written | objects.Conflict | objects.Unavailable | objects.Unknown:
+        if not await self._enter(kind, timeout):
+            return objects.Unknown(reason=f"{kind} {key}: no answer within {timeout} s")
+        stored = self._stored_by_key.get(key)
+        found = stored.version if stored else None
+        if found != version:
+            return objects.Conflict(reason=f"{kind} {key}: version {found}, expected {version}")
+        if value is not None and len(value) > objects.MAX_VALUE_BYTES:
+            return objects.Conflict(reason=f"{kind} {key}: {len(value)} bytes are too many")
+        self._revision += 1
+        self._apply(key, value)
+        if self.faults.lose_answers > 0:
+            self.faults.lose_answers -= 1
+            return objects.Unknown(reason=f"{kind} {key}: the answer was lost")
+        return objects.Written(version=self._revision)
+
+    def _apply(self, key: str, value: bytes | None) -> None:
+        stored = None
+        if value is None:
+            del self._stored_by_key[key]
+        else:
+            stored = objects.Stored(key=key, value=value, version=self._revision)
+            self._stored_by_key[key] = stored
+        self._history.append(objects.Change(key=key, version=self._revision, stored=stored))
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
--- /dev/null
+++ b/basilpost/store/memory_test.py
@@ -0,0 +1,49 @@
+"""Tests of the object store in memory."""
+
+import asyncio
+
+import pytest
+
+from basilpost.store import memory, objects
+
+
+@pytest.fixture
+def store():
+    return memory.MemoryStore()
+
+
+async def test_conditional_updates(store):
+    created = await store.create("a/1", b"one")
+    assert isinstance(await store.create("a/1", b"two"), objects.Conflict)
+    assert isinstance(await store.update("a/1", b"two", version=99), objects.Conflict)
+    updated = await store.update("a/1", b"two", version=created.version)
+    assert updated.version > created.version
+
+
+async def test_a_version_rises_across_deletion(store):
+    first = await store.create("a/1", b"one")
+    await store.delete("a/1", version=first.version)
+    second = await store.create("a/1", b"one")
+    assert second.version > first.version
+
+
+async def test_watch_sees_changes_after_the_listing(store):
+    listing = await store.list("a/")
+    waiting = asyncio.create_task(store.watch("a/", revision=listing.revision))
+    await store.create("b/1", b"other")
+    await store.create("a/1", b"one")
+    changes = await waiting
+    assert [change.key for change in changes.changes] == ["a/1"]
+
+
+async def test_a_lost_answer_takes_effect(store):
+    store.faults.lose_answers = 1
+    assert isinstance(await store.create("a/1", b"one"), objects.Unknown)
+    assert (await store.get("a/1")).value == b"one"
+
+
+@pytest.mark.looptime
+async def test_a_store_that_is_down_answers_nothing(store):
+    store.faults.down = True
+    assert isinstance(await store.get("a/1", timeout=2), objects.Unavailable)
+    assert isinstance(await store.create("a/1", b"one", timeout=2), objects.Unknown)
--- /dev/null
+++ b/basilpost/store/objects.py
@@ -0,0 +1,138 @@
+"""The interface to the platform's object API.
+
+The API keeps what must last. Only what the platform promises is assumed: versions that rise with
+each change of an object, conditional updates, and watches. An answer can be lost after the change
+took effect, so every write has three outcomes: done, refused, unknown.
+"""
+
+import abc
+import dataclasses
+import enum
+
+from basilpost.core import failure
+
+ANY_TIME = 0
+MAX_VALUE_BYTES = 1_000_000
+
+
+class Urgency(enum.IntEnum):
+    """Order in which a node's calls are let through when its budget is short."""
+
+    SAFETY = 0
+    NORMAL = 1
+    BACKGROUND = 2
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Stored:
+    """An object as read; `version` rises with each change, also across deletion and re-creation."""
+
+    key: str
+    value: bytes
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Missing(failure.Failure):
+    """There is no object of that key."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Conflict(failure.Failure):
+    """The condition of a write did not hold; the write has not taken effect."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Unavailable(failure.Failure):
+    """The store did not take or answer the call; a read has no result, a write had no effect."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Unknown(failure.Failure):
+    """The write may have taken effect: re-read and look for the attempt id in the value."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Written:
+    """A confirmed write and the object's new version."""
+
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Listing:
+    """All objects below a prefix and the revision from which a watch sees every later change."""
+
+    objects: tuple[Stored, ...]
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Change:
+    """A change seen by a watch; `stored` is None when the object was deleted."""
+
+    key: str
+    version: int
+    stored: Stored | None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Changes:
+    """Changes after a revision, oldest first, and the revision to go on from."""
+
+    changes: tuple[Change, ...]
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Expired(failure.Failure):
+    """The watch's revision is too old: list again."""
+
+
+class ObjectStore(abc.ABC):
+    """The platform's object API. `timeout` is in seconds on every call."""
+
+    @abc.abstractmethod
+    async def get(
+        self, key: str, *, timeout: float = 2.0, urgency: Urgency = Urgency.NORMAL
+    ) -> Stored | Missing | Unavailable:
+        """Reads one object."""
+
+    @abc.abstractmethod
+    async def list(
+        self, prefix: str, *, timeout: float = 5.0, urgency: Urgency = Urgency.NORMAL
+    ) -> Listing | Unavailable:
+        """Reads all objects below a prefix."""
+
+    @abc.abstractmethod
+    async def create(
+        self, key: str, value: bytes, *, timeout: float = 2.0, urgency: Urgency = Urgency.NORMAL
+    ) -> Written | Conflict | Unavailable | Unknown:
+        """Creates an object that must not exist."""
+
+    @abc.abstractmethod
+    async def update(
+        self,
+        key: str,
+        value: bytes,
+        *,
+        version: int,
+        timeout: float = 2.0,
+        urgency: Urgency = Urgency.NORMAL,
+    ) -> Written | Conflict | Unavailable | Unknown:
+        """Replaces an object whose version must be `version`."""
+
+    @abc.abstractmethod
+    async def delete(
+        self, key: str, *, version: int, timeout: float = 2.0, urgency: Urgency = Urgency.NORMAL
+    ) -> Written | Conflict | Unavailable | Unknown:
+        """Deletes an object whose version must be `version`."""
+
+    @abc.abstractmethod
+    async def watch(
+        self, prefix: str, *, revision: int, wait: float = 10.0
+    ) -> Changes | Expired | Unavailable:
+        """Waits up to `wait` seconds for changes below a prefix after a revision.
+
+        An empty `Changes` means that nothing changed; it also shows that the store was in contact.
+        """
