Ledger of non-idempotent requests in the object store

Cause: a filing must run at most once whatever fails between claim and record. Change: runs/ claims by one conditional update in hashed buckets, with changes that recognise their own effect by attempt id; one writer for each bucket shares writes; a gate refuses at once while the store fails; repeats attach to the holder over the peers, are replayed, refused or told unknown. Proof: store_ledger_test.py (23 tests: lost answers, store down and slow, dead and restarted holders, same key on nine nodes at once). Left: settling, state machine, figures.

--- /dev/null
+++ b/basilpost/runs/store_ledger_test.py
@@ -0,0 +1,285 @@
+"""Tests of the ledger with a store and peers in memory."""
+
+import asyncio
+import dataclasses
+import random
+
+import pytest
+
+from basilpost.core import clock, failure, kernel, names
+from basilpost.members import fakes
+from basilpost.runs import buckets, ledger, lookup, store_ledger
+from basilpost.settings import schema
+from basilpost.store import memory
+
+ANSWER = ledger.Answer(status=201, headers=(("Content-Type", "text/plain"),), body=b"receipt")
+CALL = ledger.Call(workspace="w", service="filings", key="k", digest="d", request_id="r")
+
+
+class Nodes:
+    """Ledgers of several nodes over one store."""
+
+    def __init__(self):
+        self.store = memory.MemoryStore()
+        self.hub = fakes.PeerHub()
+        self.ledgers = []
+
+    async def add(self, node_id, **options):
+        one = kernel.Kernel(node_id=node_id)
+        platform = schema.Platform(object_api="", vm_list="")
+        settings = schema.NodeSettings(node_id=node_id, failure_domain="f", platform=platform)
+        one.register(names.SETTINGS, settings)
+        one.register(names.OBJECTS, self.store)
+        one.register(names.PEERS, fakes.FakePeers(node_id=node_id, hub=self.hub))
+        made = store_ledger.StoreLedger(kernel=one, random_source=random.Random(1), **options)
+        await made.start()
+        self.ledgers.append(made)
+        return made
+
+    def kill(self, found):
+        del self.hub.peers_by_id[found.node_id]
+
+    def record(self, call=CALL):
+        run_id = buckets.run_id(call.workspace, call.service, call.key)
+        stored = self.store._stored_by_key.get(buckets.bucket_key(run_id))
+        return buckets.decode(stored.value).get(run_id) if stored else None
+
+
+@pytest.fixture
+async def nodes():
+    made = Nodes()
+    yield made
+    made.store.faults = memory.Faults()
+    for found in made.ledgers:
+        await found.stop()
+
+
+pytestmark = pytest.mark.looptime
+
+
+async def test_a_finished_request_is_replayed_on_every_node(nodes):
+    a, b = await nodes.add("a"), await nodes.add("b")
+    claim = await a.claim(CALL, timeout=5)
+    assert await a.may_dispatch(claim)
+    await a.finish(claim, ANSWER)
+    assert await a.claim(CALL, timeout=5) == ledger.Replayed(answer=ANSWER)
+    assert await b.claim(CALL, timeout=5) == ledger.Replayed(answer=ANSWER)
+    await asyncio.sleep(1)
+    assert a.entries.count() == 0
+    assert await b.claim(CALL, timeout=5) == ledger.Replayed(answer=ANSWER)
+
+
+async def test_a_repeat_waits_for_the_running_answer_at_another_node(nodes):
+    a, b = await nodes.add("a"), await nodes.add("b")
+    claim = await a.claim(CALL, timeout=5)
+    repeat = asyncio.create_task(b.claim(CALL, timeout=60))
+    await asyncio.sleep(30)
+    assert not repeat.done()
+    await a.finish(claim, ANSWER)
+    assert await repeat == ledger.Replayed(answer=ANSWER)
+
+
+async def test_a_repeat_of_a_long_run_is_told_that_it_is_running(nodes):
+    a, b = await nodes.add("a"), await nodes.add("b")
+    await a.claim(CALL, timeout=5)
+    for found in (a, b):
+        refusal = await found.claim(CALL, timeout=7)
+        assert (refusal.code, refusal.outcome) == ("still_running", failure.Outcome.UNKNOWN)
+
+
+async def test_another_body_under_the_same_key_is_refused(nodes):
+    a, b = await nodes.add("a"), await nodes.add("b")
+    claim = await a.claim(CALL, timeout=5)
+    other = dataclasses.replace(CALL, digest="other")
+    assert (await a.claim(other, timeout=5)).status == 422
+    assert (await b.claim(other, timeout=5)).status == 422
+    await a.finish(claim, ANSWER)
+    await asyncio.sleep(1)
+    assert (await b.claim(other, timeout=5)).code == "idempotency_key_reused"
+
+
+async def test_keys_of_workspaces_and_services_do_not_meet(nodes):
+    a = await nodes.add("a")
+    calls = [CALL, dataclasses.replace(CALL, workspace="v"), dataclasses.replace(CALL, service="s")]
+    claims = [await a.claim(call, timeout=5) for call in calls]
+    assert all(isinstance(claim, ledger.Claim) for claim in claims)
+
+
+async def test_a_withdrawn_claim_may_be_claimed_at_once_by_any_node(nodes):
+    a, b = await nodes.add("a"), await nodes.add("b")
+    claim = await a.claim(CALL, timeout=5)
+    repeat = asyncio.create_task(b.claim(CALL, timeout=5))
+    await asyncio.sleep(1)
+    await a.abandon(claim)
+    assert not await a.may_dispatch(claim)
+    again = await repeat
+    assert isinstance(again, ledger.Claim)
+    await asyncio.sleep(1)
+    assert nodes.record().attempt_id == again.attempt_id
+    assert a.entries.count() == 0
+
+
+async def test_a_lost_outcome_is_unknown_and_never_claimed_again(nodes):
+    a, b = await nodes.add("a"), await nodes.add("b")
+    claim = await a.claim(CALL, timeout=5)
+    await a.lose(claim, "the connection broke")
+    for found in (a, b):
+        refusal = await found.claim(CALL, timeout=5)
+        assert (refusal.code, refusal.outcome) == ("outcome_unknown", failure.Outcome.UNKNOWN)
+    await asyncio.sleep(100_000)
+    assert (await b.claim(CALL, timeout=5)).code == "outcome_unknown"
+
+
+async def test_a_claim_of_a_dead_node_is_unknown(nodes):
+    a, b = await nodes.add("a"), await nodes.add("b")
+    await a.claim(CALL, timeout=5)
+    nodes.kill(a)
+    await asyncio.sleep(100_000)
+    assert (await b.claim(CALL, timeout=5)).code == "outcome_unknown"
+
+
+async def test_a_claim_of_a_restarted_node_is_unknown(nodes):
+    a = await nodes.add("a")
+    await a.claim(CALL, timeout=5)
+    nodes.kill(a)
+    again = await nodes.add("a")
+    assert (await again.claim(CALL, timeout=5)).code == "outcome_unknown"
+
+
+async def test_the_service_may_tell_that_a_lost_request_ran(nodes):
+    class Told(lookup.OutcomeLookup):
+        async def look_up(self, record, *, timeout):
+            return lookup.Ran(answer=ANSWER)
+
+    a, b = await nodes.add("a"), await nodes.add("b", outcome_lookup=Told())
+    await a.claim(CALL, timeout=5)
+    nodes.kill(a)
+    assert await b.claim(CALL, timeout=5) == ledger.Replayed(answer=ANSWER)
+    assert nodes.record().state is buckets.RunState.RAN
+
+
+@pytest.mark.parametrize("lost", [1, 2, 3])
+async def test_lost_answers_of_the_store_are_recognised(nodes, lost):
+    a, b = await nodes.add("a"), await nodes.add("b")
+    nodes.store.faults.lose_answers = lost
+    claim = await a.claim(CALL, timeout=5)
+    assert isinstance(claim, ledger.Claim)
+    await a.finish(claim, ANSWER)
+    await asyncio.sleep(1)
+    assert await b.claim(CALL, timeout=5) == ledger.Replayed(answer=ANSWER)
+
+
+async def test_without_the_store_claims_are_refused_at_once_until_it_is_back(nodes):
+    a = await nodes.add("a")
+    nodes.store.faults.down = True
+    first = await a.claim(CALL, timeout=30)
+    assert (first.code, first.outcome) == ("ledger_unavailable", failure.Outcome.NOT_RUN)
+    started_at = clock.monotonic()
+    for _ in range(100):
+        assert (await a.claim(CALL, timeout=30)).retry_after == 1.0
+    assert clock.monotonic() == started_at
+    nodes.store.faults.down = False
+    await asyncio.sleep(2)
+    assert isinstance(await a.claim(CALL, timeout=5), ledger.Claim)
+
+
+async def test_a_slow_store_does_not_hold_new_claims(nodes):
+    a = await nodes.add("a")
+    nodes.store.faults.delay = 20.0
+    waiting = asyncio.create_task(a.claim(CALL, timeout=30))
+    await asyncio.sleep(0.6)
+    started_at = clock.monotonic()
+    other = dataclasses.replace(CALL, key="other")
+    assert (await a.claim(other, timeout=30)).code == "ledger_unavailable"
+    assert clock.monotonic() == started_at
+    assert (await waiting).code == "ledger_unavailable"
+
+
+async def test_an_answer_is_kept_while_the_store_is_down(nodes):
+    a, b = await nodes.add("a"), await nodes.add("b")
+    claim = await a.claim(CALL, timeout=5)
+    waiting = asyncio.create_task(b.claim(CALL, timeout=60))
+    await asyncio.sleep(1)
+    nodes.store.faults.down = True
+    await a.finish(claim, ANSWER)
+    assert await waiting == ledger.Replayed(answer=ANSWER)
+    assert await a.claim(CALL, timeout=5) == ledger.Replayed(answer=ANSWER)
+    await asyncio.sleep(600)
+    nodes.store.faults.down = False
+    await asyncio.sleep(5)
+    assert nodes.record().answer == ANSWER
+    assert a.entries.count() == 0
+
+
+async def test_a_claim_whose_write_was_lost_is_withdrawn_when_refused(nodes):
+    a, b = await nodes.add("a"), await nodes.add("b")
+    nodes.store.faults.lose_answers = 1
+    nodes.store.faults.delay = 0.3
+    waiting = asyncio.create_task(a.claim(CALL, timeout=30))
+    await asyncio.sleep(0.7)
+    nodes.store.faults.down = True
+    assert (await waiting).outcome is failure.Outcome.NOT_RUN
+    assert nodes.record().attempt_id
+    nodes.store.faults.down = False
+    nodes.store.faults.delay = 0.0
+    assert isinstance(await b.claim(CALL, timeout=10), ledger.Claim)
+
+
+async def test_a_cancelled_caller_leaves_no_claim_behind(nodes):
+    a = await nodes.add("a")
+    nodes.store.faults.delay = 0.1
+    waiting = asyncio.create_task(a.claim(CALL, timeout=30))
+    await asyncio.sleep(0.15)
+    waiting.cancel()
+    await asyncio.sleep(2)
+    assert nodes.record() is None
+    assert a.entries.count() == 0
+
+
+async def test_an_old_claim_is_confirmed_by_a_write_before_dispatch(nodes):
+    a = await nodes.add("a")
+    claim = await a.claim(CALL, timeout=5)
+    await asyncio.sleep(3.5)
+    assert await a.may_dispatch(claim)
+    assert nodes.record().confirmations == 1
+
+
+async def test_an_old_claim_is_not_dispatched_without_the_store(nodes):
+    a = await nodes.add("a")
+    claim = await a.claim(CALL, timeout=5)
+    await asyncio.sleep(3.5)
+    nodes.store.faults.down = True
+    assert not await a.may_dispatch(claim)
+
+
+async def test_one_of_many_callers_on_all_nodes_claims(nodes):
+    found = [await nodes.add(f"n{number}") for number in range(9)]
+    nodes.store.faults.delay = 0.005
+    asked = [asyncio.create_task(one.claim(CALL, timeout=60)) for one in found for _ in range(5)]
+    await asyncio.sleep(5)
+    done = [task.result() for task in asked if task.done()]
+    assert [type(one) for one in done] == [ledger.Claim]
+    holder = next(one for one in found if one.node_id == done[0].node_id)
+    await holder.finish(done[0], ANSWER)
+    answers = await asyncio.gather(*asked)
+    assert sum(isinstance(one, ledger.Claim) for one in answers) == 1
+    assert answers.count(ledger.Replayed(answer=ANSWER)) == 44
+
+
+async def test_claims_of_one_bucket_share_writes(nodes):
+    a = await nodes.add("a", bucket_count=1)
+    nodes.store.faults.delay = 0.005
+    calls = [dataclasses.replace(CALL, key=f"k{number}") for number in range(100)]
+    claims = await asyncio.gather(*(a.claim(call, timeout=5) for call in calls))
+    assert all(isinstance(claim, ledger.Claim) for claim in claims)
+    writes = nodes.store.calls_by_kind["create"] + nodes.store.calls_by_kind["update"]
+    assert writes <= 3
+
+
+async def test_an_answer_that_is_too_large_is_not_kept(nodes):
+    a, b = await nodes.add("a"), await nodes.add("b")
+    claim = await a.claim(CALL, timeout=5)
+    await a.finish(claim, dataclasses.replace(ANSWER, body=bytes(100_000)))
+    await asyncio.sleep(1)
+    refusal = await b.claim(CALL, timeout=5)
+    assert (refusal.code, refusal.outcome) == ("answer_not_kept", failure.Outcome.RAN)
