--- a/basilpost/routing/policy.py
+++ b/basilpost/routing/policy.py
@@ -86,5 +86,14 @@
         """Notes that a request is in flight on a group."""
 
     @abc.abstractmethod
-    def ended(self, request: Request, group: data.Group, *, crashed: bool) -> None:
-        """Notes the end of a dispatch; `crashed` if the target went away under it."""
+    def ended(
+        self, request: Request, group: data.Group, *, crashed: bool, ran: bool = True
+    ) -> None:
+        """Notes the end of a dispatch.
+
+        Args:
+            request: The request.
+            group: Its target.
+            crashed: True if the target went away under it.
+            ran: False if the target refused it or it was cancelled, which clears no suspect.
+        """
--- /dev/null
+++ b/basilpost/routing/quarantine_test.py
@@ -0,0 +1,179 @@
+"""Tests of requests that crash the targets that run them."""
+
+import asyncio
+
+import pytest
+
+from basilpost.core import data, failure
+from basilpost.routing import policy
+
+pytestmark = pytest.mark.looptime
+
+
+class Targets:
+    """Runs requests through nodes as the gateway does; some fingerprints crash their target."""
+
+    def __init__(self, *, deadly):
+        self.deadly = deadly
+        self.fallen = []
+        self._crashed_by_id = {}
+
+    async def run(self, node, fingerprint, *, seconds=1.0):
+        """Runs a request with its retries; returns `ran` or the refusal."""
+        request = node.request(fingerprint=fingerprint, seconds=60.0)
+        ticket = node.admission.admit(request)
+        if isinstance(ticket, failure.Refusal):
+            return ticket
+        exclude = frozenset()
+        try:
+            while True:
+                choice = await node.admission.choose(request, exclude=exclude)
+                if isinstance(choice, failure.Refusal):
+                    return choice
+                if await self._dispatch(node, request, choice, seconds):
+                    return "ran"
+                exclude |= {choice.group.group_id}
+        finally:
+            ticket.close()
+
+    async def _dispatch(self, node, request, choice, seconds):
+        group = choice.group
+        crashed = self._crashed_by_id.setdefault(group.group_id, asyncio.Event())
+        node.quarantine.started(request, group)
+        if request.fingerprint in self.deadly:
+            await asyncio.sleep(0.3)
+            self.fallen.append(group.group_id)
+            del self._crashed_by_id[group.group_id]
+            crashed.set()
+        else:
+            waited = asyncio.create_task(crashed.wait())
+            await asyncio.wait([waited], timeout=seconds)
+            waited.cancel()
+        node.quarantine.ended(request, group, crashed=crashed.is_set())
+        choice.slot.release(data.Observation(reached=not crashed.is_set()))
+        return not crashed.is_set()
+
+
+@pytest.fixture
+def nodes(bench):
+    bench.directory.set(groups=tuple(bench.group(number) for number in range(8)))
+    bench.slots.limit = 8
+    return [bench.node(f"n{number}") for number in range(3)]
+
+
+async def test_a_crashing_request_repeated_ten_times_fells_two_targets_at_most(bench, nodes):
+    targets = Targets(deadly={"bad"})
+    for number in range(10):
+        refusal = await targets.run(nodes[number % 3], "bad")
+        assert (refusal.code, refusal.retry_after) == ("quarantined", None)
+    assert len(targets.fallen) == 2
+    assert bench.store.calls_by_kind["create"] == 1
+
+
+async def test_a_crashing_request_re_sent_to_other_nodes_fells_two_targets_at_most(nodes):
+    targets = Targets(deadly={"bad"})
+
+    async def once(node):
+        request = node.request(fingerprint="bad")
+        choice = await node.admission.choose(request)
+        if isinstance(choice, policy.Choice):
+            await targets._dispatch(node, request, choice, 1.0)
+
+    for number in range(10):
+        await once(nodes[number % 3])
+        await asyncio.sleep(0.1)
+    assert len(targets.fallen) == 2
+
+
+async def test_innocent_neighbours_run_and_clear_themselves(nodes):
+    targets = Targets(deadly={"bad"})
+    innocent = [f"good-{number}" for number in range(60)]
+    calls = [
+        targets.run(nodes[number % 3], fingerprint, seconds=0.5 + number % 7 / 4)
+        for number, fingerprint in enumerate([*innocent[:30], "bad", *innocent[30:]])
+    ]
+    results = await asyncio.gather(*calls)
+    assert results.count("ran") == 60
+    assert results[30].code == "quarantined"
+    assert len(targets.fallen) == 2
+    await asyncio.sleep(0.1)
+    for node in nodes:
+        assert [entry.fingerprint for entry in node.quarantine.entries()] == ["bad"]
+        request = node.request(fingerprint="good-1")
+        assert node.quarantine.suspected(request) is None
+
+
+async def test_suspects_of_one_crash_never_run_beside_each_other(nodes):
+    targets = Targets(deadly=set())
+    node = nodes[0]
+    group = node.directory.groups_for("chat")[0]
+    requests = [node.request(fingerprint=f"s{number}", seconds=60) for number in range(12)]
+    for request in requests:
+        node.quarantine.started(request, group)
+    for request in requests:
+        node.quarantine.ended(request, group, crashed=True)
+    await asyncio.sleep(0.1)
+    running = [
+        asyncio.create_task(targets.run(nodes[number % 3], request.fingerprint))
+        for number, request in enumerate(requests)
+    ]
+    await asyncio.sleep(0.5)
+    assert all(taken <= 1 for taken in node.slots.taken_by_id.values())
+    assert await asyncio.gather(*running) == ["ran"] * 12
+
+
+async def test_a_failure_of_many_targets_at_once_quarantines_nobody(nodes):
+    node = nodes[0]
+    groups = node.directory.groups_for("chat")
+    request = node.request(fingerprint="unlucky", seconds=60)
+    for number, group in enumerate(groups[:5]):
+        other = node.request(fingerprint=f"other-{number}")
+        node.quarantine.started(other, group)
+        node.quarantine.ended(other, group, crashed=True)
+    node.quarantine.started(request, groups[0])
+    node.quarantine.ended(request, groups[0], crashed=True)
+    choice = await node.admission.choose(request)
+    node.quarantine.started(request, choice.group)
+    node.quarantine.ended(request, choice.group, crashed=True)
+    choice.slot.release(data.Observation(reached=False))
+    assert node.quarantine.check(request) is None
+
+
+async def test_an_operator_releases_a_request_everywhere_and_for_good(bench, nodes):
+    targets = Targets(deadly={"bad"})
+    await targets.run(nodes[0], "bad")
+    await asyncio.sleep(0.1)
+    (entry,) = nodes[2].quarantine.entries()
+    released = await nodes[1].quarantine.release("bad", actor="ana", reason="engine was mended")
+    assert released.released.actor == "ana"
+    await asyncio.sleep(0.1)
+    await nodes[2].quarantine._heard("n1", entry)
+    targets.deadly = set()
+    assert [await targets.run(node, "bad") for node in nodes] == ["ran"] * 3
+    assert b"engine was mended" in (await bench.store.get("quarantine/bad")).value
+
+
+async def test_a_quarantine_reaches_the_store_after_an_outage_and_a_new_node(bench, nodes):
+    bench.store.faults.down = True
+    targets = Targets(deadly={"bad"})
+    await targets.run(nodes[0], "bad")
+    await asyncio.sleep(30)
+    bench.store.faults.down = False
+    await asyncio.sleep(10)
+    later = bench.node("n9")
+    later.replica.offer(nodes[0].replica._changes_by_key["quarantine/bad"])
+    assert (await targets.run(later, "bad")).code == "quarantined"
+    assert len(targets.fallen) == 2
+
+
+async def test_a_suspect_that_a_target_refused_is_not_cleared(nodes):
+    node = nodes[0]
+    group = node.directory.groups_for("chat")[0]
+    request = node.request(fingerprint="s", seconds=60)
+    node.quarantine.started(request, group)
+    node.quarantine.ended(request, group, crashed=True)
+    choice = await node.admission.choose(request)
+    node.quarantine.started(request, choice.group)
+    node.quarantine.ended(request, choice.group, crashed=False, ran=False)
+    choice.slot.release(data.Observation(reached=True))
+    assert node.quarantine.suspected(request) is not None
--- /dev/null
+++ b/basilpost/routing/tiers.py
@@ -0,0 +1,93 @@
+"""The targets of a service as seen from one node, by distance, kept until the directory changes."""
+
+import bisect
+import dataclasses
+import functools
+from collections.abc import Iterator
+
+import xxhash
+
+from basilpost.core import data
+
+POINTS_PER_GROUP = 16
+
+
+@dataclasses.dataclass(kw_only=True, eq=False)
+class Tier:
+    """Targets at the same distance, with a hash ring over them.
+
+    A ring gives a prefix's target in logarithmic time; a rendezvous hash would have to look at
+    every target for each request.
+    """
+
+    groups: tuple[data.Group, ...]
+
+    @functools.cached_property
+    def _ring(self) -> tuple[list[int], list[data.Group]]:
+        points = sorted(
+            (point, index)
+            for index, group in enumerate(self.groups)
+            for point in _points(group.group_id)
+        )
+        return [point for point, _ in points], [self.groups[index] for _, index in points]
+
+    def walk(self, affinity: str) -> Iterator[data.Group]:
+        """Iterates over distinct targets in the ring's order from a hash key on."""
+        points, owners = self._ring
+        first = bisect.bisect_left(points, xxhash.xxh3_64_intdigest(affinity.encode()))
+        seen: set[str] = set()
+        for step in range(len(owners)):
+            group = owners[(first + step) % len(owners)]
+            if group.group_id not in seen:
+                seen.add(group.group_id)
+                yield group
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Tiers:
+    """All targets of a service that may be chosen, the nearest tier first."""
+
+    groups: tuple[data.Group, ...]
+    by_distance: tuple[Tier, ...]
+
+
+def build(
+    service: data.Service,
+    groups: tuple[data.Group, ...],
+    config: data.Config,
+    failure_domain: str,
+) -> Tiers:
+    """Sorts the complete, serving targets in service by their distance from a failure domain."""
+    chosen = tuple(
+        group
+        for group in groups
+        if group.serving
+        and len(group.members) == service.vms_per_group
+        and config.in_service(group.failure_domain)
+    )
+    distances = [_distance(group, config, failure_domain) for group in chosen]
+    by_distance = tuple(
+        Tier(groups=tuple(one for one, at in zip(chosen, distances, strict=True) if at == distance))
+        for distance in sorted(set(distances))
+    )
+    return Tiers(groups=chosen, by_distance=by_distance)
+
+
+def _distance(group: data.Group, config: data.Config, failure_domain: str) -> int:
+    """Returns 0 for the same failure domain, 1 for the same region, 2 for any other."""
+    if group.failure_domain == failure_domain:
+        return 0
+    return 1 if _region(group.failure_domain, config) == _region(failure_domain, config) else 2
+
+
+def _region(failure_domain: str, config: data.Config) -> str:
+    found = config.failure_domains_by_name.get(failure_domain)
+    return found.region if found else ""
+
+
+@functools.lru_cache(maxsize=8192)
+def _points(group_id: str) -> tuple[int, ...]:
+    return tuple(
+        xxhash.xxh3_64_intdigest(f"{group_id}\0{number}".encode())
+        for number in range(POINTS_PER_GROUP)
+    )
