Settling of open outcomes by operators and services

Cause: an outcome that nobody knows must be settled, and settling as not run must not let a frozen node run the request afterwards. Not run needs the claim's node gone or restarted and the record unchanged for the isolation interval; a node that wakes confirms by a write, which either shows or fails.

--- a/basilpost/runs/changes.py
+++ b/basilpost/runs/changes.py
@@ -10,6 +10,8 @@
 from basilpost.core import clock, data
 from basilpost.runs import buckets, ledger
 
+RAN_AFTER_ALL = "ran although it had been settled as not run"
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Applied:
@@ -107,7 +109,7 @@
             found,
             state=buckets.RunState.RAN,
             answer=kept,
-            reason="",
+            reason=RAN_AFTER_ALL if found.state is buckets.RunState.NOT_RUN else "",
             changed_at=changed_at,
         )
         return Applied(record=ran, done=True)
--- a/basilpost/runs/install.py
+++ b/basilpost/runs/install.py
@@ -1,10 +1,19 @@
 """Registers the services of this package with a node's kernel."""
 
 from basilpost.core import kernel, names
-from basilpost.runs import lookup, store_ledger
+from basilpost.members import peers, replica
+from basilpost.runs import leases, lookup, store_ledger
+from basilpost.settings import schema
 
 
 def install(kernel: kernel.Kernel, *, outcome_lookup: lookup.OutcomeLookup | None = None) -> None:
-    """Registers the ledger; the store, the peers and the settings must be registered before."""
-    found = store_ledger.StoreLedger(kernel=kernel, outcome_lookup=outcome_lookup)
+    """Registers the ledger; the store, the peers, the replica and the settings must be registered before."""
+    node_leases = leases.ReplicaLeases(
+        replica=kernel.find(names.REPLICA, replica.Replica),
+        peers=kernel.find(names.PEERS, peers.PeerNetwork),
+        timing=kernel.find(names.SETTINGS, schema.NodeSettings).timing,
+    )
+    found = store_ledger.StoreLedger(
+        kernel=kernel, outcome_lookup=outcome_lookup, node_leases=node_leases
+    )
     kernel.register(names.LEDGER, found)
--- a/basilpost/runs/leases.py
+++ b/basilpost/runs/leases.py
@@ -16,6 +16,14 @@
         """Returns True only if the node's lease has surely lapsed or was given back."""
 
 
+class NoLeases(NodeLeases):
+    """Stands in where leases cannot be seen: none is ever surely gone."""
+
+    def gone(self, node_id: str) -> bool:
+        """Returns False."""
+        return False
+
+
 class ReplicaLeases(NodeLeases):
     """Times each lease by this node's own clock, from when it saw the lease change.
 
--- a/basilpost/runs/refusals.py
+++ b/basilpost/runs/refusals.py
@@ -76,3 +76,42 @@
         status=409,
         outcome=failure.Outcome.RAN,
     )
+
+
+def no_record(key: str) -> failure.Refusal:
+    """The ledger has no record of the key."""
+    return failure.Refusal(reason=f"there is no record of key {key!r}", code="no_run", status=404)
+
+
+def not_an_outcome() -> failure.Refusal:
+    """A request is settled as run or not run, nothing else."""
+    return failure.Refusal(
+        reason="a request is settled as ran or not-run", code="bad_outcome", status=400
+    )
+
+
+def already_settled(key: str) -> failure.Refusal:
+    """The outcome is not open."""
+    return failure.Refusal(
+        reason=f"the outcome of key {key!r} is not open", code="already_settled", status=409
+    )
+
+
+def record_changed(key: str) -> failure.Refusal:
+    """The record changed while it was being settled."""
+    return failure.Refusal(
+        reason=f"the record of key {key!r} changed meanwhile: look at it again",
+        code="run_changed",
+        status=409,
+        retry_after=RUNNING_RETRY_SECONDS,
+    )
+
+
+def still_held(key: str, node_id: str) -> failure.Refusal:
+    """The claim's node is not surely gone, so it may still run the request."""
+    return failure.Refusal(
+        reason=f"node {node_id} holds the claim of key {key!r} and is not surely gone",
+        code="still_held",
+        status=409,
+        retry_after=UNKNOWN_RETRY_SECONDS,
+    )
--- a/basilpost/runs/store_ledger.py
+++ b/basilpost/runs/store_ledger.py
@@ -12,7 +12,18 @@
 
 from basilpost.core import clock, failure, kernel, names, tasks
 from basilpost.members import peers
-from basilpost.runs import buckets, changes, gate, ledger, lookup, refusals, running, writer
+from basilpost.runs import (
+    buckets,
+    changes,
+    gate,
+    leases,
+    ledger,
+    lookup,
+    refusals,
+    running,
+    settling,
+    writer,
+)
 from basilpost.settings import schema
 from basilpost.store import objects
 
@@ -33,6 +44,7 @@
         *,
         kernel: kernel.Kernel,
         outcome_lookup: lookup.OutcomeLookup | None = None,
+        node_leases: leases.NodeLeases | None = None,
         random_source: random.Random | None = None,
         bucket_count: int = buckets.BUCKETS,
         share_writes: bool = True,
@@ -58,6 +70,15 @@
             share_writes=share_writes,
             wrote=self._metrics.shared.observe,
         )
+        self.settler = settling.Settler(
+            node_id=self.node_id,
+            store=self._store,
+            commit=lambda change, seconds: self.commit(change, seconds=seconds),
+            ask=self.ask,
+            node_leases=node_leases or leases.NoLeases(),
+            timing=self.timing,
+        )
+        self._settling: set[str] = set()
         self.peers.handle(running.Attach, self.entries.attach, reply=running.Report)
 
     async def start(self) -> None:
@@ -270,9 +291,12 @@
         """Asks the service what became of a request whose outcome is open.
 
         Only "ran" is taken from it at once: that a service has no trace of a request does not show
-        that the request is not still on its way.
+        that the request is not still on its way, so "never ran" is settled as an operator would.
         """
         found = await self.outcome_lookup.look_up(record, timeout=LOOKUP_SECONDS)
+        if isinstance(found, lookup.NeverRan) and record.run_id not in self._settling:
+            self._settling.add(record.run_id)
+            self._tasks.spawn(self._settle_as_not_run(record), name="settle run")
         if not isinstance(found, lookup.Ran):
             return refusals.unknown(call, reason)
         answer = found.answer or ledger.Answer(status=200, headers=(), body=b"")
@@ -280,6 +304,24 @@
         await self.commit(change, seconds=CLAIM_SECONDS)
         return _replay(found.answer, call)
 
+    async def _settle_as_not_run(self, record: buckets.Record) -> None:
+        """Settles by the service's word, if it still says so after the isolation interval."""
+        try:
+            await asyncio.sleep(self.timing.isolation)
+            again = await self.outcome_lookup.look_up(record, timeout=LOOKUP_SECONDS)
+            if not isinstance(again, lookup.NeverRan):
+                return
+            await self.settler.settle(
+                workspace=record.workspace,
+                service=record.service,
+                key=record.key,
+                outcome=failure.Outcome.NOT_RUN,
+                actor="outcome look-up",
+                reason=f"{record.service} has no trace of the key",
+            )
+        finally:
+            self._settling.discard(record.run_id)
+
     def _withdraw(self, entry: running.Entry) -> None:
         self.entries.withdraw(entry)
         change = changes.withdraw(
