--- a/basilpost/runs/store_ledger_test.py
+++ b/basilpost/runs/store_ledger_test.py
@@ -10,7 +10,7 @@
 from basilpost.members import fakes
 from basilpost.runs import buckets, ledger, lookup, store_ledger
 from basilpost.settings import schema
-from basilpost.store import memory
+from basilpost.store import memory, objects
 
 ANSWER = ledger.Answer(status=201, headers=(("Content-Type", "text/plain"),), body=b"receipt")
 CALL = ledger.Call(workspace="w", service="filings", key="k", digest="d", request_id="r")
@@ -283,3 +283,32 @@
     await asyncio.sleep(1)
     refusal = await b.claim(CALL, timeout=5)
     assert (refusal.code, refusal.outcome) == ("answer_not_kept", failure.Outcome.RAN)
+
+
+class LateStore(memory.MemoryStore):
+    """Lets the first write time out and arrive later."""
+
+    def __init__(self):
+        super().__init__()
+        self.late = []
+
+    async def create(self, key, value, *, timeout=2.0, urgency=0):
+        if self.late:
+            return await super().create(key, value, timeout=timeout, urgency=urgency)
+        self.late.append(asyncio.create_task(self._arrive(key, value)))
+        await asyncio.sleep(timeout)
+        return objects.Unknown(reason="no answer in time")
+
+    async def _arrive(self, key, value):
+        await asyncio.sleep(4.0)
+        return await super().create(key, value)
+
+
+async def test_a_claim_that_arrives_after_its_refusal_has_no_effect(nodes):
+    nodes.store = LateStore()
+    a, b = await nodes.add("a"), await nodes.add("b")
+    refusal = await a.claim(CALL, timeout=1.0)
+    assert refusal.outcome is failure.Outcome.NOT_RUN
+    await asyncio.sleep(10)
+    assert isinstance(nodes.store.late[0].result(), objects.Conflict)
+    assert isinstance(await b.claim(CALL, timeout=5), ledger.Claim)
--- a/tests/requests_ledger_history_test.py
+++ b/tests/requests_ledger_history_test.py
@@ -11,6 +11,7 @@
 
 import hypothesis
 import looptime
+import pytest
 import structlog
 from hypothesis import stateful
 from hypothesis import strategies as st
@@ -416,3 +417,78 @@
     suppress_health_check=list(hypothesis.HealthCheck),
 )
 TestLedgerHistory = LedgerMachine.TestCase
+
+
+@pytest.fixture
+async def world():
+    made = World(bucket_count=buckets.BUCKETS)
+    for node_id in NODE_IDS:
+        await made.boot(node_id)
+    yield made
+    for node in made.nodes_by_id.values():
+        node.store.running.set()
+        await node.ledger._tasks.close()
+
+
+async def _advance(world, flow, moment):
+    """Takes a request up to the moment at which its node falls silent."""
+    await asyncio.wait([flow.task])
+    if moment == "claimed":
+        return
+    await world.dispatch(flow, arrives=True)
+    if moment == "answered":
+        world.shared.faults.down = True
+        await world.finish(flow)
+        await asyncio.sleep(0.1)
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize("crash", [True, False])
+@pytest.mark.parametrize("moment", ["claimed", "dispatched", "answered"])
+async def test_a_node_that_falls_silent_never_lets_a_request_run_twice(world, moment, crash):
+    a, b = world.nodes_by_id["a"], world.nodes_by_id["b"]
+    first = world.send(a, "k", "d", 30.0)
+    await _advance(world, first, moment)
+    world.silence(a, crash=crash)
+    world.shared.faults.down = False
+    await asyncio.sleep(1)
+    repeat = world.send(b, "k", "d", 30.0)
+    await asyncio.wait([repeat.task])
+    assert repeat.result.outcome is failure.Outcome.UNKNOWN
+    assert (await world.settle(b, "k")).code == "still_held"
+    await asyncio.sleep(15)
+    settled = await world.settle(b, "k")
+    ran = moment != "claimed"
+    assert settled.state is (buckets.RunState.RAN if ran else buckets.RunState.NOT_RUN)
+    if not crash:
+        world.thaw(a)
+        await asyncio.sleep(1)
+        if not ran:
+            await world.dispatch(first, arrives=True)
+            assert not first.dispatched
+    again = world.send(b, "k", "d", 30.0)
+    await asyncio.wait([again.task])
+    if isinstance(again.result, ledger.Claim):
+        await world.dispatch(again, arrives=True)
+        await world.finish(again)
+    assert len(world.ran) == 1
+    await world.heal()
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize("down", [True, False])
+async def test_one_key_sent_to_all_nodes_at_once_with_lost_answers_runs_once(world, down):
+    world.shared.faults.delay = 0.01
+    world.shared.faults.lose_answers = 3
+    flows = [
+        world.send(node, "k", "d", 60.0) for _ in range(20) for node in world.nodes_by_id.values()
+    ]
+    await asyncio.sleep(5)
+    held = [flow for flow in flows if isinstance(flow.result, ledger.Claim)]
+    assert len(held) == 1
+    await world.dispatch(held[0], arrives=True)
+    world.shared.faults.down = down
+    await world.finish(held[0])
+    await asyncio.sleep(10)
+    assert sum(isinstance(flow.result, ledger.Replayed) for flow in flows) == 59
+    await world.heal()
