--- a/basilpost/routing/admission.py
+++ b/basilpost/routing/admission.py
@@ -304,7 +304,7 @@
     def _hopeless(self, waiter: queue.Waiter) -> failure.Refusal | None:
         """Refuses a request that would end after its deadline, so that it wastes no slot."""
         pace = self.selector.pace_of(waiter.request.service)
-        late = clock.monotonic() + pace.mean - waiter.request.deadline
+        late = clock.monotonic() + pace.expected - waiter.request.deadline
         if late <= 0 or not pace.known:
             return None
         return refusals.too_late(waiter.request, self._queue_seconds(waiter.request.service))
--- a/basilpost/routing/pace.py
+++ b/basilpost/routing/pace.py
@@ -8,6 +8,7 @@
 
 GAIN = 1 / 16
 DEVIATION_GAIN = 1 / 8
+SPREAD = 2.0
 MIN_HOLD_SECONDS = 0.001
 
 
@@ -51,5 +52,5 @@
 
     @property
     def expected(self) -> float:
-        """Returns the time that a request takes, with some allowance for its spread."""
-        return self.mean + self.deviation
+        """Returns a time within which nearly all requests end."""
+        return self.mean + SPREAD * self.deviation
--- a/basilpost/runs/buckets.py
+++ b/basilpost/runs/buckets.py
@@ -5,6 +5,7 @@
 expires: only its node, an operator or the service itself can say what became of it.
 """
 
+import base64
 import dataclasses
 import datetime
 import enum
@@ -32,6 +33,20 @@
 FINAL_STATES = frozenset({RunState.RAN, RunState.NOT_RUN})
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class KeptAnswer:
+    """An answer as stored; `body` is base64 text."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: str
+
+    def answer(self) -> ledger.Answer:
+        """Returns the answer as it was given."""
+        body = base64.b64decode(self.body)
+        return ledger.Answer(status=self.status, headers=self.headers, body=body)
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Record:
     """One non-idempotent request.
@@ -63,7 +78,7 @@
     node_id: str
     confirmations: int = 0
     changed_at: str = ""
-    answer: ledger.Answer | None = None
+    answer: KeptAnswer | None = None
     reason: str = ""
     audit: tuple[data.AuditEntry, ...] = ()
 
@@ -127,9 +142,12 @@
     }
 
 
-def keepable(answer: ledger.Answer) -> ledger.Answer | None:
-    """Returns the answer if it is small enough to be kept in the store."""
-    return answer if len(answer.body) <= MAX_KEPT_ANSWER_BYTES else None
+def keep(answer: ledger.Answer) -> KeptAnswer | None:
+    """Returns the answer in its stored form, None if it is too large to be kept."""
+    if len(answer.body) > MAX_KEPT_ANSWER_BYTES:
+        return None
+    body = base64.b64encode(answer.body).decode()
+    return KeptAnswer(status=answer.status, headers=answer.headers, body=body)
 
 
 def _encode_all(records_by_id: dict[str, Record]) -> bytes:
--- a/basilpost/runs/changes.py
+++ b/basilpost/runs/changes.py
@@ -99,7 +99,7 @@
 
 def finish(run_id: str, *, attempt_id: str, answer: ledger.Answer) -> Change:
     """Records that a request ran; the truth goes before what was settled meanwhile."""
-    kept = buckets.keepable(answer)
+    kept = buckets.keep(answer)
     changed_at = clock.utc_now()
 
     def apply(found: buckets.Record | None) -> Applied:
@@ -148,7 +148,6 @@
     *,
     state: buckets.RunState,
     entry: data.AuditEntry,
-    answer: ledger.Answer | None = None,
 ) -> Change:
     """Settles an open request as decided, if it is still as it was observed."""
 
@@ -160,7 +159,6 @@
         settled = dataclasses.replace(
             observed,
             state=state,
-            answer=answer,
             changed_at=entry.at,
             audit=(*observed.audit, entry),
         )
--- a/basilpost/runs/store_ledger.py
+++ b/basilpost/runs/store_ledger.py
@@ -238,7 +238,7 @@
             if record.digest != call.digest:
                 return refusals.key_reused(call)
             if record.state is buckets.RunState.RAN:
-                return _replay(record.answer, call)
+                return _replay(record.answer.answer() if record.answer else None, call)
             if record.state is buckets.RunState.NOT_RUN:
                 return None
             if record.state is buckets.RunState.UNKNOWN:
--- a/basilpost/runs/store_ledger_test.py
+++ b/basilpost/runs/store_ledger_test.py
@@ -207,7 +207,7 @@
     await asyncio.sleep(600)
     nodes.store.faults.down = False
     await asyncio.sleep(5)
-    assert nodes.record().answer == ANSWER
+    assert nodes.record().answer.answer() == ANSWER
     assert a.entries.count() == 0
 
 
