Split ledger and admission into modules with one job

Change: runs/holders.py, repeats.py, commits.py; routing/lone.py; choices are counted as a metric. Found on the way: a service's word that it ran a request without its answer was kept as an empty 200 and replayed; now it is answer_not_kept (test seen to fail before: the old code returned Replayed with an empty body).

--- a/basilpost/routing/admission.py
+++ b/basilpost/routing/admission.py
@@ -14,37 +14,18 @@
 from basilpost.members import directory, standing
 from basilpost.routing import (
     limits,
+    lone,
     policy,
     quarantine,
     queue,
     refusals,
     retry,
     selection,
-    suspects,
 )
 from basilpost.settings import schema
 
 POLL_SECONDS = 0.05
 NO_TARGET_SECONDS = 1.0
-LONE_POLL_SECONDS = 0.02
-
-
-class LoneSlot(slots.Slot):
-    """The slot of a suspect, which ends its lone run when it is released."""
-
-    def __init__(
-        self, *, inner: slots.Slot, owner: quarantine.CrashQuarantine, fingerprint: str
-    ) -> None:
-        self._inner = inner
-        self._owner: quarantine.CrashQuarantine | None = owner
-        self._fingerprint = fingerprint
-
-    def release(self, observation: data.Observation) -> None:
-        """Gives the slot back once."""
-        self._inner.release(observation)
-        if self._owner is not None:
-            self._owner.end_lone_run(self._fingerprint)
-            self._owner = None
 
 
 class QueuedAdmission(policy.Admission, kernel.Service):
@@ -63,6 +44,7 @@
         self._queues_by_service: dict[str, queue.FairQueue] = {}
         self._poll: asyncio.TimerHandle | None = None
         self._budget = retry.RetryBudget()
+        self._metrics = _Metrics(registry=kernel.registry)
         self.limits = limits.Limits(max_buffered_bytes=settings.gateway.max_buffered_bytes)
         self.selector = selection.Selector(
             directory=self._directory,
@@ -71,8 +53,11 @@
             failure_domain=settings.failure_domain,
             random_source=self._random,
             released=self._released,
+            count=self._metrics.count_choice,
+        )
+        self._lone_runs = lone.LoneRuns(
+            selector=self.selector, owner=self._quarantine, refusal_now=self._refusal_now
         )
-        self._metrics = _Metrics(registry=kernel.registry)
         self._directory.subscribe(self._directory_changed)
 
     async def stop(self) -> None:
@@ -111,7 +96,7 @@
             return self._refused(refusal)
         suspect = self._quarantine.suspected(request)
         if suspect is not None:
-            return await self._choose_alone(request, suspect, exclude)
+            return self._counted(await self._lone_runs.choose(request, suspect, exclude))
         found: policy.Choice | failure.Failure | None = None
         if not self._queue(request.service):
             found = self._pick(request, exclude)
@@ -140,7 +125,7 @@
             self._cancelled(waiter)
             raise
         self._metrics.waits.observe(clock.monotonic() - waiter.enqueued_at)
-        return self._refused(result) if isinstance(result, failure.Refusal) else result
+        return self._counted(result)
 
     def _waiter(self, request: policy.Request, exclude: frozenset[str]) -> queue.Waiter:
         workspace = self._directory.config().workspaces_by_name.get(request.workspace)
@@ -208,58 +193,6 @@
         avoided = occupied if 2 * len(occupied) < count else frozenset()
         return self.selector.pick(request, exclude | avoided if avoided else exclude)
 
-    async def _choose_alone(
-        self, request: policy.Request, suspect: suspects.Suspect, exclude: frozenset[str]
-    ) -> policy.Choice | failure.Refusal:
-        """Waits until the suspect can run on a target without another suspect."""
-        patient_until = clock.monotonic() + (0.0 if exclude else NO_TARGET_SECONDS)
-        while True:
-            refusal = self._refusal_now(request)
-            if clock.monotonic() >= patient_until and not self.selector.by_load(
-                request.service, exclude
-            ):
-                refusal = refusal or refusals.no_healthy_group(request)
-            if refusal is not None:
-                return self._refused(refusal)
-            if not self._quarantine.suspects.running_on(request.fingerprint):
-                choice = await self._pick_alone(request, suspect, exclude)
-                if choice is not None:
-                    return choice
-            await asyncio.sleep(LONE_POLL_SECONDS)
-
-    async def _pick_alone(
-        self, request: policy.Request, suspect: suspects.Suspect, exclude: frozenset[str]
-    ) -> policy.Choice | None:
-        """Takes a slot on the least loaded free target, in another fabric domain if possible."""
-        unusable = exclude | self._quarantine.suspects.occupied()
-        groups = self.selector.by_load(request.service, unusable)
-        groups.sort(
-            key=lambda group: (
-                group.group_id in suspect.group_ids,
-                group.fabric_domain in suspect.fabric_domains,
-            )
-        )
-        taken = (self.selector.take(group, unusable) for group in groups)
-        choice = next((one for one in taken if one is not None), None)
-        if choice is None:
-            return None
-        if not await self._reserve(request, choice):
-            return None
-        slot = LoneSlot(inner=choice.slot, owner=self._quarantine, fingerprint=request.fingerprint)
-        return policy.Choice(group=choice.group, slot=slot)
-
-    async def _reserve(self, request: policy.Request, choice: policy.Choice) -> bool:
-        """Asks for the lone run; without it the slot is given back."""
-        granted = False
-        try:
-            granted = await self._quarantine.begin_lone_run(
-                request.service, request.fingerprint, choice.group.group_id
-            )
-        finally:
-            if not granted:
-                self.selector.give_back(choice)
-        return granted
-
     def _released(self, group: data.Group) -> None:
         if self._queued:
             self._pump(group.service, freed=group)
@@ -364,6 +297,9 @@
         if self._queued:
             self._poll_later()
 
+    def _counted(self, result: policy.Choice | failure.Refusal) -> policy.Choice | failure.Refusal:
+        return self._refused(result) if isinstance(result, failure.Refusal) else result
+
     def _refused(self, refusal: failure.Refusal) -> failure.Refusal:
         self._metrics.refusals.labels(code=refusal.code).inc()
         return refusal
@@ -385,3 +321,17 @@
         self.retries = prometheus_client.Counter(
             "basilpost_retries_total", "Retries asked for.", ["allowed"], registry=registry
         )
+        self._choices = prometheus_client.Counter(
+            "basilpost_choices_total",
+            "Targets chosen, by distance and by prefix.",
+            ["kind"],
+            registry=registry,
+        )
+        self._choices_by_kind: dict[str, prometheus_client.Counter] = {}
+
+    def count_choice(self, kind: str) -> None:
+        """Counts a choice; keeps the labelled counter at hand, because this is the busy path."""
+        counter = self._choices_by_kind.get(kind)
+        if counter is None:
+            counter = self._choices_by_kind[kind] = self._choices.labels(kind=kind)
+        counter.inc()
--- a/basilpost/routing/selection.py
+++ b/basilpost/routing/selection.py
@@ -19,6 +19,7 @@
 AFFINITY_STEPS = 6
 LOAD_BOUND = 1.25
 FREE_LOAD = 0.5
+KINDS_BY_DISTANCE = ("nearest", "farther", "farthest")
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -70,15 +71,16 @@
         failure_domain: str,
         random_source: random.Random,
         released: Callable[[data.Group], None],
+        count: Callable[[str], None] = lambda kind: None,
     ) -> None:
         self.breakers = retry.Breakers(random_source=random_source)
-        self.chosen_by_kind: collections.Counter[str] = collections.Counter()
         self._directory = directory
         self._slots = slots
         self._health = health
         self._failure_domain = failure_domain
         self._random = random_source
         self._released = released
+        self._count = count
         self._tiers_by_service: dict[str, tiers.Tiers] = {}
         self._paces_by_service: dict[str, pace.Pace] = collections.defaultdict(pace.Pace)
         self._in_flight_by_id: collections.Counter[str] = collections.Counter()
@@ -103,7 +105,7 @@
             choice = self._by_affinity(tier, request, exclude) if request.affinity else None
             choice = choice or self._by_load(tier, exclude)
             if choice is not None:
-                self.chosen_by_kind[f"distance_{number}"] += 1
+                self._count(KINDS_BY_DISTANCE[number])
                 return choice
         if any(self._usable(group, exclude) for group in found.groups):
             return AllFull(reason=f"all targets of {request.service} are full")
@@ -183,7 +185,7 @@
             if self._below(group, bound):
                 choice = self.take(group, exclude)
                 if choice is not None:
-                    self.chosen_by_kind["affinity"] += 1
+                    self._count("prefix")
                     return choice
         return None
 
--- a/basilpost/runs/changes.py
+++ b/basilpost/runs/changes.py
@@ -97,9 +97,9 @@
     return Change(run_id=run_id, apply=apply)
 
 
-def finish(run_id: str, *, attempt_id: str, answer: ledger.Answer) -> Change:
+def finish(run_id: str, *, attempt_id: str, answer: ledger.Answer | None) -> Change:
     """Records that a request ran; the truth goes before what was settled meanwhile."""
-    kept = buckets.keep(answer)
+    kept = buckets.keep(answer) if answer else None
     changed_at = clock.utc_now()
 
     def apply(found: buckets.Record | None) -> Applied:
--- /dev/null
+++ b/basilpost/runs/repeats.py
@@ -0,0 +1,143 @@
+"""Tells a repeat of a non-idempotent request what became of the first sending."""
+
+import asyncio
+
+from basilpost.core import clock, failure, tasks
+from basilpost.runs import (
+    buckets,
+    changes,
+    commits,
+    holders,
+    ledger,
+    lookup,
+    refusals,
+    running,
+    settling,
+)
+from basilpost.settings import schema
+
+READ_SECONDS = 3.0
+LOOKUP_SECONDS = 2.0
+
+
+class Repeats:
+    """Attaches repeats to running requests, replays answers and looks up open outcomes."""
+
+    def __init__(
+        self,
+        *,
+        commit: settling.Commit,
+        holders: holders.Holders,
+        settler: settling.Settler,
+        outcome_lookup: lookup.OutcomeLookup,
+        timing: schema.Timing,
+        task_set: tasks.TaskSet,
+    ) -> None:
+        self._commit = commit
+        self._holders = holders
+        self._settler = settler
+        self._lookup = outcome_lookup
+        self._timing = timing
+        self._tasks = task_set
+        self._settling: set[str] = set()
+
+    async def attach_here(
+        self, entry: running.Entry, call: ledger.Call, deadline: float
+    ) -> ledger.Replayed | failure.Refusal | None:
+        """Waits for a claim of this node; None if it was withdrawn."""
+        if entry.call.digest != call.digest:
+            return refusals.key_reused(call)
+        if entry.open:
+            await entry.wait(max(0.0, deadline - clock.monotonic()))
+        if entry.open:
+            return refusals.running(call)
+        if entry.phase is running.Phase.WITHDRAWN and entry.refusal is not None:
+            return entry.refusal
+        return _outcome_of(entry.report(), call)
+
+    async def answer(
+        self, call: ledger.Call, record: buckets.Record, deadline: float
+    ) -> ledger.Replayed | failure.Refusal | None:
+        """Tells a repeat what became of a recorded request; None if it may be claimed."""
+        while True:
+            if record.digest != call.digest:
+                return refusals.key_reused(call)
+            if record.state is buckets.RunState.RAN:
+                return _replay(record.answer.answer() if record.answer else None, call)
+            if record.state is buckets.RunState.NOT_RUN:
+                return None
+            if record.state is buckets.RunState.UNKNOWN:
+                return await self._look_up(call, record, record.reason)
+            report = await self._holders.outcome_of(record, deadline)
+            if isinstance(report, running.Report) and report.phase is not running.Phase.NOT_MINE:
+                return (
+                    refusals.running(call)
+                    if holders.running_still(report)
+                    else _outcome_of(report, call)
+                )
+            latest = await self._read(record.run_id)
+            if isinstance(latest, buckets.Record) and latest == record:
+                return await self._look_up(call, record, "its node does not answer for it")
+            if isinstance(latest, failure.Failure):
+                return refusals.unknown(call, latest.reason)
+            if latest is None:
+                return None
+            record = latest
+
+    async def _read(self, run_id: str) -> buckets.Record | failure.Failure | None:
+        """Reads a record from the store; None if there is none."""
+        committed = await self._commit(changes.read(run_id), READ_SECONDS)
+        return committed.record if isinstance(committed, commits.Committed) else committed
+
+    async def _look_up(
+        self, call: ledger.Call, record: buckets.Record, reason: str
+    ) -> ledger.Replayed | failure.Refusal:
+        """Asks the service what became of a request whose outcome is open.
+
+        Only "ran" is taken from it at once: that a service has no trace of a request does not show
+        that the request is not still on its way, so "never ran" is settled as an operator would.
+        """
+        found = await self._lookup.look_up(record, timeout=LOOKUP_SECONDS)
+        if isinstance(found, lookup.NeverRan) and record.run_id not in self._settling:
+            self._settling.add(record.run_id)
+            self._tasks.spawn(self._settle_as_not_run(record), name="settle run")
+        if not isinstance(found, lookup.Ran):
+            return refusals.unknown(call, reason)
+        change = changes.finish(record.run_id, attempt_id=record.attempt_id, answer=found.answer)
+        await self._commit(change, READ_SECONDS)
+        return _replay(found.answer, call)
+
+    async def _settle_as_not_run(self, record: buckets.Record) -> None:
+        """Settles by the service's word, if it still says so after the isolation interval."""
+        try:
+            await asyncio.sleep(self._timing.isolation)
+            again = await self._lookup.look_up(record, timeout=LOOKUP_SECONDS)
+            if not isinstance(again, lookup.NeverRan):
+                return
+            await self._settler.settle(
+                workspace=record.workspace,
+                service=record.service,
+                key=record.key,
+                outcome=failure.Outcome.NOT_RUN,
+                actor="outcome look-up",
+                reason=f"{record.service} has no trace of the key",
+            )
+        finally:
+            self._settling.discard(record.run_id)
+
+
+def _outcome_of(
+    report: running.Report, call: ledger.Call
+) -> ledger.Replayed | failure.Refusal | None:
+    """Returns what a repeat is told of a decided attempt; None if it was withdrawn."""
+    if report.phase is running.Phase.WITHDRAWN:
+        return None
+    if report.phase is running.Phase.FINISHED:
+        return _replay(report.answer, call)
+    return refusals.unknown(call, report.reason)
+
+
+def _replay(answer: ledger.Answer | None, call: ledger.Call) -> ledger.Replayed | failure.Refusal:
+    if answer is None:
+        return refusals.answer_not_kept(call)
+    return ledger.Replayed(answer=answer)
--- a/basilpost/runs/settling.py
+++ b/basilpost/runs/settling.py
@@ -12,7 +12,7 @@
 
 from basilpost.core import clock, data, failure, names
 from basilpost.members import peers
-from basilpost.runs import buckets, changes, leases, refusals, running, writer
+from basilpost.runs import buckets, changes, commits, leases, refusals, running
 from basilpost.settings import schema
 from basilpost.store import objects
 
@@ -20,7 +20,7 @@
 LIST_SECONDS = 10.0
 SHARDS = "0123456789abcdef"
 
-Commit = Callable[[changes.Change, float], Awaitable[writer.Result]]
+Commit = Callable[[changes.Change, float], Awaitable[commits.Result]]
 Ask = Callable[[str, running.Attach], Awaitable[running.Report | peers.PeerUnavailable]]
 
 _STATES_BY_OUTCOME = {
@@ -56,7 +56,7 @@
         committed = await self._commit(
             changes.read(buckets.run_id(workspace, service, key)), COMMIT_SECONDS
         )
-        if not isinstance(committed, writer.Committed):
+        if not isinstance(committed, commits.Committed):
             return refusals.store_unavailable()
         return committed.record or refusals.no_record(key)
 
@@ -135,7 +135,7 @@
         )
         change = changes.settle(observed, state=state, entry=entry)
         committed = await self._commit(change, COMMIT_SECONDS)
-        if not isinstance(committed, writer.Committed):
+        if not isinstance(committed, commits.Committed):
             return refusals.store_unavailable()
         if not committed.done or committed.record is None:
             return refusals.record_changed(observed.key)
--- a/basilpost/runs/store_ledger.py
+++ b/basilpost/runs/store_ledger.py
@@ -15,11 +15,14 @@
 from basilpost.runs import (
     buckets,
     changes,
+    commits,
     gate,
+    holders,
     leases,
     ledger,
     lookup,
     refusals,
+    repeats,
     running,
     settling,
     writer,
@@ -31,7 +34,6 @@
 RECORD_SECONDS = 5.0
 RECORD_BACKOFF_SECONDS = 0.1
 MAX_RECORD_BACKOFF_SECONDS = 2.0
-LOOKUP_SECONDS = 2.0
 DRAIN_SECONDS = 5.0
 PROBE_KEY = f"{names.RUN_PREFIX}probe"
 
@@ -51,8 +53,6 @@
     ) -> None:
         self.node_id = kernel.node_id
         self.timing = kernel.find(names.SETTINGS, schema.NodeSettings).timing
-        self.peers = kernel.find(names.PEERS, peers.PeerNetwork)
-        self.outcome_lookup = outcome_lookup or lookup.NoLookup()
         self.entries = running.Entries()
         self._log = kernel.log
         self._store = kernel.find(names.OBJECTS, objects.ObjectStore)
@@ -70,16 +70,28 @@
             share_writes=share_writes,
             wrote=self._metrics.shared.observe,
         )
+        found_holders = holders.Holders(
+            node_id=self.node_id,
+            entries=self.entries,
+            network=kernel.find(names.PEERS, peers.PeerNetwork),
+            timing=self.timing,
+        )
         self.settler = settling.Settler(
             node_id=self.node_id,
             store=self._store,
-            commit=lambda change, seconds: self.commit(change, seconds=seconds),
-            ask=self.ask,
+            commit=self._commit,
+            ask=found_holders.ask,
             node_leases=node_leases or leases.NoLeases(),
             timing=self.timing,
         )
-        self._settling: set[str] = set()
-        self.peers.handle(running.Attach, self.entries.attach, reply=running.Report)
+        self._repeats = repeats.Repeats(
+            commit=self._commit,
+            holders=found_holders,
+            settler=self.settler,
+            outcome_lookup=outcome_lookup or lookup.NoLookup(),
+            timing=self.timing,
+            task_set=self._tasks,
+        )
 
     async def start(self) -> None:
         """Starts the probes of the store."""
@@ -112,8 +124,8 @@
         change = changes.confirm(
             entry.run_id, attempt_id=entry.attempt_id, confirmations=entry.confirmations
         )
-        committed = await self.commit(change, seconds=CLAIM_SECONDS)
-        if not isinstance(committed, writer.Committed) or not committed.done:
+        committed = await self._commit(change, CLAIM_SECONDS)
+        if not isinstance(committed, commits.Committed) or not committed.done:
             return False
         entry.confirmed_at = committed.confirmed_at
         return entry.phase is running.Phase.HELD and self._fresh(entry)
@@ -145,7 +157,7 @@
         self._log.warning("run_lost", request=entry.call.request_id, key=entry.call.key)
         self._record(entry, changes.lose(entry.run_id, attempt_id=entry.attempt_id, reason=reason))
 
-    async def commit(self, change: changes.Change, *, seconds: float) -> writer.Result:
+    async def _commit(self, change: changes.Change, seconds: float) -> commits.Result:
         """Commits a change of one record within some seconds."""
         return await self._writers.submit(change, deadline=clock.monotonic() + seconds)
 
@@ -159,12 +171,12 @@
         while True:
             entry = self.entries.current(run_id)
             if entry is not None:
-                outcome = await self._attach_here(entry, call, deadline)
+                outcome = await self._repeats.attach_here(entry, call, deadline)
             else:
                 found = await self._claim_in_store(call, run_id, replaceable, deadline)
                 if not isinstance(found, buckets.Record):
                     return found
-                outcome = await self._repeat(call, found, deadline)
+                outcome = await self._repeats.answer(call, found, deadline)
                 if outcome is None:
                     replaceable |= {found.attempt_id}
             if outcome is not None:
@@ -172,20 +184,6 @@
             if clock.monotonic() >= deadline:
                 return refusals.store_unavailable()
 
-    async def _attach_here(
-        self, entry: running.Entry, call: ledger.Call, deadline: float
-    ) -> ledger.Replayed | failure.Refusal | None:
-        """Waits for a claim of this node; None if it was withdrawn."""
-        if entry.call.digest != call.digest:
-            return refusals.key_reused(call)
-        if entry.open:
-            await entry.wait(max(0.0, deadline - clock.monotonic()))
-        if entry.open:
-            return refusals.running(call)
-        if entry.phase is running.Phase.WITHDRAWN and entry.refusal is not None:
-            return entry.refusal
-        return _outcome_of(entry.report(), call)
-
     async def _claim_in_store(
         self, call: ledger.Call, run_id: str, replaceable: frozenset[str], deadline: float
     ) -> ledger.Claim | failure.Refusal | buckets.Record:
@@ -200,21 +198,21 @@
         )
         seconds = min(CLAIM_SECONDS, deadline - clock.monotonic())
         try:
-            committed = await self.commit(change, seconds=seconds)
+            committed = await self._commit(change, seconds)
         except asyncio.CancelledError:
             self._withdraw(entry)
             raise
-        if isinstance(committed, writer.Committed):
+        if isinstance(committed, commits.Committed):
             return self._claimed(entry, committed)
-        full = isinstance(committed, writer.BucketFull)
+        full = isinstance(committed, commits.BucketFull)
         entry.refusal = refusals.bucket_full() if full else refusals.store_unavailable()
-        if isinstance(committed, writer.Uncommitted):
+        if isinstance(committed, commits.Uncommitted):
             entry.fence_version = committed.fence_version
         self._withdraw(entry)
         return entry.refusal
 
     def _claimed(
-        self, entry: running.Entry, committed: writer.Committed
+        self, entry: running.Entry, committed: commits.Committed
     ) -> ledger.Claim | buckets.Record:
         record = committed.record
         if not committed.done and record is not None:
@@ -230,98 +228,6 @@
             confirmed_at=committed.confirmed_at,
         )
 
-    async def _repeat(
-        self, call: ledger.Call, record: buckets.Record, deadline: float
-    ) -> ledger.Replayed | failure.Refusal | None:
-        """Tells a repeat what became of a recorded request; None if it may be claimed."""
-        while True:
-            if record.digest != call.digest:
-                return refusals.key_reused(call)
-            if record.state is buckets.RunState.RAN:
-                return _replay(record.answer.answer() if record.answer else None, call)
-            if record.state is buckets.RunState.NOT_RUN:
-                return None
-            if record.state is buckets.RunState.UNKNOWN:
-                return await self._look_up(call, record, record.reason)
-            report = await self._ask_holder(record, deadline)
-            if isinstance(report, running.Report) and report.phase is not running.Phase.NOT_MINE:
-                return refusals.running(call) if _open(report) else _outcome_of(report, call)
-            latest = await self.read(record.run_id)
-            if isinstance(latest, buckets.Record) and latest == record:
-                return await self._look_up(call, record, "its node does not answer for it")
-            if isinstance(latest, failure.Failure):
-                return refusals.unknown(call, latest.reason)
-            if latest is None:
-                return None
-            record = latest
-
-    async def read(self, run_id: str) -> buckets.Record | failure.Failure | None:
-        """Reads a record from the store; None if there is none."""
-        committed = await self.commit(changes.read(run_id), seconds=CLAIM_SECONDS)
-        return committed.record if isinstance(committed, writer.Committed) else committed
-
-    async def _ask_holder(
-        self, record: buckets.Record, deadline: float
-    ) -> running.Report | peers.PeerUnavailable:
-        """Waits with the node that holds a claim until its outcome or the deadline."""
-        while True:
-            seconds = running.wait_slice(deadline)
-            message = running.Attach(attempt_id=record.attempt_id, wait_seconds=seconds)
-            report = await self.ask(record.node_id, message)
-            if isinstance(report, peers.PeerUnavailable):
-                return report
-            if not _open(report) or clock.monotonic() >= deadline:
-                return report
-
-    async def ask(
-        self, node_id: str, message: running.Attach
-    ) -> running.Report | peers.PeerUnavailable:
-        """Asks a node, which may be this one, for an attempt's outcome."""
-        if node_id == self.node_id:
-            return await self.entries.attach(node_id, message)
-        timeout = message.wait_seconds + self.timing.peer_silence
-        report: running.Report | peers.PeerUnavailable = await self.peers.request(
-            node_id, message, timeout=timeout
-        )
-        return report
-
-    async def _look_up(
-        self, call: ledger.Call, record: buckets.Record, reason: str
-    ) -> ledger.Replayed | failure.Refusal:
-        """Asks the service what became of a request whose outcome is open.
-
-        Only "ran" is taken from it at once: that a service has no trace of a request does not show
-        that the request is not still on its way, so "never ran" is settled as an operator would.
-        """
-        found = await self.outcome_lookup.look_up(record, timeout=LOOKUP_SECONDS)
-        if isinstance(found, lookup.NeverRan) and record.run_id not in self._settling:
-            self._settling.add(record.run_id)
-            self._tasks.spawn(self._settle_as_not_run(record), name="settle run")
-        if not isinstance(found, lookup.Ran):
-            return refusals.unknown(call, reason)
-        answer = found.answer or ledger.Answer(status=200, headers=(), body=b"")
-        change = changes.finish(record.run_id, attempt_id=record.attempt_id, answer=answer)
-        await self.commit(change, seconds=CLAIM_SECONDS)
-        return _replay(found.answer, call)
-
-    async def _settle_as_not_run(self, record: buckets.Record) -> None:
-        """Settles by the service's word, if it still says so after the isolation interval."""
-        try:
-            await asyncio.sleep(self.timing.isolation)
-            again = await self.outcome_lookup.look_up(record, timeout=LOOKUP_SECONDS)
-            if not isinstance(again, lookup.NeverRan):
-                return
-            await self.settler.settle(
-                workspace=record.workspace,
-                service=record.service,
-                key=record.key,
-                outcome=failure.Outcome.NOT_RUN,
-                actor="outcome look-up",
-                reason=f"{record.service} has no trace of the key",
-            )
-        finally:
-            self._settling.discard(record.run_id)
-
     def _withdraw(self, entry: running.Entry) -> None:
         self.entries.withdraw(entry)
         change = changes.withdraw(
@@ -338,8 +244,8 @@
         """Writes an outcome until the store has it; until then it is kept here."""
         backoff = RECORD_BACKOFF_SECONDS
         while True:
-            committed = await self.commit(change, seconds=RECORD_SECONDS)
-            if isinstance(committed, writer.Committed):
+            committed = await self._commit(change, RECORD_SECONDS)
+            if isinstance(committed, commits.Committed):
                 break
             await asyncio.sleep(self._random.uniform(backoff / 2, backoff))
             backoff = min(MAX_RECORD_BACKOFF_SECONDS, backoff * 2)
@@ -378,24 +284,3 @@
         if isinstance(outcome, failure.Refusal):
             result = outcome.code
         self._claims.labels(result=result).inc()
-
-
-def _open(report: running.Report) -> bool:
-    return report.phase in (running.Phase.CLAIMING, running.Phase.HELD)
-
-
-def _outcome_of(
-    report: running.Report, call: ledger.Call
-) -> ledger.Replayed | failure.Refusal | None:
-    """Returns what a repeat is told of a decided attempt; None if it was withdrawn."""
-    if report.phase is running.Phase.WITHDRAWN:
-        return None
-    if report.phase is running.Phase.FINISHED:
-        return _replay(report.answer, call)
-    return refusals.unknown(call, report.reason)
-
-
-def _replay(answer: ledger.Answer | None, call: ledger.Call) -> ledger.Replayed | failure.Refusal:
-    if answer is None:
-        return refusals.answer_not_kept(call)
-    return ledger.Replayed(answer=answer)
--- a/basilpost/runs/store_ledger_test.py
+++ b/basilpost/runs/store_ledger_test.py
@@ -312,3 +312,15 @@
     await asyncio.sleep(10)
     assert isinstance(nodes.store.late[0].result(), objects.Conflict)
     assert isinstance(await b.claim(CALL, timeout=5), ledger.Claim)
+
+
+async def test_a_request_that_the_service_ran_is_not_replayed_without_its_answer(nodes):
+    class Told(lookup.OutcomeLookup):
+        async def look_up(self, record, *, timeout):
+            return lookup.Ran()
+
+    a, b = await nodes.add("a"), await nodes.add("b", outcome_lookup=Told())
+    await a.claim(CALL, timeout=5)
+    nodes.kill(a)
+    for _ in range(2):
+        assert (await b.claim(CALL, timeout=5)).code == "answer_not_kept"
--- a/basilpost/runs/writer.py
+++ b/basilpost/runs/writer.py
@@ -6,12 +6,11 @@
 
 import asyncio
 import collections
-import dataclasses
 import random
 from collections.abc import Callable
 
-from basilpost.core import clock, failure, tasks
-from basilpost.runs import buckets, changes, gate
+from basilpost.core import clock, tasks
+from basilpost.runs import buckets, changes, commits, gate
 from basilpost.store import objects
 
 CALL_SECONDS = 1.0
@@ -21,64 +20,6 @@
 NO_VERSION = 0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Committed:
-    """A change that the store has confirmed, or found not to apply.
-
-    Attributes:
-        record: The record afterwards.
-        done: True if the change is in effect.
-        confirmed_at: Event loop's time from before the first call that can have made it so.
-    """
-
-    record: buckets.Record | None
-    done: bool
-    confirmed_at: float
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Uncommitted(failure.Failure):
-    """The store did not confirm the change in time.
-
-    Attributes:
-        fence_version: Bucket version at which a write of it may still arrive, None if none can.
-    """
-
-    fence_version: int | None = None
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class BucketFull(failure.Failure):
-    """The bucket has no room for another record."""
-
-
-Result = Committed | Uncommitted | BucketFull
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Snapshot:
-    """A bucket as read or written at a version."""
-
-    version: int
-    records_by_id: dict[str, buckets.Record]
-
-
-@dataclasses.dataclass(kw_only=True)
-class Pending:
-    """A change that waits for its commit."""
-
-    change: changes.Change
-    deadline: float
-    result: asyncio.Future[Result]
-    written_at: float | None = None
-    fence_version: int | None = None
-
-    def resolve(self, result: Result) -> None:
-        """Hands over the result unless the submitter has gone away."""
-        if not self.result.done():
-            self.result.set_result(result)
-
-
 class Writers:
     """The writers of all buckets on this node."""
 
@@ -100,14 +41,14 @@
         self.wrote = wrote
         self._tasks = task_set
         self._bucket_count = bucket_count
-        self._pending_by_key: dict[str, list[Pending]] = {}
-        self._cache: collections.OrderedDict[str, Snapshot] = collections.OrderedDict()
+        self._pending_by_key: dict[str, list[commits.Pending]] = {}
+        self._cache: collections.OrderedDict[str, commits.Snapshot] = collections.OrderedDict()
 
-    async def submit(self, change: changes.Change, *, deadline: float) -> Result:
+    async def submit(self, change: changes.Change, *, deadline: float) -> commits.Result:
         """Commits a change by the deadline, together with others of the same bucket."""
         key = buckets.bucket_key(change.run_id, buckets=self._bucket_count)
-        result: asyncio.Future[Result] = asyncio.get_running_loop().create_future()
-        pending = Pending(change=change, deadline=deadline, result=result)
+        result: asyncio.Future[commits.Result] = asyncio.get_running_loop().create_future()
+        pending = commits.Pending(change=change, deadline=deadline, result=result)
         waiting = self._pending_by_key.get(key)
         if waiting is not None:
             waiting.append(pending)
@@ -116,11 +57,11 @@
             self._tasks.spawn(self._drain(key), name=f"bucket {key}")
         return await result
 
-    def cached(self, key: str) -> Snapshot | None:
+    def cached(self, key: str) -> commits.Snapshot | None:
         """Returns the bucket as this node last read or wrote it."""
         return self._cache.get(key)
 
-    def remember(self, key: str, snapshot: Snapshot | None) -> None:
+    def remember(self, key: str, snapshot: commits.Snapshot | None) -> None:
         """Keeps what is known of a bucket, up to a number of buckets."""
         self._cache.pop(key, None)
         if snapshot is not None:
@@ -128,7 +69,7 @@
         if len(self._cache) > CACHED_BUCKETS:
             self._cache.popitem(last=False)
 
-    def take_pending(self, key: str) -> list[Pending]:
+    def take_pending(self, key: str) -> list[commits.Pending]:
         """Returns the changes that wait for a bucket and empties its line."""
         waiting = self._pending_by_key[key]
         count = len(waiting) if self.share_writes else 1
@@ -142,13 +83,13 @@
         finally:
             left = self._pending_by_key.pop(key)
             for pending in left:
-                pending.resolve(Uncommitted(reason=f"the writer of {key} ended"))
+                pending.resolve(commits.Uncommitted(reason=f"the writer of {key} ended"))
 
 
 class Commit:
     """One commit of a batch of changes, with its retries."""
 
-    def __init__(self, *, writers: Writers, key: str, batch: list[Pending]) -> None:
+    def __init__(self, *, writers: Writers, key: str, batch: list[commits.Pending]) -> None:
         self._writers = writers
         self._key = key
         self._batch = batch
@@ -173,7 +114,9 @@
                 return
             snapshot, fresh = await self._step(snapshot, fresh)
 
-    async def _step(self, snapshot: Snapshot, fresh: bool) -> tuple[Snapshot | None, bool]:
+    async def _step(
+        self, snapshot: commits.Snapshot, fresh: bool
+    ) -> tuple[commits.Snapshot | None, bool]:
         """Applies the batch once; returns what to go on from, with an empty batch at the end."""
         after = dict(snapshot.records_by_id)
         applied = [self._apply(pending, after) for pending in self._batch]
@@ -193,18 +136,18 @@
 
     async def _write(
         self,
-        snapshot: Snapshot,
+        snapshot: commits.Snapshot,
         kept: dict[str, buckets.Record],
         raw: bytes,
         applied: list[changes.Applied],
-    ) -> Snapshot | None:
+    ) -> commits.Snapshot | None:
         now = clock.monotonic()
         for pending in self._batch:
             pending.written_at = now if pending.written_at is None else pending.written_at
         written = await self._put(snapshot.version, raw)
         if isinstance(written, objects.Written):
             self._writers.wrote(len(self._batch))
-            after = Snapshot(version=written.version, records_by_id=kept)
+            after = commits.Snapshot(version=written.version, records_by_id=kept)
             self._writers.remember(self._key, after)
             self._deliver(applied)
             return after
@@ -218,7 +161,7 @@
             await self._back_off()
         return None
 
-    async def _read(self) -> Snapshot | None:
+    async def _read(self) -> commits.Snapshot | None:
         store_gate = self._writers.store_gate
         number = store_gate.begin()
         found: objects.Stored | objects.Missing | objects.Unavailable | None = None
@@ -229,9 +172,11 @@
         finally:
             store_gate.end(number, answered=_answered(found))
         if isinstance(found, objects.Stored):
-            return Snapshot(version=found.version, records_by_id=buckets.decode(found.value))
+            return commits.Snapshot(
+                version=found.version, records_by_id=buckets.decode(found.value)
+            )
         if isinstance(found, objects.Missing):
-            return Snapshot(version=NO_VERSION, records_by_id={})
+            return commits.Snapshot(version=NO_VERSION, records_by_id={})
         return None
 
     async def _put(
@@ -252,7 +197,7 @@
         finally:
             store_gate.end(number, answered=_answered(written))
 
-    def _apply(self, pending: Pending, after: dict[str, buckets.Record]) -> changes.Applied:
+    def _apply(self, pending: commits.Pending, after: dict[str, buckets.Record]) -> changes.Applied:
         run_id = pending.change.run_id
         applied = pending.change.apply(after.get(run_id))
         if applied.record is None:
@@ -265,17 +210,17 @@
         now = clock.monotonic()
         for pending, one in zip(self._batch, applied, strict=True):
             since = now if pending.written_at is None else pending.written_at
-            pending.resolve(Committed(record=one.record, done=one.done, confirmed_at=since))
+            pending.resolve(commits.Committed(record=one.record, done=one.done, confirmed_at=since))
         self._batch = []
 
     def _fail(self, reason: str) -> None:
         for pending in self._batch:
-            pending.resolve(Uncommitted(reason=reason, fence_version=pending.fence_version))
+            pending.resolve(commits.Uncommitted(reason=reason, fence_version=pending.fence_version))
         self._batch = []
 
     def _refuse_full(self) -> None:
         for pending in self._batch:
-            pending.resolve(BucketFull(reason=f"{self._key} is full"))
+            pending.resolve(commits.BucketFull(reason=f"{self._key} is full"))
         self._batch = []
 
     def _drop_late(self) -> bool:
@@ -284,7 +229,7 @@
         late = [pending for pending in self._batch if pending.deadline <= now]
         for pending in late:
             reason = "the store did not confirm the change in time"
-            pending.resolve(Uncommitted(reason=reason, fence_version=pending.fence_version))
+            pending.resolve(commits.Uncommitted(reason=reason, fence_version=pending.fence_version))
         self._batch = [pending for pending in self._batch if pending.deadline > now]
         return bool(self._batch)
 
