--- a/basilpost/routing/admission_test.py
+++ b/basilpost/routing/admission_test.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import random
 
 import pytest
 
@@ -243,12 +244,14 @@
     bench.slots.limit = 8
     node = bench.node()
     capacity = 3 * 8 / 1.0
-    good = 0
+    source = random.Random(5)
+    good = late = 0
 
     async def ask():
-        nonlocal good
-        latency = await _serve(node, 1.0, seconds=3.0)
-        good += isinstance(latency, float) and latency <= 3.0
+        nonlocal good, late
+        latency = await _serve(node, source.uniform(0.5, 1.5), seconds=4.0)
+        good += isinstance(latency, float) and latency <= 4.0
+        late += isinstance(latency, float) and latency > 4.0
 
     tasks = []
     for _ in range(int(60 * capacity * overload)):
@@ -256,3 +259,4 @@
         await asyncio.sleep(1 / (capacity * overload))
     await asyncio.gather(*tasks)
     assert good >= 0.95 * 60 * capacity
+    assert late <= 0.01 * good
--- a/basilpost/routing/quarantine_test.py
+++ b/basilpost/routing/quarantine_test.py
@@ -150,6 +150,10 @@
     await nodes[2].quarantine._heard("n1", entry)
     targets.deadly = set()
     assert [await targets.run(node, "bad") for node in nodes] == ["ran"] * 3
+    later = bench.node("n9")
+    await later.quarantine._heard("n1", released)
+    await later.quarantine._heard("n1", entry)
+    assert later.quarantine.entries() == ()
     assert b"engine was mended" in (await bench.store.get("quarantine/bad")).value
 
 
