Gateway: model calls, streams that resume, filings under a claim

Cause: callers need whole answers over HTTP from targets that die, cross replies or go silent. Change: own exchange over tornado's HTTP1Connection with connect as a step of its own; streams are asked for in HTTP/1.0, so that events pass without chunk framing; whole events only, checked for the request's id; a stream goes on elsewhere at the next token; a filing runs under a claim and outlives its caller.

--- /dev/null
+++ b/basilpost/gateway/callers.py
@@ -0,0 +1,152 @@
+"""Tells who a caller is, what it asks for and until when it waits."""
+
+import dataclasses
+import json
+import math
+import re
+import uuid
+from typing import Any
+
+import tornado.httputil
+
+from basilpost.core import clock, data, failure, hashing, names
+from basilpost.gateway import refusals
+
+_SAFE_ID = re.compile(r"[A-Za-z0-9._-]{1,64}")
+_SAFE_KEY = re.compile(r"[\x21-\x7e]{1,200}")
+_PREFIX_BYTES = 1024
+_MAX_DEADLINE_SECONDS = 3600.0
+
+
+class KeyIndex:
+    """Finds the workspace of an API key; rebuilt when the configuration changes."""
+
+    def __init__(self) -> None:
+        self._config: data.Config | None = None
+        self._workspaces_by_digest: dict[str, data.Workspace] = {}
+
+    def workspace(
+        self, config: data.Config, headers: tornado.httputil.HTTPHeaders
+    ) -> data.Workspace | failure.Refusal:
+        """Returns the workspace whose key the request carries."""
+        if config is not self._config:
+            self._config = config
+            self._workspaces_by_digest = {
+                digest: workspace
+                for workspace in config.workspaces_by_name.values()
+                for digest in workspace.key_digests
+            }
+        scheme, _, key = headers.get("Authorization", "").partition(" ")
+        found = self._workspaces_by_digest.get(hashing.key_digest(key.strip()))
+        if scheme.lower() != "bearer" or found is None:
+            return refusals.missing_key()
+        return found
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ModelCall:
+    """A checked call of a model.
+
+    Attributes:
+        service: The service that serves the model.
+        stream: True if the caller wants events.
+        affinity: Hash key of the prompt's prefix.
+    """
+
+    service: data.Service
+    stream: bool
+    affinity: str
+
+
+def request_ids(headers: tornado.httputil.HTTPHeaders) -> tuple[str, str]:
+    """Returns the id that the caller sees and the unique id used towards targets."""
+    given = headers.get(names.REQUEST_ID_HEADER, "")
+    shown = given if _SAFE_ID.fullmatch(given) else uuid.uuid4().hex
+    return shown, f"{shown}.{uuid.uuid4().hex[:8]}"
+
+
+def deadline(
+    headers: tornado.httputil.HTTPHeaders, service: data.Service
+) -> float | failure.Refusal:
+    """Returns the event loop's time by which the caller wants the whole answer."""
+    text = headers.get(names.DEADLINE_HEADER)
+    if text is None:
+        return clock.monotonic() + service.default_deadline_seconds
+    allowed = f"milliseconds from 1 to {_MAX_DEADLINE_SECONDS * 1000:.0f}"
+    try:
+        seconds = float(text) / 1000
+    except ValueError:
+        return refusals.bad_header(names.DEADLINE_HEADER, allowed)
+    if not math.isfinite(seconds) or not 0.001 <= seconds <= _MAX_DEADLINE_SECONDS:
+        return refusals.bad_header(names.DEADLINE_HEADER, allowed)
+    return clock.monotonic() + seconds
+
+
+def idempotency_key(headers: tornado.httputil.HTTPHeaders) -> str | failure.Refusal:
+    """Returns the idempotency key, empty if the caller gave none."""
+    key = headers.get(names.IDEMPOTENCY_HEADER, "")
+    if key and not _SAFE_KEY.fullmatch(key):
+        return refusals.bad_header(names.IDEMPOTENCY_HEADER, "1 to 200 visible ASCII characters")
+    return key
+
+
+def model_call(config: data.Config, body: bytes) -> ModelCall | failure.Refusal:
+    """Checks the body of a chat completion."""
+    try:
+        parsed = json.loads(body)
+    except (ValueError, RecursionError) as error:
+        return refusals.bad_json(str(error))
+    if not isinstance(parsed, dict):
+        return refusals.bad_json("expected an object")
+    messages = parsed.get("messages")
+    if not isinstance(messages, list) or not messages:
+        return refusals.bad_json("'messages' must be a non-empty list")
+    if not isinstance(parsed.get("model"), str):
+        return refusals.bad_json("'model' must be a string")
+    if not isinstance(parsed.get("stream", False), bool):
+        return refusals.bad_json("'stream' must be true or false")
+    service = find_model(config, parsed["model"])
+    if service is None:
+        return refusals.unknown_model(parsed["model"])
+    return ModelCall(
+        service=service, stream=parsed.get("stream", False), affinity=_prefix_key(messages)
+    )
+
+
+def find_model(config: data.Config, name: str) -> data.Service | None:
+    """Returns the service that serves a model, by the service's or the model's name."""
+    service = config.services_by_name.get(name)
+    if service is not None and service.kind is data.ServiceKind.MODEL:
+        return service
+    return next((one for one in _models(config) if one.model == name), None)
+
+
+def model_names(config: data.Config, workspace: data.Workspace) -> list[str]:
+    """Returns the names of the models that a workspace may call."""
+    return [service.name for service in _models(config) if may_call(workspace, service)]
+
+
+def may_call(workspace: data.Workspace, service: data.Service) -> bool:
+    """Returns True if the workspace may call the service."""
+    return not workspace.services or service.name in workspace.services
+
+
+def route_of(service: data.Service, method: str, path: str) -> data.Route:
+    """Returns the rule with the longest prefix that matches; without one, nothing may repeat."""
+    matching = (
+        route
+        for route in service.routes
+        if route.method in ("*", method) and path.startswith(route.path_prefix)
+    )
+    return max(matching, key=lambda route: len(route.path_prefix), default=data.Route())
+
+
+def _models(config: data.Config) -> list[data.Service]:
+    found = (one for one in config.services_by_name.values() if one.kind is data.ServiceKind.MODEL)
+    return sorted(found, key=lambda service: service.name)
+
+
+def _prefix_key(messages: list[Any]) -> str:
+    """Hashes the beginning of the conversation, which engines cache."""
+    text = json.dumps(messages[:2], separators=(",", ":"))[:_PREFIX_BYTES]
+    return hashing.body_digest(text.encode())[:32]
--- /dev/null
+++ b/basilpost/gateway/filings.py
@@ -0,0 +1,125 @@
+"""Runs non-idempotent requests: at most once, under a claim in the ledger.
+
+Before the first byte leaves, another target may be tried. After it the request is never sent again:
+its answer is kept for repeats, or its outcome is recorded as unknown. A caller that goes away does
+not stop a request that may run.
+"""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+from basilpost.core import clock, failure
+from basilpost.gateway import dispatch, refusals
+from basilpost.routing import policy
+from basilpost.runs import ledger
+
+_LATE_SECONDS = 60.0
+
+
+class Filings:
+    """Runs claimed requests in tasks of their own."""
+
+    def __init__(self, *, dispatcher: dispatch.Dispatcher, ledger: ledger.Ledger) -> None:
+        self._dispatcher = dispatcher
+        self._ledger = ledger
+        self._running: set[asyncio.Task[Any]] = set()
+
+    async def run(
+        self, call: ledger.Call, request: policy.Request, message: dispatch.Message
+    ) -> dispatch.Answered | failure.Refusal:
+        """Claims and runs a request, or tells what became of it."""
+        left = request.deadline - clock.monotonic()
+        claim = await self._ledger.claim(call, timeout=left)
+        if isinstance(claim, ledger.Replayed):
+            return _replayed(claim.answer)
+        if isinstance(claim, failure.Refusal):
+            return claim
+        attempts = dispatch.Attempts(request=request)
+        task = self._spawn(self._run(claim, attempts, message))
+        try:
+            async with asyncio.timeout_at(request.deadline):
+                return await asyncio.shield(task)
+        except TimeoutError:
+            return refusals.deadline_passed(failure.Outcome.UNKNOWN)
+
+    async def settle(self) -> None:
+        """Waits until all running requests have ended and are recorded."""
+        while self._running:
+            await asyncio.wait(set(self._running))
+
+    def _spawn(self, coroutine: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        task = asyncio.create_task(coroutine)
+        self._running.add(task)
+        task.add_done_callback(self._running.discard)
+        return task
+
+    async def _run(
+        self, claim: ledger.Claim, attempts: dispatch.Attempts, message: dispatch.Message
+    ) -> dispatch.Answered | failure.Refusal:
+        try:
+            async with asyncio.timeout_at(attempts.request.deadline + _LATE_SECONDS):
+                return await self._dispatch(claim, attempts, message)
+        except TimeoutError:
+            return self._give_up(claim, attempts, refusals.deadline_passed(attempts.outcome))
+
+    async def _dispatch(
+        self, claim: ledger.Claim, attempts: dispatch.Attempts, message: dispatch.Message
+    ) -> dispatch.Answered | failure.Refusal:
+        while True:
+            opened = await self._dispatcher.open(attempts)
+            if isinstance(opened, failure.Refusal):
+                return self._give_up(claim, attempts, opened)
+            if not await self._may_send(claim, attempts, opened):
+                return self._give_up(claim, attempts, _claim_outdated(attempts.outcome))
+            result = await self._dispatcher.exchange(attempts, opened, message)
+            if isinstance(result, dispatch.Answered):
+                answer = ledger.Answer(
+                    status=result.status, headers=result.headers, body=result.body
+                )
+                self._spawn(self._ledger.finish(claim, answer))
+                return result
+            if not result.refused:
+                refusal = refusals.target_lost(result.reason, failure.Outcome.UNKNOWN)
+                return self._give_up(claim, attempts, refusal)
+
+    async def _may_send(
+        self, claim: ledger.Claim, attempts: dispatch.Attempts, opened: dispatch.Opened
+    ) -> bool:
+        """Checks claim, standing and deadline as the last step before the first byte."""
+        allowed = False
+        try:
+            allowed = (
+                await self._ledger.may_dispatch(claim)
+                and self._dispatcher.in_standing()
+                and clock.monotonic() < attempts.request.deadline
+            )
+            return allowed
+        finally:
+            if not allowed:
+                self._dispatcher.close(attempts, opened, None)
+
+    def _give_up(
+        self, claim: ledger.Claim, attempts: dispatch.Attempts, refusal: failure.Refusal
+    ) -> failure.Refusal:
+        if attempts.sent:
+            self._spawn(self._ledger.lose(claim, refusal.reason))
+        else:
+            self._spawn(self._ledger.abandon(claim))
+        return attempts.refuse(refusal)
+
+
+def _replayed(answer: ledger.Answer) -> dispatch.Answered:
+    return dispatch.Answered(
+        status=answer.status, headers=answer.headers, body=answer.body, replayed=True
+    )
+
+
+def _claim_outdated(outcome: failure.Outcome) -> failure.Refusal:
+    return failure.Refusal(
+        reason="the claim could not be confirmed right before dispatch",
+        code="claim_outdated",
+        status=503,
+        outcome=outcome,
+        retry_after=1.0,
+    )
--- /dev/null
+++ b/basilpost/gateway/server.py
@@ -0,0 +1,93 @@
+"""The gateway as a service of the node: listens, serves, and stops without cutting a request."""
+
+import asyncio
+
+import tornado.httpserver
+import tornado.netutil
+
+from basilpost.core import clock, kernel, names, tasks
+from basilpost.gateway import dispatch, handlers, meters, upstream
+from basilpost.gateway import filings as filings_
+from basilpost.members import directory, standing
+from basilpost.routing import policy
+from basilpost.runs import ledger
+from basilpost.settings import schema
+
+_POLL_SECONDS = 0.1
+_MAX_HEADER_BYTES = 32_768
+_IDLE_SECONDS = 120.0
+
+
+class Gateway(kernel.Service):
+    """Serves callers."""
+
+    def __init__(self, *, kernel: kernel.Kernel) -> None:
+        self._kernel = kernel
+        self._settings = kernel.find(names.SETTINGS, schema.NodeSettings)
+        self._tasks = tasks.TaskSet(log=kernel.log)
+        self._server: tornado.httpserver.HTTPServer | None = None
+        self.context: handlers.Context | None = None
+        self.port = 0
+
+    async def start(self) -> None:
+        """Starts listening; the node says it is ready once the kernel has started."""
+        upstreams = upstream.Upstreams()
+        self.context = self._context(upstreams)
+        self._tasks.spawn(upstreams.watch(), name="silence watch")
+        listen = self._settings.gateway.listen
+        sockets = tornado.netutil.bind_sockets(listen.port, address=listen.host)
+        self.port = sockets[0].getsockname()[1]
+        self._server = tornado.httpserver.HTTPServer(
+            handlers.application(self.context),
+            idle_connection_timeout=_IDLE_SECONDS,
+            max_header_size=_MAX_HEADER_BYTES,
+        )
+        self._server.add_sockets(sockets)
+        self.context.ready = True
+        self._kernel.log.info("gateway_listening", host=listen.host, port=self.port)
+
+    async def drain(self) -> None:
+        """Ends taking new work and waits until every request in flight has its answer.
+
+        Readiness goes off first; for a grace period requests are still taken, because the balancer
+        needs time to notice.
+        """
+        if self.context is None:
+            return
+        gateway = self._settings.gateway
+        self.context.draining = True
+        await asyncio.sleep(gateway.drain_grace_seconds)
+        self.context.stopping = True
+        give_up_at = clock.monotonic() + gateway.drain_seconds
+        while self.context.in_flight and clock.monotonic() < give_up_at:
+            await asyncio.sleep(_POLL_SECONDS)
+        await self.context.filings.settle()
+        self._kernel.log.info("gateway_drained", cut=self.context.in_flight)
+
+    async def stop(self) -> None:
+        """Closes what is still open."""
+        if self._server is not None:
+            self._server.stop()
+            await self._server.close_all_connections()
+        await self._tasks.close()
+
+    def _context(self, upstreams: upstream.Upstreams) -> handlers.Context:
+        find = self._kernel.find
+        registry = self._kernel.registry
+        counters = meters.Meters(registry=registry)
+        dispatcher = dispatch.Dispatcher(kernel=self._kernel, upstreams=upstreams, meters=counters)
+        book = find(names.LEDGER, ledger.Ledger)
+        context = handlers.Context(
+            settings=self._settings,
+            directory=find(names.DIRECTORY, directory.Directory),
+            standing=find(names.STANDING, standing.Standing),
+            admission=find(names.ADMISSION, policy.Admission),
+            quarantine=find(names.QUARANTINE, policy.Quarantine),
+            dispatcher=dispatcher,
+            filings=filings_.Filings(dispatcher=dispatcher, ledger=book),
+            meters=counters,
+            registry=registry,
+        )
+        counters.in_flight.set_function(lambda: context.in_flight)
+        counters.body_bytes.set_function(lambda: context.body_bytes)
+        return context
--- /dev/null
+++ b/basilpost/gateway/server_test.py
@@ -0,0 +1,373 @@
+"""Tests of the gateway against scripted targets on loopback."""
+
+import asyncio
+import json
+import socket
+
+import pytest
+import tornado.httpclient
+import tornado.httpserver
+import tornado.iostream
+import tornado.netutil
+import tornado.web
+
+from basilpost.core import data, failure, hashing, kernel, names
+from basilpost.gateway import server
+from basilpost.groups import fakes as group_fakes
+from basilpost.members import fakes as member_fakes
+from basilpost.members import standing
+from basilpost.routing import fakes as routing_fakes
+from basilpost.runs import ledger
+from basilpost.settings import schema
+
+TOKENS = [f"t{number}" for number in range(6)]
+QUESTION = {"model": "drafts", "messages": [{"role": "user", "content": "who holds the rights?"}]}
+
+
+class Script:
+    """What a scripted target does wrong, and what it was asked."""
+
+    def __init__(self, **faults):
+        self.die_after = faults.get("die_after")
+        self.crossed = faults.get("crossed", False)
+        self.refuse = faults.get("refuse", False)
+        self.silent = faults.get("silent", False)
+        self.drop = faults.get("drop", False)
+        self.seen = []
+
+
+class TargetHandler(tornado.web.RequestHandler):
+    def initialize(self, script):
+        self.script = script
+
+    async def post(self, *_):
+        request_id = self.request.headers["X-Request-Id"]
+        self.script.seen.append((request_id, self.request.headers.get("Basilpost-Resume-From")))
+        if self.script.silent:
+            await asyncio.sleep(30)
+        if self.script.drop:
+            self.request.connection.stream.close()
+            return
+        if self.script.refuse:
+            self.set_status(409)
+            self.set_header("Basilpost-Outcome", "not-run")
+        shown = "other" if self.script.crossed else request_id
+        self.set_header("X-Request-Id", shown)
+        if not self.script.refuse and b'"stream": true' in self.request.body:
+            await self._stream(shown)
+        else:
+            self.finish({"id": shown, "text": "whole"})
+
+    get = post
+
+    async def _stream(self, shown):
+        first = int(self.request.headers.get("Basilpost-Resume-From", "0"))
+        for number, token in enumerate(TOKENS[first:]):
+            if self.script.die_after == number:
+                self.request.connection.stream.close()
+                return
+            event = {"id": shown, "choices": [{"delta": {"content": token}}]}
+            self.write(f"data: {json.dumps(event)}\n\n")
+            await self.flush()
+        self.finish("data: [DONE]\n\n")
+
+
+class MemoryLedger(ledger.Ledger):
+    """Keeps claims of one node in memory."""
+
+    def __init__(self):
+        self.state_by_key = {}
+
+    async def claim(self, call, *, timeout):
+        known = self.state_by_key.get(call.key)
+        if isinstance(known, ledger.Answer):
+            return ledger.Replayed(answer=known)
+        if known is not None:
+            return failure.Refusal(
+                reason=known, code="outcome", status=409, outcome=failure.Outcome.UNKNOWN
+            )
+        self.state_by_key[call.key] = "claimed"
+        return ledger.Claim(call=call, attempt_id="a", node_id="n", confirmed_at=0.0)
+
+    async def may_dispatch(self, claim):
+        return True
+
+    async def finish(self, claim, answer):
+        self.state_by_key[claim.call.key] = answer
+
+    async def abandon(self, claim):
+        del self.state_by_key[claim.call.key]
+
+    async def lose(self, claim, reason):
+        self.state_by_key[claim.call.key] = "unknown"
+
+
+class Bench:
+    """A gateway with scripted targets behind it."""
+
+    def __init__(self):
+        self.servers = []
+        self.slots = group_fakes.FakeSlots()
+        self.quarantine = routing_fakes.FakeQuarantine()
+        self.ledger = MemoryLedger()
+        self.standing = member_fakes.FakeStanding()
+
+    async def start(self, *scripts):
+        groups = tuple(
+            self.target(number, script, service)
+            for service in ("drafts", "licences")
+            for number, script in enumerate(scripts)
+        )
+        self.admission = routing_fakes.FakeAdmission(groups=groups, slots=self.slots)
+        node = kernel.Kernel(node_id="node-1")
+        routes = (data.Route(method="GET", idempotent=True),)
+        config = data.Config(
+            services_by_name={
+                "drafts": data.Service(
+                    name="drafts",
+                    kind=data.ServiceKind.MODEL,
+                    pool="gpu",
+                    stream_silence_seconds=0.3,
+                ),
+                "licences": data.Service(
+                    name="licences", kind=data.ServiceKind.PLAIN, pool="app", routes=routes
+                ),
+            },
+            workspaces_by_name={
+                "editors": data.Workspace(name="editors", key_digests=(hashing.key_digest("key"),))
+            },
+        )
+        gateway = schema.Gateway(max_body_bytes=1000, upload_seconds=1.0, drain_grace_seconds=0.05)
+        settings = schema.NodeSettings(
+            node_id="node-1",
+            failure_domain="a",
+            platform=schema.Platform(object_api="http://unused", vm_list="http://unused"),
+            gateway=gateway,
+        )
+        node.register(names.SETTINGS, settings)
+        node.register(names.DIRECTORY, member_fakes.FakeDirectory(config=config, groups=groups))
+        node.register(names.STANDING, self.standing)
+        node.register(names.HEALTH, group_fakes.FakeHealth())
+        node.register(names.ADMISSION, self.admission)
+        node.register(names.QUARANTINE, self.quarantine)
+        node.register(names.LEDGER, self.ledger)
+        self.gateway = server.Gateway(kernel=node)
+        await self.gateway.start()
+
+    def target(self, number, script, service):
+        sockets = tornado.netutil.bind_sockets(0, address="127.0.0.1")
+        application = tornado.web.Application([(r"/(.*)", TargetHandler, {"script": script})])
+        self.servers.append(tornado.httpserver.HTTPServer(application))
+        self.servers[-1].add_sockets(sockets)
+        address = f"127.0.0.1:{sockets[0].getsockname()[1]}"
+        return data.Group(
+            group_id=f"{service}-{number}",
+            service=service,
+            generation=1,
+            state=data.GroupState.READY,
+            fabric_domain="f",
+            failure_domain="a",
+            members=(data.Member(vm_id=f"vm-{number}", address=address, rank=0),),
+        )
+
+    async def call(self, path="/v1/chat/completions", *, body=QUESTION, method="POST", **headers):
+        raw = body if isinstance(body, bytes) else json.dumps(body).encode()
+        sent = {name.replace("_", "-"): value for name, value in headers.items()}
+        return await tornado.httpclient.AsyncHTTPClient().fetch(
+            f"http://127.0.0.1:{self.gateway.port}{path}",
+            method=method,
+            body=raw if method != "GET" else None,
+            headers={"Authorization": "Bearer key", **sent},
+            raise_error=False,
+            request_timeout=10,
+        )
+
+    async def stop(self):
+        await self.gateway.stop()
+        for one in self.servers:
+            one.stop()
+
+
+@pytest.fixture
+async def bench():
+    bench = Bench()
+    yield bench
+    await bench.stop()
+
+
+def code_of(answer):
+    return json.loads(answer.body)["error"]["code"]
+
+
+def tokens_of(answer):
+    events = answer.body.decode().strip().split("\n\n")
+    assert events[-1] == "data: [DONE]"
+    parsed = [json.loads(event.removeprefix("data: ")) for event in events[:-1]]
+    return [event["choices"][0]["delta"]["content"] for event in parsed]
+
+
+async def test_a_whole_answer(bench):
+    await bench.start(Script())
+    answer = await bench.call(X_Request_Id="r-1")
+    assert json.loads(answer.body)["text"] == "whole"
+    assert answer.headers["Basilpost-Outcome"] == "ran"
+    assert answer.headers["X-Request-Id"] == "r-1"
+    assert bench.admission.tickets[0].closed
+    assert bench.slots.taken_by_id["drafts-0"] == 0
+
+
+async def test_a_stream_resumes_on_another_target_without_a_gap(bench):
+    first, second = Script(die_after=2), Script()
+    await bench.start(first, second)
+    answer = await bench.call(body={**QUESTION, "stream": True})
+    assert tokens_of(answer) == TOKENS
+    assert second.seen[0][1] == "2"
+    assert bench.quarantine.crashes[0][1] == "drafts-0"
+
+
+async def test_a_stream_that_cannot_be_completed_ends_in_an_error_event(bench):
+    await bench.start(Script(die_after=2))
+    answer = await bench.call(body={**QUESTION, "stream": True})
+    assert b"[DONE]" not in answer.body
+    assert answer.body.split(b"\n\n")[-2].startswith(b"event: error\ndata: ")
+
+
+async def test_a_silent_stream_is_given_up_and_resumed(bench):
+    await bench.start(Script(silent=True), Script())
+    answer = await bench.call(body={**QUESTION, "stream": True})
+    assert tokens_of(answer) == TOKENS
+
+
+async def test_a_crossed_answer_never_reaches_the_caller(bench):
+    await bench.start(Script(crossed=True), Script())
+    whole = await bench.call()
+    assert json.loads(whole.body)["id"] != "other"
+    streamed = await bench.call(body={**QUESTION, "stream": True})
+    assert b"other" not in streamed.body
+    assert tokens_of(streamed) == TOKENS
+
+
+async def test_a_refusal_says_not_run_only_if_no_target_may_have_run_it(bench):
+    await bench.start(Script(refuse=True))
+    refused = await bench.call()
+    assert (refused.code, refused.headers["Basilpost-Outcome"]) == (503, "not-run")
+    assert refused.headers["Retry-After"] == "1"
+    bench.admission.groups = ()
+    assert (await bench.call()).headers["Basilpost-Outcome"] == "not-run"
+
+
+async def test_a_refusal_after_a_lost_target_says_unknown(bench):
+    await bench.start(Script(drop=True))
+    refused = await bench.call()
+    assert refused.headers["Basilpost-Outcome"] == "unknown"
+
+
+async def test_retries_stop_when_the_budget_is_spent(bench):
+    scripts = [Script(drop=True) for _ in range(4)]
+    await bench.start(*scripts)
+    bench.admission.retries = 1
+    assert (await bench.call()).code == 502
+    assert sum(len(script.seen) for script in scripts) == 2
+
+
+async def test_a_filing_runs_once_and_its_repeat_is_replayed(bench):
+    script = Script()
+    await bench.start(script)
+    first = await bench.call("/services/licences/filings", Idempotency_Key="k-1")
+    await asyncio.sleep(0)
+    again = await bench.call("/services/licences/filings", Idempotency_Key="k-1")
+    assert first.body == again.body
+    assert again.headers["Basilpost-Replayed"] == "true"
+    assert len(script.seen) == 1
+
+
+async def test_a_filing_is_never_sent_again_after_a_byte_left(bench):
+    lost, other = Script(drop=True), Script()
+    await bench.start(lost, other)
+    answer = await bench.call("/services/licences/filings", Idempotency_Key="k-1")
+    assert (answer.code, answer.headers["Basilpost-Outcome"]) == (502, "unknown")
+    assert other.seen == []
+    repeat = await bench.call("/services/licences/filings", Idempotency_Key="k-1")
+    assert repeat.headers["Basilpost-Outcome"] == "unknown"
+
+
+async def test_a_filing_may_go_elsewhere_before_any_byte_left(bench):
+    script = Script()
+    await bench.start(script, Script())
+    bench.servers[2].stop()
+    answer = await bench.call("/services/licences/filings", Idempotency_Key="k-1")
+    assert answer.headers["Basilpost-Target"] == "licences-1"
+
+
+async def test_a_filing_goes_on_when_its_caller_has_gone(bench):
+    script = Script()
+    await bench.start(script)
+    stream = await tornado.iostream.IOStream(socket.socket()).connect(
+        ("127.0.0.1", bench.gateway.port)
+    )
+    await stream.write(
+        b"POST /services/licences/filings HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key\r\n"
+        b"Idempotency-Key: k-1\r\nContent-Length: 2\r\n\r\n{}"
+    )
+    stream.close()
+    for _ in range(200):
+        if isinstance(bench.ledger.state_by_key.get("k-1"), ledger.Answer):
+            return
+        await asyncio.sleep(0.01)
+    pytest.fail("the answer was not kept")
+
+
+@pytest.mark.parametrize(
+    ("path", "arguments", "status", "code"),
+    [
+        ("/v1/chat/completions", {"body": b"{"}, 400, "invalid_json"),
+        ("/v1/chat/completions", {"body": b"[]"}, 400, "invalid_json"),
+        ("/v1/chat/completions", {"body": {"model": "drafts"}}, 400, "invalid_json"),
+        ("/v1/chat/completions", {"body": {**QUESTION, "model": "x"}}, 404, "model_not_found"),
+        ("/v1/chat/completions", {"Authorization": "Bearer no"}, 401, "invalid_api_key"),
+        ("/v1/chat/completions", {"body": b"x" * 2000}, 413, "body_too_large"),
+        ("/v1/chat/completions", {"Basilpost_Deadline_Ms": "soon"}, 400, "invalid_header"),
+        ("/services/licences/filings", {}, 400, "idempotency_key_required"),
+        ("/services/none/filings", {}, 404, "service_not_found"),
+        ("/elsewhere", {}, 404, "path_not_found"),
+    ],
+)
+async def test_each_caller_error_has_its_own_code(bench, path, arguments, status, code):
+    await bench.start(Script())
+    answer = await bench.call(path, **arguments)
+    assert (answer.code, code_of(answer)) == (status, code)
+    assert answer.headers["Basilpost-Outcome"] == "not-run"
+
+
+async def test_a_slow_upload_gets_its_own_error(bench):
+    await bench.start(Script())
+    stream = await tornado.iostream.IOStream(socket.socket()).connect(
+        ("127.0.0.1", bench.gateway.port)
+    )
+    await stream.write(
+        b"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key\r\n"
+        b"Content-Length: 20\r\n\r\n{"
+    )
+    answer = await stream.read_until_close()
+    assert b"408" in answer.split(b"\r\n")[0]
+    assert b"upload_timeout" in answer
+
+
+async def test_an_isolated_node_refuses_and_is_not_ready(bench):
+    await bench.start(Script())
+    bench.standing.verdict = standing.NotServing(reason="alone", retry_after=3.0)
+    refused = await bench.call()
+    assert (refused.code, refused.headers["Retry-After"]) == (503, "3")
+    assert (await bench.call("/readyz", method="GET")).code == 503
+    assert (await bench.call("/healthz", method="GET")).code == 200
+
+
+async def test_a_drain_cuts_no_stream(bench):
+    await bench.start(Script())
+    calls = [asyncio.create_task(bench.call(body={**QUESTION, "stream": True})) for _ in range(5)]
+    await asyncio.sleep(0.01)
+    await bench.gateway.drain()
+    for call in calls:
+        assert tokens_of(await call) == TOKENS
+    late = await bench.call()
+    assert (late.code, code_of(late)) == (503, "node_stopping")
--- /dev/null
+++ b/basilpost/routing/fakes.py
@@ -0,0 +1,72 @@
+"""Small fakes of admission and quarantine, for tests of the gateway."""
+
+from basilpost.core import data, failure
+from basilpost.groups import slots
+from basilpost.routing import policy
+
+
+class FakeTicket(policy.Ticket):
+    """A ticket that only notes whether it was closed."""
+
+    def __init__(self) -> None:
+        self.closed = False
+
+    def close(self) -> None:
+        """Notes it."""
+        self.closed = True
+
+
+class FakeAdmission(policy.Admission):
+    """Chooses the first of its groups that is not excluded and has a slot."""
+
+    def __init__(self, *, groups: tuple[data.Group, ...], slots: slots.Slots) -> None:
+        self.groups = groups
+        self.refusal: failure.Refusal | None = None
+        self.retries = 100
+        self.tickets: list[FakeTicket] = []
+        self._slots = slots
+
+    def admit(self, request: policy.Request) -> policy.Ticket | failure.Refusal:
+        """Admits everything unless a refusal is set."""
+        if self.refusal is not None:
+            return self.refusal
+        self.tickets.append(FakeTicket())
+        return self.tickets[-1]
+
+    async def choose(
+        self, request: policy.Request, *, exclude: frozenset[str] = frozenset()
+    ) -> policy.Choice | failure.Refusal:
+        """Chooses without waiting."""
+        for group in self.groups:
+            if group.service != request.service or group.group_id in exclude:
+                continue
+            slot = self._slots.take(group)
+            if isinstance(slot, slots.Slot):
+                return policy.Choice(group=group, slot=slot)
+        return failure.Refusal(
+            reason="no group is free", code="no_healthy_group", status=503, retry_after=1.0
+        )
+
+    def may_retry(self, request: policy.Request) -> bool:
+        """Counts down the retries that the test allows."""
+        self.retries -= 1
+        return self.retries >= 0
+
+
+class FakeQuarantine(policy.Quarantine):
+    """Refuses nothing and keeps what it is told."""
+
+    def __init__(self) -> None:
+        self.crashes: list[tuple[str, str]] = []
+
+    def check(self, request: policy.Request) -> failure.Refusal | None:
+        """Refuses nothing."""
+        return None
+
+    def started(self, request: policy.Request, group: data.Group) -> None:
+        """Keeps nothing."""
+
+    def ended(self, request: policy.Request, group: data.Group, *, crashed: bool) -> None:
+        """Keeps crashes."""
+        if crashed:
+            self.crashes.append((request.request_id, group.group_id))
