--- a/basilpost/gateway/streams.py
+++ b/basilpost/gateway/streams.py
@@ -121,7 +121,8 @@
             if isinstance(piece, upstream.Broken):
                 return dispatch.TryElsewhere(reason=piece.reason, crashed=True)
             if not piece:
-                return dispatch.TryElsewhere(reason="the stream ended before its final event")
+                reason = "the stream ended before its final event"
+                return dispatch.TryElsewhere(reason=reason, crashed=True)
             exchange.silent_at = clock.monotonic() + self._silence
             found = events.cut(buffer + piece if buffer else piece)
             buffer = found.rest
