Store clients over HTTP, call budget, and stand-ins for the platform and back ends

Cause: the areas need something to talk to, and the rule whether a write that got no answer may have been sent has to be decided in one place.

Change: HttpObjectStore, HttpVmList, BudgetedStore (by urgency, counts as metrics), and the stand-ins: object API, VM list, weight store, runner, plain service, each in process and as `basilpost emulate ...`; a Fleet of all of them.

The client knows whether a request was sent from its body producer, which tornado calls right after the head; matching messages of timeouts was ruled out because the texts are no interface.

--- /dev/null
+++ b/basilpost/emulator/platform_test.py
@@ -0,0 +1,40 @@
+"""Tests of the stand-ins for the VM list and the weight store."""
+
+import asyncio
+
+import pytest
+
+from basilpost.core import data
+from basilpost.emulator import vm_list, weight_store
+from basilpost.store import http_vms, vms
+
+VM = data.Vm(
+    vm_id="vm-1", address="127.0.0.1:1", pool="gpu", fabric_domain="f1", failure_domain="a"
+)
+
+
+async def test_the_list_is_read_over_http():
+    listed = vm_list.VmListServer(vms=(VM,))
+    client = http_vms.HttpVmList(base_url=f"http://{await listed.start()}")
+    found = await client.fetch()
+    await listed.stop()
+    assert found.vms_by_id == {"vm-1": VM}
+    assert isinstance(await client.fetch(), vms.ListUnavailable)
+
+
+@pytest.mark.looptime
+async def test_a_change_shows_after_the_lag():
+    listed = vm_list.VmListServer(vms=(VM,), lag=3)
+    listed.remove("vm-1")
+    await asyncio.sleep(2.9)
+    assert listed.shown() == [VM]
+    await asyncio.sleep(0.2)
+    assert listed.shown() == []
+
+
+@pytest.mark.looptime
+async def test_loads_wait_for_their_turn():
+    store = weight_store.WeightStore(loads_per_second=2, load_seconds=1)
+    before = asyncio.get_running_loop().time()
+    await asyncio.gather(*(store.load() for _ in range(5)))
+    assert asyncio.get_running_loop().time() - before == pytest.approx(3, abs=0.01)
--- /dev/null
+++ b/basilpost/emulator/records.py
@@ -0,0 +1,144 @@
+"""Options, faults and log records of the emulated back ends.
+
+The logs are the back ends' own account of what ran, against which histories are checked; all
+times in them are readings of the machine's monotonic clock, which its processes share.
+"""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RunnerOptions:
+    """How an emulated runner behaves.
+
+    Attributes:
+        token_interval: Seconds between the steps of the batch; each stream gains a token a step.
+        prefill_seconds: Seconds until the first token of a fully cached prompt.
+        block_seconds: Further seconds for each block of the prompt that is not cached.
+        cache_blocks: Blocks that the prefix cache holds.
+        max_in_flight: Requests that it takes at once when warm; one more is refused.
+        cold_limit: Requests that it bears at once in a cold start; one more makes it fall over.
+        warm_requests: Served requests after which it is warm.
+        warm_seconds: Seconds after which it is warm in any case.
+        load_seconds: Length of a load when there is no weight store.
+        weight_store: Base URL of the weight store, empty for none.
+        checks_fence: True to refuse orders with an old fencing number.
+        load_report_lag: Age in seconds up to which the reported load may be outdated.
+    """
+
+    token_interval: float = 0.02
+    prefill_seconds: float = 0.01
+    block_seconds: float = 0.0005
+    cache_blocks: int = 4096
+    max_in_flight: int = 64
+    cold_limit: int = 2
+    warm_requests: int = 8
+    warm_seconds: float = 5.0
+    load_seconds: float = 0.2
+    weight_store: str = ""
+    checks_fence: bool = True
+    load_report_lag: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RunnerFaults:
+    """What a runner is made to do wrong.
+
+    Attributes:
+        freeze: True to stop everything, as a paused process does.
+        slow: Factor on the time of each step, for a straggler.
+        cross_answers: Number of coming answers that are those of another request.
+        truncate: Number of coming answers that end midway without an error.
+        late: Seconds added before the first token of an answer.
+        crash_on: Text in a request's body that crashes the runner.
+    """
+
+    freeze: bool = False
+    slow: float = 1.0
+    cross_answers: int = 0
+    truncate: int = 0
+    late: float = 0.0
+    crash_on: str = ""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Run:
+    """One request that a runner ran.
+
+    Attributes:
+        request_id: Id of the request.
+        vm_id: The runner's VM.
+        group_id: Group it ran in.
+        generation: Generation of the group.
+        started: When it started.
+        finished: When it ended in any way, None while it runs.
+        in_flight: Requests in flight when it started, itself included.
+        cold: True if the runner was in a cold start then.
+        cold_limit: What the runner bears in a cold start.
+        outcome: running, finished, cancelled or broken.
+    """
+
+    request_id: str
+    vm_id: str
+    group_id: str
+    generation: int
+    started: float
+    finished: float | None = None
+    in_flight: int = 1
+    cold: bool = False
+    cold_limit: int = 0
+    outcome: str = "running"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Membership:
+    """A span of time in which a runner was a loaded member of a group; `ended` None while it is."""
+
+    vm_id: str
+    group_id: str
+    generation: int
+    members: tuple[str, ...]
+    began: float
+    ended: float | None = None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Filing:
+    """One call that a plain service ran.
+
+    Attributes:
+        request_id: Id of the request.
+        key: Idempotency key, empty for none.
+        instance: The instance that ran it.
+        path: Path called.
+        digest: Digest of the body.
+        at: When it ran.
+    """
+
+    request_id: str
+    key: str
+    instance: str
+    path: str
+    digest: str
+    at: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ServiceFaults:
+    """What a plain service is made to do wrong.
+
+    Attributes:
+        late: Seconds between running a call and answering it.
+        drop_after: Number of coming calls that run but whose connection is dropped.
+        drop_before: Number of coming calls whose connection is dropped before they run.
+        refuse: Number of coming calls that are answered 503 without running.
+        cross_answers: Number of coming answers that carry another request's id.
+        freeze: True to answer nothing.
+    """
+
+    late: float = 0.0
+    drop_after: int = 0
+    drop_before: int = 0
+    refuse: int = 0
+    cross_answers: int = 0
+    freeze: bool = False
--- /dev/null
+++ b/basilpost/emulator/runner.py
@@ -0,0 +1,295 @@
+"""A stand-in for a model engine's runner on one VM.
+
+It keeps the rules that the system relies on: only rank 0 of a whole group answers, a load takes
+its time, and a runner in a cold start falls over when it is given more than it bears.
+"""
+
+import asyncio
+import dataclasses
+from typing import Any
+
+from tornado import httpclient
+
+from basilpost.core import clock, tasks
+from basilpost.emulator import answers, batch, prefix_cache, records, runner_http, server, ties
+from basilpost.groups import engines
+
+_LOAD_TIMEOUT_SECONDS = 3600.0
+_LOAD_RETRY_SECONDS = 0.2
+
+_LOADED_STATES = frozenset({engines.RunnerState.COLD, engines.RunnerState.READY})
+
+
+class Runner(server.StandIn):
+    """The runner of one VM."""
+
+    def __init__(
+        self,
+        *,
+        vm_id: str,
+        options: records.RunnerOptions | None = None,
+        host: str = "127.0.0.1",
+        port: int = 0,
+    ) -> None:
+        super().__init__(host=host, port=port)
+        self.vm_id = vm_id
+        self.options = options or records.RunnerOptions()
+        self.faults = records.RunnerFaults()
+        self.falls = 0
+        self.runs: list[records.Run] = []
+        self.memberships: list[records.Membership] = []
+        self.refused: list[tuple[str, str]] = []
+        self.thawed = asyncio.Event()
+        self.thawed.set()
+        self.changed = asyncio.Event()
+        self.batch = batch.Batch(interval=self.options.token_interval)
+        self._cache = prefix_cache.PrefixCache(blocks=self.options.cache_blocks)
+        self._status = engines.RunnerStatus(vm_id=vm_id)
+        self._order: engines.Order | None = None
+        self._ties: ties.Ties | None = None
+        self._tasks = tasks.TaskSet()
+        self._load: asyncio.Task[None] | None = None
+        self._cold_since = 0.0
+        self._served = 0
+        self._load_report = (-1.0, 0)
+        self._last_answer: tuple[str, list[str]] = ("none", ["[crossed]"])
+
+    def routes(self) -> server.Routes:
+        """Returns the handlers of a runner."""
+        return runner_http.routes(self)
+
+    async def stop(self) -> None:
+        """Ends as a killed process does: all connections break."""
+        await self._leave()
+        await self._tasks.close()
+        self._load = None
+        self._status = engines.RunnerStatus(vm_id=self.vm_id)
+        await super().stop()
+
+    def status(self) -> engines.RunnerStatus:
+        """Returns the runner's report, whose load lags."""
+        self._warm_up()
+        now = clock.monotonic()
+        if now - self._load_report[0] >= self.options.load_report_lag:
+            self._load_report = (now, len(self.batch))
+        return dataclasses.replace(self._status, in_flight=self._load_report[1])
+
+    async def take_order(self, order: engines.Order) -> engines.Accepted | engines.StaleFence:
+        """Takes an order unless its fencing number is old and this runner checks it."""
+        if self.options.checks_fence and order.fence < self._status.fence:
+            return engines.StaleFence(reason=f"{self.vm_id} has seen {self._status.fence}")
+        fence = max(self._status.fence, order.fence)
+        self._status = dataclasses.replace(self._status, fence=fence)
+        if order.kind is engines.OrderKind.UNLOAD:
+            await self._leave()
+            self._forget()
+        elif not self._has_taken(order):
+            await self._leave()
+            await self._join(order)
+        return engines.Accepted()
+
+    def is_member(self, group_id: str, generation: int) -> bool:
+        """Returns True if this runner is a loaded member of just that group and generation."""
+        found = self._status
+        return (found.group_id, found.generation) == (group_id, generation) and (
+            found.state in _LOADED_STATES
+        )
+
+    def refusal(self, group_id: str, generation: int) -> str | None:
+        """Returns the code with which a request is refused, None if it is taken."""
+        self._warm_up()
+        serves = self.is_member(group_id, generation) and self._order is not None
+        if not serves or self._order.rank != 0 or not self._whole():  # type: ignore[union-attr]
+            return "wrong_group"
+        if self._status.state is engines.RunnerState.READY:
+            return "full" if len(self.batch) >= self.options.max_in_flight else None
+        return None
+
+    def overloaded(self) -> bool:
+        """Returns True if one more request is too much for the cold start."""
+        return self.cold and len(self.batch) >= self.options.cold_limit
+
+    @property
+    def cold(self) -> bool:
+        """Returns True in a cold start."""
+        return self._status.state is engines.RunnerState.COLD
+
+    def begin(self, request_id: str) -> int:
+        """Logs the start of a request and returns the number of its log entry."""
+        run = records.Run(
+            request_id=request_id,
+            vm_id=self.vm_id,
+            group_id=self._status.group_id,
+            generation=self._status.generation,
+            started=clock.monotonic(),
+            in_flight=len(self.batch) + 1,
+            cold=self.cold,
+            cold_limit=self.options.cold_limit,
+        )
+        self.runs.append(run)
+        return len(self.runs) - 1
+
+    def ended(self, number: int, outcome: str) -> None:
+        """Logs the end of a request."""
+        self.runs[number] = dataclasses.replace(
+            self.runs[number], finished=clock.monotonic(), outcome=outcome
+        )
+        self._served += outcome == "finished"
+
+    def answer_for(self, request_id: str, body: dict[str, Any]) -> tuple[str, list[str]]:
+        """Returns id and tokens of the answer: the right ones unless a fault crosses them."""
+        answer = (request_id, answers.tokens_for(body))
+        crossed, self._last_answer = self._last_answer, answer
+        return crossed if self.spend("cross_answers") else answer
+
+    def spend(self, fault: str) -> bool:
+        """Uses up one unit of a counted fault; returns False if there is none."""
+        left = getattr(self.faults, fault)
+        if left <= 0:
+            return False
+        self.faults = dataclasses.replace(self.faults, **{fault: left - 1})
+        return True
+
+    def first_token_after(self, body: dict[str, Any]) -> float:
+        """Returns the seconds until the first token, by what the prefix cache holds."""
+        prompt = "".join(str(one.get("content")) for one in body.get("messages", ()))
+        missing = self._cache.take_in(prompt)
+        work = self.options.prefill_seconds + missing * self.options.block_seconds
+        return work * self.faults.slow + self.faults.late
+
+    def set_faults(self, faults: records.RunnerFaults) -> None:
+        """Puts faults in force."""
+        self.faults = faults
+        self.batch.interval = self.options.token_interval * faults.slow
+        self.batch.paused = faults.freeze
+        if faults.freeze:
+            self.thawed.clear()
+        else:
+            self.thawed.set()
+
+    def fall_cold(self) -> None:
+        """Goes back into a cold start without warning, as a loaded engine may."""
+        if self._status.state in _LOADED_STATES:
+            self._go_cold()
+            self._cache.clear()
+
+    async def fall_over(self) -> None:
+        """Crashes and restarts empty: everything in flight breaks."""
+        self.falls += 1
+        await self._leave()
+        self._forget()
+
+    def _whole(self) -> bool:
+        return self._ties is not None and self._ties.whole
+
+    def _has_taken(self, order: engines.Order) -> bool:
+        return self._order is not None and order == dataclasses.replace(
+            self._order, fence=order.fence
+        )
+
+    async def _join(self, order: engines.Order) -> None:
+        same = (order.model, order.model_version) == (
+            self._status.model,
+            self._status.model_version,
+        )
+        self._order = order
+        self._status = dataclasses.replace(
+            self._status,
+            group_id=order.group_id,
+            generation=order.generation,
+            model=order.model,
+            model_version=order.model_version,
+        )
+        if order.rank == 0:
+            self._ties = ties.Ties(
+                members=tuple(one for one in order.members if one != self.address),
+                group_id=order.group_id,
+                generation=order.generation,
+                lost=self.batch.break_all,
+            )
+            self._ties.start()
+        if same and self._status.state in _LOADED_STATES:
+            self._loaded()
+        elif not same or self._load is None:
+            self._start_load()
+
+    def _start_load(self) -> None:
+        self._stop_load()
+        self._status = dataclasses.replace(self._status, state=engines.RunnerState.LOADING)
+        self._load = self._tasks.spawn(self._load_weights(), name=f"load-{self.vm_id}")
+
+    async def _load_weights(self) -> None:
+        status = self._status
+        if self.options.weight_store:
+            await _fetch_weights(self.options.weight_store, status.model, status.model_version)
+        else:
+            await asyncio.sleep(self.options.load_seconds)
+        await self.thawed.wait()
+        self._load = None
+        self._loaded()
+
+    def _loaded(self) -> None:
+        order = self._order
+        assert order is not None
+        if order.rank == 0:
+            self._go_cold()
+        else:
+            self._status = dataclasses.replace(self._status, state=engines.RunnerState.READY)
+        self.memberships.append(
+            records.Membership(
+                vm_id=self.vm_id,
+                group_id=order.group_id,
+                generation=order.generation,
+                members=order.members,
+                began=clock.monotonic(),
+            )
+        )
+
+    def _go_cold(self) -> None:
+        self._status = dataclasses.replace(self._status, state=engines.RunnerState.COLD)
+        self._cold_since = clock.monotonic()
+        self._served = 0
+
+    def _warm_up(self) -> None:
+        if not self.cold:
+            return
+        rested = clock.monotonic() - self._cold_since >= self.options.warm_seconds
+        if rested or self._served >= self.options.warm_requests:
+            self._status = dataclasses.replace(self._status, state=engines.RunnerState.READY)
+
+    async def _leave(self) -> None:
+        """Ends the membership; what runs breaks, and rank 0 learns it from its open poll."""
+        self._order = None
+        self._status = dataclasses.replace(self._status, group_id="", generation=0)
+        if self.memberships and self.memberships[-1].ended is None:
+            self.memberships[-1] = dataclasses.replace(
+                self.memberships[-1], ended=clock.monotonic()
+            )
+        changed, self.changed = self.changed, asyncio.Event()
+        changed.set()
+        self.batch.break_all()
+        held, self._ties = self._ties, None
+        if held is not None:
+            await held.close()
+
+    def _forget(self) -> None:
+        self._stop_load()
+        self._cache.clear()
+        self._status = engines.RunnerStatus(vm_id=self.vm_id, fence=self._status.fence)
+
+    def _stop_load(self) -> None:
+        if self._load is not None:
+            self._load.cancel()
+            self._load = None
+
+
+async def _fetch_weights(base_url: str, model: str, version: str) -> None:
+    """Loads from the weight store, again until it answers."""
+    client = httpclient.AsyncHTTPClient()
+    url = f"{base_url.rstrip('/')}/v1/weights/{model}/{version}"
+    while True:
+        try:
+            await client.fetch(url, request_timeout=_LOAD_TIMEOUT_SECONDS)
+            return
+        except (OSError, httpclient.HTTPError):
+            await asyncio.sleep(_LOAD_RETRY_SECONDS)
--- /dev/null
+++ b/basilpost/emulator/runner_test.py
@@ -0,0 +1,173 @@
+"""Tests of the emulated runner: what it refuses, how it breaks and what its log says."""
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+
+from tornado import httpclient
+
+from basilpost.core import names
+from basilpost.emulator import answers, records, runner
+from basilpost.groups import engines
+
+FAST = records.RunnerOptions(
+    token_interval=0.002, prefill_seconds=0, load_seconds=0, warm_seconds=600, warm_requests=2
+)
+BODY = {"model": "m", "messages": [{"role": "user", "content": "who holds the clip?"}]}
+
+
+@contextlib.asynccontextmanager
+async def group(size=2, options=FAST):
+    """Starts runners and orders them into group g, generation 1."""
+    runners = [runner.Runner(vm_id=f"vm-{rank}", options=options) for rank in range(size)]
+    addresses = tuple([await one.start() for one in runners])
+    for rank, one in enumerate(runners):
+        order = engines.Order(kind=engines.OrderKind.LOAD, fence=1, group_id="g", generation=1,
+                              rank=rank, members=addresses, model="m", model_version="1")  # fmt: skip
+        await one.take_order(order)
+    await until(lambda: runners[0].refusal("g", 1) is None)
+    try:
+        yield runners
+    finally:
+        for one in runners:
+            await one.stop()
+
+
+async def until(holds):
+    async with asyncio.timeout(5):
+        while not holds():  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+
+
+async def ask(one, *, body=BODY, request_id="r1", generation=1, resume=None, on_chunk=None):
+    headers = {
+        names.REQUEST_ID_HEADER: request_id,
+        names.GROUP_HEADER: "g",
+        names.GENERATION_HEADER: str(generation),
+    } | ({names.RESUME_HEADER: str(resume)} if resume is not None else {})
+    try:
+        return await httpclient.AsyncHTTPClient().fetch(
+            f"http://{one.address}/v1/chat/completions", method="POST", body=json.dumps(body),
+        headers=headers, raise_error=False, streaming_callback=on_chunk, request_timeout=5,
+        )  # fmt: skip
+    except httpclient.HTTPError as error:
+        return error
+
+
+def streamed_tokens(text):
+    events = [line[6:] for line in text.splitlines() if line.startswith("data: {")]
+    return [json.loads(event)["choices"][0]["delta"]["content"] for event in events]
+
+
+async def test_a_whole_group_answers_whole():
+    async with group() as runners:
+        plain = await ask(runners[0])
+        assert json.loads(plain.body)["choices"][0]["message"]["content"] == answers.text_for(BODY)
+        assert plain.headers["Basilpost-Cold"] == "1"
+        streamed = await ask(runners[0], body=BODY | {"stream": True}, request_id="r2")
+        text = streamed.body.decode()
+        assert streamed_tokens(text) == answers.tokens_for(BODY)
+        assert text.endswith("data: [DONE]\n\n")
+        assert [run.request_id for run in runners[0].runs] == ["r1", "r2"]
+        assert runners[0].status().state is engines.RunnerState.READY
+
+
+async def test_a_stream_resumes_from_a_token():
+    async with group() as runners:
+        body = BODY | {"stream": True, "max_tokens": 9}
+        text = (await ask(runners[0], body=body, resume=6)).body.decode()
+        assert streamed_tokens(text) == answers.tokens_for(body)[6:]
+
+
+async def test_wrong_rank_generation_or_an_incomplete_group_is_refused_as_not_run():
+    async with group() as runners:
+        for wrong in (ask(runners[1]), ask(runners[0], generation=2)):
+            refused = await wrong
+            assert (refused.code, refused.headers[names.OUTCOME_HEADER]) == (409, "not-run")
+        await runners[1].stop()
+        await until(lambda: runners[0].refusal("g", 1) is not None)
+        assert (await ask(runners[0])).code == 409
+
+
+async def test_a_killed_member_breaks_running_answers():
+    async with group() as runners:
+        body = BODY | {"stream": True, "max_tokens": 100_000}
+        running = asyncio.create_task(ask(runners[0], body=body))
+        await until(lambda: runners[0].batch)
+        await runners[1].stop()
+        assert (await running).code == 599
+        assert runners[0].runs[0].outcome == "broken"
+
+
+async def test_too_much_work_in_a_cold_start_makes_it_fall_over():
+    async with group() as runners:
+        body = BODY | {"max_tokens": 100_000}
+        running = [asyncio.create_task(ask(runners[0], body=body, request_id=str(number)))
+                   for number in range(3)]  # fmt: skip
+        assert {(await one).code for one in running} == {599}
+        assert runners[0].falls == 1
+        assert runners[0].status().state is engines.RunnerState.EMPTY
+        worst = max(runners[0].runs, key=lambda run: run.in_flight)
+        assert worst.cold and worst.in_flight > worst.cold_limit
+
+
+async def test_a_caller_that_goes_away_cancels():
+    async with group() as runners:
+        reader, writer = await asyncio.open_connection(*runners[0].address.split(":"))
+        body = json.dumps(BODY | {"max_tokens": 100_000}).encode()
+        writer.write(b"POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nBasilpost-Group: g\r\n"
+                     b"Basilpost-Generation: 1\r\nContent-Length: %d\r\n\r\n%b"
+                     % (len(body), body))  # fmt: skip
+        await until(lambda: runners[0].batch)
+        writer.close()
+        await until(lambda: not runners[0].batch)
+        assert runners[0].runs[0].outcome == "cancelled"
+
+
+async def test_an_old_fencing_number_is_refused_only_by_runners_that_check():
+    for checks, kind in ((True, engines.StaleFence), (False, engines.Accepted)):
+        async with group(1, dataclasses.replace(FAST, checks_fence=checks)) as runners:
+            order = engines.Order(kind=engines.OrderKind.UNLOAD, fence=0)
+            assert isinstance(await runners[0].take_order(order), kind)
+
+
+async def test_faults_show_in_the_answers():
+    async with group(1, dataclasses.replace(FAST, warm_seconds=0)) as runners:
+        one = runners[0]
+        await ask(one)
+        one.set_faults(records.RunnerFaults(cross_answers=1))
+        crossed = await ask(one, body=BODY | {"max_tokens": 5}, request_id="r2")
+        assert crossed.headers[names.REQUEST_ID_HEADER] == "r1"
+        one.set_faults(records.RunnerFaults(truncate=2))
+        cut = (await ask(one, body=BODY | {"stream": True})).body.decode()
+        assert 0 < len(streamed_tokens(cut)) < len(answers.tokens_for(BODY))
+        assert "[DONE]" not in cut
+        assert (await ask(one)).code == 599
+        one.set_faults(records.RunnerFaults(crash_on="poison"))
+        assert (await ask(one, body=BODY | {"user": "poison"})).code == 599
+        assert one.falls == 1
+
+
+async def test_connections_go_silent_while_new_ones_work():
+    async with group(1, dataclasses.replace(FAST, warm_seconds=0)) as runners:
+        body = BODY | {"stream": True, "max_tokens": 400}
+        chunks = []
+        running = asyncio.create_task(ask(runners[0], body=body, on_chunk=chunks.append))
+        await until(lambda: chunks)
+        await httpclient.AsyncHTTPClient().fetch(
+            f"http://{runners[0].address}/faults", method="POST", body='{"silent": true}'
+        )
+        assert (await ask(runners[0], request_id="r2")).code == 200
+        await until(lambda: not runners[0].batch)
+        assert not running.done()
+        running.cancel()
+
+
+async def test_the_first_token_comes_sooner_for_a_cached_prefix():
+    one = runner.Runner(vm_id="vm", options=records.RunnerOptions(cache_blocks=64))
+    body = {"messages": [{"content": "x" * 640}]}
+    missed = one.first_token_after(body)
+    assert one.first_token_after(body) < missed
+    one.first_token_after({"messages": [{"content": "y" * 64 * 64}]})
+    assert one.first_token_after(body) == missed
--- /dev/null
+++ b/basilpost/emulator/server.py
@@ -0,0 +1,88 @@
+"""What all stand-ins share: an HTTP server on a free port that can be started and stopped."""
+
+import abc
+import asyncio
+import json
+from typing import Any
+
+from tornado import httpserver, netutil, web
+
+from basilpost.emulator import silence
+
+_CLOSE_SECONDS = 1.0
+_MAX_BODY_BYTES = 64_000_000
+
+Routes = list[tuple[str, type[web.RequestHandler], dict[str, Any]]]
+
+
+class StandIn(abc.ABC):
+    """A small server that takes the place of something outside the system.
+
+    Attributes:
+        address: `host:port`, known once it has started.
+        silence: Its connections that have gone silent.
+    """
+
+    def __init__(self, *, host: str = "127.0.0.1", port: int = 0) -> None:
+        self._host = host
+        self._port = port
+        self._server: httpserver.HTTPServer | None = None
+        self.address = ""
+        self.silence = silence.Silence()
+
+    @abc.abstractmethod
+    def routes(self) -> Routes:
+        """Returns the handlers; `owner` among their arguments is the stand-in."""
+
+    async def start(self) -> str:
+        """Listens and returns the address; a stand-in that starts again keeps its port."""
+        sockets = netutil.bind_sockets(self._port, address=self._host, backlog=1024)
+        self._port = sockets[0].getsockname()[1]
+        self.address = f"{self._host}:{self._port}"
+        application = web.Application(self.routes(), log_function=_log_nothing)
+        self._server = httpserver.HTTPServer(application, max_buffer_size=_MAX_BODY_BYTES)
+        self._server.add_sockets(sockets)
+        self.silence.server = self._server
+        return self.address
+
+    async def stop(self) -> None:
+        """Stops listening and breaks all open connections."""
+        server, self._server = self._server, None
+        if server is None:
+            return
+        server.stop()
+        try:
+            await asyncio.wait_for(server.close_all_connections(), _CLOSE_SECONDS)
+        except TimeoutError:
+            pass
+
+
+class JsonHandler(web.RequestHandler):
+    """A handler that reads and answers JSON."""
+
+    def body_json(self) -> Any:
+        """Returns the decoded body, or answers 400."""
+        try:
+            return json.loads(self.request.body)
+        except ValueError as error:
+            raise web.HTTPError(400, reason="the body is no JSON") from error
+
+    def answer(self, body: Any, *, status: int = 200) -> None:
+        """Ends the request with a JSON body."""
+        self.set_status(status)
+        self.set_header("Content-Type", "application/json")
+        self.finish(json.dumps(body, separators=(",", ":")))
+
+    def answer_nothing(self) -> None:
+        """Ends the request with 204."""
+        self.set_status(204)
+        self.finish()
+
+    def drop_connection(self) -> None:
+        """Closes the caller's connection without an answer."""
+        self._finished = True
+        silence.stream_of(self.request).close()
+
+
+def _log_nothing(handler: web.RequestHandler) -> None:
+    """Keeps a line for each request out of the output."""
--- /dev/null
+++ b/basilpost/emulator/silence.py
@@ -0,0 +1,41 @@
+"""Connections that go silent for good while new ones work.
+
+Something between two ends may lose track of their connection: neither sees it close, and nothing
+sent on it arrives.
+"""
+
+import asyncio
+import weakref
+from typing import Any
+
+from tornado import http1connection, httpserver, httputil, iostream
+
+
+class Silence:
+    """The silent connections of one server."""
+
+    def __init__(self) -> None:
+        self._streams: weakref.WeakSet[iostream.IOStream] = weakref.WeakSet()
+        self.server: httpserver.HTTPServer | None = None
+
+    def cover_open_connections(self, *, but: iostream.IOStream) -> None:
+        """Makes all connections that are open now silent, but the one that asked for it."""
+        open_connections: set[Any] = getattr(self.server, "_connections", set())
+        self._streams.update(connection.stream for connection in open_connections)
+        self._streams.discard(but)
+
+    def covers(self, stream: iostream.IOStream) -> bool:
+        """Returns True for a silent connection."""
+        return bool(self._streams) and stream in self._streams
+
+    async def pass_through(self, request: httputil.HTTPServerRequest) -> None:
+        """Returns at once on a working connection and never on a silent one."""
+        if self.covers(stream_of(request)):
+            await asyncio.get_running_loop().create_future()
+
+
+def stream_of(request: httputil.HTTPServerRequest) -> iostream.IOStream:
+    """Returns the connection that a request came on."""
+    connection = request.connection
+    assert isinstance(connection, http1connection.HTTP1Connection)
+    return connection.stream
