--- a/basilpost/core/names.py
+++ b/basilpost/core/names.py
@@ -25,6 +25,7 @@
 OPERATOR_PREFIX = "config/operators/"
 NODE_PREFIX = "nodes/"
 FABRIC_PREFIX = "fabric/"
+VM_PREFIX = "vms/"
 RUN_PREFIX = "runs/"
 QUARANTINE_PREFIX = "quarantine/"
 
--- /dev/null
+++ b/basilpost/groups/authority.py
@@ -0,0 +1,113 @@
+"""The authority of one node over one fabric domain: the holder entry of the domain's table.
+
+The table itself is safe by conditional updates. Authority covers what they cannot: orders to engines
+and credits for cold targets. It lasts for a lease's length after the holder last confirmed its entry
+with the store, counted from before that call; a new holder waits out that length, and the longest
+order in flight, before it orders engines that do not check fencing numbers.
+"""
+
+import dataclasses
+from collections.abc import Callable
+
+from basilpost.core import clock, data
+from basilpost.settings import schema
+
+RELEASED = ""
+_NEVER = float("-inf")
+
+
+def claimed(table: data.FabricTable, node_id: str) -> data.FabricTable:
+    """Returns the table with a node as its new holder, under the next fencing number."""
+    fence = table.holder.fence + 1 if table.holder else 1
+    return dataclasses.replace(table, holder=data.Holder(node_id=node_id, fence=fence))
+
+
+def released(table: data.FabricTable) -> data.FabricTable:
+    """Returns the table without a holder; its fencing number stays."""
+    fence = table.holder.fence if table.holder else 0
+    return dataclasses.replace(table, holder=data.Holder(node_id=RELEASED, fence=fence))
+
+
+class Authority:
+    """What this process knows of its own authority over one fabric domain."""
+
+    def __init__(
+        self, *, node_id: str, timing: schema.Timing, lease_remaining: Callable[[], float]
+    ) -> None:
+        self._node_id = node_id
+        self._timing = timing
+        self._lease_remaining = lease_remaining
+        self._fence: int | None = None
+        self._confirmed_at = _NEVER
+        self._claimed_at = _NEVER
+        self._after_release = True
+
+    @property
+    def fence(self) -> int | None:
+        """Returns the fencing number that this process holds the domain under, if it does."""
+        return self._fence
+
+    @property
+    def claimed_at(self) -> float:
+        """Returns the time at which this process's claim was confirmed."""
+        return self._claimed_at
+
+    @property
+    def confirmed_at(self) -> float:
+        """Returns the time before the latest call that confirmed the claim."""
+        return self._confirmed_at
+
+    def holds(self, table: data.FabricTable) -> bool:
+        """Returns True if a confirmed table names this process as the holder."""
+        holder = table.holder
+        return (
+            self._fence is not None
+            and holder is not None
+            and (holder.node_id, holder.fence) == (self._node_id, self._fence)
+        )
+
+    def claim_confirmed(
+        self, before: data.FabricTable, after: data.FabricTable, *, asked_at: float
+    ) -> None:
+        """Notes that the store has confirmed this process's claim."""
+        if after.holder is None:
+            raise ValueError("a claimed table has a holder")
+        self._fence = after.holder.fence
+        self._claimed_at = clock.monotonic()
+        self._after_release = before.holder is None or before.holder.node_id == RELEASED
+        self._confirmed_at = asked_at
+
+    def fence_raised(self, fence: int) -> None:
+        """Notes a confirmed rise of the holder's own fencing number."""
+        self._fence = fence
+
+    def confirmed(self, *, asked_at: float) -> None:
+        """Notes that the store has shown the claim to stand, in answer to a call sent then."""
+        self._confirmed_at = max(self._confirmed_at, asked_at)
+
+    def dropped(self) -> None:
+        """Notes that this process no longer holds the domain."""
+        self._fence = None
+        self._confirmed_at = _NEVER
+
+    def remaining(self) -> float:
+        """Returns for how many seconds this process surely has authority; at most 0 if it has none."""
+        if self._fence is None:
+            return 0.0
+        own = self._confirmed_at + self._timing.lease - clock.monotonic()
+        return min(own, self._lease_remaining())
+
+    def may_order(self, *, checks_fence: bool) -> bool:
+        """Returns True if an order may be sent at this moment."""
+        if self.remaining() <= 0.0:
+            return False
+        if checks_fence or self._after_release:
+            return True
+        return self.alone()
+
+    def alone(self) -> bool:
+        """Returns True if no order of an earlier holder can still be under way."""
+        if self._after_release:
+            return True
+        waited = clock.monotonic() - self._claimed_at
+        return waited >= self._timing.lease + self._timing.order
--- /dev/null
+++ b/basilpost/groups/domain.py
@@ -0,0 +1,398 @@
+"""Controls one fabric domain: one task that holds, plans, writes and orders, round after round."""
+
+import asyncio
+import dataclasses
+import uuid
+from collections.abc import Callable, Iterable
+
+import structlog
+
+from basilpost.core import clock, data, hashing
+from basilpost.groups import (
+    authority,
+    budget,
+    engines,
+    fleet,
+    forming,
+    ordering,
+    pins,
+    planner,
+    table,
+    watching,
+)
+from basilpost.groups import view as views
+from basilpost.members import directory, peers, replica, standing
+from basilpost.settings import schema
+from basilpost.store import objects
+
+_ECHO_SECONDS = 2.0
+_ELSEWHERE_SECONDS = 10.0
+_PINS_AT_ONCE = 8
+
+LeaseRemaining = Callable[[], float]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Context:
+    """What the controllers of a node share.
+
+    Attributes:
+        peers: Streams to the other nodes.
+        store: Object store.
+        replica: This node's replica.
+        standing: This node's standing.
+        directory: Configuration and tables in force.
+        engine: Talks to the runners.
+        timing: Intervals.
+        lease_remaining: Returns the seconds left of the node's lease.
+        vms_by_id: Returns the latest VM list, all fabric domains.
+        loads: Budget of weight loads.
+        drain: Longest time in seconds that a group may take to finish its work.
+    """
+
+    peers: peers.PeerNetwork
+    store: objects.ObjectStore
+    replica: replica.Replica
+    standing: standing.Standing
+    directory: directory.Directory
+    engine: engines.Engine
+    timing: schema.Timing
+    lease_remaining: LeaseRemaining
+    vms_by_id: Callable[[], dict[str, data.Vm]]
+    loads: budget.LoadBudget
+    drain: float
+
+
+class DomainController:
+    """One node's part in the control of one fabric domain."""
+
+    def __init__(self, *, fabric_domain: str, context: Context) -> None:
+        self.fabric_domain = fabric_domain
+        self._context = context
+        self._log = structlog.get_logger().bind(
+            node=context.peers.node_id, fabric_domain=fabric_domain
+        )
+        self._started_at = clock.monotonic()
+        self._known: table.Versioned | None = None
+        self._live: tuple[str, ...] = ()
+        self._choice: str | None = None
+        self._watcher = watching.Watcher(
+            engine=context.engine,
+            interval=context.timing.probe,
+            timeout=context.timing.probe_timeout,
+        )
+        self._since_by_key: dict[views.Condition, float] = {}
+        self._ordered_by_vm: dict[str, tuple[engines.Order, float]] = {}
+        self._unusable_until_by_vm: dict[str, float] = {}
+        self.authority = authority.Authority(
+            node_id=context.peers.node_id,
+            timing=context.timing,
+            lease_remaining=context.lease_remaining,
+        )
+
+    @property
+    def known(self) -> table.Versioned | None:
+        """Returns the latest confirmed table that this controller has read or written."""
+        return self._known
+
+    @property
+    def holding(self) -> bool:
+        """Returns True if this process holds the domain under the known table."""
+        return self._known is not None and self.authority.holds(self._known.table)
+
+    def sights_by_id(self) -> dict[str, views.Sight]:
+        """Returns what was last seen of the domain's VMs; empty unless this node holds it."""
+        return self._watcher.sights_by_id()
+
+    async def run(self) -> None:
+        """Runs rounds until it is cancelled."""
+        try:
+            while True:
+                started_at = clock.monotonic()
+                await self._guarded_round()
+                took = clock.monotonic() - started_at
+                await asyncio.sleep(max(0.0, self._context.timing.plan - took))
+        finally:
+            await self._watcher.close()
+
+    async def _guarded_round(self) -> None:
+        try:
+            await self.round()
+        except Exception:
+            self._log.exception("controller_round_failed")
+            self._known = None
+
+    async def round(self) -> None:
+        """Does one round: learns the table, holds the domain if it should, plans and orders."""
+        if isinstance(self._context.standing.check(), standing.NotServing):
+            return
+        preferred = self._preferred()
+        if not preferred and not self._involved():
+            return
+        if not await self._learn():
+            return
+        if not preferred and not (self.holding and not self.authority.alone()):
+            await self.step_down()
+            return
+        if not self.holding and not await self._claim():
+            return
+        await self._control()
+
+    def _preferred(self) -> bool:
+        live = self._context.peers.live_nodes()
+        if live != self._live:
+            self._live = live
+            self._choice = hashing.rendezvous_choice(self.fabric_domain, live)
+        return self._choice == self._context.peers.node_id
+
+    def _involved(self) -> bool:
+        """Returns True if this process holds the domain, or an earlier one of this node did."""
+        if self.authority.fence is not None:
+            return True
+        seen = self._context.directory.tables().get(self.fabric_domain)
+        holder = seen.holder if seen else None
+        return holder is not None and holder.node_id == self._context.peers.node_id
+
+    async def _learn(self) -> bool:
+        """Learns the newest table; a holder confirms its entry well before its authority ends."""
+        known = self._known
+        seen = self._context.replica.get(table.key_of(self.fabric_domain))
+        newer = seen is not None and (known is None or seen.version > known.version)
+        stale = self.holding and self._confirmation_due()
+        if known is not None and not newer and not stale:
+            return True
+        asked_at = clock.monotonic()
+        found = await table.read(
+            self._context.store, self.fabric_domain, timeout=self._context.timing.order
+        )
+        if isinstance(found, table.Unsettled | table.Malformed):
+            self._log.warning("table_unread", reason=found.reason)
+            return self._known is not None and self.holding
+        if known is not None and found.version < known.version:
+            return True
+        self._known = found
+        if self.authority.holds(found.table):
+            self.authority.confirmed(asked_at=asked_at)
+        elif self.authority.fence is not None:
+            self._log.warning("control_lost", version=found.version)
+            await self._forget()
+        return True
+
+    def _confirmation_due(self) -> bool:
+        age = clock.monotonic() - self.authority.confirmed_at
+        return age >= self._context.timing.lease / 3
+
+    async def _forget(self) -> None:
+        self.authority.dropped()
+        self._ordered_by_vm.clear()
+        self._since_by_key.clear()
+        await self._watcher.close()
+
+    async def step_down(self) -> None:
+        """Gives the domain up, so that its next holder need not wait."""
+        known = self._known
+        if known is None or known.table.holder is None:
+            return
+        mine = known.table.holder.node_id == self._context.peers.node_id
+        if not mine or not (self.holding or self._outlived_predecessor()):
+            return
+        await self._write(authority.released(known.table))
+        await self._forget()
+
+    def _outlived_predecessor(self) -> bool:
+        """Returns True if an earlier process of this node can have no order under way."""
+        timing = self._context.timing
+        return clock.monotonic() - self._started_at >= timing.lease + timing.order
+
+    async def _claim(self) -> bool:
+        """Becomes the holder, unless a live node still is; returns True once confirmed."""
+        known = self._known
+        if known is None:
+            return False
+        holder = known.table.holder
+        others = set(self._context.peers.live_nodes()) - {self._context.peers.node_id}
+        if holder is not None and holder.node_id in others:
+            return False
+        asked_at = clock.monotonic()
+        claimed = authority.claimed(known.table, self._context.peers.node_id)
+        if not await self._write(claimed):
+            return False
+        self.authority.claim_confirmed(known.table, claimed, asked_at=asked_at)
+        self._log.info("control_taken", fence=self.authority.fence)
+        return True
+
+    async def _write(self, wanted: data.FabricTable) -> bool:
+        known = self._known
+        if known is None:
+            return False
+        asked_at = clock.monotonic()
+        written = await table.write(
+            self._context.store, self._context.replica, wanted, version=known.version
+        )
+        if isinstance(written, table.Versioned):
+            self._known = written
+            if self.authority.holds(written.table):
+                self.authority.confirmed(asked_at=asked_at)
+            return True
+        self._log.info("table_unwritten", reason=written.reason, version=known.version)
+        self._known = None
+        return False
+
+    async def _control(self) -> None:
+        known = self._known
+        if known is None:
+            return
+        self._watcher.retarget(self._watched(known.table))
+        self._note_conditions(known.table)
+        view = self._view(known)
+        plan = planner.plan(view)
+        if plan.table != known.table:
+            if not await self._pin_newcomers(known.table, plan.table):
+                return
+            if not await self._write(plan.table):
+                return
+            self._log_changes(known.table, plan.table)
+        await self._order(plan.orders, view.sights_by_id)
+
+    def _own_vms(self) -> dict[str, data.Vm]:
+        return {
+            vm_id: vm
+            for vm_id, vm in self._context.vms_by_id().items()
+            if vm.fabric_domain == self.fabric_domain
+        }
+
+    def _watched(self, current: data.FabricTable) -> Iterable[watching.Watched]:
+        services = self._context.directory.config().services_by_name.values()
+        kinds_by_pool = {service.pool: service.kind for service in services}
+        plain = data.ServiceKind.PLAIN
+        listed = {
+            vm.vm_id: watching.Watched(
+                vm_id=vm.vm_id, address=vm.address, plain=kinds_by_pool[vm.pool] is plain
+            )
+            for vm in self._own_vms().values()
+            if vm.pool in kinds_by_pool
+        }
+        members = {
+            member.vm_id: watching.Watched(
+                vm_id=member.vm_id, address=member.address, plain=not group.model
+            )
+            for group in current.groups
+            for member in group.members
+        }
+        return (listed | members).values()
+
+    def _note_conditions(self, current: data.FabricTable) -> None:
+        """Keeps the time since which each lasting condition has been seen."""
+        draining = (
+            views.Condition(what=views.Lasting.DRAINING, subject=group.group_id)
+            for group in current.groups
+            if group.state is data.GroupState.DRAINING
+        )
+        leaving = (
+            views.Condition(what=views.Lasting.LEAVING, subject=vm.vm_id)
+            for vm in self._own_vms().values()
+            if vm.leaving
+        )
+        now = clock.monotonic()
+        self._since_by_key = {
+            condition: self._since_by_key.get(condition, now) for condition in [*draining, *leaving]
+        }
+
+    def _view(self, known: table.Versioned) -> views.View:
+        config = self._context.directory.config()
+        services = config.services_by_name
+        now = clock.monotonic()
+        barred = {one for one, until in self._unusable_until_by_vm.items() if until > now}
+        members = set(views.member_ids(known.table.groups))
+        vms = self._context.vms_by_id()
+        tables = {**self._context.directory.tables(), self.fabric_domain: known.table}
+        by_service = fleet.groups_by_service(tables.values())
+        return views.View(
+            table=known.table,
+            now=now,
+            vms_by_id={
+                vm_id: vm
+                for vm_id, vm in self._own_vms().items()
+                if vm_id in members or vm_id not in barred
+            },
+            sights_by_id=self._watcher.sights_by_id(),
+            services_by_name=services,
+            settled=self._context.standing.acknowledged_by_all(
+                table.key_of(self.fabric_domain), known.version
+            ),
+            suspicion=self._context.timing.suspicion,
+            drain=self._context.drain,
+            since_by_key=self._since_by_key,
+            rolling=fleet.rolling(by_service, services),
+            surplus=fleet.surplus(by_service, services.values()),
+            quotas_by_service=forming.quotas(
+                services.values(), vms.values(), fabric_domain=self.fabric_domain
+            ),
+            deficits_by_service=fleet.deficits(by_service, services.values()),
+            new_id=lambda service: f"{service}-{uuid.uuid4().hex[:12]}",
+        )
+
+    async def _pin_newcomers(self, before: data.FabricTable, after: data.FabricTable) -> bool:
+        """Pins the VMs that the next table names anew; returns True if all are this domain's."""
+        newcomers = sorted(
+            set(views.member_ids(after.groups)) - set(views.member_ids(before.groups))
+        )
+        gate = asyncio.Semaphore(_PINS_AT_ONCE)
+
+        async def pin(vm_id: str) -> pins.Pin | pins.PinnedElsewhere | pins.PinUnknown:
+            async with gate:
+                return await pins.pin(self._context.store, vm_id, self.fabric_domain)
+
+        results = await asyncio.gather(*(pin(vm_id) for vm_id in newcomers))
+        until = clock.monotonic() + _ELSEWHERE_SECONDS
+        for vm_id, result in zip(newcomers, results, strict=True):
+            if isinstance(result, pins.PinnedElsewhere):
+                self._log.warning("vm_pinned_elsewhere", vm=vm_id, reason=result.reason)
+                self._unusable_until_by_vm[vm_id] = until
+        return all(isinstance(result, pins.Pin) for result in results)
+
+    async def _order(
+        self, assignments: Iterable[ordering.Assignment], sights_by_id: dict[str, views.Sight]
+    ) -> None:
+        due = [one for one in assignments if self._due(one, sights_by_id)]
+        await asyncio.gather(*(self._send(one) for one in due))
+
+    def _due(self, one: ordering.Assignment, sights_by_id: dict[str, views.Sight]) -> bool:
+        """Returns True if an order may go out now and is not already on its way."""
+        sent = self._ordered_by_vm.get(one.vm_id)
+        sight = sights_by_id.get(one.vm_id)
+        if sent is not None and sent[0] == one.order and sight is not None:
+            if sight.heard_at < sent[1] + _ECHO_SECONDS:
+                return False
+        if not self.authority.may_order(checks_fence=self._checks_fence(one.service)):
+            return False
+        return not one.loads or self._context.loads.take()
+
+    def _checks_fence(self, service: str) -> bool:
+        found = self._context.directory.config().services_by_name.get(service)
+        return found is not None and found.checks_fence
+
+    async def _send(self, one: ordering.Assignment) -> None:
+        if not self.authority.may_order(checks_fence=self._checks_fence(one.service)):
+            return
+        sent_at = clock.monotonic()
+        result = await self._context.engine.order(
+            one.address, one.order, timeout=self._context.timing.order
+        )
+        if isinstance(result, engines.Accepted):
+            self._ordered_by_vm[one.vm_id] = (one.order, sent_at)
+        else:
+            self._log.warning("order_failed", vm=one.vm_id, reason=result.reason)
+
+    def _log_changes(self, before: data.FabricTable, after: data.FabricTable) -> None:
+        states_by_id = {group.group_id: group.state for group in before.groups}
+        for group in after.groups:
+            if states_by_id.get(group.group_id) is not group.state:
+                self._log.info(
+                    "group_state",
+                    group=group.group_id,
+                    generation=group.generation,
+                    state=group.state.value,
+                )
+        for group_id in states_by_id.keys() - {group.group_id for group in after.groups}:
+            self._log.info("group_gone", group=group_id)
--- /dev/null
+++ b/basilpost/groups/fake_node.py
@@ -0,0 +1,88 @@
+"""A node of fakes with real controllers, for tests and measurements of several nodes in one process."""
+
+import asyncio
+
+from basilpost.core import data, failure, kernel, names
+from basilpost.groups import controller, engines
+from basilpost.groups import fakes as group_fakes
+from basilpost.members import fakes
+from basilpost.settings import schema
+from basilpost.store import memory, vms
+
+
+class FakeNode:
+    """A kernel with fakes of everything that groups use, over a shared store, hub and engine."""
+
+    def __init__(
+        self,
+        *,
+        node_id: str,
+        hub: fakes.PeerHub,
+        store: memory.MemoryStore,
+        vm_list: vms.VmList,
+        engine: engines.Engine,
+        config: data.Config,
+        timing: schema.Timing | None = None,
+        weight_store: schema.WeightStore | None = None,
+    ) -> None:
+        self.kernel = kernel.Kernel(node_id=node_id)
+        self.store = store
+        self._hub = hub
+        self.replica = fakes.FakeReplica()
+        self.peers = fakes.FakePeers(node_id=node_id, hub=hub)
+        self.standing = fakes.FakeStanding()
+        self.directory = group_fakes.ReplicaDirectory(known_objects=self.replica, config=config)
+        self.lease_left = 10.0
+        self.watching: asyncio.Task[None] | None = None
+        settings = schema.NodeSettings(
+            node_id=node_id,
+            failure_domain="fd-1",
+            platform=schema.Platform(object_api="http://127.0.0.1:1", vm_list="http://127.0.0.1:1"),
+            timing=timing or schema.Timing(),
+            weight_store=weight_store or schema.WeightStore(),
+        )
+        self.kernel.register(names.SETTINGS, settings)
+        self.kernel.register(names.OBJECTS, store)
+        self.kernel.register(names.VMS, vm_list)
+        self.kernel.register(names.PEERS, self.peers)
+        self.kernel.register(names.REPLICA, self.replica)
+        self.kernel.register(names.STANDING, self.standing)
+        self.kernel.register(names.DIRECTORY, self.directory)
+        self.kernel.register(names.ENGINES, engine)
+        self.controllers = controller.Controllers(
+            kernel=self.kernel, lease_remaining=lambda: self.lease_left
+        )
+        self.kernel.register(names.CONTROLLERS, self.controllers)
+
+    async def start(self) -> None:
+        """Starts the services and a watch that feeds the replica."""
+        self.watching = asyncio.get_running_loop().create_task(self._follow())
+        await self.kernel.start()
+
+    async def stop(self) -> None:
+        """Stops the services and leaves the hub."""
+        await self.kernel.stop()
+        await self.vanish()
+
+    async def crash(self) -> None:
+        """Ends all work at once, without a word to anybody."""
+        await self.vanish()
+        await self.controllers.abandon()
+
+    async def vanish(self) -> None:
+        """Ends the watch and leaves the hub."""
+        self._hub.peers_by_id.pop(self.kernel.node_id, None)
+        if self.watching is not None:
+            self.watching.cancel()
+            await asyncio.gather(self.watching, return_exceptions=True)
+
+    async def _follow(self) -> None:
+        revision = 0
+        while True:
+            found = await self.store.watch(names.FABRIC_PREFIX, revision=revision)
+            if isinstance(found, failure.Failure):
+                await asyncio.sleep(0.5)
+                continue
+            for change in found.changes:
+                self.replica.offer(change)
+            revision = found.revision
--- a/basilpost/groups/fakes.py
+++ b/basilpost/groups/fakes.py
@@ -1,10 +1,13 @@
 """Small fakes of the interfaces to targets, for focused tests."""
 
 import asyncio
+import dataclasses
 from collections.abc import Callable
 
-from basilpost.core import data
-from basilpost.groups import engines, slots
+from basilpost.core import data, failure, names
+from basilpost.groups import engines, slots, table
+from basilpost.members import directory, fakes
+from basilpost.store import objects
 
 
 class FakeSlot(slots.Slot):
@@ -91,6 +94,10 @@
             self.status_by_address[address] = found
         return found
 
+    def set_state(self, address: str, state: engines.RunnerState) -> None:
+        """Makes a runner report another state."""
+        self.status_by_address[address] = _with_state(self.status_by_address[address], state)
+
     async def order(
         self, address: str, order: engines.Order, *, timeout: float = 2.0
     ) -> engines.Accepted | engines.StaleFence | engines.Unreachable:
@@ -124,13 +131,56 @@
 
 
 def _with_state(status: engines.RunnerStatus, state: engines.RunnerState) -> engines.RunnerStatus:
-    return engines.RunnerStatus(
-        vm_id=status.vm_id,
-        group_id=status.group_id,
-        generation=status.generation,
-        model=status.model,
-        model_version=status.model_version,
-        state=state,
-        in_flight=status.in_flight,
-        fence=status.fence,
-    )
+    return dataclasses.replace(status, state=state)
+
+
+class ReplicaDirectory(directory.Directory):
+    """Decodes the group tables of a replica; the configuration is what the test sets."""
+
+    def __init__(self, *, known_objects: fakes.FakeReplica, config: data.Config) -> None:
+        self._replica = known_objects
+        self.current = config
+        self._listeners: list[Callable[[], None]] = []
+        self._tables: dict[str, data.FabricTable] = {}
+        known_objects.subscribe(names.FABRIC_PREFIX, self._changed)
+
+    def config(self) -> data.Config:
+        """Returns the set configuration."""
+        return self.current
+
+    def set(self, config: data.Config) -> None:
+        """Replaces the configuration and tells the listeners."""
+        self.current = config
+        for listener in self._listeners:
+            listener()
+
+    def groups_for(self, service: str) -> tuple[data.Group, ...]:
+        """Returns all groups of a service."""
+        return tuple(
+            group
+            for one in self._tables.values()
+            for group in one.groups
+            if group.service == service
+        )
+
+    def group(self, group_id: str) -> data.Group | None:
+        """Returns a group by its id."""
+        groups = (group for one in self._tables.values() for group in one.groups)
+        return next((group for group in groups if group.group_id == group_id), None)
+
+    def tables(self) -> dict[str, data.FabricTable]:
+        """Returns the decoded tables."""
+        return dict(self._tables)
+
+    def subscribe(self, listener: Callable[[], None]) -> None:
+        """Registers a listener."""
+        self._listeners.append(listener)
+
+    def _changed(self, change: objects.Change) -> None:
+        if change.stored is None:
+            return
+        found = table.decode(change.stored)
+        if not isinstance(found, failure.Failure):
+            self._tables[found.table.fabric_domain] = found.table
+        for listener in self._listeners:
+            listener()
--- /dev/null
+++ b/basilpost/groups/forming.py
@@ -0,0 +1,145 @@
+"""Forms new groups from free VMs, so that as few VMs as possible stay without a group."""
+
+import collections
+import functools
+import itertools
+from collections.abc import Iterable
+
+from basilpost.core import data
+from basilpost.groups import view as views
+
+
+def formed(
+    view: views.View, groups: list[data.Group], spares: dict[views.Cell, list[data.Vm]]
+) -> list[data.Group]:
+    """Returns new groups; takes the spares that they use out of `spares`."""
+    return [
+        group for cell in sorted(spares) for group in _formed_in(view, groups, cell, spares[cell])
+    ]
+
+
+def _formed_in(
+    view: views.View, groups: list[data.Group], cell: views.Cell, free: list[data.Vm]
+) -> list[data.Group]:
+    services = sorted(
+        (one for one in view.services_by_name.values() if one.pool == cell.pool),
+        key=lambda one: (-view.deficits_by_service.get(one.name, 0.0), one.name),
+    )
+    sizes = tuple(size_of(one) for one in services)
+    limits = tuple(_limit(view, groups, cell, one, len(free)) for one in services)
+    counts = best_counts(len(free), sizes, limits)
+    wanted = [
+        service for service, count in zip(services, counts, strict=True) for _ in range(count)
+    ]
+    return [_new_group(view, service, free) for service in wanted]
+
+
+def size_of(service: data.Service) -> int:
+    """Returns the number of VMs in a group of the service."""
+    return 1 if service.kind is data.ServiceKind.PLAIN else service.vms_per_group
+
+
+def _limit(
+    view: views.View,
+    groups: list[data.Group],
+    cell: views.Cell,
+    service: data.Service,
+    free: int,
+) -> int:
+    quota = view.quotas_by_service.get(service.name, {}).get(cell)
+    most = free // size_of(service)
+    if service.max_groups == 0:
+        return most
+    present = sum(
+        group.service == service.name and group.failure_domain == cell.failure_domain
+        for group in groups
+    )
+    return max(0, min(most, (quota or 0) - present))
+
+
+def best_counts(free: int, sizes: tuple[int, ...], limits: tuple[int, ...]) -> tuple[int, ...]:
+    """Returns how many groups of each size to form so that the most VMs are used.
+
+    Among equal uses, the earlier sizes get more groups.
+    """
+
+    @functools.cache
+    def best(left: int, index: int) -> tuple[int, tuple[int, ...]]:
+        if index == len(sizes):
+            return 0, ()
+        size = sizes[index]
+        most = min(limits[index], left // size)
+        options = (
+            (count * size + rest, (count, *counts))
+            for count in range(most + 1)
+            for rest, counts in [best(left - count * size, index + 1)]
+        )
+        return max(options)
+
+    return best(free, 0)[1]
+
+
+def _new_group(view: views.View, service: data.Service, free: list[data.Vm]) -> data.Group:
+    free.sort(key=lambda vm: (not _holds(view, service, vm), vm.vm_id))
+    size = size_of(service)
+    vms = [free.pop(0) for _ in range(size)]
+    plain = service.kind is data.ServiceKind.PLAIN
+    return data.Group(
+        group_id=view.new_id(service.name),
+        service=service.name,
+        model="" if plain else service.model,
+        model_version="" if plain else service.model_version,
+        generation=1,
+        state=data.GroupState.READY if plain else data.GroupState.FORMING,
+        fabric_domain=view.table.fabric_domain,
+        failure_domain=vms[0].failure_domain,
+        members=tuple(
+            data.Member(vm_id=vm.vm_id, address=vm.address, rank=rank)
+            for rank, vm in enumerate(vms)
+        ),
+    )
+
+
+def _holds(view: views.View, service: data.Service, vm: data.Vm) -> bool:
+    status = views.answering(view, vm.vm_id)
+    return views.holds_weights(status, service.model, service.model_version)
+
+
+def quotas(
+    services: Iterable[data.Service], vms: Iterable[data.Vm], *, fabric_domain: str
+) -> dict[str, dict[views.Cell, int]]:
+    """Returns this fabric domain's part in each limited service's groups, by cell.
+
+    Every controller divides the whole fleet alike, from the same VM list, so that their groups
+    together stay within the limit.
+    """
+    listed = [vm for vm in vms if not vm.leaving]
+    divided = {
+        service.name: _divided(service, listed) for service in services if service.max_groups
+    }
+    return {
+        name: {cell: count for (domain, cell), count in parts.items() if domain == fabric_domain}
+        for name, parts in divided.items()
+    }
+
+
+def _divided(
+    service: data.Service, vms: list[data.Vm]
+) -> collections.Counter[tuple[str, views.Cell]]:
+    """Gives each place its share of the service's groups; failure domains take turns."""
+    places = collections.Counter(
+        (vm.fabric_domain, views.cell_of(vm)) for vm in vms if vm.pool == service.pool
+    )
+    turns = sorted(
+        (turn, fabric_domain, cell)
+        for (fabric_domain, cell), count in places.items()
+        for turn in range(count // size_of(service))
+    )
+    by_failure_domain = itertools.groupby(
+        sorted(turns, key=lambda turn: turn[2].failure_domain),
+        key=lambda turn: turn[2].failure_domain,
+    )
+    columns = [list(found) for _, found in by_failure_domain]
+    rows = itertools.chain.from_iterable(itertools.zip_longest(*columns))
+    chosen = itertools.islice((turn for turn in rows if turn is not None), service.max_groups)
+    return collections.Counter((fabric_domain, cell) for _, fabric_domain, cell in chosen)
--- /dev/null
+++ b/basilpost/groups/lifecycle.py
@@ -0,0 +1,124 @@
+"""Moves each group along its life by what its members report; membership stays as it is.
+
+forming -> loading -> cold -> ready -> draining, and broken once a member no longer reports the group.
+"""
+
+import dataclasses
+
+from basilpost.core import data
+from basilpost.groups import engines
+from basilpost.groups import view as views
+
+_STARTING = frozenset({data.GroupState.FORMING, data.GroupState.LOADING})
+PRELOAD_GRACE_SECONDS = 2.0
+DRAIN_REPORT_SECONDS = 1.0
+
+
+def observed(view: views.View, group: data.Group) -> data.Group:
+    """Returns the group in the state that its members' reports show."""
+    return dataclasses.replace(group, state=_state(view, group))
+
+
+def _state(view: views.View, group: data.Group) -> data.GroupState:
+    if group.state is data.GroupState.DRAINING:
+        gone = any(views.lost(view, member.vm_id) for member in group.members)
+        return data.GroupState.BROKEN if gone else data.GroupState.DRAINING
+    if views.complete(view, group):
+        return _warmth(view, group)
+    if group.state not in _STARTING:
+        return data.GroupState.BROKEN
+    if any(views.lost(view, member.vm_id) for member in group.members):
+        return data.GroupState.BROKEN
+    reached = any(
+        views.joined(views.answering(view, member.vm_id), group) for member in group.members
+    )
+    return data.GroupState.LOADING if reached else data.GroupState.FORMING
+
+
+def _warmth(view: views.View, group: data.Group) -> data.GroupState:
+    status = views.answering(view, group.members[0].vm_id)
+    ready = status is not None and status.state is engines.RunnerState.READY
+    return data.GroupState.READY if ready else data.GroupState.COLD
+
+
+def outdated(view: views.View, group: data.Group) -> bool:
+    """Returns True if the group loads or holds another model or version than configured."""
+    service = view.services_by_name.get(group.service)
+    return service is not None and is_outdated(service, group)
+
+
+def is_outdated(service: data.Service, group: data.Group) -> bool:
+    """Returns True if a model group's model or version is not the configured one."""
+    if service.kind is data.ServiceKind.PLAIN:
+        return False
+    return (group.model, group.model_version) != (service.model, service.model_version)
+
+
+def unwanted(view: views.View, group: data.Group) -> bool:
+    """Returns True if no group of this shape is configured any more, or there are too many."""
+    service = view.services_by_name.get(group.service)
+    if service is None or group.group_id in view.surplus:
+        return True
+    plain = service.kind is data.ServiceKind.PLAIN
+    size = 1 if plain else service.vms_per_group
+    pools = {
+        view.vms_by_id[member.vm_id].pool
+        for member in group.members
+        if member.vm_id in view.vms_by_id
+    }
+    return size != len(group.members) or plain is bool(group.model) or bool(pools - {service.pool})
+
+
+def to_replace(view: views.View, group: data.Group) -> tuple[data.Member, ...]:
+    """Returns the members that the group cannot keep: lost or leaving ones."""
+    return tuple(
+        member
+        for member in group.members
+        if views.lost(view, member.vm_id) or views.leaving(view, member.vm_id)
+    )
+
+
+def to_preload(view: views.View, group: data.Group) -> tuple[data.Member, ...]:
+    """Returns the members whose replacement may start to load, silent ones included."""
+    return tuple(
+        member
+        for member in group.members
+        if views.answering(view, member.vm_id) is None
+        or views.leaving(view, member.vm_id)
+        or views.slow(view, member.vm_id)
+    )
+
+
+def should_drain(view: views.View, group: data.Group, loaded_spares: int, loading: int) -> bool:
+    """Returns True if a serving group has to stop taking work so that it can be changed.
+
+    Args:
+        view: What is known.
+        group: A serving group.
+        loaded_spares: Spares in its cell that hold its weights.
+        loading: Spares in its cell that are loading.
+    """
+    if unwanted(view, group) or group.group_id in view.rolling:
+        return True
+    leaving = [one.vm_id for one in group.members if views.leaving(view, one.vm_id)]
+    if leaving:
+        waited = max(views.lasted(view, views.Lasting.LEAVING, one) for one in leaving)
+        ready = loaded_spares >= len(leaving)
+        return ready or not loading or waited >= PRELOAD_GRACE_SECONDS
+    stragglers = [one for one in group.members if views.slow(view, one.vm_id)]
+    return 0 < len(stragglers) <= loaded_spares
+
+
+def drained(view: views.View, group: data.Group) -> bool:
+    """Returns True if a draining group has finished its work, or has had its time."""
+    waited = views.lasted(view, views.Lasting.DRAINING, group.group_id)
+    if not view.settled:
+        return False
+    if waited >= view.drain:
+        return True
+    first = group.members[0].vm_id
+    status = views.answering(view, first)
+    if status is None:
+        return False
+    reported = view.sights_by_id[first].heard_at - (view.now - waited)
+    return status.in_flight == 0 and reported >= DRAIN_REPORT_SECONDS
--- /dev/null
+++ b/basilpost/groups/ordering.py
@@ -0,0 +1,126 @@
+"""Derives the orders that make runners fit a table, in the order in which loads should start."""
+
+import dataclasses
+from collections.abc import Iterator
+
+from basilpost.core import data
+from basilpost.groups import engines, lifecycle
+from basilpost.groups import view as views
+
+_STARTING = frozenset({data.GroupState.FORMING, data.GroupState.LOADING})
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Assignment:
+    """An order for one VM.
+
+    Attributes:
+        vm_id: The VM.
+        address: Its address.
+        service: Service whose setting says whether its engine checks fencing numbers.
+        loads: True if the runner must fetch weights, which the weight store's rate limits.
+        order: The order.
+    """
+
+    vm_id: str
+    address: str
+    service: str
+    loads: bool
+    order: engines.Order
+
+
+def orders(
+    view: views.View, table: data.FabricTable, spares: dict[views.Cell, list[data.Vm]]
+) -> tuple[Assignment, ...]:
+    """Returns all orders that the table still needs, the most urgent loads first.
+
+    Joining without a load costs nothing and comes first; then loads for the services that lack the
+    largest share of their groups, and last loads for members that may yet come back.
+    """
+    fence = table.holder.fence if table.holder else 0
+    joins = [one for group in table.groups for one in _joins(view, group, fence)]
+    deficits = view.deficits_by_service
+    joins.sort(key=lambda one: (one.loads, -deficits.get(one.service, 0.0)))
+    return (*joins, *_preloads(view, table, spares, fence))
+
+
+def _joins(view: views.View, group: data.Group, fence: int) -> Iterator[Assignment]:
+    """Yields the orders that make a group's members join it.
+
+    A runner that is loading the right weights is left alone until it has them, since an engine
+    might start its load again.
+    """
+    if group.state not in _STARTING or not group.model:
+        return
+    for member in group.members:
+        status = views.answering(view, member.vm_id)
+        if status is None or views.joined(status, group) or views.is_loading(status, group):
+            continue
+        held = views.holds_weights(status, group.model, group.model_version)
+        yield Assignment(
+            vm_id=member.vm_id,
+            address=member.address,
+            service=group.service,
+            loads=not held,
+            order=engines.Order(
+                kind=engines.OrderKind.LOAD,
+                fence=fence,
+                group_id=group.group_id,
+                generation=group.generation,
+                rank=member.rank,
+                members=tuple(one.address for one in group.members),
+                model=group.model,
+                model_version=group.model_version,
+            ),
+        )
+
+
+def _preloads(
+    view: views.View,
+    table: data.FabricTable,
+    spares: dict[views.Cell, list[data.Vm]],
+    fence: int,
+) -> Iterator[Assignment]:
+    """Yields loads of spares for the ranks of members that are silent, leaving or slow.
+
+    The load runs while the member is still waited for, or while the group still works.
+    """
+    free = {cell: list(vms) for cell, vms in spares.items()}
+    for group in table.groups:
+        service = view.services_by_name.get(group.service)
+        if service is None or not group.model or lifecycle.unwanted(view, group):
+            continue
+        cell = views.Cell(failure_domain=group.failure_domain, pool=service.pool)
+        for member in lifecycle.to_preload(view, group):
+            candidates = free.get(cell, [])
+            if not candidates:
+                break
+            candidates.sort(key=lambda vm: _rank_of_spare(view, group, vm))
+            spare = candidates.pop(0)
+            status = views.answering(view, spare.vm_id)
+            if status is None or _holds_or_loads(status, group):
+                continue
+            yield Assignment(
+                vm_id=spare.vm_id,
+                address=spare.address,
+                service=group.service,
+                loads=True,
+                order=engines.Order(
+                    kind=engines.OrderKind.LOAD,
+                    fence=fence,
+                    rank=member.rank,
+                    model=group.model,
+                    model_version=group.model_version,
+                ),
+            )
+
+
+def _rank_of_spare(view: views.View, group: data.Group, vm: data.Vm) -> tuple[bool, bool, str]:
+    status = views.answering(view, vm.vm_id)
+    held = views.holds_weights(status, group.model, group.model_version)
+    return not held, not (status and views.is_loading(status, group)), vm.vm_id
+
+
+def _holds_or_loads(status: engines.RunnerStatus, group: data.Group) -> bool:
+    held = views.holds_weights(status, group.model, group.model_version)
+    return held or views.is_loading(status, group)
--- /dev/null
+++ b/basilpost/groups/planner.py
@@ -0,0 +1,93 @@
+"""Plans the next table of a fabric domain and the orders that carry it out.
+
+Pure functions: the same view gives the same plan. No VM is in two groups of a plan, a group stays in
+one cell (one fabric domain, failure domain and pool), and a VM that a group gives up is taken by another
+only in a later plan, whose view says that the end is in force on all nodes.
+"""
+
+import dataclasses
+import itertools
+
+from basilpost.core import data
+from basilpost.groups import forming, lifecycle, ordering, rebuilding
+from basilpost.groups import view as views
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Plan:
+    """The next table, and orders that are valid once it is confirmed."""
+
+    table: data.FabricTable
+    orders: tuple[ordering.Assignment, ...]
+
+
+def plan(view: views.View) -> Plan:
+    """Returns the next table and the orders for it."""
+    groups = [lifecycle.observed(view, group) for group in view.table.groups]
+    groups = _draining(view, groups)
+    groups = _changed(view, groups)
+    spares = views.spares_by_cell(view, groups)
+    groups = rebuilding.rebuilt(view, groups, spares)
+    groups = rebuilding.dissolved(view, groups, spares)
+    groups = [*groups, *forming.formed(view, groups, spares)]
+    table = dataclasses.replace(
+        view.table, groups=tuple(sorted(groups, key=lambda group: group.group_id))
+    )
+    return Plan(table=table, orders=ordering.orders(view, table, spares))
+
+
+def _draining(view: views.View, groups: list[data.Group]) -> list[data.Group]:
+    spares = views.spares_by_cell(view, groups)
+    result = []
+    for group in groups:
+        if group.serving and _must_drain(view, group, spares):
+            group = dataclasses.replace(group, state=data.GroupState.DRAINING)
+        result.append(group)
+    return result
+
+
+def _must_drain(
+    view: views.View, group: data.Group, spares: dict[views.Cell, list[data.Vm]]
+) -> bool:
+    free = itertools.chain.from_iterable(
+        vms for cell, vms in spares.items() if cell.failure_domain == group.failure_domain
+    )
+    statuses = [views.answering(view, vm.vm_id) for vm in free]
+    held = [one for one in statuses if views.holds_weights(one, group.model, group.model_version)]
+    loading = [one for one in statuses if one and views.is_loading(one, group)]
+    return lifecycle.should_drain(view, group, len(held), len(loading))
+
+
+def _changed(view: views.View, groups: list[data.Group]) -> list[data.Group]:
+    """Ends, re-versions or reopens the groups that do not serve and need no other members."""
+    result = []
+    for group in groups:
+        idle = not group.serving and (
+            group.state is not data.GroupState.DRAINING or lifecycle.drained(view, group)
+        )
+        if idle and lifecycle.unwanted(view, group):
+            continue
+        if idle and lifecycle.outdated(view, group):
+            group = _reversioned(view, group)
+        elif idle and group.state is data.GroupState.DRAINING:
+            group = _reopened(view, group)
+        result.append(group)
+    return result
+
+
+def _reversioned(view: views.View, group: data.Group) -> data.Group:
+    service = view.services_by_name[group.service]
+    return dataclasses.replace(
+        group,
+        model=service.model,
+        model_version=service.model_version,
+        generation=group.generation + 1,
+        state=data.GroupState.LOADING,
+    )
+
+
+def _reopened(view: views.View, group: data.Group) -> data.Group:
+    """Breaks a drained group that must change members; a group that need not serves again."""
+    replaceable = lifecycle.to_preload(view, group)
+    state = data.GroupState.BROKEN if replaceable else data.GroupState.COLD
+    return dataclasses.replace(group, state=state)
--- /dev/null
+++ b/basilpost/groups/rebuilding.py
@@ -0,0 +1,164 @@
+"""Rebuilds broken groups: survivors keep their weights, and lost members are replaced.
+
+Spares of the same cell come first. Without enough of them, the broken group whose loss costs least is
+dissolved and its survivors complete another one.
+"""
+
+import dataclasses
+
+from basilpost.core import data
+from basilpost.groups import lifecycle
+from basilpost.groups import view as views
+
+
+def cell_of(view: views.View, group: data.Group) -> views.Cell | None:
+    """Returns the cell of a group, None while its service is not configured."""
+    service = view.services_by_name.get(group.service)
+    if service is None:
+        return None
+    return views.Cell(failure_domain=group.failure_domain, pool=service.pool)
+
+
+def rebuilt(
+    view: views.View, groups: list[data.Group], spares: dict[views.Cell, list[data.Vm]]
+) -> list[data.Group]:
+    """Returns the groups with lost members replaced; takes the spares it uses out of `spares`.
+
+    The groups that lack the fewest members come first, which makes the most groups complete.
+    """
+    order = sorted(groups, key=lambda group: _urgency(view, group))
+    rebuilt_by_id = {group.group_id: _rebuild(view, group, spares) for group in order}
+    return [rebuilt_by_id[group.group_id] for group in groups]
+
+
+def _urgency(view: views.View, group: data.Group) -> tuple[int, float, str]:
+    lacking = len(_to_replace(view, group))
+    deficit = view.deficits_by_service.get(group.service, 0.0)
+    return lacking, -deficit, group.group_id
+
+
+def _to_replace(view: views.View, group: data.Group) -> tuple[data.Member, ...]:
+    """Returns the members that a broken group must or should give up."""
+    must = lifecycle.to_replace(view, group)
+    stragglers = tuple(one for one in group.members if views.slow(view, one.vm_id))
+    return must + tuple(one for one in stragglers if one not in must)
+
+
+def _rebuild(
+    view: views.View, group: data.Group, spares: dict[views.Cell, list[data.Vm]]
+) -> data.Group:
+    if group.state is not data.GroupState.BROKEN or not group.model:
+        return group
+    cell = cell_of(view, group)
+    free = spares.get(cell, []) if cell else []
+    must = lifecycle.to_replace(view, group)
+    wanted = _to_replace(view, group)
+    out = wanted if len(free) >= len(wanted) else must
+    if out and len(free) >= len(out):
+        return _with_replacements(view, group, out, free)
+    if out or any(views.answering(view, one.vm_id) is None for one in group.members):
+        return group
+    return _rejoined(group)
+
+
+def _rejoined(group: data.Group) -> data.Group:
+    """Starts a group anew whose members all answer, but do not all report it."""
+    return dataclasses.replace(
+        group, generation=group.generation + 1, state=data.GroupState.LOADING
+    )
+
+
+def _with_replacements(
+    view: views.View, group: data.Group, out: tuple[data.Member, ...], free: list[data.Vm]
+) -> data.Group:
+    free.sort(key=lambda vm: _preference(view, group, vm))
+    taken = {member.vm_id: free.pop(0) for member in out}
+    members = tuple(
+        (
+            dataclasses.replace(
+                member, vm_id=taken[member.vm_id].vm_id, address=taken[member.vm_id].address
+            )
+            if member.vm_id in taken
+            else member
+        )
+        for member in group.members
+    )
+    return dataclasses.replace(_rejoined(group), members=members)
+
+
+def _preference(view: views.View, group: data.Group, vm: data.Vm) -> tuple[bool, bool, str]:
+    status = views.answering(view, vm.vm_id)
+    held = views.holds_weights(status, group.model, group.model_version)
+    same = status is not None and (status.model, status.model_version) == (
+        group.model,
+        group.model_version,
+    )
+    return not held, not same, vm.vm_id
+
+
+def dissolved(
+    view: views.View, groups: list[data.Group], spares: dict[views.Cell, list[data.Vm]]
+) -> list[data.Group]:
+    """Returns the groups without those given up: donors, and groups with nobody left.
+
+    A donor's survivors are free in a later plan, once its end is in force on all nodes.
+    """
+    kept = [group for group in groups if not _vanished(view, group)]
+    donors = {
+        donor.group_id
+        for cell in {cell_of(view, group) for group in kept} - {None}
+        for donor in _donors(view, [one for one in kept if cell_of(view, one) == cell], spares)
+    }
+    return [group for group in kept if group.group_id not in donors]
+
+
+def _vanished(view: views.View, group: data.Group) -> bool:
+    """Returns True if the group is broken and the platform has removed all its VMs."""
+    return group.state is data.GroupState.BROKEN and all(
+        member.vm_id not in view.vms_by_id and views.lost(view, member.vm_id)
+        for member in group.members
+    )
+
+
+def _donors(
+    view: views.View, groups: list[data.Group], spares: dict[views.Cell, list[data.Vm]]
+) -> list[data.Group]:
+    """Returns at most one broken group, whose survivors complete another broken group."""
+    broken = [
+        group
+        for group in groups
+        if group.state is data.GroupState.BROKEN and lifecycle.to_replace(view, group)
+    ]
+    if len(broken) < 2 or not view.settled:
+        return []
+    cell = cell_of(view, broken[0])
+    free = len(spares.get(cell, [])) if cell else 0
+    receiver = min(broken, key=lambda group: _urgency(view, group))
+    need = len(lifecycle.to_replace(view, receiver)) - free
+    enough = [
+        group for group in broken if group is not receiver and len(_survivors(view, group)) >= need
+    ]
+    if need <= 0 or not enough:
+        return []
+    return [min(enough, key=lambda group: _cost_of_loss(view, group, receiver))]
+
+
+def _survivors(view: views.View, group: data.Group) -> list[data.Member]:
+    out = lifecycle.to_replace(view, group)
+    return [
+        member
+        for member in group.members
+        if member not in out and views.answering(view, member.vm_id) is not None
+    ]
+
+
+def _cost_of_loss(
+    view: views.View, group: data.Group, receiver: data.Group
+) -> tuple[bool, int, str]:
+    """Orders donors: same weights first, then those with the fewest loaded survivors."""
+    other = (group.model, group.model_version) != (receiver.model, receiver.model_version)
+    loaded = sum(
+        views.holds_weights(views.answering(view, member.vm_id), group.model, group.model_version)
+        for member in group.members
+    )
+    return other, loaded, group.group_id
--- /dev/null
+++ b/basilpost/groups/watching.py
@@ -0,0 +1,118 @@
+"""Watches the VMs of a fabric domain by asking their runners for their status."""
+
+import asyncio
+import dataclasses
+import statistics
+from collections.abc import Iterable
+
+from basilpost.core import clock, tasks
+from basilpost.groups import engines
+from basilpost.groups import view as views
+
+_TRIES = 2
+_LATENCY_WEIGHT = 0.2
+_SLOW_RATIO = 4.0
+_SLOW_SECONDS = 0.25
+_SLOW_FOR_SECONDS = 10.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Watched:
+    """A VM to watch; `plain` if a plain service runs on it."""
+
+    vm_id: str
+    address: str
+    plain: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Pace:
+    """How fast a VM answers: its smoothed latency, and since when that has been too long."""
+
+    latency: float
+    slow_since: float | None = None
+
+
+class Watcher:
+    """Keeps the latest sight of each watched VM, with one task for each."""
+
+    def __init__(self, *, engine: engines.Engine, interval: float, timeout: float) -> None:
+        self._engine = engine
+        self._interval = interval
+        self._timeout = timeout
+        self._sights_by_id: dict[str, views.Sight] = {}
+        self._paces_by_id: dict[str, _Pace] = {}
+        self._tasks_by_watched: dict[Watched, asyncio.Task[None]] = {}
+        self._tasks = tasks.TaskSet()
+
+    def retarget(self, watched: Iterable[Watched]) -> None:
+        """Watches just these VMs from now on; what is known of the others is dropped."""
+        targets = set(watched)
+        for one in self._tasks_by_watched.keys() - targets:
+            self._tasks_by_watched.pop(one).cancel()
+        ids = {one.vm_id for one in targets}
+        for vm_id in self._sights_by_id.keys() - ids:
+            del self._sights_by_id[vm_id]
+            self._paces_by_id.pop(vm_id, None)
+        for one in sorted(targets - self._tasks_by_watched.keys(), key=lambda one: one.vm_id):
+            self._sights_by_id.setdefault(one.vm_id, views.Sight(heard_at=clock.monotonic()))
+            self._tasks_by_watched[one] = self._tasks.spawn(
+                self._watch(one), name=f"watch {one.vm_id}"
+            )
+
+    def sights_by_id(self) -> dict[str, views.Sight]:
+        """Returns what was last seen of each VM."""
+        self._mark_slow()
+        return dict(self._sights_by_id)
+
+    async def close(self) -> None:
+        """Stops watching."""
+        await self._tasks.close()
+        self._tasks_by_watched.clear()
+        self._sights_by_id.clear()
+        self._paces_by_id.clear()
+
+    async def _watch(self, one: Watched) -> None:
+        while True:
+            asked_at = clock.monotonic()
+            await self._ask(one)
+            left = asked_at + self._interval - clock.monotonic()
+            await asyncio.sleep(max(0.0, left))
+
+    async def _ask(self, one: Watched) -> None:
+        for _ in range(_TRIES):
+            asked_at = clock.monotonic()
+            status = await self._engine.status(one.address, plain=one.plain, timeout=self._timeout)
+            if isinstance(status, engines.RunnerStatus):
+                self._heard(one.vm_id, status, asked_at)
+                return
+        last = self._sights_by_id.get(one.vm_id)
+        if last is not None:
+            self._sights_by_id[one.vm_id] = dataclasses.replace(last, silent=True)
+
+    def _heard(self, vm_id: str, status: engines.RunnerStatus, asked_at: float) -> None:
+        sight = self._sights_by_id.get(vm_id)
+        if sight is None:
+            return
+        self._sights_by_id[vm_id] = dataclasses.replace(
+            sight, status=status, heard_at=asked_at, silent=False
+        )
+        took = clock.monotonic() - asked_at
+        pace = self._paces_by_id.get(vm_id) or _Pace(latency=took)
+        latency = pace.latency + _LATENCY_WEIGHT * (took - pace.latency)
+        self._paces_by_id[vm_id] = dataclasses.replace(pace, latency=latency)
+
+    def _mark_slow(self) -> None:
+        """Marks the VMs that have been far slower than their peers for some time."""
+        if not self._paces_by_id:
+            return
+        now = clock.monotonic()
+        usual = statistics.median(pace.latency for pace in self._paces_by_id.values())
+        limit = max(_SLOW_SECONDS, _SLOW_RATIO * usual)
+        for vm_id, pace in self._paces_by_id.items():
+            since = (pace.slow_since or now) if pace.latency > limit else None
+            self._paces_by_id[vm_id] = dataclasses.replace(pace, slow_since=since)
+            slow = since is not None and now - since >= _SLOW_FOR_SECONDS
+            if slow != self._sights_by_id[vm_id].slow:
+                sight = self._sights_by_id[vm_id]
+                self._sights_by_id[vm_id] = dataclasses.replace(sight, slow=slow)
