--- /dev/null
+++ b/basilpost/admin/api.py
@@ -0,0 +1,108 @@
+"""Serves the administration API of a node over HTTP."""
+
+import tornado.httpserver
+import tornado.netutil
+import tornado.web
+
+from basilpost.admin import (
+    audit_reader,
+    changes,
+    context,
+    desks,
+    domain_handlers,
+    handlers,
+    limits,
+    object_handlers,
+    run_handlers,
+    status,
+    status_handlers,
+)
+from basilpost.core import kernel, names
+from basilpost.members import directory, peers, replica, standing
+from basilpost.settings import configuration, schema
+
+_ROOT = "/admin/v1"
+_STOP_SECONDS = 15.0
+
+
+class AdminApi(kernel.Service):
+    """The administration API; `port` is known after the start."""
+
+    def __init__(self, *, kernel: kernel.Kernel) -> None:
+        settings = kernel.find(names.SETTINGS, schema.NodeSettings)
+        self._listen = settings.admin
+        self._log = kernel.log
+        self._server: tornado.httpserver.HTTPServer | None = None
+        self.port = 0
+        self._context = make_context(kernel, settings)
+
+    async def start(self) -> None:
+        """Listens for operators."""
+        server = tornado.httpserver.HTTPServer(
+            make_application(self._context),
+            max_body_size=limits.MAX_BODY_BYTES,
+            max_buffer_size=limits.MAX_BODY_BYTES + limits.MAX_HEADER_BYTES,
+            max_header_size=limits.MAX_HEADER_BYTES,
+            body_timeout=limits.BODY_SECONDS,
+            idle_connection_timeout=limits.IDLE_SECONDS,
+        )
+        sockets = tornado.netutil.bind_sockets(self._listen.port, self._listen.host)
+        server.add_sockets(sockets)
+        self._server = server
+        self.port = sockets[0].getsockname()[1]
+        self._log.info("admin_listening", host=self._listen.host, port=self.port)
+
+    async def stop(self) -> None:
+        """Takes no new connections, lets requests in flight finish, then closes the rest."""
+        server, self._server = self._server, None
+        if server is not None:
+            server.stop()
+            await self._context.in_flight.wait_idle(_STOP_SECONDS)
+            await server.close_all_connections()
+
+
+def make_context(kernel: kernel.Kernel, settings: schema.NodeSettings) -> context.Context:
+    """Collects what the handlers use from the kernel."""
+    return context.Context(
+        log=kernel.log,
+        changes=changes.Changes(kernel=kernel),
+        directory=kernel.find(names.DIRECTORY, directory.Directory),  # type: ignore[type-abstract]
+        peers=kernel.find(names.PEERS, peers.PeerNetwork),  # type: ignore[type-abstract]
+        replica=kernel.find(names.REPLICA, replica.Replica),  # type: ignore[type-abstract]
+        standing=kernel.find(names.STANDING, standing.Standing),  # type: ignore[type-abstract]
+        status=status.StatusDesk(kernel=kernel),
+        trail=audit_reader.AuditReader(kernel=kernel),
+        runs=desks.NoRunDesk(),
+        quarantine=desks.NoQuarantineDesk(),
+        requests=limits.Bucket(rate=limits.REQUESTS_PER_SECOND, burst=limits.REQUESTS_BURST),
+        rejected=limits.Bucket(
+            rate=limits.REJECTED_TOKENS_PER_SECOND, burst=limits.REJECTED_TOKENS_BURST
+        ),
+        in_flight=limits.InFlight(),
+        bootstrap_digest=settings.admin_token_digest,
+    )
+
+
+def make_application(shared: context.Context) -> tornado.web.Application:
+    """Returns the API's routes."""
+    kinds = "|".join(configuration.KINDS_BY_PATH)
+    parts = {"context": shared}
+    routes = [
+        (r"/config", object_handlers.ConfigurationHandler),
+        (rf"/({kinds})", object_handlers.KindHandler),
+        (r"/failure-domains/([^/]+)/(out|in)", domain_handlers.FailureDomainHandler),
+        (rf"/({kinds})/([^/]+)", object_handlers.ObjectHandler),
+        (r"/keys", domain_handlers.KeyHandler),
+        (r"/status", status_handlers.StatusHandler),
+        (r"/in-force", status_handlers.InForceHandler),
+        (r"/audit", status_handlers.AuditHandler),
+        (r"/runs/([^/]+)/([^/]+)/([^/]+)", run_handlers.RunHandler),
+        (r"/quarantine", run_handlers.QuarantineHandler),
+        (r"/quarantine/([^/]+)/release", run_handlers.ReleaseHandler),
+    ]
+    return tornado.web.Application(
+        [(_ROOT + path, handler, parts) for path, handler in routes],
+        default_handler_class=handlers.NoSuchPageHandler,
+        default_handler_args=parts,
+        log_function=lambda handler: None,
+    )
--- /dev/null
+++ b/basilpost/admin/api_test.py
@@ -0,0 +1,264 @@
+"""Tests of the administration API over HTTP."""
+
+import json
+
+import pytest
+import pytest_asyncio
+import tornado.httpclient
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from basilpost.admin import api, fakes, install
+from basilpost.core import data, hashing, names
+from basilpost.members import fakes as member_fakes
+from basilpost.members import standing
+from basilpost.store import memory
+
+GROUP = data.Group(
+    group_id="g1",
+    service="clearance",
+    generation=3,
+    state=data.GroupState.READY,
+    fabric_domain="f1",
+    failure_domain="kz-a",
+    members=(data.Member(vm_id="v1", address="10.0.0.1:1", rank=0),),
+)
+CLEARANCE = {"kind": "model", "pool": "gpu", "model": "m", "model_version": "1"}
+
+
+class Caller:
+    """Sends requests to a node's administration API."""
+
+    def __init__(self, node, port):
+        self.node = node
+        self.port = port
+
+    async def __call__(self, method, path, body=None, *, token=fakes.ADMIN_TOKEN, **headers):
+        sent = {name.replace("_", "-"): value for name, value in headers.items()}
+        if token:
+            sent["Authorization"] = f"Bearer {token}"
+        raw = json.dumps(body).encode() if body is not None and type(body) is not bytes else body
+        answer = await tornado.httpclient.AsyncHTTPClient().fetch(
+            f"http://127.0.0.1:{self.port}/admin/v1{path}",
+            method=method,
+            body=raw,
+            headers=sent,
+            allow_nonstandard_methods=True,
+            raise_error=False,
+        )
+        answer.json = json.loads(answer.body)
+        return answer
+
+
+@pytest_asyncio.fixture
+async def callers():
+    store, hub = memory.MemoryStore(), member_fakes.PeerHub()
+    parts = [fakes.NodeParts(node_id=f"node-{i}", store=store, hub=hub) for i in range(3)]
+    for part in parts:
+        install.install(part.kernel)
+        await part.kernel.start()
+    yield [Caller(one, one.kernel.find(names.ADMIN, api.AdminApi).port) for one in parts]
+    for part in parts:
+        await part.kernel.stop()
+
+
+@pytest.fixture
+def call(callers):
+    return callers[0]
+
+
+async def add_operator(call, name, role):
+    value = {"token_digest": hashing.key_digest(f"{name}-token"), "role": role}
+    answer = await call("PUT", f"/operators/{name}", value, If_None_Match="*")
+    assert answer.code == 200
+    return f"{name}-token"
+
+
+async def test_objects_are_created_read_changed_and_deleted(call):
+    made = await call("PUT", "/services/clearance?reason=first", CLEARANCE, If_None_Match="*")
+    assert made.code == 200
+    assert made.headers["Etag"] == f'"{made.json["version"]}"'
+    assert made.headers["Basilpost-Outcome"] == "ran"
+    read = await call("GET", "/services/clearance")
+    assert read.json["value"]["model"] == "m"
+    assert (read.json["changed_by"], read.json["reason"]) == ("bootstrap", "first")
+    changed = await call(
+        "PUT",
+        "/services/clearance",
+        CLEARANCE | {"max_in_flight": 4},
+        If_Match=read.headers["Etag"],
+    )
+    listed = await call("GET", "/services")
+    assert [one["version"] for one in listed.json["objects"]] == [changed.json["version"]]
+    stale = await call("DELETE", "/services/clearance", If_Match=read.headers["Etag"])
+    assert (stale.code, stale.json["error"]["code"]) == (412, "version_conflict")
+    assert stale.json["error"]["current_version"] == changed.json["version"]
+    gone = await call("DELETE", "/services/clearance", If_Match=changed.headers["Etag"])
+    assert gone.code == 200
+    assert (await call("GET", "/services/clearance")).code == 404
+    assert (await call("GET", "/config")).json["services"] == []
+
+
+async def test_a_change_without_a_condition_is_refused(call):
+    answer = await call("PUT", "/services/clearance", CLEARANCE)
+    assert (answer.code, answer.json["error"]["code"]) == (428, "condition_missing")
+    assert answer.headers["Basilpost-Outcome"] == "not-run"
+
+
+async def test_all_errors_are_in_the_answer(call):
+    value = {"kind": "model", "pool": "", "max_in_flight": 0}
+    answer = await call("PUT", "/services/clearance", value, If_None_Match="*")
+    assert answer.code == 422
+    paths = {error["path"] for error in answer.json["error"]["errors"]}
+    assert paths == {"pool", "max_in_flight", "cold_max_in_flight", "model", "model_version"}
+
+
+async def test_roles(call):
+    reader, operator = await add_operator(call, "rita", "read"), await add_operator(
+        call, "oskar", "operate"
+    )
+    await call("PUT", "/failure-domains/kz-a", {}, If_None_Match="*")
+    assert (await call("GET", "/services", token=reader)).code == 200
+    assert (await call("GET", "/operators", token=reader)).code == 403
+    out = {"reason": "maintenance"}
+    assert (await call("POST", "/failure-domains/kz-a/out", out, token=reader)).code == 403
+    assert (await call("POST", "/failure-domains/kz-a/out", out, token=operator)).code == 200
+    change = await call("PUT", "/services/s", CLEARANCE, token=operator, If_None_Match="*")
+    assert (change.code, change.json["error"]["code"]) == (403, "role_missing")
+    assert (await call("GET", "/status", token="guess")).code == 401
+    assert (await call("GET", "/status", token="")).code == 401
+    trail = await call("GET", "/audit", token=reader)
+    assert not any(line["key"].startswith("config/operators") for line in trail.json["lines"])
+
+
+async def test_guessing_tokens_is_limited_and_locks_nobody_out(call):
+    codes = [(await call("GET", "/status", token="guess")).code for _ in range(40)]
+    assert codes[0] == 401 and codes[-1] == 429
+    assert (await call("GET", "/status")).code == 200
+
+
+async def test_a_failure_domain_goes_out_and_comes_back(callers):
+    call, other = callers[:2]
+    unknown = await call("POST", "/failure-domains/kz-z/out", {"reason": "typing error"})
+    assert unknown.code == 404
+    call.node.directory.set(groups=(GROUP,))
+    out = await call("POST", "/failure-domains/kz-a/out", {"reason": "power works"})
+    assert out.code == 200
+    assert not call.node.directory.config().in_service("kz-a")
+    await other.node.catch_up()
+    assert not other.node.directory.config().in_service("kz-a")
+    again = await other("POST", "/failure-domains/kz-a/out", {"reason": "power works"})
+    assert (again.json["changed"], again.json["version"]) == (False, out.json["version"])
+    missing = await call("POST", "/failure-domains/kz-a/in", {})
+    assert (missing.code, missing.json["error"]["code"]) == (400, "bad_reason")
+    back = await other("POST", "/failure-domains/kz-a/in", {"reason": "done"})
+    assert back.json["version"] > out.json["version"]
+    assert other.node.directory.config().in_service("kz-a")
+
+
+async def test_in_force_names_the_nodes_that_lag(callers):
+    call, follower = callers[:2]
+    made = await call("PUT", "/failure-domains/kz-a", {}, If_None_Match="*")
+    query = f"/in-force?key={made.json['key']}&version={made.json['version']}"
+    before = (await call("GET", query)).json
+    assert [node["in_force"] for node in before["nodes"]] == [True, False, False]
+    assert not before["everywhere"]
+    for one in callers[1:]:
+        await one.node.catch_up()
+    assert (await call("GET", query)).json["everywhere"]
+    call.node.standing.acknowledged = False
+    assert not (await call("GET", query)).json["everywhere"]
+
+
+async def test_status_tells_nodes_groups_and_domains(callers):
+    call = callers[0]
+    call.node.directory.set(groups=(GROUP,))
+    callers[1].node.standing.verdict = standing.NotServing(reason="isolated")
+    callers[2].node.replica.contact_age = float("inf")
+    found = (await call("GET", "/status")).json
+    assert [node["serving"] for node in found["nodes"]] == [True, False, True]
+    assert found["nodes"][1]["detail"] == "isolated"
+    assert found["nodes"][2]["store_contact_age"] is None
+    assert found["groups"][0]["vms"] == ["v1"]
+    assert found["failure_domains"][0] == {
+        "name": "kz-a", "region": "", "in_service": True, "groups": 1, "serving_groups": 1,
+    }  # fmt: skip
+    assert found["same_configuration"]
+
+
+async def test_a_key_is_told_once_and_stored_as_a_digest(call):
+    assert (await call("POST", "/keys", {"workspace": "arkhiv"})).code == 404
+    await call("PUT", "/workspaces/arkhiv", {}, If_None_Match="*")
+    keys = [(await call("POST", "/keys", {"workspace": "arkhiv"})).json for _ in range(2)]
+    digests = call.node.directory.config().workspaces_by_name["arkhiv"].key_digests
+    assert list(digests) == [hashing.key_digest(key["api_key"]) for key in keys]
+    stored = await call.node.store.get("config/workspaces/arkhiv")
+    assert not any(key["api_key"].encode() in stored.value for key in keys)
+
+
+async def test_audit_by_workspace_and_time(call):
+    await call("PUT", "/workspaces/arkhiv?reason=new%20team", {}, If_None_Match="*")
+    await call("PUT", "/workspaces/caja", {}, If_None_Match="*")
+    (line,) = (await call("GET", "/audit?workspace=arkhiv")).json["lines"]
+    assert line["entry"]["reason"] == "new team"
+    assert len((await call("GET", "/audit")).json["lines"]) == 2
+    assert (await call("GET", "/audit?since=2999-01-01")).json["lines"] == []
+    assert (await call("GET", "/audit?since=yesterday")).code == 400
+
+
+async def test_bodies_that_are_too_large_are_refused(call):
+    answer = await call("PUT", "/services/s", {"model": "x" * 100_000}, If_None_Match="*")
+    assert answer.code == 422
+    with pytest.raises((json.JSONDecodeError, OSError)):
+        await call("PUT", "/services/s", b"x" * 200_000, If_None_Match="*")
+    assert (await call("GET", "/services")).code == 200
+
+
+async def test_unknown_paths_and_methods(call):
+    assert (await call("GET", "/nothing")).json["error"]["code"] == "no_such_page"
+    assert (await call("PATCH", "/services/s", b"")).json["error"]["code"] == "http_405"
+    assert (await call("PUT", "/services/a%2Fb", {}, If_None_Match="*")).code == 400
+
+
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=20),
+    lambda inner: st.lists(inner, max_size=4) | st.dictionaries(st.text(max_size=10), inner),
+    max_leaves=10,
+)
+FIELDS = st.sampled_from(
+    ["name", "kind", "pool", "routes", "services", "key_digests", "rate", "in_service", "role"]
+)
+BODIES = (
+    st.binary(max_size=200)
+    | JSON_VALUES.map(lambda value: json.dumps(value).encode())
+    | st.dictionaries(FIELDS, JSON_VALUES).map(lambda value: json.dumps(value).encode())
+    | st.just(b"[" * 50_000)
+)
+PATHS = st.sampled_from(
+    [
+        ("PUT", "/services/s"),
+        ("PUT", "/workspaces/w"),
+        ("PUT", "/failure-domains/d"),
+        ("PUT", "/operators/o"),
+        ("POST", "/failure-domains/d/out"),
+        ("POST", "/keys"),
+        ("POST", "/runs/w/s/k"),
+        ("POST", "/quarantine/f/release"),
+    ]
+)
+
+
+async def test_malformed_bodies_do_no_harm(call, monkeypatch):
+    monkeypatch.setattr(
+        call.node.kernel.find(names.ADMIN, api.AdminApi)._context.requests, "_rate", 1e9
+    )
+    cases = []
+    gather = settings(
+        max_examples=250, database=None, deadline=None, suppress_health_check=list(HealthCheck)
+    )(given(PATHS, BODIES)(lambda path, body: cases.append((path, body))))
+    gather()
+    for (method, path), body in cases:
+        answer = await call(method, path, body, If_None_Match="*")
+        assert answer.code < 500 or answer.code == 501, (method, path, body)
+        assert answer.code == 200 or answer.json["error"]["code"]
+    assert (await call("GET", "/status")).code == 200
--- /dev/null
+++ b/basilpost/admin/audit_reader.py
@@ -0,0 +1,133 @@
+"""Reads the audit trail: the entries kept with the objects and the archives of the days asked for."""
+
+import asyncio
+import dataclasses
+import datetime
+import itertools
+
+from basilpost.admin import audit, changes
+from basilpost.core import clock, codec, failure, kernel, names
+from basilpost.members import replica
+from basilpost.store import objects
+
+MAX_DAYS = 31
+MAX_LINES = 10_000
+
+_READS_AT_ONCE = 4
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Query:
+    """What to look for.
+
+    Attributes:
+        key: Key of one object, empty for all.
+        since: First day or time to show, ISO 8601 in UTC; empty for all that is kept with objects.
+    """
+
+    key: str = ""
+    since: str = ""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Trail:
+    """The lines found, oldest first.
+
+    Attributes:
+        lines: The lines.
+        archives_since: First day whose archives were read, empty if none were.
+        complete: False if archives could not be read or there were too many lines.
+    """
+
+    lines: tuple[audit.Line, ...]
+    archives_since: str = ""
+    complete: bool = True
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class BadSince(failure.Failure):
+    """The time asked for is no time, or too long ago for one query."""
+
+
+class AuditReader:
+    """Reads the trail on one node."""
+
+    def __init__(self, *, kernel: kernel.Kernel) -> None:
+        self._store = kernel.find(names.OBJECTS, objects.ObjectStore)  # type: ignore[type-abstract]
+        self._replica = kernel.find(names.REPLICA, replica.Replica)  # type: ignore[type-abstract]
+
+    async def read(self, query: Query) -> Trail | BadSince:
+        """Returns the lines that a query asks for."""
+        days = _days_since(query.since)
+        if isinstance(days, BadSince):
+            return days
+        listings = await self._list_archives(query, days)
+        readable = [one for one in listings if isinstance(one, objects.Listing)]
+        archived = itertools.chain.from_iterable(one.objects for one in readable)
+        lines = [*self._kept_lines(query), *_archived_lines(archived, query)]
+        found = audit.merge([line for line in lines if line.entry.at >= query.since])
+        return Trail(
+            lines=found[-MAX_LINES:],
+            archives_since=days[0] if days else "",
+            complete=len(readable) == len(listings) and len(found) <= MAX_LINES,
+        )
+
+    async def _list_archives(
+        self, query: Query, days: list[str]
+    ) -> list[objects.Listing | objects.Unavailable]:
+        subject = query.key.removeprefix(names.CONFIG_PREFIX)
+        at_once = asyncio.Semaphore(_READS_AT_ONCE)
+
+        async def list_day(day: str) -> objects.Listing | objects.Unavailable:
+            async with at_once:
+                prefix = audit.day_prefix(day, subject=subject)
+                return await self._store.list(prefix, urgency=objects.Urgency.BACKGROUND)
+
+        return list(await asyncio.gather(*(list_day(day) for day in days)))
+
+    def _kept_lines(self, query: Query) -> list[audit.Line]:
+        return [
+            line
+            for stored in self._replica.items(query.key or names.CONFIG_PREFIX)
+            if not query.key or stored.key == query.key
+            for line in audit.lines_of(stored.key, changes.decode_current(stored).stored.audit)
+        ]
+
+
+def _archived_lines(stored: "itertools.chain[objects.Stored]", query: Query) -> list[audit.Line]:
+    archives = [_decode_archive(one) for one in stored]
+    return [
+        line
+        for archive in archives
+        if archive is not None and (not query.key or archive.key == query.key)
+        for line in audit.lines_of(archive.key, archive.entries)
+    ]
+
+
+def _decode_archive(stored: objects.Stored) -> audit.Archive | None:
+    try:
+        return codec.from_json(stored.value, audit.Archive)
+    except ValueError:
+        return None
+
+
+def _days_since(since: str) -> list[str] | BadSince:
+    """Returns the days from a time up to today, none if no time is given."""
+    if not since:
+        return []
+    try:
+        first = datetime.datetime.fromisoformat(since).date()
+    except ValueError:
+        return BadSince(reason=f"{since!r} is no ISO 8601 time, such as 2026-01-31")
+    today = datetime.date.fromisoformat(audit.day_of(clock.utc_now()))
+    # An entry's day is told by the clock of the node that wrote it, which may be a little ahead.
+    count = (today - first).days + 2
+    if count > MAX_DAYS + 1:
+        return BadSince(reason=f"one query goes back at most {MAX_DAYS} days")
+    return [(first + datetime.timedelta(days=day)).isoformat() for day in range(max(count, 0))]
+
+
+def without(trail: Trail, prefix: str) -> Trail:
+    """Returns a trail without the lines about objects below a prefix."""
+    lines = tuple(line for line in trail.lines if not line.key.startswith(prefix))
+    return dataclasses.replace(trail, lines=lines)
--- /dev/null
+++ b/basilpost/admin/changes_test.py
@@ -0,0 +1,301 @@
+"""Tests of accepting changes: races, lost answers, outages."""
+
+import asyncio
+import itertools
+import json
+
+import pytest
+
+from basilpost.admin import audit, audit_reader, changes, fakes
+from basilpost.core import codec, data
+from basilpost.members import fakes as member_fakes
+from basilpost.settings import configuration
+from basilpost.store import memory, objects
+
+DOMAINS = configuration.FAILURE_DOMAINS
+
+
+class LateStore(memory.MemoryStore):
+    """Lets coming writes take effect only after their call has timed out."""
+
+    def __init__(self):
+        super().__init__()
+        self.late_writes = 0
+        self.lag = 0.02
+        self._tasks = []
+
+    async def update(self, key, value, *, version, timeout=2.0, urgency=objects.Urgency.NORMAL):
+        if not self.late_writes:
+            return await super().update(key, value, version=version)
+        self.late_writes -= 1
+        self._tasks.append(asyncio.create_task(self._land(key, value, version)))
+        return objects.Unknown(reason="timed out")
+
+    async def _land(self, key, value, version):
+        await asyncio.sleep(self.lag)
+        await super().update(key, value, version=version)
+
+
+def make_nodes(*, store=None, count=2):
+    store = store or memory.MemoryStore()
+    hub = member_fakes.PeerHub()
+    return [
+        fakes.NodeParts(node_id=f"node-{index}", store=store, hub=hub) for index in range(count)
+    ]
+
+
+def propose(raw=None, *, name="kz-a", expected=None, attempt="t1", actor="ana", kind=DOMAINS):
+    return changes.Proposal(
+        kind=kind,
+        name=name,
+        raw=raw,
+        expected=expected,
+        actor=actor,
+        reason="test",
+        attempt_id=attempt,
+    )
+
+
+def region(text, **kwargs):
+    return propose({"region": text}, **kwargs)
+
+
+def workspace(raw):
+    return propose(raw, name="w", kind=configuration.WORKSPACES)
+
+
+def service(raw, **kwargs):
+    return propose(raw, name="s", kind=configuration.SERVICES, **kwargs)
+
+
+async def stored_object(store, key):
+    found = await store.get(key)
+    return codec.from_json(found.value, data.ConfigObject)
+
+
+async def attempts_of(store, key):
+    return [entry.attempt_id for entry in (await stored_object(store, key)).audit]
+
+
+async def test_a_confirmed_change_is_in_force_at_once_with_its_entry():
+    (node,) = make_nodes(count=1)
+    result = await changes.Changes(kernel=node.kernel).accept(region("kz"))
+    assert isinstance(result, changes.Accepted)
+    assert node.replica.get("config/failure_domains/kz-a").version == result.version
+    stored = await stored_object(node.store, result.key)
+    assert json.loads(stored.value) == {"name": "kz-a", "region": "kz", "in_service": True}
+    (entry,) = stored.audit
+    assert (entry.actor, entry.before, entry.after) == ("ana", "", stored.value)
+
+
+async def test_of_two_racing_operators_one_wins_and_the_other_learns_the_version():
+    nodes = make_nodes()
+    first = await changes.Changes(kernel=nodes[0].kernel).accept(region("kz"))
+    results = await asyncio.gather(
+        *(
+            changes.Changes(kernel=node.kernel).accept(
+                region(text, expected=first.version, attempt=text, actor=text)
+            )
+            for node, text in zip(nodes, ("north", "south"), strict=True)
+        )
+    )
+    (won,) = [one for one in results if isinstance(one, changes.Accepted)]
+    (lost,) = [one for one in results if isinstance(one, changes.Lost)]
+    assert lost.current_version == won.version
+    assert lost.changed_by == won.attempt_id
+    assert await attempts_of(nodes[0].store, won.key) == ["t1", won.attempt_id]
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize("lost", [1, 2, 3])
+async def test_lost_answers_are_settled_before_the_operator_is_told(lost):
+    (node,) = make_nodes(count=1)
+    accept = changes.Changes(kernel=node.kernel).accept
+    first = await accept(region("kz"))
+    node.store.faults.lose_answers = lost
+    second = await accept(region("south", expected=first.version, attempt="t2"))
+    assert isinstance(second, changes.Accepted)
+    assert (await node.store.get(second.key)).version == second.version
+    assert node.replica.get(second.key).version == second.version
+    assert await attempts_of(node.store, second.key) == ["t1", "t2"]
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize("lag", [0.02, 0.2, 3.0])
+async def test_a_write_that_lands_late_is_made_once(lag):
+    store = LateStore()
+    (node,) = make_nodes(store=store, count=1)
+    accept = changes.Changes(kernel=node.kernel).accept
+    first = await accept(region("kz"))
+    store.late_writes, store.lag = 3, lag
+    second = await accept(region("south", expected=first.version, attempt="t2"))
+    assert isinstance(second, changes.Accepted)
+    await asyncio.sleep(10)
+    assert await attempts_of(store, second.key) == ["t1", "t2"]
+    assert (await store.get(second.key)).version == second.version
+
+
+@pytest.mark.looptime
+async def test_a_late_write_that_another_operator_outruns_is_lost():
+    store = LateStore()
+    nodes = make_nodes(store=store)
+    first = await changes.Changes(kernel=nodes[0].kernel).accept(region("kz"))
+    store.late_writes, store.lag = 1, 60
+    slow = asyncio.create_task(
+        changes.Changes(kernel=nodes[0].kernel).accept(
+            region("south", expected=first.version, attempt="slow")
+        )
+    )
+    await asyncio.sleep(0.01)
+    fast = await changes.Changes(kernel=nodes[1].kernel).accept(
+        region("north", expected=first.version, attempt="fast", actor="ben")
+    )
+    lost = await slow
+    assert isinstance(lost, changes.Lost)
+    assert (lost.current_version, lost.changed_by) == (fast.version, "ben")
+    await asyncio.sleep(70)
+    assert await attempts_of(store, fast.key) == ["t1", "fast"]
+
+
+@pytest.mark.looptime
+async def test_with_the_store_down_nothing_is_changed_and_the_operator_is_told():
+    (node,) = make_nodes(count=1)
+    accept = changes.Changes(kernel=node.kernel).accept
+    first = await accept(region("kz"))
+    node.store.faults.down = True
+    result = await accept(region("south", expected=first.version, attempt="t2"))
+    assert isinstance(result, changes.NotWritten)
+    node.store.faults.down = False
+    assert await attempts_of(node.store, first.key) == ["t1"]
+    assert node.replica.get(first.key).version == first.version
+
+
+@pytest.mark.looptime
+async def test_an_outcome_that_stays_unknown_is_told_as_such_and_settled_by_a_repeat():
+    nodes = make_nodes()
+    store = nodes[0].store
+    first = await changes.Changes(kernel=nodes[0].kernel).accept(region("kz"))
+    proposal = region("south", expected=first.version, attempt="t2")
+    store.faults.delay, store.faults.lose_answers = 0.5, 1
+    asyncio.get_running_loop().call_later(1.2, setattr, store.faults, "down", True)
+    result = await changes.Changes(kernel=nodes[0].kernel).accept(proposal)
+    assert isinstance(result, changes.Unsettled)
+    assert result.attempt_id == "t2"
+    store.faults.down, store.faults.delay = False, 0.0
+    repeated = await changes.Changes(kernel=nodes[1].kernel).accept(proposal)
+    assert isinstance(repeated, changes.Accepted)
+    assert await attempts_of(store, first.key) == ["t1", "t2"]
+
+
+async def test_a_repeat_of_an_accepted_change_is_the_same_change():
+    nodes = make_nodes()
+    proposal = region("kz")
+    first = await changes.Changes(kernel=nodes[0].kernel).accept(proposal)
+    again = await changes.Changes(kernel=nodes[1].kernel).accept(proposal)
+    assert again.version == first.version
+    other = await changes.Changes(kernel=nodes[1].kernel).accept(region("other"))
+    assert isinstance(other, changes.AttemptReused)
+    assert await attempts_of(nodes[0].store, first.key) == ["t1"]
+
+
+async def test_deletion_keeps_the_trail_and_the_name_can_be_used_again():
+    (node,) = make_nodes(count=1)
+    accept = changes.Changes(kernel=node.kernel).accept
+    first = await accept(region("kz"))
+    gone = await accept(propose(None, expected=first.version, attempt="t2"))
+    assert gone.version > first.version
+    assert not changes.decode_current(node.replica.get(first.key)).exists
+    again = await accept(region("new", attempt="t3"))
+    assert again.version > gone.version
+    assert await attempts_of(node.store, first.key) == ["t1", "t2", "t3"]
+
+
+async def test_a_stale_read_does_not_undo_a_newer_version(monkeypatch):
+    (node,) = make_nodes(count=1)
+    accept = changes.Changes(kernel=node.kernel).accept
+    first = await accept(region("kz"))
+    stale = await node.store.get(first.key)
+    second = await accept(region("south", expected=first.version, attempt="t2"))
+
+    async def stale_get(key, **kwargs):
+        return stale
+
+    monkeypatch.setattr(node.store, "get", stale_get)
+    lost = await accept(region("west", expected=first.version, attempt="t3"))
+    assert isinstance(lost, changes.Lost)
+    assert lost.current_version == second.version
+
+
+async def test_all_errors_of_a_value_are_told_together_and_nothing_is_written():
+    (node,) = make_nodes(count=1)
+    accept = changes.Changes(kernel=node.kernel).accept
+    result = await accept(workspace({"rate": 0, "priority": "high", "colour": "red"}))
+    assert {error.path for error in result.errors} == {"priority", "colour"}
+    result = await accept(workspace({"rate": 0, "burst": 0, "key_digests": ["x"]}))
+    assert {error.path for error in result.errors} == {"rate", "burst", "key_digests.0"}
+    result = await accept(workspace({"services": ["none", "nil"]}))
+    assert {error.path for error in result.errors} == {"services.0", "services.1"}
+    assert (await node.store.list("")).objects == ()
+
+
+async def test_a_service_in_use_is_not_deleted():
+    (node,) = make_nodes(count=1)
+    accept = changes.Changes(kernel=node.kernel).accept
+    made = await accept(service({"kind": "plain", "pool": "p"}))
+    await accept(workspace({"services": ["s"]}))
+    result = await accept(service(None, expected=made.version, attempt="t2"))
+    assert "workspace w still names it" in result.errors[0].found
+
+
+@pytest.mark.looptime
+async def test_a_storm_of_changes_leaves_a_complete_trail():
+    nodes = make_nodes(count=3)
+    store = nodes[0].store
+    accepted: list[tuple[str, str]] = []
+
+    async def operate(number):
+        accept = changes.Changes(kernel=nodes[number % 3].kernel).accept
+        name = f"domain-{number % 4}"
+        for turn in range(220):
+            if turn % 20 == number:
+                store.faults.lose_answers += 1
+            current = await changes.Changes(kernel=nodes[number % 3].kernel).read(DOMAINS, name)
+            result = await accept(
+                region(
+                    f"r{number}.{turn}",
+                    name=name,
+                    expected=current.shown_version,
+                    attempt=f"{number}-{turn}",
+                )
+            )
+            assert isinstance(result, changes.Accepted | changes.Lost)
+            if isinstance(result, changes.Accepted):
+                accepted.append((result.key, result.attempt_id))
+            await asyncio.sleep(0.01 * (number + 1))
+
+    await asyncio.gather(*(operate(number) for number in range(10)))
+    for node in nodes:
+        await node.catch_up()
+    day = audit.day_of(nodes[0].directory and (await _first_entry(store)).at)
+    trail = await audit_reader.AuditReader(kernel=nodes[1].kernel).read(
+        audit_reader.Query(since=day)
+    )
+    assert trail.complete
+    found = [(line.key, line.entry.attempt_id) for line in trail.lines]
+    assert sorted(found) == sorted(accepted)
+    assert len(accepted) > 10 * audit.KEPT_ENTRIES
+    _assert_chained(trail.lines)
+
+
+async def _first_entry(store):
+    return (await stored_object(store, "config/failure_domains/domain-0")).audit[0]
+
+
+def _assert_chained(lines):
+    """Each entry starts from the value that the one before it left."""
+    by_key = itertools.groupby(sorted(lines, key=lambda line: line.key), key=lambda line: line.key)
+    for _, found in by_key:
+        entries = [line.entry for line in found]
+        afters = {entry.after for entry in entries}
+        assert sum(entry.before == "" for entry in entries) == 1
+        assert all(entry.before in afters for entry in entries if entry.before)
--- /dev/null
+++ b/basilpost/admin/context.py
@@ -0,0 +1,27 @@
+"""What all handlers of the administration API share."""
+
+import dataclasses
+from typing import Any
+
+from basilpost.admin import audit_reader, changes, limits, ports, status
+from basilpost.members import directory, peers, replica, standing
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Context:
+    """The parts of a node that operators' requests use."""
+
+    log: Any
+    changes: changes.Changes
+    directory: directory.Directory
+    peers: peers.PeerNetwork
+    replica: replica.Replica
+    standing: standing.Standing
+    status: status.StatusDesk
+    trail: audit_reader.AuditReader
+    runs: ports.RunDesk
+    quarantine: ports.QuarantineDesk
+    requests: limits.Bucket
+    rejected: limits.Bucket
+    in_flight: limits.InFlight
+    bootstrap_digest: str
--- /dev/null
+++ b/basilpost/admin/object_handlers.py
@@ -0,0 +1,205 @@
+"""Reads and changes configuration objects over HTTP."""
+
+import dataclasses
+import json
+import uuid
+from typing import Any
+
+from basilpost.admin import answers, changes, handlers, tokens
+from basilpost.core import data, failure, names
+from basilpost.settings import configuration
+
+_MAX_ATTEMPT_CHARACTERS = 100
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ObjectView:
+    """A configuration object as operators read it.
+
+    Attributes:
+        name: Its name.
+        key: Its key in the store.
+        version: Its version, for If-Match.
+        value: Its value.
+        changed_at: Time of the latest change.
+        changed_by: Operator who made it.
+        reason: The operator's reason.
+    """
+
+    name: str
+    key: str
+    version: int
+    value: dict[str, Any]
+    changed_at: str = ""
+    changed_by: str = ""
+    reason: str = ""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ObjectList:
+    """All objects of a kind, by name."""
+
+    objects: tuple[ObjectView, ...]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ChangeView:
+    """An accepted change; it is in force on the node that answers."""
+
+    key: str
+    version: int
+    attempt_id: str
+    changed: bool
+
+
+class ConfigurationHandler(handlers.Handler):
+    """All objects that the operator may read, by kind."""
+
+    def get(self) -> None:
+        """Answers with the objects as this node knows them."""
+        if not self.allowed(tokens.Role.READ):
+            return
+        kinds = [kind for kind in configuration.KINDS if self.account.role >= read_role(kind)]
+        self.answer({kind.name: list_objects(self, kind) for kind in kinds})
+
+
+class KindHandler(handlers.Handler):
+    """The objects of one kind."""
+
+    def get(self, path: str) -> None:
+        """Answers with the objects as this node knows them."""
+        kind = configuration.KINDS_BY_PATH[path]
+        if self.allowed(read_role(kind)):
+            self.answer(ObjectList(objects=list_objects(self, kind)))
+
+
+class ObjectHandler(handlers.Handler):
+    """One configuration object."""
+
+    async def get(self, path: str, name: str) -> None:
+        """Answers with the object as the store has it."""
+        kind = configuration.KINDS_BY_PATH[path]
+        if not self.allowed(read_role(kind)):
+            return
+        found = await self.context.changes.read(kind, name)
+        if isinstance(found, changes.NotWritten):
+            return self.fail(found)
+        view = view_object(kind, name, found)
+        if view is None:
+            return self.fail(changes.Absent(reason=f"there is no {kind.key(name)}"))
+        self.set_header("Etag", f'"{view.version}"')
+        self.answer(view)
+
+    async def put(self, path: str, name: str) -> None:
+        """Creates or replaces the object."""
+        raw = self.json_body()
+        if isinstance(raw, answers.BadRequest):
+            return self.fail(raw)
+        await self._change(path, name, raw)
+
+    async def delete(self, path: str, name: str) -> None:
+        """Deletes the object."""
+        await self._change(path, name, None)
+
+    async def _change(self, path: str, name: str, raw: Any) -> None:
+        if not self.allowed(tokens.Role.ADMINISTER):
+            return
+        kind = configuration.KINDS_BY_PATH[path]
+        proposal = read_proposal(self, kind, name, raw)
+        if isinstance(proposal, answers.BadRequest):
+            return self.fail(proposal)
+        answer_change(self, await self.context.changes.accept(proposal))
+
+
+def read_role(kind: configuration.Kind) -> tokens.Role:
+    """Returns the role that may read a kind; accounts are for administrators only."""
+    return tokens.Role.ADMINISTER if kind is configuration.OPERATORS else tokens.Role.READ
+
+
+def read_proposal(
+    handler: handlers.Handler, kind: configuration.Kind, name: str, raw: Any
+) -> changes.Proposal | answers.BadRequest:
+    """Reads the condition, the reason and the attempt id of a change from its request."""
+    headers = handler.request.headers
+    expected = answers.parse_version(headers.get("If-Match", ""), headers.get("If-None-Match", ""))
+    if isinstance(expected, answers.BadRequest):
+        return expected
+    reason = handler.reason()
+    if isinstance(reason, answers.BadRequest):
+        return reason
+    attempt_id = read_attempt_id(handler)
+    if isinstance(attempt_id, answers.BadRequest):
+        return attempt_id
+    if not configuration.valid_name(name):
+        return answers.BadRequest(reason=f"{name!r} cannot be a name", code="bad_name")
+    return changes.Proposal(
+        kind=kind,
+        name=name,
+        raw=raw,
+        expected=expected,
+        actor=handler.account.name,
+        reason=reason,
+        attempt_id=attempt_id,
+    )
+
+
+def read_attempt_id(handler: handlers.Handler) -> str | answers.BadRequest:
+    """Returns the operator's id of a change, or a new one."""
+    given = handler.request.headers.get(names.IDEMPOTENCY_HEADER, "")
+    if len(given) <= _MAX_ATTEMPT_CHARACTERS and all(_plain(one) for one in given):
+        return given or uuid.uuid4().hex
+    return answers.BadRequest(
+        reason=f"{names.IDEMPOTENCY_HEADER} has at most {_MAX_ATTEMPT_CHARACTERS} letters, "
+        "digits, dots, dashes or underscores",
+        code="bad_idempotency_key",
+    )
+
+
+def answer_change(handler: handlers.Handler, result: changes.Result) -> None:
+    """Answers a change: accepted only if it is confirmed."""
+    if isinstance(result, failure.Failure):
+        return handler.fail(result)
+    handler.set_header("Etag", f'"{result.version}"')
+    handler.set_header(names.OUTCOME_HEADER, failure.Outcome.RAN.value)
+    handler.answer(
+        ChangeView(
+            key=result.key,
+            version=result.version,
+            attempt_id=result.attempt_id,
+            changed=result.changed,
+        )
+    )
+
+
+def list_objects(handler: handlers.Handler, kind: configuration.Kind) -> tuple[ObjectView, ...]:
+    """Returns the objects of a kind as this node knows them."""
+    views = (
+        view_object(kind, stored.key.removeprefix(kind.prefix), changes.decode_current(stored))
+        for stored in handler.context.replica.items(kind.prefix)
+    )
+    return tuple(view for view in views if view is not None)
+
+
+def view_object(kind: configuration.Kind, name: str, current: changes.Current) -> ObjectView | None:
+    """Returns an object as operators read it, None if it does not exist."""
+    if not current.exists or current.version is None:
+        return None
+    latest = current.stored.audit[-1] if current.stored.audit else _NO_ENTRY
+    return ObjectView(
+        name=name,
+        key=kind.key(name),
+        version=current.version,
+        value=json.loads(current.stored.value),
+        changed_at=latest.at,
+        changed_by=latest.actor,
+        reason=latest.reason,
+    )
+
+
+def _plain(character: str) -> bool:
+    return character.isascii() and (character.isalnum() or character in "._-")
+
+
+_NO_ENTRY = data.AuditEntry(
+    at="", actor="", node_id="", reason="", before="", after="", attempt_id=""
+)
--- a/basilpost/cli/main.py
+++ b/basilpost/cli/main.py
@@ -3,9 +3,13 @@
 import click
 
 import basilpost
+from basilpost.cli import config
 
 
 @click.group()
 @click.version_option(basilpost.__version__)
 def main() -> None:
     """Serves models that span several VMs, and the plain services beside them."""
+
+
+main.add_command(config.config)
--- /dev/null
+++ b/basilpost/settings/configuration.py
@@ -0,0 +1,308 @@
+"""The kinds of configuration objects, and the checks that a value passes before it is accepted.
+
+The same checks run in `basilpost config check` on a file and on the node that accepts a change, so
+that what passes in a terminal is not refused later for another reason.
+"""
+
+import dataclasses
+import json
+import re
+from collections.abc import Iterable, Iterator
+from typing import Any
+
+from basilpost.core import data, failure, names
+from basilpost.settings import loader
+
+Record = data.Service | data.Workspace | data.FailureDomain | data.Operator
+
+ROLES = ("read", "operate", "administer")
+MAX_NUMBER = 1_000_000_000
+MAX_TEXT_CHARACTERS = 1_000
+MAX_ITEMS = 1_000
+
+_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
+_NAME_TEXT = "1 to 63 letters, digits, dots, dashes or underscores, a letter or digit first"
+_DIGEST = re.compile(r"[0-9a-f]{64}")
+_DIGEST_TEXT = "64 hexadecimal digits (SHA-256)"
+_METHODS = ("*", "GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
+_MAX_SECONDS = 86_400.0
+_MAX_PRIORITY = 9
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Kind:
+    """A kind of configuration object.
+
+    Attributes:
+        name: Plural name, as in files and in store keys.
+        prefix: Store prefix of its objects.
+        record: Record that a value decodes to.
+        kept: Fields that keep the value in force when a file does not name them, because commands
+            of their own change them.
+    """
+
+    name: str
+    prefix: str
+    record: type
+    kept: tuple[str, ...] = ()
+
+    @property
+    def path(self) -> str:
+        """Returns the name as it stands in the administration API's URLs."""
+        return self.name.replace("_", "-")
+
+    def key(self, name: str) -> str:
+        """Returns the store key of one object."""
+        return self.prefix + name
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Problems(failure.Failure):
+    """A value that cannot be accepted, with every error found."""
+
+    errors: tuple[loader.SettingError, ...]
+
+
+SERVICES = Kind(name="services", prefix=names.SERVICE_PREFIX, record=data.Service)
+WORKSPACES = Kind(
+    name="workspaces",
+    prefix=names.WORKSPACE_PREFIX,
+    record=data.Workspace,
+    kept=("key_digests",),
+)
+FAILURE_DOMAINS = Kind(
+    name="failure_domains",
+    prefix=names.FAILURE_DOMAIN_PREFIX,
+    record=data.FailureDomain,
+    kept=("in_service",),
+)
+OPERATORS = Kind(name="operators", prefix=names.OPERATOR_PREFIX, record=data.Operator)
+
+# Ordered so that what others refer to comes first.
+KINDS = (FAILURE_DOMAINS, SERVICES, WORKSPACES, OPERATORS)
+KINDS_BY_NAME = {kind.name: kind for kind in KINDS}
+KINDS_BY_PATH = {kind.path: kind for kind in KINDS}
+
+
+def valid_name(name: str) -> bool:
+    """Returns True if the text can name a configuration object."""
+    return _NAME.fullmatch(name) is not None
+
+
+def decode(kind: Kind, name: str, raw: Any) -> Record | Problems:
+    """Turns a decoded JSON value into the record of an object, or tells everything wrong with it.
+
+    A value that does not name itself gets the name from its key.
+    """
+    place = kind.key(name)
+    if isinstance(raw, dict):
+        raw = {"name": name} | raw
+    try:
+        record: Record = loader.structure(raw, kind.record, file=place)
+    except loader.SettingsError as error:
+        return Problems(reason=f"{place} is not valid", errors=error.errors)
+    errors = tuple(_check(record, name, place))
+    return Problems(reason=f"{place} is not valid", errors=errors) if errors else record
+
+
+def decode_text(kind: Kind, name: str, text: str) -> Record | Problems:
+    """Decodes the value of a stored object, which is JSON text."""
+    try:
+        raw = json.loads(text)
+    except ValueError as error:
+        found = loader.setting_error(kind.key(name), "", str(error), "JSON")
+        return Problems(reason=f"{kind.key(name)} is not JSON", errors=(found,))
+    return decode(kind, name, raw)
+
+
+def check_references(record: Record, config: data.Config) -> tuple[loader.SettingError, ...]:
+    """Checks an object against the other objects of a configuration."""
+    match record:
+        case data.Workspace():
+            return (*_unknown_services(record, config), *_shared_keys(record, config))
+        case data.Operator():
+            return tuple(_shared_tokens(record, config))
+    return ()
+
+
+def check_removal(kind: Kind, name: str, config: data.Config) -> tuple[loader.SettingError, ...]:
+    """Checks that no other object still refers to one that is to be deleted."""
+    if kind is not SERVICES:
+        return ()
+    users = [one.name for one in config.workspaces_by_name.values() if name in one.services]
+    return tuple(
+        loader.setting_error(
+            kind.key(name), "", f"workspace {user} still names it", "an unused service"
+        )
+        for user in sorted(users)
+    )
+
+
+def _check(record: Record, name: str, place: str) -> Iterator[loader.SettingError]:
+    checks = [
+        (valid_name(name) and record.name == name, "name", record.name, f"{name}: {_NAME_TEXT}"),
+        *_check_fields(record, ""),
+        *_CHECKS_BY_RECORD[type(record)](record),
+    ]
+    return (
+        loader.setting_error(place, path, repr(found), allowed)
+        for holds, path, found, allowed in checks
+        if not holds
+    )
+
+
+_Checks = Iterable[tuple[bool, str, Any, str]]
+
+
+def _check_fields(record: Any, path: str) -> Iterator[tuple[bool, str, Any, str]]:
+    """Bounds every number, text and list of a record, whatever it means."""
+    for field in dataclasses.fields(record):
+        place = f"{path}{field.name}"
+        value = getattr(record, field.name)
+        if isinstance(value, tuple):
+            yield len(value) <= MAX_ITEMS, place, f"{len(value)} items", f"at most {MAX_ITEMS}"
+            for index, item in enumerate(value):
+                if dataclasses.is_dataclass(item):
+                    yield from _check_fields(item, f"{place}.{index}.")
+                else:
+                    yield _check_scalar(item, f"{place}.{index}")
+        else:
+            yield _check_scalar(value, place)
+
+
+def _check_scalar(value: Any, place: str) -> tuple[bool, str, Any, str]:
+    if isinstance(value, str):
+        holds = len(value) <= MAX_TEXT_CHARACTERS and value.isprintable()
+        return holds, place, value, f"at most {MAX_TEXT_CHARACTERS} printable characters"
+    if isinstance(value, int | float) and not isinstance(value, bool):
+        return 0 <= value <= MAX_NUMBER, place, value, f"a number from 0 to {MAX_NUMBER}"
+    return True, place, value, ""
+
+
+def _check_service(service: data.Service) -> _Checks:
+    yield valid_name(service.pool), "pool", service.pool, _NAME_TEXT
+    yield from _check_limits(service)
+    if service.kind is data.ServiceKind.MODEL:
+        yield bool(service.model), "model", service.model, "the model to load"
+        yield bool(service.model_version), "model_version", service.model_version, "a version"
+        yield service.vms_per_group >= 1, "vms_per_group", service.vms_per_group, "at least 1"
+    else:
+        yield not service.model, "model", service.model, "nothing for a plain service"
+        yield (service.vms_per_group == 1, "vms_per_group", service.vms_per_group,
+               "1 for a plain service")  # fmt: skip
+    yield from _check_routes(service.routes)
+
+
+def _check_limits(service: data.Service) -> _Checks:
+    cold, warm = service.cold_max_in_flight, service.max_in_flight
+    yield warm >= 1, "max_in_flight", warm, "at least 1"
+    yield 1 <= cold <= warm, "cold_max_in_flight", cold, f"1 to max_in_flight ({warm})"
+    seconds = f"more than 0, at most {_MAX_SECONDS:.0f} seconds"
+    for name in ("default_deadline_seconds", "stream_silence_seconds"):
+        value = getattr(service, name)
+        yield 0 < value <= _MAX_SECONDS, name, value, seconds
+
+
+def _check_routes(routes: tuple[data.Route, ...]) -> _Checks:
+    seen: set[tuple[str, str]] = set()
+    for index, route in enumerate(routes):
+        place = f"routes.{index}"
+        yield route.method in _METHODS, f"{place}.method", route.method, ", ".join(_METHODS)
+        yield (route.path_prefix.startswith("/"), f"{place}.path_prefix", route.path_prefix,
+               "a path that begins with /")  # fmt: skip
+        yield (_valid_outcome_path(route.outcome_path), f"{place}.outcome_path",
+               route.outcome_path, "empty, or a path that begins with / and has {key} in it")  # fmt: skip
+        yield (not (route.idempotent and route.outcome_path), f"{place}.outcome_path",
+               route.outcome_path, "empty for an idempotent route")  # fmt: skip
+        rule = (route.method, route.path_prefix)
+        yield rule not in seen, place, " ".join(rule), "one rule for each method and prefix"
+        seen.add(rule)
+
+
+def _valid_outcome_path(path: str) -> bool:
+    return not path or (path.startswith("/") and "{key}" in path)
+
+
+def _check_workspace(workspace: data.Workspace) -> _Checks:
+    yield workspace.weight > 0, "weight", workspace.weight, "more than 0"
+    yield (workspace.max_concurrency >= 1, "max_concurrency", workspace.max_concurrency,
+           "at least 1")  # fmt: skip
+    yield workspace.rate > 0, "rate", workspace.rate, "more than 0 requests a second"
+    yield workspace.burst >= 1, "burst", workspace.burst, "at least 1 request"
+    yield (workspace.priority <= _MAX_PRIORITY, "priority", workspace.priority,
+           f"0 to {_MAX_PRIORITY}")  # fmt: skip
+    for name in ("key_digests", "services"):
+        values = getattr(workspace, name)
+        yield len(set(values)) == len(values), name, list(values), "each value once"
+    for index, digest in enumerate(workspace.key_digests):
+        yield valid_digest(digest), f"key_digests.{index}", digest, _DIGEST_TEXT
+    for index, service in enumerate(workspace.services):
+        yield valid_name(service), f"services.{index}", service, _NAME_TEXT
+
+
+def _check_failure_domain(domain: data.FailureDomain) -> _Checks:
+    yield not domain.region or valid_name(domain.region), "region", domain.region, _NAME_TEXT
+
+
+def _check_operator(operator: data.Operator) -> _Checks:
+    yield operator.role in ROLES, "role", operator.role, " or ".join(ROLES)
+    yield valid_digest(operator.token_digest), "token_digest", operator.token_digest, _DIGEST_TEXT
+
+
+def valid_digest(text: str) -> bool:
+    """Returns True if the text is a SHA-256 digest in lower-case hexadecimal."""
+    return _DIGEST.fullmatch(text) is not None
+
+
+_CHECKS_BY_RECORD: dict[type, Any] = {
+    data.Service: _check_service,
+    data.Workspace: _check_workspace,
+    data.FailureDomain: _check_failure_domain,
+    data.Operator: _check_operator,
+}
+
+
+def _unknown_services(
+    workspace: data.Workspace, config: data.Config
+) -> Iterator[loader.SettingError]:
+    place = WORKSPACES.key(workspace.name)
+    known = ", ".join(sorted(config.services_by_name)) or "no service is configured"
+    return (
+        loader.setting_error(place, f"services.{index}", repr(service), known)
+        for index, service in enumerate(workspace.services)
+        if service not in config.services_by_name
+    )
+
+
+def _shared_keys(workspace: data.Workspace, config: data.Config) -> Iterator[loader.SettingError]:
+    """A key must tell one workspace, or a caller would act for another one."""
+    owner_by_digest = {
+        digest: other.name
+        for other in config.workspaces_by_name.values()
+        for digest in other.key_digests
+        if other.name != workspace.name
+    }
+    place = WORKSPACES.key(workspace.name)
+    return (
+        loader.setting_error(place, f"key_digests.{index}", f"a key of {owner_by_digest[digest]}",
+                     "a key of this workspace only")  # fmt: skip
+        for index, digest in enumerate(workspace.key_digests)
+        if digest in owner_by_digest
+    )
+
+
+def _shared_tokens(operator: data.Operator, config: data.Config) -> Iterator[loader.SettingError]:
+    """A token must tell one operator, or the audit trail would name the wrong one."""
+    place = OPERATORS.key(operator.name)
+    return (
+        loader.setting_error(
+            place, "token_digest", f"the token of {other.name}", "a token of its own"
+        )
+        for other in config.operators_by_name.values()
+        if other.name != operator.name and other.token_digest == operator.token_digest
+    )
+
+
+def too_large(place: str, size: int, limit: int) -> loader.SettingError:
+    """Returns the error of a value that takes too many bytes."""
+    return loader.setting_error(place, "", f"{size} bytes", f"at most {limit} bytes")
--- a/basilpost/settings/loader.py
+++ b/basilpost/settings/loader.py
@@ -1,13 +1,16 @@
 """Reads JSON with comments into checked records, and reports all errors of a file together."""
 
 import dataclasses
+import enum
 import functools
 import math
 import pathlib
+import typing
 from collections.abc import Callable
 from typing import Any, TypeVar
 
 import cattrs
+import cattrs.cols
 import cattrs.errors
 import cattrs.gen
 import pyjson5
@@ -17,6 +20,8 @@
 
 T = TypeVar("T")
 
+_FOUND_CHARACTERS = 200
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class SettingError(failure.Failure):
@@ -48,6 +53,14 @@
         self.errors = errors
 
 
+def setting_error(file: str, path: str, found: str, allowed: str) -> SettingError:
+    """Makes an error; what was found is cut to a length that fits a line."""
+    if len(found) > _FOUND_CHARACTERS:
+        found = found[:_FOUND_CHARACTERS] + "..."
+    reason = f"{path or file}: found {found}"
+    return SettingError(reason=reason, file=file, path=path, found=found, allowed=allowed)
+
+
 def load_node_settings(path: str) -> schema.NodeSettings:
     """Reads and checks the settings file of a node.
 
@@ -70,7 +83,9 @@
     try:
         text = pathlib.Path(path).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
-        raise SettingsError((_error(path, "", str(error), "a readable UTF-8 file"),)) from error
+        raise SettingsError(
+            (setting_error(path, "", str(error), "a readable UTF-8 file"),)
+        ) from error
     return parse(text, kind, file=path)
 
 
@@ -83,10 +98,19 @@
     try:
         raw = pyjson5.decode(text)
     except pyjson5.Json5Exception as error:
-        raise SettingsError((_error(file, "", str(error), "JSON with comments"),)) from error
+        raise SettingsError((setting_error(file, "", str(error), "JSON with comments"),)) from error
+    return structure(raw, kind, file=file)
+
+
+def structure(raw: Any, kind: type[T], *, file: str) -> T:
+    """Turns a decoded JSON value into a record; unknown keys are refused.
+
+    Raises:
+        SettingsError: With all errors of the value.
+    """
     try:
         return _converter().structure(raw, kind)
-    except cattrs.BaseValidationError as error:
+    except (cattrs.BaseValidationError, TypeError) as error:
         raise SettingsError(tuple(_flatten(error, file=file, path="", raw=raw))) from error
 
 
@@ -135,7 +159,7 @@
     )
     checks += [(value > 0, path, value, "more than 0") for path, value in positive]
     return [
-        _error(file, path, repr(found), allowed)
+        setting_error(file, path, repr(found), allowed)
         for holds, path, found, allowed in checks
         if not holds
     ]
@@ -146,9 +170,58 @@
     converter = cattrs.Converter(forbid_extra_keys=True, detailed_validation=True)
     for kind in (str, int, float, bool):
         converter.register_structure_hook(kind, _strict(kind))
+    converter.register_structure_hook_factory(dataclasses.is_dataclass, _strict_record)
+    converter.register_structure_hook_factory(_is_tuple, _strict_tuple)
+    converter.register_structure_hook_factory(_is_enum, _strict_enum)
     return converter
 
 
+def _strict_record(kind: Any, converter: cattrs.Converter) -> Callable[[Any, Any], Any]:
+    """Refuses anything but an object before looking for its keys."""
+    structure_fields = cattrs.gen.make_dict_structure_fn(kind, converter)
+
+    def structure(value: Any, _: Any) -> Any:
+        if not isinstance(value, dict):
+            raise TypeError("object")
+        return structure_fields(value, kind)
+
+    return structure
+
+
+def _is_enum(kind: Any) -> bool:
+    return isinstance(kind, type) and issubclass(kind, enum.Enum)
+
+
+def _strict_enum(kind: type[enum.Enum]) -> Callable[[Any, Any], Any]:
+    """Names the allowed values in the error."""
+    members_by_value = {member.value: member for member in kind}
+
+    def structure(value: Any, _: Any) -> Any:
+        if not isinstance(value, str) or value not in members_by_value:
+            raise TypeError(" or ".join(members_by_value))
+        return members_by_value[value]
+
+    return structure
+
+
+def _is_tuple(kind: Any) -> bool:
+    return typing.get_origin(kind) is tuple
+
+
+def _strict_tuple(kind: Any, converter: cattrs.Converter) -> Callable[[Any, Any], Any]:
+    """Refuses anything but a list, because a string or an object can be iterated over as well."""
+    list_of: Any = list
+    item = typing.get_args(kind)[0]
+    structure_items = cattrs.cols.list_structure_factory(list_of[item], converter)
+
+    def structure(value: Any, _: Any) -> Any:
+        if not isinstance(value, list):
+            raise TypeError("list")
+        return tuple(structure_items(value, None))
+
+    return structure
+
+
 def _strict(kind: type) -> Callable[[Any, Any], Any]:
     """Refuses a value of another JSON type instead of converting it."""
 
@@ -167,6 +240,8 @@
     "int": "a whole number",
     "float": "a number",
     "bool": "true or false",
+    "list": "a list",
+    "object": "an object",
 }
 
 
@@ -175,7 +250,7 @@
     if isinstance(error, cattrs.errors.ForbiddenExtraKeysError):
         allowed = ", ".join(field.name for field in dataclasses.fields(error.cl))
         return [
-            _error(file, _join(path, key), "an unknown key", f"one of {allowed}")
+            setting_error(file, _join(path, key), "an unknown key", f"one of {allowed}")
             for key in sorted(error.extra_fields)
         ]
     if isinstance(
@@ -189,8 +264,10 @@
             )
         ]
     if isinstance(error, KeyError):
-        return [_error(file, _join(path, str(error.args[0])), "nothing", "this key is required")]
-    return [_error(file, path, repr(raw), _KIND_TEXT.get(str(error), str(error)))]
+        return [
+            setting_error(file, _join(path, str(error.args[0])), "nothing", "this key is required")
+        ]
+    return [setting_error(file, path, repr(raw), _KIND_TEXT.get(str(error), str(error)))]
 
 
 def _note_of(error: BaseException) -> str:
@@ -214,8 +291,3 @@
 
 def _join(path: str, name: str) -> str:
     return f"{path}.{name}" if path and name else path or name
-
-
-def _error(file: str, path: str, found: str, allowed: str) -> SettingError:
-    reason = f"{path or file}: found {found}"
-    return SettingError(reason=reason, file=file, path=path, found=found, allowed=allowed)
--- a/basilpost/settings/schema.py
+++ b/basilpost/settings/schema.py
@@ -156,7 +156,22 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class NodeSettings:
-    """The settings file of `basilpost node`."""
+    """The settings file of `basilpost node`.
+
+    Attributes:
+        node_id: Unique name of the node.
+        failure_domain: Failure domain that the node runs in.
+        region: Region of the failure domain.
+        platform: Where the platform's interfaces are.
+        gateway: The callers' side.
+        admin: Address for operators.
+        admin_token_digest: SHA-256 in hexadecimal of a token that may administer, by which the
+            first operators get their accounts; empty for none.
+        peers: The streams to other nodes.
+        timing: Intervals.
+        weight_store: Rate of the platform's weight store.
+        log: Logging.
+    """
 
     node_id: str
     failure_domain: str
@@ -164,6 +179,7 @@
     platform: Platform
     gateway: Gateway = Gateway()
     admin: Listen = Listen()
+    admin_token_digest: str = ""
     peers: PeerStreams = PeerStreams()
     timing: Timing = Timing()
     weight_store: WeightStore = WeightStore()
