--- a/basilpost/cli/main.py
+++ b/basilpost/cli/main.py
@@ -3,7 +3,7 @@
 import click
 
 import basilpost
-from basilpost.cli import emulate
+from basilpost.cli import config, emulate
 
 
 @click.group()
@@ -12,4 +12,5 @@
     """Serves models that span several VMs, and the plain services beside them."""
 
 
+main.add_command(config.config)
 main.add_command(emulate.command)
