Groups form, break and are rebuilt by a controller for each fabric domain

The watch of the store in memory uses asyncio.timeout: wait_for of Python 3.11 swallows a cancellation that arrives together with its result, and a stopped watch then ran on for ever.

--- /dev/null
+++ b/basilpost/groups/http_engine.py
@@ -0,0 +1,65 @@
+"""Talks to runners and plain services over HTTP, as docs/INTERFACES.md describes."""
+
+import asyncio
+
+from tornado import httpclient
+
+from basilpost.core import codec
+from basilpost.groups import engines
+
+_MAX_CONNECTIONS = 2000
+_CONFLICT = 409
+_HEALTH_PATH = "/healthz"
+
+
+class HttpEngine(engines.Engine):
+    """Opens a connection for each call, so that one gone silent cannot hold up the next."""
+
+    def __init__(self) -> None:
+        self._client = httpclient.AsyncHTTPClient(force_instance=True, max_clients=_MAX_CONNECTIONS)
+
+    async def status(
+        self, address: str, *, plain: bool = False, timeout: float = 1.0
+    ) -> engines.RunnerStatus | engines.Unreachable:
+        """Asks for a runner's status, or makes a plain service's health check."""
+        path = _HEALTH_PATH if plain else "/status"
+        request = httpclient.HTTPRequest(f"http://{address}{path}")
+        answer = await self._fetch(request, timeout=timeout)
+        if isinstance(answer, engines.Unreachable):
+            return answer
+        if answer.code != 200:
+            return engines.Unreachable(reason=f"{address} answered {answer.code}")
+        if plain:
+            return engines.RunnerStatus(vm_id=address, state=engines.RunnerState.READY)
+        try:
+            return codec.from_json(answer.body, engines.RunnerStatus)
+        except ValueError as error:
+            return engines.Unreachable(reason=f"{address}: {error}")
+
+    async def order(
+        self, address: str, order: engines.Order, *, timeout: float = 2.0
+    ) -> engines.Accepted | engines.StaleFence | engines.Unreachable:
+        """Posts an order."""
+        request = httpclient.HTTPRequest(
+            f"http://{address}/orders", method="POST", body=codec.to_json(order)
+        )
+        answer = await self._fetch(request, timeout=timeout)
+        if isinstance(answer, engines.Unreachable):
+            return answer
+        if answer.code == 200:
+            return engines.Accepted()
+        if answer.code == _CONFLICT:
+            return engines.StaleFence(reason=f"{address} refused fence {order.fence}")
+        return engines.Unreachable(reason=f"{address} answered {answer.code}")
+
+    async def _fetch(
+        self, request: httpclient.HTTPRequest, *, timeout: float
+    ) -> httpclient.HTTPResponse | engines.Unreachable:
+        request.connect_timeout = timeout
+        request.request_timeout = timeout
+        request.follow_redirects = False
+        try:
+            async with asyncio.timeout(timeout):
+                return await self._client.fetch(request, raise_error=False)
+        except (OSError, httpclient.HTTPError) as error:
+            return engines.Unreachable(reason=f"{request.url}: {error or 'no answer in time'}")
--- /dev/null
+++ b/basilpost/groups/install.py
@@ -0,0 +1,27 @@
+"""Registers the services of groups, in the order in which they need each other."""
+
+from typing import Protocol, runtime_checkable
+
+from basilpost.core import kernel as kernels
+from basilpost.core import names
+from basilpost.groups import controller, engines, http_engine
+
+
+@runtime_checkable
+class _Lease(Protocol):
+    """What the controllers need of the node's lease."""
+
+    def remaining(self) -> float:
+        """Returns the seconds that the lease surely lasts."""
+
+
+def install(kernel: kernels.Kernel) -> None:
+    """Registers engines (unless registered already) and controllers."""
+    try:
+        kernel.find(names.ENGINES, engines.Engine)
+    except kernels.ServiceMissingError:
+        kernel.register(names.ENGINES, http_engine.HttpEngine())
+    remaining = kernel.find(names.LEASE, _Lease).remaining
+    kernel.register(
+        names.CONTROLLERS, controller.Controllers(kernel=kernel, lease_remaining=remaining)
+    )
--- a/basilpost/store/memory.py
+++ b/basilpost/store/memory.py
@@ -123,7 +123,8 @@
                 return objects.Changes(changes=found, revision=self._revision)
             changed = self._changed
             try:
-                await asyncio.wait_for(changed.wait(), left)
+                async with asyncio.timeout(left):
+                    await changed.wait()
             except TimeoutError:
                 pass
             if self.faults.down:
