Slots by credits from the controller, and targets' health

Cause: a cold target must not get more than it bears, from all nodes together, through a change of controller and lost replies. Not yet proved by tests of their own: those follow.

--- a/basilpost/groups/fake_node.py
+++ b/basilpost/groups/fake_node.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from basilpost.core import data, failure, kernel, names
-from basilpost.groups import controller, engines
+from basilpost.groups import controller, credits, engines, health
 from basilpost.groups import fakes as group_fakes
 from basilpost.members import fakes
 from basilpost.settings import schema
@@ -53,6 +53,10 @@
             kernel=self.kernel, lease_remaining=lambda: self.lease_left
         )
         self.kernel.register(names.CONTROLLERS, self.controllers)
+        self.health = health.TargetHealth(kernel=self.kernel)
+        self.kernel.register(names.HEALTH, self.health)
+        self.slots = credits.CreditSlots(kernel=self.kernel)
+        self.kernel.register(names.SLOTS, self.slots)
 
     async def start(self) -> None:
         """Starts the services and a watch that feeds the replica."""
--- a/basilpost/groups/install.py
+++ b/basilpost/groups/install.py
@@ -4,7 +4,7 @@
 
 from basilpost.core import kernel as kernels
 from basilpost.core import names
-from basilpost.groups import controller, engines, http_engine
+from basilpost.groups import controller, credits, engines, health, http_engine
 
 
 @runtime_checkable
@@ -16,7 +16,7 @@
 
 
 def install(kernel: kernels.Kernel) -> None:
-    """Registers engines (unless registered already) and controllers."""
+    """Registers engines (unless registered already), controllers, health and slots."""
     try:
         kernel.find(names.ENGINES, engines.Engine)
     except kernels.ServiceMissingError:
@@ -25,3 +25,5 @@
     kernel.register(
         names.CONTROLLERS, controller.Controllers(kernel=kernel, lease_remaining=remaining)
     )
+    kernel.register(names.HEALTH, health.TargetHealth(kernel=kernel))
+    kernel.register(names.SLOTS, credits.CreditSlots(kernel=kernel))
