Peer streams, replica, lease, standing and directory: first working version

Cause: nodes had interfaces to each other but no implementation. Change: authenticated peer streams over TCP (or in memory for tests), replicas that merge the store's watch and peers' changes by highest version, a node lease, standing by fresh evidence or majority, and the decoded directory.

--- a/basilpost/core/tasks.py
+++ b/basilpost/core/tasks.py
@@ -6,6 +6,8 @@
 
 import structlog
 
+CANCEL_AGAIN_SECONDS = 0.2
+
 
 class TaskSet:
     """Keeps running tasks, logs those that fail and cancels the rest on close."""
@@ -23,10 +25,11 @@
 
     async def close(self) -> None:
         """Cancels all tasks and waits until they have ended."""
-        tasks = [task for task in self._tasks if task is not asyncio.current_task()]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        # Some library calls swallow a cancellation that meets their result, so ask until all end.
+        while tasks := [task for task in self._tasks if task is not asyncio.current_task()]:
+            for task in tasks:
+                task.cancel()
+            await asyncio.wait(tasks, timeout=CANCEL_AGAIN_SECONDS)
 
     def _ended(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
--- /dev/null
+++ b/basilpost/members/following.py
@@ -0,0 +1,102 @@
+"""Follows one prefix of the object store, and records how current that makes the replica.
+
+Times count from before a call was sent: whatever the answer shows was true then or later.
+"""
+
+import asyncio
+import math
+import random
+from collections.abc import Callable, Coroutine
+from typing import Any, TypeVar
+
+from basilpost.core import clock
+from basilpost.store import objects
+
+A = TypeVar("A")
+
+ANSWER_SECONDS = 1.0
+LIST_SECONDS = 3.0
+RETRY_SECONDS = 0.5
+MIN_GAP_SECONDS = 0.05
+
+TakeListing = Callable[[str, objects.Listing], None]
+TakeChange = Callable[[objects.Change], None]
+
+
+class Follower:
+    """Keeps up with the objects below one prefix.
+
+    Attributes:
+        prefix: What is followed.
+        current_at: The replica lacks no change below the prefix that was made before this time.
+        answered_at: When the store last answered.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: objects.ObjectStore,
+        prefix: str,
+        wait: Callable[[], float],
+        pause: Callable[[], float],
+        take_listing: TakeListing,
+        take_change: TakeChange,
+    ) -> None:
+        self.prefix = prefix
+        self.current_at = -math.inf
+        self.answered_at = -math.inf
+        self._store = store
+        self._wait = wait
+        self._pause = pause
+        self._take_listing = take_listing
+        self._take_change = take_change
+        self._revision: int | None = None
+
+    async def run(self) -> None:
+        """Lists once, then watches; lists again when the watch has expired."""
+        while True:
+            sent_at = clock.monotonic()
+            if await self._step():
+                self.current_at = sent_at
+                self.answered_at = clock.monotonic()
+                await asyncio.sleep(self._pause())
+            else:
+                await asyncio.sleep(RETRY_SECONDS * random.uniform(0.5, 1.0))
+
+    async def _step(self) -> bool:
+        """Makes one call; returns True if the replica is current as of when it was sent."""
+        if self._revision is None:
+            return await self._list()
+        wait = self._wait()
+        found = await _bounded(
+            self._store.watch(self.prefix, revision=self._revision, wait=wait),
+            wait + ANSWER_SECONDS,
+        )
+        match found:
+            case objects.Changes():
+                for change in found.changes:
+                    self._take_change(change)
+                self._revision = max(self._revision, found.revision)
+                return True
+            case objects.Expired():
+                self._revision = None
+        return False
+
+    async def _list(self) -> bool:
+        found = await _bounded(
+            self._store.list(self.prefix, timeout=LIST_SECONDS), LIST_SECONDS + ANSWER_SECONDS
+        )
+        if not isinstance(found, objects.Listing):
+            return False
+        self._take_listing(self.prefix, found)
+        self._revision = found.revision
+        return True
+
+
+async def _bounded(call: Coroutine[Any, Any, A], seconds: float) -> A | objects.Unavailable:
+    """Gives up a call that went silent, whatever the store's client does about it."""
+    try:
+        async with asyncio.timeout(seconds):
+            return await call
+    except TimeoutError:
+        return objects.Unavailable(reason=f"the store went silent for {seconds} s")
--- /dev/null
+++ b/basilpost/members/install.py
@@ -0,0 +1,27 @@
+"""Registers the services of membership, in the order in which they need each other."""
+
+from basilpost.core import kernel as kernels
+from basilpost.core import names
+from basilpost.members import (
+    lease,
+    node_table,
+    quorum_standing,
+    store_replica,
+    streams,
+    transport,
+    view,
+)
+
+
+def install(kernel: kernels.Kernel, *, by: transport.Transport | None = None) -> None:
+    """Registers peer streams, replica, lease, standing and directory.
+
+    The kernel stops them in the reverse order, so that on a planned stop the lease says goodbye
+    while the streams are still open.
+    """
+    table = node_table.NodeTable()
+    kernel.register(names.PEERS, streams.Streams(kernel=kernel, table=table, by=by))
+    kernel.register(names.REPLICA, store_replica.StoreReplica(kernel=kernel, table=table))
+    kernel.register(names.LEASE, lease.StoreLease(kernel=kernel, table=table))
+    kernel.register(names.STANDING, quorum_standing.QuorumStanding(kernel=kernel, table=table))
+    kernel.register(names.DIRECTORY, view.View(kernel=kernel))
--- /dev/null
+++ b/basilpost/members/memory_transport.py
@@ -0,0 +1,125 @@
+"""Byte streams between nodes of one process, for tests and the demo; links can be cut.
+
+A cut link carries nothing and says nothing, as a network that drops packets: both ends must notice
+by themselves. What was written meanwhile is lost with the stream.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from basilpost.members import transport
+
+
+class MemoryNetwork:
+    """Connects `MemoryTransport`s by address."""
+
+    def __init__(self) -> None:
+        self.accept_by_address: dict[str, transport.Accept] = {}
+        self.cut: set[frozenset[str]] = set()
+        self.bytes_carried = 0
+
+    def transport(self, address: str) -> "MemoryTransport":
+        """Returns the transport of the node with that address."""
+        return MemoryTransport(network=self, address=address)
+
+    def partition(self, *sides: set[str]) -> None:
+        """Cuts all links between nodes of different sides; links inside a side work."""
+        self.cut = {
+            frozenset((a, b))
+            for side in sides
+            for other in sides
+            if side is not other
+            for a in side
+            for b in other
+        }
+
+    def heal(self) -> None:
+        """Lets all links work again."""
+        self.cut = set()
+
+    def carries(self, a: str, b: str) -> bool:
+        """Returns True if the link between two addresses works."""
+        return frozenset((a, b)) not in self.cut
+
+
+class MemoryTransport(transport.Transport):
+    """One node's end of a `MemoryNetwork`."""
+
+    def __init__(self, *, network: MemoryNetwork, address: str) -> None:
+        self._network = network
+        self._address = address
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def listen(self, accept: transport.Accept) -> str:
+        """Registers the node under its address."""
+        self._network.accept_by_address[self._address] = accept
+        return self._address
+
+    async def connect(self, address: str) -> transport.Ends:
+        """Opens a stream, or waits in vain over a cut link."""
+        if not self._network.carries(self._address, address):
+            await asyncio.Event().wait()
+        accept = self._network.accept_by_address.get(address)
+        if accept is None:
+            raise ConnectionRefusedError(address)
+        near, far = asyncio.StreamReader(), asyncio.StreamReader()
+
+        def carries() -> bool:
+            return self._network.carries(self._address, address)
+
+        mine = _MemoryWriter(network=self._network, carries=carries, near=near, far=far)
+        theirs = _MemoryWriter(network=self._network, carries=carries, near=far, far=near)
+        task = asyncio.ensure_future(accept(far, theirs))  # type: ignore[arg-type]
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return near, mine  # type: ignore[return-value]
+
+    async def close(self) -> None:
+        """Takes the node off the network."""
+        self._network.accept_by_address.pop(self._address, None)
+
+
+class _MemoryWriter:
+    """The writing end: what asyncio's writer and its transport offer, as far as streams use it."""
+
+    def __init__(
+        self,
+        *,
+        network: MemoryNetwork,
+        carries: Callable[[], bool],
+        near: asyncio.StreamReader,
+        far: asyncio.StreamReader,
+    ) -> None:
+        self._network = network
+        self._carries = carries
+        self._near = near
+        self._far = far
+        self._closed = False
+
+    @property
+    def transport(self) -> "_MemoryWriter":
+        """Returns itself, which stands in for the transport too."""
+        return self
+
+    def get_write_buffer_size(self) -> int:
+        """Returns 0: the network takes everything at once."""
+        return 0
+
+    def write(self, content: bytes) -> None:
+        """Delivers bytes, unless the link is cut or the stream closed."""
+        if not self._closed and self._carries():
+            self._network.bytes_carried += len(content)
+            self._far.feed_data(content)
+
+    def close(self) -> None:
+        """Ends the stream in both directions, as far as the link lets the other side know."""
+        if self._closed:
+            return
+        self._closed = True
+        self._near.feed_eof()
+        if self._carries():
+            self._far.feed_eof()
+
+    def abort(self) -> None:
+        """Ends the stream at once."""
+        self.close()
--- a/basilpost/members/peers.py
+++ b/basilpost/members/peers.py
@@ -13,6 +13,7 @@
 M = TypeVar("M")
 
 Handler = Callable[[str, Any], Awaitable[Any]]
+StreamListener = Callable[[str, bool], None]
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -57,3 +58,10 @@
     @abc.abstractmethod
     def heard_within(self, node_id: str, seconds: float) -> bool:
         """Returns True if anything came from that node within the last seconds."""
+
+    def neighbours(self) -> tuple[str, ...]:
+        """Returns the ids of the nodes that this one has lasting streams with, sorted."""
+        return tuple(one for one in self.live_nodes() if one != self.node_id)
+
+    def subscribe(self, listener: StreamListener) -> None:
+        """Calls the listener when a lasting stream opens (True) or ends (False)."""
--- /dev/null
+++ b/basilpost/members/wire.py
@@ -0,0 +1,135 @@
+"""Frames and envelopes of the peer streams.
+
+A frame is a length and that many bytes of msgpack. An envelope names the message type in it, so
+that a node refuses what it does not know instead of guessing.
+"""
+
+import asyncio
+import dataclasses
+import enum
+import struct
+from typing import Any
+
+import msgpack
+
+from basilpost.core import codec, failure
+
+PROTOCOL = 1
+MAX_FRAME_BYTES = 4_000_000
+MAX_HANDSHAKE_BYTES = 1_000
+_LENGTH = struct.Struct(">I")
+_ENVELOPE_FIELDS = 4
+
+
+class Mode(enum.IntEnum):
+    """What an envelope is for."""
+
+    MESSAGE = 0
+    REQUEST = 1
+    REPLY = 2
+    NO_REPLY = 3
+    HEARTBEAT = 4
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class FrameRefused(failure.Failure):
+    """A frame that must not be read; the stream it came from is closed.
+
+    Attributes:
+        cause: Label of the metric that counts it.
+    """
+
+    cause: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Envelope:
+    """A decoded frame.
+
+    Attributes:
+        mode: What it is for.
+        call: Id that matches a reply to its request; 0 for messages.
+        message: The message, None for heartbeats and empty replies.
+    """
+
+    mode: Mode
+    call: int = 0
+    message: Any = None
+
+
+class Registry:
+    """The message types a node knows, by the name they have on the wire."""
+
+    def __init__(self) -> None:
+        self._kinds_by_name: dict[str, type] = {}
+
+    def add(self, kind: type) -> None:
+        """Adds a message type; a name belongs to one type."""
+        known = self._kinds_by_name.setdefault(name_of(kind), kind)
+        if known is not kind:
+            raise ValueError(f"two message types are named {name_of(kind)}")
+
+    def encode(self, envelope: Envelope) -> bytes:
+        """Returns the envelope as one frame, its length in front."""
+        name, body = "", None
+        if envelope.message is not None:
+            name = name_of(type(envelope.message))
+            body = codec.msgpack_converter().unstructure(envelope.message)
+        raw = msgpack.packb((int(envelope.mode), envelope.call, name, body))
+        return frame(raw)
+
+    def decode(self, raw: bytes) -> Envelope | FrameRefused:
+        """Decodes a frame's content, or refuses it."""
+        try:
+            fields = msgpack.unpackb(raw)
+        except (ValueError, RecursionError, msgpack.UnpackException) as error:
+            return _malformed(f"no msgpack: {error!r}")
+        if not isinstance(fields, list) or len(fields) != _ENVELOPE_FIELDS:
+            return _malformed("no envelope")
+        mode, call, name, body = fields
+        if mode not in set(Mode) or type(call) is not int or not isinstance(name, str):
+            return _malformed("no envelope")
+        if not name:
+            return Envelope(mode=Mode(mode), call=call)
+        return self._decode_message(Mode(mode), call, name, body)
+
+    def _decode_message(
+        self, mode: Mode, call: int, name: str, body: Any
+    ) -> Envelope | FrameRefused:
+        kind = self._kinds_by_name.get(name)
+        if kind is None:
+            return FrameRefused(reason=f"unknown message type {name[:80]!r}", cause="unknown")
+        try:
+            message: Any = codec.msgpack_converter().structure(body, kind)
+        except Exception as error:
+            return _malformed(f"no {name}: {type(error).__name__}")
+        return Envelope(mode=mode, call=call, message=message)
+
+
+def name_of(kind: type) -> str:
+    """Returns the type's name on the wire: its class name and, from 2 on, its `VERSION`."""
+    version = getattr(kind, "VERSION", 1)
+    return kind.__name__ if version == 1 else f"{kind.__name__}/{version}"
+
+
+def frame(raw: bytes) -> bytes:
+    """Puts the length in front of a frame's content."""
+    return _LENGTH.pack(len(raw)) + raw
+
+
+async def read_frame(reader: asyncio.StreamReader, *, limit: int) -> bytes | FrameRefused:
+    """Reads one frame's content; an announced length above the limit is refused unread."""
+    try:
+        (length,) = _LENGTH.unpack(await reader.readexactly(_LENGTH.size))
+        if length > limit:
+            return FrameRefused(reason=f"a frame of {length} bytes", cause="oversized")
+        return await reader.readexactly(length)
+    except (asyncio.IncompleteReadError, OSError) as error:
+        return FrameRefused(reason=f"the stream ended: {error!r}", cause="ended")
+
+
+def _malformed(reason: str) -> FrameRefused:
+    return FrameRefused(reason=reason, cause="malformed")
+
+
+HEARTBEAT_FRAME = Registry().encode(Envelope(mode=Mode.HEARTBEAT))
--- /dev/null
+++ b/tests/members_fleet.py
@@ -0,0 +1,198 @@
+"""A fleet of nodes in one process: real membership services over a network in memory."""
+
+import asyncio
+import json
+
+from basilpost.core import clock, data, kernel, names
+from basilpost.members import (
+    directory,
+    install,
+    lease,
+    memory_transport,
+    peers,
+    replica,
+    standing,
+)
+from basilpost.settings import schema
+from basilpost.store import memory, objects
+
+
+class NodeStore(objects.ObjectStore):
+    """One node's way to the shared store; it can be cut, slow, silent in watches, or stale."""
+
+    def __init__(self, *, shared):
+        self.shared = shared
+        self.cut = False
+        self.watch_hangs = False
+        self.stale_listing = None
+        self.calls_by_kind = {}
+
+    async def _through(self, kind, call, seconds):
+        self.calls_by_kind[kind] = self.calls_by_kind.get(kind, 0) + 1
+        if self.cut:
+            call.close()
+            await asyncio.sleep(seconds)
+            return None
+        answer = await call
+        return None if self.cut else answer
+
+    async def get(self, key, *, timeout=2.0, urgency=objects.Urgency.NORMAL):
+        call = self.shared.get(key, timeout=timeout)
+        return await self._through("get", call, timeout) or objects.Unavailable(reason="cut")
+
+    async def list(self, prefix, *, timeout=5.0, urgency=objects.Urgency.NORMAL):
+        if self.stale_listing is not None and not self.cut:
+            return self.stale_listing
+        call = self.shared.list(prefix, timeout=timeout)
+        return await self._through("list", call, timeout) or objects.Unavailable(reason="cut")
+
+    async def create(self, key, value, *, timeout=2.0, urgency=objects.Urgency.NORMAL):
+        call = self.shared.create(key, value, timeout=timeout)
+        return await self._through("write", call, timeout) or objects.Unknown(reason="cut")
+
+    async def update(self, key, value, *, version, timeout=2.0, urgency=objects.Urgency.NORMAL):
+        call = self.shared.update(key, value, version=version, timeout=timeout)
+        return await self._through("write", call, timeout) or objects.Unknown(reason="cut")
+
+    async def delete(self, key, *, version, timeout=2.0, urgency=objects.Urgency.NORMAL):
+        call = self.shared.delete(key, version=version, timeout=timeout)
+        return await self._through("write", call, timeout) or objects.Unknown(reason="cut")
+
+    async def watch(self, prefix, *, revision, wait=10.0):
+        if self.watch_hangs:
+            await asyncio.Event().wait()
+        call = self.shared.watch(prefix, revision=revision, wait=wait)
+        return await self._through("watch", call, wait) or objects.Unavailable(reason="cut")
+
+
+class Node:
+    """One node and what its services show; `applied` lists each taken version by key."""
+
+    def __init__(self, *, node_id, shared, transport, peer_settings, region="", by_region=False):
+        self.node_id = node_id
+        self.store = NodeStore(shared=shared)
+        self.kernel = kernel.Kernel(node_id=node_id)
+        self.applied = {}
+        self.in_force_at = {}
+        settings = schema.NodeSettings(
+            node_id=node_id,
+            failure_domain="a",
+            region=region,
+            platform=schema.Platform(object_api="http://x", vm_list="http://x"),
+            peers=peer_settings,
+        )
+        self.kernel.register(names.SETTINGS, settings)
+        self.kernel.register(names.OBJECTS, self.store)
+        install.install(self.kernel, by=transport)
+        self.peers = self.kernel.find(names.PEERS, peers.PeerNetwork)
+        self.replica = self.kernel.find(names.REPLICA, replica.Replica)
+        self.lease = self.kernel.find(names.LEASE, lease.Lease)
+        self.standing = self.kernel.find(names.STANDING, standing.Standing)
+        self.directory = self.kernel.find(names.DIRECTORY, directory.Directory)
+        self.replica.subscribe("", self._note)
+
+    def _note(self, change):
+        self.applied.setdefault(change.key, []).append(change.version)
+        self.in_force_at[(change.key, change.version)] = clock.monotonic()
+
+    @property
+    def serving(self):
+        return isinstance(self.standing.check(), standing.InStanding)
+
+    @property
+    def table_size(self):
+        return len(self.replica.items(names.NODE_PREFIX))
+
+
+class Fleet:
+    """Nodes by id, the store behind them and the network between them."""
+
+    def __init__(self, *, size=3, full_mesh_nodes=16, neighbours=6, secret="s3cret"):
+        self.store = memory.MemoryStore()
+        self.network = memory_transport.MemoryNetwork()
+        self.ids = [f"n{number:03}" for number in range(size)]
+        self.secret = secret
+        self.peer_settings = schema.PeerStreams(
+            secret=secret,
+            full_mesh_nodes=full_mesh_nodes,
+            neighbours=neighbours,
+            seeds=tuple(schema.Peer(node_id=one, address=one) for one in self.ids[:3]),
+        )
+        self.nodes_by_id = {}
+
+    async def __aenter__(self):
+        for node_id in self.ids:
+            await self.add(node_id)
+        return self
+
+    async def __aexit__(self, *_):
+        for node_id in list(self.nodes_by_id):
+            await self.remove(node_id)
+
+    @property
+    def nodes(self):
+        return list(self.nodes_by_id.values())
+
+    async def add(self, node_id, *, cut=False, region=""):
+        node = Node(
+            node_id=node_id,
+            shared=self.store,
+            transport=self.network.transport(node_id),
+            peer_settings=self.peer_settings,
+            region=region,
+        )
+        node.store.cut = cut
+        await node.kernel.start()
+        self.nodes_by_id[node_id] = node
+        return node
+
+    async def remove(self, node_id):
+        """Stops a node as planned."""
+        await self.nodes_by_id.pop(node_id).kernel.stop()
+
+    async def crash(self, node_id):
+        """Ends a node without a word: its links are cut before its tasks end."""
+        node = self.nodes_by_id.pop(node_id)
+        self.network.partition({node_id}, set(self.ids) - {node_id})
+        node.store.cut = True
+        await node.kernel.stop()
+
+    def cut_store(self, *node_ids):
+        for node_id in node_ids or self.nodes_by_id:
+            self.nodes_by_id[node_id].store.cut = True
+
+    async def write(self, key, record):
+        """Writes a configuration object as an accepted change; returns its version."""
+        value = json.dumps({"value": json.dumps(record), "audit": []}).encode()
+        found = await self.store.get(key)
+        if isinstance(found, objects.Stored):
+            return (await self.store.update(key, value, version=found.version)).version
+        return (await self.store.create(key, value)).version
+
+    def in_force(self, key, version):
+        """Returns the ids of the nodes that have a version or a later one in force."""
+        return {node.node_id for node in self.nodes if node.replica.version_of(key) >= version}
+
+    def serving(self):
+        return {node.node_id for node in self.nodes if node.serving}
+
+
+WORKSPACE_KEY = names.WORKSPACE_PREFIX + "arkhiv"
+
+
+def workspace(rate=100.0):
+    return {"name": "arkhiv", "rate": rate}
+
+
+def group_table(domain, *, group_id="g1", generation=1):
+    """Returns a fabric table with one group."""
+    group = data.Group(
+        group_id=group_id,
+        service="clearance",
+        generation=generation,
+        state=data.GroupState.READY,
+        fabric_domain=domain,
+        failure_domain="a",
+        members=(data.Member(vm_id="vm-1", address="127.0.0.1:1", rank=0),),
+    )
+    return data.FabricTable(fabric_domain=domain, groups=(group,))
