--- /dev/null
+++ b/basilpost/cli/load.py
@@ -0,0 +1,114 @@
+"""`basilpost load`: sends an open-loop load to nodes and checks what came back."""
+
+import asyncio
+import contextlib
+import json
+import sys
+
+import click
+
+from basilpost.load import generator, logs, records, report, schedule
+
+_KINDS = [kind.value for kind in records.Kind]
+
+
+@click.command(name="load")
+@click.option("--gateway", "gateways", multiple=True, required=True, help="Base URL of a node.")
+@click.option("--key", "keys", multiple=True, required=True, help="WORKSPACE=API-KEY[*WEIGHT].")
+@click.option("--rate", default=20.0, show_default=True, help="Requests a second.")
+@click.option("--seconds", default=10.0, show_default=True, help="Length of the load.")
+@click.option("--seed", default=1, show_default=True, help="Seed of the schedule.")
+@click.option("--model", default="clearance", show_default=True, help="Model to call.")
+@click.option("--service", default="licences", show_default=True, help="Plain service to call.")
+@click.option("--mix", multiple=True, help=f"KIND=WEIGHT, kinds: {', '.join(_KINDS)}.")
+@click.option("--max-tokens", default=32, show_default=True, help="Tokens of an answer.")
+@click.option("--repeats", default=0.2, show_default=True, help="Share of filings sent twice.")
+@click.option("--deadline", default=30.0, show_default=True, help="Deadline in seconds.")
+@click.option("--back-end", "back_ends", multiple=True, help="host:port whose /log is checked.")
+@click.option("--history", type=click.Path(), help="File for every request's record.")
+def command(
+    gateways: tuple[str, ...],
+    keys: tuple[str, ...],
+    rate: float,
+    seconds: float,
+    seed: int,
+    model: str,
+    service: str,
+    mix: tuple[str, ...],
+    max_tokens: int,
+    repeats: float,
+    deadline: float,
+    back_ends: tuple[str, ...],
+    history: str | None,
+) -> None:
+    """Sends requests on a fixed schedule and prints what became of them.
+
+    Latency counts from the time that a request was due. With --back-end the logs of emulated
+    back ends are read and the history is checked; violations end the command with 1.
+
+    \b
+    Example:
+        basilpost load --gateway http://127.0.0.1:8080 --key editors=KEY \\
+            --rate 50 --seconds 20 --mix stream=3 --mix filing=1 --history out.jsonl
+    """
+    plan = schedule.Plan(
+        seed=seed,
+        rate=rate,
+        seconds=seconds,
+        gateways=tuple(gateway.rstrip("/") for gateway in gateways),
+        callers=tuple(_caller(text) for text in keys),
+        model=model,
+        service=service,
+        max_tokens=max_tokens,
+        repeat_share=repeats,
+        deadline_seconds=deadline,
+        weights_by_kind=_weights(mix) if mix else schedule.default_weights(),
+    )
+    result = asyncio.run(generator.run(plan))
+    click.echo(report.table(result))
+    if history:
+        with contextlib.closing(open(history, "w", encoding="utf-8")) as file:
+            records.write_lines(result.records, file)
+    if back_ends:
+        _check(result.records, back_ends)
+
+
+def _check(found: tuple[records.Record, ...], back_ends: tuple[str, ...]) -> None:
+    violations = logs.check(found, asyncio.run(logs.collect(back_ends)))
+    for violation in violations:
+        click.echo(json.dumps({"rule": violation.rule, "reason": violation.reason}), err=True)
+    click.echo(f"history checks: {len(violations)} violations")
+    if violations:
+        sys.exit(1)
+
+
+def _caller(text: str) -> schedule.Caller:
+    workspace, equals, rest = text.partition("=")
+    api_key, star, weight = rest.partition("*")
+    if not equals or not api_key:
+        raise click.BadParameter(f"{text!r} is not WORKSPACE=API-KEY", param_hint="--key")
+    return schedule.Caller(
+        workspace=workspace,
+        api_key=api_key,
+        weight=_number(weight, "--key") if star else 1.0,
+    )
+
+
+def _weights(mix: tuple[str, ...]) -> dict[records.Kind, float]:
+    found = {}
+    for text in mix:
+        kind, _, weight = text.partition("=")
+        if kind not in _KINDS:
+            raise click.BadParameter(f"{kind!r} is none of {_KINDS}", param_hint="--mix")
+        found[records.Kind(kind)] = _number(weight, "--mix")
+    return found
+
+
+def _number(text: str, hint: str) -> float:
+    try:
+        number = float(text)
+    except ValueError:
+        number = 0.0
+    if number <= 0:
+        raise click.BadParameter(f"{text!r} is no weight above 0", param_hint=hint)
+    return number
--- a/basilpost/cli/main.py
+++ b/basilpost/cli/main.py
@@ -3,7 +3,7 @@
 import click
 
 import basilpost
-from basilpost.cli import emulate
+from basilpost.cli import emulate, load
 
 
 @click.group()
@@ -13,3 +13,4 @@
 
 
 main.add_command(emulate.command)
+main.add_command(load.command)
--- a/basilpost/emulator/runner_http.py
+++ b/basilpost/emulator/runner_http.py
@@ -187,13 +187,15 @@
         before, after, last = event_parts(answered_id, body)
         connection = silence.stream_of(self.request)
         covers = self.owner.silence.covers
+        # A caller that speaks HTTP/1.0 gets the events without chunks around them.
+        framed = self.request.version != "HTTP/1.0"
 
         def emit(token: str, is_last: bool) -> None:
             if covers(connection):
                 return
             event = (before + token + (last if is_last else after)).encode()
             try:
-                connection.write(b"%x\r\n%b\r\n" % (len(event), event))
+                connection.write(b"%x\r\n%b\r\n" % (len(event), event) if framed else event)
             except iostream.StreamClosedError:
                 pass
 
--- a/basilpost/emulator/runner_test.py
+++ b/basilpost/emulator/runner_test.py
@@ -55,6 +55,13 @@
         return error
 
 
+def raw_request(body, *, version="1.1"):
+    text = json.dumps(body)
+    head = (f"POST /v1/chat/completions HTTP/{version}", "Host: x", "Basilpost-Group: g",
+            "Basilpost-Generation: 1", f"Content-Length: {len(text)}", "", text)  # fmt: skip
+    return "\r\n".join(head).encode()
+
+
 def streamed_tokens(text):
     events = [line[6:] for line in text.splitlines() if line.startswith("data: {")]
     return [json.loads(event)["choices"][0]["delta"]["content"] for event in events]
@@ -80,6 +87,17 @@
         assert streamed_tokens(text) == answers.tokens_for(body)[6:]
 
 
+async def test_a_stream_over_http_1_0_has_no_chunks():
+    async with group() as runners:
+        reader, writer = await asyncio.open_connection(*runners[0].address.split(":"))
+        writer.write(raw_request(BODY | {"stream": True}, version="1.0"))
+        head, _, text = (await reader.read()).decode().partition("\r\n\r\n")
+        writer.close()
+        assert "chunked" not in head
+        assert text.startswith("data: {") and text.endswith("data: [DONE]\n\n")
+        assert streamed_tokens(text) == answers.tokens_for(BODY)
+
+
 async def test_wrong_rank_generation_or_an_incomplete_group_is_refused_as_not_run():
     async with group() as runners:
         for wrong in (ask(runners[1]), ask(runners[0], generation=2)):
