--- a/basilpost/cli/main.py
+++ b/basilpost/cli/main.py
@@ -3,7 +3,7 @@
 import click
 
 import basilpost
-from basilpost.cli import emulate, load
+from basilpost.cli import config, emulate, load
 
 
 @click.group()
@@ -12,5 +12,6 @@
     """Serves models that span several VMs, and the plain services beside them."""
 
 
+main.add_command(config.config)
 main.add_command(emulate.command)
 main.add_command(load.command)
