--- /dev/null
+++ b/basilpost/load/measure_state.py
@@ -0,0 +1,137 @@
+"""Measures what the shared records cost: bytes, memory, coding time, and calls of the store."""
+
+import asyncio
+import time
+import tracemalloc
+from collections.abc import Callable
+from typing import Any
+
+from basilpost.core import codec, data
+from basilpost.load import samples, stand_in_process
+from basilpost.store import http_objects
+
+_GROUP_COUNTS = (10, 40, 160, 640)
+_OBJECT_COUNTS = (100, 400, 1600)
+_CALL_COUNTS = (200, 400, 800)
+_MEMBERS = 8
+_MIN_SECONDS = 0.2
+
+
+def main() -> None:
+    """Prints the samples."""
+    for count in _GROUP_COUNTS:
+        _measure_table(count)
+    for count in _OBJECT_COUNTS:
+        _measure_objects(count)
+    asyncio.run(_measure_calls())
+
+
+def _measure_table(count: int) -> None:
+    table = _table(count)
+    raw = codec.to_json(table)
+    _emit("state.table_bytes_by_groups", count, "groups", len(raw), "bytes")
+    encoding = _seconds(lambda: codec.to_json(table))
+    decoding = _seconds(lambda: codec.from_json(raw, data.FabricTable))
+    _emit("state.encode_cpu_by_groups", count, "groups", encoding, "cpu seconds")
+    _emit("state.decode_cpu_by_groups", count, "groups", decoding, "cpu seconds")
+    memory = _memory(lambda: (raw[:-1] + b"}", codec.from_json(raw, data.FabricTable)))
+    _emit("state.memory_by_groups", count, "groups", memory, "bytes")
+
+
+def _measure_objects(count: int) -> None:
+    raws = [codec.to_json(_workspace(number)) for number in range(count)]
+    memory = _memory(
+        lambda: [(bytes(bytearray(raw)), codec.from_json(raw, data.Workspace)) for raw in raws]
+    )
+    _emit("state.memory_by_objects", count, "objects", memory, "bytes")
+    decoding = _seconds(lambda: [codec.from_json(raw, data.Workspace) for raw in raws])
+    _emit("state.decode_cpu_by_objects", count, "objects", decoding, "cpu seconds")
+
+
+async def _measure_calls() -> None:
+    """Measures the client's processor time for reads, writes and watches that end empty."""
+    with stand_in_process.started("emulate", "object-api") as (address, _):
+        store = http_objects.HttpObjectStore(base_url=f"http://{address}")
+        written: Any = await store.create("nodes/n", b"x" * 300)
+        for count in _CALL_COUNTS:
+            begun = time.process_time()
+            for _ in range(count):
+                written = await store.update("nodes/n", b"x" * 300, version=written.version)
+            spent = time.process_time() - begun
+            _emit("store.cpu_by_writes", count, "writes", spent, "cpu seconds")
+            begun = time.process_time()
+            for _ in range(count):
+                await store.get("nodes/n")
+            spent = time.process_time() - begun
+            _emit("store.cpu_by_reads", count, "reads", spent, "cpu seconds")
+        store.close()
+
+
+def _table(count: int) -> data.FabricTable:
+    return data.FabricTable(
+        fabric_domain="fabric-kz-south-a-1",
+        holder=data.Holder(node_id="node-kz-south-a-1", fence=7),
+        groups=tuple(_group(number) for number in range(count)),
+        attempt_id="0123456789abcdef",
+    )
+
+
+def _group(number: int) -> data.Group:
+    members = tuple(
+        data.Member(
+            vm_id=f"vm-kz-south-a-{number}-{rank}", address=f"10.20.30.{rank}:8000", rank=rank
+        )
+        for rank in range(_MEMBERS)
+    )
+    return data.Group(
+        group_id=f"clearance-{number:08x}",
+        service="clearance",
+        model="clearance-large",
+        model_version="2026-11-02",
+        generation=number,
+        state=data.GroupState.READY,
+        fabric_domain="fabric-kz-south-a-1",
+        failure_domain="kz-south-a",
+        members=members,
+    )
+
+
+def _workspace(number: int) -> data.Workspace:
+    return data.Workspace(
+        name=f"workspace-{number}",
+        key_digests=(f"{number:064x}", f"{number + 1:064x}"),
+        services=("clearance", "licences", "catalogue"),
+    )
+
+
+def _seconds(work: Callable[[], Any]) -> float:
+    """Returns the processor time of one run of some work, from as many runs as it needs."""
+    runs = 0
+    begun = time.process_time()
+    while time.process_time() - begun < _MIN_SECONDS:
+        work()
+        runs += 1
+    return (time.process_time() - begun) / runs
+
+
+def _memory(make: Callable[[], Any]) -> int:
+    """Returns the bytes that what is made takes while it is kept."""
+    make()
+    tracemalloc.start()
+    kept = make()
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del kept
+    return size
+
+
+def _emit(slope: str, size: float, size_unit: str, value: float, value_unit: str) -> None:
+    samples.emit(
+        samples.Sample(
+            slope=slope, size=size, value=value, size_unit=size_unit, value_unit=value_unit
+        )
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/basilpost/load/stand_in_process.py
@@ -0,0 +1,25 @@
+"""Starts stand-ins and nodes as processes of their own, for measurements."""
+
+import contextlib
+import json
+import subprocess
+import sys
+from collections.abc import Iterator
+
+_STOP_SECONDS = 10.0
+
+
+@contextlib.contextmanager
+def started(*arguments: str) -> Iterator[tuple[str, int]]:
+    """Runs `basilpost ARGUMENTS` and yields the address that it prints, and its process id."""
+    command = [sys.executable, "-m", "basilpost", *arguments]
+    with subprocess.Popen(command, stdout=subprocess.PIPE, text=True) as process:
+        try:
+            assert process.stdout is not None
+            yield json.loads(process.stdout.readline())["address"], process.pid
+        finally:
+            process.terminate()
+            try:
+                process.wait(_STOP_SECONDS)
+            except subprocess.TimeoutExpired:
+                process.kill()
