--- /dev/null
+++ b/basilpost/load/capacity_page.py
@@ -0,0 +1,138 @@
+"""Renders the tables of docs/CAPACITY.md and puts them between its markers."""
+
+import dataclasses
+import re
+from collections.abc import Iterable, Mapping, Sequence
+
+from basilpost.core import failure
+from basilpost.load import capacity_model as model
+from basilpost.load import fit
+
+_NOT_MEASURED = "not measured"
+Fits = Mapping[str, fit.Fit | fit.TooFewSizes]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Result:
+    """A cost worked out: its value and the spread that the slope's spread gives it."""
+
+    cost: model.Cost
+    value: float
+    spread: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class NotMeasured(failure.Failure):
+    """The slope of a cost has no measurement of enough sizes."""
+
+    cost: model.Cost
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class MissingMarkers(failure.Failure):
+    """The page has no place for a table."""
+
+
+def work_out(cost: model.Cost, fits: Fits) -> Result | NotMeasured:
+    """Multiplies a cost's amount with its slope."""
+    if not cost.slope:
+        return Result(cost=cost, value=cost.amount * cost.scale)
+    line = fits.get(cost.slope)
+    if not isinstance(line, fit.Fit):
+        reason = line.reason if line else f"no samples of {cost.slope}"
+        return NotMeasured(reason=reason, cost=cost)
+    factor = cost.amount * cost.scale
+    return Result(cost=cost, value=line.slope * factor, spread=line.spread * factor)
+
+
+def role_table(costs: Iterable[model.Cost], fits: Fits) -> str:
+    """Returns the table of one role."""
+    rows = [_role_row(work_out(cost, fits)) for cost in costs]
+    return _table(("work", "how much", "slope", "cost", "carried by"), rows)
+
+
+def _role_row(found: Result | NotMeasured) -> tuple[str, ...]:
+    cost = found.cost
+    value = _NOT_MEASURED if isinstance(found, NotMeasured) else _with_spread(found)
+    return (cost.what, cost.amount_text, cost.slope or "count", value, cost.mechanism)
+
+
+def _with_spread(found: Result) -> str:
+    text = number(found.value)
+    spread = f" ± {number(found.spread)}" if found.spread else ""
+    return f"{text}{spread} {found.cost.resource.value}"
+
+
+def sum_table(costs: Iterable[model.Cost], fits: Fits, limits: model.Limits) -> str:
+    """Returns the sums of all control work against the limits; what is not measured is named."""
+    allowed = {
+        model.Resource.CPU: limits.cpu,
+        model.Resource.MEMORY: limits.memory,
+        model.Resource.NETWORK: limits.network,
+        model.Resource.WRITES: limits.store_writes,
+        model.Resource.READS: limits.store_reads,
+    }
+    control = [cost for cost in costs if cost.role in model.CONTROL_ROLES]
+    rows = [
+        _sum_row(resource, limit, [work_out(one, fits) for one in control if one.resource is resource])
+        for resource, limit in allowed.items()
+    ]
+    return _table(("control work", "sum", "limit", "share", "verdict"), rows)
+
+
+def _sum_row(
+    resource: model.Resource, limit: float, found: Sequence[Result | NotMeasured]
+) -> tuple[str, ...]:
+    total = sum(one.value for one in found if isinstance(one, Result))
+    missing = [one.cost.slope for one in found if isinstance(one, NotMeasured)]
+    verdict = "carried" if total <= limit else "**not carried**"
+    if missing:
+        verdict = f"{verdict} without {', '.join(sorted(set(missing)))} ({_NOT_MEASURED})"
+    return (resource.value, number(total), number(limit), f"{total / limit:.0%}", verdict)
+
+
+def slope_table(fits: Fits) -> str:
+    """Returns all fitted slopes with their spreads."""
+    rows = [
+        (name, _NOT_MEASURED, line.reason, "", "")
+        if isinstance(line, fit.TooFewSizes)
+        else (
+            name,
+            f"{number(line.slope)} {line.value_unit} / {line.size_unit}",
+            number(line.spread),
+            number(line.base),
+            ", ".join(number(size) for size in line.sizes),
+        )
+        for name, line in fits.items()
+    ]
+    return _table(("slope", "value", "spread", "at size 0", "sizes"), rows)
+
+
+def storm_table(storms: Iterable[tuple[str, str, str, str]]) -> str:
+    """Returns the storms: what happens, how much changes, what it costs, what carries it."""
+    return _table(("storm", "what changes at once", "cost", "carried by"), list(storms))
+
+
+def put(page: str, tables_by_name: Mapping[str, str]) -> str | MissingMarkers:
+    """Replaces what stands between each table's markers."""
+    for name, table in tables_by_name.items():
+        pattern = re.compile(rf"(<!-- begin {re.escape(name)} -->\n).*?(<!-- end {re.escape(name)} -->)", re.S)
+        if not pattern.search(page):
+            return MissingMarkers(reason=f"the page has no markers for {name!r}")
+        page = pattern.sub(lambda found, table=table: f"{found[1]}\n{table}\n{found[2]}", page)
+    return page
+
+
+def number(value: float) -> str:
+    """Writes a number with three significant digits."""
+    if value == 0:
+        return "0"
+    if abs(value) >= 1000:
+        return f"{value:,.0f}"
+    return f"{value:.3g}"
+
+
+def _table(head: Sequence[str], rows: Iterable[Sequence[str]]) -> str:
+    lines = [" | ".join(head), " | ".join("---" for _ in head)]
+    lines += [" | ".join(row) for row in rows]
+    return "\n".join(f"| {line} |" for line in lines) + "\n"
--- a/basilpost/load/stand_in_process.py
+++ b/basilpost/load/stand_in_process.py
@@ -10,9 +10,9 @@
 
 
 @contextlib.contextmanager
-def started(*arguments: str) -> Iterator[tuple[str, int]]:
-    """Runs `basilpost ARGUMENTS` and yields the address that it prints, and its process id."""
-    command = [sys.executable, "-m", "basilpost", *arguments]
+def started(*arguments: str, module: str = "basilpost") -> Iterator[tuple[str, int]]:
+    """Runs `python -m MODULE ARGUMENTS`; yields the address that it prints, and its process id."""
+    command = [sys.executable, "-m", module, *arguments]
     with subprocess.Popen(command, stdout=subprocess.PIPE, text=True) as process:
         try:
             assert process.stdout is not None
