--- a/basilpost/cli/main.py
+++ b/basilpost/cli/main.py
@@ -3,7 +3,7 @@
 import click
 
 import basilpost
-from basilpost.cli import config, emulate
+from basilpost.cli import config, emulate, load
 
 
 @click.group()
@@ -14,3 +14,4 @@
 
 main.add_command(config.config)
 main.add_command(emulate.command)
+main.add_command(load.command)
--- a/basilpost/load/caller.py
+++ b/basilpost/load/caller.py
@@ -12,6 +12,7 @@
 from basilpost.load import records, schedule
 
 _GRACE_SECONDS = 5.0
+_TARGET_HEADER = "Basilpost-Target"
 _DONE = b"data: [DONE]"
 
 
@@ -43,7 +44,7 @@
 
     text: str = ""
     complete: bool = False
-    answered_id: str = ""
+    ids: tuple[str, ...] = ()
     tokens: int = 0
     error: str = ""
 
@@ -69,9 +70,8 @@
         finished=clock.monotonic(),
         status=received.status,
         outcome=received.headers.get(names.OUTCOME_HEADER, ""),
-        group_id=received.headers.get(names.GROUP_HEADER, ""),
-        generation=received.headers.get(names.GENERATION_HEADER, ""),
-        answered_id=content.answered_id or received.headers.get(names.REQUEST_ID_HEADER, ""),
+        target=received.headers.get(_TARGET_HEADER, ""),
+        answered_ids=(received.headers.get(names.REQUEST_ID_HEADER, ""), *content.ids),
         complete=content.complete and not error,
         answer_digest=_digest(content.text),
         expected_digest=_digest(expected_text(arrival)),
@@ -141,7 +141,7 @@
         return Content(text=f"{answer['key']} {answer['digest']}", complete=True)
     text = answer["choices"][0]["message"]["content"]
     tokens = len(text.split())
-    return Content(text=text, complete=True, answered_id=answer["id"], tokens=tokens)
+    return Content(text=text, complete=True, ids=(answer["id"],), tokens=tokens)
 
 
 def _read_events(body: bytes) -> Content:
@@ -158,7 +158,7 @@
     return Content(
         text="".join(parts),
         complete=bool(lines) and lines[-1] == _DONE,
-        answered_id=",".join(sorted(ids)),
+        ids=tuple(sorted(ids)),
         tokens=len(parts),
         error=errors[0] if errors else "",
     )
