--- /dev/null
+++ b/basilpost/settings/checks.py
@@ -0,0 +1,173 @@
+"""What an answer of the questionnaire may be; each check explains itself to the person asked."""
+
+import abc
+import dataclasses
+import re
+from typing import Any
+
+from basilpost.settings import configuration
+
+_ADDRESS = re.compile(r"[0-9A-Za-z.:-]{1,253}")
+_URL = re.compile(r"https?://[^\s/]+(/\S*)?")
+
+
+class Check(abc.ABC):
+    """Decides whether an answer can be used."""
+
+    @property
+    @abc.abstractmethod
+    def allowed(self) -> str:
+        """Returns what is allowed, as part of a sentence."""
+
+    @abc.abstractmethod
+    def holds(self, value: Any) -> bool:
+        """Returns True if an answer of the right type can be used."""
+
+
+class Name(Check):
+    """A name of something that is configured."""
+
+    @property
+    def allowed(self) -> str:
+        """Returns the rule for names."""
+        return "a name of letters, digits, dots and dashes"
+
+    def holds(self, value: Any) -> bool:
+        """Returns True for a name."""
+        return configuration.valid_name(value)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Text(Check):
+    """Printable text, at least as long as asked for unless it may be left out."""
+
+    optional: bool = False
+    shortest: int = 1
+
+    @property
+    def allowed(self) -> str:
+        """Returns the rule for text."""
+        rule = f"at least {self.shortest} printable characters"
+        return f"{rule}, or nothing" if self.optional else rule
+
+    def holds(self, value: Any) -> bool:
+        """Returns True for such a text."""
+        if not value:
+            return self.optional
+        return value.isprintable() and self.shortest <= len(value)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Between(Check):
+    """A number in a range."""
+
+    low: float
+    high: float
+
+    @property
+    def allowed(self) -> str:
+        """Returns the range."""
+        return f"a number from {self.low:g} to {self.high:g}"
+
+    def holds(self, value: Any) -> bool:
+        """Returns True for a number in the range."""
+        return bool(self.low <= value <= self.high)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class OneOf(Check):
+    """One of a few words."""
+
+    words: tuple[str, ...]
+
+    @property
+    def allowed(self) -> str:
+        """Returns the words."""
+        return " or ".join(self.words)
+
+    def holds(self, value: Any) -> bool:
+        """Returns True for one of the words."""
+        return value in self.words
+
+
+class YesOrNo(Check):
+    """Yes or no."""
+
+    @property
+    def allowed(self) -> str:
+        """Returns the two answers."""
+        return "yes or no"
+
+    def holds(self, value: Any) -> bool:
+        """Returns True for either."""
+        return isinstance(value, bool)
+
+
+class Names(Check):
+    """A list of different names, which may be empty."""
+
+    @property
+    def allowed(self) -> str:
+        """Returns the rule for the list."""
+        return "different names, separated by commas"
+
+    def holds(self, value: Any) -> bool:
+        """Returns True for such a list."""
+        return len(set(value)) == len(value) and all(configuration.valid_name(one) for one in value)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Path(Check):
+    """A path of a URL, with a place for the idempotency key if `keyed`."""
+
+    keyed: bool = False
+
+    @property
+    def allowed(self) -> str:
+        """Returns the rule for paths."""
+        return "nothing, or a path with {key} in it" if self.keyed else "a path that begins with /"
+
+    def holds(self, value: Any) -> bool:
+        """Returns True for such a path."""
+        if self.keyed:
+            return not value or (value.startswith("/") and "{key}" in value)
+        return bool(value.startswith("/"))
+
+
+class Address(Check):
+    """An IP number or host name."""
+
+    @property
+    def allowed(self) -> str:
+        """Returns the rule for addresses."""
+        return "an IP number or host name"
+
+    def holds(self, value: Any) -> bool:
+        """Returns True for an address."""
+        return _ADDRESS.fullmatch(value) is not None
+
+
+class Url(Check):
+    """A base URL."""
+
+    @property
+    def allowed(self) -> str:
+        """Returns the rule for URLs."""
+        return "a URL that begins with http:// or https://"
+
+    def holds(self, value: Any) -> bool:
+        """Returns True for a URL."""
+        return _URL.fullmatch(value) is not None
+
+
+class OptionalDigest(Check):
+    """A SHA-256 digest, which may be left out."""
+
+    @property
+    def allowed(self) -> str:
+        """Returns the rule for digests."""
+        return "64 hexadecimal digits, or nothing"
+
+    def holds(self, value: Any) -> bool:
+        """Returns True for a digest or nothing."""
+        return not value or configuration.valid_digest(value)
