--- /dev/null
+++ b/basilpost/cli/asking.py
@@ -0,0 +1,71 @@
+"""Asks the questions of the questionnaire in a terminal."""
+
+import dataclasses
+from typing import Any
+
+import click
+
+from basilpost.settings import answers, questions
+
+_YES = ("y", "yes", "true")
+_NO = ("n", "no", "false")
+
+
+def ask_all() -> answers.Answers:
+    """Asks everything, explains each question and asks again until an answer can be used."""
+    click.echo("Every question shows its default in brackets; Enter takes it.")
+    found: answers.Answers = _ask_record(answers.Answers, kind="")
+    return found
+
+
+def _ask_record(holds: type, *, kind: str) -> Any:
+    given: dict[str, Any] = {}
+    for field in dataclasses.fields(holds):
+        question, section = questions.question_of(field), questions.section_of(field)
+        kind = given.get("kind", kind)
+        if question is not None and questions.applies(question, kind):
+            given[field.name] = _ask_question(field, question)
+        elif section is not None and questions.applies(section, kind):
+            given[field.name] = _ask_section(section)
+    return holds(**given)
+
+
+def _ask_section(section: questions.Section) -> tuple[Any, ...]:
+    click.secho(f"\n{section.title.capitalize()}", bold=True)
+    records: list[Any] = []
+    while len(records) < section.at_least or click.confirm(
+        f"Add {'another' if records else 'a'} {section.one}?", default=False
+    ):
+        records.append(_ask_record(section.holds, kind=""))
+    return tuple(records)
+
+
+def _ask_question(field: "dataclasses.Field[Any]", question: questions.Question) -> Any:
+    click.echo(f"\n{question.text}\n  {question.why}")
+    default = None if field.default is dataclasses.MISSING else _shown(field.default)
+    while True:
+        text = click.prompt("  ", default=default, show_default=bool(default), prompt_suffix="> ")
+        value = _convert(text.strip(), field.type)
+        if value is not None and question.check.holds(value):
+            return value
+        click.echo(f"  {text!r} cannot be used; allowed: {question.check.allowed}")
+
+
+def _shown(value: Any) -> str:
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    return ", ".join(value) if isinstance(value, tuple) else str(value)
+
+
+def _convert(text: str, kind: Any) -> Any:
+    """Turns what was typed into a value of the field's type, None if it is none."""
+    try:
+        if kind is bool:
+            return {**dict.fromkeys(_YES, True), **dict.fromkeys(_NO, False)}.get(text.lower())
+        if kind in (int, float):
+            return kind(text)
+    except ValueError:
+        return None
+    if kind is str:
+        return text
+    return tuple(part.strip() for part in text.split(",") if part.strip())
--- a/basilpost/cli/config.py
+++ b/basilpost/cli/config.py
@@ -8,7 +8,7 @@
 import pyjson5
 
 from basilpost.cli import client, waiting
-from basilpost.settings import bundle, configuration, loader
+from basilpost.settings import bundle, configuration, generation, loader, questionnaire
 
 _WAIT_SECONDS = 30.0
 
@@ -106,6 +106,23 @@
         waiting.wait_for(admin, accepted, seconds=wait_seconds)
 
 
+@config.command()
+@click.argument("answers", type=click.Path(dir_okay=False))
+@click.option("--node", default="", help="Make the settings file of this node instead.")
+@click.option("-o", "--output", type=click.File("w"), default="-", help="Where to write it.")
+def generate(answers: str, node: str, output: Any) -> None:
+    """Makes the configuration from a file of ANSWERS to the questionnaire.
+
+    The same answers give the same text; a comment beside each value names its answer.
+
+    Example: basilpost config generate answers.jsonc -o arkhiv.jsonc
+    """
+    try:
+        output.write(_generate(answers, node))
+    except loader.SettingsError as error:
+        raise client.BadSettings(error) from error
+
+
 def read_in_force(admin: client.Admin) -> dict[str, dict[str, bundle.InForce]]:
     """Reads all objects in force by kind and name."""
     found = client.get(admin, client.path("config"))
@@ -132,6 +149,22 @@
     return "\n".join(lines)
 
 
+def _generate(answers: str, node: str) -> str:
+    given = questionnaire.load(answers)
+    if not node:
+        tree = generation.configuration_of(given)
+        _raise_for(generation.check_configuration(tree, file=answers))
+        return generation.render(tree, title=f"Configuration of {given.team}.")
+    try:
+        tree = generation.node_settings_of(given, node)
+    except LookupError as error:
+        known = ", ".join(one.name for one in given.nodes) or "nothing, for there are no nodes"
+        missing = loader.setting_error(answers, "nodes", repr(node), known)
+        raise loader.SettingsError((missing,)) from error
+    _raise_for(generation.check_node_settings(tree, file=answers))
+    return generation.render(tree, title=f"Settings of {node}, a node of {given.team}.")
+
+
 def _apply_step(admin: client.Admin, step: bundle.Step, reason: str) -> Any:
     condition = {"If-None-Match": "*"} if step.version is None else {"If-Match": str(step.version)}
     return client.change(
--- a/basilpost/cli/main.py
+++ b/basilpost/cli/main.py
@@ -3,7 +3,16 @@
 import click
 
 import basilpost
-from basilpost.cli import config
+from basilpost.cli import (
+    audit,
+    config,
+    failure_domain,
+    key,
+    quarantine,
+    questionnaire,
+    runs,
+    status,
+)
 
 
 @click.group()
@@ -12,4 +21,11 @@
     """Serves models that span several VMs, and the plain services beside them."""
 
 
+main.add_command(audit.audit)
 main.add_command(config.config)
+main.add_command(failure_domain.failure_domain)
+main.add_command(key.key)
+main.add_command(quarantine.quarantine)
+main.add_command(questionnaire.questionnaire)
+main.add_command(runs.runs)
+main.add_command(status.status)
--- /dev/null
+++ b/basilpost/cli/runs.py
@@ -0,0 +1,59 @@
+"""`basilpost runs`: shows and settles requests that must not repeat."""
+
+import json
+
+import click
+
+from basilpost.cli import client
+
+_RAN = "ran"
+
+
+@click.group()
+def runs() -> None:
+    """Shows and settles non-idempotent requests."""
+
+
+@runs.command()
+@click.argument("workspace")
+@click.argument("service")
+@click.argument("key")
+@client.options
+def show(admin: client.Admin, workspace: str, service: str, key: str) -> None:
+    """Shows what is known of the request with idempotency KEY.
+
+    Example: basilpost runs show licensing licences filing-2026-0417
+    """
+    found = client.get(admin, client.path("runs", workspace, service, key))
+    click.echo(json.dumps(found, indent=2))
+
+
+@runs.command()
+@click.argument("workspace")
+@click.argument("service")
+@click.argument("key")
+@click.option(
+    "--outcome",
+    type=click.Choice((_RAN, "not-run")),
+    required=True,
+    help="What became of the request.",
+)
+@click.option("--reason", required=True, help="How you know.")
+@client.options
+def settle(
+    admin: client.Admin, workspace: str, service: str, key: str, outcome: str, reason: str
+) -> None:
+    """Records what became of a request whose outcome is unknown.
+
+    Settled as not run, the request may be sent again; so find out from the back end first.
+
+    Example: basilpost runs settle licensing licences filing-2026-0417 --outcome ran --reason "in its log"
+    """
+    found = client.change(
+        admin,
+        "POST",
+        client.path("runs", workspace, service, key),
+        body={"ran": outcome == _RAN, "reason": reason},
+        repeatable=False,
+    )
+    click.echo(f"{workspace} {service} {key}: {found['state']}")
--- a/tests/admin_cli_test.py
+++ b/tests/admin_cli_test.py
@@ -1,10 +1,12 @@
 """Tests of the operators' commands against a node's administration API in a thread of its own."""
 
 import asyncio
+import importlib.resources
 import json
 import threading
 
 import pytest
+import structlog
 from click import testing
 
 from basilpost.admin import api, fakes, install
@@ -13,6 +15,7 @@
 from basilpost.members import fakes as member_fakes
 from basilpost.store import memory
 
+EXAMPLES = importlib.resources.files("basilpost.settings") / "examples"
 BUNDLE = """{
   // One model service and who may call it.
   "failure_domains": {"kz-a": {"region": "kz"}},
@@ -49,9 +52,11 @@
 
 @pytest.fixture
 def node():
+    structlog.configure(logger_factory=structlog.ReturnLoggerFactory())
     thread = NodeThread()
     yield thread
     thread.stop()
+    structlog.reset_defaults()
 
 
 @pytest.fixture
@@ -119,3 +124,104 @@
     assert unreachable.exit_code == 1
     assert "no answer from http://127.0.0.1:1" in unreachable.output
     assert run("config", "show", "--admin", "nowhere").exit_code == 2
+
+
+def test_generate_then_apply_an_example(run, tmp_path):
+    answers = str(EXAMPLES / "caja-municipal.jsonc")
+    made = tmp_path / "caja.jsonc"
+    assert run("config", "generate", answers, "-o", str(made)).exit_code == 0
+    assert run("config", "check", str(made)).exit_code == 0
+    applied = run("config", "apply", str(made), "--wait")
+    assert applied.exit_code == 0, applied.output
+    assert run("config", "diff", str(made)).output == "nothing to change\n"
+    settings = tmp_path / "entry-1.jsonc"
+    assert (
+        run("config", "generate", answers, "--node", "entry-1", "-o", str(settings)).exit_code == 0
+    )
+    assert run("config", "check", str(settings)).output.endswith("node settings, no errors\n")
+    unknown = run("config", "generate", answers, "--node", "entry-99")
+    assert unknown.exit_code == 2
+    assert "entry-7" in unknown.output
+
+
+def test_a_failure_domain_goes_out_and_in(run, bundle_file):
+    run("config", "apply", bundle_file)
+    out = run("failure-domain", "out", "kz-a", "--reason", "power works")
+    assert out.exit_code == 0
+    assert "in force everywhere" in out.output
+    assert json.loads(run("status", "--json").output)["failure_domains"][0]["in_service"] is False
+    assert run("config", "apply", bundle_file).output == "nothing to change\n"
+    assert run("failure-domain", "in", "kz-a", "--reason", "done").exit_code == 0
+    assert run("failure-domain", "out", "kz-z", "--reason", "typing error").exit_code == 1
+    assert run("failure-domain", "out", "kz-a").exit_code == 2
+
+
+def test_waiting_names_the_nodes_that_lag(run, node, bundle_file, monkeypatch):
+    monkeypatch.setattr(node.node.standing, "acknowledged", False)
+    late = run("config", "apply", bundle_file, "--wait", "--wait-seconds", "0")
+    assert late.exit_code == 1
+    assert "accepted, but not yet known to be in force" in late.output
+
+
+def test_status_and_audit(run, bundle_file):
+    run("config", "apply", bundle_file, "--reason", "first")
+    run("failure-domain", "out", "kz-a", "--reason", "power works")
+    table = run("status").output
+    assert "node-0  yes      0.0 s ago" in table
+    assert "kz-a            kz      no" in table
+    lines = run("audit").output
+    assert "bootstrap created config/workspaces/arkhiv (through node-0)" in lines
+    assert "  reason: power works\n  in_service: true -> false" in lines
+    assert "arkhiv" not in run("audit", "--key", "config/failure_domains/kz-a").output
+    assert len(json.loads(run("audit", "--workspace", "arkhiv", "--json").output)["lines"]) == 1
+    assert run("audit", "--since", "yesterday").exit_code == 1
+
+
+def test_a_key_is_made_for_a_workspace_that_exists(run, bundle_file):
+    run("config", "apply", bundle_file)
+    made = run("key", "create", "arkhiv")
+    assert made.exit_code == 0
+    assert made.output.startswith("bp-")
+    assert run("config", "apply", bundle_file).output == "nothing to change\n"
+    assert run("key", "create", "nobody").exit_code == 1
+
+
+def test_runs_and_quarantine_without_their_parts_fail(run):
+    assert run("runs", "show", "w", "s", "k").exit_code == 1
+    assert run("runs", "settle", "w", "s", "k", "--reason", "x").exit_code == 2
+    assert run("quarantine", "list").exit_code == 1
+
+
+def test_the_questionnaire_asks_until_the_answers_can_be_used(run, tmp_path):
+    typed = [
+        "Team", "bad region", "kz", "kz-a", "n",
+        "licences", "plain", "pool", "", "99", "8", "", "", "", "GET", "catalogue", "/catalogue",
+        "maybe", "yes", "", "n", "n",
+        "web", "licences", "", "", "", "", "", "n", "n", "n",
+    ]  # fmt: skip
+    output = tmp_path / "answers.jsonc"
+    asked = run("questionnaire", "-o", str(output), input="\n".join(typed) + "\n")
+    assert "'bad region' cannot be used" in asked.output
+    assert "'maybe' cannot be used; allowed: yes or no" in asked.output
+    assert asked.exit_code == 2, asked.output
+    assert "at most requests_at_once (16)" in asked.output
+    typed[9] = "4"
+    del typed[10]
+    asked = run("questionnaire", "-o", str(output), input="\n".join(typed) + "\n")
+    assert asked.exit_code == 0, asked.output
+    assert run("questionnaire", "--answers", str(output)).exit_code == 0
+    assert run("config", "generate", str(output)).exit_code == 0
+
+
+def test_every_command_explains_itself_with_an_example(run):
+    def walk(command, path):
+        if hasattr(command, "commands"):
+            for name, inner in command.commands.items():
+                yield from walk(inner, (*path, name))
+        else:
+            yield path
+
+    for path in walk(main.main, ()):
+        shown = run(*path, "--help")
+        assert shown.exit_code == 0
+        assert "Example: basilpost " + " ".join(path) in " ".join(shown.output.split()), path
