--- a/basilpost/admin/audit_reader.py
+++ b/basilpost/admin/audit_reader.py
@@ -53,8 +53,8 @@
     """Reads the trail on one node."""
 
     def __init__(self, *, kernel: kernel.Kernel) -> None:
-        self._store = kernel.find(names.OBJECTS, objects.ObjectStore)  # type: ignore[type-abstract]
-        self._replica = kernel.find(names.REPLICA, replica.Replica)  # type: ignore[type-abstract]
+        self._store = kernel.find(names.OBJECTS, objects.ObjectStore)
+        self._replica = kernel.find(names.REPLICA, replica.Replica)
 
     async def read(self, query: Query) -> Trail | BadSince:
         """Returns the lines that a query asks for."""
--- a/basilpost/admin/changes.py
+++ b/basilpost/admin/changes.py
@@ -131,9 +131,9 @@
     def __init__(self, *, kernel: kernel.Kernel) -> None:
         self._node_id = kernel.node_id
         self._log = kernel.log
-        self._store = kernel.find(names.OBJECTS, objects.ObjectStore)  # type: ignore[type-abstract]
-        self._replica = kernel.find(names.REPLICA, replica.Replica)  # type: ignore[type-abstract]
-        self._directory = kernel.find(names.DIRECTORY, directory.Directory)  # type: ignore[type-abstract]
+        self._store = kernel.find(names.OBJECTS, objects.ObjectStore)
+        self._replica = kernel.find(names.REPLICA, replica.Replica)
+        self._directory = kernel.find(names.DIRECTORY, directory.Directory)
 
     async def read(self, kind: configuration.Kind, name: str) -> Current | NotWritten:
         """Reads an object from the store, or from the replica if that knows a newer version."""
--- /dev/null
+++ b/basilpost/gateway/upstream.py
@@ -0,0 +1,94 @@
+"""Opens exchanges with targets, and closes those that go silent.
+
+One shared watchdog looks at all open exchanges, which costs no timer for each read.
+"""
+
+import asyncio
+import socket
+
+import tornado.iostream
+import tornado.tcpclient
+
+from basilpost.core import clock
+from basilpost.gateway import event_exchange, exchange
+
+_STREAM_BYTES = 1 << 24
+_KEEPALIVE_IDLE_SECONDS = 5
+_KEEPALIVE_INTERVAL_SECONDS = 2
+_KEEPALIVE_PROBES = 3
+_UNACKED_MILLISECONDS = 5000
+_WATCH_SECONDS = 0.25
+
+
+class Upstreams:
+    """Opens exchanges and closes those that go silent."""
+
+    def __init__(self) -> None:
+        self._client = tornado.tcpclient.TCPClient()
+        self._open: set[exchange.Exchange] = set()
+
+    async def connect(
+        self, address: str, *, timeout: float, events: bool = False
+    ) -> exchange.Exchange | exchange.ConnectFailed:
+        """Connects to a target; no byte of a request has left before `Exchange.send`.
+
+        Args:
+            address: `host:port` of the target.
+            timeout: Longest wait in seconds.
+            events: True if the answer will be relayed as events, for `EventExchange.pump`.
+        """
+        opening = self._events(address) if events else self._whole(address)
+        try:
+            opened = await asyncio.wait_for(opening, timeout)
+        except (OSError, TimeoutError, tornado.iostream.StreamClosedError) as error:
+            return exchange.ConnectFailed(reason=f"{address}: {error or 'no connection in time'}")
+        self._open.add(opened)
+        return opened
+
+    def release(self, opened: exchange.Exchange) -> None:
+        """Closes an exchange and forgets it."""
+        self._open.discard(opened)
+        opened.close()
+
+    async def _whole(self, address: str) -> exchange.Exchange:
+        host, port = _split(address)
+        stream = await self._client.connect(host, port, max_buffer_size=_STREAM_BYTES)
+        stream.set_nodelay(True)
+        _watch_for_silence(stream.socket)
+        return exchange.WholeExchange(stream=stream, address=address)
+
+    async def _events(self, address: str) -> exchange.Exchange:
+        host, port = _split(address)
+        loop = asyncio.get_running_loop()
+        transport, opened = await loop.create_connection(
+            lambda: event_exchange.EventExchange(address=address), host, port
+        )
+        _watch_for_silence(transport.get_extra_info("socket"))
+        return opened
+
+    async def watch(self) -> None:
+        """Breaks silent exchanges off, for as long as the gateway runs."""
+        while True:
+            await asyncio.sleep(_WATCH_SECONDS)
+            now = clock.monotonic()
+            for opened in [one for one in self._open if one.silent_at <= now]:
+                opened.break_off("the target went silent")
+
+
+def _split(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+def _watch_for_silence(sock: socket.socket) -> None:
+    """Lets the operating system notice a connection whose other end has lost track of it."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    options = (
+        ("TCP_KEEPIDLE", _KEEPALIVE_IDLE_SECONDS),
+        ("TCP_KEEPINTVL", _KEEPALIVE_INTERVAL_SECONDS),
+        ("TCP_KEEPCNT", _KEEPALIVE_PROBES),
+        ("TCP_USER_TIMEOUT", _UNACKED_MILLISECONDS),
+    )
+    for name, value in options:
+        if hasattr(socket, name):
+            sock.setsockopt(socket.IPPROTO_TCP, getattr(socket, name), value)
