--- a/basilpost/admin/api.py
+++ b/basilpost/admin/api.py
@@ -66,10 +66,10 @@
     return context.Context(
         log=kernel.log,
         changes=changes.Changes(kernel=kernel),
-        directory=kernel.find(names.DIRECTORY, directory.Directory),  # type: ignore[type-abstract]
-        peers=kernel.find(names.PEERS, peers.PeerNetwork),  # type: ignore[type-abstract]
-        replica=kernel.find(names.REPLICA, replica.Replica),  # type: ignore[type-abstract]
-        standing=kernel.find(names.STANDING, standing.Standing),  # type: ignore[type-abstract]
+        directory=kernel.find(names.DIRECTORY, directory.Directory),
+        peers=kernel.find(names.PEERS, peers.PeerNetwork),
+        replica=kernel.find(names.REPLICA, replica.Replica),
+        standing=kernel.find(names.STANDING, standing.Standing),
         status=status.StatusDesk(kernel=kernel),
         trail=audit_reader.AuditReader(kernel=kernel),
         runs=desks.NoRunDesk(),
--- a/basilpost/admin/status.py
+++ b/basilpost/admin/status.py
@@ -132,10 +132,10 @@
 
     def __init__(self, *, kernel: kernel.Kernel) -> None:
         self._node_id = kernel.node_id
-        self._peers = kernel.find(names.PEERS, peers.PeerNetwork)  # type: ignore[type-abstract]
-        self._replica = kernel.find(names.REPLICA, replica.Replica)  # type: ignore[type-abstract]
-        self._standing = kernel.find(names.STANDING, standing.Standing)  # type: ignore[type-abstract]
-        self._directory = kernel.find(names.DIRECTORY, directory.Directory)  # type: ignore[type-abstract]
+        self._peers = kernel.find(names.PEERS, peers.PeerNetwork)
+        self._replica = kernel.find(names.REPLICA, replica.Replica)
+        self._standing = kernel.find(names.STANDING, standing.Standing)
+        self._directory = kernel.find(names.DIRECTORY, directory.Directory)
         self._peers.handle(VersionQuery, self._on_version_query, reply=VersionAnswer)
         self._peers.handle(StatusQuery, self._on_status_query, reply=NodeView)
 
