--- a/basilpost/gateway/dispatch.py
+++ b/basilpost/gateway/dispatch.py
@@ -163,17 +163,18 @@
         self._upstreams.release(opened.exchange)
         if result is None:
             self._saw(opened.choice, data.Observation(reached=True), "cancelled", opened)
-            crashed = False
+            crashed, ran = False, False
         elif isinstance(result, TryElsewhere):
             observation = data.Observation(reached=True, failed=not result.refused)
             self._saw(opened.choice, observation, "refused" if result.refused else "failed", opened)
             attempts.excluded.add(opened.choice.group.group_id)
             attempts.uncertain_sends -= result.refused
-            crashed = result.crashed
+            crashed, ran = result.crashed, not result.refused
         else:
             self._saw(opened.choice, data.Observation(reached=True), "answered", opened)
-            crashed = False
-        self._quarantine.ended(attempts.request, opened.choice.group, crashed=crashed)
+            crashed, ran = False, True
+        group = opened.choice.group
+        self._quarantine.ended(attempts.request, group, crashed=crashed, ran=ran)
 
     async def fetch(self, request: policy.Request, message: Message) -> Answered | failure.Refusal:
         """Gets a whole answer for an idempotent request."""
--- a/basilpost/load/capacity_page.py
+++ b/basilpost/load/capacity_page.py
@@ -1,6 +1,7 @@
 """Renders the tables of docs/CAPACITY.md and puts them between its markers."""
 
 import dataclasses
+import functools
 import re
 from collections.abc import Iterable, Mapping, Sequence
 
@@ -74,7 +75,9 @@
     }
     control = [cost for cost in costs if cost.role in model.CONTROL_ROLES]
     rows = [
-        _sum_row(resource, limit, [work_out(one, fits) for one in control if one.resource is resource])
+        _sum_row(
+            resource, limit, [work_out(one, fits) for one in control if one.resource is resource]
+        )
         for resource, limit in allowed.items()
     ]
     return _table(("control work", "sum", "limit", "share", "verdict"), rows)
@@ -94,14 +97,16 @@
 def slope_table(fits: Fits) -> str:
     """Returns all fitted slopes with their spreads."""
     rows = [
-        (name, _NOT_MEASURED, line.reason, "", "")
-        if isinstance(line, fit.TooFewSizes)
-        else (
-            name,
-            f"{number(line.slope)} {line.value_unit} / {line.size_unit}",
-            number(line.spread),
-            number(line.base),
-            ", ".join(number(size) for size in line.sizes),
+        (
+            (name, _NOT_MEASURED, line.reason, "", "")
+            if isinstance(line, fit.TooFewSizes)
+            else (
+                name,
+                f"{number(line.slope)} {line.value_unit} / {line.size_unit}",
+                number(line.spread),
+                number(line.base),
+                ", ".join(number(size) for size in line.sizes),
+            )
         )
         for name, line in fits.items()
     ]
@@ -116,13 +121,19 @@
 def put(page: str, tables_by_name: Mapping[str, str]) -> str | MissingMarkers:
     """Replaces what stands between each table's markers."""
     for name, table in tables_by_name.items():
-        pattern = re.compile(rf"(<!-- begin {re.escape(name)} -->\n).*?(<!-- end {re.escape(name)} -->)", re.S)
+        pattern = re.compile(
+            rf"(<!-- begin {re.escape(name)} -->\n).*?(<!-- end {re.escape(name)} -->)", re.S
+        )
         if not pattern.search(page):
             return MissingMarkers(reason=f"the page has no markers for {name!r}")
-        page = pattern.sub(lambda found, table=table: f"{found[1]}\n{table}\n{found[2]}", page)
+        page = pattern.sub(functools.partial(_replaced, table), page)
     return page
 
 
+def _replaced(table: str, found: re.Match[str]) -> str:
+    return f"{found[1]}\n{table}\n{found[2]}"
+
+
 def number(value: float) -> str:
     """Writes a number with three significant digits."""
     if value == 0:
--- /dev/null
+++ b/basilpost/node/process.py
@@ -0,0 +1,37 @@
+"""Runs a node as a process, from its settings to a planned stop."""
+
+import asyncio
+import contextlib
+import signal
+
+from basilpost.core import kernel as kernel_
+from basilpost.core import names
+from basilpost.gateway import server
+from basilpost.node import assembly
+from basilpost.settings import schema
+
+
+async def run(settings: schema.NodeSettings) -> None:
+    """Serves until SIGTERM or SIGINT, then stops without cutting a request in flight."""
+    kernel = assembly.build(settings, platform=assembly.over_http(settings))
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    starting = asyncio.create_task(kernel.start())
+    stopping = asyncio.create_task(stop.wait())
+    await asyncio.wait({starting, stopping}, return_when=asyncio.FIRST_COMPLETED)
+    if not starting.done():
+        starting.cancel()
+    with contextlib.suppress(asyncio.CancelledError):
+        await starting
+    await stopping
+    await shut_down(kernel)
+
+
+async def shut_down(kernel: kernel_.Kernel) -> None:
+    """Stops a node as planned: drains the gateway, then stops all services in reverse order."""
+    kernel.log.info("node_stopping")
+    await kernel.find(names.GATEWAY, server.Gateway).drain()
+    await kernel.stop()
+    kernel.log.info("node_stopped")
--- a/basilpost/routing/fakes.py
+++ b/basilpost/routing/fakes.py
@@ -66,7 +66,9 @@
     def started(self, request: policy.Request, group: data.Group) -> None:
         """Keeps nothing."""
 
-    def ended(self, request: policy.Request, group: data.Group, *, crashed: bool) -> None:
+    def ended(
+        self, request: policy.Request, group: data.Group, *, crashed: bool, ran: bool = False
+    ) -> None:
         """Keeps crashes."""
         if crashed:
             self.crashes.append((request.request_id, group.group_id))
--- /dev/null
+++ b/tests/whole_path_test.py
@@ -0,0 +1,137 @@
+"""The whole path with real processes: platform, back ends, nodes and callers."""
+
+import asyncio
+import json
+import signal
+
+import pytest
+
+from basilpost.core import data
+from basilpost.emulator import answers
+from tests import processes
+
+QUESTION = {
+    "model": "drafts",
+    "max_tokens": 12,
+    "messages": [{"role": "user", "content": "Who holds the rights of reel 7?"}],
+}
+DRAFTS = data.Service(
+    name="drafts",
+    kind=data.ServiceKind.MODEL,
+    pool="gpu",
+    model="clearance",
+    model_version="1",
+    vms_per_group=4,
+    cold_seconds=0.5,
+)
+LICENCES = data.Service(
+    name="licences",
+    kind=data.ServiceKind.PLAIN,
+    pool="app",
+    cold_seconds=0.2,
+    routes=(data.Route(method="GET", idempotent=True),),
+)
+
+pytestmark = pytest.mark.processes
+
+
+@pytest.fixture
+async def bench(tmp_path):
+    bench = processes.Bench(folder=tmp_path)
+    await bench.start_platform()
+    await asyncio.gather(
+        bench.start_runners("a", 4, "--warm-seconds", "0.5", "--token-interval", "0.005"),
+        bench.start_runners("b", 4, "--warm-seconds", "0.5", "--token-interval", "0.005"),
+        bench.start_instances(("a", "b", "c")),
+    )
+    await bench.configure(DRAFTS, LICENCES, processes.workspace())
+    await bench.start_nodes({"node-1": "a", "node-2": "b", "node-3": "c"})
+    yield bench
+    await bench.stop()
+
+
+def content_of(answer):
+    return json.loads(answer.body)["choices"][0]["message"]["content"]
+
+
+def streamed_content_of(answer):
+    events = answer.body.decode().strip().split("\n\n")
+    assert events[-1] == "data: [DONE]"
+    parsed = [json.loads(event.removeprefix("data: ")) for event in events[:-1]]
+    return "".join(one["choices"][0]["delta"].get("content", "") for one in parsed)
+
+
+async def test_a_request_is_served_from_one_end_to_the_other(bench):
+    expected = "".join(answers.tokens_for(QUESTION))
+
+    async def both_groups_serve():
+        found = set()
+        for node in bench.nodes_by_id:
+            answer = await bench.call(node, "/v1/chat/completions", body=QUESTION)
+            found.add(answer.headers.get("Basilpost-Target"))
+        return len(found - {None}) == 2
+
+    await processes.eventually(both_groups_serve)
+
+    for node in bench.nodes_by_id:
+        whole = await bench.call(node, "/v1/chat/completions", body=QUESTION)
+        assert content_of(whole) == expected
+        streamed = await bench.call(node, "/v1/chat/completions", body={**QUESTION, "stream": True})
+        assert streamed_content_of(streamed) == expected
+
+    await _file_twice(bench)
+    await _lose_a_runner(bench, expected)
+
+
+async def _file_twice(bench):
+    """Sends a filing through two nodes at once and again through the third: it runs once."""
+    filing = {"clip": "reel-7", "estate": "north"}
+
+    async def instances_serve():
+        looked_up = await bench.call("node-1", "/services/licences/catalogue/7", method="GET")
+        return looked_up.code == 200
+
+    await processes.eventually(instances_serve)
+    path = "/services/licences/filings"
+    receipts = await asyncio.gather(
+        *(
+            bench.call(node, path, body=filing, Idempotency_Key="k-7")
+            for node in ("node-1", "node-2")
+        )
+    )
+    receipts.append(await bench.call("node-3", path, body=filing, Idempotency_Key="k-7"))
+    assert {answer.code for answer in receipts} == {201}
+    assert len({answer.body for answer in receipts}) == 1
+    logs = [await bench.log_of(f"app-{domain}") for domain in "abc"]
+    runs = [one for log in logs for one in log["filings"] if one["key"] == "k-7"]
+    assert len(runs) == 1
+
+
+async def _lose_a_runner(bench, expected):
+    """Kills a runner: its group gets nothing until it is whole again, and the other one serves."""
+    bench.runners_by_vm_id["vm-a-2"].send(signal.SIGKILL)
+    await asyncio.sleep(3.0)
+    before = len((await bench.log_of("vm-a-0"))["runs"])
+    for _ in range(5):
+        for node in bench.nodes_by_id:
+            answer = await bench.call(node, "/v1/chat/completions", body=QUESTION)
+            assert content_of(answer) == expected
+    assert len((await bench.log_of("vm-a-0"))["runs"]) == before
+    logs = {vm: await bench.log_of(vm) for vm in ("vm-a-0", "vm-b-0")}
+    served = [one for one in logs["vm-b-0"]["runs"] if one["outcome"] == "finished"]
+    assert len(served) >= 15
+
+    replacement = await bench.stand_in(
+        "runner", "--vm-id", "vm-a-9", "--weight-store", f"http://{bench.weights.address}",
+        "--warm-seconds", "0.5", "--token-interval", "0.005",
+    )  # fmt: skip
+    bench.runners_by_vm_id["vm-a-9"] = replacement
+    await bench.list_vm("vm-a-9", replacement.address, "gpu", "a")
+
+    async def group_of_a_serves():
+        for _ in range(4):
+            await bench.call("node-1", "/v1/chat/completions", body=QUESTION)
+        logs = [await bench.log_of(f"vm-a-{number}") for number in (0, 1, 3, 9)]
+        return sum(len(log["runs"]) for log in logs) > before
+
+    await processes.eventually(group_of_a_serves, seconds=30)
