--- /dev/null
+++ b/basilpost/cli/demo.py
@@ -0,0 +1,57 @@
+"""`basilpost demo`: the whole system in one process."""
+
+import asyncio
+import sys
+
+import click
+
+from basilpost.core import log
+from basilpost.node import demo
+
+_FAILED = 1
+
+
+@click.command()
+@click.option("--serve", is_flag=True, help="Keep running for requests of your own.")
+@click.option(
+    "--port", default=0, show_default=True, help="Callers' port of node-1; 0: a free one."
+)
+@click.option("--verbose", is_flag=True, help="Show the nodes' logs.")
+def command(serve: bool, port: int, verbose: bool) -> None:
+    """Runs the whole path in one process and shows what it does.
+
+    Example: basilpost demo --serve --port 8080
+    """
+    log.configure(json_lines=False, level="info" if verbose else "error")
+    try:
+        asyncio.run(_run(serve=serve, port=port))
+    except (AssertionError, TimeoutError) as error:
+        click.echo(f"The demo failed: {error!r}", err=True)
+        sys.exit(_FAILED)
+    except KeyboardInterrupt:
+        click.echo("Stopped.")
+
+
+async def _run(*, serve: bool, port: int) -> None:
+    shown = demo.Demo(port=port)
+    click.echo("Starting platform, back ends and two nodes in one process ...")
+    try:
+        await shown.start()
+        if not serve:
+            await demo.tour(shown, click.echo)
+            return
+        click.echo(_hint(shown))
+        await asyncio.Event().wait()
+    finally:
+        await shown.stop()
+
+
+def _hint(shown: demo.Demo) -> str:
+    return (
+        f"API key: {demo.API_KEY}\n\n"
+        f"curl -N {shown.gateway(0)}/v1/chat/completions"
+        f" -H 'Authorization: Bearer {demo.API_KEY}' -H 'Content-Type: application/json'"
+        ' -d \'{"model": "clearance", "stream": true, "max_tokens": 20,'
+        ' "messages": [{"role": "user", "content": "Who holds the rights of reel 7?"}]}\''
+        "\n\nCtrl-C stops it."
+    )
--- a/basilpost/cli/main.py
+++ b/basilpost/cli/main.py
@@ -6,6 +6,7 @@
 from basilpost.cli import (
     audit,
     config,
+    demo,
     emulate,
     failure_domain,
     key,
@@ -26,6 +27,7 @@
 
 main.add_command(audit.audit)
 main.add_command(config.config)
+main.add_command(demo.command, name="demo")
 main.add_command(emulate.command)
 main.add_command(failure_domain.failure_domain)
 main.add_command(key.key)
