Planner and controllers under faults: tests that induce them

Change: silence counts from the first unanswered call to the last given up, so that a VM paused for less than the window is never replaced (the test failed while it counted from the last answer); a leaving member keeps a broken group from serving again (hypothesis found it flapping); spares load while a silent member is waited for; runners whose change is waited for are asked four times a second; an HTTP order whose time is over is never completed. Ruled out: waking a group early by the table alone - members' own reports decide.

--- a/basilpost/groups/domain.py
+++ b/basilpost/groups/domain.py
@@ -246,6 +246,7 @@
         self._note_conditions(known.table)
         view = self._view(known)
         plan = planner.plan(view)
+        self._watcher.hurry(_awaited(plan))
         if plan.table != known.table:
             if not await self._pin_newcomers(known.table, plan.table):
                 return
@@ -381,6 +382,7 @@
         )
         if isinstance(result, engines.Accepted):
             self._ordered_by_vm[one.vm_id] = (one.order, sent_at)
+            self._watcher.kick(one.vm_id)
         else:
             self._log.warning("order_failed", vm=one.vm_id, reason=result.reason)
 
@@ -396,3 +398,9 @@
                 )
         for group_id in states_by_id.keys() - {group.group_id for group in after.groups}:
             self._log.info("group_gone", group=group_id)
+
+
+def _awaited(plan: planner.Plan) -> set[str]:
+    """Returns the VMs whose next report a group waits for."""
+    changing = (group for group in plan.table.groups if not group.serving)
+    return {*views.member_ids(changing), *(one.vm_id for one in plan.orders)}
--- a/basilpost/groups/engines.py
+++ b/basilpost/groups/engines.py
@@ -96,4 +96,4 @@
     async def order(
         self, address: str, order: Order, *, timeout: float = 2.0
     ) -> Accepted | StaleFence | Unreachable:
-        """Gives a runner an order."""
+        """Gives a runner an order; one that could not be sent within `timeout` is never sent."""
--- a/basilpost/groups/fake_node.py
+++ b/basilpost/groups/fake_node.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from basilpost.core import data, failure, kernel, names
+from basilpost.core import clock, data, failure, kernel, names
 from basilpost.groups import controller, credits, engines, health
 from basilpost.groups import fakes as group_fakes
 from basilpost.members import fakes
@@ -10,6 +10,40 @@
 from basilpost.store import memory, vms
 
 
+class ClusterStanding(fakes.FakeStanding):
+    """Looks at the other nodes' replicas to tell whether a version is in force everywhere.
+
+    A node over a cut link counts as long as it has not been cut off for the isolation interval.
+    """
+
+    def __init__(self, *, hub: fakes.PeerHub, node_id: str) -> None:
+        super().__init__()
+        self._hub = hub
+        self._node_id = node_id
+        self.nodes_by_id: dict[str, FakeNode] = {}
+        self.isolation = schema.Timing().isolation
+        self._cut_since_by_node: dict[str, float] = {}
+
+    def acknowledged_by_all(self, key: str, version: int) -> bool:
+        """Returns True if all nodes that may dispatch have the version."""
+        return self.acknowledged and all(
+            self._has_stopped(one) or _holds(node, key, version)
+            for one, node in self.nodes_by_id.items()
+        )
+
+    def _has_stopped(self, node_id: str) -> bool:
+        now = clock.monotonic()
+        if self._hub.connected(self._node_id, node_id):
+            self._cut_since_by_node.pop(node_id, None)
+            return False
+        return now - self._cut_since_by_node.setdefault(node_id, now) >= self.isolation
+
+
+def _holds(node: "FakeNode", key: str, version: int) -> bool:
+    stored = node.replica.get(key)
+    return stored is not None and stored.version >= version
+
+
 class FakeNode:
     """A kernel with fakes of everything that groups use, over a shared store, hub and engine."""
 
@@ -30,7 +64,7 @@
         self._hub = hub
         self.replica = fakes.FakeReplica()
         self.peers = fakes.FakePeers(node_id=node_id, hub=hub)
-        self.standing = fakes.FakeStanding()
+        self.standing = ClusterStanding(hub=hub, node_id=node_id)
         self.directory = group_fakes.ReplicaDirectory(known_objects=self.replica, config=config)
         self.lease_left = 10.0
         self.watching: asyncio.Task[None] | None = None
--- a/basilpost/groups/fakes.py
+++ b/basilpost/groups/fakes.py
@@ -74,6 +74,7 @@
         self.load_seconds = load_seconds
         self.status_by_address: dict[str, engines.RunnerStatus] = {}
         self.dark: set[str] = set()
+        self.delay_by_address: dict[str, float] = {}
         self.orders: list[tuple[str, engines.Order]] = []
         self.loaded_at_by_address: dict[str, float] = {}
 
@@ -84,6 +85,8 @@
         if address in self.dark:
             await asyncio.sleep(timeout)
             return engines.Unreachable(reason=f"{address} is dark")
+        if address in self.delay_by_address:
+            await asyncio.sleep(self.delay_by_address[address])
         if plain:
             return engines.RunnerStatus(vm_id=address, state=engines.RunnerState.READY)
         found = self.status_by_address.get(address, engines.RunnerStatus(vm_id=address))
@@ -98,6 +101,11 @@
         """Makes a runner report another state."""
         self.status_by_address[address] = _with_state(self.status_by_address[address], state)
 
+    def restart(self, address: str) -> None:
+        """Makes a runner come back without weights."""
+        vm_id = self.status_by_address[address].vm_id
+        self.status_by_address[address] = engines.RunnerStatus(vm_id=vm_id)
+
     async def order(
         self, address: str, order: engines.Order, *, timeout: float = 2.0
     ) -> engines.Accepted | engines.StaleFence | engines.Unreachable:
--- a/basilpost/groups/http_engine.py
+++ b/basilpost/groups/http_engine.py
@@ -1,10 +1,11 @@
 """Talks to runners and plain services over HTTP, as docs/INTERFACES.md describes."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 
 from tornado import httpclient
 
-from basilpost.core import codec
+from basilpost.core import clock, codec
 from basilpost.groups import engines
 
 _MAX_CONNECTIONS = 2000
@@ -12,6 +13,10 @@
 _HEALTH_PATH = "/healthz"
 
 
+class OrderTooLateError(OSError):
+    """The time of an order was over before it could be sent."""
+
+
 class HttpEngine(engines.Engine):
     """Opens a connection for each call, so that one gone silent cannot hold up the next."""
 
@@ -39,9 +44,24 @@
     async def order(
         self, address: str, order: engines.Order, *, timeout: float = 2.0
     ) -> engines.Accepted | engines.StaleFence | engines.Unreachable:
-        """Posts an order."""
+        """Posts an order, unless its time is over before the body can be sent.
+
+        The body goes out last, and only in time: a process that is paused after it has connected
+        must not complete an old order when it wakes.
+        """
+        body = codec.to_json(order)
+        deadline = clock.monotonic() + timeout
+
+        async def produce(write: Callable[[bytes], Awaitable[None]]) -> None:
+            if clock.monotonic() >= deadline:
+                raise OrderTooLateError(f"order for {address} is {timeout} s old")
+            await write(body)
+
         request = httpclient.HTTPRequest(
-            f"http://{address}/orders", method="POST", body=codec.to_json(order)
+            f"http://{address}/orders",
+            method="POST",
+            headers={"Content-Length": str(len(body)), "Content-Type": "application/json"},
+            body_producer=produce,  # type: ignore[arg-type]
         )
         answer = await self._fetch(request, timeout=timeout)
         if isinstance(answer, engines.Unreachable):
--- /dev/null
+++ b/basilpost/groups/http_engine_test.py
@@ -0,0 +1,88 @@
+"""Tests of the HTTP engine against a small runner."""
+
+import asyncio
+import socket
+
+import pytest
+from tornado import httpserver, netutil, web
+
+from basilpost.core import clock, codec
+from basilpost.groups import engines, http_engine
+
+ORDER = engines.Order(kind=engines.OrderKind.LOAD, fence=3, group_id="g", model="m")
+
+
+class Runner:
+    """Answers as a runner does; keeps the orders that it has received whole."""
+
+    def __init__(self):
+        self.orders = []
+        self.refuses = False
+        owner = self
+
+        class Orders(web.RequestHandler):
+            def post(self):
+                owner.orders.append(codec.from_json(self.request.body, engines.Order))
+                self.set_status(409 if owner.refuses else 200)
+                self.finish({})
+
+        class Status(web.RequestHandler):
+            def get(self):
+                status = engines.RunnerStatus(vm_id="vm-1", state=engines.RunnerState.READY)
+                self.finish(codec.to_json(status))
+
+        class Health(web.RequestHandler):
+            def get(self):
+                self.finish("fine")
+
+        application = web.Application(
+            [("/orders", Orders), ("/status", Status), ("/healthz", Health)]
+        )
+        self.server = httpserver.HTTPServer(application)
+        (sock,) = netutil.bind_sockets(0, "127.0.0.1", family=socket.AF_INET)
+        self.address = f"127.0.0.1:{sock.getsockname()[1]}"
+        self.server.add_sockets([sock])
+
+
+@pytest.fixture
+async def runner():
+    found = Runner()
+    yield found
+    found.server.stop()
+
+
+async def test_status_order_and_refusal(runner):
+    engine = http_engine.HttpEngine()
+    status = await engine.status(runner.address)
+    assert (status.vm_id, status.state) == ("vm-1", engines.RunnerState.READY)
+    plain = await engine.status(runner.address, plain=True)
+    assert plain.state is engines.RunnerState.READY
+    assert await engine.order(runner.address, ORDER) == engines.Accepted()
+    assert runner.orders == [ORDER]
+    runner.refuses = True
+    assert isinstance(await engine.order(runner.address, ORDER), engines.StaleFence)
+
+
+async def test_a_silent_runner_is_unreachable_in_time():
+    listener = socket.create_server(("127.0.0.1", 0))
+    engine = http_engine.HttpEngine()
+    address = f"127.0.0.1:{listener.getsockname()[1]}"
+    status = await engine.status(address, timeout=0.1)
+    assert isinstance(status, engines.Unreachable)
+    listener.close()
+    assert isinstance(await engine.status(address, timeout=0.5), engines.Unreachable)
+
+
+async def test_an_order_that_is_too_old_is_not_completed(runner, monkeypatch):
+    engine = http_engine.HttpEngine()
+    real, jumps = clock.monotonic, []
+
+    def jumping():
+        jumps.append(1)
+        return real() + (60.0 if len(jumps) > 1 else 0.0)
+
+    monkeypatch.setattr(clock, "monotonic", jumping)
+    result = await engine.order(runner.address, ORDER, timeout=1.0)
+    await asyncio.sleep(0.05)
+    assert isinstance(result, engines.Unreachable)
+    assert runner.orders == []
--- a/basilpost/groups/lifecycle.py
+++ b/basilpost/groups/lifecycle.py
@@ -23,6 +23,9 @@
     if group.state is data.GroupState.DRAINING:
         gone = any(views.lost(view, member.vm_id) for member in group.members)
         return data.GroupState.BROKEN if gone else data.GroupState.DRAINING
+    leaving = any(views.leaving(view, member.vm_id) for member in group.members)
+    if group.state is data.GroupState.BROKEN and leaving:
+        return data.GroupState.BROKEN
     if views.complete(view, group):
         return _warmth(view, group)
     if group.state not in _STARTING:
@@ -79,24 +82,27 @@
 
 
 def to_preload(view: views.View, group: data.Group) -> tuple[data.Member, ...]:
-    """Returns the members whose replacement may start to load, silent ones included."""
+    """Returns the members whose replacement may start to load.
+
+    One unanswered call is enough: a load in vain leaves a spare that is ready for the next loss.
+    """
     return tuple(
         member
         for member in group.members
-        if views.answering(view, member.vm_id) is None
+        if views.wavering(view, member.vm_id)
         or views.leaving(view, member.vm_id)
         or views.slow(view, member.vm_id)
     )
 
 
-def should_drain(view: views.View, group: data.Group, loaded_spares: int, loading: int) -> bool:
+def should_drain(view: views.View, group: data.Group, free_spares: int, loaded_spares: int) -> bool:
     """Returns True if a serving group has to stop taking work so that it can be changed.
 
     Args:
         view: What is known.
         group: A serving group.
-        loaded_spares: Spares in its cell that hold its weights.
-        loading: Spares in its cell that are loading.
+        free_spares: Spares in its failure domain.
+        loaded_spares: Those of them that hold its weights.
     """
     if unwanted(view, group) or group.group_id in view.rolling:
         return True
@@ -104,7 +110,7 @@
     if leaving:
         waited = max(views.lasted(view, views.Lasting.LEAVING, one) for one in leaving)
         ready = loaded_spares >= len(leaving)
-        return ready or not loading or waited >= PRELOAD_GRACE_SECONDS
+        return ready or free_spares < len(leaving) or waited >= PRELOAD_GRACE_SECONDS
     stragglers = [one for one in group.members if views.slow(view, one.vm_id)]
     return 0 < len(stragglers) <= loaded_spares
 
--- a/basilpost/groups/planner.py
+++ b/basilpost/groups/planner.py
@@ -6,7 +6,6 @@
 """
 
 import dataclasses
-import itertools
 
 from basilpost.core import data
 from basilpost.groups import forming, lifecycle, ordering, rebuilding
@@ -49,13 +48,13 @@
 def _must_drain(
     view: views.View, group: data.Group, spares: dict[views.Cell, list[data.Vm]]
 ) -> bool:
-    free = itertools.chain.from_iterable(
-        vms for cell, vms in spares.items() if cell.failure_domain == group.failure_domain
+    cell = rebuilding.cell_of(view, group)
+    free = spares.get(cell, []) if cell else []
+    loaded = sum(
+        views.holds_weights(views.answering(view, vm.vm_id), group.model, group.model_version)
+        for vm in free
     )
-    statuses = [views.answering(view, vm.vm_id) for vm in free]
-    held = [one for one in statuses if views.holds_weights(one, group.model, group.model_version)]
-    loading = [one for one in statuses if one and views.is_loading(one, group)]
-    return lifecycle.should_drain(view, group, len(held), len(loading))
+    return lifecycle.should_drain(view, group, len(free), loaded)
 
 
 def _changed(view: views.View, groups: list[data.Group]) -> list[data.Group]:
@@ -88,6 +87,8 @@
 
 def _reopened(view: views.View, group: data.Group) -> data.Group:
     """Breaks a drained group that must change members; a group that need not serves again."""
-    replaceable = lifecycle.to_preload(view, group)
+    replaceable = lifecycle.to_replace(view, group) or any(
+        views.slow(view, member.vm_id) for member in group.members
+    )
     state = data.GroupState.BROKEN if replaceable else data.GroupState.COLD
     return dataclasses.replace(group, state=state)
--- /dev/null
+++ b/basilpost/groups/planner_test.py
@@ -0,0 +1,334 @@
+"""Tests of the planner on random fleets: what must hold in every plan, and where plans lead."""
+
+import collections
+import dataclasses
+import itertools
+
+import hypothesis
+from hypothesis import strategies as st
+
+from basilpost.core import data
+from basilpost.groups import engines, forming, planner
+from basilpost.groups import view as views
+
+MODEL = data.Service(
+    name="chat", kind=data.ServiceKind.MODEL, pool="gpu", model="m", model_version="1"
+)
+SUSPICION = 4.0
+STATES = engines.RunnerState
+
+
+class Fleet:
+    """Runners in memory that obey orders at once; loads take some steps."""
+
+    def __init__(self, vm_records, services, load_steps=2):
+        self.vms_by_id = {vm.vm_id: vm for vm in vm_records}
+        self.services_by_name = {one.name: one for one in services}
+        self.table = data.FabricTable(
+            fabric_domain="fab-1", holder=data.Holder(node_id="n0", fence=1)
+        )
+        self.status_by_id = {one: engines.RunnerStatus(vm_id=one) for one in self.vms_by_id}
+        self.heard_at_by_id = dict.fromkeys(self.vms_by_id, 0.0)
+        self.loading_by_id = {}
+        self.dark, self.slow = set(), set()
+        self.settled = True
+        self.now = 0.0
+        self.load_steps = load_steps
+        self.rolling = frozenset()
+        self.since_by_key = {}
+        self.ids = itertools.count()
+        self.orders = []
+
+    def view(self):
+        for vm_id in self.vms_by_id.keys() - self.dark:
+            self.heard_at_by_id[vm_id] = self.now
+        return views.View(
+            table=self.table,
+            now=self.now,
+            vms_by_id=dict(self.vms_by_id),
+            sights_by_id={
+                vm_id: views.Sight(
+                    status=status,
+                    heard_at=self.heard_at_by_id[vm_id],
+                    silent=vm_id in self.dark,
+                    silence=self.now - self.heard_at_by_id[vm_id],
+                    slow=vm_id in self.slow,
+                )
+                for vm_id, status in self.status_by_id.items()
+            },
+            services_by_name=self.services_by_name,
+            settled=self.settled,
+            suspicion=SUSPICION,
+            since_by_key=self.since_by_key,
+            rolling=self.rolling,
+            new_id=lambda service: f"{service}-{next(self.ids):04}",
+        )
+
+    def step(self, seconds=1.0):
+        self.now += seconds
+        for vm_id in [one for one, left in self.loading_by_id.items() if left <= 0]:
+            del self.loading_by_id[vm_id]
+            self._set(vm_id, state=STATES.READY)
+        self.loading_by_id = {one: left - 1 for one, left in self.loading_by_id.items()}
+        view = self.view()
+        plan = planner.plan(view)
+        check(view, plan)
+        self.table = plan.table
+        for one in plan.orders:
+            if one.vm_id not in self.dark:
+                self._obey(one.vm_id, one.order)
+        self._note_conditions()
+        return plan
+
+    def restart(self, vm_id):
+        self.loading_by_id.pop(vm_id, None)
+        self.status_by_id[vm_id] = engines.RunnerStatus(vm_id=vm_id)
+
+    def serving(self):
+        return [group for group in self.table.groups if group.serving]
+
+    def _note_conditions(self):
+        draining = {
+            views.Condition(what=views.Lasting.DRAINING, subject=group.group_id)
+            for group in self.table.groups
+            if group.state is data.GroupState.DRAINING
+        }
+        leaving = {
+            views.Condition(what=views.Lasting.LEAVING, subject=vm.vm_id)
+            for vm in self.vms_by_id.values()
+            if vm.leaving
+        }
+        self.since_by_key = {
+            one: self.since_by_key.get(one, self.now) for one in draining | leaving
+        }
+
+    def _obey(self, vm_id, order):
+        self.orders.append((vm_id, order))
+        status = self.status_by_id[vm_id]
+        held = views.holds_weights(status, order.model, order.model_version)
+        if not held:
+            self.loading_by_id[vm_id] = self.load_steps
+        self._set(
+            vm_id,
+            group_id=order.group_id,
+            generation=order.generation,
+            model=order.model,
+            model_version=order.model_version,
+            state=status.state if held else STATES.LOADING,
+        )
+
+    def _set(self, vm_id, **changes):
+        self.status_by_id[vm_id] = dataclasses.replace(self.status_by_id[vm_id], **changes)
+
+
+def check(view, plan):
+    """Checks what must hold in every plan."""
+    before = {group.group_id: group for group in view.table.groups}
+    counts = collections.Counter(views.member_ids(plan.table.groups))
+    assert not counts or max(counts.values()) == 1, "a VM is in two groups"
+    group_by_vm = {
+        member.vm_id: group.group_id for group in before.values() for member in group.members
+    }
+    for group in plan.table.groups:
+        service = view.services_by_name.get(group.service)
+        if service and service.vms_per_group == len(before.get(group.group_id, group).members):
+            assert len(group.members) == service.vms_per_group
+        assert [member.rank for member in group.members] == list(range(len(group.members)))
+        if group.serving:
+            assert views.complete(view, group), "a partial group serves"
+        check_members(view, before.get(group.group_id), group, group_by_vm)
+
+
+def check_members(view, before, after, group_by_vm):
+    """Checks how a group's members change."""
+    old = {member.vm_id for member in before.members} if before else set()
+    new = {member.vm_id for member in after.members}
+    for vm_id in new - old:
+        assert view.settled, "a VM is taken while an older table may be in force"
+        assert vm_id not in group_by_vm, "a VM goes straight from one group to another"
+        vm = view.vms_by_id[vm_id]
+        assert (vm.failure_domain, vm.fabric_domain) == (after.failure_domain, after.fabric_domain)
+        assert not vm.leaving
+    if before:
+        assert after.generation > before.generation or new == old
+        for vm_id in old - new:
+            gone = views.lost(view, vm_id) or views.leaving(view, vm_id)
+            assert gone or views.slow(view, vm_id), "a survivor was dropped"
+
+
+def vm(index, failure_domain="fd-1", pool="gpu"):
+    return data.Vm(
+        vm_id=f"vm-{index:02}",
+        address=f"vm-{index:02}:80",
+        pool=pool,
+        fabric_domain="fab-1",
+        failure_domain=failure_domain,
+    )
+
+
+EVENTS = st.sampled_from(
+    ["step", "step", "step", "dark", "back", "restart", "leave", "gone", "slow", "unsettled", "add"]
+)
+
+
+@st.composite
+def fleets(draw):
+    sizes = draw(st.lists(st.integers(1, 4), min_size=1, max_size=3))
+    services = [
+        dataclasses.replace(MODEL, name=f"s{index}", model=f"m{index}", vms_per_group=size)
+        for index, size in enumerate(sizes)
+    ]
+    count = draw(st.integers(1, 14))
+    domains = draw(st.lists(st.sampled_from(["fd-1", "fd-2"]), min_size=count, max_size=count))
+    return Fleet([vm(index, domain) for index, domain in enumerate(domains)], services)
+
+
+def happen(fleet, event, number):
+    ids = sorted(fleet.vms_by_id)
+    one = ids[number % len(ids)] if ids else None
+    if event == "add" or one is None:
+        index = 50 + len(fleet.status_by_id)
+        added = vm(index)
+        fleet.vms_by_id[added.vm_id] = added
+        fleet.status_by_id[added.vm_id] = engines.RunnerStatus(vm_id=added.vm_id)
+        fleet.heard_at_by_id[added.vm_id] = fleet.now
+    elif event == "dark":
+        fleet.dark.add(one)
+    elif event == "back":
+        fleet.dark.discard(one)
+    elif event == "restart":
+        fleet.restart(one)
+    elif event == "leave":
+        fleet.vms_by_id[one] = dataclasses.replace(fleet.vms_by_id[one], leaving=True)
+    elif event == "gone":
+        del fleet.vms_by_id[one]
+        fleet.dark.add(one)
+    elif event == "slow":
+        fleet.slow ^= {one}
+    elif event == "unsettled":
+        fleet.settled = not fleet.settled
+    fleet.step()
+
+
+@hypothesis.settings(max_examples=300, deadline=None)
+@hypothesis.given(fleets(), st.lists(st.tuples(EVENTS, st.integers(0, 50)), max_size=60))
+def test_every_plan_is_safe_and_no_alive_vm_stays_stranded_for_good(fleet, events):
+    for event, number in events:
+        happen(fleet, event, number)
+    fleet.settled = True
+    fleet.slow.clear()
+    for _ in range(40):
+        fleet.step(seconds=2.0)
+    assert all(group.serving or is_waiting(fleet, group) for group in fleet.table.groups)
+    free = collections.Counter(
+        one.failure_domain
+        for vm_id, one in fleet.vms_by_id.items()
+        if vm_id not in set(views.member_ids(fleet.table.groups))
+        and vm_id not in fleet.dark
+        and not one.leaving
+    )
+    smallest = min(one.vms_per_group for one in fleet.services_by_name.values())
+    assert all(count < smallest for count in free.values())
+
+
+def is_waiting(fleet, group):
+    """Returns True if a broken group has a member that is gone, and nothing to replace it with."""
+    out = [
+        one
+        for one in group.members
+        if one.vm_id in fleet.dark or views.leaving(fleet.view(), one.vm_id)
+    ]
+    return group.state is data.GroupState.BROKEN and bool(out)
+
+
+def test_the_best_counts_leave_the_fewest_vms_over():
+    assert forming.best_counts(15, (8, 5), (9, 9)) == (0, 3)
+    assert forming.best_counts(13, (8, 5), (9, 9)) == (1, 1)
+    assert forming.best_counts(16, (8, 4), (9, 9)) == (2, 0)
+    assert forming.best_counts(16, (8, 4), (1, 9)) == (1, 2)
+
+
+def settle(fleet, steps=8):
+    for _ in range(steps):
+        fleet.step()
+
+
+def of_size(size):
+    return dataclasses.replace(MODEL, vms_per_group=size)
+
+
+def test_survivors_of_the_cheapest_broken_group_complete_another():
+    fleet = Fleet([vm(index) for index in range(8)], [of_size(4)])
+    settle(fleet)
+    first, second = fleet.serving()
+    fleet.dark |= {first.members[0].vm_id, second.members[0].vm_id, second.members[1].vm_id}
+    fleet.vms_by_id = {k: v for k, v in fleet.vms_by_id.items() if k not in fleet.dark}
+    fleet.orders.clear()
+    settle(fleet)
+    (left,) = fleet.serving()
+    assert left.group_id == first.group_id
+    assert not any(order.group_id == second.group_id for _, order in fleet.orders)
+
+
+def test_a_leaving_member_is_replaced_by_a_spare_that_has_loaded_before():
+    fleet = Fleet([vm(index) for index in range(5)], [of_size(4)])
+    settle(fleet)
+    group = fleet.serving()[0]
+    leaver = group.members[2].vm_id
+    fleet.vms_by_id[leaver] = dataclasses.replace(fleet.vms_by_id[leaver], leaving=True)
+    fleet.load_steps = 0
+    plan = fleet.step(seconds=0.5)
+    assert fleet.serving(), "the group serves while its spare loads"
+    assert [(one.order.group_id, one.order.rank) for one in plan.orders] == [("", 2)]
+    settle(fleet)
+    assert leaver not in set(views.member_ids(fleet.serving()))
+    assert len(fleet.serving()) == 1
+
+
+def test_a_leaving_member_ends_new_work_within_seconds_without_a_loaded_spare():
+    fleet = Fleet([vm(index) for index in range(5)], [of_size(4)], load_steps=30)
+    settle(fleet, steps=34)
+    leaver = fleet.serving()[0].members[0].vm_id
+    fleet.vms_by_id[leaver] = dataclasses.replace(fleet.vms_by_id[leaver], leaving=True)
+    settle(fleet, steps=4)
+    assert not fleet.serving()
+
+
+def test_a_straggler_is_moved_out_only_for_a_loaded_spare():
+    fleet = Fleet([vm(index) for index in range(4)], [of_size(4)])
+    settle(fleet)
+    slow = fleet.serving()[0].members[1].vm_id
+    fleet.slow.add(slow)
+    settle(fleet)
+    assert slow in set(views.member_ids(fleet.serving()))
+    happen(fleet, "add", 0)
+    settle(fleet)
+    assert slow not in set(views.member_ids(fleet.serving()))
+
+
+def test_loads_for_the_service_that_lacks_most_come_first():
+    services = [dataclasses.replace(of_size(2), name=name, pool=name) for name in ("a", "b")]
+    fleet = Fleet([vm(index, pool="ab"[index % 2]) for index in range(4)], services)
+    view = dataclasses.replace(fleet.view(), deficits_by_service={"a": 0.1, "b": 0.9})
+    fleet.table = planner.plan(view).table
+    view = dataclasses.replace(view, table=fleet.table)
+    assert [one.service for one in planner.plan(view).orders] == ["b", "b", "a", "a"]
+
+
+def test_a_new_version_takes_down_only_the_group_that_may_roll():
+    fleet = Fleet([vm(index) for index in range(4)], [of_size(2)])
+    settle(fleet)
+    first, second = fleet.serving()
+    fleet.services_by_name["chat"] = dataclasses.replace(of_size(2), model_version="2")
+    settle(fleet)
+    assert {group.model_version for group in fleet.serving()} == {"1"}
+    fleet.rolling = frozenset({first.group_id})
+    settle(fleet)
+    assert sorted(group.model_version for group in fleet.serving()) == ["1", "2"]
+
+
+def test_limits_are_divided_among_failure_domains():
+    service = dataclasses.replace(of_size(2), max_groups=3)
+    fleet = [vm(index, f"fd-{index % 2}") for index in range(8)]
+    cells = forming.quotas([service], fleet, fabric_domain="fab-1")["chat"]
+    assert sorted(cells.values()) == [1, 2]
--- a/basilpost/groups/view.py
+++ b/basilpost/groups/view.py
@@ -20,12 +20,14 @@
         heard_at: Time before the call that the status answered; before the first answer, the time
             when this controller began to watch the VM.
         silent: True if the latest calls went unanswered.
+        silence: Seconds from the first of them until the last one was given up.
         slow: True if the VM answers so much later than its peers that it slows its group down.
     """
 
     status: engines.RunnerStatus | None = None
     heard_at: float
     silent: bool = False
+    silence: float = 0.0
     slow: bool = False
 
 
@@ -92,12 +94,18 @@
     return None if sight is None or sight.silent else sight.status
 
 
+def wavering(view: View, vm_id: str) -> bool:
+    """Returns True if a VM's latest call went unanswered."""
+    sight = view.sights_by_id.get(vm_id)
+    return sight is not None and (sight.silent or sight.silence > 0.0)
+
+
 def lost(view: View, vm_id: str) -> bool:
     """Returns True if a VM is silent and is not waited for any longer."""
     sight = view.sights_by_id.get(vm_id)
     if sight is None or not sight.silent:
         return False
-    return vm_id not in view.vms_by_id or view.now - sight.heard_at >= view.suspicion
+    return vm_id not in view.vms_by_id or sight.silence >= view.suspicion
 
 
 def slow(view: View, vm_id: str) -> bool:
--- a/basilpost/groups/watching.py
+++ b/basilpost/groups/watching.py
@@ -10,6 +10,7 @@
 from basilpost.groups import view as views
 
 _TRIES = 2
+_HURRIED_SECONDS = 0.25
 _LATENCY_WEIGHT = 0.2
 _SLOW_RATIO = 4.0
 _SLOW_SECONDS = 0.25
@@ -41,6 +42,9 @@
         self._interval = interval
         self._timeout = timeout
         self._sights_by_id: dict[str, views.Sight] = {}
+        self._silent_from_by_id: dict[str, float] = {}
+        self._kicks_by_id: dict[str, asyncio.Event] = {}
+        self._hurried: set[str] = set()
         self._paces_by_id: dict[str, _Pace] = {}
         self._tasks_by_watched: dict[Watched, asyncio.Task[None]] = {}
         self._tasks = tasks.TaskSet()
@@ -54,12 +58,26 @@
         for vm_id in self._sights_by_id.keys() - ids:
             del self._sights_by_id[vm_id]
             self._paces_by_id.pop(vm_id, None)
+            self._silent_from_by_id.pop(vm_id, None)
+            self._kicks_by_id.pop(vm_id, None)
         for one in sorted(targets - self._tasks_by_watched.keys(), key=lambda one: one.vm_id):
             self._sights_by_id.setdefault(one.vm_id, views.Sight(heard_at=clock.monotonic()))
             self._tasks_by_watched[one] = self._tasks.spawn(
                 self._watch(one), name=f"watch {one.vm_id}"
             )
 
+    def hurry(self, vm_ids: Iterable[str]) -> None:
+        """Asks just these VMs more often from now on, since a change of theirs is waited for."""
+        hurried = set(vm_ids)
+        for vm_id in hurried - self._hurried:
+            self.kick(vm_id)
+        self._hurried = hurried
+
+    def kick(self, vm_id: str) -> None:
+        """Asks a VM at once."""
+        if vm_id in self._kicks_by_id:
+            self._kicks_by_id[vm_id].set()
+
     def sights_by_id(self) -> dict[str, views.Sight]:
         """Returns what was last seen of each VM."""
         self._mark_slow()
@@ -71,31 +89,55 @@
         self._tasks_by_watched.clear()
         self._sights_by_id.clear()
         self._paces_by_id.clear()
+        self._silent_from_by_id.clear()
+        self._kicks_by_id.clear()
 
     async def _watch(self, one: Watched) -> None:
+        kick = self._kicks_by_id.setdefault(one.vm_id, asyncio.Event())
         while True:
             asked_at = clock.monotonic()
+            kick.clear()
             await self._ask(one)
-            left = asked_at + self._interval - clock.monotonic()
-            await asyncio.sleep(max(0.0, left))
+            interval = _HURRIED_SECONDS if one.vm_id in self._hurried else self._interval
+            left = asked_at + interval - clock.monotonic()
+            try:
+                async with asyncio.timeout(max(0.0, left)):
+                    await kick.wait()
+            except TimeoutError:
+                pass
 
     async def _ask(self, one: Watched) -> None:
+        """Asks once, and at once again if no answer comes."""
         for _ in range(_TRIES):
             asked_at = clock.monotonic()
             status = await self._engine.status(one.address, plain=one.plain, timeout=self._timeout)
             if isinstance(status, engines.RunnerStatus):
                 self._heard(one.vm_id, status, asked_at)
                 return
-        last = self._sights_by_id.get(one.vm_id)
-        if last is not None:
-            self._sights_by_id[one.vm_id] = dataclasses.replace(last, silent=True)
+            self._unheard(one.vm_id, asked_at)
+
+    def _unheard(self, vm_id: str, asked_at: float) -> None:
+        """Notes an unanswered call; a second one in a row makes the VM silent.
+
+        The silence lasts from the first unanswered call, so that a VM that was paused for less than
+        some time is never taken for one that was silent for as long.
+        """
+        sight = self._sights_by_id.get(vm_id)
+        if sight is None:
+            return
+        first = vm_id not in self._silent_from_by_id
+        since = self._silent_from_by_id.setdefault(vm_id, asked_at)
+        self._sights_by_id[vm_id] = dataclasses.replace(
+            sight, silent=sight.silent or not first, silence=clock.monotonic() - since
+        )
 
     def _heard(self, vm_id: str, status: engines.RunnerStatus, asked_at: float) -> None:
         sight = self._sights_by_id.get(vm_id)
         if sight is None:
             return
+        self._silent_from_by_id.pop(vm_id, None)
         self._sights_by_id[vm_id] = dataclasses.replace(
-            sight, status=status, heard_at=asked_at, silent=False
+            sight, status=status, heard_at=asked_at, silent=False, silence=0.0
         )
         took = clock.monotonic() - asked_at
         pace = self._paces_by_id.get(vm_id) or _Pace(latency=took)
