--- a/basilpost/load/schedule.py
+++ b/basilpost/load/schedule.py
@@ -19,6 +19,16 @@
 _CATALOGUE_ITEMS = 1000
 
 
+def default_weights() -> dict[records.Kind, float]:
+    """Returns the usual mix of requests."""
+    return {
+        records.Kind.COMPLETION: 2.0,
+        records.Kind.STREAM: 4.0,
+        records.Kind.LOOK_UP: 3.0,
+        records.Kind.FILING: 1.0,
+    }
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Caller:
     """A workspace that sends requests; `weight` is its share of them."""
@@ -52,14 +62,7 @@
     seconds: float = 10.0
     gateways: tuple[str, ...]
     callers: tuple[Caller, ...]
-    weights_by_kind: dict[records.Kind, float] = dataclasses.field(
-        default_factory=lambda: {
-            records.Kind.COMPLETION: 2.0,
-            records.Kind.STREAM: 4.0,
-            records.Kind.LOOK_UP: 3.0,
-            records.Kind.FILING: 1.0,
-        }
-    )
+    weights_by_kind: dict[records.Kind, float] = dataclasses.field(default_factory=default_weights)
     model: str = "clearance"
     service: str = "licences"
     max_tokens: int = 32
