--- a/basilpost/groups/install.py
+++ b/basilpost/groups/install.py
@@ -1,18 +1,9 @@
 """Registers the services of groups, in the order in which they need each other."""
 
-from typing import Protocol, runtime_checkable
-
 from basilpost.core import kernel as kernels
 from basilpost.core import names
 from basilpost.groups import controller, credits, engines, health, http_engine
-
-
-@runtime_checkable
-class _Lease(Protocol):
-    """What the controllers need of the node's lease."""
-
-    def remaining(self) -> float:
-        """Returns the seconds that the lease surely lasts."""
+from basilpost.members import lease
 
 
 def install(kernel: kernels.Kernel) -> None:
@@ -21,7 +12,7 @@
         kernel.find(names.ENGINES, engines.Engine)
     except kernels.ServiceMissingError:
         kernel.register(names.ENGINES, http_engine.HttpEngine())
-    remaining = kernel.find(names.LEASE, _Lease).remaining
+    remaining = kernel.find(names.LEASE, lease.Lease).remaining
     kernel.register(
         names.CONTROLLERS, controller.Controllers(kernel=kernel, lease_remaining=remaining)
     )
