--- a/basilpost/load/capacity_page.py
+++ b/basilpost/load/capacity_page.py
@@ -1,7 +1,6 @@
 """Renders the tables of docs/CAPACITY.md and puts them between its markers."""
 
 import dataclasses
-import re
 from collections.abc import Iterable, Mapping, Sequence
 
 from basilpost.core import failure
@@ -74,7 +73,9 @@
     }
     control = [cost for cost in costs if cost.role in model.CONTROL_ROLES]
     rows = [
-        _sum_row(resource, limit, [work_out(one, fits) for one in control if one.resource is resource])
+        _sum_row(
+            resource, limit, [work_out(one, fits) for one in control if one.resource is resource]
+        )
         for resource, limit in allowed.items()
     ]
     return _table(("control work", "sum", "limit", "share", "verdict"), rows)
@@ -94,14 +95,16 @@
 def slope_table(fits: Fits) -> str:
     """Returns all fitted slopes with their spreads."""
     rows = [
-        (name, _NOT_MEASURED, line.reason, "", "")
-        if isinstance(line, fit.TooFewSizes)
-        else (
-            name,
-            f"{number(line.slope)} {line.value_unit} / {line.size_unit}",
-            number(line.spread),
-            number(line.base),
-            ", ".join(number(size) for size in line.sizes),
+        (
+            (name, _NOT_MEASURED, line.reason, "", "")
+            if isinstance(line, fit.TooFewSizes)
+            else (
+                name,
+                f"{number(line.slope)} {line.value_unit} / {line.size_unit}",
+                number(line.spread),
+                number(line.base),
+                ", ".join(number(size) for size in line.sizes),
+            )
         )
         for name, line in fits.items()
     ]
@@ -116,10 +119,12 @@
 def put(page: str, tables_by_name: Mapping[str, str]) -> str | MissingMarkers:
     """Replaces what stands between each table's markers."""
     for name, table in tables_by_name.items():
-        pattern = re.compile(rf"(<!-- begin {re.escape(name)} -->\n).*?(<!-- end {re.escape(name)} -->)", re.S)
-        if not pattern.search(page):
+        begin, end = f"<!-- begin {name} -->\n", f"<!-- end {name} -->"
+        before, found_begin, rest = page.partition(begin)
+        _, found_end, after = rest.partition(end)
+        if not found_begin or not found_end:
             return MissingMarkers(reason=f"the page has no markers for {name!r}")
-        page = pattern.sub(lambda found, table=table: f"{found[1]}\n{table}\n{found[2]}", page)
+        page = f"{before}{begin}\n{table}\n{end}{after}"
     return page
 
 
