--- a/basilpost/load/measure_relay.py
+++ b/basilpost/load/measure_relay.py
@@ -14,7 +14,7 @@
 import psutil
 from tornado import httpclient
 
-from basilpost.load import relay_client, relay_node, report, samples, stand_in_process
+from basilpost.load import measuring, relay_client, relay_node, report, stand_in_process
 
 _RUNNERS = 2
 _TOKENS_PER_SECOND = 50
@@ -126,10 +126,10 @@
     without, with_node = report.latency(direct), report.latency(relayed)
     for percentile in ("p50", "p95"):
         before, after = getattr(without, percentile), getattr(with_node, percentile)
-        _figure(f"direct {percentile}, {name}", before, "ms")
-        _figure(f"through the node {percentile}, {name}", after, "ms")
-        _figure(f"added {percentile}, {name}", after - before, "ms")
-    _figure(f"tokens a second meanwhile, {name}", streams * _TOKENS_PER_SECOND, "tokens/s")
+        measuring.figure(f"direct {percentile}, {name}", before, "ms")
+        measuring.figure(f"through the node {percentile}, {name}", after, "ms")
+        measuring.figure(f"added {percentile}, {name}", after - before, "ms")
+    measuring.figure(f"tokens a second meanwhile, {name}", streams * _TOKENS_PER_SECOND, "tokens/s")
 
 
 async def _request_cost(node: relay_client.Place, process: psutil.Process, rate: int) -> None:
@@ -143,7 +143,7 @@
     await asyncio.gather(*running)
     seconds = loop.time() - begun
     used = (_cores_spent(process) - spent) / seconds
-    _sample("gateway.cpu_by_requests", len(running) / seconds, "requests/s", used, "cores")
+    measuring.sample("gateway.cpu_by_requests", len(running) / seconds, "requests/s", used, "cores")
 
 
 async def _token_cost(node: relay_client.Place, process: psutil.Process, count: int) -> None:
@@ -151,8 +151,8 @@
     async with _streams(node, count) as calls:
         tokens, used = await _window(calls, process)
         memory = process.memory_info().rss
-        _sample("gateway.cpu_by_tokens", tokens, "tokens/s", used, "cores")
-        _sample("gateway.memory_by_streams", count, "streams", memory, "bytes")
+        measuring.sample("gateway.cpu_by_tokens", tokens, "tokens/s", used, "cores")
+        measuring.sample("gateway.memory_by_streams", count, "streams", memory, "bytes")
 
 
 async def _window(
@@ -171,9 +171,9 @@
     """Compares how many short requests a second go through, with and without the node."""
     direct = await _closed_loop(runner)
     relayed = await _closed_loop(node)
-    _figure("requests a second to a runner", direct, "requests/s")
-    _figure("requests a second through the node", relayed, "requests/s")
-    _figure("requests through the node / to a runner", relayed / direct, "ratio")
+    measuring.figure("requests a second to a runner", direct, "requests/s")
+    measuring.figure("requests a second through the node", relayed, "requests/s")
+    measuring.figure("requests through the node / to a runner", relayed / direct, "ratio")
 
 
 async def _closed_loop(place: relay_client.Place) -> float:
@@ -202,10 +202,10 @@
         direct, _ = await _window([one for half in halves for one in half], process)
     async with _streams(node, _SATURATING_STREAMS) as calls:
         relayed, used = await _window(calls, process)
-    _figure("tokens a second of the runners", direct, "tokens/s")
-    _figure("tokens a second through the node", relayed, "tokens/s")
-    _figure("tokens through the node / of the runners", relayed / direct, "ratio")
-    _figure("tokens a second for a core", relayed / used, "tokens/s")
+    measuring.figure("tokens a second of the runners", direct, "tokens/s")
+    measuring.figure("tokens a second through the node", relayed, "tokens/s")
+    measuring.figure("tokens through the node / of the runners", relayed / direct, "ratio")
+    measuring.figure("tokens a second for a core", relayed / used, "tokens/s")
 
 
 def _cores_spent(process: psutil.Process) -> float:
@@ -217,17 +217,5 @@
     return f"relay-{next(_numbers)}"
 
 
-def _figure(name: str, value: float, unit: str) -> None:
-    samples.emit(samples.Figure(figure=name, value=value, unit=unit))
-
-
-def _sample(slope: str, size: float, size_unit: str, value: float, value_unit: str) -> None:
-    samples.emit(
-        samples.Sample(
-            slope=slope, size=size, value=value, size_unit=size_unit, value_unit=value_unit
-        )
-    )
-
-
 if __name__ == "__main__":
     main()
--- a/basilpost/load/measure_state.py
+++ b/basilpost/load/measure_state.py
@@ -7,14 +7,13 @@
 from typing import Any
 
 from basilpost.core import codec, data
-from basilpost.load import samples, stand_in_process
+from basilpost.load import measuring, stand_in_process
 from basilpost.store import http_objects
 
 _GROUP_COUNTS = (10, 40, 160, 640)
 _OBJECT_COUNTS = (100, 400, 1600)
 _CALL_COUNTS = (200, 400, 800)
 _MEMBERS = 8
-_MIN_SECONDS = 0.2
 
 
 def main() -> None:
@@ -29,13 +28,13 @@
 def _measure_table(count: int) -> None:
     table = _table(count)
     raw = codec.to_json(table)
-    _emit("state.table_bytes_by_groups", count, "groups", len(raw), "bytes")
-    encoding = _seconds(lambda: codec.to_json(table))
-    decoding = _seconds(lambda: codec.from_json(raw, data.FabricTable))
-    _emit("state.encode_cpu_by_groups", count, "groups", encoding, "cpu seconds")
-    _emit("state.decode_cpu_by_groups", count, "groups", decoding, "cpu seconds")
+    measuring.sample("state.table_bytes_by_groups", count, "groups", len(raw), "bytes")
+    encoding = measuring.cpu_seconds(lambda: codec.to_json(table))
+    decoding = measuring.cpu_seconds(lambda: codec.from_json(raw, data.FabricTable))
+    measuring.sample("state.encode_cpu_by_groups", count, "groups", encoding, "cpu seconds")
+    measuring.sample("state.decode_cpu_by_groups", count, "groups", decoding, "cpu seconds")
     memory = _memory(lambda: (raw[:-1] + b"}", codec.from_json(raw, data.FabricTable)))
-    _emit("state.memory_by_groups", count, "groups", memory, "bytes")
+    measuring.sample("state.memory_by_groups", count, "groups", memory, "bytes")
 
 
 def _measure_objects(count: int) -> None:
@@ -43,9 +42,9 @@
     memory = _memory(
         lambda: [(bytes(bytearray(raw)), codec.from_json(raw, data.Workspace)) for raw in raws]
     )
-    _emit("state.memory_by_objects", count, "objects", memory, "bytes")
-    decoding = _seconds(lambda: [codec.from_json(raw, data.Workspace) for raw in raws])
-    _emit("state.decode_cpu_by_objects", count, "objects", decoding, "cpu seconds")
+    measuring.sample("state.memory_by_objects", count, "objects", memory, "bytes")
+    decoding = measuring.cpu_seconds(lambda: [codec.from_json(raw, data.Workspace) for raw in raws])
+    measuring.sample("state.decode_cpu_by_objects", count, "objects", decoding, "cpu seconds")
 
 
 async def _measure_calls() -> None:
@@ -58,12 +57,12 @@
             for _ in range(count):
                 written = await store.update("nodes/n", b"x" * 300, version=written.version)
             spent = time.process_time() - begun
-            _emit("store.cpu_by_writes", count, "writes", spent, "cpu seconds")
+            measuring.sample("store.cpu_by_writes", count, "writes", spent, "cpu seconds")
             begun = time.process_time()
             for _ in range(count):
                 await store.get("nodes/n")
             spent = time.process_time() - begun
-            _emit("store.cpu_by_reads", count, "reads", spent, "cpu seconds")
+            measuring.sample("store.cpu_by_reads", count, "reads", spent, "cpu seconds")
         store.close()
 
 
@@ -104,16 +103,6 @@
     )
 
 
-def _seconds(work: Callable[[], Any]) -> float:
-    """Returns the processor time of one run of some work, from as many runs as it needs."""
-    runs = 0
-    begun = time.process_time()
-    while time.process_time() - begun < _MIN_SECONDS:
-        work()
-        runs += 1
-    return (time.process_time() - begun) / runs
-
-
 def _memory(make: Callable[[], Any]) -> int:
     """Returns the bytes that what is made takes while it is kept."""
     make()
@@ -125,13 +114,5 @@
     return size
 
 
-def _emit(slope: str, size: float, size_unit: str, value: float, value_unit: str) -> None:
-    samples.emit(
-        samples.Sample(
-            slope=slope, size=size, value=value, size_unit=size_unit, value_unit=value_unit
-        )
-    )
-
-
 if __name__ == "__main__":
     main()
--- a/basilpost/members/wire.py
+++ b/basilpost/members/wire.py
@@ -81,7 +81,7 @@
     def decode(self, raw: bytes) -> Envelope | FrameRefused:
         """Decodes a frame's content, or refuses it."""
         try:
-            fields = msgpack.unpackb(raw)
+            fields = msgpack.unpackb(raw, strict_map_key=False)
         except (ValueError, RecursionError, msgpack.UnpackException) as error:
             return _malformed(f"no msgpack: {error!r}")
         if not isinstance(fields, list) or len(fields) != _ENVELOPE_FIELDS:
