--- /dev/null
+++ b/basilpost/load/capacity.py
@@ -0,0 +1,90 @@
+"""Regenerates the tables of docs/CAPACITY.md from docs/measurements.
+
+python -m basilpost.load.capacity            writes the tables
+python -m basilpost.load.capacity --check    fails if the page differs from them
+"""
+
+import argparse
+import itertools
+import json
+import pathlib
+import sys
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+from basilpost.load import (
+    capacity_costs,
+    capacity_model,
+    capacity_page,
+    capacity_storms,
+    fit,
+    samples,
+)
+from basilpost.settings import schema
+
+PAGE = pathlib.Path("docs/CAPACITY.md")
+MEASUREMENTS = pathlib.Path("docs/measurements")
+
+
+def main() -> None:
+    """Writes or checks the page."""
+    parser = argparse.ArgumentParser(description="Regenerates the tables of docs/CAPACITY.md.")
+    parser.add_argument("--check", action="store_true", help="fail if the page differs")
+    arguments = parser.parse_args()
+    page = PAGE.read_text(encoding="utf-8")
+    made = capacity_page.put(page, tables(read_measurements(MEASUREMENTS)))
+    if isinstance(made, capacity_page.MissingMarkers):
+        sys.exit(f"{PAGE}: {made.reason}")
+    if not arguments.check:
+        PAGE.write_text(made, encoding="utf-8")
+    elif made != page:
+        sys.exit(f"{PAGE} differs from the measurements: run python -m basilpost.load.capacity")
+
+
+def read_measurements(directory: pathlib.Path) -> dict[str, dict[str, Any]]:
+    """Returns the decoded files of measurements by name."""
+    return {
+        path.stem: json.loads(path.read_text(encoding="utf-8"))
+        for path in sorted(directory.glob("*.json"))
+    }
+
+
+def tables(measurements: Mapping[str, dict[str, Any]]) -> dict[str, str]:
+    """Returns all tables of the page by name."""
+    lines = list(itertools.chain.from_iterable(one["samples"] for one in measurements.values()))
+    fits = fit.fits_by_slope(samples.samples_in(lines))
+    fleet, limits, timing = capacity_model.Fleet(), capacity_model.Limits(), schema.Timing()
+    costs = capacity_costs.all_costs(fleet, timing)
+    roles = {
+        role: capacity_page.role_table([cost for cost in costs if cost.role == role], fits)
+        for role in capacity_model.ROLES
+    }
+    return {
+        "fleet": capacity_page.fleet_table(fleet),
+        "sums": capacity_page.sum_table(costs, fits, limits),
+        **roles,
+        "storms": capacity_page.storm_table(
+            capacity_storms.all_storms(fleet, timing, limits, fits)
+        ),
+        "slopes": capacity_page.slope_table(fits),
+        "figures": capacity_page.figure_table(samples.figures_in(lines)),
+        "origins": _origins(measurements),
+    }
+
+
+def _origins(measurements: Mapping[str, dict[str, Any]]) -> str:
+    rows: Sequence[tuple[str, ...]] = [
+        (
+            name,
+            one["origin"]["commit"] + ("" if one["origin"]["clean"] else " with changes"),
+            str(one["origin"]["seed"]),
+            str(one["origin"]["cores"]),
+            one["origin"]["python"],
+        )
+        for name, one in measurements.items()
+    ]
+    return capacity_page.table(("measurement", "commit", "seed", "cores", "Python"), rows)
+
+
+if __name__ == "__main__":
+    main()
--- a/basilpost/load/capacity_model.py
+++ b/basilpost/load/capacity_model.py
@@ -42,7 +42,8 @@
         stream_seconds: Length of an average answer.
         config_objects: Objects of configuration.
         neighbours: Streams that a node opens.
-        node_memory_megabytes: Memory of a node that has nothing to do.
+        table_writes_per_change: Writes of a table until a lost or replaced VM's group serves again.
+        object_bytes: Size of an average object of configuration.
     """
 
     nodes: int = 420
@@ -61,6 +62,8 @@
     stream_seconds: float = 10.0
     config_objects: int = 1_500
     neighbours: int = 6
+    table_writes_per_change: float = 6.0
+    object_bytes: float = 1_000
 
     @property
     def groups(self) -> int:
@@ -105,7 +108,10 @@
         amount: How much of it, in units of the slope's size, a second where the resource is a rate.
         amount_text: How the amount follows from the fleet.
         slope: Name of the measured slope, empty for a plain count.
+        each: Size of one message or run; its cost is then the slope's line at that size, base
+            included, and `amount` counts messages or runs.
         scale: Factor from the slope's unit to the resource's.
+        node_share: Share of the nodes that bear it.
         mechanism: What carries it.
     """
 
@@ -115,7 +121,9 @@
     amount: float
     amount_text: str
     slope: str = ""
+    each: float | None = None
     scale: float = 1.0
+    node_share: float = 1.0
     mechanism: str = ""
 
 
--- a/basilpost/load/capacity_page.py
+++ b/basilpost/load/capacity_page.py
@@ -5,9 +5,10 @@
 
 from basilpost.core import failure
 from basilpost.load import capacity_model as model
-from basilpost.load import fit
+from basilpost.load import fit, samples
 
 _NOT_MEASURED = "not measured"
+_SMALLEST_SHARE = 1e-6
 Fits = Mapping[str, fit.Fit | fit.TooFewSizes]
 
 
@@ -41,13 +42,17 @@
         reason = line.reason if line else f"no samples of {cost.slope}"
         return NotMeasured(reason=reason, cost=cost)
     factor = cost.amount * cost.scale
-    return Result(cost=cost, value=line.slope * factor, spread=line.spread * factor)
+    if cost.each is None:
+        return Result(cost=cost, value=line.slope * factor, spread=line.spread * factor)
+    return Result(
+        cost=cost, value=line.at(cost.each) * factor, spread=line.spread * cost.each * factor
+    )
 
 
 def role_table(costs: Iterable[model.Cost], fits: Fits) -> str:
     """Returns the table of one role."""
     rows = [_role_row(work_out(cost, fits)) for cost in costs]
-    return _table(("work", "how much", "slope", "cost", "carried by"), rows)
+    return table(("work", "how much", "slope", "cost", "carried by"), rows)
 
 
 def _role_row(found: Result | NotMeasured) -> tuple[str, ...]:
@@ -58,12 +63,16 @@
 
 def _with_spread(found: Result) -> str:
     text = number(found.value)
-    spread = f" ± {number(found.spread)}" if found.spread else ""
+    seen = found.spread > abs(found.value) * _SMALLEST_SHARE
+    spread = f" ± {number(found.spread)}" if seen else ""
     return f"{text}{spread} {found.cost.resource.value}"
 
 
 def sum_table(costs: Iterable[model.Cost], fits: Fits, limits: model.Limits) -> str:
-    """Returns the sums of all control work against the limits; what is not measured is named."""
+    """Returns the sums of all control work against the limits; what is not measured is named.
+
+    The busiest node bears every kind of work at once, the mean node its share of each.
+    """
     allowed = {
         model.Resource.CPU: limits.cpu,
         model.Resource.MEMORY: limits.memory,
@@ -78,18 +87,28 @@
         )
         for resource, limit in allowed.items()
     ]
-    return _table(("control work", "sum", "limit", "share", "verdict"), rows)
+    return table(("control work", "mean node", "busiest node", "limit", "verdict"), rows)
 
 
 def _sum_row(
     resource: model.Resource, limit: float, found: Sequence[Result | NotMeasured]
 ) -> tuple[str, ...]:
-    total = sum(one.value for one in found if isinstance(one, Result))
-    missing = [one.cost.slope for one in found if isinstance(one, NotMeasured)]
-    verdict = "carried" if total <= limit else "**not carried**"
+    results = [one for one in found if isinstance(one, Result)]
+    missing = {one.cost.slope for one in found if isinstance(one, NotMeasured)}
+    mean = sum(one.value * one.cost.node_share for one in results)
+    busiest = sum(one.value for one in results)
+    verdict = _verdict(mean, busiest, limit)
     if missing:
-        verdict = f"{verdict} without {', '.join(sorted(set(missing)))} ({_NOT_MEASURED})"
-    return (resource.value, number(total), number(limit), f"{total / limit:.0%}", verdict)
+        verdict = f"{verdict}; {_NOT_MEASURED}: {', '.join(sorted(missing))}"
+    return (resource.value, number(mean), number(busiest), number(limit), verdict)
+
+
+def _verdict(mean: float, busiest: float, limit: float) -> str:
+    if busiest <= limit:
+        return "carried"
+    if mean <= limit:
+        return f"**not carried by the busiest node** ({busiest / limit:.1f} times the limit)"
+    return f"**not carried** ({mean / limit:.1f} times the limit in the mean)"
 
 
 def slope_table(fits: Fits) -> str:
@@ -108,12 +127,27 @@
         )
         for name, line in fits.items()
     ]
-    return _table(("slope", "value", "spread", "at size 0", "sizes"), rows)
+    return table(("slope", "value", "spread", "at size 0", "sizes"), rows)
+
+
+def figure_table(figures: Iterable[samples.Figure]) -> str:
+    """Returns the single figures."""
+    return table(
+        ("figure", "value"), [(one.figure, f"{number(one.value)} {one.unit}") for one in figures]
+    )
+
+
+def fleet_table(fleet: model.Fleet) -> str:
+    """Returns the sizes that the page is worked out for."""
+    rows = [
+        (name.replace("_", " "), number(value)) for name, value in dataclasses.asdict(fleet).items()
+    ]
+    return table(("size", "value"), rows)
 
 
 def storm_table(storms: Iterable[tuple[str, str, str, str]]) -> str:
     """Returns the storms: what happens, how much changes, what it costs, what carries it."""
-    return _table(("storm", "what changes at once", "cost", "carried by"), list(storms))
+    return table(("storm", "what changes at once", "cost", "carried by"), list(storms))
 
 
 def put(page: str, tables_by_name: Mapping[str, str]) -> str | MissingMarkers:
@@ -137,7 +171,8 @@
     return f"{value:.3g}"
 
 
-def _table(head: Sequence[str], rows: Iterable[Sequence[str]]) -> str:
+def table(head: Sequence[str], rows: Iterable[Sequence[str]]) -> str:
+    """Returns a Markdown table."""
     lines = [" | ".join(head), " | ".join("---" for _ in head)]
     lines += [" | ".join(row) for row in rows]
     return "\n".join(f"| {line} |" for line in lines) + "\n"
