--- /dev/null
+++ b/basilpost/store/http_calls.py
@@ -0,0 +1,213 @@
+"""HTTP calls of the platform's services, with one thing kept exactly: whether a call was sent.
+
+Connections of reads are kept for later reads, which saves most of a call's cost. A kept connection
+may have gone silent or be closing at its other end; for a read that costs a second try at most, but
+a write would be left unknown by it, so each write has a connection of its own.
+"""
+
+import asyncio
+import dataclasses
+import ipaddress
+import socket
+import urllib.parse
+
+from tornado import http1connection, httputil, iostream, tcpclient
+
+from basilpost.core import clock
+
+_MAX_IDLE_CONNECTIONS = 8
+_MAX_IDLE_SECONDS = 5.0
+_KEPT_SHARE_OF_TIMEOUT = 0.5
+_MAX_ANSWER_BYTES = 256_000_000
+_PORTS_BY_SCHEME = {"http": 80, "https": 443}
+_PARAMETERS = http1connection.HTTP1ConnectionParameters(max_body_size=_MAX_ANSWER_BYTES)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Call:
+    """A request to the server."""
+
+    method: str
+    path: str
+    headers: dict[str, str] = dataclasses.field(default_factory=dict)
+    body: bytes = b""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Reply:
+    """An HTTP answer."""
+
+    status: int
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class NoReply:
+    """No whole answer came; `sent` tells whether the call may have reached the other end."""
+
+    reason: str
+    sent: bool
+
+
+class Caller:
+    """Calls one server at a base URL such as `http://10.0.0.5:8000`."""
+
+    def __init__(self, *, base_url: str) -> None:
+        parts = urllib.parse.urlsplit(base_url)
+        self._host = parts.hostname or ""
+        self._port = parts.port or _PORTS_BY_SCHEME[parts.scheme]
+        self._authority = parts.netloc
+        self._root = parts.path.rstrip("/")
+        self._tls = parts.scheme == "https"
+        self._direct = not self._tls and _is_ip_number(self._host)
+        self._idle: list[tuple[float, iostream.IOStream]] = []
+
+    def close(self) -> None:
+        """Closes the connections that are kept."""
+        for _, stream in self._idle:
+            stream.close()
+        self._idle.clear()
+
+    async def read(self, path: str, *, timeout: float, wait: float = 0.0) -> Reply | NoReply:
+        """Makes a GET; one that fails on a kept connection is made again on a new one.
+
+        Args:
+            path: Path and query.
+            timeout: Longest time in seconds for all tries.
+            wait: Part of it that the server itself may wait before it answers.
+        """
+        call = Call(method="GET", path=path)
+        deadline = clock.monotonic() + timeout
+        kept = self._take_idle()
+        if kept is not None:
+            # Half of the time is left for a new connection if the kept one has gone silent.
+            first_try = wait + (timeout - wait) * _KEPT_SHARE_OF_TIMEOUT
+            reply = await self._exchange(kept, call, timeout=first_try, keep=True)
+            if isinstance(reply, Reply):
+                return reply
+        return await self._on_new_connection(call, deadline=deadline, keep=True)
+
+    async def write(self, call: Call, *, timeout: float) -> Reply | NoReply:
+        """Makes a call that changes something, on a connection of its own."""
+        deadline = clock.monotonic() + timeout
+        return await self._on_new_connection(call, deadline=deadline, keep=False)
+
+    async def _on_new_connection(
+        self, call: Call, *, deadline: float, keep: bool
+    ) -> Reply | NoReply:
+        try:
+            async with asyncio.timeout_at(deadline):
+                stream = await self._connect()
+        except (OSError, TimeoutError, iostream.StreamClosedError) as error:
+            return NoReply(reason=f"no connection to {self._authority}: {error!r}", sent=False)
+        left = deadline - clock.monotonic()
+        return await self._exchange(stream, call, timeout=left, keep=keep)
+
+    async def _connect(self) -> iostream.IOStream:
+        if not self._direct:
+            client = tcpclient.TCPClient()
+            return await client.connect(
+                self._host,
+                self._port,
+                ssl_options={} if self._tls else None,
+                max_buffer_size=_MAX_ANSWER_BYTES,
+            )
+        # Name resolution would send an IP number through a thread.
+        family = socket.AF_INET6 if ":" in self._host else socket.AF_INET
+        stream = iostream.IOStream(socket.socket(family), max_buffer_size=_MAX_ANSWER_BYTES)
+        try:
+            await stream.connect((self._host, self._port))
+        except BaseException:
+            stream.close()
+            raise
+        return stream
+
+    async def _exchange(
+        self, stream: iostream.IOStream, call: Call, *, timeout: float, keep: bool
+    ) -> Reply | NoReply:
+        """Sends a call and reads its answer; the connection is kept or closed at the end."""
+        answer = _Answer()
+        whole = False
+        stream.set_nodelay(True)
+        connection = http1connection.HTTP1Connection(stream, True, _PARAMETERS)
+        try:
+            async with asyncio.timeout(timeout):
+                self._send(connection, call, keep=keep)
+                await connection.read_response(answer)
+                whole = answer.whole
+        except (OSError, TimeoutError, iostream.StreamClosedError) as error:
+            return NoReply(reason=f"{call.method} {call.path}: {error!r}", sent=True)
+        finally:
+            if whole and keep and answer.keeps_connection and not stream.closed():
+                self._idle.append((clock.monotonic(), stream))
+            else:
+                stream.close()
+        if not whole:
+            return NoReply(reason=f"{call.method} {call.path}: no whole answer", sent=True)
+        return Reply(status=answer.status, body=b"".join(answer.pieces))
+
+    def _send(self, connection: http1connection.HTTP1Connection, call: Call, *, keep: bool) -> None:
+        headers = httputil.HTTPHeaders(call.headers)
+        headers["Host"] = self._authority
+        headers["Connection"] = "keep-alive" if keep else "close"
+        if call.method != "GET":
+            headers["Content-Length"] = str(len(call.body))
+        start = httputil.RequestStartLine(call.method, self._root + call.path, "HTTP/1.1")
+        written = connection.write_headers(start, headers, call.body or None)
+        written.add_done_callback(_take_error)
+        connection.finish()
+
+    def _take_idle(self) -> iostream.IOStream | None:
+        """Returns the connection that was used last, if it is open and not too old."""
+        oldest = clock.monotonic() - _MAX_IDLE_SECONDS
+        while len(self._idle) > _MAX_IDLE_CONNECTIONS or (self._idle and self._idle[0][0] < oldest):
+            self._idle.pop(0)[1].close()
+        while self._idle:
+            stream = self._idle.pop()[1]
+            if not stream.closed():
+                return stream
+        return None
+
+
+class _Answer(httputil.HTTPMessageDelegate):
+    """Collects an answer."""
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.whole = False
+        self.keeps_connection = False
+        self.pieces: list[bytes] = []
+
+    def headers_received(
+        self,
+        start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
+        headers: httputil.HTTPHeaders,
+    ) -> None:
+        """Takes in the head."""
+        assert isinstance(start_line, httputil.ResponseStartLine)
+        self.status = start_line.code
+        framed = "Content-Length" in headers or "Transfer-Encoding" in headers
+        closes = headers.get("Connection", "").lower() == "close"
+        self.keeps_connection = framed and not closes and start_line.version == "HTTP/1.1"
+
+    def data_received(self, chunk: bytes) -> None:
+        """Takes in a piece of the body."""
+        self.pieces.append(chunk)
+
+    def finish(self) -> None:
+        """Notes that the answer is whole."""
+        self.whole = True
+
+
+def _is_ip_number(host: str) -> bool:
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return False
+    return True
+
+
+def _take_error(written: asyncio.Future[None]) -> None:
+    """Marks a failed write as seen; the missing answer tells of it."""
+    if not written.cancelled():
+        written.exception()
--- /dev/null
+++ b/basilpost/store/http_calls_test.py
@@ -0,0 +1,88 @@
+"""Tests of the platform's HTTP calls: which connections are kept, and what was surely not sent."""
+
+import asyncio
+import contextlib
+
+from basilpost.store import http_calls
+
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+class Server:
+    """Answers each connection by a script: after how many answers it falls silent or closes."""
+
+    def __init__(self):
+        self.connections = 0
+        self.answers_before_silence = 1000
+        self.answers_before_close = 1000
+
+    async def serve(self, reader, writer):
+        self.connections += 1
+        answered = 0
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                if answered >= self.answers_before_close:
+                    break
+                if answered < self.answers_before_silence:
+                    writer.write(ANSWER)
+                answered += 1
+        writer.close()
+
+
+@contextlib.asynccontextmanager
+async def serving():
+    script = Server()
+    async with await asyncio.start_server(script.serve, "127.0.0.1", 0) as server:
+        port = server.sockets[0].getsockname()[1]
+        caller = http_calls.Caller(base_url=f"http://127.0.0.1:{port}")
+        yield script, caller
+        caller.close()
+
+
+PUT = http_calls.Call(method="PUT", path="/x", body=b"1")
+
+
+async def test_reads_share_a_connection_and_writes_do_not():
+    async with serving() as (script, caller):
+        for _ in range(3):
+            assert (await caller.read("/x", timeout=5)).body == b"ok"
+        assert script.connections == 1
+        await caller.write(PUT, timeout=5)
+        await caller.write(PUT, timeout=5)
+        assert script.connections == 3
+
+
+async def test_reads_at_once_have_a_connection_each():
+    async with serving() as (script, caller):
+        await asyncio.gather(*(caller.read("/x", timeout=5) for _ in range(4)))
+        assert script.connections == 4
+
+
+async def test_a_read_survives_a_kept_connection_that_went_silent():
+    async with serving() as (script, caller):
+        script.answers_before_silence = 1
+        assert isinstance(await caller.read("/x", timeout=5), http_calls.Reply)
+        assert isinstance(await caller.read("/x", timeout=0.4), http_calls.Reply)
+        assert script.connections == 2
+
+
+async def test_a_read_survives_a_kept_connection_that_closes():
+    async with serving() as (script, caller):
+        script.answers_before_close = 1
+        assert isinstance(await caller.read("/x", timeout=5), http_calls.Reply)
+        assert isinstance(await caller.read("/x", timeout=5), http_calls.Reply)
+
+
+async def test_a_write_without_an_answer_was_sent():
+    async with serving() as (script, caller):
+        script.answers_before_silence = 0
+        found = await caller.write(PUT, timeout=0.2)
+        assert isinstance(found, http_calls.NoReply) and found.sent
+
+
+async def test_a_refused_connection_sent_nothing():
+    async with serving() as (_, caller):
+        pass
+    found = await caller.write(PUT, timeout=5)
+    assert isinstance(found, http_calls.NoReply) and not found.sent
