--- a/basilpost/groups/fakes.py
+++ b/basilpost/groups/fakes.py
@@ -1,10 +1,14 @@
 """Small fakes of the interfaces to targets, for focused tests."""
 
 import asyncio
+import collections
+import dataclasses
 from collections.abc import Callable
 
-from basilpost.core import data
-from basilpost.groups import engines, slots
+from basilpost.core import data, failure, names
+from basilpost.groups import engines, slots, table
+from basilpost.members import directory, fakes
+from basilpost.store import objects
 
 
 class FakeSlot(slots.Slot):
@@ -71,6 +75,8 @@
         self.load_seconds = load_seconds
         self.status_by_address: dict[str, engines.RunnerStatus] = {}
         self.dark: set[str] = set()
+        self.delay_by_address: dict[str, float] = {}
+        self.in_flight_by_address: collections.Counter[str] = collections.Counter()
         self.orders: list[tuple[str, engines.Order]] = []
         self.loaded_at_by_address: dict[str, float] = {}
 
@@ -81,6 +87,8 @@
         if address in self.dark:
             await asyncio.sleep(timeout)
             return engines.Unreachable(reason=f"{address} is dark")
+        if address in self.delay_by_address:
+            await asyncio.sleep(self.delay_by_address[address])
         if plain:
             return engines.RunnerStatus(vm_id=address, state=engines.RunnerState.READY)
         found = self.status_by_address.get(address, engines.RunnerStatus(vm_id=address))
@@ -89,7 +97,16 @@
         if found.state is engines.RunnerState.LOADING and loaded:
             found = _with_state(found, engines.RunnerState.COLD)
             self.status_by_address[address] = found
-        return found
+        return dataclasses.replace(found, in_flight=self.in_flight_by_address[address])
+
+    def set_state(self, address: str, state: engines.RunnerState) -> None:
+        """Makes a runner report another state."""
+        self.status_by_address[address] = _with_state(self.status_by_address[address], state)
+
+    def restart(self, address: str) -> None:
+        """Makes a runner come back without weights."""
+        vm_id = self.status_by_address[address].vm_id
+        self.status_by_address[address] = engines.RunnerStatus(vm_id=vm_id)
 
     async def order(
         self, address: str, order: engines.Order, *, timeout: float = 2.0
@@ -124,13 +141,56 @@
 
 
 def _with_state(status: engines.RunnerStatus, state: engines.RunnerState) -> engines.RunnerStatus:
-    return engines.RunnerStatus(
-        vm_id=status.vm_id,
-        group_id=status.group_id,
-        generation=status.generation,
-        model=status.model,
-        model_version=status.model_version,
-        state=state,
-        in_flight=status.in_flight,
-        fence=status.fence,
-    )
+    return dataclasses.replace(status, state=state)
+
+
+class ReplicaDirectory(directory.Directory):
+    """Decodes the group tables of a replica; the configuration is what the test sets."""
+
+    def __init__(self, *, known_objects: fakes.FakeReplica, config: data.Config) -> None:
+        self._replica = known_objects
+        self.current = config
+        self._listeners: list[Callable[[], None]] = []
+        self._tables: dict[str, data.FabricTable] = {}
+        known_objects.subscribe(names.FABRIC_PREFIX, self._changed)
+
+    def config(self) -> data.Config:
+        """Returns the set configuration."""
+        return self.current
+
+    def set(self, config: data.Config) -> None:
+        """Replaces the configuration and tells the listeners."""
+        self.current = config
+        for listener in self._listeners:
+            listener()
+
+    def groups_for(self, service: str) -> tuple[data.Group, ...]:
+        """Returns all groups of a service."""
+        return tuple(
+            group
+            for one in self._tables.values()
+            for group in one.groups
+            if group.service == service
+        )
+
+    def group(self, group_id: str) -> data.Group | None:
+        """Returns a group by its id."""
+        groups = (group for one in self._tables.values() for group in one.groups)
+        return next((group for group in groups if group.group_id == group_id), None)
+
+    def tables(self) -> dict[str, data.FabricTable]:
+        """Returns the decoded tables."""
+        return dict(self._tables)
+
+    def subscribe(self, listener: Callable[[], None]) -> None:
+        """Registers a listener."""
+        self._listeners.append(listener)
+
+    def _changed(self, change: objects.Change) -> None:
+        if change.stored is None:
+            return
+        found = table.decode(change.stored)
+        if not isinstance(found, failure.Failure):
+            self._tables[found.table.fabric_domain] = found.table
+        for listener in self._listeners:
+            listener()
--- a/basilpost/store/memory.py
+++ b/basilpost/store/memory.py
@@ -123,9 +123,11 @@
                 return objects.Changes(changes=found, revision=self._revision)
             changed = self._changed
             try:
-                await asyncio.wait_for(changed.wait(), left)
+                async with asyncio.timeout(left):
+                    await changed.wait()
             except TimeoutError:
-                pass
+                # Rounding may leave a rest of the wait that never passes on a test's clock.
+                deadline = clock.monotonic()
             if self.faults.down:
                 return objects.Unavailable(reason=f"watch {prefix}: the store went down")
 
