Outcome look-ups can be set by the layer that reaches services

Call and Record carry the service's outcome path (default empty), StoreLedger.use_lookup sets the adapter; settling and releasing tell when the store did not confirm (test added).

--- a/basilpost/routing/quarantine.py
+++ b/basilpost/routing/quarantine.py
@@ -153,7 +153,7 @@
 
     async def release(
         self, fingerprint: str, *, actor: str, reason: str
-    ) -> Entry | NotQuarantined | objects.Unavailable:
+    ) -> Entry | NotQuarantined | objects.Unknown:
         """Lets a request run again; the release stays in the store as an audit entry."""
         entry = self._entries_by_fingerprint.get(fingerprint)
         if entry is None:
@@ -164,7 +164,7 @@
                 self._take_in(released)
                 self._tell(released)
                 return released
-        return objects.Unavailable(reason=f"the release of {fingerprint} was not stored")
+        return objects.Unknown(reason=f"the release of {fingerprint} was not confirmed: look again")
 
     async def _arbitrate(self, node_id: str, message: suspects.AskLoneRun) -> suspects.LoneRunReply:
         """Grants a lone run unless the suspect runs already or the target has another one."""
--- a/basilpost/runs/buckets.py
+++ b/basilpost/runs/buckets.py
@@ -57,6 +57,7 @@
         key: The caller's idempotency key.
         digest: Digest of the request; a repeat must have the same.
         request_id: Id of the request that made the claim.
+        outcome_path: Path at which the service tells what became of the key, empty for none.
         state: What is known.
         attempt_id: Unique id of the claim.
         node_id: Node that holds the claim.
@@ -76,6 +77,7 @@
     state: RunState
     attempt_id: str
     node_id: str
+    outcome_path: str = ""
     confirmations: int = 0
     changed_at: str = ""
     answer: KeptAnswer | None = None
--- a/basilpost/runs/changes.py
+++ b/basilpost/runs/changes.py
@@ -64,6 +64,7 @@
         key=call.key,
         digest=call.digest,
         request_id=call.request_id,
+        outcome_path=call.outcome_path,
         state=buckets.RunState.CLAIMED,
         attempt_id=attempt_id,
         node_id=node_id,
--- a/basilpost/runs/ledger.py
+++ b/basilpost/runs/ledger.py
@@ -25,6 +25,7 @@
         key: The caller's idempotency key.
         digest: Digest of method, path and body; a repeat must have the same.
         request_id: Id of this request.
+        outcome_path: Path at which the service tells what became of the key, empty for none.
     """
 
     workspace: str
@@ -32,6 +33,7 @@
     key: str
     digest: str
     request_id: str
+    outcome_path: str = ""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/basilpost/runs/refusals.py
+++ b/basilpost/runs/refusals.py
@@ -115,3 +115,14 @@
         status=409,
         retry_after=UNKNOWN_RETRY_SECONDS,
     )
+
+
+def settling_unconfirmed(key: str) -> failure.Refusal:
+    """The store did not tell whether the decision took effect."""
+    return failure.Refusal(
+        reason=f"the store did not confirm the decision on key {key!r}: look at it again",
+        code="settling_unconfirmed",
+        status=503,
+        outcome=failure.Outcome.UNKNOWN,
+        retry_after=STORE_RETRY_SECONDS,
+    )
--- a/basilpost/runs/repeats.py
+++ b/basilpost/runs/repeats.py
@@ -36,7 +36,7 @@
         self._commit = commit
         self._holders = holders
         self._settler = settler
-        self._lookup = outcome_lookup
+        self.outcome_lookup = outcome_lookup
         self._timing = timing
         self._tasks = task_set
         self._settling: set[str] = set()
@@ -97,7 +97,7 @@
         Only "ran" is taken from it at once: that a service has no trace of a request does not show
         that the request is not still on its way, so "never ran" is settled as an operator would.
         """
-        found = await self._lookup.look_up(record, timeout=LOOKUP_SECONDS)
+        found = await self.outcome_lookup.look_up(record, timeout=LOOKUP_SECONDS)
         if isinstance(found, lookup.NeverRan) and record.run_id not in self._settling:
             self._settling.add(record.run_id)
             self._tasks.spawn(self._settle_as_not_run(record), name="settle run")
@@ -111,7 +111,7 @@
         """Settles by the service's word, if it still says so after the isolation interval."""
         try:
             await asyncio.sleep(self._timing.isolation)
-            again = await self._lookup.look_up(record, timeout=LOOKUP_SECONDS)
+            again = await self.outcome_lookup.look_up(record, timeout=LOOKUP_SECONDS)
             if not isinstance(again, lookup.NeverRan):
                 return
             await self._settler.settle(
--- a/basilpost/runs/settling.py
+++ b/basilpost/runs/settling.py
@@ -135,6 +135,8 @@
         )
         change = changes.settle(observed, state=state, entry=entry)
         committed = await self._commit(change, COMMIT_SECONDS)
+        if isinstance(committed, commits.Uncommitted) and committed.fence_version is not None:
+            return refusals.settling_unconfirmed(observed.key)
         if not isinstance(committed, commits.Committed):
             return refusals.store_unavailable()
         if not committed.done or committed.record is None:
--- a/basilpost/runs/settling_test.py
+++ b/basilpost/runs/settling_test.py
@@ -144,7 +144,8 @@
         async def look_up(self, record, *, timeout):
             return lookup.NeverRan()
 
-    a, b = await nodes.add("a"), await nodes.add("b", outcome_lookup=Never())
+    a, b = await nodes.add("a"), await nodes.add("b")
+    b.use_lookup(Never())
     await a.lose(await a.claim(CALL, timeout=5), "the connection broke")
     await asyncio.sleep(1)
     assert (await b.claim(CALL, timeout=5)).code == "outcome_unknown"
@@ -207,3 +208,17 @@
     replica.contact_age = 0.0
     renew(3, value=None)
     assert found.gone("a")
+
+
+async def test_a_decision_that_the_store_does_not_confirm_is_told_as_such(nodes):
+    a = await nodes.add("a")
+    await a.lose(await a.claim(CALL, timeout=5), "the connection broke")
+    await asyncio.sleep(1)
+    nodes.store.faults.delay = 0.3
+    nodes.store.faults.lose_answers = 1
+    settling = asyncio.create_task(_settle(a, failure.Outcome.RAN))
+    await asyncio.sleep(0.7)
+    nodes.store.faults.down = True
+    refusal = await settling
+    assert (refusal.code, refusal.outcome) == ("settling_unconfirmed", failure.Outcome.UNKNOWN)
+    assert nodes.record().state is buckets.RunState.RAN
--- a/basilpost/runs/store_ledger.py
+++ b/basilpost/runs/store_ledger.py
@@ -157,6 +157,10 @@
         self._log.warning("run_lost", request=entry.call.request_id, key=entry.call.key)
         self._record(entry, changes.lose(entry.run_id, attempt_id=entry.attempt_id, reason=reason))
 
+    def use_lookup(self, outcome_lookup: lookup.OutcomeLookup) -> None:
+        """Asks services for open outcomes from now on; set by the layer that can reach them."""
+        self._repeats.outcome_lookup = outcome_lookup
+
     async def _commit(self, change: changes.Change, seconds: float) -> commits.Result:
         """Commits a change of one record within some seconds."""
         return await self._writers.submit(change, deadline=clock.monotonic() + seconds)
