--- a/tests/members_in_force_test.py
+++ b/tests/members_in_force_test.py
@@ -13,7 +13,7 @@
 CUT_OFF_SECONDS = 10.0
 
 
-@pytest.mark.looptime
+@pytest.mark.looptime(noop_cycles=2)
 async def test_nodes_connect_replicate_decode_and_serve():
     async with members_fleet.Fleet(size=3) as fleet:
         await asyncio.sleep(SETTLE_SECONDS)
@@ -32,7 +32,7 @@
             assert node.serving
 
 
-@pytest.mark.looptime
+@pytest.mark.looptime(noop_cycles=2)
 async def test_a_node_cut_off_from_the_store_learns_from_its_peers():
     async with members_fleet.Fleet(size=5) as fleet:
         await asyncio.sleep(SETTLE_SECONDS)
@@ -42,3 +42,103 @@
         await asyncio.sleep(CUT_OFF_SECONDS)
         assert fleet.in_force(KEY, version) == set(fleet.ids)
         assert fleet.serving() == set(fleet.ids)
+
+
+@pytest.mark.looptime(noop_cycles=2)
+async def test_a_change_reaches_all_nodes_while_a_watch_is_silent():
+    async with members_fleet.Fleet(size=3) as fleet:
+        await asyncio.sleep(SETTLE_SECONDS)
+        for node in fleet.nodes:
+            node.store.watch_hangs = True
+        await asyncio.sleep(2)
+        for node in fleet.nodes:
+            node.store.watch_hangs = False
+        version = await fleet.write(KEY, members_fleet.workspace())
+        await asyncio.sleep(HEALTHY_SECONDS)
+        assert fleet.in_force(KEY, version) == set(fleet.ids)
+
+
+@pytest.mark.looptime(noop_cycles=2)
+async def test_a_slow_store_delays_but_stops_nobody():
+    async with members_fleet.Fleet(size=3) as fleet:
+        await asyncio.sleep(SETTLE_SECONDS)
+        fleet.store.faults.delay = 0.7
+        version = await fleet.write(KEY, members_fleet.workspace())
+        for _ in range(60):
+            await asyncio.sleep(1)
+            assert fleet.serving() == set(fleet.ids)
+            assert all(node.lease.remaining() > 0 for node in fleet.nodes)
+        assert fleet.in_force(KEY, version) == set(fleet.ids)
+
+
+@pytest.mark.looptime(noop_cycles=2)
+async def test_a_deleted_object_stays_deleted_after_a_stale_listing():
+    async with members_fleet.Fleet(size=3) as fleet:
+        await asyncio.sleep(SETTLE_SECONDS)
+        version = await fleet.write(KEY, members_fleet.workspace())
+        stale = await fleet.store.list(names.CONFIG_PREFIX)
+        await fleet.store.delete(KEY, version=version)
+        await asyncio.sleep(1)
+        late = await fleet.add("n009")
+        late.store.stale_listing = stale
+        await asyncio.sleep(SETTLE_SECONDS)
+        assert all(node.replica.get(KEY) is None for node in fleet.nodes)
+        assert KEY not in late.directory.config().versions_by_key or late.applied[KEY] == sorted(
+            late.applied[KEY]
+        )
+
+
+@pytest.mark.looptime(noop_cycles=2)
+async def test_a_broken_object_keeps_the_last_good_one_in_force():
+    async with members_fleet.Fleet(size=1) as fleet:
+        await asyncio.sleep(SETTLE_SECONDS)
+        await fleet.write(KEY, members_fleet.workspace(rate=7.0))
+        await asyncio.sleep(1)
+        await fleet.write(KEY, {"name": "arkhiv", "colour": "red"})
+        await asyncio.sleep(1)
+        node = fleet.nodes[0]
+        assert node.directory.config().workspaces_by_name["arkhiv"].rate == 7.0
+        assert node.kernel.registry.get_sample_value("basilpost_broken_objects_total") == 1
+
+
+@pytest.mark.looptime(noop_cycles=2)
+async def test_versions_only_rise_in_a_storm_of_changes_under_faults():
+    """A day's 6,600 changes in a minute, with cuts from the store and partitions coming and going."""
+    async with members_fleet.Fleet(size=5) as fleet:
+        await asyncio.sleep(SETTLE_SECONDS)
+        last_by_key = {}
+        for number in range(6_600):
+            key = f"{names.WORKSPACE_PREFIX}w{number % 40}"
+            record = {"name": key.rsplit("/")[-1], "rate": float(number)}
+            last_by_key[key] = await fleet.write(key, record)
+            if number % 1_100 == 0:
+                fleet.nodes[number // 1_100 % 5].store.cut ^= True
+            if number % 1_650 == 800:
+                fleet.network.partition({"n000", "n001"}, {"n002", "n003", "n004"})
+            if number % 1_650 == 1_600:
+                fleet.network.heal()
+            await asyncio.sleep(60 / 6_600)
+        fleet.network.heal()
+        for node in fleet.nodes:
+            node.store.cut = False
+        await asyncio.sleep(HEALTHY_SECONDS)
+        for node in fleet.nodes:
+            assert all(versions == sorted(set(versions)) for versions in node.applied.values())
+            assert {key: node.replica.version_of(key) for key in last_by_key} == last_by_key
+
+
+@pytest.mark.looptime(noop_cycles=2)
+async def test_a_large_fleet_spreads_changes_over_few_neighbours():
+    async with members_fleet.Fleet(size=40, full_mesh_nodes=8, neighbours=4) as fleet:
+        await asyncio.sleep(4 * SETTLE_SECONDS)
+        assert max(len(node.peers.neighbours()) for node in fleet.nodes) < 25
+        fleet.cut_store(*fleet.ids[:20])
+        version = await fleet.write(KEY, members_fleet.workspace())
+        await asyncio.sleep(CUT_OFF_SECONDS)
+        assert fleet.in_force(KEY, version) == set(fleet.ids)
+        assert fleet.serving() == set(fleet.ids)
+        before = fleet.store.calls_by_kind["watch"]
+        await asyncio.sleep(60)
+        watchers = 3
+        calls_a_second = (fleet.store.calls_by_kind["watch"] - before) / 60
+        assert calls_a_second < watchers * 20 + 40 * 4 / 30
--- /dev/null
+++ b/tests/members_lease_test.py
@@ -0,0 +1,89 @@
+"""The lease of a node under a store that loses answers, and what its observers see."""
+
+import asyncio
+
+import pytest
+
+from basilpost.core import codec, names
+from basilpost.members import lease, node_table
+from basilpost.settings import schema
+from basilpost.store import objects
+from tests import members_fleet
+
+KEY = names.NODE_PREFIX + "n000"
+
+
+@pytest.mark.looptime(noop_cycles=2)
+async def test_lost_answers_do_not_cost_the_lease():
+    async with members_fleet.Fleet(size=1) as fleet:
+        await asyncio.sleep(5)
+        fleet.store.faults.lose_answers = 5
+        for _ in range(30):
+            await asyncio.sleep(1)
+            assert fleet.nodes[0].lease.remaining() > 5
+
+
+@pytest.mark.looptime(noop_cycles=2)
+async def test_the_holder_stops_before_an_observer_would_take_over():
+    async with members_fleet.Fleet(size=2) as fleet:
+        await asyncio.sleep(20)
+        holder, observer = fleet.nodes
+        holder.store.cut = True
+        table = observer.replica.spread._table
+        while table.lease_holds("n000"):
+            await asyncio.sleep(0.1)
+        assert holder.lease.remaining() == 0
+
+
+@pytest.mark.looptime(noop_cycles=2)
+async def test_a_planned_stop_removes_the_lease_and_a_restart_takes_over_a_left_one():
+    async with members_fleet.Fleet(size=2) as fleet:
+        await asyncio.sleep(5)
+        await fleet.remove("n000")
+        assert isinstance(await fleet.store.get(KEY), objects.Missing)
+        assert fleet.nodes[0].table_size == 1
+        await fleet.add("n000")
+        await asyncio.sleep(5)
+        first = fleet.nodes_by_id["n000"]
+        await fleet.crash("n000")
+        fleet.network.heal()
+        second = await fleet.add("n000")
+        await asyncio.sleep(5)
+        assert second.lease.remaining() > 5
+        assert first.lease.incarnation != second.lease.incarnation
+
+
+@pytest.mark.looptime(noop_cycles=2)
+async def test_a_superseded_process_gives_its_lease_up():
+    async with members_fleet.Fleet(size=1) as fleet:
+        await asyncio.sleep(5)
+        found = await fleet.store.get(KEY)
+        other = codec.from_json(found.value, node_table.NodeRecord)
+        other = node_table.NodeRecord(
+            node_id="n000", peer_address="x", incarnation="later", lease_seconds=other.lease_seconds
+        )
+        await fleet.store.update(KEY, codec.to_json(other), version=found.version)
+        await asyncio.sleep(5)
+        assert fleet.nodes[0].lease.remaining() == 0
+
+
+@pytest.mark.looptime(noop_cycles=2)
+async def test_records_of_crashed_nodes_are_retired_unless_they_may_be_a_majority():
+    async with members_fleet.Fleet(size=5) as fleet:
+        await asyncio.sleep(10)
+        await fleet.crash("n000")
+        await asyncio.sleep(lease.RETIRE_SECONDS + 2 * lease.RETIRE_ROUND_SECONDS)
+        assert fleet.nodes[0].table_size == 4
+        fleet.network.partition({"n001"}, {"n002", "n003", "n004"})
+        fleet.cut_store("n002", "n003", "n004")
+        await asyncio.sleep(2 * lease.RETIRE_SECONDS)
+        assert fleet.nodes_by_id["n001"].table_size == 4
+
+
+def test_renewals_of_a_large_fleet_stay_below_the_set_rate():
+    timing = schema.Timing()
+    assert lease.renewal_seconds(timing, nodes=9) == timing.lease_renewal
+    for nodes in (9, 120, 420):
+        interval = lease.renewal_seconds(timing, nodes=nodes)
+        assert nodes / interval <= lease.LEASE_WRITES_PER_SECOND
+        assert lease.lease_seconds(timing, nodes=nodes) >= 3 * interval
