--- a/basilpost/members/wire.py
+++ b/basilpost/members/wire.py
@@ -76,6 +76,8 @@
             name = name_of(type(envelope.message))
             body = codec.msgpack_converter().unstructure(envelope.message)
         raw = msgpack.packb((int(envelope.mode), envelope.call, name, body))
+        if len(raw) > MAX_FRAME_BYTES:
+            raise ValueError(f"a {name} of {len(raw)} bytes is larger than a frame may be")
         return frame(raw)
 
     def decode(self, raw: bytes) -> Envelope | FrameRefused:
