Administration: last administrator kept, metrics, limits told, malformed input

Cause: trials of malformed input found two ways to a 500 or a closed connection without a word: a body nested nearly 1,000 levels deep (RecursionError outside the JSON parser) and a body over the limit. Change: nesting is limited to 20 levels, checked without recursion; bodies up to 1 MB are read so that 413 can be told; the last administrator cannot be removed unless the settings name a bootstrap token.

--- a/basilpost/admin/answers.py
+++ b/basilpost/admin/answers.py
@@ -9,6 +9,8 @@
 from basilpost.core import failure
 from basilpost.settings import configuration, loader
 
+MAX_DEPTH = 20
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class BadRequest(failure.Failure):
@@ -120,6 +122,8 @@
         return BadRequest(reason=f"the body is not JSON: {error}", code="bad_json")
     if not isinstance(raw, dict):
         return BadRequest(reason="the body has to be a JSON object", code="bad_json")
+    if _is_deeper(raw, MAX_DEPTH):
+        return BadRequest(reason=f"the body nests deeper than {MAX_DEPTH} levels", code="bad_json")
     return raw
 
 
@@ -137,5 +141,20 @@
     )
 
 
+def _is_deeper(raw: Any, limit: int) -> bool:
+    """Returns True if a value nests deeper than a limit; works without recursion itself."""
+    level = [raw]
+    for _ in range(limit):
+        level = [
+            inner
+            for one in level
+            for inner in (one.values() if isinstance(one, dict) else one)
+            if isinstance(inner, dict | list)
+        ]
+        if not level:
+            return False
+    return True
+
+
 def _refuse_constant(name: str) -> None:
     raise ValueError(f"{name} is not a number of JSON")
--- a/basilpost/admin/api.py
+++ b/basilpost/admin/api.py
@@ -40,8 +40,8 @@
         """Listens for operators."""
         server = tornado.httpserver.HTTPServer(
             make_application(self._context),
-            max_body_size=limits.MAX_BODY_BYTES,
-            max_buffer_size=limits.MAX_BODY_BYTES + limits.MAX_HEADER_BYTES,
+            max_body_size=limits.MAX_READ_BYTES,
+            max_buffer_size=limits.MAX_READ_BYTES + limits.MAX_HEADER_BYTES,
             max_header_size=limits.MAX_HEADER_BYTES,
             body_timeout=limits.BODY_SECONDS,
             idle_connection_timeout=limits.IDLE_SECONDS,
@@ -65,7 +65,7 @@
     """Collects what the handlers use from the kernel."""
     return context.Context(
         log=kernel.log,
-        changes=changes.Changes(kernel=kernel),
+        changes=changes.Changes(kernel=kernel, bootstrap_digest=settings.admin_token_digest),
         directory=kernel.find(names.DIRECTORY, directory.Directory),
         peers=kernel.find(names.PEERS, peers.PeerNetwork),
         replica=kernel.find(names.REPLICA, replica.Replica),
--- a/basilpost/admin/changes.py
+++ b/basilpost/admin/changes.py
@@ -9,6 +9,8 @@
 import dataclasses
 from typing import Any
 
+import prometheus_client
+
 from basilpost.admin import audit
 from basilpost.core import clock, codec, data, failure, kernel, names
 from basilpost.members import directory, replica
@@ -20,6 +22,7 @@
 _SETTLE_SECONDS = 10.0
 _FIRST_PAUSE_SECONDS = 0.05
 _LONGEST_PAUSE_SECONDS = 1.0
+_SECONDS_BUCKETS = (0.005, 0.02, 0.1, 0.5, 2.0, 5.0, 10.0, 20.0)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -128,8 +131,21 @@
 class Changes:
     """Accepts changes on one node."""
 
-    def __init__(self, *, kernel: kernel.Kernel) -> None:
+    def __init__(self, *, kernel: kernel.Kernel, bootstrap_digest: str) -> None:
         self._node_id = kernel.node_id
+        self._has_bootstrap = bool(bootstrap_digest)
+        self._decided = prometheus_client.Counter(
+            "basilpost_changes_total",
+            "Changes of configuration objects that operators asked for, by kind and result",
+            ["kind", "result"],
+            registry=kernel.registry,
+        )
+        self._seconds = prometheus_client.Histogram(
+            "basilpost_change_seconds",
+            "Time until a change was decided",
+            buckets=_SECONDS_BUCKETS,
+            registry=kernel.registry,
+        )
         self._log = kernel.log
         self._store = kernel.find(names.OBJECTS, objects.ObjectStore)
         self._replica = kernel.find(names.REPLICA, replica.Replica)
@@ -148,10 +164,17 @@
 
     async def accept(self, proposal: Proposal) -> Result:
         """Checks a change and writes it; returns only what is known for certain."""
+        began = clock.monotonic()
         result = await self._accept(proposal)
         outcome = type(result).__name__
+        self._seconds.observe(clock.monotonic() - began)
+        self._decided.labels(kind=proposal.kind.name, result=outcome).inc()
         self._log.info(
-            "change_decided", key=proposal.key, attempt=proposal.attempt_id, result=outcome
+            "change_decided",
+            key=proposal.key,
+            actor=proposal.actor,
+            attempt=proposal.attempt_id,
+            result=outcome,
         )
         return result
 
@@ -206,6 +229,8 @@
             if record is None
             else configuration.check_references(record, config)
         )
+        if proposal.kind is configuration.OPERATORS and not self._has_bootstrap:
+            errors += configuration.check_administrators(proposal.name, record, config)
         if not errors:
             return None
         return configuration.Problems(
--- a/basilpost/admin/limits.py
+++ b/basilpost/admin/limits.py
@@ -10,6 +10,8 @@
 REJECTED_TOKENS_PER_SECOND = 5.0
 REJECTED_TOKENS_BURST = 20.0
 MAX_BODY_BYTES = 128_000
+# A body up to this size is read, so that its sender can be told that it is too large.
+MAX_READ_BYTES = 1_000_000
 MAX_HEADER_BYTES = 16_000
 BODY_SECONDS = 10.0
 IDLE_SECONDS = 60.0
--- a/basilpost/settings/configuration.py
+++ b/basilpost/settings/configuration.py
@@ -138,6 +138,22 @@
     )
 
 
+def check_administrators(
+    name: str, record: Record | None, config: data.Config
+) -> tuple[loader.SettingError, ...]:
+    """Checks that somebody may still administer after a change of an operator's account."""
+    before = config.operators_by_name.values()
+    after = [*(one for one in before if one.name != name), record]
+    if not any(_administers(one) for one in before) or any(_administers(one) for one in after):
+        return ()
+    allowed = "at least one operator who may administer"
+    return (loader.setting_error(OPERATORS.key(name), "role", "the last administrator", allowed),)
+
+
+def _administers(record: Record | None) -> bool:
+    return isinstance(record, data.Operator) and record.role == ROLES[-1]
+
+
 def _check(record: Record, name: str, place: str) -> Iterator[loader.SettingError]:
     checks = [
         (valid_name(name) and record.name == name, "name", record.name, f"{name}: {_NAME_TEXT}"),
