--- a/basilpost/cli/main.py
+++ b/basilpost/cli/main.py
@@ -6,9 +6,12 @@
 from basilpost.cli import (
     audit,
     config,
+    demo,
     emulate,
     failure_domain,
     key,
+    load,
+    node,
     quarantine,
     questionnaire,
     runs,
@@ -24,9 +27,12 @@
 
 main.add_command(audit.audit)
 main.add_command(config.config)
+main.add_command(demo.command, name="demo")
 main.add_command(emulate.command)
 main.add_command(failure_domain.failure_domain)
 main.add_command(key.key)
+main.add_command(load.command)
+main.add_command(node.command, name="node")
 main.add_command(quarantine.quarantine)
 main.add_command(questionnaire.questionnaire)
 main.add_command(runs.runs)
--- a/basilpost/groups/fakes.py
+++ b/basilpost/groups/fakes.py
@@ -1,6 +1,7 @@
 """Small fakes of the interfaces to targets, for focused tests."""
 
 import asyncio
+import collections
 import dataclasses
 from collections.abc import Callable
 
@@ -74,6 +75,8 @@
         self.load_seconds = load_seconds
         self.status_by_address: dict[str, engines.RunnerStatus] = {}
         self.dark: set[str] = set()
+        self.delay_by_address: dict[str, float] = {}
+        self.in_flight_by_address: collections.Counter[str] = collections.Counter()
         self.orders: list[tuple[str, engines.Order]] = []
         self.loaded_at_by_address: dict[str, float] = {}
 
@@ -84,6 +87,8 @@
         if address in self.dark:
             await asyncio.sleep(timeout)
             return engines.Unreachable(reason=f"{address} is dark")
+        if address in self.delay_by_address:
+            await asyncio.sleep(self.delay_by_address[address])
         if plain:
             return engines.RunnerStatus(vm_id=address, state=engines.RunnerState.READY)
         found = self.status_by_address.get(address, engines.RunnerStatus(vm_id=address))
@@ -92,12 +97,17 @@
         if found.state is engines.RunnerState.LOADING and loaded:
             found = _with_state(found, engines.RunnerState.COLD)
             self.status_by_address[address] = found
-        return found
+        return dataclasses.replace(found, in_flight=self.in_flight_by_address[address])
 
     def set_state(self, address: str, state: engines.RunnerState) -> None:
         """Makes a runner report another state."""
         self.status_by_address[address] = _with_state(self.status_by_address[address], state)
 
+    def restart(self, address: str) -> None:
+        """Makes a runner come back without weights."""
+        vm_id = self.status_by_address[address].vm_id
+        self.status_by_address[address] = engines.RunnerStatus(vm_id=vm_id)
+
     async def order(
         self, address: str, order: engines.Order, *, timeout: float = 2.0
     ) -> engines.Accepted | engines.StaleFence | engines.Unreachable:
--- /dev/null
+++ b/basilpost/groups/http_engine.py
@@ -0,0 +1,85 @@
+"""Talks to runners and plain services over HTTP, as docs/INTERFACES.md describes."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from tornado import httpclient
+
+from basilpost.core import clock, codec
+from basilpost.groups import engines
+
+_MAX_CONNECTIONS = 2000
+_CONFLICT = 409
+_HEALTH_PATH = "/healthz"
+
+
+class OrderTooLateError(OSError):
+    """The time of an order was over before it could be sent."""
+
+
+class HttpEngine(engines.Engine):
+    """Opens a connection for each call, so that one gone silent cannot hold up the next."""
+
+    def __init__(self) -> None:
+        self._client = httpclient.AsyncHTTPClient(force_instance=True, max_clients=_MAX_CONNECTIONS)
+
+    async def status(
+        self, address: str, *, plain: bool = False, timeout: float = 1.0
+    ) -> engines.RunnerStatus | engines.Unreachable:
+        """Asks for a runner's status, or makes a plain service's health check."""
+        path = _HEALTH_PATH if plain else "/status"
+        request = httpclient.HTTPRequest(f"http://{address}{path}")
+        answer = await self._fetch(request, timeout=timeout)
+        if isinstance(answer, engines.Unreachable):
+            return answer
+        if answer.code != 200:
+            return engines.Unreachable(reason=f"{address} answered {answer.code}")
+        if plain:
+            return engines.RunnerStatus(vm_id=address, state=engines.RunnerState.READY)
+        try:
+            return codec.from_json(answer.body, engines.RunnerStatus)
+        except ValueError as error:
+            return engines.Unreachable(reason=f"{address}: {error}")
+
+    async def order(
+        self, address: str, order: engines.Order, *, timeout: float = 2.0
+    ) -> engines.Accepted | engines.StaleFence | engines.Unreachable:
+        """Posts an order, unless its time is over before the body can be sent.
+
+        The body goes out last, and only in time: a process that is paused after it has connected
+        must not complete an old order when it wakes.
+        """
+        body = codec.to_json(order)
+        deadline = clock.monotonic() + timeout
+
+        async def produce(write: Callable[[bytes], Awaitable[None]]) -> None:
+            if clock.monotonic() >= deadline:
+                raise OrderTooLateError(f"order for {address} is {timeout} s old")
+            await write(body)
+
+        request = httpclient.HTTPRequest(
+            f"http://{address}/orders",
+            method="POST",
+            headers={"Content-Length": str(len(body)), "Content-Type": "application/json"},
+            body_producer=produce,  # type: ignore[arg-type]
+        )
+        answer = await self._fetch(request, timeout=timeout)
+        if isinstance(answer, engines.Unreachable):
+            return answer
+        if answer.code == 200:
+            return engines.Accepted()
+        if answer.code == _CONFLICT:
+            return engines.StaleFence(reason=f"{address} refused fence {order.fence}")
+        return engines.Unreachable(reason=f"{address} answered {answer.code}")
+
+    async def _fetch(
+        self, request: httpclient.HTTPRequest, *, timeout: float
+    ) -> httpclient.HTTPResponse | engines.Unreachable:
+        request.connect_timeout = timeout
+        request.request_timeout = timeout
+        request.follow_redirects = False
+        try:
+            async with asyncio.timeout(timeout):
+                return await self._client.fetch(request, raise_error=False)
+        except (OSError, httpclient.HTTPError) as error:
+            return engines.Unreachable(reason=f"{request.url}: {error or 'no answer in time'}")
--- a/basilpost/load/records.py
+++ b/basilpost/load/records.py
@@ -36,9 +36,8 @@
         finished: When the answer or failure was complete.
         status: HTTP status, 0 if none came.
         outcome: Header that tells whether it ran.
-        group_id: Header that names the group that answered.
-        generation: Header that names the group's generation.
-        answered_id: Request id that the answer carried.
+        target: Header that names the group that answered.
+        answered_ids: Request ids that the answer carried, in its head and in its content.
         complete: True if the answer came to its proper end.
         answer_digest: Digest of the answer's content.
         expected_digest: Digest of the content that the request asked for.
@@ -57,9 +56,8 @@
     finished: float
     status: int = 0
     outcome: str = ""
-    group_id: str = ""
-    generation: str = ""
-    answered_id: str = ""
+    target: str = ""
+    answered_ids: tuple[str, ...] = ()
     complete: bool = False
     answer_digest: str = ""
     expected_digest: str = ""
@@ -82,4 +80,7 @@
 def read_lines(file: TextIO) -> list[Record]:
     """Reads records from lines of JSON."""
     plain = (json.loads(line) for line in file)
-    return [Record(**one | {"kind": Kind(one["kind"])}) for one in plain]
+    return [
+        Record(**one | {"kind": Kind(one["kind"]), "answered_ids": tuple(one["answered_ids"])})
+        for one in plain
+    ]
--- a/basilpost/runs/changes.py
+++ b/basilpost/runs/changes.py
@@ -10,6 +10,8 @@
 from basilpost.core import clock, data
 from basilpost.runs import buckets, ledger
 
+RAN_AFTER_ALL = "ran although it had been settled as not run"
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Applied:
@@ -95,9 +97,9 @@
     return Change(run_id=run_id, apply=apply)
 
 
-def finish(run_id: str, *, attempt_id: str, answer: ledger.Answer) -> Change:
+def finish(run_id: str, *, attempt_id: str, answer: ledger.Answer | None) -> Change:
     """Records that a request ran; the truth goes before what was settled meanwhile."""
-    kept = buckets.keepable(answer)
+    kept = buckets.keep(answer) if answer else None
     changed_at = clock.utc_now()
 
     def apply(found: buckets.Record | None) -> Applied:
@@ -107,7 +109,7 @@
             found,
             state=buckets.RunState.RAN,
             answer=kept,
-            reason="",
+            reason=RAN_AFTER_ALL if found.state is buckets.RunState.NOT_RUN else "",
             changed_at=changed_at,
         )
         return Applied(record=ran, done=True)
@@ -146,7 +148,6 @@
     *,
     state: buckets.RunState,
     entry: data.AuditEntry,
-    answer: ledger.Answer | None = None,
 ) -> Change:
     """Settles an open request as decided, if it is still as it was observed."""
 
@@ -158,7 +159,6 @@
         settled = dataclasses.replace(
             observed,
             state=state,
-            answer=answer,
             changed_at=entry.at,
             audit=(*observed.audit, entry),
         )
