A refusal says not run only if that is known for its key

Cause: histories showed 'not run' for a repeat whose key had run through another node: nodes that stop, that are isolated or cannot reach the store refused without reading the ledger. A caller who believes it files twice. Ruled out: 'unknown' for every refusal without the ledger (a store outage would leave every new filing to be reconciled by hand); asking all nodes (cost grows with the fleet). Change: before dispatch a node tells two witnesses chosen by hashing the key; a refusal without the ledger asks three, and says 'unknown' if any has seen the key or none answers. A stopping node still reads the ledger for repeats.

--- a/basilpost/gateway/filings.py
+++ b/basilpost/gateway/filings.py
@@ -13,15 +13,24 @@
 from basilpost.gateway import dispatch, refusals
 from basilpost.routing import policy
 from basilpost.runs import ledger
+from basilpost.runs import witnesses as witnesses_
 
 _LATE_SECONDS = 60.0
+_WITHOUT_LEDGER = frozenset({429, 503, 504})
 
 
 class Filings:
     """Runs claimed requests in tasks of their own."""
 
-    def __init__(self, *, dispatcher: dispatch.Dispatcher, ledger: ledger.Ledger) -> None:
+    def __init__(
+        self,
+        *,
+        dispatcher: dispatch.Dispatcher,
+        ledger: ledger.Ledger,
+        witnesses: witnesses_.Witnesses,
+    ) -> None:
         self._dispatcher = dispatcher
+        self._witnesses = witnesses
         self._ledger = ledger
         self._running: set[asyncio.Task[Any]] = set()
 
@@ -34,7 +43,7 @@
         if isinstance(claim, ledger.Replayed):
             return _replayed(claim.answer)
         if isinstance(claim, failure.Refusal):
-            return claim
+            return await self.vouched(call, claim)
         attempts = dispatch.Attempts(request=request)
         task = self._spawn(self._run(claim, attempts, message))
         try:
@@ -55,10 +64,16 @@
         if isinstance(claim, ledger.Replayed):
             return _replayed(claim.answer)
         if isinstance(claim, failure.Refusal):
-            return claim
+            return await self.vouched(call, claim)
         await self._ledger.abandon(claim)
         return refusals.stopping()
 
+    async def vouched(self, call: ledger.Call, refusal: failure.Refusal) -> failure.Refusal:
+        """Returns a refusal given without the ledger, saying "not run" only if that is known."""
+        if refusal.status not in _WITHOUT_LEDGER:
+            return refusal
+        return await self._witnesses.vouch(call, refusal)
+
     async def settle(self) -> None:
         """Waits until all running requests have ended and are recorded."""
         while self._running:
@@ -88,6 +103,7 @@
                 return self._give_up(claim, attempts, opened)
             if not await self._may_send(claim, attempts, opened):
                 return self._give_up(claim, attempts, _claim_outdated(attempts.outcome))
+            self._witnesses.note(claim.call)
             result = await self._dispatcher.exchange(attempts, opened, message)
             if isinstance(result, dispatch.Answered):
                 answer = ledger.Answer(
--- a/basilpost/gateway/handlers.py
+++ b/basilpost/gateway/handlers.py
@@ -223,6 +223,15 @@
             self.shown_id, self.request_id = callers.request_ids(self.request.headers)
         self.set_header(names.REQUEST_ID_HEADER, self.shown_id)
 
+    def refused_now(self) -> failure.Refusal | None:
+        """Refuses new work on a node that stops, or whose view may be outdated."""
+        verdict = self.context.standing.check()
+        if self.context.stopping:
+            return refusals.stopping()
+        if isinstance(verdict, standing.NotServing):
+            return refusals.out_of_standing(verdict)
+        return None
+
     def may_be_repeat(self) -> bool:
         """Returns True if the request may repeat one that has run, so that only the ledger knows."""
         return False
@@ -263,11 +272,11 @@
 
     def _refused_by_head(self) -> failure.Refusal | None:
         context = self.context
-        verdict = context.standing.check()
-        if not context.ready or (context.stopping and not self.may_be_repeat()):
+        refusal = self.refused_now()
+        if not context.ready:
             return refusals.stopping()
-        if isinstance(verdict, standing.NotServing):
-            return refusals.out_of_standing(verdict)
+        if refusal is not None and not self.may_be_repeat():
+            return refusal
         workspace = self.caller(context.directory.config())
         if isinstance(workspace, failure.Refusal):
             return workspace
@@ -453,25 +462,43 @@
             return request
         if not route.idempotent and not key:
             return refusals.key_required()
-        ticket = self.context.admission.admit(request)
+        message = self._message(method, path, key, body)
+        if not route.idempotent:
+            return await self._file(workspace, request, message, key)
+        refusal = self.refused_now()
+        ticket = refusal or self.context.admission.admit(request)
         if isinstance(ticket, failure.Refusal):
             return ticket
         try:
-            message = self._message(method, path, key, body)
-            if route.idempotent and self.context.stopping:
-                return refusals.stopping()
-            if route.idempotent:
-                return await self.context.dispatcher.fetch(request, message)
-            call = ledger.Call(
-                workspace=workspace.name,
-                service=service.name,
-                key=key,
-                digest=hashing.body_digest(f"{method}\0{message.path}\0".encode() + body),
-                request_id=self.request_id,
-            )
-            if self.context.stopping:
-                return await self.context.filings.look_up(call, request)
-            return await self.context.filings.run(call, request, message)
+            return await self.context.dispatcher.fetch(request, message)
+        finally:
+            ticket.close()
+
+    async def _file(
+        self,
+        workspace: data.Workspace,
+        request: policy.Request,
+        message: dispatch.Message,
+        key: str,
+    ) -> dispatch.Answered | failure.Refusal:
+        """Runs a call that may not be repeated; each refusal is true for its key."""
+        filings = self.context.filings
+        called = f"{message.method}\0{message.path}\0".encode() + message.body
+        call = ledger.Call(
+            workspace=workspace.name,
+            service=request.service,
+            key=key,
+            digest=hashing.body_digest(called),
+            request_id=self.request_id,
+        )
+        if self.context.stopping:
+            return await filings.look_up(call, request)
+        refusal = self.refused_now()
+        ticket = refusal or self.context.admission.admit(request)
+        if isinstance(ticket, failure.Refusal):
+            return await filings.vouched(call, ticket)
+        try:
+            return await filings.run(call, request, message)
         finally:
             ticket.close()
 
--- a/basilpost/gateway/server.py
+++ b/basilpost/gateway/server.py
@@ -8,9 +8,9 @@
 from basilpost.core import clock, kernel, names, tasks
 from basilpost.gateway import dispatch, handlers, meters, upstream
 from basilpost.gateway import filings as filings_
-from basilpost.members import directory, standing
+from basilpost.members import directory, peers, standing
 from basilpost.routing import policy
-from basilpost.runs import ledger
+from basilpost.runs import ledger, witnesses
 from basilpost.settings import schema
 
 _POLL_SECONDS = 0.1
@@ -25,6 +25,9 @@
         self._kernel = kernel
         self._settings = kernel.find(names.SETTINGS, schema.NodeSettings)
         self._tasks = tasks.TaskSet(log=kernel.log)
+        # Peers drop a stream that brings an unknown message, so the types are known from the start.
+        network = kernel.find(names.PEERS, peers.PeerNetwork)
+        self._witnesses = witnesses.Witnesses(network=network)
         self._server: tornado.httpserver.HTTPServer | None = None
         self.context: handlers.Context | None = None
         self.port = 0
@@ -84,7 +87,11 @@
             admission=find(names.ADMISSION, policy.Admission),
             quarantine=find(names.QUARANTINE, policy.Quarantine),
             dispatcher=dispatcher,
-            filings=filings_.Filings(dispatcher=dispatcher, ledger=book),
+            filings=filings_.Filings(
+                dispatcher=dispatcher,
+                ledger=book,
+                witnesses=self._witnesses,
+            ),
             meters=counters,
             registry=registry,
         )
--- a/basilpost/gateway/server_test.py
+++ b/basilpost/gateway/server_test.py
@@ -17,7 +17,7 @@
 from basilpost.members import fakes as member_fakes
 from basilpost.members import standing
 from basilpost.routing import fakes as routing_fakes
-from basilpost.runs import ledger
+from basilpost.runs import ledger, witnesses
 from basilpost.settings import schema
 
 TOKENS = [f"t{number}" for number in range(6)]
@@ -151,6 +151,12 @@
         node.register(names.ADMISSION, self.admission)
         node.register(names.QUARANTINE, self.quarantine)
         node.register(names.LEDGER, self.ledger)
+        self.hub = member_fakes.PeerHub()
+        self.peers = [
+            member_fakes.FakePeers(node_id=one, hub=self.hub) for one in ("node-1", "node-2")
+        ]
+        witnesses.Witnesses(network=self.peers[1])
+        node.register(names.PEERS, self.peers[0])
         self.gateway = server.Gateway(kernel=node)
         await self.gateway.start()
 
@@ -382,3 +388,16 @@
     other = await bench.call("/services/licences/filings", Idempotency_Key="k-2")
     assert (code_of(other), other.headers["Basilpost-Outcome"]) == ("node_stopping", "not-run")
     assert "k-2" not in bench.ledger.state_by_key
+
+
+async def test_a_filing_refused_without_the_ledger_says_not_run_only_if_peers_know(bench):
+    await bench.start(Script())
+    await bench.call("/services/licences/filings", Idempotency_Key="k-1")
+    bench.standing.verdict = standing.NotServing(reason="no view")
+    again = await bench.call("/services/licences/filings", Idempotency_Key="k-1")
+    assert (again.code, again.headers["Basilpost-Outcome"]) == (503, "unknown")
+    fresh = await bench.call("/services/licences/filings", Idempotency_Key="k-2")
+    assert fresh.headers["Basilpost-Outcome"] == "not-run"
+    bench.hub.cut.add(frozenset(("node-1", "node-2")))
+    alone = await bench.call("/services/licences/filings", Idempotency_Key="k-2")
+    assert alone.headers["Basilpost-Outcome"] == "unknown"
