--- a/basilpost/groups/controller.py
+++ b/basilpost/groups/controller.py
@@ -5,9 +5,10 @@
 """
 
 import asyncio
+from collections.abc import Callable
 
 from basilpost.core import clock, data, hashing, kernel, names, tasks
-from basilpost.groups import budget, domain, engines
+from basilpost.groups import budget, domain, engines, planner, view
 from basilpost.members import directory, peers, replica, standing
 from basilpost.settings import schema
 from basilpost.store import objects, vms
@@ -18,7 +19,13 @@
 class Controllers(kernel.Service):
     """The fabric domains' controllers on this node."""
 
-    def __init__(self, *, kernel: kernel.Kernel, lease_remaining: domain.LeaseRemaining) -> None:
+    def __init__(
+        self,
+        *,
+        kernel: kernel.Kernel,
+        lease_remaining: domain.LeaseRemaining,
+        plan: Callable[[view.View], planner.Plan] = planner.plan,
+    ) -> None:
         self._settings = kernel.find(names.SETTINGS, schema.NodeSettings)
         self._vm_list = kernel.find(names.VMS, vms.VmList)
         self._directory = kernel.find(names.DIRECTORY, directory.Directory)
@@ -43,6 +50,7 @@
             vms_by_id=lambda: self._vms_by_id,
             loads=self._loads,
             drain=self._settings.gateway.drain_seconds,
+            plan=plan,
         )
 
     async def start(self) -> None:
--- a/basilpost/groups/credits.py
+++ b/basilpost/groups/credits.py
@@ -277,13 +277,18 @@
                 await self._ask(node_id, uses)
                 await asyncio.sleep(_KICK_SECONDS)
                 try:
-                    async with asyncio.timeout(self._timing.credit / _ASKS_PER_CREDIT):
+                    async with asyncio.timeout(self._pause(uses)):
                         await kick.wait()
                 except TimeoutError:
                     pass
         finally:
             self._askers_by_node.pop(node_id, None)
 
+    def _pause(self, uses: list[_Use]) -> float:
+        """Returns the seconds until the next ask: fewer while a target is short of credits."""
+        pressing = any(use.bounded or self._is_short(use) for use in uses)
+        return self._timing.credit / (_ASKS_PER_CREDIT if pressing else _ASKS_PER_CREDIT / 2)
+
     def _wants_by_holder(self) -> dict[str, list[_Use]]:
         now = clock.monotonic()
         in_use = (
--- a/basilpost/groups/credits_test.py
+++ b/basilpost/groups/credits_test.py
@@ -1,6 +1,7 @@
 """Tests of credits: what a cold target is given by all nodes together, whatever fails."""
 
 import asyncio
+import collections
 import dataclasses
 import random
 
@@ -32,8 +33,11 @@
 class Traffic:
     """Full traffic from all nodes; counts what is really in flight on each target."""
 
-    def __init__(self, cluster, *, seconds=0.7):
+    def __init__(self, cluster, *, seconds=0.7, engine_reports=True, idle=""):
+        self.idle = idle
         self.cluster = cluster
+        reported = cluster.engine.in_flight_by_address
+        self.counts = reported if engine_reports else collections.Counter()
         self.seconds = seconds
         self.observation = GOOD
         self.most = 0
@@ -46,8 +50,9 @@
         self._tasks += [loop.create_task(self._caller(node)) for _ in range(streams)]
 
     async def __aenter__(self):
-        for node in self.cluster.nodes_by_id.values():
-            self.add(node)
+        for node_id, node in self.cluster.nodes_by_id.items():
+            if node_id != self.idle:
+                self.add(node)
         return self
 
     async def __aexit__(self, *_):
@@ -67,7 +72,7 @@
                     await self._run(node, group, slot, source)
 
     async def _run(self, node, group, slot, source):
-        counts = self.cluster.engine.in_flight_by_address
+        counts = self.counts
         counts[group.address] += 1
         self.started += 1
         name = node.kernel.node_id
@@ -152,17 +157,36 @@
 
 
 @pytest.mark.looptime(noop_cycles=2)
-async def test_a_new_controller_counts_what_the_nodes_have_in_flight():
+@pytest.mark.parametrize("engine_reports", [True, False])
+async def test_a_new_controller_counts_what_the_nodes_have_in_flight(engine_reports):
     async with make_cluster() as cluster:
         await until_cold(cluster)
-        async with Traffic(cluster, seconds=15.0) as traffic:
+        old = cluster.holder()
+        async with Traffic(
+            cluster, seconds=15.0, engine_reports=engine_reports, idle=old
+        ) as traffic:
             await asyncio.sleep(10)
             assert traffic.most == COLD_LIMIT
-            await cluster.stop(cluster.holder())
+            await cluster.crash(old)
             await asyncio.sleep(30)
         assert traffic.most == COLD_LIMIT
 
 
+@pytest.mark.looptime(noop_cycles=2)
+async def test_credits_of_a_controller_that_died_are_void_once_the_next_one_is_known():
+    async with make_cluster() as cluster:
+        await until_cold(cluster)
+        async with Traffic(cluster, seconds=0.05):
+            await asyncio.sleep(10)
+            await cluster.crash(cluster.holder())
+            for _ in range(100):
+                await asyncio.sleep(0.05)
+                group = one_group(cluster)
+                free = sum(node.slots.free(group) for node in cluster.nodes_by_id.values())
+                in_flight = cluster.engine.in_flight_by_address[group.address]
+                assert free + in_flight <= COLD_LIMIT
+
+
 @pytest.mark.looptime(noop_cycles=2)
 async def test_a_domain_that_comes_back_ramps_up():
     async with make_cluster() as cluster:
--- a/basilpost/groups/domain.py
+++ b/basilpost/groups/domain.py
@@ -48,6 +48,7 @@
         vms_by_id: Returns the latest VM list, all fabric domains.
         loads: Budget of weight loads.
         drain: Longest time in seconds that a group may take to finish its work.
+        plan: Plans the next table and its orders.
     """
 
     peers: peers.PeerNetwork
@@ -61,6 +62,7 @@
     vms_by_id: Callable[[], dict[str, data.Vm]]
     loads: budget.LoadBudget
     drain: float
+    plan: Callable[[views.View], planner.Plan] = planner.plan
 
 
 class DomainController:
@@ -245,7 +247,7 @@
         self._watcher.retarget(self._watched(known.table))
         self._note_conditions(known.table)
         view = self._view(known)
-        plan = planner.plan(view)
+        plan = self._context.plan(view)
         self._watcher.hurry(_awaited(plan))
         if plan.table != known.table:
             if not await self._pin_newcomers(known.table, plan.table):
--- a/basilpost/groups/fake_cluster.py
+++ b/basilpost/groups/fake_cluster.py
@@ -46,12 +46,15 @@
         nodes: int = 1,
         checks_fence: bool = True,
         load_seconds: float = 5.0,
+        engine: fakes.FakeEngine | None = None,
         **node_options: Any,
     ) -> None:
         self.hub = member_fakes.PeerHub()
         self.store = memory.MemoryStore()
         self.vm_list = vms.FixedVmList(vms=vms_listed)
-        self.engine = fakes.FakeEngine(checks_fence=checks_fence, load_seconds=load_seconds)
+        self.engine = engine or fakes.FakeEngine(
+            checks_fence=checks_fence, load_seconds=load_seconds
+        )
         self.config = data.Config(services_by_name={one.name: one for one in services})
         self._node_options = node_options
         self.nodes_by_id: dict[str, fake_node.FakeNode] = {}
--- a/basilpost/groups/fake_node.py
+++ b/basilpost/groups/fake_node.py
@@ -1,9 +1,10 @@
 """A node of fakes with real controllers, for tests and measurements of several nodes in one process."""
 
 import asyncio
+from collections.abc import Callable
 
 from basilpost.core import clock, data, failure, kernel, names
-from basilpost.groups import controller, credits, engines, health
+from basilpost.groups import controller, credits, engines, health, planner, view
 from basilpost.groups import fakes as group_fakes
 from basilpost.members import fakes
 from basilpost.settings import schema
@@ -58,6 +59,7 @@
         config: data.Config,
         timing: schema.Timing | None = None,
         weight_store: schema.WeightStore | None = None,
+        plan: Callable[[view.View], planner.Plan] = planner.plan,
     ) -> None:
         self.kernel = kernel.Kernel(node_id=node_id)
         self.store = store
@@ -84,7 +86,7 @@
         self.kernel.register(names.DIRECTORY, self.directory)
         self.kernel.register(names.ENGINES, engine)
         self.controllers = controller.Controllers(
-            kernel=self.kernel, lease_remaining=lambda: self.lease_left
+            kernel=self.kernel, lease_remaining=lambda: self.lease_left, plan=plan
         )
         self.kernel.register(names.CONTROLLERS, self.controllers)
         self.health = health.TargetHealth(kernel=self.kernel)
--- a/basilpost/groups/fakes.py
+++ b/basilpost/groups/fakes.py
@@ -70,8 +70,17 @@
 class FakeEngine(engines.Engine):
     """Runners in memory: a load takes `load_seconds`, then the runner is cold until warmed."""
 
-    def __init__(self, *, checks_fence: bool = True, load_seconds: float = 1.0) -> None:
+    def __init__(
+        self,
+        *,
+        checks_fence: bool = True,
+        load_seconds: float = 1.0,
+        keeps_weights: bool = True,
+        warm_seconds: float = float("inf"),
+    ) -> None:
         self.checks_fence = checks_fence
+        self.keeps_weights = keeps_weights
+        self.warm_seconds = warm_seconds
         self.load_seconds = load_seconds
         self.status_by_address: dict[str, engines.RunnerStatus] = {}
         self.dark: set[str] = set()
@@ -79,6 +88,7 @@
         self.in_flight_by_address: collections.Counter[str] = collections.Counter()
         self.orders: list[tuple[str, engines.Order]] = []
         self.loaded_at_by_address: dict[str, float] = {}
+        self.joined_at_by_address: dict[str, float] = {}
 
     async def status(
         self, address: str, *, plain: bool = False, timeout: float = 1.0
@@ -97,6 +107,10 @@
         if found.state is engines.RunnerState.LOADING and loaded:
             found = _with_state(found, engines.RunnerState.COLD)
             self.status_by_address[address] = found
+        warm_at = max(done_at, self.joined_at_by_address.get(address, 0.0)) + self.warm_seconds
+        if found.state is engines.RunnerState.COLD and asyncio.get_running_loop().time() >= warm_at:
+            found = _with_state(found, engines.RunnerState.READY)
+            self.status_by_address[address] = found
         return dataclasses.replace(found, in_flight=self.in_flight_by_address[address])
 
     def set_state(self, address: str, state: engines.RunnerState) -> None:
@@ -119,8 +133,13 @@
         if self.checks_fence and order.fence < found.fence:
             return engines.StaleFence(reason=f"{address} has seen {found.fence}")
         self.orders.append((address, order))
+        self.joined_at_by_address[address] = asyncio.get_running_loop().time()
         same = (found.model, found.model_version) == (order.model, order.model_version)
-        keeps = same and found.state in (engines.RunnerState.COLD, engines.RunnerState.READY)
+        keeps = (
+            self.keeps_weights
+            and same
+            and found.state in (engines.RunnerState.COLD, engines.RunnerState.READY)
+        )
         if order.kind is engines.OrderKind.UNLOAD:
             state = engines.RunnerState.EMPTY
         else:
--- a/basilpost/groups/forming.py
+++ b/basilpost/groups/forming.py
@@ -21,17 +21,27 @@
 def _formed_in(
     view: views.View, groups: list[data.Group], cell: views.Cell, free: list[data.Vm]
 ) -> list[data.Group]:
+    wanted = _wanted(view, groups, cell, len(free))
+    return [_new_group(view, service, free) for service in wanted]
+
+
+def most_used(view: views.View, groups: list[data.Group], cell: views.Cell, free: int) -> int:
+    """Returns how many of a cell's free VMs new groups could use."""
+    return sum(size_of(service) for service in _wanted(view, groups, cell, free))
+
+
+def _wanted(
+    view: views.View, groups: list[data.Group], cell: views.Cell, free: int
+) -> list[data.Service]:
+    """Returns the service of each group to form from so many free VMs."""
     services = sorted(
         (one for one in view.services_by_name.values() if one.pool == cell.pool),
         key=lambda one: (-view.deficits_by_service.get(one.name, 0.0), one.name),
     )
     sizes = tuple(size_of(one) for one in services)
-    limits = tuple(_limit(view, groups, cell, one, len(free)) for one in services)
-    counts = best_counts(len(free), sizes, limits)
-    wanted = [
-        service for service, count in zip(services, counts, strict=True) for _ in range(count)
-    ]
-    return [_new_group(view, service, free) for service in wanted]
+    limits = tuple(_limit(view, groups, cell, one, free) for one in services)
+    counts = best_counts(free, sizes, limits)
+    return [service for service, count in zip(services, counts, strict=True) for _ in range(count)]
 
 
 def size_of(service: data.Service) -> int:
--- a/basilpost/groups/lifecycle.py
+++ b/basilpost/groups/lifecycle.py
@@ -10,7 +10,8 @@
 from basilpost.groups import view as views
 
 _STARTING = frozenset({data.GroupState.FORMING, data.GroupState.LOADING})
-PRELOAD_GRACE_SECONDS = 2.0
+FIRST_GRACE_SECONDS = 2.0
+OTHER_GRACE_SECONDS = 120.0
 DRAIN_REPORT_SECONDS = 1.0
 
 
@@ -106,15 +107,26 @@
     """
     if unwanted(view, group) or group.group_id in view.rolling:
         return True
-    leaving = [one.vm_id for one in group.members if views.leaving(view, one.vm_id)]
+    leaving = [one for one in group.members if views.leaving(view, one.vm_id)]
     if leaving:
-        waited = max(views.lasted(view, views.Lasting.LEAVING, one) for one in leaving)
         ready = loaded_spares >= len(leaving)
-        return ready or free_spares < len(leaving) or waited >= PRELOAD_GRACE_SECONDS
+        return ready or free_spares < len(leaving) or _must_stop(view, leaving)
     stragglers = [one for one in group.members if views.slow(view, one.vm_id)]
     return 0 < len(stragglers) <= loaded_spares
 
 
+def _must_stop(view: views.View, leaving: list[data.Member]) -> bool:
+    """Returns True if a group cannot wait any longer for the replacements of its leaving members.
+
+    The VM that receives the group's requests must get no new ones soon after it is known to leave.
+    """
+    return any(
+        views.lasted(view, views.Lasting.LEAVING, one.vm_id)
+        >= (OTHER_GRACE_SECONDS if one.rank else FIRST_GRACE_SECONDS)
+        for one in leaving
+    )
+
+
 def drained(view: views.View, group: data.Group) -> bool:
     """Returns True if a draining group has finished its work, or has had its time."""
     waited = views.lasted(view, views.Lasting.DRAINING, group.group_id)
--- a/basilpost/groups/planner_test.py
+++ b/basilpost/groups/planner_test.py
@@ -320,6 +320,21 @@
     assert not fleet.serving()
 
 
+def test_survivors_form_groups_of_other_sizes_once_the_lost_vm_is_gone():
+    services = [
+        dataclasses.replace(of_size(size), name=f"s{size}", model=f"m{size}") for size in (5, 2)
+    ]
+    fleet = Fleet([vm(index) for index in range(5)], services)
+    settle(fleet)
+    (whole,) = fleet.serving()
+    fleet.dark.add(whole.members[0].vm_id)
+    settle(fleet)
+    assert not fleet.serving()
+    del fleet.vms_by_id[whole.members[0].vm_id]
+    settle(fleet)
+    assert [len(group.members) for group in fleet.serving()] == [2, 2]
+
+
 def test_a_straggler_is_moved_out_only_for_a_loaded_spare():
     fleet = Fleet([vm(index) for index in range(4)], [of_size(4)])
     settle(fleet)
--- a/basilpost/groups/rebuilding.py
+++ b/basilpost/groups/rebuilding.py
@@ -7,7 +7,7 @@
 import dataclasses
 
 from basilpost.core import data
-from basilpost.groups import lifecycle
+from basilpost.groups import forming, lifecycle
 from basilpost.groups import view as views
 
 
@@ -106,8 +106,11 @@
     kept = [group for group in groups if not _vanished(view, group)]
     donors = {
         donor.group_id
-        for cell in {cell_of(view, group) for group in kept} - {None}
-        for donor in _donors(view, [one for one in kept if cell_of(view, one) == cell], spares)
+        for cell in {cell_of(view, group) for group in kept}
+        if cell is not None
+        for donor in _given_up(
+            view, cell, [one for one in kept if cell_of(view, one) == cell], spares
+        )
     }
     return [group for group in kept if group.group_id not in donors]
 
@@ -120,6 +123,42 @@
     )
 
 
+def _given_up(
+    view: views.View,
+    cell: views.Cell,
+    groups: list[data.Group],
+    spares: dict[views.Cell, list[data.Vm]],
+) -> list[data.Group]:
+    """Returns at most one group of a cell to dissolve."""
+    donors = _donors(view, groups, spares)
+    return donors or _hopeless(view, cell, groups, len(spares.get(cell, [])))
+
+
+def _hopeless(
+    view: views.View, cell: views.Cell, groups: list[data.Group], free: int
+) -> list[data.Group]:
+    """Returns a broken group whose survivors fill groups of other sizes better than they wait.
+
+    Only a group whose lost VMs the platform has removed is given up for that.
+    """
+    if not view.settled:
+        return []
+    broken = [group for group in groups if group.state is data.GroupState.BROKEN]
+    gains = (
+        (forming.most_used(view, groups, cell, free + len(_survivors(view, group))), group)
+        for group in broken
+        if _is_gone(view, group)
+    )
+    now_used = forming.most_used(view, groups, cell, free)
+    better = [(used, group) for used, group in gains if used > now_used]
+    return [max(better, key=lambda one: (one[0], one[1].group_id))[1]] if better else []
+
+
+def _is_gone(view: views.View, group: data.Group) -> bool:
+    out = lifecycle.to_replace(view, group)
+    return bool(out) and all(member.vm_id not in view.vms_by_id for member in out)
+
+
 def _donors(
     view: views.View, groups: list[data.Group], spares: dict[views.Cell, list[data.Vm]]
 ) -> list[data.Group]:
--- a/basilpost/groups/view.py
+++ b/basilpost/groups/view.py
@@ -21,6 +21,7 @@
             when this controller began to watch the VM.
         silent: True if the latest calls went unanswered.
         silence: Seconds from the first of them until the last one was given up.
+        steady: False for a VM that was silent and has come back only just now.
         slow: True if the VM answers so much later than its peers that it slows its group down.
     """
 
@@ -28,6 +29,7 @@
     heard_at: float
     silent: bool = False
     silence: float = 0.0
+    steady: bool = True
     slow: bool = False
 
 
@@ -176,8 +178,9 @@
 def spares_by_cell(view: View, groups: Iterable[data.Group]) -> dict[Cell, list[data.Vm]]:
     """Returns the VMs that a group may take in now, by cell and ordered by id.
 
-    A VM must answer, since the list may show a VM that is gone. There are none while some node may
-    still act on an older table, in which a VM that is free by now belongs to a group.
+    A VM must answer, since the list may show a VM that is gone, and steadily, since its neighbours
+    may be about to come back with it. There are none while some node may still act on an older
+    table, in which a VM that is free by now belongs to a group.
     """
     if not view.settled:
         return {}
@@ -190,6 +193,7 @@
             and not vm.leaving
             and not slow(view, vm_id)
             and answering(view, vm_id) is not None
+            and view.sights_by_id[vm_id].steady
         ),
         key=lambda vm: (cell_of(vm), vm.vm_id),
     )
--- a/basilpost/groups/watching.py
+++ b/basilpost/groups/watching.py
@@ -11,6 +11,7 @@
 
 _TRIES = 2
 _HURRIED_SECONDS = 0.25
+_STEADY_SECONDS = 3.0
 _LATENCY_WEIGHT = 0.2
 _SLOW_RATIO = 4.0
 _SLOW_SECONDS = 0.25
@@ -43,6 +44,7 @@
         self._timeout = timeout
         self._sights_by_id: dict[str, views.Sight] = {}
         self._silent_from_by_id: dict[str, float] = {}
+        self._back_at_by_id: dict[str, float] = {}
         self._kicks_by_id: dict[str, asyncio.Event] = {}
         self._hurried: set[str] = set()
         self._paces_by_id: dict[str, _Pace] = {}
@@ -59,6 +61,7 @@
             del self._sights_by_id[vm_id]
             self._paces_by_id.pop(vm_id, None)
             self._silent_from_by_id.pop(vm_id, None)
+            self._back_at_by_id.pop(vm_id, None)
             self._kicks_by_id.pop(vm_id, None)
         for one in sorted(targets - self._tasks_by_watched.keys(), key=lambda one: one.vm_id):
             self._sights_by_id.setdefault(one.vm_id, views.Sight(heard_at=clock.monotonic()))
@@ -90,6 +93,7 @@
         self._sights_by_id.clear()
         self._paces_by_id.clear()
         self._silent_from_by_id.clear()
+        self._back_at_by_id.clear()
         self._kicks_by_id.clear()
 
     async def _watch(self, one: Watched) -> None:
@@ -135,11 +139,15 @@
         sight = self._sights_by_id.get(vm_id)
         if sight is None:
             return
+        now = clock.monotonic()
+        if sight.silent:
+            self._back_at_by_id[vm_id] = now
+        steady = now - self._back_at_by_id.get(vm_id, float("-inf")) >= _STEADY_SECONDS
         self._silent_from_by_id.pop(vm_id, None)
         self._sights_by_id[vm_id] = dataclasses.replace(
-            sight, status=status, heard_at=asked_at, silent=False, silence=0.0
+            sight, status=status, heard_at=asked_at, silent=False, silence=0.0, steady=steady
         )
-        took = clock.monotonic() - asked_at
+        took = now - asked_at
         pace = self._paces_by_id.get(vm_id) or _Pace(latency=took)
         latency = pace.latency + _LATENCY_WEIGHT * (took - pace.latency)
         self._paces_by_id[vm_id] = dataclasses.replace(pace, latency=latency)
