--- a/basilpost/load/measure_requests.py
+++ b/basilpost/load/measure_requests.py
@@ -156,6 +156,31 @@
     }
 
 
+async def saturated_cpu(*, groups: int) -> dict[str, Any]:
+    """Times a release that serves the queue's head while no target has another free slot."""
+    bench = make_bench(groups=groups, slots_per_group=1)
+    numbers = itertools.count()
+
+    def ask() -> asyncio.Future[Any]:
+        request = bench.request(next(numbers), "w", seconds=1e6)
+        return asyncio.ensure_future(bench.admission.choose(request))
+
+    held = collections.deque(await asyncio.gather(*(ask() for _ in range(groups))))
+    waiting = collections.deque(ask() for _ in range(100))
+    await asyncio.sleep(0)
+    count = 2000
+    started = time.process_time()
+    for _ in range(count):
+        waiting.append(ask())
+        await asyncio.sleep(0)
+        held.popleft().slot.release(OK)
+        held.append(await waiting.popleft())
+    micros = (time.process_time() - started) / count * 1e6
+    for task in waiting:
+        task.cancel()
+    return {"figure": "saturated_cpu", "groups": groups, "us_per_request": round(micros, 1)}
+
+
 async def _one(bench: Bench, request: policy.Request) -> None:
     ticket = bench.admission.admit(request)
     choice = await bench.admission.choose(request)
@@ -361,6 +386,7 @@
         "figure": "prefix_hits",
         "choice_by": choice_by,
         "hit_rate": round(hits / asked, 3),
+        "first_token_s_mean": round(sum(waits) / len(waits), 3),
         "first_token_s_p50": round(_quantile(waits, 0.5), 3),
         "first_token_s_p95": round(_quantile(waits, 0.95), 3),
         "answered": asked,
@@ -494,6 +520,8 @@
         )
     for groups, affinity in itertools.product((10, 100, 1000), (False, True)):
         _report(asyncio.run(choose_cpu(groups=groups, affinity=affinity, loaded=0.25)))
+    for groups in (10, 100, 1000):
+        _report(asyncio.run(saturated_cpu(groups=groups)))
     for groups in (10, 100, 1000):
         _report(asyncio.run(rebuild_cpu(groups=groups)))
     _report(asyncio.run(queued_memory()))
--- a/basilpost/routing/admission.py
+++ b/basilpost/routing/admission.py
@@ -25,6 +25,7 @@
 from basilpost.settings import schema
 
 POLL_SECONDS = 0.05
+POLL_SECONDS_PER_TARGET = 0.0002
 NO_TARGET_SECONDS = 1.0
 
 
@@ -225,14 +226,20 @@
     def _place(
         self, waiter: queue.Waiter, freed: data.Group | None
     ) -> policy.Choice | selection.NoTarget | selection.AllFull:
-        """Tries the target that has just got a free slot first."""
-        in_force = self.selector.current(freed) if freed else None
-        if in_force is not None and in_force in self.selector.tiers_of(in_force.service).groups:
+        """Tries only the target that has just got a free slot, if it is known.
+
+        A look at all targets after each release would cost more with each target; the next poll
+        finds what a release leaves out.
+        """
+        if freed is None:
+            return self._pick(waiter.request, waiter.exclude)
+        in_force = self.selector.current(freed)
+        if in_force is not None:
             avoided = waiter.exclude | self._quarantine.suspects.occupied()
             choice = self.selector.take(in_force, avoided)
             if choice is not None:
                 return choice
-        return self._pick(waiter.request, waiter.exclude)
+        return selection.AllFull(reason=f"{freed.group_id} has no slot for the next request")
 
     def _hopeless(self, waiter: queue.Waiter) -> failure.Refusal | None:
         """Refuses a request that would end after its deadline, so that it wastes no slot."""
@@ -289,7 +296,9 @@
     def _poll_later(self) -> None:
         """Looks again soon: slots can become free without a release, by new credits."""
         if self._poll is None:
-            self._poll = asyncio.get_running_loop().call_later(POLL_SECONDS, self._polled)
+            targets = sum(self.selector.targets(one) for one in self._queues_by_service)
+            seconds = max(POLL_SECONDS, POLL_SECONDS_PER_TARGET * targets)
+            self._poll = asyncio.get_running_loop().call_later(seconds, self._polled)
 
     def _polled(self) -> None:
         self._poll = None
--- a/basilpost/routing/selection.py
+++ b/basilpost/routing/selection.py
@@ -125,13 +125,13 @@
         if isinstance(choice.slot, HeldSlot):
             choice.slot.give_back()
 
+    def targets(self, service: str) -> int:
+        """Returns the number of a service's targets that may be chosen."""
+        return len(self.tiers_of(service).groups)
+
     def current(self, group: data.Group) -> data.Group | None:
         """Returns the target as it is in force now, None if it may not be chosen any more."""
-        in_force = self._directory.group(group.group_id)
-        if in_force is None or not in_force.serving:
-            return None
-        in_service = self._directory.config().in_service(in_force.failure_domain)
-        return in_force if in_service else None
+        return self.tiers_of(group.service).groups_by_id.get(group.group_id)
 
     def by_load(self, service: str, exclude: frozenset[str]) -> list[data.Group]:
         """Returns the usable targets, the least loaded first; looks at all of them."""
--- a/basilpost/routing/tiers.py
+++ b/basilpost/routing/tiers.py
@@ -50,6 +50,11 @@
     groups: tuple[data.Group, ...]
     by_distance: tuple[Tier, ...]
 
+    @functools.cached_property
+    def groups_by_id(self) -> dict[str, data.Group]:
+        """Returns the targets by id."""
+        return {group.group_id: group for group in self.groups}
+
 
 def build(
     service: data.Service,
--- a/basilpost/runs/commits.py
+++ b/basilpost/runs/commits.py
@@ -43,10 +43,11 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Snapshot:
-    """A bucket as read or written at a version."""
+    """A bucket as read or written at a version; `size` is that of its stored form in bytes."""
 
     version: int
     records_by_id: dict[str, buckets.Record]
+    size: int = 0
 
 
 @dataclasses.dataclass(kw_only=True)
--- a/basilpost/runs/store_ledger_test.py
+++ b/basilpost/runs/store_ledger_test.py
@@ -324,3 +324,15 @@
     nodes.kill(a)
     for _ in range(2):
         assert (await b.claim(CALL, timeout=5)).code == "answer_not_kept"
+
+
+async def test_decoded_buckets_are_cached_within_a_number_of_bytes(nodes):
+    a = await nodes.add("a")
+    large = dataclasses.replace(ANSWER, body=bytes(40_000))
+    for number in range(200):
+        claim = await a.claim(dataclasses.replace(CALL, key=f"k{number}"), timeout=5)
+        await a.finish(claim, large)
+    await asyncio.sleep(5)
+    kept = a._writers._cache.values()
+    assert 0 < sum(snapshot.size for snapshot in kept) <= 4_000_000
+    assert a._writers._cached_bytes == sum(snapshot.size for snapshot in kept)
--- a/basilpost/runs/writer.py
+++ b/basilpost/runs/writer.py
@@ -16,7 +16,8 @@
 CALL_SECONDS = 1.0
 JITTER_SECONDS = 0.02
 MAX_JITTER_SECONDS = 0.5
-CACHED_BUCKETS = 256
+MAX_CACHED_BYTES = 4_000_000
+EMPTY_BYTES = 256
 NO_VERSION = 0
 
 
@@ -43,6 +44,7 @@
         self._bucket_count = bucket_count
         self._pending_by_key: dict[str, list[commits.Pending]] = {}
         self._cache: collections.OrderedDict[str, commits.Snapshot] = collections.OrderedDict()
+        self._cached_bytes = 0
 
     async def submit(self, change: changes.Change, *, deadline: float) -> commits.Result:
         """Commits a change by the deadline, together with others of the same bucket."""
@@ -62,12 +64,15 @@
         return self._cache.get(key)
 
     def remember(self, key: str, snapshot: commits.Snapshot | None) -> None:
-        """Keeps what is known of a bucket, up to a number of buckets."""
-        self._cache.pop(key, None)
+        """Keeps what is known of a bucket, the most recent ones up to a number of bytes."""
+        known = self._cache.pop(key, None)
+        self._cached_bytes -= known.size if known else 0
         if snapshot is not None:
             self._cache[key] = snapshot
-        if len(self._cache) > CACHED_BUCKETS:
-            self._cache.popitem(last=False)
+            self._cached_bytes += snapshot.size
+        while self._cached_bytes > MAX_CACHED_BYTES:
+            _, dropped = self._cache.popitem(last=False)
+            self._cached_bytes -= dropped.size
 
     def take_pending(self, key: str) -> list[commits.Pending]:
         """Returns the changes that wait for a bucket and empties its line."""
@@ -147,7 +152,7 @@
         written = await self._put(snapshot.version, raw)
         if isinstance(written, objects.Written):
             self._writers.wrote(len(self._batch))
-            after = commits.Snapshot(version=written.version, records_by_id=kept)
+            after = commits.Snapshot(version=written.version, records_by_id=kept, size=len(raw))
             self._writers.remember(self._key, after)
             self._deliver(applied)
             return after
@@ -173,10 +178,12 @@
             store_gate.end(number, answered=_answered(found))
         if isinstance(found, objects.Stored):
             return commits.Snapshot(
-                version=found.version, records_by_id=buckets.decode(found.value)
+                version=found.version,
+                records_by_id=buckets.decode(found.value),
+                size=len(found.value),
             )
         if isinstance(found, objects.Missing):
-            return commits.Snapshot(version=NO_VERSION, records_by_id={})
+            return commits.Snapshot(version=NO_VERSION, records_by_id={}, size=EMPTY_BYTES)
         return None
 
     async def _put(
