An answer larger than a frame is not sent to peers; messages survive the wire

Cause: a filing's answer may have 16 MB, a frame of the peer streams 4 MB; the reply failed and the repeat was told unknown. Now answers above gateway.max_answer_bytes are told as answer_not_kept.

--- a/basilpost/routing/quarantine_test.py
+++ b/basilpost/routing/quarantine_test.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from basilpost.core import data, failure
-from basilpost.routing import policy
+from basilpost.core import codec, data, failure
+from basilpost.routing import policy, suspects
 
 pytestmark = pytest.mark.looptime
 
@@ -181,3 +181,20 @@
     node.quarantine.ended(request, choice.group, crashed=False, ran=False)
     choice.slot.release(data.Observation(reached=True))
     assert node.quarantine.suspected(request) is not None
+
+
+async def test_messages_survive_the_wire(nodes):
+    targets = Targets(deadly={"bad"})
+    await targets.run(nodes[0], "bad")
+    (entry,) = nodes[0].quarantine.entries()
+    released = await nodes[0].quarantine.release("bad", actor="ana", reason="mended")
+    for message in (
+        entry,
+        released,
+        suspects.Blame(event_id="e", fingerprint="f", group_id="g", fabric_domain="d"),
+        suspects.Cleared(event_id="e", fingerprint="f"),
+        suspects.LoneRun(event_id="e", fingerprint="f", group_id=""),
+        suspects.AskLoneRun(fingerprint="f", group_id="g"),
+        suspects.LoneRunReply(granted=True),
+    ):
+        assert codec.from_msgpack(codec.to_msgpack(message), type(message)) == message
--- a/basilpost/runs/store_ledger.py
+++ b/basilpost/runs/store_ledger.py
@@ -52,7 +52,9 @@
         share_writes: bool = True,
     ) -> None:
         self.node_id = kernel.node_id
-        self.timing = kernel.find(names.SETTINGS, schema.NodeSettings).timing
+        settings = kernel.find(names.SETTINGS, schema.NodeSettings)
+        self.timing = settings.timing
+        self._max_answer_bytes = settings.gateway.max_answer_bytes
         self.entries = running.Entries()
         self._log = kernel.log
         self._store = kernel.find(names.OBJECTS, objects.ObjectStore)
@@ -135,7 +137,7 @@
         entry = self.entries.attempt(claim.attempt_id)
         if entry is None or not entry.open:
             return
-        entry.answer = answer
+        entry.answer = answer if len(answer.body) <= self._max_answer_bytes else None
         entry.close(running.Phase.FINISHED)
         self._record(
             entry, changes.finish(entry.run_id, attempt_id=entry.attempt_id, answer=answer)
--- a/basilpost/runs/store_ledger_test.py
+++ b/basilpost/runs/store_ledger_test.py
@@ -6,9 +6,9 @@
 
 import pytest
 
-from basilpost.core import clock, failure, kernel, names
+from basilpost.core import clock, codec, failure, kernel, names
 from basilpost.members import fakes
-from basilpost.runs import buckets, ledger, lookup, store_ledger
+from basilpost.runs import buckets, ledger, lookup, running, store_ledger
 from basilpost.settings import schema
 from basilpost.store import memory, objects
 
@@ -336,3 +336,21 @@
     kept = a._writers._cache.values()
     assert 0 < sum(snapshot.size for snapshot in kept) <= 4_000_000
     assert a._writers._cached_bytes == sum(snapshot.size for snapshot in kept)
+
+
+async def test_an_answer_that_is_too_large_for_peers_is_not_sent_to_them(nodes):
+    a, b = await nodes.add("a"), await nodes.add("b")
+    claim = await a.claim(CALL, timeout=5)
+    waiting = asyncio.create_task(b.claim(CALL, timeout=60))
+    await asyncio.sleep(1)
+    await a.finish(claim, dataclasses.replace(ANSWER, body=bytes(8_000_000)))
+    assert (await waiting).code == "answer_not_kept"
+
+
+@pytest.mark.parametrize("answer", [ANSWER, None])
+async def test_messages_survive_the_wire(answer):
+    for message in (
+        running.Attach(attempt_id="a", wait_seconds=1.5),
+        running.Report(phase=running.Phase.FINISHED, answer=answer, reason="r"),
+    ):
+        assert codec.from_msgpack(codec.to_msgpack(message), type(message)) == message
