--- /dev/null
+++ b/basilpost/load/measure_members.py
@@ -0,0 +1,391 @@
+"""Measures membership: how fast changes come in force, and what control costs each node.
+
+All nodes of a fleet run in this one process, with real peer streams over loopback and one store in
+memory. A node's share of the processor is the process's time divided by the nodes; its memory is
+that of a process with nothing but the program loaded, and the growth per node on top. Bytes are
+those sent and received on peer streams, and those of the store's calls with their answers.
+"""
+
+import asyncio
+import dataclasses
+import gc
+import json
+import logging
+import time
+from typing import Any
+
+import click
+import psutil
+import structlog
+
+from basilpost.core import clock, codec, data, kernel, names
+from basilpost.members import install, quorum_standing, replica, standing, streams
+from basilpost.settings import schema
+from basilpost.store import memory, objects
+
+SIZES = "3,9,27,81"
+TARGET_NODES = 420
+REGIONS = 3
+SETTLE_SECONDS = 15.0
+STEADY_SECONDS = 20.0
+CONFIG_BYTES = 1_000
+TABLE_BYTES = 20_000
+CONFIG_EVERY_SECONDS = 2.0
+TABLE_EVERY_CHANGES = 5
+HTTP_CALL_BYTES = 300
+MEGABYTE = 1_000_000
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Cost:
+    """What control costs one node of a fleet, on average and at the busiest node."""
+
+    kind: str = "cost"
+    nodes: int
+    peer_bytes_per_second: float
+    peer_bytes_per_second_busiest: float
+    store_bytes_per_second: float
+    cpu_percent_of_core: float
+    memory_megabytes: float
+    streams_per_node: float
+    store_calls_per_second: dict[str, float]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class InForce:
+    """Seconds from an accepted change until it is in force on all nodes."""
+
+    kind: str = "in_force"
+    nodes: int
+    condition: str
+    changes: int
+    missing: int
+    p50: float
+    p99: float
+    worst: float
+    not_serving: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Fit:
+    """A line through the two largest fleets, extended to the target size."""
+
+    kind: str = "fit"
+    quantity: str
+    slope_per_node: float
+    at_target_nodes: float
+
+
+class CountedStore(objects.ObjectStore):
+    """One node's way to the shared store, which counts calls and bytes and can be cut."""
+
+    def __init__(self, *, shared: memory.MemoryStore) -> None:
+        self.cut = False
+        self.bytes = 0
+        self._shared = shared
+
+    async def get(self, key: str, **options: Any) -> Any:
+        """Reads one object."""
+        return await self._pass(self._shared.get(key, **options), "down")
+
+    async def list(self, prefix: str, **options: Any) -> Any:
+        """Lists a prefix."""
+        return await self._pass(self._shared.list(prefix, **options), "down")
+
+    async def create(self, key: str, value: bytes, **options: Any) -> Any:
+        """Creates an object."""
+        self.bytes += len(value)
+        return await self._pass(self._shared.create(key, value, **options), "unknown")
+
+    async def update(self, key: str, value: bytes, **options: Any) -> Any:
+        """Updates an object."""
+        self.bytes += len(value)
+        return await self._pass(self._shared.update(key, value, **options), "unknown")
+
+    async def delete(self, key: str, **options: Any) -> Any:
+        """Deletes an object."""
+        return await self._pass(self._shared.delete(key, **options), "unknown")
+
+    async def watch(self, prefix: str, **options: Any) -> Any:
+        """Watches a prefix."""
+        return await self._pass(self._shared.watch(prefix, **options), "down")
+
+    async def _pass(self, call: Any, failing: str) -> Any:
+        if self.cut:
+            call.close()
+            await asyncio.sleep(1)
+            return _FAILURES[failing]
+        answer = await call
+        self.bytes += HTTP_CALL_BYTES + _size(answer)
+        return answer
+
+
+_FAILURES = {
+    "down": objects.Unavailable(reason="cut for the measurement"),
+    "unknown": objects.Unknown(reason="cut for the measurement"),
+}
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Node:
+    """One node under measurement; `in_force_at` has a time for each key and version."""
+
+    kernel: kernel.Kernel
+    store: CountedStore
+    in_force_at: dict[tuple[str, int], float]
+
+
+@dataclasses.dataclass(kw_only=True)
+class Reading:
+    """Counters at one moment."""
+
+    at: float
+    cpu: float
+    store_bytes: int
+    peer_bytes_by_node: list[float]
+    calls_by_kind: dict[str, int]
+
+
+@click.command()
+@click.option("--sizes", default=SIZES, show_default=True, help="Fleet sizes.")
+@click.option("--seconds", default=STEADY_SECONDS, show_default=True, help="Length of each phase.")
+@click.option("--settle", default=SETTLE_SECONDS, show_default=True, help="Time to settle first.")
+def main(sizes: str, seconds: float, settle: float) -> None:
+    """Prints each figure as one line of JSON."""
+    # Log lines would be measured too.
+    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
+    base = _resident_megabytes()
+    costs = [
+        asyncio.run(_measure(int(size), seconds=seconds, settle=settle, base=base))
+        for size in sizes.split(",")
+    ]
+    if len(costs) > 1:
+        _print_fits(costs)
+
+
+async def _measure(size: int, *, seconds: float, settle: float, base: float) -> Cost:
+    gc.collect()
+    before = _resident_megabytes()
+    shared = memory.MemoryStore()
+    nodes = [await _start(number, shared) for number in range(size)]
+    await asyncio.sleep(settle)
+    first = _read(nodes, shared)
+    healthy = await _change(nodes, shared, seconds=seconds)
+    second = _read(nodes, shared)
+    gc.collect()
+    grown = (_resident_megabytes() - before) / size
+    cost = _cost(nodes, first, second, memory_megabytes=base + max(grown, 0.0))
+    _emit(cost)
+    _emit(_in_force(nodes, healthy, condition="healthy"))
+    for node in nodes[::3]:
+        node.store.cut = True
+    await asyncio.sleep(settle / 2)
+    cut = await _change(nodes, shared, seconds=seconds)
+    _emit(_in_force(nodes, cut, condition="a third cut off from the store"))
+    for node in nodes:
+        await node.kernel.stop()
+    return cost
+
+
+async def _start(number: int, shared: memory.MemoryStore) -> Node:
+    node_id = f"node-{number:03}"
+    node = Node(
+        kernel=kernel.Kernel(node_id=node_id), store=CountedStore(shared=shared), in_force_at={}
+    )
+    settings = schema.NodeSettings(
+        node_id=node_id,
+        failure_domain=f"domain-{number % REGIONS}",
+        region=f"region-{number % REGIONS}",
+        platform=schema.Platform(object_api="http://unused", vm_list="http://unused"),
+        peers=schema.PeerStreams(secret="measure"),
+    )
+    node.kernel.register(names.SETTINGS, settings)
+    node.kernel.register(names.OBJECTS, node.store)
+    install.install(node.kernel)
+
+    def note(change: objects.Change) -> None:
+        node.in_force_at[(change.key, change.version)] = clock.monotonic()
+
+    found = node.kernel.find(names.REPLICA, replica.Replica)
+    found.subscribe(names.CONFIG_PREFIX, note)
+    found.subscribe(names.FABRIC_PREFIX, note)
+    await node.kernel.start()
+    return node
+
+
+async def _change(
+    nodes: list[Node], shared: memory.MemoryStore, *, seconds: float
+) -> dict[tuple[str, int], float]:
+    """Writes changes at a steady rate; returns when each was accepted."""
+    accepted_at: dict[tuple[str, int], float] = {}
+    for number in range(int(seconds / CONFIG_EVERY_SECONDS)):
+        is_table = number % TABLE_EVERY_CHANGES == 0
+        key = (names.FABRIC_PREFIX if is_table else names.WORKSPACE_PREFIX) + f"m{number % 3}"
+        value = _table(key) if is_table else _workspace(key, number)
+        accepted_at[(key, await _write(shared, key, value))] = clock.monotonic()
+        await asyncio.sleep(CONFIG_EVERY_SECONDS)
+    return accepted_at
+
+
+async def _write(shared: memory.MemoryStore, key: str, value: bytes) -> int:
+    found = await shared.get(key)
+    if isinstance(found, objects.Stored):
+        written = await shared.update(key, value, version=found.version)
+    else:
+        written = await shared.create(key, value)
+    assert isinstance(written, objects.Written)
+    return written.version
+
+
+def _workspace(key: str, number: int) -> bytes:
+    workspace = data.Workspace(name=key.rsplit("/")[-1], rate=float(number))
+    value = codec.to_json(workspace).decode()
+    audit = data.AuditEntry(
+        at="", actor="", node_id="", reason="x" * CONFIG_BYTES, before="", after="", attempt_id=""
+    )
+    return codec.to_json(data.ConfigObject(value=value, audit=(audit,)))
+
+
+def _table(key: str) -> bytes:
+    domain = key.removeprefix(names.FABRIC_PREFIX)
+    group = data.Group(
+        group_id=domain,
+        service="clearance",
+        generation=1,
+        state=data.GroupState.READY,
+        fabric_domain=domain,
+        failure_domain="a",
+        members=tuple(
+            data.Member(vm_id=f"vm-{rank:03}", address="10.0.0.1:8000", rank=rank)
+            for rank in range(8)
+        ),
+    )
+    count = TABLE_BYTES // len(codec.to_json(group))
+    groups = tuple(
+        dataclasses.replace(group, group_id=f"{domain}-{number}") for number in range(count)
+    )
+    return codec.to_json(data.FabricTable(fabric_domain=domain, groups=groups))
+
+
+def _read(nodes: list[Node], shared: memory.MemoryStore) -> Reading:
+    return Reading(
+        at=time.monotonic(),
+        cpu=time.process_time(),
+        store_bytes=sum(node.store.bytes for node in nodes),
+        peer_bytes_by_node=[_peer_bytes(node) for node in nodes],
+        calls_by_kind=dict(shared.calls_by_kind),
+    )
+
+
+def _peer_bytes(node: Node) -> float:
+    return sum(
+        node.kernel.registry.get_sample_value(
+            "basilpost_peer_bytes_total", {"direction": direction}
+        )
+        or 0.0
+        for direction in ("sent", "received")
+    )
+
+
+def _cost(nodes: list[Node], first: Reading, second: Reading, *, memory_megabytes: float) -> Cost:
+    seconds = second.at - first.at
+    per_node = [
+        (after - before) / seconds
+        for before, after in zip(first.peer_bytes_by_node, second.peer_bytes_by_node, strict=True)
+    ]
+    found = [node.kernel.find(names.PEERS, streams.Streams) for node in nodes]
+    return Cost(
+        nodes=len(nodes),
+        peer_bytes_per_second=_mean(per_node),
+        peer_bytes_per_second_busiest=round(max(per_node), 1),
+        store_bytes_per_second=round(
+            (second.store_bytes - first.store_bytes) / seconds / len(nodes), 1
+        ),
+        cpu_percent_of_core=round(100 * (second.cpu - first.cpu) / seconds / len(nodes), 3),
+        memory_megabytes=round(memory_megabytes, 1),
+        streams_per_node=_mean([float(len(one.neighbours())) for one in found]),
+        store_calls_per_second={
+            kind: round((count - first.calls_by_kind.get(kind, 0)) / seconds, 2)
+            for kind, count in second.calls_by_kind.items()
+        },
+    )
+
+
+def _in_force(
+    nodes: list[Node], accepted_at: dict[tuple[str, int], float], *, condition: str
+) -> InForce:
+    """Works out when each change was in force on the last node; a later version counts too."""
+    last = [
+        max(_reached(node, key, version) for node in nodes) - at
+        for (key, version), at in accepted_at.items()
+    ]
+    found = sorted(seconds for seconds in last if seconds < float("inf"))
+    verdicts = [
+        node.kernel.find(names.STANDING, quorum_standing.QuorumStanding).check() for node in nodes
+    ]
+    return InForce(
+        nodes=len(nodes),
+        condition=condition,
+        changes=len(last),
+        missing=len(last) - len(found),
+        p50=round(found[len(found) // 2], 4),
+        p99=round(found[int(len(found) * 0.99)], 4),
+        worst=round(found[-1], 4),
+        not_serving=sum(isinstance(one, standing.NotServing) for one in verdicts),
+    )
+
+
+def _reached(node: Node, key: str, version: int) -> float:
+    times = (
+        at for (found, number), at in node.in_force_at.items() if found == key and number >= version
+    )
+    return min(times, default=float("inf"))
+
+
+def _print_fits(costs: list[Cost]) -> None:
+    quantities = (
+        "peer_bytes_per_second",
+        "peer_bytes_per_second_busiest",
+        "store_bytes_per_second",
+        "cpu_percent_of_core",
+        "memory_megabytes",
+    )
+    small, large = costs[-2:]
+    for quantity in quantities:
+        rise = getattr(large, quantity) - getattr(small, quantity)
+        slope = rise / (large.nodes - small.nodes)
+        at_target = getattr(large, quantity) + slope * (TARGET_NODES - large.nodes)
+        _emit(
+            Fit(
+                quantity=quantity,
+                slope_per_node=round(slope, 4),
+                at_target_nodes=round(at_target, 2),
+            )
+        )
+
+
+def _size(answer: Any) -> int:
+    match answer:
+        case objects.Stored():
+            return len(answer.key) + len(answer.value)
+        case objects.Listing():
+            return sum(map(_size, answer.objects))
+        case objects.Changes():
+            return sum(_size(change.stored) for change in answer.changes)
+    return 0
+
+
+def _resident_megabytes() -> float:
+    return psutil.Process().memory_info().rss / MEGABYTE
+
+
+def _mean(values: list[float]) -> float:
+    return round(sum(values) / len(values), 1)
+
+
+def _emit(record: Any) -> None:
+    click.echo(json.dumps(dataclasses.asdict(record)))
+
+
+if __name__ == "__main__":
+    main()
--- a/basilpost/members/connections.py
+++ b/basilpost/members/connections.py
@@ -275,10 +275,24 @@
                     self._ended(one)
                 elif not one.lasting and now - one.used_at > ON_DEMAND_IDLE_SECONDS:
                     one.close("idle")
+                elif self._is_unwanted(one):
+                    one.close("unwanted")
                 elif now - one.sent_at >= self._timing.heartbeat * 0.9:
                     self.send(one, wire.HEARTBEAT_FRAME)
             await asyncio.sleep(self._timing.heartbeat)
 
+    def _is_unwanted(self, one: stream.Stream) -> bool:
+        """Returns True for a lasting stream from here to what is no neighbour any more.
+
+        Beyond the full mesh each side closes only what it opened: the other may have chosen it.
+        """
+        return (
+            one.lasting
+            and one.dialled_by == self._node_id
+            and one.node_id not in self._wanted
+            and not self.is_full_mesh()
+        )
+
     async def _read(self, one: stream.Stream) -> None:
         while not one.closed:
             raw = await one.read()
--- a/basilpost/members/following.py
+++ b/basilpost/members/following.py
@@ -19,6 +19,8 @@
 RETRY_SECONDS = 0.5
 MIN_GAP_SECONDS = 0.05
 
+# Waits until the next call is due; True if that call is to list instead of watching.
+Pause = Callable[[], Awaitable[bool]]
 TakeListing = Callable[[str, objects.Listing], None]
 TakeChange = Callable[[objects.Change], None]
 
@@ -38,7 +40,7 @@
         store: objects.ObjectStore,
         prefix: str,
         wait: Callable[[], float],
-        pause: Callable[[], Awaitable[None]],
+        pause: Pause,
         take_listing: TakeListing,
         take_change: TakeChange,
     ) -> None:
@@ -59,7 +61,8 @@
             if await self._step():
                 self.current_at = sent_at
                 self.answered_at = clock.monotonic()
-                await self._pause()
+                if await self._pause():
+                    self._revision = None
             else:
                 await asyncio.sleep(RETRY_SECONDS * random.uniform(0.5, 1.0))
 
--- a/basilpost/members/messages.py
+++ b/basilpost/members/messages.py
@@ -21,6 +21,22 @@
     changes: tuple[WireChange, ...]
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Announced:
+    """Versions that the sender has in force; the receiver pulls those that it lacks."""
+
+    versions_by_key: dict[str, int]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Lapsed:
+    """A node that watches the store saw no renewal of a lease for the lease's whole length."""
+
+    node_id: str
+    incarnation: str
+    renewal: int
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class SummaryAsk:
     """Asks for the versions of all objects that the receiver knows."""
--- a/basilpost/members/node_table.py
+++ b/basilpost/members/node_table.py
@@ -59,6 +59,8 @@
         self.records_by_id: dict[str, NodeRecord] = {}
         self._seen_at_by_id: dict[str, float] = {}
         self._departed_incarnations: dict[str, str] = {}
+        self._lapsed_ids: set[str] = set()
+        self.sees_renewals: Callable[[], bool] = lambda: True
         self._listeners: list[Listener] = []
 
     def attach(self, source: replica.Replica) -> None:
@@ -77,11 +79,34 @@
             self._remove(node_id)
             return
         before = self.records_by_id.get(node_id)
+        self._lapsed_ids.discard(node_id)
         self.records_by_id[node_id] = record
         self._seen_at_by_id[node_id] = clock.monotonic()
         if before is None or _place(before) != _place(record):
             self._tell()
 
+    def is_news(self, change: objects.Change) -> bool:
+        """Returns True if a change says more than that a known node goes on as before.
+
+        Only news are spread: renewals of every node on every stream would cost a large fleet more
+        than all else.
+        """
+        node_id = change.key.removeprefix(names.NODE_PREFIX)
+        record, before = _decode(change), self.records_by_id.get(node_id)
+        if record is None or before is None or node_id in self._lapsed_ids:
+            return True
+        return _place(before) != _place(record)
+
+    def note_lapse(self, node_id: str, incarnation: str, renewal: int) -> bool:
+        """Takes a neighbour's word that a lease has lapsed; returns False if that says no news."""
+        record = self.records_by_id.get(node_id)
+        if record is None or node_id in self._lapsed_ids:
+            return False
+        if record.incarnation != incarnation or record.renewal > renewal:
+            return False
+        self._lapsed_ids.add(node_id)
+        return True
+
     def goodbye(self, node_id: str, incarnation: str) -> bool:
         """Takes a departing node off the table; returns False if that is known already."""
         if self._departed_incarnations.get(node_id) == incarnation:
@@ -98,9 +123,15 @@
         return seen_at is not None and clock.monotonic() - seen_at <= seconds
 
     def lease_holds(self, node_id: str) -> bool:
-        """Returns True unless the node's lease has lapsed by this node's clock."""
+        """Returns True unless the node's lease has lapsed.
+
+        A node that sees renewals times them by its own clock; another one holds a lease for good
+        until a neighbour that sees them reports its end.
+        """
         record = self.records_by_id.get(node_id)
-        return record is not None and self.seen_within(node_id, record.lease_seconds)
+        if record is None or node_id in self._lapsed_ids:
+            return False
+        return not self.sees_renewals() or self.seen_within(node_id, record.lease_seconds)
 
     def regions_by_id(self) -> dict[str, str]:
         """Returns the region of each known node."""
@@ -108,6 +139,7 @@
 
     def _remove(self, node_id: str) -> None:
         self._seen_at_by_id.pop(node_id, None)
+        self._lapsed_ids.discard(node_id)
         if self.records_by_id.pop(node_id, None) is not None:
             self._tell()
 
--- a/basilpost/members/spread.py
+++ b/basilpost/members/spread.py
@@ -1,6 +1,6 @@
 """Spreads changes between the replicas of neighbouring nodes.
 
-A change is sent on once, when it is new. A stream first brings both ends level by summaries and
+A change is announced once, when it is new. A stream first brings both ends level by summaries and
 pulls; from then on its order guarantees that whatever the other end knew when it said something is
 known here when that is heard. On this rest the two things that a node learns from its peers: how
 current its replica is, and which nodes it reaches.
@@ -9,18 +9,16 @@
 import asyncio
 import itertools
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 import prometheus_client
 import xxhash
 
 from basilpost.core import clock, names
-from basilpost.members import messages, node_table, peers, versions
+from basilpost.members import announcing, messages, node_table, peers, versions
 from basilpost.settings import schema
 from basilpost.store import objects
 
-FLUSH_SECONDS = 0.01
-BATCH_BYTES = 200_000
 SUMMARY_KEYS = 1_000
 REPAIR_AFTER_MISMATCHES = 3
 ASKS_REMEMBERED = 30
@@ -52,12 +50,15 @@
         self.serving_by_id: dict[str, bool] = {}
         self.age: Callable[[], float] = lambda: math.inf
         self.serving: Callable[[], bool] = lambda: True
+        self.expects_watch: Callable[[], bool] = lambda: False
         self._peers = peers
         self._table = table
         self._known = known
         self._merge = merge
         self._settings = settings
-        self._pending: list[tuple[objects.Change, str]] = []
+        self.announcing = announcing.Announcing(
+            peers=peers, known=known, expects_watch=lambda: self.expects_watch()
+        )
         self._missing_by_id: dict[str, list[str]] = {}
         self._level: set[str] = set()
         self._mismatches_by_id: dict[str, int] = {}
@@ -72,6 +73,8 @@
     def attach(self) -> None:
         """Registers the handlers with the peer network."""
         self._peers.handle(messages.Changed, self._on_changed)
+        self._peers.handle(messages.Announced, self._on_announced)
+        self._peers.handle(messages.Lapsed, self._on_lapsed)
         self._peers.handle(messages.SummaryAsk, self._on_summary_ask)
         self._peers.handle(messages.Summary, self._on_summary)
         self._peers.handle(messages.Pull, self._on_pull)
@@ -91,26 +94,6 @@
             self._peers.broadcast(messages.Ask(sequence=sequence))
             await asyncio.sleep(self._settings.timing.heartbeat)
 
-    def publish(self, change: objects.Change, source: str) -> None:
-        """Sends a newer change on to all neighbours but the one that it came from."""
-        if not self._pending:
-            asyncio.get_running_loop().call_later(FLUSH_SECONDS, self.flush)
-        self._pending.append((change, source))
-
-    def flush(self) -> None:
-        """Sends the pending changes now."""
-        pending, self._pending = self._pending, []
-        if not pending:
-            return
-        sources = {source for _, source in pending}
-        if sources == {""}:
-            for batch in _batches(change for change, _ in pending):
-                self._peers.broadcast(batch)
-            return
-        for node_id in self._peers.neighbours():
-            for batch in _batches(change for change, source in pending if source != node_id):
-                self._peers.send(node_id, batch)
-
     def say_goodbye(self, incarnation: str) -> None:
         """Tells all nodes that this one leaves on purpose."""
         node_id = self._peers.node_id
@@ -121,6 +104,7 @@
 
     def _on_stream(self, node_id: str, is_open: bool) -> None:
         self._level.discard(node_id)
+        self.announcing.forget(node_id)
         self._missing_by_id.pop(node_id, None)
         self._mismatches_by_id.pop(node_id, None)
         self.serving_by_id.pop(node_id, None)
@@ -128,7 +112,7 @@
             self._send_summary(node_id)
 
     def _send_summary(self, node_id: str) -> None:
-        self.flush()
+        self.announcing.flush()
         changes = iter(list(self._known.changes_by_key.values()))
         while True:
             part = {one.key: one.version for one in itertools.islice(changes, SUMMARY_KEYS)}
@@ -152,15 +136,18 @@
             self._level.add(sender)
 
     async def _on_pull(self, sender: str, pull: messages.Pull) -> None:
-        self.flush()
+        self.announcing.flush()
         known = (self._known.changes_by_key.get(key) for key in pull.keys)
-        for batch in _batches(change for change in known if change is not None):
+        for batch in announcing.batches(change for change in known if change is not None):
             self._peers.send(sender, batch)
         self._peers.send(sender, messages.Pulled())
 
     async def _on_pulled(self, sender: str, _: messages.Pulled) -> None:
         self._level.add(sender)
 
+    async def _on_announced(self, sender: str, announced: messages.Announced) -> None:
+        self.announcing.take(sender, announced)
+
     async def _on_changed(self, sender: str, changed: messages.Changed) -> None:
         for change in changed.changes:
             self._merge(messages.from_wire(change), sender)
@@ -168,7 +155,7 @@
     # How current the replica is, and who is reached.
 
     async def _on_ask(self, sender: str, ask: messages.Ask) -> None:
-        self.flush()
+        self.announcing.flush()
         told = messages.Told(
             sequence=ask.sequence,
             age=self.age(),
@@ -183,6 +170,9 @@
         if asked_at is None or not told.age >= 0:
             return
         self._compare(sender, told.digest)
+        if not self.announcing.is_level(sender):
+            self.announcing.pull_unmet(sender)
+            return
         if sender not in self._level:
             return
         self.vouched_at = max(self.vouched_at, asked_at - told.age)
@@ -229,6 +219,10 @@
         if self._table.goodbye(goodbye.node_id, goodbye.incarnation):
             self._peers.broadcast(goodbye)
 
+    async def _on_lapsed(self, sender: str, lapsed: messages.Lapsed) -> None:
+        if self._table.note_lapse(lapsed.node_id, lapsed.incarnation, lapsed.renewal):
+            self._peers.broadcast(lapsed)
+
     async def _on_held_ask(self, sender: str, ask: messages.HeldAsk) -> messages.Held:
         return messages.Held(version=self._known.version_of(ask.key))
 
@@ -253,18 +247,3 @@
 
 def _short_hash(node_id: str) -> int:
     return xxhash.xxh3_64_intdigest(node_id.encode()) & 0xFFFFFF
-
-
-def _batches(changes: Iterable[objects.Change]) -> Iterable[messages.Changed]:
-    """Groups changes into messages of bounded size."""
-    batch: list[messages.WireChange] = []
-    size = 0
-    for change in changes:
-        one = messages.to_wire(change)
-        size += len(one.key) + len(one.value or b"")
-        batch.append(one)
-        if size >= BATCH_BYTES:
-            yield messages.Changed(changes=tuple(batch))
-            batch, size = [], 0
-    if batch:
-        yield messages.Changed(changes=tuple(batch))
--- a/basilpost/members/store_replica.py
+++ b/basilpost/members/store_replica.py
@@ -1,12 +1,14 @@
 """The replica of stored objects that a node serves from, fed by the store's watch and by peers."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 
 import prometheus_client
 
 from basilpost.core import clock, kernel, names, tasks
 from basilpost.members import (
     following,
+    lapses,
     node_table,
     peers,
     replica,
@@ -21,6 +23,8 @@
 WATCH_SHARE_OF_SILENCE = 0.25
 POLL_SECONDS = 30.0
 URGENT_POLL_SECONDS = 1.0
+NODES_POLL_SECONDS = 120.0
+NODES_GAP_SECONDS = 1.0
 
 
 class StoreReplica(replica.Replica, kernel.Service):
@@ -42,13 +46,14 @@
             registry=kernel.registry,
         )
         self.spread.age = self.age
+        self.spread.expects_watch = self._expects_watch
         store = kernel.find(names.OBJECTS, objects.ObjectStore)
         self._followers = [
             following.Follower(
                 store=store,
                 prefix=prefix,
                 wait=self._watch_wait,
-                pause=self._pause,
+                pause=self._pause_after(prefix),
                 take_listing=self._take_listing,
                 take_change=self._take_change,
             )
@@ -60,18 +65,25 @@
             ["source"],
             registry=kernel.registry,
         )
+        table.sees_renewals = self._watches
         table.attach(self)
         self.spread.attach()
+        self._lapses = lapses.Lapses(
+            table=table,
+            peers=kernel.find(names.PEERS, peers.PeerNetwork),
+            current_at=lambda: self._followers[-1].current_at,
+        )
 
     async def start(self) -> None:
         """Begins to follow the store and the peers."""
         for follower in self._followers:
             self._tasks.spawn(follower.run(), name=f"follow-{follower.prefix}")
         self._tasks.spawn(self.spread.run(), name="spread")
+        self._tasks.spawn(self._lapses.run(), name="lapses")
 
     async def stop(self) -> None:
         """Stops to follow; what is known stays readable."""
-        self.spread.flush()
+        self.spread.announcing.flush()
         await self._tasks.close()
 
     def get(self, key: str) -> objects.Stored | None:
@@ -116,7 +128,9 @@
         if not spread.is_replicated(change.key) or not self._known.merge(change):
             return False
         self._applied.labels("peer" if source else "store").inc()
-        self.spread.publish(change, source)
+        is_node = change.key.startswith(names.NODE_PREFIX)
+        if not is_node or self._table.is_news(change):
+            self.spread.announcing.publish(change, source)
         for prefix, listener in self._listeners:
             if change.key.startswith(prefix):
                 self._call(listener, change)
@@ -149,6 +163,11 @@
         chosen = topology.watchers(regions_by_id, full_mesh_nodes=full_mesh_nodes)
         return self._settings.node_id in chosen
 
+    def _expects_watch(self) -> bool:
+        """Returns True while this node's own watch will soon show what a neighbour announces."""
+        own = min(one.current_at for one in self._safety_followers())
+        return self._watches() and clock.monotonic() - own < self._settings.timing.store_silence
+
     def _watch_wait(self) -> float:
         """Returns how long a watch may wait: short enough that its answers keep the node fresh."""
         timing = self._settings.timing
@@ -156,12 +175,32 @@
             return 0.0
         return min(timing.watch_wait, timing.store_silence * WATCH_SHARE_OF_SILENCE)
 
-    async def _pause(self) -> None:
-        """Waits until the next call is due: at once on a watcher, else rarely, sooner when stale."""
+    def _pause_after(self, prefix: str) -> Callable[[], Awaitable[bool]]:
+        """Returns the function that waits until the next call for a prefix is due."""
+        if prefix == names.NODE_PREFIX:
+            return self._pause_for_nodes
+        return self._pause
+
+    async def _pause(self) -> bool:
+        """Waits: hardly on a watcher, else long, but not while the replica is getting stale."""
         await asyncio.sleep(following.MIN_GAP_SECONDS)
         paused = 0.0
         while not self._watches() and paused < POLL_SECONDS:
             await asyncio.sleep(URGENT_POLL_SECONDS)
             paused += URGENT_POLL_SECONDS
             if self.age() > self._settings.timing.store_silence / 2:
-                return
+                break
+        return False
+
+    async def _pause_for_nodes(self) -> bool:
+        """Waits between calls for node records, whose renewals come all the time.
+
+        Returns True if the records are to be listed anew, which costs less than all the renewals
+        since the last call.
+        """
+        await asyncio.sleep(NODES_GAP_SECONDS)
+        paused = 0.0
+        while not self._watches() and paused < NODES_POLL_SECONDS:
+            await asyncio.sleep(URGENT_POLL_SECONDS)
+            paused += URGENT_POLL_SECONDS
+        return paused > 0
--- a/tests/members_fleet.py
+++ b/tests/members_fleet.py
@@ -187,7 +187,8 @@
 
 
 def workspace(rate=100.0):
-    return {"name": "arkhiv", "rate": rate}
+    """Returns a workspace too large to be sent unasked, so that it is announced and pulled."""
+    return {"name": "arkhiv", "rate": rate, "key_digests": ["d" * 64] * 5}
 
 
 def group_table(domain, *, group_id="g1", generation=1):
--- a/tests/members_in_force_test.py
+++ b/tests/members_in_force_test.py
@@ -42,6 +42,9 @@
         await asyncio.sleep(CUT_OFF_SECONDS)
         assert fleet.in_force(KEY, version) == set(fleet.ids)
         assert fleet.serving() == set(fleet.ids)
+        late = await fleet.write(KEY, members_fleet.workspace(rate=1.0))
+        await asyncio.sleep(1)
+        assert fleet.in_force(KEY, late) == set(fleet.ids)
 
 
 @pytest.mark.looptime(noop_cycles=2)
--- a/tests/members_lease_test.py
+++ b/tests/members_lease_test.py
@@ -88,3 +88,26 @@
         interval = lease.renewal_seconds(timing, nodes=nodes)
         assert nodes / interval <= lease.LEASE_WRITES_PER_SECOND
         assert lease.lease_seconds(timing, nodes=nodes) >= 3 * interval
+
+
+@pytest.mark.looptime(noop_cycles=2)
+async def test_nodes_without_a_watch_hear_of_a_lapsed_lease_but_not_in_an_outage():
+    async with members_fleet.Fleet(size=14, full_mesh_nodes=4, neighbours=3) as fleet:
+        await asyncio.sleep(20)
+        fleet.store.faults.down = True
+        await asyncio.sleep(30)
+        assert all(len(node.peers.live_nodes()) == 14 for node in fleet.nodes if not watches(node))
+        fleet.store.faults.down = False
+        await asyncio.sleep(20)
+        quiet = next(node.node_id for node in fleet.nodes if not watches(node))
+        await fleet.crash(quiet)
+        await asyncio.sleep(schema.Timing().lease + 5)
+        assert all(quiet not in node.peers.live_nodes() for node in fleet.nodes)
+        fleet.network.heal()
+        await fleet.add(quiet)
+        await asyncio.sleep(10)
+        assert all(len(node.peers.live_nodes()) == 14 for node in fleet.nodes)
+
+
+def watches(node):
+    return node.replica._watches()
--- a/tests/members_standing_test.py
+++ b/tests/members_standing_test.py
@@ -117,6 +117,26 @@
             assert bool(held) == (len(cut) <= 2)
 
 
+@pytest.mark.looptime(noop_cycles=2)
+async def test_a_long_silent_node_may_serve_until_the_isolation_interval_after_the_change():
+    """A node that only the store reaches loses it just before the change."""
+    async with members_fleet.Fleet(size=5) as fleet:
+        await settled(fleet)
+        fleet.network.partition({"n000"}, ALL_FIVE - {"n000"})
+        await asyncio.sleep(20)
+        assert fleet.serving() == ALL_FIVE
+        fleet.cut_store("n000")
+        written = await fleet.store.create(
+            FABRIC_KEY, codec.to_json(members_fleet.group_table("f1"))
+        )
+        judge = fleet.nodes_by_id["n001"].standing
+        for _ in range(150):
+            await asyncio.sleep(0.1)
+            if judge.acknowledged_by_all(FABRIC_KEY, written.version):
+                assert not fleet.nodes_by_id["n000"].serving
+        assert judge.acknowledged_by_all(FABRIC_KEY, written.version)
+
+
 @pytest.mark.looptime(noop_cycles=2)
 async def test_healthy_nodes_acknowledge_within_a_second():
     async with members_fleet.Fleet(size=5) as fleet:
