--- a/basilpost/emulator/ties.py
+++ b/basilpost/emulator/ties.py
@@ -8,13 +8,13 @@
 import urllib.parse
 from collections.abc import Callable
 
-from tornado import httpclient
-
 from basilpost.core import tasks
+from basilpost.store import http_calls
 
 POLL_SECONDS = 0.5
 _SILENCE_SECONDS = 1.0
 _RETRY_SECONDS = 0.05
+_HELD = 200
 
 
 class Ties:
@@ -32,7 +32,9 @@
         self._query = {"group": group_id, "generation": generation}
         self._lost = lost
         self._held: set[str] = set()
-        self._client = httpclient.AsyncHTTPClient(force_instance=True, max_clients=len(members) + 1)
+        self._callers_by_address = {
+            address: http_calls.Caller(base_url=f"http://{address}") for address in members
+        }
         self._tasks = tasks.TaskSet()
 
     @property
@@ -48,7 +50,8 @@
     async def close(self) -> None:
         """Lets all members go."""
         await self._tasks.close()
-        self._client.close()
+        for caller in self._callers_by_address.values():
+            caller.close()
 
     async def _hold(self, address: str) -> None:
         while True:
@@ -64,12 +67,7 @@
 
     async def _poll(self, address: str, wait: float) -> bool:
         query = urllib.parse.urlencode({**self._query, "wait": wait})
-        try:
-            await self._client.fetch(
-                f"http://{address}/membership?{query}",
-                connect_timeout=_SILENCE_SECONDS,
-                request_timeout=wait + _SILENCE_SECONDS,
-            )
-        except (OSError, httpclient.HTTPError):
-            return False
-        return True
+        reply = await self._callers_by_address[address].read(
+            f"/membership?{query}", timeout=wait + _SILENCE_SECONDS, wait=wait
+        )
+        return isinstance(reply, http_calls.Reply) and reply.status == _HELD
