Desks for ledger and quarantine; deleted objects leave the view; tracebacks without values

Cause: a deletion keeps its audit entry in an object with an empty value, which the members' view took for a broken object and so kept the deleted value in force. Log lines of exceptions held the values of all variables (callers' bodies and keys) and took minutes to format when they were deep. Change: data.ConfigObject.deleted; members/view drops deleted objects; core/log leaves values out; operators see and settle requests of the ledger and release quarantined ones on the real parts.

--- a/basilpost/admin/answers.py
+++ b/basilpost/admin/answers.py
@@ -84,7 +84,6 @@
     ),
     audit_reader.BadSince: Shape(status=400, type="request", code="bad_since"),
     ports.NoRun: Shape(status=404, type="request", code="no_such_run"),
-    ports.NotSettled: Shape(status=409, type="conflict", code="not_settled"),
     ports.NotOffered: Shape(status=501, type="request", code="not_offered"),
     ports.DeskUnavailable: Shape(status=503, type="store", code="store_unavailable"),
     ports.DeskUnsettled: Shape(
@@ -93,10 +92,16 @@
 }
 
 
+_TYPES_BY_STATUS = {409: "conflict", 503: "store"}
+
+
 def shape_of(found: failure.Failure) -> Shape:
     """Returns how a failure is told."""
     if isinstance(found, BadRequest):
         return Shape(status=found.status, type="request", code=found.code)
+    if isinstance(found, failure.Refusal):
+        broad = _TYPES_BY_STATUS.get(found.status, "request")
+        return Shape(status=found.status, type=broad, code=found.code, outcome=found.outcome)
     return _SHAPES_BY_FAILURE.get(type(found), _SHAPES_BY_FAILURE[Faulty])
 
 
--- a/basilpost/admin/api.py
+++ b/basilpost/admin/api.py
@@ -72,8 +72,8 @@
         standing=kernel.find(names.STANDING, standing.Standing),
         status=status.StatusDesk(kernel=kernel),
         trail=audit_reader.AuditReader(kernel=kernel),
-        runs=desks.NoRunDesk(),
-        quarantine=desks.NoQuarantineDesk(),
+        runs=desks.find_run_desk(kernel),
+        quarantine=desks.find_quarantine_desk(kernel),
         requests=limits.Bucket(rate=limits.REQUESTS_PER_SECOND, burst=limits.REQUESTS_BURST),
         rejected=limits.Bucket(
             rate=limits.REJECTED_TOKENS_PER_SECOND, burst=limits.REJECTED_TOKENS_BURST
@@ -96,6 +96,7 @@
         (r"/status", status_handlers.StatusHandler),
         (r"/in-force", status_handlers.InForceHandler),
         (r"/audit", status_handlers.AuditHandler),
+        (r"/runs", run_handlers.RunsHandler),
         (r"/runs/([^/]+)/([^/]+)/([^/]+)", run_handlers.RunHandler),
         (r"/quarantine", run_handlers.QuarantineHandler),
         (r"/quarantine/([^/]+)/release", run_handlers.ReleaseHandler),
--- a/basilpost/admin/changes.py
+++ b/basilpost/admin/changes.py
@@ -115,7 +115,7 @@
     @property
     def exists(self) -> bool:
         """Returns True if the object has a value."""
-        return bool(self.stored.value)
+        return not self.stored.deleted
 
     @property
     def shown_version(self) -> int | None:
--- a/basilpost/admin/ports.py
+++ b/basilpost/admin/ports.py
@@ -17,9 +17,10 @@
         workspace: Who called.
         service: What was called.
         key: Idempotency key.
-        state: claimed, ran, unknown or not_run.
+        state: claimed, ran, unknown or not-run.
         node_id: Node that claimed it.
         request_id: Id of the request that claimed it.
+        changed_at: Time of the last change of its state.
         detail: More for a person, such as the reason of an unknown outcome.
     """
 
@@ -29,6 +30,7 @@
     state: str
     node_id: str = ""
     request_id: str = ""
+    changed_at: str = ""
     detail: str = ""
 
 
@@ -68,11 +70,6 @@
     """Nothing is known under this key."""
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class NotSettled(failure.Failure):
-    """The request may still run, or its outcome is known already; nothing was changed."""
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class NotOffered(failure.Failure):
     """This node has no part that can do it."""
@@ -95,6 +92,10 @@
     async def show(self, workspace: str, service: str, key: str) -> RunView | failure.Failure:
         """Returns what is known of a request."""
 
+    @abc.abstractmethod
+    async def unsettled(self) -> tuple[RunView, ...] | failure.Failure:
+        """Returns all requests whose outcome is open, those that still run included."""
+
     @abc.abstractmethod
     async def settle(self, settlement: Settlement) -> RunView | failure.Failure:
         """Records what became of a request whose outcome is unknown."""
--- a/basilpost/admin/run_handlers.py
+++ b/basilpost/admin/run_handlers.py
@@ -13,6 +13,26 @@
     quarantined: tuple[ports.QuarantineView, ...]
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RunList:
+    """Requests whose outcome is open."""
+
+    runs: tuple[ports.RunView, ...]
+
+
+class RunsHandler(handlers.Handler):
+    """All non-idempotent requests whose outcome is open."""
+
+    async def get(self) -> None:
+        """Answers with the list, those that still run included."""
+        if not self.allowed(tokens.Role.READ):
+            return
+        found = await self.context.runs.unsettled()
+        if isinstance(found, failure.Failure):
+            return self.fail(found)
+        self.answer(RunList(runs=found))
+
+
 class RunHandler(handlers.Handler):
     """One non-idempotent request, by workspace, service and idempotency key."""
 
--- a/basilpost/cli/runs.py
+++ b/basilpost/cli/runs.py
@@ -4,7 +4,7 @@
 
 import click
 
-from basilpost.cli import client
+from basilpost.cli import client, table
 
 _RAN = "ran"
 
@@ -14,6 +14,19 @@
     """Shows and settles non-idempotent requests."""
 
 
+@runs.command("list")
+@client.options
+def list_open(admin: client.Admin) -> None:
+    """Lists all requests whose outcome is open, those that still run included.
+
+    Example: basilpost runs list
+    """
+    found = client.get(admin, client.path("runs"))["runs"]
+    header = ("WORKSPACE", "SERVICE", "KEY", "STATE", "NODE", "SINCE", "DETAIL")
+    fields = ("workspace", "service", "key", "state", "node_id", "changed_at", "detail")
+    click.echo(table.layout(header, [tuple(one[field] for field in fields) for one in found]))
+
+
 @runs.command()
 @click.argument("workspace")
 @click.argument("service")
--- a/basilpost/core/data.py
+++ b/basilpost/core/data.py
@@ -252,11 +252,19 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ConfigObject:
-    """A configuration object as stored: the value as JSON text and its latest changes."""
+    """A configuration object as stored: the value as JSON text and its latest changes.
+
+    A deletion leaves an object with an empty value, because its audit entry is part of the write.
+    """
 
     value: str
     audit: tuple[AuditEntry, ...] = ()
 
+    @property
+    def deleted(self) -> bool:
+        """Returns True if the object counts as absent."""
+        return not self.value
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Config:
--- a/basilpost/core/log.py
+++ b/basilpost/core/log.py
@@ -4,6 +4,11 @@
 import sys
 
 import structlog
+import structlog.tracebacks
+
+# The values of variables are left out: they hold callers' bodies and keys, and formatting deeply
+# nested ones takes minutes.
+_traceback_without_values = structlog.tracebacks.ExceptionDictTransformer(show_locals=False)
 
 
 def configure(*, json_lines: bool, level: str = "info") -> None:
@@ -23,7 +28,7 @@
             structlog.contextvars.merge_contextvars,
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
-            structlog.processors.dict_tracebacks,
+            structlog.processors.ExceptionRenderer(_traceback_without_values),
             renderer,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(getattr(logging, level.upper())),
--- a/basilpost/members/view.py
+++ b/basilpost/members/view.py
@@ -21,6 +21,8 @@
     (names.OPERATOR_PREFIX, "operators_by_name", data.Operator),
 )
 
+_DELETED: Any = object()
+
 
 class View(directory.Directory):
     """Configuration and groups, kept current by the replica's changes."""
@@ -69,12 +71,13 @@
     def _take_named(self, change: objects.Change, field: str, name: str, kind: type) -> None:
         """Replaces one named record of the configuration."""
         records_by_name = dict(getattr(self._config, field))
-        if change.stored is None:
-            records_by_name.pop(name, None)
-        else:
+        record = _DELETED
+        if change.stored is not None:
             record = self._decode(change.stored, lambda raw: _configured(raw, kind))
-            if record is None:
-                return
+        if record is None:
+            return
+        records_by_name.pop(name, None)
+        if record is not _DELETED:
             records_by_name[name] = record
         versions_by_key = self._config.versions_by_key | {change.key: change.version}
         changed: dict[str, Any] = {field: records_by_name, "versions_by_key": versions_by_key}
@@ -133,4 +136,5 @@
 
 def _configured(raw: bytes, kind: type) -> Any:
     """Decodes a configuration object: an envelope with audit entries around the value."""
-    return codec.from_json(codec.from_json(raw, data.ConfigObject).value.encode(), kind)
+    envelope = codec.from_json(raw, data.ConfigObject)
+    return _DELETED if envelope.deleted else codec.from_json(envelope.value.encode(), kind)
