--- a/basilpost/admin/desks.py
+++ b/basilpost/admin/desks.py
@@ -57,6 +57,8 @@
         if isinstance(found, quarantine.NotQuarantined):
             return ports.NoRun(reason=found.reason)
         if isinstance(found, objects.Unavailable):
+            return ports.DeskUnavailable(reason=found.reason)
+        if isinstance(found, objects.Unknown):
             return ports.DeskUnsettled(reason=f"{found.reason}; look again before repeating it")
         return _view_entry(found)
 
