--- a/basilpost/admin/desks.py
+++ b/basilpost/admin/desks.py
@@ -56,8 +56,6 @@
         found = await self._entries.release(fingerprint, actor=actor, reason=reason)
         if isinstance(found, quarantine.NotQuarantined):
             return ports.NoRun(reason=found.reason)
-        if isinstance(found, objects.Unavailable):
-            return ports.DeskUnavailable(reason=found.reason)
         if isinstance(found, objects.Unknown):
             return ports.DeskUnsettled(reason=f"{found.reason}; look again before repeating it")
         return _view_entry(found)
--- a/basilpost/cli/audit.py
+++ b/basilpost/cli/audit.py
@@ -38,10 +38,14 @@
     action = "changed" if before and after else "created" if after else "deleted"
     head = f"{entry['at']} {entry['actor']} {action} {line['key']} (through {entry['node_id']})"
     reason = [f"  reason: {entry['reason']}"] if entry["reason"] else []
+    changed = sorted(field for field in after if before.get(field) != after[field])
     fields = [
-        f"  {field}: {json.dumps(before.get(field))} -> {json.dumps(after.get(field))}"
-        for field in sorted(before.keys() & after.keys())
-        if before.get(field) != after.get(field)
+        (
+            f"  {field}: {json.dumps(before[field])} -> {json.dumps(after[field])}"
+            if field in before
+            else f"  {field}: {json.dumps(after[field])}"
+        )
+        for field in changed
     ]
     return "\n".join([head, *reason, *fields])
 
--- a/tests/admin_cli_test.py
+++ b/tests/admin_cli_test.py
@@ -3,6 +3,7 @@
 import asyncio
 import importlib.resources
 import json
+import pathlib
 import threading
 
 import pytest
@@ -171,6 +172,7 @@
     assert "kz-a            kz      no" in table
     lines = run("audit").output
     assert "bootstrap created config/workspaces/arkhiv (through node-0)" in lines
+    assert '  services: ["clearance"]' in lines
     assert "  reason: power works\n  in_service: true -> false" in lines
     assert "arkhiv" not in run("audit", "--key", "config/failure_domains/kz-a").output
     assert len(json.loads(run("audit", "--workspace", "arkhiv", "--json").output)["lines"]) == 1
@@ -213,6 +215,11 @@
     assert run("config", "generate", str(output)).exit_code == 0
 
 
+def test_the_operators_page_lists_all_questions(run):
+    page = pathlib.Path(__file__).parents[1] / "docs" / "operators" / "questionnaire.md"
+    assert page.read_text().endswith(run("questionnaire", "--explain").output)
+
+
 def test_every_command_explains_itself_with_an_example(run):
     def walk(command, path):
         if hasattr(command, "commands"):
