--- /dev/null
+++ b/conftest.py
@@ -0,0 +1,25 @@
+"""Passes over the tests that KNOWN-RED.txt lists, and prints them at the end of every run."""
+
+import pathlib
+
+import pytest
+
+KNOWN_RED = pathlib.Path(__file__).with_name("KNOWN-RED.txt")
+SEPARATOR = " | "
+
+
+def entries():
+    lines = KNOWN_RED.read_text().splitlines() if KNOWN_RED.exists() else []
+    return [line for line in lines if line.strip() and not line.startswith("#")]
+
+
+def pytest_collection_modifyitems(items):
+    listed = {line.split(SEPARATOR)[0].strip() for line in entries()}
+    for item in items:
+        if item.nodeid in listed:
+            item.add_marker(pytest.mark.skip(reason="listed in KNOWN-RED.txt"))
+
+
+def pytest_terminal_summary(terminalreporter):
+    for line in entries():
+        terminalreporter.write_line(f"KNOWN-RED: {line}")
