--- a/basilpost/groups/controller_faults_test.py
+++ b/basilpost/groups/controller_faults_test.py
@@ -361,6 +361,25 @@
         assert (cluster.holder("fab-1"), cluster.holder("fab-2")) == holders
 
 
+@pytest.mark.looptime(noop_cycles=2)
+async def test_a_vm_that_moves_to_another_fabric_domain_is_used_there_in_the_end():
+    listed = (
+        *fake_cluster.make_vms(4),
+        *fake_cluster.make_vms(2, fabric_domain="fab-2", start=4),
+    )
+    async with fake_cluster.FakeCluster(vms_listed=listed, services=(SERVICE,)) as cluster:
+        await cluster.until(cluster.ready(1))
+        members = set(views.member_ids(cluster.groups()))
+        cluster.engine.dark.add(cluster.groups()[0].members[1].address)
+        await cluster.until(lambda: set(views.member_ids(cluster.groups())) != members)
+        cluster.engine.dark.clear()
+        (moved,) = members - set(views.member_ids(cluster.groups()))
+        vm = cluster.vm_list.vms_by_id[moved]
+        cluster.vm_list.vms_by_id[moved] = dataclasses.replace(vm, fabric_domain="fab-2")
+        await assert_for(50, lambda: len(cluster.groups()) == 1)
+        await cluster.until(cluster.ready(2))
+
+
 @pytest.mark.looptime(noop_cycles=2)
 async def test_a_new_model_version_takes_down_one_group_at_a_time():
     listed = (
--- a/basilpost/groups/credits.py
+++ b/basilpost/groups/credits.py
@@ -179,7 +179,11 @@
         holder = self._holders_by_domain.get(group.fabric_domain)
         if holder is None or holder.node_id not in live:
             return self._share(group.group_id, live, limit)
-        return self._share(group.group_id, live, shares.base_limit(limit)) + credits
+        return self._base(group) + credits
+
+    def _base(self, group: data.Group) -> int:
+        limit = shares.base_limit(self._limit(group))
+        return self._share(group.group_id, self._peers.live_nodes(), limit)
 
     def _credits(self, use: _Use, group: data.Group) -> int:
         credit = use.credit
@@ -205,7 +209,10 @@
         if credit is None or credit.asked_at <= use.bounded_since:
             return False
         expired = clock.monotonic() >= credit.asked_at + self._timing.credit
-        return not expired and credit.grant.credits < credit.wanted
+        if expired:
+            return False
+        base = 0 if use.bounded else self._base(use.group)
+        return credit.grant.credits + base < credit.wanted
 
     def _is_recent(self, credit: _Credit) -> bool:
         return clock.monotonic() < credit.asked_at + 2 * self._timing.credit
--- a/basilpost/groups/domain.py
+++ b/basilpost/groups/domain.py
@@ -15,7 +15,7 @@
     fleet,
     forming,
     ordering,
-    pins,
+    pinning,
     planner,
     table,
     watching,
@@ -26,8 +26,6 @@
 from basilpost.store import objects
 
 _ECHO_SECONDS = 2.0
-_ELSEWHERE_SECONDS = 10.0
-_PINS_AT_ONCE = 8
 
 LeaseRemaining = Callable[[], float]
 
@@ -85,7 +83,7 @@
         )
         self._since_by_key: dict[views.Condition, float] = {}
         self._ordered_by_vm: dict[str, tuple[engines.Order, float]] = {}
-        self._unusable_until_by_vm: dict[str, float] = {}
+        self._pinning = pinning.Pinning(store=context.store, fabric_domain=fabric_domain)
         self.authority = authority.Authority(
             node_id=context.peers.node_id,
             timing=context.timing,
@@ -188,6 +186,7 @@
         self.authority.dropped()
         self._ordered_by_vm.clear()
         self._since_by_key.clear()
+        self._pinning.forget()
         await self._watcher.close()
 
     async def step_down(self) -> None:
@@ -250,11 +249,17 @@
         plan = self._context.plan(view)
         self._watcher.hurry(_awaited(plan))
         if plan.table != known.table:
-            if not await self._pin_newcomers(known.table, plan.table):
+            newcomers = set(views.member_ids(plan.table.groups)) - set(
+                views.member_ids(known.table.groups)
+            )
+            if not await self._pinning.pin(newcomers):
                 return
             if not await self._write(plan.table):
                 return
             self._log_changes(known.table, plan.table)
+        elif view.settled and self.authority.alone() and self.authority.remaining() > 0.0:
+            members = set(views.member_ids(known.table.groups))
+            await self._pinning.tidy(members=members, listed=set(self._own_vms()))
         await self._order(plan.orders, view.sights_by_id)
 
     def _own_vms(self) -> dict[str, data.Vm]:
@@ -305,7 +310,7 @@
         config = self._context.directory.config()
         services = config.services_by_name
         now = clock.monotonic()
-        barred = {one for one, until in self._unusable_until_by_vm.items() if until > now}
+        barred = self._pinning.barred()
         members = set(views.member_ids(known.table.groups))
         vms = self._context.vms_by_id()
         tables = {**self._context.directory.tables(), self.fabric_domain: known.table}
@@ -335,25 +340,6 @@
             new_id=lambda service: f"{service}-{uuid.uuid4().hex[:12]}",
         )
 
-    async def _pin_newcomers(self, before: data.FabricTable, after: data.FabricTable) -> bool:
-        """Pins the VMs that the next table names anew; returns True if all are this domain's."""
-        newcomers = sorted(
-            set(views.member_ids(after.groups)) - set(views.member_ids(before.groups))
-        )
-        gate = asyncio.Semaphore(_PINS_AT_ONCE)
-
-        async def pin(vm_id: str) -> pins.Pin | pins.PinnedElsewhere | pins.PinUnknown:
-            async with gate:
-                return await pins.pin(self._context.store, vm_id, self.fabric_domain)
-
-        results = await asyncio.gather(*(pin(vm_id) for vm_id in newcomers))
-        until = clock.monotonic() + _ELSEWHERE_SECONDS
-        for vm_id, result in zip(newcomers, results, strict=True):
-            if isinstance(result, pins.PinnedElsewhere):
-                self._log.warning("vm_pinned_elsewhere", vm=vm_id, reason=result.reason)
-                self._unusable_until_by_vm[vm_id] = until
-        return all(isinstance(result, pins.Pin) for result in results)
-
     async def _order(
         self, assignments: Iterable[ordering.Assignment], sights_by_id: dict[str, views.Sight]
     ) -> None:
