--- a/basilpost/groups/controller_faults_test.py
+++ b/basilpost/groups/controller_faults_test.py
@@ -239,6 +239,15 @@
         assert cluster.ready(1)()
 
 
+@pytest.mark.looptime(noop_cycles=2)
+async def test_a_runner_that_knows_a_higher_fence_from_elsewhere_is_still_used():
+    async with make_cluster(3) as cluster:
+        address = fake_cluster.make_vms(3)[1].address
+        cluster.engine.status_by_address[address] = engines.RunnerStatus(vm_id="vm-0001", fence=50)
+        await cluster.until(cluster.ready(1))
+        assert cluster.node().directory.tables()["fab-1"].holder.fence == 51
+
+
 @pytest.mark.looptime(noop_cycles=2)
 async def test_a_planned_stop_hands_control_over_without_a_wait():
     async with make_cluster(service=UNFENCED, nodes=3, checks_fence=False) as cluster:
--- a/basilpost/groups/domain.py
+++ b/basilpost/groups/domain.py
@@ -83,6 +83,7 @@
         )
         self._since_by_key: dict[views.Condition, float] = {}
         self._ordered_by_vm: dict[str, tuple[engines.Order, float]] = {}
+        self._refused: set[str] = set()
         self._pinning = pinning.Pinning(store=context.store, fabric_domain=fabric_domain)
         self.authority = authority.Authority(
             node_id=context.peers.node_id,
@@ -186,6 +187,7 @@
         self.authority.dropped()
         self._ordered_by_vm.clear()
         self._since_by_key.clear()
+        self._refused.clear()
         self._pinning.forget()
         await self._watcher.close()
 
@@ -246,6 +248,9 @@
         self._watcher.retarget(self._watched(known.table))
         self._note_conditions(known.table)
         view = self._view(known)
+        if self._refused:
+            await self._raise_fence(known.table, view)
+            return
         plan = self._context.plan(view)
         self._watcher.hurry(_awaited(plan))
         if plan.table != known.table:
@@ -262,6 +267,22 @@
             await self._pinning.tidy(members=members, listed=set(self._own_vms()))
         await self._order(plan.orders, view.sights_by_id)
 
+    async def _raise_fence(self, current: data.FabricTable, view: views.View) -> None:
+        """Takes a fencing number above those that runners have refused this holder's orders for.
+
+        A runner may have met a higher one in another fabric domain. If it came from a later holder of
+        this domain instead, the conditional update fails.
+        """
+        statuses = (views.answering(view, vm_id) for vm_id in self._refused)
+        seen = max((one.fence for one in statuses if one is not None), default=0)
+        self._refused.clear()
+        holder = current.holder
+        if holder is None or seen <= holder.fence:
+            return
+        raised = dataclasses.replace(holder, fence=seen + 1)
+        if await self._write(dataclasses.replace(current, holder=raised)):
+            self.authority.fence_raised(raised.fence)
+
     def _own_vms(self) -> dict[str, data.Vm]:
         return {
             vm_id: vm
@@ -371,8 +392,10 @@
         if isinstance(result, engines.Accepted):
             self._ordered_by_vm[one.vm_id] = (one.order, sent_at)
             self._watcher.kick(one.vm_id)
-        else:
-            self._log.warning("order_failed", vm=one.vm_id, reason=result.reason)
+            return
+        self._log.warning("order_failed", vm=one.vm_id, reason=result.reason)
+        if isinstance(result, engines.StaleFence):
+            self._refused.add(one.vm_id)
 
     def _log_changes(self, before: data.FabricTable, after: data.FabricTable) -> None:
         states_by_id = {group.group_id: group.state for group in before.groups}
