--- a/basilpost/load/measure_members.py
+++ b/basilpost/load/measure_members.py
@@ -11,6 +11,7 @@
 import gc
 import json
 import logging
+import secrets
 import time
 from typing import Any
 
@@ -241,30 +242,42 @@
     workspace = data.Workspace(name=key.rsplit("/")[-1], rate=float(number))
     value = codec.to_json(workspace).decode()
     audit = data.AuditEntry(
-        at="", actor="", node_id="", reason="x" * CONFIG_BYTES, before="", after="", attempt_id=""
+        at="",
+        actor="",
+        node_id="",
+        reason=secrets.token_hex(CONFIG_BYTES // 2),
+        before="",
+        after="",
+        attempt_id="",
     )
     return codec.to_json(data.ConfigObject(value=value, audit=(audit,)))
 
 
 def _table(key: str) -> bytes:
     domain = key.removeprefix(names.FABRIC_PREFIX)
-    group = data.Group(
-        group_id=domain,
+    count = TABLE_BYTES // len(codec.to_json(_group(domain, 0)))
+    groups = tuple(_group(domain, number) for number in range(count))
+    return codec.to_json(data.FabricTable(fabric_domain=domain, groups=groups))
+
+
+def _group(domain: str, number: int) -> data.Group:
+    """Returns a group with ids and addresses that compress as badly as real ones."""
+    return data.Group(
+        group_id=f"{domain}-{number}-{secrets.token_hex(4)}",
         service="clearance",
         generation=1,
         state=data.GroupState.READY,
         fabric_domain=domain,
         failure_domain="a",
         members=tuple(
-            data.Member(vm_id=f"vm-{rank:03}", address="10.0.0.1:8000", rank=rank)
+            data.Member(
+                vm_id=f"vm-{secrets.token_hex(4)}",
+                address=f"10.{secrets.randbelow(256)}.{secrets.randbelow(256)}.1:8000",
+                rank=rank,
+            )
             for rank in range(8)
         ),
     )
-    count = TABLE_BYTES // len(codec.to_json(group))
-    groups = tuple(
-        dataclasses.replace(group, group_id=f"{domain}-{number}") for number in range(count)
-    )
-    return codec.to_json(data.FabricTable(fabric_domain=domain, groups=groups))
 
 
 def _read(nodes: list[Node], shared: memory.MemoryStore) -> Reading:
--- a/basilpost/members/connections.py
+++ b/basilpost/members/connections.py
@@ -12,7 +12,16 @@
 import prometheus_client
 
 from basilpost.core import clock, tasks
-from basilpost.members import handshake, node_table, peers, stream, topology, transport, wire
+from basilpost.members import (
+    handshake,
+    node_table,
+    peers,
+    stream,
+    stream_metrics,
+    topology,
+    transport,
+    wire,
+)
 from basilpost.settings import schema
 
 MAX_ON_DEMAND_STREAMS = 64
@@ -47,7 +56,7 @@
     ) -> None:
         self.address = ""
         self.streams_by_id: dict[str, stream.Stream] = {}
-        self.metrics = Metrics(registry)
+        self.metrics = stream_metrics.Metrics(registry)
         self._node_id = settings.node_id
         self._settings = settings.peers
         self._timing = settings.timing
@@ -131,7 +140,8 @@
             await asyncio.sleep(self._timing.heartbeat / 2)
         while node_id in self._wanted:
             began_at = clock.monotonic()
-            if node_id not in self.streams_by_id:
+            one = self.streams_by_id.get(node_id)
+            if one is None or not one.lasting:
                 await self._dial(node_id, lasting=True)
             lasted = clock.monotonic() - began_at > self._timing.peer_silence * 2
             backoff = MIN_BACKOFF_SECONDS if lasted else min(backoff * 2, MAX_BACKOFF_SECONDS)
@@ -238,9 +248,8 @@
         """Makes a new stream the current one, unless a live one is preferred on both sides."""
         old = self.streams_by_id.get(one.node_id)
         if old is not None:
-            preferred = min(self._node_id, one.node_id)
             alive = clock.monotonic() - old.heard_at < self._timing.heartbeat * 2
-            if alive and old.dialled_by == preferred != one.dialled_by:
+            if alive and self._rank(old) > self._rank(one):
                 return False
             old.close("replaced")
             self._ended(old)
@@ -249,6 +258,10 @@
         self._tell(one, True)
         return True
 
+    def _rank(self, one: stream.Stream) -> tuple[bool, bool]:
+        """Orders two streams between the same nodes alike on both: lasting, then by the dialler."""
+        return one.lasting, one.dialled_by == min(self._node_id, one.node_id)
+
     def _ended(self, one: stream.Stream) -> None:
         if self.streams_by_id.get(one.node_id) is not one:
             return
@@ -339,23 +352,3 @@
         on_demand = [one for one in self.streams_by_id.values() if not one.lasting]
         if len(on_demand) >= MAX_ON_DEMAND_STREAMS:
             min(on_demand, key=lambda one: one.used_at).close("idle")
-
-
-class Metrics:
-    """Counters of the peer streams."""
-
-    def __init__(self, registry: prometheus_client.CollectorRegistry) -> None:
-        counted = prometheus_client.Counter(
-            "basilpost_peer_bytes_total", "Bytes on peer streams", ["direction"], registry=registry
-        )
-        self.bytes_sent = counted.labels("sent")
-        self.bytes_received = counted.labels("received")
-        self.streams = prometheus_client.Gauge(
-            "basilpost_peer_streams", "Open peer streams", registry=registry
-        )
-        self.closed = prometheus_client.Counter(
-            "basilpost_peer_streams_closed_total",
-            "Peer streams that ended or were refused",
-            ["cause"],
-            registry=registry,
-        )
--- a/basilpost/members/messages.py
+++ b/basilpost/members/messages.py
@@ -1,17 +1,29 @@
 """The messages by which nodes keep each other's replicas, and their standing, current."""
 
 import dataclasses
+import zlib
 
+from basilpost.members import peers
 from basilpost.store import objects
 
+COMPRESSED_BYTES = 200
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class WireChange:
-    """A change of an object; `value` is None when it was deleted."""
+    """A change of an object.
+
+    Attributes:
+        key: The object.
+        version: Its version, or that of its deletion.
+        value: The value, None when the object was deleted.
+        compressed: True if the value is compressed by zlib.
+    """
 
     key: str
     version: int
     value: bytes | None
+    compressed: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -113,12 +125,32 @@
 def to_wire(change: objects.Change) -> WireChange:
     """Returns a change as it is sent."""
     value = change.stored.value if change.stored else None
-    return WireChange(key=change.key, version=change.version, value=value)
+    compressed = value is not None and len(value) >= COMPRESSED_BYTES
+    if value is not None and compressed:
+        value = zlib.compress(value, level=1)
+    return WireChange(key=change.key, version=change.version, value=value, compressed=compressed)
 
 
 def from_wire(change: WireChange) -> objects.Change:
-    """Returns a received change."""
+    """Returns a received change.
+
+    Raises:
+        peers.MalformedMessageError: If the value cannot be decompressed to the size that the store allows.
+    """
     stored = None
     if change.value is not None:
-        stored = objects.Stored(key=change.key, value=change.value, version=change.version)
+        value = _decompress(change.value) if change.compressed else change.value
+        stored = objects.Stored(key=change.key, value=value, version=change.version)
     return objects.Change(key=change.key, version=change.version, stored=stored)
+
+
+def _decompress(raw: bytes) -> bytes:
+    """Decompresses a value, but never to more than a value may hold."""
+    inflating = zlib.decompressobj()
+    try:
+        value = inflating.decompress(raw, objects.MAX_VALUE_BYTES)
+    except zlib.error as error:
+        raise peers.MalformedMessageError(f"no compressed value: {error}") from error
+    if not inflating.eof:
+        raise peers.MalformedMessageError("a compressed value is too large or cut short")
+    return value
--- a/basilpost/members/peers.py
+++ b/basilpost/members/peers.py
@@ -16,6 +16,10 @@
 StreamListener = Callable[[str, bool], None]
 
 
+class MalformedMessageError(ValueError):
+    """Raised by a handler for a message with broken content; the stream it came on is closed."""
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class PeerUnavailable(failure.Failure):
     """The peer is not connected, or did not answer in time; the message may have arrived."""
--- /dev/null
+++ b/basilpost/members/stream_metrics.py
@@ -0,0 +1,23 @@
+"""Counters of the peer streams."""
+
+import prometheus_client
+
+
+class Metrics:
+    """What operators see of the streams; `closed` is labelled with the cause."""
+
+    def __init__(self, registry: prometheus_client.CollectorRegistry) -> None:
+        counted = prometheus_client.Counter(
+            "basilpost_peer_bytes_total", "Bytes on peer streams", ["direction"], registry=registry
+        )
+        self.bytes_sent = counted.labels("sent")
+        self.bytes_received = counted.labels("received")
+        self.streams = prometheus_client.Gauge(
+            "basilpost_peer_streams", "Open peer streams", registry=registry
+        )
+        self.closed = prometheus_client.Counter(
+            "basilpost_peer_streams_closed_total",
+            "Peer streams that ended or were refused",
+            ["cause"],
+            registry=registry,
+        )
--- a/basilpost/members/streams.py
+++ b/basilpost/members/streams.py
@@ -27,10 +27,17 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _Handled:
-    """What a handler returned; `done` is False if it failed or there is none."""
+    """What became of a message.
+
+    Attributes:
+        done: False if its handler failed or there is none.
+        reply: What the handler returned.
+        refused: Why the message must cost its stream, if it must.
+    """
 
     done: bool
     reply: Any = None
+    refused: wire.FrameRefused | None = None
 
 
 class Streams(peers.PeerNetwork, kernel.Service):
@@ -45,6 +52,7 @@
     ) -> None:
         settings = kernel.find(names.SETTINGS, schema.NodeSettings)
         self._node_id = settings.node_id
+        self._has_secret = bool(settings.peers.secret)
         self._table = table
         self._log = kernel.log
         self._tasks = tasks.TaskSet(log=kernel.log)
@@ -74,6 +82,8 @@
 
     async def start(self) -> None:
         """Listens, and begins to connect to the known nodes."""
+        if not self._has_secret:
+            self._log.warning("peer_secret_is_empty")
         await self._connections.start()
 
     async def stop(self) -> None:
@@ -151,10 +161,11 @@
         if isinstance(envelope, wire.FrameRefused):
             self._log.warning("peer_frame_refused", peer=one.node_id, reason=envelope.reason)
             return envelope
-        await self._dispatch(one, envelope)
-        return None
+        return await self._dispatch(one, envelope)
 
-    async def _dispatch(self, one: stream.Stream, envelope: wire.Envelope) -> None:
+    async def _dispatch(
+        self, one: stream.Stream, envelope: wire.Envelope
+    ) -> wire.FrameRefused | None:
         match envelope.mode:
             case wire.Mode.REPLY | wire.Mode.NO_REPLY:
                 self._take_reply(one, envelope)
@@ -163,7 +174,9 @@
                 self._tasks.spawn(self._answer(one, envelope), name=f"peer-call-{one.node_id}")
             case wire.Mode.MESSAGE:
                 one.used_at = one.heard_at
-                await self._run_handler(one.node_id, envelope.message)
+                handled = await self._run_handler(one.node_id, envelope.message)
+                return handled.refused
+        return None
 
     def _take_reply(self, one: stream.Stream, envelope: wire.Envelope) -> None:
         call = self._calls_by_id.get(envelope.call)
@@ -186,6 +199,9 @@
             return _Handled(done=False)
         try:
             return _Handled(done=True, reply=await handler(sender, message))
+        except peers.MalformedMessageError as error:
+            refused = wire.FrameRefused(reason=str(error), cause="malformed")
+            return _Handled(done=False, refused=refused)
         except Exception:
             self._log.exception("peer_handler_failed", kind=type(message).__name__, peer=sender)
             return _Handled(done=False)
--- /dev/null
+++ b/basilpost/members/view_test.py
@@ -0,0 +1,97 @@
+"""Tests of the decoded view over a replica that the test fills."""
+
+import json
+
+import pytest
+
+from basilpost.core import codec, data, kernel, names
+from basilpost.members import fakes, view
+from basilpost.store import objects
+
+
+def group(group_id, service="clearance"):
+    return data.Group(
+        group_id=group_id,
+        service=service,
+        generation=1,
+        state=data.GroupState.READY,
+        fabric_domain="f1",
+        failure_domain="a",
+        members=(data.Member(vm_id=group_id, address="127.0.0.1:1", rank=0),),
+    )
+
+
+class Setting:
+    def __init__(self):
+        self.replica = fakes.FakeReplica()
+        node = kernel.Kernel(node_id="n")
+        node.register(names.REPLICA, self.replica)
+        self.view = view.View(kernel=node)
+        self.changes = []
+        self.view.subscribe(lambda: self.changes.append(1))
+        self.version = 0
+
+    def offer(self, key, value):
+        self.version += 1
+        stored = None
+        if value is not None:
+            stored = objects.Stored(key=key, value=value, version=self.version)
+        self.replica.offer(objects.Change(key=key, version=self.version, stored=stored))
+
+    def offer_table(self, domain, *groups):
+        table = data.FabricTable(fabric_domain=domain, groups=groups)
+        self.offer(names.FABRIC_PREFIX + domain, codec.to_json(table))
+
+
+@pytest.fixture
+def setting():
+    return Setting()
+
+
+def ids(groups):
+    return sorted(group.group_id for group in groups)
+
+
+def test_a_changed_table_replaces_its_own_groups_only(setting):
+    setting.offer_table("f1", group("g1"), group("g2", service="ledger"))
+    setting.offer_table("f2", group("g3"))
+    setting.offer_table("f1", group("g4"))
+    assert ids(setting.view.groups_for("clearance")) == ["g3", "g4"]
+    assert setting.view.groups_for("ledger") == ()
+    assert setting.view.group("g1") is None
+    assert setting.view.group("g4").service == "clearance"
+    setting.offer(names.FABRIC_PREFIX + "f2", None)
+    assert ids(setting.view.groups_for("clearance")) == ["g4"]
+    assert set(setting.view.tables()) == {"f1"}
+
+
+def test_only_the_changed_object_is_decoded(setting, monkeypatch):
+    for domain in ("f1", "f2", "f3"):
+        setting.offer_table(domain, group(domain))
+    decoded = []
+    from_json = codec.from_json
+    monkeypatch.setattr(
+        codec, "from_json", lambda raw, kind: decoded.append(kind) or from_json(raw, kind)
+    )
+    setting.offer_table("f2", group("g9"))
+    assert decoded == [data.FabricTable]
+    assert len(setting.changes) == 4
+
+
+def test_a_deleted_configuration_object_is_gone(setting):
+    key = names.FAILURE_DOMAIN_PREFIX + "a"
+    value = json.dumps({"name": "a", "in_service": False})
+    setting.offer(key, json.dumps({"value": value}).encode())
+    assert not setting.view.config().in_service("a")
+    before = setting.view.config()
+    setting.offer(key, None)
+    assert setting.view.config().in_service("a")
+    assert setting.view.config().versions_by_key == {key: 2}
+    assert not before.in_service("a")
+
+
+@pytest.mark.parametrize("broken", [b"", b"[]", b"\xff", b'{"fabric_domain": "f1", "colour": 1}'])
+def test_a_broken_table_leaves_the_last_good_one(setting, broken):
+    setting.offer_table("f1", group("g1"))
+    setting.offer(names.FABRIC_PREFIX + "f1", broken)
+    assert setting.view.group("g1") is not None
--- a/tests/members_streams_test.py
+++ b/tests/members_streams_test.py
@@ -2,6 +2,10 @@
 
 import asyncio
 import dataclasses
+import shutil
+import ssl
+import subprocess
+import zlib
 
 import hypothesis
 import msgpack
@@ -39,6 +43,12 @@
     return Answer(text=question.text)
 
 
+def bomb():
+    """Returns a change that is small as sent and far too large when decompressed."""
+    value = zlib.compress(bytes(100_000_000))
+    return {"key": "config/x", "version": 9, "value": value, "compressed": True}
+
+
 def closed_by(node, cause):
     name, labels = "basilpost_peer_streams_closed_total", {"cause": cause}
     return node.kernel.registry.get_sample_value(name, labels) or 0
@@ -96,6 +106,7 @@
         (wire.frame(msgpack.packb((0, 0, "Unheard", {}))), "unknown"),
         (wire.frame(msgpack.packb((0, 0, "Ask", {"sequence": "x"}))), "malformed"),
         (wire.frame(msgpack.packb((0, 0, "Ask", {"sequence": 1, "more": 2}))), "malformed"),
+        (wire.frame(msgpack.packb((0, 0, "Changed", {"changes": [bomb()]}))), "malformed"),
         (wire.frame(msgpack.packb((9, 0, "Ask", {"sequence": 1}))), "malformed"),
     ],
 )
@@ -231,21 +242,63 @@
     asyncio.run(run())
 
 
-async def test_streams_over_tcp():
-    """The same over real sockets: two nodes find each other by their seeds."""
+async def two_ends(**options):
+    """Returns two nodes' streams over real sockets; the second knows the first as its seed."""
     ends = []
     for node_id in ("a", "b"):
         seeds = tuple(schema.Peer(node_id=one.node_id, address=one.address) for one in ends)
-        node_kernel = members_fleet.bare_kernel(
-            node_id, schema.PeerStreams(secret="s", seeds=seeds)
-        )
-        ends.append(streams.Streams(kernel=node_kernel, table=node_table.NodeTable()))
+        settings = schema.PeerStreams(secret="s", seeds=seeds, **options)
+        bare = members_fleet.bare_kernel(node_id, settings)
+        ends.append(streams.Streams(kernel=bare, table=node_table.NodeTable()))
         ends[-1].handle(Question, echo, reply=Answer)
         await ends[-1].start()
+    return ends
+
+
+async def check_exchange(ends):
     async with asyncio.timeout(10):
         while ends[0].live_nodes() != ("a", "b"):
             await asyncio.sleep(0.01)
-        large = Question(text="x" * 1_000_000)
-        assert (await ends[0].request("b", large, timeout=5)).text == large.text
+    large = Question(text="x" * 1_000_000)
+    assert (await ends[0].request("b", large, timeout=5)).text == large.text
+    for one in ends:
+        await one.stop()
+
+
+async def test_streams_over_tcp():
+    await check_exchange(await two_ends())
+
+
+@pytest.fixture
+def certificate(tmp_path):
+    """Makes a certificate that is its own authority."""
+    program = shutil.which("openssl")
+    if program is None:
+        pytest.skip("there is no openssl to make a certificate with")
+    key, path = tmp_path / "key.pem", tmp_path / "certificate.pem"
+    made = [program, "req", "-x509", "-newkey", "rsa:2048", "-nodes", "-subj", "/CN=node"]
+    subprocess.run([*made, "-keyout", key, "-out", path], check=True, capture_output=True)
+    return {"tls_certificate": str(path), "tls_key": str(key), "tls_authority": str(path)}
+
+
+async def test_streams_over_tls(certificate):
+    ends = await two_ends(**certificate)
+    host, port = ends[0].address.split(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(b"not TLS at all")
+    assert await asyncio.wait_for(reader.read(), 5) is not None
+    await check_exchange(ends)
+
+
+async def test_a_peer_without_a_certificate_is_refused(certificate):
+    ends = await two_ends(**certificate)
+    host, port = ends[0].address.split(":")
+    context = ssl.create_default_context(cafile=certificate["tls_authority"])
+    context.check_hostname = False
+    with pytest.raises(OSError):
+        reader, _ = await asyncio.open_connection(host, int(port), ssl=context)
+        # The client's side of TLS 1.3 learns of the refusal only when it reads.
+        if not await asyncio.wait_for(reader.read(), 5):
+            raise ConnectionResetError
     for one in ends:
         await one.stop()
