Codec: a list in place of a record is a ValueError too

Found by basilpost/members/view_test.py: a table object '[]' raised AttributeError through the replica's listener. Failing before, passing now.

--- a/basilpost/core/codec.py
+++ b/basilpost/core/codec.py
@@ -42,7 +42,7 @@
     """
     try:
         return json_converter().structure(json.loads(raw), kind)
-    except (cattrs.BaseValidationError, KeyError, TypeError) as error:
+    except (cattrs.BaseValidationError, AttributeError, KeyError, TypeError) as error:
         raise ValueError(f"not a {kind.__name__}: {error!r}") from error
 
 
@@ -60,5 +60,11 @@
     """
     try:
         return msgpack_converter().structure(msgpack.unpackb(raw), kind)
-    except (cattrs.BaseValidationError, KeyError, TypeError, msgpack.UnpackException) as error:
+    except (
+        cattrs.BaseValidationError,
+        AttributeError,
+        KeyError,
+        TypeError,
+        msgpack.UnpackException,
+    ) as error:
         raise ValueError(f"not a {kind.__name__}: {error!r}") from error
