--- a/basilpost/store/memory.py
+++ b/basilpost/store/memory.py
@@ -6,6 +6,7 @@
 import asyncio
 import collections
 import dataclasses
+import itertools
 
 from basilpost.core import clock
 from basilpost.store import objects
@@ -134,11 +135,10 @@
     def _changes_after(self, prefix: str, revision: int) -> tuple[objects.Change, ...]:
         if revision >= self._revision:
             return ()
-        return tuple(
-            change
-            for change in self._history
-            if change.version > revision and change.key.startswith(prefix)
+        newer = itertools.takewhile(
+            lambda change: change.version > revision, reversed(self._history)
         )
+        return tuple(change for change in newer if change.key.startswith(prefix))[::-1]
 
     async def _enter(self, kind: str, timeout: float) -> bool:
         self.calls_by_kind[kind] += 1
