Choose the watchers again only when the node table changes

Cause: a profile of 48 nodes showed 161,760 rendezvous weights in 12 s, a cost for each node that rises with the fleet.

--- a/basilpost/members/store_replica.py
+++ b/basilpost/members/store_replica.py
@@ -65,6 +65,8 @@
             ["source"],
             registry=kernel.registry,
         )
+        self._watching: bool | None = None
+        table.subscribe(self._choose_again)
         table.sees_renewals = self._watches
         table.attach(self)
         self.spread.attach()
@@ -156,12 +158,18 @@
 
     def _watches(self) -> bool:
         """Returns True on the nodes that hold watches: all in a full mesh, else a few."""
-        regions_by_id = self._table.regions_by_id()
-        full_mesh_nodes = self._settings.peers.full_mesh_nodes
-        if len(regions_by_id) <= full_mesh_nodes:
-            return True
-        chosen = topology.watchers(regions_by_id, full_mesh_nodes=full_mesh_nodes)
-        return self._settings.node_id in chosen
+        if self._watching is None:
+            chosen = topology.watchers(
+                self._table.regions_by_id(),
+                full_mesh_nodes=self._settings.peers.full_mesh_nodes,
+            )
+            full_mesh = len(self._table.records_by_id) <= self._settings.peers.full_mesh_nodes
+            self._watching = full_mesh or self._settings.node_id in chosen
+        return self._watching
+
+    def _choose_again(self) -> None:
+        """Lets the choice of watchers be made anew, which costs too much to do for each call."""
+        self._watching = None
 
     def _expects_watch(self) -> bool:
         """Returns True while this node's own watch will soon show what a neighbour announces."""
