--- a/basilpost/admin/answers.py
+++ b/basilpost/admin/answers.py
@@ -9,6 +9,8 @@
 from basilpost.core import failure
 from basilpost.settings import configuration, loader
 
+MAX_DEPTH = 20
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class BadRequest(failure.Failure):
@@ -82,7 +84,6 @@
     ),
     audit_reader.BadSince: Shape(status=400, type="request", code="bad_since"),
     ports.NoRun: Shape(status=404, type="request", code="no_such_run"),
-    ports.NotSettled: Shape(status=409, type="conflict", code="not_settled"),
     ports.NotOffered: Shape(status=501, type="request", code="not_offered"),
     ports.DeskUnavailable: Shape(status=503, type="store", code="store_unavailable"),
     ports.DeskUnsettled: Shape(
@@ -91,10 +92,16 @@
 }
 
 
+_TYPES_BY_STATUS = {409: "conflict", 503: "store"}
+
+
 def shape_of(found: failure.Failure) -> Shape:
     """Returns how a failure is told."""
     if isinstance(found, BadRequest):
         return Shape(status=found.status, type="request", code=found.code)
+    if isinstance(found, failure.Refusal):
+        broad = _TYPES_BY_STATUS.get(found.status, "request")
+        return Shape(status=found.status, type=broad, code=found.code, outcome=found.outcome)
     return _SHAPES_BY_FAILURE.get(type(found), _SHAPES_BY_FAILURE[Faulty])
 
 
@@ -120,6 +127,8 @@
         return BadRequest(reason=f"the body is not JSON: {error}", code="bad_json")
     if not isinstance(raw, dict):
         return BadRequest(reason="the body has to be a JSON object", code="bad_json")
+    if _is_deeper(raw, MAX_DEPTH):
+        return BadRequest(reason=f"the body nests deeper than {MAX_DEPTH} levels", code="bad_json")
     return raw
 
 
@@ -137,5 +146,20 @@
     )
 
 
+def _is_deeper(raw: Any, limit: int) -> bool:
+    """Returns True if a value nests deeper than a limit; works without recursion itself."""
+    level = [raw]
+    for _ in range(limit):
+        level = [
+            inner
+            for one in level
+            for inner in (one.values() if isinstance(one, dict) else one)
+            if isinstance(inner, dict | list)
+        ]
+        if not level:
+            return False
+    return True
+
+
 def _refuse_constant(name: str) -> None:
     raise ValueError(f"{name} is not a number of JSON")
--- a/basilpost/admin/api.py
+++ b/basilpost/admin/api.py
@@ -40,8 +40,8 @@
         """Listens for operators."""
         server = tornado.httpserver.HTTPServer(
             make_application(self._context),
-            max_body_size=limits.MAX_BODY_BYTES,
-            max_buffer_size=limits.MAX_BODY_BYTES + limits.MAX_HEADER_BYTES,
+            max_body_size=limits.MAX_READ_BYTES,
+            max_buffer_size=limits.MAX_READ_BYTES + limits.MAX_HEADER_BYTES,
             max_header_size=limits.MAX_HEADER_BYTES,
             body_timeout=limits.BODY_SECONDS,
             idle_connection_timeout=limits.IDLE_SECONDS,
@@ -65,15 +65,15 @@
     """Collects what the handlers use from the kernel."""
     return context.Context(
         log=kernel.log,
-        changes=changes.Changes(kernel=kernel),
+        changes=changes.Changes(kernel=kernel, bootstrap_digest=settings.admin_token_digest),
         directory=kernel.find(names.DIRECTORY, directory.Directory),
         peers=kernel.find(names.PEERS, peers.PeerNetwork),
         replica=kernel.find(names.REPLICA, replica.Replica),
         standing=kernel.find(names.STANDING, standing.Standing),
         status=status.StatusDesk(kernel=kernel),
         trail=audit_reader.AuditReader(kernel=kernel),
-        runs=desks.NoRunDesk(),
-        quarantine=desks.NoQuarantineDesk(),
+        runs=desks.find_run_desk(kernel),
+        quarantine=desks.find_quarantine_desk(kernel),
         requests=limits.Bucket(rate=limits.REQUESTS_PER_SECOND, burst=limits.REQUESTS_BURST),
         rejected=limits.Bucket(
             rate=limits.REJECTED_TOKENS_PER_SECOND, burst=limits.REJECTED_TOKENS_BURST
@@ -96,6 +96,7 @@
         (r"/status", status_handlers.StatusHandler),
         (r"/in-force", status_handlers.InForceHandler),
         (r"/audit", status_handlers.AuditHandler),
+        (r"/runs", run_handlers.RunsHandler),
         (r"/runs/([^/]+)/([^/]+)/([^/]+)", run_handlers.RunHandler),
         (r"/quarantine", run_handlers.QuarantineHandler),
         (r"/quarantine/([^/]+)/release", run_handlers.ReleaseHandler),
--- a/basilpost/groups/credits.py
+++ b/basilpost/groups/credits.py
@@ -21,7 +21,7 @@
 
 _ASKS_PER_CREDIT = 4
 _ASK_TIMEOUT_SECONDS = 1.0
-_KICK_SECONDS = 0.02
+_KICK_SECONDS = 0.05
 _IDLE_SECONDS = 3.0
 
 
@@ -30,8 +30,10 @@
     """A grant as received; it expires a credit's length after it was asked for."""
 
     grant: messages.Grant
+    number: int
     asked_at: float
     in_flight: int
+    wanted: int
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -92,7 +94,6 @@
         )
         self._tasks = tasks.TaskSet(log=kernel.log)
         self._uses_by_id: dict[str, _Use] = {}
-        self._states_by_id: dict[str, tuple[int, data.GroupState]] = {}
         self._holders_by_domain: dict[str, data.Holder] = {}
         self._askers_by_node: dict[str, _Asker] = {}
         self._incarnation = secrets.token_hex(8)
@@ -125,7 +126,8 @@
         if self._allowed(use, group) <= use.in_flight:
             use.refused += 1
             self._refusals.inc()
-            self._kick(group)
+            if not self._is_short(use):
+                self._kick(group)
             return slots.NoSlot(reason=f"{group.group_id} has no slot for this node")
         use.in_flight += 1
         use.peak = max(use.peak, use.in_flight)
@@ -197,6 +199,14 @@
     def _share(self, group_id: str, live: tuple[str, ...], limit: int) -> int:
         return _static_share(group_id, self._peers.node_id, live, limit)
 
+    def _is_short(self, use: _Use) -> bool:
+        """Returns True if the controller has just given less than was wanted: asking is no use."""
+        credit = use.credit
+        if credit is None or credit.asked_at <= use.bounded_since:
+            return False
+        expired = clock.monotonic() >= credit.asked_at + self._timing.credit
+        return not expired and credit.grant.credits < credit.wanted
+
     def _is_recent(self, credit: _Credit) -> bool:
         return clock.monotonic() < credit.asked_at + 2 * self._timing.credit
 
@@ -226,13 +236,12 @@
                 del self._uses_by_id[group_id]
 
     def _note_states(self, groups: Iterable[data.Group]) -> None:
-        states = {group.group_id: (group.generation, group.state) for group in groups}
-        before, self._states_by_id = self._states_by_id, states
+        """Bounds the targets that are not ready or not in service, until they are granted again."""
+        config = self._directory.config()
         for group in groups:
-            if before.get(group.group_id) == states[group.group_id]:
-                continue
             use = self._uses_by_id.get(group.group_id)
-            if group.state is not data.GroupState.READY:
+            ready = group.state is data.GroupState.READY and config.in_service(group.failure_domain)
+            if not ready:
                 use = use or self._use(group)
                 if not use.bounded:
                     self._bound(use)
@@ -268,13 +277,18 @@
                 await self._ask(node_id, uses)
                 await asyncio.sleep(_KICK_SECONDS)
                 try:
-                    async with asyncio.timeout(self._timing.credit / _ASKS_PER_CREDIT):
+                    async with asyncio.timeout(self._pause(uses)):
                         await kick.wait()
                 except TimeoutError:
                     pass
         finally:
             self._askers_by_node.pop(node_id, None)
 
+    def _pause(self, uses: list[_Use]) -> float:
+        """Returns the seconds until the next ask: fewer while a target is short of credits."""
+        pressing = any(use.bounded or self._is_short(use) for use in uses)
+        return self._timing.credit / (_ASKS_PER_CREDIT if pressing else _ASKS_PER_CREDIT / 2)
+
     def _wants_by_holder(self) -> dict[str, list[_Use]]:
         now = clock.monotonic()
         in_use = (
@@ -295,7 +309,7 @@
         ask = messages.CreditAsk(
             incarnation=self._incarnation, number=next(self._numbers), wants=wants
         )
-        in_flight_by_id = {use.group.group_id: use.in_flight for use in uses}
+        wants_by_id = {want.group_id: want for want in wants}
         for use in uses:
             _reset(use)
         self._asks.inc()
@@ -305,8 +319,13 @@
         for grant in reply.grants:
             found = self._uses_by_id.get(grant.group_id)
             if found is not None:
+                want = wants_by_id[grant.group_id]
                 credit = _Credit(
-                    grant=grant, asked_at=asked_at, in_flight=in_flight_by_id[grant.group_id]
+                    grant=grant,
+                    number=ask.number,
+                    asked_at=asked_at,
+                    in_flight=want.in_flight,
+                    wanted=want.wanted,
                 )
                 self._granted(found, credit)
 
@@ -343,6 +362,7 @@
         generation=use.group.generation,
         in_flight=use.in_flight,
         wanted=wanted,
+        acting_on=use.credit.number if use.credit else -1,
         succeeded=use.succeeded,
         failed=use.failed,
         latency=use.latency_sum / use.succeeded if use.succeeded else 0.0,
--- a/basilpost/groups/fakes.py
+++ b/basilpost/groups/fakes.py
@@ -1,6 +1,7 @@
 """Small fakes of the interfaces to targets, for focused tests."""
 
 import asyncio
+import collections
 import dataclasses
 from collections.abc import Callable
 
@@ -69,13 +70,25 @@
 class FakeEngine(engines.Engine):
     """Runners in memory: a load takes `load_seconds`, then the runner is cold until warmed."""
 
-    def __init__(self, *, checks_fence: bool = True, load_seconds: float = 1.0) -> None:
+    def __init__(
+        self,
+        *,
+        checks_fence: bool = True,
+        load_seconds: float = 1.0,
+        keeps_weights: bool = True,
+        warm_seconds: float = float("inf"),
+    ) -> None:
         self.checks_fence = checks_fence
+        self.keeps_weights = keeps_weights
+        self.warm_seconds = warm_seconds
         self.load_seconds = load_seconds
         self.status_by_address: dict[str, engines.RunnerStatus] = {}
         self.dark: set[str] = set()
+        self.delay_by_address: dict[str, float] = {}
+        self.in_flight_by_address: collections.Counter[str] = collections.Counter()
         self.orders: list[tuple[str, engines.Order]] = []
         self.loaded_at_by_address: dict[str, float] = {}
+        self.joined_at_by_address: dict[str, float] = {}
 
     async def status(
         self, address: str, *, plain: bool = False, timeout: float = 1.0
@@ -84,6 +97,8 @@
         if address in self.dark:
             await asyncio.sleep(timeout)
             return engines.Unreachable(reason=f"{address} is dark")
+        if address in self.delay_by_address:
+            await asyncio.sleep(self.delay_by_address[address])
         if plain:
             return engines.RunnerStatus(vm_id=address, state=engines.RunnerState.READY)
         found = self.status_by_address.get(address, engines.RunnerStatus(vm_id=address))
@@ -92,12 +107,21 @@
         if found.state is engines.RunnerState.LOADING and loaded:
             found = _with_state(found, engines.RunnerState.COLD)
             self.status_by_address[address] = found
-        return found
+        warm_at = max(done_at, self.joined_at_by_address.get(address, 0.0)) + self.warm_seconds
+        if found.state is engines.RunnerState.COLD and asyncio.get_running_loop().time() >= warm_at:
+            found = _with_state(found, engines.RunnerState.READY)
+            self.status_by_address[address] = found
+        return dataclasses.replace(found, in_flight=self.in_flight_by_address[address])
 
     def set_state(self, address: str, state: engines.RunnerState) -> None:
         """Makes a runner report another state."""
         self.status_by_address[address] = _with_state(self.status_by_address[address], state)
 
+    def restart(self, address: str) -> None:
+        """Makes a runner come back without weights."""
+        vm_id = self.status_by_address[address].vm_id
+        self.status_by_address[address] = engines.RunnerStatus(vm_id=vm_id)
+
     async def order(
         self, address: str, order: engines.Order, *, timeout: float = 2.0
     ) -> engines.Accepted | engines.StaleFence | engines.Unreachable:
@@ -109,8 +133,13 @@
         if self.checks_fence and order.fence < found.fence:
             return engines.StaleFence(reason=f"{address} has seen {found.fence}")
         self.orders.append((address, order))
+        self.joined_at_by_address[address] = asyncio.get_running_loop().time()
         same = (found.model, found.model_version) == (order.model, order.model_version)
-        keeps = same and found.state in (engines.RunnerState.COLD, engines.RunnerState.READY)
+        keeps = (
+            self.keeps_weights
+            and same
+            and found.state in (engines.RunnerState.COLD, engines.RunnerState.READY)
+        )
         if order.kind is engines.OrderKind.UNLOAD:
             state = engines.RunnerState.EMPTY
         else:
--- a/basilpost/groups/lifecycle.py
+++ b/basilpost/groups/lifecycle.py
@@ -10,7 +10,8 @@
 from basilpost.groups import view as views
 
 _STARTING = frozenset({data.GroupState.FORMING, data.GroupState.LOADING})
-PRELOAD_GRACE_SECONDS = 2.0
+FIRST_GRACE_SECONDS = 2.0
+OTHER_GRACE_SECONDS = 120.0
 DRAIN_REPORT_SECONDS = 1.0
 
 
@@ -23,10 +24,15 @@
     if group.state is data.GroupState.DRAINING:
         gone = any(views.lost(view, member.vm_id) for member in group.members)
         return data.GroupState.BROKEN if gone else data.GroupState.DRAINING
+    leaving = any(views.leaving(view, member.vm_id) for member in group.members)
+    if group.state is data.GroupState.BROKEN and leaving:
+        return data.GroupState.BROKEN
     if views.complete(view, group):
         return _warmth(view, group)
     if group.state not in _STARTING:
-        return data.GroupState.BROKEN
+        # A new controller keeps its predecessor's judgement until the members have been asked.
+        waits = any(views.unseen(view, member.vm_id) for member in group.members)
+        return group.state if waits and not _any_away(view, group) else data.GroupState.BROKEN
     if any(views.lost(view, member.vm_id) for member in group.members):
         return data.GroupState.BROKEN
     reached = any(
@@ -35,6 +41,19 @@
     return data.GroupState.LOADING if reached else data.GroupState.FORMING
 
 
+def _any_away(view: views.View, group: data.Group) -> bool:
+    """Returns True if a member is silent or reports something else than this group."""
+    seen = (one.vm_id for one in group.members if not views.unseen(view, one.vm_id))
+    statuses = [views.answering(view, vm_id) for vm_id in seen]
+    if not group.model:
+        return any(status is None for status in statuses)
+    return any(
+        not views.joined(status, group)
+        or not views.holds_weights(status, group.model, group.model_version)
+        for status in statuses
+    )
+
+
 def _warmth(view: views.View, group: data.Group) -> data.GroupState:
     status = views.answering(view, group.members[0].vm_id)
     ready = status is not None and status.state is engines.RunnerState.READY
@@ -79,36 +98,50 @@
 
 
 def to_preload(view: views.View, group: data.Group) -> tuple[data.Member, ...]:
-    """Returns the members whose replacement may start to load, silent ones included."""
+    """Returns the members whose replacement may start to load.
+
+    One unanswered call is enough: a load in vain leaves a spare that is ready for the next loss.
+    """
     return tuple(
         member
         for member in group.members
-        if views.answering(view, member.vm_id) is None
+        if views.wavering(view, member.vm_id)
         or views.leaving(view, member.vm_id)
         or views.slow(view, member.vm_id)
     )
 
 
-def should_drain(view: views.View, group: data.Group, loaded_spares: int, loading: int) -> bool:
+def should_drain(view: views.View, group: data.Group, free_spares: int, loaded_spares: int) -> bool:
     """Returns True if a serving group has to stop taking work so that it can be changed.
 
     Args:
         view: What is known.
         group: A serving group.
-        loaded_spares: Spares in its cell that hold its weights.
-        loading: Spares in its cell that are loading.
+        free_spares: Spares in its failure domain.
+        loaded_spares: Those of them that hold its weights.
     """
     if unwanted(view, group) or group.group_id in view.rolling:
         return True
-    leaving = [one.vm_id for one in group.members if views.leaving(view, one.vm_id)]
+    leaving = [one for one in group.members if views.leaving(view, one.vm_id)]
     if leaving:
-        waited = max(views.lasted(view, views.Lasting.LEAVING, one) for one in leaving)
         ready = loaded_spares >= len(leaving)
-        return ready or not loading or waited >= PRELOAD_GRACE_SECONDS
+        return ready or free_spares < len(leaving) or _must_stop(view, leaving)
     stragglers = [one for one in group.members if views.slow(view, one.vm_id)]
     return 0 < len(stragglers) <= loaded_spares
 
 
+def _must_stop(view: views.View, leaving: list[data.Member]) -> bool:
+    """Returns True if a group cannot wait any longer for the replacements of its leaving members.
+
+    The VM that receives the group's requests must get no new ones soon after it is known to leave.
+    """
+    return any(
+        views.lasted(view, views.Lasting.LEAVING, one.vm_id)
+        >= (OTHER_GRACE_SECONDS if one.rank else FIRST_GRACE_SECONDS)
+        for one in leaving
+    )
+
+
 def drained(view: views.View, group: data.Group) -> bool:
     """Returns True if a draining group has finished its work, or has had its time."""
     waited = views.lasted(view, views.Lasting.DRAINING, group.group_id)
--- a/basilpost/groups/view.py
+++ b/basilpost/groups/view.py
@@ -20,12 +20,16 @@
         heard_at: Time before the call that the status answered; before the first answer, the time
             when this controller began to watch the VM.
         silent: True if the latest calls went unanswered.
+        silence: Seconds from the first of them until the last one was given up.
+        steady: False for a VM that was silent and has come back only just now.
         slow: True if the VM answers so much later than its peers that it slows its group down.
     """
 
     status: engines.RunnerStatus | None = None
     heard_at: float
     silent: bool = False
+    silence: float = 0.0
+    steady: bool = True
     slow: bool = False
 
 
@@ -92,12 +96,24 @@
     return None if sight is None or sight.silent else sight.status
 
 
+def unseen(view: View, vm_id: str) -> bool:
+    """Returns True if this controller has asked a VM but could not have heard from it yet."""
+    sight = view.sights_by_id.get(vm_id)
+    return sight is not None and sight.status is None and not sight.silent
+
+
+def wavering(view: View, vm_id: str) -> bool:
+    """Returns True if a VM's latest call went unanswered."""
+    sight = view.sights_by_id.get(vm_id)
+    return sight is not None and (sight.silent or sight.silence > 0.0)
+
+
 def lost(view: View, vm_id: str) -> bool:
     """Returns True if a VM is silent and is not waited for any longer."""
     sight = view.sights_by_id.get(vm_id)
     if sight is None or not sight.silent:
         return False
-    return vm_id not in view.vms_by_id or view.now - sight.heard_at >= view.suspicion
+    return vm_id not in view.vms_by_id or sight.silence >= view.suspicion
 
 
 def slow(view: View, vm_id: str) -> bool:
@@ -168,8 +184,9 @@
 def spares_by_cell(view: View, groups: Iterable[data.Group]) -> dict[Cell, list[data.Vm]]:
     """Returns the VMs that a group may take in now, by cell and ordered by id.
 
-    A VM must answer, since the list may show a VM that is gone. There are none while some node may
-    still act on an older table, in which a VM that is free by now belongs to a group.
+    A VM must answer, since the list may show a VM that is gone, and steadily, since its neighbours
+    may be about to come back with it. There are none while some node may still act on an older
+    table, in which a VM that is free by now belongs to a group.
     """
     if not view.settled:
         return {}
@@ -182,6 +199,7 @@
             and not vm.leaving
             and not slow(view, vm_id)
             and answering(view, vm_id) is not None
+            and view.sights_by_id[vm_id].steady
         ),
         key=lambda vm: (cell_of(vm), vm.vm_id),
     )
--- a/basilpost/runs/changes.py
+++ b/basilpost/runs/changes.py
@@ -64,6 +64,7 @@
         key=call.key,
         digest=call.digest,
         request_id=call.request_id,
+        outcome_path=call.outcome_path,
         state=buckets.RunState.CLAIMED,
         attempt_id=attempt_id,
         node_id=node_id,
@@ -97,9 +98,9 @@
     return Change(run_id=run_id, apply=apply)
 
 
-def finish(run_id: str, *, attempt_id: str, answer: ledger.Answer) -> Change:
+def finish(run_id: str, *, attempt_id: str, answer: ledger.Answer | None) -> Change:
     """Records that a request ran; the truth goes before what was settled meanwhile."""
-    kept = buckets.keepable(answer)
+    kept = buckets.keep(answer) if answer else None
     changed_at = clock.utc_now()
 
     def apply(found: buckets.Record | None) -> Applied:
@@ -148,7 +149,6 @@
     *,
     state: buckets.RunState,
     entry: data.AuditEntry,
-    answer: ledger.Answer | None = None,
 ) -> Change:
     """Settles an open request as decided, if it is still as it was observed."""
 
@@ -160,7 +160,6 @@
         settled = dataclasses.replace(
             observed,
             state=state,
-            answer=answer,
             changed_at=entry.at,
             audit=(*observed.audit, entry),
         )
--- a/basilpost/runs/store_ledger_test.py
+++ b/basilpost/runs/store_ledger_test.py
@@ -6,11 +6,11 @@
 
 import pytest
 
-from basilpost.core import clock, failure, kernel, names
+from basilpost.core import clock, codec, failure, kernel, names
 from basilpost.members import fakes
-from basilpost.runs import buckets, ledger, lookup, store_ledger
+from basilpost.runs import buckets, ledger, lookup, running, store_ledger
 from basilpost.settings import schema
-from basilpost.store import memory
+from basilpost.store import memory, objects
 
 ANSWER = ledger.Answer(status=201, headers=(("Content-Type", "text/plain"),), body=b"receipt")
 CALL = ledger.Call(workspace="w", service="filings", key="k", digest="d", request_id="r")
@@ -207,7 +207,7 @@
     await asyncio.sleep(600)
     nodes.store.faults.down = False
     await asyncio.sleep(5)
-    assert nodes.record().answer == ANSWER
+    assert nodes.record().answer.answer() == ANSWER
     assert a.entries.count() == 0
 
 
@@ -283,3 +283,74 @@
     await asyncio.sleep(1)
     refusal = await b.claim(CALL, timeout=5)
     assert (refusal.code, refusal.outcome) == ("answer_not_kept", failure.Outcome.RAN)
+
+
+class LateStore(memory.MemoryStore):
+    """Lets the first write time out and arrive later."""
+
+    def __init__(self):
+        super().__init__()
+        self.late = []
+
+    async def create(self, key, value, *, timeout=2.0, urgency=0):
+        if self.late:
+            return await super().create(key, value, timeout=timeout, urgency=urgency)
+        self.late.append(asyncio.create_task(self._arrive(key, value)))
+        await asyncio.sleep(timeout)
+        return objects.Unknown(reason="no answer in time")
+
+    async def _arrive(self, key, value):
+        await asyncio.sleep(4.0)
+        return await super().create(key, value)
+
+
+async def test_a_claim_that_arrives_after_its_refusal_has_no_effect(nodes):
+    nodes.store = LateStore()
+    a, b = await nodes.add("a"), await nodes.add("b")
+    refusal = await a.claim(CALL, timeout=1.0)
+    assert refusal.outcome is failure.Outcome.NOT_RUN
+    await asyncio.sleep(10)
+    assert isinstance(nodes.store.late[0].result(), objects.Conflict)
+    assert isinstance(await b.claim(CALL, timeout=5), ledger.Claim)
+
+
+async def test_a_request_that_the_service_ran_is_not_replayed_without_its_answer(nodes):
+    class Told(lookup.OutcomeLookup):
+        async def look_up(self, record, *, timeout):
+            return lookup.Ran()
+
+    a, b = await nodes.add("a"), await nodes.add("b", outcome_lookup=Told())
+    await a.claim(CALL, timeout=5)
+    nodes.kill(a)
+    for _ in range(2):
+        assert (await b.claim(CALL, timeout=5)).code == "answer_not_kept"
+
+
+async def test_decoded_buckets_are_cached_within_a_number_of_bytes(nodes):
+    a = await nodes.add("a")
+    large = dataclasses.replace(ANSWER, body=bytes(40_000))
+    for number in range(200):
+        claim = await a.claim(dataclasses.replace(CALL, key=f"k{number}"), timeout=5)
+        await a.finish(claim, large)
+    await asyncio.sleep(5)
+    kept = a._writers._cache.values()
+    assert 0 < sum(snapshot.size for snapshot in kept) <= 4_000_000
+    assert a._writers._cached_bytes == sum(snapshot.size for snapshot in kept)
+
+
+async def test_an_answer_that_is_too_large_for_peers_is_not_sent_to_them(nodes):
+    a, b = await nodes.add("a"), await nodes.add("b")
+    claim = await a.claim(CALL, timeout=5)
+    waiting = asyncio.create_task(b.claim(CALL, timeout=60))
+    await asyncio.sleep(1)
+    await a.finish(claim, dataclasses.replace(ANSWER, body=bytes(8_000_000)))
+    assert (await waiting).code == "answer_not_kept"
+
+
+@pytest.mark.parametrize("answer", [ANSWER, None])
+async def test_messages_survive_the_wire(answer):
+    for message in (
+        running.Attach(attempt_id="a", wait_seconds=1.5),
+        running.Report(phase=running.Phase.FINISHED, answer=answer, reason="r"),
+    ):
+        assert codec.from_msgpack(codec.to_msgpack(message), type(message)) == message
