--- a/basilpost/admin/answers.py
+++ b/basilpost/admin/answers.py
@@ -5,7 +5,7 @@
 import re
 from typing import Any
 
-from basilpost.admin import audit_reader, changes, limits, ports, tokens
+from basilpost.admin import audit_reader, limits, ports, proposals, tokens
 from basilpost.core import failure
 from basilpost.settings import configuration, loader
 
@@ -75,11 +75,11 @@
     NoSuchPage: Shape(status=404, type="request", code="no_such_page"),
     Faulty: Shape(status=500, type="fault", code="fault", outcome=failure.Outcome.UNKNOWN),
     configuration.Problems: Shape(status=422, type="value", code="invalid_value"),
-    changes.Lost: Shape(status=412, type="conflict", code="version_conflict"),
-    changes.Absent: Shape(status=404, type="request", code="no_such_object"),
-    changes.AttemptReused: Shape(status=409, type="conflict", code="attempt_reused"),
-    changes.NotWritten: Shape(status=503, type="store", code="store_unavailable"),
-    changes.Unsettled: Shape(
+    proposals.Lost: Shape(status=412, type="conflict", code="version_conflict"),
+    proposals.Absent: Shape(status=404, type="request", code="no_such_object"),
+    proposals.AttemptReused: Shape(status=409, type="conflict", code="attempt_reused"),
+    proposals.NotWritten: Shape(status=503, type="store", code="store_unavailable"),
+    proposals.Unsettled: Shape(
         status=504, type="store", code="outcome_unknown", outcome=failure.Outcome.UNKNOWN
     ),
     audit_reader.BadSince: Shape(status=400, type="request", code="bad_since"),
--- a/basilpost/admin/api.py
+++ b/basilpost/admin/api.py
@@ -18,7 +18,7 @@
     status_handlers,
 )
 from basilpost.core import kernel, names
-from basilpost.members import directory, peers, replica, standing
+from basilpost.members import directory, replica
 from basilpost.settings import configuration, schema
 
 _ROOT = "/admin/v1"
@@ -67,9 +67,7 @@
         log=kernel.log,
         changes=changes.Changes(kernel=kernel, bootstrap_digest=settings.admin_token_digest),
         directory=kernel.find(names.DIRECTORY, directory.Directory),
-        peers=kernel.find(names.PEERS, peers.PeerNetwork),
         replica=kernel.find(names.REPLICA, replica.Replica),
-        standing=kernel.find(names.STANDING, standing.Standing),
         status=status.StatusDesk(kernel=kernel),
         trail=audit_reader.AuditReader(kernel=kernel),
         runs=desks.find_run_desk(kernel),
--- a/basilpost/admin/changes.py
+++ b/basilpost/admin/changes.py
@@ -6,15 +6,13 @@
 """
 
 import asyncio
-import dataclasses
-from typing import Any
 
 import prometheus_client
 
-from basilpost.admin import audit
-from basilpost.core import clock, codec, data, failure, kernel, names
+from basilpost.admin import audit, proposals
+from basilpost.core import clock, codec, data, kernel, names
 from basilpost.members import directory, replica
-from basilpost.settings import configuration
+from basilpost.settings import configuration, references
 from basilpost.store import objects
 
 MAX_VALUE_BYTES = 64_000
@@ -25,109 +23,6 @@
 _SECONDS_BUCKETS = (0.005, 0.02, 0.1, 0.5, 2.0, 5.0, 10.0, 20.0)
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Proposal:
-    """A change that an operator asks for.
-
-    Attributes:
-        kind: Kind of the object.
-        name: Name of the object.
-        raw: New value as decoded JSON, None to delete the object.
-        expected: Version that the change is based on, None if the object must not exist.
-        actor: Operator who asks.
-        reason: Why, in the operator's words.
-        attempt_id: Unique id of the change; a repeat with the same id is the same change.
-    """
-
-    kind: configuration.Kind
-    name: str
-    raw: Any
-    expected: int | None
-    actor: str
-    reason: str
-    attempt_id: str
-
-    @property
-    def key(self) -> str:
-        """Returns the store key of the object."""
-        return self.kind.key(self.name)
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Accepted:
-    """A confirmed change; `changed` is False if the object had this value already."""
-
-    key: str
-    version: int
-    attempt_id: str
-    changed: bool = True
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Lost(failure.Failure):
-    """The object is not at the version that the change was based on; nothing was changed.
-
-    Attributes:
-        current_version: Version of the object now, None if it does not exist or could not be read.
-        changed_by: Operator who made the latest change, empty if not known.
-    """
-
-    current_version: int | None
-    changed_by: str = ""
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Absent(failure.Failure):
-    """There is no object of that name."""
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class AttemptReused(failure.Failure):
-    """The attempt id belongs to another change of the same object; nothing was changed."""
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class NotWritten(failure.Failure):
-    """The store could not be used; nothing was changed."""
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Unsettled(failure.Failure):
-    """The store did not tell in time whether the change took effect.
-
-    Attributes:
-        attempt_id: Id with which the operator may repeat the change safely.
-    """
-
-    attempt_id: str
-
-
-Result = Accepted | Lost | Absent | AttemptReused | NotWritten | Unsettled | configuration.Problems
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Current:
-    """An object as it is now; version None if there is none, an empty value if it was deleted."""
-
-    version: int | None = None
-    stored: data.ConfigObject = data.ConfigObject(value="")
-
-    @property
-    def exists(self) -> bool:
-        """Returns True if the object has a value."""
-        return not self.stored.deleted
-
-    @property
-    def shown_version(self) -> int | None:
-        """Returns the version that an operator sees, None for an object that does not exist."""
-        return self.version if self.exists else None
-
-    @property
-    def changed_by(self) -> str:
-        """Returns who made the latest change."""
-        return self.stored.audit[-1].actor if self.stored.audit else ""
-
-
 class Changes:
     """Accepts changes on one node."""
 
@@ -151,18 +46,20 @@
         self._replica = kernel.find(names.REPLICA, replica.Replica)
         self._directory = kernel.find(names.DIRECTORY, directory.Directory)
 
-    async def read(self, kind: configuration.Kind, name: str) -> Current | NotWritten:
+    async def read(
+        self, kind: configuration.Kind, name: str
+    ) -> proposals.Current | proposals.NotWritten:
         """Reads an object from the store, or from the replica if that knows a newer version."""
         key = kind.key(name)
         found = await self._store.get(key)
         if isinstance(found, objects.Unavailable):
-            return NotWritten(reason=f"{key} could not be read: {found.reason}")
+            return proposals.NotWritten(reason=f"{key} could not be read: {found.reason}")
         if isinstance(found, objects.Stored):
             self._replica.offer(objects.Change(key=key, version=found.version, stored=found))
         known = self._replica.get(key)
-        return decode_current(known)
+        return proposals.decode_current(known)
 
-    async def accept(self, proposal: Proposal) -> Result:
+    async def accept(self, proposal: proposals.Proposal) -> proposals.Result:
         """Checks a change and writes it; returns only what is known for certain."""
         began = clock.monotonic()
         result = await self._accept(proposal)
@@ -178,12 +75,12 @@
         )
         return result
 
-    async def _accept(self, proposal: Proposal) -> Result:
+    async def _accept(self, proposal: proposals.Proposal) -> proposals.Result:
         record = _decode(proposal)
         if isinstance(record, configuration.Problems):
             return record
         current = await self.read(proposal.kind, proposal.name)
-        if isinstance(current, NotWritten):
+        if isinstance(current, proposals.NotWritten):
             return current
         after = "" if record is None else codec.to_json(record).decode()
         refused = self._refuse(proposal, record, current, after)
@@ -191,28 +88,30 @@
             return refused
         rolled = self._roll(proposal, current, after)
         if rolled.archive is not None and not await self._archived(rolled.archive):
-            return NotWritten(reason=f"the audit archive of {proposal.key} could not be written")
+            return proposals.NotWritten(
+                reason=f"the audit archive of {proposal.key} could not be written"
+            )
         return await self._write(proposal, current, codec.to_json(rolled.stored), after)
 
     def _refuse(
         self,
-        proposal: Proposal,
+        proposal: proposals.Proposal,
         record: configuration.Record | None,
-        current: Current,
+        current: proposals.Current,
         after: str,
-    ) -> Result | None:
+    ) -> proposals.Result | None:
         """Returns the answer of a change that needs no write, None if it has to be written."""
         earlier = _earlier(proposal, current, after)
         if earlier is not None:
             return earlier
         if proposal.expected != current.shown_version:
             if record is None and not current.exists:
-                return Absent(reason=f"there is no {proposal.key}")
+                return proposals.Absent(reason=f"there is no {proposal.key}")
             return _lost(proposal, current)
         if record is None and not current.exists:
-            return Absent(reason=f"there is no {proposal.key}")
+            return proposals.Absent(reason=f"there is no {proposal.key}")
         if after == current.stored.value:
-            return Accepted(
+            return proposals.Accepted(
                 key=proposal.key,
                 version=current.version or 0,
                 attempt_id=proposal.attempt_id,
@@ -221,23 +120,25 @@
         return self._check_others(proposal, record)
 
     def _check_others(
-        self, proposal: Proposal, record: configuration.Record | None
+        self, proposal: proposals.Proposal, record: configuration.Record | None
     ) -> configuration.Problems | None:
         config = self._directory.config()
         errors = (
-            configuration.check_removal(proposal.kind, proposal.name, config)
+            references.check_removal(proposal.kind, proposal.name, config)
             if record is None
-            else configuration.check_references(record, config)
+            else references.check_references(record, config)
         )
         if proposal.kind is configuration.OPERATORS and not self._has_bootstrap:
-            errors += configuration.check_administrators(proposal.name, record, config)
+            errors += references.check_administrators(proposal.name, record, config)
         if not errors:
             return None
         return configuration.Problems(
             reason=f"{proposal.key} does not fit the configuration", errors=errors
         )
 
-    def _roll(self, proposal: Proposal, current: Current, after: str) -> audit.Rolled:
+    def _roll(
+        self, proposal: proposals.Proposal, current: proposals.Current, after: str
+    ) -> audit.Rolled:
         entry = data.AuditEntry(
             at=clock.utc_now(),
             actor=proposal.actor,
@@ -258,8 +159,8 @@
         return isinstance(answer, objects.Written | objects.Conflict)
 
     async def _write(
-        self, proposal: Proposal, current: Current, value: bytes, after: str
-    ) -> Result:
+        self, proposal: proposals.Proposal, current: proposals.Current, value: bytes, after: str
+    ) -> proposals.Result:
         """Repeats one conditional write until it is known to have landed or to be impossible."""
         deadline = clock.monotonic() + _SETTLE_SECONDS
         pause = _FIRST_PAUSE_SECONDS
@@ -269,7 +170,9 @@
             if isinstance(answer, objects.Written):
                 return self._confirm(proposal, value, answer.version)
             if isinstance(answer, objects.Unavailable) and not uncertain:
-                return NotWritten(reason=f"{proposal.key} was not written: {answer.reason}")
+                return proposals.NotWritten(
+                    reason=f"{proposal.key} was not written: {answer.reason}"
+                )
             uncertain = uncertain or isinstance(answer, objects.Unknown)
             settled = await self._settle(proposal, current, after)
             if settled is not None:
@@ -286,31 +189,28 @@
             return await self._store.create(key, value)
         return await self._store.update(key, value, version=version)
 
-    async def _settle(self, proposal: Proposal, based_on: Current, after: str) -> Result | None:
+    async def _settle(
+        self, proposal: proposals.Proposal, based_on: proposals.Current, after: str
+    ) -> proposals.Result | None:
         """Re-reads the object; returns None while it is still at the version written against."""
         current = await self.read(proposal.kind, proposal.name)
-        if isinstance(current, NotWritten):
+        if isinstance(current, proposals.NotWritten):
             return None
         earlier = _earlier(proposal, current, after)
         if earlier is not None or current.version == based_on.version:
             return earlier
         return _lost(proposal, current)
 
-    def _confirm(self, proposal: Proposal, value: bytes, version: int) -> Accepted:
+    def _confirm(
+        self, proposal: proposals.Proposal, value: bytes, version: int
+    ) -> proposals.Accepted:
         key = proposal.key
         stored = objects.Stored(key=key, value=value, version=version)
         self._replica.offer(objects.Change(key=key, version=version, stored=stored))
-        return Accepted(key=key, version=version, attempt_id=proposal.attempt_id)
-
+        return proposals.Accepted(key=key, version=version, attempt_id=proposal.attempt_id)
 
-def decode_current(stored: objects.Stored | None) -> Current:
-    """Decodes an object as read from the store or the replica."""
-    if stored is None:
-        return Current()
-    return Current(version=stored.version, stored=codec.from_json(stored.value, data.ConfigObject))
 
-
-def _decode(proposal: Proposal) -> configuration.Record | configuration.Problems | None:
+def _decode(proposal: proposals.Proposal) -> configuration.Record | configuration.Problems | None:
     if proposal.raw is None:
         return None
     record = configuration.decode(proposal.kind, proposal.name, proposal.raw)
@@ -323,35 +223,39 @@
     return configuration.Problems(reason=f"{proposal.key} is too large", errors=(error,))
 
 
-def _earlier(proposal: Proposal, current: Current, after: str) -> Accepted | AttemptReused | None:
+def _earlier(
+    proposal: proposals.Proposal, current: proposals.Current, after: str
+) -> proposals.Accepted | proposals.AttemptReused | None:
     """Recognises this change by its attempt id if it has landed before."""
     entry = audit.find_attempt(current.stored, proposal.attempt_id)
     if entry is None:
         return None
     if entry.after != after:
-        return AttemptReused(
+        return proposals.AttemptReused(
             reason=f"attempt {proposal.attempt_id} made another change of {proposal.key}"
         )
-    return Accepted(key=proposal.key, version=current.version or 0, attempt_id=proposal.attempt_id)
+    return proposals.Accepted(
+        key=proposal.key, version=current.version or 0, attempt_id=proposal.attempt_id
+    )
 
 
-def _lost(proposal: Proposal, current: Current) -> Lost:
+def _lost(proposal: proposals.Proposal, current: proposals.Current) -> proposals.Lost:
     expected = "absent" if proposal.expected is None else f"at version {proposal.expected}"
     found = "absent" if current.shown_version is None else f"at version {current.shown_version}"
-    return Lost(
+    return proposals.Lost(
         reason=f"{proposal.key} was expected {expected} but is {found}; nothing was changed",
         current_version=current.shown_version,
         changed_by=current.changed_by,
     )
 
 
-def _give_up(proposal: Proposal, uncertain: bool) -> Lost | Unsettled:
+def _give_up(proposal: proposals.Proposal, uncertain: bool) -> proposals.Lost | proposals.Unsettled:
     if not uncertain:
-        return Lost(
+        return proposals.Lost(
             reason=f"another change of {proposal.key} came first; its version could not be read",
             current_version=None,
         )
-    return Unsettled(
+    return proposals.Unsettled(
         reason=(
             f"the store did not tell whether the change of {proposal.key} took effect; "
             "repeat it with the same Idempotency-Key to find out"
--- a/basilpost/admin/context.py
+++ b/basilpost/admin/context.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from basilpost.admin import audit_reader, changes, limits, ports, status
-from basilpost.members import directory, peers, replica, standing
+from basilpost.members import directory, replica
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -14,9 +14,7 @@
     log: Any
     changes: changes.Changes
     directory: directory.Directory
-    peers: peers.PeerNetwork
     replica: replica.Replica
-    standing: standing.Standing
     status: status.StatusDesk
     trail: audit_reader.AuditReader
     runs: ports.RunDesk
--- a/basilpost/admin/domain_handlers.py
+++ b/basilpost/admin/domain_handlers.py
@@ -4,7 +4,7 @@
 import uuid
 from typing import Any
 
-from basilpost.admin import answers, changes, handlers, object_handlers, tokens
+from basilpost.admin import answers, handlers, object_handlers, proposals, tokens
 from basilpost.core import hashing, names
 from basilpost.settings import configuration
 
@@ -34,11 +34,11 @@
         if isinstance(reason, answers.BadRequest):
             return self.fail(reason)
         current = await self.context.changes.read(configuration.FAILURE_DOMAINS, name)
-        if isinstance(current, changes.NotWritten):
+        if isinstance(current, proposals.NotWritten):
             return self.fail(current)
         if not current.exists and name not in self._known_domains():
             return self.fail(
-                changes.Absent(reason=f"no failure domain {name} is configured or has groups")
+                proposals.Absent(reason=f"no failure domain {name} is configured or has groups")
             )
         proposal = self._proposal(name, direction == "in", reason, current)
         if isinstance(proposal, answers.BadRequest):
@@ -50,14 +50,14 @@
         return {group.failure_domain for table in tables for group in table.groups}
 
     def _proposal(
-        self, name: str, in_service: bool, reason: str, current: changes.Current
-    ) -> changes.Proposal | answers.BadRequest:
+        self, name: str, in_service: bool, reason: str, current: proposals.Current
+    ) -> proposals.Proposal | answers.BadRequest:
         attempt_id = object_handlers.read_attempt_id(self)
         if isinstance(attempt_id, answers.BadRequest):
             return attempt_id
         view = object_handlers.view_object(configuration.FAILURE_DOMAINS, name, current)
         value: dict[str, Any] = view.value if view is not None else {}
-        return changes.Proposal(
+        return proposals.Proposal(
             kind=configuration.FAILURE_DOMAINS,
             name=name,
             raw=value | {"in_service": in_service},
@@ -86,7 +86,7 @@
             return self.fail(answers.BadRequest(reason="workspace has to be a name"))
         secret = tokens.new_secret(_KEY_PREFIX)
         result = await self._add(workspace, hashing.key_digest(secret), reason)
-        if not isinstance(result, changes.Accepted):
+        if not isinstance(result, proposals.Accepted):
             return self.fail(result)
         self.set_header(names.OUTCOME_HEADER, "ran")
         self.answer(
@@ -99,20 +99,20 @@
             status=201,
         )
 
-    async def _add(self, workspace: str, digest: str, reason: str) -> changes.Result:
+    async def _add(self, workspace: str, digest: str, reason: str) -> proposals.Result:
         """Adds a digest; other changes that come first are taken in, for none of them matters."""
         attempt_id = uuid.uuid4().hex
-        result: changes.Result
+        result: proposals.Result
         for _ in range(_RACES):
             current = await self.context.changes.read(configuration.WORKSPACES, workspace)
-            if isinstance(current, changes.NotWritten):
+            if isinstance(current, proposals.NotWritten):
                 return current
             view = object_handlers.view_object(configuration.WORKSPACES, workspace, current)
             if view is None:
-                return changes.Absent(reason=f"there is no workspace {workspace}")
+                return proposals.Absent(reason=f"there is no workspace {workspace}")
             digests = [*view.value.get("key_digests", ()), digest]
             result = await self.context.changes.accept(
-                changes.Proposal(
+                proposals.Proposal(
                     kind=configuration.WORKSPACES,
                     name=workspace,
                     raw=view.value | {"key_digests": digests},
@@ -122,6 +122,6 @@
                     attempt_id=attempt_id,
                 )
             )
-            if not isinstance(result, changes.Lost):
+            if not isinstance(result, proposals.Lost):
                 break
         return result
--- a/basilpost/admin/fakes.py
+++ b/basilpost/admin/fakes.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from basilpost.admin import changes
+from basilpost.admin import proposals
 from basilpost.core import hashing, kernel, names
 from basilpost.members import fakes
 from basilpost.settings import bundle, configuration, schema
@@ -23,7 +23,7 @@
     def _changed(self, change: objects.Change) -> None:
         kind = next(kind for kind in configuration.KINDS if change.key.startswith(kind.prefix))
         name = change.key.removeprefix(kind.prefix)
-        current = changes.decode_current(change.stored)
+        current = proposals.decode_current(change.stored)
         record = configuration.decode_text(kind, name, current.stored.value)
         self._records_by_key.pop(change.key, None)
         if not isinstance(record, configuration.Problems):
--- a/basilpost/settings/bundle.py
+++ b/basilpost/settings/bundle.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from basilpost.core import codec, data
-from basilpost.settings import configuration, loader
+from basilpost.settings import configuration, loader, references
 
 Objects = dict[str, Any]
 
@@ -77,7 +77,7 @@
     records = [one for one in decoded if not isinstance(one, configuration.Problems)]
     config = config_of(records)
     dangling = itertools.chain.from_iterable(
-        configuration.check_references(record, config) for record in records
+        references.check_references(record, config) for record in records
     )
     found = [*itertools.chain.from_iterable(one.errors for one in problems)]
     if bundle.services:
