--- a/tests/faults_history_test.py
+++ b/tests/faults_history_test.py
@@ -1,6 +1,7 @@
 """Histories of concurrent load with real processes under faults, judged by the history checks."""
 
 import asyncio
+import itertools
 import signal
 
 import pytest
@@ -147,3 +148,21 @@
     assert cut == []
     lost = [one for one in result.records if one.status == 0 and "refused" not in one.error.lower()]
     assert lost == []
+
+
+async def test_a_request_that_crashes_its_targets_fells_two_at_most(bench):
+    vms = [one for one in bench.runners_by_vm_id if one.startswith("vm-")]
+    for vm_id in vms:
+        faults = f"http://{bench.runners_by_vm_id[vm_id].address}/faults"
+        await bench.client.fetch(faults, method="POST", body='{"crash_on": "poison"}')
+    poison = {"model": "drafts", "messages": [{"role": "user", "content": "poison"}]}
+    answers = [
+        await bench.call(node, "/v1/chat/completions", body=poison, Basilpost_Deadline_Ms="4000")
+        for _, node in zip(range(10), itertools.cycle(bench.nodes_by_id), strict=False)
+    ]
+    assert all(answer.code != 200 for answer in answers)
+    fallen = [(await bench.log_of(vm_id))["falls"] for vm_id in vms]
+    assert 1 <= sum(fallen) <= 2
+    assert answers[-1].code == 422
+    assert "Retry-After" not in answers[-1].headers
+    await processes.eventually(lambda: serves(bench))
