--- a/basilpost/load/capacity.py
+++ b/basilpost/load/capacity.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 from basilpost.load import (
+    adapters,
     capacity_costs,
     capacity_model,
     capacity_page,
@@ -52,7 +53,7 @@
 def tables(measurements: Mapping[str, dict[str, Any]]) -> dict[str, str]:
     """Returns all tables of the page by name."""
     lines = list(itertools.chain.from_iterable(one["samples"] for one in measurements.values()))
-    fits = fit.fits_by_slope(samples.samples_in(lines))
+    fits = fit.fits_by_slope(adapters.samples_of(lines))
     fleet, limits, timing = capacity_model.Fleet(), capacity_model.Limits(), schema.Timing()
     costs = capacity_costs.all_costs(fleet, timing)
     roles = {
--- a/basilpost/load/capacity_page.py
+++ b/basilpost/load/capacity_page.py
@@ -44,9 +44,9 @@
     factor = cost.amount * cost.scale
     if cost.each is None:
         return Result(cost=cost, value=line.slope * factor, spread=line.spread * factor)
-    return Result(
-        cost=cost, value=line.at(cost.each) * factor, spread=line.spread * cost.each * factor
-    )
+    # A base below zero is an artefact of the fit; a message never costs less than its content.
+    each = max(line.base, 0.0) + line.slope * cost.each
+    return Result(cost=cost, value=each * factor, spread=line.spread * cost.each * factor)
 
 
 def role_table(costs: Iterable[model.Cost], fits: Fits) -> str:
--- a/basilpost/load/capacity_targets.py
+++ b/basilpost/load/capacity_targets.py
@@ -52,6 +52,17 @@
             scale=model.CPU_SCALE,
             mechanism="only the changed table is decoded",
         ),
+        model.Cost(
+            role="controller",
+            resource=Resource.CPU,
+            what="routing tables remade on every node",
+            amount=writes,
+            each=fleet.targets,
+            amount_text=f"{writes:.3f} changes/s, {fleet.targets} targets",
+            slope="requests.directory_change_cpu_by_groups",
+            scale=model.CPU_SCALE,
+            mechanism="remade whole at each change of any table",
+        ),
         model.Cost(
             role="controller",
             resource=Resource.WRITES,
--- a/basilpost/load/capacity_test.py
+++ b/basilpost/load/capacity_test.py
@@ -4,7 +4,15 @@
 
 import pytest
 
-from basilpost.load import capacity, capacity_control, capacity_model, capacity_page, fit, samples
+from basilpost.load import (
+    adapters,
+    capacity,
+    capacity_control,
+    capacity_model,
+    capacity_page,
+    fit,
+    samples,
+)
 from basilpost.settings import schema
 
 LINE = fit.Fit(
@@ -28,6 +36,19 @@
     assert found.value == pytest.approx(5 * 100 * (0.01 + 0.02))
 
 
+def test_a_base_below_zero_does_not_count():
+    below = {"s": dataclasses.replace(LINE, base=-1.0)}
+    found = capacity_page.work_out(dataclasses.replace(COST, each=10), below)
+    assert found.value == pytest.approx(5 * 100 * 0.02)
+
+
+def test_other_programs_forms_become_samples():
+    lines = [{"figure": "ledger_bucket", "records": 10, "decode_encode_ms": 2.0, "more": 1},
+             {"figure": "unknown", "value": 1}]  # fmt: skip
+    (one,) = adapters.samples_of(lines)
+    assert (one.slope, one.size, one.value) == ("requests.bucket_cpu_by_records", 10, 0.002)
+
+
 def test_a_role_table():
     table = capacity_page.role_table([COST, dataclasses.replace(COST, slope="few")], FITS)
     assert "| probes | 5 VMs / 1 s | s | 1 ± 0.25 % of a core | one prober |" in table
--- a/basilpost/load/measure_control.py
+++ b/basilpost/load/measure_control.py
@@ -113,7 +113,9 @@
 
     async def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         far_reader, far_writer = await asyncio.open_connection(host, int(port))
-        await asyncio.gather(forward(reader, far_writer), forward(far_reader, writer))
+        # Connections that are still open at the end are cut with the loop.
+        with contextlib.suppress(ConnectionError, asyncio.CancelledError):
+            await asyncio.gather(forward(reader, far_writer), forward(far_reader, writer))
 
     server = await asyncio.start_server(accept, host, 0)
     proxy_port = server.sockets[0].getsockname()[1]
