--- a/basilpost/load/measure.py
+++ b/basilpost/load/measure.py
@@ -21,7 +21,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Origin:
-    """Where a measurement comes from; `clean` is False if the tree had uncommitted changes."""
+    """Where a measurement comes from; `clean` is False if the code had uncommitted changes."""
 
     commit: str
     clean: bool
@@ -87,7 +87,7 @@
     """Describes this run."""
     return Origin(
         commit=_git("rev-parse", "--short", "HEAD"),
-        clean=not _git("status", "--porcelain", "--untracked-files=no"),
+        clean=not _git("status", "--porcelain", "--untracked-files=no", "--", "basilpost"),
         seed=seed,
         cores=psutil.cpu_count() or 0,
         python=sys.version.split()[0],
