--- a/basilpost/gateway/dispatch.py
+++ b/basilpost/gateway/dispatch.py
@@ -176,12 +176,20 @@
         group = opened.choice.group
         self._quarantine.ended(attempts.request, group, crashed=crashed, ran=ran)
 
-    async def fetch(self, request: policy.Request, message: Message) -> Answered | failure.Refusal:
-        """Gets a whole answer for an idempotent request."""
+    async def fetch(
+        self, request: policy.Request, message: Message, *, sized: bool = False
+    ) -> Answered | failure.Refusal:
+        """Gets a whole answer for an idempotent request.
+
+        Args:
+            request: The admitted request.
+            message: What is sent.
+            sized: True if targets name the length of their answers, as model engines do.
+        """
         attempts = Attempts(request=request)
         try:
             async with asyncio.timeout_at(request.deadline):
-                return await self._fetch(attempts, message)
+                return await self._fetch(attempts, message, sized=sized)
         except TimeoutError:
             return refusals.deadline_passed(attempts.outcome)
 
@@ -209,9 +217,11 @@
         """Returns True if this node may still dispatch."""
         return isinstance(self._standing.check(), standing.InStanding)
 
-    async def _fetch(self, attempts: Attempts, message: Message) -> Answered | failure.Refusal:
+    async def _fetch(
+        self, attempts: Attempts, message: Message, *, sized: bool
+    ) -> Answered | failure.Refusal:
         while True:
-            opened = await self.open(attempts)
+            opened = await self.open(attempts, events=sized)
             if isinstance(opened, failure.Refusal):
                 return opened
             result = await self.exchange(attempts, opened, message)
--- a/basilpost/gateway/event_exchange.py
+++ b/basilpost/gateway/event_exchange.py
@@ -74,6 +74,7 @@
         self._silence = silence
         self._receiver = receiver
         buffered, self._buffer = self._buffer, b""
+        self._resume()
         if buffered:
             self._pass_on(buffered)
         while not receiver.ended and not self._finished and self._broken is None:
@@ -83,11 +84,14 @@
         return self._broken
 
     async def read(self) -> bytes | exchange.Broken:
-        """Waits for more of a body that is no stream, such as a refusal's."""
+        """Waits for more of a body that is no stream; it must come with its length."""
+        if self.known_head is not None and self._length is None:
+            return exchange.Broken(reason=f"{self.address}: the answer names no length")
         while not self._buffer and not self._finished and self._broken is None:
             await self._changed()
         if self._buffer:
             taken, self._buffer = self._buffer, b""
+            self._resume()
             return taken
         if self._length:
             return exchange.Broken(reason=f"{self.address}: the body was cut short")
@@ -118,6 +122,10 @@
         if len(self._buffer) > _BUFFER_BYTES and self._transport is not None:
             self._transport.pause_reading()
 
+    def _resume(self) -> None:
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.resume_reading()
+
     def connection_lost(self, error: Exception | None) -> None:
         """Notes the end of the connection."""
         if error is None and self.known_head is not None:
@@ -139,7 +147,7 @@
         self.silent_at = float("inf")
         await receiver.drained()
         self.silent_at = clock.monotonic() + self._silence
-        self._transport.resume_reading()
+        self._resume()
 
     def _take_head(self) -> None:
         end = self._buffer.find(_END_OF_HEAD)
--- a/basilpost/gateway/handlers.py
+++ b/basilpost/gateway/handlers.py
@@ -392,7 +392,7 @@
             body=body,
         )
         if not call.stream:
-            self._conclude(await self.context.dispatcher.fetch(request, message))
+            self._conclude(await self.context.dispatcher.fetch(request, message, sized=True))
             return
         relay = streams.StreamRelay(
             dispatcher=self.context.dispatcher,
--- a/basilpost/gateway/upstream.py
+++ b/basilpost/gateway/upstream.py
@@ -7,7 +7,6 @@
 import socket
 
 import tornado.iostream
-import tornado.tcpclient
 
 from basilpost.core import clock
 from basilpost.gateway import event_exchange, exchange
@@ -24,7 +23,6 @@
     """Opens exchanges and closes those that go silent."""
 
     def __init__(self) -> None:
-        self._client = tornado.tcpclient.TCPClient()
         self._open: set[exchange.Exchange] = set()
 
     async def connect(
@@ -39,7 +37,8 @@
         """
         opening = self._events(address) if events else self._whole(address)
         try:
-            opened = await asyncio.wait_for(opening, timeout)
+            async with asyncio.timeout(timeout):
+                opened = await opening
         except (OSError, TimeoutError, tornado.iostream.StreamClosedError) as error:
             return exchange.ConnectFailed(reason=f"{address}: {error or 'no connection in time'}")
         self._open.add(opened)
@@ -52,9 +51,16 @@
 
     async def _whole(self, address: str) -> exchange.Exchange:
         host, port = _split(address)
-        stream = await self._client.connect(host, port, max_buffer_size=_STREAM_BYTES)
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        sock = socket.socket(family, socket.SOCK_STREAM)
+        stream = tornado.iostream.IOStream(sock, max_buffer_size=_STREAM_BYTES)
+        try:
+            await stream.connect((host, port))
+        except BaseException:
+            stream.close()
+            raise
         stream.set_nodelay(True)
-        _watch_for_silence(stream.socket)
+        _watch_for_silence(sock)
         return exchange.WholeExchange(stream=stream, address=address)
 
     async def _events(self, address: str) -> exchange.Exchange:
@@ -76,8 +82,9 @@
 
 
 def _split(address: str) -> tuple[str, int]:
+    """Returns host and port; targets are named by IP numbers, so nothing is looked up."""
     host, _, port = address.rpartition(":")
-    return host, int(port)
+    return host.strip("[]"), int(port)
 
 
 def _watch_for_silence(sock: socket.socket) -> None:
