--- a/basilpost/load/measure_members.py
+++ b/basilpost/load/measure_members.py
@@ -1,6 +1,6 @@
 """Measures membership: how fast changes come in force, and what control costs each node.
 
-All nodes of a fleet run in this one process, with real peer streams over loopback and one store in
+All nodes of a fleet run in one process, with real peer streams over loopback and one store in
 memory. A node's share of the processor is the process's time divided by the nodes; its memory is
 that of a process with nothing but the program loaded, and the growth per node on top. Bytes are
 those sent and received on peer streams, and those of the store's calls with their answers.
@@ -12,6 +12,8 @@
 import json
 import logging
 import secrets
+import subprocess
+import sys
 import time
 from typing import Any
 
@@ -153,20 +155,30 @@
 @click.option("--settle", default=SETTLE_SECONDS, show_default=True, help="Time to settle first.")
 def main(sizes: str, seconds: float, settle: float) -> None:
     """Prints each figure as one line of JSON."""
-    # Log lines would be measured too.
-    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
-    base = _resident_megabytes()
-    costs = [
-        asyncio.run(_measure(int(size), seconds=seconds, settle=settle, base=base))
-        for size in sizes.split(",")
-    ]
-    if len(costs) > 1:
-        _print_fits(costs)
+    chosen = sizes.split(",")
+    if len(chosen) == 1:
+        # Log lines would be measured too.
+        structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
+        asyncio.run(_measure(int(sizes), seconds=seconds, settle=settle))
+        return
+    _print_fits([_measure_apart(size, seconds=seconds, settle=settle) for size in chosen])
+
+
+def _measure_apart(size: str, *, seconds: float, settle: float) -> Cost:
+    """Measures one size in a process of its own, whose memory no other fleet has used."""
+    options = ["--sizes", size, "--seconds", str(seconds), "--settle", str(settle)]
+    command = [sys.executable, "-m", "basilpost.load.measure_members", *options]
+    lines = subprocess.run(command, check=True, stdout=subprocess.PIPE, text=True).stdout
+    click.echo(lines, nl=False)
+    found = (json.loads(line) for line in lines.splitlines())
+    return next(
+        codec.json_converter().structure(one, Cost) for one in found if one["kind"] == "cost"
+    )
 
 
-async def _measure(size: int, *, seconds: float, settle: float, base: float) -> Cost:
+async def _measure(size: int, *, seconds: float, settle: float) -> None:
     gc.collect()
-    before = _resident_megabytes()
+    base = _resident_megabytes()
     shared = memory.MemoryStore()
     nodes = [await _start(number, shared) for number in range(size)]
     await asyncio.sleep(settle)
@@ -174,9 +186,8 @@
     healthy = await _change(nodes, shared, seconds=seconds)
     second = _read(nodes, shared)
     gc.collect()
-    grown = (_resident_megabytes() - before) / size
-    cost = _cost(nodes, first, second, memory_megabytes=base + max(grown, 0.0))
-    _emit(cost)
+    grown = (_resident_megabytes() - base) / size
+    _emit(_cost(nodes, first, second, memory_megabytes=base + grown))
     _emit(_in_force(nodes, healthy, condition="healthy"))
     for node in nodes[::3]:
         node.store.cut = True
@@ -185,7 +196,6 @@
     _emit(_in_force(nodes, cut, condition="a third cut off from the store"))
     for node in nodes:
         await node.kernel.stop()
-    return cost
 
 
 async def _start(number: int, shared: memory.MemoryStore) -> Node:
