History check of operators at work; a repeat is recognised in the archives too

Cause: entries leave an object after a few changes, so a repeat of a change, or the settling of one, could be told "lost" although it had landed; and a refusal of the last of several tries said "nothing was changed" about all of them. Ruled out: keeping more entries with the object (they travel to every node). The repeat test fails without the search of the archives.

--- a/basilpost/admin/audit.py
+++ b/basilpost/admin/audit.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import datetime
 
 from basilpost.core import codec, data, names
 
@@ -60,6 +61,13 @@
     return Rolled(stored=stored, archive=archive)
 
 
+def may_have_archive(stored: data.ConfigObject) -> bool:
+    """Returns False if the entries surely begin with the object's first one."""
+    if not stored.audit:
+        return False
+    return bool(stored.audit[0].before) or len(stored.audit) >= KEPT_ENTRIES // 2
+
+
 def archive_key(archive: Archive) -> str:
     """Returns the store key of an archive: by the day of its newest entry, then by object.
 
@@ -80,9 +88,10 @@
     return at[:_DAY_CHARACTERS]
 
 
-def find_attempt(stored: data.ConfigObject, attempt_id: str) -> data.AuditEntry | None:
-    """Returns the entry of an attempt if it is among those kept with the object."""
-    return next((entry for entry in stored.audit if entry.attempt_id == attempt_id), None)
+def day_before(at: str) -> str:
+    """Returns the day before an entry's time."""
+    day = datetime.date.fromisoformat(day_of(at))
+    return (day - datetime.timedelta(days=1)).isoformat()
 
 
 def lines_of(key: str, entries: tuple[data.AuditEntry, ...]) -> tuple[Line, ...]:
--- a/basilpost/admin/changes.py
+++ b/basilpost/admin/changes.py
@@ -6,10 +6,11 @@
 """
 
 import asyncio
+from collections.abc import Iterable
 
 import prometheus_client
 
-from basilpost.admin import audit, proposals
+from basilpost.admin import audit, audit_reader, proposals
 from basilpost.core import clock, codec, data, kernel, names
 from basilpost.members import directory, replica
 from basilpost.settings import configuration, references
@@ -42,6 +43,7 @@
             registry=kernel.registry,
         )
         self._log = kernel.log
+        self._trail = audit_reader.AuditReader(kernel=kernel)
         self._store = kernel.find(names.OBJECTS, objects.ObjectStore)
         self._replica = kernel.find(names.REPLICA, replica.Replica)
         self._directory = kernel.find(names.DIRECTORY, directory.Directory)
@@ -83,7 +85,7 @@
         if isinstance(current, proposals.NotWritten):
             return current
         after = "" if record is None else codec.to_json(record).decode()
-        refused = self._refuse(proposal, record, current, after)
+        refused = await self._refuse(proposal, record, current, after)
         if refused is not None:
             return refused
         rolled = self._roll(proposal, current, after)
@@ -93,7 +95,7 @@
             )
         return await self._write(proposal, current, codec.to_json(rolled.stored), after)
 
-    def _refuse(
+    async def _refuse(
         self,
         proposal: proposals.Proposal,
         record: configuration.Record | None,
@@ -105,9 +107,7 @@
         if earlier is not None:
             return earlier
         if proposal.expected != current.shown_version:
-            if record is None and not current.exists:
-                return proposals.Absent(reason=f"there is no {proposal.key}")
-            return _lost(proposal, current)
+            return await self._decide_lost(proposal, current, after)
         if record is None and not current.exists:
             return proposals.Absent(reason=f"there is no {proposal.key}")
         if after == current.stored.value:
@@ -199,6 +199,27 @@
         earlier = _earlier(proposal, current, after)
         if earlier is not None or current.version == based_on.version:
             return earlier
+        return await self._decide_lost(proposal, current, after)
+
+    async def _decide_lost(
+        self, proposal: proposals.Proposal, current: proposals.Current, after: str
+    ) -> proposals.Result:
+        """Answers a change whose version is gone, which it may have replaced itself before.
+
+        So many changes may have followed that its entry is in an archive by now.
+        """
+        if audit.may_have_archive(current.stored):
+            yesterday = audit.day_before(clock.utc_now())
+            query = audit_reader.Query(key=proposal.key, since=yesterday)
+            trail = await self._trail.read(query)
+            if not isinstance(trail, audit_reader.Trail) or not trail.complete:
+                return _unsettled(proposal)
+            entries = [line.entry for line in trail.lines]
+            earlier = _recognise(proposal, entries, current.version, after)
+            if earlier is not None:
+                return earlier
+        if proposal.raw is None and not current.exists:
+            return proposals.Absent(reason=f"there is no {proposal.key}")
         return _lost(proposal, current)
 
     def _confirm(
@@ -226,8 +247,18 @@
 def _earlier(
     proposal: proposals.Proposal, current: proposals.Current, after: str
 ) -> proposals.Accepted | proposals.AttemptReused | None:
-    """Recognises this change by its attempt id if it has landed before."""
-    entry = audit.find_attempt(current.stored, proposal.attempt_id)
+    """Recognises this change if it has landed before."""
+    return _recognise(proposal, current.stored.audit, current.version, after)
+
+
+def _recognise(
+    proposal: proposals.Proposal,
+    entries: Iterable[data.AuditEntry],
+    version: int | None,
+    after: str,
+) -> proposals.Accepted | proposals.AttemptReused | None:
+    """Looks for this change's attempt id among entries."""
+    entry = next((one for one in entries if one.attempt_id == proposal.attempt_id), None)
     if entry is None:
         return None
     if entry.after != after:
@@ -235,7 +266,7 @@
             reason=f"attempt {proposal.attempt_id} made another change of {proposal.key}"
         )
     return proposals.Accepted(
-        key=proposal.key, version=current.version or 0, attempt_id=proposal.attempt_id
+        key=proposal.key, version=version or 0, attempt_id=proposal.attempt_id
     )
 
 
@@ -255,6 +286,10 @@
             reason=f"another change of {proposal.key} came first; its version could not be read",
             current_version=None,
         )
+    return _unsettled(proposal)
+
+
+def _unsettled(proposal: proposals.Proposal) -> proposals.Unsettled:
     return proposals.Unsettled(
         reason=(
             f"the store did not tell whether the change of {proposal.key} took effect; "
--- a/basilpost/admin/changes_test.py
+++ b/basilpost/admin/changes_test.py
@@ -199,6 +199,33 @@
     assert await attempts_of(store, first.key) == ["t1", "t2"]
 
 
+@pytest.mark.looptime
+@pytest.mark.parametrize("later", [1, 5, 40])
+async def test_a_repeat_after_many_other_changes_is_the_same_change(later):
+    nodes = make_nodes()
+    accept, other = changer(nodes[0]).accept, changer(nodes[1])
+    proposal = region("first")
+    first = await accept(proposal)
+    for number in range(later):
+        current = await other.read(DOMAINS, "kz-a")
+        await other.accept(
+            region(f"r{number}", expected=current.shown_version, attempt=f"o{number}")
+        )
+    again = await accept(proposal)
+    assert (type(again), again.key) == (proposals.Accepted, first.key)
+    lost = await accept(region("new", attempt="t2"))
+    assert isinstance(lost, proposals.Lost)
+    nodes[0].store.list = _unavailable
+    again = await accept(proposal)
+    assert isinstance(
+        again, proposals.Accepted if later < audit.KEPT_ENTRIES else proposals.Unsettled
+    )
+
+
+async def _unavailable(*_, **__):
+    return objects.Unavailable(reason="down")
+
+
 async def test_a_repeat_of_an_accepted_change_is_the_same_change():
     nodes = make_nodes()
     proposal = region("kz")
--- a/basilpost/cli/client.py
+++ b/basilpost/cli/client.py
@@ -21,8 +21,14 @@
 _CONNECT_SECONDS = 5.0
 _TRIES = 3
 _RETRY_PAUSE_SECONDS = 0.5
+_REFUSED = 598
 _UNANSWERED = 599
 _UNSETTLED = 504
+# Refusals that hold for all tries of a change, not just for the last one.
+_CERTAIN = (409, 412)
+_IN_DOUBT = (
+    "\n  an earlier try was not answered and may have taken effect; look before you repeat it"
+)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -46,8 +52,9 @@
 
     exit_code = 1
 
-    def __init__(self, answer: Answer) -> None:
-        super().__init__(describe_error(answer))
+    def __init__(self, answer: Answer, *, in_doubt: bool = False) -> None:
+        doubt = in_doubt and answer.status not in _CERTAIN
+        super().__init__(describe_error(answer) + (_IN_DOUBT if doubt else ""))
         self.answer = answer
 
 
@@ -129,14 +136,16 @@
     tries: int = 1,
 ) -> Any:
     """Sends a request, again while it is not answered and tries are left."""
+    in_doubt = False
     for left in reversed(range(tries)):
         answer = await _send(admin, method, target, body, headers or {})
         if answer.status < 400:
             return answer.body
-        if answer.status not in (_UNANSWERED, _UNSETTLED) or not left:
+        in_doubt = in_doubt or answer.status in (_UNANSWERED, _UNSETTLED)
+        if answer.status not in (_REFUSED, _UNANSWERED, _UNSETTLED) or not left:
             break
         await asyncio.sleep(_RETRY_PAUSE_SECONDS)
-    raise Refused(answer)
+    raise Refused(answer, in_doubt=in_doubt and method != "GET")
 
 
 async def _send(
@@ -156,7 +165,8 @@
         found = await tornado.httpclient.AsyncHTTPClient().fetch(wanted, raise_error=False)
     except (OSError, tornado.httpclient.HTTPError) as error:
         message = f"no answer from {admin.url}: {error}"
-        return Answer(status=_UNANSWERED, body={"error": {"code": "no_answer", "message": message}})
+        status = _REFUSED if isinstance(error, ConnectionRefusedError) else _UNANSWERED
+        return Answer(status=status, body={"error": {"code": "no_answer", "message": message}})
     return Answer(status=found.code, body=_parse(found.body, admin.url))
 
 
--- a/tests/admin_cli_test.py
+++ b/tests/admin_cli_test.py
@@ -10,7 +10,7 @@
 import structlog
 from click import testing
 
-from basilpost.admin import api, fakes, install
+from basilpost.admin import api, fakes, install, proposals
 from basilpost.cli import main
 from basilpost.core import names
 from basilpost.members import fakes as member_fakes
@@ -124,6 +124,8 @@
     unreachable = run("config", "show", "--admin", "http://127.0.0.1:1")
     assert unreachable.exit_code == 1
     assert "no answer from http://127.0.0.1:1" in unreachable.output
+    unsent = run("key", "create", "arkhiv", "--admin", "http://127.0.0.1:1")
+    assert "earlier try" not in unsent.output
     assert run("config", "show", "--admin", "nowhere").exit_code == 2
 
 
@@ -145,6 +147,23 @@
     assert "entry-7" in unknown.output
 
 
+def test_a_change_that_was_not_answered_is_told_to_be_in_doubt(run, node, bundle_file):
+    asked = []
+    accept = node.node.kernel.find(names.ADMIN, api.AdminApi)._context.changes
+
+    async def refuse(proposal):
+        asked.append(proposal.attempt_id)
+        if len(asked) == 1:
+            return proposals.Unsettled(reason="no answer", attempt_id=proposal.attempt_id)
+        return proposals.NotWritten(reason="the store is down")
+
+    accept.accept = refuse
+    result = run("config", "apply", bundle_file)
+    assert result.exit_code == 1
+    assert "an earlier try was not answered and may have taken effect" in result.output
+    assert len(asked) == 2 and asked[0] == asked[1]
+
+
 def test_a_failure_domain_goes_out_and_in(run, bundle_file):
     run("config", "apply", bundle_file)
     out = run("failure-domain", "out", "kz-a", "--reason", "power works")
