--- a/basilpost/load/capacity_storms.py
+++ b/basilpost/load/capacity_storms.py
@@ -21,6 +21,7 @@
     """Returns a row for each storm."""
     return [
         _failure_domain_lost(fleet, limits, fits),
+        _store_out(fleet, timing, limits, fits),
         _store_returns(fleet, timing, limits),
         _region_cut_off(fleet, timing),
         _rack_lost(fleet, limits),
@@ -51,6 +52,21 @@
     )
 
 
+def _store_out(
+    fleet: model.Fleet, timing: schema.Timing, limits: model.Limits, fits: Fits
+) -> Storm:
+    answers = 2 * 2 * fleet.neighbours / timing.heartbeat
+    spread = answers * _cost(fits, "peers.told_bytes", fleet.nodes) / 1000
+    verdict = "carried" if spread <= limits.network else "**not carried**"
+    return (
+        "the store is silent",
+        f"no lease is renewed; each of {fleet.nodes} nodes tells its neighbours whom it reaches",
+        f"{number(spread)} KB/s a node for that against {number(limits.network)}: {verdict}",
+        "nodes count a majority of the last known table by what neighbours reach; groups serve on, "
+        "filings are refused as not run",
+    )
+
+
 def _store_returns(fleet: model.Fleet, timing: schema.Timing, limits: model.Limits) -> Storm:
     platform = schema.Platform(object_api="", vm_list="")
     calls = fleet.nodes * _FIRST_CALLS
