--- a/basilpost/emulator/platform_test.py
+++ b/basilpost/emulator/platform_test.py
@@ -38,3 +38,8 @@
     before = asyncio.get_running_loop().time()
     await asyncio.gather(*(store.load() for _ in range(5)))
     assert asyncio.get_running_loop().time() - before == pytest.approx(3, abs=0.01)
+
+
+def test_an_unreadable_list_is_unavailable():
+    for raw in (b"no json", b"{}", b'{"vms": [{"vm_id": 7}]}', b"[]"):
+        assert isinstance(http_vms.decode(raw), vms.ListUnavailable)
--- a/basilpost/load/capacity_targets.py
+++ b/basilpost/load/capacity_targets.py
@@ -74,6 +74,7 @@
             ),
             mechanism="one conditional update a step of a group's life",
         ),
+        *_vm_list(fleet, timing),
         model.Cost(
             role="controller",
             resource=Resource.CPU,
@@ -89,6 +90,27 @@
     ]
 
 
+def _vm_list(fleet: model.Fleet, timing: schema.Timing) -> list[model.Cost]:
+    vms = fleet.runners + fleet.plain_instances
+    return [
+        model.Cost(
+            role="controller",
+            resource=resource,
+            what="the VM list, read by every node",
+            amount=1 / timing.vm_list,
+            each=vms,
+            amount_text=f"{vms:,} VMs / {timing.vm_list:g} s",
+            slope=slope,
+            scale=scale,
+            mechanism="the whole list each time",
+        )
+        for resource, slope, scale in (
+            (Resource.NETWORK, "state.vm_list_bytes", model.KILO),
+            (Resource.CPU, "state.vm_list_decode_cpu", model.CPU_SCALE),
+        )
+    ]
+
+
 def credits(fleet: model.Fleet, timing: schema.Timing) -> list[model.Cost]:
     """Returns the costs of the role."""
     domains = fleet.fabric_domains / fleet.failure_domains
--- a/basilpost/load/measure_state.py
+++ b/basilpost/load/measure_state.py
@@ -1,6 +1,8 @@
 """Measures what the shared records cost: bytes, memory, coding time, and calls of the store."""
 
 import asyncio
+import dataclasses
+import json
 import time
 import tracemalloc
 from collections.abc import Callable
@@ -8,11 +10,12 @@
 
 from basilpost.core import codec, data
 from basilpost.load import measuring, stand_in_process
-from basilpost.store import http_objects
+from basilpost.store import http_objects, http_vms
 
 _GROUP_COUNTS = (5, 10, 20, 40)
 _OBJECT_COUNTS = (100, 400, 1600)
 _CALL_COUNTS = (200, 400, 800)
+_VM_COUNTS = (200, 800, 3200)
 _MEMBERS = 8
 
 
@@ -22,6 +25,8 @@
         _measure_table(count)
     for count in _OBJECT_COUNTS:
         _measure_objects(count)
+    for count in _VM_COUNTS:
+        _measure_vm_list(count)
     asyncio.run(_measure_calls())
 
 
@@ -47,6 +52,26 @@
     measuring.sample("state.decode_cpu_by_objects", count, "objects", decoding, "cpu seconds")
 
 
+def _measure_vm_list(count: int) -> None:
+    vms = [
+        dataclasses.asdict(
+            data.Vm(
+                vm_id=f"vm-kz-south-a-{number}",
+                address=f"10.20.30.{number % 250}:8000",
+                pool="models",
+                fabric_domain=f"fabric-kz-south-a-{number // 40}",
+                failure_domain="kz-south-a",
+                accelerators=4,
+            )
+        )
+        for number in range(count)
+    ]
+    raw = json.dumps({"vms": vms}).encode()
+    measuring.sample("state.vm_list_bytes", count, "VMs", len(raw), "bytes")
+    decoding = measuring.cpu_seconds(lambda: http_vms.decode(raw))
+    measuring.sample("state.vm_list_decode_cpu", count, "VMs", decoding, "cpu seconds")
+
+
 async def _measure_calls() -> None:
     """Measures the client's processor time for reads, writes and watches that end empty."""
     with stand_in_process.started("emulate", "object-api") as (address, _):
