Wants and grants travel as arrays

Cause: at 42 near nodes and 5 groups a controller would carry about 41 KB a second, most of it field names.

--- a/basilpost/groups/credit_messages.py
+++ b/basilpost/groups/credit_messages.py
@@ -1,10 +1,15 @@
 """Messages about credits between a node and the controllers of fabric domains.
 
 All targets of one controller ride together in one message for each interval, and only those that the
-node uses.
+node uses. Wants and grants travel without their field names, which would be most of the bytes.
 """
 
 import dataclasses
+from typing import Any, TypeVar, get_type_hints
+
+from basilpost.core import codec
+
+T = TypeVar("T")
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -19,7 +24,7 @@
         acting_on: Number of the ask whose answer gave the credits that the node acts on, -1 for none.
         succeeded: Requests that ended well since the last message.
         failed: Requests that the target failed since then.
-        latency: Mean seconds to the first byte of those that ended well, 0.0 if there were none.
+        latency_ms: Mean milliseconds to the first byte of those that ended well, 0 if there were none.
         cold: True if an answer since then said that the target is in a cold start.
     """
 
@@ -30,7 +35,7 @@
     acting_on: int = -1
     succeeded: int = 0
     failed: int = 0
-    latency: float = 0.0
+    latency_ms: int = 0
     cold: bool = False
 
 
@@ -59,7 +64,7 @@
         fence: Fencing number of the granting holder; a node that knows a later holder ignores it.
         credits: Requests that the node may have in flight there by these credits.
         bounded: True while the target takes work under credits only: cold, or ramping up.
-        load: All nodes' requests in flight as a share of the target's present limit.
+        load_percent: All nodes' requests in flight, in percent of the target's present limit.
     """
 
     group_id: str
@@ -67,7 +72,7 @@
     fence: int
     credits: int
     bounded: bool
-    load: float
+    load_percent: int
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -106,3 +111,29 @@
     group_id: str
     generation: int
     fence: int
+
+
+def _travel_as_arrays(kind: type) -> None:
+    """Makes a record of plain values travel as the array of its values."""
+    converter = codec.msgpack_converter()
+    kinds_by_name = get_type_hints(kind)
+
+    def to_array(one: Any) -> list[Any]:
+        return [getattr(one, name) for name in kinds_by_name]
+
+    def from_array(raw: Any, _: type[T]) -> T:
+        if not isinstance(raw, list | tuple) or len(raw) != len(kinds_by_name):
+            raise TypeError(f"not the values of a {kind.__name__}: {raw!r}")
+        values = {
+            name: converter.structure(value, field_kind)
+            for (name, field_kind), value in zip(kinds_by_name.items(), raw, strict=True)
+        }
+        made: T = kind(**values)
+        return made
+
+    converter.register_unstructure_hook(kind, to_array)
+    converter.register_structure_hook(kind, from_array)
+
+
+_travel_as_arrays(Want)
+_travel_as_arrays(Grant)
--- a/basilpost/groups/credits.py
+++ b/basilpost/groups/credits.py
@@ -145,7 +145,7 @@
         limit = max(1, self._limit(group))
         credit = use.credit
         if credit is not None and self._is_recent(credit):
-            others = credit.grant.load - credit.in_flight / limit
+            others = credit.grant.load_percent / 100 - credit.in_flight / limit
             return max(0.0, others) + use.in_flight / limit
         live = self._peers.live_nodes()
         own_share = self._share(group.group_id, live, limit)
@@ -372,7 +372,7 @@
         acting_on=use.credit.number if use.credit else -1,
         succeeded=use.succeeded,
         failed=use.failed,
-        latency=use.latency_sum / use.succeeded if use.succeeded else 0.0,
+        latency_ms=round(1000 * use.latency_sum / use.succeeded) if use.succeeded else 0,
         cold=use.cold,
     )
 
--- a/basilpost/groups/granting.py
+++ b/basilpost/groups/granting.py
@@ -252,7 +252,7 @@
             fence=term.fence,
             credits=credits,
             bounded=target.bounded,
-            load=max(reported, target.accounts.reported()) / max(1, limit),
+            load_percent=100 * max(reported, target.accounts.reported()) // max(1, limit),
         )
 
     def _find(self, group_id: str) -> tuple[_Term, _Target] | None:
@@ -270,7 +270,9 @@
         if want.cold:
             target.cold_hint_until = now + _HINT_SECONDS
             target.ramp = ramp.with_state(target.ramp, target.limits, cold=True, now=now)
-        results = ramp.Results(succeeded=want.succeeded, failed=want.failed, latency=want.latency)
+        results = ramp.Results(
+            succeeded=want.succeeded, failed=want.failed, latency=want.latency_ms / 1000
+        )
         target.ramp = ramp.with_results(target.ramp, target.limits, results, now=now)
         if target.bounded and not was_bounded:
             self._revoke(term, target)
--- a/basilpost/load/measure_control.py
+++ b/basilpost/load/measure_control.py
@@ -131,7 +131,7 @@
             in_flight=3,
             wanted=5,
             succeeded=4,
-            latency=0.123456,
+            latency_ms=123,
         )
         for number in range(count)
     )
@@ -147,7 +147,7 @@
                 fence=7,
                 credits=5,
                 bounded=False,
-                load=0.456789,
+                load_percent=45,
             )
             for number in range(count)
         )
