--- a/basilpost/groups/planner_test.py
+++ b/basilpost/groups/planner_test.py
@@ -30,7 +30,7 @@
         self.status_by_id = {one: engines.RunnerStatus(vm_id=one) for one in self.vms_by_id}
         self.heard_at_by_id = dict.fromkeys(self.vms_by_id, 0.0)
         self.loading_by_id = {}
-        self.dark, self.slow = set(), set()
+        self.dark, self.slow, self.unsteady = set(), set(), set()
         self.settled = True
         self.now = 0.0
         self.load_steps = load_steps
@@ -52,6 +52,7 @@
                     heard_at=self.heard_at_by_id[vm_id],
                     silent=vm_id in self.dark,
                     silence=self.now - self.heard_at_by_id[vm_id],
+                    steady=vm_id not in self.unsteady,
                     slow=vm_id in self.slow,
                 )
                 for vm_id, status in self.status_by_id.items()
@@ -296,6 +297,21 @@
     assert not any(order.group_id == second.group_id for _, order in fleet.orders)
 
 
+def test_no_group_is_dissolved_while_its_members_come_back():
+    fleet = Fleet([vm(index) for index in range(8)], [of_size(4)])
+    settle(fleet)
+    before = fleet.table.groups
+    fleet.dark |= set(fleet.vms_by_id)
+    settle(fleet)
+    back = {group.members[0].vm_id for group in before}
+    fleet.unsteady = set(fleet.vms_by_id) - back
+    fleet.dark = set(back)
+    fleet.step()
+    fleet.dark.clear()
+    settle(fleet)
+    assert fleet.serving() == list(before)
+
+
 def test_a_leaving_member_is_replaced_by_a_spare_that_has_loaded_before():
     fleet = Fleet([vm(index) for index in range(5)], [of_size(4)])
     settle(fleet)
--- a/basilpost/groups/rebuilding.py
+++ b/basilpost/groups/rebuilding.py
@@ -129,7 +129,10 @@
     groups: list[data.Group],
     spares: dict[views.Cell, list[data.Vm]],
 ) -> list[data.Group]:
-    """Returns at most one group of a cell to dissolve."""
+    """Returns at most one group of a cell to dissolve; none while lost VMs seem to be coming back."""
+    broken = [group for group in groups if group.state is data.GroupState.BROKEN]
+    if any(views.returning(view, vm_id) for vm_id in views.member_ids(broken)):
+        return []
     donors = _donors(view, groups, spares)
     return donors or _hopeless(view, cell, groups, len(spares.get(cell, [])))
 
--- a/basilpost/groups/view.py
+++ b/basilpost/groups/view.py
@@ -108,6 +108,12 @@
     return sight is not None and (sight.silent or sight.silence > 0.0)
 
 
+def returning(view: View, vm_id: str) -> bool:
+    """Returns True if a VM was silent and has come back only just now."""
+    sight = view.sights_by_id.get(vm_id)
+    return sight is not None and not sight.silent and not sight.steady
+
+
 def lost(view: View, vm_id: str) -> bool:
     """Returns True if a VM is silent and is not waited for any longer."""
     sight = view.sights_by_id.get(vm_id)
--- a/basilpost/load/measure_groups.py
+++ b/basilpost/load/measure_groups.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import itertools
 import json
 import random
 import sys
@@ -78,6 +79,18 @@
     least: Callable[[float], float]
 
 
+def numbered(plan: Callable[[views.View], planner.Plan]) -> Callable[[views.View], planner.Plan]:
+    """Returns the plan function with group ids that count up, so that runs can be compared."""
+    numbers = itertools.count()
+
+    def planned(view: views.View) -> planner.Plan:
+        return plan(
+            dataclasses.replace(view, new_id=lambda service: f"{service}-{next(numbers):04}")
+        )
+
+    return planned
+
+
 def greedy_plan(view: views.View) -> planner.Plan:
     """Plans as a system that gives a broken group up and forms new ones from all free VMs."""
     observed = [lifecycle.observed(view, group) for group in view.table.groups]
@@ -180,7 +193,7 @@
         services=(SERVICE,),
         engine=engine,
         weight_store=schema.WeightStore(),
-        plan=greedy_plan if greedy else planner.plan,
+        plan=numbered(greedy_plan if greedy else planner.plan),
     )
     async with cluster:
         await cluster.until(cluster.ready(GROUPS), within=SETTLE_SECONDS, warm=False)
@@ -240,7 +253,7 @@
         vms_listed=fake_cluster.make_vms(count),
         services=services,
         engine=fakes.FakeEngine(load_seconds=2.0, keeps_weights=not greedy, warm_seconds=1.0),
-        plan=greedy_plan if greedy else planner.plan,
+        plan=numbered(greedy_plan if greedy else planner.plan),
     )
     dead = source.sample(range(count), source.randint(1, max(1, count // 4)))
     async with cluster:
