A cancelled claim is withdrawn with its fence

Cause: when the caller went away while its claim's write had no answer yet, the withdrawal did not know the bucket's version, and a write that arrived later left a claim that nobody held (outcome unknown for good, never a second run). Now the withdrawal waits for the commit's result. Test: test_a_claim_that_arrives_after_its_caller_went_away_has_no_effect, seen to fail before.

--- a/basilpost/runs/store_ledger.py
+++ b/basilpost/runs/store_ledger.py
@@ -7,6 +7,8 @@
 import asyncio
 import random
 import uuid
+from collections.abc import Coroutine
+from typing import Any
 
 import prometheus_client
 
@@ -203,10 +205,12 @@
             call, attempt_id=entry.attempt_id, node_id=self.node_id, replaceable=replaceable
         )
         seconds = min(CLAIM_SECONDS, deadline - clock.monotonic())
+        committing = asyncio.ensure_future(self._commit(change, seconds))
         try:
-            committed = await self._commit(change, seconds)
+            committed = await asyncio.shield(committing)
         except asyncio.CancelledError:
-            self._withdraw(entry)
+            self.entries.withdraw(entry)
+            self._record_task(self._withdraw_after(entry, committing))
             raise
         if isinstance(committed, commits.Committed):
             return self._claimed(entry, committed)
@@ -241,8 +245,20 @@
         )
         self._record(entry, change)
 
+    async def _withdraw_after(
+        self, entry: running.Entry, committing: asyncio.Future[commits.Result]
+    ) -> None:
+        """Withdraws the claim of a caller that went away, once it is known how far it got."""
+        committed = await committing
+        if isinstance(committed, commits.Uncommitted):
+            entry.fence_version = committed.fence_version
+        self._withdraw(entry)
+
     def _record(self, entry: running.Entry, change: changes.Change) -> None:
-        task = self._tasks.spawn(self._keep_recording(entry, change), name="record run")
+        self._record_task(self._keep_recording(entry, change))
+
+    def _record_task(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = self._tasks.spawn(coroutine, name="record run")
         self._recordings.add(task)
         task.add_done_callback(self._recordings.discard)
 
--- a/basilpost/runs/store_ledger_test.py
+++ b/basilpost/runs/store_ledger_test.py
@@ -354,3 +354,14 @@
         running.Report(phase=running.Phase.FINISHED, answer=answer, reason="r"),
     ):
         assert codec.from_msgpack(codec.to_msgpack(message), type(message)) == message
+
+
+async def test_a_claim_that_arrives_after_its_caller_went_away_has_no_effect(nodes):
+    nodes.store = LateStore()
+    a, b = await nodes.add("a"), await nodes.add("b")
+    waiting = asyncio.create_task(a.claim(CALL, timeout=1.0))
+    await asyncio.sleep(0.5)
+    waiting.cancel()
+    await asyncio.sleep(10)
+    assert a.entries.count() == 0
+    assert isinstance(await b.claim(CALL, timeout=5), ledger.Claim)
