--- a/basilpost/admin/answers.py
+++ b/basilpost/admin/answers.py
@@ -5,7 +5,7 @@
 import re
 from typing import Any
 
-from basilpost.admin import audit_reader, changes, limits, ports, tokens
+from basilpost.admin import audit_reader, limits, ports, proposals, tokens
 from basilpost.core import failure
 from basilpost.settings import configuration, loader
 
@@ -75,16 +75,15 @@
     NoSuchPage: Shape(status=404, type="request", code="no_such_page"),
     Faulty: Shape(status=500, type="fault", code="fault", outcome=failure.Outcome.UNKNOWN),
     configuration.Problems: Shape(status=422, type="value", code="invalid_value"),
-    changes.Lost: Shape(status=412, type="conflict", code="version_conflict"),
-    changes.Absent: Shape(status=404, type="request", code="no_such_object"),
-    changes.AttemptReused: Shape(status=409, type="conflict", code="attempt_reused"),
-    changes.NotWritten: Shape(status=503, type="store", code="store_unavailable"),
-    changes.Unsettled: Shape(
+    proposals.Lost: Shape(status=412, type="conflict", code="version_conflict"),
+    proposals.Absent: Shape(status=404, type="request", code="no_such_object"),
+    proposals.AttemptReused: Shape(status=409, type="conflict", code="attempt_reused"),
+    proposals.NotWritten: Shape(status=503, type="store", code="store_unavailable"),
+    proposals.Unsettled: Shape(
         status=504, type="store", code="outcome_unknown", outcome=failure.Outcome.UNKNOWN
     ),
     audit_reader.BadSince: Shape(status=400, type="request", code="bad_since"),
     ports.NoRun: Shape(status=404, type="request", code="no_such_run"),
-    ports.NotSettled: Shape(status=409, type="conflict", code="not_settled"),
     ports.NotOffered: Shape(status=501, type="request", code="not_offered"),
     ports.DeskUnavailable: Shape(status=503, type="store", code="store_unavailable"),
     ports.DeskUnsettled: Shape(
@@ -93,10 +92,16 @@
 }
 
 
+_TYPES_BY_STATUS = {409: "conflict", 503: "store"}
+
+
 def shape_of(found: failure.Failure) -> Shape:
     """Returns how a failure is told."""
     if isinstance(found, BadRequest):
         return Shape(status=found.status, type="request", code=found.code)
+    if isinstance(found, failure.Refusal):
+        broad = _TYPES_BY_STATUS.get(found.status, "request")
+        return Shape(status=found.status, type=broad, code=found.code, outcome=found.outcome)
     return _SHAPES_BY_FAILURE.get(type(found), _SHAPES_BY_FAILURE[Faulty])
 
 
--- a/basilpost/admin/api.py
+++ b/basilpost/admin/api.py
@@ -18,7 +18,7 @@
     status_handlers,
 )
 from basilpost.core import kernel, names
-from basilpost.members import directory, peers, replica, standing
+from basilpost.members import directory, replica
 from basilpost.settings import configuration, schema
 
 _ROOT = "/admin/v1"
@@ -67,13 +67,11 @@
         log=kernel.log,
         changes=changes.Changes(kernel=kernel, bootstrap_digest=settings.admin_token_digest),
         directory=kernel.find(names.DIRECTORY, directory.Directory),
-        peers=kernel.find(names.PEERS, peers.PeerNetwork),
         replica=kernel.find(names.REPLICA, replica.Replica),
-        standing=kernel.find(names.STANDING, standing.Standing),
         status=status.StatusDesk(kernel=kernel),
         trail=audit_reader.AuditReader(kernel=kernel),
-        runs=desks.NoRunDesk(),
-        quarantine=desks.NoQuarantineDesk(),
+        runs=desks.find_run_desk(kernel),
+        quarantine=desks.find_quarantine_desk(kernel),
         requests=limits.Bucket(rate=limits.REQUESTS_PER_SECOND, burst=limits.REQUESTS_BURST),
         rejected=limits.Bucket(
             rate=limits.REJECTED_TOKENS_PER_SECOND, burst=limits.REJECTED_TOKENS_BURST
@@ -96,6 +94,7 @@
         (r"/status", status_handlers.StatusHandler),
         (r"/in-force", status_handlers.InForceHandler),
         (r"/audit", status_handlers.AuditHandler),
+        (r"/runs", run_handlers.RunsHandler),
         (r"/runs/([^/]+)/([^/]+)/([^/]+)", run_handlers.RunHandler),
         (r"/quarantine", run_handlers.QuarantineHandler),
         (r"/quarantine/([^/]+)/release", run_handlers.ReleaseHandler),
--- a/basilpost/groups/controller_faults_test.py
+++ b/basilpost/groups/controller_faults_test.py
@@ -190,6 +190,11 @@
             **changes,
         )
 
+    async def __aexit__(self, *details):
+        for gate in self.gates_by_id.values():
+            gate.opened.set()
+        await super().__aexit__(*details)
+
     def freeze(self, node_id):
         self.gates_by_id[node_id].opened.clear()
         self.hub.cut |= {frozenset((node_id, other)) for other in self.nodes_by_id}
@@ -225,7 +230,7 @@
         if not service.checks_fence:
             assert waited >= LEASE_AND_ORDER_SECONDS - 0.2
         assert clock.monotonic() - frozen_at < 30
-        await cluster.until(cluster.ready(1))
+        await cluster.until(lambda: cluster.ready(1)() and cluster.groups()[0].generation == 2)
         given = len(cluster.engine.orders)
         cluster.thaw(old)
         await asyncio.sleep(20)
@@ -234,6 +239,15 @@
         assert cluster.ready(1)()
 
 
+@pytest.mark.looptime(noop_cycles=2)
+async def test_a_runner_that_knows_a_higher_fence_from_elsewhere_is_still_used():
+    async with make_cluster(3) as cluster:
+        address = fake_cluster.make_vms(3)[1].address
+        cluster.engine.status_by_address[address] = engines.RunnerStatus(vm_id="vm-0001", fence=50)
+        await cluster.until(cluster.ready(1))
+        assert cluster.node().directory.tables()["fab-1"].holder.fence == 51
+
+
 @pytest.mark.looptime(noop_cycles=2)
 async def test_a_planned_stop_hands_control_over_without_a_wait():
     async with make_cluster(service=UNFENCED, nodes=3, checks_fence=False) as cluster:
@@ -356,6 +370,25 @@
         assert (cluster.holder("fab-1"), cluster.holder("fab-2")) == holders
 
 
+@pytest.mark.looptime(noop_cycles=2)
+async def test_a_vm_that_moves_to_another_fabric_domain_is_used_there_in_the_end():
+    listed = (
+        *fake_cluster.make_vms(4),
+        *fake_cluster.make_vms(2, fabric_domain="fab-2", start=4),
+    )
+    async with fake_cluster.FakeCluster(vms_listed=listed, services=(SERVICE,)) as cluster:
+        await cluster.until(cluster.ready(1))
+        members = set(views.member_ids(cluster.groups()))
+        cluster.engine.dark.add(cluster.groups()[0].members[1].address)
+        await cluster.until(lambda: set(views.member_ids(cluster.groups())) != members)
+        cluster.engine.dark.clear()
+        (moved,) = members - set(views.member_ids(cluster.groups()))
+        vm = cluster.vm_list.vms_by_id[moved]
+        cluster.vm_list.vms_by_id[moved] = dataclasses.replace(vm, fabric_domain="fab-2")
+        await assert_for(50, lambda: len(cluster.groups()) == 1)
+        await cluster.until(cluster.ready(2))
+
+
 @pytest.mark.looptime(noop_cycles=2)
 async def test_a_new_model_version_takes_down_one_group_at_a_time():
     listed = (
@@ -393,3 +426,21 @@
         cluster.vm_list.vms_by_id[leaver] = dataclasses.replace(vm, leaving=True)
         await cluster.until(lambda: not cluster.groups("desk")[1].serving, within=5.0)
         assert cluster.engine.orders == []
+
+
+@pytest.mark.looptime(noop_cycles=2)
+@pytest.mark.parametrize("planned", [True, False])
+async def test_a_change_of_controller_costs_no_downtime(planned):
+    async with make_cluster(nodes=3) as cluster:
+        await cluster.until(cluster.ready(1))
+        await asyncio.sleep(3.0)
+        holder = cluster.holder()
+        survivor = next(node for name, node in cluster.nodes_by_id.items() if name != holder)
+        seen = []
+        survivor.directory.subscribe(
+            lambda: seen.extend(group.state for group in survivor.directory.groups_for("chat"))
+        )
+        await (cluster.stop(holder) if planned else cluster.crash(holder))
+        await cluster.until(lambda: cluster.holder() not in ("", holder))
+        await asyncio.sleep(5.0)
+        assert set(seen) == {data.GroupState.READY}
--- a/basilpost/groups/lifecycle.py
+++ b/basilpost/groups/lifecycle.py
@@ -10,7 +10,8 @@
 from basilpost.groups import view as views
 
 _STARTING = frozenset({data.GroupState.FORMING, data.GroupState.LOADING})
-PRELOAD_GRACE_SECONDS = 2.0
+FIRST_GRACE_SECONDS = 2.0
+OTHER_GRACE_SECONDS = 120.0
 DRAIN_REPORT_SECONDS = 1.0
 
 
@@ -29,7 +30,9 @@
     if views.complete(view, group):
         return _warmth(view, group)
     if group.state not in _STARTING:
-        return data.GroupState.BROKEN
+        # A new controller keeps its predecessor's judgement until the members have been asked.
+        waits = any(views.unseen(view, member.vm_id) for member in group.members)
+        return group.state if waits and not _any_away(view, group) else data.GroupState.BROKEN
     if any(views.lost(view, member.vm_id) for member in group.members):
         return data.GroupState.BROKEN
     reached = any(
@@ -38,6 +41,19 @@
     return data.GroupState.LOADING if reached else data.GroupState.FORMING
 
 
+def _any_away(view: views.View, group: data.Group) -> bool:
+    """Returns True if a member is silent or reports something else than this group."""
+    seen = (one.vm_id for one in group.members if not views.unseen(view, one.vm_id))
+    statuses = [views.answering(view, vm_id) for vm_id in seen]
+    if not group.model:
+        return any(status is None for status in statuses)
+    return any(
+        not views.joined(status, group)
+        or not views.holds_weights(status, group.model, group.model_version)
+        for status in statuses
+    )
+
+
 def _warmth(view: views.View, group: data.Group) -> data.GroupState:
     status = views.answering(view, group.members[0].vm_id)
     ready = status is not None and status.state is engines.RunnerState.READY
@@ -106,15 +122,26 @@
     """
     if unwanted(view, group) or group.group_id in view.rolling:
         return True
-    leaving = [one.vm_id for one in group.members if views.leaving(view, one.vm_id)]
+    leaving = [one for one in group.members if views.leaving(view, one.vm_id)]
     if leaving:
-        waited = max(views.lasted(view, views.Lasting.LEAVING, one) for one in leaving)
         ready = loaded_spares >= len(leaving)
-        return ready or free_spares < len(leaving) or waited >= PRELOAD_GRACE_SECONDS
+        return ready or free_spares < len(leaving) or _must_stop(view, leaving)
     stragglers = [one for one in group.members if views.slow(view, one.vm_id)]
     return 0 < len(stragglers) <= loaded_spares
 
 
+def _must_stop(view: views.View, leaving: list[data.Member]) -> bool:
+    """Returns True if a group cannot wait any longer for the replacements of its leaving members.
+
+    The VM that receives the group's requests must get no new ones soon after it is known to leave.
+    """
+    return any(
+        views.lasted(view, views.Lasting.LEAVING, one.vm_id)
+        >= (OTHER_GRACE_SECONDS if one.rank else FIRST_GRACE_SECONDS)
+        for one in leaving
+    )
+
+
 def drained(view: views.View, group: data.Group) -> bool:
     """Returns True if a draining group has finished its work, or has had its time."""
     waited = views.lasted(view, views.Lasting.DRAINING, group.group_id)
