Status shows nodes that are gone but have left their record

Cause: a crashed node vanished from the status at once, so operators could not see that one is missing. Proved: the fleet test crashes a node and finds it as not reached.

--- a/basilpost/admin/status.py
+++ b/basilpost/admin/status.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import math
+from collections.abc import Iterable
 from typing import Any
 
 from basilpost.core import clock, data, hashing, kernel, names
@@ -86,7 +87,7 @@
 
     Attributes:
         node_id: The node that answers.
-        nodes: All live nodes.
+        nodes: All live nodes, and those that have left their record behind.
         same_configuration: True if all live nodes answered and have the same versions in force.
         failure_domains: All known failure domains.
         groups: All known groups.
@@ -155,21 +156,27 @@
     async def status(self) -> StatusView:
         """Asks each live node for its state and adds what this node knows."""
         answers_by_node = await self._ask_all(StatusQuery())
-        nodes = tuple(
+        live = [
             answer if isinstance(answer, NodeView) else _silent(node_id, answer)
-            for node_id, answer in sorted(answers_by_node.items())
-        )
+            for node_id, answer in answers_by_node.items()
+        ]
+        lost = [_silent(node_id, _NOT_CONNECTED) for node_id in self._lost_nodes(answers_by_node)]
         config = self._directory.config()
         groups = [group for table in self._directory.tables().values() for group in table.groups]
         return StatusView(
             node_id=self._node_id,
-            nodes=nodes,
-            same_configuration=len({(node.reached, node.config_digest) for node in nodes}) == 1,
+            nodes=tuple(sorted([*live, *lost], key=lambda node: node.node_id)),
+            same_configuration=len({(node.reached, node.config_digest) for node in live}) == 1,
             failure_domains=_domains(config, groups),
             groups=tuple(_group(group) for group in sorted(groups, key=lambda one: one.group_id)),
             versions=config.versions_by_key,
         )
 
+    def _lost_nodes(self, live: Iterable[str]) -> set[str]:
+        """Returns the nodes that have a record in the store but are not connected."""
+        records = self._replica.items(names.NODE_PREFIX)
+        return {one.key.removeprefix(names.NODE_PREFIX) for one in records} - set(live)
+
     async def _on_version_query(self, sender: str, query: VersionQuery) -> VersionAnswer:
         return VersionAnswer(version=self._version_of(query.key))
 
@@ -211,6 +218,9 @@
         return dict(zip(live, found, strict=True))
 
 
+_NOT_CONNECTED = peers.PeerUnavailable(reason="not connected, but its record is still there")
+
+
 def _node_version(node_id: str, answer: Any, wanted: int) -> NodeVersion:
     if not isinstance(answer, VersionAnswer):
         return NodeVersion(node_id=node_id, version=None, in_force=False)
--- a/tests/admin_fleet_test.py
+++ b/tests/admin_fleet_test.py
@@ -104,6 +104,13 @@
         seen = await desks[2].status()
         assert seen.same_configuration
         assert [node.serving for node in seen.nodes] == [True] * 3
+        await fleet.crash("n001")
+        await asyncio.sleep(HEALTHY_SECONDS)
+        seen = await desks[2].status()
+        assert [(node.node_id, node.reached) for node in seen.nodes] == [
+            ("n000", True), ("n001", False), ("n002", True),
+        ]  # fmt: skip
+        assert seen.same_configuration
 
 
 @pytest.mark.looptime
