--- a/basilpost/emulator/server.py
+++ b/basilpost/emulator/server.py
@@ -21,8 +21,11 @@
     Attributes:
         address: `host:port`, known once it has started.
         silence: Its connections that have gone silent.
+        compresses: True to compress answers for callers that take it.
     """
 
+    compresses = False
+
     def __init__(self, *, host: str = "127.0.0.1", port: int = 0) -> None:
         self._host = host
         self._port = port
@@ -40,7 +43,7 @@
         self._port = sockets[0].getsockname()[1]
         self.address = f"{self._host}:{self._port}"
         application = web.Application(
-            self.routes(), log_function=_log_nothing, compress_response=True
+            self.routes(), log_function=_log_nothing, compress_response=self.compresses
         )
         self._server = httpserver.HTTPServer(application, max_buffer_size=_MAX_BODY_BYTES)
         self._server.add_sockets(sockets)
--- a/basilpost/emulator/vm_list.py
+++ b/basilpost/emulator/vm_list.py
@@ -10,6 +10,8 @@
 class VmListServer(server.StandIn):
     """Keeps VMs in memory; a change is shown `lag` seconds after it was made."""
 
+    compresses = True
+
     def __init__(
         self,
         *,
