--- a/basilpost/cli/demo.py
+++ b/basilpost/cli/demo.py
@@ -53,5 +53,6 @@
         f" -H 'Authorization: Bearer {demo.API_KEY}' -H 'Content-Type: application/json'"
         ' -d \'{"model": "clearance", "stream": true, "max_tokens": 20,'
         ' "messages": [{"role": "user", "content": "Who holds the rights of reel 7?"}]}\''
-        "\n\nCtrl-C stops it."
+        f"\n\nFor operators:\n\nexport BASILPOST_ADMIN={shown.admin()} BASILPOST_TOKEN={demo.ADMIN_TOKEN}\n"
+        "basilpost status\n\nCtrl-C stops it."
     )
--- a/basilpost/node/demo.py
+++ b/basilpost/node/demo.py
@@ -113,6 +113,10 @@
         """Returns a node's base URL for callers."""
         return f"http://127.0.0.1:{self.kernels[number].find(names.GATEWAY, server.Gateway).port}"
 
+    def admin(self) -> str:
+        """Returns node-1's base URL for operators."""
+        return f"http://127.0.0.1:{self.kernels[0].find(names.ADMIN, api.AdminApi).port}"
+
     async def call(
         self, number: int, path: str, body: object, **headers: str
     ) -> tornado.httpclient.HTTPResponse:
@@ -128,9 +132,8 @@
 
     async def operate(self, path: str, body: object) -> tornado.httpclient.HTTPResponse:
         """Posts an operator's request to node-1."""
-        port = self.kernels[0].find(names.ADMIN, api.AdminApi).port
         return await self._client.fetch(
-            f"http://127.0.0.1:{port}/admin/v1{path}",
+            f"{self.admin()}/admin/v1{path}",
             method="POST",
             body=json.dumps(body),
             headers={"Authorization": f"Bearer {ADMIN_TOKEN}"},
