--- /dev/null
+++ b/basilpost/groups/context.py
@@ -0,0 +1,46 @@
+"""What the controllers of a node share: its services, settings and limits."""
+
+import dataclasses
+from collections.abc import Callable
+
+from basilpost.core import data
+from basilpost.groups import budget, engines, planner
+from basilpost.groups import view as views
+from basilpost.members import directory, peers, replica, standing
+from basilpost.settings import schema
+from basilpost.store import objects
+
+LeaseRemaining = Callable[[], float]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Context:
+    """What the controllers of a node share.
+
+    Attributes:
+        peers: Streams to the other nodes.
+        store: Object store.
+        replica: This node's replica.
+        standing: This node's standing.
+        directory: Configuration and tables in force.
+        engine: Talks to the runners.
+        timing: Intervals.
+        lease_remaining: Returns the seconds left of the node's lease.
+        vms_by_id: Returns the latest VM list, all fabric domains.
+        loads: Budget of weight loads.
+        drain: Longest time in seconds that a group may take to finish its work.
+        plan: Plans the next table and its orders.
+    """
+
+    peers: peers.PeerNetwork
+    store: objects.ObjectStore
+    replica: replica.Replica
+    standing: standing.Standing
+    directory: directory.Directory
+    engine: engines.Engine
+    timing: schema.Timing
+    lease_remaining: LeaseRemaining
+    vms_by_id: Callable[[], dict[str, data.Vm]]
+    loads: budget.LoadBudget
+    drain: float
+    plan: Callable[[views.View], planner.Plan] = planner.plan
--- a/basilpost/groups/controller.py
+++ b/basilpost/groups/controller.py
@@ -9,6 +9,7 @@
 
 from basilpost.core import clock, data, hashing, kernel, names, tasks
 from basilpost.groups import budget, domain, engines, planner, view
+from basilpost.groups import context as contexts
 from basilpost.members import directory, peers, replica, standing
 from basilpost.settings import schema
 from basilpost.store import objects, vms
@@ -23,7 +24,7 @@
         self,
         *,
         kernel: kernel.Kernel,
-        lease_remaining: domain.LeaseRemaining,
+        lease_remaining: contexts.LeaseRemaining,
         plan: Callable[[view.View], planner.Plan] = planner.plan,
     ) -> None:
         self._settings = kernel.find(names.SETTINGS, schema.NodeSettings)
@@ -38,7 +39,7 @@
             rate=self._settings.weight_store.loads_per_second,
             burst=self._settings.weight_store.load_burst,
         )
-        self._context = domain.Context(
+        self._context = contexts.Context(
             peers=self._peers,
             store=kernel.find(names.OBJECTS, objects.ObjectStore),
             replica=kernel.find(names.REPLICA, replica.Replica),
--- a/basilpost/groups/domain.py
+++ b/basilpost/groups/domain.py
@@ -3,70 +3,30 @@
 import asyncio
 import dataclasses
 import uuid
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 
 import structlog
 
 from basilpost.core import clock, data, hashing
 from basilpost.groups import (
     authority,
-    budget,
-    engines,
     fleet,
     forming,
-    ordering,
     pinning,
     planner,
+    sending,
     table,
     watching,
 )
+from basilpost.groups import context as contexts
 from basilpost.groups import view as views
-from basilpost.members import directory, peers, replica, standing
-from basilpost.settings import schema
-from basilpost.store import objects
-
-_ECHO_SECONDS = 2.0
-
-LeaseRemaining = Callable[[], float]
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Context:
-    """What the controllers of a node share.
-
-    Attributes:
-        peers: Streams to the other nodes.
-        store: Object store.
-        replica: This node's replica.
-        standing: This node's standing.
-        directory: Configuration and tables in force.
-        engine: Talks to the runners.
-        timing: Intervals.
-        lease_remaining: Returns the seconds left of the node's lease.
-        vms_by_id: Returns the latest VM list, all fabric domains.
-        loads: Budget of weight loads.
-        drain: Longest time in seconds that a group may take to finish its work.
-        plan: Plans the next table and its orders.
-    """
-
-    peers: peers.PeerNetwork
-    store: objects.ObjectStore
-    replica: replica.Replica
-    standing: standing.Standing
-    directory: directory.Directory
-    engine: engines.Engine
-    timing: schema.Timing
-    lease_remaining: LeaseRemaining
-    vms_by_id: Callable[[], dict[str, data.Vm]]
-    loads: budget.LoadBudget
-    drain: float
-    plan: Callable[[views.View], planner.Plan] = planner.plan
+from basilpost.members import standing
 
 
 class DomainController:
     """One node's part in the control of one fabric domain."""
 
-    def __init__(self, *, fabric_domain: str, context: Context) -> None:
+    def __init__(self, *, fabric_domain: str, context: contexts.Context) -> None:
         self.fabric_domain = fabric_domain
         self._context = context
         self._log = structlog.get_logger().bind(
@@ -82,14 +42,15 @@
             timeout=context.timing.probe_timeout,
         )
         self._since_by_key: dict[views.Condition, float] = {}
-        self._ordered_by_vm: dict[str, tuple[engines.Order, float]] = {}
-        self._refused: set[str] = set()
         self._pinning = pinning.Pinning(store=context.store, fabric_domain=fabric_domain)
         self.authority = authority.Authority(
             node_id=context.peers.node_id,
             timing=context.timing,
             lease_remaining=context.lease_remaining,
         )
+        self._sender = sending.OrderSender(
+            context=context, authority=self.authority, taken=self._watcher.kick, log=self._log
+        )
 
     @property
     def known(self) -> table.Versioned | None:
@@ -185,9 +146,8 @@
 
     async def _forget(self) -> None:
         self.authority.dropped()
-        self._ordered_by_vm.clear()
+        self._sender.forget()
         self._since_by_key.clear()
-        self._refused.clear()
         self._pinning.forget()
         await self._watcher.close()
 
@@ -248,7 +208,7 @@
         self._watcher.retarget(self._watched(known.table))
         self._note_conditions(known.table)
         view = self._view(known)
-        if self._refused:
+        if self._sender.refused:
             await self._raise_fence(known.table, view)
             return
         plan = self._context.plan(view)
@@ -265,7 +225,7 @@
         elif view.settled and self.authority.alone() and self.authority.remaining() > 0.0:
             members = set(views.member_ids(known.table.groups))
             await self._pinning.tidy(members=members, listed=set(self._own_vms()))
-        await self._order(plan.orders, view.sights_by_id)
+        await self._sender.send(plan.orders, view.sights_by_id)
 
     async def _raise_fence(self, current: data.FabricTable, view: views.View) -> None:
         """Takes a fencing number above those that runners have refused this holder's orders for.
@@ -273,9 +233,9 @@
         A runner may have met a higher one in another fabric domain. If it came from a later holder of
         this domain instead, the conditional update fails.
         """
-        statuses = (views.answering(view, vm_id) for vm_id in self._refused)
+        statuses = (views.answering(view, vm_id) for vm_id in self._sender.refused)
         seen = max((one.fence for one in statuses if one is not None), default=0)
-        self._refused.clear()
+        self._sender.refused.clear()
         holder = current.holder
         if holder is None or seen <= holder.fence:
             return
@@ -361,42 +321,6 @@
             new_id=lambda service: f"{service}-{uuid.uuid4().hex[:12]}",
         )
 
-    async def _order(
-        self, assignments: Iterable[ordering.Assignment], sights_by_id: dict[str, views.Sight]
-    ) -> None:
-        due = [one for one in assignments if self._due(one, sights_by_id)]
-        await asyncio.gather(*(self._send(one) for one in due))
-
-    def _due(self, one: ordering.Assignment, sights_by_id: dict[str, views.Sight]) -> bool:
-        """Returns True if an order may go out now and is not already on its way."""
-        sent = self._ordered_by_vm.get(one.vm_id)
-        sight = sights_by_id.get(one.vm_id)
-        if sent is not None and sent[0] == one.order and sight is not None:
-            if sight.heard_at < sent[1] + _ECHO_SECONDS:
-                return False
-        if not self.authority.may_order(checks_fence=self._checks_fence(one.service)):
-            return False
-        return not one.loads or self._context.loads.take()
-
-    def _checks_fence(self, service: str) -> bool:
-        found = self._context.directory.config().services_by_name.get(service)
-        return found is not None and found.checks_fence
-
-    async def _send(self, one: ordering.Assignment) -> None:
-        if not self.authority.may_order(checks_fence=self._checks_fence(one.service)):
-            return
-        sent_at = clock.monotonic()
-        result = await self._context.engine.order(
-            one.address, one.order, timeout=self._context.timing.order
-        )
-        if isinstance(result, engines.Accepted):
-            self._ordered_by_vm[one.vm_id] = (one.order, sent_at)
-            self._watcher.kick(one.vm_id)
-            return
-        self._log.warning("order_failed", vm=one.vm_id, reason=result.reason)
-        if isinstance(result, engines.StaleFence):
-            self._refused.add(one.vm_id)
-
     def _log_changes(self, before: data.FabricTable, after: data.FabricTable) -> None:
         states_by_id = {group.group_id: group.state for group in before.groups}
         for group in after.groups:
--- /dev/null
+++ b/basilpost/groups/sending.py
@@ -0,0 +1,77 @@
+"""Sends a controller's orders: only under authority, within the weight store's rate, once each."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from basilpost.core import clock
+from basilpost.groups import authority, engines, ordering
+from basilpost.groups import context as contexts
+from basilpost.groups import view as views
+
+_ECHO_SECONDS = 2.0
+
+
+class OrderSender:
+    """Sends orders for one fabric domain.
+
+    Attributes:
+        refused: VMs whose runners have refused an order for its old fencing number.
+    """
+
+    def __init__(
+        self,
+        *,
+        context: contexts.Context,
+        authority: authority.Authority,
+        taken: Callable[[str], None],
+        log: Any,
+    ) -> None:
+        self.refused: set[str] = set()
+        self._context = context
+        self._authority = authority
+        self._taken = taken
+        self._log = log
+        self._ordered_by_vm: dict[str, tuple[engines.Order, float]] = {}
+
+    def forget(self) -> None:
+        """Drops what has been sent, as the domain has another holder now."""
+        self.refused.clear()
+        self._ordered_by_vm.clear()
+
+    async def send(
+        self, assignments: Iterable[ordering.Assignment], sights_by_id: dict[str, views.Sight]
+    ) -> None:
+        """Sends the orders that are due, and waits for their answers."""
+        due = [one for one in assignments if self._due(one, sights_by_id)]
+        await asyncio.gather(*(self._send(one) for one in due))
+
+    def _due(self, one: ordering.Assignment, sights_by_id: dict[str, views.Sight]) -> bool:
+        """Returns True if an order may go out now and is not already on its way."""
+        sent = self._ordered_by_vm.get(one.vm_id)
+        sight = sights_by_id.get(one.vm_id)
+        if sent is not None and sent[0] == one.order and sight is not None:
+            if sight.heard_at < sent[1] + _ECHO_SECONDS:
+                return False
+        if not self._authority.may_order(checks_fence=self._checks_fence(one.service)):
+            return False
+        return not one.loads or self._context.loads.take()
+
+    def _checks_fence(self, service: str) -> bool:
+        found = self._context.directory.config().services_by_name.get(service)
+        return found is not None and found.checks_fence
+
+    async def _send(self, one: ordering.Assignment) -> None:
+        if not self._authority.may_order(checks_fence=self._checks_fence(one.service)):
+            return
+        sent_at = clock.monotonic()
+        result = await self._context.engine.order(
+            one.address, one.order, timeout=self._context.timing.order
+        )
+        if isinstance(result, engines.Accepted):
+            self._ordered_by_vm[one.vm_id] = (one.order, sent_at)
+            self._taken(one.vm_id)
+            return
+        self._log.warning("order_failed", vm=one.vm_id, reason=result.reason)
+        if isinstance(result, engines.StaleFence):
+            self.refused.add(one.vm_id)
