--- a/basilpost/groups/credits.py
+++ b/basilpost/groups/credits.py
@@ -14,7 +14,7 @@
 import prometheus_client
 
 from basilpost.core import clock, data, kernel, names, tasks
-from basilpost.groups import controller, granting, shares, slots
+from basilpost.groups import controller, granting, shares, slots, uses
 from basilpost.groups import credit_messages as messages
 from basilpost.members import directory, peers, standing
 from basilpost.settings import schema
@@ -25,43 +25,14 @@
 _IDLE_SECONDS = 3.0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class _Credit:
-    """A grant as received; it expires a credit's length after it was asked for."""
-
-    grant: messages.Grant
-    number: int
-    asked_at: float
-    in_flight: int
-    wanted: int
-
-
-@dataclasses.dataclass(kw_only=True)
-class _Use:
-    """This node's use of one target."""
-
-    group: data.Group
-    in_flight: int = 0
-    peak: int = 0
-    refused: int = 0
-    succeeded: int = 0
-    failed: int = 0
-    latency_sum: float = 0.0
-    cold: bool = False
-    bounded: bool = False
-    bounded_since: float = float("-inf")
-    credit: _Credit | None = None
-    used_at: float = float("-inf")
-
-
 class _HeldSlot(slots.Slot):
     """One request in flight."""
 
     __slots__ = ("_owner", "_use")
 
-    def __init__(self, *, owner: "CreditSlots", use: _Use) -> None:
+    def __init__(self, *, owner: "CreditSlots", use: uses.Use) -> None:
         self._owner = owner
-        self._use: _Use | None = use
+        self._use: uses.Use | None = use
 
     def release(self, observation: data.Observation) -> None:
         """Gives the slot back once."""
@@ -93,7 +64,7 @@
             timing=self._timing,
         )
         self._tasks = tasks.TaskSet(log=kernel.log)
-        self._uses_by_id: dict[str, _Use] = {}
+        self._uses_by_id: dict[str, uses.Use] = {}
         self._holders_by_domain: dict[str, data.Holder] = {}
         self._askers_by_node: dict[str, _Asker] = {}
         self._incarnation = secrets.token_hex(8)
@@ -151,7 +122,7 @@
         own_share = self._share(group.group_id, live, limit)
         return use.in_flight / max(1, own_share)
 
-    def released(self, use: _Use, observation: data.Observation) -> None:
+    def released(self, use: uses.Use, observation: data.Observation) -> None:
         """Counts a request out and keeps what was seen for the controller."""
         use.in_flight -= 1
         use.used_at = clock.monotonic()
@@ -167,7 +138,7 @@
 
     # What is allowed.
 
-    def _allowed(self, use: _Use, group: data.Group) -> int:
+    def _allowed(self, use: uses.Use, group: data.Group) -> int:
         config = self._directory.config()
         if not group.serving or not config.in_service(group.failure_domain):
             return 0
@@ -185,7 +156,7 @@
         limit = shares.base_limit(self._limit(group))
         return self._share(group.group_id, self._peers.live_nodes(), limit)
 
-    def _credits(self, use: _Use, group: data.Group) -> int:
+    def _credits(self, use: uses.Use, group: data.Group) -> int:
         credit = use.credit
         holder = self._holders_by_domain.get(group.fabric_domain)
         if credit is None or holder is None:
@@ -203,7 +174,7 @@
     def _share(self, group_id: str, live: tuple[str, ...], limit: int) -> int:
         return _static_share(group_id, self._peers.node_id, live, limit)
 
-    def _is_short(self, use: _Use) -> bool:
+    def _is_short(self, use: uses.Use) -> bool:
         """Returns True if the controller has just given less than was wanted: asking is no use."""
         credit = use.credit
         if credit is None or credit.asked_at <= use.bounded_since:
@@ -214,17 +185,17 @@
         base = 0 if use.bounded else self._base(use.group)
         return credit.grant.credits + base < credit.wanted
 
-    def _is_recent(self, credit: _Credit) -> bool:
+    def _is_recent(self, credit: uses.Credit) -> bool:
         return clock.monotonic() < credit.asked_at + 2 * self._timing.credit
 
-    def _use(self, group: data.Group) -> _Use:
+    def _use(self, group: data.Group) -> uses.Use:
         use = self._uses_by_id.get(group.group_id)
         if use is None:
-            use = _Use(group=group, bounded=group.state is not data.GroupState.READY)
+            use = uses.Use(group=group, bounded=group.state is not data.GroupState.READY)
             self._uses_by_id[group.group_id] = use
         return use
 
-    def _bound(self, use: _Use) -> None:
+    def _bound(self, use: uses.Use) -> None:
         """Voids all credits on a target and lets it take work under new ones only."""
         use.bounded = True
         use.bounded_since = clock.monotonic()
@@ -279,46 +250,46 @@
     async def _ask_one(self, node_id: str, kick: asyncio.Event) -> None:
         """Asks one controller as long as this node uses any of its targets."""
         try:
-            while uses := self._wants_by_holder().get(node_id):
+            while in_use := self._wants_by_holder().get(node_id):
                 kick.clear()
-                await self._ask(node_id, uses)
+                await self._ask(node_id, in_use)
                 await asyncio.sleep(_KICK_SECONDS)
                 try:
-                    async with asyncio.timeout(self._pause(uses)):
+                    async with asyncio.timeout(self._pause(in_use)):
                         await kick.wait()
                 except TimeoutError:
                     pass
         finally:
             self._askers_by_node.pop(node_id, None)
 
-    def _pause(self, uses: list[_Use]) -> float:
+    def _pause(self, in_use: list[uses.Use]) -> float:
         """Returns the seconds until the next ask: fewer while a target is short of credits."""
-        pressing = any(use.bounded or self._is_short(use) for use in uses)
+        pressing = any(use.bounded or self._is_short(use) for use in in_use)
         return self._timing.credit / (_ASKS_PER_CREDIT if pressing else _ASKS_PER_CREDIT / 2)
 
-    def _wants_by_holder(self) -> dict[str, list[_Use]]:
+    def _wants_by_holder(self) -> dict[str, list[uses.Use]]:
         now = clock.monotonic()
         in_use = (
             use
             for use in self._uses_by_id.values()
             if use.in_flight or use.refused or now - use.used_at < _IDLE_SECONDS
         )
-        found: dict[str, list[_Use]] = {}
+        found: dict[str, list[uses.Use]] = {}
         for use in in_use:
             holder = self._holders_by_domain.get(use.group.fabric_domain)
             if holder is not None and holder.node_id and use.group.serving:
                 found.setdefault(holder.node_id, []).append(use)
         return found
 
-    async def _ask(self, node_id: str, uses: list[_Use]) -> None:
+    async def _ask(self, node_id: str, in_use: list[uses.Use]) -> None:
         asked_at = clock.monotonic()
-        wants = tuple(_want(use) for use in uses)
+        wants = tuple(uses.want_of(use) for use in in_use)
         ask = messages.CreditAsk(
             incarnation=self._incarnation, number=next(self._numbers), wants=wants
         )
         wants_by_id = {want.group_id: want for want in wants}
-        for use in uses:
-            _reset(use)
+        for use in in_use:
+            uses.begin_period(use)
         self._asks.inc()
         reply = await self._peers.request(node_id, ask, timeout=_ASK_TIMEOUT_SECONDS)
         if not isinstance(reply, messages.CreditReply):
@@ -327,7 +298,7 @@
             found = self._uses_by_id.get(grant.group_id)
             if found is not None:
                 want = wants_by_id[grant.group_id]
-                credit = _Credit(
+                credit = uses.Credit(
                     grant=grant,
                     number=ask.number,
                     asked_at=asked_at,
@@ -336,7 +307,7 @@
                 )
                 self._granted(found, credit)
 
-    def _granted(self, use: _Use, credit: _Credit) -> None:
+    def _granted(self, use: uses.Use, credit: uses.Credit) -> None:
         if credit.asked_at <= use.bounded_since:
             return
         use.credit = credit
@@ -361,32 +332,6 @@
         return messages.InFlightReport(in_flight=tuple(counts))
 
 
-def _want(use: _Use) -> messages.Want:
-    active = use.in_flight or use.refused or use.peak
-    wanted = max(use.in_flight, use.peak) + use.refused + 1 if active else 0
-    return messages.Want(
-        group_id=use.group.group_id,
-        generation=use.group.generation,
-        in_flight=use.in_flight,
-        wanted=wanted,
-        acting_on=use.credit.number if use.credit else -1,
-        succeeded=use.succeeded,
-        failed=use.failed,
-        latency_ms=round(1000 * use.latency_sum / use.succeeded) if use.succeeded else 0,
-        cold=use.cold,
-    )
-
-
-def _reset(use: _Use) -> None:
-    """Starts a new period of what is told to the controller."""
-    use.peak = use.in_flight
-    use.refused = 0
-    use.succeeded = 0
-    use.failed = 0
-    use.latency_sum = 0.0
-    use.cold = False
-
-
 @functools.lru_cache(maxsize=4096)
 def _static_share(group_id: str, node_id: str, live: tuple[str, ...], limit: int) -> int:
     return shares.static_share(group_id, node_id, live, limit)
