New fabric domains are announced by their empty tables

Cause: only holders and one scout read the VM list, so a domain that appeared later was unknown to its preferred node and stayed without a controller. Change: the scout creates the table, which reaches every node.

--- a/basilpost/groups/controller.py
+++ b/basilpost/groups/controller.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 
 from basilpost.core import clock, data, hashing, kernel, names, tasks
-from basilpost.groups import budget, domain, engines, planner, view
+from basilpost.groups import budget, domain, engines, planner, table, view
 from basilpost.groups import context as contexts
 from basilpost.members import directory, peers, replica, standing
 from basilpost.settings import schema
@@ -83,6 +83,7 @@
             started_at = clock.monotonic()
             if self._needs_vms():
                 await self._read_vms()
+                await self._announce_domains()
             self._adopt_domains()
             took = clock.monotonic() - started_at
             await asyncio.sleep(max(0.0, self._settings.timing.vm_list - took))
@@ -99,6 +100,18 @@
             return
         self._vms_by_id = found.vms_by_id
 
+    async def _announce_domains(self) -> None:
+        """Creates the tables of new domains, by which the nodes that do not read the list know them."""
+        known = self._directory.tables()
+        listed = {vm.fabric_domain for vm in self._vms_by_id.values()}
+        for name in sorted(listed - known.keys()):
+            empty = data.FabricTable(fabric_domain=name)
+            made = await table.write(
+                self._context.store, self._context.replica, empty, version=table.NO_VERSION
+            )
+            if not isinstance(made, table.Versioned):
+                self._log.info("table_not_created", fabric_domain=name, reason=made.reason)
+
     def _adopt_domains(self) -> None:
         listed = {vm.fabric_domain for vm in self._vms_by_id.values()}
         known = listed | set(self._directory.tables())
--- a/basilpost/groups/controller_faults_test.py
+++ b/basilpost/groups/controller_faults_test.py
@@ -389,6 +389,20 @@
         await cluster.until(cluster.ready(2))
 
 
+@pytest.mark.looptime(noop_cycles=2)
+async def test_fabric_domains_that_appear_later_find_their_controllers():
+    async with make_cluster(nodes=4) as cluster:
+        await cluster.until(cluster.ready(1))
+        for number in range(6):
+            added = fake_cluster.make_vms(
+                3, fabric_domain=f"new-{number}", failure_domain="fd-2", start=10 + 3 * number
+            )
+            cluster.vm_list.vms_by_id |= {vm.vm_id: vm for vm in added}
+        await cluster.until(cluster.ready(7), within=30.0)
+        holders = {cluster.holder(f"new-{number}") for number in range(6)}
+        assert len(holders) > 1
+
+
 @pytest.mark.looptime(noop_cycles=2)
 async def test_a_new_model_version_takes_down_one_group_at_a_time():
     listed = (
--- a/basilpost/groups/table.py
+++ b/basilpost/groups/table.py
@@ -12,7 +12,7 @@
 from basilpost.members import replica
 from basilpost.store import objects
 
-_NO_VERSION = 0
+NO_VERSION = 0
 _REREADS = 3
 
 
@@ -61,7 +61,7 @@
     if isinstance(found, objects.Unavailable):
         return Unsettled(reason=found.reason)
     if isinstance(found, objects.Missing):
-        return Versioned(table=data.FabricTable(fabric_domain=fabric_domain), version=_NO_VERSION)
+        return Versioned(table=data.FabricTable(fabric_domain=fabric_domain), version=NO_VERSION)
     return decode(found)
 
 
@@ -83,7 +83,7 @@
     key = key_of(table.fabric_domain)
     value = codec.to_json(attempt)
     urgency = objects.Urgency.SAFETY
-    if version == _NO_VERSION:
+    if version == NO_VERSION:
         result = await store.create(key, value, timeout=timeout, urgency=urgency)
     else:
         result = await store.update(key, value, version=version, timeout=timeout, urgency=urgency)
