A planned stop releases a domain only when no order can be under way

Cause: a stop cut a round whose orders were out, and a stop within the wait for a dead predecessor released the domain, so the next holder ordered engines that ignore fencing numbers without waiting. Change: controllers end after their rounds; a domain is released only outside a round and after the wait. Conclusion: two tests, each failed without its part (controller_faults_test).

--- a/basilpost/groups/controller.py
+++ b/basilpost/groups/controller.py
@@ -15,6 +15,7 @@
 from basilpost.store import objects, vms
 
 _SCOUT_KEY = "vm-list"
+_FINISH_ORDERS = 2
 
 
 class Controllers(kernel.Service):
@@ -33,6 +34,7 @@
         self._peers = kernel.find(names.PEERS, peers.PeerNetwork)
         self._log = kernel.log
         self._tasks = tasks.TaskSet(log=kernel.log)
+        self._runs: set[asyncio.Task[None]] = set()
         self._vms_by_id: dict[str, data.Vm] = {}
         self._domains_by_name: dict[str, domain.DomainController] = {}
         self._loads = budget.LoadBudget(
@@ -59,7 +61,11 @@
         self._tasks.spawn(self._follow(), name="controllers")
 
     async def stop(self) -> None:
-        """Stops all controllers, then gives up the domains that this node holds."""
+        """Stops all controllers after their rounds, then gives up the domains that they hold."""
+        for one in self._domains_by_name.values():
+            one.finish()
+        if self._runs:
+            await asyncio.wait(self._runs, timeout=_FINISH_ORDERS * self._settings.timing.order)
         await self._tasks.close()
         await asyncio.gather(*(one.step_down() for one in self._domains_by_name.values()))
         self._domains_by_name.clear()
@@ -118,7 +124,7 @@
         for name in sorted(known - self._domains_by_name.keys()):
             found = domain.DomainController(fabric_domain=name, context=self._context)
             self._domains_by_name[name] = found
-            self._tasks.spawn(found.run(), name=f"controller {name}")
+            self._runs.add(self._tasks.spawn(found.run(), name=f"controller {name}"))
         held = sum(one.holding for one in self._domains_by_name.values())
         share = max(1, held) / max(1, len(self._domains_by_name))
         weights = self._settings.weight_store
--- a/basilpost/groups/controller_faults_test.py
+++ b/basilpost/groups/controller_faults_test.py
@@ -259,6 +259,41 @@
         await cluster.until(cluster.ready(1), within=10.0)
 
 
+@pytest.mark.looptime(noop_cycles=2)
+async def test_a_planned_stop_within_the_wait_for_a_dead_holder_releases_nothing():
+    async with make_cluster(service=UNFENCED, nodes=3, checks_fence=False) as cluster:
+        await cluster.until(cluster.ready(1))
+        first = cluster.holder()
+        await cluster.crash(first)
+        crashed_at = clock.monotonic()
+        await cluster.until(lambda: cluster.holder() not in ("", first))
+        cluster.engine.restart(cluster.groups()[0].address)
+        given = len(cluster.engine.orders)
+        await asyncio.sleep(2)
+        await cluster.stop(cluster.holder())
+        await cluster.until(lambda: len(cluster.engine.orders) > given)
+        assert clock.monotonic() - crashed_at >= LEASE_AND_ORDER_SECONDS
+
+
+@pytest.mark.looptime(noop_cycles=2)
+async def test_a_planned_stop_waits_for_an_order_that_is_under_way():
+    async with make_cluster(service=UNFENCED, nodes=2, checks_fence=False) as cluster:
+        await cluster.until(cluster.ready(1))
+        old = cluster.holder()
+        real, ended = cluster.engine.order, []
+
+        async def slow_order(address, order, *, timeout=2.0):
+            await asyncio.sleep(1.5)
+            ended.append(cluster.holder())
+            return await real(address, order, timeout=timeout)
+
+        cluster.engine.order = slow_order
+        cluster.engine.restart(cluster.groups()[0].address)
+        await asyncio.sleep(2.0)
+        await cluster.stop(old)
+        assert ended and set(ended) == {old}
+
+
 # Store and VM list.
 
 
--- a/basilpost/groups/domain.py
+++ b/basilpost/groups/domain.py
@@ -36,6 +36,8 @@
         self._known: table.Versioned | None = None
         self._live: tuple[str, ...] = ()
         self._choice: str | None = None
+        self._in_round = False
+        self._finishing = False
         self._watcher = watching.Watcher(
             engine=context.engine,
             interval=context.timing.probe,
@@ -69,7 +71,7 @@
     async def run(self) -> None:
         """Runs rounds until it is cancelled."""
         try:
-            while True:
+            while not self._finishing:
                 started_at = clock.monotonic()
                 await self._guarded_round()
                 took = clock.monotonic() - started_at
@@ -78,11 +80,17 @@
             await self._watcher.close()
 
     async def _guarded_round(self) -> None:
+        self._in_round = True
         try:
             await self.round()
         except Exception:
             self._log.exception("controller_round_failed")
             self._known = None
+        self._in_round = False
+
+    def finish(self) -> None:
+        """Lets `run` end after its round, so that all orders are answered by then."""
+        self._finishing = True
 
     async def round(self) -> None:
         """Does one round: learns the table, holds the domain if it should, plans and orders."""
@@ -94,6 +102,7 @@
         if not await self._learn():
             return
         if not preferred and not (self.holding and not self.authority.alone()):
+            self._in_round = False
             await self.step_down()
             return
         if not self.holding and not await self._claim():
@@ -152,12 +161,16 @@
         await self._watcher.close()
 
     async def step_down(self) -> None:
-        """Gives the domain up, so that its next holder need not wait."""
+        """Gives the domain up, so that its next holder need not wait.
+
+        Not while an order of this or an earlier holder may be under way: then it has to wait.
+        """
         known = self._known
         if known is None or known.table.holder is None:
             return
         mine = known.table.holder.node_id == self._context.peers.node_id
-        if not mine or not (self.holding or self._outlived_predecessor()):
+        safe = self.authority.alone() if self.holding else self._outlived_predecessor()
+        if not mine or not safe or self._in_round:
             return
         await self._write(authority.released(known.table))
         await self._forget()
