--- a/basilpost/load/capacity_control.py
+++ b/basilpost/load/capacity_control.py
@@ -31,8 +31,6 @@
     streams = 2 * fleet.neighbours
     beats = streams / timing.heartbeat
     renewals = renewals_per_second(fleet, timing)
-    copies = renewals * (streams - 1)
-    flooding = f"{renewals:.0f} renewals/s x {streams - 1} streams"
     return [
         model.Cost(
             role="peer fabric",
@@ -57,32 +55,14 @@
         model.Cost(
             role="peer fabric",
             resource=Resource.NETWORK,
-            what="renewed leases, sent and received",
-            amount=2 * copies,
-            amount_text=f"both ways, {flooding}",
-            slope="peers.changed_bytes",
+            what="renewed leases, seen by watches",
+            amount=1.0,
+            each=renewals,
+            amount_text=f"{renewals:.0f} renewals/s",
+            slope="state.watched_record_bytes",
             scale=model.KILO,
-            mechanism="each node passes a change on once to every neighbour",
-        ),
-        model.Cost(
-            role="peer fabric",
-            resource=Resource.CPU,
-            what="renewed leases, encoded",
-            amount=copies,
-            amount_text=flooding,
-            slope="peers.changed_encode_cpu",
-            scale=model.CPU_SCALE,
-            mechanism="the same",
-        ),
-        model.Cost(
-            role="peer fabric",
-            resource=Resource.CPU,
-            what="renewed leases, decoded",
-            amount=copies,
-            amount_text=flooding,
-            slope="peers.changed_decode_cpu",
-            scale=model.CPU_SCALE,
-            mechanism="the same",
+            node_share=watchers(fleet) / fleet.nodes,
+            mechanism="not spread between nodes; a few nodes of each region watch",
         ),
         model.Cost(
             role="peer fabric",
--- a/basilpost/load/measure_state.py
+++ b/basilpost/load/measure_state.py
@@ -9,14 +9,16 @@
 from collections.abc import Callable
 from typing import Any
 
-from basilpost.core import codec, data
+from basilpost.core import codec, data, names
 from basilpost.load import measuring, stand_in_process
+from basilpost.members import node_table
 from basilpost.store import http_objects, http_vms
 
 _GROUP_COUNTS = (5, 10, 20, 40)
 _OBJECT_COUNTS = (100, 400, 1600)
 _CALL_COUNTS = (200, 400, 800)
 _VM_COUNTS = (200, 800, 3200)
+_RECORD_COUNTS = (1, 10, 40)
 _MEMBERS = 8
 _GZIP_LEVEL = 6
 
@@ -29,6 +31,8 @@
         _measure_objects(count)
     for count in _VM_COUNTS:
         _measure_vm_list(count)
+    for count in _RECORD_COUNTS:
+        _measure_watched_records(count)
     asyncio.run(_measure_calls())
 
 
@@ -77,6 +81,28 @@
     measuring.sample("state.vm_list_decode_cpu", count, "VMs", decoding, "cpu seconds")
 
 
+def _measure_watched_records(count: int) -> None:
+    """Measures what a watch's answers take for renewed records of nodes, one record an answer."""
+    record = node_table.NodeRecord(
+        node_id="node-kz-south-a-17",
+        peer_address="10.20.30.40:7002",
+        gateway_address="10.20.30.40:8080",
+        failure_domain="kz-south-a",
+        region="kz-south",
+        incarnation="0123456789abcdef",
+        renewal=100_000,
+        lease_seconds=35.0,
+        table_size=420,
+    )
+    change = {
+        "key": names.NODE_PREFIX + record.node_id,
+        "version": 100_000_000,
+        "value": codec.to_json(record).decode(),
+    }
+    answer = json.dumps({"changes": [change], "revision": 100_000_000}).encode()
+    measuring.sample("state.watched_record_bytes", count, "renewals", count * len(answer), "bytes")
+
+
 async def _measure_calls() -> None:
     """Measures the client's processor time for reads, writes and watches that end empty."""
     with stand_in_process.started("emulate", "object-api") as (address, _):
