--- a/basilpost/load/adapters.py
+++ b/basilpost/load/adapters.py
@@ -61,6 +61,38 @@
 )
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Reading:
+    """How one value of a program's lines becomes a single figure; `title` names fields in braces."""
+
+    kind: str
+    value: str
+    unit: str
+    title: str
+
+
+READINGS = (
+    Reading(
+        kind="cost",
+        value="peer_bytes_per_second",
+        unit="bytes/s",
+        title="peer streams of a node, {nodes} nodes",
+    ),
+    Reading(
+        kind="cost",
+        value="cpu_percent_of_core",
+        unit="% of a core",
+        title="membership of a node, {nodes} nodes",
+    ),
+    Reading(
+        kind="in_force",
+        value="p99",
+        unit="s",
+        title="change in force everywhere, p99, {nodes} nodes, {condition}",
+    ),
+)
+
+
 def samples_of(lines: Iterable[dict[str, Any]]) -> list[samples.Sample]:
     """Returns the samples among decoded lines, whatever form they have."""
     found = list(lines)
@@ -69,6 +101,19 @@
     ]
 
 
+def figures_of(lines: Iterable[dict[str, Any]]) -> list[samples.Figure]:
+    """Returns the single figures among decoded lines, whatever form they have."""
+    found = list(lines)
+    return samples.figures_in(found) + [
+        samples.Figure(
+            figure=reading.title.format(**line), value=line[reading.value], unit=reading.unit
+        )
+        for line in found
+        for reading in READINGS
+        if line.get("kind") == reading.kind
+    ]
+
+
 def _fits(column: Column, line: dict[str, Any]) -> bool:
     return all(line.get(field) == value for field, value in column.marks.items())
 
--- a/basilpost/load/capacity.py
+++ b/basilpost/load/capacity.py
@@ -19,7 +19,6 @@
     capacity_page,
     capacity_storms,
     fit,
-    samples,
 )
 from basilpost.settings import schema
 
@@ -68,7 +67,7 @@
             capacity_storms.all_storms(fleet, timing, limits, fits)
         ),
         "slopes": capacity_page.slope_table(fits),
-        "figures": capacity_page.figure_table(samples.figures_in(lines)),
+        "figures": capacity_page.figure_table(adapters.figures_of(lines)),
         "origins": _origins(measurements),
     }
 
--- a/basilpost/load/capacity_test.py
+++ b/basilpost/load/capacity_test.py
@@ -49,6 +49,12 @@
     assert (one.slope, one.size, one.value) == ("requests.bucket_cpu_by_records", 10, 0.002)
 
 
+def test_other_programs_lines_become_figures():
+    lines = [{"kind": "cost", "nodes": 9, "peer_bytes_per_second": 5.0, "cpu_percent_of_core": 1.0}]
+    first, _ = adapters.figures_of(lines)
+    assert (first.figure, first.value) == ("peer streams of a node, 9 nodes", 5.0)
+
+
 def test_a_role_table():
     table = capacity_page.role_table([COST, dataclasses.replace(COST, slope="few")], FITS)
     assert "| probes | 5 VMs / 1 s | s | 1 ± 0.25 % of a core | one prober |" in table
