--- a/basilpost/groups/controller.py
+++ b/basilpost/groups/controller.py
@@ -8,12 +8,14 @@
 from collections.abc import Callable
 
 from basilpost.core import clock, data, hashing, kernel, names, tasks
-from basilpost.groups import budget, domain, engines, planner, view
+from basilpost.groups import budget, domain, engines, planner, table, view
+from basilpost.groups import context as contexts
 from basilpost.members import directory, peers, replica, standing
 from basilpost.settings import schema
 from basilpost.store import objects, vms
 
 _SCOUT_KEY = "vm-list"
+_FINISH_ORDERS = 2
 
 
 class Controllers(kernel.Service):
@@ -23,7 +25,7 @@
         self,
         *,
         kernel: kernel.Kernel,
-        lease_remaining: domain.LeaseRemaining,
+        lease_remaining: contexts.LeaseRemaining,
         plan: Callable[[view.View], planner.Plan] = planner.plan,
     ) -> None:
         self._settings = kernel.find(names.SETTINGS, schema.NodeSettings)
@@ -32,13 +34,14 @@
         self._peers = kernel.find(names.PEERS, peers.PeerNetwork)
         self._log = kernel.log
         self._tasks = tasks.TaskSet(log=kernel.log)
+        self._runs: set[asyncio.Task[None]] = set()
         self._vms_by_id: dict[str, data.Vm] = {}
         self._domains_by_name: dict[str, domain.DomainController] = {}
         self._loads = budget.LoadBudget(
             rate=self._settings.weight_store.loads_per_second,
             burst=self._settings.weight_store.load_burst,
         )
-        self._context = domain.Context(
+        self._context = contexts.Context(
             peers=self._peers,
             store=kernel.find(names.OBJECTS, objects.ObjectStore),
             replica=kernel.find(names.REPLICA, replica.Replica),
@@ -58,7 +61,11 @@
         self._tasks.spawn(self._follow(), name="controllers")
 
     async def stop(self) -> None:
-        """Stops all controllers, then gives up the domains that this node holds."""
+        """Stops all controllers after their rounds, then gives up the domains that they hold."""
+        for one in self._domains_by_name.values():
+            one.finish()
+        if self._runs:
+            await asyncio.wait(self._runs, timeout=_FINISH_ORDERS * self._settings.timing.order)
         await self._tasks.close()
         await asyncio.gather(*(one.step_down() for one in self._domains_by_name.values()))
         self._domains_by_name.clear()
@@ -82,6 +89,7 @@
             started_at = clock.monotonic()
             if self._needs_vms():
                 await self._read_vms()
+                await self._announce_domains()
             self._adopt_domains()
             took = clock.monotonic() - started_at
             await asyncio.sleep(max(0.0, self._settings.timing.vm_list - took))
@@ -98,13 +106,25 @@
             return
         self._vms_by_id = found.vms_by_id
 
+    async def _announce_domains(self) -> None:
+        """Creates the tables of new domains, by which the nodes that do not read the list know them."""
+        known = self._directory.tables()
+        listed = {vm.fabric_domain for vm in self._vms_by_id.values()}
+        for name in sorted(listed - known.keys()):
+            empty = data.FabricTable(fabric_domain=name)
+            made = await table.write(
+                self._context.store, self._context.replica, empty, version=table.NO_VERSION
+            )
+            if not isinstance(made, table.Versioned):
+                self._log.info("table_not_created", fabric_domain=name, reason=made.reason)
+
     def _adopt_domains(self) -> None:
         listed = {vm.fabric_domain for vm in self._vms_by_id.values()}
         known = listed | set(self._directory.tables())
         for name in sorted(known - self._domains_by_name.keys()):
             found = domain.DomainController(fabric_domain=name, context=self._context)
             self._domains_by_name[name] = found
-            self._tasks.spawn(found.run(), name=f"controller {name}")
+            self._runs.add(self._tasks.spawn(found.run(), name=f"controller {name}"))
         held = sum(one.holding for one in self._domains_by_name.values())
         share = max(1, held) / max(1, len(self._domains_by_name))
         weights = self._settings.weight_store
