--- a/basilpost/store/http_calls.py
+++ b/basilpost/store/http_calls.py
@@ -9,6 +9,7 @@
 import dataclasses
 import ipaddress
 import socket
+import ssl
 import urllib.parse
 
 from tornado import http1connection, httputil, iostream, tcpclient
@@ -120,7 +121,7 @@
             return await client.connect(
                 self._host,
                 self._port,
-                ssl_options={} if self._tls else None,
+                ssl_options=ssl.create_default_context() if self._tls else None,
                 max_buffer_size=_MAX_ANSWER_BYTES,
             )
         # Name resolution would send an IP number through a thread.
