--- a/basilpost/members/topology.py
+++ b/basilpost/members/topology.py
@@ -11,7 +11,7 @@
 from basilpost.core import hashing
 
 MIN_WATCHERS = 3
-NODES_PER_WATCHER = 16
+NODES_PER_WATCHER = 8
 
 
 def neighbours(
