--- a/basilpost/members/spread.py
+++ b/basilpost/members/spread.py
@@ -22,6 +22,7 @@
 SUMMARY_KEYS = 1_000
 REPAIR_AFTER_MISMATCHES = 3
 ASKS_REMEMBERED = 30
+REPORT_SHARE_OF_HEARTBEAT = 0.5
 
 Merge = Callable[[objects.Change, str], bool]
 
@@ -64,6 +65,10 @@
         self._mismatches_by_id: dict[str, int] = {}
         self._asked_at: dict[int, float] = {}
         self._sequence = itertools.count(1)
+        self._ids_by_hash: dict[int, str] | None = None
+        self._report: dict[int, int] = {}
+        self._report_until = -math.inf
+        table.subscribe(self._forget_hashes)
         self._repairs = prometheus_client.Counter(
             "basilpost_replica_repairs_total",
             "Summaries asked for because digests stayed different",
@@ -197,23 +202,34 @@
 
     def _reach_further(self, asked_at: float, reached: dict[int, int]) -> None:
         """Takes in whom a neighbour reaches, which is then reached from here over one hop more."""
-        for node_id in self._table.records_by_id:
-            tenths = reached.get(_short_hash(node_id))
-            if tenths is not None and tenths >= 0 and node_id != self._peers.node_id:
+        if self._ids_by_hash is None:
+            self._ids_by_hash = {_short_hash(one): one for one in self._table.records_by_id}
+        for short_hash, tenths in reached.items():
+            node_id = self._ids_by_hash.get(short_hash)
+            if node_id is not None and tenths >= 0 and node_id != self._peers.node_id:
                 self._reach(node_id, asked_at - tenths / 10)
 
     def _reached(self) -> dict[int, int]:
-        """Returns whom this node reaches; only needed while the store is silent and no mesh full."""
+        """Returns whom this node reaches; only needed while the store is silent and no mesh full.
+
+        One report serves all neighbours for a while, so the ages in it are those at its end.
+        """
         timing = self._settings.timing
         full_mesh = len(self._table.records_by_id) <= self._settings.peers.full_mesh_nodes
         if full_mesh or self.age() < timing.store_silence / 2:
             return {}
         now = clock.monotonic()
-        return {
-            _short_hash(node_id): math.ceil((now - at) * 10)
-            for node_id, at in self.reached_at_by_id.items()
-            if now - at <= reach_seconds(timing, full_mesh=False)
-        }
+        if now >= self._report_until:
+            self._report_until = now + timing.heartbeat * REPORT_SHARE_OF_HEARTBEAT
+            self._report = {
+                _short_hash(node_id): math.ceil((self._report_until - at) * 10)
+                for node_id, at in self.reached_at_by_id.items()
+                if now - at <= reach_seconds(timing, full_mesh=False)
+            }
+        return self._report
+
+    def _forget_hashes(self) -> None:
+        self._ids_by_hash = None
 
     async def _on_goodbye(self, sender: str, goodbye: messages.Goodbye) -> None:
         if self._table.goodbye(goodbye.node_id, goodbye.incarnation):
