--- a/basilpost/load/capacity_control.py
+++ b/basilpost/load/capacity_control.py
@@ -113,7 +113,7 @@
             slope="store.cpu_by_reads",
             scale=model.CPU_SCALE,
             node_share=watching / fleet.nodes,
-            mechanism="a connection for each call",
+            mechanism="connections of reads are kept",
         ),
         model.Cost(
             role="configuration",
--- a/basilpost/load/capacity_test.py
+++ b/basilpost/load/capacity_test.py
@@ -13,6 +13,7 @@
     fit,
     samples,
 )
+from basilpost.members import topology
 from basilpost.settings import schema
 
 LINE = fit.Fit(
@@ -111,4 +112,6 @@
     timing = schema.Timing()
     assert capacity_control.renewals_per_second(small, timing) == pytest.approx(3)
     assert capacity_control.watchers(small) == 9
-    assert capacity_control.watchers(capacity_model.Fleet()) < 40
+    large = capacity_model.Fleet()
+    in_a_region = large.nodes // large.regions // topology.NODES_PER_WATCHER
+    assert capacity_control.watchers(large) == large.regions * in_a_region
