A ready target is served by static shares when no holder grants

Ruled out: granting without all nodes' acknowledgement; it would break the promise for cold targets, which stay closed. Change: after two credits' lengths of refusals without any grant, a ready target falls back to its static share.

--- a/basilpost/groups/credits.py
+++ b/basilpost/groups/credits.py
@@ -96,6 +96,8 @@
         use = self._use(group)
         if self._allowed(use, group) <= use.in_flight:
             use.refused += 1
+            if use.unanswered_since is None:
+                use.unanswered_since = clock.monotonic()
             self._refusals.inc()
             if not self._is_short(use):
                 self._kick(group)
@@ -143,15 +145,23 @@
         if not group.serving or not config.in_service(group.failure_domain):
             return 0
         credits = self._credits(use, group)
-        if group.state is data.GroupState.COLD or use.bounded:
+        if group.state is data.GroupState.COLD:
             return credits
-        limit = self._limit(group)
         live = self._peers.live_nodes()
         holder = self._holders_by_domain.get(group.fabric_domain)
+        if self._is_unanswered(use):
+            return max(credits, self._share(group.group_id, live, self._limit(group)))
+        if use.bounded:
+            return credits
         if holder is None or holder.node_id not in live:
-            return self._share(group.group_id, live, limit)
+            return self._share(group.group_id, live, self._limit(group))
         return self._base(group) + credits
 
+    def _is_unanswered(self, use: uses.Use) -> bool:
+        """Returns True if this node has long wanted slots and no holder grants anything."""
+        since = use.unanswered_since
+        return since is not None and clock.monotonic() - since > 2 * self._timing.credit
+
     def _base(self, group: data.Group) -> int:
         limit = shares.base_limit(self._limit(group))
         return self._share(group.group_id, self._peers.live_nodes(), limit)
@@ -311,6 +321,7 @@
         if credit.asked_at <= use.bounded_since:
             return
         use.credit = credit
+        use.unanswered_since = None
         use.bounded = credit.grant.bounded
 
     async def _revoked(self, node_id: str, revoke: messages.Revoke) -> None:
--- a/basilpost/groups/credits_test.py
+++ b/basilpost/groups/credits_test.py
@@ -254,6 +254,21 @@
             assert traffic.most == WARM_LIMIT
 
 
+@pytest.mark.looptime(noop_cycles=2)
+async def test_a_ready_target_is_served_by_static_shares_while_no_holder_may_grant():
+    async with make_cluster() as cluster:
+        await cluster.until(cluster.ready(1))
+        for node in cluster.nodes_by_id.values():
+            node.standing.acknowledged = False
+        await cluster.crash(cluster.holder())
+        async with Traffic(cluster) as traffic:
+            await asyncio.sleep(8)
+            before = traffic.started
+            await asyncio.sleep(10)
+            assert traffic.started > before
+            assert traffic.most <= WARM_LIMIT
+
+
 @pytest.mark.looptime(noop_cycles=2)
 async def test_a_ready_target_does_not_ramp_up_by_time_alone_nor_on_failures():
     async with make_cluster() as cluster:
--- a/basilpost/groups/uses.py
+++ b/basilpost/groups/uses.py
@@ -33,6 +33,7 @@
         bounded: True while the target takes work under credits only.
         bounded_since: Time from which earlier credits are void.
         credit: The latest grant.
+        unanswered_since: When a slot was first refused since the latest grant, None for never.
         used_at: When a slot was last taken or released.
     """
 
@@ -47,6 +48,7 @@
     bounded: bool = False
     bounded_since: float = float("-inf")
     credit: Credit | None = None
+    unanswered_since: float | None = None
     used_at: float = float("-inf")
 
 
