Settling compares with the record that was seen before the look at the service

Cause: a decision by a look that is older than the claim it settles marks a request as not run that ran meanwhile. Change: Settler.settle takes seen=; the service's own look-up passes it. The administration API does not pass seen yet. Test: test_a_look_from_before_a_new_claim_settles_nothing.

--- a/basilpost/runs/repeats.py
+++ b/basilpost/runs/repeats.py
@@ -121,6 +121,7 @@
                 outcome=failure.Outcome.NOT_RUN,
                 actor="outcome look-up",
                 reason=f"{record.service} has no trace of the key",
+                seen=record,
             )
         finally:
             self._settling.discard(record.run_id)
--- a/basilpost/runs/settling.py
+++ b/basilpost/runs/settling.py
@@ -84,12 +84,24 @@
         outcome: failure.Outcome,
         actor: str,
         reason: str,
+        seen: buckets.Record | None = None,
     ) -> buckets.Record | failure.Refusal:
-        """Settles an open request as run or not run; not run takes the isolation interval."""
+        """Settles an open request as run or not run; not run takes the isolation interval.
+
+        Args:
+            workspace: Who called.
+            service: What was called.
+            key: The caller's idempotency key.
+            outcome: What became of the request.
+            actor: Who decides.
+            reason: How the actor knows.
+            seen: The record as shown before the actor looked at the service. With it a request
+                that was claimed or confirmed again since then is not settled by an old look.
+        """
         if outcome not in _STATES_BY_OUTCOME:
             return refusals.not_an_outcome()
         observed = await self.show(workspace=workspace, service=service, key=key)
-        refusal = await self._refusal(observed, observed)
+        refusal = await self._refusal(observed if seen is None else seen, observed)
         if refusal is None and outcome is failure.Outcome.NOT_RUN:
             await asyncio.sleep(self._open_seconds)
             latest = await self.show(workspace=workspace, service=service, key=key)
--- a/basilpost/runs/settling_test.py
+++ b/basilpost/runs/settling_test.py
@@ -222,3 +222,26 @@
     refusal = await settling
     assert (refusal.code, refusal.outcome) == ("settling_unconfirmed", failure.Outcome.UNKNOWN)
     assert nodes.record().state is buckets.RunState.RAN
+
+
+async def test_a_look_from_before_a_new_claim_settles_nothing(nodes):
+    found = Leases()
+    a, b = await nodes.add("a"), await nodes.add("b", node_leases=found)
+    await a.lose(await a.claim(CALL, timeout=5), "the connection broke")
+    await asyncio.sleep(1)
+    seen = await _show(b)
+    await _settle(b, failure.Outcome.NOT_RUN)
+    claim = await a.claim(CALL, timeout=5)
+    assert await a.may_dispatch(claim)
+    nodes.kill(a)
+    found.lapsed.add("a")
+    settled = await b.settler.settle(
+        workspace=CALL.workspace,
+        service=CALL.service,
+        key=CALL.key,
+        outcome=failure.Outcome.NOT_RUN,
+        actor="ana",
+        reason="an old look",
+        seen=seen,
+    )
+    assert settled.code == "run_changed"
