--- a/basilpost/admin/audit.py
+++ b/basilpost/admin/audit.py
@@ -2,16 +2,17 @@
 
 An entry is part of the write that it describes, so a change without an entry, or an entry without
 a change, cannot exist. Before entries roll off an object they are copied to an archive object;
-a change that then fails leaves a copy behind, so readers drop repeated attempt ids.
+a change that then fails leaves a copy behind, so readers drop repeated attempt ids. Few entries stay,
+because an object travels to every node, and stays in its memory, with all entries that it has.
 """
 
 import dataclasses
+import datetime
 
 from basilpost.core import codec, data, names
-from basilpost.settings import configuration
 
 AUDIT_PREFIX = "audit/"
-KEPT_ENTRIES = 64
+KEPT_ENTRIES = 8
 MAX_OBJECT_BYTES = 600_000
 
 _DAY_CHARACTERS = len("2026-01-31")
@@ -60,6 +61,13 @@
     return Rolled(stored=stored, archive=archive)
 
 
+def may_have_archive(stored: data.ConfigObject) -> bool:
+    """Returns False if the entries surely begin with the object's first one."""
+    if not stored.audit:
+        return False
+    return bool(stored.audit[0].before) or len(stored.audit) >= KEPT_ENTRIES // 2
+
+
 def archive_key(archive: Archive) -> str:
     """Returns the store key of an archive: by the day of its newest entry, then by object.
 
@@ -80,9 +88,10 @@
     return at[:_DAY_CHARACTERS]
 
 
-def find_attempt(stored: data.ConfigObject, attempt_id: str) -> data.AuditEntry | None:
-    """Returns the entry of an attempt if it is among those kept with the object."""
-    return next((entry for entry in stored.audit if entry.attempt_id == attempt_id), None)
+def day_before(at: str) -> str:
+    """Returns the day before an entry's time."""
+    day = datetime.date.fromisoformat(day_of(at))
+    return (day - datetime.timedelta(days=1)).isoformat()
 
 
 def lines_of(key: str, entries: tuple[data.AuditEntry, ...]) -> tuple[Line, ...]:
@@ -94,8 +103,3 @@
     """Orders lines by time and drops copies of the same attempt."""
     lines_by_attempt = {(line.key, line.entry.attempt_id): line for line in lines}
     return tuple(sorted(lines_by_attempt.values(), key=lambda line: (line.entry.at, line.key)))
-
-
-def is_about(line: Line, kind: configuration.Kind, name: str) -> bool:
-    """Returns True if a line is about one object."""
-    return line.key == kind.key(name)
--- a/basilpost/groups/controller_faults_test.py
+++ b/basilpost/groups/controller_faults_test.py
@@ -239,6 +239,15 @@
         assert cluster.ready(1)()
 
 
+@pytest.mark.looptime(noop_cycles=2)
+async def test_a_runner_that_knows_a_higher_fence_from_elsewhere_is_still_used():
+    async with make_cluster(3) as cluster:
+        address = fake_cluster.make_vms(3)[1].address
+        cluster.engine.status_by_address[address] = engines.RunnerStatus(vm_id="vm-0001", fence=50)
+        await cluster.until(cluster.ready(1))
+        assert cluster.node().directory.tables()["fab-1"].holder.fence == 51
+
+
 @pytest.mark.looptime(noop_cycles=2)
 async def test_a_planned_stop_hands_control_over_without_a_wait():
     async with make_cluster(service=UNFENCED, nodes=3, checks_fence=False) as cluster:
@@ -250,6 +259,41 @@
         await cluster.until(cluster.ready(1), within=10.0)
 
 
+@pytest.mark.looptime(noop_cycles=2)
+async def test_a_planned_stop_within_the_wait_for_a_dead_holder_releases_nothing():
+    async with make_cluster(service=UNFENCED, nodes=3, checks_fence=False) as cluster:
+        await cluster.until(cluster.ready(1))
+        first = cluster.holder()
+        await cluster.crash(first)
+        crashed_at = clock.monotonic()
+        await cluster.until(lambda: cluster.holder() not in ("", first))
+        cluster.engine.restart(cluster.groups()[0].address)
+        given = len(cluster.engine.orders)
+        await asyncio.sleep(2)
+        await cluster.stop(cluster.holder())
+        await cluster.until(lambda: len(cluster.engine.orders) > given)
+        assert clock.monotonic() - crashed_at >= LEASE_AND_ORDER_SECONDS
+
+
+@pytest.mark.looptime(noop_cycles=2)
+async def test_a_planned_stop_waits_for_an_order_that_is_under_way():
+    async with make_cluster(service=UNFENCED, nodes=2, checks_fence=False) as cluster:
+        await cluster.until(cluster.ready(1))
+        old = cluster.holder()
+        real, ended = cluster.engine.order, []
+
+        async def slow_order(address, order, *, timeout=2.0):
+            await asyncio.sleep(1.5)
+            ended.append(cluster.holder())
+            return await real(address, order, timeout=timeout)
+
+        cluster.engine.order = slow_order
+        cluster.engine.restart(cluster.groups()[0].address)
+        await asyncio.sleep(2.0)
+        await cluster.stop(old)
+        assert ended and set(ended) == {old}
+
+
 # Store and VM list.
 
 
@@ -361,6 +405,39 @@
         assert (cluster.holder("fab-1"), cluster.holder("fab-2")) == holders
 
 
+@pytest.mark.looptime(noop_cycles=2)
+async def test_a_vm_that_moves_to_another_fabric_domain_is_used_there_in_the_end():
+    listed = (
+        *fake_cluster.make_vms(4),
+        *fake_cluster.make_vms(2, fabric_domain="fab-2", start=4),
+    )
+    async with fake_cluster.FakeCluster(vms_listed=listed, services=(SERVICE,)) as cluster:
+        await cluster.until(cluster.ready(1))
+        members = set(views.member_ids(cluster.groups()))
+        cluster.engine.dark.add(cluster.groups()[0].members[1].address)
+        await cluster.until(lambda: set(views.member_ids(cluster.groups())) != members)
+        cluster.engine.dark.clear()
+        (moved,) = members - set(views.member_ids(cluster.groups()))
+        vm = cluster.vm_list.vms_by_id[moved]
+        cluster.vm_list.vms_by_id[moved] = dataclasses.replace(vm, fabric_domain="fab-2")
+        await assert_for(50, lambda: len(cluster.groups()) == 1)
+        await cluster.until(cluster.ready(2))
+
+
+@pytest.mark.looptime(noop_cycles=2)
+async def test_fabric_domains_that_appear_later_find_their_controllers():
+    async with make_cluster(nodes=4) as cluster:
+        await cluster.until(cluster.ready(1))
+        for number in range(6):
+            added = fake_cluster.make_vms(
+                3, fabric_domain=f"new-{number}", failure_domain="fd-2", start=10 + 3 * number
+            )
+            cluster.vm_list.vms_by_id |= {vm.vm_id: vm for vm in added}
+        await cluster.until(cluster.ready(7), within=30.0)
+        holders = {cluster.holder(f"new-{number}") for number in range(6)}
+        assert len(holders) > 1
+
+
 @pytest.mark.looptime(noop_cycles=2)
 async def test_a_new_model_version_takes_down_one_group_at_a_time():
     listed = (
--- a/basilpost/load/capacity.py
+++ b/basilpost/load/capacity.py
@@ -13,12 +13,12 @@
 from typing import Any
 
 from basilpost.load import (
+    adapters,
     capacity_costs,
     capacity_model,
     capacity_page,
     capacity_storms,
     fit,
-    samples,
 )
 from basilpost.settings import schema
 
@@ -52,7 +52,7 @@
 def tables(measurements: Mapping[str, dict[str, Any]]) -> dict[str, str]:
     """Returns all tables of the page by name."""
     lines = list(itertools.chain.from_iterable(one["samples"] for one in measurements.values()))
-    fits = fit.fits_by_slope(samples.samples_in(lines))
+    fits = fit.fits_by_slope(adapters.samples_of(lines))
     fleet, limits, timing = capacity_model.Fleet(), capacity_model.Limits(), schema.Timing()
     costs = capacity_costs.all_costs(fleet, timing)
     roles = {
@@ -67,7 +67,7 @@
             capacity_storms.all_storms(fleet, timing, limits, fits)
         ),
         "slopes": capacity_page.slope_table(fits),
-        "figures": capacity_page.figure_table(samples.figures_in(lines)),
+        "figures": capacity_page.figure_table(adapters.figures_of(lines)),
         "origins": _origins(measurements),
     }
 
--- a/basilpost/load/measure_state.py
+++ b/basilpost/load/measure_state.py
@@ -1,19 +1,26 @@
 """Measures what the shared records cost: bytes, memory, coding time, and calls of the store."""
 
 import asyncio
+import dataclasses
+import gzip
+import json
 import time
 import tracemalloc
 from collections.abc import Callable
 from typing import Any
 
-from basilpost.core import codec, data
+from basilpost.core import codec, data, names
 from basilpost.load import measuring, stand_in_process
-from basilpost.store import http_objects
+from basilpost.members import node_table
+from basilpost.store import http_objects, http_vms
 
-_GROUP_COUNTS = (10, 40, 160, 640)
+_GROUP_COUNTS = (5, 10, 20, 40)
 _OBJECT_COUNTS = (100, 400, 1600)
 _CALL_COUNTS = (200, 400, 800)
+_VM_COUNTS = (200, 800, 3200)
+_RECORD_COUNTS = (1, 10, 40)
 _MEMBERS = 8
+_GZIP_LEVEL = 6
 
 
 def main() -> None:
@@ -22,6 +29,10 @@
         _measure_table(count)
     for count in _OBJECT_COUNTS:
         _measure_objects(count)
+    for count in _VM_COUNTS:
+        _measure_vm_list(count)
+    for count in _RECORD_COUNTS:
+        _measure_watched_records(count)
     asyncio.run(_measure_calls())
 
 
@@ -47,6 +58,51 @@
     measuring.sample("state.decode_cpu_by_objects", count, "objects", decoding, "cpu seconds")
 
 
+def _measure_vm_list(count: int) -> None:
+    vms = [
+        dataclasses.asdict(
+            data.Vm(
+                vm_id=f"vm-kz-south-a-{number}",
+                address=f"10.20.30.{number % 250}:8000",
+                pool="models",
+                fabric_domain=f"fabric-kz-south-a-{number // 40}",
+                failure_domain="kz-south-a",
+                accelerators=4,
+            )
+        )
+        for number in range(count)
+    ]
+    raw = json.dumps({"vms": vms}).encode()
+    measuring.sample("state.vm_list_bytes", count, "VMs", len(raw), "bytes")
+    measuring.sample(
+        "state.vm_list_packed_bytes", count, "VMs", len(gzip.compress(raw, _GZIP_LEVEL)), "bytes"
+    )
+    decoding = measuring.cpu_seconds(lambda: http_vms.decode(raw))
+    measuring.sample("state.vm_list_decode_cpu", count, "VMs", decoding, "cpu seconds")
+
+
+def _measure_watched_records(count: int) -> None:
+    """Measures what a watch's answers take for renewed records of nodes, one record an answer."""
+    record = node_table.NodeRecord(
+        node_id="node-kz-south-a-17",
+        peer_address="10.20.30.40:7002",
+        gateway_address="10.20.30.40:8080",
+        failure_domain="kz-south-a",
+        region="kz-south",
+        incarnation="0123456789abcdef",
+        renewal=100_000,
+        lease_seconds=35.0,
+        table_size=420,
+    )
+    change = {
+        "key": names.NODE_PREFIX + record.node_id,
+        "version": 100_000_000,
+        "value": codec.to_json(record).decode(),
+    }
+    answer = json.dumps({"changes": [change], "revision": 100_000_000}).encode()
+    measuring.sample("state.watched_record_bytes", count, "renewals", count * len(answer), "bytes")
+
+
 async def _measure_calls() -> None:
     """Measures the client's processor time for reads, writes and watches that end empty."""
     with stand_in_process.started("emulate", "object-api") as (address, _):
