Services are asked for open outcomes

Cause: the ledger could ask a service what became of a key, but nothing connected it to the services. Ruled out: asking one instance; one that does not know what the others ran would have a key run twice. Change: gateway/lookups.py asks all serving instances at the route's outcome path; one yes settles, a no needs all.

--- a/basilpost/gateway/handlers.py
+++ b/basilpost/gateway/handlers.py
@@ -464,7 +464,7 @@
             return refusals.key_required()
         message = self._message(method, path, key, body)
         if not route.idempotent:
-            return await self._file(workspace, request, message, key)
+            return await self._file(workspace, request, message, key, route)
         refusal = self.refused_now()
         ticket = refusal or self.context.admission.admit(request)
         if isinstance(ticket, failure.Refusal):
@@ -480,6 +480,7 @@
         request: policy.Request,
         message: dispatch.Message,
         key: str,
+        route: data.Route,
     ) -> dispatch.Answered | failure.Refusal:
         """Runs a call that may not be repeated; each refusal is true for its key."""
         filings = self.context.filings
@@ -490,6 +491,7 @@
             key=key,
             digest=hashing.body_digest(called),
             request_id=self.request_id,
+            outcome_path=route.outcome_path,
         )
         if self.context.stopping:
             return await filings.look_up(call, request)
--- a/basilpost/gateway/install.py
+++ b/basilpost/gateway/install.py
@@ -1,9 +1,14 @@
 """Registers the gateway with a node's kernel."""
 
 from basilpost.core import kernel, names
-from basilpost.gateway import server
+from basilpost.gateway import lookups, server
+from basilpost.members import directory
+from basilpost.runs import store_ledger
 
 
 def install(kernel: kernel.Kernel) -> None:
-    """Registers the gateway."""
+    """Registers the gateway, and lets the ledger ask services for open outcomes."""
     kernel.register(names.GATEWAY, server.Gateway(kernel=kernel))
+    found = kernel.find(names.DIRECTORY, directory.Directory)
+    book = kernel.find(names.LEDGER, store_ledger.StoreLedger)
+    book.use_lookup(lookups.InstanceLookup(directory=found))
