A drain answers what comes while it ends, then stops listening

Cause: one of 520 tests failed in a full run: a filing was cut when a node stopped. Between the end of the drain and the end of the process requests were still taken, and closed with the connections. Ruled out: the filing's own path (it was being looked up in the ledger and had seconds left). Change: when nothing is in flight the node stops listening, lingers for what was accepted, waits once more; answers of a stopping node ask for a new connection.

--- a/basilpost/gateway/handlers.py
+++ b/basilpost/gateway/handlers.py
@@ -198,8 +198,8 @@
         self._release()
 
     def refuse(self, refusal: failure.Refusal) -> None:
-        """Answers with a refusal."""
-        refusals.write(self, refusal)
+        """Answers with a refusal; a node that stops asks its callers to connect anew."""
+        refusals.write(self, refusal, close=self.context.draining)
         self._count_answer(refusal.status, refusal.outcome)
 
     def answer(self, answered: dispatch.Answered) -> None:
@@ -211,6 +211,8 @@
         self.set_header(_TARGET_HEADER, answered.target)
         if answered.replayed:
             self.set_header(_REPLAYED_HEADER, "true")
+        if self.context.draining:
+            self.set_header("Connection", "close")
         self.context.meters.first_byte.labels(self._service_name).observe(
             clock.monotonic() - self._arrived
         )
--- a/basilpost/gateway/refusals.py
+++ b/basilpost/gateway/refusals.py
@@ -143,12 +143,16 @@
     return json.dumps({"error": error}).encode()
 
 
-def write(handler: tornado.web.RequestHandler, refusal: failure.Refusal) -> None:
-    """Finishes a handler's response with a refusal."""
+def write(
+    handler: tornado.web.RequestHandler, refusal: failure.Refusal, *, close: bool = False
+) -> None:
+    """Finishes a handler's response with a refusal; `close` asks to connect anew next time."""
     handler.clear()
     handler.set_status(refusal.status)
     handler.set_header("Content-Type", "application/json")
     handler.set_header(names.OUTCOME_HEADER, refusal.outcome.value)
     if refusal.retry_after is not None:
         handler.set_header("Retry-After", str(max(1, math.ceil(refusal.retry_after))))
+    if close:
+        handler.set_header("Connection", "close")
     handler.finish(body_of(refusal))
--- a/basilpost/gateway/server.py
+++ b/basilpost/gateway/server.py
@@ -14,6 +14,7 @@
 from basilpost.settings import schema
 
 _POLL_SECONDS = 0.1
+_LINGER_SECONDS = 0.3
 _MAX_HEADER_BYTES = 32_768
 _IDLE_SECONDS = 120.0
 
@@ -62,11 +63,22 @@
         await asyncio.sleep(gateway.drain_grace_seconds)
         self.context.stopping = True
         give_up_at = clock.monotonic() + gateway.drain_seconds
-        while self.context.in_flight and clock.monotonic() < give_up_at:
-            await asyncio.sleep(_POLL_SECONDS)
+        await self._idle(give_up_at)
+        # A request that came in a moment ago has its answer too before connections are closed.
+        await asyncio.sleep(0)
+        if self._server is not None:
+            self._server.stop()
+        await asyncio.sleep(_LINGER_SECONDS)
+        await self._idle(give_up_at)
         await self.context.filings.settle()
         self._kernel.log.info("gateway_drained", cut=self.context.in_flight)
 
+    async def _idle(self, give_up_at: float) -> None:
+        """Waits until no request is in flight, or until some time."""
+        assert self.context is not None
+        while self.context.in_flight and clock.monotonic() < give_up_at:
+            await asyncio.sleep(_POLL_SECONDS)
+
     async def stop(self) -> None:
         """Closes what is still open."""
         if self._server is not None:
