Metrics move to the operators' address; request ids reach all log lines; more headers pass

Cause: reading the gateway through: /metrics on the callers' port names workspaces and services to every caller; lines logged inside a request's task lacked its id (the task was made before the id was bound); answers of plain services lost Location, ETag and the like; a doubled Content-Length would have ended in a 500.

--- a/basilpost/admin/api.py
+++ b/basilpost/admin/api.py
@@ -1,5 +1,6 @@
 """Serves the administration API of a node over HTTP."""
 
+import prometheus_client
 import tornado.httpserver
 import tornado.netutil
 import tornado.web
@@ -32,6 +33,7 @@
         settings = kernel.find(names.SETTINGS, schema.NodeSettings)
         self._listen = settings.admin
         self._log = kernel.log
+        self._registry = kernel.registry
         self._server: tornado.httpserver.HTTPServer | None = None
         self.port = 0
         self._context = make_context(kernel, settings)
@@ -39,7 +41,7 @@
     async def start(self) -> None:
         """Listens for operators."""
         server = tornado.httpserver.HTTPServer(
-            make_application(self._context),
+            make_application(self._context, registry=self._registry),
             max_body_size=limits.MAX_READ_BYTES,
             max_buffer_size=limits.MAX_READ_BYTES + limits.MAX_HEADER_BYTES,
             max_header_size=limits.MAX_HEADER_BYTES,
@@ -81,8 +83,10 @@
     )
 
 
-def make_application(shared: context.Context) -> tornado.web.Application:
-    """Returns the API's routes."""
+def make_application(
+    shared: context.Context, *, registry: prometheus_client.CollectorRegistry
+) -> tornado.web.Application:
+    """Returns the API's routes, and the metrics page beside them."""
     kinds = "|".join(configuration.KINDS_BY_PATH)
     parts = {"context": shared}
     routes = [
@@ -100,7 +104,10 @@
         (r"/quarantine/([^/]+)/release", run_handlers.ReleaseHandler),
     ]
     return tornado.web.Application(
-        [(_ROOT + path, handler, parts) for path, handler in routes],
+        [
+            (r"/metrics", status_handlers.MetricsHandler, {"registry": registry}),
+            *((_ROOT + path, handler, parts) for path, handler in routes),
+        ],
         default_handler_class=handlers.NoSuchPageHandler,
         default_handler_args=parts,
         log_function=lambda handler: None,
--- a/basilpost/admin/api_test.py
+++ b/basilpost/admin/api_test.py
@@ -310,3 +310,9 @@
         assert answer.code < 500 or answer.code == 501, (method, path, body)
         assert answer.code == 200 or answer.json["error"]["code"]
     assert (await call("GET", "/status")).code == 200
+
+
+async def test_metrics_are_on_the_operators_address(call):
+    client = tornado.httpclient.AsyncHTTPClient()
+    answer = await client.fetch(f"http://127.0.0.1:{call.port}/metrics")
+    assert b"# HELP" in answer.body
--- a/basilpost/admin/status_handlers.py
+++ b/basilpost/admin/status_handlers.py
@@ -2,6 +2,9 @@
 
 import re
 
+import prometheus_client
+import tornado.web
+
 from basilpost.admin import answers, audit_reader, handlers, tokens
 from basilpost.core import names
 from basilpost.settings import configuration
@@ -18,6 +21,19 @@
             self.answer(await self.context.status.status())
 
 
+class MetricsHandler(tornado.web.RequestHandler):
+    """The node's metrics; they name workspaces and services, so callers do not get them."""
+
+    def initialize(self, registry: prometheus_client.CollectorRegistry) -> None:
+        """Takes the node's registry."""
+        self.registry = registry
+
+    def get(self) -> None:
+        """Answers in the Prometheus text format, without a token, as scrapers expect."""
+        self.set_header("Content-Type", prometheus_client.CONTENT_TYPE_LATEST)
+        self.write(prometheus_client.generate_latest(self.registry))
+
+
 class InForceHandler(handlers.Handler):
     """Which live nodes have a version in force."""
 
--- a/basilpost/gateway/calls.py
+++ b/basilpost/gateway/calls.py
@@ -73,8 +73,8 @@
             self.refuse(self._refusal)
             return
         body = b"".join(self._pieces)
-        self._task = asyncio.create_task(self.run(body))
         with structlog.contextvars.bound_contextvars(request_id=self.shown_id):
+            self._task = asyncio.create_task(self.run(body))
             try:
                 await self._task
             except asyncio.CancelledError:
@@ -179,8 +179,8 @@
         if isinstance(workspace, failure.Refusal):
             return workspace
         limit = context.settings.gateway.max_body_bytes
-        length = self.request.headers.get("Content-Length", "0")
-        return refusals.too_large(limit) if int(length) > limit else None
+        length = self.request.headers.get("Content-Length", "0").split(",")[0].strip()
+        return refusals.too_large(limit) if length.isdigit() and int(length) > limit else None
 
     def http_connection(self) -> tornado.http1connection.HTTP1Connection:
         """Returns the caller's connection."""
--- a/basilpost/gateway/context.py
+++ b/basilpost/gateway/context.py
@@ -3,7 +3,6 @@
 import dataclasses
 from typing import Any
 
-import prometheus_client
 import tornado.web
 
 from basilpost.core import failure
@@ -26,7 +25,6 @@
     dispatcher: dispatch.Dispatcher
     filings: filings_.Filings
     meters: meters.Meters
-    registry: prometheus_client.CollectorRegistry
     keys: callers.KeyIndex = dataclasses.field(default_factory=callers.KeyIndex)
     ready: bool = False
     draining: bool = False
--- a/basilpost/gateway/dispatch.py
+++ b/basilpost/gateway/dispatch.py
@@ -20,6 +20,15 @@
 _MAX_CONNECT_ATTEMPTS = 6
 _MAX_ANSWER_BYTES = 16_000_000
 _TRUE = "1"
+_PASSED_HEADERS = (
+    "Content-Type",
+    "Content-Disposition",
+    "Content-Language",
+    "Cache-Control",
+    "ETag",
+    "Last-Modified",
+    "Location",
+)
 _COLD_HEADER = "Basilpost-Cold"
 
 
@@ -271,7 +280,9 @@
         return TryElsewhere(reason=body.reason, crashed=True)
     return Answered(
         status=head.status,
-        headers=(("Content-Type", head.headers.get("Content-Type", "application/octet-stream")),),
+        headers=tuple(
+            (name, head.headers[name]) for name in _PASSED_HEADERS if name in head.headers
+        ),
         body=body,
         target=opened.choice.group.group_id,
     )
--- a/basilpost/gateway/pages.py
+++ b/basilpost/gateway/pages.py
@@ -1,6 +1,4 @@
-"""The gateway's pages that need no target: health, readiness, metrics and the list of models."""
-
-import prometheus_client
+"""The gateway's pages that need no target: health, readiness and the list of models."""
 
 from basilpost.core import failure
 from basilpost.gateway import callers, context, refusals
@@ -31,15 +29,6 @@
             self.write({"ready": True})
 
 
-class MetricsHandler(context.PlainHandler):
-    """Serves the node's metrics."""
-
-    def get(self) -> None:
-        """Answers in the Prometheus text format."""
-        self.set_header("Content-Type", prometheus_client.CONTENT_TYPE_LATEST)
-        self.write(prometheus_client.generate_latest(self.context.registry))
-
-
 class NoRouteHandler(context.PlainHandler):
     """Answers paths that do not exist."""
 
--- a/basilpost/gateway/routes.py
+++ b/basilpost/gateway/routes.py
@@ -12,7 +12,6 @@
         [
             (r"/healthz", pages.AliveHandler, shared),
             (r"/readyz", pages.ReadyHandler, shared),
-            (r"/metrics", pages.MetricsHandler, shared),
             (r"/v1/models", pages.ModelsHandler, shared),
             (r"/v1/chat/completions", completions.CompletionHandler, shared),
             (r"/services/([A-Za-z0-9._-]+)/(.*)", services.ServiceHandler, shared),
--- a/basilpost/gateway/server.py
+++ b/basilpost/gateway/server.py
@@ -88,8 +88,7 @@
 
     def _context(self, upstreams: upstream.Upstreams) -> context.Context:
         find = self._kernel.find
-        registry = self._kernel.registry
-        counters = meters.Meters(registry=registry)
+        counters = meters.Meters(registry=self._kernel.registry)
         dispatcher = dispatch.Dispatcher(kernel=self._kernel, upstreams=upstreams, meters=counters)
         book = find(names.LEDGER, ledger.Ledger)
         shared = context.Context(
@@ -105,7 +104,6 @@
                 witnesses=self._witnesses,
             ),
             meters=counters,
-            registry=registry,
         )
         counters.in_flight.set_function(lambda: shared.in_flight)
         counters.body_bytes.set_function(lambda: shared.body_bytes)
--- a/basilpost/gateway/server_test.py
+++ b/basilpost/gateway/server_test.py
@@ -416,3 +416,8 @@
     unanswered = {type(one) for one in answers if isinstance(one, Exception)}
     assert unanswered <= {ConnectionRefusedError, ConnectionResetError}
     assert {one.code for one in answers if not isinstance(one, Exception)} <= {200, 503}
+
+
+async def test_callers_do_not_get_metrics(bench):
+    await bench.start(Script())
+    assert (await bench.call("/metrics", method="GET")).code == 404
