--- a/basilpost/gateway/callers.py
+++ b/basilpost/gateway/callers.py
@@ -13,7 +13,7 @@
 from basilpost.gateway import refusals
 
 _SAFE_ID = re.compile(r"[A-Za-z0-9._-]{1,64}")
-_SAFE_KEY = re.compile(r"[\x21-\x7e]{1,200}")
+_SAFE_KEY = re.compile(r"[\x21-\x7e]{1,256}")
 _PREFIX_BYTES = 1024
 _MAX_DEADLINE_SECONDS = 3600.0
 
@@ -86,7 +86,7 @@
     """Returns the idempotency key, empty if the caller gave none."""
     key = headers.get(names.IDEMPOTENCY_HEADER, "")
     if key and not _SAFE_KEY.fullmatch(key):
-        return refusals.bad_header(names.IDEMPOTENCY_HEADER, "1 to 200 visible ASCII characters")
+        return refusals.bad_header(names.IDEMPOTENCY_HEADER, "1 to 256 visible ASCII characters")
     return key
 
 
