--- a/tests/faults_history_test.py
+++ b/tests/faults_history_test.py
@@ -22,20 +22,20 @@
 ADMIN_TOKEN = "test-admin"
 ALLOWED_SECONDS = 5.0
 
-pytestmark = pytest.mark.processes
+pytestmark = [pytest.mark.processes, pytest.mark.timeout(180)]
 
 
 @pytest.fixture
-async def bench(tmp_path):
+async def bench(tmp_path, request):
     bench = processes.Bench(folder=tmp_path)
     try:
-        await start(bench)
+        await start(bench, nodes=getattr(request, "param", 3))
         yield bench
     finally:
         await bench.stop()
 
 
-async def start(bench):
+async def start(bench, *, nodes):
     await bench.start_platform()
     await asyncio.gather(
         *(bench.start_runners(domain, 2, *RUNNER) for domain in "abc"),
@@ -43,7 +43,7 @@
     )
     await bench.configure(DRAFTS, LICENCES, processes.workspace())
     await bench.start_nodes(
-        {"node-1": "a", "node-2": "b", "node-3": "c"},
+        {f"node-{number + 1}": "abc"[number % 3] for number in range(nodes)},
         admin_token_digest=hashing.key_digest(ADMIN_TOKEN),
     )
     await processes.eventually(lambda: serves(bench))
@@ -145,8 +145,9 @@
     assert any(not one.succeeded for one in filings)
 
 
+@pytest.mark.parametrize("bench", [7], indirect=True)
 async def test_nodes_replaced_one_after_another_cut_no_request(bench):
-    running = load(bench, seconds=14.0, seed=4)
+    running = load(bench, seconds=28.0, seed=4)
     for node in list(bench.nodes_by_id):
         await asyncio.sleep(1.5)
         assert await bench.nodes_by_id[node].stop(signal.SIGTERM) == 0
--- a/tests/whole_path_test.py
+++ b/tests/whole_path_test.py
@@ -32,7 +32,7 @@
     routes=(data.Route(method="GET", idempotent=True),),
 )
 
-pytestmark = pytest.mark.processes
+pytestmark = [pytest.mark.processes, pytest.mark.timeout(180)]
 
 
 @pytest.fixture
