The only node there is vouches by itself

Cause: a node without peers said 'unknown' of every filing that it refused without the ledger, for want of a witness to ask. Ruled out: taking 'hears nobody' for 'there is nobody'; an isolated node must not say not run. Change: a node that knows no other node from its settings or from the store trusts its own memory.

--- a/basilpost/gateway/server.py
+++ b/basilpost/gateway/server.py
@@ -8,7 +8,7 @@
 from basilpost.core import clock, kernel, names, tasks
 from basilpost.gateway import context, dispatch, meters, routes, upstream
 from basilpost.gateway import filings as filings_
-from basilpost.members import directory, peers, standing
+from basilpost.members import directory, peers, replica, standing
 from basilpost.routing import policy
 from basilpost.runs import ledger, witnesses
 from basilpost.settings import schema
@@ -28,7 +28,8 @@
         self._tasks = tasks.TaskSet(log=kernel.log)
         # Peers drop a stream that brings an unknown message, so the types are known from the start.
         network = kernel.find(names.PEERS, peers.PeerNetwork)
-        self._witnesses = witnesses.Witnesses(network=network)
+        self._replica = kernel.find(names.REPLICA, replica.Replica)
+        self._witnesses = witnesses.Witnesses(network=network, only_node=self._only_node)
         self._server: tornado.httpserver.HTTPServer | None = None
         self.context: context.Context | None = None
         self.port = 0
@@ -86,6 +87,11 @@
             await self._server.close_all_connections()
         await self._tasks.close()
 
+    def _only_node(self) -> bool:
+        """Returns True if neither the settings nor the store name another node."""
+        listed = self._replica.items(names.NODE_PREFIX)
+        return not self._settings.peers.seeds and len(listed) <= 1
+
     def _context(self, upstreams: upstream.Upstreams) -> context.Context:
         find = self._kernel.find
         counters = meters.Meters(registry=self._kernel.registry)
--- a/basilpost/gateway/server_test.py
+++ b/basilpost/gateway/server_test.py
@@ -137,12 +137,14 @@
                 "editors": data.Workspace(name="editors", key_digests=(hashing.key_digest("key"),))
             },
         )
+        seeds = (schema.Peer(node_id="node-2", address="127.0.0.1:1"),)
         gateway = schema.Gateway(max_body_bytes=1000, upload_seconds=1.0, drain_grace_seconds=0.05)
         settings = schema.NodeSettings(
             node_id="node-1",
             failure_domain="a",
             platform=schema.Platform(object_api="http://unused", vm_list="http://unused"),
             gateway=gateway,
+            peers=schema.PeerStreams(seeds=seeds),
         )
         node.register(names.SETTINGS, settings)
         node.register(names.DIRECTORY, member_fakes.FakeDirectory(config=config, groups=groups))
@@ -157,6 +159,7 @@
         ]
         witnesses.Witnesses(network=self.peers[1])
         node.register(names.PEERS, self.peers[0])
+        node.register(names.REPLICA, member_fakes.FakeReplica())
         self.gateway = server.Gateway(kernel=node)
         await self.gateway.start()
 
--- a/basilpost/runs/witnesses.py
+++ b/basilpost/runs/witnesses.py
@@ -9,6 +9,7 @@
 import asyncio
 import collections
 import dataclasses
+from collections.abc import Callable
 
 from basilpost.core import clock, failure, hashing
 from basilpost.members import peers
@@ -43,10 +44,17 @@
 
 
 class Witnesses:
-    """A node's memory of keys, and its questions to the others."""
+    """A node's memory of keys, and its questions to the others.
 
-    def __init__(self, *, network: peers.PeerNetwork) -> None:
+    `only_node` returns True while no other node is known at all, which is not the same as hearing none:
+    then this node's own memory is all there is.
+    """
+
+    def __init__(
+        self, *, network: peers.PeerNetwork, only_node: Callable[[], bool] = lambda: False
+    ) -> None:
         self._network = network
+        self._only_node = only_node
         self._seen_at_by_hash: collections.OrderedDict[str, float] = collections.OrderedDict()
         network.handle(MayHaveRun, self._on_may_have_run)
         network.handle(WasSeen, self._on_was_seen, reply=Seen)
@@ -68,6 +76,8 @@
         key_hash = _hash_of(call)
         if key_hash in self._seen_at_by_hash:
             return dataclasses.replace(refusal, outcome=failure.Outcome.UNKNOWN)
+        if self._only_node():
+            return refusal
         asked = self._others(key_hash, _ASKED)
         question = WasSeen(key_hash=key_hash)
         answers = await asyncio.gather(
--- a/basilpost/runs/witnesses_test.py
+++ b/basilpost/runs/witnesses_test.py
@@ -51,3 +51,12 @@
     hub, nodes = cluster
     hub.cut |= {frozenset(("n0", f"n{number}")) for number in range(1, 5)}
     assert (await nodes[0].vouch(call("k"), REFUSAL)).outcome is failure.Outcome.UNKNOWN
+
+
+@pytest.mark.looptime
+async def test_the_only_node_there_is_knows_by_itself():
+    network = fakes.FakePeers(node_id="n0", hub=fakes.PeerHub())
+    alone = witnesses.Witnesses(network=network, only_node=lambda: True)
+    assert await alone.vouch(call("k"), REFUSAL) == REFUSAL
+    alone.note(call("k"))
+    assert (await alone.vouch(call("k"), REFUSAL)).outcome is failure.Outcome.UNKNOWN
