A drain ends in an outage of the store

Cause: reading through: a planned stop waited for answers to be recorded without end, which an outage of the store prevents. Ruled out: not waiting at all; the answer of a filing would be lost for its repeat. Change: the wait is bounded by drain_seconds, and what is left unrecorded is logged.

--- a/basilpost/gateway/filings.py
+++ b/basilpost/gateway/filings.py
@@ -74,10 +74,14 @@
             return refusal
         return await self._witnesses.vouch(call, refusal)
 
-    async def settle(self) -> None:
-        """Waits until all running requests have ended and are recorded."""
-        while self._running:
-            await asyncio.wait(set(self._running))
+    async def settle(self, give_up_at: float) -> int:
+        """Waits until all running requests have ended and are recorded, or until some time.
+
+        In an outage of the store answers cannot be recorded; returns how many are left.
+        """
+        while self._running and (left := give_up_at - clock.monotonic()) > 0:
+            await asyncio.wait(set(self._running), timeout=left)
+        return len(self._running)
 
     def _spawn(self, coroutine: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
         task = asyncio.create_task(coroutine)
--- a/basilpost/gateway/server.py
+++ b/basilpost/gateway/server.py
@@ -71,8 +71,8 @@
             self._server.stop()
         await asyncio.sleep(_LINGER_SECONDS)
         await self._idle(give_up_at)
-        await self.context.filings.settle()
-        self._kernel.log.info("gateway_drained", cut=self.context.in_flight)
+        unrecorded = await self.context.filings.settle(give_up_at)
+        self._kernel.log.info("gateway_drained", cut=self.context.in_flight, unrecorded=unrecorded)
 
     async def _idle(self, give_up_at: float) -> None:
         """Waits until no request is in flight, or until some time."""
--- a/basilpost/gateway/server_test.py
+++ b/basilpost/gateway/server_test.py
@@ -138,7 +138,9 @@
             },
         )
         seeds = (schema.Peer(node_id="node-2", address="127.0.0.1:1"),)
-        gateway = schema.Gateway(max_body_bytes=1000, upload_seconds=1.0, drain_grace_seconds=0.05)
+        gateway = schema.Gateway(
+            max_body_bytes=1000, upload_seconds=1.0, drain_grace_seconds=0.05, drain_seconds=3.0
+        )
         settings = schema.NodeSettings(
             node_id="node-1",
             failure_domain="a",
@@ -424,3 +426,14 @@
 async def test_callers_do_not_get_metrics(bench):
     await bench.start(Script())
     assert (await bench.call("/metrics", method="GET")).code == 404
+
+
+async def test_a_drain_ends_in_an_outage_of_the_store(bench):
+    await bench.start(Script())
+
+    async def never(claim, answer):
+        await asyncio.Event().wait()
+
+    bench.ledger.finish = never
+    assert (await bench.call("/services/licences/filings", Idempotency_Key="k-1")).code == 200
+    await asyncio.wait_for(bench.gateway.drain(), 30)
