The whole path on the users' platform, thin: adapter, pool controller, relay

Cause: nothing of basilpost ran on the platform. Ruled out: routing through the OpenAI gateway (it parses bodies and knows no routes).

Also: server_test gave all calls of a drain one key, so overlapping calls got the ledger's 409 on a faster machine; each call has its own key now, and the allowed answers stay {200, 503}.

--- a/basilpost/core/clock.py
+++ b/basilpost/core/clock.py
@@ -1,11 +1,13 @@
 """Reads the clocks of the runtime.
 
-Durations are always measured on the event loop's clock, which tests pause and advance; the wall
-clock only dates entries that people read.
+Durations are measured on the event loop's clock, which tests pause and advance. Leases and the
+freshness of what a node knows are measured on a clock that also counts the time in which the
+machine was suspended. The wall clock only dates entries that people read.
 """
 
 import asyncio
 import datetime
+import time
 
 
 def monotonic() -> float:
@@ -13,6 +15,11 @@
     return asyncio.get_running_loop().time()
 
 
+def elapsed() -> float:
+    """Returns seconds on a clock that goes on while the machine is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 def utc_now() -> str:
     """Returns the wall clock's time as ISO 8601 text in UTC, for audit entries and logs."""
     return datetime.datetime.now(datetime.UTC).isoformat(timespec="milliseconds")
--- /dev/null
+++ b/basilpost/gateway/inbound.py
@@ -0,0 +1,148 @@
+"""Callers' requests and the answers to them, on tornado's HTTP server connections."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import tornado.http1connection
+import tornado.httputil
+import tornado.iostream
+
+from basilpost.core import clock
+
+Handler = Callable[["Request", "Reply"], Coroutine[Any, Any, None]]
+_NO_BODY_STATUSES = frozenset({204, 304})
+
+
+class Request(tornado.httputil.HTTPMessageDelegate):
+    """One request as it comes in; the handler is started once it is whole.
+
+    Attributes:
+        method: HTTP method.
+        target: Path and query as sent.
+        headers: All headers.
+        body: The whole body.
+        received_at: When its head came, on `clock.elapsed`.
+    """
+
+    def __init__(
+        self,
+        *,
+        connection: tornado.httputil.HTTPConnection,
+        handler: Handler,
+        spawn: Callable[[Coroutine[Any, Any, None]], "asyncio.Task[None]"],
+    ) -> None:
+        assert isinstance(connection, tornado.http1connection.HTTP1Connection)
+        self._connection = connection
+        self._handler = handler
+        self._spawn = spawn
+        self._pieces: list[bytes] = []
+        self._task: asyncio.Task[None] | None = None
+        self.method = ""
+        self.target = ""
+        self.headers = tornado.httputil.HTTPHeaders()
+        self.body = b""
+        self.received_at = 0.0
+
+    @property
+    def path(self) -> str:
+        """Returns the path without the query."""
+        return self.target.partition("?")[0]
+
+    def headers_received(
+        self,
+        start_line: tornado.httputil.RequestStartLine | tornado.httputil.ResponseStartLine,
+        headers: tornado.httputil.HTTPHeaders,
+    ) -> None:
+        """Takes in the head; part of the library's delegate interface."""
+        assert isinstance(start_line, tornado.httputil.RequestStartLine)
+        self.method, self.target = start_line.method, start_line.path
+        self.headers = headers
+        self.received_at = clock.elapsed()
+
+    def data_received(self, chunk: bytes) -> None:
+        """Takes in a piece of the body."""
+        self._pieces.append(chunk)
+
+    def finish(self) -> None:
+        """Starts the handler."""
+        self.body = b"".join(self._pieces)
+        self._pieces.clear()
+        reply = Reply(connection=self._connection, method=self.method)
+        self._task = self._spawn(self._handler(self, reply))
+
+    def on_connection_close(self) -> None:
+        """Cancels the handler: nobody waits for the answer any more."""
+        if self._task is not None:
+            self._task.cancel()
+
+
+class Reply:
+    """The answer to one request.
+
+    Attributes:
+        started: True once a byte of it was written.
+    """
+
+    def __init__(
+        self, *, connection: tornado.http1connection.HTTP1Connection, method: str
+    ) -> None:
+        self._connection = connection
+        self._method = method
+        self.started = False
+
+    def whole(
+        self, status: int, reason: str, headers: tornado.httputil.HTTPHeaders, body: bytes
+    ) -> None:
+        """Sends a whole answer."""
+        bare = self._method == "HEAD" or status in _NO_BODY_STATUSES
+        if not bare:
+            headers["Content-Length"] = str(len(body))
+        self._write_head(status, reason, headers, None if bare else body)
+        self._finish()
+
+    def begin(self, status: int, reason: str, headers: tornado.httputil.HTTPHeaders) -> None:
+        """Sends the head of an answer whose body follows in pieces."""
+        if "Content-Length" in headers:
+            del headers["Content-Length"]
+        self._write_head(status, reason, headers, None)
+
+    def piece(self, data: bytes) -> None:
+        """Sends a piece of the body."""
+        try:
+            _mark_seen(self._connection.write(data))
+        except tornado.iostream.StreamClosedError:
+            self.abort()
+
+    def end(self) -> None:
+        """Ends an answer in pieces as complete."""
+        self._finish()
+
+    def abort(self) -> None:
+        """Closes the connection, so that an answer which began does not look complete."""
+        self._connection.close()
+
+    def _write_head(
+        self,
+        status: int,
+        reason: str,
+        headers: tornado.httputil.HTTPHeaders,
+        body: bytes | None,
+    ) -> None:
+        self.started = True
+        line = tornado.httputil.ResponseStartLine("HTTP/1.1", status, reason)
+        try:
+            _mark_seen(self._connection.write_headers(line, headers, body))
+        except tornado.iostream.StreamClosedError:
+            self.abort()
+
+    def _finish(self) -> None:
+        try:
+            self._connection.finish()
+        except tornado.iostream.StreamClosedError:
+            self.abort()
+
+
+def _mark_seen(writing: "asyncio.Future[None]") -> None:
+    """Takes the error of a failed write; the closed connection cancels the handler."""
+    writing.add_done_callback(lambda done: done.cancelled() or done.exception())
--- a/basilpost/gateway/server_test.py
+++ b/basilpost/gateway/server_test.py
@@ -414,7 +414,9 @@
     drain = asyncio.create_task(bench.gateway.drain())
     calls = []
     while not drain.done():
-        calls.append(asyncio.create_task(bench.call("/services/licences/x", Idempotency_Key="k")))
+        # A key for each call: two calls of one key that overlap are rightly answered 409.
+        key = f"k-{len(calls)}"
+        calls.append(asyncio.create_task(bench.call("/services/licences/x", Idempotency_Key=key)))
         await asyncio.sleep(0.002)
     await bench.gateway.stop()
     answers = await asyncio.gather(*calls, return_exceptions=True)
--- /dev/null
+++ b/basilpost/groups/assembled.py
@@ -0,0 +1,87 @@
+"""Groups as their members report them.
+
+Nothing else records which group a VM is in: a new controller sees from the reports what the last one
+had formed, and every node sees from them where requests may go.
+"""
+
+import dataclasses
+import itertools
+from collections.abc import Iterable
+
+from basilpost.core import catalog
+
+_SEPARATOR = "--"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Assembled:
+    """The VMs that report the same group and epoch.
+
+    Attributes:
+        name: Name of the group.
+        epoch: Its epoch.
+        model: The model it was formed for, None if no service has it.
+        members: Its VMs by rank.
+    """
+
+    name: str
+    epoch: int
+    model: catalog.Model | None
+    members: tuple[catalog.Vm, ...]
+
+    @property
+    def head(self) -> catalog.Vm | None:
+        """Returns the member that takes requests, None if it is gone."""
+        first = self.members[0]
+        return first if first.member is not None and first.member.rank == 0 else None
+
+    @property
+    def state(self) -> catalog.MemberState | None:
+        """Returns the state of the head, None if it is gone."""
+        head = self.head
+        return head.member.state if head is not None and head.member is not None else None
+
+    @property
+    def complete(self) -> bool:
+        """Returns True if each rank is taken by one VM."""
+        if self.model is None:
+            return False
+        ranks = [vm.member.rank for vm in self.members if vm.member is not None]
+        return ranks == list(range(self.model.vms))
+
+    @property
+    def leaving(self) -> bool:
+        """Returns True if a member has said that it will stop."""
+        return any(vm.leaving for vm in self.members)
+
+
+def group_name(model: str, epoch: int) -> str:
+    """Returns the name of a new group."""
+    return f"{model}{_SEPARATOR}{epoch}"
+
+
+def model_of(name: str) -> str:
+    """Returns the model that a group was formed for, by its name."""
+    return name.rpartition(_SEPARATOR)[0]
+
+
+def assemble(
+    vms: Iterable[catalog.Vm], models_by_name: dict[str, catalog.Model]
+) -> tuple[Assembled, ...]:
+    """Returns the groups that VMs report, ordered by name."""
+    members = sorted((vm for vm in vms if vm.member is not None), key=_place)
+    grouped = itertools.groupby(members, key=lambda vm: _place(vm)[:2])
+    return tuple(
+        Assembled(
+            name=name,
+            epoch=epoch,
+            model=models_by_name.get(model_of(name)),
+            members=tuple(found),
+        )
+        for (name, epoch), found in grouped
+    )
+
+
+def _place(vm: catalog.Vm) -> tuple[str, int, int, str]:
+    assert vm.member is not None
+    return vm.member.group, vm.member.epoch, vm.member.rank, vm.vm_id
--- /dev/null
+++ b/basilpost/groups/orders.py
@@ -0,0 +1,71 @@
+"""The interface to the engines of a pool: the orders that form and end groups."""
+
+import abc
+import dataclasses
+import enum
+
+from basilpost.core import catalog, failure
+
+
+class Kind(enum.Enum):
+    """What a VM is ordered to do."""
+
+    JOIN = "join"
+    OPEN = "open"
+    CLOSE = "close"
+    LEAVE = "leave"
+    STAGE = "stage"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Order:
+    """An order to the runner of one VM.
+
+    Attributes:
+        kind: What to do.
+        vm: The VM.
+        group: Name of the group; empty for STAGE.
+        epoch: The group's epoch, which never repeats and only rises.
+        model: Model to load, for JOIN and STAGE.
+        members: Ids of all members, the head first, for JOIN.
+        at_once: For CLOSE: True cuts the work in progress, False lets it finish.
+    """
+
+    kind: Kind
+    vm: catalog.Vm
+    group: str = ""
+    epoch: int = 0
+    model: str = ""
+    members: tuple[str, ...] = ()
+    at_once: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Accepted:
+    """The order has begun, or its result already holds."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Unfit(failure.Failure):
+    """The order does not fit the runner's state."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Outdated(failure.Failure):
+    """The runner has seen a higher fencing number or epoch."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Unanswered(failure.Failure):
+    """No answer came: the order may have been taken, or may be carried out later."""
+
+
+Result = Accepted | Unfit | Outdated | Unanswered
+
+
+class Engines(abc.ABC):
+    """Gives orders to runners."""
+
+    @abc.abstractmethod
+    async def give(self, order: Order, *, fence: int, timeout: float) -> Result:
+        """Gives one order with a fencing number."""
--- /dev/null
+++ b/basilpost/groups/pool.py
@@ -0,0 +1,388 @@
+"""Decides the next orders for the VMs of one service, from what they report.
+
+Pure functions, called again after each change: an order whose effect does not show is given again,
+and one whose effect shows is not. What keeps the promises:
+
+- A VM joins a group only when it reports to be in none, and a head leaves its group before any other
+  member does. So no VM is in two groups, whatever orders are still on their way: an order names one
+  group and epoch, and epochs never repeat.
+- A group is opened only when every member has reported to be ready in it.
+
+The load pattern it answers: VMs that vanish one after another. Survivors keep their weights and are
+joined with a spare of the same fabric domain that has the weights on its host.
+"""
+
+import dataclasses
+import itertools
+from collections.abc import Iterable
+
+from basilpost.core import catalog
+from basilpost.groups import assembled, orders
+
+# An order without a visible effect is given again after this time; engines report effects at once.
+REPEAT_SECONDS = 1.0
+# A group whose members are not all ready after this many times the load time is given up.
+FORMING_FACTOR = 3.0
+FORMING_EXTRA_SECONDS = 4.0
+# Free VMs wait this long for partners with the same weights, before others are loaded on them.
+PATIENCE_SECONDS = 4.0
+# VMs of a domain that start together report within a heartbeat of each other; until then only the
+# model that takes most of them is formed of VMs without its weights.
+SETTLE_SECONDS = 1.5
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class View:
+    """What the decision rests on.
+
+    Attributes:
+        now: Time on the controller's clock.
+        vms: All live VMs of the service.
+        models: Its models.
+        work_by_model: Share of the work that each model gets at present.
+        next_epoch: First epoch that no group has had.
+        loads_left: Loads from the weight store that may begin now.
+    """
+
+    now: float
+    vms: tuple[catalog.Vm, ...]
+    models: tuple[catalog.Model, ...]
+    work_by_model: dict[str, float]
+    next_epoch: int
+    loads_left: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Given:
+    """The last order to a VM, and when it was given."""
+
+    order: orders.Order
+    at: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Memory:
+    """What the controller remembers between decisions.
+
+    Attributes:
+        given_by_vm: The last order to each lifetime of a VM.
+        forming_by_group: Members of the groups it is forming, by group name.
+        formed_at_by_group: When it began to form them.
+        free_since_by_vm: Since when each lifetime of a VM is in no group.
+    """
+
+    given_by_vm: dict[str, Given] = dataclasses.field(default_factory=dict)
+    forming_by_group: dict[str, tuple[catalog.Vm, ...]] = dataclasses.field(default_factory=dict)
+    formed_at_by_group: dict[str, float] = dataclasses.field(default_factory=dict)
+    free_since_by_vm: dict[str, float] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Decision:
+    """The orders to give now, and the memory to keep."""
+
+    orders: tuple[orders.Order, ...]
+    memory: Memory
+    epochs_used: int
+    loads_used: int
+
+
+def decide(view: View, memory: Memory) -> Decision:
+    """Returns the orders that are due."""
+    models_by_name = {model.name: model for model in view.models}
+    groups = assembled.assemble(view.vms, models_by_name)
+    memory = _kept(view, memory)
+    due = list(_changes(view, groups, memory))
+    busy = {lifetime(vm) for members in memory.forming_by_group.values() for vm in members}
+    free = [vm for vm in view.vms if _is_free(vm, busy)]
+    formed = _formed(view, groups, free, memory)
+    joins = [
+        join
+        for name, members in itertools.chain(memory.forming_by_group.items(), formed.items())
+        for join in _joins(name, members)
+    ]
+    taken = {lifetime(vm) for members in formed.values() for vm in members}
+    left = [vm for vm in free if lifetime(vm) not in taken]
+    due += [join for join in joins if not _shows(view, join)]
+    due += _stages(view, [vm for vm in left if _free_for(view, memory, vm) >= SETTLE_SECONDS])
+    now_due, loads = _bounded([one for one in due if _is_due(view, memory, one)], view.loads_left)
+    memory = dataclasses.replace(
+        memory,
+        given_by_vm=memory.given_by_vm
+        | {lifetime(one.vm): Given(order=one, at=view.now) for one in now_due},
+        forming_by_group=memory.forming_by_group | formed,
+        formed_at_by_group=memory.formed_at_by_group | dict.fromkeys(formed, view.now),
+    )
+    return Decision(
+        orders=tuple(now_due), memory=memory, epochs_used=len(formed), loads_used=loads
+    )
+
+
+def lifetime(vm: catalog.Vm) -> str:
+    """Returns what names one lifetime of a VM's runner."""
+    return f"{vm.vm_id}@{vm.incarnation}"
+
+
+def _kept(view: View, memory: Memory) -> Memory:
+    """Drops what is about VMs that are gone and groups that are formed or given up."""
+    vms_by_lifetime = {lifetime(vm): vm for vm in view.vms}
+    forming = {
+        name: members
+        for name, members in memory.forming_by_group.items()
+        if _goes_on_forming(view, memory, name, members, vms_by_lifetime)
+    }
+    free = {key for key, vm in vms_by_lifetime.items() if vm.member is None}
+    return Memory(
+        given_by_vm={k: v for k, v in memory.given_by_vm.items() if k in vms_by_lifetime},
+        forming_by_group=forming,
+        formed_at_by_group={
+            name: at for name, at in memory.formed_at_by_group.items() if name in forming
+        },
+        free_since_by_vm={key: memory.free_since_by_vm.get(key, view.now) for key in free},
+    )
+
+
+def _goes_on_forming(
+    view: View,
+    memory: Memory,
+    name: str,
+    members: tuple[catalog.Vm, ...],
+    vms_by_lifetime: dict[str, catalog.Vm],
+) -> bool:
+    model = next((one for one in view.models if one.name == assembled.model_of(name)), None)
+    now = [vms_by_lifetime.get(lifetime(vm)) for vm in members]
+    if model is None or any(vm is None or vm.leaving for vm in now):
+        return False
+    if all(vm is not None and vm.member is not None and vm.member.group == name for vm in now):
+        return False
+    patience = model.load_seconds * FORMING_FACTOR + FORMING_EXTRA_SECONDS
+    return view.now - memory.formed_at_by_group[name] < patience
+
+
+def _changes(
+    view: View, groups: tuple[assembled.Assembled, ...], memory: Memory
+) -> Iterable[orders.Order]:
+    """Returns the orders that open, close and dissolve the groups that are there."""
+    for group in groups:
+        if group.name in memory.forming_by_group:
+            continue
+        if not group.complete or group.state is catalog.MemberState.BROKEN:
+            yield from _dissolution(group)
+        elif group.leaving:
+            yield from _closing(view, group)
+        elif group.state is catalog.MemberState.READY and _all_ready(group):
+            yield _order(orders.Kind.OPEN, group, group.members[0])
+        elif _stuck(view, group, memory):
+            yield from _dissolution(group)
+
+
+def _all_ready(group: assembled.Assembled) -> bool:
+    ready = (catalog.MemberState.READY, catalog.MemberState.OPEN)
+    return all(vm.member is not None and vm.member.state in ready for vm in group.members)
+
+
+def _stuck(view: View, group: assembled.Assembled, memory: Memory) -> bool:
+    """Returns True for a group with a member that reports to be broken."""
+    return any(
+        vm.member is not None and vm.member.state is catalog.MemberState.BROKEN
+        for vm in group.members
+    )
+
+
+def _dissolution(group: assembled.Assembled) -> Iterable[orders.Order]:
+    """The head leaves first; when it reports so, the others do."""
+    head = group.head
+    members = (head,) if head is not None else group.members
+    return [_order(orders.Kind.LEAVE, group, vm) for vm in members]
+
+
+def _closing(view: View, group: assembled.Assembled) -> Iterable[orders.Order]:
+    """Ends a group with a leaving member once its VMs can be used better."""
+    if group.state is catalog.MemberState.OPEN:
+        if not _has_replacement(view, group):
+            return []
+        return [_order(orders.Kind.CLOSE, group, group.members[0])]
+    if group.state is catalog.MemberState.CLOSING:
+        return []
+    return _dissolution(group)
+
+
+def _has_replacement(view: View, group: assembled.Assembled) -> bool:
+    domain = group.members[0].fabric_domain
+    needed = sum(vm.leaving for vm in group.members)
+    assert group.model is not None
+    spares = sum(
+        vm.fabric_domain == domain
+        and vm.member is None
+        and not vm.leaving
+        and group.model.name in vm.staged
+        for vm in view.vms
+    )
+    return spares >= needed
+
+
+def _is_free(vm: catalog.Vm, busy: set[str]) -> bool:
+    return vm.member is None and not vm.leaving and lifetime(vm) not in busy
+
+
+def _formed(
+    view: View,
+    groups: tuple[assembled.Assembled, ...],
+    free: list[catalog.Vm],
+    memory: Memory,
+) -> dict[str, tuple[catalog.Vm, ...]]:
+    """Returns new groups by name, the model that has least for its work first."""
+    capacity_by_model = _capacity(view, groups, memory)
+    free_by_domain = {
+        domain: sorted(vms, key=lambda vm: vm.vm_id)
+        for domain, vms in itertools.groupby(
+            sorted(free, key=lambda vm: vm.fabric_domain), key=lambda vm: vm.fabric_domain
+        )
+    }
+    formed: dict[str, tuple[catalog.Vm, ...]] = {}
+    loads_left = view.loads_left
+    while True:
+        options = [
+            (capacity_by_model[model.name] / max(0.01, view.work_by_model.get(model.name, 0.0)), -model.vms, domain, model)
+            for domain, vms in free_by_domain.items()
+            for model in view.models
+            if _can_form(view, memory, model, vms, loads_left)
+        ]
+        if not options:
+            return formed
+        _, _, domain, model = min(options, key=lambda option: option[:3])
+        members = _best(model, free_by_domain[domain])[: model.vms]
+        name = assembled.group_name(model.name, view.next_epoch + len(formed))
+        formed[name] = tuple(members)
+        loads_left -= sum(model.name not in vm.staged for vm in members)
+        capacity_by_model[model.name] += 1.0 / model.pace
+        free_by_domain[domain] = [vm for vm in free_by_domain[domain] if vm not in members]
+
+
+def _capacity(
+    view: View, groups: tuple[assembled.Assembled, ...], memory: Memory
+) -> dict[str, float]:
+    """Returns each model's capacity, counted in groups of pace 1, with those being formed."""
+    living = [group.model.name for group in groups if group.model is not None and group.complete]
+    coming = [assembled.model_of(name) for name in memory.forming_by_group]
+    return {
+        model.name: (living.count(model.name) + coming.count(model.name)) / model.pace
+        for model in view.models
+    }
+
+
+def _can_form(
+    view: View,
+    memory: Memory,
+    model: catalog.Model,
+    vms: list[catalog.Vm],
+    loads_left: int,
+) -> bool:
+    """Returns True if a domain's free VMs can form a group of a model now.
+
+    Weights of another model are thrown away only when no partner for them came for a while.
+    """
+    if len(vms) < model.vms:
+        return False
+    members = _best(model, vms)[: model.vms]
+    unstaged = [vm for vm in members if model.name not in vm.staged]
+    if len(unstaged) > loads_left:
+        return False
+    largest = model.vms == max(one.vms for one in view.models)
+    return all(
+        _free_for(view, memory, vm)
+        >= (PATIENCE_SECONDS if vm.staged else 0.0 if largest else SETTLE_SECONDS)
+        for vm in unstaged
+    )
+
+
+def _free_for(view: View, memory: Memory, vm: catalog.Vm) -> float:
+    """Returns the seconds for which a VM has been in no group."""
+    return view.now - memory.free_since_by_vm.get(lifetime(vm), view.now)
+
+
+def _best(model: catalog.Model, vms: list[catalog.Vm]) -> list[catalog.Vm]:
+    """Orders VMs by how soon they can serve a model."""
+    return sorted(
+        vms, key=lambda vm: (model.name not in vm.staged, bool(vm.staged), vm.cold_seconds > 0)
+    )
+
+
+def _joins(name: str, members: tuple[catalog.Vm, ...]) -> Iterable[orders.Order]:
+    ids = tuple(vm.vm_id for vm in members)
+    epoch = int(name.rpartition("--")[2])
+    return [
+        orders.Order(
+            kind=orders.Kind.JOIN,
+            vm=vm,
+            group=name,
+            epoch=epoch,
+            model=assembled.model_of(name),
+            members=ids,
+        )
+        for vm in members
+    ]
+
+
+def _shows(view: View, join: orders.Order) -> bool:
+    """Returns True if a VM reports the group that it was ordered to join."""
+    return any(
+        vm.vm_id == join.vm.vm_id and vm.member is not None and vm.member.group == join.group
+        for vm in view.vms
+    )
+
+
+def _stages(view: View, spares: list[catalog.Vm]) -> Iterable[orders.Order]:
+    """Loads weights on the hosts of spares: models that use most VMs first, by turns."""
+    by_size = sorted(view.models, key=lambda model: -model.vms)
+    for _, vms in itertools.groupby(
+        sorted(spares, key=lambda vm: (vm.fabric_domain, vm.vm_id)),
+        key=lambda vm: vm.fabric_domain,
+    ):
+        wanted = list(itertools.islice(itertools.cycle(model.name for model in by_size), 8))
+        blank = []
+        for vm in vms:
+            held = next((name for name in wanted if name in vm.staged), None)
+            if held is not None:
+                wanted.remove(held)
+            else:
+                blank.append(vm)
+        for vm, model in zip(blank, wanted, strict=False):
+            yield orders.Order(kind=orders.Kind.STAGE, vm=vm, model=model)
+
+
+def _order(kind: orders.Kind, group: assembled.Assembled, vm: catalog.Vm) -> orders.Order:
+    return orders.Order(kind=kind, vm=vm, group=group.name, epoch=group.epoch)
+
+
+def _is_due(view: View, memory: Memory, order: orders.Order) -> bool:
+    """Returns False while the same order was given a moment ago."""
+    given = memory.given_by_vm.get(lifetime(order.vm))
+    if given is None or _same(given.order, order) is False:
+        return True
+    wait = REPEAT_SECONDS
+    if order.kind is orders.Kind.STAGE:
+        model = next(one for one in view.models if one.name == order.model)
+        wait = model.load_seconds * FORMING_FACTOR
+    return view.now - given.at >= wait
+
+
+def _same(one: orders.Order, other: orders.Order) -> bool:
+    return (one.kind, one.group, one.model) == (other.kind, other.group, other.model)
+
+
+def _bounded(
+    due: list[orders.Order], loads_left: int
+) -> tuple[list[orders.Order], int]:
+    """Leaves out loads beyond the weight store's rate; joins come before stages."""
+    chosen: list[orders.Order] = []
+    loads = 0
+    for order in due:
+        loading = order.kind in (orders.Kind.JOIN, orders.Kind.STAGE) and (
+            order.model not in order.vm.staged
+        )
+        if loading and loads >= loads_left:
+            continue
+        loads += loading
+        chosen.append(order)
+    return chosen, loads
--- /dev/null
+++ b/basilpost/groups/supply.py
@@ -0,0 +1,180 @@
+"""Keeps the VMs of all model services in groups, on the node that holds the lease.
+
+The decisions are those of `pool`; here they get their inputs, and their orders are given.
+"""
+
+import asyncio
+import collections
+import math
+import random
+
+import prometheus_client
+
+from basilpost.core import catalog, clock, kernel, names, tasks
+from basilpost.groups import lease as leases
+from basilpost.groups import orders, pool
+from basilpost.members import knowledge as knowledges
+from basilpost.store import objects
+
+LEASE_KEY = "basilpost-leases/pool"
+# A holder that renews once a second may miss two renewals.
+LEASE_SECONDS = 3.0
+RENEW_SECONDS = 1.0
+OBSERVE_SECONDS = 0.7
+STORE_TIMEOUT_SECONDS = 0.6
+# Orders are answered within some milliseconds by a runner that is there.
+ORDER_TIMEOUT_SECONDS = 0.6
+# Interval of decisions without a change; changes are acted on at once.
+DECIDE_SECONDS = 0.25
+# Span over which the rate of the weight store is kept.
+LOAD_WINDOW_SECONDS = 5.0
+# Epochs of one holder begin at its fencing number times this.
+EPOCHS_PER_FENCE = 10_000
+# Loads that begin in the lead time of a new system are not limited.
+UNLIMITED_LOADS = 1_000_000
+
+
+class Controller(kernel.Service):
+    """Holds or watches the lease; the holder decides and gives orders.
+
+    Args:
+        kernel: The node's kernel.
+        incarnation: Id of this process.
+        lead_seconds: Time after the start in which loads are not limited; 0 on a restart.
+    """
+
+    def __init__(self, *, kernel: kernel.Kernel, incarnation: str, lead_seconds: float) -> None:
+        self._log = kernel.log
+        self._store = kernel.find(names.OBJECTS, objects.ObjectStore)
+        self._knowledge = kernel.find(names.KNOWLEDGE, knowledges.Knowledge)
+        self._engines = kernel.find(names.POOL_ENGINES, orders.Engines)  # type: ignore[type-abstract]
+        self._tasks = tasks.TaskSet(log=kernel.log)
+        self._lease = leases.Lease(
+            key=LEASE_KEY,
+            node_id=kernel.node_id,
+            incarnation=incarnation,
+            seconds=LEASE_SECONDS,
+        )
+        self._lead_until = clock.elapsed() + lead_seconds
+        self._changed = asyncio.Event()
+        self._memory_by_service: dict[str, pool.Memory] = {}
+        self._epochs_used = 0
+        self._loads_at: collections.deque[float] = collections.deque()
+        self._orders = prometheus_client.Counter(
+            "basilpost_pool_orders_total",
+            "Orders to runners by kind and result",
+            ["kind", "result"],
+            registry=kernel.registry,
+        )
+        self._knowledge.subscribe(self._changed.set)
+
+    async def start(self) -> None:
+        """Begins to watch the lease."""
+        self._tasks.spawn(self._run(), name="pool-controller")
+
+    async def stop(self) -> None:
+        """Gives the lease up and ends."""
+        await self._tasks.close()
+        await self._lease.release(self._store, timeout=STORE_TIMEOUT_SECONDS)
+
+    @property
+    def holds(self) -> bool:
+        """Returns True while this node is the controller."""
+        return self._lease.held
+
+    async def _run(self) -> None:
+        await asyncio.sleep(random.uniform(0.0, 0.2))
+        while True:
+            if await self._lease.observe(self._store, timeout=STORE_TIMEOUT_SECONDS):
+                if await self._lease.take(self._store, timeout=STORE_TIMEOUT_SECONDS):
+                    await self._serve()
+                    continue
+            await asyncio.sleep(OBSERVE_SECONDS * random.uniform(0.8, 1.2))
+
+    async def _serve(self) -> None:
+        """Acts as the controller until the lease is lost."""
+        self._log.info("pool_control_gained", fence=self._lease.fence)
+        self._memory_by_service.clear()
+        self._epochs_used = 0
+        self._knowledge.controls = True
+        fence = self._lease.fence
+        renewing = self._tasks.spawn(self._renew(), name="pool-lease")
+        try:
+            while self._lease.held and self._lease.fence == fence:
+                self._changed.clear()
+                if self._knowledge.vms_age() < LEASE_SECONDS:
+                    self._decide()
+                try:
+                    async with asyncio.timeout(DECIDE_SECONDS):
+                        await self._changed.wait()
+                except TimeoutError:
+                    continue
+        finally:
+            renewing.cancel()
+            self._knowledge.controls = False
+            self._log.info("pool_control_lost", fence=fence)
+            self._lease.drop()
+
+    async def _renew(self) -> None:
+        renewal = 0
+        while True:
+            await asyncio.sleep(RENEW_SECONDS)
+            renewal += 1
+            if not await self._lease.renew(
+                self._store, renewal=renewal, timeout=STORE_TIMEOUT_SECONDS
+            ):
+                return
+
+    def _decide(self) -> None:
+        configuration = self._knowledge.configuration
+        if configuration is None:
+            return
+        for service in configuration.services_by_name.values():
+            if service.engine is not None:
+                self._decide_for(service.name, service.engine)
+
+    def _decide_for(self, service: str, engine: catalog.Engine) -> None:
+        vms = tuple(
+            seen.vm for seen in self._knowledge.vms_by_id.values() if seen.vm.service == service
+        )
+        view = pool.View(
+            now=clock.elapsed(),
+            vms=vms,
+            models=engine.models,
+            work_by_model={model.name: model.work_share for model in engine.models},
+            next_epoch=self._lease.fence * EPOCHS_PER_FENCE + self._epochs_used,
+            loads_left=self._loads_left(engine.loads_per_second),
+        )
+        memory = self._memory_by_service.get(service, pool.Memory())
+        decision = pool.decide(view, memory)
+        self._memory_by_service[service] = decision.memory
+        self._epochs_used += decision.epochs_used
+        self._loads_at.extend([view.now] * decision.loads_used)
+        for order in decision.orders:
+            self._tasks.spawn(self._give(order, self._lease.fence), name="pool-order")
+
+    def _loads_left(self, loads_per_second: float) -> int:
+        now = clock.elapsed()
+        while self._loads_at and now - self._loads_at[0] > LOAD_WINDOW_SECONDS:
+            self._loads_at.popleft()
+        if now < self._lead_until:
+            return UNLIMITED_LOADS
+        return max(0, math.floor(loads_per_second * LOAD_WINDOW_SECONDS) - len(self._loads_at))
+
+    async def _give(self, order: orders.Order, fence: int) -> None:
+        if not self._lease.held or self._lease.fence != fence:
+            return
+        result = await self._engines.give(order, fence=fence, timeout=ORDER_TIMEOUT_SECONDS)
+        name = type(result).__name__.lower()
+        self._orders.labels(order.kind.value, name).inc()
+        self._log.info(
+            "pool_order",
+            order=order.kind.value,
+            vm=order.vm.vm_id,
+            group=order.group,
+            model=order.model,
+            fence=fence,
+            result=name,
+            reason="" if isinstance(result, orders.Accepted) else result.reason,
+        )
+        self._changed.set()
--- a/basilpost/members/following.py
+++ b/basilpost/members/following.py
@@ -1,6 +1,7 @@
 """Follows one prefix of the object store, and records how current that makes the replica.
 
-Times count from before a call was sent: whatever the answer shows was true then or later.
+Times count from before a call was sent: whatever the answer shows was true then or later. They are
+read from the clock that the owner names, as freshness must count the time of a suspended machine.
 """
 
 import asyncio
@@ -43,6 +44,8 @@
         pause: Pause,
         take_listing: TakeListing,
         take_change: TakeChange,
+        now: Callable[[], float] = clock.monotonic,
+        retry: float = RETRY_SECONDS,
     ) -> None:
         self.prefix = prefix
         self.current_at = -math.inf
@@ -52,19 +55,21 @@
         self._pause = pause
         self._take_listing = take_listing
         self._take_change = take_change
+        self._now = now
+        self._retry = retry
         self._revision: int | None = None
 
     async def run(self) -> None:
         """Lists once, then watches; lists again when the watch has expired."""
         while True:
-            sent_at = clock.monotonic()
+            sent_at = self._now()
             if await self._step():
                 self.current_at = sent_at
-                self.answered_at = clock.monotonic()
+                self.answered_at = self._now()
                 if await self._pause():
                     self._revision = None
             else:
-                await asyncio.sleep(RETRY_SECONDS * random.uniform(0.5, 1.0))
+                await asyncio.sleep(self._retry * random.uniform(0.5, 1.0))
 
     async def _step(self) -> bool:
         """Makes one call; returns True if the replica is current as of when it was sent."""
--- /dev/null
+++ b/basilpost/members/registry.py
@@ -0,0 +1,107 @@
+"""Lets nodes find each other: each keeps a record in the store while it runs.
+
+A record only names an address. Whether a node lives shows on the peer streams, so nothing is renewed.
+"""
+
+import asyncio
+import dataclasses
+
+from basilpost.core import clock, codec, kernel, names, tasks
+from basilpost.members import following, node_table
+from basilpost.store import objects
+
+PREFIX = "basilpost-nodes/"
+WATCH_SECONDS = 20.0
+GAP_SECONDS = 0.2
+STORE_TIMEOUT_SECONDS = 1.0
+RETRY_SECONDS = 0.5
+# Records need no renewal, so their lease has no end within the life of a process.
+LEASE_SECONDS = 1e9
+
+
+class Registry(kernel.Service):
+    """Keeps this node's record and follows those of the others."""
+
+    def __init__(
+        self, *, kernel: kernel.Kernel, record: node_table.NodeRecord
+    ) -> None:
+        self._log = kernel.log
+        self._record = record
+        self._store = kernel.find(names.OBJECTS, objects.ObjectStore)  # type: ignore[type-abstract]
+        self._table = kernel.find(names.NODE_TABLE, node_table.NodeTable)
+        self._tasks = tasks.TaskSet(log=kernel.log)
+        self._keys: set[str] = set()
+        self._version = 0
+        self._follower = following.Follower(
+            store=self._store,
+            prefix=PREFIX,
+            wait=lambda: WATCH_SECONDS,
+            pause=_pause,
+            take_listing=self._take_listing,
+            take_change=self._take_change,
+            now=clock.elapsed,
+        )
+
+    async def start(self) -> None:
+        """Begins to announce this node and to follow the others."""
+        self._tasks.spawn(self._announce(), name="node-record")
+
+    async def stop(self) -> None:
+        """Removes this node's record."""
+        await self._tasks.close()
+        if self._version:
+            await self._store.delete(
+                self._key, version=self._version, timeout=STORE_TIMEOUT_SECONDS
+            )
+
+    @property
+    def _key(self) -> str:
+        return PREFIX + self._record.node_id
+
+    async def _announce(self) -> None:
+        while not await self._write():
+            await asyncio.sleep(RETRY_SECONDS)
+        await self._follower.run()
+
+    async def _write(self) -> bool:
+        """Writes the record; returns True once it is there."""
+        value = codec.to_json(self._record)
+        result = await self._store.create(self._key, value, timeout=STORE_TIMEOUT_SECONDS)
+        if isinstance(result, objects.Conflict):
+            found = await self._store.get(self._key, timeout=STORE_TIMEOUT_SECONDS)
+            if not isinstance(found, objects.Stored):
+                return False
+            if found.value == value:
+                self._version = found.version
+                return True
+            result = await self._store.update(
+                self._key, value, version=found.version, timeout=STORE_TIMEOUT_SECONDS
+            )
+        if isinstance(result, objects.Written):
+            self._version = result.version
+            return True
+        self._log.info("node_record_not_written", reason=result.reason)
+        return False
+
+    def _take_listing(self, prefix: str, listing: objects.Listing) -> None:
+        for stored in listing.objects:
+            self._take_change(
+                objects.Change(key=stored.key, version=stored.version, stored=stored)
+            )
+        listed = {stored.key for stored in listing.objects}
+        for key in self._keys - listed:
+            self._take_change(objects.Change(key=key, version=listing.revision, stored=None))
+
+    def _take_change(self, change: objects.Change) -> None:
+        if change.stored is None:
+            self._keys.discard(change.key)
+        else:
+            self._keys.add(change.key)
+        key = names.NODE_PREFIX + change.key.removeprefix(PREFIX)
+        stored = None if change.stored is None else dataclasses.replace(change.stored, key=key)
+        self._table.take(dataclasses.replace(change, key=key, stored=stored))
+
+
+async def _pause() -> bool:
+    await asyncio.sleep(GAP_SECONDS)
+    return False
--- /dev/null
+++ b/basilpost/node/pool_process.py
@@ -0,0 +1,59 @@
+"""Runs a pool's node as a process: `python -m basilpost.node.pool_process`.
+
+The settings file is named by the environment variable BASILPOST_CONFIG. The process imports only what a
+node needs, because the time of a restart is time without service.
+"""
+
+import asyncio
+import os
+import signal
+import sys
+
+from basilpost.core import kernel as kernel_
+from basilpost.core import log, names
+from basilpost.gateway import relay
+from basilpost.node import pool_assembly
+from basilpost.settings import loader, pool_schema
+
+SETTINGS_VARIABLE = "BASILPOST_CONFIG"
+_BAD_SETTINGS = 2
+
+
+async def run(settings: pool_schema.PoolNodeSettings) -> None:
+    """Serves until SIGTERM or SIGINT, then stops without cutting a request in flight."""
+    kernel = pool_assembly.build(settings)
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(signal.SIGHUP, _reload, kernel)
+    kernel.log.info("node_starting", failure_domain=settings.failure_domain)
+    await kernel.start()
+    kernel.log.info("node_started")
+    await stop.wait()
+    kernel.log.info("node_stopping")
+    await kernel.find(names.RELAY, relay.Relay).drain()
+    await kernel.stop()
+    kernel.log.info("node_stopped")
+
+
+def main() -> int:
+    """Reads the settings and runs the node; returns the exit code."""
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    try:
+        settings = loader.load(path, pool_schema.PoolNodeSettings)
+    except loader.SettingsError as error:
+        print(error, file=sys.stderr)
+        return _BAD_SETTINGS
+    log.configure(json_lines=True, level=settings.log_level)
+    asyncio.run(run(settings))
+    return 0
+
+
+def _reload(kernel: kernel_.Kernel) -> None:
+    # All that may change while a node runs is configuration in the store.
+    kernel.log.info("settings_reload_ignored", reason="settings hold for the life of a process")
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/basilpost/platform/store.py
@@ -0,0 +1,207 @@
+"""The platform's object store behind the product's interface.
+
+A key is `kind/name`; a value is the JSON of the object's `spec`. A prefix is a kind with its slash.
+"""
+
+import json
+import urllib.parse
+from typing import Any
+
+from basilpost.store import http_calls, objects
+
+# Time in seconds that the answer of a waiting watch may take beyond its wait.
+_WATCH_GRACE_SECONDS = 0.7
+_MS = 1000
+_NO_EFFECT_STATUSES = frozenset({400, 403, 404, 413, 429, 503})
+
+Write = objects.Written | objects.Conflict | objects.Unavailable | objects.Unknown
+
+
+class PlatformStore(objects.ObjectStore):
+    """Talks to the platform's store at `host:port`."""
+
+    def __init__(self, *, address: str) -> None:
+        self._caller = http_calls.Caller(base_url=f"http://{address}")
+
+    def close(self) -> None:
+        """Closes the connections that are kept."""
+        self._caller.close()
+
+    async def get(
+        self,
+        key: str,
+        *,
+        timeout: float = 2.0,
+        urgency: objects.Urgency = objects.Urgency.NORMAL,
+    ) -> objects.Stored | objects.Missing | objects.Unavailable:
+        """Reads one object."""
+        return await self._get(_path(key), key, timeout=timeout)
+
+    async def glance(
+        self, key: str, *, timeout: float = 2.0
+    ) -> objects.Stored | objects.Missing | objects.Unavailable:
+        """Reads one object as it was up to some seconds ago, at a tenth of a read's price."""
+        return await self._get(_path(key) + "?allowStale=1", key, timeout=timeout)
+
+    async def list(
+        self,
+        prefix: str,
+        *,
+        timeout: float = 5.0,
+        urgency: objects.Urgency = objects.Urgency.NORMAL,
+    ) -> objects.Listing | objects.Unavailable:
+        """Reads all objects of a kind, page by page.
+
+        The listing counts as of the first page, so that a watch from there misses no change.
+        """
+        found: list[objects.Stored] = []
+        first: int | None = None
+        after = ""
+        while True:
+            query = "?" + urllib.parse.urlencode({"sinceRevision": after}) if after else ""
+            reply = await self._read(_path(prefix.rstrip("/")) + query, timeout=timeout)
+            page = _body(reply)
+            if page is None:
+                return objects.Unavailable(reason=f"list {prefix}: {_reason(reply)}")
+            items = [_stored(prefix, one) for one in page["items"]]
+            found += [one for one in items if one is not None]
+            first = page["at"] if first is None else first
+            if not page.get("hasMore") or not page["items"]:
+                return objects.Listing(objects=tuple(found), revision=first)
+            # The page's field for a revision takes a name here, to go on behind it.
+            after = page["items"][-1]["metadata"]["name"]
+
+    async def create(
+        self,
+        key: str,
+        value: bytes,
+        *,
+        timeout: float = 2.0,
+        urgency: objects.Urgency = objects.Urgency.NORMAL,
+    ) -> Write:
+        """Creates an object that must not exist."""
+        kind, _, name = key.partition("/")
+        body = {"metadata": {"name": name}, "spec": json.loads(value)}
+        return await self._write("POST", _path(kind), key, body, timeout)
+
+    async def update(
+        self,
+        key: str,
+        value: bytes,
+        *,
+        version: int,
+        timeout: float = 2.0,
+        urgency: objects.Urgency = objects.Urgency.NORMAL,
+    ) -> Write:
+        """Replaces an object whose version must be `version`."""
+        name = key.partition("/")[2]
+        body = {"metadata": {"name": name, "revision": version}, "spec": json.loads(value)}
+        return await self._write("PUT", _path(key), key, body, timeout)
+
+    async def delete(
+        self,
+        key: str,
+        *,
+        version: int,
+        timeout: float = 2.0,
+        urgency: objects.Urgency = objects.Urgency.NORMAL,
+    ) -> Write:
+        """Deletes an object whose version must be `version`."""
+        return await self._write("DELETE", f"{_path(key)}?revision={version}", key, None, timeout)
+
+    async def watch(
+        self, prefix: str, *, revision: int, wait: float = 10.0
+    ) -> objects.Changes | objects.Expired | objects.Unavailable:
+        """Waits up to `wait` seconds for changes of a kind after a revision."""
+        query = urllib.parse.urlencode({"watch": revision, "waitMs": int(wait * _MS)})
+        reply = await self._read(
+            f"{_path(prefix.rstrip('/'))}?{query}", timeout=wait + _WATCH_GRACE_SECONDS, wait=wait
+        )
+        if isinstance(reply, http_calls.Reply) and reply.status == 410:
+            return objects.Expired(reason=f"watch {prefix}: revision {revision} is too old")
+        body = _body(reply)
+        if body is None:
+            return objects.Unavailable(reason=f"watch {prefix}: {_reason(reply)}")
+        changes = (_change(prefix, one) for one in body["events"])
+        return objects.Changes(
+            changes=tuple(one for one in changes if one is not None), revision=body["at"]
+        )
+
+    async def _get(
+        self, path: str, key: str, *, timeout: float
+    ) -> objects.Stored | objects.Missing | objects.Unavailable:
+        reply = await self._read(path, timeout=timeout)
+        if isinstance(reply, http_calls.Reply) and reply.status == 404:
+            return objects.Missing(reason=f"no object {key}")
+        body = _body(reply)
+        stored = None if body is None else _stored(key[: key.index("/") + 1], body)
+        return stored or objects.Unavailable(reason=f"get {key}: {_reason(reply)}")
+
+    async def _read(
+        self, path: str, *, timeout: float, wait: float = 0.0
+    ) -> http_calls.Reply | http_calls.NoReply:
+        return await self._caller.read(path, timeout=timeout, wait=wait)
+
+    async def _write(
+        self, method: str, path: str, key: str, body: Any, timeout: float
+    ) -> Write:
+        call = http_calls.Call(
+            method=method,
+            path=path,
+            headers={"Content-Type": "application/json"},
+            body=b"" if body is None else json.dumps(body).encode(),
+        )
+        reply = await self._caller.write(call, timeout=timeout)
+        if isinstance(reply, http_calls.NoReply):
+            kind = objects.Unknown if reply.sent else objects.Unavailable
+            return kind(reason=f"{method} {key}: {reply.reason}")
+        reason = f"{method} {key}: status {reply.status}"
+        if reply.status in (200, 201):
+            written = _body(http_calls.Reply(status=200, body=reply.body)) or {}
+            return objects.Written(version=int((written.get("metadata") or {}).get("revision", 0)))
+        if reply.status in (404, 409):
+            return objects.Conflict(reason=reason)
+        if reply.status in _NO_EFFECT_STATUSES:
+            return objects.Unavailable(reason=reason)
+        return objects.Unknown(reason=reason)
+
+
+def _body(reply: http_calls.Reply | http_calls.NoReply) -> Any:
+    """Returns the decoded body of a successful answer, None for any other."""
+    if isinstance(reply, http_calls.NoReply) or reply.status != 200:
+        return None
+    try:
+        return json.loads(reply.body)
+    except ValueError:
+        return None
+
+
+def _reason(reply: http_calls.Reply | http_calls.NoReply) -> str:
+    return reply.reason if isinstance(reply, http_calls.NoReply) else f"status {reply.status}"
+
+
+def _path(key: str) -> str:
+    return "/api/objects/" + urllib.parse.quote(key)
+
+
+def _stored(prefix: str, raw: Any) -> objects.Stored | None:
+    """Decodes an object; one without a name or revision is left out."""
+    try:
+        metadata = raw["metadata"]
+        return objects.Stored(
+            key=prefix + str(metadata["name"]),
+            value=json.dumps(raw.get("spec")).encode(),
+            version=int(metadata["revision"]),
+        )
+    except (KeyError, TypeError, ValueError):
+        return None
+
+
+def _change(prefix: str, raw: Any) -> objects.Change | None:
+    stored = _stored(prefix, raw.get("object") if isinstance(raw, dict) else None)
+    if stored is None:
+        return None
+    removed = bool(raw.get("removed"))
+    return objects.Change(
+        key=stored.key, version=stored.version, stored=None if removed else stored
+    )
--- a/basilpost/routing/retry.py
+++ b/basilpost/routing/retry.py
@@ -20,12 +20,20 @@
 class RetryBudget:
     """Each admitted request pays in a share of a retry; each retry takes one out."""
 
-    def __init__(self) -> None:
-        self._balance = RETRY_RESERVE
+    def __init__(
+        self,
+        *,
+        share: float = RETRY_SHARE,
+        reserve: float = RETRY_RESERVE,
+        most: float = MAX_RETRY_RESERVE,
+    ) -> None:
+        self._share = share
+        self._most = most
+        self._balance = reserve
 
     def deposit(self) -> None:
         """Pays in for an admitted request."""
-        self._balance = min(MAX_RETRY_RESERVE, self._balance + RETRY_SHARE)
+        self._balance = min(self._most, self._balance + self._share)
 
     def spend(self) -> bool:
         """Takes one retry out; returns False if there is none left."""
--- /dev/null
+++ b/basilpost/routing/targets.py
@@ -0,0 +1,127 @@
+"""Where requests of a service may go: open, complete groups, and instances of plain services."""
+
+import dataclasses
+from collections.abc import Iterable
+
+from basilpost.core import catalog, clock, kernel, names
+from basilpost.groups import assembled
+from basilpost.members import knowledge as knowledges
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Target:
+    """A runner that takes requests, for a whole group if it is the head of one.
+
+    Attributes:
+        target_id: Unique for one lifetime of the runner and, for a group, its epoch.
+        service: Its service.
+        model: Model that it serves, empty for plain services.
+        vm_id: Id of the runner.
+        address: `host:port`.
+        failure_domain: Where it is.
+        slots: Requests that it works on at once.
+        pace: Factor on its times, 1 for plain services.
+        cold_until: Time on `clock.elapsed` until which it bears little load.
+    """
+
+    target_id: str
+    service: str
+    model: str
+    vm_id: str
+    address: str
+    failure_domain: str
+    slots: int
+    pace: float
+    cold_until: float
+
+
+def find_targets(
+    seen_vms: Iterable[knowledges.SeenVm],
+    configuration: catalog.Configuration,
+    out_of_service: frozenset[str],
+) -> dict[str, tuple[Target, ...]]:
+    """Returns the targets that may get new work, by service."""
+    seen_by_id = {
+        seen.vm.vm_id: seen
+        for seen in seen_vms
+        if seen.vm.service in configuration.services_by_name
+    }
+    found: dict[str, list[Target]] = {}
+    for service in configuration.services_by_name.values():
+        vms = [seen.vm for seen in seen_by_id.values() if seen.vm.service == service.name]
+        if service.engine is None:
+            chosen = [_plain(seen_by_id[vm.vm_id]) for vm in vms if not vm.leaving]
+        else:
+            chosen = _groups(vms, seen_by_id, service.engine)
+        found[service.name] = [
+            one for one in chosen if one.failure_domain not in out_of_service
+        ]
+    return {service: tuple(targets) for service, targets in found.items()}
+
+
+def _plain(seen: knowledges.SeenVm) -> Target:
+    vm = seen.vm
+    return Target(
+        target_id=f"{vm.vm_id}@{vm.incarnation}",
+        service=vm.service,
+        model="",
+        vm_id=vm.vm_id,
+        address=vm.address,
+        failure_domain=vm.failure_domain,
+        slots=vm.slots,
+        pace=1.0,
+        cold_until=seen.cold_until,
+    )
+
+
+def _groups(
+    vms: list[catalog.Vm], seen_by_id: dict[str, knowledges.SeenVm], engine: catalog.Engine
+) -> list[Target]:
+    models_by_name = {model.name: model for model in engine.models}
+    return [
+        Target(
+            target_id=f"{group.name}@{group.members[0].incarnation}",
+            service=group.members[0].service,
+            model=group.model.name,
+            vm_id=group.members[0].vm_id,
+            address=group.members[0].address,
+            failure_domain=group.members[0].failure_domain,
+            slots=engine.slots,
+            pace=group.model.pace,
+            cold_until=max(seen_by_id[vm.vm_id].cold_until for vm in group.members),
+        )
+        for group in assembled.assemble(vms, models_by_name)
+        if group.complete
+        and group.model is not None
+        and group.state is catalog.MemberState.OPEN
+        and not group.members[0].leaving
+    ]
+
+
+class Targets(kernel.Service):
+    """The targets of all services, found anew after each change."""
+
+    def __init__(self, *, kernel: kernel.Kernel) -> None:
+        self._knowledge = kernel.find(names.KNOWLEDGE, knowledges.Knowledge)
+        self._targets_by_service: dict[str, tuple[Target, ...]] = {}
+        self._stale = True
+        self._knowledge.subscribe(self._forget)
+
+    def of(self, service: str, model: str) -> tuple[Target, ...]:
+        """Returns the targets of a service that serve a model; any for an empty name."""
+        if self._stale and self._knowledge.configuration is not None:
+            self._targets_by_service = find_targets(
+                self._knowledge.vms_by_id.values(),
+                self._knowledge.configuration,
+                self._knowledge.out_of_service,
+            )
+            self._stale = False
+        found = self._targets_by_service.get(service, ())
+        return tuple(one for one in found if one.model == model) if model else found
+
+    def is_cold(self, target: Target) -> bool:
+        """Returns True while a target bears little load."""
+        return clock.elapsed() < target.cold_until
+
+    def _forget(self) -> None:
+        self._stale = True
--- a/basilpost/store/objects.py
+++ b/basilpost/store/objects.py
@@ -98,6 +98,10 @@
     ) -> Stored | Missing | Unavailable:
         """Reads one object."""
 
+    async def glance(self, key: str, *, timeout: float = 2.0) -> Stored | Missing | Unavailable:
+        """Reads one object, perhaps as it was seconds ago where the store sells that cheaper."""
+        return await self.get(key, timeout=timeout)
+
     @abc.abstractmethod
     async def list(
         self, prefix: str, *, timeout: float = 5.0, urgency: Urgency = Urgency.NORMAL
