--- a/basilpost/gateway/activity.py
+++ b/basilpost/gateway/activity.py
@@ -10,13 +10,19 @@
 
 from basilpost.core import clock
 
-# All streams of a target silent for this long: several times the longest gap of a full batch.
-STALL_SECONDS = 0.6
-# A target that has not begun any of its streams is given this many times the wait of its oldest.
-FIRST_EVENT_SECONDS = 1.2
-CHECK_SECONDS = 0.1
+# All streams of a target silent for this long: it gets no new work. A full batch writes an event of
+# each stream within 60 ms, and reads a long prompt in 100 ms.
+SUSPECT_SECONDS = 0.3
+# Silent for this long: its streams go on elsewhere.
+STALL_SECONDS = 0.5
+# A target that has begun none of its streams after this time stands still.
+FIRST_EVENT_SECONDS = 1.0
+# A target that stood still gets no new work for this long, unless something comes from it; by then
+# its entry has lapsed if it is gone.
+MEMORY_SECONDS = 4.0
+CHECK_SECONDS = 0.05
 # A check that comes later than this was held up itself, and says nothing about targets.
-LATE_SECONDS = 0.35
+LATE_SECONDS = 0.25
 
 
 @dataclasses.dataclass(kw_only=True, eq=False)
@@ -41,7 +47,7 @@
 
     def __init__(self) -> None:
         self._watches_by_target: dict[str, set[Watch]] = {}
-        self._stalled: frozenset[str] = frozenset()
+        self._suspected_at: dict[str, float] = {}
 
     def watch(self, target_id: str, move: Callable[[], None]) -> Watch:
         """Begins to watch a stream."""
@@ -53,6 +59,7 @@
         """Notes that an event came."""
         watch.at = clock.elapsed()
         watch.begun = True
+        self._suspected_at.pop(watch.target_id, None)
 
     def ended(self, watch: Watch) -> None:
         """Ends watching a stream."""
@@ -61,9 +68,9 @@
         if not watches:
             self._watches_by_target.pop(watch.target_id, None)
 
-    def stalled(self) -> frozenset[str]:
-        """Returns the targets that stand still."""
-        return self._stalled
+    def suspects(self) -> frozenset[str]:
+        """Returns the targets that should get no new work."""
+        return frozenset(self._suspected_at)
 
     async def run(self) -> None:
         """Checks for as long as the gateway runs."""
@@ -78,13 +85,24 @@
 
     def check(self, now: float) -> None:
         """Finds the targets that stand still, and lets their streams move."""
-        self._stalled = frozenset(
-            target_id
+        silence_by_target = {
+            target_id: _silence(watches, now)
             for target_id, watches in self._watches_by_target.items()
-            if _stands_still(watches, now)
-        )
+        }
+        self._suspected_at = {
+            target_id: at
+            for target_id, at in self._suspected_at.items()
+            if now - at < MEMORY_SECONDS
+        } | {
+            target_id: now
+            for target_id, silence in silence_by_target.items()
+            if silence > SUSPECT_SECONDS
+        }
         moving = [
-            watch for target_id in self._stalled for watch in self._watches_by_target[target_id]
+            watch
+            for target_id, silence in silence_by_target.items()
+            if silence > STALL_SECONDS
+            for watch in self._watches_by_target[target_id]
         ]
         for watch in moving:
             watch.move()
@@ -95,8 +113,13 @@
                 watch.at = now
 
 
-def _stands_still(watches: set[Watch], now: float) -> bool:
-    newest = max(watch.at for watch in watches)
-    if any(watch.begun for watch in watches):
-        return now - newest > STALL_SECONDS
-    return now - min(watch.at for watch in watches) > FIRST_EVENT_SECONDS
+def _silence(watches: set[Watch], now: float) -> float:
+    """Returns the seconds for which a target has been silent although it should not.
+
+    Streams that have not begun wait in its queue; they only count if none has begun for long.
+    """
+    begun = [watch.at for watch in watches if watch.begun]
+    if begun:
+        return now - max(begun)
+    oldest = min(watch.at for watch in watches)
+    return max(0.0, STALL_SECONDS + now - oldest - FIRST_EVENT_SECONDS)
--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -122,7 +122,7 @@
         self._chance = chance
         self._cold = cold.ColdMeter()
         self._retries_by_service: dict[str, retry.RetryBudget] = {}
-        loads.stalled = lambda: tuple(self.activity.stalled())
+        loads.stalled = lambda: tuple(sorted(self.activity.suspects()))
 
     # Placing.
 
@@ -158,7 +158,7 @@
         return placing.Candidate(
             target=target,
             in_flight=self._loads.total(target_id),
-            stalled=target_id in self.activity.stalled()
+            stalled=target_id in self.activity.suspects()
             or self._loads.stalled_elsewhere(target_id),
             may_send=not self._targets.is_cold(target)
             or self._cold.may_send(
--- a/basilpost/gateway/inbound.py
+++ b/basilpost/gateway/inbound.py
@@ -68,6 +68,7 @@
         """Starts the handler."""
         self.body = b"".join(self._pieces)
         self._pieces.clear()
+        self._connection.set_close_callback(self.on_connection_close)
         reply = Reply(connection=self._connection, method=self.method)
         self._task = self._spawn(self._handler(self, reply))
 
--- a/basilpost/members/knowledge.py
+++ b/basilpost/members/knowledge.py
@@ -9,7 +9,7 @@
 import dataclasses
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import prometheus_client
 
@@ -26,7 +26,7 @@
 RETRY_SECONDS = 0.25
 # Gap between watch calls, so that changes that come together cost one call; the controller, which
 # acts on each change, leaves a shorter one.
-GAP_SECONDS = 0.2
+GAP_SECONDS = 0.6
 CONTROLLER_GAP_SECONDS = 0.04
 
 
@@ -80,6 +80,7 @@
         vms_by_id: All VMs with a live runner.
         out_of_service: Failure domains that operators have taken out.
         controls: True while this node forms groups, and must see changes soonest.
+        publish: Called with each change that the store showed to this node while it controls.
     """
 
     def __init__(self, *, kernel: kernel.Kernel, decoder: Decoder) -> None:
@@ -87,6 +88,7 @@
         self.vms_by_id: dict[str, SeenVm] = {}
         self.out_of_service: frozenset[str] = frozenset()
         self.controls = False
+        self.publish: Callable[[objects.Change], None] = lambda change: None
         self._log = kernel.log
         self._decoder = decoder
         self._store = kernel.find(names.OBJECTS, objects.ObjectStore)
@@ -127,6 +129,12 @@
         """Stops to follow; what is known stays readable."""
         await self._tasks.close()
 
+    def offer(self, changes: Iterable[objects.Change]) -> None:
+        """Takes in changes that another node has seen."""
+        for change in changes:
+            self._merge(change)
+        self._tell()
+
     def subscribe(self, listener: Callable[[], None]) -> None:
         """Calls the listener after changes of anything followed."""
         self._listeners.append(listener)
@@ -171,16 +179,18 @@
         self._tell()
 
     def _take_change(self, change: objects.Change) -> None:
-        self._merge(change)
+        if self._merge(change) and self.controls:
+            self.publish(change)
         self._tell()
 
     def _tell(self) -> None:
         for listener in self._listeners:
             listener()
 
-    def _merge(self, change: objects.Change) -> None:
+    def _merge(self, change: objects.Change) -> bool:
+        """Takes in a change; returns False if it was known or is older than what is known."""
         if not self._known.merge(change):
-            return
+            return False
         kinds = self._decoder.kinds
         if change.key == kinds.configuration_key:
             self._take_configuration(change)
@@ -188,6 +198,7 @@
             self._take_vm(change.key.removeprefix(kinds.vm_prefix), change)
         elif change.key.startswith(kinds.out_of_service_prefix):
             self._take_out_of_service(change.key.removeprefix(kinds.out_of_service_prefix), change)
+        return True
 
     def _take_configuration(self, change: objects.Change) -> None:
         if change.stored is None:
--- /dev/null
+++ b/basilpost/members/news.py
@@ -0,0 +1,52 @@
+"""The controller tells all nodes at once what it has seen in the store.
+
+It watches most closely; the others can then leave longer gaps between their own calls, which only
+have to prove that nothing was missed.
+"""
+
+import asyncio
+import dataclasses
+
+from basilpost.core import kernel, names, tasks
+from basilpost.members import knowledge as knowledges
+from basilpost.members import peers
+from basilpost.store import objects
+
+# Changes that come together ride in one message.
+COLLECT_SECONDS = 0.02
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class StoreNews:
+    """Changes of followed objects, oldest first."""
+
+    changes: tuple[objects.Change, ...]
+
+
+class News(kernel.Service):
+    """Sends the news of this node while it is the controller, and takes in those of others."""
+
+    def __init__(self, *, kernel: kernel.Kernel) -> None:
+        self._peers = kernel.find(names.PEERS, peers.PeerNetwork)  # type: ignore[type-abstract]
+        self._knowledge = kernel.find(names.KNOWLEDGE, knowledges.Knowledge)
+        self._tasks = tasks.TaskSet(log=kernel.log)
+        self._collected: list[objects.Change] = []
+        self._knowledge.publish = self._collect
+        self._peers.handle(StoreNews, self._take)
+
+    async def stop(self) -> None:
+        """Ends sending."""
+        await self._tasks.close()
+
+    def _collect(self, change: objects.Change) -> None:
+        if not self._collected:
+            self._tasks.spawn(self._send(), name="store-news")
+        self._collected.append(change)
+
+    async def _send(self) -> None:
+        await asyncio.sleep(COLLECT_SECONDS)
+        changes, self._collected = tuple(self._collected), []
+        self._peers.broadcast(StoreNews(changes=changes))
+
+    async def _take(self, sender: str, news: StoreNews) -> None:
+        self._knowledge.offer(news.changes)
--- a/basilpost/node/pool_assembly.py
+++ b/basilpost/node/pool_assembly.py
@@ -9,7 +9,7 @@
 from basilpost.core import names
 from basilpost.gateway import relay
 from basilpost.groups import supply
-from basilpost.members import knowledge, loads, node_table, registry, streams
+from basilpost.members import knowledge, loads, news, node_table, registry, streams
 from basilpost.node import metrics
 from basilpost.platform import engines, headers
 from basilpost.platform import schema as platform_schema
@@ -37,6 +37,7 @@
     )
     kernel.register(names.TARGETS, targets.Targets(kernel=kernel))
     kernel.register(names.PEERS, streams.Streams(kernel=kernel, table=table))
+    kernel.register("news", news.News(kernel=kernel))
     kernel.register(names.LOADS, loads.Loads(kernel=kernel))
     kernel.register(
         "registry",
