--- a/basilpost/core/channels.py
+++ b/basilpost/core/channels.py
@@ -53,9 +53,7 @@
 
     reset = False
 
-    async def _read_body_until_close(
-        self, delegate: tornado.httputil.HTTPMessageDelegate
-    ) -> None:
+    async def _read_body_until_close(self, delegate: tornado.httputil.HTTPMessageDelegate) -> None:
         while True:
             try:
                 chunk = await self.stream.read_bytes(READ_BYTES, partial=True)
@@ -78,9 +76,7 @@
 
     def headers_received(
         self,
-        start_line: (
-            tornado.httputil.RequestStartLine | tornado.httputil.ResponseStartLine
-        ),
+        start_line: tornado.httputil.RequestStartLine | tornado.httputil.ResponseStartLine,
         headers: tornado.httputil.HTTPHeaders,
     ) -> None:
         assert isinstance(start_line, tornado.httputil.ResponseStartLine)
--- a/basilpost/gateway/activity.py
+++ b/basilpost/gateway/activity.py
@@ -32,12 +32,16 @@
     Attributes:
         target_id: The target.
         move: Called when the target stands still; may close the stream to go on elsewhere.
-        at: When something last came, or when it was sent.
-        begun: True once an event came.
+        count: Returns the number of events of the stream so far, over all its targets.
+        counted: That number at the last check.
+        at: When an event last came, or when the stream was sent.
+        begun: True once an event came from this target.
     """
 
     target_id: str
     move: Callable[[], None]
+    count: Callable[[], int]
+    counted: int
     at: float
     begun: bool = False
 
@@ -49,18 +53,14 @@
         self._watches_by_target: dict[str, set[Watch]] = {}
         self._suspected_at: dict[str, float] = {}
 
-    def watch(self, target_id: str, move: Callable[[], None]) -> Watch:
+    def watch(self, target_id: str, move: Callable[[], None], count: Callable[[], int]) -> Watch:
         """Begins to watch a stream."""
-        watch = Watch(target_id=target_id, move=move, at=clock.elapsed())
+        watch = Watch(
+            target_id=target_id, move=move, count=count, counted=count(), at=clock.elapsed()
+        )
         self._watches_by_target.setdefault(target_id, set()).add(watch)
         return watch
 
-    def heard(self, watch: Watch) -> None:
-        """Notes that an event came."""
-        watch.at = clock.elapsed()
-        watch.begun = True
-        self._suspected_at.pop(watch.target_id, None)
-
     def ended(self, watch: Watch) -> None:
         """Ends watching a stream."""
         watches = self._watches_by_target.get(watch.target_id, set())
@@ -85,6 +85,9 @@
 
     def check(self, now: float) -> None:
         """Finds the targets that stand still, and lets their streams move."""
+        for target_id, watches in self._watches_by_target.items():
+            if any([_has_news(watch, now) for watch in watches]):
+                self._suspected_at.pop(target_id, None)
         silence_by_target = {
             target_id: _silence(watches, now)
             for target_id, watches in self._watches_by_target.items()
@@ -113,6 +116,15 @@
                 watch.at = now
 
 
+def _has_news(watch: Watch, now: float) -> bool:
+    """Returns True, and notes it, if events came since the last check."""
+    count = watch.count()
+    if count == watch.counted:
+        return False
+    watch.counted, watch.at, watch.begun = count, now, True
+    return True
+
+
 def _silence(watches: set[Watch], now: float) -> float:
     """Returns the seconds for which a target has been silent although it should not.
 
--- a/basilpost/gateway/admitting.py
+++ b/basilpost/gateway/admitting.py
@@ -96,6 +96,4 @@
 
 
 def _not_now(code: str, reason: str) -> failure.Refusal:
-    return failure.Refusal(
-        reason=reason, code=code, status=503, retry_after=STARTING_RETRY_SECONDS
-    )
+    return failure.Refusal(reason=reason, code=code, status=503, retry_after=STARTING_RETRY_SECONDS)
--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -9,11 +9,9 @@
 import dataclasses
 import random
 
-import tornado.httputil
-
 from basilpost.core import catalog, channels, clock, failure
 from basilpost.gateway import activity as activities
-from basilpost.gateway import admitting, inbound, sse
+from basilpost.gateway import admitting, inbound, passing
 from basilpost.members import loads as loads_
 from basilpost.routing import calls, cold, placing, retry
 from basilpost.routing import targets as targets_
@@ -28,7 +26,6 @@
 WAIT_STEP_SECONDS = 0.02
 # Range in which refused callers are asked to come back, so that they do not come together.
 RETRY_AFTER_SECONDS = (0.3, 0.8)
-_OK = 200
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -46,14 +43,24 @@
     """The answer did not come whole; the request may have run."""
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class BrokenOff(failure.Failure):
+    """An answer that had begun could not be completed; the caller's connection was closed."""
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Whole:
-    """A whole answer, or for a stream that was passed on, its head."""
+    """A whole answer that the caller is still to get."""
 
     head: channels.Head
     body: bytes
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Streamed:
+    """A stream that the caller has got whole."""
+
+
 @dataclasses.dataclass(kw_only=True, eq=False)
 class Progress:
     """What a request has gone through.
@@ -63,24 +70,25 @@
         tried: Ids of the targets it was sent to, or could not be.
         sends: Times that it may have begun to run.
         rejections: Times that a runner refused it unrun.
-        events: Events passed on.
         target: Last target.
-        outcome: How it ended, for the log.
     """
 
     admitted: admitting.Admitted
     tried: set[str] = dataclasses.field(default_factory=set)
     sends: int = 0
     rejections: int = 0
-    events: int = 0
     target: str = ""
-    outcome: str = ""
 
     @property
     def repeatable(self) -> bool:
         """Returns True if the request may run more than once."""
         return self.admitted.route.repeat is catalog.Repeat.IDEMPOTENT
 
+    @property
+    def has_attempts(self) -> bool:
+        """Returns True if the route lets the request run once more."""
+        return self.repeatable and self.sends < self.admitted.route.max_attempts
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Budgets:
@@ -89,14 +97,10 @@
     Attributes:
         retry_share: Repeats per request.
         retry_reserve: Repeats beyond them, of all nodes.
-        cold_factor: Factor on the rate that a cold target bears.
-        cold_slack: Requests beyond it.
     """
 
     retry_share: float
     retry_reserve: float
-    cold_factor: float
-    cold_slack: float
 
 
 class Forwarder:
@@ -105,7 +109,7 @@
     def __init__(
         self,
         *,
-        node_failure_domain: str,
+        failure_domain: str,
         dialect: calls.Dialect,
         targets: targets_.Targets,
         loads: loads_.Loads,
@@ -114,7 +118,7 @@
     ) -> None:
         self.pool = channels.Pool()
         self.activity = activities.Activity()
-        self._failure_domain = node_failure_domain
+        self._failure_domain = failure_domain
         self._dialect = dialect
         self._targets = targets
         self._loads = loads
@@ -124,6 +128,94 @@
         self._retries_by_service: dict[str, retry.RetryBudget] = {}
         loads.stalled = lambda: tuple(sorted(self.activity.suspects()))
 
+    # Whole answers.
+
+    async def fetch(self, progress: Progress, request: inbound.Request) -> Whole | failure.Refusal:
+        """Gets a whole answer."""
+        self._retries(progress).deposit()
+        try:
+            async with asyncio.timeout(max(0.0, admitting.left(progress.admitted))):
+                return await self._fetch(progress, request)
+        except TimeoutError:
+            return _too_late(progress)
+
+    async def _fetch(self, progress: Progress, request: inbound.Request) -> Whole | failure.Refusal:
+        sink = passing.Collector()
+        while True:
+            target = await self._place(progress)
+            if isinstance(target, failure.Refusal):
+                return _corrected(progress, target)
+            sink.restart()
+            result = await self._send(progress, request, target, last_event="", sink=sink)
+            if isinstance(result, channels.Head):
+                if result.status < 500 or not self._may_repeat(progress):
+                    return Whole(head=result, body=sink.body)
+            elif not self._may_go_on(progress, result):
+                return _corrected(progress, self._refusal("target_lost", result.reason))
+
+    # Streams.
+
+    async def stream(
+        self, progress: Progress, request: inbound.Request, reply: inbound.Reply
+    ) -> Streamed | Whole | failure.Refusal | BrokenOff:
+        """Passes a stream on as it comes."""
+        self._retries(progress).deposit()
+        sink = passing.StreamSink(
+            reply=reply, dialect=self._dialect, last_event=progress.admitted.call.last_event
+        )
+        try:
+            async with asyncio.timeout(max(0.0, admitting.left(progress.admitted))):
+                result = await self._stream(progress, request, sink)
+        except TimeoutError:
+            result = _too_late(progress)
+        if reply.started and not isinstance(result, Streamed):
+            reply.abort()
+            reason = result.reason if isinstance(result, failure.Refusal) else "no more events"
+            return BrokenOff(reason=reason)
+        return result
+
+    async def _stream(
+        self, progress: Progress, request: inbound.Request, sink: passing.StreamSink
+    ) -> Streamed | Whole | failure.Refusal:
+        while True:
+            target = await self._place(progress)
+            if isinstance(target, failure.Refusal):
+                return _corrected(progress, target)
+            result = await self._stream_from(progress, request, target, sink)
+            if isinstance(result, channels.Head):
+                if sink.streams:
+                    sink.end()
+                    return Streamed()
+                if result.status < 500 or not self._may_repeat(progress):
+                    return Whole(head=result, body=sink.body)
+            elif not self._may_go_on(progress, result):
+                return _corrected(progress, self._refusal("target_lost", result.reason))
+
+    async def _stream_from(
+        self,
+        progress: Progress,
+        request: inbound.Request,
+        target: targets_.Target,
+        sink: passing.StreamSink,
+    ) -> channels.Head | NotSent | NotRun | Lost:
+        """Passes on what comes from one target, until its end or until it stands still."""
+
+        def move() -> None:
+            if progress.has_attempts and not isinstance(self._choose(progress), failure.Refusal):
+                sink.break_off()
+
+        sink.restart()
+        watch = self.activity.watch(target.target_id, move, lambda: sink.events)
+        try:
+            result = await self._send(
+                progress, request, target, last_event=sink.cutter.last_id, sink=sink
+            )
+        finally:
+            self.activity.ended(watch)
+        if isinstance(result, channels.Head) and sink.streams and not sink.whole:
+            return Lost(reason=f"{target.target_id}: the stream ended within an event")
+        return result
+
     # Placing.
 
     async def _place(self, progress: Progress) -> targets_.Target | failure.Refusal:
@@ -132,7 +224,7 @@
         wait_until = clock.elapsed() + admitted.route.objective * WAIT_SHARE
         while True:
             found = self._choose(progress)
-            if not isinstance(found, failure.Refusal) or found.code == "no_target":
+            if isinstance(found, targets_.Target) or found.code == "no_target":
                 return found
             if clock.elapsed() + WAIT_STEP_SECONDS > min(wait_until, admitted.deadline):
                 return found
@@ -141,15 +233,15 @@
     def _choose(self, progress: Progress) -> targets_.Target | failure.Refusal:
         admitted = progress.admitted
         known = self._targets.of(admitted.service.name, admitted.call.model)
-        fresh = [one for one in known if one.target_id not in progress.tried]
-        if not fresh:
-            return self.refusal("no_target", f"no target of {admitted.service.name} to send to")
+        untried = [one for one in known if one.target_id not in progress.tried]
+        if not untried:
+            return self._refusal("no_target", f"{len(known)} targets known, none left to try")
         chosen = placing.choose(
-            [self._candidate(admitted, one) for one in fresh],
+            [self._candidate(admitted, one) for one in untried],
             failure_domain=self._failure_domain,
             chance=self._chance,
         )
-        return chosen or self.refusal("busy", f"all targets of {admitted.service.name} are full")
+        return chosen or self._refusal("busy", f"all {len(untried)} targets are full")
 
     def _candidate(
         self, admitted: admitting.Admitted, target: targets_.Target
@@ -163,62 +255,23 @@
             may_send=not self._targets.is_cold(target)
             or self._cold.may_send(
                 target_id,
-                per_second=admitted.service.cold_per_second * self._budgets.cold_factor
-                + self._budgets.cold_slack,
+                per_second=admitted.service.cold_per_second,
                 nodes=self._loads.nodes(),
             ),
         )
 
-    def refusal(self, code: str, reason: str) -> failure.Refusal:
-        """Returns a refusal of a request that has not run."""
-        return failure.Refusal(
-            reason=reason,
-            code=code,
-            status=503,
-            retry_after=self._chance.uniform(*RETRY_AFTER_SECONDS),
-        )
-
-    # Whole answers.
-
-    async def fetch(
-        self, progress: Progress, request: inbound.Request
-    ) -> Whole | failure.Refusal:
-        """Gets a whole answer."""
-        self._budget(progress).deposit()
-        try:
-            async with asyncio.timeout(max(0.0, admitting.left(progress.admitted))):
-                return await self._fetch(progress, request)
-        except TimeoutError:
-            return _too_late(progress)
-
-    async def _fetch(
-        self, progress: Progress, request: inbound.Request
-    ) -> Whole | failure.Refusal:
-        while True:
-            target = await self._place(progress)
-            if isinstance(target, failure.Refusal):
-                return _after(progress, target)
-            pieces: list[bytes] = []
-            result = await self._send(progress, request, target, "", pieces.append, pieces.clear)
-            if isinstance(result, channels.Head):
-                if result.status < 500 or not self._may_repeat(progress):
-                    return Whole(head=result, body=b"".join(pieces))
-            elif not self._may_go_on(progress, result):
-                return _given_up(progress, result, self.refusal("rejected", result.reason))
+    # Sending.
 
     async def _send(
         self,
         progress: Progress,
         request: inbound.Request,
         target: targets_.Target,
+        *,
         last_event: str,
-        on_data: "activities.Callable[[bytes], None]",
-        on_stray: "activities.Callable[[], None]",
-        on_head: "activities.Callable[[channels.Head], None] | None" = None,
-        on_open: "activities.Callable[[channels.Channel], None] | None" = None,
+        sink: passing.Sink,
     ) -> channels.Head | NotSent | NotRun | Lost:
         """Sends a request to a target and reads its answer."""
-        admitted = progress.admitted
         progress.target = target.target_id
         progress.tried.add(target.target_id)
         channel = await self.pool.take(
@@ -229,23 +282,15 @@
         self._loads.began(target.target_id)
         keep = False
         try:
-            headers = self._dialect.forwarded(
-                request.headers,
-                calls.Forwarding(
-                    vm_id=target.vm_id,
-                    workspace=admitted.workspace,
-                    budget=admitting.left(admitted),
-                    priority=admitted.priority,
-                    last_event=last_event,
-                ),
-            )
             if self._targets.is_cold(target):
                 self._cold.sent(target.target_id)
             progress.sends += 1
-            if on_open is not None:
-                on_open(channel)
+            sink.opened(channel)
+            headers = self._dialect.forwarded(
+                request.headers, _forwarding(progress.admitted, target, last_event)
+            )
             channel.send(request.method, request.target, headers, request.body)
-            result = await self._receive(progress, channel, on_data, on_stray, on_head)
+            result = await self._receive(progress, channel, sink)
             keep = isinstance(result, channels.Head | NotRun)
             if isinstance(result, NotRun):
                 progress.sends -= 1
@@ -259,45 +304,43 @@
                 channel.close()
 
     async def _receive(
-        self,
-        progress: Progress,
-        channel: channels.Channel,
-        on_data: "activities.Callable[[bytes], None]",
-        on_stray: "activities.Callable[[], None]",
-        on_head: "activities.Callable[[channels.Head], None] | None",
+        self, progress: Progress, channel: channels.Channel, sink: passing.Sink
     ) -> channels.Head | NotRun | Lost:
         """Reads the answer to this request; answers to others are skipped."""
         own = False
 
-        def note_head(head: channels.Head) -> None:
+        def take_head(head: channels.Head) -> None:
             nonlocal own
             verdict = self._dialect.read_verdict(head.status, head.headers)
             own = verdict.request_id in ("", progress.admitted.call.request_id)
-            if own and on_head is not None:
-                on_head(head)
+            if own:
+                sink.take_head(head)
 
-        def note_data(data: bytes) -> None:
+        def take(chunk: bytes) -> None:
             if own:
-                on_data(data)
+                sink.take(chunk)
 
         for _ in range(MAX_STRAY_ANSWERS + 1):
-            head = await channel.receive(on_head=note_head, on_data=note_data)
+            head = await channel.receive(on_head=take_head, on_data=take)
             if isinstance(head, channels.Broken):
                 return Lost(reason=head.reason)
-            if not own:
-                on_stray()
-                continue
-            verdict = self._dialect.read_verdict(head.status, head.headers)
-            if verdict.not_run:
-                return NotRun(reason=f"{channel.address} answered {head.status}")
-            if head.status < 300 and not verdict.signed:
-                return Lost(reason=f"{channel.address} sent an unsigned success")
-            return head
+            if own:
+                return self._judged(head, channel)
         return Lost(reason=f"{channel.address} sent answers to other requests")
 
-    # Repeats.
+    def _judged(
+        self, head: channels.Head, channel: channels.Channel
+    ) -> channels.Head | NotRun | Lost:
+        verdict = self._dialect.read_verdict(head.status, head.headers)
+        if verdict.not_run:
+            return NotRun(reason=f"{channel.address} rejected it with {head.status}")
+        if head.status < 300 and not verdict.signed:
+            return Lost(reason=f"{channel.address} sent an unsigned success")
+        return head
 
-    def _budget(self, progress: Progress) -> retry.RetryBudget:
+    # Repeats and refusals.
+
+    def _retries(self, progress: Progress) -> retry.RetryBudget:
         service = progress.admitted.service.name
         if service not in self._retries_by_service:
             reserve = self._budgets.retry_reserve / max(1, self._loads.nodes())
@@ -308,187 +351,52 @@
 
     def _may_repeat(self, progress: Progress) -> bool:
         """Returns True, and pays for it, if a request may run once more."""
-        return (
-            progress.repeatable
-            and progress.sends < progress.admitted.route.max_attempts
-            and self._budget(progress).spend()
-        )
+        return progress.has_attempts and self._retries(progress).spend()
 
     def _may_go_on(self, progress: Progress, result: NotSent | NotRun | Lost) -> bool:
         if isinstance(result, NotSent):
             return True
         if isinstance(result, NotRun):
-            return progress.rejections < MAX_REJECTIONS and self._budget(progress).spend()
+            return progress.rejections < MAX_REJECTIONS and self._retries(progress).spend()
         return self._may_repeat(progress)
 
-    # Streams.
-
-    async def stream(
-        self, progress: Progress, request: inbound.Request, reply: inbound.Reply
-    ) -> Whole | failure.Refusal | None:
-        """Passes a stream on; returns None once its answer has been given by this call."""
-        self._budget(progress).deposit()
-        passing = _Passing(progress=progress, reply=reply, dialect=self._dialect)
-        try:
-            async with asyncio.timeout(max(0.0, admitting.left(progress.admitted))):
-                return await self._stream(passing, request)
-        except TimeoutError:
-            if not reply.started:
-                return _too_late(progress)
-            progress.outcome = "deadline_in_stream"
-            reply.abort()
-            return None
-
-    async def _stream(
-        self, passing: "_Passing", request: inbound.Request
-    ) -> Whole | failure.Refusal | None:
-        progress, reply = passing.progress, passing.reply
-        while True:
-            target = await self._place(progress)
-            if isinstance(target, failure.Refusal):
-                if not reply.started:
-                    return _after(progress, target)
-                return _broken_off(progress, reply, target.reason)
-            result = await self._stream_from(passing, request, target)
-            if isinstance(result, channels.Head):
-                if passing.passes:
-                    progress.outcome = "streamed"
-                    reply.end()
-                    return None
-                if result.status < 500 or reply.started or not self._may_repeat(progress):
-                    if reply.started:
-                        return _broken_off(progress, reply, f"resume answered {result.status}")
-                    return Whole(head=result, body=passing.body)
-            elif not self._may_go_on(progress, result):
-                if reply.started:
-                    return _broken_off(progress, reply, result.reason)
-                return _given_up(progress, result, self.refusal("rejected", result.reason))
-
-    async def _stream_from(
-        self, passing: "_Passing", request: inbound.Request, target: targets_.Target
-    ) -> channels.Head | NotSent | NotRun | Lost:
-        passing.restart()
-        opened: list[channels.Channel] = []
-
-        def move() -> None:
-            """Leaves a target that stands still if the stream can go on elsewhere."""
-            progress = passing.progress
-            if opened and progress.repeatable and (
-                progress.sends < progress.admitted.route.max_attempts
-            ):
-                if not isinstance(self._choose(progress), failure.Refusal):
-                    passing.moved = True
-                    opened[0].close()
-
-        watch = self.activity.watch(target.target_id, move)
-
-        def data(chunk: bytes) -> None:
-            if passing.take(chunk):
-                self.activity.heard(watch)
-            if passing.broken and opened:
-                opened[0].close()
-
-        try:
-            result = await self._send(
-                passing.progress,
-                request,
-                target,
-                passing.cutter.last_id,
-                data,
-                passing.restart,
-                passing.take_head,
-                opened.append,
-            )
-        finally:
-            self.activity.ended(watch)
-        if isinstance(result, channels.Head) and passing.passes:
-            if passing.broken or not passing.cutter.at_boundary:
-                return Lost(reason=f"{target.target_id}: the stream ended within an event")
-        return result
-
-
-class _Passing:
-    """A stream on its way to the caller, over all the targets that it comes from."""
+    def _refusal(self, code: str, reason: str) -> failure.Refusal:
+        """Returns a refusal of a request that has not run."""
+        return failure.Refusal(
+            reason=reason,
+            code=code,
+            status=503,
+            retry_after=self._chance.uniform(*RETRY_AFTER_SECONDS),
+        )
 
-    def __init__(
-        self, *, progress: Progress, reply: inbound.Reply, dialect: calls.Dialect
-    ) -> None:
-        self.progress = progress
-        self.reply = reply
-        self.cutter = sse.Cutter(last_id=progress.admitted.call.last_event)
-        self.passes = False
-        self.broken = False
-        self.moved = False
-        self._dialect = dialect
-        self._head: channels.Head | None = None
-        self._pieces: list[bytes] = []
 
-    @property
-    def body(self) -> bytes:
-        """Returns the body of an answer that is no stream."""
-        return b"".join(self._pieces)
-
-    def restart(self) -> None:
-        """Prepares for another target."""
-        self.cutter.restart()
-        self.passes = self.broken = self.moved = False
-        self._pieces.clear()
-
-    def take_head(self, head: channels.Head) -> None:
-        """Takes in the head of a target's answer."""
-        verdict = self._dialect.read_verdict(head.status, head.headers)
-        self.passes = head.status == _OK and verdict.signed
-        if self.passes and self._head is None:
-            self._head = head
-
-    def take(self, chunk: bytes) -> bool:
-        """Takes in a part of the body; returns True if events were passed on."""
-        if not self.passes:
-            self._pieces.append(chunk)
-            return False
-        passed = self.cutter.feed(chunk)
-        self.broken = self.broken or passed.gap
-        if not passed.count:
-            return False
-        if not self.reply.started:
-            assert self._head is not None
-            self.reply.begin(
-                self._head.status, self._head.reason, self._dialect.returned(self._head.headers)
-            )
-        self.reply.piece(passed.data)
-        self.progress.events += passed.count
-        return True
+def _forwarding(
+    admitted: admitting.Admitted, target: targets_.Target, last_event: str
+) -> calls.Forwarding:
+    return calls.Forwarding(
+        vm_id=target.vm_id,
+        workspace=admitted.workspace,
+        budget=admitting.left(admitted),
+        priority=admitted.priority,
+        last_event=last_event,
+    )
 
 
 def _too_late(progress: Progress) -> failure.Refusal:
     if not progress.sends:
         return failure.Refusal(reason="no target in time", code="deadline", status=503)
     return failure.Refusal(
-        reason="no answer in time",
+        reason="no whole answer in time",
         code="deadline",
         status=504,
         outcome=failure.Outcome.UNKNOWN,
     )
 
 
-def _after(progress: Progress, refusal: failure.Refusal) -> failure.Refusal:
-    """Corrects a refusal for a request that may have run before."""
+def _corrected(progress: Progress, refusal: failure.Refusal) -> failure.Refusal:
+    """Returns a refusal that is true of a request which may have run before."""
     if not progress.sends:
         return refusal
-    return failure.Refusal(
-        reason=refusal.reason,
-        code="target_lost",
-        status=502,
-        outcome=failure.Outcome.UNKNOWN,
+    return dataclasses.replace(
+        refusal, status=502, outcome=failure.Outcome.UNKNOWN, retry_after=None
     )
-
-
-def _given_up(
-    progress: Progress, result: NotSent | NotRun | Lost, refusal: failure.Refusal
-) -> failure.Refusal:
-    return _after(progress, dataclasses.replace(refusal, reason=result.reason))
-
-
-def _broken_off(progress: Progress, reply: inbound.Reply, reason: str) -> None:
-    progress.outcome = f"broken_off: {reason}"
-    reply.abort()
--- a/basilpost/gateway/inbound.py
+++ b/basilpost/gateway/inbound.py
@@ -85,9 +85,7 @@
         started: True once a byte of it was written.
     """
 
-    def __init__(
-        self, *, connection: tornado.http1connection.HTTP1Connection, method: str
-    ) -> None:
+    def __init__(self, *, connection: tornado.http1connection.HTTP1Connection, method: str) -> None:
         self._connection = connection
         self._method = method
         self.started = False
--- a/basilpost/gateway/relay.py
+++ b/basilpost/gateway/relay.py
@@ -1,17 +1,18 @@
 """The callers' side of a node that forwards requests by routes: listens, serves, drains."""
 
 import asyncio
+import dataclasses
 import json
 import random
+import socket
 
-import prometheus_client
 import tornado.httpserver
 import tornado.httputil
 import tornado.netutil
 import tornado.web
 
 from basilpost.core import clock, failure, kernel, names, tasks
-from basilpost.gateway import admitting, forwarding, inbound
+from basilpost.gateway import admitting, ending, forwarding, inbound
 from basilpost.members import knowledge as knowledges
 from basilpost.members import loads as loads_
 from basilpost.routing import calls
@@ -30,7 +31,9 @@
 # A planned stop leaves this much of its grace unused.
 DRAIN_MARGIN_SECONDS = 0.8
 SWEEP_SECONDS = 1.0
-LATENCY_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8)
+# Part of the repeats that users allow which nodes spend; the rest covers bursts between nodes.
+RETRY_MARGIN = 0.7
+LISTEN_BACKLOG = 1024
 
 
 class Relay(kernel.Service, tornado.httputil.HTTPServerConnectionDelegate):
@@ -40,22 +43,20 @@
         self._settings = settings
         self._log = kernel.log
         self._tasks = tasks.TaskSet(log=kernel.log)
-        self._dialect = kernel.find(names.DIALECT, calls.Dialect)  # type: ignore[type-abstract]
+        self._dialect = kernel.find(names.DIALECT, calls.Dialect)
         self._knowledge = kernel.find(names.KNOWLEDGE, knowledges.Knowledge)
         chance = random.Random()
         self._admitting = admitting.Admitting(
             knowledge=self._knowledge, dialect=self._dialect, chance=chance
         )
         self._forwarder = forwarding.Forwarder(
-            node_failure_domain=settings.failure_domain,
+            failure_domain=settings.failure_domain,
             dialect=self._dialect,
             targets=kernel.find(names.TARGETS, targets_.Targets),
             loads=kernel.find(names.LOADS, loads_.Loads),
             budgets=forwarding.Budgets(
-                retry_share=settings.bounds.retry_share * 0.7,
-                retry_reserve=settings.bounds.retry_reserve * 0.7,
-                cold_factor=1.0,
-                cold_slack=0.0,
+                retry_share=settings.bounds.retry_share * RETRY_MARGIN,
+                retry_reserve=settings.bounds.retry_reserve * RETRY_MARGIN,
             ),
             chance=chance,
         )
@@ -63,19 +64,7 @@
         self._readiness: tornado.httpserver.HTTPServer | None = None
         self._in_flight = 0
         self._draining = False
-        self._ended = prometheus_client.Counter(
-            "basilpost_requests_total",
-            "Requests by route, status and outcome",
-            ["route", "status", "outcome"],
-            registry=kernel.registry,
-        )
-        self._seconds = prometheus_client.Histogram(
-            "basilpost_request_seconds",
-            "Time from a request's head to the end of its answer",
-            ["route"],
-            buckets=LATENCY_BUCKETS,
-            registry=kernel.registry,
-        )
+        self._endings = ending.Endings(kernel=kernel, knowledge=self._knowledge)
 
     # Life.
 
@@ -147,90 +136,57 @@
 
     async def _serve(self, request: inbound.Request, reply: inbound.Reply) -> None:
         self._in_flight += 1
-        admitted = self._admitting.admit(request)
-        progress: forwarding.Progress | None = None
-        status = 0
+        ended = ending.Ended(call=self._dialect.read_call(request.headers))
         try:
-            if isinstance(admitted, failure.Refusal):
-                status = self._refuse(request, reply, admitted)
-                return
-            progress = forwarding.Progress(admitted=admitted)
-            if admitted.route.streaming:
-                result = await self._forwarder.stream(progress, request, reply)
-            else:
-                result = await self._forwarder.fetch(progress, request)
-            if isinstance(result, failure.Refusal):
-                progress.outcome = f"{result.code}: {result.reason}"
-                status = self._refuse(request, reply, result)
-            elif result is not None:
-                progress.outcome = progress.outcome or "answered"
-                status = result.head.status
-                headers = self._dialect.returned(result.head.headers)
-                reply.whole(status, result.head.reason, headers, result.body)
-            else:
-                status = 200
+            ended = await self._answer(request, reply, ended)
         except asyncio.CancelledError:
-            if progress is not None:
-                progress.outcome = "caller_left"
+            ended = dataclasses.replace(ended, outcome="caller_left")
             raise
         finally:
             self._in_flight -= 1
-            self._note_end(request, admitted, progress, status)
+            self._endings.note(request, ended)
+
+    async def _answer(
+        self, request: inbound.Request, reply: inbound.Reply, ended: ending.Ended
+    ) -> ending.Ended:
+        """Serves a request and returns how it ended."""
+        admitted = self._admitting.admit(request)
+        if isinstance(admitted, failure.Refusal):
+            return self._refuse(reply, admitted, ended)
+        progress = forwarding.Progress(admitted=admitted)
+        ended = dataclasses.replace(ended, progress=progress)
+        if admitted.route.streaming:
+            result = await self._forwarder.stream(progress, request, reply)
+        else:
+            result = await self._forwarder.fetch(progress, request)
+        match result:
+            case failure.Refusal():
+                return self._refuse(reply, result, ended)
+            case forwarding.Whole():
+                headers = self._dialect.returned(result.head.headers)
+                reply.whole(result.head.status, result.head.reason, headers, result.body)
+                return dataclasses.replace(ended, status=result.head.status, outcome="answered")
+            case forwarding.BrokenOff():
+                return dataclasses.replace(ended, outcome="broken_off", reason=result.reason)
+            case _:
+                return dataclasses.replace(ended, status=200, outcome="streamed")
 
     def _refuse(
-        self, request: inbound.Request, reply: inbound.Reply, refusal: failure.Refusal
-    ) -> int:
+        self, reply: inbound.Reply, refusal: failure.Refusal, ended: ending.Ended
+    ) -> ending.Ended:
         headers = tornado.httputil.HTTPHeaders(
             {
                 "Content-Type": "application/json",
                 names.OUTCOME_HEADER: refusal.outcome.value,
-                **self._dialect.refused(self._dialect.read_call(request.headers).request_id),
+                **self._dialect.refused(ended.call.request_id),
             }
         )
         if refusal.retry_after is not None:
             headers["Retry-After"] = f"{refusal.retry_after:.2f}"
         body = {"error": {"code": refusal.code, "message": refusal.reason}}
         reply.whole(refusal.status, "", headers, json.dumps(body).encode())
-        return refusal.status
-
-    def _note_end(
-        self,
-        request: inbound.Request,
-        admitted: admitting.Admitted | failure.Refusal,
-        progress: forwarding.Progress | None,
-        status: int,
-    ) -> None:
-        seconds = clock.elapsed() - request.received_at
-        if isinstance(admitted, failure.Refusal):
-            self._ended.labels("", str(status), admitted.code).inc()
-            self._log.info(
-                "request_refused",
-                request=self._dialect.read_call(request.headers).request_id,
-                host=request.headers.get("Host", ""),
-                path=request.path,
-                status=status,
-                code=admitted.code,
-                configuration_age=round(self._knowledge.configuration_age(), 3),
-            )
-            return
-        assert progress is not None
-        outcome = progress.outcome.partition(":")[0]
-        self._ended.labels(admitted.route.name, str(status), outcome).inc()
-        self._seconds.labels(admitted.route.name).observe(seconds)
-        self._log.info(
-            "request_ended",
-            request=admitted.call.request_id,
-            route=admitted.route.name,
-            workspace=admitted.workspace,
-            model=admitted.call.model,
-            configuration=admitted.configuration,
-            target=progress.target,
-            sends=progress.sends,
-            rejections=progress.rejections,
-            events=progress.events,
-            status=status,
-            outcome=progress.outcome,
-            ms=round(seconds * 1000),
+        return dataclasses.replace(
+            ended, status=refusal.status, outcome=refusal.code, reason=refusal.reason
         )
 
 
@@ -242,6 +198,6 @@
         self.set_status(200 if self._relay.ready else 503)
 
 
-def _bind(address: str) -> list["tornado.netutil.socket.socket"]:
+def _bind(address: str) -> list[socket.socket]:
     host, _, port = address.rpartition(":")
-    return tornado.netutil.bind_sockets(int(port), address=host, backlog=1024)
+    return tornado.netutil.bind_sockets(int(port), address=host, backlog=LISTEN_BACKLOG)
--- a/basilpost/groups/lease.py
+++ b/basilpost/groups/lease.py
@@ -107,8 +107,8 @@
     async def release(self, store: objects.ObjectStore, *, timeout: float) -> None:
         """Gives a held lease up, so that another node need not wait for its end."""
         if self.fence:
-            version, _ = self._version, self.drop()
-            await store.delete(self.key, version=version, timeout=timeout)
+            self.drop()
+            await store.delete(self.key, version=self._version, timeout=timeout)
 
     def drop(self) -> None:
         """Notes that the lease is lost."""
--- a/basilpost/groups/pool.py
+++ b/basilpost/groups/pool.py
@@ -113,9 +113,7 @@
         forming_by_group=memory.forming_by_group | formed,
         formed_at_by_group=memory.formed_at_by_group | dict.fromkeys(formed, view.now),
     )
-    return Decision(
-        orders=tuple(now_due), memory=memory, epochs_used=len(formed), loads_used=loads
-    )
+    return Decision(orders=tuple(now_due), memory=memory, epochs_used=len(formed), loads_used=loads)
 
 
 def lifetime(vm: catalog.Vm) -> str:
@@ -243,7 +241,12 @@
     loads_left = view.loads_left
     while True:
         options = [
-            (capacity_by_model[model.name] / max(0.01, view.work_by_model.get(model.name, 0.0)), -model.vms, domain, model)
+            (
+                capacity_by_model[model.name] / max(0.01, view.work_by_model.get(model.name, 0.0)),
+                -model.vms,
+                domain,
+                model,
+            )
             for domain, vms in free_by_domain.items()
             for model in view.models
             if _can_form(view, memory, model, vms, loads_left)
@@ -371,9 +374,7 @@
     return (one.kind, one.group, one.model) == (other.kind, other.group, other.model)
 
 
-def _bounded(
-    due: list[orders.Order], loads_left: int
-) -> tuple[list[orders.Order], int]:
+def _bounded(due: list[orders.Order], loads_left: int) -> tuple[list[orders.Order], int]:
     """Leaves out loads beyond the weight store's rate; joins come before stages."""
     chosen: list[orders.Order] = []
     loads = 0
--- a/basilpost/groups/supply.py
+++ b/basilpost/groups/supply.py
@@ -47,7 +47,7 @@
         self._log = kernel.log
         self._store = kernel.find(names.OBJECTS, objects.ObjectStore)
         self._knowledge = kernel.find(names.KNOWLEDGE, knowledges.Knowledge)
-        self._engines = kernel.find(names.POOL_ENGINES, orders.Engines)  # type: ignore[type-abstract]
+        self._engines = kernel.find(names.POOL_ENGINES, orders.Engines)
         self._tasks = tasks.TaskSet(log=kernel.log)
         self._lease = leases.Lease(
             key=LEASE_KEY,
--- a/basilpost/members/knowledge.py
+++ b/basilpost/members/knowledge.py
@@ -4,17 +4,16 @@
 an older version never replaces a newer one, whatever a stale read says.
 """
 
-import abc
 import asyncio
 import dataclasses
-
+import functools
 import random
 from collections.abc import Callable, Iterable
 
 import prometheus_client
 
 from basilpost.core import catalog, clock, failure, kernel, names, tasks
-from basilpost.members import following, versions
+from basilpost.members import decoding, following, versions
 from basilpost.store import objects
 
 # Waits of one watch call in seconds. A call's answer shows that nothing changed since it was sent,
@@ -30,33 +29,6 @@
 CONTROLLER_GAP_SECONDS = 0.04
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Kinds:
-    """Where the platform's store keeps what is followed."""
-
-    configuration_key: str
-    configuration_prefix: str
-    vm_prefix: str
-    out_of_service_prefix: str
-
-
-class Decoder(abc.ABC):
-    """Decodes the platform's objects."""
-
-    @property
-    @abc.abstractmethod
-    def kinds(self) -> Kinds:
-        """Returns the keys and prefixes."""
-
-    @abc.abstractmethod
-    def configuration(self, raw: bytes) -> catalog.Configuration | failure.Failure:
-        """Decodes the operators' configuration."""
-
-    @abc.abstractmethod
-    def vm(self, vm_id: str, raw: bytes) -> catalog.Vm | failure.Failure:
-        """Decodes a VM's entry."""
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class SeenVm:
     """A VM and what its last report means on this node's clock.
@@ -83,7 +55,7 @@
         publish: Called with each change that the store showed to this node while it controls.
     """
 
-    def __init__(self, *, kernel: kernel.Kernel, decoder: Decoder) -> None:
+    def __init__(self, *, kernel: kernel.Kernel, decoder: decoding.Decoder) -> None:
         self.configuration: catalog.Configuration | None = None
         self.vms_by_id: dict[str, SeenVm] = {}
         self.out_of_service: frozenset[str] = frozenset()
@@ -118,7 +90,7 @@
             registry=kernel.registry,
         )
         for prefix in self._followers_by_prefix:
-            age.labels(prefix.rstrip("/")).set_function(lambda prefix=prefix: self._age(prefix))
+            age.labels(prefix.rstrip("/")).set_function(functools.partial(self._age, prefix))
 
     async def start(self) -> None:
         """Begins to follow the store."""
@@ -257,15 +229,12 @@
             revision=change.version,
         )
 
-    def _count_malformed(
-        self, kind: str, change: objects.Change, found: failure.Failure
-    ) -> None:
+    def _count_malformed(self, kind: str, change: objects.Change, found: failure.Failure) -> None:
         self._malformed.labels(kind).inc()
         self._log.warning(
             "malformed_object", key=change.key, revision=change.version, reason=found.reason
         )
 
 
-
 def _notable(vm: catalog.Vm) -> tuple[object, ...]:
     return vm.incarnation, vm.leaving, vm.member, vm.staged
--- a/basilpost/members/loads.py
+++ b/basilpost/members/loads.py
@@ -40,7 +40,7 @@
     """Counts this node's requests in flight and adds those of the others."""
 
     def __init__(self, *, kernel: kernel.Kernel) -> None:
-        self._peers = kernel.find(names.PEERS, peers.PeerNetwork)  # type: ignore[type-abstract]
+        self._peers = kernel.find(names.PEERS, peers.PeerNetwork)
         self._tasks = tasks.TaskSet(log=kernel.log)
         self._own: dict[str, int] = {}
         self._heard_by_node: dict[str, _Heard] = {}
@@ -106,14 +106,13 @@
         while True:
             await asyncio.sleep(REPORT_SECONDS)
             now = clock.elapsed()
-            report = LoadReport(
-                in_flight_by_target=dict(self._own), stalled=tuple(self.stalled())
-            )
+            report = LoadReport(in_flight_by_target=dict(self._own), stalled=tuple(self.stalled()))
             if report != last or now - sent_at >= REPEAT_SECONDS:
                 self._peers.broadcast(report)
                 last, sent_at = report, now
             old = [
-                node for node, heard in self._heard_by_node.items()
+                node
+                for node, heard in self._heard_by_node.items()
                 if now - heard.at > FORGET_SECONDS
             ]
             for node in old:
--- a/basilpost/members/news.py
+++ b/basilpost/members/news.py
@@ -27,7 +27,7 @@
     """Sends the news of this node while it is the controller, and takes in those of others."""
 
     def __init__(self, *, kernel: kernel.Kernel) -> None:
-        self._peers = kernel.find(names.PEERS, peers.PeerNetwork)  # type: ignore[type-abstract]
+        self._peers = kernel.find(names.PEERS, peers.PeerNetwork)
         self._knowledge = kernel.find(names.KNOWLEDGE, knowledges.Knowledge)
         self._tasks = tasks.TaskSet(log=kernel.log)
         self._collected: list[objects.Change] = []
--- a/basilpost/members/registry.py
+++ b/basilpost/members/registry.py
@@ -22,12 +22,10 @@
 class Registry(kernel.Service):
     """Keeps this node's record and follows those of the others."""
 
-    def __init__(
-        self, *, kernel: kernel.Kernel, record: node_table.NodeRecord
-    ) -> None:
+    def __init__(self, *, kernel: kernel.Kernel, record: node_table.NodeRecord) -> None:
         self._log = kernel.log
         self._record = record
-        self._store = kernel.find(names.OBJECTS, objects.ObjectStore)  # type: ignore[type-abstract]
+        self._store = kernel.find(names.OBJECTS, objects.ObjectStore)
         self._table = kernel.find(names.NODE_TABLE, node_table.NodeTable)
         self._tasks = tasks.TaskSet(log=kernel.log)
         self._keys: set[str] = set()
@@ -85,9 +83,7 @@
 
     def _take_listing(self, prefix: str, listing: objects.Listing) -> None:
         for stored in listing.objects:
-            self._take_change(
-                objects.Change(key=stored.key, version=stored.version, stored=stored)
-            )
+            self._take_change(objects.Change(key=stored.key, version=stored.version, stored=stored))
         listed = {stored.key for stored in listing.objects}
         for key in self._keys - listed:
             self._take_change(objects.Change(key=key, version=listing.revision, stored=None))
--- a/basilpost/node/pool_assembly.py
+++ b/basilpost/node/pool_assembly.py
@@ -66,15 +66,11 @@
         failure_domain=settings.failure_domain,
         region=settings.region,
         platform=schema.Platform(object_api=f"http://{settings.store}", vm_list=""),
-        peers=schema.PeerStreams(
-            listen=schema.Listen(host=settings.host, port=settings.peer_port)
-        ),
+        peers=schema.PeerStreams(listen=schema.Listen(host=settings.host, port=settings.peer_port)),
     )
 
 
-def _record(
-    settings: pool_schema.PoolNodeSettings, incarnation: str
-) -> node_table.NodeRecord:
+def _record(settings: pool_schema.PoolNodeSettings, incarnation: str) -> node_table.NodeRecord:
     return node_table.NodeRecord(
         node_id=settings.node_id,
         peer_address=f"{settings.host}:{settings.peer_port}",
--- a/basilpost/platform/headers.py
+++ b/basilpost/platform/headers.py
@@ -71,9 +71,7 @@
             result[_LAST_EVENT] = added.last_event
         return result
 
-    def read_verdict(
-        self, status: int, headers: tornado.httputil.HTTPHeaders
-    ) -> calls.Verdict:
+    def read_verdict(self, status: int, headers: tornado.httputil.HTTPHeaders) -> calls.Verdict:
         """Returns what the head of a runner's answer says."""
         return calls.Verdict(
             request_id=headers.get(_ATTEMPT, ""),
@@ -83,9 +81,7 @@
             cold_seconds=(_number(headers.get(_COLD, "")) or 0.0) / _MS,
         )
 
-    def returned(
-        self, headers: tornado.httputil.HTTPHeaders
-    ) -> tornado.httputil.HTTPHeaders:
+    def returned(self, headers: tornado.httputil.HTTPHeaders) -> tornado.httputil.HTTPHeaders:
         """Returns the headers of a runner's answer as they go to the caller."""
         return _without(headers, frozenset())
 
--- a/basilpost/platform/schema.py
+++ b/basilpost/platform/schema.py
@@ -1,17 +1,17 @@
 """The platform's object kinds behind the product's decoder interface."""
 
 from basilpost.core import catalog, failure
-from basilpost.members import knowledge
+from basilpost.members import decoding
 from basilpost.platform import decode
 
 
-class PlatformDecoder(knowledge.Decoder):
+class PlatformDecoder(decoding.Decoder):
     """Decodes the platform's objects."""
 
     @property
-    def kinds(self) -> knowledge.Kinds:
+    def kinds(self) -> decoding.Kinds:
         """Returns the keys and prefixes."""
-        return knowledge.Kinds(
+        return decoding.Kinds(
             configuration_key=decode.CONFIG_KEY,
             configuration_prefix=decode.CONFIG_KIND,
             vm_prefix=decode.VM_KIND,
--- a/basilpost/platform/store.py
+++ b/basilpost/platform/store.py
@@ -142,9 +142,7 @@
     ) -> http_calls.Reply | http_calls.NoReply:
         return await self._caller.read(path, timeout=timeout, wait=wait)
 
-    async def _write(
-        self, method: str, path: str, key: str, body: Any, timeout: float
-    ) -> Write:
+    async def _write(self, method: str, path: str, key: str, body: Any, timeout: float) -> Write:
         call = http_calls.Call(
             method=method,
             path=path,
--- a/basilpost/routing/calls.py
+++ b/basilpost/routing/calls.py
@@ -81,15 +81,11 @@
         """Returns the headers of the request as it goes to a runner."""
 
     @abc.abstractmethod
-    def read_verdict(
-        self, status: int, headers: tornado.httputil.HTTPHeaders
-    ) -> Verdict:
+    def read_verdict(self, status: int, headers: tornado.httputil.HTTPHeaders) -> Verdict:
         """Returns what the head of a runner's answer says."""
 
     @abc.abstractmethod
-    def returned(
-        self, headers: tornado.httputil.HTTPHeaders
-    ) -> tornado.httputil.HTTPHeaders:
+    def returned(self, headers: tornado.httputil.HTTPHeaders) -> tornado.httputil.HTTPHeaders:
         """Returns the headers of a runner's answer as they go to the caller."""
 
     @abc.abstractmethod
--- a/basilpost/routing/targets.py
+++ b/basilpost/routing/targets.py
@@ -53,9 +53,7 @@
             chosen = [_plain(seen_by_id[vm.vm_id]) for vm in vms if not vm.leaving]
         else:
             chosen = _groups(vms, seen_by_id, service.engine)
-        found[service.name] = [
-            one for one in chosen if one.failure_domain not in out_of_service
-        ]
+        found[service.name] = [one for one in chosen if one.failure_domain not in out_of_service]
     return {service: tuple(targets) for service, targets in found.items()}
 
 
