Stand-ins of the users' platform, and the whole path tested on them without the kit

Store, runners with engine orders, and a configuration; 27 tests of groups and requests. Found by them: an answer to another request was skipped, but the next one was read by a connection object that never finished (the request hung until its deadline); and an answer that came before the whole request was read left a connection with the rest of the request on it. Both mended, both seen to fail before.

--- a/basilpost/core/channels.py
+++ b/basilpost/core/channels.py
@@ -67,8 +67,13 @@
     """Hands an answer on to callbacks."""
 
     def __init__(
-        self, *, on_head: Callable[[Head], None], on_data: Callable[[bytes], None]
+        self,
+        *,
+        stream: tornado.iostream.IOStream,
+        on_head: Callable[[Head], None],
+        on_data: Callable[[bytes], None],
     ) -> None:
+        self._stream = stream
         self._on_head = on_head
         self._on_data = on_data
         self.head: Head | None = None
@@ -90,6 +95,10 @@
 
     def finish(self) -> None:
         self.finished = self.head is not None
+        if self._stream.writing():
+            # The server answered before it read the whole request. The rest of it must not be taken
+            # for another request, so the connection ends here.
+            self._stream.close()
 
 
 class Channel:
@@ -126,9 +135,12 @@
         self, *, on_head: Callable[[Head], None], on_data: Callable[[bytes], None]
     ) -> Head | Broken:
         """Reads one answer; returns its head once the body is complete."""
-        connection = self._connection or _Client(self.stream, True, _PARAMETERS)
-        self._connection = None
-        receiver = _Receiver(on_head=on_head, on_data=on_data)
+        connection, self._connection = self._connection, None
+        if connection is None:
+            # An answer that nothing was sent for: one to this request may follow it.
+            connection = _Client(self.stream, True, _PARAMETERS)
+            connection.finish()
+        receiver = _Receiver(stream=self.stream, on_head=on_head, on_data=on_data)
         try:
             await connection.read_response(receiver)
         except (tornado.iostream.StreamClosedError, tornado.httputil.HTTPInputError) as error:
--- /dev/null
+++ b/basilpost/emulator/pool_fleet.py
@@ -0,0 +1,139 @@
+"""The users' platform on one machine: store, pool of VMs and plain service, with a configuration."""
+
+import asyncio
+import itertools
+from collections.abc import Callable
+from typing import Any
+
+from basilpost.emulator import pool_runner, pool_store
+
+HOST = "archive.example"
+KEY = "key-one"
+OTHER_KEY = "key-two"
+WORKSPACE = "studio"
+MODEL_SERVICE = "clearance"
+PLAIN_SERVICE = "desk"
+LARGE = "large"
+SMALL = "small"
+
+
+def configuration(version: int = 1, *, keys: tuple[str, ...] = (KEY, OTHER_KEY)) -> dict[str, Any]:
+    """Returns a configuration in the platform's form."""
+    return {
+        "version": version,
+        "routes": [
+            _route("draft", "streaming", MODEL_SERVICE, attempts=2, sticky=True),
+            _route("filing", "non_idempotent", PLAIN_SERVICE, attempts=1),
+            _route("lookup", "idempotent", PLAIN_SERVICE, attempts=2),
+        ],
+        "services": [
+            {"name": MODEL_SERVICE, "coldPerS": 36.0, "engine": _engine()},
+            {"name": PLAIN_SERVICE, "coldPerS": 0.0},
+        ],
+        "limits": {
+            "maxHeaderBytes": 16384,
+            "maxBodyBytes": 4_194_304,
+            "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000,
+        },
+        "tenants": [{"name": WORKSPACE, "apiKeys": list(keys), "priority": 1}],
+    }
+
+
+def _route(
+    name: str, kind: str, service: str, *, attempts: int, sticky: bool = False
+) -> dict[str, Any]:
+    return {
+        "name": name,
+        "hostname": HOST,
+        "pathPrefix": f"/{name}/",
+        "kind": kind,
+        "timeoutMs": 5000,
+        "targetLatencyMs": 400,
+        "priority": 1,
+        "service": service,
+        "maxAttempts": attempts,
+        "anonymous": False,
+        "stickySessions": sticky,
+        "resumable": sticky,
+        "gapAimMs": 250,
+    }
+
+
+def _engine() -> dict[str, Any]:
+    return {
+        "slots": 4,
+        "loadsPerS": 50.0,
+        "formMs": 20.0,
+        "models": [
+            {"name": LARGE, "size": 3, "share": 0.6, "pace": 1.0, "loadS": 0.2, "warmS": 0.02},
+            {"name": SMALL, "size": 2, "share": 0.4, "pace": 0.6, "loadS": 0.2, "warmS": 0.02},
+        ],
+    }
+
+
+class PoolFleet:
+    """Stand-ins for everything outside the system.
+
+    Attributes:
+        store: The platform's store.
+        runners_by_id: Runners by the id of their VM.
+    """
+
+    def __init__(self, *, fabric_domains: int = 1, vms: int = 6, plain: int = 2) -> None:
+        self.store = pool_store.PoolStore()
+        self.runners_by_id: dict[str, pool_runner.PoolRunner] = {}
+        for domain, number in itertools.product(range(fabric_domains), range(vms)):
+            self.add(f"vm-{domain}-{number}", MODEL_SERVICE, fabric_domain=f"fabric-{domain}")
+        for number in range(plain):
+            self.add(f"desk-{number}", PLAIN_SERVICE)
+
+    def add(self, vm_id: str, service: str, *, fabric_domain: str = "") -> pool_runner.PoolRunner:
+        """Adds a runner that is not started yet."""
+        runner = pool_runner.PoolRunner(
+            vm_id=vm_id, service=service, store=self.store, fabric_domain=fabric_domain
+        )
+        self.runners_by_id[vm_id] = runner
+        return runner
+
+    async def start(self) -> None:
+        """Starts the store and the runners, and writes the first configuration."""
+        await self.store.start()
+        await self.configure(configuration())
+        for runner in self.runners_by_id.values():
+            await runner.start()
+
+    async def stop(self) -> None:
+        """Stops everything."""
+        for runner in self.runners_by_id.values():
+            await runner.stop()
+        await self.store.stop()
+
+    async def configure(self, spec: dict[str, Any]) -> None:
+        """Writes a configuration as the operator does."""
+        await self.store.put("config/main", spec)
+
+    def open_groups(self, model: str = "") -> list[str]:
+        """Returns the names of the groups whose head is open."""
+        members = (runner.member for runner in self.runners_by_id.values())
+        return sorted(
+            member["name"]
+            for member in members
+            if member is not None and member["state"] == "open" and member["name"].startswith(model)
+        )
+
+    def ran(self, attempt: str) -> list[pool_runner.Ran]:
+        """Returns the runs of a request, on whatever runners."""
+        everything = (runner.ran for runner in self.runners_by_id.values())
+        return [one for one in itertools.chain(*everything) if one.attempt == attempt]
+
+
+async def until(condition: Callable[[], bool], *, seconds: float = 15.0) -> None:
+    """Waits until a condition holds.
+
+    Raises:
+        TimeoutError: If it does not in time.
+    """
+    async with asyncio.timeout(seconds):
+        while not condition():
+            await asyncio.sleep(0.01)
--- /dev/null
+++ b/basilpost/emulator/pool_runner.py
@@ -0,0 +1,355 @@
+"""A stand-in for a runner of the users' platform: engine orders, streams and plain answers.
+
+It keeps a history of what it ran and in which group, by which tests check the promises.
+"""
+
+import asyncio
+import dataclasses
+import json
+from typing import Any
+
+from tornado import web
+
+from basilpost.emulator import pool_store, server, silence
+
+SIGNATURE = "X-Runner-Signature"
+_ATTEMPT = "X-Attempt-Id"
+
+
+@dataclasses.dataclass(kw_only=True)
+class Options:
+    """How a runner behaves.
+
+    Attributes:
+        load_seconds: Time to load weights from the weight store.
+        warm_seconds: Time to load them from the host.
+        open_seconds: Time to open a group.
+        events: Events of a stream.
+        event_seconds: Time between them.
+        work_seconds: Time of a plain request.
+        full: True to reject requests as full.
+        fail: True to answer requests with its own failure.
+        lose_answers: Requests to come that are run and whose answer is lost.
+        stray_answers: Requests to come that are answered with a second, stray answer first.
+        late_orders: Seconds by which orders to come are carried out late and unanswered.
+        cuts: Streams to come that are broken off within an event.
+        cut_after: Whole events before that.
+        still: True to stop writing, as a group does that lost a member.
+    """
+
+    load_seconds: float = 0.2
+    warm_seconds: float = 0.02
+    open_seconds: float = 0.02
+    events: int = 6
+    event_seconds: float = 0.01
+    work_seconds: float = 0.005
+    full: bool = False
+    fail: bool = False
+    lose_answers: int = 0
+    stray_answers: int = 0
+    late_orders: float = 0.0
+    cuts: int = 0
+    cut_after: int = 2
+    still: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Ran:
+    """A request that a runner began to run.
+
+    Attributes:
+        attempt: Its id.
+        workspace: Workspace that was handed on.
+        path: Path and query.
+        body: Body.
+        group: Group that ran it, empty for plain services.
+        epoch: Its epoch.
+        after: Event that the stream went on after.
+        key_seen: True if the caller's key was handed on.
+    """
+
+    attempt: str
+    workspace: str
+    path: str
+    body: bytes
+    group: str
+    epoch: int
+    after: str
+    key_seen: bool
+
+
+class PoolRunner(server.StandIn):
+    """One runner; it registers in the store as the platform's runners do."""
+
+    def __init__(
+        self,
+        *,
+        vm_id: str,
+        service: str,
+        store: pool_store.PoolStore,
+        failure_domain: str = "a",
+        fabric_domain: str = "",
+        options: Options | None = None,
+    ) -> None:
+        super().__init__()
+        self.vm_id = vm_id
+        self.service = service
+        self.failure_domain = failure_domain
+        self.fabric_domain = fabric_domain
+        self.options = options or Options()
+        self.ran: list[Ran] = []
+        self.joined: list[tuple[str, str | None]] = []
+        self.orders: list[dict[str, Any]] = []
+        self.member: dict[str, Any] | None = None
+        self.members: list[str] = []
+        self.staged: list[str] = []
+        self.state = "ready"
+        self.highest_fence = 0
+        self.highest_epoch = 0
+        self._last_model = ""
+        self._store = store
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def routes(self) -> server.Routes:
+        """Returns the handlers."""
+        owner = {"owner": self}
+        return [(r"/api/order", _OrderHandler, owner), (r"/.*", _WorkHandler, owner)]
+
+    async def start(self) -> str:
+        """Listens and registers."""
+        address = await super().start()
+        await self.report()
+        return address
+
+    async def vanish(self) -> None:
+        """Stops without a word, entry and all."""
+        await self.stop()
+        await self._store.remove(f"servers/{self.vm_id}")
+
+    async def stop(self) -> None:
+        """Stops listening and whatever was under way."""
+        for task in list(self._tasks):
+            task.cancel()
+        await super().stop()
+
+    async def report(self) -> None:
+        """Writes the runner's entry."""
+        entry = {
+            "service": self.service,
+            "address": self.address,
+            "zone": self.failure_domain,
+            "version": "v1",
+            "slots": 4,
+            "state": self.state,
+            "coldRemainingMs": 0,
+            "born": 1,
+            "sequence": len(self.orders),
+        }
+        if self.fabric_domain:
+            entry |= {"domain": self.fabric_domain, "staged": self.staged, "group": self.member}
+        await self._store.put(f"servers/{self.vm_id}", entry)
+
+    # Orders.
+
+    async def take_order(self, order: dict[str, Any]) -> int:
+        """Carries an order out and returns the status of the answer."""
+        if order.get("fence", 0) < self.highest_fence:
+            return 412
+        self.highest_fence = order.get("fence", 0)
+        match order["operation"]:
+            case "join":
+                return await self._join(order)
+            case "open":
+                return await self._open(order)
+            case "close":
+                return await self._set_state(order, "ready")
+            case "leave":
+                return await self._leave(order)
+            case "stage":
+                self._later(self._stage(order["model"]))
+                return 202
+        return 400
+
+    async def _join(self, order: dict[str, Any]) -> int:
+        if order["epoch"] < self.highest_epoch:
+            return 412
+        self.highest_epoch = order["epoch"]
+        if self._is_in(order):
+            return 200 if self.members == order["members"] else 412
+        before = self.member["name"] if self.member else None
+        self.joined.append((order["group"], before))
+        self.members = order["members"]
+        self.member = {
+            "name": order["group"],
+            "epoch": order["epoch"],
+            "rank": self.members.index(self.vm_id),
+            "state": "joining",
+        }
+        await self.report()
+        self._later(self._load(order))
+        return 202
+
+    async def _load(self, order: dict[str, Any]) -> None:
+        model = order["model"]
+        if model != self._last_model:
+            warm = model in self.staged
+            await asyncio.sleep(self.options.warm_seconds if warm else self.options.load_seconds)
+        if self._is_in(order) and self.member is not None:
+            self._last_model, self.staged = model, [model]
+            self.member = {**self.member, "state": "ready"}
+            await self.report()
+
+    async def _open(self, order: dict[str, Any]) -> int:
+        if not self._is_in(order) or self.member is None or self.member["state"] != "ready":
+            return 409
+        self._later(self._opened(order))
+        return 202
+
+    async def _opened(self, order: dict[str, Any]) -> None:
+        await asyncio.sleep(self.options.open_seconds)
+        await self._set_state(order, "open")
+
+    async def _set_state(self, order: dict[str, Any], state: str) -> int:
+        if not self._is_in(order) or self.member is None:
+            return 409
+        self.member = {**self.member, "state": state}
+        await self.report()
+        return 200
+
+    async def _leave(self, order: dict[str, Any]) -> int:
+        if self._is_in(order):
+            self.member, self.members = None, []
+            await self.report()
+        return 200
+
+    async def _stage(self, model: str) -> None:
+        await asyncio.sleep(self.options.load_seconds)
+        self.staged = [model]
+        await self.report()
+
+    def _is_in(self, order: dict[str, Any]) -> bool:
+        if self.member is None:
+            return False
+        return (self.member["name"], self.member["epoch"]) == (order["group"], order["epoch"])
+
+    def _later(self, work: Any) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+class _OrderHandler(server.JsonHandler):
+    def initialize(self, owner: PoolRunner) -> None:
+        self.owner = owner
+
+    async def post(self) -> None:
+        order = self.body_json()
+        self.owner.orders.append(order)
+        if self.owner.options.late_orders:
+            self.owner._later(self._late(order))
+            self.drop_connection()
+            return
+        if self.request.headers.get("X-Expect-Runner") != self.owner.vm_id:
+            self.answer({}, status=421)
+            return
+        self.answer({}, status=await self.owner.take_order(order))
+
+    async def _late(self, order: dict[str, Any]) -> None:
+        await asyncio.sleep(self.owner.options.late_orders)
+        await self.owner.take_order(order)
+
+
+class _WorkHandler(web.RequestHandler):
+    def initialize(self, owner: PoolRunner) -> None:
+        self.owner = owner
+        self.behaviour = owner.options
+
+    async def get(self) -> None:
+        await self._work()
+
+    post = put = delete = patch = get
+
+    async def _work(self) -> None:
+        await self.owner.silence.pass_through(self.request)
+        headers = self.request.headers
+        self.set_header(_ATTEMPT, headers.get(_ATTEMPT, ""))
+        if headers.get("X-Expect-Runner") != self.owner.vm_id or not self._serves():
+            self._reject(421)
+            return
+        if self.behaviour.full:
+            self._reject(503)
+            return
+        self._note_run()
+        if self.behaviour.lose_answers > 0:
+            self.behaviour.lose_answers -= 1
+            self._drop()
+        elif self.behaviour.fail:
+            self.set_status(500)
+            self.set_header(SIGNATURE, "s")
+            self.finish(b"failed")
+        elif self.owner.fabric_domain:
+            await self._stream()
+        else:
+            await self._plain()
+
+    def _serves(self) -> bool:
+        if not self.owner.fabric_domain:
+            return True
+        return self.owner.member is not None and self.owner.member["state"] == "open"
+
+    def _reject(self, status: int) -> None:
+        self.set_status(status)
+        self.set_header("X-Not-Executed", "1")
+        self.finish()
+
+    def _note_run(self) -> None:
+        headers, member = self.request.headers, self.owner.member or {}
+        self.owner.ran.append(
+            Ran(
+                attempt=headers.get(_ATTEMPT, ""),
+                workspace=headers.get("X-Tenant", ""),
+                path=self.request.uri or "",
+                body=self.request.body,
+                group=member.get("name", ""),
+                epoch=member.get("epoch", 0),
+                after=headers.get("Last-Event-Id", ""),
+                key_seen="X-Credential" in headers,
+            )
+        )
+
+    async def _plain(self) -> None:
+        await asyncio.sleep(self.behaviour.work_seconds)
+        body = json.dumps({"attempt": self.request.headers.get(_ATTEMPT)}).encode()
+        if self.behaviour.stray_answers > 0:
+            self.behaviour.stray_answers -= 1
+            stray = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: stray\r\nContent-Length: 5\r\n"
+            self._raw(stray + b"X-Runner-Signature: s\r\n\r\nstray")
+        self.set_header(SIGNATURE, "s")
+        self.finish(body)
+
+    async def _stream(self) -> None:
+        self.set_header(SIGNATURE, "s")
+        self.set_header("Content-Type", "text/event-stream")
+        cut = self.behaviour.cuts > 0
+        self.behaviour.cuts -= cut
+        first = int(self.request.headers.get("Last-Event-Id") or 0) + 1
+        for number in range(first, self.behaviour.events + 1):
+            await asyncio.sleep(self.behaviour.event_seconds)
+            while self.behaviour.still:
+                await asyncio.sleep(self.behaviour.event_seconds)
+            if cut and number > self.behaviour.cut_after:
+                self.write(b"id: ")
+                await self.flush()
+                self._drop()
+                return
+            attempt = self.request.headers.get(_ATTEMPT)
+            self.write(f"id: {number}\ndata: {attempt} {number}\n\n".encode())
+            await self.flush()
+        self.finish()
+
+    def _raw(self, data: bytes) -> None:
+        silence.stream_of(self.request).write(data)
+
+    def _drop(self) -> None:
+        self._finished = True
+        silence.stream_of(self.request).close()
--- a/basilpost/gateway/relay.py
+++ b/basilpost/gateway/relay.py
@@ -37,17 +37,22 @@
 
 
 class Relay(kernel.Service, tornado.httputil.HTTPServerConnectionDelegate):
-    """Serves callers."""
+    """Serves callers.
+
+    Attributes:
+        knowledge: What this node knows of configuration and VMs.
+        in_flight: Requests that have no whole answer yet.
+    """
 
     def __init__(self, *, kernel: kernel.Kernel, settings: pool_schema.PoolNodeSettings) -> None:
         self._settings = settings
         self._log = kernel.log
         self._tasks = tasks.TaskSet(log=kernel.log)
         self._dialect = kernel.find(names.DIALECT, calls.Dialect)
-        self._knowledge = kernel.find(names.KNOWLEDGE, knowledges.Knowledge)
+        self.knowledge = kernel.find(names.KNOWLEDGE, knowledges.Knowledge)
         chance = random.Random()
         self._admitting = admitting.Admitting(
-            knowledge=self._knowledge, dialect=self._dialect, chance=chance
+            knowledge=self.knowledge, dialect=self._dialect, chance=chance
         )
         self._forwarder = forwarding.Forwarder(
             failure_domain=settings.failure_domain,
@@ -62,9 +67,9 @@
         )
         self._server: tornado.httpserver.HTTPServer | None = None
         self._readiness: tornado.httpserver.HTTPServer | None = None
-        self._in_flight = 0
+        self.in_flight = 0
         self._draining = False
-        self._endings = ending.Endings(kernel=kernel, knowledge=self._knowledge)
+        self._endings = ending.Endings(kernel=kernel, knowledge=self.knowledge)
 
     # Life.
 
@@ -94,9 +99,9 @@
             self._server.conn_params.no_keep_alive = True
         stop_at = clock.elapsed() + self._settings.bounds.grace_seconds - DRAIN_MARGIN_SECONDS
         await asyncio.sleep(DRAIN_GRACE_SECONDS)
-        while self._in_flight and clock.elapsed() < stop_at:
+        while self.in_flight and clock.elapsed() < stop_at:
             await asyncio.sleep(0.05)
-        self._log.info("relay_drained", cut=self._in_flight)
+        self._log.info("relay_drained", cut=self.in_flight)
 
     async def stop(self) -> None:
         """Closes what is still open."""
@@ -111,8 +116,8 @@
         """Returns True while new connections may come to this node."""
         return (
             not self._draining
-            and self._knowledge.configuration is not None
-            and self._knowledge.configuration_age() < READY_AGE_SECONDS
+            and self.knowledge.configuration is not None
+            and self.knowledge.configuration_age() < READY_AGE_SECONDS
         )
 
     async def _sweep(self) -> None:
@@ -135,7 +140,7 @@
         )
 
     async def _serve(self, request: inbound.Request, reply: inbound.Reply) -> None:
-        self._in_flight += 1
+        self.in_flight += 1
         ended = ending.Ended(call=self._dialect.read_call(request.headers))
         try:
             ended = await self._answer(request, reply, ended)
@@ -143,7 +148,7 @@
             ended = dataclasses.replace(ended, outcome="caller_left")
             raise
         finally:
-            self._in_flight -= 1
+            self.in_flight -= 1
             self._endings.note(request, ended)
 
     async def _answer(
--- /dev/null
+++ b/tests/pool_groups_test.py
@@ -0,0 +1,143 @@
+"""Groups of a pool through losses, leaving VMs, late orders and changes of the controller."""
+
+import asyncio
+import itertools
+
+from basilpost.core import names
+from basilpost.emulator import pool_fleet
+from basilpost.groups import supply
+from tests import pool_nodes
+
+
+def assert_one_group_each(bench):
+    """No VM took a join while it still was in another group."""
+    joins = itertools.chain(*(runner.joined for runner in bench.fleet.runners_by_id.values()))
+    assert [join for join in joins if join[1] is not None] == []
+
+
+def heads(bench):
+    return [
+        runner
+        for runner in bench.fleet.runners_by_id.values()
+        if runner.member is not None and runner.member["state"] == "open"
+    ]
+
+
+def members_of(bench, group):
+    return [
+        runner
+        for runner in bench.fleet.runners_by_id.values()
+        if runner.member is not None and runner.member["name"] == group
+    ]
+
+
+async def test_a_group_that_lost_a_member_is_rebuilt_with_the_spare():
+    async with pool_nodes.running(vms=4) as bench:
+        await bench.formed(1, pool_fleet.LARGE)
+        (before,) = bench.fleet.open_groups(pool_fleet.LARGE)
+        await pool_fleet.until(lambda: any(r.staged and not r.member for r in _vms(bench)))
+        lost = members_of(bench, before)[1]
+        await lost.vanish()
+        await pool_fleet.until(
+            lambda: [one for one in bench.fleet.open_groups(pool_fleet.LARGE) if one != before]
+        )
+        (after,) = bench.fleet.open_groups(pool_fleet.LARGE)
+        assert len(members_of(bench, after)) == 3
+        await bench.formed(1, pool_fleet.LARGE)
+        assert (await bench.draft()).code == 200
+        assert_one_group_each(bench)
+
+
+async def test_a_group_that_lost_its_head_is_rebuilt():
+    async with pool_nodes.running(vms=4) as bench:
+        await bench.formed(1, pool_fleet.LARGE)
+        (before,) = bench.fleet.open_groups(pool_fleet.LARGE)
+        await heads(bench)[0].vanish()
+        await pool_fleet.until(
+            lambda: [one for one in bench.fleet.open_groups(pool_fleet.LARGE) if one != before]
+        )
+        assert_one_group_each(bench)
+
+
+async def test_without_a_spare_survivors_serve_the_smaller_model():
+    async with pool_nodes.running(vms=3) as bench:
+        await bench.formed(1, pool_fleet.LARGE)
+        await heads(bench)[0].vanish()
+        await bench.formed(1, pool_fleet.SMALL)
+        assert_one_group_each(bench)
+
+
+async def test_a_leaving_member_is_replaced_before_it_is_gone():
+    async with pool_nodes.running(vms=4) as bench:
+        await bench.formed(1, pool_fleet.LARGE)
+        (before,) = bench.fleet.open_groups(pool_fleet.LARGE)
+        await pool_fleet.until(lambda: any(r.staged and not r.member for r in _vms(bench)))
+        leaving = members_of(bench, before)[2]
+        leaving.state = "draining"
+        await leaving.report()
+        await pool_fleet.until(
+            lambda: [one for one in bench.fleet.open_groups(pool_fleet.LARGE) if one != before]
+        )
+        (after,) = bench.fleet.open_groups(pool_fleet.LARGE)
+        assert leaving not in members_of(bench, after)
+        assert_one_group_each(bench)
+
+
+async def test_orders_that_are_carried_out_late_put_no_vm_in_two_groups():
+    async with pool_nodes.running(vms=5) as bench:
+        await bench.formed(1, pool_fleet.LARGE)
+        for runner in _vms(bench):
+            runner.options.late_orders = 0.3
+        (before,) = bench.fleet.open_groups(pool_fleet.LARGE)
+        await members_of(bench, before)[1].vanish()
+        await asyncio.sleep(1.0)
+        for runner in _vms(bench):
+            runner.options.late_orders = 0.0
+        await pool_fleet.until(
+            lambda: [one for one in bench.fleet.open_groups(pool_fleet.LARGE) if one != before]
+        )
+        await asyncio.sleep(0.5)
+        assert_one_group_each(bench)
+        for group in bench.fleet.open_groups():
+            size = 3 if group.startswith(pool_fleet.LARGE) else 2
+            assert len(members_of(bench, group)) == size
+
+
+async def test_only_one_node_controls_and_another_takes_over():
+    async with pool_nodes.running(nodes=3, vms=4) as bench:
+        await bench.formed(1, pool_fleet.LARGE)
+        assert [one.holds for one in bench.controllers].count(True) == 1
+        first = next(kernel for kernel in bench.kernels if _holds(kernel))
+        bench.kernels.remove(first)
+        await first.stop()
+        await pool_fleet.until(lambda: any(map(_holds, bench.kernels)))
+        orders = [runner.orders[-1] for runner in _vms(bench) if runner.orders]
+        (before,) = bench.fleet.open_groups(pool_fleet.LARGE)
+        await members_of(bench, before)[1].vanish()
+        await pool_fleet.until(
+            lambda: [one for one in bench.fleet.open_groups(pool_fleet.LARGE) if one != before]
+        )
+        later = [runner.orders[-1] for runner in _vms(bench) if runner.orders]
+        assert max(one["fence"] for one in later) > max(one["fence"] for one in orders)
+        assert_one_group_each(bench)
+
+
+async def test_a_new_controller_leaves_open_groups_alone():
+    async with pool_nodes.running(nodes=2, vms=5) as bench:
+        await bench.formed(1, pool_fleet.LARGE)
+        await bench.formed(1, pool_fleet.SMALL)
+        before = bench.fleet.open_groups()
+        first = next(kernel for kernel in bench.kernels if _holds(kernel))
+        bench.kernels.remove(first)
+        await first.stop()
+        await pool_fleet.until(lambda: any(map(_holds, bench.kernels)))
+        await asyncio.sleep(0.6)
+        assert bench.fleet.open_groups() == before
+
+
+def _vms(bench):
+    return [runner for runner in bench.fleet.runners_by_id.values() if runner.fabric_domain]
+
+
+def _holds(kernel):
+    return kernel.find(names.CONTROLLER, supply.Controller).holds
--- /dev/null
+++ b/tests/pool_path_test.py
@@ -0,0 +1,257 @@
+"""The whole path on the stand-ins of the users' platform: groups are formed, requests served."""
+
+import asyncio
+
+import pytest
+import tornado.simple_httpclient
+
+from basilpost.emulator import pool_fleet, pool_runner
+from tests import pool_nodes
+
+WHOLE = [1, 2, 3, 4, 5, 6]
+# Longer than a node leaves between two looks at the store.
+LONGER_THAN_GAP = 0.8
+
+
+def serving(bench, model=pool_fleet.LARGE):
+    """Returns the runners whose group of a model is open."""
+    return [
+        runner
+        for runner in bench.fleet.runners_by_id.values()
+        if runner.member is not None
+        and runner.member["state"] == "open"
+        and runner.member["name"].startswith(model)
+    ]
+
+
+def _place(knowledge, vm_id):
+    return knowledge.vms_by_id[vm_id].vm.failure_domain
+
+
+async def test_a_stream_is_served_whole_by_a_complete_group():
+    async with pool_nodes.running(vms=6) as bench:
+        await bench.formed(1, pool_fleet.LARGE)
+        answer = await bench.draft()
+        assert answer.code == 200
+        assert pool_nodes.event_ids(answer.body) == WHOLE
+        assert answer.headers[pool_runner.SIGNATURE] == "s"
+        (ran,) = bench.fleet.ran(answer.attempt)
+        members = [
+            runner.member["rank"]
+            for runner in bench.fleet.runners_by_id.values()
+            if runner.member is not None and runner.member["name"] == ran.group
+        ]
+        assert sorted(members) == [0, 1, 2]
+
+
+async def test_a_request_reaches_the_runner_unchanged_but_for_the_key():
+    async with pool_nodes.running(vms=0) as bench:
+        answer = await bench.call("/filing/a%20b/c?d=e&f=%2F", body=b"\x00\xffbody", X_Own="kept")
+        assert answer.code == 200
+        (ran,) = bench.fleet.ran(answer.attempt)
+        assert (ran.path, ran.body) == ("/filing/a%20b/c?d=e&f=%2F", b"\x00\xffbody")
+        assert ran.workspace == pool_fleet.WORKSPACE
+        assert not ran.key_seen
+
+
+async def test_callers_cannot_name_their_workspace():
+    async with pool_nodes.running(vms=0) as bench:
+        answer = await bench.call("/filing/a", X_Tenant="someone-else")
+        assert bench.fleet.ran(answer.attempt)[0].workspace == pool_fleet.WORKSPACE
+
+
+async def test_unknown_routes_and_keys_are_refused_and_not_run():
+    async with pool_nodes.running(vms=0) as bench:
+        assert (await bench.call("/nothing/")).code == 404
+        refused = await bench.call("/filing/a", X_Credential="stolen")
+        assert refused.code == 401
+        assert not bench.fleet.ran(refused.attempt)
+
+
+async def test_a_key_that_was_taken_away_is_refused():
+    async with pool_nodes.running(vms=0) as bench:
+        assert (await bench.call("/filing/a", X_Credential=pool_fleet.OTHER_KEY)).code == 200
+        await bench.fleet.configure(pool_fleet.configuration(2, keys=(pool_fleet.KEY,)))
+        await bench.known(lambda knowledge: knowledge.configuration.version == 2)
+        refused = await bench.call("/filing/a", X_Credential=pool_fleet.OTHER_KEY)
+        assert refused.code == 401
+        assert (await bench.call("/filing/a")).code == 200
+
+
+async def test_a_broken_configuration_leaves_the_last_good_one_in_force():
+    async with pool_nodes.running(vms=0) as bench:
+        await bench.fleet.configure({"version": 9, "routes": "none"})
+        await asyncio.sleep(LONGER_THAN_GAP)
+        assert (await bench.call("/filing/a")).code == 200
+
+
+async def test_malformed_entries_name_no_vm_and_the_others_hold():
+    async with pool_nodes.running(vms=0, plain=1) as bench:
+        for number, entry in enumerate(
+            (
+                None,
+                "text",
+                {"service": pool_fleet.PLAIN_SERVICE},
+                {"service": pool_fleet.PLAIN_SERVICE, "address": "127.0.0.1:1", "state": "odd"},
+            )
+        ):
+            await bench.fleet.store.put(f"servers/broken-{number}", entry)
+        await asyncio.sleep(LONGER_THAN_GAP)
+        answers = [await bench.call("/filing/a") for _ in range(6)]
+        assert {answer.code for answer in answers} == {200}
+
+
+async def test_a_filing_whose_answer_is_lost_runs_once_and_its_outcome_is_unknown():
+    async with pool_nodes.running(vms=0) as bench:
+        for runner in bench.fleet.runners_by_id.values():
+            runner.options.lose_answers = 1
+        answer = await bench.call("/filing/a")
+        assert answer.code == 502
+        assert answer.headers["Basilpost-Outcome"] == "unknown"
+        assert "Retry-After" not in answer.headers
+        assert len(bench.fleet.ran(answer.attempt)) == 1
+
+
+async def test_a_refusal_for_want_of_room_says_not_run_and_when_to_come_back():
+    async with pool_nodes.running(vms=0) as bench:
+        for runner in bench.fleet.runners_by_id.values():
+            runner.options.full = True
+        answer = await bench.call("/filing/a")
+        assert answer.code == 503
+        assert answer.headers["Basilpost-Outcome"] == "not-run"
+        assert 0 < float(answer.headers["Retry-After"]) < 2
+        assert not bench.fleet.ran(answer.attempt)
+
+
+async def test_a_lookup_whose_answer_is_lost_is_asked_elsewhere():
+    async with pool_nodes.running(vms=0) as bench:
+        for runner in bench.fleet.runners_by_id.values():
+            runner.options.lose_answers = 1
+        first = await bench.call("/lookup/a", method="GET")
+        assert first.code == 502
+        assert len(bench.fleet.ran(first.attempt)) == 2
+        second = await bench.call("/lookup/a", method="GET")
+        assert second.code == 200
+
+
+async def test_a_failing_runner_is_passed_on_with_its_signature():
+    async with pool_nodes.running(vms=0) as bench:
+        for runner in bench.fleet.runners_by_id.values():
+            runner.options.fail = True
+        answer = await bench.call("/filing/a")
+        assert (answer.code, answer.body) == (500, b"failed")
+        assert answer.headers[pool_runner.SIGNATURE] == "s"
+
+
+async def test_an_answer_to_another_request_is_skipped():
+    async with pool_nodes.running(vms=0) as bench:
+        for runner in bench.fleet.runners_by_id.values():
+            runner.options.stray_answers = 1
+        answers = [await bench.call("/filing/a") for _ in range(4)]
+        for answer in answers:
+            assert answer.attempt.encode() in answer.body
+
+
+async def test_a_stream_that_is_cut_within_an_event_goes_on_at_another_group():
+    async with pool_nodes.running(fabric_domains=2, vms=3) as bench:
+        await bench.formed(2, pool_fleet.LARGE)
+        shared = pool_runner.Options(cuts=1)
+        for runner in bench.fleet.runners_by_id.values():
+            runner.options = shared
+        answer = await bench.draft()
+        assert pool_nodes.event_ids(answer.body) == WHOLE
+        first, second = sorted(bench.fleet.ran(answer.attempt), key=lambda ran: ran.after)
+        assert first.group != second.group
+        assert (first.after, second.after) == ("", "2")
+
+
+async def test_a_stream_leaves_a_group_that_stands_still():
+    async with pool_nodes.running(fabric_domains=2, vms=3) as bench:
+        await bench.formed(2, pool_fleet.LARGE)
+        for runner in bench.fleet.runners_by_id.values():
+            runner.options.event_seconds = 0.05
+        calls = [asyncio.create_task(bench.draft()) for _ in range(4)]
+        await asyncio.sleep(0.12)
+        serving(bench)[0].options.still = True
+        answers = await asyncio.gather(*calls)
+        assert [pool_nodes.event_ids(answer.body) for answer in answers] == [WHOLE] * 4
+
+
+async def test_a_stream_that_cannot_go_on_does_not_look_complete():
+    async with pool_nodes.running(vms=3) as bench:
+        await bench.formed(1, pool_fleet.LARGE)
+        serving(bench)[0].options.cuts = 1
+        with pytest.raises(tornado.simple_httpclient.HTTPStreamClosedError):
+            await bench.draft()
+
+
+async def test_work_stops_when_the_caller_leaves():
+    async with pool_nodes.running(vms=3) as bench:
+        await bench.formed(1, pool_fleet.LARGE)
+        head = serving(bench)[0]
+        head.options.event_seconds = 0.2
+        host, _, port = bench.addresses[0].rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(
+            f"POST /draft/a HTTP/1.1\r\nHost: {pool_fleet.HOST}\r\nX-Attempt-Id: left\r\n"
+            f"X-Credential: {pool_fleet.KEY}\r\nX-Model: {pool_fleet.LARGE}\r\n"
+            "Content-Length: 0\r\n\r\n".encode()
+        )
+        await reader.readuntil(b"id: 1")
+        writer.close()
+        relay = bench.relays[0]
+        await pool_fleet.until(lambda: relay.in_flight == 0, seconds=0.5)
+
+
+async def test_a_failure_domain_that_is_out_gets_no_new_work():
+    async with pool_nodes.running(vms=0) as bench:
+        runner = bench.fleet.runners_by_id["desk-0"]
+        runner.failure_domain = "b"
+        await runner.report()
+        await bench.fleet.store.put("evacuations/a", {})
+        await bench.known(lambda knowledge: knowledge.out_of_service == {"a"})
+        await bench.known(lambda knowledge: _place(knowledge, "desk-0") == "b")
+        answers = [await bench.call("/filing/a") for _ in range(5)]
+        assert {answer.code for answer in answers} == {200}
+        assert len(runner.ran) == 5
+        await bench.fleet.store.put("evacuations/b", {})
+        await bench.known(lambda knowledge: knowledge.out_of_service == {"a", "b"})
+        assert (await bench.call("/filing/a")).code == 503
+
+
+async def test_a_leaving_runner_gets_no_new_work():
+    async with pool_nodes.running(vms=0) as bench:
+        runner = bench.fleet.runners_by_id["desk-0"]
+        runner.state = "draining"
+        await runner.report()
+        await bench.known(lambda knowledge: knowledge.vms_by_id["desk-0"].vm.leaving)
+        before = len(runner.ran)
+        answers = [await bench.call("/filing/a") for _ in range(6)]
+        assert {answer.code for answer in answers} == {200}
+        assert len(runner.ran) == before
+
+
+async def test_a_planned_stop_cuts_no_stream_and_takes_what_still_comes():
+    async with pool_nodes.running(vms=3) as bench:
+        await bench.formed(1, pool_fleet.LARGE)
+        serving(bench)[0].options.event_seconds = 0.1
+        call = asyncio.create_task(bench.draft())
+        await asyncio.sleep(0.15)
+        drain = asyncio.create_task(bench.relays[0].drain())
+        await asyncio.sleep(0.05)
+        assert not bench.relays[0].ready
+        late = await bench.call("/filing/a")
+        assert late.code == 200
+        assert late.headers["Connection"] == "close"
+        assert pool_nodes.event_ids((await call).body) == WHOLE
+        await drain
+
+
+async def test_nodes_that_cannot_check_keys_refuse_them(monkeypatch):
+    async with pool_nodes.running(vms=0) as bench:
+        relay = bench.relays[0]
+        monkeypatch.setattr(relay.knowledge, "configuration_age", lambda: 4.9)
+        refused = await bench.call("/filing/a")
+        assert refused.code == 503
+        assert refused.headers["Basilpost-Outcome"] == "not-run"
+        assert not relay.ready
