--- /dev/null
+++ b/basilpost/platform/decode_test.py
@@ -0,0 +1,181 @@
+"""Tests of decoding: what the pages show is understood, what is broken names nothing."""
+
+import json
+
+import pytest
+
+from basilpost.core import catalog
+from basilpost.platform import decode
+
+ENTRY = {
+    "service": "huvo11a",
+    "address": "10.128.0.9:8080",
+    "zone": "kz-south-a",
+    "version": "v1",
+    "slots": 13,
+    "state": "ready",
+    "coldRemainingMs": 1500,
+    "stage": "colocated",
+    "models": [{"name": "daka510000", "version": 1, "adapters": []}],
+    "domain": "d3",
+    "staged": ["daka510000"],
+    "group": {"name": "g7", "epoch": 12, "rank": 1, "state": "ready"},
+    "born": 1791000000000,
+    "sequence": 4,
+}
+CONFIGURATION = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r-1",
+            "hostname": "Ficu95.example",
+            "pathPrefix": "/lohu930/",
+            "kind": "streaming",
+            "timeoutMs": 8000,
+            "targetLatencyMs": 400,
+            "priority": 1,
+            "trafficSplit": [
+                {"service": "huvo11a", "weight": 90},
+                {"service": "wuno96b", "weight": 10},
+            ],
+            "maxAttempts": 2,
+            "anonymous": False,
+            "stickySessions": True,
+            "resumable": True,
+            "gapAimMs": 250,
+        },
+        {
+            "name": "r-2",
+            "hostname": "ficu95.example",
+            "pathPrefix": "/puxa403/",
+            "kind": "non_idempotent",
+            "timeoutMs": 800,
+            "targetLatencyMs": 150,
+            "priority": 2,
+            "service": "wuno96b",
+            "maxAttempts": 1,
+        },
+    ],
+    "services": [
+        {
+            "name": "huvo11a",
+            "healthPath": "/health",
+            "maxConns": 474,
+            "coldStartS": 3.0,
+            "coldPerS": 36.0,
+            "engine": {
+                "slots": 13,
+                "models": [
+                    {
+                        "name": "daka510000",
+                        "size": 6,
+                        "share": 0.67,
+                        "pace": 1.0,
+                        "loadS": 16.0,
+                        "warmS": 1.6,
+                    }
+                ],
+                "loadsPerS": 5.5,
+                "formMs": 300.0,
+            },
+        },
+        {"name": "wuno96b", "coldStartS": 0.0, "coldPerS": 0.0},
+    ],
+    "limits": {
+        "maxHeaderBytes": 16384,
+        "maxBodyBytes": 4194304,
+        "headerTimeoutMs": 3000,
+        "idleTimeoutMs": 15000,
+    },
+    "tenants": [{"name": "hule930", "apiKeys": ["k1", "k2"], "priority": 1}],
+}
+
+
+def raw(value):
+    return json.dumps(value).encode()
+
+
+def test_an_entry_is_decoded():
+    found = decode.vm("i-7f3a91c2", raw(ENTRY))
+    assert found == catalog.Vm(
+        vm_id="i-7f3a91c2",
+        incarnation=1791000000000,
+        service="huvo11a",
+        address="10.128.0.9:8080",
+        failure_domain="kz-south-a",
+        fabric_domain="d3",
+        slots=13,
+        leaving=False,
+        cold_seconds=1.5,
+        staged=("daka510000",),
+        member=catalog.Membership(group="g7", epoch=12, rank=1, state=catalog.MemberState.READY),
+    )
+
+
+def test_a_draining_runner_is_leaving():
+    assert decode.vm("i", raw({**ENTRY, "state": "draining"})).leaving
+
+
+@pytest.mark.parametrize("name", ["service", "address", "zone", "slots", "state"])
+def test_an_entry_without_a_field_names_no_vm(name):
+    entry = {key: value for key, value in ENTRY.items() if key != name}
+    assert isinstance(decode.vm("i", raw(entry)), decode.Malformed)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "resting"},
+        {"state": 3},
+        {"service": None},
+        {"service": ["huvo11a"]},
+        {"address": "10.1.2.3"},
+        {"address": "10.1.2.3:http"},
+        {"address": 8080},
+        {"slots": "13"},
+        {"slots": True},
+        {"coldRemainingMs": "none"},
+        {"born": "yesterday"},
+        {"born": 1.5},
+        {"staged": [1]},
+        {"staged": 7},
+        {"group": {"name": "g", "epoch": "1", "rank": 0, "state": "ready"}},
+        {"group": {"name": "g", "epoch": 1, "rank": 0, "state": "asleep"}},
+        {"group": "g7"},
+    ],
+)
+def test_an_entry_with_a_broken_field_names_no_vm(change):
+    assert isinstance(decode.vm("i", raw({**ENTRY, **change})), decode.Malformed)
+
+
+@pytest.mark.parametrize("data", [b"", b"\xff\xfe", b"null", b"[]", b'"text"', b"{"])
+def test_bytes_that_are_no_entry_name_no_vm(data):
+    assert isinstance(decode.vm("i", data), decode.Malformed)
+
+
+def test_a_configuration_is_decoded():
+    found = decode.configuration(raw(CONFIGURATION))
+    stream, filing = found.routes
+    assert (stream.host, stream.prefix, stream.streaming) == ("ficu95.example", "/lohu930/", True)
+    assert stream.repeat is catalog.Repeat.IDEMPOTENT
+    assert [share.weight for share in stream.shares] == [90, 10]
+    assert (stream.timeout, stream.objective, stream.max_gap) == (8.0, 0.4, 0.25)
+    assert filing.repeat is catalog.Repeat.ONCE
+    assert filing.shares == (catalog.Share(service="wuno96b", weight=1),)
+    assert not filing.anonymous
+    assert found.services_by_name["wuno96b"].engine is None
+    assert found.services_by_name["huvo11a"].engine.models[0].vms == 6
+    assert found.workspaces_by_key["k2"] == catalog.Workspace(name="hule930", priority=1)
+    assert found.limits.idle_seconds == 15.0
+
+
+def test_a_stream_that_cannot_be_resumed_runs_once():
+    changed = json.loads(raw(CONFIGURATION))
+    changed["routes"][0]["resumable"] = False
+    assert decode.configuration(raw(changed)).routes[0].repeat is catalog.Repeat.ONCE
+
+
+@pytest.mark.parametrize("name", ["version", "routes", "services", "limits"])
+def test_a_configuration_without_a_part_is_refused(name):
+    changed = {key: value for key, value in CONFIGURATION.items() if key != name}
+    assert isinstance(decode.configuration(raw(changed)), decode.Malformed)
