--- /dev/null
+++ b/basilpost/groups/pool_test.py
@@ -0,0 +1,233 @@
+"""Tests of the orders for a pool, each on a literal view of it."""
+
+import dataclasses
+
+from basilpost.core import catalog
+from basilpost.groups import assembled, orders, pool
+
+READY, OPEN = catalog.MemberState.READY, catalog.MemberState.OPEN
+JOINING, CLOSING = catalog.MemberState.JOINING, catalog.MemberState.CLOSING
+BROKEN = catalog.MemberState.BROKEN
+PLENTY = 100
+
+
+def model(name, vms, *, pace=1.0, share=0.5):
+    return catalog.Model(
+        name=name, vms=vms, pace=pace, work_share=share, load_seconds=16.0, warm_seconds=1.6
+    )
+
+
+LARGE, SMALL = model("large", 3), model("small", 2)
+
+
+def vm(vm_id, *, domain="d", staged=(), leaving=False, member=None):
+    return catalog.Vm(
+        vm_id=vm_id,
+        incarnation=1,
+        service="s",
+        address="",
+        failure_domain="a",
+        fabric_domain=domain,
+        slots=4,
+        leaving=leaving,
+        cold_seconds=0.0,
+        staged=staged,
+        member=member,
+    )
+
+
+def group(name, states, *, prefix="", model_name="large", domain="d"):
+    """Returns the VMs of a group by rank; None for one that is gone."""
+    return [
+        vm(
+            f"{prefix or name}-{rank}",
+            domain=domain,
+            staged=(model_name,),
+            member=catalog.Membership(
+                group=f"{model_name}--{name}", epoch=int(name), rank=rank, state=state
+            ),
+        )
+        for rank, state in enumerate(states)
+        if state is not None
+    ]
+
+
+def view(vms, *, now=100.0, models=(LARGE, SMALL), loads_left=PLENTY, work=None):
+    return pool.View(
+        now=now,
+        vms=tuple(vms),
+        models=models,
+        work_by_model=work or {one.name: one.work_share for one in models},
+        next_epoch=1000,
+        loads_left=loads_left,
+    )
+
+
+def free_for(vms, seconds, *, now=100.0):
+    """Returns a memory in which VMs have been free for some seconds."""
+    return pool.Memory(free_since_by_vm={pool.lifetime(one): now - seconds for one in vms})
+
+
+def given(decision):
+    """Returns the orders as short texts: kind, VM and group."""
+    return sorted(f"{one.kind.value} {one.vm.vm_id} {one.group}".strip() for one in decision.orders)
+
+
+def test_the_larger_model_is_formed_as_soon_as_enough_vms_are_there():
+    vms = [vm(str(number)) for number in range(3)]
+    decision = pool.decide(view(vms), pool.Memory())
+    assert given(decision) == [f"join {number} large--1000" for number in range(3)]
+    members = {one.members for one in decision.orders}
+    assert len(members) == 1 and set(*members) == {"0", "1", "2"}
+
+
+def test_the_smaller_model_waits_until_vms_that_start_together_have_reported():
+    """Runners that start at once report over a second; the first ones must not go astray."""
+    vms = [vm(str(number)) for number in range(2)]
+    assert given(pool.decide(view(vms), pool.Memory())) == []
+    decision = pool.decide(view(vms), free_for(vms, pool.SETTLE_SECONDS))
+    assert given(decision) == ["join 0 small--1000", "join 1 small--1000"]
+
+
+def test_a_group_never_crosses_fabric_domains():
+    vms = [vm("a", domain="x"), vm("b", domain="x"), vm("c", domain="y")]
+    decision = pool.decide(view(vms), free_for(vms, 99))
+    assert {one.vm.vm_id for one in decision.orders if one.group} == {"a", "b"}
+
+
+def test_a_group_is_opened_when_every_member_is_ready():
+    assert given(pool.decide(view(group("7", [READY] * 3)), pool.Memory())) == ["open 7-0 large--7"]
+    for states in ([READY, READY, JOINING], [JOINING, READY, READY]):
+        assert given(pool.decide(view(group("7", states)), pool.Memory())) == []
+
+
+def test_a_group_without_a_member_is_never_opened():
+    assert given(pool.decide(view(group("7", [READY, READY, None])), pool.Memory())) == [
+        "leave 7-0 large--7"
+    ]
+
+
+def test_an_open_group_is_left_alone():
+    assert given(pool.decide(view(group("7", [OPEN, READY, READY])), pool.Memory())) == []
+
+
+def test_of_a_group_that_lost_a_member_the_head_leaves_first():
+    vms = group("7", [OPEN, READY, None])
+    first = pool.decide(view(vms), pool.Memory())
+    assert given(first) == ["leave 7-0 large--7"]
+    vms[0] = dataclasses.replace(vms[0], member=None)
+    second = pool.decide(view(vms, now=100.1), first.memory)
+    assert "leave 7-1 large--7" in given(second)
+
+
+def test_the_members_of_a_lost_head_leave():
+    decision = pool.decide(view(group("7", [None, READY, READY])), pool.Memory())
+    assert given(decision) == ["leave 7-1 large--7", "leave 7-2 large--7"]
+
+
+def test_survivors_are_joined_with_the_spare_that_has_the_weights():
+    survivors = [vm("a", staged=("large",)), vm("b", staged=("large",))]
+    spares = [vm("c", staged=("small",)), vm("d", staged=("large",))]
+    decision = pool.decide(view(survivors + spares), pool.Memory())
+    assert given(decision) == [f"join {one} large--1000" for one in "abd"]
+
+
+def test_weights_are_not_thrown_away_while_a_partner_may_come():
+    """Two survivors of three wait for a VM that starts, before they load the smaller model."""
+    survivors = [vm("a", staged=("large",)), vm("b", staged=("large",))]
+    soon = pool.decide(view(survivors), free_for(survivors, pool.PATIENCE_SECONDS - 0.1))
+    assert given(soon) == []
+    later = pool.decide(view(survivors), free_for(survivors, pool.PATIENCE_SECONDS))
+    assert given(later) == ["join a small--1000", "join b small--1000"]
+
+
+def test_no_member_takes_a_join_while_it_reports_a_group():
+    vms = group("7", [BROKEN, READY, READY]) + [vm("spare", staged=("large",))]
+    decision = pool.decide(view(vms), pool.Memory())
+    assert {one.kind for one in decision.orders} == {orders.Kind.LEAVE}
+
+
+def test_an_order_without_an_effect_is_repeated_after_a_while():
+    vms = group("7", [READY] * 3)
+    first = pool.decide(view(vms), pool.Memory())
+    soon = pool.decide(view(vms, now=100.0 + pool.REPEAT_SECONDS / 2), first.memory)
+    assert given(soon) == []
+    later = pool.decide(view(vms, now=100.0 + pool.REPEAT_SECONDS), first.memory)
+    assert given(later) == given(first)
+
+
+def test_a_join_whose_effect_shows_is_not_repeated():
+    vms = [vm(str(number)) for number in range(3)]
+    first = pool.decide(view(vms), pool.Memory())
+    member = catalog.Membership(group="large--1000", epoch=1000, rank=0, state=JOINING)
+    vms[0] = dataclasses.replace(vms[0], member=member)
+    later = pool.decide(view(vms, now=102.0), first.memory)
+    assert {one.vm.vm_id for one in later.orders} == {"1", "2"}
+
+
+def test_a_group_that_loses_a_member_while_it_forms_is_given_up():
+    vms = [vm(str(number)) for number in range(3)]
+    first = pool.decide(view(vms), pool.Memory())
+    member = catalog.Membership(group="large--1000", epoch=1000, rank=0, state=JOINING)
+    left = [dataclasses.replace(vms[0], member=member), vms[1]]
+    later = pool.decide(view(left, now=100.5), first.memory)
+    assert "leave 0 large--1000" in given(later)
+
+
+def test_a_group_with_a_leaving_member_closes_only_if_there_is_a_replacement():
+    vms = group("7", [OPEN, READY, READY])
+    vms[2] = dataclasses.replace(vms[2], leaving=True)
+    assert given(pool.decide(view(vms), pool.Memory())) == []
+    spare = vm("spare", staged=("large",))
+    assert given(pool.decide(view([*vms, spare]), pool.Memory())) == ["close 7-0 large--7"]
+
+
+def test_a_closed_group_with_a_leaving_member_is_dissolved_head_first():
+    vms = group("7", [READY, READY, READY])
+    vms[2] = dataclasses.replace(vms[2], leaving=True)
+    assert given(pool.decide(view(vms), pool.Memory())) == ["leave 7-0 large--7"]
+
+
+def test_a_leaving_vm_joins_nothing():
+    vms = [vm("a"), vm("b"), vm("c", leaving=True)]
+    decision = pool.decide(view(vms), free_for(vms, 99))
+    assert "c" not in {one.vm.vm_id for one in decision.orders}
+
+
+def formed_beside(groups, work):
+    """Returns the model that two more free VMs are joined for."""
+    models = (model("large", 2), model("small", 2))
+    vms = [*groups, vm("a"), vm("b")]
+    decision = pool.decide(view(vms, models=models, work=work), free_for(vms, 99))
+    (formed,) = {assembled.model_of(one.group) for one in decision.orders}
+    return formed
+
+
+def test_the_model_with_least_for_its_work_is_formed_first():
+    one_each = group("7", [OPEN, READY]) + group("8", [OPEN, READY], model_name="small")
+    assert formed_beside(one_each, {"large": 0.9, "small": 0.1}) == "large"
+    assert formed_beside(one_each, {"large": 0.1, "small": 0.9}) == "small"
+
+
+def test_a_model_without_a_group_is_formed_before_any_other():
+    assert formed_beside(group("7", [OPEN, READY]), {"large": 0.9, "small": 0.1}) == "small"
+
+
+def test_spares_load_the_models_whose_groups_lose_members_most():
+    vms = group("7", [OPEN, READY, READY]) + [vm("spare")]
+    decision = pool.decide(view(vms), free_for(vms, 99))
+    (order,) = decision.orders
+    assert (order.kind, order.vm.vm_id, order.model) == (orders.Kind.STAGE, "spare", "large")
+
+
+def test_loads_stay_within_the_rate_of_the_weight_store():
+    vms = [vm(f"{domain}-{number}", domain=domain) for domain in "xyz" for number in range(3)]
+    decision = pool.decide(view(vms, loads_left=4), free_for(vms, 99))
+    loads = [one for one in decision.orders if one.model not in one.vm.staged]
+    assert len(loads) == decision.loads_used <= 4
+
+
+def test_epochs_do_not_repeat():
+    vms = [vm(f"{domain}-{number}", domain=domain) for domain in "xyz" for number in range(3)]
+    decision = pool.decide(view(vms), pool.Memory())
+    assert len({one.epoch for one in decision.orders}) == decision.epochs_used == 3
