--- a/basilpost/node/pool_process.py
+++ b/basilpost/node/pool_process.py
@@ -45,7 +45,7 @@
     except loader.SettingsError as error:
         print(error, file=sys.stderr)
         return _BAD_SETTINGS
-    log.configure(json_lines=True, level=settings.log_level)
+    log.configure_bounded(descriptor=sys.stdout.fileno(), level=settings.log_level)
     asyncio.run(run(settings))
     return 0
 
