A stopping node refuses what it could cut

Ruled out: closing the listener early (a balancer whose failure domain has no node in rotation sends on, and the callers see resets). Change: in the first third of the grace all is taken, later only what surely ends in time; the rest is refused, not run, to come back at once. Test seen to fail before.

--- a/basilpost/gateway/relay.py
+++ b/basilpost/gateway/relay.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import json
+import math
 import random
 import socket
 
@@ -30,6 +31,10 @@
 DRAIN_GRACE_SECONDS = 2.5
 # A planned stop leaves this much of its grace unused.
 DRAIN_MARGIN_SECONDS = 0.8
+# Part of the grace in which any request is taken; later ones only if they surely end before the stop.
+DRAIN_TAKE_SHARE = 0.33
+# Refused by a node that stops, a caller can come back at once: others serve.
+STOPPING_RETRY_SECONDS = 0.05
 SWEEP_SECONDS = 1.0
 # Part of the repeats that users allow which nodes spend; the rest covers bursts between nodes.
 RETRY_MARGIN = 0.7
@@ -69,6 +74,8 @@
         self._readiness: tornado.httpserver.HTTPServer | None = None
         self.in_flight = 0
         self._draining = False
+        self._take_all_until = math.inf
+        self._stop_at = math.inf
         self._endings = ending.Endings(kernel=kernel, knowledge=self.knowledge)
 
     # Life.
@@ -95,11 +102,14 @@
     async def drain(self) -> None:
         """Ends taking new work and waits for the answers of what is in flight."""
         self._draining = True
+        grace = self._settings.bounds.grace_seconds
+        began_at = clock.elapsed()
+        self._take_all_until = began_at + grace * DRAIN_TAKE_SHARE
+        self._stop_at = began_at + grace - DRAIN_MARGIN_SECONDS
         if self._server is not None:
             self._server.conn_params.no_keep_alive = True
-        stop_at = clock.elapsed() + self._settings.bounds.grace_seconds - DRAIN_MARGIN_SECONDS
         await asyncio.sleep(DRAIN_GRACE_SECONDS)
-        while self.in_flight and clock.elapsed() < stop_at:
+        while self.in_flight and clock.elapsed() < self._stop_at:
             await asyncio.sleep(0.05)
         self._log.info("relay_drained", cut=self.in_flight)
 
@@ -158,6 +168,8 @@
         admitted = self._admitting.admit(request)
         if isinstance(admitted, failure.Refusal):
             return self._refuse(reply, admitted, ended)
+        if not self._can_finish(admitted):
+            return self._refuse(reply, _stopping(), ended)
         progress = forwarding.Progress(admitted=admitted)
         ended = dataclasses.replace(ended, progress=progress)
         if admitted.route.streaming:
@@ -176,6 +188,10 @@
             case _:
                 return dataclasses.replace(ended, status=200, outcome="streamed")
 
+    def _can_finish(self, admitted: admitting.Admitted) -> bool:
+        """Returns False for a request that a planned stop may cut."""
+        return clock.elapsed() < self._take_all_until or admitted.deadline < self._stop_at
+
     def _refuse(
         self, reply: inbound.Reply, refusal: failure.Refusal, ended: ending.Ended
     ) -> ending.Ended:
@@ -195,6 +211,15 @@
         )
 
 
+def _stopping() -> failure.Refusal:
+    return failure.Refusal(
+        reason="the node is stopping",
+        code="stopping",
+        status=503,
+        retry_after=STOPPING_RETRY_SECONDS,
+    )
+
+
 class _ReadyHandler(tornado.web.RequestHandler):
     def initialize(self, relay: Relay) -> None:
         self._relay = relay
--- a/tests/pool_path_test.py
+++ b/tests/pool_path_test.py
@@ -247,6 +247,23 @@
         await drain
 
 
+async def test_a_request_that_a_planned_stop_could_cut_is_refused_and_not_run():
+    """Callers on open connections, and a balancer without other nodes, go on sending."""
+    async with pool_nodes.running(vms=3) as bench:
+        await bench.formed(1, pool_fleet.LARGE)
+        serving(bench)[0].options.event_seconds = 0.4
+        drain = asyncio.create_task(bench.relays[0].drain())
+        await asyncio.sleep(pool_nodes.GRACE_SECONDS * 0.4)
+        refused = await bench.draft()
+        assert refused.code == 503
+        assert refused.headers["Basilpost-Outcome"] == "not-run"
+        assert float(refused.headers["Retry-After"]) < 0.1
+        assert not bench.fleet.ran(refused.attempt)
+        short = await bench.call("/lookup/a", method="GET", X_Deadline_Ms="500")
+        assert short.code == 200
+        await drain
+
+
 async def test_nodes_that_cannot_check_keys_refuse_them(monkeypatch):
     async with pool_nodes.running(vms=0) as bench:
         relay = bench.relays[0]
