A failed request can be explained from the nodes' logs; checked settings; both models in large domains

Settings of the pool's node: all errors at once, unknown fields left out with one line, tested as a process.

--- a/basilpost/cli/main.py
+++ b/basilpost/cli/main.py
@@ -8,6 +8,7 @@
     config,
     demo,
     emulate,
+    explain,
     failure_domain,
     key,
     load,
@@ -29,6 +30,7 @@
 main.add_command(config.config)
 main.add_command(demo.command, name="demo")
 main.add_command(emulate.command)
+main.add_command(explain.command, name="explain")
 main.add_command(failure_domain.failure_domain)
 main.add_command(key.key)
 main.add_command(load.command)
--- a/basilpost/core/channels.py
+++ b/basilpost/core/channels.py
@@ -143,8 +143,10 @@
         receiver = _Receiver(stream=self.stream, on_head=on_head, on_data=on_data)
         try:
             await connection.read_response(receiver)
-        except (tornado.iostream.StreamClosedError, tornado.httputil.HTTPInputError) as error:
-            return Broken(reason=f"{self.address}: {type(error).__name__}")
+        except tornado.iostream.StreamClosedError as error:
+            return Broken(reason=f"{self.address} closed the connection: {error.real_error}")
+        except tornado.httputil.HTTPInputError as error:
+            return Broken(reason=f"{self.address} sent bytes that are no answer: {error}")
         if receiver.head is None or not receiver.finished or connection.reset:
             self.close()
             return Broken(reason=f"{self.address} closed the connection")
--- /dev/null
+++ b/basilpost/core/log_events_test.py
@@ -0,0 +1,59 @@
+"""Tests that what a pool's node logs is in the table, and the table on the operators' page."""
+
+import ast
+import pathlib
+
+from basilpost.core import log_events
+
+ROOT = pathlib.Path(__file__).parents[2]
+MODULES = (
+    *(ROOT / "basilpost" / "platform").glob("*.py"),
+    *(
+        ROOT / "basilpost" / name
+        for name in (
+            "core/kernel.py",
+            "core/tasks.py",
+            "gateway/ending.py",
+            "gateway/forwarding.py",
+            "gateway/relay.py",
+            "groups/supply.py",
+            "members/knowledge.py",
+            "members/loads.py",
+            "members/news.py",
+            "members/registry.py",
+            "node/pool_process.py",
+        )
+    ),
+)
+LEVELS = {"debug", "info", "warning", "error", "exception"}
+
+
+def logged(path):
+    """Returns event and fields of each logging call of a module."""
+    for node in ast.walk(ast.parse(path.read_text())):
+        if not isinstance(node, ast.Call) or not isinstance(node.func, ast.Attribute):
+            continue
+        owner = ast.unparse(node.func.value)
+        if node.func.attr in LEVELS and owner.endswith("log"):
+            names = _texts(node.args[0])
+            fields = {keyword.arg for keyword in node.keywords if keyword.arg}
+            yield from ((name, fields) for name in names)
+
+
+def _texts(node):
+    if isinstance(node, ast.IfExp):
+        return [*_texts(node.body), *_texts(node.orelse)]
+    return [node.value]
+
+
+def test_every_logged_event_and_field_is_in_the_table():
+    found = [one for path in MODULES for one in logged(path)]
+    assert len(found) > 20
+    for name, fields in found:
+        assert name in log_events.EVENTS, name
+        unknown = fields - set(log_events.EVENTS[name].fields) - {"exc_info"}
+        assert not unknown, (name, unknown)
+
+
+def test_the_operators_page_lists_the_table():
+    assert log_events.as_table() in (ROOT / "docs" / "OPERATIONS.md").read_text()
--- a/basilpost/emulator/pool_fleet.py
+++ b/basilpost/emulator/pool_fleet.py
@@ -66,8 +66,8 @@
         "loadsPerS": 50.0,
         "formMs": 20.0,
         "models": [
-            {"name": LARGE, "size": 3, "share": 0.6, "pace": 1.0, "loadS": 0.2, "warmS": 0.02},
-            {"name": SMALL, "size": 2, "share": 0.4, "pace": 0.6, "loadS": 0.2, "warmS": 0.02},
+            {"name": LARGE, "size": 3, "share": 0.8, "pace": 1.0, "loadS": 0.2, "warmS": 0.02},
+            {"name": SMALL, "size": 2, "share": 0.2, "pace": 0.6, "loadS": 0.2, "warmS": 0.02},
         ],
     }
 
--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -8,6 +8,7 @@
 import asyncio
 import dataclasses
 import random
+from typing import Any
 
 from basilpost.core import catalog, channels, clock, failure
 from basilpost.gateway import activity as activities
@@ -115,6 +116,7 @@
         loads: loads_.Loads,
         budgets: Budgets,
         chance: random.Random,
+        log: Any,
     ) -> None:
         self.pool = channels.Pool()
         self.activity = activities.Activity()
@@ -124,6 +126,7 @@
         self._loads = loads
         self._budgets = budgets
         self._chance = chance
+        self._log = log
         self._cold = cold.ColdMeter()
         self._retries_by_service: dict[str, retry.RetryBudget] = {}
         loads.stalled = self.activity.suspects
@@ -203,6 +206,11 @@
 
         def move() -> None:
             if progress.has_attempts and not isinstance(self._choose(progress), failure.Refusal):
+                self._log.info(
+                    "stream_moved",
+                    request=progress.admitted.call.request_id,
+                    target=target.target_id,
+                )
                 sink.break_off()
 
         sink.restart()
@@ -240,8 +248,9 @@
         suspects = self._loads.all_stalled()
         lapsed = {one.target_id for one in untried if not one.complete}
         suspects |= lapsed - self._loads.all_writing() if lapsed else frozenset()
+        candidates = [self._candidate(admitted, one, suspects) for one in untried]
         chosen = placing.choose(
-            [self._candidate(admitted, one, suspects) for one in untried],
+            candidates,
             failure_domain=self._failure_domain,
             chance=self._chance,
         )
@@ -282,6 +291,7 @@
         )
         if isinstance(channel, channels.ConnectFailed):
             return NotSent(reason=channel.reason)
+        self._note_placed(progress, target, last_event)
         self._loads.began(target.target_id)
         keep = False
         try:
@@ -306,6 +316,20 @@
             else:
                 channel.close()
 
+    def _note_placed(self, progress: Progress, target: targets_.Target, last_event: str) -> None:
+        self._log.info(
+            "request_placed",
+            request=progress.admitted.call.request_id,
+            target=target.target_id,
+            vm=target.vm_id,
+            in_flight=self._loads.total(target.target_id),
+            slots=target.slots,
+            suspects=len(self._loads.all_stalled()),
+            sends=progress.sends,
+            last_event=last_event,
+            left_ms=round(admitting.left(progress.admitted) * 1000),
+        )
+
     async def _receive(
         self, progress: Progress, channel: channels.Channel, sink: passing.Sink
     ) -> channels.Head | NotRun | Lost:
@@ -358,6 +382,19 @@
         return progress.has_attempts and self._retries(progress).spend()
 
     def _may_go_on(self, progress: Progress, result: NotSent | NotRun | Lost) -> bool:
+        """Returns True if a request may be tried elsewhere after a try without an answer."""
+        again = self._is_worth_another(progress, result)
+        self._log.info(
+            "attempt_failed",
+            request=progress.admitted.call.request_id,
+            target=progress.target,
+            result=type(result).__name__,
+            reason=result.reason,
+            again=again,
+        )
+        return again
+
+    def _is_worth_another(self, progress: Progress, result: NotSent | NotRun | Lost) -> bool:
         if isinstance(result, NotSent):
             return True
         if isinstance(result, NotRun):
--- a/basilpost/gateway/relay.py
+++ b/basilpost/gateway/relay.py
@@ -69,6 +69,7 @@
                 retry_reserve=settings.bounds.retry_reserve * RETRY_MARGIN,
             ),
             chance=chance,
+            log=kernel.log,
         )
         self._server: tornado.httpserver.HTTPServer | None = None
         self._readiness: tornado.httpserver.HTTPServer | None = None
--- a/basilpost/groups/pool.py
+++ b/basilpost/groups/pool.py
@@ -27,8 +27,8 @@
 # Survivors wait this long for partners with the same weights, before others are loaded on several of
 # them; runners that were cut off come back within that time.
 PATIENCE_SECONDS = 6.0
-# VMs of a domain that start together report within a heartbeat of each other; until then only the
-# model that takes most of them is formed of VMs without its weights.
+# VMs of a domain that start together report within a heartbeat of each other; until then no group is
+# formed of VMs without its weights, or the first ones would all go to one model.
 SETTLE_SECONDS = 1.5
 
 
@@ -333,10 +333,8 @@
     if len(unstaged) <= 1 < model.vms:
         # One spare takes the place of a lost member; there is no sooner way to serve again.
         return True
-    largest = model.vms == max(one.vms for one in view.models)
     return all(
-        _free_for(view, memory, vm)
-        >= (PATIENCE_SECONDS if vm.staged else 0.0 if largest else SETTLE_SECONDS)
+        _free_for(view, memory, vm) >= (PATIENCE_SECONDS if vm.staged else SETTLE_SECONDS)
         for vm in unstaged
     )
 
--- a/basilpost/node/pool_assembly.py
+++ b/basilpost/node/pool_assembly.py
@@ -26,7 +26,10 @@
     kernel = kernel_.Kernel(node_id=settings.node_id)
     incarnation = uuid.uuid4().hex
     kernel.register(names.SETTINGS, _peer_settings(settings))
-    kernel.register(names.OBJECTS, platform_store.PlatformStore(address=settings.store))
+    kernel.register(
+        names.OBJECTS,
+        platform_store.PlatformStore(address=settings.store, registry=kernel.registry),
+    )
     kernel.register(names.DIALECT, headers.PlatformDialect())
     kernel.register(names.POOL_ENGINES, engines.PlatformEngines())
     table = node_table.NodeTable()
--- a/basilpost/node/pool_process.py
+++ b/basilpost/node/pool_process.py
@@ -14,14 +14,15 @@
 from basilpost.gateway import relay
 from basilpost.groups import supply
 from basilpost.node import pool_assembly
-from basilpost.settings import loader, pool_schema
+from basilpost.settings import loader, pool_loader
 
 SETTINGS_VARIABLE = "BASILPOST_CONFIG"
 _BAD_SETTINGS = 2
 
 
-async def run(settings: pool_schema.PoolNodeSettings) -> None:
+async def run(loaded: pool_loader.Loaded) -> None:
     """Serves until SIGTERM or SIGINT, then stops without cutting a request in flight."""
+    settings = loaded.settings
     kernel = pool_assembly.build(settings)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -29,6 +30,8 @@
         loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, _reload, kernel)
     kernel.log.info("node_starting", failure_domain=settings.failure_domain)
+    if loaded.ignored:
+        kernel.log.warning("settings_fields_ignored", fields=list(loaded.ignored))
     await kernel.start()
     kernel.log.info("node_started")
     await stop.wait()
@@ -44,12 +47,12 @@
     """Reads the settings and runs the node; returns the exit code."""
     path = os.environ.get(SETTINGS_VARIABLE, "")
     try:
-        settings = loader.load(path, pool_schema.PoolNodeSettings)
+        loaded = pool_loader.load(path)
     except loader.SettingsError as error:
         print(error, file=sys.stderr)
         return _BAD_SETTINGS
-    log.configure_bounded(descriptor=sys.stdout.fileno(), level=settings.log_level)
-    asyncio.run(run(settings))
+    log.configure_bounded(descriptor=sys.stdout.fileno(), level=loaded.settings.log_level)
+    asyncio.run(run(loaded))
     return 0
 
 
--- a/basilpost/platform/store.py
+++ b/basilpost/platform/store.py
@@ -7,11 +7,14 @@
 import urllib.parse
 from typing import Any
 
+import prometheus_client
+
 from basilpost.store import http_calls, objects
 
 # Time in seconds that the answer of a waiting watch may take beyond its wait.
 _WATCH_GRACE_SECONDS = 0.7
 _MS = 1000
+_ROOT = "/api/objects/"
 _NO_EFFECT_STATUSES = frozenset({400, 403, 404, 413, 429, 503})
 
 Write = objects.Written | objects.Conflict | objects.Unavailable | objects.Unknown
@@ -20,8 +23,16 @@
 class PlatformStore(objects.ObjectStore):
     """Talks to the platform's store at `host:port`."""
 
-    def __init__(self, *, address: str) -> None:
+    def __init__(
+        self, *, address: str, registry: prometheus_client.CollectorRegistry | None = None
+    ) -> None:
         self._caller = http_calls.Caller(base_url=f"http://{address}")
+        self._calls = prometheus_client.Counter(
+            "basilpost_store_calls_total",
+            "Calls to the platform's store by method, kind of object and status; 0 for no answer",
+            ["method", "kind", "status"],
+            registry=registry,
+        )
 
     def close(self) -> None:
         """Closes the connections that are kept."""
@@ -140,7 +151,14 @@
     async def _read(
         self, path: str, *, timeout: float, wait: float = 0.0
     ) -> http_calls.Reply | http_calls.NoReply:
-        return await self._caller.read(path, timeout=timeout, wait=wait)
+        reply = await self._caller.read(path, timeout=timeout, wait=wait)
+        self._count("GET", path, reply)
+        return reply
+
+    def _count(self, method: str, path: str, reply: http_calls.Reply | http_calls.NoReply) -> None:
+        kind = path.removeprefix(_ROOT).partition("/")[0].partition("?")[0]
+        status = reply.status if isinstance(reply, http_calls.Reply) else 0
+        self._calls.labels(method, kind, str(status)).inc()
 
     async def _write(self, method: str, path: str, key: str, body: Any, timeout: float) -> Write:
         call = http_calls.Call(
@@ -150,6 +168,7 @@
             body=b"" if body is None else json.dumps(body).encode(),
         )
         reply = await self._caller.write(call, timeout=timeout)
+        self._count(method, path, reply)
         if isinstance(reply, http_calls.NoReply):
             kind = objects.Unknown if reply.sent else objects.Unavailable
             return kind(reason=f"{method} {key}: {reply.reason}")
@@ -179,7 +198,7 @@
 
 
 def _path(key: str) -> str:
-    return "/api/objects/" + urllib.parse.quote(key)
+    return _ROOT + urllib.parse.quote(key)
 
 
 def _stored(prefix: str, raw: Any) -> objects.Stored | None:
--- /dev/null
+++ b/basilpost/settings/pool_loader.py
@@ -0,0 +1,99 @@
+"""Reads the settings of a pool's node: all errors at once, unknown fields left out and named."""
+
+import dataclasses
+import pathlib
+from typing import Any
+
+import pyjson5
+
+from basilpost.settings import loader, pool_schema
+
+MAX_PORT = 65_535
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Loaded:
+    """Checked settings, and the fields of the file that are not known."""
+
+    settings: pool_schema.PoolNodeSettings
+    ignored: tuple[str, ...]
+
+
+def load(path: str) -> Loaded:
+    """Reads and checks a settings file.
+
+    Raises:
+        loader.SettingsError: With all errors of the file.
+    """
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        found = loader.setting_error(path, "", str(error), "a readable UTF-8 file")
+        raise loader.SettingsError((found,)) from error
+    return parse(text, file=path)
+
+
+def parse(text: str, *, file: str) -> Loaded:
+    """Parses and checks the text of a settings file.
+
+    Raises:
+        loader.SettingsError: With all errors of the text.
+    """
+    try:
+        raw = pyjson5.decode(text)
+    except pyjson5.Json5Exception as error:
+        found = loader.setting_error(file, "", str(error), "JSON with comments")
+        raise loader.SettingsError((found,)) from error
+    known, ignored = _known(raw, pool_schema.PoolNodeSettings, "")
+    settings = loader.structure(known, pool_schema.PoolNodeSettings, file=file)
+    errors = tuple(_errors(settings, file))
+    if errors:
+        raise loader.SettingsError(errors)
+    return Loaded(settings=settings, ignored=tuple(ignored))
+
+
+def _known(raw: Any, kind: Any, path: str) -> tuple[Any, list[str]]:
+    """Returns a value without the fields that a record does not have, and their paths."""
+    if not dataclasses.is_dataclass(kind) or not isinstance(raw, dict):
+        return raw, []
+    kinds_by_name = {field.name: field.type for field in dataclasses.fields(kind)}
+    ignored = [f"{path}{name}" for name in raw if name not in kinds_by_name]
+    known = {}
+    for name in raw.keys() & kinds_by_name.keys():
+        known[name], inner = _known(raw[name], kinds_by_name[name], f"{path}{name}.")
+        ignored += inner
+    return known, sorted(ignored)
+
+
+def _errors(settings: pool_schema.PoolNodeSettings, file: str) -> list[loader.SettingError]:
+    checks = [
+        *(
+            (_is_address(getattr(settings, name)), name, getattr(settings, name), "host:port")
+            for name in ("callers", "readiness", "store")
+        ),
+        *(
+            (0 < getattr(settings, name) <= MAX_PORT, name, getattr(settings, name), "1 to 65535")
+            for name in ("peer_port", "metrics_port")
+        ),
+        *(
+            (value > 0, f"bounds.{name}", value, "a positive number")
+            for name, value in dataclasses.asdict(settings.bounds).items()
+        ),
+        (bool(settings.node_id), "node_id", settings.node_id, "a name"),
+        (
+            settings.log_level in ("debug", "info", "warning", "error"),
+            "log_level",
+            settings.log_level,
+            "debug, info, warning or error",
+        ),
+    ]
+    return [
+        loader.setting_error(file, path, repr(found), allowed)
+        for holds, path, found, allowed in checks
+        if not holds
+    ]
+
+
+def _is_address(text: str) -> bool:
+    host, _, port = text.rpartition(":")
+    return bool(host) and port.isdigit() and 0 < int(port) <= MAX_PORT
--- /dev/null
+++ b/basilpost/settings/pool_loader_test.py
@@ -0,0 +1,76 @@
+"""Tests of the settings of a pool's node, good and bad."""
+
+import json
+
+import pytest
+
+from basilpost.settings import loader, pool_loader
+
+GOOD = {
+    "node_id": "front-a-1",
+    "failure_domain": "a",
+    "region": "r",
+    "host": "10.1.0.40",
+    "callers": "10.1.0.40:8227",
+    "readiness": "10.1.0.40:8220",
+    "peer_port": 7340,
+    "metrics_port": 7355,
+    "store": "10.200.1.7:8223",
+    "first_start": True,
+    "bounds": {"grace_seconds": 8, "retry_share": 0.2, "retry_reserve": 136},
+}
+
+
+def errors_of(text):
+    with pytest.raises(loader.SettingsError) as caught:
+        pool_loader.parse(text, file="node.jsonc")
+    return {error.path for error in caught.value.errors}
+
+
+def test_a_whole_file_is_read():
+    loaded = pool_loader.parse("// comment\n" + json.dumps(GOOD), file="node.jsonc")
+    assert loaded.settings.store == "10.200.1.7:8223"
+    assert loaded.settings.bounds.retry_reserve == 136
+    assert loaded.ignored == ()
+
+
+def test_unknown_fields_are_left_out_and_named():
+    more = {**GOOD, "colour": 1, "bounds": {**GOOD["bounds"], "tint": {"a": 2}}}
+    loaded = pool_loader.parse(json.dumps(more), file="node.jsonc")
+    assert loaded.ignored == ("bounds.tint", "colour")
+    assert loaded.settings.node_id == "front-a-1"
+
+
+def test_all_errors_are_named_at_once():
+    bad = {**GOOD, "node_id": 7, "peer_port": "7340", "first_start": "yes"}
+    assert errors_of(json.dumps(bad)) == {"node_id", "peer_port", "first_start"}
+
+
+def test_values_out_of_range_are_named_at_once():
+    bad = {**GOOD, "callers": "10.1.0.40", "metrics_port": 70000, "log_level": "loud"}
+    bad["bounds"] = {**GOOD["bounds"], "grace_seconds": 0}
+    assert errors_of(json.dumps(bad)) == {
+        "callers",
+        "metrics_port",
+        "log_level",
+        "bounds.grace_seconds",
+    }
+
+
+def test_a_missing_field_is_an_error():
+    assert errors_of(json.dumps({k: v for k, v in GOOD.items() if k != "store"})) == {"store"}
+
+
+@pytest.mark.parametrize("text", ["", "{", "[]", "null", "{{nodeName}}"])
+def test_text_that_is_no_settings_is_an_error(text):
+    assert errors_of(text)
+
+
+def test_a_file_that_cannot_be_read_is_an_error(tmp_path):
+    for path in (tmp_path / "missing", tmp_path):
+        with pytest.raises(loader.SettingsError):
+            pool_loader.load(str(path))
+    broken = tmp_path / "binary"
+    broken.write_bytes(b"\xff\xfe\x00")
+    with pytest.raises(loader.SettingsError):
+        pool_loader.load(str(broken))
--- /dev/null
+++ b/tests/pool_process_test.py
@@ -0,0 +1,143 @@
+"""The node as a real process: settings, readiness, logs, and its ends."""
+
+import asyncio
+import json
+import os
+import pathlib
+import signal
+import sys
+
+import pytest
+import tornado.httpclient
+
+from basilpost.emulator import pool_fleet
+from basilpost.settings import pool_loader
+from tests import processes
+
+ROOT = pathlib.Path(__file__).parents[1]
+PROGRAM = (sys.executable, "-m", "basilpost.node.pool_process")
+# Values as the platform gives them for a template.
+PLATFORM = {
+    "nodeName": "front-a-1",
+    "zone": "a",
+    "region": "r",
+    "ip": "127.0.0.1",
+    "bootstrap": True,
+    "bounds.graceS": 4,
+    "bounds.retryBudgetRatio": 0.2,
+    "bounds.budgetSlack": 136,
+}
+
+
+def filled(store):
+    """Fills deploy/node.jsonc in as the platform does."""
+    values = {
+        **PLATFORM,
+        "listen.front": f"127.0.0.1:{processes.free_port()}",
+        "listen.readiness": f"127.0.0.1:{processes.free_port()}",
+        "internalPorts.0": processes.free_port(),
+        "internalPorts.1": processes.free_port(),
+        "platform.address": store,
+    }
+    text = (ROOT / "deploy" / "node.jsonc").read_text()
+    for name, value in values.items():
+        text = text.replace("{{" + name + "|json}}", json.dumps(value))
+        text = text.replace("{{" + name + "}}", str(value))
+    return text
+
+
+async def start(path):
+    return await asyncio.create_subprocess_exec(
+        *PROGRAM,
+        env={**os.environ, "BASILPOST_CONFIG": str(path)},
+        cwd=ROOT,
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.PIPE,
+    )
+
+
+@pytest.mark.processes
+async def test_a_node_serves_stops_as_planned_and_logs_each_step(tmp_path):
+    fleet = pool_fleet.PoolFleet(vms=3, plain=1)
+    await fleet.start()
+    path = tmp_path / "node.jsonc"
+    path.write_text(filled(fleet.store.address))
+    settings = pool_loader.load(str(path)).settings
+    child = await start(path)
+    client = tornado.httpclient.AsyncHTTPClient(force_instance=True)
+    try:
+        await _until_ready(client, settings.readiness)
+        await pool_fleet.until(fleet.open_groups)
+        answer = await client.fetch(
+            f"http://{settings.callers}/filing/a",
+            method="POST",
+            body=b"x",
+            headers={
+                "Host": pool_fleet.HOST,
+                "X-Attempt-Id": "one",
+                "X-Credential": pool_fleet.KEY,
+            },
+        )
+        assert answer.code == 200
+        metrics = await client.fetch(f"http://127.0.0.1:{settings.metrics_port}/metrics")
+        assert b"basilpost_requests_total" in metrics.body
+        child.send_signal(signal.SIGHUP)
+        await asyncio.sleep(0.1)
+        child.send_signal(signal.SIGTERM)
+        out, err = await asyncio.wait_for(child.communicate(), 15)
+    finally:
+        if child.returncode is None:
+            child.kill()
+        await fleet.stop()
+    assert (child.returncode, err) == (0, b"")
+    lines = [json.loads(line) for line in out.decode().splitlines()]
+    events = [line["event"] for line in lines]
+    assert {
+        "node_starting",
+        "node_started",
+        "configuration_in_force",
+        "pool_control_gained",
+        "request_ended",
+        "settings_reload_ignored",
+        "node_stopping",
+        "pool_control_released",
+        "node_stopped",
+    } <= set(events)
+    (ended,) = [line for line in lines if line["event"] == "request_ended"]
+    assert (ended["request"], ended["status"], ended["node"]) == ("one", 200, "front-a-1")
+
+
+@pytest.mark.processes
+async def test_bad_settings_end_the_node_with_every_error_named(tmp_path):
+    path = tmp_path / "node.jsonc"
+    path.write_text(filled("127.0.0.1:1").replace('"front-a-1"', "7").replace('"a"', "[]"))
+    child = await start(path)
+    out, err = await asyncio.wait_for(child.communicate(), 15)
+    assert child.returncode == 2
+    assert b"node_id" in err and b"failure_domain" in err
+
+
+@pytest.mark.processes
+async def test_missing_settings_end_the_node(tmp_path):
+    child = await start(tmp_path / "none")
+    _, err = await asyncio.wait_for(child.communicate(), 15)
+    assert child.returncode == 2
+    assert b"none" in err
+
+
+def test_the_deployed_packages_are_those_of_the_project():
+    """requirements.txt pins, for what a node needs, the versions that the project is tested with."""
+    pins = dict(line.split("==") for line in (ROOT / "constraints.txt").read_text().split())
+    deployed = dict(line.split("==") for line in (ROOT / "requirements.txt").read_text().split())
+    assert deployed
+    assert {name: pins.get(name) for name in deployed} == deployed
+
+
+async def _until_ready(client, address):
+    async with asyncio.timeout(15):
+        while True:
+            try:
+                await client.fetch(f"http://{address}/api/ready")
+                return
+            except (OSError, tornado.httpclient.HTTPError):
+                await asyncio.sleep(0.05)
