--- a/basilpost/groups/pool.py
+++ b/basilpost/groups/pool.py
@@ -330,12 +330,19 @@
     unstaged = [vm for vm in members if model.name not in vm.staged]
     if len(unstaged) > loads_left:
         return False
-    if len(unstaged) <= 1 < model.vms:
+    if len(unstaged) <= 1 < model.vms and not any(_waits(vm, vms, model) for vm in unstaged):
         # One spare takes the place of a lost member; there is no sooner way to serve again.
         return True
-    return all(
-        _free_for(view, memory, vm) >= (PATIENCE_SECONDS if vm.staged else SETTLE_SECONDS)
-        for vm in unstaged
+    settled = all(_free_for(view, memory, vm) >= SETTLE_SECONDS for vm in vms if not vm.staged)
+    return settled and all(
+        not vm.staged or _free_for(view, memory, vm) >= PATIENCE_SECONDS for vm in unstaged
+    )
+
+
+def _waits(vm: catalog.Vm, vms: list[catalog.Vm], model: catalog.Model) -> bool:
+    """Returns True for a survivor that waits, with others of its group, for a partner."""
+    return any(
+        other is not vm and set(vm.staged) & set(other.staged) - {model.name} for other in vms
     )
 
 
@@ -396,10 +403,15 @@
         for vm, model in _matched(list(found), by_size):
             if model.name not in vm.staged:
                 yield orders.Order(kind=orders.Kind.STAGE, vm=vm, model=model.name)
-            elif memory.loaded_by_vm.get(lifetime(vm)) != model.name:
+            elif model.name not in (memory.loaded_by_vm.get(lifetime(vm)), _joining(vm)):
                 yield _standby(vm, model.name, next(epochs))
 
 
+def _joining(vm: catalog.Vm) -> str:
+    """Returns the model that a spare is taking into memory, empty for none."""
+    return "" if vm.member is None else assembled.model_of(vm.member.group)
+
+
 def _matched(
     vms: list[catalog.Vm], by_size: list[catalog.Model]
 ) -> list[tuple[catalog.Vm, catalog.Model]]:
--- a/basilpost/groups/pool_test.py
+++ b/basilpost/groups/pool_test.py
@@ -89,6 +89,17 @@
     assert {assembled.model_of(one.group) for one in decision.orders} == {"large", "small"}
 
 
+def test_the_first_vms_that_have_settled_do_not_go_astray():
+    """Runners report one after another; three settled ones must wait for those that just came."""
+    vms = [vm(str(number)) for number in range(5)]
+    memory = pool.Memory(
+        free_since_by_vm={pool.lifetime(one): 98.0 + 0.4 * number for number, one in enumerate(vms)}
+    )
+    assert [one for one in pool.decide(view(vms), memory).orders if one.group] == []
+    later = pool.decide(view(vms, now=102.0), memory)
+    assert assembled.group_name("large", 1000) in {one.group for one in later.orders}
+
+
 def test_in_a_large_domain_both_models_get_groups():
     """27 VMs hold two groups of 12, or one and two of 6; work decides, not who came first."""
     models = (model("large", 12), model("small", 6, pace=0.6))
@@ -322,3 +333,29 @@
     assert given(pool.decide(view(vms), pool.Memory())) == [
         f"join {one} large--1000" for one in "abc"
     ]
+
+
+def test_a_spare_that_takes_weights_into_memory_is_not_ordered_again():
+    """Each new order would begin the loading anew."""
+    vms = [*group("7", [OPEN, READY, READY]), standby("spare", state=JOINING)]
+    first = pool.decide(view(vms), free_for(vms, 99))
+    later = pool.decide(view(vms, now=110.0), first.memory)
+    assert given(first) == given(later) == []
+
+
+def test_survivors_of_a_larger_group_are_not_taken_one_by_one():
+    """A smaller group that lost a member must not cost a larger one its weights."""
+    large = [vm(name, staged=("large",)) for name in ("a", "b")]
+    small = [vm("c", staged=("small",))]
+    assert given(pool.decide(view([*large, *small]), pool.Memory())) == [
+        f"join {one} large--1000" for one in "abc"
+    ]
+    five = model("large", 5)
+    decision = pool.decide(view([*large, *small], models=(five, SMALL)), pool.Memory())
+    assert [one for one in decision.orders if "standby" not in one.group] == []
+
+
+def test_the_last_spare_of_a_larger_model_may_be_taken_for_a_lost_member():
+    vms = [vm("a", staged=("large",)), vm("c", staged=("small",))]
+    decision = pool.decide(view(vms), pool.Memory())
+    assert given(decision) == ["join a small--1000", "join c small--1000"]
--- a/basilpost/members/loads.py
+++ b/basilpost/members/loads.py
@@ -118,7 +118,11 @@
         while True:
             await asyncio.sleep(REPORT_SECONDS)
             now = clock.elapsed()
-            report = LoadReport(in_flight_by_target=dict(self._own), stalled=tuple(self.stalled()))
+            report = LoadReport(
+                in_flight_by_target=dict(self._own),
+                stalled=tuple(sorted(self.stalled())),
+                writing=tuple(sorted(self.writing())),
+            )
             if report != last or now - sent_at >= REPEAT_SECONDS:
                 self._peers.broadcast(report)
                 last, sent_at = report, now
