--- a/basilpost/groups/lease.py
+++ b/basilpost/groups/lease.py
@@ -127,10 +127,11 @@
         self.held_until = float("-inf")
 
     def _note(self, found: objects.Stored) -> bool:
-        if found.version != self._seen_version:
+        # A cheap read may be older than one before it.
+        if found.version > self._seen_version:
             self._seen_version = found.version
             self._seen_at = clock.elapsed()
-        self._version = found.version
+        self._version = self._seen_version
         return clock.elapsed() - self._seen_at > self.seconds
 
     async def _recognise(self, store: objects.ObjectStore, *, timeout: float) -> int:
--- a/basilpost/groups/supply.py
+++ b/basilpost/groups/supply.py
@@ -25,6 +25,8 @@
 RENEW_SECONDS = 1.0
 OBSERVE_SECONDS = 0.7
 STORE_TIMEOUT_SECONDS = 0.6
+# Pause after a failed attempt to take the lease.
+RETRY_SECONDS = 0.1
 # Orders are answered within some milliseconds by a runner that is there.
 ORDER_TIMEOUT_SECONDS = 0.6
 # A member that does not answer a question in this time, twice, while its group stands still, is lost;
@@ -120,6 +122,10 @@
                 if await self._lease.take(self._store, timeout=STORE_TIMEOUT_SECONDS):
                     await self._serve()
                     continue
+                # The cheap read may have been old; the next one is fresh.
+                self._look_now.set()
+                await asyncio.sleep(RETRY_SECONDS)
+                continue
             try:
                 async with asyncio.timeout(OBSERVE_SECONDS * random.uniform(0.8, 1.2)):
                     await self._look_now.wait()
--- a/tests/pool_groups_test.py
+++ b/tests/pool_groups_test.py
@@ -6,6 +6,7 @@
 from basilpost.core import names
 from basilpost.emulator import pool_fleet
 from basilpost.groups import supply
+from basilpost.platform import store as platform_store
 from tests import pool_nodes
 
 
@@ -151,3 +152,23 @@
         and member["name"].startswith(f"standby-{pool_fleet.LARGE}")
         and member["state"] == "ready"
     )
+
+
+async def test_control_is_taken_soon_although_cheap_reads_are_old(monkeypatch):
+    """After an outage the store's cheap reads lag; a failed attempt must not be made over again."""
+    async with pool_nodes.running(vms=3) as bench:
+        await pool_fleet.until(lambda: any(map(_holds, bench.kernels)))
+        key = supply.LEASE_KEY
+        store = bench.kernels[0].find(names.OBJECTS, platform_store.PlatformStore)
+        old = await store.get(key)
+
+        async def glance(key, *, timeout):
+            return old
+
+        kernel = await bench.add("node-late")
+        late = kernel.find(names.OBJECTS, platform_store.PlatformStore)
+        monkeypatch.setattr(late, "glance", glance)
+        await asyncio.sleep(1.2)
+        first = bench.kernels[0]
+        await first.find(names.CONTROLLER, supply.Controller)._tasks.close()
+        await pool_fleet.until(lambda: _holds(kernel), seconds=supply.LEASE_SECONDS * 2 + 2)
