--- a/basilpost/cli/demo.py
+++ b/basilpost/cli/demo.py
@@ -6,7 +6,7 @@
 import click
 
 from basilpost.core import log
-from basilpost.node import demo
+from basilpost.node import demo, pool_demo
 
 _FAILED = 1
 
@@ -16,15 +16,16 @@
 @click.option(
     "--port", default=0, show_default=True, help="Callers' port of node-1; 0: a free one."
 )
+@click.option("--platform", is_flag=True, help="Show nodes before the users' platform instead.")
 @click.option("--verbose", is_flag=True, help="Show the nodes' logs.")
-def command(serve: bool, port: int, verbose: bool) -> None:
+def command(serve: bool, port: int, platform: bool, verbose: bool) -> None:
     """Runs the whole path in one process and shows what it does.
 
     Example: basilpost demo --serve --port 8080
     """
     log.configure(json_lines=False, level="info" if verbose else "error")
     try:
-        asyncio.run(_run(serve=serve, port=port))
+        asyncio.run(_run_platform() if platform else _run(serve=serve, port=port))
     except (AssertionError, TimeoutError) as error:
         click.echo(f"The demo failed: {error!r}", err=True)
         sys.exit(_FAILED)
@@ -46,6 +47,16 @@
         await shown.stop()
 
 
+async def _run_platform() -> None:
+    shown = pool_demo.PoolDemo()
+    click.echo("Starting the platform's store, a pool of VMs and two nodes in one process ...")
+    try:
+        await shown.start()
+        await pool_demo.tour(shown, click.echo)
+    finally:
+        await shown.stop()
+
+
 def _hint(shown: demo.Demo) -> str:
     return (
         f"API key: {demo.API_KEY}\n\n"
--- /dev/null
+++ b/tests/pool_demo_test.py
@@ -0,0 +1,14 @@
+"""The tour through the platform's adapter comes out as it should."""
+
+from basilpost.node import pool_demo
+
+
+async def test_the_tour_comes_out_as_it_should():
+    shown, said = pool_demo.PoolDemo(), []
+    try:
+        await shown.start()
+        await pool_demo.tour(shown, said.append)
+    finally:
+        await shown.stop()
+    assert len(said) == 5
+    assert "outcome unknown, 1 run" in said[-1]
