Tests of the pool's nodes have a loopback address of their own

Cause: one of 743 tests failed once in the whole run (test_a_broken_configuration..., OSError address in use): a port that was free when it was picked was taken by a test beside it. Ruled out: the node (it never started). Change: each node of a test listens on a random address of 127.0.0.0/8.

--- a/basilpost/node/pool_demo.py
+++ b/basilpost/node/pool_demo.py
@@ -6,7 +6,6 @@
 
 import itertools
 import random
-import socket
 from collections.abc import Callable
 
 import tornado.httpclient
@@ -21,8 +20,7 @@
 GRACE_SECONDS = 4.0
 RETRY_SHARE = 0.2
 RETRY_RESERVE = 100.0
-# Below the ports that outgoing connections take.
-PORTS = (10_000, 30_000)
+CALLERS_PORT, READINESS_PORT, PEER_PORT, METRICS_PORT = 8001, 8002, 8003, 8004
 
 Say = Callable[[str], None]
 
@@ -120,27 +118,26 @@
     say(f"The answer to a filing was lost: status {answer.code}, outcome {outcome}, {runs} run.")
 
 
+def own_host() -> str:
+    """Returns a loopback address of its own, so that ports meet those of no other process."""
+    chance = random.SystemRandom()
+    return ".".join(["127", *(str(chance.randrange(1, 255)) for _ in range(3))])
+
+
 def _settings(node_id: str, store: str) -> pool_schema.PoolNodeSettings:
+    host = own_host()
     return pool_schema.PoolNodeSettings(
         node_id=node_id,
         failure_domain="a",
         region="r",
-        host="127.0.0.1",
-        callers=f"127.0.0.1:{_free_port()}",
-        readiness=f"127.0.0.1:{_free_port()}",
-        peer_port=_free_port(),
-        metrics_port=_free_port(),
+        host=host,
+        callers=f"{host}:{CALLERS_PORT}",
+        readiness=f"{host}:{READINESS_PORT}",
+        peer_port=PEER_PORT,
+        metrics_port=METRICS_PORT,
         store=store,
         first_start=True,
         bounds=pool_schema.Bounds(
             grace_seconds=GRACE_SECONDS, retry_share=RETRY_SHARE, retry_reserve=RETRY_RESERVE
         ),
     )
-
-
-def _free_port() -> int:
-    while True:
-        port = random.SystemRandom().randrange(*PORTS)
-        with socket.socket() as sock:
-            if sock.connect_ex(("127.0.0.1", port)) != 0:
-                return port
