An answer without a name on a kept connection is not taken for the next request

Runners that answer twice do not always name the request; such an answer waited on a kept connection and was taken for the next request's. Ruled out: an answer that names another request (always was skipped). Change: without a name it counts only on a connection's first request, or as a rejection. Test seen to fail before.

--- a/basilpost/core/channels.py
+++ b/basilpost/core/channels.py
@@ -102,13 +102,20 @@
 
 
 class Channel:
-    """One connection to a server; serves one request at a time."""
+    """One connection to a server; serves one request at a time.
+
+    Attributes:
+        address: `host:port` of the server.
+        stream: The connection.
+        usable_until: When the server may close it for being idle, on `clock.elapsed`.
+        requests: Requests that were sent on it.
+    """
 
     def __init__(self, *, address: str, stream: tornado.iostream.IOStream) -> None:
         self.address = address
         self.stream = stream
         self.usable_until = 0.0
-        self.used = False
+        self.requests = 0
         self._connection: _Client | None = None
 
     def send(
@@ -119,7 +126,7 @@
         body: bytes,
     ) -> None:
         """Writes one request; failures show when the answer is read."""
-        self.used = True
+        self.requests += 1
         if body or method in ("POST", "PUT", "PATCH"):
             headers["Content-Length"] = str(len(body))
         self._connection = _Client(self.stream, True, _PARAMETERS)
--- a/basilpost/core/log_events.py
+++ b/basilpost/core/log_events.py
@@ -53,6 +53,10 @@
         meaning="a target gave no answer to pass on; result says whether it may have run",
         fields=(*_REQUEST, "result", "reason", "again"),
     ),
+    "stray_answer": Event(
+        meaning="an answer that is not to this request came on its connection and was left out",
+        fields=(*_REQUEST, "named", "answer_status", "requests"),
+    ),
     "stream_moved": Event(
         meaning="a stream leaves a target that stands still, to go on elsewhere", fields=_REQUEST
     ),
--- a/basilpost/emulator/pool_runner.py
+++ b/basilpost/emulator/pool_runner.py
@@ -31,6 +31,7 @@
         fail: True to answer requests with its own failure.
         lose_answers: Requests to come that are run and whose answer is lost.
         stray_answers: Requests to come that are answered with a second, stray answer first.
+        nameless: True if stray answers do not name the request that they are for.
         late_orders: Seconds by which orders to come are carried out late and unanswered.
         cuts: Streams to come that are broken off within an event.
         cut_after: Whole events before that.
@@ -47,6 +48,7 @@
     fail: bool = False
     lose_answers: int = 0
     stray_answers: int = 0
+    nameless: bool = False
     late_orders: float = 0.0
     cuts: int = 0
     cut_after: int = 2
@@ -322,7 +324,8 @@
         body = json.dumps({"attempt": self.request.headers.get(_ATTEMPT)}).encode()
         if self.behaviour.stray_answers > 0:
             self.behaviour.stray_answers -= 1
-            stray = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: stray\r\nContent-Length: 5\r\n"
+            name = b"" if self.behaviour.nameless else b"X-Attempt-Id: stray\r\n"
+            stray = b"HTTP/1.1 200 OK\r\n" + name + b"Content-Length: 5\r\n"
             self._raw(stray + b"X-Runner-Signature: s\r\n\r\nstray")
         self.set_header(SIGNATURE, "s")
         self.finish(body)
--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -338,10 +338,11 @@
 
         def take_head(head: channels.Head) -> None:
             nonlocal own
-            verdict = self._dialect.read_verdict(head.status, head.headers)
-            own = verdict.request_id in ("", progress.admitted.call.request_id)
+            own = self._answers_own(progress, channel, head)
             if own:
                 sink.take_head(head)
+            else:
+                self._note_stray(progress, channel, head)
 
         def take(chunk: bytes) -> None:
             if own:
@@ -355,6 +356,33 @@
                 return self._judged(head, channel)
         return Lost(reason=f"{channel.address} sent answers to other requests")
 
+    def _answers_own(
+        self, progress: Progress, channel: channels.Channel, head: channels.Head
+    ) -> bool:
+        """Returns True if an answer names the request, or can be to no other one.
+
+        A second answer to an earlier request may come first on a kept connection. Rejections may
+        come without a name; one that was meant for another request does no harm here, as requests
+        that must run once have connections of their own.
+        """
+        verdict = self._dialect.read_verdict(head.status, head.headers)
+        if verdict.request_id:
+            return verdict.request_id == progress.admitted.call.request_id
+        return verdict.not_run or channel.requests == 1
+
+    def _note_stray(
+        self, progress: Progress, channel: channels.Channel, head: channels.Head
+    ) -> None:
+        verdict = self._dialect.read_verdict(head.status, head.headers)
+        self._log.warning(
+            "stray_answer",
+            request=progress.admitted.call.request_id,
+            target=progress.target,
+            named=verdict.request_id,
+            answer_status=head.status,
+            requests=channel.requests,
+        )
+
     def _judged(
         self, head: channels.Head, channel: channels.Channel
     ) -> channels.Head | NotRun | Lost:
--- a/tests/pool_path_test.py
+++ b/tests/pool_path_test.py
@@ -152,6 +152,19 @@
             assert answer.attempt.encode() in answer.body
 
 
+async def test_a_nameless_answer_on_a_kept_connection_is_not_taken_for_the_next_request():
+    """A second answer to an earlier request need not say whose it is."""
+    async with pool_nodes.running(vms=0, plain=1) as bench:
+        runner = bench.fleet.runners_by_id["desk-0"]
+        assert (await bench.call("/lookup/a", method="GET")).code == 200
+        runner.options.nameless = True
+        for _ in range(3):
+            runner.options.stray_answers = 1
+            answer = await bench.call("/lookup/a", method="GET")
+            assert answer.code == 200
+            assert answer.attempt.encode() in answer.body
+
+
 async def test_a_stream_that_is_cut_within_an_event_goes_on_at_another_group():
     async with pool_nodes.running(fabric_domains=3, vms=3) as bench:
         await bench.formed(2, pool_fleet.LARGE)
