A request that fells each runner which runs it is refused at all nodes

Change: nodes tell each other of runners lost under a request, known by workspace, path and body; after three within 20 s it is refused, not run; an answer clears it. Streams that this node moved do not count.

--- a/basilpost/admin/explaining.py
+++ b/basilpost/admin/explaining.py
@@ -32,6 +32,7 @@
     "caller_left": "the caller left before its answer was whole",
     "broken_off": "its stream began and could not be completed",
     "no_target": "no group or instance could take it",
+    "quarantined": "it has felled each runner that ran it",
     "busy": "all groups or instances were full",
     "target_lost": "the target went away under it",
     "deadline": "its time was over",
--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -15,6 +15,7 @@
 from basilpost.gateway import admitting, inbound, passing
 from basilpost.members import loads as loads_
 from basilpost.routing import calls, cold, placing, retry
+from basilpost.routing import crashes as crashes_
 from basilpost.routing import targets as targets_
 
 CONNECT_SECONDS = 0.5
@@ -41,7 +42,13 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Lost(failure.Failure):
-    """The answer did not come whole; the request may have run."""
+    """The answer did not come whole; the request may have run.
+
+    Attributes:
+        left: True if this node left the target, so that its runner is not known to be lost.
+    """
+
+    left: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -72,9 +79,11 @@
         sends: Times that it may have begun to run.
         rejections: Times that a runner refused it unrun.
         target: Last target.
+        fingerprint: What the request is known again by.
     """
 
     admitted: admitting.Admitted
+    fingerprint: str
     tried: set[str] = dataclasses.field(default_factory=set)
     sends: int = 0
     rejections: int = 0
@@ -115,6 +124,7 @@
         targets: targets_.Targets,
         loads: loads_.Loads,
         budgets: Budgets,
+        crashes: crashes_.Crashes,
         chance: random.Random,
         log: Any,
     ) -> None:
@@ -125,6 +135,7 @@
         self._targets = targets
         self._loads = loads
         self._budgets = budgets
+        self._crashes = crashes
         self._chance = chance
         self._log = log
         self._cold = cold.ColdMeter()
@@ -152,6 +163,7 @@
             sink.restart()
             result = await self._send(progress, request, target, last_event="", sink=sink)
             if isinstance(result, channels.Head):
+                self._crashes.answered(progress.fingerprint)
                 if result.status < 500 or not self._may_repeat(progress):
                     return Whole(head=result, body=sink.body)
             elif not self._may_go_on(progress, result):
@@ -187,6 +199,7 @@
                 return _corrected(progress, target)
             result = await self._stream_from(progress, request, target, sink)
             if isinstance(result, channels.Head):
+                self._crashes.answered(progress.fingerprint)
                 if sink.streams:
                     sink.end()
                     return Streamed()
@@ -211,6 +224,7 @@
                     request=progress.admitted.call.request_id,
                     target=target.target_id,
                 )
+                sink.left = True
                 sink.break_off()
 
         sink.restart()
@@ -221,6 +235,8 @@
             )
         finally:
             self.activity.ended(watch)
+        if isinstance(result, Lost):
+            return dataclasses.replace(result, left=sink.left)
         if isinstance(result, channels.Head) and sink.streams and not sink.whole:
             return Lost(reason=f"{target.target_id}: the stream ended within an event")
         return result
@@ -233,7 +249,7 @@
         wait_until = clock.elapsed() + admitted.route.objective * WAIT_SHARE
         while True:
             found = self._choose(progress)
-            if isinstance(found, targets_.Target) or found.code == "no_target":
+            if isinstance(found, targets_.Target) or found.code != "busy":
                 return found
             if clock.elapsed() + WAIT_STEP_SECONDS > min(wait_until, admitted.deadline):
                 return found
@@ -241,6 +257,11 @@
 
     def _choose(self, progress: Progress) -> targets_.Target | failure.Refusal:
         admitted = progress.admitted
+        if self._crashes.blamed(progress.fingerprint):
+            return dataclasses.replace(
+                self._refusal("quarantined", "the request has felled each runner that ran it"),
+                retry_after=None,
+            )
         known = self._targets.of(admitted.service.name, admitted.call.model)
         untried = [one for one in known if one.target_id not in progress.tried]
         if not untried:
@@ -411,6 +432,8 @@
 
     def _may_go_on(self, progress: Progress, result: NotSent | NotRun | Lost) -> bool:
         """Returns True if a request may be tried elsewhere after a try without an answer."""
+        if isinstance(result, Lost) and not result.left:
+            self._crashes.crashed(progress.fingerprint)
         again = self._is_worth_another(progress, result)
         self._log.info(
             "attempt_failed",
--- a/basilpost/gateway/passing.py
+++ b/basilpost/gateway/passing.py
@@ -60,6 +60,7 @@
         cutter: The stream so far.
         streams: True while the present target's answer is a stream.
         gap: True if the present target left an event out.
+        left: True if this node left the present target.
         events: Number of events passed on.
         channel: Connection to the present target, None before it is open.
     """
@@ -69,6 +70,7 @@
         self.cutter = sse.Cutter(last_id=last_event)
         self.streams = False
         self.gap = False
+        self.left = False
         self.events = 0
         self.channel: channels.Channel | None = None
         self._reply = reply
@@ -88,7 +90,7 @@
         """Prepares for another target: the stream goes on after the last whole event."""
         super().restart()
         self.cutter.restart()
-        self.streams = self.gap = False
+        self.streams = self.gap = self.left = False
         self.channel = None
 
     def take_head(self, head: channels.Head) -> None:
--- a/basilpost/gateway/relay.py
+++ b/basilpost/gateway/relay.py
@@ -16,7 +16,8 @@
 from basilpost.gateway import admitting, ending, forwarding, inbound
 from basilpost.members import knowledge as knowledges
 from basilpost.members import loads as loads_
-from basilpost.routing import calls
+from basilpost.members import peers
+from basilpost.routing import calls, crashes
 from basilpost.routing import targets as targets_
 from basilpost.settings import pool_schema
 
@@ -68,6 +69,7 @@
                 retry_share=settings.bounds.retry_share * RETRY_MARGIN,
                 retry_reserve=settings.bounds.retry_reserve * RETRY_MARGIN,
             ),
+            crashes=crashes.Crashes(network=kernel.find(names.PEERS, peers.PeerNetwork)),
             chance=chance,
             log=kernel.log,
         )
@@ -171,7 +173,10 @@
             return self._refuse(reply, admitted, ended)
         if not self._can_finish(admitted):
             return self._refuse(reply, _stopping(), ended)
-        progress = forwarding.Progress(admitted=admitted)
+        progress = forwarding.Progress(
+            admitted=admitted,
+            fingerprint=crashes.fingerprint(admitted.workspace, request.target, request.body),
+        )
         ended = dataclasses.replace(ended, progress=progress)
         if admitted.route.streaming:
             result = await self._forwarder.stream(progress, request, reply)
--- /dev/null
+++ b/basilpost/routing/crashes.py
@@ -0,0 +1,93 @@
+"""Knows requests that crash the runners which run them, and keeps them from the next ones.
+
+The load pattern it answers: a request that fells each runner, and comes again at any node with the same
+path, workspace and body. Nodes tell each other of each crash. The innocent that were lost with it are
+cleared by their next answer.
+"""
+
+import collections
+import dataclasses
+
+import xxhash
+
+from basilpost.core import clock
+from basilpost.members import peers
+
+# Runners that a request may fell before it is refused.
+MAX_CRASHES = 3
+# Crashes longer ago than this do not count: most are of runners that were lost for another reason.
+MEMORY_SECONDS = 20.0
+# Most requests that are remembered; each costs some hundred bytes.
+MAX_SUSPECTS = 5_000
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CrashSeen:
+    """Tells other nodes that a runner was lost under a request."""
+
+    fingerprint: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CrashCleared:
+    """Tells other nodes that a suspected request was answered."""
+
+    fingerprint: str
+
+
+def fingerprint(workspace: str, target: str, body: bytes) -> str:
+    """Returns what a request is known again by.
+
+    Args:
+        workspace: Workspace of the caller.
+        target: Path and query.
+        body: The whole body.
+    """
+    digest = xxhash.xxh3_64(f"{workspace}\0{target}\0".encode())
+    digest.update(body)
+    return digest.hexdigest()
+
+
+class Crashes:
+    """Crashes by request, seen by this node and told by others."""
+
+    def __init__(self, *, network: peers.PeerNetwork) -> None:
+        self._network = network
+        self._seen_at: collections.OrderedDict[str, collections.deque[float]] = (
+            collections.OrderedDict()
+        )
+        network.handle(CrashSeen, self._take_seen)
+        network.handle(CrashCleared, self._take_cleared)
+
+    def blamed(self, found: str) -> bool:
+        """Returns True for a request that has felled too many runners."""
+        seen_at = self._seen_at.get(found)
+        return seen_at is not None and len(self._recent(seen_at)) >= MAX_CRASHES
+
+    def crashed(self, found: str) -> None:
+        """Notes that a runner was lost under a request."""
+        self._note(found)
+        self._network.broadcast(CrashSeen(fingerprint=found))
+
+    def answered(self, found: str) -> None:
+        """Notes that a request was answered whole, which clears it."""
+        if self._seen_at.pop(found, None) is not None:
+            self._network.broadcast(CrashCleared(fingerprint=found))
+
+    def _note(self, found: str) -> None:
+        self._seen_at.setdefault(found, collections.deque(maxlen=MAX_CRASHES)).append(
+            clock.elapsed()
+        )
+        self._seen_at.move_to_end(found)
+        if len(self._seen_at) > MAX_SUSPECTS:
+            self._seen_at.popitem(last=False)
+
+    def _recent(self, seen_at: collections.deque[float]) -> list[float]:
+        oldest = clock.elapsed() - MEMORY_SECONDS
+        return [at for at in seen_at if at > oldest]
+
+    async def _take_seen(self, sender: str, message: CrashSeen) -> None:
+        self._note(message.fingerprint)
+
+    async def _take_cleared(self, sender: str, message: CrashCleared) -> None:
+        self._seen_at.pop(message.fingerprint, None)
--- a/tests/pool_nodes.py
+++ b/tests/pool_nodes.py
@@ -8,6 +8,7 @@
 from basilpost.emulator import pool_fleet
 from basilpost.gateway import relay
 from basilpost.groups import supply
+from basilpost.members import peers
 from basilpost.node import pool_assembly, pool_demo
 from basilpost.routing import targets
 from basilpost.settings import pool_schema
@@ -64,6 +65,10 @@
     def relays(self):
         return [kernel.find(names.RELAY, relay.Relay) for kernel in self.kernels]
 
+    @property
+    def peers(self):
+        return [kernel.find(names.PEERS, peers.PeerNetwork) for kernel in self.kernels]
+
     @property
     def targets(self):
         return [kernel.find(names.TARGETS, targets.Targets) for kernel in self.kernels]
--- a/tests/pool_path_test.py
+++ b/tests/pool_path_test.py
@@ -198,6 +198,23 @@
             await bench.draft()
 
 
+async def test_a_request_that_fells_its_runners_is_refused_at_all_nodes():
+    """It comes again at any node, with the same path, caller and body."""
+    async with pool_nodes.running(nodes=2, vms=0, plain=2) as bench:
+        await pool_fleet.until(lambda: all(one.neighbours() for one in bench.peers))
+        for runner in bench.fleet.runners_by_id.values():
+            runner.options.lose_answers = 100
+        answers = [
+            await bench.call("/filing/a", node=number % 2, body=b"bad") for number in range(5)
+        ]
+        assert [answer.code for answer in answers] == [502, 502, 502, 503, 503]
+        assert "Retry-After" not in answers[-1].headers
+        assert not bench.fleet.ran(answers[-1].attempt)
+        for runner in bench.fleet.runners_by_id.values():
+            runner.options.lose_answers = 0
+        assert (await bench.call("/filing/a", body=b"good")).code == 200
+
+
 async def test_work_stops_when_the_caller_leaves():
     async with pool_nodes.running(vms=3) as bench:
         await bench.formed(1, pool_fleet.LARGE)
