--- a/basilpost/emulator/pool_fleet.py
+++ b/basilpost/emulator/pool_fleet.py
@@ -40,6 +40,12 @@
     }
 
 
+def call_headers(request_id: str, *, model: str = "") -> dict[str, str]:
+    """Returns the headers of a caller's request."""
+    headers = {"Host": HOST, "X-Attempt-Id": request_id, "X-Credential": KEY}
+    return headers | ({"X-Model": model, "X-Token-Usage": "10,6"} if model else {})
+
+
 def _route(
     name: str, kind: str, service: str, *, attempts: int, sticky: bool = False
 ) -> dict[str, Any]:
--- a/basilpost/gateway/ending.py
+++ b/basilpost/gateway/ending.py
@@ -5,7 +5,8 @@
 import prometheus_client
 
 from basilpost.core import clock, kernel
-from basilpost.gateway import forwarding, inbound
+from basilpost.gateway import inbound
+from basilpost.gateway import progress as results
 from basilpost.members import knowledge as knowledges
 from basilpost.routing import calls
 
@@ -25,7 +26,7 @@
     """
 
     call: calls.Call
-    progress: forwarding.Progress | None = None
+    progress: results.Progress | None = None
     status: int = 0
     outcome: str = ""
     reason: str = ""
--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -10,9 +10,10 @@
 import random
 from typing import Any
 
-from basilpost.core import catalog, channels, clock, failure
+from basilpost.core import channels, clock, failure
 from basilpost.gateway import activity as activities
 from basilpost.gateway import admitting, inbound, passing
+from basilpost.gateway import progress as results
 from basilpost.members import loads as loads_
 from basilpost.routing import calls, cold, placing, retry
 from basilpost.routing import crashes as crashes_
@@ -30,76 +31,6 @@
 RETRY_AFTER_SECONDS = (0.3, 0.8)
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class NotSent(failure.Failure):
-    """No connection: nothing has left."""
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class NotRun(failure.Failure):
-    """The runner says that it has not run the request."""
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Lost(failure.Failure):
-    """The answer did not come whole; the request may have run.
-
-    Attributes:
-        left: True if this node left the target, so that its runner is not known to be lost.
-    """
-
-    left: bool = False
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class BrokenOff(failure.Failure):
-    """An answer that had begun could not be completed; the caller's connection was closed."""
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Whole:
-    """A whole answer that the caller is still to get."""
-
-    head: channels.Head
-    body: bytes
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Streamed:
-    """A stream that the caller has got whole."""
-
-
-@dataclasses.dataclass(kw_only=True, eq=False)
-class Progress:
-    """What a request has gone through.
-
-    Attributes:
-        admitted: The request.
-        tried: Ids of the targets it was sent to, or could not be.
-        sends: Times that it may have begun to run.
-        rejections: Times that a runner refused it unrun.
-        target: Last target.
-        fingerprint: What the request is known again by.
-    """
-
-    admitted: admitting.Admitted
-    fingerprint: str
-    tried: set[str] = dataclasses.field(default_factory=set)
-    sends: int = 0
-    rejections: int = 0
-    target: str = ""
-
-    @property
-    def repeatable(self) -> bool:
-        """Returns True if the request may run more than once."""
-        return self.admitted.route.repeat is catalog.Repeat.IDEMPOTENT
-
-    @property
-    def has_attempts(self) -> bool:
-        """Returns True if the route lets the request run once more."""
-        return self.repeatable and self.sends < self.admitted.route.max_attempts
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Budgets:
     """Bounds shared with the other nodes.
@@ -143,37 +74,41 @@
         loads.stalled = self.activity.suspects
         loads.writing = self.activity.writing
 
-    # Whole answers.
+    # results.Whole answers.
 
-    async def fetch(self, progress: Progress, request: inbound.Request) -> Whole | failure.Refusal:
+    async def fetch(
+        self, progress: results.Progress, request: inbound.Request
+    ) -> results.Whole | failure.Refusal:
         """Gets a whole answer."""
         self._retries(progress).deposit()
         try:
             async with asyncio.timeout(max(0.0, admitting.left(progress.admitted))):
                 return await self._fetch(progress, request)
         except TimeoutError:
-            return _too_late(progress)
+            return results.too_late(progress)
 
-    async def _fetch(self, progress: Progress, request: inbound.Request) -> Whole | failure.Refusal:
+    async def _fetch(
+        self, progress: results.Progress, request: inbound.Request
+    ) -> results.Whole | failure.Refusal:
         sink = passing.Collector()
         while True:
             target = await self._place(progress)
             if isinstance(target, failure.Refusal):
-                return _corrected(progress, target)
+                return results.corrected(progress, target)
             sink.restart()
             result = await self._send(progress, request, target, last_event="", sink=sink)
             if isinstance(result, channels.Head):
                 self._crashes.answered(progress.fingerprint)
                 if result.status < 500 or not self._may_repeat(progress):
-                    return Whole(head=result, body=sink.body)
+                    return results.Whole(head=result, body=sink.body)
             elif not self._may_go_on(progress, result):
-                return _corrected(progress, self._refusal("target_lost", result.reason))
+                return results.corrected(progress, self._refusal("target_lost", result.reason))
 
     # Streams.
 
     async def stream(
-        self, progress: Progress, request: inbound.Request, reply: inbound.Reply
-    ) -> Streamed | Whole | failure.Refusal | BrokenOff:
+        self, progress: results.Progress, request: inbound.Request, reply: inbound.Reply
+    ) -> results.Streamed | results.Whole | failure.Refusal | results.BrokenOff:
         """Passes a stream on as it comes."""
         self._retries(progress).deposit()
         sink = passing.StreamSink(
@@ -183,38 +118,38 @@
             async with asyncio.timeout(max(0.0, admitting.left(progress.admitted))):
                 result = await self._stream(progress, request, sink)
         except TimeoutError:
-            result = _too_late(progress)
-        if reply.started and not isinstance(result, Streamed):
+            result = results.too_late(progress)
+        if reply.started and not isinstance(result, results.Streamed):
             reply.abort()
             reason = result.reason if isinstance(result, failure.Refusal) else "no more events"
-            return BrokenOff(reason=reason)
+            return results.BrokenOff(reason=reason)
         return result
 
     async def _stream(
-        self, progress: Progress, request: inbound.Request, sink: passing.StreamSink
-    ) -> Streamed | Whole | failure.Refusal:
+        self, progress: results.Progress, request: inbound.Request, sink: passing.StreamSink
+    ) -> results.Streamed | results.Whole | failure.Refusal:
         while True:
             target = await self._place(progress)
             if isinstance(target, failure.Refusal):
-                return _corrected(progress, target)
+                return results.corrected(progress, target)
             result = await self._stream_from(progress, request, target, sink)
             if isinstance(result, channels.Head):
                 self._crashes.answered(progress.fingerprint)
                 if sink.streams:
                     sink.end()
-                    return Streamed()
+                    return results.Streamed()
                 if result.status < 500 or not self._may_repeat(progress):
-                    return Whole(head=result, body=sink.body)
+                    return results.Whole(head=result, body=sink.body)
             elif not self._may_go_on(progress, result):
-                return _corrected(progress, self._refusal("target_lost", result.reason))
+                return results.corrected(progress, self._refusal("target_lost", result.reason))
 
     async def _stream_from(
         self,
-        progress: Progress,
+        progress: results.Progress,
         request: inbound.Request,
         target: targets_.Target,
         sink: passing.StreamSink,
-    ) -> channels.Head | NotSent | NotRun | Lost:
+    ) -> channels.Head | results.NotSent | results.NotRun | results.Lost:
         """Passes on what comes from one target, until its end or until it stands still."""
 
         def move() -> None:
@@ -235,15 +170,15 @@
             )
         finally:
             self.activity.ended(watch)
-        if isinstance(result, Lost):
+        if isinstance(result, results.Lost):
             return dataclasses.replace(result, left=sink.left)
         if isinstance(result, channels.Head) and sink.streams and not sink.whole:
-            return Lost(reason=f"{target.target_id}: the stream ended within an event")
+            return results.Lost(reason=f"{target.target_id}: the stream ended within an event")
         return result
 
     # Placing.
 
-    async def _place(self, progress: Progress) -> targets_.Target | failure.Refusal:
+    async def _place(self, progress: results.Progress) -> targets_.Target | failure.Refusal:
         """Returns a target with room, after a short wait if need be."""
         admitted = progress.admitted
         wait_until = clock.elapsed() + admitted.route.objective * WAIT_SHARE
@@ -255,7 +190,7 @@
                 return found
             await asyncio.sleep(WAIT_STEP_SECONDS)
 
-    def _choose(self, progress: Progress) -> targets_.Target | failure.Refusal:
+    def _choose(self, progress: results.Progress) -> targets_.Target | failure.Refusal:
         admitted = progress.admitted
         if self._crashes.blamed(progress.fingerprint):
             return dataclasses.replace(
@@ -297,13 +232,13 @@
 
     async def _send(
         self,
-        progress: Progress,
+        progress: results.Progress,
         request: inbound.Request,
         target: targets_.Target,
         *,
         last_event: str,
         sink: passing.Sink,
-    ) -> channels.Head | NotSent | NotRun | Lost:
+    ) -> channels.Head | results.NotSent | results.NotRun | results.Lost:
         """Sends a request to a target and reads its answer."""
         progress.target = target.target_id
         progress.tried.add(target.target_id)
@@ -311,7 +246,7 @@
             target.address, timeout=CONNECT_SECONDS, fresh=not progress.repeatable
         )
         if isinstance(channel, channels.ConnectFailed):
-            return NotSent(reason=channel.reason)
+            return results.NotSent(reason=channel.reason)
         self._note_placed(progress, target, last_event)
         self._loads.began(target.target_id)
         keep = False
@@ -325,8 +260,8 @@
             )
             channel.send(request.method, request.target, headers, request.body)
             result = await self._receive(progress, channel, sink)
-            keep = isinstance(result, channels.Head | NotRun)
-            if isinstance(result, NotRun):
+            keep = isinstance(result, channels.Head | results.NotRun)
+            if isinstance(result, results.NotRun):
                 progress.sends -= 1
                 progress.rejections += 1
             return result
@@ -337,7 +272,9 @@
             else:
                 channel.close()
 
-    def _note_placed(self, progress: Progress, target: targets_.Target, last_event: str) -> None:
+    def _note_placed(
+        self, progress: results.Progress, target: targets_.Target, last_event: str
+    ) -> None:
         self._log.info(
             "request_placed",
             request=progress.admitted.call.request_id,
@@ -352,8 +289,8 @@
         )
 
     async def _receive(
-        self, progress: Progress, channel: channels.Channel, sink: passing.Sink
-    ) -> channels.Head | NotRun | Lost:
+        self, progress: results.Progress, channel: channels.Channel, sink: passing.Sink
+    ) -> channels.Head | results.NotRun | results.Lost:
         """Reads the answer to this request; answers to others are skipped."""
         own = False
 
@@ -372,13 +309,13 @@
         for _ in range(MAX_STRAY_ANSWERS + 1):
             head = await channel.receive(on_head=take_head, on_data=take)
             if isinstance(head, channels.Broken):
-                return Lost(reason=head.reason)
+                return results.Lost(reason=head.reason)
             if own:
                 return self._judged(head, channel)
-        return Lost(reason=f"{channel.address} sent answers to other requests")
+        return results.Lost(reason=f"{channel.address} sent answers to other requests")
 
     def _answers_own(
-        self, progress: Progress, channel: channels.Channel, head: channels.Head
+        self, progress: results.Progress, channel: channels.Channel, head: channels.Head
     ) -> bool:
         """Returns True if an answer names the request, or can be to no other one.
 
@@ -392,7 +329,7 @@
         return verdict.not_run or channel.requests == 1
 
     def _note_stray(
-        self, progress: Progress, channel: channels.Channel, head: channels.Head
+        self, progress: results.Progress, channel: channels.Channel, head: channels.Head
     ) -> None:
         verdict = self._dialect.read_verdict(head.status, head.headers)
         self._log.warning(
@@ -406,17 +343,17 @@
 
     def _judged(
         self, head: channels.Head, channel: channels.Channel
-    ) -> channels.Head | NotRun | Lost:
+    ) -> channels.Head | results.NotRun | results.Lost:
         verdict = self._dialect.read_verdict(head.status, head.headers)
         if verdict.not_run:
-            return NotRun(reason=f"{channel.address} rejected it with {head.status}")
+            return results.NotRun(reason=f"{channel.address} rejected it with {head.status}")
         if head.status < 300 and not verdict.signed:
-            return Lost(reason=f"{channel.address} sent an unsigned success")
+            return results.Lost(reason=f"{channel.address} sent an unsigned success")
         return head
 
     # Repeats and refusals.
 
-    def _retries(self, progress: Progress) -> retry.RetryBudget:
+    def _retries(self, progress: results.Progress) -> retry.RetryBudget:
         service = progress.admitted.service.name
         most = self._budgets.retry_reserve / self._loads.nodes()
         found = self._retries_by_service.get(service)
@@ -426,13 +363,15 @@
         found.bound(most)
         return found
 
-    def _may_repeat(self, progress: Progress) -> bool:
+    def _may_repeat(self, progress: results.Progress) -> bool:
         """Returns True, and pays for it, if a request may run once more."""
         return progress.has_attempts and self._retries(progress).spend()
 
-    def _may_go_on(self, progress: Progress, result: NotSent | NotRun | Lost) -> bool:
+    def _may_go_on(
+        self, progress: results.Progress, result: results.NotSent | results.NotRun | results.Lost
+    ) -> bool:
         """Returns True if a request may be tried elsewhere after a try without an answer."""
-        if isinstance(result, Lost) and not result.left:
+        if isinstance(result, results.Lost) and not result.left:
             self._crashes.crashed(progress.fingerprint)
         again = self._is_worth_another(progress, result)
         self._log.info(
@@ -445,10 +384,12 @@
         )
         return again
 
-    def _is_worth_another(self, progress: Progress, result: NotSent | NotRun | Lost) -> bool:
-        if isinstance(result, NotSent):
+    def _is_worth_another(
+        self, progress: results.Progress, result: results.NotSent | results.NotRun | results.Lost
+    ) -> bool:
+        if isinstance(result, results.NotSent):
             return True
-        if isinstance(result, NotRun):
+        if isinstance(result, results.NotRun):
             return progress.rejections < MAX_REJECTIONS and self._retries(progress).spend()
         return self._may_repeat(progress)
 
@@ -472,23 +413,3 @@
         priority=admitted.priority,
         last_event=last_event,
     )
-
-
-def _too_late(progress: Progress) -> failure.Refusal:
-    if not progress.sends:
-        return failure.Refusal(reason="no target in time", code="deadline", status=503)
-    return failure.Refusal(
-        reason="no whole answer in time",
-        code="deadline",
-        status=504,
-        outcome=failure.Outcome.UNKNOWN,
-    )
-
-
-def _corrected(progress: Progress, refusal: failure.Refusal) -> failure.Refusal:
-    """Returns a refusal that is true of a request which may have run before."""
-    if not progress.sends:
-        return refusal
-    return dataclasses.replace(
-        refusal, status=502, outcome=failure.Outcome.UNKNOWN, retry_after=None
-    )
--- a/basilpost/gateway/relay.py
+++ b/basilpost/gateway/relay.py
@@ -14,6 +14,7 @@
 
 from basilpost.core import clock, failure, kernel, names, tasks
 from basilpost.gateway import admitting, ending, forwarding, inbound
+from basilpost.gateway import progress as results
 from basilpost.members import knowledge as knowledges
 from basilpost.members import loads as loads_
 from basilpost.members import peers
@@ -173,7 +174,7 @@
             return self._refuse(reply, admitted, ended)
         if not self._can_finish(admitted):
             return self._refuse(reply, _stopping(), ended)
-        progress = forwarding.Progress(
+        progress = results.Progress(
             admitted=admitted,
             fingerprint=crashes.fingerprint(admitted.workspace, request.target, request.body),
         )
@@ -185,11 +186,11 @@
         match result:
             case failure.Refusal():
                 return self._refuse(reply, result, ended)
-            case forwarding.Whole():
+            case results.Whole():
                 headers = self._dialect.returned(result.head.headers)
                 reply.whole(result.head.status, result.head.reason, headers, result.body)
                 return dataclasses.replace(ended, status=result.head.status, outcome="answered")
-            case forwarding.BrokenOff():
+            case results.BrokenOff():
                 return dataclasses.replace(ended, outcome="broken_off", reason=result.reason)
             case _:
                 return dataclasses.replace(ended, status=200, outcome="streamed")
--- a/basilpost/groups/assembled.py
+++ b/basilpost/groups/assembled.py
@@ -57,6 +57,11 @@
         return any(vm.leaving for vm in self.members)
 
 
+def lifetime(vm: catalog.Vm) -> str:
+    """Returns what names one lifetime of a VM's runner."""
+    return f"{vm.vm_id}@{vm.incarnation}"
+
+
 def group_name(model: str, epoch: int) -> str:
     """Returns the name of a new group."""
     return f"{model}{_SEPARATOR}{epoch}"
--- a/basilpost/groups/pool.py
+++ b/basilpost/groups/pool.py
@@ -17,7 +17,7 @@
 from collections.abc import Iterable
 
 from basilpost.core import catalog
-from basilpost.groups import assembled, orders
+from basilpost.groups import assembled, orders, spares
 
 # An order without a visible effect is given again after this time; engines report effects at once.
 REPEAT_SECONDS = 1.0
@@ -100,13 +100,15 @@
 def decide(view: View, memory: Memory) -> Decision:
     """Returns the orders that are due."""
     view = dataclasses.replace(
-        view, vms=tuple(vm for vm in view.vms if lifetime(vm) not in view.lost)
+        view, vms=tuple(vm for vm in view.vms if assembled.lifetime(vm) not in view.lost)
     )
     models_by_name = {model.name: model for model in view.models}
     groups = assembled.assemble(view.vms, models_by_name)
     memory = _kept(view, memory)
     due = list(_changes(view, groups, memory))
-    busy = {lifetime(vm) for members in memory.forming_by_group.values() for vm in members}
+    busy = {
+        assembled.lifetime(vm) for members in memory.forming_by_group.values() for vm in members
+    }
     free = [vm for vm in view.vms if _is_free(vm, busy)]
     formed = _formed(view, groups, free, memory)
     joins = [
@@ -114,17 +116,24 @@
         for name, members in itertools.chain(memory.forming_by_group.items(), formed.items())
         for join in _joins(name, members)
     ]
-    taken = {lifetime(vm) for members in formed.values() for vm in members}
-    left = [vm for vm in free if lifetime(vm) not in taken]
+    taken = {assembled.lifetime(vm) for members in formed.values() for vm in members}
+    left = [vm for vm in free if assembled.lifetime(vm) not in taken]
     due += [join for join in joins if not _shows(view, join)]
     settled = [vm for vm in left if _free_for(view, memory, vm) >= SETTLE_SECONDS]
-    prepared = list(_preparations(view, memory, settled, view.next_epoch + len(formed)))
+    prepared = list(
+        spares.preparations(
+            settled,
+            view.models,
+            loaded_by_vm=memory.loaded_by_vm,
+            next_epoch=view.next_epoch + len(formed),
+        )
+    )
     due += prepared
     now_due, loads = _bounded([one for one in due if _is_due(view, memory, one)], view.loads_left)
     memory = dataclasses.replace(
         memory,
         given_by_vm=memory.given_by_vm
-        | {lifetime(one.vm): Given(order=one, at=view.now) for one in now_due},
+        | {assembled.lifetime(one.vm): Given(order=one, at=view.now) for one in now_due},
         forming_by_group=memory.forming_by_group | formed,
         formed_at_by_group=memory.formed_at_by_group | dict.fromkeys(formed, view.now),
     )
@@ -136,14 +145,9 @@
     )
 
 
-def lifetime(vm: catalog.Vm) -> str:
-    """Returns what names one lifetime of a VM's runner."""
-    return f"{vm.vm_id}@{vm.incarnation}"
-
-
 def _kept(view: View, memory: Memory) -> Memory:
     """Drops what is about VMs that are gone and groups that are formed or given up."""
-    vms_by_lifetime = {lifetime(vm): vm for vm in view.vms}
+    vms_by_lifetime = {assembled.lifetime(vm): vm for vm in view.vms}
     forming = {
         name: members
         for name, members in memory.forming_by_group.items()
@@ -182,7 +186,7 @@
     vms_by_lifetime: dict[str, catalog.Vm],
 ) -> bool:
     model = next((one for one in view.models if one.name == assembled.model_of(name)), None)
-    now = [vms_by_lifetime.get(lifetime(vm)) for vm in members]
+    now = [vms_by_lifetime.get(assembled.lifetime(vm)) for vm in members]
     if model is None or any(vm is None or vm.leaving for vm in now):
         return False
     if all(vm is not None and vm.member is not None and vm.member.group == name for vm in now):
@@ -265,7 +269,7 @@
 
 
 def _is_free(vm: catalog.Vm, busy: set[str]) -> bool:
-    return assembled.is_spare(vm) and not vm.leaving and lifetime(vm) not in busy
+    return assembled.is_spare(vm) and not vm.leaving and assembled.lifetime(vm) not in busy
 
 
 def _formed(
@@ -354,7 +358,7 @@
 
 def _free_for(view: View, memory: Memory, vm: catalog.Vm) -> float:
     """Returns the seconds for which a VM has been in no group."""
-    return view.now - memory.free_since_by_vm.get(lifetime(vm), view.now)
+    return view.now - memory.free_since_by_vm.get(assembled.lifetime(vm), view.now)
 
 
 def _best(memory: Memory, model: catalog.Model, vms: list[catalog.Vm]) -> list[catalog.Vm]:
@@ -364,7 +368,7 @@
         key=lambda vm: (
             model.name not in vm.staged,
             bool(vm.staged),
-            memory.loaded_by_vm.get(lifetime(vm)) != model.name,
+            memory.loaded_by_vm.get(assembled.lifetime(vm)) != model.name,
             vm.cold_seconds > 0,
         ),
     )
@@ -394,71 +398,13 @@
     )
 
 
-def _preparations(
-    view: View, memory: Memory, spares: list[catalog.Vm], next_epoch: int
-) -> Iterable[orders.Order]:
-    """Gets spares ready for the losses to come: weights on the host, then in memory.
-
-    A spare of a domain stands by for the model whose groups lose members most often, which are those
-    of most VMs; the next one for the next model, and so on.
-    """
-    by_size = sorted(view.models, key=lambda model: -model.vms)
-    epochs = itertools.count(next_epoch)
-    ordered = sorted(spares, key=lambda vm: (vm.fabric_domain, vm.vm_id))
-    for _, found in itertools.groupby(ordered, key=lambda vm: vm.fabric_domain):
-        for vm, model in _matched(list(found), by_size):
-            if model.name not in vm.staged:
-                yield orders.Order(kind=orders.Kind.STAGE, vm=vm, model=model.name)
-            elif model.name not in (memory.loaded_by_vm.get(lifetime(vm)), _joining(vm)):
-                yield _standby(vm, model.name, next(epochs))
-
-
-def _joining(vm: catalog.Vm) -> str:
-    """Returns the model that a spare is taking into memory, empty for none."""
-    return "" if vm.member is None else assembled.model_of(vm.member.group)
-
-
-def _matched(
-    vms: list[catalog.Vm], by_size: list[catalog.Model]
-) -> list[tuple[catalog.Vm, catalog.Model]]:
-    """Pairs VMs with models, so that as many as possible keep the weights that they have.
-
-    Weights only give way to those of a model of more VMs: the survivors of a group keep theirs.
-    """
-    wanted = list(itertools.islice(itertools.cycle(by_size), len(vms)))
-    matched: list[tuple[catalog.Vm, catalog.Model]] = []
-    unmatched: list[catalog.Vm] = []
-    for vm in vms:
-        held = next((model for model in wanted if model.name in vm.staged), None)
-        if held is None:
-            unmatched.append(vm)
-        else:
-            wanted.remove(held)
-            matched.append((vm, held))
-    for vm, model in zip(unmatched, wanted, strict=True):
-        held = next((one for one in by_size if one.name in vm.staged), None)
-        matched.append((vm, held if held is not None and held.vms >= model.vms else model))
-    return matched
-
-
-def _standby(vm: catalog.Vm, model: str, epoch: int) -> orders.Order:
-    return orders.Order(
-        kind=orders.Kind.JOIN,
-        vm=vm,
-        group=assembled.standby_name(model, epoch),
-        epoch=epoch,
-        model=model,
-        members=(vm.vm_id,),
-    )
-
-
 def _order(kind: orders.Kind, group: assembled.Assembled, vm: catalog.Vm) -> orders.Order:
     return orders.Order(kind=kind, vm=vm, group=group.name, epoch=group.epoch)
 
 
 def _is_due(view: View, memory: Memory, order: orders.Order) -> bool:
     """Returns False while the same order was given a moment ago."""
-    given = memory.given_by_vm.get(lifetime(order.vm))
+    given = memory.given_by_vm.get(assembled.lifetime(order.vm))
     if given is None or _same(given.order, order) is False:
         return True
     wait = REPEAT_SECONDS
--- a/basilpost/groups/pool_test.py
+++ b/basilpost/groups/pool_test.py
@@ -65,7 +65,7 @@
 
 def free_for(vms, seconds, *, now=100.0):
     """Returns a memory in which VMs have been free for some seconds."""
-    return pool.Memory(free_since_by_vm={pool.lifetime(one): now - seconds for one in vms})
+    return pool.Memory(free_since_by_vm={assembled.lifetime(one): now - seconds for one in vms})
 
 
 def given(decision):
@@ -93,7 +93,9 @@
     """Runners report one after another; three settled ones must wait for those that just came."""
     vms = [vm(str(number)) for number in range(5)]
     memory = pool.Memory(
-        free_since_by_vm={pool.lifetime(one): 98.0 + 0.4 * number for number, one in enumerate(vms)}
+        free_since_by_vm={
+            assembled.lifetime(one): 98.0 + 0.4 * number for number, one in enumerate(vms)
+        }
     )
     assert [one for one in pool.decide(view(vms), memory).orders if one.group] == []
     later = pool.decide(view(vms, now=102.0), memory)
@@ -308,7 +310,7 @@
 
 def test_a_lost_member_is_treated_as_gone():
     vms = group("7", [OPEN, READY, READY])
-    lost = frozenset({pool.lifetime(vms[1])})
+    lost = frozenset({assembled.lifetime(vms[1])})
     seen = dataclasses.replace(view(vms), lost=lost)
     assert given(pool.decide(seen, pool.Memory())) == ["leave 7-0 large--7"]
 
@@ -363,7 +365,7 @@
 
 def test_a_new_controller_does_not_wait_for_what_has_settled_long_ago():
     vms = [vm(str(number)) for number in range(3)]
-    long_ago = {pool.lifetime(one): 50.0 for one in vms}
+    long_ago = {assembled.lifetime(one): 50.0 for one in vms}
     seen = dataclasses.replace(view(vms), changed_at_by_vm=long_ago)
     assert given(pool.decide(seen, pool.Memory())) == [
         f"join {number} large--1000" for number in range(3)
--- /dev/null
+++ b/basilpost/groups/spares.py
@@ -0,0 +1,79 @@
+"""Decides what the spares of a pool get ready for.
+
+The load pattern it answers: losses one after another. A spare that has a model's weights on its host
+joins a group in seconds, one that has them in memory at once; without them it loads for many seconds.
+"""
+
+import itertools
+from collections.abc import Iterable, Iterator
+
+from basilpost.core import catalog
+from basilpost.groups import assembled, orders
+
+
+def preparations(
+    spares: Iterable[catalog.Vm],
+    models: Iterable[catalog.Model],
+    *,
+    loaded_by_vm: dict[str, str],
+    next_epoch: int,
+) -> Iterator[orders.Order]:
+    """Gets spares ready for the losses to come: weights on the host, then in memory.
+
+    Args:
+        spares: VMs in no serving group.
+        models: The service's models.
+        loaded_by_vm: The model that each lifetime of a VM has in memory.
+        next_epoch: First epoch that no group has had.
+
+    A spare of a domain stands by for the model whose groups lose members most often, which are those
+    of most VMs; the next one for the next model, and so on.
+    """
+    by_size = sorted(models, key=lambda model: -model.vms)
+    epochs = itertools.count(next_epoch)
+    ordered = sorted(spares, key=lambda vm: (vm.fabric_domain, vm.vm_id))
+    for _, found in itertools.groupby(ordered, key=lambda vm: vm.fabric_domain):
+        for vm, model in _matched(list(found), by_size):
+            if model.name not in vm.staged:
+                yield orders.Order(kind=orders.Kind.STAGE, vm=vm, model=model.name)
+            elif model.name not in (loaded_by_vm.get(assembled.lifetime(vm)), _joining(vm)):
+                yield _standby(vm, model.name, next(epochs))
+
+
+def _joining(vm: catalog.Vm) -> str:
+    """Returns the model that a spare is taking into memory, empty for none."""
+    return "" if vm.member is None else assembled.model_of(vm.member.group)
+
+
+def _matched(
+    vms: list[catalog.Vm], by_size: list[catalog.Model]
+) -> list[tuple[catalog.Vm, catalog.Model]]:
+    """Pairs VMs with models, so that as many as possible keep the weights that they have.
+
+    Weights only give way to those of a model of more VMs: the survivors of a group keep theirs.
+    """
+    wanted = list(itertools.islice(itertools.cycle(by_size), len(vms)))
+    matched: list[tuple[catalog.Vm, catalog.Model]] = []
+    unmatched: list[catalog.Vm] = []
+    for vm in vms:
+        held = next((model for model in wanted if model.name in vm.staged), None)
+        if held is None:
+            unmatched.append(vm)
+        else:
+            wanted.remove(held)
+            matched.append((vm, held))
+    for vm, model in zip(unmatched, wanted, strict=True):
+        held = next((one for one in by_size if one.name in vm.staged), None)
+        matched.append((vm, held if held is not None and held.vms >= model.vms else model))
+    return matched
+
+
+def _standby(vm: catalog.Vm, model: str, epoch: int) -> orders.Order:
+    return orders.Order(
+        kind=orders.Kind.JOIN,
+        vm=vm,
+        group=assembled.standby_name(model, epoch),
+        epoch=epoch,
+        model=model,
+        members=(vm.vm_id,),
+    )
--- a/basilpost/groups/supply.py
+++ b/basilpost/groups/supply.py
@@ -13,8 +13,8 @@
 import prometheus_client
 
 from basilpost.core import catalog, clock, kernel, names, tasks
+from basilpost.groups import assembled, orders, pool
 from basilpost.groups import lease as leases
-from basilpost.groups import orders, pool
 from basilpost.members import knowledge as knowledges
 from basilpost.members import loads, peers
 from basilpost.store import objects
@@ -186,7 +186,7 @@
             loads_left=self._loads_left(engine.loads_per_second),
             lost=frozenset(self._lost()),
             writing=frozenset(map(_group_of, self._loads.all_writing())),
-            changed_at_by_vm={pool.lifetime(seen.vm): seen.seen_at for seen in known},
+            changed_at_by_vm={assembled.lifetime(seen.vm): seen.seen_at for seen in known},
         )
         self._probe_still_groups(vms)
         memory = self._memory_by_service.get(service, pool.Memory())
@@ -231,7 +231,7 @@
             # As likely this node is cut off as they are; their entries will tell.
             return
         until = clock.elapsed() + LOST_SECONDS
-        self._lost_until |= {pool.lifetime(vm): until for vm in silent}
+        self._lost_until |= {assembled.lifetime(vm): until for vm in silent}
         self._changed.set()
 
     async def _note_release(self, sender: str, message: "ControlReleased") -> None:
--- a/basilpost/node/pool_demo.py
+++ b/basilpost/node/pool_demo.py
@@ -76,16 +76,12 @@
     async def call(self, node: int, path: str) -> tuple[str, tornado.httpclient.HTTPResponse]:
         """Makes a call; returns the request's id and the answer."""
         request_id = f"demo-{next(self._attempts)}"
+        model = pool_fleet.LARGE if path.startswith("/draft") else ""
         request = tornado.httpclient.HTTPRequest(
             f"http://{self._callers[node]}{path}",
             method="POST",
             body=b"who holds the rights of reel 7?",
-            headers={
-                "Host": pool_fleet.HOST,
-                "X-Attempt-Id": request_id,
-                "X-Credential": pool_fleet.KEY,
-                "X-Model": pool_fleet.LARGE if path.startswith("/draft") else "",
-            },
+            headers=pool_fleet.call_headers(request_id, model=model),
         )
         return request_id, await self._client.fetch(request, raise_error=False)
 
--- a/tests/pool_nodes.py
+++ b/tests/pool_nodes.py
@@ -96,14 +96,8 @@
     async def call(self, path, *, node=0, method="POST", body=b"x", attempt=None, **headers):
         """Calls a node; returns the answer, whatever its status, with its attempt id."""
         attempt = attempt or self.attempt()
-        sent = {
-            "Host": pool_fleet.HOST,
-            "X-Attempt-Id": attempt,
-            "X-Credential": pool_fleet.KEY,
-            "X-Deadline-Ms": "4000",
-        }
-        if path.startswith("/draft"):
-            sent |= {"X-Model": pool_fleet.LARGE, "X-Token-Usage": "10,6"}
+        model = pool_fleet.LARGE if path.startswith("/draft") else ""
+        sent = pool_fleet.call_headers(attempt, model=model) | {"X-Deadline-Ms": "4000"}
         sent |= {name.replace("_", "-"): value for name, value in headers.items()}
         request = tornado.httpclient.HTTPRequest(
             f"http://{self.addresses[node]}{path}",
