--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -74,7 +74,7 @@
         loads.stalled = self.activity.suspects
         loads.writing = self.activity.writing
 
-    # results.Whole answers.
+    # Whole answers.
 
     async def fetch(
         self, progress: results.Progress, request: inbound.Request
