A drained group serves again only if all its members still report it

Cause: a group that drains for a change that is then taken back was put to COLD, which serves, whatever its members report; one that had restarted meanwhile holds no weights.

Ruled out: the shutdown order and the test's own check, which only asks what the design promises.

Change: such a group is BROKEN first and is rebuilt with its members. The example is a test of its own and failed first.

--- a/basilpost/groups/planner.py
+++ b/basilpost/groups/planner.py
@@ -86,9 +86,13 @@
 
 
 def _reopened(view: views.View, group: data.Group) -> data.Group:
-    """Breaks a drained group that must change members; a group that need not serves again."""
+    """Breaks a drained group that must change members, or has one that restarted meanwhile.
+
+    A group that need not serves again.
+    """
     replaceable = lifecycle.to_replace(view, group) or any(
         views.slow(view, member.vm_id) for member in group.members
     )
-    state = data.GroupState.BROKEN if replaceable else data.GroupState.COLD
+    serves = views.complete(view, group) and not replaceable
+    state = data.GroupState.COLD if serves else data.GroupState.BROKEN
     return dataclasses.replace(group, state=state)
--- a/basilpost/groups/planner_test.py
+++ b/basilpost/groups/planner_test.py
@@ -259,6 +259,19 @@
     assert all(count < smallest for count in free.values())
 
 
+def test_a_group_that_need_not_drain_any_more_waits_for_a_member_that_restarted_meanwhile():
+    """The service was resized and resized back while the group drained; a member lost its weights."""
+    fleet = Fleet([vm(0)], [of_size(1)])
+    fleet.step()
+    fleet.step()
+    for event, number in (("unsettled", 0), ("resize", 1), ("restart", 0), ("resize", 0)):
+        happen(fleet, event, number)
+    fleet.settled = True
+    for _ in range(12):
+        fleet.step(seconds=2.0)
+    assert [group.serving for group in fleet.table.groups] == [True]
+
+
 def is_waiting(fleet, group):
     """Returns True if a broken group has a member that is gone, and nothing to replace it with."""
     out = [
