--- a/basilpost/core/log_events.py
+++ b/basilpost/core/log_events.py
@@ -89,14 +89,30 @@
     "failure_domain_in": Event(
         meaning="a failure domain gets work again", fields=("failure_domain", "revision")
     ),
+    "store_lost": Event(
+        meaning="a call for a kind of objects failed, the first after one that did not",
+        fields=("kind", "reason"),
+    ),
+    "store_back": Event(
+        meaning="a call for a kind of objects succeeds again",
+        fields=("kind", "failed_calls"),
+    ),
     "store_regained": Event(
         meaning="the store answers again; missing entries do not count for a while",
         fields=("away_ms",),
     ),
+    "load_hub_silent": Event(
+        meaning="the node that adds up what is in flight says nothing; another one is chosen",
+        fields=("hub",),
+    ),
     "node_record_not_written": Event(
         meaning="other nodes cannot find this one yet", fields=("reason",)
     ),
     "pool_control_gained": Event(meaning="this node forms groups from now on", fields=("fence",)),
+    "pool_control_overtaken": Event(
+        meaning="a runner has taken orders from a later controller; this one stops at once",
+        fields=("fence", "vm"),
+    ),
     "pool_control_lost": Event(meaning="this node forms groups no more", fields=("fence",)),
     "pool_control_released": Event(meaning="control was given up in a planned stop"),
     "pool_order": Event(
--- a/basilpost/core/log_events_test.py
+++ b/basilpost/core/log_events_test.py
@@ -17,6 +17,7 @@
             "gateway/forwarding.py",
             "gateway/relay.py",
             "groups/supply.py",
+            "members/feed.py",
             "members/knowledge.py",
             "members/loads.py",
             "members/news.py",
--- a/basilpost/emulator/pool_runner.py
+++ b/basilpost/emulator/pool_runner.py
@@ -107,6 +107,7 @@
         self.staged: list[str] = []
         self.state = "ready"
         self.highest_fence = 0
+        self.refused: list[dict[str, Any]] = []
         self.highest_epoch = 0
         self._last_model = ""
         self._store = store
@@ -155,6 +156,12 @@
 
     async def take_order(self, order: dict[str, Any]) -> int:
         """Carries an order out and returns the status of the answer."""
+        status = await self._take_order(order)
+        if status == 412:
+            self.refused.append(order)
+        return status
+
+    async def _take_order(self, order: dict[str, Any]) -> int:
         if order.get("fence", 0) < self.highest_fence:
             return 412
         self.highest_fence = order.get("fence", 0)
--- a/basilpost/gateway/activity.py
+++ b/basilpost/gateway/activity.py
@@ -1,7 +1,8 @@
 """Notices targets whose answers have stopped coming, long before their entry lapses.
 
 A group whose member is lost stands still without a word. While a target writes streams, something
-comes from it within tens of milliseconds; when all of them are silent, it has stopped.
+comes from it within tens of milliseconds; when all of them are silent, it has stopped. In a large
+fleet a node reads only one or two of them, so that what the other nodes get counts too.
 """
 
 import asyncio
@@ -47,9 +48,14 @@
 
 
 class Activity:
-    """The streams that this node reads, by target."""
+    """The streams that this node reads, by target.
+
+    Attributes:
+        written_elsewhere: Returns the targets from which other nodes just got something.
+    """
 
     def __init__(self) -> None:
+        self.written_elsewhere: Callable[[], frozenset[str]] = frozenset
         self._watches_by_target: dict[str, set[Watch]] = {}
         self._suspected_at: dict[str, float] = {}
 
@@ -97,9 +103,11 @@
         for target_id, watches in self._watches_by_target.items():
             if any([_has_news(watch, now) for watch in watches]):
                 self._suspected_at.pop(target_id, None)
+        alive = self.written_elsewhere()
         silence_by_target = {
             target_id: _silence(watches, now)
             for target_id, watches in self._watches_by_target.items()
+            if target_id not in alive
         }
         self._suspected_at = {
             target_id: at
--- a/basilpost/gateway/activity_test.py
+++ b/basilpost/gateway/activity_test.py
@@ -102,3 +102,16 @@
     assert watched.suspects()
     time.run(watched, 0.1, stream)
     assert not watched.suspects()
+
+
+def test_a_target_that_writes_to_other_nodes_keeps_its_streams(watched, time):
+    """One of many nodes reads a single stream of a target whose batch is full."""
+    stream = Stream(watched, "t")
+    time.run(watched, 0.5, stream)
+    watched.written_elsewhere = lambda: frozenset({"t"})
+    time.run(watched, 2)
+    assert not watched.suspects()
+    assert not stream.moved
+    watched.written_elsewhere = frozenset
+    time.run(watched, 0.1)
+    assert stream.moved
--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -50,6 +50,7 @@
     def __init__(
         self,
         *,
+        node_id: str,
         failure_domain: str,
         dialect: calls.Dialect,
         targets: targets_.Targets,
@@ -69,10 +70,15 @@
         self._crashes = crashes
         self._chance = chance
         self._log = log
-        self._cold = cold.ColdMeter()
+        self._cold = cold.ColdMeter(node_id=node_id)
         self._retries_by_service: dict[str, retry.RetryBudget] = {}
         loads.stalled = self.activity.suspects
         loads.writing = self.activity.writing
+        self.activity.written_elsewhere = loads.written_elsewhere
+
+    def _note_arrival(self, progress: results.Progress) -> None:
+        self._retries(progress).deposit()
+        self._loads.demand.arrived(progress.admitted.call.model)
 
     # Whole answers.
 
@@ -80,7 +86,7 @@
         self, progress: results.Progress, request: inbound.Request
     ) -> results.Whole | failure.Refusal:
         """Gets a whole answer."""
-        self._retries(progress).deposit()
+        self._note_arrival(progress)
         try:
             async with asyncio.timeout(max(0.0, admitting.left(progress.admitted))):
                 return await self._fetch(progress, request)
@@ -110,7 +116,7 @@
         self, progress: results.Progress, request: inbound.Request, reply: inbound.Reply
     ) -> results.Streamed | results.Whole | failure.Refusal | results.BrokenOff:
         """Passes a stream on as it comes."""
-        self._retries(progress).deposit()
+        self._note_arrival(progress)
         sink = passing.StreamSink(
             reply=reply, dialect=self._dialect, last_event=progress.admitted.call.last_event
         )
@@ -209,6 +215,7 @@
             candidates,
             failure_domain=self._failure_domain,
             chance=self._chance,
+            stale=self._loads.are_stale,
         )
         return chosen or self._refusal("busy", f"all {len(untried)} targets are full")
 
@@ -224,7 +231,7 @@
             or self._cold.may_send(
                 target_id,
                 per_second=admitted.service.cold_per_second,
-                nodes=self._loads.nodes(),
+                node_ids=self._loads.node_ids(),
             ),
         )
 
@@ -249,6 +256,7 @@
             return results.NotSent(reason=channel.reason)
         self._note_placed(progress, target, last_event)
         self._loads.began(target.target_id)
+        began_at = clock.elapsed()
         keep = False
         try:
             if self._targets.is_cold(target):
@@ -261,6 +269,8 @@
             channel.send(request.method, request.target, headers, request.body)
             result = await self._receive(progress, channel, sink)
             keep = isinstance(result, channels.Head | results.NotRun)
+            if isinstance(result, channels.Head):
+                self._loads.demand.ended(target.model, clock.elapsed() - began_at)
             if isinstance(result, results.NotRun):
                 progress.sends -= 1
                 progress.rejections += 1
--- a/basilpost/gateway/relay.py
+++ b/basilpost/gateway/relay.py
@@ -62,6 +62,7 @@
             knowledge=self.knowledge, dialect=self._dialect, chance=chance
         )
         self._forwarder = forwarding.Forwarder(
+            node_id=kernel.node_id,
             failure_domain=settings.failure_domain,
             dialect=self._dialect,
             targets=kernel.find(names.TARGETS, targets_.Targets),
--- a/basilpost/groups/pool.py
+++ b/basilpost/groups/pool.py
@@ -12,12 +12,13 @@
 joined with a spare of the same fabric domain that has the weights in memory, or on its host.
 """
 
+import collections
 import dataclasses
 import itertools
 from collections.abc import Iterable
 
 from basilpost.core import catalog
-from basilpost.groups import assembled, orders, spares
+from basilpost.groups import assembled, balance, orders, spares
 
 # An order without a visible effect is given again after this time; engines report effects at once.
 REPEAT_SECONDS = 1.0
@@ -30,6 +31,9 @@
 # VMs of a domain that start together report within a heartbeat of each other; until then no group is
 # formed of VMs without its weights, or the first ones would all go to one model.
 SETTLE_SECONDS = 1.5
+# VMs whose group is given up are kept this long for the model that needs them: the work of the group
+# ends within some seconds, and the VMs report to be free.
+KEEP_SECONDS = 15.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -40,7 +44,8 @@
         now: Time on the controller's clock.
         vms: All live VMs of the service.
         models: Its models.
-        work_by_model: Share of the work that each model gets at present.
+        slots: Slots of a group.
+        slots_wanted: Slots of each model that would serve all callers, empty while that is not known.
         next_epoch: First epoch that no group has had.
         loads_left: Loads from the weight store that may begin now.
         lost: Lifetimes of VMs that do not answer while their group stands still.
@@ -52,7 +57,8 @@
     now: float
     vms: tuple[catalog.Vm, ...]
     models: tuple[catalog.Model, ...]
-    work_by_model: dict[str, float]
+    slots: int
+    slots_wanted: dict[str, float]
     next_epoch: int
     loads_left: int
     lost: frozenset[str] = frozenset()
@@ -68,6 +74,14 @@
     at: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Kept:
+    """The model that a VM is kept for, and until when."""
+
+    model: str
+    until: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Memory:
     """What the controller remembers between decisions.
@@ -78,6 +92,10 @@
         formed_at_by_group: When it began to form them.
         free_since_by_vm: Since when each lifetime of a VM is in no group.
         loaded_by_vm: The model that each lifetime of a VM has in memory.
+        kept_for_by_vm: The model that each lifetime of a VM is to serve next, for those whose group
+            was given up for it.
+        given_up: Names of groups that are being ended for another model.
+        short_since: Since when a model has been short of groups, None while none is.
     """
 
     given_by_vm: dict[str, Given] = dataclasses.field(default_factory=dict)
@@ -85,6 +103,9 @@
     formed_at_by_group: dict[str, float] = dataclasses.field(default_factory=dict)
     free_since_by_vm: dict[str, float] = dataclasses.field(default_factory=dict)
     loaded_by_vm: dict[str, str] = dataclasses.field(default_factory=dict)
+    kept_for_by_vm: dict[str, Kept] = dataclasses.field(default_factory=dict)
+    given_up: frozenset[str] = frozenset()
+    short_since: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -104,7 +125,7 @@
     )
     models_by_name = {model.name: model for model in view.models}
     groups = assembled.assemble(view.vms, models_by_name)
-    memory = _kept(view, memory)
+    memory = _balanced(view, groups, _kept(view, memory))
     due = list(_changes(view, groups, memory))
     busy = {
         assembled.lifetime(vm) for members in memory.forming_by_group.values() for vm in members
@@ -154,6 +175,7 @@
         if _goes_on_forming(view, memory, name, members, vms_by_lifetime)
     }
     free = {key for key, vm in vms_by_lifetime.items() if assembled.is_spare(vm)}
+    names = {vm.member.group for vm in view.vms if vm.member is not None}
     return Memory(
         given_by_vm={k: v for k, v in memory.given_by_vm.items() if k in vms_by_lifetime},
         forming_by_group=forming,
@@ -168,6 +190,78 @@
             key: _loaded(vm) or memory.loaded_by_vm.get(key, "")
             for key, vm in vms_by_lifetime.items()
         },
+        kept_for_by_vm={
+            key: kept
+            for key, kept in memory.kept_for_by_vm.items()
+            if view.now < kept.until
+            and key in vms_by_lifetime
+            and _group_model(vms_by_lifetime[key]) != kept.model
+        },
+        given_up=memory.given_up & names,
+        short_since=memory.short_since,
+    )
+
+
+def _balanced(view: View, groups: tuple[assembled.Assembled, ...], memory: Memory) -> Memory:
+    """Gives a group up for a model that has been short of groups for a while."""
+    capacities = [
+        balance.Capacity(
+            model=model,
+            groups=count,
+            wanted=view.slots_wanted.get(model.name, 0.0),
+            slots=view.slots,
+        )
+        for model, count in _counted(view, groups, memory)
+    ]
+    short = balance.shortest(capacities)
+    if short is None or memory.given_up:
+        return dataclasses.replace(memory, short_since=None)
+    since = view.now if memory.short_since is None else memory.short_since
+    memory = dataclasses.replace(memory, short_since=since)
+    if view.now - since < balance.waits(short):
+        return memory
+    free = collections.Counter(vm.fabric_domain for vm in view.vms if _is_free(vm, set()))
+    giver = balance.giver(short, capacities, groups, free)
+    if giver is None:
+        return memory
+    keep = Kept(model=short.model.name, until=view.now + KEEP_SECONDS)
+    kept = {assembled.lifetime(vm): keep for vm in giver.members}
+    return dataclasses.replace(
+        memory,
+        short_since=None,
+        given_up=memory.given_up | {giver.name},
+        kept_for_by_vm=memory.kept_for_by_vm | kept,
+    )
+
+
+def _counted(
+    view: View, groups: tuple[assembled.Assembled, ...], memory: Memory
+) -> list[tuple[catalog.Model, int]]:
+    """Returns how many groups each model has, with those that are coming.
+
+    VMs that were given up for a model count as the groups that they will form.
+    """
+    names = [
+        group.model.name
+        for group in groups
+        if group.model is not None and group.complete and group.name not in memory.given_up
+    ]
+    names += [assembled.model_of(name) for name in memory.forming_by_group]
+    forming = {
+        assembled.lifetime(vm) for members in memory.forming_by_group.values() for vm in members
+    }
+    kept = collections.Counter(
+        one.model for key, one in memory.kept_for_by_vm.items() if key not in forming
+    )
+    return [
+        (model, names.count(model.name) + kept[model.name] // model.vms) for model in view.models
+    ]
+
+
+def _group_model(vm: catalog.Vm) -> str:
+    """Returns the model of the serving group that a VM reports, empty if it is in none."""
+    return (
+        "" if assembled.is_spare(vm) or vm.member is None else assembled.model_of(vm.member.group)
     )
 
 
@@ -206,6 +300,8 @@
             continue
         if not group.complete or group.state is catalog.MemberState.BROKEN:
             yield from _dissolution(group)
+        elif group.name in memory.given_up:
+            yield from _giving_up(group)
         elif group.leaving:
             yield from _closing(view, group)
         elif group.state is catalog.MemberState.READY and _all_ready(group):
@@ -254,6 +350,13 @@
     return _dissolution(group)
 
 
+def _giving_up(group: assembled.Assembled) -> Iterable[orders.Order]:
+    """Ends a group for another model; its work is finished first."""
+    if group.state is catalog.MemberState.OPEN:
+        return [_order(orders.Kind.CLOSE, group, group.members[0])]
+    return [] if group.state is catalog.MemberState.CLOSING else _dissolution(group)
+
+
 def _has_replacement(view: View, group: assembled.Assembled) -> bool:
     domain = group.members[0].fabric_domain
     needed = sum(vm.leaving for vm in group.members)
@@ -280,6 +383,9 @@
 ) -> dict[str, tuple[catalog.Vm, ...]]:
     """Returns new groups by name, the model that has least for its work first."""
     capacity_by_model = _capacity(view, groups, memory)
+    work_by_model = view.slots_wanted or {
+        model.name: model.work_share * model.pace for model in view.models
+    }
     free_by_domain = {
         domain: sorted(vms, key=lambda vm: vm.vm_id)
         for domain, vms in itertools.groupby(
@@ -291,35 +397,41 @@
     while True:
         options = [
             (
-                capacity_by_model[model.name] / max(0.01, view.work_by_model.get(model.name, 0.0)),
+                capacity_by_model[model.name] / max(0.01, work_by_model.get(model.name, 0.0)),
                 -model.vms,
                 domain,
                 model,
             )
             for domain, vms in free_by_domain.items()
             for model in view.models
-            if _can_form(view, memory, model, vms, loads_left)
+            if _can_form(view, memory, model, _open_to(memory, model, vms), loads_left)
         ]
         if not options:
             return formed
         _, _, domain, model = min(options, key=lambda option: option[:3])
-        members = _best(memory, model, free_by_domain[domain])[: model.vms]
+        found = _open_to(memory, model, free_by_domain[domain])
+        members = _best(memory, model, found)[: model.vms]
         name = assembled.group_name(model.name, view.next_epoch + len(formed))
         formed[name] = tuple(members)
         loads_left -= sum(model.name not in vm.staged for vm in members)
-        capacity_by_model[model.name] += 1.0 / model.pace
+        capacity_by_model[model.name] += 1
         free_by_domain[domain] = [vm for vm in free_by_domain[domain] if vm not in members]
 
 
+def _open_to(memory: Memory, model: catalog.Model, vms: list[catalog.Vm]) -> list[catalog.Vm]:
+    """Returns the VMs that may serve a model: all but those that are kept for another one."""
+    kept = (memory.kept_for_by_vm.get(assembled.lifetime(vm)) for vm in vms)
+    return [vm for vm, one in zip(vms, kept, strict=True) if one is None or one.model == model.name]
+
+
 def _capacity(
     view: View, groups: tuple[assembled.Assembled, ...], memory: Memory
-) -> dict[str, float]:
-    """Returns each model's capacity, counted in groups of pace 1, with those being formed."""
+) -> dict[str, int]:
+    """Returns how many groups each model has, with those being formed."""
     living = [group.model.name for group in groups if group.model is not None and group.complete]
     coming = [assembled.model_of(name) for name in memory.forming_by_group]
     return {
-        model.name: (living.count(model.name) + coming.count(model.name)) / model.pace
-        for model in view.models
+        model.name: living.count(model.name) + coming.count(model.name) for model in view.models
     }
 
 
@@ -345,7 +457,10 @@
         return True
     settled = all(_free_for(view, memory, vm) >= SETTLE_SECONDS for vm in vms if not vm.staged)
     return settled and all(
-        not vm.staged or _free_for(view, memory, vm) >= PATIENCE_SECONDS for vm in unstaged
+        not vm.staged
+        or assembled.lifetime(vm) in memory.kept_for_by_vm
+        or _free_for(view, memory, vm) >= PATIENCE_SECONDS
+        for vm in unstaged
     )
 
 
--- a/basilpost/groups/pool_test.py
+++ b/basilpost/groups/pool_test.py
@@ -9,6 +9,7 @@
 JOINING, CLOSING = catalog.MemberState.JOINING, catalog.MemberState.CLOSING
 BROKEN = catalog.MemberState.BROKEN
 PLENTY = 100
+SLOTS = 4
 
 
 def model(name, vms, *, pace=1.0, share=0.5):
@@ -57,7 +58,8 @@
         now=now,
         vms=tuple(vms),
         models=models,
-        work_by_model=work or {one.name: one.work_share for one in models},
+        slots=SLOTS,
+        slots_wanted=work or {},
         next_epoch=1000,
         loads_left=loads_left,
     )
@@ -370,3 +372,111 @@
     assert given(pool.decide(seen, pool.Memory())) == [
         f"join {number} large--1000" for number in range(3)
     ]
+
+
+# Another mix of models than the groups were formed for.
+
+THREES = (model("large", 4), model("small", 2))
+
+
+def mixed(*, large=3, small=1):
+    """Returns the VMs of open groups of a large model of four VMs and a small one of two."""
+    return [
+        *(
+            one
+            for number in range(large)
+            for one in group(str(10 + number), [OPEN, READY, READY, READY])
+        ),
+        *(
+            one
+            for number in range(small)
+            for one in group(str(20 + number), [OPEN, READY], model_name="small")
+        ),
+    ]
+
+
+def short_for(seconds):
+    return pool.Memory(short_since=100.0 - seconds)
+
+
+def test_a_model_that_is_short_for_long_gets_the_vms_of_an_idle_group():
+    """The small model's callers want nine slots of four, the large one's two of twelve."""
+    work = {"large": 2.0, "small": 9.0}
+    vms = mixed()
+    before = pool.decide(view(vms, models=THREES, work=work), pool.Memory())
+    assert before.orders == () and before.memory.short_since == 100.0
+    decision = pool.decide(view(vms, models=THREES, work=work), short_for(THREES[1].load_seconds))
+    (close,) = decision.orders
+    assert (close.kind, close.at_once) == (orders.Kind.CLOSE, False)
+    given_up = close.group
+    left = [one for one in vms if one.member.group != given_up] + [
+        dataclasses.replace(one, member=None) for one in vms if one.member.group == given_up
+    ]
+    settled = dataclasses.replace(
+        decision.memory,
+        free_since_by_vm={assembled.lifetime(one): 99.0 for one in left if one.member is None},
+    )
+    later = pool.decide(view(left, models=THREES, work=work), settled)
+    assert {one.model for one in later.orders} == {"small"}
+    assert len({one.group for one in later.orders}) == 2
+
+
+def test_a_group_that_is_given_up_leaves_once_its_work_is_done():
+    work = {"large": 2.0, "small": 9.0}
+    vms = mixed()
+    memory = pool.decide(
+        view(vms, models=THREES, work=work), short_for(THREES[1].load_seconds)
+    ).memory
+    (name,) = memory.given_up
+
+    def after(state):
+        changed = [
+            (
+                dataclasses.replace(one, member=dataclasses.replace(one.member, state=state))
+                if one.member.group == name and one.member.rank == 0
+                else one
+            )
+            for one in vms
+        ]
+        return given(pool.decide(view(changed, models=THREES, work=work), memory))
+
+    assert after(CLOSING) == []
+    assert after(READY) == [f"leave {name.rpartition('--')[2]}-0 {name}"]
+
+
+def test_a_burst_moves_no_group():
+    work = {"large": 2.0, "small": 9.0}
+    calm = {"large": 2.0, "small": 3.0}
+    memory = pool.decide(view(mixed(), models=THREES, work=work), pool.Memory()).memory
+    memory = pool.decide(view(mixed(), models=THREES, work=calm, now=102.0), memory).memory
+    assert memory.short_since is None
+
+
+def test_no_model_gives_a_group_that_it_needs_itself():
+    for work in ({"large": 9.0, "small": 9.0}, {"large": 5.0, "small": 9.0}):
+        decision = pool.decide(view(mixed(), models=THREES, work=work), short_for(99))
+        assert decision.orders == ()
+    last = pool.decide(
+        view(mixed(large=1), models=THREES, work={"large": 0.1, "small": 9.0}), short_for(99)
+    )
+    assert last.orders == ()
+
+
+def test_one_group_is_given_up_at_a_time():
+    work = {"large": 0.5, "small": 40.0}
+    memory = pool.decide(
+        view(mixed(), models=THREES, work=work), short_for(THREES[1].load_seconds)
+    ).memory
+    again = pool.decide(view(mixed(), models=THREES, work=work, now=104.0), memory)
+    assert len(again.memory.given_up) == 1
+
+
+def test_vms_that_were_given_up_in_vain_serve_their_old_model_again():
+    """Their group could not be formed, as members were lost meanwhile."""
+    vms = [vm(str(number), staged=("large",)) for number in range(3)]
+    kept = pool.Kept(model="small", until=90.0)
+    memory = dataclasses.replace(
+        free_for(vms, 99), kept_for_by_vm={assembled.lifetime(one): kept for one in vms}
+    )
+    decision = pool.decide(view(vms), memory)
+    assert {one.model for one in decision.orders} == {"large"}
--- a/basilpost/groups/supply.py
+++ b/basilpost/groups/supply.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import collections
+import contextlib
 import dataclasses
 import math
 import random
@@ -15,8 +16,8 @@
 from basilpost.core import catalog, clock, kernel, names, tasks
 from basilpost.groups import assembled, orders, pool
 from basilpost.groups import lease as leases
+from basilpost.members import demand, feed, loads, peers
 from basilpost.members import knowledge as knowledges
-from basilpost.members import loads, peers
 from basilpost.store import objects
 
 LEASE_KEY = "basilpost-leases/pool"
@@ -67,6 +68,7 @@
     def __init__(self, *, kernel: kernel.Kernel, incarnation: str, lead_seconds: float) -> None:
         self._log = kernel.log
         self._store = kernel.find(names.OBJECTS, objects.ObjectStore)
+        self._feed = kernel.find(names.FEED, feed.Feed)
         self._knowledge = kernel.find(names.KNOWLEDGE, knowledges.Knowledge)
         self._engines = kernel.find(names.POOL_ENGINES, orders.Engines)
         self._loads = kernel.find(names.LOADS, loads.Loads)
@@ -92,6 +94,7 @@
         self._lost_until: dict[str, float] = {}
         self._probed_at: dict[str, float] = {}
         self._look_now = asyncio.Event()
+        self._renew_now = asyncio.Event()
         self._knowledge.subscribe(self._changed.set)
         self._peers.handle(ControlReleased, self._note_release)
 
@@ -106,7 +109,8 @@
         await self._lease.release(self._store, timeout=STORE_TIMEOUT_SECONDS)
         if held:
             self._log.info("pool_control_released")
-            self._peers.broadcast(ControlReleased())
+            for node_id in self._feed.watchers - {self._peers.node_id}:
+                self._peers.send(node_id, ControlReleased())
 
     @property
     def holds(self) -> bool:
@@ -116,6 +120,10 @@
     async def _run(self) -> None:
         await asyncio.sleep(random.uniform(0.0, 0.2))
         while True:
+            if not self._feed.watches and not self._feed.is_left_behind:
+                # In a large fleet the nodes that watch the store share this duty.
+                await asyncio.sleep(OBSERVE_SECONDS)
+                continue
             told = self._look_now.is_set()
             self._look_now.clear()
             if await self._lease.observe(self._store, timeout=STORE_TIMEOUT_SECONDS, fresh=told):
@@ -137,7 +145,7 @@
         self._log.info("pool_control_gained", fence=self._lease.fence)
         self._memory_by_service.clear()
         self._epochs_used = 0
-        self._knowledge.controls = True
+        self._feed.controls = True
         fence = self._lease.fence
         renewing = self._tasks.spawn(self._renew(), name="pool-lease")
         try:
@@ -152,14 +160,17 @@
                     continue
         finally:
             renewing.cancel()
-            self._knowledge.controls = False
+            self._feed.controls = False
             self._log.info("pool_control_lost", fence=fence)
             self._lease.drop()
 
     async def _renew(self) -> None:
         renewal = 0
         while True:
-            await asyncio.sleep(RENEW_SECONDS)
+            self._renew_now.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(RENEW_SECONDS):
+                    await self._renew_now.wait()
             renewal += 1
             if not await self._lease.renew(
                 self._store, renewal=renewal, timeout=STORE_TIMEOUT_SECONDS
@@ -181,7 +192,10 @@
             now=clock.elapsed(),
             vms=vms,
             models=engine.models,
-            work_by_model={model.name: model.work_share for model in engine.models},
+            slots=engine.slots,
+            slots_wanted=demand.slots_wanted(
+                self._loads.demand_by_model(), (model.name for model in engine.models)
+            ),
             next_epoch=self._lease.fence * EPOCHS_PER_FENCE + self._epochs_used,
             loads_left=self._loads_left(engine.loads_per_second),
             lost=frozenset(self._lost()),
@@ -263,8 +277,22 @@
             result=name,
             reason="" if isinstance(result, orders.Accepted) else result.reason,
         )
+        if isinstance(result, orders.Outdated):
+            self._note_outdated(order, fence)
         self._changed.set()
 
+    def _note_outdated(self, order: orders.Order, fence: int) -> None:
+        """Ends control at once if a runner has taken orders from a later controller.
+
+        A join may also be refused for its epoch, as when two joins overtake each other; whether there
+        is a later controller shows at the next renewal, which is made at once.
+        """
+        if order.kind is orders.Kind.JOIN:
+            self._renew_now.set()
+        elif self._lease.fence == fence:
+            self._log.warning("pool_control_overtaken", fence=fence, vm=order.vm.vm_id)
+            self._lease.drop()
+
 
 def _group_of(target_id: str) -> str:
     """Returns the name of a group by the id that requests are placed with."""
--- /dev/null
+++ b/basilpost/members/demand_test.py
@@ -0,0 +1,56 @@
+"""Tests of measured demand, on a clock that the test moves."""
+
+import pytest
+
+from basilpost.core import clock
+from basilpost.members import demand
+
+
+@pytest.fixture
+def now(monkeypatch):
+    time = [100.0]
+    monkeypatch.setattr(clock, "elapsed", lambda: time[0])
+    return time
+
+
+def seen(*, arrived, ended, held):
+    return demand.ModelDemand(arrived_per_second=arrived, ended=ended, held_seconds=held)
+
+
+def test_a_steady_rate_is_read_from_the_first_seconds_on(now):
+    meter = demand.Meter()
+    for _ in range(20):
+        meter.arrived("large")
+        now[0] += 0.1
+    assert meter.read()["large"].arrived_per_second == pytest.approx(10.0, rel=0.1)
+    for _ in range(200):
+        meter.arrived("large")
+        now[0] += 0.1
+    assert meter.read()["large"].arrived_per_second == pytest.approx(10.0, rel=0.1)
+
+
+def test_demand_fades(now):
+    meter = demand.Meter()
+    for _ in range(200):
+        meter.arrived("large")
+        now[0] += 0.1
+    now[0] += demand.FADE_SECONDS
+    assert meter.read()["large"].arrived_per_second == pytest.approx(3.7, rel=0.1)
+
+
+def test_refused_requests_count_as_those_that_were_served():
+    """Half of the callers are refused; the others hold a slot for two seconds."""
+    wanted = demand.slots_wanted({"large": seen(arrived=40.0, ended=20.0, held=40.0)}, ["large"])
+    assert wanted == {"large": pytest.approx(80.0)}
+
+
+def test_nothing_is_said_until_all_models_are_measured():
+    """A model without a group serves nothing, and must not lose its share for it."""
+    known = {"large": seen(arrived=40.0, ended=40.0, held=9.0)}
+    assert demand.slots_wanted(known, ["large", "small"]) == {}
+    assert demand.slots_wanted({}, ["large"]) == {}
+
+
+def test_nodes_add_up():
+    one = seen(arrived=1.0, ended=2.0, held=3.0)
+    assert demand.added([one, one]) == seen(arrived=2.0, ended=4.0, held=6.0)
--- a/basilpost/members/following.py
+++ b/basilpost/members/following.py
@@ -10,7 +10,7 @@
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any, TypeVar
 
-from basilpost.core import clock
+from basilpost.core import clock, failure
 from basilpost.store import objects
 
 A = TypeVar("A")
@@ -22,10 +22,13 @@
 # Doublings of the delay between failed calls are counted up to here.
 MAX_DOUBLINGS = 8
 
-# Waits until the next call is due; True if that call is to list instead of watching.
+# Waits until the next call is due, after an answer or (`hold`) before any call; True if that call is
+# to list instead of watching.
 Pause = Callable[[], Awaitable[bool]]
 TakeListing = Callable[[str, objects.Listing], None]
 TakeChange = Callable[[objects.Change], None]
+# Called with the prefix and the reason of each call that did not make the replica current.
+Failed = Callable[[str, failure.Failure], None]
 
 
 class Follower:
@@ -44,11 +47,13 @@
         prefix: str,
         wait: Callable[[], float],
         pause: Pause,
+        hold: Pause | None = None,
         take_listing: TakeListing,
         take_change: TakeChange,
         now: Callable[[], float] = clock.monotonic,
         retry: float = RETRY_SECONDS,
         longest_retry: float = RETRY_SECONDS,
+        failed: Failed | None = None,
     ) -> None:
         self.prefix = prefix
         self.current_at = -math.inf
@@ -56,17 +61,21 @@
         self._store = store
         self._wait = wait
         self._pause = pause
+        self._hold = hold or _go_on
         self._take_listing = take_listing
         self._take_change = take_change
         self._now = now
         self._retry = retry
         self._longest_retry = longest_retry
+        self._failed = failed or (lambda prefix, why: None)
         self._failures = 0
         self._revision: int | None = None
 
     async def run(self) -> None:
         """Lists once, then watches; lists again when the watch has expired."""
         while True:
+            if await self._hold():
+                self._revision = None
             sent_at = self._now()
             if await self._step():
                 self.current_at = sent_at
@@ -96,6 +105,7 @@
                 return True
             case objects.Expired():
                 self._revision = None
+        self._failed(self.prefix, found)
         return False
 
     async def _list(self) -> bool:
@@ -103,12 +113,17 @@
             self._store.list(self.prefix, timeout=LIST_SECONDS), LIST_SECONDS + ANSWER_SECONDS
         )
         if not isinstance(found, objects.Listing):
+            self._failed(self.prefix, found)
             return False
         self._take_listing(self.prefix, found)
         self._revision = found.revision
         return True
 
 
+async def _go_on() -> bool:
+    return False
+
+
 async def _bounded(call: Coroutine[Any, Any, A], seconds: float) -> A | objects.Unavailable:
     """Gives up a call that went silent, whatever the store's client does about it."""
     try:
--- a/basilpost/members/news.py
+++ b/basilpost/members/news.py
@@ -8,7 +8,7 @@
 import dataclasses
 
 from basilpost.core import kernel, names, tasks
-from basilpost.members import knowledge as knowledges
+from basilpost.members import feed as feeds
 from basilpost.members import peers
 from basilpost.store import objects
 
@@ -28,10 +28,10 @@
 
     def __init__(self, *, kernel: kernel.Kernel) -> None:
         self._peers = kernel.find(names.PEERS, peers.PeerNetwork)
-        self._knowledge = kernel.find(names.KNOWLEDGE, knowledges.Knowledge)
+        self._feed = kernel.find(names.FEED, feeds.Feed)
         self._tasks = tasks.TaskSet(log=kernel.log)
         self._collected: list[objects.Change] = []
-        self._knowledge.publish = self._collect
+        self._feed.publish = self._collect
         self._peers.handle(StoreNews, self._take)
 
     async def stop(self) -> None:
@@ -49,4 +49,4 @@
         self._peers.broadcast(StoreNews(changes=changes))
 
     async def _take(self, sender: str, news: StoreNews) -> None:
-        self._knowledge.offer(news.changes)
+        self._feed.offer(news.changes, source=sender)
--- a/basilpost/members/node_table.py
+++ b/basilpost/members/node_table.py
@@ -74,7 +74,7 @@
     def take(self, change: objects.Change) -> None:
         """Takes in a newer version of a node's record; a broken record is left out."""
         node_id = change.key.removeprefix(names.NODE_PREFIX)
-        record = _decode(change)
+        record = decode(change)
         if record is None or self._departed_incarnations.get(node_id) == record.incarnation:
             self._remove(node_id)
             return
@@ -92,7 +92,7 @@
         than all else.
         """
         node_id = change.key.removeprefix(names.NODE_PREFIX)
-        record, before = _decode(change), self.records_by_id.get(node_id)
+        record, before = decode(change), self.records_by_id.get(node_id)
         if record is None or before is None or node_id in self._lapsed_ids:
             return True
         return _place(before) != _place(record)
@@ -152,7 +152,8 @@
     return record.peer_address, record.region, record.incarnation, record.state
 
 
-def _decode(change: objects.Change) -> NodeRecord | None:
+def decode(change: objects.Change) -> NodeRecord | None:
+    """Returns the record in a change, None for a deletion or a broken record."""
     if change.stored is None:
         return None
     try:
--- a/basilpost/members/registry.py
+++ b/basilpost/members/registry.py
@@ -6,13 +6,12 @@
 import asyncio
 import dataclasses
 
-from basilpost.core import clock, codec, kernel, names, tasks
-from basilpost.members import following, node_table
+from basilpost.core import codec, kernel, names, tasks
+from basilpost.members import feed, node_table
 from basilpost.store import objects
 
 PREFIX = "basilpost-nodes/"
 WATCH_SECONDS = 20.0
-GAP_SECONDS = 0.2
 STORE_TIMEOUT_SECONDS = 1.0
 RETRY_SECONDS = 0.5
 # Records need no renewal, so their lease has no end within the life of a process.
@@ -28,20 +27,13 @@
         self._store = kernel.find(names.OBJECTS, objects.ObjectStore)
         self._table = kernel.find(names.NODE_TABLE, node_table.NodeTable)
         self._tasks = tasks.TaskSet(log=kernel.log)
-        self._keys: set[str] = set()
         self._version = 0
-        self._follower = following.Follower(
-            store=self._store,
-            prefix=PREFIX,
-            wait=lambda: WATCH_SECONDS,
-            pause=_pause,
-            take_listing=self._take_listing,
-            take_change=self._take_change,
-            now=clock.elapsed,
+        kernel.find(names.FEED, feed.Feed).follow(
+            PREFIX, wait=WATCH_SECONDS, take=self._take_change, proven=False
         )
 
     async def start(self) -> None:
-        """Begins to announce this node and to follow the others."""
+        """Begins to announce this node."""
         self._tasks.spawn(self._announce(), name="node-record")
 
     async def stop(self) -> None:
@@ -59,7 +51,6 @@
     async def _announce(self) -> None:
         while not await self._write():
             await asyncio.sleep(RETRY_SECONDS)
-        await self._follower.run()
 
     async def _write(self) -> bool:
         """Writes the record; returns True once it is there."""
@@ -81,23 +72,14 @@
         self._log.info("node_record_not_written", reason=result.reason)
         return False
 
-    def _take_listing(self, prefix: str, listing: objects.Listing) -> None:
-        for stored in listing.objects:
-            self._take_change(objects.Change(key=stored.key, version=stored.version, stored=stored))
-        listed = {stored.key for stored in listing.objects}
-        for key in self._keys - listed:
-            self._take_change(objects.Change(key=key, version=listing.revision, stored=None))
-
     def _take_change(self, change: objects.Change) -> None:
-        if change.stored is None:
-            self._keys.discard(change.key)
-        else:
-            self._keys.add(change.key)
+        if change.stored is not None and node_table.decode(change) is None:
+            self._log.warning(
+                "malformed_object",
+                key=change.key,
+                revision=change.version,
+                reason="no record of a node",
+            )
         key = names.NODE_PREFIX + change.key.removeprefix(PREFIX)
         stored = None if change.stored is None else dataclasses.replace(change.stored, key=key)
         self._table.take(dataclasses.replace(change, key=key, stored=stored))
-
-
-async def _pause() -> bool:
-    await asyncio.sleep(GAP_SECONDS)
-    return False
--- a/basilpost/members/spread.py
+++ b/basilpost/members/spread.py
@@ -32,6 +32,8 @@
 
     Attributes:
         vouched_at: As of this time some peer's replica, and so this one, lacked no change.
+        told_at: When a neighbour last answered how current it is.
+        vouched: Called when `vouched_at` has moved on.
         reached_at_by_id: When each node was surely alive and level with this one.
         serving_by_id: What each neighbour last said of itself.
     """
@@ -45,13 +47,17 @@
         merge: Merge,
         settings: schema.NodeSettings,
         registry: prometheus_client.CollectorRegistry,
+        now: Callable[[], float] | None = None,
     ) -> None:
         self.vouched_at = -math.inf
+        self.told_at = -math.inf
         self.reached_at_by_id: dict[str, float] = {}
         self.serving_by_id: dict[str, bool] = {}
         self.age: Callable[[], float] = lambda: math.inf
         self.serving: Callable[[], bool] = lambda: True
         self.expects_watch: Callable[[], bool] = lambda: False
+        self.vouched: Callable[[], None] = lambda: None
+        self._now = now or (lambda: clock.monotonic())
         self._peers = peers
         self._table = table
         self._known = known
@@ -93,12 +99,16 @@
     async def run(self) -> None:
         """Asks the neighbours how current they are, once every heartbeat."""
         while True:
-            sequence = next(self._sequence)
-            self._asked_at[sequence] = clock.monotonic()
-            self._asked_at.pop(sequence - ASKS_REMEMBERED, None)
-            self._peers.broadcast(messages.Ask(sequence=sequence))
+            self.ask()
             await asyncio.sleep(self._settings.timing.heartbeat)
 
+    def ask(self) -> None:
+        """Asks the neighbours once."""
+        sequence = next(self._sequence)
+        self._asked_at[sequence] = self._now()
+        self._asked_at.pop(sequence - ASKS_REMEMBERED, None)
+        self._peers.broadcast(messages.Ask(sequence=sequence))
+
     def say_goodbye(self, incarnation: str) -> None:
         """Tells all nodes that this one leaves on purpose."""
         node_id = self._peers.node_id
@@ -174,13 +184,16 @@
         asked_at = self._asked_at.get(told.sequence)
         if asked_at is None or not told.age >= 0:
             return
+        self.told_at = self._now()
         self._compare(sender, told.digest)
         if not self.announcing.is_level(sender):
             self.announcing.pull_unmet(sender)
             return
         if sender not in self._level:
             return
-        self.vouched_at = max(self.vouched_at, asked_at - told.age)
+        if asked_at - told.age > self.vouched_at:
+            self.vouched_at = asked_at - told.age
+            self.vouched()
         self.serving_by_id[sender] = told.serving
         self._reach(sender, asked_at)
         if told.reached:
@@ -218,7 +231,7 @@
         full_mesh = len(self._table.records_by_id) <= self._settings.peers.full_mesh_nodes
         if full_mesh or self.age() < timing.store_silence / 2:
             return {}
-        now = clock.monotonic()
+        now = self._now()
         if now >= self._report_until:
             self._report_until = now + timing.heartbeat * REPORT_SHARE_OF_HEARTBEAT
             self._report = {
--- a/basilpost/node/pool_assembly.py
+++ b/basilpost/node/pool_assembly.py
@@ -9,7 +9,7 @@
 from basilpost.core import names
 from basilpost.gateway import relay
 from basilpost.groups import supply
-from basilpost.members import knowledge, loads, news, node_table, registry, streams
+from basilpost.members import feed, knowledge, loads, news, node_table, registry, streams
 from basilpost.node import metrics
 from basilpost.platform import engines, headers
 from basilpost.platform import schema as platform_schema
@@ -28,18 +28,21 @@
     kernel.register(names.SETTINGS, _peer_settings(settings))
     kernel.register(
         names.OBJECTS,
-        platform_store.PlatformStore(address=settings.store, registry=kernel.registry),
+        platform_store.PlatformStore(
+            address=settings.store, log=kernel.log, registry=kernel.registry
+        ),
     )
     kernel.register(names.DIALECT, headers.PlatformDialect())
     kernel.register(names.POOL_ENGINES, engines.PlatformEngines())
     table = node_table.NodeTable()
     kernel.register(names.NODE_TABLE, table)
+    kernel.register(names.PEERS, streams.Streams(kernel=kernel, table=table))
+    kernel.register(names.FEED, feed.Feed(kernel=kernel, table=table))
     kernel.register(
         names.KNOWLEDGE,
         knowledge.Knowledge(kernel=kernel, decoder=platform_schema.PlatformDecoder()),
     )
     kernel.register(names.TARGETS, targets.Targets(kernel=kernel))
-    kernel.register(names.PEERS, streams.Streams(kernel=kernel, table=table))
     kernel.register("news", news.News(kernel=kernel))
     kernel.register(names.LOADS, loads.Loads(kernel=kernel))
     kernel.register(
@@ -79,7 +82,8 @@
         peer_address=f"{settings.host}:{settings.peer_port}",
         gateway_address=settings.callers,
         failure_domain=settings.failure_domain,
-        region=settings.region,
+        # Peer streams and watchers are chosen by region; here failure domains are what may fail apart.
+        region=f"{settings.region}/{settings.failure_domain}",
         incarnation=incarnation,
         lease_seconds=registry.LEASE_SECONDS,
     )
--- a/basilpost/platform/store.py
+++ b/basilpost/platform/store.py
@@ -24,8 +24,13 @@
     """Talks to the platform's store at `host:port`."""
 
     def __init__(
-        self, *, address: str, registry: prometheus_client.CollectorRegistry | None = None
+        self,
+        *,
+        address: str,
+        log: Any,
+        registry: prometheus_client.CollectorRegistry | None = None,
     ) -> None:
+        self._log = log
         self._caller = http_calls.Caller(base_url=f"http://{address}")
         self._calls = prometheus_client.Counter(
             "basilpost_store_calls_total",
@@ -74,7 +79,7 @@
             page = _body(reply)
             if page is None:
                 return objects.Unavailable(reason=f"list {prefix}: {_reason(reply)}")
-            items = [_stored(prefix, one) for one in page["items"]]
+            items = [self._stored(prefix, one) for one in page["items"]]
             found += [one for one in items if one is not None]
             first = page["at"] if first is None else first
             if not page.get("hasMore") or not page["items"]:
@@ -133,7 +138,7 @@
         body = _body(reply)
         if body is None:
             return objects.Unavailable(reason=f"watch {prefix}: {_reason(reply)}")
-        changes = (_change(prefix, one) for one in body["events"])
+        changes = (self._change(prefix, one) for one in body["events"])
         return objects.Changes(
             changes=tuple(one for one in changes if one is not None), revision=body["at"]
         )
@@ -145,7 +150,7 @@
         if isinstance(reply, http_calls.Reply) and reply.status == 404:
             return objects.Missing(reason=f"no object {key}")
         body = _body(reply)
-        stored = None if body is None else _stored(key[: key.index("/") + 1], body)
+        stored = None if body is None else self._stored(key[: key.index("/") + 1], body)
         return stored or objects.Unavailable(reason=f"get {key}: {_reason(reply)}")
 
     async def _read(
@@ -182,6 +187,29 @@
             return objects.Unavailable(reason=reason)
         return objects.Unknown(reason=reason)
 
+    def _stored(self, prefix: str, raw: Any) -> objects.Stored | None:
+        """Decodes an object; one without a name or revision is logged and left out."""
+        try:
+            metadata = raw["metadata"]
+            return objects.Stored(
+                key=prefix + str(metadata["name"]),
+                value=json.dumps(raw.get("spec")).encode(),
+                version=int(metadata["revision"]),
+            )
+        except (KeyError, TypeError, ValueError) as error:
+            reason = f"no name or revision: {type(error).__name__} {error}"
+            self._log.warning("malformed_object", key=prefix, revision=None, reason=reason)
+            return None
+
+    def _change(self, prefix: str, raw: Any) -> objects.Change | None:
+        stored = self._stored(prefix, raw.get("object") if isinstance(raw, dict) else None)
+        if stored is None:
+            return None
+        removed = bool(raw.get("removed"))
+        return objects.Change(
+            key=stored.key, version=stored.version, stored=None if removed else stored
+        )
+
 
 def _body(reply: http_calls.Reply | http_calls.NoReply) -> Any:
     """Returns the decoded body of a successful answer, None for any other."""
@@ -199,26 +227,3 @@
 
 def _path(key: str) -> str:
     return _ROOT + urllib.parse.quote(key)
-
-
-def _stored(prefix: str, raw: Any) -> objects.Stored | None:
-    """Decodes an object; one without a name or revision is left out."""
-    try:
-        metadata = raw["metadata"]
-        return objects.Stored(
-            key=prefix + str(metadata["name"]),
-            value=json.dumps(raw.get("spec")).encode(),
-            version=int(metadata["revision"]),
-        )
-    except (KeyError, TypeError, ValueError):
-        return None
-
-
-def _change(prefix: str, raw: Any) -> objects.Change | None:
-    stored = _stored(prefix, raw.get("object") if isinstance(raw, dict) else None)
-    if stored is None:
-        return None
-    removed = bool(raw.get("removed"))
-    return objects.Change(
-        key=stored.key, version=stored.version, stored=None if removed else stored
-    )
--- a/basilpost/platform/store_test.py
+++ b/basilpost/platform/store_test.py
@@ -2,6 +2,7 @@
 
 import prometheus_client
 import pytest
+import structlog
 
 from basilpost.emulator import pool_store
 from basilpost.platform import store
@@ -20,7 +21,9 @@
 
 @pytest.fixture
 async def client(stand_in):
-    adapter = store.PlatformStore(address=stand_in.address, registry=REGISTRY())
+    adapter = store.PlatformStore(
+        address=stand_in.address, log=structlog.get_logger(), registry=REGISTRY()
+    )
     yield adapter
     adapter.close()
 
--- a/basilpost/routing/crashes.py
+++ b/basilpost/routing/crashes.py
@@ -1,12 +1,13 @@
 """Knows requests that crash the runners which run them, and keeps them from the next ones.
 
 The load pattern it answers: a request that fells each runner, and comes again at any node with the same
-path, workspace and body. Nodes tell each other of each crash. The innocent that were lost with it are
+path, workspace and body. Nodes tell each other of each crash, over several hops in a large fleet. The innocent that were lost with it are
 cleared by their next answer.
 """
 
 import collections
 import dataclasses
+import uuid
 
 import xxhash
 
@@ -23,9 +24,15 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class CrashSeen:
-    """Tells other nodes that a runner was lost under a request."""
+    """Tells other nodes that a runner was lost under a request.
+
+    Attributes:
+        fingerprint: The request.
+        crash_id: Names the crash, which a node may hear of several times.
+    """
 
     fingerprint: str
+    crash_id: str
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -56,6 +63,7 @@
         self._seen_at: collections.OrderedDict[str, collections.deque[float]] = (
             collections.OrderedDict()
         )
+        self._heard: collections.OrderedDict[str, None] = collections.OrderedDict()
         network.handle(CrashSeen, self._take_seen)
         network.handle(CrashCleared, self._take_cleared)
 
@@ -66,14 +74,23 @@
 
     def crashed(self, found: str) -> None:
         """Notes that a runner was lost under a request."""
-        self._note(found)
-        self._network.broadcast(CrashSeen(fingerprint=found))
+        self._take(CrashSeen(fingerprint=found, crash_id=uuid.uuid4().hex))
 
     def answered(self, found: str) -> None:
         """Notes that a request was answered whole, which clears it."""
         if self._seen_at.pop(found, None) is not None:
             self._network.broadcast(CrashCleared(fingerprint=found))
 
+    def _take(self, message: CrashSeen) -> None:
+        """Notes a crash that was not heard of before, and passes it on."""
+        if message.crash_id in self._heard:
+            return
+        self._heard[message.crash_id] = None
+        if len(self._heard) > MAX_SUSPECTS:
+            self._heard.popitem(last=False)
+        self._note(message.fingerprint)
+        self._network.broadcast(message)
+
     def _note(self, found: str) -> None:
         self._seen_at.setdefault(found, collections.deque(maxlen=MAX_CRASHES)).append(
             clock.elapsed()
@@ -87,7 +104,7 @@
         return [at for at in seen_at if at > oldest]
 
     async def _take_seen(self, sender: str, message: CrashSeen) -> None:
-        self._note(message.fingerprint)
+        self._take(message)
 
     async def _take_cleared(self, sender: str, message: CrashCleared) -> None:
-        self._seen_at.pop(message.fingerprint, None)
+        self.answered(message.fingerprint)
--- a/basilpost/routing/placing_test.py
+++ b/basilpost/routing/placing_test.py
@@ -21,8 +21,8 @@
     return placing.Candidate(target=target, in_flight=in_flight, stalled=stalled, may_send=may_send)
 
 
-def chosen(*candidates, seed=1):
-    found = placing.choose(candidates, failure_domain="a", chance=random.Random(seed))
+def chosen(*candidates, seed=1, stale=False):
+    found = placing.choose(candidates, failure_domain="a", chance=random.Random(seed), stale=stale)
     return found.target_id if found else None
 
 
@@ -54,3 +54,34 @@
     taken = collections.Counter(chosen(*equal, seed=seed) for seed in range(400))
     assert len(taken) == 8
     assert max(taken.values()) < 100
+
+
+def test_many_nodes_with_old_counts_do_not_all_take_the_emptiest_target():
+    """Thirty nodes place one request each before anyone hears of the others'."""
+    seen = {"empty": 0, "half": 12, "fuller": 16, "full": 26}
+
+    def most(stale):
+        taken = collections.Counter(
+            chosen(
+                *(candidate(name, at, slots=24) for name, at in seen.items()),
+                seed=seed,
+                stale=stale,
+            )
+            for seed in range(30)
+        )
+        return max(taken[name] + at for name, at in seen.items())
+
+    room = 24 * (1.0 + placing.QUEUE_SHARE)
+    assert most(stale=False) > room
+    assert most(stale=True) <= room
+
+
+def test_old_counts_still_leave_out_what_stands_still_or_has_no_room():
+    still, full, sound = (
+        candidate("still", 0, stalled=True),
+        candidate("full", 11),
+        candidate("s", 9),
+    )
+    assert {chosen(still, full, sound, seed=seed, stale=True) for seed in range(50)} == {"s"}
+    assert chosen(still, full, stale=True) == "still"
+    assert chosen(full, stale=True) is None
--- /dev/null
+++ b/tests/pool_fleet_test.py
@@ -0,0 +1,210 @@
+"""Tests of a fleet too large for a full mesh: few nodes watch the store, all know and count alike."""
+
+import contextlib
+import itertools
+
+from basilpost.core import clock, kernel, names
+from basilpost.emulator import pool_fleet
+from basilpost.members import feed, loads, memory_transport, node_table, registry, streams
+from basilpost.settings import schema
+from basilpost.store import memory
+from tests import members_fleet
+
+PREFIX = "servers/"
+FULL_MESH = 4
+REGIONS = ("r/a", "r/b")
+SIZE = 16
+
+
+class Node:
+    """A node that follows one kind of objects, as the pool's nodes do."""
+
+    def __init__(self, *, node_id, region, shared, network):
+        self.node_id = node_id
+        self.network = network
+        self.store = members_fleet.NodeStore(shared=shared)
+        self.kernel = kernel.Kernel(node_id=node_id)
+        self.seen = {}
+        settings = schema.NodeSettings(
+            node_id=node_id,
+            failure_domain=region,
+            region=region,
+            platform=schema.Platform(object_api="", vm_list=""),
+            peers=schema.PeerStreams(full_mesh_nodes=FULL_MESH, neighbours=4, secret="s"),
+        )
+        table = node_table.NodeTable()
+        self.kernel.register(names.SETTINGS, settings)
+        self.kernel.register(names.OBJECTS, self.store)
+        self.kernel.register(names.NODE_TABLE, table)
+        self.kernel.register(
+            names.PEERS,
+            streams.Streams(kernel=self.kernel, table=table, by=network.transport(node_id)),
+        )
+        self.feed = feed.Feed(kernel=self.kernel, table=table)
+        self.feed.follow(PREFIX, wait=1.3, take=self.take)
+        self.kernel.register(names.FEED, self.feed)
+        self.loads = loads.Loads(kernel=self.kernel)
+        self.kernel.register(names.LOADS, self.loads)
+        record = node_table.NodeRecord(
+            node_id=node_id,
+            peer_address=node_id,
+            region=region,
+            incarnation="1",
+            lease_seconds=registry.LEASE_SECONDS,
+        )
+        self.kernel.register("registry", registry.Registry(kernel=self.kernel, record=record))
+
+    def take(self, change):
+        self.seen[change.key] = change.version
+
+    @property
+    def calls(self):
+        return sum(self.store.calls_by_kind.values())
+
+
+class Fleet:
+    def __init__(self):
+        self.store = memory.MemoryStore()
+        self.network = memory_transport.MemoryNetwork()
+        self.nodes = []
+
+    async def add(self, number):
+        node = Node(
+            node_id=f"n{number:02}",
+            region=REGIONS[number % len(REGIONS)],
+            shared=self.store,
+            network=self.network,
+        )
+        self.nodes.append(node)
+        await node.kernel.start()
+
+    @property
+    def watchers(self):
+        return [node for node in self.nodes if node.feed.watches]
+
+    @property
+    def others(self):
+        return [node for node in self.nodes if not node.feed.watches]
+
+    async def settled(self):
+        """Waits until all nodes know all, and the peers keep those level that do not watch."""
+        await pool_fleet.until(
+            lambda: all(len(node.loads.node_ids()) == SIZE for node in self.nodes), seconds=20
+        )
+        await pool_fleet.until(
+            lambda: all(not node.feed.is_left_behind for node in self.others), seconds=20
+        )
+
+    async def crash(self, nodes):
+        """Ends nodes without a word."""
+        for node in nodes:
+            self.nodes.remove(node)
+        gone = {node.node_id for node in nodes}
+        self.network.partition(gone, {node.node_id for node in self.nodes})
+        for node in nodes:
+            node.store.cut = True
+            await node.kernel.stop()
+
+
+@contextlib.asynccontextmanager
+async def running():
+    fleet = Fleet()
+    try:
+        for number in range(SIZE):
+            await fleet.add(number)
+        await fleet.settled()
+        yield fleet
+    finally:
+        for node in fleet.nodes:
+            await node.kernel.stop()
+
+
+async def test_a_few_nodes_watch_and_the_others_know_as_much():
+    async with running() as fleet:
+        assert len(fleet.watchers) == 6
+        before = [node.calls for node in fleet.others]
+        began_at = clock.elapsed()
+        for number in range(5):
+            written = await fleet.store.create(f"{PREFIX}vm-{number}", b"{}")
+            key, version = f"{PREFIX}vm-{number}", written.version
+            await pool_fleet.until(
+                lambda key=key, version=version: all(
+                    node.seen.get(key) == version for node in fleet.nodes
+                ),
+                seconds=2.0,
+            )
+        await pool_fleet.until(lambda: clock.elapsed() - began_at > 4.0, seconds=5)
+        assert [node.calls for node in fleet.others] == before
+        assert max(node.feed.age(PREFIX) for node in fleet.nodes) < 3.5
+
+
+async def test_no_node_takes_itself_for_more_current_than_the_store_allows():
+    async with running() as fleet:
+        cut_at = clock.elapsed()
+        for node in fleet.nodes:
+            node.store.cut = True
+        await pool_fleet.until(lambda: clock.elapsed() - cut_at > 3.0, seconds=4)
+        assert all(node.feed.age(PREFIX) >= clock.elapsed() - cut_at for node in fleet.nodes)
+
+
+async def test_nodes_go_on_learning_when_all_that_watched_are_gone():
+    async with running() as fleet:
+        await fleet.crash(fleet.watchers)
+        written = await fleet.store.create(f"{PREFIX}late", b"{}")
+        await pool_fleet.until(
+            lambda: all(node.seen.get(f"{PREFIX}late") == written.version for node in fleet.nodes),
+            seconds=10,
+        )
+
+
+async def test_an_outage_of_the_store_is_noticed_by_nodes_that_do_not_watch():
+    """Entries that lapse during it must not count at once, wherever that is learned."""
+    async with running() as fleet:
+        regained = []
+        for node in fleet.nodes:
+            node.feed.subscribe_regained(lambda node=node: regained.append(node.node_id))
+        cut_at = clock.elapsed()
+        for node in fleet.nodes:
+            node.store.cut = True
+        await pool_fleet.until(lambda: clock.elapsed() - cut_at > 4.5, seconds=6)
+        assert regained == []
+        for node in fleet.nodes:
+            node.store.cut = False
+        await pool_fleet.until(lambda: len(regained) >= SIZE, seconds=8)
+        assert sorted(regained) == sorted(node.node_id for node in fleet.nodes)
+
+
+async def test_all_nodes_count_what_is_in_flight_alike():
+    async with running() as fleet:
+        for node in fleet.nodes:
+            node.loads.began("target")
+        fleet.nodes[0].loads.stalled = lambda: ("still",)
+        await pool_fleet.until(
+            lambda: all(node.loads.total("target") == SIZE for node in fleet.nodes), seconds=5
+        )
+        await pool_fleet.until(
+            lambda: all("still" in node.loads.all_stalled() for node in fleet.nodes), seconds=5
+        )
+        fleet.nodes[1].loads.writing = lambda: ("still",)
+        await pool_fleet.until(
+            lambda: not any("still" in node.loads.all_stalled() for node in fleet.nodes), seconds=5
+        )
+        for node in fleet.nodes:
+            node.loads.ended("target")
+        await pool_fleet.until(
+            lambda: all(node.loads.total("target") == 0 for node in fleet.nodes), seconds=5
+        )
+
+
+async def test_counts_recover_when_hubs_are_lost():
+    async with running() as fleet:
+        for node in fleet.nodes:
+            node.loads.began("target")
+        await pool_fleet.until(
+            lambda: all(node.loads.total("target") == SIZE for node in fleet.nodes), seconds=5
+        )
+        gone = list(itertools.islice(fleet.watchers, 2))
+        await fleet.crash(gone)
+        await pool_fleet.until(
+            lambda: all(node.loads.total("target") == SIZE - 2 for node in fleet.nodes), seconds=10
+        )
--- a/tests/pool_groups_test.py
+++ b/tests/pool_groups_test.py
@@ -172,3 +172,37 @@
         first = bench.kernels[0]
         await first.find(names.CONTROLLER, supply.Controller)._tasks.close()
         await pool_fleet.until(lambda: _holds(kernel), seconds=supply.LEASE_SECONDS * 2 + 2)
+
+
+async def test_a_controller_that_a_runner_refuses_for_its_fence_stops_at_once(monkeypatch):
+    """The runner has heard a later controller, whose lease this one has not seen yet."""
+    monkeypatch.setattr(supply, "RENEW_SECONDS", 60.0)
+    monkeypatch.setattr(supply, "LEASE_SECONDS", 60.0)
+    async with pool_nodes.running(vms=4) as bench:
+        await bench.formed(1, pool_fleet.LARGE)
+        (before,) = bench.fleet.open_groups(pool_fleet.LARGE)
+        (controller,) = bench.controllers
+        first_fence = controller._lease.fence
+        for runner in _vms(bench):
+            runner.highest_fence = first_fence + 1
+        refused = asyncio.get_running_loop().time()
+        await members_of(bench, before)[1].vanish()
+        await pool_fleet.until(lambda: controller._lease.fence != first_fence, seconds=3.0)
+        given = [order for runner in _vms(bench) for order in runner.refused]
+        assert given, f"no order was refused within {refused}"
+        await asyncio.sleep(1.5)
+        assert [order for runner in _vms(bench) for order in runner.refused] == given
+
+
+async def test_an_order_refused_for_its_epoch_only_makes_the_controller_look(monkeypatch):
+    async with pool_nodes.running(vms=4) as bench:
+        await bench.formed(1, pool_fleet.LARGE)
+        (before,) = bench.fleet.open_groups(pool_fleet.LARGE)
+        (controller,) = bench.controllers
+        fence = controller._lease.fence
+        spare = next(runner for runner in _vms(bench) if runner not in members_of(bench, before))
+        spare.highest_epoch = 10**12
+        await members_of(bench, before)[1].vanish()
+        await pool_fleet.until(lambda: bool(spare.refused))
+        await asyncio.sleep(0.5)
+        assert controller._lease.fence == fence and controller.holds
--- a/tests/pool_loads_test.py
+++ b/tests/pool_loads_test.py
@@ -50,3 +50,17 @@
         assert len(pool_nodes.event_ids(answer.body)) == 30
         (ran,) = bench.fleet.ran(answer.attempt)
         assert ran.group == before
+
+
+async def test_nodes_know_what_callers_want_of_each_model_anywhere():
+    async with pool_nodes.running(nodes=2, vms=3) as bench:
+        await bench.formed(1, pool_fleet.LARGE)
+        answers = await asyncio.gather(*(bench.draft(node=0) for _ in range(4)))
+        assert {answer.code for answer in answers} == {200}
+        other = loads_of(bench.kernels[1])
+        await pool_fleet.until(lambda: pool_fleet.LARGE in other.demand_by_model(), seconds=5)
+        seen = other.demand_by_model()[pool_fleet.LARGE]
+        assert 1.0 < seen.ended <= 4.0
+        # Four requests, spread over the least time that rates are worked out of, and faded since.
+        assert 1.0 < seen.arrived_per_second < 5.0
+        assert seen.held_seconds > 0.0
