A fault soak with real node processes; a measure of what logs cost

Nothing of the kind was there: tests paused the clock or broke stand-ins one at a time.

Ruled out: faults inside the nodes, which would need hooks. `make measure` gains `logs`: bytes and processor time a request at each level, in one run.

--- a/basilpost/load/measure.py
+++ b/basilpost/load/measure.py
@@ -15,7 +15,7 @@
 
 import psutil
 
-MEASURES = ("relay", "state", "control", "groups", "requests", "members")
+MEASURES = ("relay", "state", "control", "groups", "requests", "members", "logs")
 _TIMEOUT_SECONDS = 900.0
 
 
--- a/basilpost/node/pool_demo.py
+++ b/basilpost/node/pool_demo.py
@@ -39,7 +39,7 @@
         """Starts everything and waits until a group serves."""
         await self.fleet.start()
         for number in (1, 2):
-            settings = _settings(f"node-{number}", self.fleet.store.address)
+            settings = settings_of(f"node-{number}", self.fleet.store.address)
             kernel = pool_assembly.build(settings)
             self._kernels.append(kernel)
             self._callers.append(settings.callers)
@@ -120,7 +120,8 @@
     return ".".join(["127", *(str(chance.randrange(1, 255)) for _ in range(3))])
 
 
-def _settings(node_id: str, store: str) -> pool_schema.PoolNodeSettings:
+def settings_of(node_id: str, store: str) -> pool_schema.PoolNodeSettings:
+    """Returns the settings of a node of its own address before a store at `host:port`."""
     host = own_host()
     return pool_schema.PoolNodeSettings(
         node_id=node_id,
--- /dev/null
+++ b/tests/soak_test.py
@@ -0,0 +1,21 @@
+"""A short seeded soak in each run of the tests, and every seed that ever failed."""
+
+import pytest
+
+from basilpost.soak import run
+
+SECONDS = 6.0
+# Seed, and why it is here.
+SEEDS = (
+    (4, "faults of all kinds that overlap"),
+    (5, "planned changes only, which may cut nothing"),
+    (7, "a node that was asked to stop while it started ended by the signal, which it may"),
+)
+
+
+@pytest.mark.processes
+@pytest.mark.parametrize("seed", [seed for seed, _ in SEEDS])
+async def test_nothing_is_broken(seed, tmp_path):
+    report = await run.Soak(seed=seed, folder=tmp_path).run(seconds=SECONDS)
+    assert report.broken == ()
+    assert report.served > report.calls / 4
