Groups after losses in large domains, spares by domain, fewer watchers, metrics of waits and targets

Change: several VMs load only when no survivors beside them are about to be free (6 s at most). 2. Change: spares are shared out by the VMs that each model may lose there. Ruled out: slow orders (all were accepted within 50 ms), the controller's change, the rate of the weight store. Two watchers a failure domain, one for 20 nodes, instead of three and one for eight: each call is priced. 5. The pass through the code for swallowed errors: listed every except and suppress. Left as they are, each with its reason: ends of connections that the other side closed, conversions that answer a typed failure. 6. Metrics: time waited for room by route and outcome, targets by service and state.

--- a/basilpost/admin/audit_reader.py
+++ b/basilpost/admin/audit_reader.py
@@ -55,6 +55,7 @@
     def __init__(self, *, kernel: kernel.Kernel) -> None:
         self._store = kernel.find(names.OBJECTS, objects.ObjectStore)
         self._replica = kernel.find(names.REPLICA, replica.Replica)
+        self._log = kernel.log
 
     async def read(self, query: Query) -> Trail | BadSince:
         """Returns the lines that a query asks for."""
@@ -63,13 +64,16 @@
             return days
         listings = await self._list_archives(query, days)
         readable = [one for one in listings if isinstance(one, objects.Listing)]
-        archived = itertools.chain.from_iterable(one.objects for one in readable)
-        lines = [*self._kept_lines(query), *_archived_lines(archived, query)]
+        stored = list(itertools.chain.from_iterable(one.objects for one in readable))
+        archives = [one for one in map(self._decode_archive, stored) if one is not None]
+        lines = [*self._kept_lines(query), *_archived_lines(archives, query)]
         found = audit.merge([line for line in lines if line.entry.at >= query.since])
         return Trail(
             lines=found[-MAX_LINES:],
             archives_since=days[0] if days else "",
-            complete=len(readable) == len(listings) and len(found) <= MAX_LINES,
+            complete=len(readable) == len(listings)
+            and len(archives) == len(stored)
+            and len(found) <= MAX_LINES,
         )
 
     async def _list_archives(
@@ -85,6 +89,13 @@
 
         return list(await asyncio.gather(*(list_day(day) for day in days)))
 
+    def _decode_archive(self, stored: objects.Stored) -> audit.Archive | None:
+        try:
+            return codec.from_json(stored.value, audit.Archive)
+        except ValueError as error:
+            self._log.error("audit_archive_broken", key=stored.key, reason=str(error))
+            return None
+
     def _kept_lines(self, query: Query) -> list[audit.Line]:
         return [
             line
@@ -94,23 +105,15 @@
         ]
 
 
-def _archived_lines(stored: "itertools.chain[objects.Stored]", query: Query) -> list[audit.Line]:
-    archives = [_decode_archive(one) for one in stored]
+def _archived_lines(archives: list[audit.Archive], query: Query) -> list[audit.Line]:
     return [
         line
         for archive in archives
-        if archive is not None and (not query.key or archive.key == query.key)
+        if not query.key or archive.key == query.key
         for line in audit.lines_of(archive.key, archive.entries)
     ]
 
 
-def _decode_archive(stored: objects.Stored) -> audit.Archive | None:
-    try:
-        return codec.from_json(stored.value, audit.Archive)
-    except ValueError:
-        return None
-
-
 def _days_since(since: str) -> list[str] | BadSince:
     """Returns the days from a time up to today, none if no time is given."""
     if not since:
--- a/basilpost/gateway/ending.py
+++ b/basilpost/gateway/ending.py
@@ -11,6 +11,8 @@
 from basilpost.routing import calls
 
 LATENCY_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8)
+# A request waits a fifth of its objective at most, some tens of milliseconds.
+WAIT_BUCKETS = (0.0, 0.02, 0.04, 0.08, 0.16, 0.32, 0.64)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -51,6 +53,13 @@
             buckets=LATENCY_BUCKETS,
             registry=kernel.registry,
         )
+        self._waited = prometheus_client.Histogram(
+            "basilpost_request_wait_seconds",
+            "Time for which a request waited for room at a target, all its tries together",
+            ["route", "outcome"],
+            buckets=WAIT_BUCKETS,
+            registry=kernel.registry,
+        )
 
     def note(self, request: inbound.Request, ended: Ended) -> None:
         """Notes the end of a request."""
@@ -61,6 +70,7 @@
         self._seconds.labels(route).observe(seconds)
         fields: dict[str, object] = {"path": request.path}
         if progress is not None:
+            self._waited.labels(route, ended.outcome).observe(progress.waited)
             fields = {
                 "route": route,
                 "workspace": progress.admitted.workspace,
--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -195,6 +195,7 @@
             if clock.elapsed() + WAIT_STEP_SECONDS > min(wait_until, admitted.deadline):
                 return found
             await asyncio.sleep(WAIT_STEP_SECONDS)
+            progress.waited += WAIT_STEP_SECONDS
 
     def _choose(self, progress: results.Progress) -> targets_.Target | failure.Refusal:
         admitted = progress.admitted
--- a/basilpost/gateway/progress.py
+++ b/basilpost/gateway/progress.py
@@ -55,6 +55,7 @@
         sends: Times that it may have begun to run.
         rejections: Times that a runner refused it unrun.
         target: Last target.
+        waited: Seconds for which it waited for room at a target.
         fingerprint: What the request is known again by.
     """
 
@@ -64,6 +65,7 @@
     sends: int = 0
     rejections: int = 0
     target: str = ""
+    waited: float = 0.0
 
     @property
     def repeatable(self) -> bool:
--- a/basilpost/groups/balance.py
+++ b/basilpost/groups/balance.py
@@ -4,11 +4,12 @@
 model's groups are full for seconds while another's stand half idle, and no free VMs are left.
 """
 
+import collections
 import dataclasses
 from collections.abc import Iterable, Mapping
 
 from basilpost.core import catalog
-from basilpost.groups import assembled
+from basilpost.groups import assembled, pool_state
 
 # A model is short when its callers want this share of its slots; above it they wait or are refused.
 SHORT_SHARE = 0.95
@@ -16,6 +17,10 @@
 # for a burst, and far enough from SHORT_SHARE that the group is not wanted back.
 KEPT_SHARE = 0.6
 
+# VMs whose group is given up are kept this long for the model that needs them: the work of the group
+# ends within some seconds, and the VMs report to be free.
+KEEP_SECONDS = 15.0
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Capacity:
@@ -96,3 +101,63 @@
         and gained(group) > 0
     ]
     return max(options, key=lambda group: (gained(group), group.name), default=None)
+
+
+def balanced(
+    view: pool_state.View, groups: tuple[assembled.Assembled, ...], memory: pool_state.Memory
+) -> pool_state.Memory:
+    """Gives a group up for a model that has been short of groups for a while."""
+    capacities = [
+        Capacity(
+            model=model,
+            groups=count,
+            wanted=view.slots_wanted.get(model.name, 0.0),
+            slots=view.slots,
+        )
+        for model, count in _counted(view, groups, memory)
+    ]
+    short = shortest(capacities)
+    if short is None or memory.given_up:
+        return dataclasses.replace(memory, short_since=None)
+    since = view.now if memory.short_since is None else memory.short_since
+    memory = dataclasses.replace(memory, short_since=since)
+    if view.now - since < waits(short):
+        return memory
+    free = collections.Counter(
+        vm.fabric_domain for vm in view.vms if assembled.is_spare(vm) and not vm.leaving
+    )
+    chosen = giver(short, capacities, groups, free)
+    if chosen is None:
+        return memory
+    keep = pool_state.Kept(model=short.model.name, until=view.now + KEEP_SECONDS)
+    kept = {assembled.lifetime(vm): keep for vm in chosen.members}
+    return dataclasses.replace(
+        memory,
+        short_since=None,
+        given_up=memory.given_up | {chosen.name},
+        kept_for_by_vm=memory.kept_for_by_vm | kept,
+    )
+
+
+def _counted(
+    view: pool_state.View, groups: tuple[assembled.Assembled, ...], memory: pool_state.Memory
+) -> list[tuple[catalog.Model, int]]:
+    """Returns how many groups each model has, with those that are coming.
+
+    VMs that were given up for a model count as the groups that they will form.
+    """
+    names = [
+        group.model.name
+        for group in groups
+        if group.model is not None and group.complete and group.name not in memory.given_up
+    ]
+    names += [assembled.model_of(name) for name in memory.forming_by_group]
+    forming = {
+        assembled.lifetime(vm) for members in memory.forming_by_group.values() for vm in members
+    }
+    kept = collections.Counter(
+        one.model for key, one in memory.kept_for_by_vm.items() if key not in forming
+    )
+    return [
+        (model, names.count(model.name) + kept[model.name] // model.vms) for model in view.models
+    ]
--- a/basilpost/groups/pool_test.py
+++ b/basilpost/groups/pool_test.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from basilpost.core import catalog
-from basilpost.groups import assembled, orders, pool
+from basilpost.groups import assembled, formation, orders, pool, pool_state
 
 READY, OPEN = catalog.MemberState.READY, catalog.MemberState.OPEN
 JOINING, CLOSING = catalog.MemberState.JOINING, catalog.MemberState.CLOSING
@@ -54,7 +54,7 @@
 
 
 def view(vms, *, now=100.0, models=(LARGE, SMALL), loads_left=PLENTY, work=None):
-    return pool.View(
+    return pool_state.View(
         now=now,
         vms=tuple(vms),
         models=models,
@@ -67,7 +67,9 @@
 
 def free_for(vms, seconds, *, now=100.0):
     """Returns a memory in which VMs have been free for some seconds."""
-    return pool.Memory(free_since_by_vm={assembled.lifetime(one): now - seconds for one in vms})
+    return pool_state.Memory(
+        free_since_by_vm={assembled.lifetime(one): now - seconds for one in vms}
+    )
 
 
 def given(decision):
@@ -77,7 +79,7 @@
 
 def test_the_larger_model_is_formed_first():
     vms = [vm(str(number)) for number in range(3)]
-    decision = pool.decide(view(vms), free_for(vms, pool.SETTLE_SECONDS))
+    decision = pool.decide(view(vms), free_for(vms, formation.SETTLE_SECONDS))
     assert given(decision) == [f"join {number} large--1000" for number in range(3)]
     members = {one.members for one in decision.orders}
     assert len(members) == 1 and set(*members) == {"0", "1", "2"}
@@ -86,15 +88,15 @@
 def test_no_group_is_formed_until_vms_that_start_together_have_reported():
     """Runners that start at once report over a second; the first ones must not go astray."""
     vms = [vm(str(number)) for number in range(5)]
-    assert given(pool.decide(view(vms), pool.Memory())) == []
-    decision = pool.decide(view(vms), free_for(vms, pool.SETTLE_SECONDS))
+    assert given(pool.decide(view(vms), pool_state.Memory())) == []
+    decision = pool.decide(view(vms), free_for(vms, formation.SETTLE_SECONDS))
     assert {assembled.model_of(one.group) for one in decision.orders} == {"large", "small"}
 
 
 def test_the_first_vms_that_have_settled_do_not_go_astray():
     """Runners report one after another; three settled ones must wait for those that just came."""
     vms = [vm(str(number)) for number in range(5)]
-    memory = pool.Memory(
+    memory = pool_state.Memory(
         free_since_by_vm={
             assembled.lifetime(one): 98.0 + 0.4 * number for number, one in enumerate(vms)
         }
@@ -124,24 +126,26 @@
 
 
 def test_a_group_is_opened_when_every_member_is_ready():
-    assert given(pool.decide(view(group("7", [READY] * 3)), pool.Memory())) == ["open 7-0 large--7"]
+    assert given(pool.decide(view(group("7", [READY] * 3)), pool_state.Memory())) == [
+        "open 7-0 large--7"
+    ]
     for states in ([READY, READY, JOINING], [JOINING, READY, READY]):
-        assert given(pool.decide(view(group("7", states)), pool.Memory())) == []
+        assert given(pool.decide(view(group("7", states)), pool_state.Memory())) == []
 
 
 def test_a_group_without_a_member_is_never_opened():
-    assert given(pool.decide(view(group("7", [READY, READY, None])), pool.Memory())) == [
+    assert given(pool.decide(view(group("7", [READY, READY, None])), pool_state.Memory())) == [
         "leave 7-0 large--7"
     ]
 
 
 def test_an_open_group_is_left_alone():
-    assert given(pool.decide(view(group("7", [OPEN, READY, READY])), pool.Memory())) == []
+    assert given(pool.decide(view(group("7", [OPEN, READY, READY])), pool_state.Memory())) == []
 
 
 def test_of_a_group_that_lost_a_member_the_head_leaves_first():
     vms = group("7", [OPEN, READY, None])
-    first = pool.decide(view(vms), pool.Memory())
+    first = pool.decide(view(vms), pool_state.Memory())
     assert given(first) == ["leave 7-0 large--7"]
     vms[0] = dataclasses.replace(vms[0], member=None)
     second = pool.decide(view(vms, now=100.1), first.memory)
@@ -149,14 +153,14 @@
 
 
 def test_the_members_of_a_lost_head_leave():
-    decision = pool.decide(view(group("7", [None, READY, READY])), pool.Memory())
+    decision = pool.decide(view(group("7", [None, READY, READY])), pool_state.Memory())
     assert given(decision) == ["leave 7-1 large--7", "leave 7-2 large--7"]
 
 
 def test_survivors_are_joined_with_the_spare_that_has_the_weights():
     survivors = [vm("a", staged=("large",)), vm("b", staged=("large",))]
     spares = [vm("c", staged=("small",)), vm("d", staged=("large",))]
-    decision = pool.decide(view(survivors + spares), pool.Memory())
+    decision = pool.decide(view(survivors + spares), pool_state.Memory())
     assert given(decision) == [f"join {one} large--1000" for one in "abd"]
 
 
@@ -164,21 +168,21 @@
     """Two survivors of three wait for a VM that starts, before they load the smaller model."""
     survivors = [vm("a", staged=("large",)), vm("b", staged=("large",))]
     assert len(survivors) == SMALL.vms
-    soon = pool.decide(view(survivors), free_for(survivors, pool.PATIENCE_SECONDS - 0.1))
+    soon = pool.decide(view(survivors), free_for(survivors, formation.PATIENCE_SECONDS - 0.1))
     assert [one for one in soon.orders if one.model != "large"] == []
-    later = pool.decide(view(survivors), free_for(survivors, pool.PATIENCE_SECONDS))
+    later = pool.decide(view(survivors), free_for(survivors, formation.PATIENCE_SECONDS))
     assert given(later) == ["join a small--1000", "join b small--1000"]
 
 
 def test_no_member_takes_a_join_while_it_reports_a_group():
     vms = group("7", [BROKEN, READY, READY]) + [vm("spare", staged=("large",))]
-    decision = pool.decide(view(vms), pool.Memory())
+    decision = pool.decide(view(vms), pool_state.Memory())
     assert {one.kind for one in decision.orders} == {orders.Kind.LEAVE}
 
 
 def test_an_order_without_an_effect_is_repeated_after_a_while():
     vms = group("7", [READY] * 3)
-    first = pool.decide(view(vms), pool.Memory())
+    first = pool.decide(view(vms), pool_state.Memory())
     soon = pool.decide(view(vms, now=100.0 + pool.REPEAT_SECONDS / 2), first.memory)
     assert given(soon) == []
     later = pool.decide(view(vms, now=100.0 + pool.REPEAT_SECONDS), first.memory)
@@ -206,15 +210,15 @@
 def test_a_group_with_a_leaving_member_closes_only_if_there_is_a_replacement():
     vms = group("7", [OPEN, READY, READY])
     vms[2] = dataclasses.replace(vms[2], leaving=True)
-    assert given(pool.decide(view(vms), pool.Memory())) == []
+    assert given(pool.decide(view(vms), pool_state.Memory())) == []
     spare = vm("spare", staged=("large",))
-    assert given(pool.decide(view([*vms, spare]), pool.Memory())) == ["close 7-0 large--7"]
+    assert given(pool.decide(view([*vms, spare]), pool_state.Memory())) == ["close 7-0 large--7"]
 
 
 def test_a_closed_group_with_a_leaving_member_is_dissolved_head_first():
     vms = group("7", [READY, READY, READY])
     vms[2] = dataclasses.replace(vms[2], leaving=True)
-    assert given(pool.decide(view(vms), pool.Memory())) == ["leave 7-0 large--7"]
+    assert given(pool.decide(view(vms), pool_state.Memory())) == ["leave 7-0 large--7"]
 
 
 def test_a_leaving_vm_joins_nothing():
@@ -293,7 +297,7 @@
 def test_a_spare_that_stands_by_joins_the_survivors_without_leaving_first():
     survivors = [vm("a", staged=("large",)), vm("b", staged=("large",))]
     others = [vm("c", staged=("large",)), standby("hot")]
-    decision = pool.decide(view([*survivors, *others]), pool.Memory())
+    decision = pool.decide(view([*survivors, *others]), pool_state.Memory())
     assert "join hot large--1000" in given(decision)
 
 
@@ -314,27 +318,27 @@
     vms = group("7", [OPEN, READY, READY])
     lost = frozenset({assembled.lifetime(vms[1])})
     seen = dataclasses.replace(view(vms), lost=lost)
-    assert given(pool.decide(seen, pool.Memory())) == ["leave 7-0 large--7"]
+    assert given(pool.decide(seen, pool_state.Memory())) == ["leave 7-0 large--7"]
 
 
 def test_a_group_that_answers_is_kept_though_the_entry_of_a_member_has_lapsed():
     """A runner that is only cut off from the store works on."""
     vms = group("7", [OPEN, None, READY])
     seen = dataclasses.replace(view(vms), writing=frozenset({"large--7"}))
-    assert given(pool.decide(seen, pool.Memory())) == []
-    assert given(pool.decide(view(vms), pool.Memory())) == ["leave 7-0 large--7"]
+    assert given(pool.decide(seen, pool_state.Memory())) == []
+    assert given(pool.decide(view(vms), pool_state.Memory())) == ["leave 7-0 large--7"]
 
 
 def test_a_group_whose_head_has_lapsed_is_not_kept():
     vms = group("7", [None, READY, READY])
     seen = dataclasses.replace(view(vms), writing=frozenset({"large--7"}))
-    assert len(pool.decide(seen, pool.Memory()).orders) == 2
+    assert len(pool.decide(seen, pool_state.Memory()).orders) == 2
 
 
 def test_one_spare_replaces_a_lost_member_at_once_whatever_weights_it_has():
     """Nothing serves sooner, and the group is down until it has loaded."""
     vms = [vm("a", staged=("large",)), vm("b", staged=("large",)), vm("c", staged=("small",))]
-    assert given(pool.decide(view(vms), pool.Memory())) == [
+    assert given(pool.decide(view(vms), pool_state.Memory())) == [
         f"join {one} large--1000" for one in "abc"
     ]
 
@@ -351,17 +355,17 @@
     """A smaller group that lost a member must not cost a larger one its weights."""
     large = [vm(name, staged=("large",)) for name in ("a", "b")]
     small = [vm("c", staged=("small",))]
-    assert given(pool.decide(view([*large, *small]), pool.Memory())) == [
+    assert given(pool.decide(view([*large, *small]), pool_state.Memory())) == [
         f"join {one} large--1000" for one in "abc"
     ]
     five = model("large", 5)
-    decision = pool.decide(view([*large, *small], models=(five, SMALL)), pool.Memory())
+    decision = pool.decide(view([*large, *small], models=(five, SMALL)), pool_state.Memory())
     assert [one for one in decision.orders if "standby" not in one.group] == []
 
 
 def test_the_last_spare_of_a_larger_model_may_be_taken_for_a_lost_member():
     vms = [vm("a", staged=("large",)), vm("c", staged=("small",))]
-    decision = pool.decide(view(vms), pool.Memory())
+    decision = pool.decide(view(vms), pool_state.Memory())
     assert given(decision) == ["join a small--1000", "join c small--1000"]
 
 
@@ -369,7 +373,7 @@
     vms = [vm(str(number)) for number in range(3)]
     long_ago = {assembled.lifetime(one): 50.0 for one in vms}
     seen = dataclasses.replace(view(vms), changed_at_by_vm=long_ago)
-    assert given(pool.decide(seen, pool.Memory())) == [
+    assert given(pool.decide(seen, pool_state.Memory())) == [
         f"join {number} large--1000" for number in range(3)
     ]
 
@@ -396,14 +400,14 @@
 
 
 def short_for(seconds):
-    return pool.Memory(short_since=100.0 - seconds)
+    return pool_state.Memory(short_since=100.0 - seconds)
 
 
 def test_a_model_that_is_short_for_long_gets_the_vms_of_an_idle_group():
     """The small model's callers want nine slots of four, the large one's two of twelve."""
     work = {"large": 2.0, "small": 9.0}
     vms = mixed()
-    before = pool.decide(view(vms, models=THREES, work=work), pool.Memory())
+    before = pool.decide(view(vms, models=THREES, work=work), pool_state.Memory())
     assert before.orders == () and before.memory.short_since == 100.0
     decision = pool.decide(view(vms, models=THREES, work=work), short_for(THREES[1].load_seconds))
     (close,) = decision.orders
@@ -447,7 +451,7 @@
 def test_a_burst_moves_no_group():
     work = {"large": 2.0, "small": 9.0}
     calm = {"large": 2.0, "small": 3.0}
-    memory = pool.decide(view(mixed(), models=THREES, work=work), pool.Memory()).memory
+    memory = pool.decide(view(mixed(), models=THREES, work=work), pool_state.Memory()).memory
     memory = pool.decide(view(mixed(), models=THREES, work=calm, now=102.0), memory).memory
     assert memory.short_since is None
 
@@ -474,9 +478,70 @@
 def test_vms_that_were_given_up_in_vain_serve_their_old_model_again():
     """Their group could not be formed, as members were lost meanwhile."""
     vms = [vm(str(number), staged=("large",)) for number in range(3)]
-    kept = pool.Kept(model="small", until=90.0)
+    kept = pool_state.Kept(model="small", until=90.0)
     memory = dataclasses.replace(
         free_for(vms, 99), kept_for_by_vm={assembled.lifetime(one): kept for one in vms}
     )
     decision = pool.decide(view(vms), memory)
     assert {one.model for one in decision.orders} == {"large"}
+
+
+# Survivors that are about to be free.
+
+
+def ending(number):
+    """Returns a group of a large model that has lost a member; its others have not left yet."""
+    return group(str(number), [None, READY, READY, READY])
+
+
+def test_spares_do_not_load_what_survivors_are_about_to_bring():
+    """Two survivors of four are free, the third leaves in a moment, and two spares are idle."""
+    last = ending(7)[:1]
+    free = [vm("b", staged=("large",)), vm("c", staged=("large",)), vm("x"), vm("y")]
+    vms = [*last, *free]
+    decision = pool.decide(view(vms, models=THREES), free_for(free, formation.SETTLE_SECONDS))
+    assert not [one for one in decision.orders if one.kind is orders.Kind.JOIN and one.members[1:]]
+    gone = [*free, vm("a", staged=("large",))]
+    later = pool.decide(
+        view(gone, models=THREES, now=100.1), dataclasses.replace(decision.memory, given_by_vm={})
+    )
+    joined = {one.vm.vm_id for one in later.orders if one.model == "large" and one.members[1:]}
+    assert {"a", "b", "c"} < joined
+
+
+def test_a_survivor_that_never_leaves_is_not_waited_for_longer_than_others():
+    last = ending(7)[:1]
+    free = [vm("b", staged=("large",)), vm("c", staged=("large",)), vm("x"), vm("y")]
+    memory = dataclasses.replace(
+        free_for(free, 99),
+        ending_since_by_group={last[0].member.group: 100.0 - formation.PATIENCE_SECONDS},
+    )
+    decision = pool.decide(view([*last, *free], models=THREES), memory)
+    assert [one for one in decision.orders if one.kind is orders.Kind.JOIN and one.members[1:]]
+
+
+# What spares get ready for.
+
+
+def staged_for(vms, models=THREES):
+    """Returns the models that three spares of a domain stage beside some groups."""
+    spares = [vm(f"spare-{number}") for number in range(3)]
+    decision = pool.decide(view([*vms, *spares], models=models), free_for(spares, 2.0))
+    staging = [one.model for one in decision.orders if one.kind is orders.Kind.STAGE]
+    return sorted(staging)
+
+
+BIG = (model("large", 12), model("small", 6))
+
+
+def test_spares_get_ready_for_the_models_that_their_domain_serves():
+    """Three losses in a row in a domain that only serves the larger model, or only the smaller."""
+    large = [one for number in (1, 2) for one in group(str(number), [OPEN] + [READY] * 11)]
+    small = [
+        one
+        for number in (3, 4)
+        for one in group(str(number), [OPEN] + [READY] * 5, model_name="small")
+    ]
+    assert staged_for(large, BIG) == ["large"] * 3
+    assert staged_for(small, BIG) == ["small"] * 3
+    assert staged_for([*large[:12], *small], BIG) == ["large", "large", "small"]
--- a/basilpost/groups/supply.py
+++ b/basilpost/groups/supply.py
@@ -14,7 +14,7 @@
 import prometheus_client
 
 from basilpost.core import catalog, clock, kernel, names, tasks
-from basilpost.groups import assembled, orders, pool
+from basilpost.groups import assembled, orders, pool, pool_state
 from basilpost.groups import lease as leases
 from basilpost.members import demand, feed, loads, peers
 from basilpost.members import knowledge as knowledges
@@ -82,7 +82,7 @@
         )
         self._lead_until = clock.elapsed() + lead_seconds
         self._changed = asyncio.Event()
-        self._memory_by_service: dict[str, pool.Memory] = {}
+        self._memory_by_service: dict[str, pool_state.Memory] = {}
         self._epochs_used = 0
         self._loads_at: collections.deque[float] = collections.deque()
         self._orders = prometheus_client.Counter(
@@ -188,7 +188,7 @@
     def _decide_for(self, service: str, engine: catalog.Engine) -> None:
         known = [seen for seen in self._knowledge.vms_by_id.values() if seen.vm.service == service]
         vms = tuple(seen.vm for seen in known)
-        view = pool.View(
+        view = pool_state.View(
             now=clock.elapsed(),
             vms=vms,
             models=engine.models,
@@ -203,7 +203,7 @@
             changed_at_by_vm={assembled.lifetime(seen.vm): seen.seen_at for seen in known},
         )
         self._probe_still_groups(vms)
-        memory = self._memory_by_service.get(service, pool.Memory())
+        memory = self._memory_by_service.get(service, pool_state.Memory())
         decision = pool.decide(view, memory)
         self._memory_by_service[service] = decision.memory
         self._epochs_used += decision.epochs_used
--- a/basilpost/load/capacity_control.py
+++ b/basilpost/load/capacity_control.py
@@ -23,7 +23,7 @@
     regions = (f"region-{number % fleet.regions}" for number in range(fleet.nodes))
     regions_by_id = {f"node-{number}": region for number, region in enumerate(regions)}
     limit = schema.PeerStreams().full_mesh_nodes
-    return len(topology.watchers(regions_by_id, full_mesh_nodes=limit))
+    return len(topology.watchers(regions_by_id, schema.PeerStreams(full_mesh_nodes=limit)))
 
 
 def peer_fabric(fleet: model.Fleet, timing: schema.Timing) -> list[model.Cost]:
--- a/basilpost/load/capacity_test.py
+++ b/basilpost/load/capacity_test.py
@@ -13,7 +13,6 @@
     fit,
     samples,
 )
-from basilpost.members import topology
 from basilpost.settings import schema
 
 LINE = fit.Fit(
@@ -113,5 +112,5 @@
     assert capacity_control.renewals_per_second(small, timing) == pytest.approx(3)
     assert capacity_control.watchers(small) == 9
     large = capacity_model.Fleet()
-    in_a_region = large.nodes // large.regions // topology.NODES_PER_WATCHER
+    in_a_region = large.nodes // large.regions // schema.PeerStreams().nodes_per_watcher
     assert capacity_control.watchers(large) == large.regions * in_a_region
--- a/basilpost/members/connections.py
+++ b/basilpost/members/connections.py
@@ -117,8 +117,7 @@
         self._wanted = topology.neighbours(
             self._node_id,
             regions_by_id,
-            full_mesh_nodes=self._settings.full_mesh_nodes,
-            count=self._settings.neighbours,
+            self._settings,
         )
         if self.address:
             for node_id in self._wanted - self._kept:
--- a/basilpost/members/feed.py
+++ b/basilpost/members/feed.py
@@ -25,9 +25,9 @@
 GAP_SECONDS = 0.8
 CONTROLLER_GAP_SECONDS = 0.1
 # Beyond the full mesh the age of a node's knowledge is that of a watcher's and the way to it, so
-# watchers ask more often: theirs stays below twice the wait and the gap, 2.1 s.
+# watchers ask more often: theirs stays below twice the wait and the gap, 2.2 s.
 WATCHER_WAIT_SECONDS = 0.8
-WATCHER_GAP_SECONDS = 0.5
+WATCHER_GAP_SECONDS = 0.6
 # Without a sign of the store for this long it was away; watches answer sooner.
 OUTAGE_SECONDS = 2.9
 # Interval at which a node asks its neighbours how current they are. With the wait of a watch and the
@@ -169,10 +169,7 @@
     def watchers(self) -> frozenset[str]:
         """Returns the nodes that watch the store, as far as this node knows."""
         if self._watchers is None:
-            self._watchers = topology.watchers(
-                self._table.regions_by_id(),
-                full_mesh_nodes=self._settings.peers.full_mesh_nodes,
-            )
+            self._watchers = topology.watchers(self._table.regions_by_id(), self._settings.peers)
         return self._watchers
 
     @property
--- a/basilpost/members/store_replica.py
+++ b/basilpost/members/store_replica.py
@@ -159,10 +159,7 @@
     def _watches(self) -> bool:
         """Returns True on the nodes that hold watches: all in a full mesh, else a few."""
         if self._watching is None:
-            chosen = topology.watchers(
-                self._table.regions_by_id(),
-                full_mesh_nodes=self._settings.peers.full_mesh_nodes,
-            )
+            chosen = topology.watchers(self._table.regions_by_id(), self._settings.peers)
             full_mesh = len(self._table.records_by_id) <= self._settings.peers.full_mesh_nodes
             self._watching = full_mesh or self._settings.node_id in chosen
         return self._watching
--- a/basilpost/members/topology.py
+++ b/basilpost/members/topology.py
@@ -9,20 +9,19 @@
 from collections.abc import Iterable, Mapping
 
 from basilpost.core import hashing
-
-MIN_WATCHERS = 3
-NODES_PER_WATCHER = 8
+from basilpost.settings import schema
 
 
 def neighbours(
-    node_id: str, regions_by_id: Mapping[str, str], *, full_mesh_nodes: int, count: int
+    node_id: str, regions_by_id: Mapping[str, str], settings: schema.PeerStreams
 ) -> frozenset[str]:
     """Returns the nodes that this one opens lasting streams to."""
     others = [other for other in regions_by_id if other != node_id]
-    if len(others) < full_mesh_nodes:
+    if len(others) < settings.full_mesh_nodes:
         return frozenset(others)
     region = regions_by_id.get(node_id, "")
-    watching = watchers(regions_by_id, full_mesh_nodes=full_mesh_nodes)
+    watching = watchers(regions_by_id, settings)
+    count = settings.neighbours
     ordered = hashing.rendezvous_order(node_id, others)
     near = [other for other in ordered if regions_by_id[other] == region]
     source = [other for other in near if other in watching]
@@ -30,19 +29,23 @@
     return frozenset(itertools.islice(chosen, count))
 
 
-def watchers(regions_by_id: Mapping[str, str], *, full_mesh_nodes: int) -> frozenset[str]:
+def watchers(regions_by_id: Mapping[str, str], settings: schema.PeerStreams) -> frozenset[str]:
     """Returns the nodes that hold watches on the store; the others learn from their peers."""
-    if len(regions_by_id) <= full_mesh_nodes:
+    if len(regions_by_id) <= settings.full_mesh_nodes:
         return frozenset(regions_by_id)
     return frozenset(
         itertools.chain.from_iterable(
-            _region_watchers(region, (one for one in regions_by_id if regions_by_id[one] == region))
+            _region_watchers(
+                region, (one for one in regions_by_id if regions_by_id[one] == region), settings
+            )
             for region in set(regions_by_id.values())
         )
     )
 
 
-def _region_watchers(region: str, node_ids: Iterable[str]) -> list[str]:
+def _region_watchers(
+    region: str, node_ids: Iterable[str], settings: schema.PeerStreams
+) -> list[str]:
     candidates = list(node_ids)
-    count = max(MIN_WATCHERS, len(candidates) // NODES_PER_WATCHER)
+    count = max(settings.min_watchers, len(candidates) // settings.nodes_per_watcher)
     return hashing.rendezvous_order(f"watch/{region}", candidates)[:count]
--- a/basilpost/node/pool_assembly.py
+++ b/basilpost/node/pool_assembly.py
@@ -19,6 +19,10 @@
 
 # Callers come 12 s after the first start; until then loads are not limited.
 LEAD_SECONDS = 11.0
+# Nodes of each failure domain that watch the store in a large fleet: one more than may be lost at once
+# without a gap, as each call is priced. A watcher also adds up the counts of this many nodes.
+MIN_WATCHERS = 2
+NODES_PER_WATCHER = 20
 
 
 def build(settings: pool_schema.PoolNodeSettings) -> kernel_.Kernel:
@@ -72,7 +76,11 @@
         failure_domain=settings.failure_domain,
         region=settings.region,
         platform=schema.Platform(object_api=f"http://{settings.store}", vm_list=""),
-        peers=schema.PeerStreams(listen=schema.Listen(host=settings.host, port=settings.peer_port)),
+        peers=schema.PeerStreams(
+            listen=schema.Listen(host=settings.host, port=settings.peer_port),
+            min_watchers=MIN_WATCHERS,
+            nodes_per_watcher=NODES_PER_WATCHER,
+        ),
     )
 
 
--- a/basilpost/routing/targets.py
+++ b/basilpost/routing/targets.py
@@ -1,8 +1,11 @@
 """Where requests of a service may go: open, complete groups, and instances of plain services."""
 
+import collections
 import dataclasses
 from collections.abc import Iterable
 
+import prometheus_client
+
 from basilpost.core import catalog, clock, kernel, names
 from basilpost.groups import assembled
 from basilpost.members import knowledge as knowledges
@@ -111,6 +114,15 @@
     ]
 
 
+STATES = ("warm", "cold", "incomplete")
+
+
+def _state_of(target: Target, cold: bool) -> str:
+    if not target.complete:
+        return "incomplete"
+    return "cold" if cold else "warm"
+
+
 class Targets(kernel.Service):
     """The targets of all services, found anew after each change."""
 
@@ -119,6 +131,12 @@
         self._targets_by_service: dict[str, tuple[Target, ...]] = {}
         self._were_complete: frozenset[str] = frozenset()
         self._stale = True
+        self._counts = prometheus_client.Gauge(
+            "basilpost_targets",
+            "Targets that may get new work, by service and state",
+            ["service", "state"],
+            registry=kernel.registry,
+        )
         self._knowledge.subscribe(self._forget)
 
     def of(self, service: str, model: str) -> tuple[Target, ...]:
@@ -134,9 +152,16 @@
                 one.target_id for found in self._targets_by_service.values() for one in found
             )
             self._stale = False
+            self._count()
         found = self._targets_by_service.get(service, ())
         return tuple(one for one in found if one.model == model) if model else found
 
+    def _count(self) -> None:
+        for service, found in self._targets_by_service.items():
+            states = collections.Counter(_state_of(one, self.is_cold(one)) for one in found)
+            for state in STATES:
+                self._counts.labels(service, state).set(states[state])
+
     def is_cold(self, target: Target) -> bool:
         """Returns True while a target bears little load."""
         return clock.elapsed() < target.cold_until
--- a/basilpost/settings/schema.py
+++ b/basilpost/settings/schema.py
@@ -59,6 +59,8 @@
         seeds: Nodes to contact first; the node table in the store names the others.
         full_mesh_nodes: Up to this many nodes all are connected to all.
         neighbours: Connections that a node opens beyond that size.
+        min_watchers: Nodes of each region that watch the store beyond that size, at least.
+        nodes_per_watcher: Nodes of a region for each one that watches.
         tls_certificate: Path of this node's certificate, empty for no TLS.
         tls_key: Path of its key.
         tls_authority: Path of the authority that signs all nodes' certificates.
@@ -70,6 +72,8 @@
     seeds: tuple[Peer, ...] = ()
     full_mesh_nodes: int = 16
     neighbours: int = 6
+    min_watchers: int = 3
+    nodes_per_watcher: int = 8
     tls_certificate: str = ""
     tls_key: str = ""
     tls_authority: str = ""
--- a/tests/pool_fleet_test.py
+++ b/tests/pool_fleet_test.py
@@ -30,7 +30,9 @@
             failure_domain=region,
             region=region,
             platform=schema.Platform(object_api="", vm_list=""),
-            peers=schema.PeerStreams(full_mesh_nodes=FULL_MESH, neighbours=4, secret="s"),
+            peers=schema.PeerStreams(
+                full_mesh_nodes=FULL_MESH, neighbours=4, min_watchers=3, secret="s"
+            ),
         )
         table = node_table.NodeTable()
         self.kernel.register(names.SETTINGS, settings)
--- a/tests/pool_process_test.py
+++ b/tests/pool_process_test.py
@@ -81,7 +81,14 @@
         )
         assert answer.code == 200
         metrics = await client.fetch(f"http://{settings.host}:{settings.metrics_port}/metrics")
-        assert b"basilpost_requests_total" in metrics.body
+        for name in (
+            b"basilpost_requests_total",
+            b"basilpost_request_wait_seconds_bucket",
+            b'basilpost_targets{service="desk",state="warm"} 1.0',
+            b"basilpost_knowledge_age_seconds",
+            b"basilpost_store_calls_total",
+        ):
+            assert name in metrics.body, name
         child.send_signal(signal.SIGHUP)
         await asyncio.sleep(0.1)
         child.send_signal(signal.SIGTERM)
