Before any demand is measured, a model's share of the work is its share of the VMs

Ruled out: the demand itself (measured right within seconds, but the first groups stand by then), losses, placing (no rejections of note), the store.

Change: shares are shares of VMs until demand is measured: for equal shares one group of twelve VMs to two of six.

--- a/basilpost/groups/balance.py
+++ b/basilpost/groups/balance.py
@@ -144,12 +144,13 @@
 ) -> list[tuple[catalog.Model, int]]:
     """Returns how many groups each model has, with those that are coming.
 
+    Groups that have just lost a member count: they are rebuilt, and no reason to load other weights.
     VMs that were given up for a model count as the groups that they will form.
     """
     names = [
         group.model.name
         for group in groups
-        if group.model is not None and group.complete and group.name not in memory.given_up
+        if group.model is not None and group.name not in memory.given_up
     ]
     names += [assembled.model_of(name) for name in memory.forming_by_group]
     forming = {
--- a/basilpost/groups/formation.py
+++ b/basilpost/groups/formation.py
@@ -34,8 +34,9 @@
         memory: What was decided before.
     """
     capacity_by_model = _capacity(view, groups, memory)
+    # Until the demand is measured, a model's share of the work is taken for its share of the VMs.
     work_by_model = view.slots_wanted or {
-        model.name: model.work_share * model.pace for model in view.models
+        model.name: model.work_share / model.vms for model in view.models
     }
     free_by_domain = {
         domain: sorted(vms, key=lambda vm: vm.vm_id)
