`basilpost load report`: a run told second by second, as a table and as a plot

Why: the last point of the issue on load; a run of the load tool ended with totals only. matplotlib is an extra (`basilpost[plots]`), and without it the command says so. Served in aim, late, refused, failed, and the targets that answered, which is the capacity that callers see; what stood idle is not in their records. Ruled out: drawing in the terminal, another file format. Before: no such command. After: tests on literal records, and of the command from file to PNG. Nothing that a node runs is changed.

--- a/basilpost/cli/load.py
+++ b/basilpost/cli/load.py
@@ -2,19 +2,21 @@
 
 import asyncio
 import contextlib
+import io
 import json
+import pathlib
 import sys
 
 import click
 
-from basilpost.load import generator, logs, records, report, schedule
+from basilpost.load import generator, logs, plots, records, report, schedule, series
 
 _KINDS = [kind.value for kind in records.Kind]
 
 
-@click.command(name="load")
-@click.option("--gateway", "gateways", multiple=True, required=True, help="Base URL of a node.")
-@click.option("--key", "keys", multiple=True, required=True, help="WORKSPACE=API-KEY[*WEIGHT].")
+@click.group(name="load", invoke_without_command=True)
+@click.option("--gateway", "gateways", multiple=True, help="Base URL of a node.")
+@click.option("--key", "keys", multiple=True, help="WORKSPACE=API-KEY[*WEIGHT].")
 @click.option("--rate", default=20.0, show_default=True, help="Requests a second.")
 @click.option("--seconds", default=10.0, show_default=True, help="Length of the load.")
 @click.option("--seed", default=1, show_default=True, help="Seed of the schedule.")
@@ -26,7 +28,9 @@
 @click.option("--deadline", default=30.0, show_default=True, help="Deadline in seconds.")
 @click.option("--back-end", "back_ends", multiple=True, help="host:port whose /log is checked.")
 @click.option("--history", type=click.Path(), help="File for every request's record.")
+@click.pass_context
 def command(
+    context: click.Context,
     gateways: tuple[str, ...],
     keys: tuple[str, ...],
     rate: float,
@@ -51,6 +55,10 @@
         basilpost load --gateway http://127.0.0.1:8080 --key editors=KEY \\
             --rate 50 --seconds 20 --mix stream=3 --mix filing=1 --history out.jsonl
     """
+    if context.invoked_subcommand is not None:
+        return
+    if not gateways or not keys:
+        raise click.UsageError("--gateway and --key are needed")
     plan = schedule.Plan(
         seed=seed,
         rate=rate,
@@ -73,6 +81,26 @@
         _check(result.records, back_ends)
 
 
+@command.command(name="report")
+@click.argument("file", type=click.Path(exists=True, dir_okay=False))
+@click.option("--aim", default=1.0, show_default=True, help="Seconds to the first byte.")
+@click.option("--png", type=click.Path(), help="File for a plot; needs basilpost[plots].")
+def report_command(file: str, aim: float, png: str | None) -> None:
+    """Tells a run second by second, from the file that --history wrote.
+
+    \b
+    Example:
+        basilpost load report out.jsonl --aim 0.5 --png out.png
+    """
+    text = pathlib.Path(file).read_text(encoding="utf-8")
+    seconds = series.by_second(records.read_lines(io.StringIO(text)), aim_seconds=aim)
+    click.echo(series.table(seconds))
+    if png is not None:
+        found = plots.draw(seconds, pathlib.Path(png))
+        if found is not None:
+            raise click.ClickException(found.reason)
+
+
 def _check(found: tuple[records.Record, ...], back_ends: tuple[str, ...]) -> None:
     violations = logs.check(found, asyncio.run(logs.collect(back_ends)))
     for violation in violations:
