--- a/basilpost/members/demand_test.py
+++ b/basilpost/members/demand_test.py
@@ -54,3 +54,26 @@
 def test_nodes_add_up():
     one = seen(arrived=1.0, ended=2.0, held=3.0)
     assert demand.added([one, one]) == seen(arrived=2.0, ended=4.0, held=6.0)
+
+
+def test_a_model_that_nobody_asks_for_wants_no_slots():
+    known = {"large": seen(arrived=40.0, ended=20.0, held=40.0)}
+    wanted = demand.slots_wanted(known, ["large", "small"])
+    assert wanted == {"large": pytest.approx(80.0), "small": 0.0}
+
+
+def test_a_model_that_has_not_been_served_for_long_still_wants_slots(now):
+    """It lost its last group; its callers go on asking, and only that shows that it is needed."""
+    meter = demand.Meter()
+    for model in ("large", "small"):
+        for _ in range(20):
+            meter.arrived(model)
+            meter.ended(model, 2.0)
+    for _ in range(300):
+        now[0] += 0.1
+        meter.arrived("large")
+        meter.arrived("small")
+        meter.ended("small", 2.0)
+    assert demand.slots_wanted(meter.read(), ["large", "small"])["large"] == pytest.approx(
+        20, rel=0.2
+    )
