The soak's runners come back on a port of their own choice

Ruled out: two runs at once (each node has an address of its own; runners take free ports). Change: the runner takes another port and its proxy follows. Nothing that a node runs is changed.

--- a/basilpost/emulator/server.py
+++ b/basilpost/emulator/server.py
@@ -50,6 +50,10 @@
         self.silence.server = self._server
         return self.address
 
+    def release_port(self) -> None:
+        """Lets the next start take another port: this one may be taken while nobody listens."""
+        self._port = 0
+
     async def stop(self) -> None:
         """Stops listening and breaks all open connections."""
         server, self._server = self._server, None
--- a/basilpost/soak/run.py
+++ b/basilpost/soak/run.py
@@ -222,8 +222,10 @@
         await runner.vanish()
         await asyncio.sleep(fault.seconds)
         runner.member, runner.members, runner.staged = None, [], []
-        await runner.start()
-        runner.address = self._ways_by_vm[vm_id].address
+        runner.release_port()
+        way = self._ways_by_vm[vm_id]
+        way.target = await runner.start()
+        runner.address = way.address
         await runner.report()
 
     async def _lose_answers(self, fault: faults.Fault) -> None:
