--- a/basilpost/emulator/pool_fleet.py
+++ b/basilpost/emulator/pool_fleet.py
@@ -40,9 +40,12 @@
     }
 
 
-def call_headers(request_id: str, *, model: str = "") -> dict[str, str]:
-    """Returns the headers of a caller's request."""
-    headers = {"Host": HOST, "X-Attempt-Id": request_id, "X-Credential": KEY}
+def call_headers(
+    request_id: str, *, model: str = "", key: str = KEY, budget_ms: int = 0
+) -> dict[str, str]:
+    """Returns the headers of a caller's request; a budget of 0 names none."""
+    headers = {"Host": HOST, "X-Attempt-Id": request_id, "X-Credential": key}
+    headers |= {"X-Deadline-Ms": str(budget_ms)} if budget_ms else {}
     return headers | ({"X-Model": model, "X-Token-Usage": "10,6"} if model else {})
 
 
--- a/basilpost/soak/callers.py
+++ b/basilpost/soak/callers.py
@@ -7,12 +7,12 @@
 import tornado.httputil
 
 from basilpost.core import channels, clock
-from basilpost.emulator import pool_fleet
+from basilpost.emulator import pool_fleet, pool_runner
 from basilpost.soak import checks
 
 CONNECT_SECONDS = 1.0
 ANSWER_SECONDS = 6.0
-BUDGET_MS = "4000"
+BUDGET_MS = 4000
 # Pause of a caller between requests.
 PAUSE_SECONDS = (0.02, 0.1)
 PATHS = ("lookup", "filing", "draft")
@@ -67,9 +67,8 @@
         self, channel: channels.Channel, attempt: str, path: str, key: str, sent_at: float
     ) -> checks.Call:
         model = pool_fleet.LARGE if path == "draft" else ""
-        named = pool_fleet.call_headers(attempt, model=model)
         headers = tornado.httputil.HTTPHeaders(
-            named | {"X-Credential": key, "X-Deadline-Ms": BUDGET_MS}
+            pool_fleet.call_headers(attempt, model=model, key=key, budget_ms=BUDGET_MS)
         )
         method = "GET" if path == "lookup" else "POST"
         body = b"" if path == "lookup" else attempt.encode()
@@ -90,6 +89,6 @@
             sent_at=sent_at,
             status=head.status if head is not None else 0,
             complete=isinstance(result, channels.Head),
-            signed=head is not None and "X-Runner-Signature" in head.headers,
+            signed=head is not None and pool_runner.SIGNATURE in head.headers,
             body=b"".join(pieces),
         )
