Logs and metrics tell requests that a stop cut from callers that left

The log called them caller_left, as the handler is cancelled in both cases, so the three hypotheses of docs/incidents/issue-24.md could not be told apart.

Change, without any in what is decided: request_ended has outcome cut_by_stop for requests that the stop cancelled, and after_stop_ms, when the request arrived after SIGTERM (negative: before it). relay_drained says how long the drain took and how many connections of callers are idle or busy; busy lasts until the answer is written, so busy above cut shows hypothesis 2. relay_stopping says the same when the relay's tasks are cancelled. basilpost_caller_connections is the gauge of both. Lines that the reader of the log has not taken are written, for 0.2 s at most, before the process ends; they were lost.

Tests of the log writer failed before (no method close).

--- a/basilpost/core/log.py
+++ b/basilpost/core/log.py
@@ -38,12 +38,15 @@
     )
 
 
-def configure_bounded(*, descriptor: int, level: str) -> None:
+def configure_bounded(*, descriptor: int, level: str) -> log_writer.LineWriter:
     """Configures a node's loggers: JSON lines, limited in rate and written without blocking.
 
     Args:
         descriptor: File descriptor to write to; it is made non-blocking.
         level: The lowest level that is written: debug, info, warning or error.
+
+    Returns:
+        The writer, to be closed before the process ends.
     """
     writer = log_writer.LineWriter(descriptor=descriptor)
     structlog.configure(
@@ -56,3 +59,4 @@
         wrapper_class=structlog.make_filtering_bound_logger(getattr(logging, level.upper())),
         logger_factory=lambda *args: log_writer.BoundedLogger(writer=writer),
     )
+    return writer
--- a/basilpost/core/log_events.py
+++ b/basilpost/core/log_events.py
@@ -33,6 +33,7 @@
     "path",
     "configuration_age_ms",
     "vms_age_ms",
+    "after_stop_ms",
 )
 
 EVENTS: dict[str, Event] = {
@@ -130,7 +131,12 @@
     "peer_stream_ended": Event(meaning="a peer stream was lost", fields=("peer", "cause")),
     "relay_listening": Event(meaning="callers can connect", fields=("address",)),
     "relay_drained": Event(
-        meaning="a planned stop has waited for the requests in flight", fields=("cut",)
+        meaning="a planned stop has waited for the requests in flight",
+        fields=("cut", "ms", "idle", "busy"),
+    ),
+    "relay_stopping": Event(
+        meaning="the relay stops; connections of callers that are still open",
+        fields=("idle", "busy"),
     ),
     "node_starting": Event(meaning="the process begins", fields=("failure_domain",)),
     "node_started": Event(meaning="all services have started"),
--- a/basilpost/core/log_writer.py
+++ b/basilpost/core/log_writer.py
@@ -8,6 +8,7 @@
 import collections
 import json
 import os
+import select
 import time
 from collections.abc import MutableMapping
 from typing import Any
@@ -83,6 +84,14 @@
                 return
             del self._buffer[:written]
 
+    def close(self, *, timeout: float) -> None:
+        """Writes what is left in the buffer, waiting `timeout` seconds for the reader at most."""
+        give_up_at = time.monotonic() + timeout
+        self.flush()
+        while self._buffer and (seconds := give_up_at - time.monotonic()) > 0:
+            select.select([], [self._descriptor], [], seconds)
+            self.flush()
+
     def _report(self, now: float) -> None:
         counts: dict[str, Any] = {"event": DROPPED_LINES_EVENT, "level": "warning"}
         counts["dropped"] = dict(self.dropped_by_kind)
--- a/basilpost/core/log_writer_test.py
+++ b/basilpost/core/log_writer_test.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import threading
 import time
 
 import pytest
@@ -57,6 +58,29 @@
     assert "".join(lines) == "".join(sent)
 
 
+def test_lines_that_wait_for_the_reader_are_written_before_the_process_ends(pipe):
+    writer = log_writer.LineWriter(descriptor=pipe[1])
+    sent = [f"{number:06}" + "x" * 994 for number in range(300)]
+    for number, line in enumerate(sent):
+        writer.write(f"kind {number}", line, important=False)
+    closing = threading.Thread(target=writer.close, kwargs={"timeout": 5.0})
+    closing.start()
+    lines = []
+    while closing.is_alive():
+        lines += read_all(pipe[0])
+    lines += read_all(pipe[0])
+    assert "".join(lines) == "".join(sent)
+
+
+def test_a_reader_that_takes_nothing_delays_the_end_for_a_bounded_time(pipe):
+    writer = log_writer.LineWriter(descriptor=pipe[1])
+    for number in range(300):
+        writer.write(f"kind {number}", "x" * 1_000, important=False)
+    began_at = time.monotonic()
+    writer.close(timeout=0.2)
+    assert 0.2 <= time.monotonic() - began_at < 2.0
+
+
 def test_many_lines_of_one_kind_displace_neither_failures_nor_other_kinds(pipe):
     writer = log_writer.LineWriter(descriptor=pipe[1])
     for _ in range(5000):
--- /dev/null
+++ b/basilpost/gateway/connections.py
@@ -0,0 +1,42 @@
+"""The callers' connections of a server, and which of them have an unanswered request.
+
+A planned stop needs to know both: work in flight has to end, and connections without any are closed.
+"""
+
+import tornado.http1connection
+
+
+class Connections:
+    """The open connections of callers.
+
+    A connection is idle while it waits for the head of a request. It is busy from then until the whole
+    answer has been written to the socket or the connection is closed.
+    """
+
+    def __init__(self) -> None:
+        self._idle: set[tornado.http1connection.HTTP1Connection] = set()
+        self._busy: set[tornado.http1connection.HTTP1Connection] = set()
+
+    @property
+    def idle(self) -> int:
+        """Returns the number of connections that wait for a request."""
+        return len(self._idle)
+
+    @property
+    def busy(self) -> int:
+        """Returns the number of connections with an unanswered request."""
+        return len(self._busy)
+
+    def add_idle(self, connection: tornado.http1connection.HTTP1Connection) -> None:
+        """Records that a connection waits for a request."""
+        self._idle.add(connection)
+
+    def mark_busy(self, connection: tornado.http1connection.HTTP1Connection) -> None:
+        """Records that the head of a request has arrived."""
+        self._idle.discard(connection)
+        self._busy.add(connection)
+
+    def remove(self, connection: tornado.http1connection.HTTP1Connection) -> None:
+        """Records that a request is answered, or that its connection is closed."""
+        self._idle.discard(connection)
+        self._busy.discard(connection)
--- a/basilpost/gateway/inbound.py
+++ b/basilpost/gateway/inbound.py
@@ -1,6 +1,7 @@
 """Reads requests from callers and writes the answers, on Tornado's HTTP server connections."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable, Coroutine
 from typing import Any
 
@@ -9,6 +10,7 @@
 import tornado.iostream
 
 from basilpost.core import clock
+from basilpost.gateway import connections as connections_
 
 Handler = Callable[["Request", "Reply"], Coroutine[Any, Any, None]]
 _NO_BODY_STATUSES = frozenset({204, 304})
@@ -23,17 +25,20 @@
         headers: All headers.
         body: The whole body, empty before it has arrived.
         received_at: When the headers arrived, on `clock.elapsed`.
+        caller_left: True once the caller has closed the connection.
     """
 
     def __init__(
         self,
         *,
         connection: tornado.httputil.HTTPConnection,
+        connections: connections_.Connections,
         handler: Handler,
         spawn: Callable[[Coroutine[Any, Any, None]], "asyncio.Task[None]"],
     ) -> None:
         assert isinstance(connection, tornado.http1connection.HTTP1Connection)
         self._connection = connection
+        self._connections = connections
         self._handler = handler
         self._spawn = spawn
         self._chunks: list[bytes] = []
@@ -43,6 +48,8 @@
         self.headers = tornado.httputil.HTTPHeaders()
         self.body = b""
         self.received_at = 0.0
+        self.caller_left = False
+        connections.add_idle(connection)
 
     @property
     def path(self) -> str:
@@ -59,6 +66,7 @@
         self.method, self.target = start_line.method, start_line.path
         self.headers = headers
         self.received_at = clock.elapsed()
+        self._connections.mark_busy(self._connection)
 
     def data_received(self, chunk: bytes) -> None:
         """Stores a chunk of the body; part of Tornado's delegate interface."""
@@ -70,13 +78,22 @@
         self._chunks.clear()
         self._connection.set_close_callback(self.on_connection_close)
         reply = Reply(connection=self._connection, method=self.method)
-        self._task = self._spawn(self._handler(self, reply))
+        self._task = self._spawn(self._handle(reply))
 
     def on_connection_close(self) -> None:
         """Cancels the handler, because the caller is gone; part of Tornado's delegate interface."""
+        self.caller_left = True
+        self._connections.remove(self._connection)
         if self._task is not None:
             self._task.cancel()
 
+    async def _handle(self, reply: "Reply") -> None:
+        try:
+            await self._handler(self, reply)
+            await reply.wait_sent()
+        finally:
+            self._connections.remove(self._connection)
+
 
 class Reply:
     """The answer to one request.
@@ -117,6 +134,12 @@
         """Marks an answer that was sent in pieces as complete."""
         self._finish()
 
+    async def wait_sent(self) -> None:
+        """Waits until the whole answer is written to the socket or the connection is closed."""
+        with contextlib.suppress(tornado.iostream.StreamClosedError):
+            # The result of an empty write comes after all earlier ones.
+            await self._connection.stream.write(b"")
+
     def abort(self) -> None:
         """Closes the connection, so that an incomplete answer is not taken for complete."""
         self._connection.close()
--- a/basilpost/gateway/relay.py
+++ b/basilpost/gateway/relay.py
@@ -7,6 +7,7 @@
 import random
 import socket
 
+import prometheus_client
 import tornado.httpserver
 import tornado.httputil
 import tornado.netutil
@@ -15,6 +16,7 @@
 from basilpost.core import clock, failure, kernel, names, tasks
 from basilpost.gateway import (
     attempts,
+    connections,
     forwarding,
     inbound,
     request_admission,
@@ -92,10 +94,20 @@
         self._server: tornado.httpserver.HTTPServer | None = None
         self._readiness_server: tornado.httpserver.HTTPServer | None = None
         self.in_flight = 0
+        self._connections = connections.Connections()
         self._draining = False
+        self._stop_began_at: float | None = None
         self._accept_all_until = math.inf
         self._drain_until = math.inf
         self._recorder = request_recorder.RequestRecorder(kernel=kernel, knowledge=self.knowledge)
+        open_connections = prometheus_client.Gauge(
+            "basilpost_caller_connections",
+            "Open connections of callers, with an unanswered request (busy) or without one (idle)",
+            ["state"],
+            registry=kernel.registry,
+        )
+        open_connections.labels("idle").set_function(lambda: self._connections.idle)
+        open_connections.labels("busy").set_function(lambda: self._connections.busy)
 
     async def start(self) -> None:
         """Starts listening for callers and for readiness checks."""
@@ -124,7 +136,7 @@
         """
         self._draining = True
         grace = self._settings.bounds.grace_seconds
-        began_at = clock.elapsed()
+        began_at = self._stop_began_at = clock.elapsed()
         self._accept_all_until = began_at + grace * DRAIN_ACCEPT_SHARE
         self._drain_until = began_at + grace - DRAIN_MARGIN_SECONDS
         if self._server is not None:
@@ -132,10 +144,17 @@
         await asyncio.sleep(READINESS_NOTICE_SECONDS)
         while self.in_flight and clock.elapsed() < self._drain_until:
             await asyncio.sleep(0.05)
-        self._log.info("relay_drained", cut=self.in_flight)
+        self._log.info(
+            "relay_drained",
+            cut=self.in_flight,
+            ms=round((clock.elapsed() - began_at) * 1000),
+            idle=self._connections.idle,
+            busy=self._connections.busy,
+        )
 
     async def stop(self) -> None:
         """Stops listening, cancels running requests and closes the connections to targets."""
+        self._log.info("relay_stopping", idle=self._connections.idle, busy=self._connections.busy)
         for server in (self._server, self._readiness_server):
             if server is not None:
                 server.stop()
@@ -164,6 +183,7 @@
         """Returns the reader of a new request; part of Tornado's delegate interface."""
         return inbound.Request(
             connection=request_conn,
+            connections=self._connections,
             handler=self._serve,
             spawn=lambda handling: self._tasks.spawn(handling, name="request"),
         )
@@ -174,11 +194,12 @@
         try:
             summary = await self._answer(request, reply, summary)
         except asyncio.CancelledError:
-            summary = dataclasses.replace(summary, outcome="caller_left")
+            outcome = "caller_left" if request.caller_left else "cut_by_stop"
+            summary = dataclasses.replace(summary, outcome=outcome)
             raise
         finally:
             self.in_flight -= 1
-            self._recorder.record(request, summary)
+            self._recorder.record(request, summary, stop_began_at=self._stop_began_at)
 
     async def _answer(
         self,
--- a/basilpost/gateway/request_recorder.py
+++ b/basilpost/gateway/request_recorder.py
@@ -23,8 +23,8 @@
         call: What the headers of the request say.
         progress: The attempts made for it, None if it was not admitted.
         status: HTTP status sent to the caller, 0 if the caller got no complete answer.
-        outcome: answered, streamed, broken_off, caller_left or the code of a refusal; empty until
-            the request has ended.
+        outcome: answered, streamed, broken_off, caller_left, cut_by_stop or the code of a refusal;
+            empty until the request has ended.
         reason: Why it was refused or broken off.
     """
 
@@ -62,8 +62,16 @@
             registry=kernel.registry,
         )
 
-    def record(self, request: inbound.Request, summary: RequestSummary) -> None:
-        """Writes the log line of a request that has ended, and counts it."""
+    def record(
+        self, request: inbound.Request, summary: RequestSummary, *, stop_began_at: float | None
+    ) -> None:
+        """Writes the log line of a request that has ended, and counts it.
+
+        Args:
+            request: The request.
+            summary: How it ended.
+            stop_began_at: When the node was asked to stop, on `clock.elapsed`; None if it was not.
+        """
         seconds = clock.elapsed() - request.received_at
         progress = summary.progress
         route = progress.admitted.route.name if progress is not None else ""
@@ -81,6 +89,8 @@
                 "sends": progress.sends,
                 "rejections": progress.rejections,
             }
+        if stop_began_at is not None:
+            fields["after_stop_ms"] = round((request.received_at - stop_began_at) * 1000)
         self._log.info(
             "request_ended",
             request=summary.call.request_id,
--- a/basilpost/node/pool_main.py
+++ b/basilpost/node/pool_main.py
@@ -17,6 +17,8 @@
 from basilpost.settings import loader, pool_loader
 
 SETTINGS_VARIABLE = "BASILPOST_CONFIG"
+# Longest time for which a node that has stopped waits for the reader of its log.
+LOG_FLUSH_SECONDS = 0.2
 _EXIT_BAD_SETTINGS = 2
 
 
@@ -51,8 +53,9 @@
     except loader.SettingsError as error:
         print(error, file=sys.stderr)
         return _EXIT_BAD_SETTINGS
-    log.configure_bounded(descriptor=sys.stdout.fileno(), level=loaded.settings.log_level)
+    writer = log.configure_bounded(descriptor=sys.stdout.fileno(), level=loaded.settings.log_level)
     asyncio.run(run(loaded))
+    writer.close(timeout=LOG_FLUSH_SECONDS)
     return 0
 
 
