--- a/basilpost/emulator/pool_runner.py
+++ b/basilpost/emulator/pool_runner.py
@@ -28,6 +28,7 @@
         events: Number of events of a stream.
         event_seconds: Time between events.
         work_seconds: Time that a request to a plain service takes.
+        padding_bytes: Length of a field of no meaning in the answers of a plain service.
         full: True to reject requests with 503 before running them.
         fail: True to run requests and answer them with a signed 500.
         lose_answers: Number of coming requests that run but whose connection is closed unanswered.
@@ -46,6 +47,7 @@
     events: int = 6
     event_seconds: float = 0.01
     work_seconds: float = 0.005
+    padding_bytes: int = 0
     full: bool = False
     fail: bool = False
     lose_answers: int = 0
@@ -351,7 +353,10 @@
 
     async def _answer_plain(self) -> None:
         await asyncio.sleep(self._options.work_seconds)
-        body = json.dumps({"attempt": self.request.headers.get(_ATTEMPT)}).encode()
+        answer = {"attempt": self.request.headers.get(_ATTEMPT)}
+        if self._options.padding_bytes:
+            answer["padding"] = "x" * self._options.padding_bytes
+        body = json.dumps(answer).encode()
         if self._options.stray_answers > 0:
             self._options.stray_answers -= 1
             name = b"" if self._options.unnamed_stray_answers else b"X-Attempt-Id: stray\r\n"
