A stopping node accepts nothing after its last look at the requests in flight

Cause: drain() returned when it once found no request in flight, but nothing ended the acceptance of requests. Until the event loop ended, kept connections were read and requests passed on to runners; relay.stop() closed only the listening socket, and the kernel closed the connections when the interpreter had been torn down. A check followed by an act, with the way in left open between them.

Why it works: at the first moment without a request in flight the listening socket and all idle connections are closed, with no await between the look and the closing, so no request can enter; a connection that becomes idle later is closed at once. When drain() returns, no connection of a caller is open, however long the rest of the stop takes. Requests that cross the closing are not read, so they have not run and may be sent again.

--- a/basilpost/gateway/connections.py
+++ b/basilpost/gateway/connections.py
@@ -16,6 +16,7 @@
     def __init__(self) -> None:
         self._idle: set[tornado.http1connection.HTTP1Connection] = set()
         self._busy: set[tornado.http1connection.HTTP1Connection] = set()
+        self._accepts_requests = True
 
     @property
     def idle(self) -> int:
@@ -28,8 +29,11 @@
         return len(self._busy)
 
     def add_idle(self, connection: tornado.http1connection.HTTP1Connection) -> None:
-        """Records that a connection waits for a request."""
-        self._idle.add(connection)
+        """Records that a connection waits for a request, or closes it if no more are accepted."""
+        if self._accepts_requests:
+            self._idle.add(connection)
+        else:
+            connection.close()
 
     def mark_busy(self, connection: tornado.http1connection.HTTP1Connection) -> None:
         """Records that the head of a request has arrived."""
@@ -40,3 +44,17 @@
         """Records that a request is answered, or that its connection is closed."""
         self._idle.discard(connection)
         self._busy.discard(connection)
+
+    def stop_accepting(self) -> None:
+        """Closes the idle connections, and the busy ones as soon as their request is answered."""
+        self._accepts_requests = False
+        for connection in list(self._idle):
+            connection.close()
+
+    def close(self) -> None:
+        """Closes all connections."""
+        self.stop_accepting()
+        for connection in list(self._busy):
+            connection.close()
+        self._idle.clear()
+        self._busy.clear()
--- a/basilpost/gateway/relay.py
+++ b/basilpost/gateway/relay.py
@@ -46,6 +46,9 @@
 # Share of the grace period in which all requests are accepted. After it, only requests whose deadline is
 # before the end of the drain are.
 DRAIN_ACCEPT_SHARE = 0.33
+DRAIN_POLL_SECONDS = 0.05
+# Passes of the event loop from a readable socket to the head of the request on it.
+READ_PASSES = 4
 # A caller refused by a draining node may retry almost at once, because other nodes serve.
 STOPPING_RETRY_SECONDS = 0.05
 POOL_SWEEP_SECONDS = 1.0
@@ -71,6 +74,7 @@
         self._settings = settings
         self._log = kernel.log
         self._tasks = tasks.TaskSet(log=kernel.log)
+        self._request_tasks = tasks.TaskSet(log=kernel.log)
         self._dialect = kernel.find(names.HEADER_DIALECT, header_dialect.HeaderDialect)
         self.knowledge = kernel.find(names.KNOWLEDGE, knowledges.Knowledge)
         rng = random.Random()
@@ -129,10 +133,12 @@
         self._log.info("relay_listening", address=self._settings.callers)
 
     async def drain(self) -> None:
-        """Reports not ready, and waits until no request is in flight or the grace period ends.
+        """Ends the service to callers: afterwards no connection of a caller is open.
 
-        Requests are accepted for `DRAIN_ACCEPT_SHARE` of the grace period, later only if their deadline is
-        before its end.
+        The node reports not ready at once. Requests are accepted for `DRAIN_ACCEPT_SHARE` of the grace
+        period, later only if their deadline is before its end. At the first moment without a request in
+        flight, nothing is read from callers any more. Requests that are still in flight at the end of
+        the grace period are cut.
         """
         self._draining = True
         grace = self._settings.bounds.grace_seconds
@@ -142,22 +148,48 @@
         if self._server is not None:
             self._server.conn_params.no_keep_alive = True
         await asyncio.sleep(READINESS_NOTICE_SECONDS)
-        while self.in_flight and clock.elapsed() < self._drain_until:
-            await asyncio.sleep(0.05)
+        await self._wait_until_answered()
+        # No request can arrive between the last look at those in flight and the end of acceptance,
+        # because there is no await between them.
+        idle, busy = self._connections.idle, self._connections.busy
+        self._stop_accepting()
         self._log.info(
             "relay_drained",
             cut=self.in_flight,
             ms=round((clock.elapsed() - began_at) * 1000),
-            idle=self._connections.idle,
-            busy=self._connections.busy,
+            idle=idle,
+            busy=busy,
         )
+        await self._close_connections()
+
+    async def _wait_until_answered(self) -> None:
+        """Waits until no request is in flight, at most until the end of the drain."""
+        while clock.elapsed() < self._drain_until:
+            if not self.in_flight:
+                # Requests that have reached the socket are read within a few passes of the event loop.
+                for _ in range(READ_PASSES):
+                    await asyncio.sleep(0)
+                if not self.in_flight:
+                    return
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
+
+    def _stop_accepting(self) -> None:
+        if self._server is not None:
+            self._server.stop()
+        self._connections.stop_accepting()
+
+    async def _close_connections(self) -> None:
+        """Cancels the requests in flight and closes all connections of callers."""
+        self._stop_accepting()
+        await self._request_tasks.close()
+        self._connections.close()
 
     async def stop(self) -> None:
-        """Stops listening, cancels running requests and closes the connections to targets."""
+        """Stops listening, cancels running requests and closes all connections."""
         self._log.info("relay_stopping", idle=self._connections.idle, busy=self._connections.busy)
-        for server in (self._server, self._readiness_server):
-            if server is not None:
-                server.stop()
+        await self._close_connections()
+        if self._readiness_server is not None:
+            self._readiness_server.stop()
         await self._tasks.close()
         self._forwarder.pool.close()
 
@@ -185,7 +217,7 @@
             connection=request_conn,
             connections=self._connections,
             handler=self._serve,
-            spawn=lambda handling: self._tasks.spawn(handling, name="request"),
+            spawn=lambda handling: self._request_tasks.spawn(handling, name="request"),
         )
 
     async def _serve(self, request: inbound.Request, reply: inbound.Reply) -> None:
