A request is in flight until its whole answer is written to the socket

What the socket had not taken yet was lost with the process.

Why it works: in flight are the busy connections, from the head of a request until an empty write behind the answer has come through, or the connection is closed. A request whose body is still arriving counts too.

--- a/basilpost/gateway/relay.py
+++ b/basilpost/gateway/relay.py
@@ -67,7 +67,6 @@
 
     Attributes:
         knowledge: The configuration and VMs that this node knows.
-        in_flight: Number of requests without a complete answer.
     """
 
     def __init__(self, *, kernel: kernel.Kernel, settings: pool_schema.PoolNodeSettings) -> None:
@@ -97,7 +96,6 @@
         )
         self._server: tornado.httpserver.HTTPServer | None = None
         self._readiness_server: tornado.httpserver.HTTPServer | None = None
-        self.in_flight = 0
         self._connections = connections.Connections()
         self._draining = False
         self._stop_began_at: float | None = None
@@ -155,7 +153,7 @@
         self._stop_accepting()
         self._log.info(
             "relay_drained",
-            cut=self.in_flight,
+            cut=busy,
             ms=round((clock.elapsed() - began_at) * 1000),
             idle=idle,
             busy=busy,
@@ -193,6 +191,11 @@
         await self._tasks.close()
         self._forwarder.pool.close()
 
+    @property
+    def in_flight(self) -> int:
+        """Returns the number of requests whose head has arrived and whose answer is not written."""
+        return self._connections.busy
+
     @property
     def ready(self) -> bool:
         """Returns True while the load balancer may send new connections to this node."""
@@ -221,7 +224,6 @@
         )
 
     async def _serve(self, request: inbound.Request, reply: inbound.Reply) -> None:
-        self.in_flight += 1
         summary = request_recorder.RequestSummary(call=self._dialect.parse_request(request.headers))
         try:
             summary = await self._answer(request, reply, summary)
@@ -230,7 +232,6 @@
             summary = dataclasses.replace(summary, outcome=outcome)
             raise
         finally:
-            self.in_flight -= 1
             self._recorder.record(request, summary, stop_began_at=self._stop_began_at)
 
     async def _answer(
