Callers whose request arrived before SIGTERM are told that their connection closes

Cause: Tornado decides when it reads the head of a request whether the answer says Connection: close. Requests whose head had arrived before SIGTERM, streams of seconds among them, were answered as if the connection stayed open.

Evidence: tests/pool_stop_test.py::test_a_caller_is_not_told_that_a_stopping_node_closes_its_connection failed before (no Connection header) and passes now.

Why it works: the head of every answer that begins after SIGTERM says close, and the connection is closed once the answer is written.

--- a/basilpost/gateway/connections.py
+++ b/basilpost/gateway/connections.py
@@ -11,12 +11,16 @@
 
     A connection is idle while it waits for the head of a request. It is busy from then until the whole
     answer has been written to the socket or the connection is closed.
+
+    Attributes:
+        closes_after_answer: True if callers are told that their connection is closed after the answer.
     """
 
     def __init__(self) -> None:
         self._idle: set[tornado.http1connection.HTTP1Connection] = set()
         self._busy: set[tornado.http1connection.HTTP1Connection] = set()
         self._accepts_requests = True
+        self.closes_after_answer = False
 
     @property
     def idle(self) -> int:
--- a/basilpost/gateway/inbound.py
+++ b/basilpost/gateway/inbound.py
@@ -77,7 +77,9 @@
         self.body = b"".join(self._chunks)
         self._chunks.clear()
         self._connection.set_close_callback(self.on_connection_close)
-        reply = Reply(connection=self._connection, method=self.method)
+        reply = Reply(
+            connection=self._connection, connections=self._connections, method=self.method
+        )
         self._task = self._spawn(self._handle(reply))
 
     def on_connection_close(self) -> None:
@@ -102,9 +104,17 @@
         started: True once its head was written.
     """
 
-    def __init__(self, *, connection: tornado.http1connection.HTTP1Connection, method: str) -> None:
+    def __init__(
+        self,
+        *,
+        connection: tornado.http1connection.HTTP1Connection,
+        connections: connections_.Connections,
+        method: str,
+    ) -> None:
         self._connection = connection
+        self._connections = connections
         self._method = method
+        self._announced_close = False
         self.started = False
 
     def send_whole(
@@ -135,10 +145,15 @@
         self._finish()
 
     async def wait_sent(self) -> None:
-        """Waits until the whole answer is written to the socket or the connection is closed."""
+        """Waits until the whole answer is written to the socket or the connection is closed.
+
+        Closes the connection if the answer says so.
+        """
         with contextlib.suppress(tornado.iostream.StreamClosedError):
             # The result of an empty write comes after all earlier ones.
             await self._connection.stream.write(b"")
+        if self._announced_close:
+            self._connection.close()
 
     def abort(self) -> None:
         """Closes the connection, so that an incomplete answer is not taken for complete."""
@@ -152,6 +167,10 @@
         body: bytes | None,
     ) -> None:
         self.started = True
+        if self._connections.closes_after_answer:
+            # Tornado adds this only to answers to requests that arrived after its setting changed.
+            headers["Connection"] = "close"
+            self._announced_close = True
         line = tornado.httputil.ResponseStartLine("HTTP/1.1", status, reason)
         try:
             _ignore_write_error(self._connection.write_headers(line, headers, body))
--- a/basilpost/gateway/relay.py
+++ b/basilpost/gateway/relay.py
@@ -143,8 +143,7 @@
         began_at = self._stop_began_at = clock.elapsed()
         self._accept_all_until = began_at + grace * DRAIN_ACCEPT_SHARE
         self._drain_until = began_at + grace - DRAIN_MARGIN_SECONDS
-        if self._server is not None:
-            self._server.conn_params.no_keep_alive = True
+        self._connections.closes_after_answer = True
         await asyncio.sleep(READINESS_NOTICE_SECONDS)
         await self._wait_until_answered()
         # No request can arrive between the last look at those in flight and the end of acceptance,
--- a/tests/pool_stop_test.py
+++ b/tests/pool_stop_test.py
@@ -16,6 +16,7 @@
 from basilpost.emulator import pool_fleet
 from basilpost.node import pool_demo
 from basilpost.soak import proxies
+from tests import pool_nodes
 
 GRACE_SECONDS = 8.0
 CONNECT_SECONDS = 1.0
@@ -178,6 +179,24 @@
         assert node.process.returncode == 0
 
 
+async def test_a_caller_is_not_told_that_a_stopping_node_closes_its_connection():
+    async with pool_nodes.running(vms=0) as bench:
+        runners = bench.fleet.runners_by_id.values()
+        for runner in runners:
+            runner.options.work_seconds = 0.5
+        channel = await channels._open(bench.addresses[0], timeout=CONNECT_SECONDS)
+        channel.send("POST", "/filing/a", filing_headers("read-before-the-stop"), b"x")
+        await pool_fleet.until(lambda: any(runner.runs for runner in runners))
+        draining = asyncio.create_task(bench.relays[0].drain())
+        head = await channel.receive(on_head=lambda head: None, on_data=lambda data: None)
+        assert (head.status, head.headers.get("Connection")) == (200, "close")
+        await draining
+
+
+def filing_headers(attempt):
+    return tornado.httputil.HTTPHeaders(pool_fleet.call_headers(attempt, budget_ms=4000))
+
+
 def read_all(sock):
     """Returns all bytes until the end of a connection, also if it ends with an error."""
     sock.settimeout(EXIT_SECONDS)
