A request that outlasts the drain is answered, and a cancelled handler closes its caller's connection

Cause: the end of the drain cancelled the handlers, and nothing told the callers. The users' grace of 8 s is as long as their longest budget, so this takes a request that arrives after SIGTERM or a slow runner.

Evidence: tests/pool_stop_test.py::test_a_request_that_outlasts_the_drain_ends_without_an_answer failed before (the caller waited for 10 s) and passes now.

Why it works: a request that may have run is answered 502 with outcome unknown, one that was not sent 503 not-run; a stream that has begun is aborted, so that it does not look complete. A handler that ends without an answer for any reason closes its connection.

--- a/basilpost/gateway/inbound.py
+++ b/basilpost/gateway/inbound.py
@@ -93,6 +93,10 @@
         try:
             await self._handler(self, reply)
             await reply.wait_sent()
+        except BaseException:
+            # The caller must not wait for an answer that nobody sends any more.
+            self._connection.close()
+            raise
         finally:
             self._connections.remove(self._connection)
 
--- a/basilpost/gateway/relay.py
+++ b/basilpost/gateway/relay.py
@@ -252,10 +252,15 @@
             ),
         )
         summary = dataclasses.replace(summary, progress=progress)
-        if admitted.route.streaming:
-            result = await self._forwarder.stream(progress, request, reply)
-        else:
-            result = await self._forwarder.fetch(progress, request)
+        try:
+            if admitted.route.streaming:
+                result = await self._forwarder.stream(progress, request, reply)
+            else:
+                result = await self._forwarder.fetch(progress, request)
+        except asyncio.CancelledError:
+            if request.caller_left:
+                raise
+            return self._cut(reply, summary, progress)
         match result:
             case failure.Refusal():
                 return self._refuse(reply, result, summary)
@@ -268,6 +273,19 @@
             case _:
                 return dataclasses.replace(summary, status=200, outcome="streamed")
 
+    def _cut(
+        self,
+        reply: inbound.Reply,
+        summary: request_recorder.RequestSummary,
+        progress: attempts.Progress,
+    ) -> request_recorder.RequestSummary:
+        """Ends a request that the end of the drain has cancelled, with an answer if none has begun."""
+        refusal = attempts.corrected_refusal(progress, _cut_refusal())
+        if not reply.started:
+            return self._refuse(reply, refusal, summary)
+        reply.abort()
+        return dataclasses.replace(summary, outcome=refusal.code, reason=refusal.reason)
+
     def _can_finish_before_stop(self, admitted: request_admission.AdmittedRequest) -> bool:
         """Returns False if the request might still run when the drain ends."""
         return clock.elapsed() < self._accept_all_until or admitted.deadline < self._drain_until
@@ -303,6 +321,15 @@
     )
 
 
+def _cut_refusal() -> failure.Refusal:
+    return failure.Refusal(
+        reason="the node stopped before the answer was complete",
+        code="cut_by_stop",
+        status=503,
+        retry_after=STOPPING_RETRY_SECONDS,
+    )
+
+
 class _ReadyHandler(tornado.web.RequestHandler):
     def initialize(self, relay: Relay) -> None:
         self._relay = relay
--- a/tests/pool_stop_test.py
+++ b/tests/pool_stop_test.py
@@ -12,7 +12,7 @@
 import pytest
 import tornado.httputil
 
-from basilpost.core import channels, codec
+from basilpost.core import channels, codec, names
 from basilpost.emulator import pool_fleet
 from basilpost.node import pool_demo
 from basilpost.soak import proxies
@@ -193,6 +193,19 @@
         await draining
 
 
+async def test_a_request_that_outlasts_the_drain_ends_without_an_answer():
+    async with pool_nodes.running(vms=0) as bench:
+        runners = bench.fleet.runners_by_id.values()
+        for runner in runners:
+            # Below the route's timeout, but beyond the end of the drain.
+            runner.options.work_seconds = 4.5
+        calling = asyncio.create_task(bench.call("/filing/a"))
+        await pool_fleet.until(lambda: any(runner.runs for runner in runners))
+        await bench.relays[0].drain()
+        answer = await calling
+        assert (answer.code, answer.headers[names.OUTCOME_HEADER]) == (502, "unknown")
+
+
 def filing_headers(attempt):
     return tornado.httputil.HTTPHeaders(pool_fleet.call_headers(attempt, budget_ms=4000))
 
