gateway: a planned stop closes the callers' connections, and waits until answers are sent

What callers would see: at a planned stop of a node of `basilpost node`, an answer cut in the middle, or a repeat of a keyed request that gets no answer although the node had begun to look it up.

Cause: `Gateway.drain` looked at the count of handlers at work. (1) A handler counts as ended when it hands its answer to Tornado; the part that the socket has not taken was dropped when `Gateway.stop` closed the connection. (2) After the last look, connections that callers keep open were still read, while outcomes are recorded and the administration API stops (up to 15 s). New requests were refused, but a keyed one is looked up in the store first, and was cut there. `Connection: close` was only a header; the node itself left the connection open.

Why it works: `core.listener.Listener` is a Tornado server that knows of each connection whether it carries a request, from the end of its head until its answer is written to the socket. The drain ends by closing every connection as soon as it carries none, so nothing is read after the last look, and the last look covers what is not sent yet. From the start of the drain each connection ends with its next answer. `gateway_drained cut` now counts requests whose answer was not sent whole. It is in core, because admin may not import gateway.

What stays: a request that reaches a kept connection in the instant in which the node closes it gets no answer; it has not run.

--- /dev/null
+++ b/basilpost/core/listener.py
@@ -0,0 +1,97 @@
+"""An HTTP server that can end without cutting a request whose head it has read.
+
+A count of handlers at work is no sign that a server may end: connections that callers keep open are
+still read after the count was looked at, and the end of an answer may not have been written yet.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import tornado.http1connection
+import tornado.httpserver
+import tornado.httputil
+
+from basilpost.core import clock
+
+_POLL_SECONDS = 0.05
+
+
+class Listener(tornado.httpserver.HTTPServer):
+    """An HTTP server that knows which of its connections carry a request.
+
+    A connection does so from the end of the request's head until its answer is written to the socket.
+    """
+
+    def initialize(self, *args: Any, **kwargs: Any) -> None:
+        """Initializes the server; Tornado calls this in place of the constructor."""
+        super().initialize(*args, **kwargs)
+        self._busy_by_connection: dict[tornado.http1connection.HTTP1ServerConnection, bool] = {}
+        self._draining = False
+
+    @property
+    def busy(self) -> int:
+        """Returns the number of connections that carry a request."""
+        return sum(self._busy_by_connection.values())
+
+    def start_request(
+        self, server_conn: object, request_conn: tornado.httputil.HTTPConnection
+    ) -> tornado.httputil.HTTPMessageDelegate:
+        """Called by Tornado when a connection is open or its answer is written."""
+        assert isinstance(server_conn, tornado.http1connection.HTTP1ServerConnection)
+        self._busy_by_connection[server_conn] = False
+        if self._draining:
+            server_conn.stream.close()
+        return _HeadObserver(
+            inner=super().start_request(server_conn, request_conn),
+            on_head=lambda: self._busy_by_connection.update({server_conn: True}),
+        )
+
+    def on_close(self, server_conn: object) -> None:
+        """Called by Tornado when a connection has ended."""
+        assert isinstance(server_conn, tornado.http1connection.HTTP1ServerConnection)
+        self._busy_by_connection.pop(server_conn, None)
+        super().on_close(server_conn)
+
+    async def drain(self, give_up_at: float) -> int:
+        """Stops listening, and closes each connection as soon as it carries no request.
+
+        Returns the number of requests that were cut at the event loop's time `give_up_at`.
+        """
+        self.stop()
+        self._draining = True
+        for connection, is_busy in self._busy_by_connection.items():
+            if not is_busy:
+                connection.stream.close()
+        while self.busy and clock.monotonic() < give_up_at:
+            await asyncio.sleep(_POLL_SECONDS)
+        cut = self.busy
+        await self.close_all_connections()
+        return cut
+
+
+class _HeadObserver(tornado.httputil.HTTPMessageDelegate):
+    """Passes a request on to its reader, and tells when its head has arrived."""
+
+    def __init__(
+        self, *, inner: tornado.httputil.HTTPMessageDelegate, on_head: Callable[[], None]
+    ) -> None:
+        self._inner = inner
+        self._on_head = on_head
+
+    def headers_received(
+        self,
+        start_line: tornado.httputil.RequestStartLine | tornado.httputil.ResponseStartLine,
+        headers: tornado.httputil.HTTPHeaders,
+    ) -> Awaitable[None] | None:
+        self._on_head()
+        return self._inner.headers_received(start_line, headers)
+
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        return self._inner.data_received(chunk)
+
+    def finish(self) -> None:
+        self._inner.finish()
+
+    def on_connection_close(self) -> None:
+        self._inner.on_connection_close()
--- a/basilpost/gateway/server.py
+++ b/basilpost/gateway/server.py
@@ -2,10 +2,9 @@
 
 import asyncio
 
-import tornado.httpserver
 import tornado.netutil
 
-from basilpost.core import clock, kernel, names, tasks
+from basilpost.core import clock, kernel, listener, names, tasks
 from basilpost.gateway import claimed_requests as claimed_requests_
 from basilpost.gateway import context, dispatch, metrics, routes, upstream
 from basilpost.members import directory, peers, replica, standing
@@ -38,7 +37,7 @@
         network = kernel.find(names.PEERS, peers.PeerNetwork)
         self._replica = kernel.find(names.REPLICA, replica.Replica)
         self._witnesses = witnesses.Witnesses(network=network, only_node=self._is_only_node)
-        self._server: tornado.httpserver.HTTPServer | None = None
+        self._server: listener.Listener | None = None
         self.context: context.Context | None = None
         self.port = 0
 
@@ -50,7 +49,7 @@
         listen = self._settings.gateway.listen
         sockets = tornado.netutil.bind_sockets(listen.port, address=listen.host)
         self.port = sockets[0].getsockname()[1]
-        self._server = tornado.httpserver.HTTPServer(
+        self._server = listener.Listener(
             routes.application(self.context),
             idle_connection_timeout=_IDLE_SECONDS,
             max_header_size=_MAX_HEADER_BYTES,
@@ -63,24 +62,25 @@
         """Stops accepting requests, and waits until those in flight are answered and recorded.
 
         The node first reports not ready. It accepts requests for a grace period after that, because the
-        load balancer needs time to notice. The wait ends after `drain_seconds` at the latest.
+        load balancer needs time to notice. Each connection ends with its next answer. The wait ends
+        after `drain_seconds` at the latest; no connection is open then.
         """
-        if self.context is None:
+        if self.context is None or self._server is None:
             return
         gateway = self._settings.gateway
         self.context.draining = True
+        self._server.conn_params.no_keep_alive = True
         await asyncio.sleep(gateway.drain_grace_seconds)
         self.context.stopping = True
         give_up_at = clock.monotonic() + gateway.drain_seconds
         await self._wait_until_idle(give_up_at)
         # Lets the handler of a request that has just arrived start before the listening socket is closed.
         await asyncio.sleep(0)
-        if self._server is not None:
-            self._server.stop()
+        self._server.stop()
         await asyncio.sleep(_LATE_REQUEST_SECONDS)
-        await self._wait_until_idle(give_up_at)
+        cut = await self._server.drain(give_up_at)
         unrecorded = await self.context.claimed_requests.wait_recorded(give_up_at)
-        self._kernel.log.info("gateway_drained", cut=self.context.in_flight, unrecorded=unrecorded)
+        self._kernel.log.info("gateway_drained", cut=cut, unrecorded=unrecorded)
 
     async def _wait_until_idle(self, give_up_at: float) -> None:
         """Waits until no request is in flight, at most until the event loop's time `give_up_at`."""
--- a/basilpost/gateway/server_test.py
+++ b/basilpost/gateway/server_test.py
@@ -36,6 +36,7 @@
         self.refuse = faults.get("refuse", False)
         self.silent = faults.get("silent", False)
         self.drop = faults.get("drop", False)
+        self.text = faults.get("text", "whole")
         self.seen = []
 
 
@@ -59,7 +60,7 @@
         if not self.script.refuse and b'"stream": true' in self.request.body:
             await self._stream(answered_id)
         else:
-            self.finish({"id": answered_id, "text": "whole"})
+            self.finish({"id": answered_id, "text": self.script.text})
 
     get = post
 
@@ -197,6 +198,19 @@
             request_timeout=10,
         )
 
+    async def shut_down(self):
+        """Stops the gateway as planned, as `node.process` does."""
+        await self.gateway.drain()
+        await self.gateway.stop()
+
+    async def connect(self):
+        """Opens a connection with a small receive buffer, which stays open between requests."""
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
+        sock.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(sock, ("127.0.0.1", self.gateway.port))
+        return await asyncio.open_connection(sock=sock, limit=65_536)
+
     async def stop(self):
         await self.gateway.stop()
         for target_server in self.servers:
@@ -210,6 +224,27 @@
     await bench.stop()
 
 
+def request_bytes(path="/v1/chat/completions", *, key=""):
+    raw = json.dumps(QUESTION).encode()
+    keyed = f"Idempotency-Key: {key}\r\n" if key else ""
+    head = (
+        f"POST {path} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key\r\n"
+        f"{keyed}Content-Length: {len(raw)}\r\n\r\n"
+    )
+    return head.encode() + raw
+
+
+async def status_of_answer(reader):
+    """Reads one answer; returns its status, None if the connection ends before the answer does."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+        length = int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0])
+        await reader.readexactly(length)
+    except (asyncio.IncompleteReadError, ConnectionResetError):
+        return None
+    return int(head.split()[1])
+
+
 def code_of(answer):
     return json.loads(answer.body)["error"]["code"]
 
@@ -443,3 +478,47 @@
     bench.ledger.finish = never
     assert (await bench.call("/services/licences/filings", Idempotency_Key="k-1")).code == 200
     await asyncio.wait_for(bench.gateway.drain(), 30)
+
+
+async def test_a_stop_cuts_no_answer_that_its_caller_is_still_reading(bench):
+    await bench.start(Script(text="x" * 8_000_000))
+    reader, writer = await bench.connect()
+    writer.write(request_bytes())
+    received = b""
+    while not bench.gateway.context.metrics.answers.collect()[0].samples:
+        received += await reader.read(65_536)
+    stopping = asyncio.create_task(bench.shut_down())
+    await asyncio.sleep(1.0)
+    received += await reader.read()
+    assert received.endswith(b'x"}')
+    await stopping
+
+
+async def test_a_stop_cuts_no_repeat_that_arrives_while_outcomes_are_recorded(bench):
+    await bench.start(Script())
+    claimed_keys, answered_keys = set(), set()
+    claim, finish = bench.ledger.claim, bench.ledger.finish
+
+    async def claim_slowly(call, *, timeout):
+        claimed_keys.add(call.key)
+        await asyncio.sleep(0.3)
+        return await claim(call, timeout=timeout)
+
+    async def finish_slowly(held, answer):
+        await asyncio.sleep(1.5)
+        await finish(held, answer)
+
+    bench.ledger.claim, bench.ledger.finish = claim_slowly, finish_slowly
+
+    async def send(delay, reader, writer):
+        await asyncio.sleep(delay)
+        writer.write(request_bytes("/services/licences/filings", key=f"k-{delay}"))
+        if await status_of_answer(reader) is not None:
+            answered_keys.add(f"k-{delay}")
+        writer.close()
+
+    delays = (0.0, 0.8, 1.0, 1.2, 1.4, 1.6, 1.7, 1.8)
+    calls = [send(delay, *await bench.connect()) for delay in delays]
+    await asyncio.gather(bench.shut_down(), *calls)
+    assert answered_keys
+    assert claimed_keys == answered_keys
