admin: a stopping node leaves no accepted change without an answer

What operators would see: a command that ends with a broken connection while the node stops, although the store has accepted the change; or a change or an audit trail cut in the middle.

Cause: `AdminApi.stop` waited until no handler was at work, and only then closed the connections one after the other. In between, kept connections were still read: the requests on them began, reached the store, and lost their connection. A request whose body is still being sent has no handler yet, and an answer handed to Tornado but not written has none any more, so neither was waited for.

--- a/basilpost/admin/api.py
+++ b/basilpost/admin/api.py
@@ -1,7 +1,6 @@
 """Serves the administration API of a node over HTTP."""
 
 import prometheus_client
-import tornado.httpserver
 import tornado.netutil
 import tornado.web
 
@@ -18,7 +17,7 @@
     status,
     status_handlers,
 )
-from basilpost.core import kernel, names
+from basilpost.core import clock, kernel, listener, names
 from basilpost.members import directory, replica
 from basilpost.settings import configuration, schema
 
@@ -34,13 +33,13 @@
         self._listen = settings.admin
         self._log = kernel.log
         self._registry = kernel.registry
-        self._server: tornado.httpserver.HTTPServer | None = None
+        self._server: listener.Listener | None = None
         self.port = 0
         self._context = make_context(kernel, settings)
 
     async def start(self) -> None:
         """Opens the listening socket and begins to serve."""
-        server = tornado.httpserver.HTTPServer(
+        server = listener.Listener(
             make_application(self._context, registry=self._registry),
             max_body_size=limits.MAX_READ_BYTES,
             max_buffer_size=limits.MAX_READ_BYTES + limits.MAX_HEADER_BYTES,
@@ -55,12 +54,15 @@
         self._log.info("admin_listening", host=self._listen.host, port=self.port)
 
     async def stop(self) -> None:
-        """Stops listening, waits up to `_STOP_SECONDS` for requests in flight, closes the rest."""
+        """Closes each connection once its request is answered, and waits for operators' changes.
+
+        A change goes on after its operator has disconnected. All this takes `_STOP_SECONDS` at most.
+        """
         server, self._server = self._server, None
         if server is not None:
-            server.stop()
-            await self._context.in_flight.wait_idle(_STOP_SECONDS)
-            await server.close_all_connections()
+            give_up_at = clock.monotonic() + _STOP_SECONDS
+            await server.drain(give_up_at)
+            await self._context.in_flight.wait_idle(give_up_at - clock.monotonic())
 
 
 def make_context(kernel: kernel.Kernel, settings: schema.NodeSettings) -> context.Context:
--- a/basilpost/admin/api_test.py
+++ b/basilpost/admin/api_test.py
@@ -1,6 +1,8 @@
 """Tests of the administration API over HTTP."""
 
+import asyncio
 import json
+import socket
 import urllib.parse
 
 import pytest
@@ -10,10 +12,10 @@
 from hypothesis import strategies as st
 
 from basilpost.admin import api, fakes, install
-from basilpost.core import data, hashing, names
+from basilpost.core import codec, data, hashing, names
 from basilpost.members import fakes as member_fakes
 from basilpost.members import standing
-from basilpost.store import memory
+from basilpost.store import memory, objects
 
 GROUP = data.Group(
     group_id="g1",
@@ -50,6 +52,22 @@
         answer.json = json.loads(answer.body)
         return answer
 
+    async def connect(self):
+        """Opens a connection with a small receive buffer, which stays open between requests."""
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
+        sock.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(sock, ("127.0.0.1", self.port))
+        return await asyncio.open_connection(sock=sock, limit=65_536)
+
+
+def request_bytes(method, path, body=b""):
+    head = (
+        f"{method} /admin/v1{path} HTTP/1.1\r\nHost: x\r\nIf-None-Match: *\r\n"
+        f"Authorization: Bearer {fakes.ADMIN_TOKEN}\r\nContent-Length: {len(body)}\r\n\r\n"
+    )
+    return head.encode() + body
+
 
 @pytest_asyncio.fixture
 async def callers():
@@ -316,3 +334,58 @@
     client = tornado.httpclient.AsyncHTTPClient()
     answer = await client.fetch(f"http://127.0.0.1:{call.port}/metrics")
     assert b"# HELP" in answer.body
+
+
+async def test_a_stop_cuts_no_change_that_is_still_being_sent(call):
+    reader, writer = await call.connect()
+    request = request_bytes("PUT", "/failure-domains/kz-a", b'{"region": "kz"}')
+    writer.write(request[:-5])
+    await asyncio.sleep(0.05)
+    stopping = asyncio.create_task(call.node.kernel.stop())
+    await asyncio.sleep(0.2)
+    writer.write(request[-5:])
+    assert (await reader.read()).startswith(b"HTTP/1.1 200 ")
+    assert isinstance(
+        await call.node.store.get(names.FAILURE_DOMAIN_PREFIX + "kz-a"), objects.Stored
+    )
+    await stopping
+
+
+async def test_a_stop_leaves_no_accepted_change_without_an_answer(call):
+    call.node.store.faults.delay = 0.02
+    connections = [await call.connect() for _ in range(40)]
+    answered = set()
+
+    async def change(number, reader, writer):
+        for _ in range(number):
+            await asyncio.sleep(0)
+        writer.write(request_bytes("PUT", f"/failure-domains/kz-{number}", b"{}"))
+        try:
+            head = await reader.readuntil(b"\r\n\r\n")
+        except (asyncio.IncompleteReadError, ConnectionResetError):
+            return
+        assert head.startswith(b"HTTP/1.1 200 ")
+        answered.add(names.FAILURE_DOMAIN_PREFIX + f"kz-{number}")
+
+    first, *others = (change(number, *pair) for number, pair in enumerate(connections))
+    await first
+    await asyncio.gather(call.node.kernel.stop(), *others)
+    await asyncio.sleep(0.3)
+    listing = await call.node.store.list(names.FAILURE_DOMAIN_PREFIX)
+    assert answered
+    assert {stored.key for stored in listing.objects} == answered
+
+
+async def test_a_stop_cuts_no_answer_that_its_operator_is_still_reading(call):
+    key = names.FAILURE_DOMAIN_PREFIX + "kz-a"
+    record = data.ConfigObject(value=json.dumps({"region": "x" * 8_000_000}))
+    stored = objects.Stored(key=key, value=codec.to_json(record), version=1)
+    call.node.replica.offer(objects.Change(key=key, version=1, stored=stored))
+    reader, writer = await call.connect()
+    writer.write(request_bytes("GET", "/failure-domains"))
+    received = await reader.read(1000)
+    stopping = asyncio.create_task(call.node.kernel.stop())
+    await asyncio.sleep(0.5)
+    received += await reader.read()
+    assert received.endswith(b"]}\n")
+    await stopping
