process: a second request to stop does not end a node as failed

What operators would see: a node that has stopped as planned ends with -15 instead of 0, when its supervisor sends SIGTERM again in the last tenths of a second. Nothing is lost by then, but the stop counts as failed.

Cause: the event loop handles the signals; when it closes it restores their default action, which ends the process while the interpreter is torn down.

Why it works: once the node has stopped, the process ignores both signals, and the interpreter leaves ignored signals alone. They are blocked in the main thread before the loop's handlers are removed; another thread could still take one in between, within microseconds.

--- a/basilpost/node/process.py
+++ b/basilpost/node/process.py
@@ -10,13 +10,18 @@
 from basilpost.node import assembly
 from basilpost.settings import schema
 
+_STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
 
 async def run(settings: schema.NodeSettings) -> None:
-    """Serves until SIGTERM or SIGINT, then drains requests in flight and stops."""
+    """Serves until SIGTERM or SIGINT, then drains requests in flight and stops.
+
+    The process ignores both signals from then on.
+    """
     kernel = assembly.build(settings, platform=assembly.http_platform(settings))
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
+    for signal_number in _STOP_SIGNALS:
         loop.add_signal_handler(signal_number, stop.set)
     starting = asyncio.create_task(kernel.start())
     stopping = asyncio.create_task(stop.wait())
@@ -27,6 +32,7 @@
         await starting
     await stopping
     await shut_down(kernel)
+    _ignore_stop_signals(loop)
 
 
 async def shut_down(kernel: kernel_.Kernel) -> None:
@@ -35,3 +41,12 @@
     await kernel.find(names.GATEWAY, server.Gateway).drain()
     await kernel.stop()
     kernel.log.info("node_stopped")
+
+
+def _ignore_stop_signals(loop: asyncio.AbstractEventLoop) -> None:
+    # A loop that closes removes its handlers, and the default action would end the process as failed.
+    # The signals are blocked first, because removing a handler restores the default action.
+    signal.pthread_sigmask(signal.SIG_BLOCK, _STOP_SIGNALS)
+    for signal_number in _STOP_SIGNALS:
+        loop.remove_signal_handler(signal_number)
+        signal.signal(signal_number, signal.SIG_IGN)
