ledger: a stop waits for withdrawals that begin while it waits

What callers would see: a caller leaves while its keyed request is claimed, on a node that stops. The request never ran, but the claim stays in the store and nobody holds it: each repeat is told that the outcome is unknown, until an operator settles it.

Cause: `StoreLedger.stop` took the tasks that record outcomes once. The task of a claim whose caller has left waits for the write that is under way and only then starts the task that withdraws the claim; that one was cancelled. The slower the store, the more likely.

--- a/basilpost/runs/store_ledger.py
+++ b/basilpost/runs/store_ledger.py
@@ -115,8 +115,10 @@
 
     async def stop(self) -> None:
         """Waits up to `DRAIN_SECONDS` for outcomes that are not recorded yet, then ends all tasks."""
-        if self._record_tasks:
-            await asyncio.wait(self._record_tasks, timeout=DRAIN_SECONDS)
+        give_up_at = clock.monotonic() + DRAIN_SECONDS
+        # The end of one such task may start another.
+        while self._record_tasks and (seconds_left := give_up_at - clock.monotonic()) > 0:
+            await asyncio.wait(self._record_tasks, timeout=seconds_left)
         if self.held_claims.count():
             self._log.warning("ledger_stopped_with_open_claims", claims=self.held_claims.count())
         await self._tasks.close()
--- a/basilpost/runs/store_ledger_test.py
+++ b/basilpost/runs/store_ledger_test.py
@@ -238,6 +238,18 @@
     assert a.held_claims.count() == 0
 
 
+async def test_a_stop_leaves_no_claim_of_a_caller_that_has_just_left(nodes):
+    a = await nodes.add("a")
+    nodes.store.faults.delay = 0.1
+    waiting = asyncio.create_task(a.claim(CALL, timeout=30))
+    await asyncio.sleep(0.15)
+    waiting.cancel()
+    await asyncio.sleep(0)
+    await a.stop()
+    assert nodes.record() is None
+    assert a.held_claims.count() == 0
+
+
 async def test_an_old_claim_is_confirmed_by_a_write_before_dispatch(nodes):
     a = await nodes.add("a")
     claim = await a.claim(CALL, timeout=5)
