metrics: a stopped server of a pool's node reads nothing more

What operators would see: a scrape cut in the middle when a pool's node stops. No caller's request is concerned.

Cause: `MetricsServer.stop` closed the listening socket only. A connection that a scraper keeps open was read until the process ended, and what was being answered then was cut.

Why it works: the server ends by `core.listener.Listener.drain`, in at most 0.2 s, because a pool's node has 0.8 s between the end of its drain and SIGKILL.

--- a/basilpost/node/metrics.py
+++ b/basilpost/node/metrics.py
@@ -1,11 +1,13 @@
 """Serves a node's metrics over HTTP in the text format of Prometheus."""
 
 import prometheus_client
-import tornado.httpserver
 import tornado.netutil
 import tornado.web
 
-from basilpost.core import kernel
+from basilpost.core import clock, kernel, listener
+
+# A pool's node has less than 1 s left after its callers' requests have been waited for.
+_STOP_SECONDS = 0.2
 
 
 class MetricsServer(kernel.Service):
@@ -15,7 +17,7 @@
         self._host = host
         self._port = port
         handlers = [(r"/metrics", _Handler, {"registry": kernel.registry})]
-        self._server = tornado.httpserver.HTTPServer(
+        self._server = listener.Listener(
             tornado.web.Application(handlers, log_function=lambda handler: None)
         )
 
@@ -24,8 +26,8 @@
         self._server.add_sockets(tornado.netutil.bind_sockets(self._port, address=self._host))
 
     async def stop(self) -> None:
-        """Stops listening."""
-        self._server.stop()
+        """Closes each connection once its scrape is answered, or after `_STOP_SECONDS`."""
+        await self._server.drain(clock.monotonic() + _STOP_SECONDS)
 
 
 class _Handler(tornado.web.RequestHandler):
