--- a/basilpost/core/listener.py
+++ b/basilpost/core/listener.py
@@ -21,6 +21,9 @@
     """An HTTP server that knows which of its connections carry a request.
 
     A connection does so from the end of the request's head until its answer is written to the socket.
+
+    Attributes:
+        closes_after_answer: True if callers are told that their connection is closed after its answer.
     """
 
     def initialize(self, *args: Any, **kwargs: Any) -> None:
@@ -28,12 +31,27 @@
         super().initialize(*args, **kwargs)
         self._busy_by_connection: dict[tornado.http1connection.HTTP1ServerConnection, bool] = {}
         self._draining = False
+        self.closes_after_answer = False
 
     @property
     def busy(self) -> int:
         """Returns the number of connections that carry a request."""
         return sum(self._busy_by_connection.values())
 
+    @property
+    def idle(self) -> int:
+        """Returns the number of connections that wait for a request."""
+        return len(self._busy_by_connection) - self.busy
+
+    def announce_close(self) -> None:
+        """Makes answers tell callers that their connection is closed.
+
+        Tornado does so in answers to requests that arrive from now on. A handler has to do so in
+        answers that it begins to requests that arrived before.
+        """
+        self.closes_after_answer = True
+        self.conn_params.no_keep_alive = True
+
     def start_request(
         self, server_conn: object, request_conn: tornado.httputil.HTTPConnection
     ) -> tornado.httputil.HTTPMessageDelegate:
@@ -53,16 +71,20 @@
         self._busy_by_connection.pop(server_conn, None)
         super().on_close(server_conn)
 
-    async def drain(self, give_up_at: float) -> int:
-        """Stops listening, and closes each connection as soon as it carries no request.
-
-        Returns the number of requests that were cut at the event loop's time `give_up_at`.
-        """
+    def stop_accepting(self) -> None:
+        """Stops listening and closes the connections without a request, the others after their answer."""
         self.stop()
         self._draining = True
         for connection, is_busy in self._busy_by_connection.items():
             if not is_busy:
                 connection.stream.close()
+
+    async def drain(self, give_up_at: float) -> int:
+        """Stops listening, and closes each connection as soon as it carries no request.
+
+        Returns the number of requests that were cut at the event loop's time `give_up_at`.
+        """
+        self.stop_accepting()
         while self.busy and clock.monotonic() < give_up_at:
             await asyncio.sleep(_POLL_SECONDS)
         cut = self.busy
--- a/basilpost/gateway/inbound.py
+++ b/basilpost/gateway/inbound.py
@@ -9,8 +9,7 @@
 import tornado.httputil
 import tornado.iostream
 
-from basilpost.core import clock
-from basilpost.gateway import connections as connections_
+from basilpost.core import clock, listener
 
 Handler = Callable[["Request", "Reply"], Coroutine[Any, Any, None]]
 _NO_BODY_STATUSES = frozenset({204, 304})
@@ -32,13 +31,13 @@
         self,
         *,
         connection: tornado.httputil.HTTPConnection,
-        connections: connections_.Connections,
+        server: listener.Listener,
         handler: Handler,
         spawn: Callable[[Coroutine[Any, Any, None]], "asyncio.Task[None]"],
     ) -> None:
         assert isinstance(connection, tornado.http1connection.HTTP1Connection)
         self._connection = connection
-        self._connections = connections
+        self._server = server
         self._handler = handler
         self._spawn = spawn
         self._chunks: list[bytes] = []
@@ -49,7 +48,6 @@
         self.body = b""
         self.received_at = 0.0
         self.caller_left = False
-        connections.add_idle(connection)
 
     @property
     def path(self) -> str:
@@ -66,7 +64,6 @@
         self.method, self.target = start_line.method, start_line.path
         self.headers = headers
         self.received_at = clock.elapsed()
-        self._connections.mark_busy(self._connection)
 
     def data_received(self, chunk: bytes) -> None:
         """Stores a chunk of the body; part of Tornado's delegate interface."""
@@ -77,28 +74,23 @@
         self.body = b"".join(self._chunks)
         self._chunks.clear()
         self._connection.set_close_callback(self.on_connection_close)
-        reply = Reply(
-            connection=self._connection, connections=self._connections, method=self.method
-        )
+        reply = Reply(connection=self._connection, server=self._server, method=self.method)
         self._task = self._spawn(self._handle(reply))
 
     def on_connection_close(self) -> None:
         """Cancels the handler, because the caller is gone; part of Tornado's delegate interface."""
         self.caller_left = True
-        self._connections.remove(self._connection)
         if self._task is not None:
             self._task.cancel()
 
     async def _handle(self, reply: "Reply") -> None:
         try:
             await self._handler(self, reply)
-            await reply.wait_sent()
+            await reply.close_if_announced()
         except BaseException:
             # The caller must not wait for an answer that nobody sends any more.
             self._connection.close()
             raise
-        finally:
-            self._connections.remove(self._connection)
 
 
 class Reply:
@@ -112,11 +104,11 @@
         self,
         *,
         connection: tornado.http1connection.HTTP1Connection,
-        connections: connections_.Connections,
+        server: listener.Listener,
         method: str,
     ) -> None:
         self._connection = connection
-        self._connections = connections
+        self._server = server
         self._method = method
         self._announced_close = False
         self.started = False
@@ -148,16 +140,14 @@
         """Marks an answer that was sent in pieces as complete."""
         self._finish()
 
-    async def wait_sent(self) -> None:
-        """Waits until the whole answer is written to the socket or the connection is closed.
-
-        Closes the connection if the answer says so.
-        """
+    async def close_if_announced(self) -> None:
+        """Closes the connection once the whole answer is written to it, if the answer says so."""
+        if not self._announced_close:
+            return
         with contextlib.suppress(tornado.iostream.StreamClosedError):
             # The result of an empty write comes after all earlier ones.
             await self._connection.stream.write(b"")
-        if self._announced_close:
-            self._connection.close()
+        self._connection.close()
 
     def abort(self) -> None:
         """Closes the connection, so that an incomplete answer is not taken for complete."""
@@ -171,8 +161,7 @@
         body: bytes | None,
     ) -> None:
         self.started = True
-        if self._connections.closes_after_answer:
-            # Tornado adds this only to answers to requests that arrived after its setting changed.
+        if self._server.closes_after_answer:
             headers["Connection"] = "close"
             self._announced_close = True
         line = tornado.httputil.ResponseStartLine("HTTP/1.1", status, reason)
--- a/basilpost/gateway/relay.py
+++ b/basilpost/gateway/relay.py
@@ -13,10 +13,9 @@
 import tornado.netutil
 import tornado.web
 
-from basilpost.core import clock, failure, kernel, names, tasks
+from basilpost.core import clock, failure, kernel, listener, names, tasks
 from basilpost.gateway import (
     attempts,
-    connections,
     forwarding,
     inbound,
     request_admission,
@@ -94,9 +93,14 @@
             rng=rng,
             log=kernel.log,
         )
-        self._server: tornado.httpserver.HTTPServer | None = None
+        self._server = listener.Listener(
+            self,
+            idle_connection_timeout=IDLE_SECONDS,
+            max_header_size=MAX_HEADER_BYTES,
+            max_body_size=MAX_BODY_BYTES,
+            max_buffer_size=MAX_BODY_BYTES,
+        )
         self._readiness_server: tornado.httpserver.HTTPServer | None = None
-        self._connections = connections.Connections()
         self._draining = False
         self._stop_began_at: float | None = None
         self._accept_all_until = math.inf
@@ -108,20 +112,13 @@
             ["state"],
             registry=kernel.registry,
         )
-        open_connections.labels("idle").set_function(lambda: self._connections.idle)
-        open_connections.labels("busy").set_function(lambda: self._connections.busy)
+        open_connections.labels("idle").set_function(lambda: self._server.idle)
+        open_connections.labels("busy").set_function(lambda: self._server.busy)
 
     async def start(self) -> None:
         """Starts listening for callers and for readiness checks."""
         self._tasks.spawn(self._forwarder.stall_detector.run(), name="stall-watch")
         self._tasks.spawn(self._sweep_pool(), name="connection-sweep")
-        self._server = tornado.httpserver.HTTPServer(
-            self,
-            idle_connection_timeout=IDLE_SECONDS,
-            max_header_size=MAX_HEADER_BYTES,
-            max_body_size=MAX_BODY_BYTES,
-            max_buffer_size=MAX_BODY_BYTES,
-        )
         self._server.add_sockets(_bind(self._settings.callers))
         ready = tornado.web.Application(
             [(r"/.*", _ReadyHandler, {"relay": self})], log_function=lambda handler: None
@@ -143,13 +140,13 @@
         began_at = self._stop_began_at = clock.elapsed()
         self._accept_all_until = began_at + grace * DRAIN_ACCEPT_SHARE
         self._drain_until = began_at + grace - DRAIN_MARGIN_SECONDS
-        self._connections.closes_after_answer = True
+        self._server.announce_close()
         await asyncio.sleep(READINESS_NOTICE_SECONDS)
         await self._wait_until_answered()
         # No request can arrive between the last look at those in flight and the end of acceptance,
         # because there is no await between them.
-        idle, busy = self._connections.idle, self._connections.busy
-        self._stop_accepting()
+        idle, busy = self._server.idle, self._server.busy
+        self._server.stop_accepting()
         self._log.info(
             "relay_drained",
             cut=busy,
@@ -170,20 +167,15 @@
                     return
             await asyncio.sleep(DRAIN_POLL_SECONDS)
 
-    def _stop_accepting(self) -> None:
-        if self._server is not None:
-            self._server.stop()
-        self._connections.stop_accepting()
-
     async def _close_connections(self) -> None:
         """Cancels the requests in flight and closes all connections of callers."""
-        self._stop_accepting()
+        self._server.stop_accepting()
         await self._request_tasks.close()
-        self._connections.close()
+        await self._server.close_all_connections()
 
     async def stop(self) -> None:
         """Stops listening, cancels running requests and closes all connections."""
-        self._log.info("relay_stopping", idle=self._connections.idle, busy=self._connections.busy)
+        self._log.info("relay_stopping", idle=self._server.idle, busy=self._server.busy)
         await self._close_connections()
         if self._readiness_server is not None:
             self._readiness_server.stop()
@@ -193,7 +185,7 @@
     @property
     def in_flight(self) -> int:
         """Returns the number of requests whose head has arrived and whose answer is not written."""
-        return self._connections.busy
+        return self._server.busy
 
     @property
     def ready(self) -> bool:
@@ -217,7 +209,7 @@
         """Returns the reader of a new request; part of Tornado's delegate interface."""
         return inbound.Request(
             connection=request_conn,
-            connections=self._connections,
+            server=self._server,
             handler=self._serve,
             spawn=lambda handling: self._request_tasks.spawn(handling, name="request"),
         )
