--- a/basilpost/node/pool_main.py
+++ b/basilpost/node/pool_main.py
@@ -13,11 +13,10 @@
 from basilpost.core import log, names
 from basilpost.gateway import relay
 from basilpost.groups import pool_controller
-from basilpost.node import pool_assembly
+from basilpost.node import pool_assembly, signals
 from basilpost.settings import loader, pool_loader
 
 SETTINGS_VARIABLE = "BASILPOST_CONFIG"
-STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 # Longest time for which a node that has stopped waits for the reader of its log.
 LOG_FLUSH_SECONDS = 0.2
 _EXIT_BAD_SETTINGS = 2
@@ -29,7 +28,7 @@
     kernel = pool_assembly.build(settings)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
-    for signal_number in STOP_SIGNALS:
+    for signal_number in signals.STOP:
         loop.add_signal_handler(signal_number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, _ignore_reload, kernel)
     kernel.log.info("node_starting", failure_domain=settings.failure_domain)
@@ -43,7 +42,7 @@
     await kernel.find(names.CONTROLLER, pool_controller.Controller).stop()
     await drain
     await kernel.stop()
-    _ignore_signals()
+    signals.ignore((*signals.STOP, signal.SIGHUP))
     kernel.log.info("node_stopped")
 
 
@@ -61,22 +60,6 @@
     return 0
 
 
-def _ignore_signals() -> None:
-    """Ignores further signals to stop or reload until the process has exited.
-
-    The loop restores the default handlers when it closes; a signal while the interpreter exits would
-    then end the process with the exit code of a failure.
-    """
-    loop = asyncio.get_running_loop()
-    signals = {*STOP_SIGNALS, signal.SIGHUP}
-    # Blocked meanwhile, because removing a handler of the loop restores the default one.
-    signal.pthread_sigmask(signal.SIG_BLOCK, signals)
-    for signal_number in signals:
-        loop.remove_signal_handler(signal_number)
-        signal.signal(signal_number, signal.SIG_IGN)
-    signal.pthread_sigmask(signal.SIG_UNBLOCK, signals)
-
-
 def _ignore_reload(kernel: kernel_.Kernel) -> None:
     # Everything that may change while a node runs is in the configuration in the store.
     kernel.log.info(
--- a/basilpost/node/process.py
+++ b/basilpost/node/process.py
@@ -2,16 +2,13 @@
 
 import asyncio
 import contextlib
-import signal
 
 from basilpost.core import kernel as kernel_
 from basilpost.core import names
 from basilpost.gateway import server
-from basilpost.node import assembly
+from basilpost.node import assembly, signals
 from basilpost.settings import schema
 
-_STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
-
 
 async def run(settings: schema.NodeSettings) -> None:
     """Serves until SIGTERM or SIGINT, then drains requests in flight and stops.
@@ -21,7 +18,7 @@
     kernel = assembly.build(settings, platform=assembly.http_platform(settings))
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
-    for signal_number in _STOP_SIGNALS:
+    for signal_number in signals.STOP:
         loop.add_signal_handler(signal_number, stop.set)
     starting = asyncio.create_task(kernel.start())
     stopping = asyncio.create_task(stop.wait())
@@ -32,7 +29,7 @@
         await starting
     await stopping
     await shut_down(kernel)
-    _ignore_stop_signals(loop)
+    signals.ignore(signals.STOP)
 
 
 async def shut_down(kernel: kernel_.Kernel) -> None:
@@ -41,12 +38,3 @@
     await kernel.find(names.GATEWAY, server.Gateway).drain()
     await kernel.stop()
     kernel.log.info("node_stopped")
-
-
-def _ignore_stop_signals(loop: asyncio.AbstractEventLoop) -> None:
-    # A loop that closes removes its handlers, and the default action would end the process as failed.
-    # The signals are blocked first, because removing a handler restores the default action.
-    signal.pthread_sigmask(signal.SIG_BLOCK, _STOP_SIGNALS)
-    for signal_number in _STOP_SIGNALS:
-        loop.remove_signal_handler(signal_number)
-        signal.signal(signal_number, signal.SIG_IGN)
