Test of a leaving runner waits until the node knows the runner

Traced: a node is ready once it has a configuration; its list of VMs came a few ms later, and the test looked the VM up before. The check waits for the entry now and asserts the same.

--- a/tests/pool_path_test.py
+++ b/tests/pool_path_test.py
@@ -258,7 +258,11 @@
         runner = bench.fleet.runners_by_id["desk-0"]
         runner.state = "draining"
         await runner.report()
-        await bench.wait_for_knowledge(lambda knowledge: knowledge.vms_by_id["desk-0"].vm.leaving)
+        await bench.wait_for_knowledge(
+            lambda knowledge: (
+                "desk-0" in knowledge.vms_by_id and knowledge.vms_by_id["desk-0"].vm.leaving
+            )
+        )
         before = len(runner.runs)
         answers = [await bench.call("/filing/a") for _ in range(6)]
         assert {answer.code for answer in answers} == {200}
