Soak: a scenario of planned stops under the users' timing

Cause: the soak ran nodes with a grace of 4 s and requests with a budget of 4 s, so a stopping node refused everything from 1.3 s after SIGTERM on; no connection was idle across a stop, callers ignored readiness, and stops did not come in series.

A request that a node had read counts as lost too; each line tells when it was sent and ended relative to SIGTERM. A node that outlives its grace is killed.

--- a/basilpost/emulator/pool_fleet.py
+++ b/basilpost/emulator/pool_fleet.py
@@ -17,16 +17,19 @@
 SMALL = "small"
 
 
-def configuration(version: int = 1, *, keys: tuple[str, ...] = (KEY, OTHER_KEY)) -> dict[str, Any]:
+def configuration(
+    version: int = 1, *, keys: tuple[str, ...] = (KEY, OTHER_KEY), stream_timeout_ms: int = 5000
+) -> dict[str, Any]:
     """Returns a configuration in the format of the users' platform.
 
     Its routes are `draft`, which streams from the model service, and `filing` and `lookup`, a call that
     may run only once and an idempotent one to the plain service.
     """
+    draft = _route("draft", "streaming", MODEL_SERVICE, attempts=2, sticky=True)
     return {
         "version": version,
         "routes": [
-            _route("draft", "streaming", MODEL_SERVICE, attempts=2, sticky=True),
+            draft | {"timeoutMs": stream_timeout_ms},
             _route("filing", "non_idempotent", PLAIN_SERVICE, attempts=1),
             _route("lookup", "idempotent", PLAIN_SERVICE, attempts=2),
         ],
--- a/basilpost/emulator/pool_runner.py
+++ b/basilpost/emulator/pool_runner.py
@@ -6,6 +6,7 @@
 import asyncio
 import dataclasses
 import json
+import random
 from typing import Any
 
 from tornado import web
@@ -28,6 +29,9 @@
         events: Number of events of a stream.
         event_seconds: Time between events.
         work_seconds: Time that a request to a plain service takes.
+        slowest_event_seconds: If set, the time between events is drawn for each stream, between
+            `event_seconds` and this.
+        slowest_work_seconds: If set, the same for requests to a plain service.
         full: True to reject requests with 503 before running them.
         fail: True to run requests and answer them with a signed 500.
         lose_answers: Number of coming requests that run but whose connection is closed unanswered.
@@ -46,6 +50,8 @@
     events: int = 6
     event_seconds: float = 0.01
     work_seconds: float = 0.005
+    slowest_event_seconds: float = 0.0
+    slowest_work_seconds: float = 0.0
     full: bool = False
     fail: bool = False
     lose_answers: int = 0
@@ -350,7 +356,9 @@
         )
 
     async def _answer_plain(self) -> None:
-        await asyncio.sleep(self._options.work_seconds)
+        await asyncio.sleep(
+            self._draw_seconds(self._options.work_seconds, self._options.slowest_work_seconds)
+        )
         body = json.dumps({"attempt": self.request.headers.get(_ATTEMPT)}).encode()
         if self._options.stray_answers > 0:
             self._options.stray_answers -= 1
@@ -366,8 +374,9 @@
         is_cut = self._options.cut_streams > 0
         self._options.cut_streams -= is_cut
         first = int(self.request.headers.get("Last-Event-Id") or 0) + 1
+        pause = self._draw_seconds(self._options.event_seconds, self._options.slowest_event_seconds)
         for number in range(first, self._options.events + 1):
-            await asyncio.sleep(self._options.event_seconds)
+            await asyncio.sleep(pause)
             while self._options.stalled:
                 await asyncio.sleep(self._options.event_seconds)
             if is_cut and number > self._options.cut_after_events:
@@ -380,6 +389,13 @@
             await self.flush()
         self.finish()
 
+    def _draw_seconds(self, shortest: float, longest: float) -> float:
+        """Returns a time that depends on the request's id alone; short times are more frequent."""
+        if not longest:
+            return shortest
+        share = random.Random(self.request.headers.get(_ATTEMPT)).random()
+        return float(shortest * (longest / shortest) ** share)
+
     def _write_raw(self, data: bytes) -> None:
         silent_connections.stream_of(self.request).write(data)
 
--- a/basilpost/node/pool_demo.py
+++ b/basilpost/node/pool_demo.py
@@ -135,7 +135,9 @@
     return ".".join(["127", *(str(generator.randrange(1, 255)) for _ in range(3))])
 
 
-def node_settings(node_id: str, store: str) -> pool_schema.PoolNodeSettings:
+def node_settings(
+    node_id: str, store: str, *, grace_seconds: float = GRACE_SECONDS
+) -> pool_schema.PoolNodeSettings:
     """Returns the settings of a node on a random loopback address with a store at `host:port`."""
     host = random_loopback_host()
     return pool_schema.PoolNodeSettings(
@@ -150,6 +152,6 @@
         store=store,
         first_start=True,
         bounds=pool_schema.Bounds(
-            grace_seconds=GRACE_SECONDS, retry_share=RETRY_SHARE, retry_reserve=RETRY_RESERVE
+            grace_seconds=grace_seconds, retry_share=RETRY_SHARE, retry_reserve=RETRY_RESERVE
         ),
     )
--- a/basilpost/soak/__main__.py
+++ b/basilpost/soak/__main__.py
@@ -6,10 +6,13 @@
 import pathlib
 import sys
 import tempfile
+from typing import Any
 
 import click
 
-from basilpost.soak import run
+from basilpost.soak import run, scenarios
+
+SCENARIOS_BY_PLAN = {"faults": scenarios.AllFaults, "stops": scenarios.PlannedStops}
 
 
 @click.command()
@@ -19,18 +22,34 @@
 @click.option(
     "--folder", default="", help="Folder for settings and logs; a temporary one if empty."
 )
-def main(first: int, seeds: int, seconds: float, folder: str) -> None:
+@click.option(
+    "--plan",
+    type=click.Choice(list(SCENARIOS_BY_PLAN)),
+    default="faults",
+    show_default=True,
+    help="Faults of all kinds, or series of planned stops.",
+)
+@click.option("--nodes", "nodes", type=int, help="Number of nodes.")
+@click.option("--callers", "caller_count", type=int, help="Number of callers.")
+@click.option("--vms", "vms", type=int, help="Number of VMs with a model engine's runner.")
+@click.option("--busy", "busy_processes", type=int, help="Number of busy processes beside.")
+def main(
+    first: int, seeds: int, seconds: float, folder: str, plan: str, **sizes: int | None
+) -> None:
     """Prints a line of JSON for each seed; exits with 1 if any guarantee was broken."""
-    reports = [run_seed(seed, seconds, folder) for seed in range(first, first + seeds)]
+    given_sizes: dict[str, Any] = {name: size for name, size in sizes.items() if size is not None}
+    scenario = SCENARIOS_BY_PLAN[plan](**given_sizes)
+    reports = [run_seed(seed, seconds, folder, scenario) for seed in range(first, first + seeds)]
     sys.exit(any(report.broken for report in reports))
 
 
-def run_seed(seed: int, seconds: float, folder: str) -> run.Report:
+def run_seed(seed: int, seconds: float, folder: str, scenario: scenarios.Scenario) -> run.Report:
     """Runs one seed, prints its report and returns it."""
     with tempfile.TemporaryDirectory() as temporary:
         seed_folder = pathlib.Path(folder or temporary) / str(seed)
         seed_folder.mkdir(parents=True, exist_ok=True)
-        report = asyncio.run(run.Soak(seed=seed, folder=seed_folder).run(seconds=seconds))
+        soak = run.Soak(seed=seed, folder=seed_folder, scenario=scenario)
+        report = asyncio.run(soak.run(seconds=seconds))
     click.echo(json.dumps(dataclasses.asdict(report)))
     return report
 
--- a/basilpost/soak/callers.py
+++ b/basilpost/soak/callers.py
@@ -1,6 +1,8 @@
 """Clients of the soak test, which send requests to the nodes and record the answers."""
 
+import abc
 import asyncio
+import contextlib
 import itertools
 import random
 
@@ -8,84 +10,71 @@
 
 from basilpost.core import channels, clock
 from basilpost.emulator import pool_fleet, pool_runner
-from basilpost.soak import checks
+from basilpost.soak import balancer, checks
 
 CONNECT_TIMEOUT_SECONDS = 1.0
-ANSWER_TIMEOUT_SECONDS = 6.0
+# Time after its deadline at which a request without a complete answer is given up.
+ANSWER_MARGIN_SECONDS = 2.0
 DEADLINE_MS = 4000
 # Range of a caller's pause between requests.
 PAUSE_SECONDS = (0.02, 0.1)
 # First part of the request's path, which selects its route; see `checks.Call.path`.
 REQUEST_KINDS = ("lookup", "filing", "draft")
+# Ranges for a caller behind the load balancer.
+IDLE_SECONDS = (0.0, 11.0)
+FIRST_PAUSE_SECONDS = (0.0, 1.0)
+PLAIN_BUDGET_MS = (1500, 1500)
+STREAM_BUDGET_MS = (5000, 8000)
 
 
-class Caller:
-    """A client that sends one request at a time, each to a random node.
-
-    It keeps its connections open until they fail.
+class Caller(abc.ABC):
+    """A client that sends one request at a time.
 
     Attributes:
         calls: The requests that it sent, with their answers.
     """
 
-    def __init__(self, *, name: str, addresses: tuple[str, ...], seed: str) -> None:
+    def __init__(self, *, name: str, seed: str) -> None:
         self.calls: list[checks.Call] = []
         self._name = name
-        self._addresses = addresses
         self._random = random.Random(seed)
-        self._channels = channels.Pool()
         self._request_numbers = itertools.count()
-        self._is_stopping = False
+        self._stopping = asyncio.Event()
 
+    @abc.abstractmethod
     async def run(self) -> None:
         """Sends requests until `stop` is called."""
-        while not self._is_stopping:
-            await self.send_request(
-                self._random.choice(self._addresses),
-                self._random.choice(REQUEST_KINDS),
-                self._random.choice(checks.api_keys()),
-            )
-            await asyncio.sleep(self._random.uniform(*PAUSE_SECONDS))
 
     def stop(self) -> None:
         """Makes `run` return after the request that is in flight."""
-        self._is_stopping = True
+        self._stopping.set()
 
-    async def send_request(self, address: str, path: str, key: str) -> checks.Call | None:
-        """Sends one request and returns its record, or None if no connection could be opened."""
-        channel = await self._channels.acquire(address, timeout=CONNECT_TIMEOUT_SECONDS)
-        if isinstance(channel, channels.ConnectFailed):
-            return None
-        attempt = f"{self._name}-{next(self._request_numbers)}"
-        sent_at = clock.elapsed()
-        call = await self._exchange(channel, attempt, path, key, sent_at)
-        self.calls.append(call)
-        if call.complete:
-            self._channels.release(channel)
-        else:
-            channel.close()
-        return call
+    async def _pause(self, bounds: tuple[float, float]) -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._random.uniform(*bounds)):
+                await self._stopping.wait()
 
     async def _exchange(
-        self, channel: channels.Channel, attempt: str, path: str, key: str, sent_at: float
+        self, channel: channels.Channel, path: str, key: str, *, budget_ms: int
     ) -> checks.Call:
+        """Sends a request on a connection, reads the answer and records both."""
+        attempt = f"{self._name}-{next(self._request_numbers)}"
+        sent_at = clock.elapsed()
         model = pool_fleet.LARGE if path == "draft" else ""
         headers = tornado.httputil.HTTPHeaders(
-            pool_fleet.call_headers(attempt, model=model, key=key, budget_ms=DEADLINE_MS)
+            pool_fleet.call_headers(attempt, model=model, key=key, budget_ms=budget_ms)
         )
         method = "GET" if path == "lookup" else "POST"
         body = b"" if path == "lookup" else attempt.encode()
         heads: list[channels.Head] = []
         body_parts: list[bytes] = []
-        result: channels.Head | channels.Broken
-        try:
+        result: channels.Head | channels.Broken | None = None
+        with contextlib.suppress(TimeoutError):
             channel.send(method, f"/{path}/{self._name}", headers, body)
-            async with asyncio.timeout(ANSWER_TIMEOUT_SECONDS):
+            async with asyncio.timeout(budget_ms / 1000 + ANSWER_MARGIN_SECONDS):
                 result = await channel.receive(on_head=heads.append, on_data=body_parts.append)
-        except TimeoutError:
-            result = channels.Broken(reason="no answer in time")
         head = heads[-1] if heads else None
-        return checks.Call(
+        call = checks.Call(
             attempt=attempt,
             path=path,
             key=key,
@@ -94,4 +83,91 @@
             complete=isinstance(result, channels.Head),
             signed=head is not None and pool_runner.SIGNATURE in head.headers,
             body=b"".join(body_parts),
+            address=channel.address,
+            ended_at=clock.elapsed(),
+            timed_out=result is None,
         )
+        self.calls.append(call)
+        return call
+
+
+class RandomCaller(Caller):
+    """A client that sends each request to a random node.
+
+    It keeps its connections open until they fail.
+    """
+
+    def __init__(self, *, name: str, addresses: tuple[str, ...], seed: str) -> None:
+        super().__init__(name=name, seed=seed)
+        self._addresses = addresses
+        self._channels = channels.Pool()
+
+    async def run(self) -> None:
+        """Sends requests with short pauses until `stop` is called."""
+        while not self._stopping.is_set():
+            await self.send_request(
+                self._random.choice(self._addresses),
+                self._random.choice(REQUEST_KINDS),
+                self._random.choice(checks.api_keys()),
+            )
+            await asyncio.sleep(self._random.uniform(*PAUSE_SECONDS))
+
+    async def send_request(self, address: str, path: str, key: str) -> checks.Call | None:
+        """Sends one request and returns its record, or None if no connection could be opened."""
+        channel = await self._channels.acquire(address, timeout=CONNECT_TIMEOUT_SECONDS)
+        if isinstance(channel, channels.ConnectFailed):
+            return None
+        call = await self._exchange(channel, path, key, budget_ms=DEADLINE_MS)
+        if call.complete:
+            self._channels.release(channel)
+        else:
+            channel.close()
+        return call
+
+
+class BalancedCaller(Caller):
+    """A client behind the load balancer, with one connection that is idle most of the time.
+
+    It keeps the connection until the node closes it, or says in an answer that it will.
+    """
+
+    def __init__(self, *, name: str, load_balancer: balancer.Balancer, seed: str) -> None:
+        super().__init__(name=name, seed=seed)
+        self._balancer = load_balancer
+        self._channel: channels.Channel | None = None
+
+    async def run(self) -> None:
+        """Sends requests with long pauses until `stop` is called."""
+        await self._pause(FIRST_PAUSE_SECONDS)
+        while not self._stopping.is_set():
+            channel = await self._connect()
+            if channel is not None:
+                await self._send_request(channel)
+            await self._pause(IDLE_SECONDS)
+        if self._channel is not None:
+            self._channel.close()
+
+    async def _connect(self) -> channels.Channel | None:
+        if self._channel is not None and not self._channel.stream.closed():
+            return self._channel
+        address = self._balancer.choose(self._random)
+        if address is None:
+            return None
+        channel = await channels.Pool().acquire(address, timeout=CONNECT_TIMEOUT_SECONDS)
+        return channel if isinstance(channel, channels.Channel) else None
+
+    async def _send_request(self, channel: channels.Channel) -> None:
+        path = self._random.choice(REQUEST_KINDS)
+        budget_ms = self._random.randint(
+            *(STREAM_BUDGET_MS if path == "draft" else PLAIN_BUDGET_MS)
+        )
+        key = self._random.choice(checks.api_keys())
+        call = await self._exchange(channel, path, key, budget_ms=budget_ms)
+        # Right after an answer, a connection is unusable only if the answer says that it is closed.
+        if call.complete and channel.usable:
+            # A callback makes the stream notice when the node closes it.
+            channel.stream.set_close_callback(lambda: None)
+            self._channel = channel
+        else:
+            channel.close()
+            self._channel = None
--- a/basilpost/soak/checks.py
+++ b/basilpost/soak/checks.py
@@ -4,13 +4,16 @@
 import dataclasses
 import itertools
 import json
-from collections.abc import Iterable, Sequence
+import signal
+from collections.abc import Collection, Iterable, Sequence
 
 from basilpost.emulator import pool_fleet, pool_runner
 
 # Time after which a withdrawn key or failure domain must no longer be used.
 WITHDRAWAL_SECONDS = 5.0
 NOT_RUN_STATUSES = frozenset({421, 429, 503})
+# Begins the line of a request that planned work left without a complete answer.
+CUT = "cut by planned work"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -27,6 +30,9 @@
         complete: True if the whole answer was received.
         signed: True if the answer carries a runner's signature header.
         body: The part of the body that was received.
+        address: Address of the node.
+        ended_at: When the answer was complete, the connection was closed or the caller gave up.
+        timed_out: True if the caller gave up.
     """
 
     attempt: str
@@ -37,6 +43,30 @@
     complete: bool
     signed: bool
     body: bytes
+    address: str = ""
+    ended_at: float = 0.0
+    timed_out: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Stop:
+    """A planned stop of a node process.
+
+    Attributes:
+        node_id: Name of the node.
+        address: Address at which it serves callers.
+        at: When SIGTERM was sent, in seconds of `clock.elapsed`.
+        ended_at: When the process was gone.
+        started: True if the process had logged its start.
+        exit_code: Exit code of the process, the negative number of the signal that killed it.
+    """
+
+    node_id: str
+    address: str
+    at: float
+    ended_at: float
+    started: bool
+    exit_code: int
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -61,6 +91,9 @@
     withdrawn_keys: Sequence[Withdrawal],
     withdrawn_failure_domains: Sequence[Withdrawal],
     planned_only: bool,
+    stops: Sequence[Stop] = (),
+    logged_requests: Collection[str] = (),
+    events: int = pool_runner.Options().events,
 ) -> list[str]:
     """Returns a line for each broken guarantee.
 
@@ -69,8 +102,11 @@
         runners: The emulated runners, with their logs.
         withdrawn_keys: Keys that were withdrawn.
         withdrawn_failure_domains: Failure domains that were withdrawn.
-        planned_only: True if there were planned changes only, during which every request that ran must
-            get its complete answer.
+        planned_only: True if there were planned changes only, during which every request that ran, or
+            that a node had read, must get its complete answer.
+        stops: The planned stops of nodes.
+        logged_requests: Ids of the requests that the nodes' logs name.
+        events: Number of events of a complete stream.
     """
     runners = list(runners)
     runs_by_attempt: dict[str, list[pool_runner.Run]] = collections.defaultdict(list)
@@ -78,10 +114,16 @@
         runs_by_attempt[run.attempt].append(run)
     calls_by_attempt = {call.attempt: call for call in calls}
     violations = [
-        f"{violation}: {call.attempt}, status {call.status}"
+        f"{violation}: {call.attempt}, {call.path}, status {call.status}{_after_stop(call, stops)}"
         for call in calls
-        for violation in _violations_of_call(call, runs_by_attempt[call.attempt], planned_only)
+        for violation in _violations_of_call(call, runs_by_attempt[call.attempt], events)
     ]
+    if planned_only:
+        violations += [
+            f"{CUT}: {call.attempt}, {call.path}, status {call.status}{_after_stop(call, stops)}"
+            for call in calls
+            if _is_lost(call, bool(runs_by_attempt[call.attempt]), logged_requests)
+        ]
     violations += [
         f"ran unasked: {attempt}" for attempt in runs_by_attempt if attempt not in calls_by_attempt
     ]
@@ -101,9 +143,45 @@
     return violations + _joins_without_leaving(runners)
 
 
-def _violations_of_call(
-    call: Call, runs: Sequence[pool_runner.Run], planned_only: bool
-) -> Iterable[str]:
+def check_stop(stop: Stop, *, seconds: float) -> list[str]:
+    """Returns a line for each guarantee that a planned stop broke.
+
+    Args:
+        stop: The stop.
+        seconds: Time after SIGTERM within which the process must be gone.
+    """
+    violations = []
+    allowed_codes = (0,) if stop.started else (0, -signal.SIGTERM)
+    if stop.exit_code not in allowed_codes:
+        violations.append(f"{stop.node_id} ended with {stop.exit_code} when asked to stop")
+    if stop.ended_at - stop.at > seconds:
+        violations.append(f"{stop.node_id} took {stop.ended_at - stop.at:.2f} s to stop")
+    return violations
+
+
+def _is_lost(call: Call, ran: bool, logged_requests: Collection[str]) -> bool:
+    """Returns True if a request that a runner ran, or that a node had read, got no complete answer.
+
+    A request is not lost if its connection was closed before anything shows that the node read it.
+    """
+    was_read = call.status != 0 or call.timed_out or call.attempt in logged_requests
+    return not call.complete and (ran or was_read)
+
+
+def _after_stop(call: Call, stops: Iterable[Stop]) -> str:
+    """Describes when a request was sent and ended relative to the last stop of its node before."""
+    earlier = [stop for stop in stops if stop.address == call.address and stop.at < call.ended_at]
+    if not earlier:
+        return ""
+    stop = max(earlier, key=lambda stop: stop.at)
+    return (
+        f", sent {call.sent_at - stop.at:.2f} s after SIGTERM to {stop.node_id}"
+        f", ended {call.ended_at - call.sent_at:.2f} s later"
+        f", process gone at {stop.ended_at - stop.at:.2f} s"
+    )
+
+
+def _violations_of_call(call: Call, runs: Sequence[pool_runner.Run], events: int) -> Iterable[str]:
     if call.path == "filing" and len(runs) > 1:
         yield "ran more than once"
     if call.path == "filing" and call.status in NOT_RUN_STATUSES and runs:
@@ -111,17 +189,15 @@
     if call.status == 200 and call.complete:
         if not call.signed:
             yield "a success without signature"
-        if not _has_expected_body(call):
+        if not _has_expected_body(call, events):
             yield "a success with another body"
     if call.path == "draft" and not _has_consecutive_events(call):
         yield "events are missing or come twice"
-    if planned_only and runs and not call.complete:
-        yield "cut by planned work"
 
 
-def _has_expected_body(call: Call) -> bool:
+def _has_expected_body(call: Call, events: int) -> bool:
     if call.path == "draft":
-        return event_ids(call.body) == list(range(1, pool_runner.Options().events + 1))
+        return event_ids(call.body) == list(range(1, events + 1))
     try:
         return bool(json.loads(call.body)["attempt"] == call.attempt)
     except (ValueError, KeyError, TypeError):
--- a/basilpost/soak/faults.py
+++ b/basilpost/soak/faults.py
@@ -8,7 +8,8 @@
 class Kind(enum.Enum):
     """A kind of fault or planned change.
 
-    KILL, STOP, PAUSE and RELOAD send a signal to a node. STORE_* and RUNNER_* disturb the connections
+    KILL, STOP, PAUSE and RELOAD send a signal to a node; STOP_AGAIN sends a further SIGTERM to a node
+    that is stopping already. STORE_* and RUNNER_* disturb the connections
     to the store or to a runner; RUNNER_GONE stops a runner, and STORE_AWAY cuts all nodes off from the
     store. ANSWERS_LOST makes a plain service close connections unanswered. KEY_TAKEN withdraws an API
     key and DOMAIN_OUT a failure domain for a time.
@@ -31,8 +32,11 @@
     ANSWERS_LOST = "answers_lost"
     KEY_TAKEN = "key_taken"
     DOMAIN_OUT = "domain_out"
+    STOP_AGAIN = "stop_again"
 
 
+# The kinds that `draw` picks from; their number and order decide what a seed draws.
+KINDS = tuple(kind for kind in Kind if kind is not Kind.STOP_AGAIN)
 PLANNED = (Kind.STOP, Kind.RELOAD, Kind.KEY_TAKEN, Kind.DOMAIN_OUT)
 # Mean time between the beginnings of faults. It is shorter than the mean length, so faults overlap.
 MEAN_GAP_SECONDS = 1.0
@@ -42,6 +46,22 @@
 # its complete answer.
 PLANNED_EVERY = 5
 
+# Planned stops come in series. The first one leaves the callers time to open their connections.
+FIRST_SERIES_SECONDS = (2.5, 4.0)
+MEAN_SERIES_GAP_SECONDS = 5.0
+STOPS_PER_SERIES = (1, 3)
+STOP_GAP_SECONDS = (0.2, 1.5)
+# What may accompany a planned stop: its probability, and when it begins relative to the stop.
+COMPANIONS = (
+    (Kind.STOP_AGAIN, 0.4, (0.0, 5.0)),
+    (Kind.RELOAD, 0.4, (0.0, 8.0)),
+    (Kind.STOP, 0.2, (2.0, 8.0)),
+    (Kind.STORE_SLOW, 0.15, (-1.0, 3.0)),
+    (Kind.STORE_SILENT, 0.15, (-1.0, 3.0)),
+    (Kind.KEY_TAKEN, 0.1, (-2.0, 2.0)),
+    (Kind.DOMAIN_OUT, 0.1, (-2.0, 2.0)),
+)
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Fault:
@@ -73,7 +93,7 @@
         seconds: Time during which faults begin.
     """
     rng = random.Random(seed)
-    kinds = PLANNED if has_planned_changes_only(seed) else tuple(Kind)
+    kinds = PLANNED if has_planned_changes_only(seed) else KINDS
     faults = []
     at = rng.expovariate(1.0 / MEAN_GAP_SECONDS)
     while at < seconds:
@@ -87,3 +107,36 @@
         )
         at += rng.expovariate(1.0 / MEAN_GAP_SECONDS)
     return tuple(faults)
+
+
+def draw_stops(seed: int, *, seconds: float) -> tuple[Fault, ...]:
+    """Returns series of planned stops and what accompanies them, in the order in which they begin.
+
+    Args:
+        seed: Seed of the random numbers; the same seed gives the same faults.
+        seconds: Time during which series begin.
+    """
+    rng = random.Random(f"stops/{seed}")
+    faults = []
+    series_at = rng.uniform(*FIRST_SERIES_SECONDS)
+    while series_at < seconds:
+        at = series_at
+        first_target = rng.randrange(1_000)
+        for number in range(rng.randint(*STOPS_PER_SERIES)):
+            companions = [
+                (kind, rng.uniform(*begins))
+                for kind, probability, begins in COMPANIONS
+                if rng.random() < probability
+            ]
+            faults += [
+                Fault(
+                    kind=kind,
+                    at=at + offset,
+                    seconds=rng.uniform(*LENGTH_SECONDS),
+                    target_index=first_target + number,
+                )
+                for kind, offset in [(Kind.STOP, 0.0), *companions]
+            ]
+            at += rng.uniform(*STOP_GAP_SECONDS)
+        series_at += rng.expovariate(1.0 / MEAN_SERIES_GAP_SECONDS)
+    return tuple(sorted(faults, key=lambda fault: fault.at))
--- a/basilpost/soak/processes.py
+++ b/basilpost/soak/processes.py
@@ -1,20 +1,24 @@
 """Node processes of the soak test, which are started, signalled and killed."""
 
 import asyncio
+import contextlib
 import os
 import pathlib
+import re
 import signal
 import sys
+from collections.abc import AsyncIterator
 
-from basilpost.core import codec
+from basilpost.core import clock, codec
 from basilpost.node import pool_demo
 from basilpost.settings import pool_schema
-from basilpost.soak import proxies
+from basilpost.soak import checks, proxies
 
 STARTED_EVENT = b'"event": "node_started"'
 COMMAND = (sys.executable, "-m", "basilpost.node.pool_process")
-# A node that was asked to stop exits within its grace time and a margin.
-STOP_TIMEOUT_SECONDS = pool_demo.GRACE_SECONDS + 3.0
+# Busy processes end by themselves, in case that the run is killed.
+_BUSY_PROGRAM = "import time\nend = time.monotonic() + 300\nwhile time.monotonic() < end: pass"
+_REQUEST_PATTERN = re.compile(rb'"request": "([^"]+)"')
 
 
 class NodeProcess:
@@ -23,13 +27,24 @@
     Attributes:
         settings: Settings of the node.
         store_proxy: The proxy through which the node reaches the store.
-        unexpected_exit_codes: Exit codes other than the allowed ones after a request to stop.
+        stops: The planned stops of the process.
     """
 
-    def __init__(self, *, node_id: str, store: str, folder: pathlib.Path) -> None:
+    def __init__(
+        self,
+        *,
+        node_id: str,
+        store: str,
+        folder: pathlib.Path,
+        grace_seconds: float,
+        stop_seconds: float,
+    ) -> None:
         self.store_proxy = proxies.Proxy(target=store)
-        self.unexpected_exit_codes: list[int] = []
-        self._start_count = 0
+        self.stops: list[checks.Stop] = []
+        self._grace_seconds = grace_seconds
+        self._stop_seconds = stop_seconds
+        self._is_stopping = False
+        self._log_bytes_before = 0
         self._node_id = node_id
         self._folder = folder
         self._process: asyncio.subprocess.Process | None = None
@@ -39,7 +54,9 @@
     async def start(self) -> None:
         """Starts the proxy and the process."""
         await self.store_proxy.start()
-        self.settings = pool_demo.node_settings(self._node_id, self.store_proxy.address)
+        self.settings = pool_demo.node_settings(
+            self._node_id, self.store_proxy.address, grace_seconds=self._grace_seconds
+        )
         (self._folder / f"{self._node_id}.jsonc").write_bytes(codec.to_json(self.settings))
         await self._start_process()
 
@@ -54,20 +71,42 @@
         """Kills the process and starts it again after some seconds."""
         async with self._lifecycle_lock:
             self._signal(signal.SIGKILL)
-            await self._wait()
+            assert self._process is not None
+            await self._process.wait()
             await asyncio.sleep(seconds)
             await self._start_process()
 
     async def stop(self) -> None:
-        """Sends SIGTERM, waits until the process exits and starts it again at once."""
+        """Sends SIGTERM, later SIGKILL, and starts the process again once it has exited."""
         async with self._lifecycle_lock:
-            allowed = (0,) if self._has_started() else (0, -signal.SIGTERM)
+            assert self._process is not None
+            at = clock.elapsed()
             self._signal(signal.SIGTERM)
-            code = await self._wait()
-            if code not in allowed:
-                self.unexpected_exit_codes.append(code)
+            self._is_stopping = True
+            try:
+                async with asyncio.timeout(self._stop_seconds):
+                    code = await self._process.wait()
+            except TimeoutError:
+                self._signal(signal.SIGKILL)
+                code = await self._process.wait()
+            self._is_stopping = False
+            self.stops.append(
+                checks.Stop(
+                    node_id=self._node_id,
+                    address=self.settings.callers,
+                    at=at,
+                    ended_at=clock.elapsed(),
+                    started=self._has_started(),
+                    exit_code=code,
+                )
+            )
             await self._start_process()
 
+    def stop_again(self) -> None:
+        """Sends a further SIGTERM if the process is stopping already."""
+        if self._is_stopping:
+            self._signal(signal.SIGTERM)
+
     async def pause(self, *, seconds: float) -> None:
         """Suspends the process for some seconds."""
         async with self._lifecycle_lock:
@@ -79,22 +118,24 @@
         """Sends SIGHUP, on which the process reads its settings again."""
         self._signal(signal.SIGHUP)
 
+    def logged_requests(self) -> frozenset[str]:
+        """Returns the ids of the requests that the log names, all of which the node has read."""
+        return frozenset(found.decode() for found in _REQUEST_PATTERN.findall(self._read_log()))
+
     def _has_started(self) -> bool:
         """Returns True if the process has logged its start; until then SIGTERM may kill it."""
-        log = (self._folder / f"{self._node_id}.log").read_bytes()
-        return log.count(STARTED_EVENT) >= self._start_count
+        return STARTED_EVENT in self._read_log()[self._log_bytes_before :]
+
+    def _read_log(self) -> bytes:
+        path = self._folder / f"{self._node_id}.log"
+        return path.read_bytes() if path.exists() else b""
 
     def _signal(self, number: signal.Signals) -> None:
         if self._process is not None and self._process.returncode is None:
             self._process.send_signal(number)
 
-    async def _wait(self) -> int:
-        assert self._process is not None
-        async with asyncio.timeout(STOP_TIMEOUT_SECONDS):
-            return await self._process.wait()
-
     async def _start_process(self) -> None:
-        self._start_count += 1
+        self._log_bytes_before = len(self._read_log())
         path = self._folder / f"{self._node_id}.jsonc"
         with (self._folder / f"{self._node_id}.log").open("ab") as log:  # noqa: ASYNC230
             self._process = await asyncio.create_subprocess_exec(
@@ -103,3 +144,18 @@
                 stdout=log,
                 stderr=log,
             )
+
+
+@contextlib.asynccontextmanager
+async def busy(count: int) -> AsyncIterator[None]:
+    """Keeps some processes busy that compete with the nodes for the processors."""
+    started = [
+        await asyncio.create_subprocess_exec(sys.executable, "-c", _BUSY_PROGRAM)
+        for _ in range(count)
+    ]
+    try:
+        yield
+    finally:
+        for process in started:
+            process.kill()
+            await process.wait()
--- a/basilpost/soak/run.py
+++ b/basilpost/soak/run.py
@@ -4,17 +4,15 @@
 import collections
 import contextlib
 import dataclasses
+import itertools
 import pathlib
 from collections.abc import Awaitable
+from typing import Any
 
 from basilpost.core import clock
 from basilpost.emulator import pool_fleet
-from basilpost.soak import callers, checks, faults, processes, proxies
+from basilpost.soak import callers, checks, faults, processes, proxies, scenarios
 
-# Numbers of node processes, of concurrent callers and of VMs with a model engine's runner.
-NODES = 3
-CALLERS = 8
-VMS = 7
 START_TIMEOUT_SECONDS = 20.0
 # Time after the last fault within which every node must serve every kind of request again. It
 # covers a lease of the controller, the loads of a group and the return of the runners.
@@ -35,6 +33,9 @@
         faults: Number of faults.
         calls: Number of requests.
         served: Number of requests with status 200 and a complete answer.
+        stops: Number of planned stops of nodes.
+        lost: Number of requests that planned work left without a complete answer.
+        crossed: Number of requests on connections that were closed before a node had read them.
         broken: A line for each broken guarantee.
     """
 
@@ -42,17 +43,26 @@
     faults: int
     calls: int
     served: int
+    stops: int
+    lost: int
+    crossed: int
     broken: tuple[str, ...]
 
 
 class Soak:
     """The nodes, emulated back ends and callers of one run."""
 
-    def __init__(self, *, seed: int, folder: pathlib.Path) -> None:
+    def __init__(
+        self, *, seed: int, folder: pathlib.Path, scenario: scenarios.Scenario | None = None
+    ) -> None:
         self._seed = seed
-        self._fleet = pool_fleet.PoolFleet(vms=VMS, plain_instances=len(FAILURE_DOMAINS) * 2)
+        self._scenario = scenario or scenarios.AllFaults()
+        self._fleet = pool_fleet.PoolFleet(
+            vms=self._scenario.vms, plain_instances=len(FAILURE_DOMAINS) * 2
+        )
         for number, runner in enumerate(self._fleet.runners_by_id.values()):
             runner.failure_domain = FAILURE_DOMAINS[number % len(FAILURE_DOMAINS)]
+            runner.options = dataclasses.replace(self._scenario.runner_options)
         self._folder = folder
         self._nodes: list[processes.NodeProcess] = []
         self._proxies_by_vm: dict[str, proxies.Proxy] = {}
@@ -66,18 +76,14 @@
 
     async def run(self, *, seconds: float) -> Report:
         """Injects faults that begin within `seconds`, then checks all guarantees."""
-        schedule = faults.draw(self._seed, seconds=seconds)
+        schedule = self._scenario.draw(self._seed, seconds=seconds)
         async with contextlib.AsyncExitStack() as stack:
             await self._start(stack)
-            addresses = tuple(node.settings.callers for node in self._nodes)
-            self._callers = [
-                callers.Caller(
-                    name=f"c{number}", addresses=addresses, seed=f"{self._seed}/{number}"
-                )
-                for number in range(CALLERS)
-            ]
             await self._wait_until_all_serve("at the start", START_TIMEOUT_SECONDS)
-            caller_tasks = [asyncio.create_task(caller.run()) for caller in self._callers[:CALLERS]]
+            settings = [node.settings for node in self._nodes]
+            started = await self._scenario.callers(settings, seed=self._seed, stack=stack)
+            self._callers += started
+            caller_tasks = [asyncio.create_task(caller.run()) for caller in started]
             await asyncio.gather(*(self._inject_when_due(fault) for fault in schedule))
             await self._wait_until_all_serve("after the last fault", RECOVERY_TIMEOUT_SECONDS)
             for caller in self._callers:
@@ -88,6 +94,7 @@
     async def _start(self, stack: contextlib.AsyncExitStack) -> None:
         stack.push_async_callback(self._fleet.stop)
         await self._fleet.start()
+        await self._fleet.configure(self._configuration())
         for runner in self._fleet.runners_by_id.values():
             proxy = proxies.Proxy(target=runner.address)
             await proxy.start()
@@ -95,17 +102,27 @@
             self._proxies_by_vm[runner.vm_id] = proxy
             runner.address = proxy.address
             await runner.report()
-        for number in range(NODES):
+        for number in range(self._scenario.nodes):
             node = processes.NodeProcess(
-                node_id=f"node-{number}", store=self._fleet.store.address, folder=self._folder
+                node_id=f"node-{number}",
+                store=self._fleet.store.address,
+                folder=self._folder,
+                grace_seconds=self._scenario.grace_seconds,
+                stop_seconds=self._scenario.stop_seconds,
             )
             stack.push_async_callback(node.close)
             await node.start()
             self._nodes.append(node)
+        await stack.enter_async_context(processes.busy(self._scenario.busy_processes))
+
+    def _configuration(self, **options: Any) -> dict[str, Any]:
+        return pool_fleet.configuration(
+            self._version, stream_timeout_ms=self._scenario.stream_timeout_ms, **options
+        )
 
     async def _wait_until_all_serve(self, when: str, seconds: float) -> None:
         """Waits until each node serves each kind of request; what times out is a violation."""
-        probe = callers.Caller(name=f"probe-{len(self._callers)}", addresses=(), seed="")
+        probe = callers.RandomCaller(name=f"probe-{len(self._callers)}", addresses=(), seed="")
         self._callers.append(probe)
         deadline = clock.elapsed() + seconds
         for node in self._nodes:
@@ -123,23 +140,31 @@
 
     def _report(self, schedule: tuple[faults.Fault, ...]) -> Report:
         calls = [call for caller in self._callers for call in caller.calls]
-        self._violations += [
-            f"{node.settings.node_id} ended with {code} when asked to stop"
-            for node in self._nodes
-            for code in node.unexpected_exit_codes
-        ]
+        stops = [stop for node in self._nodes for stop in node.stops]
+        logged_requests = frozenset(
+            itertools.chain.from_iterable(node.logged_requests() for node in self._nodes)
+        )
+        for stop in stops:
+            self._violations += checks.check_stop(stop, seconds=self._scenario.stop_seconds)
         self._violations += checks.check(
             calls,
             self._fleet.runners_by_id.values(),
             withdrawn_keys=self._withdrawn_keys,
             withdrawn_failure_domains=self._withdrawn_failure_domains,
-            planned_only=faults.has_planned_changes_only(self._seed),
+            planned_only=self._scenario.has_planned_changes_only(self._seed),
+            stops=stops,
+            logged_requests=logged_requests,
+            events=self._scenario.runner_options.events,
         )
+        lost = sum(line.startswith(checks.CUT) for line in self._violations)
         return Report(
             seed=self._seed,
             faults=len(schedule),
             calls=len(calls),
             served=sum(call.complete and call.status == 200 for call in calls),
+            stops=len(stops),
+            lost=lost,
+            crossed=sum(not call.complete for call in calls) - lost,
             broken=tuple(self._violations),
         )
 
@@ -159,6 +184,8 @@
                 return node.kill(seconds=fault.seconds)
             case faults.Kind.STOP:
                 return node.stop()
+            case faults.Kind.STOP_AGAIN:
+                return self._stop_again(node)
             case faults.Kind.PAUSE:
                 return node.pause(seconds=fault.seconds)
             case faults.Kind.RELOAD:
@@ -192,6 +219,9 @@
             case _:
                 return self._withdraw_failure_domain(fault)
 
+    async def _stop_again(self, node: processes.NodeProcess) -> None:
+        node.stop_again()
+
     async def _reload(self, node: processes.NodeProcess) -> None:
         node.reload()
 
@@ -246,16 +276,14 @@
         """Withdraws a key for longer than it may still be used, so that a later use is detected."""
         async with self._configuration_lock:
             self._version += 1
-            await self._fleet.configure(
-                pool_fleet.configuration(self._version, keys=(pool_fleet.KEY,))
-            )
+            await self._fleet.configure(self._configuration(keys=(pool_fleet.KEY,)))
             at = clock.elapsed()
             await asyncio.sleep(checks.WITHDRAWAL_SECONDS + fault.seconds)
             self._withdrawn_keys.append(
                 checks.Withdrawal(name=pool_fleet.OTHER_KEY, at=at, until=clock.elapsed())
             )
             self._version += 1
-            await self._fleet.configure(pool_fleet.configuration(self._version))
+            await self._fleet.configure(self._configuration())
 
     async def _withdraw_failure_domain(self, fault: faults.Fault) -> None:
         async with self._configuration_lock:
