Soak: silent stores reach the end of a drain; tests of the new checks

A second run in the same folder read the log of the first.

Unit tests of the lost requests and of the exit of a stopped node.

--- a/basilpost/soak/__main__.py
+++ b/basilpost/soak/__main__.py
@@ -29,9 +29,9 @@
     show_default=True,
     help="Faults of all kinds, or series of planned stops.",
 )
-@click.option("--nodes", "nodes", type=int, help="Number of nodes.")
+@click.option("--nodes", type=int, help="Number of nodes.")
 @click.option("--callers", "caller_count", type=int, help="Number of callers.")
-@click.option("--vms", "vms", type=int, help="Number of VMs with a model engine's runner.")
+@click.option("--vms", type=int, help="Number of VMs with a model engine's runner.")
 @click.option("--busy", "busy_processes", type=int, help="Number of busy processes beside.")
 def main(
     first: int, seeds: int, seconds: float, folder: str, plan: str, **sizes: int | None
--- a/basilpost/soak/balancer.py
+++ b/basilpost/soak/balancer.py
@@ -1,9 +1,8 @@
 """A stand-in for the users' load balancer, which opens new connections to ready nodes only."""
 
 import asyncio
-import contextlib
 import random
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import Mapping
 
 import tornado.httputil
 
@@ -23,19 +22,14 @@
         self._readiness_by_address = readiness_by_address
         self._failed_checks_by_address = dict.fromkeys(readiness_by_address, FAILED_CHECKS)
 
-    @contextlib.asynccontextmanager
-    async def running(self) -> AsyncIterator[None]:
-        """Checks the nodes while the context is entered."""
-        checks = [
-            asyncio.create_task(self._check_repeatedly(address))
-            for address in self._readiness_by_address
-        ]
-        try:
-            yield
-        finally:
-            for check in checks:
-                check.cancel()
-            await asyncio.gather(*checks, return_exceptions=True)
+    @property
+    def addresses(self) -> tuple[str, ...]:
+        """Returns the addresses of all nodes."""
+        return tuple(self._readiness_by_address)
+
+    async def run(self) -> None:
+        """Checks the nodes until it is cancelled."""
+        await asyncio.gather(*map(self._check_repeatedly, self.addresses))
 
     def choose(self, rng: random.Random) -> str | None:
         """Returns the address of a random ready node, None if there is none."""
--- a/basilpost/soak/checks_test.py
+++ b/basilpost/soak/checks_test.py
@@ -32,6 +32,7 @@
     after="",
     credential_forwarded=False,
 )
+STOP = checks.Stop(node_id="node-0", address="n", at=90.0, ended_at=93.0, started=True, exit_code=0)
 DOMAIN_WITHDRAWAL = checks.Withdrawal(name="a", at=90.0, until=110.0)
 KEY_WITHDRAWAL = checks.Withdrawal(name=pool_fleet.KEY, at=90.0, until=110.0)
 
@@ -43,15 +44,17 @@
     return emulated
 
 
-def broken(call, *runners, withdrawn_keys=(), withdrawn_failure_domains=(), planned_only=False):
-    violations = checks.check(
-        [call],
-        runners,
-        withdrawn_keys=withdrawn_keys,
-        withdrawn_failure_domains=withdrawn_failure_domains,
-        planned_only=planned_only,
-    )
-    return [line.partition(":")[0] for line in violations]
+def broken(call, *runners, **options):
+    return [line.partition(":")[0] for line in broken_lines(call, *runners, **options)]
+
+
+def broken_lines(call, *runners, **options):
+    defaults = {
+        "withdrawn_keys": (),
+        "withdrawn_failure_domains": (),
+        "planned_only": False,
+    }
+    return checks.check([call], runners, **(defaults | options))
 
 
 def test_correct_runs_pass():
@@ -94,6 +97,78 @@
     assert broken(cut, runner(RAN)) == []
 
 
+@pytest.mark.parametrize(
+    ("changes", "runs", "logged_requests", "lost"),
+    [
+        ({}, [], [], False),
+        ({}, [RAN], [], True),
+        ({}, [], ["one"], True),
+        ({}, [], ["other"], False),
+        ({"status": 200}, [], [], True),
+        ({"timed_out": True}, [], [], True),
+        ({"status": 503, "complete": True}, [RAN], ["one"], False),
+    ],
+    ids=[
+        "crossed the close",
+        "ran",
+        "read by the node",
+        "another one was read",
+        "a stream that ended early",
+        "no answer on an open connection",
+        "answered with a refusal",
+    ],
+)
+def test_a_request_without_an_answer_is_lost_if_a_node_had_read_it(
+    changes, runs, logged_requests, lost
+):
+    call = dataclasses.replace(
+        FILED, **({"path": "draft", "status": 0, "complete": False, "body": b""} | changes)
+    )
+    lines = broken(call, runner(*runs), planned_only=True, logged_requests=logged_requests)
+    assert lines == ([checks.CUT] if lost else [])
+
+
+def test_a_lost_request_is_reported_with_the_last_stop_before_its_end():
+    cut = dataclasses.replace(FILED, complete=False, status=0, address="n", ended_at=100.5)
+    stops = [
+        dataclasses.replace(STOP, at=80.0),
+        dataclasses.replace(STOP, at=97.0, ended_at=100.75),
+        dataclasses.replace(STOP, at=98.0, address="other"),
+        dataclasses.replace(STOP, at=101.0),
+    ]
+    (line,) = broken_lines(cut, runner(RAN), planned_only=True, stops=stops)
+    assert line == (
+        "cut by planned work: one, filing, status 0, sent 3.00 s after SIGTERM to node-0"
+        ", ended 0.50 s later, process gone at 3.75 s"
+    )
+
+
+def test_a_stream_must_have_all_events_that_its_runner_sends():
+    assert broken(DRAFTED, runner(RAN), events=pool_runner.Options().events + 1) == [
+        "a success with another body"
+    ]
+
+
+@pytest.mark.parametrize(
+    ("started", "exit_code", "seconds", "lines"),
+    [
+        (True, 0, 7.9, []),
+        (False, 0, 7.9, []),
+        (False, -15, 0.1, []),
+        (True, -15, 0.1, ["node-0 ended with -15 when asked to stop"]),
+        (False, -1, 0.1, ["node-0 ended with -1 when asked to stop"]),
+        (True, 1, 3.0, ["node-0 ended with 1 when asked to stop"]),
+        (True, 0, 8.5, ["node-0 took 8.50 s to stop"]),
+        (True, -9, 8.5, ["node-0 ended with -9 when asked to stop", "node-0 took 8.50 s to stop"]),
+    ],
+)
+def test_a_stop_must_end_with_0_in_its_time(started, exit_code, seconds, lines):
+    stop = dataclasses.replace(
+        STOP, started=started, exit_code=exit_code, ended_at=STOP.at + seconds
+    )
+    assert checks.check_stop(stop, seconds=8.0) == lines
+
+
 def test_use_after_a_withdrawal_is_detected():
     assert broken(FILED, runner(RAN), withdrawn_failure_domains=[DOMAIN_WITHDRAWAL]) != []
     assert broken(FILED, runner(RAN), withdrawn_keys=[KEY_WITHDRAWAL]) != []
--- a/basilpost/soak/faults.py
+++ b/basilpost/soak/faults.py
@@ -51,13 +51,14 @@
 MEAN_SERIES_GAP_SECONDS = 5.0
 STOPS_PER_SERIES = (1, 3)
 STOP_GAP_SECONDS = (0.2, 1.5)
+COMPANION_SECONDS = (2.0, 6.0)
 # What may accompany a planned stop: its probability, and when it begins relative to the stop.
 COMPANIONS = (
     (Kind.STOP_AGAIN, 0.4, (0.0, 5.0)),
     (Kind.RELOAD, 0.4, (0.0, 8.0)),
     (Kind.STOP, 0.2, (2.0, 8.0)),
-    (Kind.STORE_SLOW, 0.15, (-1.0, 3.0)),
-    (Kind.STORE_SILENT, 0.15, (-1.0, 3.0)),
+    (Kind.STORE_SLOW, 0.2, (-1.0, 2.5)),
+    (Kind.STORE_SILENT, 0.4, (0.5, 3.5)),
     (Kind.KEY_TAKEN, 0.1, (-2.0, 2.0)),
     (Kind.DOMAIN_OUT, 0.1, (-2.0, 2.0)),
 )
@@ -132,7 +133,7 @@
                 Fault(
                     kind=kind,
                     at=at + offset,
-                    seconds=rng.uniform(*LENGTH_SECONDS),
+                    seconds=rng.uniform(*COMPANION_SECONDS),
                     target_index=first_target + number,
                 )
                 for kind, offset in [(Kind.STOP, 0.0), *companions]
--- a/basilpost/soak/processes.py
+++ b/basilpost/soak/processes.py
@@ -49,6 +49,7 @@
         self._folder = folder
         self._process: asyncio.subprocess.Process | None = None
         self._lifecycle_lock = asyncio.Lock()
+        self._log_path = folder / f"{node_id}.log"
         self.settings: pool_schema.PoolNodeSettings
 
     async def start(self) -> None:
@@ -58,6 +59,8 @@
             self._node_id, self.store_proxy.address, grace_seconds=self._grace_seconds
         )
         (self._folder / f"{self._node_id}.jsonc").write_bytes(codec.to_json(self.settings))
+        # A former run in the same folder had requests of the same names.
+        self._log_path.write_bytes(b"")
         await self._start_process()
 
     async def close(self) -> None:
@@ -120,24 +123,21 @@
 
     def logged_requests(self) -> frozenset[str]:
         """Returns the ids of the requests that the log names, all of which the node has read."""
-        return frozenset(found.decode() for found in _REQUEST_PATTERN.findall(self._read_log()))
+        log = self._log_path.read_bytes()
+        return frozenset(found.decode() for found in _REQUEST_PATTERN.findall(log))
 
     def _has_started(self) -> bool:
         """Returns True if the process has logged its start; until then SIGTERM may kill it."""
-        return STARTED_EVENT in self._read_log()[self._log_bytes_before :]
-
-    def _read_log(self) -> bytes:
-        path = self._folder / f"{self._node_id}.log"
-        return path.read_bytes() if path.exists() else b""
+        return STARTED_EVENT in self._log_path.read_bytes()[self._log_bytes_before :]
 
     def _signal(self, number: signal.Signals) -> None:
         if self._process is not None and self._process.returncode is None:
             self._process.send_signal(number)
 
     async def _start_process(self) -> None:
-        self._log_bytes_before = len(self._read_log())
+        self._log_bytes_before = self._log_path.stat().st_size
         path = self._folder / f"{self._node_id}.jsonc"
-        with (self._folder / f"{self._node_id}.log").open("ab") as log:  # noqa: ASYNC230
+        with self._log_path.open("ab") as log:  # noqa: ASYNC230
             self._process = await asyncio.create_subprocess_exec(
                 *COMMAND,
                 env={**os.environ, "BASILPOST_CONFIG": str(path)},
--- a/basilpost/soak/run.py
+++ b/basilpost/soak/run.py
@@ -11,7 +11,7 @@
 
 from basilpost.core import clock
 from basilpost.emulator import pool_fleet
-from basilpost.soak import callers, checks, faults, processes, proxies, scenarios
+from basilpost.soak import balancer, callers, checks, faults, processes, proxies, scenarios
 
 START_TIMEOUT_SECONDS = 20.0
 # Time after the last fault within which every node must serve every kind of request again. It
@@ -80,10 +80,7 @@
         async with contextlib.AsyncExitStack() as stack:
             await self._start(stack)
             await self._wait_until_all_serve("at the start", START_TIMEOUT_SECONDS)
-            settings = [node.settings for node in self._nodes]
-            started = await self._scenario.callers(settings, seed=self._seed, stack=stack)
-            self._callers += started
-            caller_tasks = [asyncio.create_task(caller.run()) for caller in started]
+            caller_tasks = self._start_callers(stack)
             await asyncio.gather(*(self._inject_when_due(fault) for fault in schedule))
             await self._wait_until_all_serve("after the last fault", RECOVERY_TIMEOUT_SECONDS)
             for caller in self._callers:
@@ -115,6 +112,22 @@
             self._nodes.append(node)
         await stack.enter_async_context(processes.busy(self._scenario.busy_processes))
 
+    def _start_callers(self, stack: contextlib.AsyncExitStack) -> list[asyncio.Task[None]]:
+        load_balancer = balancer.Balancer(
+            readiness_by_address={
+                node.settings.callers: node.settings.readiness for node in self._nodes
+            }
+        )
+        stack.callback(asyncio.create_task(load_balancer.run()).cancel)
+        started = [
+            self._scenario.caller(
+                name=f"c{number}", seed=f"{self._seed}/{number}", load_balancer=load_balancer
+            )
+            for number in range(self._scenario.caller_count)
+        ]
+        self._callers += started
+        return [asyncio.create_task(caller.run()) for caller in started]
+
     def _configuration(self, **options: Any) -> dict[str, Any]:
         return pool_fleet.configuration(
             self._version, stream_timeout_ms=self._scenario.stream_timeout_ms, **options
@@ -151,7 +164,7 @@
             self._fleet.runners_by_id.values(),
             withdrawn_keys=self._withdrawn_keys,
             withdrawn_failure_domains=self._withdrawn_failure_domains,
-            planned_only=self._scenario.has_planned_changes_only(self._seed),
+            planned_only=self._seed % self._scenario.planned_every == 0,
             stops=stops,
             logged_requests=logged_requests,
             events=self._scenario.runner_options.events,
