A request that was read before its connection closed, but parsed after, is not handled

What callers would see: at the instant in which a stopping node closes its idle connections, a request that was run and got no answer.

Cause: Tornado reads the bytes of a head some passes of the event loop before it calls headers_received. A connection in between looked idle, was closed, and its request went on to the handler from Tornado's buffer. A moment between a check and the act.

Why it works: the listener drops a request whose connection is closed when it has arrived whole.

--- a/basilpost/core/listener.py
+++ b/basilpost/core/listener.py
@@ -63,6 +63,7 @@
         return _HeadObserver(
             inner=super().start_request(server_conn, request_conn),
             on_head=lambda: self._busy_by_connection.update({server_conn: True}),
+            is_closed=server_conn.stream.closed,
         )
 
     def on_close(self, server_conn: object) -> None:
@@ -93,13 +94,22 @@
 
 
 class _HeadObserver(tornado.httputil.HTTPMessageDelegate):
-    """Passes a request on to its reader, and tells when its head has arrived."""
+    """Passes a request on to its reader, and tells when its head has arrived.
+
+    A request whose connection is closed is not handled. Tornado may have read it before the connection
+    was closed, and parse it only afterwards.
+    """
 
     def __init__(
-        self, *, inner: tornado.httputil.HTTPMessageDelegate, on_head: Callable[[], None]
+        self,
+        *,
+        inner: tornado.httputil.HTTPMessageDelegate,
+        on_head: Callable[[], None],
+        is_closed: Callable[[], bool],
     ) -> None:
         self._inner = inner
         self._on_head = on_head
+        self._is_closed = is_closed
 
     def headers_received(
         self,
@@ -113,7 +123,10 @@
         return self._inner.data_received(chunk)
 
     def finish(self) -> None:
-        self._inner.finish()
+        if self._is_closed():
+            self._inner.on_connection_close()
+        else:
+            self._inner.finish()
 
     def on_connection_close(self) -> None:
         self._inner.on_connection_close()
--- a/basilpost/core/listener_test.py
+++ b/basilpost/core/listener_test.py
@@ -10,7 +10,10 @@
 
 
 class EchoHandler(tornado.web.RequestHandler):
+    handled = 0
+
     async def post(self):
+        EchoHandler.handled += 1
         await asyncio.sleep(float(self.request.headers.get("Seconds", "0")))
         self.finish(self.request.body)
 
@@ -82,3 +85,29 @@
     reader, _ = await bench.send(seconds=10)
     assert await asyncio.wait_for(bench.drain(0.2), 1) == 1
     assert await reader.read() == b""
+
+
+@pytest.mark.parametrize("passes", range(8))
+async def test_a_request_read_during_the_last_look_is_handled_and_cut(bench, passes):
+    reader, writer = await bench.send()
+    await reader.readuntil(b"echo")
+    handled = EchoHandler.handled
+    writer.write(b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nmore")
+    for _ in range(passes):
+        await asyncio.sleep(0)
+    bench.listener.stop_accepting()
+    try:
+        answered = (await reader.read()).endswith(b"more")
+    except ConnectionResetError:
+        answered = False
+    assert (EchoHandler.handled > handled) == answered
+
+
+async def test_connections_that_callers_closed_are_forgotten(bench):
+    for _ in range(20):
+        reader, writer = await bench.send()
+        await reader.readuntil(b"echo")
+        writer.close()
+    async with asyncio.timeout(5):
+        while bench.listener.idle or bench.listener.busy:
+            await asyncio.sleep(0.01)
