A target's room and cold rate count from the choice of the target

What callers saw: in bursts, rejections and retries at targets whose room was taken already; a cold target could get more than its share.

Cause: _choose_target looked at requests in flight and at the cold rate, then the connection was opened (new for each request that may run once), and only then was the request counted. Requests that chose meanwhile saw room that was gone.

Why it works: nothing is awaited between the choice and the counting. A connection that fails gives the room back; at a cold target it stays counted for its second, which errs on the side of the target.

--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -292,18 +292,32 @@
         """Sends a request to a target and reads the answer into the sink."""
         progress.target = target.target_id
         progress.tried_targets.add(target.target_id)
+        # Counted before the connection is open, so that other requests see that the room is taken.
+        self._loads.request_started(target.target_id)
+        if self._targets.is_cold(target):
+            self._cold.record_sent(target.target_id)
+        try:
+            return await self._send_counted(progress, request, target, last_event, sink)
+        finally:
+            self._loads.request_ended(target.target_id)
+
+    async def _send_counted(
+        self,
+        progress: attempts.Progress,
+        request: inbound.Request,
+        target: targets_.Target,
+        last_event: str,
+        sink: answer_sinks.AnswerSink,
+    ) -> channels.Head | attempts.NotSent | attempts.NotRun | attempts.Lost:
         channel = await self.pool.acquire(
             target.address, timeout=CONNECT_SECONDS, fresh=not progress.repeatable
         )
         if isinstance(channel, channels.ConnectFailed):
             return attempts.NotSent(reason=channel.reason)
         self._log_placement(progress, target, last_event)
-        self._loads.request_started(target.target_id)
         began_at = clock.elapsed()
         keep = False
         try:
-            if self._targets.is_cold(target):
-                self._cold.record_sent(target.target_id)
             progress.sends += 1
             sink.on_connected(channel)
             headers = self._dialect.request_headers(
@@ -319,7 +333,6 @@
                 progress.rejections += 1
             return result
         finally:
-            self._loads.request_ended(target.target_id)
             if keep:
                 self.pool.release(channel)
             else:
--- a/tests/pool_path_test.py
+++ b/tests/pool_path_test.py
@@ -6,6 +6,7 @@
 import tornado.simple_httpclient
 
 from basilpost.emulator import pool_fleet, pool_runner
+from basilpost.routing import cold, placement, targets
 from tests import pool_nodes
 
 ALL_EVENT_IDS = [1, 2, 3, 4, 5, 6]
@@ -310,3 +311,29 @@
         assert refused.code == 503
         assert refused.headers["Basilpost-Outcome"] == "not-run"
         assert not relay.ready
+
+
+async def test_a_burst_exceeds_the_room_of_targets_while_connections_open():
+    async with pool_nodes.running(vms=0) as bench:
+        for runner in bench.fleet.runners_by_id.values():
+            runner.options.work_seconds = 0.5
+        node_loads = bench.relays[0]._forwarder._loads
+        started, peaks = node_loads.request_started, {}
+
+        def record(target_id):
+            started(target_id)
+            peaks[target_id] = max(peaks.get(target_id, 0), node_loads.own_in_flight(target_id))
+
+        node_loads.request_started = record
+        await asyncio.gather(*(bench.call("/filing/a") for _ in range(16)))
+        slots = 4
+        assert max(peaks.values()) <= slots * (1.0 + placement.QUEUE_SHARE) + 1, peaks
+
+
+async def test_a_burst_exceeds_the_rate_of_cold_targets_while_connections_open(monkeypatch):
+    async with pool_nodes.running(vms=0) as bench:
+        monkeypatch.setattr(cold, "share", lambda target_id, **options: 2)
+        monkeypatch.setattr(targets.Targets, "is_cold", lambda self, target: True)
+        await asyncio.gather(*(bench.call("/filing/a") for _ in range(10)))
+        runs = [len(runner.runs) for runner in bench.fleet.runners_by_id.values()]
+        assert max(runs) <= 2, runs
