A request ends in the log when its answer has left, not when it is handed over

Found by the review.

Evidence: test_an_answer_that_was_cut_is_logged_as_answered failed before (answered) and passes now (cut_by_stop).

Why it works: the relay records a request after it has waited for its answer to be written; request_seconds ends there too.

--- a/basilpost/gateway/inbound.py
+++ b/basilpost/gateway/inbound.py
@@ -86,7 +86,6 @@
     async def _handle(self, reply: "Reply") -> None:
         try:
             await self._handler(self, reply)
-            await reply.close_if_announced()
         except BaseException:
             # The caller must not wait for an answer that nobody sends any more.
             self._connection.close()
@@ -140,14 +139,16 @@
         """Marks an answer that was sent in pieces as complete."""
         self._finish()
 
-    async def close_if_announced(self) -> None:
-        """Closes the connection once the whole answer is written to it, if the answer says so."""
-        if not self._announced_close:
-            return
+    async def wait_sent(self) -> None:
+        """Waits until the whole answer is written to the socket or the connection is closed.
+
+        Closes the connection if the answer says so.
+        """
         with contextlib.suppress(tornado.iostream.StreamClosedError):
             # The result of an empty write comes after all earlier ones.
             await self._connection.stream.write(b"")
-        self._connection.close()
+        if self._announced_close:
+            self._connection.close()
 
     def abort(self) -> None:
         """Closes the connection, so that an incomplete answer is not taken for complete."""
--- a/basilpost/gateway/relay.py
+++ b/basilpost/gateway/relay.py
@@ -218,6 +218,7 @@
         summary = request_recorder.RequestSummary(call=self._dialect.parse_request(request.headers))
         try:
             summary = await self._answer(request, reply, summary)
+            await reply.wait_sent()
         except asyncio.CancelledError:
             outcome = "caller_left" if request.caller_left else "cut_by_stop"
             summary = dataclasses.replace(summary, outcome=outcome)
--- a/tests/pool_stop_test.py
+++ b/tests/pool_stop_test.py
@@ -10,6 +10,7 @@
 import sys
 
 import pytest
+import structlog.testing
 import tornado.httputil
 
 from basilpost.core import channels, clock, codec, names
@@ -220,6 +221,21 @@
         assert (answer.code, answer.headers[names.OUTCOME_HEADER]) == (502, "unknown")
 
 
+async def test_an_answer_that_was_cut_is_logged_as_answered():
+    async with pool_nodes.running(vms=0) as bench:
+        for runner in bench.fleet.runners_by_id.values():
+            runner.options.padding_bytes = PADDING_BYTES
+        host, _, port = bench.addresses[0].rpartition(":")
+        with socket.socket() as caller, structlog.testing.capture_logs() as lines:
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            caller.connect((host, int(port)))
+            caller.sendall(request_bytes("unread", body=b"x", length=1))
+            await pool_fleet.until(lambda: bench.fleet.runs_of("unread"))
+            await bench.relays[0].drain()
+        ended = [line["outcome"] for line in lines if line["event"] == "request_ended"]
+        assert ended == ["cut_by_stop"]
+
+
 def request_bytes(attempt, *, body, length):
     headers = pool_fleet.call_headers(attempt, budget_ms=1500) | {"Content-Length": str(length)}
     lines = [f"{name}: {value}" for name, value in headers.items()]
