A silent stream is given up only with a retry in hand

A runner's silence is no reason to end an answer sooner.

Cause: after half a second of silence the node closed the connection to the stream's target if the route allowed another attempt and another target had room. Only then did it ask the retry budget, and cut the stream when that was spent. A check that left out what the act needs.

Evidence: test_a_silent_stream_is_cut_when_no_retry_is_left failed before (connection closed after status 200) and passes now.

Why it works: the retry is spent before the connection to the target is closed; without one the stream stays, and is asked about again at the next check. The attempt that follows does not spend a second retry.

--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -173,16 +173,19 @@
         """Forwards the events of one target until its stream ends, breaks off or stalls."""
 
         def move_stream() -> None:
-            if progress.has_attempts_left and not isinstance(
-                self._choose_target(progress), failure.Refusal
-            ):
-                self._log.info(
-                    "stream_moved",
-                    request=progress.admitted.call.request_id,
-                    target=target.target_id,
-                )
-                sink.abandoned = True
-                sink.close_channel()
+            if sink.abandoned or isinstance(self._choose_target(progress), failure.Refusal):
+                return
+            # The retry is spent first: without one, the stream would be cut although its target may
+            # go on.
+            if not self._spend_retry(progress):
+                return
+            self._log.info(
+                "stream_moved",
+                request=progress.admitted.call.request_id,
+                target=target.target_id,
+            )
+            sink.abandoned = True
+            sink.close_channel()
 
         sink.restart()
         watch = self.stall_detector.watch(target.target_id, move_stream, lambda: sink.event_count)
@@ -464,7 +467,8 @@
             return True
         if isinstance(result, attempts.NotRun):
             return progress.rejections < MAX_REJECTIONS and self._retry_budget(progress).spend()
-        return self._spend_retry(progress)
+        # The retry of an abandoned stream was spent when it was given up.
+        return result.abandoned or self._spend_retry(progress)
 
     def _refusal(self, code: str, reason: str) -> failure.Refusal:
         """Returns a refusal with status 503 and a random Retry-After; its outcome is not-run."""
--- a/tests/pool_path_test.py
+++ b/tests/pool_path_test.py
@@ -6,7 +6,7 @@
 import tornado.simple_httpclient
 
 from basilpost.emulator import pool_fleet, pool_runner
-from basilpost.routing import cold, placement, targets
+from basilpost.routing import cold, placement, retry, targets
 from tests import pool_nodes
 
 ALL_EVENT_IDS = [1, 2, 3, 4, 5, 6]
@@ -337,3 +337,23 @@
         await asyncio.gather(*(bench.call("/filing/a") for _ in range(10)))
         runs = [len(runner.runs) for runner in bench.fleet.runners_by_id.values()]
         assert max(runs) <= 2, runs
+
+
+async def test_a_silent_stream_is_cut_when_no_retry_is_left(monkeypatch):
+    async with pool_nodes.running(fabric_domains=3, vms=3) as bench:
+        await bench.wait_for_groups(2, pool_fleet.LARGE)
+        monkeypatch.setattr(retry.RetryBudget, "spend", lambda self: False)
+        for runner in bench.fleet.runners_by_id.values():
+            runner.options.events, runner.options.event_seconds = len(ALL_EVENT_IDS), 0.1
+        calling = asyncio.create_task(bench.draft())
+        runners = bench.fleet.runners_by_id.values()
+        await pool_fleet.until(lambda: any(runner.runs for runner in runners))
+        (ran_on,) = [runner for runner in runners if runner.runs]
+        await asyncio.sleep(0.25)
+        ran_on.options.stalled = True
+        # Longer than the silence after which a stream is moved.
+        await asyncio.sleep(1.2)
+        ran_on.options.stalled = False
+        answer = await calling
+        assert answer.code == 200
+        assert pool_nodes.event_ids(answer.body) == ALL_EVENT_IDS
