--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -300,11 +300,11 @@
         if self._targets.is_cold(target):
             self._cold.record_sent(target.target_id)
         try:
-            return await self._send_counted(progress, request, target, last_event, sink)
+            return await self._exchange(progress, request, target, last_event, sink)
         finally:
             self._loads.request_ended(target.target_id)
 
-    async def _send_counted(
+    async def _exchange(
         self,
         progress: attempts.Progress,
         request: inbound.Request,
