--- a/tests/pool_stop_test.py
+++ b/tests/pool_stop_test.py
@@ -50,9 +50,9 @@
         await self.fleet.start()
         self.store_proxy.target = self.fleet.store.address
         await self.store_proxy.start()
-        settings = pool_demo.node_settings("node-0", self.store_proxy.address)
-        bounds = dataclasses.replace(settings.bounds, grace_seconds=GRACE_SECONDS)
-        self.settings = dataclasses.replace(settings, bounds=bounds)
+        self.settings = pool_demo.node_settings(
+            "node-0", self.store_proxy.address, grace_seconds=GRACE_SECONDS
+        )
         path = self._folder / "node.jsonc"
         path.write_bytes(codec.to_json(self.settings))
         with (self._folder / "node.log").open("wb") as log:  # noqa: ASYNC230
@@ -77,7 +77,7 @@
 
     async def connect(self):
         """Returns a connection on which one request has been answered already."""
-        channel = await channels._open(self.settings.callers, timeout=CONNECT_SECONDS)
+        channel = await channels.Pool().acquire(self.settings.callers, timeout=CONNECT_SECONDS)
         async with asyncio.timeout(EXIT_SECONDS):
             while (await self.send(channel, "filing")).status != 200:
                 await asyncio.sleep(0.05)
@@ -199,7 +199,7 @@
         runners = bench.fleet.runners_by_id.values()
         for runner in runners:
             runner.options.work_seconds = 0.5
-        channel = await channels._open(bench.addresses[0], timeout=CONNECT_SECONDS)
+        channel = await channels.Pool().acquire(bench.addresses[0], timeout=CONNECT_SECONDS)
         channel.send("POST", "/filing/a", filing_headers("read-before-the-stop"), b"x")
         await pool_fleet.until(lambda: any(runner.runs for runner in runners))
         draining = asyncio.create_task(bench.relays[0].drain())
