--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -349,7 +349,8 @@
             request=progress.admitted.call.request_id,
             target=target.target_id,
             vm=target.vm_id,
-            in_flight=self._loads.total_in_flight(target.target_id),
+            # Without this request, which is counted already.
+            in_flight=self._loads.total_in_flight(target.target_id) - 1,
             slots=target.slots,
             suspects=self._loads.stalled_count(),
             sends=progress.sends,
