--- a/tests/soak_test.py
+++ b/tests/soak_test.py
@@ -37,9 +37,10 @@
 
 
 @pytest.mark.processes
+@pytest.mark.parametrize(("nodes", "caller_count"), [(3, 120), (5, 400)])
 @pytest.mark.parametrize("seed", [seed for seed, _ in STOP_SEEDS])
-async def test_planned_stops_lose_nothing(seed, tmp_path):
-    scenario = scenarios.PlannedStops(nodes=3, caller_count=120)
+async def test_planned_stops_lose_nothing(seed, nodes, caller_count, tmp_path):
+    scenario = scenarios.PlannedStops(nodes=nodes, caller_count=caller_count)
     report = await run.Soak(seed=seed, folder=tmp_path, scenario=scenario).run(
         seconds=STOPS_SECONDS
     )
