Logs tell which requests a crash was counted for, and what parts their prompts have

Only logging: what is counted, refused and sent is unchanged. basilpost/platform, basilpost/core and crashes_test pass.

--- a/basilpost/core/log_events.py
+++ b/basilpost/core/log_events.py
@@ -52,7 +52,15 @@
     ),
     "attempt_failed": Event(
         meaning="a target gave no usable answer; result says whether the request may have run",
-        fields=(*_REQUEST_FIELDS, "result", "reason", "again"),
+        fields=(*_REQUEST_FIELDS, "result", "reason", "again", "fingerprint", "parts"),
+    ),
+    "crash_counted": Event(
+        meaning="a target was lost while it ran a request with this fingerprint, here or elsewhere",
+        fields=("fingerprint", "crashes"),
+    ),
+    "crash_cleared": Event(
+        meaning="a request with this fingerprint was answered, its crashes no longer count",
+        fields=("fingerprint",),
     ),
     "stray_answer": Event(
         meaning="an answer to another request arrived on the connection and was skipped",
--- a/basilpost/core/log_events_test.py
+++ b/basilpost/core/log_events_test.py
@@ -23,6 +23,7 @@
             "members/store_news.py",
             "members/node_registry.py",
             "node/pool_main.py",
+            "routing/crashes.py",
         )
     ),
 )
--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -456,6 +456,8 @@
             result=type(result).__name__,
             reason=result.reason,
             again=again,
+            fingerprint=progress.fingerprint,
+            parts=list(progress.admitted.call.prompt_parts),
         )
         return again
 
--- a/basilpost/gateway/relay.py
+++ b/basilpost/gateway/relay.py
@@ -89,7 +89,9 @@
                 retry_share=settings.bounds.retry_share * RETRY_SPEND_SHARE,
                 retry_reserve=settings.bounds.retry_reserve * RETRY_SPEND_SHARE,
             ),
-            crashes=crashes.CrashTracker(network=kernel.find(names.PEERS, peers.PeerNetwork)),
+            crashes=crashes.CrashTracker(
+                network=kernel.find(names.PEERS, peers.PeerNetwork), log=kernel.log
+            ),
             rng=rng,
             log=kernel.log,
         )
--- a/basilpost/platform/headers.py
+++ b/basilpost/platform/headers.py
@@ -11,6 +11,8 @@
 _MODEL = "X-Model"
 # Two numbers separated by a comma: tokens of the prompt, and the most tokens of the answer.
 _TOKEN_COUNTS = "X-Token-Usage"
+# Parts of the prompt in order, each as its id, a colon and its number of tokens.
+_PROMPT_PARTS = "X-Prompt-Prefix"
 _LAST_EVENT_ID = "Last-Event-Id"
 _WORKSPACE = "X-Tenant"
 _PRIORITY = "X-Request-Priority"
@@ -20,6 +22,9 @@
 _COLD = "X-Cold-Ms"
 
 _MS_PER_SECOND = 1000.0
+# Bounds on what is kept of a list of parts; requests have a few, with ids of some digits.
+MAX_PROMPT_PARTS = 16
+MAX_PART_ID_LENGTH = 64
 _LOWEST_PRIORITY = 9
 _MISDIRECTED_STATUS = 421
 # Headers that hold for one connection only and are never passed on.
@@ -56,6 +61,7 @@
             prompt_tokens=int(_number(prompt) or 0),
             max_answer_tokens=int(_number(answer) or 0),
             last_event_id=headers.get(_LAST_EVENT_ID, ""),
+            prompt_parts=_part_ids(headers.get(_PROMPT_PARTS, "")),
         )
 
     def request_headers(
@@ -107,6 +113,11 @@
     return result
 
 
+def _part_ids(text: str) -> tuple[str, ...]:
+    ids = (part.partition(":")[0].strip() for part in text.split(",", MAX_PROMPT_PARTS))
+    return tuple(part_id[:MAX_PART_ID_LENGTH] for part_id in ids if part_id)
+
+
 def _number(text: str) -> float | None:
     try:
         return float(text)
--- a/basilpost/platform/headers_test.py
+++ b/basilpost/platform/headers_test.py
@@ -34,6 +34,7 @@
             X_Model="m",
             X_Token_Usage="1460,80",
             Last_Event_Id="12",
+            X_Prompt_Prefix="5c1e07a2:800, 91bd3f06:410,e4402b7d:250",
         )
     )
     assert info == header_dialect.RequestInfo(
@@ -44,9 +45,18 @@
         prompt_tokens=1460,
         max_answer_tokens=80,
         last_event_id="12",
+        prompt_parts=("5c1e07a2", "91bd3f06", "e4402b7d"),
     )
 
 
+def test_a_list_of_prompt_parts_is_bounded():
+    listed = ",".join(f"{number:x}{'0' * 100}:5" for number in range(100))
+    parts = DIALECT.parse_request(make_headers(X_Prompt_Prefix=listed)).prompt_parts
+    assert len(parts) == headers.MAX_PROMPT_PARTS + 1
+    assert {len(part) for part in parts} == {headers.MAX_PART_ID_LENGTH}
+    assert DIALECT.parse_request(make_headers(X_Prompt_Prefix=",,:")).prompt_parts == ()
+
+
 def test_numbers_that_cannot_be_parsed_count_as_missing():
     info = DIALECT.parse_request(make_headers(X_Deadline_Ms="soon", X_Token_Usage="many"))
     assert (info.budget_seconds, info.prompt_tokens, info.max_answer_tokens) == (None, 0, 0)
--- a/basilpost/routing/crashes.py
+++ b/basilpost/routing/crashes.py
@@ -8,6 +8,7 @@
 import collections
 import dataclasses
 import uuid
+from typing import Any
 
 import xxhash
 
@@ -58,7 +59,8 @@
 class CrashTracker:
     """The recent crashes of each request, seen by this node or reported by others."""
 
-    def __init__(self, *, network: peers.PeerNetwork) -> None:
+    def __init__(self, *, network: peers.PeerNetwork, log: Any) -> None:
+        self._log = log
         self._network = network
         self._crash_times: collections.OrderedDict[str, collections.deque[float]] = (
             collections.OrderedDict()
@@ -79,6 +81,7 @@
     def record_answer(self, fingerprint: str) -> None:
         """Clears a request that got its whole answer, here and at the other nodes."""
         if self._crash_times.pop(fingerprint, None) is not None:
+            self._log.info("crash_cleared", fingerprint=fingerprint)
             self._network.broadcast(CrashCleared(fingerprint=fingerprint))
 
     def _process(self, message: CrashSeen) -> None:
@@ -89,6 +92,11 @@
         if len(self._known_crash_ids) > MAX_SUSPECTS:
             self._known_crash_ids.popitem(last=False)
         self._count(message.fingerprint)
+        self._log.info(
+            "crash_counted",
+            fingerprint=message.fingerprint,
+            crashes=len(self._recent(self._crash_times[message.fingerprint])),
+        )
         self._network.broadcast(message)
 
     def _count(self, fingerprint: str) -> None:
--- a/basilpost/routing/crashes_test.py
+++ b/basilpost/routing/crashes_test.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+import structlog
 
 from basilpost.core import clock
 from basilpost.members import fakes
@@ -20,7 +21,9 @@
 def nodes():
     hub = fakes.PeerHub()
     return [
-        crashes.CrashTracker(network=fakes.FakePeers(node_id=f"n{number}", hub=hub))
+        crashes.CrashTracker(
+            network=fakes.FakePeers(node_id=f"n{number}", hub=hub), log=structlog.get_logger()
+        )
         for number in range(3)
     ]
 
--- a/basilpost/routing/header_dialect.py
+++ b/basilpost/routing/header_dialect.py
@@ -19,6 +19,8 @@
         max_answer_tokens: Upper bound of the answer's tokens.
         last_event_id: Id of the last event that the caller got of an interrupted stream, empty if
             it resumes none.
+        prompt_parts: Ids of the parts of the prompt in order. Requests share parts, except for the
+            last one, which belongs to the request or to its session.
     """
 
     request_id: str
@@ -28,6 +30,7 @@
     prompt_tokens: int
     max_answer_tokens: int
     last_event_id: str
+    prompt_parts: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
