--- a/basilpost/emulator/pool_runner.py
+++ b/basilpost/emulator/pool_runner.py
@@ -43,6 +43,9 @@
         cut_streams: Number of coming streams that are cut off in the middle of an event.
         cut_after_events: Whole events that such a stream sends first.
         stalled: True to send no events, as a group does that lost a member.
+        crash_parts: Parts of prompts that crash the runner when it begins to write an answer.
+        down_seconds: Time from a crash to the runner's next start.
+        entry_seconds: Time from a crash until its entry is removed from the store.
     """
 
     load_seconds: float = 0.2
@@ -63,6 +66,9 @@
     cut_streams: int = 0
     cut_after_events: int = 2
     stalled: bool = False
+    crash_parts: frozenset[str] = frozenset()
+    down_seconds: float = 2.0
+    entry_seconds: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -79,6 +85,7 @@
         after: Id of the event after which a resumed stream continues, empty for a new one.
         credential_forwarded: True if the node passed the caller's API key on.
         at: When it began, in seconds of `clock.elapsed`.
+        parts: Ids of the parts of its prompt.
     """
 
     attempt: str
@@ -90,6 +97,7 @@
     after: str
     credential_forwarded: bool
     at: float = 0.0
+    parts: tuple[str, ...] = ()
 
 
 class PoolRunner(server.EmulatedServer):
@@ -111,6 +119,8 @@
         highest_fence: Highest fencing token that it has accepted.
         refused_orders: The orders that it answered with 412.
         highest_epoch: Highest epoch of the groups that it was ordered to join.
+        born: Number of its present start.
+        crashes: When it crashed under a request, in seconds of `clock.elapsed`.
     """
 
     def __init__(
@@ -139,9 +149,12 @@
         self.highest_fence = 0
         self.refused_orders: list[dict[str, Any]] = []
         self.highest_epoch = 0
+        self.born = 1
+        self.crashes: list[float] = []
         self._last_model = ""
         self._store = store
         self._tasks: set[asyncio.Task[None]] = set()
+        self._returns: set[asyncio.Task[None]] = set()
 
     def routes(self) -> server.Routes:
         """Returns the handlers of the runner."""
@@ -159,9 +172,28 @@
         await self.stop()
         await self._store.remove(f"servers/{self.vm_id}")
 
+    def crash(self) -> None:
+        """Ends at once and starts again after some time, as another process without a group."""
+        self.crashes.append(clock.elapsed())
+        task = asyncio.get_running_loop().create_task(self._crash_and_return())
+        self._returns.add(task)
+        task.add_done_callback(self._returns.discard)
+
+    async def _crash_and_return(self) -> None:
+        options = self.options
+        self.member, self.members, self._last_model = None, [], ""
+        self.born += 1
+        for task in list(self._tasks):
+            task.cancel()
+        await super().stop()
+        await asyncio.sleep(options.entry_seconds)
+        await self._store.remove(f"servers/{self.vm_id}")
+        await asyncio.sleep(max(0.0, options.down_seconds - options.entry_seconds))
+        await self.start()
+
     async def stop(self) -> None:
         """Stops listening and cancels loads and other orders that are being carried out."""
-        for task in list(self._tasks):
+        for task in [*self._tasks, *self._returns]:
             task.cancel()
         await super().stop()
 
@@ -175,7 +207,7 @@
             "slots": 4,
             "state": self.state,
             "coldRemainingMs": 0,
-            "born": 1,
+            "born": self.born,
             "sequence": len(self.orders),
         }
         if self.fabric_domain:
@@ -354,6 +386,7 @@
                 after=headers.get("Last-Event-Id", ""),
                 credential_forwarded="X-Credential" in headers,
                 at=clock.elapsed(),
+                parts=self._prompt_parts(),
             )
         )
 
@@ -380,8 +413,12 @@
         self._options.cut_streams -= is_cut
         first = int(self.request.headers.get("Last-Event-Id") or 0) + 1
         pause = self._draw_seconds(self._options.event_seconds, self._options.slowest_event_seconds)
+        crashes = not self._options.crash_parts.isdisjoint(self._prompt_parts())
         for number in range(first, self._options.events + 1):
             await asyncio.sleep(pause)
+            if crashes:
+                self.owner.crash()
+                return
             while self._options.stalled:
                 await asyncio.sleep(self._options.event_seconds)
             if is_cut and number > self._options.cut_after_events:
@@ -394,6 +431,10 @@
             await self.flush()
         self.finish()
 
+    def _prompt_parts(self) -> tuple[str, ...]:
+        text = self.request.headers.get("X-Prompt-Prefix", "")
+        return tuple(part.partition(":")[0] for part in text.split(",") if part)
+
     def _draw_seconds(self, shortest: float, longest: float) -> float:
         """Returns a time that depends on the request's id alone; short times are more frequent."""
         if not longest:
--- a/tests/pool_nodes.py
+++ b/tests/pool_nodes.py
@@ -1,6 +1,7 @@
 """Nodes of a pool, run in the test's process against an emulated platform."""
 
 import contextlib
+import json
 
 import tornado.httpclient
 
@@ -14,6 +15,8 @@
 from basilpost.settings import pool_schema
 
 GRACE_SECONDS = 4.0
+# Calls that the client has in flight at once.
+MAX_CALLS = 200
 
 
 class Nodes:
@@ -23,7 +26,9 @@
         self.fleet = pool_fleet.PoolFleet(**fleet)
         self.kernels = []
         self.addresses = []
-        self._client = tornado.httpclient.AsyncHTTPClient(force_instance=True)
+        self._client = tornado.httpclient.AsyncHTTPClient(
+            force_instance=True, max_clients=MAX_CALLS
+        )
         self._attempt_numbers = iter(range(1, 1_000_000))
 
     async def start(self, *, nodes=1):
@@ -136,3 +141,11 @@
 def event_ids(body):
     """Returns the ids of the events of a stream."""
     return [int(line[4:]) for line in body.decode().splitlines() if line.startswith("id: ")]
+
+
+def error_code(answer):
+    """Returns the code of a refusal by a node, empty for any other answer."""
+    try:
+        return json.loads(answer.body)["error"]["code"]
+    except (TypeError, ValueError, KeyError):
+        return ""
