Requests with a part of a prompt that crashes runners are refused on all nodes

Cause: crashes were counted by workspace, path and body. Requests with the part are all different, so no count reached three (hypothesis 1).

Change: a target has crashed if it refuses a new connection after it broke one. The requests lost with it are evidence against their traits: the request, and each shared part of its prompt. Answers clear the traits of their request on all nodes; targets lost together count once; a known cause explains the crashes under it. A trait is refused after 3 crashes, after 5 if requests with it were answered or several traits have equal evidence. Peers exchange crashes, answers and causes, also when a stream opens; causes are kept in the platform's store, with their evidence, until an operator releases them or an hour is over. A request is not sent again after a second crash under one of its traits.

test_a_request_that_fells_its_runners_is_refused_at_all_nodes was wrong: its runners lost answers and lived. They now end; the bound is the same, and a further test has the lost answers.

--- a/basilpost/core/log_events.py
+++ b/basilpost/core/log_events.py
@@ -54,13 +54,28 @@
         meaning="a target gave no usable answer; result says whether the request may have run",
         fields=(*_REQUEST_FIELDS, "result", "reason", "again", "fingerprint", "parts"),
     ),
-    "crash_counted": Event(
-        meaning="a target was lost while it ran a request with this fingerprint, here or elsewhere",
-        fields=("fingerprint", "crashes"),
+    "target_crashed": Event(
+        meaning="a target crashed with these requests in flight, here or at another node",
+        fields=("target", "requests", "parts"),
     ),
-    "crash_cleared": Event(
-        meaning="a request with this fingerprint was answered, its crashes no longer count",
-        fields=("fingerprint",),
+    "crash_cause_found": Event(
+        meaning="requests with this trait crash targets and are refused from now on",
+        fields=("trait", "cause", "crashes", "targets", "requests"),
+    ),
+    "crash_cause_learned": Event(
+        meaning="the same, found by another node; source is that peer or the store",
+        fields=("trait", "cause", "source"),
+    ),
+    "crash_cause_released": Event(
+        meaning="an operator lets requests with this trait run again",
+        fields=("trait", "cause", "reason"),
+    ),
+    "crash_cause_expired": Event(
+        meaning="requests with this trait run again, as its time is over",
+        fields=("trait", "cause"),
+    ),
+    "crash_cause_not_written": Event(
+        meaning="the store does not have this cause of crashes yet", fields=("cause", "reason")
     ),
     "stray_answer": Event(
         meaning="an answer to another request arrived on the connection and was skipped",
--- a/basilpost/core/log_events_test.py
+++ b/basilpost/core/log_events_test.py
@@ -24,6 +24,7 @@
             "members/node_registry.py",
             "node/pool_main.py",
             "routing/crashes.py",
+            "routing/crash_store.py",
         )
     ),
 )
--- a/basilpost/core/names.py
+++ b/basilpost/core/names.py
@@ -29,6 +29,7 @@
 POOL_RUNNER_CLIENT = "pool_engines"
 CONTROLLER = "controller"
 RELAY = "relay"
+CRASHES = "crashes"
 NODE_TABLE = "node_table"
 
 CONFIG_PREFIX = "config/"
--- a/basilpost/emulator/pool_runner.py
+++ b/basilpost/emulator/pool_runner.py
@@ -44,6 +44,7 @@
         cut_after_events: Whole events that such a stream sends first.
         stalled: True to send no events, as a group does that lost a member.
         crash_parts: Parts of prompts that crash the runner when it begins to write an answer.
+        crash_bodies: Bodies of requests to a plain service that crash the runner.
         down_seconds: Time from a crash to the runner's next start.
         entry_seconds: Time from a crash until its entry is removed from the store.
     """
@@ -67,6 +68,7 @@
     cut_after_events: int = 2
     stalled: bool = False
     crash_parts: frozenset[str] = frozenset()
+    crash_bodies: frozenset[bytes] = frozenset()
     down_seconds: float = 2.0
     entry_seconds: float = 1.0
 
@@ -394,6 +396,10 @@
         await asyncio.sleep(
             self._draw_seconds(self._options.work_seconds, self._options.slowest_work_seconds)
         )
+        if self.request.body in self._options.crash_bodies:
+            self._drop()
+            self.owner.crash()
+            return
         answer = {"attempt": self.request.headers.get(_ATTEMPT)}
         if self._options.padding_bytes:
             answer["padding"] = "x" * self._options.padding_bytes
@@ -417,6 +423,7 @@
         for number in range(first, self._options.events + 1):
             await asyncio.sleep(pause)
             if crashes:
+                self._drop()
                 self.owner.crash()
                 return
             while self._options.stalled:
--- a/basilpost/gateway/answer_sinks.py
+++ b/basilpost/gateway/answer_sinks.py
@@ -6,7 +6,7 @@
 
 import abc
 
-from basilpost.core import channels
+from basilpost.core import channels, clock
 from basilpost.gateway import inbound, sse
 from basilpost.routing import header_dialect
 
@@ -67,6 +67,7 @@
         abandoned: True if this node closed the connection to the current target because it stalled.
         event_count: Number of events forwarded.
         channel: Connection to the current target, None before it is open.
+        writing_since: When the current target sent its first event, on `clock.elapsed`; None before.
     """
 
     def __init__(
@@ -79,6 +80,7 @@
         self.abandoned = False
         self.event_count = 0
         self.channel: channels.Channel | None = None
+        self.writing_since: float | None = None
         self._reply = reply
         self._dialect = dialect
         self._head: channels.Head | None = None
@@ -98,6 +100,7 @@
         self.stream.restart()
         self.is_stream = self.has_gap = self.abandoned = False
         self.channel = None
+        self.writing_since = None
 
     def on_head(self, head: channels.Head) -> None:
         """Decides whether the answer is a stream: its status is 200 and it is signed."""
@@ -113,6 +116,8 @@
             return
         new_events = self.stream.feed(chunk)
         if new_events.count:
+            if self.writing_since is None:
+                self.writing_since = clock.elapsed()
             self._send_head()
             self._reply.send_piece(new_events.data)
             self.event_count += new_events.count
@@ -125,6 +130,11 @@
         self._send_head()
         self._reply.end()
 
+    @property
+    def writing_seconds(self) -> float:
+        """Returns the time since the first event of the current target, 0 without any."""
+        return 0.0 if self.writing_since is None else clock.elapsed() - self.writing_since
+
     def close_channel(self) -> None:
         """Closes the connection to the current target."""
         if self.channel is not None:
--- a/basilpost/gateway/attempts.py
+++ b/basilpost/gateway/attempts.py
@@ -4,6 +4,7 @@
 
 from basilpost.core import catalog, channels, failure
 from basilpost.gateway import request_admission
+from basilpost.routing import crash_evidence
 
 # The names NotSent, NotRun and Lost are values of the log field `result` of `attempt_failed`.
 
@@ -25,9 +26,14 @@
     Attributes:
         abandoned: True if this node closed the connection because the target stalled. The runner may
             still be alive then, so the request is not suspected of crashing it.
+        writing_seconds: Time from the first event that the target sent to the loss, 0 without any.
+        stale_connection: True if a kept connection was closed at once, so that the target may not
+            have read the request.
     """
 
     abandoned: bool = False
+    writing_seconds: float = 0.0
+    stale_connection: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -61,6 +67,7 @@
         rejections: Number of times that a runner rejected it without running it.
         target: Id of the last target, empty before the first.
         waited_seconds: Seconds for which it waited for a target with a free slot.
+        address: `host:port` of the last target.
     """
 
     admitted: request_admission.AdmittedRequest
@@ -70,6 +77,19 @@
     rejections: int = 0
     target: str = ""
     waited_seconds: float = 0.0
+    address: str = ""
+
+    @property
+    def lost_request(self) -> crash_evidence.LostRequest:
+        """Returns the request as evidence of a crash; the last part of its prompt is its own."""
+        return crash_evidence.LostRequest(
+            fingerprint=self.fingerprint, parts=self.admitted.call.prompt_parts[:-1]
+        )
+
+    @property
+    def traits(self) -> tuple[crash_evidence.Trait, ...]:
+        """Returns the traits by which requests that crash targets are recognised."""
+        return self.lost_request.traits
 
     @property
     def repeatable(self) -> bool:
--- /dev/null
+++ b/basilpost/gateway/loss_probe.py
@@ -0,0 +1,55 @@
+"""Tells crashed targets from lost answers.
+
+An answer may be lost for many reasons. A target whose connection has broken and that refuses a new
+one has crashed, and with it all requests that were in flight there.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Iterable
+from typing import Any
+
+from basilpost.core import channels, tasks
+from basilpost.routing import crash_evidence
+
+# Longest time for opening the connection that shows whether a target lives.
+PROBE_SECONDS = 0.25
+# Pause before the probe, in which the other requests at the target are lost too.
+GATHER_SECONDS = 0.01
+
+OnCrash = Callable[[str, Iterable[crash_evidence.LostRequest]], None]
+Connect = Callable[[str, float], Awaitable[channels.Channel | channels.ConnectFailed]]
+
+
+class LossProbe:
+    """Probes targets that have lost requests, each once for all requests that are lost together."""
+
+    def __init__(self, *, connect: Connect, on_crash: OnCrash, log: Any) -> None:
+        self._connect = connect
+        self._on_crash = on_crash
+        self._tasks = tasks.TaskSet(log=log)
+        self._lost_by_target: dict[str, list[crash_evidence.LostRequest]] = {}
+
+    def report_loss(self, target_id: str, address: str, lost: crash_evidence.LostRequest) -> None:
+        """Adds a lost request; the target is probed unless a probe of it is on its way."""
+        waiting = self._lost_by_target.get(target_id)
+        if waiting is not None:
+            waiting.append(lost)
+            return
+        self._lost_by_target[target_id] = [lost]
+        self._tasks.spawn(self._probe(target_id, address), name="loss-probe")
+
+    async def close(self) -> None:
+        """Cancels the probes."""
+        await self._tasks.close()
+
+    async def _probe(self, target_id: str, address: str) -> None:
+        lost: list[crash_evidence.LostRequest] = []
+        try:
+            await asyncio.sleep(GATHER_SECONDS)
+            channel = await self._connect(address, PROBE_SECONDS)
+        finally:
+            lost = self._lost_by_target.pop(target_id)
+        if isinstance(channel, channels.ConnectFailed):
+            self._on_crash(target_id, lost)
+        else:
+            channel.close()
--- a/basilpost/gateway/relay.py
+++ b/basilpost/gateway/relay.py
@@ -23,7 +23,6 @@
 )
 from basilpost.members import knowledge as knowledges
 from basilpost.members import loads as loads_
-from basilpost.members import peers
 from basilpost.routing import crashes, header_dialect
 from basilpost.routing import targets as targets_
 from basilpost.settings import pool_schema
@@ -89,9 +88,7 @@
                 retry_share=settings.bounds.retry_share * RETRY_SPEND_SHARE,
                 retry_reserve=settings.bounds.retry_reserve * RETRY_SPEND_SHARE,
             ),
-            crashes=crashes.CrashTracker(
-                network=kernel.find(names.PEERS, peers.PeerNetwork), log=kernel.log
-            ),
+            crashes=kernel.find(names.CRASHES, crashes.CrashTracker),
             rng=rng,
             log=kernel.log,
         )
@@ -182,6 +179,7 @@
         if self._readiness_server is not None:
             self._readiness_server.stop()
         await self._tasks.close()
+        await self._forwarder.loss_probe.close()
         self._forwarder.pool.close()
 
     @property
--- /dev/null
+++ b/basilpost/routing/crash_store.py
@@ -0,0 +1,165 @@
+"""Keeps the causes of crashes in the platform's store, where operators read and release them.
+
+A cause must outlast all nodes. The node that found it writes it; if it cannot, another one that knows it
+does later. Nothing in the store expires by itself, so nodes delete causes whose time is over.
+"""
+
+import asyncio
+import dataclasses
+import datetime
+import random
+
+import xxhash
+
+from basilpost.core import codec, kernel, names, tasks
+from basilpost.members import feed
+from basilpost.routing import crash_evidence, crashes
+from basilpost.store import objects
+
+PREFIX = "basilpost-quarantine/"
+WATCH_SECONDS = 20.0
+TIMEOUT_SECONDS = 1.0
+RETRY_SECONDS = 2.0
+# Time after which other nodes write a cause that is not in the store.
+TAKE_OVER_SECONDS = (5.0, 15.0)
+EXPIRY_CHECK_SECONDS = 5.0
+# Time for which a released cause stays in the store, for nodes that were away.
+KEEP_RELEASED_SECONDS = 600.0
+# Longer names, and those with unusual characters, are replaced by a digest.
+MAX_NAME_LENGTH = 64
+
+
+def key_of(trait: crash_evidence.Trait) -> str:
+    """Returns the key of a trait's object in the store."""
+    plain = trait.value.isascii() and trait.value.isalnum() and len(trait.value) <= MAX_NAME_LENGTH
+    value = trait.value if plain else xxhash.xxh3_64_hexdigest(trait.value.encode())
+    return f"{PREFIX}{trait.kind}-{value}"
+
+
+def decode(stored: objects.Stored) -> crashes.CrashCause | None:
+    """Returns the cause that an object holds, with its present age; None if it is malformed."""
+    try:
+        cause = codec.from_json(stored.value, crashes.CrashCause)
+        found_at = datetime.datetime.fromisoformat(cause.found_at)
+        age = (datetime.datetime.now(datetime.UTC) - found_at).total_seconds()
+    except (ValueError, TypeError):
+        return None
+    return dataclasses.replace(cause, age=max(0.0, age))
+
+
+class CrashStore(kernel.Service):
+    """Writes the causes that this node knows, and applies those that others have written."""
+
+    def __init__(self, *, kernel: kernel.Kernel) -> None:
+        self._log = kernel.log
+        self._store = kernel.find(names.OBJECTS, objects.ObjectStore)
+        self._tracker = kernel.find(names.CRASHES, crashes.CrashTracker)
+        self._tasks = tasks.TaskSet(log=kernel.log)
+        self._node_id = kernel.node_id
+        self._stored_by_key: dict[str, objects.Stored] = {}
+        self._writing: set[str] = set()
+        self._tracker.on_cause = self._write_soon
+        kernel.find(names.FEED, feed.Feed).follow(
+            PREFIX, wait=WATCH_SECONDS, on_change=self._apply_change, age_bounded=False
+        )
+
+    async def start(self) -> None:
+        """Starts to end causes whose time is over."""
+        self._tasks.spawn(self._expire(), name="crash-causes")
+
+    async def stop(self) -> None:
+        """Cancels writes in the background."""
+        await self._tasks.close()
+
+    def _apply_change(self, change: objects.Change) -> None:
+        if change.stored is None:
+            self._stored_by_key.pop(change.key, None)
+            for known in self._tracker.causes_by_trait.values():
+                # A store that was restored from a copy has lost the object.
+                if key_of(known.cause.trait) == change.key:
+                    self._write_soon(known.cause)
+            return
+        self._stored_by_key[change.key] = change.stored
+        cause = decode(change.stored)
+        if cause is None:
+            self._log.warning(
+                "malformed_object",
+                key=change.key,
+                revision=change.version,
+                reason="the value is not a cause of crashes",
+            )
+        elif self._tracker.apply_cause(cause) and not cause.released:
+            self._log.info(
+                "crash_cause_learned",
+                trait=str(cause.trait),
+                cause=cause.cause_id,
+                source="store",
+            )
+
+    def _write_soon(self, cause: crashes.CrashCause) -> None:
+        key = key_of(cause.trait)
+        if key not in self._writing:
+            self._writing.add(key)
+            self._tasks.spawn(self._write_until_done(key, cause), name="crash-cause-write")
+
+    async def _write_until_done(self, key: str, cause: crashes.CrashCause) -> None:
+        try:
+            if cause.node_id != self._node_id:
+                await asyncio.sleep(random.uniform(*TAKE_OVER_SECONDS))
+            while self._is_in_force(cause) and not await self._write(key, cause):
+                await asyncio.sleep(RETRY_SECONDS * random.uniform(0.5, 1.0))
+        finally:
+            self._writing.discard(key)
+
+    def _is_in_force(self, cause: crashes.CrashCause) -> bool:
+        known = self._tracker.causes_by_trait.get(cause.trait)
+        return known is not None and known.cause.cause_id == cause.cause_id
+
+    async def _write(self, key: str, cause: crashes.CrashCause) -> bool:
+        """Tries to write a cause; returns True if the store has it or one of the same trait."""
+        value = codec.to_json(dataclasses.replace(cause, age=0.0))
+        stored = self._stored_by_key.get(key)
+        if stored is None:
+            result = await self._store.create(key, value, timeout=TIMEOUT_SECONDS)
+            if isinstance(result, objects.Conflict):
+                found = await self._store.get(key, timeout=TIMEOUT_SECONDS)
+                if not isinstance(found, objects.Stored):
+                    return False
+                stored = found
+        if stored is not None:
+            written = decode(stored)
+            if written is not None and not written.released:
+                return True
+            result = await self._store.update(
+                key, value, version=stored.version, timeout=TIMEOUT_SECONDS
+            )
+        if isinstance(result, objects.Written):
+            return True
+        self._log.info("crash_cause_not_written", cause=cause.cause_id, reason=result.reason)
+        return False
+
+    async def _expire(self) -> None:
+        while True:
+            await asyncio.sleep(EXPIRY_CHECK_SECONDS * random.uniform(0.5, 1.5))
+            self._tracker.expire()
+            for key, stored in list(self._stored_by_key.items()):
+                cause = decode(stored)
+                if cause is not None and cause.age > _kept_seconds(cause):
+                    # One node's deletion succeeds; the others have an old version.
+                    await self._store.delete(key, version=stored.version, timeout=TIMEOUT_SECONDS)
+
+
+def _kept_seconds(cause: crashes.CrashCause) -> float:
+    return crashes.CAUSE_SECONDS + (KEEP_RELEASED_SECONDS if cause.released else 0.0)
+
+
+def release_cause(cause: crashes.CrashCause, reason: str) -> bytes:
+    """Returns the value that releases a cause."""
+    return codec.to_json(dataclasses.replace(cause, age=0.0, released=reason or "released"))
+
+
+def list_causes(listing: objects.Listing) -> list[tuple[objects.Stored, crashes.CrashCause]]:
+    """Returns the causes of a listing with their objects, the latest first."""
+    found = ((stored, decode(stored)) for stored in listing.objects)
+    causes = [(stored, cause) for stored, cause in found if cause is not None]
+    return sorted(causes, key=lambda entry: entry[1].found_at, reverse=True)
--- /dev/null
+++ b/basilpost/routing/crash_store_test.py
@@ -0,0 +1,144 @@
+"""Tests of the causes of crashes in the store: written, learned, released, written again."""
+
+import asyncio
+import dataclasses
+
+import pytest
+
+from basilpost.core import clock, codec, kernel, names
+from basilpost.members import fakes, feed
+from basilpost.routing import crash_evidence, crash_store, crashes
+from basilpost.store import memory, objects
+
+BAD = crash_evidence.Trait(kind="part", value="bad")
+KEY = crash_store.key_of(BAD)
+
+
+class FakeFeed(feed.Feed):
+    """A feed that reports changes when the test says so."""
+
+    def __init__(self):
+        self.on_change = None
+
+    def follow(self, prefix, *, wait, on_change, age_bounded=True):
+        self.on_change = on_change
+
+
+class Node:
+    def __init__(self, node_id, store, hub):
+        node_kernel = kernel.Kernel(node_id=node_id)
+        node_kernel.register(names.PEERS, fakes.FakePeers(node_id=node_id, hub=hub))
+        node_kernel.register(names.OBJECTS, store)
+        self.feed = FakeFeed()
+        node_kernel.register(names.FEED, self.feed)
+        self.tracker = crashes.CrashTracker(kernel=node_kernel)
+        node_kernel.register(names.CRASHES, self.tracker)
+        self.store = crash_store.CrashStore(kernel=node_kernel)
+
+    async def read(self, stored):
+        self.feed.on_change(objects.Change(key=stored.key, version=stored.version, stored=stored))
+
+    async def close(self):
+        await self.store.stop()
+        await self.tracker.stop()
+
+
+@pytest.fixture
+def store():
+    return memory.MemoryStore()
+
+
+@pytest.fixture(autouse=True)
+def short_waits(monkeypatch):
+    monkeypatch.setattr(crash_store, "TAKE_OVER_SECONDS", (0.01, 0.02))
+    monkeypatch.setattr(crash_store, "RETRY_SECONDS", 0.01)
+
+
+def make_cause(node_id="n0", **changes):
+    cause = crashes.CrashCause(
+        cause_id="c1",
+        trait=BAD,
+        found_at=clock.utc_now(),
+        node_id=node_id,
+        crashes=3,
+        targets=("t0", "t1", "t2"),
+        requests=("r0", "r1", "r2"),
+    )
+    return dataclasses.replace(cause, **changes)
+
+
+async def stored_cause(store):
+    stored = await store.get(KEY)
+    return codec.from_json(stored.value, crashes.CrashCause)
+
+
+@pytest.mark.parametrize("finder", ["n0", "gone"])
+async def test_a_cause_is_written_by_the_node_that_found_it_or_by_another(store, finder):
+    node = Node("n0", store, fakes.PeerHub())
+    node.tracker.apply_cause(make_cause(finder))
+    node.tracker.on_cause(make_cause(finder))
+    await asyncio.sleep(0.1)
+    assert await stored_cause(store) == make_cause(
+        finder, found_at=(await stored_cause(store)).found_at
+    )
+    await node.close()
+
+
+async def test_a_node_that_starts_without_peers_learns_causes_from_the_store(store):
+    await store.create(KEY, codec.to_json(make_cause()))
+    node = Node("late", store, fakes.PeerHub())
+    await node.read(await store.get(KEY))
+    assert node.tracker.find_cause([BAD]).cause_id == "c1"
+    await node.close()
+
+
+async def test_a_release_in_the_store_ends_the_refusals(store):
+    node = Node("n0", store, fakes.PeerHub())
+    node.tracker.apply_cause(make_cause())
+    written = await store.create(KEY, codec.to_json(make_cause()))
+    value = crash_store.release_cause(make_cause(), "mended")
+    await store.update(KEY, value, version=written.version)
+    await node.read(await store.get(KEY))
+    assert node.tracker.find_cause([BAD]) is None
+    assert (await stored_cause(store)).released == "mended"
+    await node.close()
+
+
+async def test_a_cause_that_the_store_has_lost_is_written_again(store):
+    node = Node("n0", store, fakes.PeerHub())
+    node.tracker.apply_cause(make_cause())
+    written = await store.create(KEY, codec.to_json(make_cause()))
+    await node.read(await store.get(KEY))
+    await store.delete(KEY, version=written.version)
+    node.feed.on_change(objects.Change(key=KEY, version=written.version + 1, stored=None))
+    await asyncio.sleep(0.1)
+    assert (await stored_cause(store)).cause_id == "c1"
+    assert node.tracker.find_cause([BAD]) is not None
+    await node.close()
+
+
+async def test_a_cause_whose_time_is_over_is_removed_from_the_store(store, monkeypatch):
+    monkeypatch.setattr(crash_store, "EXPIRY_CHECK_SECONDS", 0.01)
+    node = Node("n0", store, fakes.PeerHub())
+    await store.create(KEY, codec.to_json(make_cause(found_at="2020-01-01T00:00:00+00:00")))
+    await node.read(await store.get(KEY))
+    assert node.tracker.find_cause([BAD]) is None
+    await node.store.start()
+    await asyncio.sleep(0.1)
+    assert isinstance(await store.get(KEY), objects.Missing)
+    await node.close()
+
+
+async def test_malformed_objects_are_no_causes(store):
+    node = Node("n0", store, fakes.PeerHub())
+    for number, value in enumerate([b"null", b"{}", b'{"trait": 3}']):
+        await node.read(objects.Stored(key=KEY, value=value, version=number + 1))
+    assert not node.tracker.causes_by_trait
+    await node.close()
+
+
+def test_keys_are_plain_whatever_the_id_of_a_part():
+    odd = crash_evidence.Trait(kind="part", value="a/b c" * 30)
+    name = crash_store.key_of(odd).removeprefix(crash_store.PREFIX)
+    assert name.removeprefix("part-").isalnum() and len(name) < 80
+    assert KEY == f"{crash_store.PREFIX}part-bad"
--- a/basilpost/routing/crashes.py
+++ b/basilpost/routing/crashes.py
@@ -1,46 +1,112 @@
-"""Recognises requests that crash the runners that run them, so that they can be refused.
+"""Recognises requests that crash the runners that run them, so that all nodes refuse them.
 
-Such a request crashes one runner after the other, and comes again through any node with the same
-workspace, path and body. Nodes tell each other of each crash, over several hops in a large fleet.
-Harmless requests that were lost in the same crash are cleared by their next complete answer.
+Nodes tell each other of crashed targets with the requests that were lost there, of answers that clear a
+trait of such requests, and of causes, the traits that are refused. A stream that opens to a peer
+begins with what this node knows, so that a node that starts needs no store for it. `crash_store`
+keeps the causes in the platform's store. See `crash_evidence` for the decision.
 """
 
+import asyncio
 import collections
 import dataclasses
+import random
 import uuid
-from typing import Any
+from collections.abc import Callable, Iterable
 
+import prometheus_client
 import xxhash
 
-from basilpost.core import clock
+from basilpost.core import clock, kernel, names, tasks
 from basilpost.members import peers
+from basilpost.routing import crash_evidence
 
-# Crashes after which a request is refused.
-MAX_CRASHES = 3
-# Older crashes do not count: most of them are of runners that were lost for another reason.
-MEMORY_SECONDS = 20.0
-# Requests that are remembered at most; each costs some hundred bytes.
-MAX_SUSPECTS = 5_000
+# Time after which a crash no longer counts, and after which an answer is forgotten.
+MEMORY_SECONDS = 600.0
+# Time for which a cause is refused, unless an operator releases it.
+CAUSE_SECONDS = 3600.0
+# Time for other nodes' answers to arrive before a cause is chosen.
+DECISION_DELAY_SECONDS = 0.15
+# Nodes that had answers wait up to this long, so that few of them report the same ones.
+ANSWER_DELAY_SECONDS = 0.1
+# A report of answers that is newer than the known one by no more than this is not passed on.
+ANSWER_ADVANCE_SECONDS = 1.0
+# Crashes in which a request without any answer so far was lost, after which it is not sent again.
+MAX_CRASHES_TO_RETRY = 1
+# Time for which a target that crashed is avoided. Its entry in the store may last as long.
+AVOID_SECONDS = 5.0
+# Bounds on what is remembered.
+MAX_CRASHES = 256
+MAX_REQUESTS_PER_CRASH = 64
+MAX_ANSWERED_TRAITS = 8_192
+MAX_CAUSES = 256
+MAX_RELEASED = 1_024
+# Targets and requests that a cause lists as its evidence.
+MAX_LISTED = 8
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class CrashSeen:
-    """Tells other nodes that a runner was lost while it ran a request.
+class CrashReport:
+    """Tells other nodes that a target crashed and which requests were lost.
 
     Attributes:
-        fingerprint: Fingerprint of the request.
-        crash_id: Unique id of the crash; a node can receive the message several times.
+        target_id: The target.
+        age: Seconds since the crash.
+        requests: The lost requests; further reports of the same crash may add others.
     """
 
-    fingerprint: str
-    crash_id: str
+    target_id: str
+    age: float
+    requests: tuple[crash_evidence.LostRequest, ...]
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class CrashCleared:
-    """Tells other nodes that a suspected request was answered."""
+class AnsweredTrait:
+    """A trait of a request that was answered `age` seconds ago."""
 
-    fingerprint: str
+    trait: crash_evidence.Trait
+    age: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class AnswerReport:
+    """Tells other nodes of answers to requests that have a trait of lost requests."""
+
+    answered: tuple[AnsweredTrait, ...]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CrashCause:
+    """A trait that crashes targets; requests with it are refused on all nodes.
+
+    Attributes:
+        cause_id: Unique id of this entry.
+        trait: The trait.
+        found_at: When it was found, ISO 8601 in UTC.
+        node_id: Node that found it.
+        crashes: Number of crashes that speak against it.
+        targets: Targets that crashed, the latest ones.
+        requests: Fingerprints of requests with the trait that were lost, some of them.
+        age: Seconds since it was found.
+        released: Why an operator has released it, empty while it is in force.
+    """
+
+    cause_id: str
+    trait: crash_evidence.Trait
+    found_at: str
+    node_id: str
+    crashes: int
+    targets: tuple[str, ...]
+    requests: tuple[str, ...]
+    age: float = 0.0
+    released: str = ""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class KnownCause:
+    """A cause and when its time is over, on `clock.elapsed`."""
+
+    cause: CrashCause
+    expires_at: float
 
 
 def request_fingerprint(workspace: str, target: str, body: bytes) -> str:
@@ -56,63 +122,321 @@
     return digest.hexdigest()
 
 
-class CrashTracker:
-    """The recent crashes of each request, seen by this node or reported by others."""
+class CrashTracker(kernel.Service):
+    """The crashes, answers and causes that this node has seen or was told of.
+
+    Attributes:
+        causes_by_trait: The causes in force.
+        on_cause: Called with each cause that was found here or came from a peer.
+    """
 
-    def __init__(self, *, network: peers.PeerNetwork, log: Any) -> None:
-        self._log = log
-        self._network = network
-        self._crash_times: collections.OrderedDict[str, collections.deque[float]] = (
+    def __init__(self, *, kernel: kernel.Kernel) -> None:
+        self.causes_by_trait: dict[crash_evidence.Trait, KnownCause] = {}
+        self.on_cause: Callable[[CrashCause], None] = lambda cause: None
+        self._node_id = kernel.node_id
+        self._log = kernel.log
+        self._tasks = tasks.TaskSet(log=kernel.log)
+        self._peers = kernel.find(names.PEERS, peers.PeerNetwork)
+        self._crashes_by_target: collections.OrderedDict[str, crash_evidence.Crash] = (
             collections.OrderedDict()
         )
-        self._known_crash_ids: collections.OrderedDict[str, None] = collections.OrderedDict()
-        network.handle(CrashSeen, self._on_crash_seen)
-        network.handle(CrashCleared, self._on_crash_cleared)
-
-    def should_refuse(self, fingerprint: str) -> bool:
-        """Returns True for a request that has crashed `MAX_CRASHES` runners lately."""
-        crash_times = self._crash_times.get(fingerprint)
-        return crash_times is not None and len(self._recent(crash_times)) >= MAX_CRASHES
-
-    def record_crash(self, fingerprint: str) -> None:
-        """Counts a runner that was lost while it ran a request, here and at the other nodes."""
-        self._process(CrashSeen(fingerprint=fingerprint, crash_id=uuid.uuid4().hex))
-
-    def record_answer(self, fingerprint: str) -> None:
-        """Clears a request that got its whole answer, here and at the other nodes."""
-        if self._crash_times.pop(fingerprint, None) is not None:
-            self._log.info("crash_cleared", fingerprint=fingerprint)
-            self._network.broadcast(CrashCleared(fingerprint=fingerprint))
-
-    def _process(self, message: CrashSeen) -> None:
-        """Counts a crash that is new to this node, and passes it on to its peers."""
-        if message.crash_id in self._known_crash_ids:
+        self._answered_at: collections.OrderedDict[crash_evidence.Trait, float] = (
+            collections.OrderedDict()
+        )
+        # Traits of lost requests, with the time of the last crash.
+        self._suspected_at: dict[crash_evidence.Trait, float] = {}
+        self._reported_at: dict[crash_evidence.Trait, float] = {}
+        self._released_ids: collections.OrderedDict[str, None] = collections.OrderedDict()
+        self._ids_by_trait: dict[crash_evidence.Trait, set[str]] = {}
+        self._crashes_total = prometheus_client.Counter(
+            "basilpost_target_crashes_total",
+            "Targets that crashed with requests in flight, seen here or by other nodes",
+            registry=kernel.registry,
+        )
+        causes = prometheus_client.Gauge(
+            "basilpost_crash_causes",
+            "Traits of requests that are refused because they crash targets",
+            registry=kernel.registry,
+        )
+        causes.set_function(lambda: len(self.causes_by_trait))
+        self._peers.handle(CrashReport, self._on_crash_report)
+        self._peers.handle(AnswerReport, self._on_answer_report)
+        self._peers.handle(CrashCause, self._on_cause)
+        self._peers.subscribe(self._on_stream)
+
+    async def stop(self) -> None:
+        """Cancels pending decisions."""
+        await self._tasks.close()
+
+    # What the forwarder asks and reports.
+
+    def find_cause(self, traits: Iterable[crash_evidence.Trait]) -> CrashCause | None:
+        """Returns the cause for which a request with these traits is refused, None for others."""
+        if not self.causes_by_trait:
+            return None
+        for trait in traits:
+            known = self.causes_by_trait.get(trait)
+            if known is not None and clock.elapsed() < known.expires_at:
+                return known.cause
+        return None
+
+    def may_retry(self, traits: Iterable[crash_evidence.Trait]) -> bool:
+        """Returns False for a lost request with a trait under which another target crashed before.
+
+        A request whose traits were all answered since is sent again.
+        """
+        suspected = {trait for trait in traits if trait in self._suspected_at}
+        return not suspected or all(
+            found.count < MAX_CRASHES_TO_RETRY
+            for found in self._gather()
+            if found.trait in suspected
+        )
+
+    def avoided_among(self, target_ids: Iterable[str]) -> frozenset[str]:
+        """Returns those of the targets that crashed lately and whose entry may be out of date."""
+        oldest = clock.elapsed() - AVOID_SECONDS
+        return frozenset(
+            target_id
+            for target_id in target_ids
+            if target_id in self._crashes_by_target
+            and self._crashes_by_target[target_id].at > oldest
+        )
+
+    def record_crash(self, target_id: str, requests: Iterable[crash_evidence.LostRequest]) -> None:
+        """Records that a target crashed, here and at the other nodes."""
+        self._add_crash(CrashReport(target_id=target_id, age=0.0, requests=tuple(requests)))
+
+    def record_answer(self, traits: Iterable[crash_evidence.Trait]) -> None:
+        """Records that a request was answered, which clears its traits here and elsewhere."""
+        now = clock.elapsed()
+        cleared = []
+        for trait in traits:
+            is_suspected = trait in self._suspected_at
+            if trait.kind == "part" or is_suspected:
+                self._set_answered(trait, now)
+            if is_suspected and self._reported_at.get(trait, 0.0) < self._suspected_at[trait]:
+                self._reported_at[trait] = now
+                cleared.append(AnsweredTrait(trait=trait, age=0.0))
+        if cleared:
+            self._peers.broadcast(AnswerReport(answered=tuple(cleared)))
+
+    def apply_cause(self, cause: CrashCause) -> bool:
+        """Takes over a cause or its release; returns False if it was known already."""
+        self._ids_by_trait.setdefault(cause.trait, set()).add(cause.cause_id)
+        if cause.released:
+            return self._release(cause)
+        if cause.cause_id in self._released_ids or cause.trait in self.causes_by_trait:
+            return False
+        if cause.age >= CAUSE_SECONDS:
+            return False
+        if len(self.causes_by_trait) >= MAX_CAUSES:
+            self._forget_cause(min(self.causes_by_trait, key=self._expiry_of))
+        self.causes_by_trait[cause.trait] = KnownCause(
+            cause=cause, expires_at=clock.elapsed() + CAUSE_SECONDS - cause.age
+        )
+        return True
+
+    def expire(self) -> list[CrashCause]:
+        """Ends the causes whose time is over, forgets old crashes; returns those causes."""
+        now = clock.elapsed()
+        ended = [known.cause for known in self.causes_by_trait.values() if known.expires_at <= now]
+        for cause in ended:
+            self._log.info("crash_cause_expired", trait=str(cause.trait), cause=cause.cause_id)
+            self._forget_cause(cause.trait)
+        self._forget_old_crashes(now - MEMORY_SECONDS)
+        return ended
+
+    # Crashes and answers.
+
+    def _add_crash(self, report: CrashReport) -> None:
+        """Adds a report's requests to a crash and passes on what is new to this node."""
+        known = self._crashes_by_target.get(report.target_id)
+        before = known.requests if known is not None else {}
+        new = [lost for lost in report.requests if lost.fingerprint not in before]
+        new = new[: max(0, MAX_REQUESTS_PER_CRASH - len(before))]
+        if known is not None and not new:
             return
-        self._known_crash_ids[message.crash_id] = None
-        if len(self._known_crash_ids) > MAX_SUSPECTS:
-            self._known_crash_ids.popitem(last=False)
-        self._count(message.fingerprint)
+        at = known.at if known is not None else clock.elapsed() - report.age
+        self._crashes_by_target[report.target_id] = crash_evidence.Crash(
+            target_id=report.target_id,
+            at=at,
+            requests={**before, **{lost.fingerprint: lost for lost in new}},
+        )
+        if known is None:
+            self._crashes_total.inc()
         self._log.info(
-            "crash_counted",
-            fingerprint=message.fingerprint,
-            crashes=len(self._recent(self._crash_times[message.fingerprint])),
+            "target_crashed",
+            target=report.target_id,
+            requests=[lost.fingerprint for lost in new],
+            parts=sorted({part for lost in new for part in lost.parts}),
+        )
+        for trait in {trait for lost in new for trait in lost.traits}:
+            self._suspected_at[trait] = max(at, self._suspected_at.get(trait, at))
+        while len(self._crashes_by_target) > MAX_CRASHES:
+            self._forget_old_crashes(next(iter(self._crashes_by_target.values())).at)
+        self._peers.broadcast(dataclasses.replace(report, requests=tuple(new)))
+        self._tasks.spawn(self._report_answers(new), name="crash-answers")
+        self._tasks.spawn(self._decide(), name="crash-decision")
+
+    async def _report_answers(self, lost: list[crash_evidence.LostRequest]) -> None:
+        """Reports answers that this node has seen to requests with the traits of lost ones.
+
+        It waits a random time and leaves out what another node has reported meanwhile.
+        """
+        await asyncio.sleep(random.uniform(0.0, ANSWER_DELAY_SECONDS))
+        now = clock.elapsed()
+        answered = [
+            AnsweredTrait(trait=trait, age=now - self._answered_at[trait])
+            for trait in {trait for request in lost for trait in request.traits}
+            if trait in self._answered_at and self._is_news(trait, self._answered_at[trait])
+        ]
+        if answered:
+            for item in answered:
+                self._reported_at[item.trait] = now - item.age
+            self._peers.broadcast(AnswerReport(answered=tuple(answered)))
+
+    def _is_news(self, trait: crash_evidence.Trait, at: float) -> bool:
+        """Returns True if other nodes may not know of an answer as recent as this one."""
+        reported_at = self._reported_at.get(trait)
+        return reported_at is None or at > reported_at + ANSWER_ADVANCE_SECONDS
+
+    async def _decide(self) -> None:
+        """Looks for a cause once answers that other nodes know of have arrived."""
+        await asyncio.sleep(DECISION_DELAY_SECONDS)
+        while found := crash_evidence.find_causes(self._gather(), self._answered_at):
+            for evidence in found:
+                self._found(evidence)
+
+    def _gather(self) -> list[crash_evidence.Evidence]:
+        return crash_evidence.gather(
+            self._crashes_by_target.values(), self._answered_at, self.causes_by_trait.keys()
         )
-        self._network.broadcast(message)
 
-    def _count(self, fingerprint: str) -> None:
-        self._crash_times.setdefault(fingerprint, collections.deque(maxlen=MAX_CRASHES)).append(
-            clock.elapsed()
+    def _found(self, evidence: crash_evidence.Evidence) -> None:
+        lost = {
+            request.fingerprint
+            for crash in evidence.crashes
+            for request in crash.requests.values()
+            if evidence.trait in request.traits
+        }
+        cause = CrashCause(
+            cause_id=uuid.uuid4().hex,
+            trait=evidence.trait,
+            found_at=clock.utc_now(),
+            node_id=self._node_id,
+            crashes=evidence.count,
+            targets=tuple(crash.target_id for crash in evidence.crashes[-MAX_LISTED:]),
+            requests=tuple(sorted(lost)[:MAX_LISTED]),
         )
-        self._crash_times.move_to_end(fingerprint)
-        if len(self._crash_times) > MAX_SUSPECTS:
-            self._crash_times.popitem(last=False)
+        if self.apply_cause(cause):
+            self._log.warning(
+                "crash_cause_found",
+                trait=str(cause.trait),
+                cause=cause.cause_id,
+                crashes=cause.crashes,
+                targets=list(cause.targets),
+                requests=list(cause.requests),
+            )
+            self._peers.broadcast(cause)
+            self.on_cause(cause)
+
+    def _set_answered(self, trait: crash_evidence.Trait, at: float) -> None:
+        if at < self._answered_at.get(trait, at):
+            return
+        self._answered_at[trait] = at
+        self._answered_at.move_to_end(trait)
+        if len(self._answered_at) > MAX_ANSWERED_TRAITS:
+            self._answered_at.popitem(last=False)
+
+    def _forget_old_crashes(self, until: float) -> None:
+        kept = [crash for crash in self._crashes_by_target.values() if crash.at > until]
+        self._crashes_by_target = collections.OrderedDict(
+            (crash.target_id, crash) for crash in kept
+        )
+        traits = {
+            trait for crash in kept for lost in crash.requests.values() for trait in lost.traits
+        }
+        self._suspected_at = {
+            trait: at for trait, at in self._suspected_at.items() if trait in traits
+        }
+        self._reported_at = {
+            trait: at for trait, at in self._reported_at.items() if trait in traits
+        }
+
+    # Causes.
 
-    def _recent(self, crash_times: collections.deque[float]) -> list[float]:
-        oldest = clock.elapsed() - MEMORY_SECONDS
-        return [at for at in crash_times if at > oldest]
+    def _release(self, cause: CrashCause) -> bool:
+        """Ends a cause for good; the crashes that spoke against it no longer count."""
+        ids = self._ids_by_trait.pop(cause.trait, set())
+        is_new = not ids <= self._released_ids.keys()
+        for cause_id in ids:
+            self._released_ids[cause_id] = None
+        while len(self._released_ids) > MAX_RELEASED:
+            self._released_ids.popitem(last=False)
+        known = self.causes_by_trait.pop(cause.trait, None)
+        if known is not None:
+            self._set_answered(cause.trait, clock.elapsed())
+            self._log.warning(
+                "crash_cause_released",
+                trait=str(cause.trait),
+                cause=cause.cause_id,
+                reason=cause.released,
+            )
+        return is_new
 
-    async def _on_crash_seen(self, sender: str, message: CrashSeen) -> None:
-        self._process(message)
+    def _forget_cause(self, trait: crash_evidence.Trait) -> None:
+        self.causes_by_trait.pop(trait, None)
+        self._ids_by_trait.pop(trait, None)
 
-    async def _on_crash_cleared(self, sender: str, message: CrashCleared) -> None:
-        self.record_answer(message.fingerprint)
+    def _expiry_of(self, trait: crash_evidence.Trait) -> float:
+        return self.causes_by_trait[trait].expires_at
+
+    # Messages.
+
+    async def _on_crash_report(self, sender: str, message: CrashReport) -> None:
+        self._add_crash(message)
+
+    async def _on_answer_report(self, sender: str, message: AnswerReport) -> None:
+        now = clock.elapsed()
+        news = [item for item in message.answered if self._is_news(item.trait, now - item.age)]
+        for item in message.answered:
+            at = now - item.age
+            self._set_answered(item.trait, at)
+            if item.trait in self._suspected_at:
+                self._reported_at[item.trait] = max(at, self._reported_at.get(item.trait, at))
+        if news:
+            self._peers.broadcast(AnswerReport(answered=tuple(news)))
+
+    async def _on_cause(self, sender: str, message: CrashCause) -> None:
+        if self.apply_cause(message):
+            self._log.info(
+                "crash_cause_learned",
+                trait=str(message.trait),
+                cause=message.cause_id,
+                source=sender,
+            )
+            self._peers.broadcast(message)
+            self.on_cause(message)
+
+    def _on_stream(self, node_id: str, is_open: bool) -> None:
+        """Sends a peer what this node knows when a stream to it opens."""
+        if not is_open:
+            return
+        now = clock.elapsed()
+        for known in self.causes_by_trait.values():
+            age = CAUSE_SECONDS - (known.expires_at - now)
+            self._peers.send(node_id, dataclasses.replace(known.cause, age=max(0.0, age)))
+        for crash in self._crashes_by_target.values():
+            report = CrashReport(
+                target_id=crash.target_id,
+                age=max(0.0, now - crash.at),
+                requests=tuple(crash.requests.values()),
+            )
+            self._peers.send(node_id, report)
+        answered = tuple(
+            AnsweredTrait(trait=trait, age=now - self._answered_at[trait])
+            for trait in self._suspected_at
+            if trait in self._answered_at
+        )
+        if answered:
+            self._peers.send(node_id, AnswerReport(answered=answered))
