A target that crashed is avoided until its entry is gone, and kept connections end with their runner

Cause: a dead target has no requests in flight, and is the best one by load. A kept connection to a host that failed looks usable, also when another runner has its address.

--- a/basilpost/core/channels.py
+++ b/basilpost/core/channels.py
@@ -114,10 +114,14 @@
         stream: The socket's stream.
         usable_until: Time on `clock.elapsed` after which the server may close it as idle.
         requests: Number of requests sent on it.
+        lifetime: Run of the server process that it was opened to, empty if unknown.
     """
 
-    def __init__(self, *, address: str, stream: tornado.iostream.IOStream) -> None:
+    def __init__(
+        self, *, address: str, stream: tornado.iostream.IOStream, lifetime: str = ""
+    ) -> None:
         self.address = address
+        self.lifetime = lifetime
         self.stream = stream
         self.usable_until = 0.0
         self.requests = 0
@@ -199,7 +203,7 @@
         self._idle_by_address: dict[str, list[Channel]] = {}
 
     async def acquire(
-        self, address: str, *, timeout: float, fresh: bool = False
+        self, address: str, *, timeout: float, fresh: bool = False, lifetime: str = ""
     ) -> Channel | ConnectFailed:
         """Returns an idle connection, or opens one within `timeout` seconds.
 
@@ -208,14 +212,16 @@
             timeout: Longest time in seconds for opening a connection.
             fresh: True to open a new connection in any case. The server may have closed an idle
                 one, and then it is unknown whether a request sent on it has run.
+            lifetime: Run of the server process that must answer. A connection to an earlier one is not
+                used: after a failure of its host, nothing tells this end that it is closed.
         """
         idle = [] if fresh else self._idle_by_address.get(address, [])
         while idle:
             channel = idle.pop()
-            if channel.usable:
+            if channel.usable and channel.lifetime == lifetime:
                 return channel
             channel.close()
-        return await _open(address, timeout=timeout)
+        return await _open(address, timeout=timeout, lifetime=lifetime)
 
     def release(self, channel: Channel) -> None:
         """Keeps a connection for reuse after a complete answer, or closes it if it is unusable."""
@@ -244,7 +250,7 @@
         self._idle_by_address.clear()
 
 
-async def _open(address: str, *, timeout: float) -> Channel | ConnectFailed:
+async def _open(address: str, *, timeout: float, lifetime: str) -> Channel | ConnectFailed:
     host, _, port = address.rpartition(":")
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     stream = tornado.iostream.IOStream(sock, max_buffer_size=MAX_BODY_BYTES)
@@ -258,7 +264,7 @@
     except asyncio.CancelledError:
         stream.close()
         raise
-    return Channel(address=address, stream=stream)
+    return Channel(address=address, stream=stream, lifetime=lifetime)
 
 
 def _retrieve_error(writing: "asyncio.Future[None]") -> None:
--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -9,13 +9,14 @@
 import asyncio
 import dataclasses
 import random
+from collections.abc import Iterable
 from typing import Any
 
 from basilpost.core import channels, clock, failure
 from basilpost.gateway import answer_sinks, attempts, inbound, loss_probe, request_admission
 from basilpost.gateway import stall_detector as stall_detector_
 from basilpost.members import loads as loads_
-from basilpost.routing import cold, header_dialect, placement, retry
+from basilpost.routing import cold, header_dialect, placement, retry, unreachable
 from basilpost.routing import crashes as crashes_
 from basilpost.routing import targets as targets_
 
@@ -86,6 +87,7 @@
         self._rng = rng
         self._log = log
         self._cold = cold.ColdStartLimiter(node_id=node_id)
+        self._unreachable = unreachable.UnreachableTargets()
         self._retries_by_service: dict[str, retry.RetryBudget] = {}
         loads.local_stalled = self.stall_detector.suspects
         loads.local_writing = self.stall_detector.active_targets
@@ -241,7 +243,7 @@
             preferred = self._choose_preferred(progress)
             if preferred is not None:
                 return preferred
-        suspects = self._loads.stalled_among(target.target_id for target in untried)
+        suspects = self._suspects_among(untried)
         # A group that lost a member is suspected unless some node still receives events from it.
         incomplete = frozenset(target.target_id for target in untried if not target.complete)
         if incomplete:
@@ -265,7 +267,7 @@
             )
             if target.target_id not in progress.tried_targets
         ]
-        suspects = self._loads.stalled_among(target.target_id for target in untried)
+        suspects = self._suspects_among(untried)
         candidates = [self._candidate(admitted, target, suspects) for target in untried]
         return placement.choose_target(
             filter(placement.has_light_load, candidates),
@@ -274,6 +276,18 @@
             stale=True,
         )
 
+    def _suspects_among(self, targets: Iterable[targets_.Target]) -> frozenset[str]:
+        """Returns those of the targets that have stopped answering, crashed or refuse connections.
+
+        A target that is gone has no requests in flight, and would be chosen first for its low load.
+        """
+        target_ids = [target.target_id for target in targets]
+        return (
+            self._loads.stalled_among(target_ids)
+            | self._crashes.avoided_among(target_ids)
+            | self._unreachable.among(target_ids)
+        )
+
     def _candidate(
         self,
         admitted: request_admission.AdmittedRequest,
@@ -323,9 +337,13 @@
         sink: answer_sinks.AnswerSink,
     ) -> channels.Head | attempts.NotSent | attempts.NotRun | attempts.Lost:
         channel = await self.pool.acquire(
-            target.address, timeout=CONNECT_SECONDS, fresh=not progress.repeatable
+            target.address,
+            timeout=CONNECT_SECONDS,
+            fresh=not progress.repeatable,
+            lifetime=target.lifetime,
         )
         if isinstance(channel, channels.ConnectFailed):
+            self._unreachable.add(target.target_id)
             return attempts.NotSent(reason=channel.reason)
         self._log_placement(progress, target, last_event)
         began_at = clock.elapsed()
@@ -347,6 +365,8 @@
             if isinstance(result, attempts.Lost) and channel.requests > 1:
                 is_stale = clock.elapsed() - began_at < STALE_SECONDS
                 result = dataclasses.replace(result, stale_connection=is_stale)
+                if is_stale:
+                    self._unreachable.add(target.target_id)
             return result
         finally:
             if keep:
--- a/basilpost/routing/targets.py
+++ b/basilpost/routing/targets.py
@@ -31,6 +31,7 @@
         cold_until: Time on `clock.elapsed` at which its cold start ends.
         complete: False for a group that was complete before and has lost the entry of a member
             since. It still works if that member is only cut off from the store.
+        lifetime: Id of the run of the runner process that answers, unique to it.
     """
 
     target_id: str
@@ -43,6 +44,7 @@
     pace: float
     cold_until: float
     complete: bool = True
+    lifetime: str = ""
 
 
 def find_targets(
@@ -94,6 +96,7 @@
         slots=vm.slots,
         pace=1.0,
         cold_until=seen.cold_until,
+        lifetime=reported_groups.lifetime_id(vm),
     )
 
 
@@ -113,6 +116,7 @@
             pace=group.model.pace,
             cold_until=max(seen_by_id[vm.vm_id].cold_until for vm in group.members),
             complete=group.complete,
+            lifetime=reported_groups.lifetime_id(group.members[0]),
         )
         for group in reported_groups.from_vms(vms, models_by_name)
         if group.model is not None
