--- a/basilpost/admin/explaining.py
+++ b/basilpost/admin/explaining.py
@@ -26,6 +26,8 @@
     }
 )
 
+_CAUSE_EVENTS = frozenset({"crash_cause_found", "crash_cause_learned"})
+
 _DESCRIPTIONS_BY_OUTCOME = {
     "answered": "it was answered",
     "streamed": "its stream was passed on whole",
@@ -33,7 +35,7 @@
     "cut_by_stop": "the node was asked to stop and ended before the answer was complete",
     "broken_off": "its stream started but could not be completed",
     "no_target": "no group or instance could accept it",
-    "quarantined": "it crashed each runner that ran it",
+    "quarantined": "requests like it crashed the targets that ran them",
     "busy": "all groups or instances were full",
     "target_lost": "the target went away under it",
     "deadline": "its deadline passed",
@@ -127,16 +129,24 @@
     groups = {
         _group_of(line.fields["target"]) for line in request_lines if line.fields.get("target")
     }
+    targets = {line.fields["target"] for line in request_lines if line.fields.get("target")}
     vms = {line.fields["vm"] for line in request_lines if line.fields.get("vm")}
     nodes = {line.node for line in request_lines}
     begin = request_lines[0].at - datetime.timedelta(seconds=SHOWN_BEFORE_SECONDS)
     end = request_lines[-1].at + datetime.timedelta(seconds=SHOWN_AFTER_SECONDS)
 
+    causes = {line.fields["cause"] for line in request_lines if line.fields.get("cause")}
+
     def is_related(line: Line) -> bool:
+        if line.event in _CAUSE_EVENTS and line.fields.get("cause") in causes:
+            # A cause may have been found long before the request.
+            return line.at <= end
         if not begin <= line.at <= end or "request" in line.fields:
             return False
         if line.event in _NODE_EVENTS:
             return line.node in nodes
+        if line.event == "target_crashed":
+            return line.fields.get("target") in targets
         return line.fields.get("group") in groups or line.fields.get("vm") in vms
 
     related = [
@@ -181,7 +191,11 @@
     silent = [line for line in related if line.fields.get("silent")]
     gone = [line for line in related if line.event == "vm_gone"]
     failed = [line for line in request_lines if line.event == "attempt_failed"]
-    if silent:
+    found = [line for line in related if line.event == "crash_cause_found"]
+    if found:
+        targets = ", ".join(found[0].fields.get("targets") or ())
+        parts.append(f"; {found[0].node} found the cause at {found[0].at:%H:%M:%S}: {targets}")
+    elif silent:
         vms = ", ".join(silent[0].fields["silent"])
         parts.append(f"; {vms} of its group did not answer")
     elif gone:
--- a/basilpost/cli/main.py
+++ b/basilpost/cli/main.py
@@ -6,6 +6,7 @@
 from basilpost.cli import (
     audit,
     config,
+    crash_causes,
     demo,
     emulate,
     explain,
@@ -28,6 +29,7 @@
 
 main.add_command(audit.audit)
 main.add_command(config.config)
+main.add_command(crash_causes.crash_causes)
 main.add_command(demo.command, name="demo")
 main.add_command(emulate.command)
 main.add_command(explain.command, name="explain")
--- a/basilpost/core/failure.py
+++ b/basilpost/core/failure.py
@@ -36,9 +36,11 @@
         status: HTTP status.
         outcome: Whether the request has run.
         retry_after: Seconds after which the caller may retry, None if a retry cannot succeed.
+        cause: Id of the entry for which it is refused, empty for none.
     """
 
     code: str
     status: int
     outcome: Outcome = Outcome.NOT_RUN
     retry_after: float | None = None
+    cause: str = ""
--- a/basilpost/core/log_events.py
+++ b/basilpost/core/log_events.py
@@ -34,6 +34,7 @@
     "configuration_age_ms",
     "vms_age_ms",
     "after_stop_ms",
+    "cause",
 )
 
 EVENTS: dict[str, Event] = {
--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -233,7 +233,9 @@
         cause = self._crashes.find_cause(progress.traits)
         if cause is not None:
             return dataclasses.replace(
-                self._refusal("quarantined", _describe_cause(cause)), retry_after=None
+                self._refusal("quarantined", _describe_cause(cause)),
+                retry_after=None,
+                cause=cause.cause_id,
             )
         known = self._targets.matching(admitted.service.name, admitted.call.model)
         untried = [target for target in known if target.target_id not in progress.tried_targets]
--- a/basilpost/gateway/relay.py
+++ b/basilpost/gateway/relay.py
@@ -301,7 +301,11 @@
         body = {"error": {"code": refusal.code, "message": refusal.reason}}
         reply.send_whole(refusal.status, "", headers, json.dumps(body).encode())
         return dataclasses.replace(
-            summary, status=refusal.status, outcome=refusal.code, reason=refusal.reason
+            summary,
+            status=refusal.status,
+            outcome=refusal.code,
+            reason=refusal.reason,
+            cause=refusal.cause,
         )
 
 
--- a/basilpost/gateway/request_recorder.py
+++ b/basilpost/gateway/request_recorder.py
@@ -26,6 +26,7 @@
         outcome: answered, streamed, broken_off, caller_left, cut_by_stop or the code of a refusal;
             empty until the request has ended.
         reason: Why it was refused or broken off.
+        cause: Id of the cause of crashes for which it was refused, empty for none.
     """
 
     call: header_dialect.RequestInfo
@@ -33,6 +34,7 @@
     status: int = 0
     outcome: str = ""
     reason: str = ""
+    cause: str = ""
 
 
 class RequestRecorder:
@@ -89,6 +91,8 @@
                 "sends": progress.sends,
                 "rejections": progress.rejections,
             }
+        if summary.cause:
+            fields["cause"] = summary.cause
         if stop_began_at is not None:
             fields["after_stop_ms"] = round((request.received_at - stop_began_at) * 1000)
         self._log.info(
--- a/basilpost/routing/crash_evidence.py
+++ b/basilpost/routing/crash_evidence.py
@@ -25,6 +25,7 @@
 
 _PART = "part"
 _REQUEST = "request"
+KINDS = (_PART, _REQUEST)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, order=True)
--- a/tests/pool_explain_test.py
+++ b/tests/pool_explain_test.py
@@ -1,5 +1,6 @@
 """`basilpost explain` on three kinds of failed request, from the logs of nodes that ran them."""
 
+import asyncio
 import contextlib
 import json
 
@@ -9,8 +10,9 @@
 import tornado.simple_httpclient
 
 from basilpost.cli import explain
-from basilpost.core import log
+from basilpost.core import log, names
 from basilpost.emulator import pool_fleet
+from basilpost.routing import crash_evidence, crashes
 from tests import pool_nodes
 
 
@@ -54,6 +56,23 @@
     assert "closed the connection" in verdict
 
 
+async def test_a_request_refused_for_crashes_under_others_like_it(explain_request):
+    async with pool_nodes.running(vms=0) as bench:
+        tracker = bench.kernels[0].find(names.CRASHES, crashes.CrashTracker)
+        for number in range(3):
+            lost = crash_evidence.LostRequest(fingerprint=f"f{number}", parts=("bad",))
+            tracker.record_crash(f"target-{number}", [lost])
+            await asyncio.sleep(crash_evidence.SEPARATE_SECONDS * 1.1)
+        await asyncio.sleep(crashes.DECISION_DELAY_SECONDS * 2)
+        answer = await bench.call("/filing/a", X_Prompt_Prefix="bad:5,own:3")
+        assert answer.code == 503
+    output = explain_request(answer.attempt)
+    assert "crash_cause_found" in output
+    verdict = output.splitlines()[-1]
+    assert "part bad" in verdict and "target-0, target-1, target-2" in verdict
+    assert verdict.endswith("it has not run")
+
+
 async def test_a_filing_with_an_unknown_outcome(explain_request):
     async with pool_nodes.running(vms=0, plain_instances=1) as bench:
         bench.fleet.runners_by_id["desk-0"].options.lose_answers = 1
