A node that has just started asks which requests crash targets before it serves

Without it a node that starts while the others are gone ran requests that they refused, until it had listed the causes. It answers 503 starting until the store or a peer has told it, at most 3 s.

--- a/basilpost/core/names.py
+++ b/basilpost/core/names.py
@@ -30,6 +30,7 @@
 CONTROLLER = "controller"
 RELAY = "relay"
 CRASHES = "crashes"
+CRASH_STORE = "crash_store"
 NODE_TABLE = "node_table"
 
 CONFIG_PREFIX = "config/"
--- a/basilpost/gateway/relay.py
+++ b/basilpost/gateway/relay.py
@@ -23,7 +23,7 @@
 )
 from basilpost.members import knowledge as knowledges
 from basilpost.members import loads as loads_
-from basilpost.routing import crashes, header_dialect
+from basilpost.routing import crash_store, crashes, header_dialect
 from basilpost.routing import targets as targets_
 from basilpost.settings import pool_schema
 
@@ -92,6 +92,7 @@
             rng=rng,
             log=kernel.log,
         )
+        self._crash_store = kernel.find(names.CRASH_STORE, crash_store.CrashStore)
         self._server = listener.Listener(
             self,
             idle_connection_timeout=IDLE_SECONDS,
@@ -194,6 +195,7 @@
             not self._draining
             and self.knowledge.configuration is not None
             and self.knowledge.configuration_age() < READY_MAX_AGE_SECONDS
+            and self._crash_store.is_informed()
         )
 
     async def _sweep_pool(self) -> None:
@@ -236,6 +238,8 @@
         admitted = self._admission.admit(request)
         if isinstance(admitted, failure.Refusal):
             return self._refuse(reply, admitted, summary)
+        if not self._crash_store.is_informed():
+            return self._refuse(reply, _starting_refusal(), summary)
         if not self._can_finish_before_stop(admitted):
             return self._refuse(reply, _stopping_refusal(), summary)
         progress = attempts.Progress(
@@ -318,6 +322,15 @@
     )
 
 
+def _starting_refusal() -> failure.Refusal:
+    return failure.Refusal(
+        reason="the node does not know yet which requests crash targets",
+        code="starting",
+        status=503,
+        retry_after=STOPPING_RETRY_SECONDS,
+    )
+
+
 def _cut_refusal() -> failure.Refusal:
     return failure.Refusal(
         reason="the node stopped before the answer was complete",
--- a/basilpost/node/pool_assembly.py
+++ b/basilpost/node/pool_assembly.py
@@ -67,7 +67,7 @@
         ),
     )
     kernel.register(names.CRASHES, crashes.CrashTracker(kernel=kernel))
-    kernel.register("crash_store", crash_store.CrashStore(kernel=kernel))
+    kernel.register(names.CRASH_STORE, crash_store.CrashStore(kernel=kernel))
     kernel.register(names.RELAY, relay.Relay(kernel=kernel, settings=settings))
     kernel.register(
         "metrics",
--- a/basilpost/routing/crash_store.py
+++ b/basilpost/routing/crash_store.py
@@ -7,11 +7,12 @@
 import asyncio
 import dataclasses
 import datetime
+import math
 import random
 
 import xxhash
 
-from basilpost.core import codec, kernel, names, tasks
+from basilpost.core import clock, codec, kernel, names, tasks
 from basilpost.members import feed
 from basilpost.routing import crash_evidence, crashes
 from basilpost.store import objects
@@ -23,6 +24,8 @@
 # Time after which other nodes write a cause that is not in the store.
 TAKE_OVER_SECONDS = (5.0, 15.0)
 EXPIRY_CHECK_SECONDS = 5.0
+# A node that can serve otherwise waits this long at most for the causes that others know.
+MAX_WAIT_SECONDS = 3.0
 # Time for which a released cause stays in the store, for nodes that were away.
 KEEP_RELEASED_SECONDS = 600.0
 # Longer names, and those with unusual characters, are replaced by a digest.
@@ -58,8 +61,10 @@
         self._node_id = kernel.node_id
         self._stored_by_key: dict[str, objects.Stored] = {}
         self._writing: set[str] = set()
+        self._first_asked_at: float | None = None
         self._tracker.on_cause = self._write_soon
-        kernel.find(names.FEED, feed.Feed).follow(
+        self._feed = kernel.find(names.FEED, feed.Feed)
+        self._feed.follow(
             PREFIX, wait=WATCH_SECONDS, on_change=self._apply_change, age_bounded=False
         )
 
@@ -71,6 +76,17 @@
         """Cancels writes in the background."""
         await self._tasks.close()
 
+    def is_informed(self) -> bool:
+        """Returns True once this node knows the causes that others know, or cannot learn them.
+
+        A node that has just started would otherwise run requests that all others refuse.
+        """
+        if self._tracker.heard_from_peer or self._feed.age(PREFIX) < math.inf:
+            return True
+        if self._first_asked_at is None:
+            self._first_asked_at = clock.elapsed()
+        return clock.elapsed() - self._first_asked_at > MAX_WAIT_SECONDS
+
     def _apply_change(self, change: objects.Change) -> None:
         if change.stored is None:
             self._stored_by_key.pop(change.key, None)
--- a/basilpost/routing/crash_store_test.py
+++ b/basilpost/routing/crash_store_test.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import math
 
 import pytest
 
@@ -19,6 +20,10 @@
 
     def __init__(self):
         self.on_change = None
+        self.known_age = math.inf
+
+    def age(self, prefix):
+        return self.known_age
 
     def follow(self, prefix, *, wait, on_change, age_bounded=True):
         self.on_change = on_change
@@ -129,6 +134,21 @@
     await node.close()
 
 
+async def test_a_node_waits_for_the_store_or_a_peer_before_it_serves(store, monkeypatch):
+    now = [100.0]
+    monkeypatch.setattr(clock, "elapsed", lambda: now[0])
+    nodes = [Node(f"n{number}", store, fakes.PeerHub()) for number in range(3)]
+    assert not any(node.store.is_informed() for node in nodes)
+    nodes[0].feed.known_age = 0.1
+    await nodes[1].tracker._on_answer_report("peer", crashes.AnswerReport(answered=()))
+    assert [node.store.is_informed() for node in nodes] == [True, True, False]
+    # A node alone beside a store that refuses these objects serves all the same.
+    now[0] += crash_store.MAX_WAIT_SECONDS * 1.1
+    assert nodes[2].store.is_informed()
+    for node in nodes:
+        await node.close()
+
+
 async def test_malformed_objects_are_no_causes(store):
     node = Node("n0", store, fakes.PeerHub())
     for number, value in enumerate([b"null", b"{}", b'{"trait": 3}']):
--- a/basilpost/routing/crashes.py
+++ b/basilpost/routing/crashes.py
@@ -69,7 +69,10 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class AnswerReport:
-    """Tells other nodes of answers to requests that have a trait of lost requests."""
+    """Tells other nodes of answers to requests that have a trait of lost requests.
+
+    It also ends what a node sends to a peer when a stream opens, then possibly without any answer.
+    """
 
     answered: tuple[AnsweredTrait, ...]
 
@@ -128,11 +131,13 @@
     Attributes:
         causes_by_trait: The causes in force.
         on_cause: Called with each cause that was found here or came from a peer.
+        heard_from_peer: True once a peer has sent what it knows.
     """
 
     def __init__(self, *, kernel: kernel.Kernel) -> None:
         self.causes_by_trait: dict[crash_evidence.Trait, KnownCause] = {}
         self.on_cause: Callable[[CrashCause], None] = lambda cause: None
+        self.heard_from_peer = False
         self._node_id = kernel.node_id
         self._log = kernel.log
         self._tasks = tasks.TaskSet(log=kernel.log)
@@ -397,6 +402,7 @@
         self._add_crash(message)
 
     async def _on_answer_report(self, sender: str, message: AnswerReport) -> None:
+        self.heard_from_peer = True
         now = clock.elapsed()
         news = [item for item in message.answered if self._is_news(item.trait, now - item.age)]
         for item in message.answered:
@@ -438,5 +444,4 @@
             for trait in self._suspected_at
             if trait in self._answered_at
         )
-        if answered:
-            self._peers.send(node_id, AnswerReport(answered=answered))
+        self._peers.send(node_id, AnswerReport(answered=answered))
--- a/tests/pool_crash_parts_test.py
+++ b/tests/pool_crash_parts_test.py
@@ -10,8 +10,9 @@
 import pytest
 import tornado.httpclient
 
-from basilpost.core import clock
+from basilpost.core import clock, names
 from basilpost.emulator import pool_fleet
+from basilpost.routing import crashes
 from tests import pool_nodes
 
 # Bounds of the users' pages: crashes after which the part has to be known, the time that this may take,
@@ -136,11 +137,117 @@
         await callers.run(seconds=11.0, every=0.25, crashing="bad")
         await sound
         await callers.finish()
-        crashes = crash_times(bench)
-        assert len(crashes) >= 2
-        known_at = (crashes[:KNOWN_AFTER_CRASHES][-1]) + STABLE_SECONDS
+        crashed = crash_times(bench)
+        assert len(crashed) >= 2
+        known_at = (crashed[:KNOWN_AFTER_CRASHES][-1]) + STABLE_SECONDS
         late = arrivals(bench, "bad", known_at)
         before = callers.served(began_at, crashing_since)
         after = callers.served(known_at + STABLE_SECONDS - 2.0, clock.elapsed())
-        assert len(late) <= MAX_LATE_ARRIVALS, (len(crashes), len(late), before, after)
-        assert after >= before * MIN_SERVED_RATIO, (len(crashes), before, after)
+        assert len(late) <= MAX_LATE_ARRIVALS, (len(crashed), len(late), before, after)
+        assert after >= before * MIN_SERVED_RATIO, (len(crashed), before, after)
+
+
+async def make_traffic(bench, callers, *, seconds, parts, every=0.25):
+    """Sends sound requests all the while, and such with crashing parts after a second."""
+    sound = asyncio.create_task(callers.run(seconds=seconds, every=0.04))
+    await asyncio.sleep(1.0)
+    await asyncio.gather(
+        *(callers.run(seconds=seconds - 1.0, every=every, crashing=part) for part in parts)
+    )
+    await sound
+    await callers.finish()
+
+
+def causes(bench):
+    """Returns the traits that each node refuses."""
+    return [
+        {str(trait) for trait in kernel.find(names.CRASHES, crashes.CrashTracker).causes_by_trait}
+        for kernel in bench.kernels
+    ]
+
+
+def prepare(bench, *parts, **options):
+    for runner in bench.fleet.runners_by_id.values():
+        runner.options = dataclasses.replace(
+            runner.options,
+            events=15,
+            event_seconds=0.02,
+            crash_parts=frozenset(parts),
+            **options,
+        )
+
+
+async def test_several_parts_at_once_crash_runners():
+    parts = ("bad1", "bad2", "bad3")
+    async with pool_nodes.running(nodes=NODES, fabric_domains=4, vms=6) as bench:
+        await bench.wait_for_groups(4, pool_fleet.LARGE)
+        prepare(bench, *parts)
+        callers = Callers(bench, seed=3)
+        await make_traffic(bench, callers, seconds=12.0, parts=parts, every=0.6)
+        assert causes(bench) == [{f"part {part}" for part in parts}] * NODES
+        crashed = crash_times(bench)
+        for part in parts:
+            assert len(arrivals(bench, part, crashed[-1] + STABLE_SECONDS)) == 0
+        assert len(crashed) <= len(parts) * KNOWN_AFTER_CRASHES + MAX_LATE_ARRIVALS
+        assert callers.served(crashed[-1] + STABLE_SECONDS, clock.elapsed()) > 0.9
+
+
+@pytest.mark.parametrize("lost", ["fabric-0", "fabric-"])
+async def test_a_mass_loss_is_blamed_on_requests(lost):
+    """One fabric domain or all are lost at once, several times."""
+    async with pool_nodes.running(nodes=NODES, fabric_domains=3, vms=6) as bench:
+        await bench.wait_for_groups(3, pool_fleet.LARGE)
+        prepare(bench, entry_seconds=0.5, down_seconds=1.0)
+        callers = Callers(bench, seed=4)
+        traffic = asyncio.create_task(make_traffic(bench, callers, seconds=9.0, parts=()))
+        for _ in range(4):
+            await asyncio.sleep(1.7)
+            for runner in bench.fleet.runners_by_id.values():
+                if runner.member is not None and runner.fabric_domain.startswith(lost):
+                    runner.crash()
+        await traffic
+        assert len(crash_times(bench)) > 10
+        assert causes(bench) == [set()] * NODES
+
+
+async def test_a_node_that_starts_runs_requests_that_all_others_refuse():
+    """The others are killed or stopped one after the other, the store is away meanwhile."""
+    async with pool_nodes.running(nodes=2, fabric_domains=3, vms=6) as bench:
+        await bench.wait_for_groups(3, pool_fleet.LARGE)
+        prepare(bench, "bad")
+        callers = Callers(bench, seed=5)
+        await make_traffic(bench, callers, seconds=5.0, parts=["bad"])
+        assert causes(bench) == [{"part bad"}] * 2
+        await bench.fleet.store.stop()
+        await asyncio.sleep(0.5)
+        late = asyncio.create_task(bench.add("late"))
+        await asyncio.sleep(1.0)
+        await bench.kernels[0].stop()
+        await bench.kernels[1].stop()
+        await bench.fleet.store.start()
+        await late
+        await pool_fleet.until(lambda: bench.relays[-1].ready)
+        crashed = len(crash_times(bench))
+        callers.nodes = [len(bench.addresses) - 1]
+        await callers.run(seconds=2.0, every=0.2, crashing="bad")
+        await callers.finish()
+        assert len(crash_times(bench)) == crashed
+        assert outcomes(callers, "bad", clock.elapsed() - 2.5).keys() == {(503, "quarantined")}
+
+
+async def test_a_refusal_for_a_crashing_part_keeps_callers_waiting():
+    async with pool_nodes.running(nodes=2, fabric_domains=3, vms=6) as bench:
+        await bench.wait_for_groups(3, pool_fleet.LARGE)
+        prepare(bench, "bad")
+        callers = Callers(bench, seed=6)
+        await make_traffic(bench, callers, seconds=5.0, parts=["bad"])
+        began_at = clock.elapsed()
+        answers = [
+            await bench.draft(node=number % 2, X_Prompt_Prefix=f"f0:40,bad:200,x{number}:9")
+            for number in range(10)
+        ]
+        assert clock.elapsed() - began_at < 0.5
+        assert {(a.code, pool_nodes.error_code(a)) for a in answers} == {(503, "quarantined")}
+        assert not any("Retry-After" in answer.headers for answer in answers)
+        assert {answer.headers["Basilpost-Outcome"] for answer in answers} == {"not-run"}
+        assert not any(bench.fleet.runs_of(answer.attempt) for answer in answers)
