A log line shows which limit a target names

No line or metric told of Server-Limit. The adapter now reads it, and target_limit is logged for each new value. What is sent is unchanged. The emulated runner can name a limit and keeps the times of arrivals.

--- a/basilpost/core/log_events.py
+++ b/basilpost/core/log_events.py
@@ -78,6 +78,10 @@
     "crash_cause_not_written": Event(
         meaning="the store does not have this cause of crashes yet", fields=("cause", "reason")
     ),
+    "target_limit": Event(
+        meaning="a target names another limit on the requests per second of all nodes, null for none",
+        fields=("target", "per_second"),
+    ),
     "stray_answer": Event(
         meaning="an answer to another request arrived on the connection and was skipped",
         fields=(*_REQUEST_FIELDS, "named", "answer_status", "requests"),
--- a/basilpost/emulator/pool_runner.py
+++ b/basilpost/emulator/pool_runner.py
@@ -43,6 +43,7 @@
         cut_streams: Number of coming streams that are cut off in the middle of an event.
         cut_after_events: Whole events that such a stream sends first.
         stalled: True to send no events, as a group does that lost a member.
+        limit_per_second: Limit that answers name, None for none.
         crash_parts: Parts of prompts that crash the runner when it begins to write an answer.
         crash_bodies: Bodies of requests to a plain service that crash the runner.
         down_seconds: Time from a crash to the runner's next start.
@@ -67,6 +68,7 @@
     cut_streams: int = 0
     cut_after_events: int = 2
     stalled: bool = False
+    limit_per_second: float | None = None
     crash_parts: frozenset[str] = frozenset()
     crash_bodies: frozenset[bytes] = frozenset()
     down_seconds: float = 2.0
@@ -123,6 +125,7 @@
         highest_epoch: Highest epoch of the groups that it was ordered to join.
         born: Number of its present start.
         crashes: When it crashed under a request, in seconds of `clock.elapsed`.
+        arrivals: When each request arrived, also of those that it rejected.
     """
 
     def __init__(
@@ -153,6 +156,7 @@
         self.highest_epoch = 0
         self.born = 1
         self.crashes: list[float] = []
+        self.arrivals: list[float] = []
         self._last_model = ""
         self._store = store
         self._tasks: set[asyncio.Task[None]] = set()
@@ -345,7 +349,10 @@
     async def _work(self) -> None:
         await self.owner.silent_connections.block_if_silent(self.request)
         headers = self.request.headers
+        self.owner.arrivals.append(clock.elapsed())
         self.set_header(_ATTEMPT, headers.get(_ATTEMPT, ""))
+        if self._options.limit_per_second is not None:
+            self.set_header("Server-Limit", f"{self._options.limit_per_second:.2f}")
         if headers.get("X-Expect-Runner") != self.owner.vm_id or not self._serves():
             self._reject(421)
             return
--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -87,6 +87,7 @@
         self._rng = rng
         self._log = log
         self._cold = cold.ColdStartLimiter(node_id=node_id)
+        self._limits_by_target: dict[str, float | None] = {}
         self._unreachable = unreachable.UnreachableTargets()
         self._retries_by_service: dict[str, retry.RetryBudget] = {}
         loads.local_stalled = self.stall_detector.suspects
@@ -405,6 +406,7 @@
         def receive_head(head: channels.Head) -> None:
             nonlocal is_own
             is_own = self._is_own_answer(progress, channel, head)
+            self._record_limit(progress, head)
             if is_own:
                 sink.on_head(head)
             else:
@@ -422,6 +424,14 @@
                 return self._classify(head, channel)
         return attempts.Lost(reason=f"{channel.address} sent answers to other requests")
 
+    def _record_limit(self, progress: attempts.Progress, head: channels.Head) -> None:
+        """Logs the limit that an answer names, once for each value."""
+        response = self._dialect.parse_response(head.status, head.headers)
+        limit, target = response.limit_per_second, progress.target
+        if limit != self._limits_by_target.get(target):
+            self._log.info("target_limit", target=target, per_second=limit)
+            self._limits_by_target[target] = limit
+
     def _is_own_answer(
         self, progress: attempts.Progress, channel: channels.Channel, head: channels.Head
     ) -> bool:
--- a/basilpost/platform/headers.py
+++ b/basilpost/platform/headers.py
@@ -1,5 +1,7 @@
 """Translates between the platform's HTTP headers and the records of `routing.header_dialect`."""
 
+import math
+
 import tornado.httputil
 
 from basilpost.routing import header_dialect
@@ -20,6 +22,8 @@
 _NOT_RUN = "X-Not-Executed"
 _AT_FAULT = "At-Server"
 _COLD = "X-Cold-Ms"
+# Requests per second that a runner in need takes from all nodes together, a decimal number.
+_LIMIT = "Server-Limit"
 
 _MS_PER_SECOND = 1000.0
 # Bounds on what is kept of a list of parts; requests have a few, with ids of some digits.
@@ -88,6 +92,7 @@
             not_run=_NOT_RUN in headers or status == _MISDIRECTED_STATUS,
             vm_at_fault=headers.get(_AT_FAULT, ""),
             cold_seconds=(_number(headers.get(_COLD, "")) or 0.0) / _MS_PER_SECOND,
+            limit_per_second=_limit(headers.get(_LIMIT, "")),
         )
 
     def response_headers(
@@ -118,6 +123,11 @@
     return tuple(part_id[:MAX_PART_ID_LENGTH] for part_id in ids if part_id)
 
 
+def _limit(text: str) -> float | None:
+    number = _number(text)
+    return number if number is not None and math.isfinite(number) and number >= 0.0 else None
+
+
 def _number(text: str) -> float | None:
     try:
         return float(text)
--- a/basilpost/platform/headers_test.py
+++ b/basilpost/platform/headers_test.py
@@ -118,3 +118,12 @@
     assert DIALECT.parse_response(421, make_headers()).not_run
     assert not DIALECT.parse_response(503, make_headers()).not_run
     assert not DIALECT.parse_response(500, make_headers(X_Runner_Signature="s")).not_run
+
+
+def test_the_limit_that_a_runner_names_is_read():
+    def limit(text):
+        return DIALECT.parse_response(200, make_headers(Server_Limit=text)).limit_per_second
+
+    assert [limit("2.7"), limit("0"), limit("40")] == [2.7, 0.0, 40.0]
+    assert {limit(text) for text in ("", "soon", "nan", "inf", "-1")} == {None}
+    assert DIALECT.parse_response(200, make_headers()).limit_per_second is None
--- a/basilpost/routing/header_dialect.py
+++ b/basilpost/routing/header_dialect.py
@@ -62,6 +62,8 @@
         not_run: True if the runner says that it has not run and will not run the request.
         vm_at_fault: VM that a rejection blames, empty for none.
         cold_seconds: Time left of the runner's cold start, 0 if it does not say.
+        limit_per_second: Requests per second that the runner takes from all nodes together, None if it
+            names no limit.
     """
 
     request_id: str
@@ -69,6 +71,7 @@
     not_run: bool
     vm_at_fault: str
     cold_seconds: float
+    limit_per_second: float | None = None
 
 
 class HeaderDialect(abc.ABC):
