Nodes share the limit that a runner names and keep to it together

Only the counts of requests in flight kept runners near their limit, by chance.

A limit ends with a signed answer without it, to a request that was sent after the limit was named. A request goes to another target; if limits alone keep it from all of them, it is refused at once (limited, 503, not run) with a Retry-After spread over 1.6 s.

--- a/basilpost/admin/explaining.py
+++ b/basilpost/admin/explaining.py
@@ -37,6 +37,7 @@
     "no_target": "no group or instance could accept it",
     "quarantined": "requests like it crashed the targets that ran them",
     "busy": "all groups or instances were full",
+    "limited": "all groups or instances were at the limit that they name",
     "target_lost": "the target went away under it",
     "deadline": "its deadline passed",
     "no_route": "no route matches its host and path",
--- a/basilpost/core/log_events_test.py
+++ b/basilpost/core/log_events_test.py
@@ -25,6 +25,7 @@
             "node/pool_main.py",
             "routing/crashes.py",
             "routing/crash_store.py",
+            "routing/named_limits.py",
         )
     ),
 )
--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -16,7 +16,14 @@
 from basilpost.gateway import answer_sinks, attempts, inbound, loss_probe, request_admission
 from basilpost.gateway import stall_detector as stall_detector_
 from basilpost.members import loads as loads_
-from basilpost.routing import cold, header_dialect, placement, retry, unreachable
+from basilpost.routing import (
+    cold,
+    header_dialect,
+    named_limits,
+    placement,
+    retry,
+    unreachable,
+)
 from basilpost.routing import crashes as crashes_
 from basilpost.routing import targets as targets_
 
@@ -34,6 +41,9 @@
 WAIT_SHARE = 0.2
 # Interval at which a waiting request looks for a target with a free slot.
 WAIT_POLL_SECONDS = 0.02
+# The same for requests beyond the limits of all targets; more come than the limits allow.
+LIMITED_RETRY_SECONDS = (0.2, 1.8)
+MAX_LIMITED_SECONDS = 1.0
 # Range from which Retry-After is drawn, so that refused callers do not all return at the same moment.
 RETRY_AFTER_SECONDS = (0.3, 0.8)
 
@@ -70,6 +80,7 @@
         loads: loads_.Loads,
         budgets: Budgets,
         crashes: crashes_.CrashTracker,
+        limits: named_limits.NamedLimits,
         rng: random.Random,
         log: Any,
     ) -> None:
@@ -81,13 +92,13 @@
         self._loads = loads
         self._budgets = budgets
         self._crashes = crashes
+        self._limits = limits
         self.loss_probe = loss_probe.LossProbe(
             connect=self._connect, on_crash=crashes.record_crash, log=log
         )
         self._rng = rng
         self._log = log
         self._cold = cold.ColdStartLimiter(node_id=node_id)
-        self._limits_by_target: dict[str, float | None] = {}
         self._unreachable = unreachable.UnreachableTargets()
         self._retries_by_service: dict[str, retry.RetryBudget] = {}
         loads.local_stalled = self.stall_detector.suspects
@@ -258,7 +269,29 @@
             rng=self._rng,
             stale=self._loads.are_stale,
         )
-        return chosen or self._refusal("busy", f"all {len(untried)} targets are full")
+        if chosen is not None:
+            return chosen
+        return self._limited_refusal(untried) or self._refusal(
+            "busy", f"all {len(untried)} targets are full"
+        )
+
+    def _limited_refusal(self, untried: list[targets_.Target]) -> failure.Refusal | None:
+        """Returns a refusal if only limits keep this node from each target, None otherwise.
+
+        Callers return at different times, over the time in which the limits allow further requests.
+        """
+        node_ids = self._loads.node_ids()
+        waits = [
+            self._limits.seconds_until_free(target.lifetime, node_ids=node_ids)
+            for target in untried
+        ]
+        if min(waits) <= 0.0:
+            return None
+        first = min(min(waits), MAX_LIMITED_SECONDS)
+        return dataclasses.replace(
+            self._refusal("limited", f"all {len(untried)} targets are at the limit that they name"),
+            retry_after=first + self._rng.uniform(*LIMITED_RETRY_SECONDS),
+        )
 
     def _choose_preferred(self, progress: attempts.Progress) -> targets_.Target | None:
         """Returns one of the targets that this node uses first, None if all of them are busy."""
@@ -297,16 +330,19 @@
         target: targets_.Target,
         suspects: frozenset[str],
     ) -> placement.Candidate:
-        target_id = target.target_id
+        target_id, node_ids = target.target_id, self._loads.node_ids()
         return placement.Candidate(
             target=target,
             in_flight=self._loads.total_in_flight(target_id),
             stalled=target_id in suspects,
-            may_send=not self._targets.is_cold(target)
-            or self._cold.may_send(
-                target_id,
-                per_second=admitted.service.cold_per_second,
-                node_ids=self._loads.node_ids(),
+            may_send=self._limits.may_send(target.lifetime, node_ids=node_ids)
+            and (
+                not self._targets.is_cold(target)
+                or self._cold.may_send(
+                    target_id,
+                    per_second=admitted.service.cold_per_second,
+                    node_ids=node_ids,
+                )
             ),
         )
 
@@ -326,6 +362,7 @@
         self._loads.request_started(target.target_id)
         if self._targets.is_cold(target):
             self._cold.record_sent(target.target_id)
+        self._limits.record_sent(target.lifetime, node_ids=self._loads.node_ids())
         try:
             return await self._exchange(progress, request, target, last_event, sink)
         finally:
@@ -358,7 +395,7 @@
                 request.headers, _added_headers(progress.admitted, target, last_event)
             )
             channel.send(request.method, request.target, headers, request.body)
-            result = await self._receive(progress, channel, sink)
+            result = await self._receive(progress, target, channel, sink)
             keep = isinstance(result, channels.Head | attempts.NotRun)
             if isinstance(result, channels.Head):
                 self._loads.demand_meter.count_completion(target.model, clock.elapsed() - began_at)
@@ -397,16 +434,18 @@
     async def _receive(
         self,
         progress: attempts.Progress,
+        target: targets_.Target,
         channel: channels.Channel,
         sink: answer_sinks.AnswerSink,
     ) -> channels.Head | attempts.NotRun | attempts.Lost:
         """Reads the answer to this request; skips and logs answers to other requests."""
         is_own = False
+        sent_at = clock.elapsed()
 
         def receive_head(head: channels.Head) -> None:
             nonlocal is_own
             is_own = self._is_own_answer(progress, channel, head)
-            self._record_limit(progress, head)
+            self._record_limit(target, head, sent_at=sent_at)
             if is_own:
                 sink.on_head(head)
             else:
@@ -424,13 +463,15 @@
                 return self._classify(head, channel)
         return attempts.Lost(reason=f"{channel.address} sent answers to other requests")
 
-    def _record_limit(self, progress: attempts.Progress, head: channels.Head) -> None:
-        """Logs the limit that an answer names, once for each value."""
+    def _record_limit(
+        self, target: targets_.Target, head: channels.Head, *, sent_at: float
+    ) -> None:
+        """Records the limit that an answer names, or that it names none."""
         response = self._dialect.parse_response(head.status, head.headers)
-        limit, target = response.limit_per_second, progress.target
-        if limit != self._limits_by_target.get(target):
-            self._log.info("target_limit", target=target, per_second=limit)
-            self._limits_by_target[target] = limit
+        if response.limit_per_second is not None:
+            self._limits.record_named(target.lifetime, target.target_id, response.limit_per_second)
+        elif response.signed:
+            self._limits.record_unnamed(target.lifetime, target.target_id, sent_at=sent_at)
 
     def _is_own_answer(
         self, progress: attempts.Progress, channel: channels.Channel, head: channels.Head
--- a/basilpost/gateway/relay.py
+++ b/basilpost/gateway/relay.py
@@ -23,7 +23,7 @@
 )
 from basilpost.members import knowledge as knowledges
 from basilpost.members import loads as loads_
-from basilpost.routing import crash_store, crashes, header_dialect
+from basilpost.routing import crash_store, crashes, header_dialect, named_limits
 from basilpost.routing import targets as targets_
 from basilpost.settings import pool_schema
 
@@ -89,6 +89,7 @@
                 retry_reserve=settings.bounds.retry_reserve * RETRY_SPEND_SHARE,
             ),
             crashes=kernel.find(names.CRASHES, crashes.CrashTracker),
+            limits=kernel.find(names.LIMITS, named_limits.NamedLimits),
             rng=rng,
             log=kernel.log,
         )
