--- a/basilpost/emulator/pool_runner.py
+++ b/basilpost/emulator/pool_runner.py
@@ -4,18 +4,31 @@
 """
 
 import asyncio
+import contextlib
 import dataclasses
 import json
 import random
 from typing import Any
 
-from tornado import web
+from tornado import iostream, web
 
 from basilpost.core import clock
 from basilpost.emulator import pool_store, server, silent_connections
 
 SIGNATURE = "X-Runner-Signature"
 _ATTEMPT = "X-Attempt-Id"
+_ENDLESS_CHUNK_BYTES = 262_144
+_ENDLESS_HEAD = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Runner-Signature: s\r\n"
+# What a runner sends first and what it repeats for ever.
+_ENDLESS = {
+    "status": (b"", b"x"),
+    "head": (_ENDLESS_HEAD, b"X-Filler: y\r\n"),
+    "interim": (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n"),
+    "body": (_ENDLESS_HEAD + b"\r\n", b"z"),
+    "chunks": (_ENDLESS_HEAD + b"Transfer-Encoding: chunked\r\n\r\n", b"5\r\nabcde\r\n"),
+    "event": (_ENDLESS_HEAD + b"Content-Type: text/event-stream\r\n\r\n", b"data: e "),
+    "events": (_ENDLESS_HEAD + b"Content-Type: text/event-stream\r\n\r\n", b"data: e\n\n"),
+}
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -43,6 +56,7 @@
         cut_streams: Number of coming streams that are cut off in the middle of an event.
         cut_after_events: Whole events that such a stream sends first.
         stalled: True to send no events, as a group does that lost a member.
+        endless: Part of the answer whose bytes never end, empty for none; a key of `_ENDLESS`.
         limit_per_second: Limit that answers name, None for none.
         crash_parts: Parts of prompts that crash the runner when it begins to write an answer.
         crash_bodies: Bodies of requests to a plain service that crash the runner.
@@ -68,6 +82,7 @@
     cut_streams: int = 0
     cut_after_events: int = 2
     stalled: bool = False
+    endless: str = ""
     limit_per_second: float | None = None
     crash_parts: frozenset[str] = frozenset()
     crash_bodies: frozenset[bytes] = frozenset()
@@ -360,7 +375,9 @@
             self._reject(503)
             return
         self._log_run()
-        if self._options.lose_answers > 0:
+        if self._options.endless:
+            await self._send_endless(*_ENDLESS[self._options.endless])
+        elif self._options.lose_answers > 0:
             self._options.lose_answers -= 1
             self._drop()
         elif self._options.fail:
@@ -456,6 +473,18 @@
         share = random.Random(self.request.headers.get(_ATTEMPT)).random()
         return float(shortest * (longest / shortest) ** share)
 
+    async def _send_endless(self, begin: bytes, repeated: bytes) -> None:
+        """Sends bytes as fast as they are read, until the caller closes the connection."""
+        stream = silent_connections.stream_of(self.request)
+        self._finished = True
+        attempt = self.request.headers.get(_ATTEMPT, "").encode()
+        with contextlib.suppress(iostream.StreamClosedError):
+            await stream.write(begin % attempt if begin else b"")
+            repeated *= max(1, _ENDLESS_CHUNK_BYTES // len(repeated))
+            while True:
+                await stream.write(repeated)
+                await asyncio.sleep(0)
+
     def _write_raw(self, data: bytes) -> None:
         silent_connections.stream_of(self.request).write(data)
 
