An answer that never ends costs bounded memory, and is given up

Cause: only bodies with a length or in chunks were bounded. A body that ends with its connection was collected without a bound, an event without end was searched again from its start with each piece, and events were written to callers faster than they read.

Change: an answer holds at most 32 MB, all incomplete answers of a node 48 MB (the largest is given up), an event 1 MB, a stream 32 MB and 100,000 events; beyond 1 MB that its caller has not taken, a stream is not read on. An answer without a length whose connection this node closed is not complete; before, closing it made it look so.

--- a/basilpost/core/channels.py
+++ b/basilpost/core/channels.py
@@ -7,7 +7,7 @@
 import asyncio
 import dataclasses
 import socket
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import tornado.http1connection
 import tornado.httputil
@@ -25,6 +25,9 @@
 # Idle connections to one server that are kept for reuse.
 MAX_IDLE_PER_SERVER = 32
 
+# Takes a part of a body; no more is read until what it returns is done.
+OnData = Callable[[bytes], Awaitable[None] | None]
+
 _PARAMETERS = tornado.http1connection.HTTP1ConnectionParameters(
     max_header_size=MAX_HEADER_BYTES, max_body_size=MAX_BODY_BYTES
 )
@@ -65,7 +68,9 @@
             except tornado.iostream.StreamClosedError as error:
                 self.reset = error.real_error is not None
                 return
-            delegate.data_received(chunk)
+            waiting = delegate.data_received(chunk)
+            if waiting is not None:
+                await waiting
 
 
 class _Receiver(tornado.httputil.HTTPMessageDelegate):
@@ -76,7 +81,7 @@
         *,
         stream: tornado.iostream.IOStream,
         on_head: Callable[[Head], None],
-        on_data: Callable[[bytes], None],
+        on_data: OnData,
     ) -> None:
         self._stream = stream
         self._on_head = on_head
@@ -95,8 +100,8 @@
         self.head = Head(status=start_line.code, reason=start_line.reason, headers=headers)
         self._on_head(self.head)
 
-    def data_received(self, chunk: bytes) -> None:
-        self._on_data(chunk)
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        return self._on_data(chunk)
 
     def finish(self) -> None:
         self.finished = self.head is not None
@@ -126,6 +131,7 @@
         self.usable_until = 0.0
         self.requests = 0
         self._connection: _StreamingConnection | None = None
+        self._closed = False
 
     def send(
         self,
@@ -147,9 +153,7 @@
         except tornado.iostream.StreamClosedError:
             self.stream.close()
 
-    async def receive(
-        self, *, on_head: Callable[[Head], None], on_data: Callable[[bytes], None]
-    ) -> Head | Broken:
+    async def receive(self, *, on_head: Callable[[Head], None], on_data: OnData) -> Head | Broken:
         """Reads one answer; returns its head once the body is complete.
 
         After an answer to another request, a further call without `send` reads the next answer.
@@ -166,7 +170,7 @@
             return Broken(reason=f"{self.address} closed the connection: {error.real_error}")
         except tornado.httputil.HTTPInputError as error:
             return Broken(reason=f"{self.address} sent bytes that are not an HTTP answer: {error}")
-        if receiver.head is None or not receiver.finished or connection.reset:
+        if receiver.head is None or not receiver.finished or connection.reset or self._closed:
             self.close()
             return Broken(reason=f"{self.address} closed the connection")
         self._set_idle_time(receiver.head.headers)
@@ -183,7 +187,11 @@
         self.usable_until = clock.elapsed() + idle_seconds
 
     def close(self) -> None:
-        """Closes the connection, which makes the server stop work on a running request."""
+        """Closes the connection, which makes the server stop work on a running request.
+
+        An answer without a length that is being read is then not complete.
+        """
+        self._closed = True
         self.stream.close()
 
     @property
--- a/basilpost/gateway/answer_sinks.py
+++ b/basilpost/gateway/answer_sinks.py
@@ -5,12 +5,22 @@
 """
 
 import abc
+from collections.abc import Awaitable
 
 from basilpost.core import channels, clock
 from basilpost.gateway import inbound, sse
 from basilpost.routing import header_dialect
 
 _OK = 200
+# Bounds on an answer. Runners in trouble may send bytes without end.
+MAX_ANSWER_BYTES = 32 * 1024 * 1024
+MAX_STREAM_BYTES = 32 * 1024 * 1024
+MAX_EVENT_BYTES = 1024 * 1024
+MAX_EVENTS = 100_000
+# Bytes of incomplete answers that a node holds; it has 300 MB, and needs a copy of an answer to send it.
+MAX_HELD_BYTES = 48 * 1024 * 1024
+# Bytes of a stream that wait for its caller.
+MAX_UNSENT_BYTES = 1024 * 1024
 
 
 class AnswerSink(abc.ABC):
@@ -19,6 +29,11 @@
     def on_connected(self, channel: channels.Channel) -> None:
         """Called with the connection before the request is sent on it."""
 
+    @property
+    def excess(self) -> str:
+        """Returns why the answer was given up for its size, empty if it was not."""
+        return ""
+
     @abc.abstractmethod
     def restart(self) -> None:
         """Discards what was not forwarded yet, before the request is sent to another target."""
@@ -28,31 +43,99 @@
         """Receives status line and headers of the answer."""
 
     @abc.abstractmethod
-    def on_chunk(self, chunk: bytes) -> None:
-        """Receives a chunk of the body."""
+    def on_chunk(self, chunk: bytes) -> Awaitable[None] | None:
+        """Receives a chunk of the body; the next one is read when what it returns is done."""
 
 
-class Collector(AnswerSink):
-    """Collects the body of an answer."""
+class AnswerMemory:
+    """The bytes of answers that a node holds because they are not complete yet.
+
+    A runner may send without end. Beyond `MAX_HELD_BYTES` the largest answer is given up.
+    """
 
     def __init__(self) -> None:
+        self._held_by_collector: dict[Collector, int] = {}
+        self._total = 0
+
+    @property
+    def total(self) -> int:
+        """Returns the number of bytes held."""
+        return self._total
+
+    def add(self, collector: "Collector", size: int) -> None:
+        """Counts bytes that a collector holds, and gives up answers that are too large."""
+        held = self._held_by_collector.get(collector, 0) + size
+        self._held_by_collector[collector] = held
+        self._total += size
+        if held > MAX_ANSWER_BYTES:
+            collector.give_up(f"the answer is larger than {MAX_ANSWER_BYTES} bytes")
+        while self._total > MAX_HELD_BYTES:
+            largest = max(self._held_by_collector, key=self._held_by_collector.__getitem__)
+            largest.give_up("the node holds too many bytes of answers, most of them of this one")
+
+    def release(self, collector: "Collector") -> None:
+        """Counts that a collector holds nothing any more."""
+        self._total -= self._held_by_collector.pop(collector, 0)
+
+
+class Collector(AnswerSink):
+    """Collects the body of an answer.
+
+    Attributes:
+        channel: Connection to the current target, None before it is open.
+    """
+
+    def __init__(self, *, memory: AnswerMemory) -> None:
+        self.channel: channels.Channel | None = None
+        self._memory = memory
         self._chunks: list[bytes] = []
+        self._excess = ""
 
     @property
     def body(self) -> bytes:
         """Returns the part of the body that has arrived."""
         return b"".join(self._chunks)
 
+    @property
+    def excess(self) -> str:
+        """Returns why the answer was given up for its size, empty if it was not."""
+        return self._excess
+
+    def on_connected(self, channel: channels.Channel) -> None:
+        """Stores the connection so that `close_channel` can close it."""
+        self.channel = channel
+
     def restart(self) -> None:
         """Discards the body from another target."""
+        self.discard()
+        self._excess = ""
+        self.channel = None
+
+    def discard(self) -> None:
+        """Frees the memory of the body."""
         self._chunks.clear()
+        self._memory.release(self)
+
+    def give_up(self, reason: str) -> None:
+        """Closes the connection and frees the memory of an answer that is too large."""
+        self._excess = reason
+        self.discard()
+        self.close_channel()
+
+    def close_channel(self) -> None:
+        """Closes the connection to the current target."""
+        if self.channel is not None:
+            self.channel.close()
 
     def on_head(self, head: channels.Head) -> None:
         """Does nothing: nothing is forwarded before the answer is complete."""
 
-    def on_chunk(self, chunk: bytes) -> None:
+    def on_chunk(self, chunk: bytes) -> Awaitable[None] | None:
         """Stores a chunk of the body."""
-        self._chunks.append(chunk)
+        if not self._excess:
+            self._chunks.append(chunk)
+            self._memory.add(self, len(chunk))
+        return None
 
 
 class StreamSink(Collector):
@@ -66,20 +149,26 @@
         has_gap: True if the current target skipped an event.
         abandoned: True if this node closed the connection to the current target because it stalled.
         event_count: Number of events forwarded.
-        channel: Connection to the current target, None before it is open.
         writing_since: When the current target sent its first event, on `clock.elapsed`; None before.
     """
 
     def __init__(
-        self, *, reply: inbound.Reply, dialect: header_dialect.HeaderDialect, last_event: str
+        self,
+        *,
+        reply: inbound.Reply,
+        dialect: header_dialect.HeaderDialect,
+        last_event: str,
+        memory: AnswerMemory,
     ) -> None:
-        super().__init__()
+        super().__init__(memory=memory)
         self.stream = sse.ResumableStream(last_id=last_event)
         self.is_stream = False
         self.has_gap = False
         self.abandoned = False
         self.event_count = 0
-        self.channel: channels.Channel | None = None
+        self._stream_bytes = 0
+        # Bytes that were forwarded since the caller had surely taken all of them.
+        self._unsent_bytes = 0
         self.writing_since: float | None = None
         self._reply = reply
         self._dialect = dialect
@@ -90,16 +179,11 @@
         """Returns True if the stream has no gap and no incomplete event at its end."""
         return not self.has_gap and self.stream.at_boundary
 
-    def on_connected(self, channel: channels.Channel) -> None:
-        """Stores the connection so that `close_channel` can close it."""
-        self.channel = channel
-
     def restart(self) -> None:
         """Prepares for another target, which resumes the stream after the last complete event."""
         super().restart()
         self.stream.restart()
         self.is_stream = self.has_gap = self.abandoned = False
-        self.channel = None
         self.writing_since = None
 
     def on_head(self, head: channels.Head) -> None:
@@ -109,21 +193,38 @@
         if self.is_stream and self._head is None:
             self._head = head
 
-    def on_chunk(self, chunk: bytes) -> None:
-        """Forwards the events that the chunk completes; closes the connection at a gap."""
+    def on_chunk(self, chunk: bytes) -> Awaitable[None] | None:
+        """Forwards the events that the chunk completes; closes the connection at a gap.
+
+        While the caller reads slower than the target writes, no more is read.
+        """
         if not self.is_stream:
-            super().on_chunk(chunk)
-            return
+            return super().on_chunk(chunk)
+        if self._excess:
+            return None
+        self._stream_bytes += len(chunk)
+        if self._stream_bytes > MAX_STREAM_BYTES:
+            self.give_up(f"the stream is longer than {MAX_STREAM_BYTES} bytes")
+            return None
         new_events = self.stream.feed(chunk)
         if new_events.count:
             if self.writing_since is None:
                 self.writing_since = clock.elapsed()
             self._send_head()
             self._reply.send_piece(new_events.data)
+            self._unsent_bytes += len(new_events.data)
             self.event_count += new_events.count
         if new_events.has_gap:
             self.has_gap = True
             self.close_channel()
+        elif self.stream.pending_bytes > MAX_EVENT_BYTES:
+            self.give_up(f"an event is longer than {MAX_EVENT_BYTES} bytes")
+        elif self.event_count > MAX_EVENTS:
+            self.give_up(f"the stream has more than {MAX_EVENTS} events")
+        elif self._unsent_bytes > MAX_UNSENT_BYTES:
+            self._unsent_bytes = 0
+            return self._reply.wait_written()
+        return None
 
     def end(self) -> None:
         """Ends the caller's answer as complete."""
@@ -135,11 +236,6 @@
         """Returns the time since the first event of the current target, 0 without any."""
         return 0.0 if self.writing_since is None else clock.elapsed() - self.writing_since
 
-    def close_channel(self) -> None:
-        """Closes the connection to the current target."""
-        if self.channel is not None:
-            self.channel.close()
-
     def _send_head(self) -> None:
         if self._reply.started or self._head is None:
             return
--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -9,7 +9,7 @@
 import asyncio
 import dataclasses
 import random
-from collections.abc import Iterable
+from collections.abc import Awaitable, Iterable
 from typing import Any
 
 from basilpost.core import channels, clock, failure
@@ -98,6 +98,7 @@
         )
         self._rng = rng
         self._log = log
+        self._answer_memory = answer_sinks.AnswerMemory()
         self._cold = cold.ColdStartLimiter(node_id=node_id)
         self._unreachable = unreachable.UnreachableTargets()
         self._retries_by_service: dict[str, retry.RetryBudget] = {}
@@ -123,7 +124,18 @@
     async def _fetch(
         self, progress: attempts.Progress, request: inbound.Request
     ) -> attempts.WholeAnswer | failure.Refusal:
-        sink = answer_sinks.Collector()
+        sink = answer_sinks.Collector(memory=self._answer_memory)
+        try:
+            return await self._fetch_into(progress, request, sink)
+        finally:
+            sink.discard()
+
+    async def _fetch_into(
+        self,
+        progress: attempts.Progress,
+        request: inbound.Request,
+        sink: answer_sinks.Collector,
+    ) -> attempts.WholeAnswer | failure.Refusal:
         while True:
             target = await self._wait_for_target(progress)
             if isinstance(target, failure.Refusal):
@@ -149,13 +161,18 @@
         """
         self._count_arrival(progress)
         sink = answer_sinks.StreamSink(
-            reply=reply, dialect=self._dialect, last_event=progress.admitted.call.last_event_id
+            reply=reply,
+            dialect=self._dialect,
+            last_event=progress.admitted.call.last_event_id,
+            memory=self._answer_memory,
         )
         try:
             async with asyncio.timeout(max(0.0, request_admission.seconds_left(progress.admitted))):
                 result = await self._stream(progress, request, sink)
         except TimeoutError:
             result = attempts.deadline_refusal(progress)
+        finally:
+            sink.discard()
         if reply.started and not isinstance(result, attempts.Streamed):
             reply.abort()
             reason = result.reason if isinstance(result, failure.Refusal) else "no more events"
@@ -451,14 +468,13 @@
             else:
                 self._log_stray_answer(progress, channel, head)
 
-        def receive_chunk(chunk: bytes) -> None:
-            if is_own:
-                sink.on_chunk(chunk)
+        def receive_chunk(chunk: bytes) -> Awaitable[None] | None:
+            return sink.on_chunk(chunk) if is_own else None
 
         for _ in range(MAX_STRAY_ANSWERS + 1):
             head = await channel.receive(on_head=receive_head, on_data=receive_chunk)
             if isinstance(head, channels.Broken):
-                return attempts.Lost(reason=head.reason)
+                return attempts.Lost(reason=sink.excess or head.reason)
             if is_own:
                 return self._classify(head, channel)
         return attempts.Lost(reason=f"{channel.address} sent answers to other requests")
--- a/basilpost/gateway/inbound.py
+++ b/basilpost/gateway/inbound.py
@@ -135,6 +135,12 @@
         except tornado.iostream.StreamClosedError:
             self.abort()
 
+    async def wait_written(self) -> None:
+        """Waits until the caller's connection has taken all that was sent, or is closed."""
+        with contextlib.suppress(tornado.iostream.StreamClosedError):
+            # The result of an empty write comes after all earlier ones.
+            await self._connection.stream.write(b"")
+
     def end(self) -> None:
         """Marks an answer that was sent in pieces as complete."""
         self._finish()
@@ -144,9 +150,7 @@
 
         Closes the connection if the answer says so.
         """
-        with contextlib.suppress(tornado.iostream.StreamClosedError):
-            # The result of an empty write comes after all earlier ones.
-            await self._connection.stream.write(b"")
+        await self.wait_written()
         if self._announced_close:
             self._connection.close()
 
--- a/basilpost/gateway/sse.py
+++ b/basilpost/gateway/sse.py
@@ -43,6 +43,11 @@
         """Returns True if no incomplete event is buffered."""
         return not self._rest.strip()
 
+    @property
+    def pending_bytes(self) -> int:
+        """Returns the length of the incomplete event that is buffered."""
+        return len(self._rest)
+
     def restart(self) -> None:
         """Discards an incomplete event, before the stream is resumed on another target."""
         self._rest = b""
--- a/tests/pool_endless_answer_test.py
+++ b/tests/pool_endless_answer_test.py
@@ -25,7 +25,7 @@
     """A node process before an emulated platform, and a client of it."""
 
     def __init__(self, folder):
-        self.fleet = pool_fleet.PoolFleet(vms=6, plain_instances=3)
+        self.fleet = pool_fleet.PoolFleet(fabric_domains=3, vms=6, plain_instances=3)
         self._folder = folder
         self._client = tornado.httpclient.AsyncHTTPClient(
             force_instance=True, max_clients=pool_nodes.MAX_CALLS
