--- a/basilpost/platform/runner_client.py
+++ b/basilpost/platform/runner_client.py
@@ -10,6 +10,8 @@
 
 _ORDER_PATH = "/api/order"
 _REPORT_PATH = "/api/report"
+# Answers to orders and reports have some hundred bytes; runners in trouble may send without end.
+_MAX_ANSWER_BYTES = 262_144
 
 
 class PlatformRunnerClient(orders.RunnerClient):
@@ -17,7 +19,7 @@
 
     async def send(self, order: orders.Order, *, fence: int, timeout: float) -> orders.Result:
         """Posts one order with its fencing number and maps the status to a result."""
-        client = http_calls.HttpClient(base_url=f"http://{order.vm.address}")
+        client = _client(order.vm)
         call = http_calls.Call(
             method="POST",
             path=_ORDER_PATH,
@@ -38,12 +40,18 @@
 
     async def responds(self, vm: catalog.Vm, *, timeout: float) -> bool:
         """Returns True if the runner answers a status request in time, with any HTTP status."""
-        client = http_calls.HttpClient(base_url=f"http://{vm.address}")
+        client = _client(vm)
         reply = await client.read(_REPORT_PATH, timeout=timeout)
         client.close()
         return isinstance(reply, http_calls.Reply)
 
 
+def _client(vm: catalog.Vm) -> http_calls.HttpClient:
+    return http_calls.HttpClient(
+        base_url=f"http://{vm.address}", max_answer_bytes=_MAX_ANSWER_BYTES
+    )
+
+
 def _body(order: orders.Order, fence: int) -> dict[str, Any]:
     body: dict[str, Any] = {"operation": order.kind.value, "fence": fence}
     if order.kind in (orders.Kind.JOIN, orders.Kind.STAGE):
--- a/basilpost/store/http_calls.py
+++ b/basilpost/store/http_calls.py
@@ -24,9 +24,6 @@
 _MAX_ANSWER_BYTES = 256_000_000
 _NOT_MODIFIED = 304
 _PORTS_BY_SCHEME = {"http": 80, "https": 443}
-_PARAMETERS = http1connection.HTTP1ConnectionParameters(
-    max_body_size=_MAX_ANSWER_BYTES, decompress=True
-)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -57,9 +54,12 @@
 
 
 class HttpClient:
-    """HTTP client of one server, at a base URL such as `http://10.0.0.5:8000`."""
+    """HTTP client of one server, at a base URL such as `http://10.0.0.5:8000`.
 
-    def __init__(self, *, base_url: str) -> None:
+    An answer longer than `max_answer_bytes` counts as none.
+    """
+
+    def __init__(self, *, base_url: str, max_answer_bytes: int = _MAX_ANSWER_BYTES) -> None:
         parts = urllib.parse.urlsplit(base_url)
         self._host = parts.hostname or ""
         self._port = parts.port or _PORTS_BY_SCHEME[parts.scheme]
@@ -68,6 +68,10 @@
         self._tls = parts.scheme == "https"
         self._direct = not self._tls and _is_ip_address(self._host)
         self._idle: list[tuple[float, iostream.IOStream]] = []
+        self._max_answer_bytes = max_answer_bytes
+        self._parameters = http1connection.HTTP1ConnectionParameters(
+            max_body_size=max_answer_bytes, decompress=True
+        )
 
     def close(self) -> None:
         """Closes the connections that are kept for reuse."""
@@ -124,11 +128,11 @@
                 self._host,
                 self._port,
                 ssl_options=ssl.create_default_context() if self._tls else None,
-                max_buffer_size=_MAX_ANSWER_BYTES,
+                max_buffer_size=self._max_answer_bytes,
             )
         # TCPClient would resolve even an IP address in a thread, which costs time.
         family = socket.AF_INET6 if ":" in self._host else socket.AF_INET
-        stream = iostream.IOStream(socket.socket(family), max_buffer_size=_MAX_ANSWER_BYTES)
+        stream = iostream.IOStream(socket.socket(family), max_buffer_size=self._max_answer_bytes)
         try:
             await stream.connect((self._host, self._port))
         except BaseException:
@@ -143,7 +147,7 @@
         answer = _Answer()
         complete = False
         stream.set_nodelay(True)
-        connection = http1connection.HTTP1Connection(stream, True, _PARAMETERS)
+        connection = http1connection.HTTP1Connection(stream, True, self._parameters)
         try:
             async with asyncio.timeout(timeout):
                 self._send(connection, call, keep=keep)
