--- a/basilpost/core/channels.py
+++ b/basilpost/core/channels.py
@@ -194,6 +194,17 @@
         self._closed = True
         self.stream.close()
 
+    async def closes_within(self, seconds: float) -> bool:
+        """Returns True if the other end closes the connection, on which nothing was sent, in time."""
+        closed = asyncio.Event()
+        self.stream.set_close_callback(closed.set)
+        try:
+            async with asyncio.timeout(seconds):
+                await closed.wait()
+        except TimeoutError:
+            return False
+        return True
+
     @property
     def usable(self) -> bool:
         """Returns True if another request may be sent on this connection."""
--- a/basilpost/gateway/loss_probe.py
+++ b/basilpost/gateway/loss_probe.py
@@ -13,6 +13,9 @@
 
 # Longest time for opening the connection that shows whether a target lives.
 PROBE_SECONDS = 0.25
+# Time in which a new connection is aborted if nothing listens behind it, as by a proxy whose server
+# is gone.
+ABORT_SECONDS = 0.05
 # Pause before the probe, in which the other requests at the target are lost too.
 GATHER_SECONDS = 0.01
 
@@ -46,10 +49,17 @@
         lost: list[crash_evidence.LostRequest] = []
         try:
             await asyncio.sleep(GATHER_SECONDS)
-            channel = await self._connect(address, PROBE_SECONDS)
+            crashed = await self._is_down(address)
         finally:
             lost = self._lost_by_target.pop(target_id)
-        if isinstance(channel, channels.ConnectFailed):
+        if crashed:
             self._on_crash(target_id, lost)
-        else:
+
+    async def _is_down(self, address: str) -> bool:
+        channel = await self._connect(address, PROBE_SECONDS)
+        if isinstance(channel, channels.ConnectFailed):
+            return True
+        try:
+            return await channel.closes_within(ABORT_SECONDS)
+        finally:
             channel.close()
--- a/basilpost/gateway/loss_probe_test.py
+++ b/basilpost/gateway/loss_probe_test.py
@@ -12,7 +12,12 @@
 
 
 class FakeChannel:
-    closed = False
+    def __init__(self, *, aborted=False):
+        self.aborted = aborted
+        self.closed = False
+
+    async def closes_within(self, seconds):
+        return self.aborted
 
     def close(self):
         self.closed = True
@@ -55,3 +60,24 @@
     await asyncio.sleep(WAIT_SECONDS)
     assert crashes == []
     assert channel.closed
+
+
+async def test_a_target_behind_a_proxy_that_aborts_connections_has_crashed(crashes):
+    probe = make_probe(crashes, FakeChannel(aborted=True), [])
+    probe.report_loss("t", "h:1", lost("a"))
+    await asyncio.sleep(WAIT_SECONDS)
+    assert crashes == [("t", ["a"])]
+
+
+@pytest.mark.parametrize("aborts", [False, True])
+async def test_a_connection_shows_whether_it_is_aborted_at_once(aborts):
+    async def serve(reader, writer):
+        if aborts:
+            writer.transport.abort()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    channel = await channels.Pool().acquire(f"{host}:{port}", timeout=1.0)
+    assert await channel.closes_within(0.05) is aborts
+    channel.close()
+    server.close()
