--- a/basilpost/emulator/pool_runner.py
+++ b/basilpost/emulator/pool_runner.py
@@ -8,6 +8,7 @@
 import dataclasses
 import json
 import random
+from collections.abc import Callable
 from typing import Any
 
 from tornado import iostream, web
@@ -119,6 +120,14 @@
     parts: tuple[str, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Crash:
+    """A crash of a runner: when, in seconds of `clock.elapsed`, and the parts that caused it."""
+
+    at: float
+    parts: tuple[str, ...]
+
+
 class PoolRunner(server.EmulatedServer):
     """The emulated runner of one VM; it registers in the store as the platform's runners do.
 
@@ -139,7 +148,9 @@
         refused_orders: The orders that it answered with 412.
         highest_epoch: Highest epoch of the groups that it was ordered to join.
         born: Number of its present start.
-        crashes: When it crashed under a request, in seconds of `clock.elapsed`.
+        crashes: Its crashes.
+        announced_address: Address that its entry names, its own one if empty; such as a proxy's.
+        on_down: Called with True when it crashes, with False when it has started again.
         arrivals: When each request arrived, also of those that it rejected.
     """
 
@@ -170,7 +181,9 @@
         self.refused_orders: list[dict[str, Any]] = []
         self.highest_epoch = 0
         self.born = 1
-        self.crashes: list[float] = []
+        self.crashes: list[Crash] = []
+        self.announced_address = ""
+        self.on_down: Callable[[bool], None] = lambda down: None
         self.arrivals: list[float] = []
         self._last_model = ""
         self._store = store
@@ -193,9 +206,10 @@
         await self.stop()
         await self._store.remove(f"servers/{self.vm_id}")
 
-    def crash(self) -> None:
+    def crash(self, parts: tuple[str, ...] = ()) -> None:
         """Ends at once and starts again after some time, as another process without a group."""
-        self.crashes.append(clock.elapsed())
+        self.crashes.append(Crash(at=clock.elapsed(), parts=parts))
+        self.on_down(True)
         task = asyncio.get_running_loop().create_task(self._crash_and_return())
         self._returns.add(task)
         task.add_done_callback(self._returns.discard)
@@ -210,6 +224,7 @@
         await asyncio.sleep(options.entry_seconds)
         await self._store.remove(f"servers/{self.vm_id}")
         await asyncio.sleep(max(0.0, options.down_seconds - options.entry_seconds))
+        self.on_down(False)
         await self.start()
 
     async def stop(self) -> None:
@@ -222,7 +237,7 @@
         """Writes the runner's entry to the store."""
         entry = {
             "service": self.service,
-            "address": self.address,
+            "address": self.announced_address or self.address,
             "zone": self.failure_domain,
             "version": "v1",
             "slots": 4,
@@ -443,12 +458,13 @@
         self._options.cut_streams -= is_cut
         first = int(self.request.headers.get("Last-Event-Id") or 0) + 1
         pause = self._draw_seconds(self._options.event_seconds, self._options.slowest_event_seconds)
-        crashes = not self._options.crash_parts.isdisjoint(self._prompt_parts())
+        parts = self._prompt_parts()
+        crashes = not self._options.crash_parts.isdisjoint(parts)
         for number in range(first, self._options.events + 1):
             await asyncio.sleep(pause)
             if crashes:
                 self._drop()
-                self.owner.crash()
+                self.owner.crash(parts)
                 return
             while self._options.stalled:
                 await asyncio.sleep(self._options.event_seconds)
--- a/basilpost/soak/__main__.py
+++ b/basilpost/soak/__main__.py
@@ -6,13 +6,18 @@
 import pathlib
 import sys
 import tempfile
+from collections.abc import Callable
 from typing import Any
 
 import click
 
 from basilpost.soak import run, scenarios
 
-SCENARIOS_BY_PLAN = {"faults": scenarios.AllFaults, "stops": scenarios.PlannedStops}
+SCENARIOS_BY_PLAN: dict[str, Callable[..., scenarios.Scenario]] = {
+    "faults": scenarios.AllFaults,
+    "stops": scenarios.PlannedStops,
+    "crashes": scenarios.CrashingParts,
+}
 
 
 @click.command()
@@ -27,7 +32,7 @@
     type=click.Choice(list(SCENARIOS_BY_PLAN)),
     default="faults",
     show_default=True,
-    help="Faults of all kinds, or series of planned stops.",
+    help="Faults of all kinds, series of planned stops, or requests that crash runners.",
 )
 @click.option("--nodes", type=int, help="Number of nodes.")
 @click.option("--callers", "caller_count", type=int, help="Number of callers.")
--- a/basilpost/soak/callers.py
+++ b/basilpost/soak/callers.py
@@ -18,6 +18,9 @@
 DEADLINE_MS = 4000
 # Range of a caller's pause between requests.
 PAUSE_SECONDS = (0.02, 0.1)
+# The same for requests that crash runners.
+CRASHING_PAUSE_SECONDS = (0.3, 1.2)
+SHARED_PART = "shared"
 # First part of the request's path, which selects its route; see `checks.Call.path`.
 REQUEST_KINDS = ("lookup", "filing", "draft")
 # Ranges for a caller behind the load balancer.
@@ -54,6 +57,10 @@
             async with asyncio.timeout(self._random.uniform(*bounds)):
                 await self._stopping.wait()
 
+    def _prompt_parts(self, attempt: str) -> tuple[str, ...]:
+        """Returns the parts of the prompt of a request, none unless a subclass names some."""
+        return ()
+
     async def _exchange(
         self, channel: channels.Channel, path: str, key: str, *, budget_ms: int
     ) -> checks.Call:
@@ -64,6 +71,8 @@
         headers = tornado.httputil.HTTPHeaders(
             pool_fleet.call_headers(attempt, model=model, key=key, budget_ms=budget_ms)
         )
+        if prompt_parts := self._prompt_parts(attempt):
+            headers["X-Prompt-Prefix"] = ",".join(f"{part}:10" for part in prompt_parts)
         method = "GET" if path == "lookup" else "POST"
         body = b"" if path == "lookup" else attempt.encode()
         heads: list[channels.Head] = []
@@ -86,6 +95,7 @@
             address=channel.address,
             ended_at=clock.elapsed(),
             timed_out=result is None,
+            prompt_parts=prompt_parts,
         )
         self.calls.append(call)
         return call
@@ -125,6 +135,34 @@
         return call
 
 
+class PromptCaller(RandomCaller):
+    """A client whose prompts have a part that all callers share and one that some share.
+
+    The second one may crash runners; then the client sends less often, and streams only.
+    """
+
+    def __init__(
+        self, *, name: str, addresses: tuple[str, ...], seed: str, part: str, crashing: bool
+    ) -> None:
+        super().__init__(name=name, addresses=addresses, seed=seed)
+        self._part = part
+        self._crashing = crashing
+
+    async def run(self) -> None:
+        """Sends requests with pauses until `stop` is called."""
+        while not self._stopping.is_set():
+            await self.send_request(
+                self._random.choice(self._addresses),
+                "draft" if self._crashing else self._random.choice(REQUEST_KINDS),
+                pool_fleet.KEY,
+            )
+            await self._pause(CRASHING_PAUSE_SECONDS if self._crashing else PAUSE_SECONDS)
+
+    def _prompt_parts(self, attempt: str) -> tuple[str, ...]:
+        """Returns the shared parts and one of the request's own."""
+        return SHARED_PART, self._part, attempt
+
+
 class BalancedCaller(Caller):
     """A client behind the load balancer, with one connection that is idle most of the time.
 
--- a/basilpost/soak/checks.py
+++ b/basilpost/soak/checks.py
@@ -12,6 +12,13 @@
 # Time after which a withdrawn key or failure domain must no longer be used.
 WITHDRAWAL_SECONDS = 5.0
 NOT_RUN_STATUSES = frozenset({421, 429, 503})
+# Users' bounds on requests with a part that crashes runners: it has to be known this long after so many
+# crashes, so many may arrive later, and sound ones are served at least so much as before.
+STABLE_SECONDS = 3.0
+KNOWN_AFTER_CRASHES = 5
+MAX_LATE_ARRIVALS = 3
+MIN_SERVED_RATIO = 0.5
+MIN_COUNTED_CALLS = 20
 # Begins the line of a request that planned work left without a complete answer.
 CUT = "cut by planned work"
 
@@ -33,6 +40,7 @@
         address: Address of the node.
         ended_at: When the answer was complete, the connection was closed or the caller gave up.
         timed_out: True if the caller gave up.
+        prompt_parts: Ids of the parts of its prompt.
     """
 
     attempt: str
@@ -46,6 +54,7 @@
     address: str = ""
     ended_at: float = 0.0
     timed_out: bool = False
+    prompt_parts: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -69,6 +78,15 @@
     exit_code: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Disturbance:
+    """A time in which a node may lag behind the others, in seconds of `clock.elapsed`."""
+
+    address: str
+    begin: float
+    end: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Withdrawal:
     """A key or failure domain that was withdrawn for a time.
@@ -258,3 +276,63 @@
 def api_keys() -> tuple[str, ...]:
     """Returns the API keys that callers use."""
     return (pool_fleet.KEY, pool_fleet.OTHER_KEY)
+
+
+def check_crashes(
+    calls: Sequence[Call],
+    runners: Iterable[pool_runner.PoolRunner],
+    *,
+    parts: frozenset[str],
+    disturbances: Sequence[Disturbance],
+) -> list[str]:
+    """Returns a line for each broken guarantee about parts of prompts that crash runners."""
+    runners = list(runners)
+    calls_by_attempt = {call.attempt: call for call in calls}
+
+    def is_disturbed(call: Call, at: float) -> bool:
+        return any(
+            item.address == call.address and item.begin <= at <= item.end for item in disturbances
+        )
+
+    violations = []
+    known_at = []
+    for part in sorted(parts):
+        crashes = sorted(
+            crash.at for runner in runners for crash in runner.crashes if part in crash.parts
+        )
+        if len(crashes) < KNOWN_AFTER_CRASHES:
+            known_at += crashes[-1:]
+            continue
+        known_at.append(crashes[KNOWN_AFTER_CRASHES - 1] + STABLE_SECONDS)
+        late = [
+            run
+            for runner in runners
+            for run in runner.runs
+            if part in run.parts
+            and run.at > known_at[-1]
+            and not is_disturbed(calls_by_attempt[run.attempt], run.at)
+        ]
+        if len(late) > MAX_LATE_ARRIVALS:
+            violations.append(f"{part} crashed {len(crashes)} runners, {len(late)} arrivals late")
+    if known_at:
+        sound = [
+            call
+            for call in calls
+            if call.path == "draft"
+            and parts.isdisjoint(call.prompt_parts)
+            and not is_disturbed(call, call.sent_at)
+        ]
+        first = min(crash.at for runner in runners for crash in runner.crashes if crash.parts)
+        before = [call for call in sound if call.sent_at < first]
+        after = [call for call in sound if call.sent_at > max(known_at) + STABLE_SECONDS]
+        if min(len(before), len(after)) >= MIN_COUNTED_CALLS and _served(after) < (
+            _served(before) * MIN_SERVED_RATIO
+        ):
+            violations.append(
+                f"sound requests served {_served(after):.2f}, before {_served(before):.2f}"
+            )
+    return violations
+
+
+def _served(calls: Sequence[Call]) -> float:
+    return sum(call.status == 200 and call.complete for call in calls) / len(calls)
--- a/basilpost/soak/faults.py
+++ b/basilpost/soak/faults.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 import random
+from collections.abc import Sequence
 
 
 class Kind(enum.Enum):
@@ -38,6 +39,30 @@
 # The kinds that `draw` picks from; their number and order decide what a seed draws.
 KINDS = tuple(kind for kind in Kind if kind is not Kind.STOP_AGAIN)
 PLANNED = (Kind.STOP, Kind.RELOAD, Kind.KEY_TAKEN, Kind.DOMAIN_OUT)
+# Kinds that disturb one node, which may lag behind the others then.
+NODE_KINDS = frozenset(
+    {
+        Kind.KILL,
+        Kind.STOP,
+        Kind.PAUSE,
+        Kind.STORE_SILENT,
+        Kind.STORE_ONE_WAY,
+        Kind.STORE_SLOW,
+        Kind.STORE_RESET,
+        Kind.STORE_REFUSES,
+    }
+)
+# Faults beside requests that crash runners: nodes come and go, also with the store away.
+CRASHING_KINDS = (
+    Kind.KILL,
+    Kind.STOP,
+    Kind.STOP,
+    Kind.PAUSE,
+    Kind.RELOAD,
+    Kind.STORE_AWAY,
+    Kind.STORE_SILENT,
+    Kind.RUNNER_GONE,
+)
 # Mean time between the beginnings of faults. It is shorter than the mean length, so faults overlap.
 MEAN_GAP_SECONDS = 1.0
 # Range of the duration of a fault.
@@ -93,8 +118,12 @@
         seed: Seed of the random numbers; the same seed gives the same faults.
         seconds: Time during which faults begin.
     """
+    return draw_of(PLANNED if has_planned_changes_only(seed) else KINDS, seed, seconds=seconds)
+
+
+def draw_of(kinds: Sequence[Kind], seed: int, *, seconds: float) -> tuple[Fault, ...]:
+    """Returns faults of some kinds, as `draw` does."""
     rng = random.Random(seed)
-    kinds = PLANNED if has_planned_changes_only(seed) else KINDS
     faults = []
     at = rng.expovariate(1.0 / MEAN_GAP_SECONDS)
     while at < seconds:
--- a/basilpost/soak/run.py
+++ b/basilpost/soak/run.py
@@ -4,6 +4,7 @@
 import collections
 import contextlib
 import dataclasses
+import functools
 import itertools
 import pathlib
 from collections.abc import Awaitable
@@ -74,6 +75,7 @@
         self._version = 1
         self._configuration_lock = asyncio.Lock()
         self._violations: list[str] = []
+        self._disturbances: list[checks.Disturbance] = []
 
     async def run(self, *, seconds: float) -> Report:
         """Injects faults that begin within `seconds`, then checks all guarantees."""
@@ -98,7 +100,8 @@
             await proxy.start()
             stack.push_async_callback(proxy.stop)
             self._proxies_by_vm[runner.vm_id] = proxy
-            runner.address = proxy.address
+            runner.announced_address = proxy.address
+            runner.on_down = functools.partial(_set_down, proxy)
             await runner.report()
         for number in range(self._scenario.nodes):
             node = processes.NodeProcess(
@@ -170,6 +173,12 @@
             logged_requests=logged_requests,
             events=self._scenario.runner_options.events,
         )
+        self._violations += checks.check_crashes(
+            calls,
+            self._fleet.runners_by_id.values(),
+            parts=self._scenario.runner_options.crash_parts,
+            disturbances=self._disturbances,
+        )
         lost = sum(line.startswith(checks.CUT) for line in self._violations)
         return Report(
             seed=self._seed,
@@ -184,7 +193,17 @@
 
     async def _inject_when_due(self, fault: faults.Fault) -> None:
         await asyncio.sleep(fault.at)
+        began_at = clock.elapsed()
+        node = self._nodes[fault.target_index % len(self._nodes)]
         await self._inject(fault)
+        if fault.kind in faults.NODE_KINDS:
+            self._disturbances.append(
+                checks.Disturbance(
+                    address=node.settings.callers,
+                    begin=began_at,
+                    end=clock.elapsed() + checks.STABLE_SECONDS,
+                )
+            )
 
     def _inject(self, fault: faults.Fault) -> Awaitable[None]:
         node = self._nodes[fault.target_index % len(self._nodes)]
@@ -275,8 +294,6 @@
             runner.release_port()
             proxy = self._proxies_by_vm[vm_id]
             proxy.target = await runner.start()
-            runner.address = proxy.address
-            await runner.report()
 
     async def _lose_answers(self, fault: faults.Fault) -> None:
         plain_runners = [
@@ -309,3 +326,10 @@
                 checks.Withdrawal(name=name, at=at, until=clock.elapsed())
             )
             await self._fleet.store.remove(f"evacuations/{name}")
+
+
+def _set_down(proxy: proxies.Proxy, down: bool) -> None:
+    """Makes a proxy refuse connections while the runner behind it is down."""
+    proxy.refuses_connections = down
+    if down:
+        proxy.reset()
--- a/basilpost/soak/scenarios.py
+++ b/basilpost/soak/scenarios.py
@@ -86,3 +86,47 @@
     def caller(self, *, name: str, seed: str, load_balancer: balancer.Balancer) -> callers.Caller:
         """Returns a new caller."""
         return callers.BalancedCaller(name=name, load_balancer=load_balancer, seed=seed)
+
+
+CRASHING_PARTS = ("bad0", "bad1")
+# Of so many callers one sends requests with a crashing part.
+CRASHING_CALLER_EVERY = 6
+SOUND_PARTS = 5
+
+
+def _crashing_work() -> pool_runner.Options:
+    return pool_runner.Options(
+        events=10, event_seconds=0.02, crash_parts=frozenset(CRASHING_PARTS), down_seconds=1.5
+    )
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CrashingParts(Scenario):
+    """Two parts of prompts crash runners while nodes stop, are killed and start with the store away."""
+
+    nodes: int = 4
+    caller_count: int = 18
+    vms: int = 24
+    runner_options: pool_runner.Options = dataclasses.field(default_factory=_crashing_work)
+    planned_every: int = 1_000_000
+
+    def draw(self, seed: int, *, seconds: float) -> tuple[faults.Fault, ...]:
+        """Returns the faults of a seed, which begin within `seconds`."""
+        return faults.draw_of(faults.CRASHING_KINDS, seed, seconds=seconds)
+
+    def caller(self, *, name: str, seed: str, load_balancer: balancer.Balancer) -> callers.Caller:
+        """Returns a new caller; some send requests that crash runners."""
+        number = int(name.removeprefix("c"))
+        crashing = number % CRASHING_CALLER_EVERY == 0
+        part = (
+            CRASHING_PARTS[number // CRASHING_CALLER_EVERY % len(CRASHING_PARTS)]
+            if crashing
+            else f"sound{number % SOUND_PARTS}"
+        )
+        return callers.PromptCaller(
+            name=name,
+            addresses=load_balancer.addresses,
+            seed=seed,
+            part=part,
+            crashing=crashing,
+        )
--- a/tests/pool_crash_parts_test.py
+++ b/tests/pool_crash_parts_test.py
@@ -100,7 +100,9 @@
 
 
 def crash_times(bench):
-    return sorted(at for runner in bench.fleet.runners_by_id.values() for at in runner.crashes)
+    return sorted(
+        crash.at for runner in bench.fleet.runners_by_id.values() for crash in runner.crashes
+    )
 
 
 def arrivals(bench, part, since):
--- a/tests/soak_test.py
+++ b/tests/soak_test.py
@@ -20,6 +20,8 @@
 )
 DIGEST_OF_DRAWS = "6f40b24f13a4a400aa00a144b62eebf597f9ad03757be1c6e11ccb63d04eb522"
 STOPS_SECONDS = 4.0
+CRASHES_SECONDS = 10.0
+CRASH_SEEDS = ((2, "a crashed target behind a proxy counted as alive, so its crash was not seen"),)
 STOP_SEEDS = ((372, "the store is silent when drains end; accepted requests were cut (issue 24)"),)
 
 
@@ -46,3 +48,13 @@
     )
     assert report.broken == ()
     assert report.served > report.calls / 2
+
+
+@pytest.mark.processes
+@pytest.mark.parametrize("seed", [seed for seed, _ in CRASH_SEEDS])
+async def test_parts_of_prompts_crash_runners(seed, tmp_path):
+    report = await run.Soak(seed=seed, folder=tmp_path, scenario=scenarios.CrashingParts()).run(
+        seconds=CRASHES_SECONDS
+    )
+    assert report.broken == ()
+    assert report.served > report.calls / 2
