The search for causes of crashes costs bounded time in a storm of crashes

With 256 crashes of 64 requests each, every lost request and every report went through all of them and their traits. A retry now counts the crashes of its request's traits only, one search at a time runs for all reports, and traits are computed once. basilpost/routing, basilpost/gateway, pool_crash_parts, crash_causes_cli: 180 passed.

--- a/basilpost/gateway/attempts.py
+++ b/basilpost/gateway/attempts.py
@@ -1,6 +1,7 @@
 """The attempts to get a request answered, their results, and the refusals that follow from them."""
 
 import dataclasses
+import functools
 
 from basilpost.core import catalog, channels, failure
 from basilpost.gateway import request_admission
@@ -79,14 +80,14 @@
     waited_seconds: float = 0.0
     address: str = ""
 
-    @property
+    @functools.cached_property
     def lost_request(self) -> crash_evidence.LostRequest:
         """Returns the request as evidence of a crash; the last part of its prompt is its own."""
         return crash_evidence.LostRequest(
             fingerprint=self.fingerprint, parts=self.admitted.call.prompt_parts[:-1]
         )
 
-    @property
+    @functools.cached_property
     def traits(self) -> tuple[crash_evidence.Trait, ...]:
         """Returns the traits by which requests that crash targets are recognised."""
         return self.lost_request.traits
--- a/basilpost/routing/crash_evidence.py
+++ b/basilpost/routing/crash_evidence.py
@@ -8,6 +8,7 @@
 """
 
 import dataclasses
+import functools
 import itertools
 import math
 from collections.abc import Collection, Iterable, Mapping
@@ -77,6 +78,11 @@
     at: float
     requests: Mapping[str, LostRequest]
 
+    @functools.cached_property
+    def traits(self) -> frozenset[Trait]:
+        """Returns the traits of all lost requests."""
+        return frozenset(trait for lost in self.requests.values() for trait in lost.traits)
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Evidence:
@@ -115,14 +121,29 @@
     """
     crashes_by_trait: dict[Trait, list[Crash]] = {}
     for crash in crashes:
-        traits = {trait for lost in crash.requests.values() for trait in lost.traits}
-        if traits.isdisjoint(known):
-            for trait in traits:
-                if crash.at > answered_at.get(trait, -math.inf) + CLEARING_SECONDS:
+        if crash.traits.isdisjoint(known):
+            for trait in crash.traits:
+                if _speaks_against(crash, trait, answered_at):
                     crashes_by_trait.setdefault(trait, []).append(crash)
     return [_evidence(trait, found) for trait, found in crashes_by_trait.items()]
 
 
+def count_crashes(
+    trait: Trait,
+    crashes: Iterable[Crash],
+    answered_at: Mapping[Trait, float],
+    known: Collection[Trait],
+) -> int:
+    """Returns the number of crashes that speak against one trait; arguments as for `gather`."""
+    return count_separate(
+        crash.at
+        for crash in crashes
+        if trait in crash.traits
+        and crash.traits.isdisjoint(known)
+        and _speaks_against(crash, trait, answered_at)
+    )
+
+
 def find_causes(
     evidence: Iterable[Evidence], answered_at: Mapping[Trait, float]
 ) -> tuple[Evidence, ...]:
@@ -153,6 +174,10 @@
     return count
 
 
+def _speaks_against(crash: Crash, trait: Trait, answered_at: Mapping[Trait, float]) -> bool:
+    return crash.at > answered_at.get(trait, -math.inf) + CLEARING_SECONDS
+
+
 def _evidence(trait: Trait, crashes: list[Crash]) -> Evidence:
     by_time = sorted(crashes, key=lambda crash: crash.at)
     lost = itertools.chain.from_iterable(crash.requests.values() for crash in by_time)
--- a/basilpost/routing/crashes.py
+++ b/basilpost/routing/crashes.py
@@ -153,6 +153,8 @@
         self._reported_at: dict[crash_evidence.Trait, float] = {}
         self._released_ids: collections.OrderedDict[str, None] = collections.OrderedDict()
         self._ids_by_trait: dict[crash_evidence.Trait, set[str]] = {}
+        self._reports = 0
+        self._is_deciding = False
         self._crashes_total = prometheus_client.Counter(
             "basilpost_target_crashes_total",
             "Targets that crashed with requests in flight, seen here or by other nodes",
@@ -190,11 +192,16 @@
 
         A request whose traits were all answered since is sent again.
         """
-        suspected = {trait for trait in traits if trait in self._suspected_at}
-        return not suspected or all(
-            found.count < MAX_CRASHES_TO_RETRY
-            for found in self._gather()
-            if found.trait in suspected
+        return all(
+            crash_evidence.count_crashes(
+                trait,
+                self._crashes_by_target.values(),
+                self._answered_at,
+                self.causes_by_trait.keys(),
+            )
+            < MAX_CRASHES_TO_RETRY
+            for trait in traits
+            if trait in self._suspected_at
         )
 
     def avoided_among(self, target_ids: Iterable[str]) -> frozenset[str]:
@@ -281,7 +288,10 @@
             self._forget_old_crashes(next(iter(self._crashes_by_target.values())).at)
         self._peers.broadcast(dataclasses.replace(report, requests=tuple(new)))
         self._tasks.spawn(self._report_answers(new), name="crash-answers")
-        self._tasks.spawn(self._decide(), name="crash-decision")
+        self._reports += 1
+        if not self._is_deciding:
+            self._is_deciding = True
+            self._tasks.spawn(self._decide(), name="crash-decision")
 
     async def _report_answers(self, lost: list[crash_evidence.LostRequest]) -> None:
         """Reports answers that this node has seen to requests with the traits of lost ones.
@@ -306,17 +316,29 @@
         return reported_at is None or at > reported_at + ANSWER_ADVANCE_SECONDS
 
     async def _decide(self) -> None:
-        """Looks for a cause once answers that other nodes know of have arrived."""
-        await asyncio.sleep(DECISION_DELAY_SECONDS)
-        while found := crash_evidence.find_causes(self._gather(), self._answered_at):
+        """Looks for causes once answers that other nodes know of have arrived.
+
+        While further reports come, it looks again after each delay.
+        """
+        try:
+            decided = -1
+            while decided != self._reports:
+                decided = self._reports
+                await asyncio.sleep(DECISION_DELAY_SECONDS)
+                self._find_causes()
+        finally:
+            self._is_deciding = False
+
+    def _find_causes(self) -> None:
+        while found := crash_evidence.find_causes(
+            crash_evidence.gather(
+                self._crashes_by_target.values(), self._answered_at, self.causes_by_trait.keys()
+            ),
+            self._answered_at,
+        ):
             for evidence in found:
                 self._found(evidence)
 
-    def _gather(self) -> list[crash_evidence.Evidence]:
-        return crash_evidence.gather(
-            self._crashes_by_target.values(), self._answered_at, self.causes_by_trait.keys()
-        )
-
     def _found(self, evidence: crash_evidence.Evidence) -> None:
         lost = {
             request.fingerprint
@@ -358,9 +380,7 @@
         self._crashes_by_target = collections.OrderedDict(
             (crash.target_id, crash) for crash in kept
         )
-        traits = {
-            trait for crash in kept for lost in crash.requests.values() for trait in lost.traits
-        }
+        traits = frozenset(trait for crash in kept for trait in crash.traits)
         self._suspected_at = {
             trait: at for trait, at in self._suspected_at.items() if trait in traits
         }
