--- a/basilpost/soak/checks_test.py
+++ b/basilpost/soak/checks_test.py
@@ -198,3 +198,70 @@
     two = runner(RAN, joins=[("large--2", "large--1")])
     assert broken(FILED, two) == ["vm went from large--1 straight to large--2"]
     assert broken(FILED, runner(RAN, joins=[("large--2", "standby-large--1")])) == []
+
+
+def crashed_runner(crash_times, runs=()):
+    runner = pool_runner.PoolRunner(vm_id="vm", service="s", store=None)
+    runner.crashes += [pool_runner.Crash(at=at, parts=("shared", "bad")) for at in crash_times]
+    runner.runs += [
+        pool_runner.Run(
+            attempt=attempt,
+            workspace="",
+            path="/draft/a",
+            body=b"",
+            group="g",
+            epoch=1,
+            after="",
+            credential_forwarded=False,
+            at=at,
+            parts=("shared", "bad"),
+        )
+        for attempt, at in runs
+    ]
+    return runner
+
+
+def prompt_call(attempt, at, *, part, status=200):
+    return checks.Call(
+        attempt=attempt,
+        path="draft",
+        key="",
+        sent_at=at,
+        status=status,
+        complete=True,
+        signed=True,
+        body=b"",
+        address="n0",
+        prompt_parts=("shared", part),
+    )
+
+
+def check_crashes(calls, runner, disturbances=()):
+    return checks.check_crashes(
+        calls, [runner], parts=frozenset({"bad"}), disturbances=disturbances
+    )
+
+
+def test_late_arrivals_of_a_part_that_crashes_runners_are_counted():
+    late = [(f"a{number}", 20.0 + number) for number in range(4)]
+    calls = [prompt_call(attempt, at, part="bad") for attempt, at in late]
+    runner = crashed_runner([1.0, 2.0, 3.0, 4.0, 5.0], late)
+    (violation,) = check_crashes(calls, runner)
+    assert "4 arrivals late" in violation
+    assert check_crashes(calls, crashed_runner([1.0, 2.0, 3.0, 4.0, 5.0], late[:3])) == []
+    disturbed = checks.Disturbance(address="n0", begin=19.0, end=21.0)
+    assert check_crashes(calls, runner, [disturbed]) == []
+
+
+def test_sound_requests_that_are_served_less_than_half_as_often_are_a_violation():
+    def calls(status):
+        before = [prompt_call(f"b{n}", 1.0, part="good") for n in range(20)]
+        return before + [
+            prompt_call(f"c{n}", 20.0, part="good", status=status if n < 11 else 200)
+            for n in range(20)
+        ]
+
+    runner = crashed_runner([2.0, 3.0])
+    (violation,) = check_crashes(calls(503), runner)
+    assert "0.45" in violation
+    assert check_crashes(calls(200), runner) == []
