A node that starts waits for a peer as well as for the store before it serves

The store lacks causes that were found while it was away, and a node that read it first served up to two seconds before the others had written them.

--- a/basilpost/routing/crash_store.py
+++ b/basilpost/routing/crash_store.py
@@ -13,7 +13,7 @@
 import xxhash
 
 from basilpost.core import clock, codec, kernel, names, tasks
-from basilpost.members import feed
+from basilpost.members import feed, node_table
 from basilpost.routing import crash_evidence, crashes
 from basilpost.store import objects
 
@@ -26,6 +26,8 @@
 EXPIRY_CHECK_SECONDS = 5.0
 # A node that can serve otherwise waits this long at most for the causes that others know.
 MAX_WAIT_SECONDS = 3.0
+# The same once it has read the store, if there are records of other nodes; these may be gone.
+MAX_WAIT_FOR_PEER_SECONDS = 1.0
 # Time for which a released cause stays in the store, for nodes that were away.
 KEEP_RELEASED_SECONDS = 600.0
 # Longer names, and those with unusual characters, are replaced by a digest.
@@ -56,6 +58,7 @@
     def __init__(self, *, kernel: kernel.Kernel) -> None:
         self._log = kernel.log
         self._store = kernel.find(names.OBJECTS, objects.ObjectStore)
+        self._table = kernel.find(names.NODE_TABLE, node_table.NodeTable)
         self._tracker = kernel.find(names.CRASHES, crashes.CrashTracker)
         self._tasks = tasks.TaskSet(log=kernel.log)
         self._node_id = kernel.node_id
@@ -79,13 +82,18 @@
     def is_informed(self) -> bool:
         """Returns True once this node knows the causes that others know, or cannot learn them.
 
-        A node that has just started would otherwise run requests that all others refuse.
+        A node that has just started would otherwise run requests that all others refuse. A peer knows
+        all of them, the store may lack those that were found while it was away.
         """
-        if self._tracker.heard_from_peer or self._feed.age(PREFIX) < math.inf:
+        if self._tracker.heard_from_peer:
             return True
         if self._first_asked_at is None:
             self._first_asked_at = clock.elapsed()
-        return clock.elapsed() - self._first_asked_at > MAX_WAIT_SECONDS
+        waited = clock.elapsed() - self._first_asked_at
+        if self._feed.age(PREFIX) < math.inf:
+            is_alone = self._table.records_by_id.keys() <= {self._node_id}
+            return is_alone or waited > MAX_WAIT_FOR_PEER_SECONDS
+        return waited > MAX_WAIT_SECONDS
 
     def _apply_change(self, change: objects.Change) -> None:
         if change.stored is None:
--- a/basilpost/routing/crash_store_test.py
+++ b/basilpost/routing/crash_store_test.py
@@ -7,7 +7,7 @@
 import pytest
 
 from basilpost.core import clock, codec, kernel, names
-from basilpost.members import fakes, feed
+from basilpost.members import fakes, feed, node_table
 from basilpost.routing import crash_evidence, crash_store, crashes
 from basilpost.store import memory, objects
 
@@ -36,6 +36,8 @@
         node_kernel.register(names.OBJECTS, store)
         self.feed = FakeFeed()
         node_kernel.register(names.FEED, self.feed)
+        self.table = node_table.NodeTable()
+        node_kernel.register(names.NODE_TABLE, self.table)
         self.tracker = crashes.CrashTracker(kernel=node_kernel)
         node_kernel.register(names.CRASHES, self.tracker)
         self.store = crash_store.CrashStore(kernel=node_kernel)
@@ -142,6 +144,11 @@
     nodes[0].feed.known_age = 0.1
     await nodes[1].tracker._on_answer_report("peer", crashes.AnswerReport(answered=()))
     assert [node.store.is_informed() for node in nodes] == [True, True, False]
+    # Another node may know of causes that the store lacks.
+    nodes[0].table.records_by_id["other"] = None
+    assert not nodes[0].store.is_informed()
+    now[0] += crash_store.MAX_WAIT_FOR_PEER_SECONDS * 1.1
+    assert nodes[0].store.is_informed()
     # A node alone beside a store that refuses these objects serves all the same.
     now[0] += crash_store.MAX_WAIT_SECONDS * 1.1
     assert nodes[2].store.is_informed()
--- a/tests/pool_crash_parts_test.py
+++ b/tests/pool_crash_parts_test.py
@@ -12,7 +12,7 @@
 
 from basilpost.core import clock, names
 from basilpost.emulator import pool_fleet
-from basilpost.routing import crashes
+from basilpost.routing import crash_evidence, crash_store, crashes
 from tests import pool_nodes
 
 # Bounds of the users' pages: crashes after which the part has to be known, the time that this may take,
@@ -258,3 +258,31 @@
         assert not any("Retry-After" in answer.headers for answer in answers)
         assert {answer.headers["Basilpost-Outcome"] for answer in answers} == {"not-run"}
         assert not any(bench.fleet.runs_of(answer.attempt) for answer in answers)
+
+
+async def test_a_cause_found_while_the_store_is_away_is_unknown_to_a_node_that_starts_after_it():
+    async with pool_nodes.running(nodes=2, fabric_domains=3, vms=6) as bench:
+        await bench.wait_for_groups(3, pool_fleet.LARGE)
+        prepare(bench, "bad")
+        await bench.fleet.store.stop()
+        tracker = bench.kernels[0].find(names.CRASHES, crashes.CrashTracker)
+        for number in range(3):
+            lost = crash_evidence.LostRequest(fingerprint=f"f{number}", parts=("f0", "bad"))
+            other = crash_evidence.LostRequest(fingerprint=f"s{number}", parts=("f0",))
+            tracker.record_crash(f"target-{number}", [lost, other])
+            tracker.record_answer([crash_evidence.Trait(kind="part", value="f0")])
+            await asyncio.sleep(crash_evidence.SEPARATE_SECONDS * 1.1)
+        await pool_fleet.until(lambda: causes(bench) == [{"part bad"}] * 2)
+        late = asyncio.create_task(bench.add("late"))
+        await asyncio.sleep(0.5)
+        await bench.fleet.store.start()
+        await late
+        callers = Callers(bench, seed=7)
+        callers.nodes = [len(bench.addresses) - 1]
+        await callers.run(seconds=2.0, every=0.02, crashing="bad")
+        await callers.finish()
+        assert crash_times(bench) == []
+        assert (503, "quarantined") in outcomes(callers, "bad", 0.0)
+        async with asyncio.timeout(6.0):
+            while not (await bench.fleet.store.store.list(crash_store.PREFIX)).objects:
+                await asyncio.sleep(0.1)
