An answer in tiny pieces without end does not starve the requests beside it

Cause: a piece costs the same whatever its size. A megabyte in pieces of five bytes was searched again from its start with each piece, and pieces that had arrived already were handled without a turn for other connections. Change: other connections get a turn after 32 pieces; a stream has at most two events for each token that its request allows and 1,000 more, and two pieces for each; another answer 10,000 pieces; the rest of a stream is searched once.

--- a/basilpost/core/channels.py
+++ b/basilpost/core/channels.py
@@ -18,6 +18,8 @@
 MAX_HEADER_BYTES = 65_536
 MAX_BODY_BYTES = 64 * 1024 * 1024
 READ_BYTES = 65_536
+# Pieces of a body after which other connections get their turn.
+PIECES_PER_PASS = 32
 # For servers that announce no idle time; those keep idle connections for 5 s or longer.
 DEFAULT_IDLE_SECONDS = 3.0
 # Margin below the idle time that a server announces, for the transfer of the next request.
@@ -88,6 +90,7 @@
         self._on_data = on_data
         self.head: Head | None = None
         self.finished = False
+        self._pieces = 0
 
     def headers_received(
         self,
@@ -101,7 +104,12 @@
         self._on_head(self.head)
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
-        return self._on_data(chunk)
+        self._pieces += 1
+        waiting = self._on_data(chunk)
+        if waiting is None and self._pieces % PIECES_PER_PASS == 0:
+            # Pieces that have arrived already are passed on without a return to the event loop.
+            return asyncio.sleep(0)
+        return waiting
 
     def finish(self) -> None:
         self.finished = self.head is not None
--- a/basilpost/gateway/answer_sinks.py
+++ b/basilpost/gateway/answer_sinks.py
@@ -17,6 +17,12 @@
 MAX_STREAM_BYTES = 32 * 1024 * 1024
 MAX_EVENT_BYTES = 1024 * 1024
 MAX_EVENTS = 100_000
+# Events that a target may send beyond those for the tokens that its request allows, and pieces in which
+# an event may come. A piece costs some 50 us, whatever its size.
+EVENTS_PER_TOKEN = 2
+SPARE_EVENTS = 1_000
+PIECES_PER_EVENT = 2
+MAX_PIECES = 10_000
 # Bytes of incomplete answers that a node holds; it has 300 MB, and needs a copy of an answer to send it.
 MAX_HELD_BYTES = 48 * 1024 * 1024
 # Bytes of a stream that wait for its caller.
@@ -132,9 +138,12 @@
 
     def on_chunk(self, chunk: bytes) -> Awaitable[None] | None:
         """Stores a chunk of the body."""
-        if not self._excess:
-            self._chunks.append(chunk)
-            self._memory.add(self, len(chunk))
+        if self._excess:
+            return None
+        self._chunks.append(chunk)
+        self._memory.add(self, len(chunk))
+        if len(self._chunks) > MAX_PIECES:
+            self.give_up(f"the answer comes in more than {MAX_PIECES} pieces")
         return None
 
 
@@ -158,15 +167,17 @@
         reply: inbound.Reply,
         dialect: header_dialect.HeaderDialect,
         last_event: str,
+        max_answer_tokens: int,
         memory: AnswerMemory,
     ) -> None:
         super().__init__(memory=memory)
-        self.stream = sse.ResumableStream(last_id=last_event)
+        self._max_events = max_events_of(max_answer_tokens)
+        self.stream = sse.ResumableStream(last_id=last_event, max_events=self._max_events)
         self.is_stream = False
         self.has_gap = False
         self.abandoned = False
         self.event_count = 0
-        self._stream_bytes = 0
+        self._stream_bytes = self._stream_pieces = 0
         # Bytes that were forwarded since the caller had surely taken all of them.
         self._unsent_bytes = 0
         self.writing_since: float | None = None
@@ -203,6 +214,10 @@
         if self._excess:
             return None
         self._stream_bytes += len(chunk)
+        self._stream_pieces += 1
+        if self._stream_pieces > self._max_events * PIECES_PER_EVENT:
+            self.give_up(f"the stream comes in more than {self._stream_pieces - 1} pieces")
+            return None
         if self._stream_bytes > MAX_STREAM_BYTES:
             self.give_up(f"the stream is longer than {MAX_STREAM_BYTES} bytes")
             return None
@@ -219,8 +234,8 @@
             self.close_channel()
         elif self.stream.pending_bytes > MAX_EVENT_BYTES:
             self.give_up(f"an event is longer than {MAX_EVENT_BYTES} bytes")
-        elif self.event_count > MAX_EVENTS:
-            self.give_up(f"the stream has more than {MAX_EVENTS} events")
+        elif new_events.too_many:
+            self.give_up(f"the stream has more than {self._max_events} events")
         elif self._unsent_bytes > MAX_UNSENT_BYTES:
             self._unsent_bytes = 0
             return self._reply.wait_written()
@@ -241,3 +256,10 @@
             return
         headers = self._dialect.response_headers(self._head.headers)
         self._reply.send_head(self._head.status, self._head.reason, headers)
+
+
+def max_events_of(max_answer_tokens: int) -> int:
+    """Returns the most events of a stream; `max_answer_tokens` is 0 if its request names no bound."""
+    if not max_answer_tokens:
+        return MAX_EVENTS
+    return min(MAX_EVENTS, max_answer_tokens * EVENTS_PER_TOKEN + SPARE_EVENTS)
--- a/basilpost/gateway/answer_sinks_test.py
+++ b/basilpost/gateway/answer_sinks_test.py
@@ -60,6 +60,13 @@
     assert (memory.total, collector.body) == (0, b"")
 
 
+async def test_a_body_in_pieces_without_end_is_given_up():
+    collector = make_collector(answer_sinks.AnswerMemory())
+    fed = await feed(collector, b"abcde", answer_sinks.MAX_ANSWER_BYTES)
+    assert fed <= (answer_sinks.MAX_PIECES + 1) * 5
+    assert "pieces" in collector.excess
+
+
 async def test_of_many_large_answers_the_largest_is_given_up():
     memory = answer_sinks.AnswerMemory()
     small, *large = [make_collector(memory) for _ in range(9)]
@@ -85,19 +92,22 @@
 
 
 @pytest.mark.parametrize(
-    ("chunk", "limit"),
+    ("chunk", "limit", "max_answer_tokens"),
     [
-        (b"data: " + CHUNK, answer_sinks.MAX_EVENT_BYTES),
-        (b"data: e\n\n" * 1_000, answer_sinks.MAX_EVENTS * 9),
-        (b"data: " + CHUNK + b"\n\n", answer_sinks.MAX_STREAM_BYTES),
+        (b"data: " + CHUNK, answer_sinks.MAX_EVENT_BYTES, 0),
+        (b"data: e\n\n" * 1_000, answer_sinks.MAX_EVENTS * 9, 0),
+        (b"data: e\n\n" * 100, (answer_sinks.SPARE_EVENTS + 12) * 9, 6),
+        (b"data: " + CHUNK + b"\n\n", answer_sinks.MAX_STREAM_BYTES, 0),
+        (b"data:", answer_sinks.MAX_EVENTS * 10, 0),
     ],
 )
-async def test_a_stream_that_never_ends_is_given_up(chunk, limit):
+async def test_a_stream_that_never_ends_is_given_up(chunk, limit, max_answer_tokens):
     reply = FakeReply()
     sink = answer_sinks.StreamSink(
         reply=reply,
         dialect=headers.PlatformDialect(),
         last_event="",
+        max_answer_tokens=max_answer_tokens,
         memory=answer_sinks.AnswerMemory(),
     )
     sink.on_connected(FakeChannel())
--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -164,6 +164,7 @@
             reply=reply,
             dialect=self._dialect,
             last_event=progress.admitted.call.last_event_id,
+            max_answer_tokens=progress.admitted.call.max_answer_tokens,
             memory=self._answer_memory,
         )
         try:
--- a/basilpost/gateway/sse.py
+++ b/basilpost/gateway/sse.py
@@ -19,11 +19,13 @@
         data: Bytes of the events.
         count: Number of events.
         has_gap: True if the target skipped an event; `data` ends before the gap.
+        too_many: True if the target has sent more events than allowed; `data` is empty then.
     """
 
     data: bytes
     count: int
     has_gap: bool
+    too_many: bool = False
 
 
 class ResumableStream:
@@ -34,14 +36,18 @@
             it has.
     """
 
-    def __init__(self, *, last_id: str) -> None:
+    def __init__(self, *, last_id: str, max_events: int | None = None) -> None:
         self.last_id = last_id
-        self._rest = b""
+        self._max_events = max_events
+        self._events_of_target = 0
+        self._rest = bytearray()
+        # Up to here the rest holds no separator.
+        self._searched = 0
 
     @property
     def at_boundary(self) -> bool:
         """Returns True if no incomplete event is buffered."""
-        return not self._rest.strip()
+        return not bytes(self._rest).strip()
 
     @property
     def pending_bytes(self) -> int:
@@ -50,13 +56,22 @@
 
     def restart(self) -> None:
         """Discards an incomplete event, before the stream is resumed on another target."""
-        self._rest = b""
+        self._rest.clear()
+        self._searched = self._events_of_target = 0
 
     def feed(self, chunk: bytes) -> NewEvents:
         """Adds a chunk of the stream; returns the events that it completes, without repeated ones."""
-        split_buffer = events.split(self._rest + chunk)
+        self._rest += chunk
+        if self._rest.find(events.SEPARATOR, self._searched) < 0:
+            self._searched = max(0, len(self._rest) - len(events.SEPARATOR) + 1)
+            return NewEvents(data=b"", count=0, has_gap=False)
+        split_buffer = events.split(bytes(self._rest))
         complete = split_buffer.events + (events.DONE_EVENT if split_buffer.done else b"")
-        self._rest = split_buffer.rest
+        self._rest = bytearray(split_buffer.rest)
+        self._searched = 0
+        self._events_of_target += split_buffer.count
+        if self._max_events is not None and self._events_of_target > self._max_events:
+            return NewEvents(data=b"", count=0, has_gap=False, too_many=True)
         kept: list[bytes] = []
         has_gap = False
         for event in complete.split(events.SEPARATOR)[:-1]:
