--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -9,22 +9,22 @@
 import asyncio
 import dataclasses
 import random
-from collections.abc import Awaitable, Iterable
+from collections.abc import Awaitable
 from typing import Any
 
 from basilpost.core import channels, clock, failure
-from basilpost.gateway import answer_sinks, attempts, inbound, loss_probe, request_admission
+from basilpost.gateway import (
+    answer_sinks,
+    attempts,
+    inbound,
+    loss_probe,
+    request_admission,
+    target_choice,
+)
 from basilpost.gateway import stall_detector as stall_detector_
 from basilpost.members import loads as loads_
-from basilpost.routing import (
-    cold,
-    header_dialect,
-    named_limits,
-    placement,
-    retry,
-    unreachable,
-)
 from basilpost.routing import crashes as crashes_
+from basilpost.routing import header_dialect, named_limits, retry
 from basilpost.routing import targets as targets_
 
 # Longest time for opening a connection to a target.
@@ -37,15 +37,6 @@
 STALE_SECONDS = 0.005
 # Answers to other requests that are skipped on a connection before it is closed.
 MAX_STRAY_ANSWERS = 2
-# Share of the route's latency objective for which a request may wait for a target with a free slot.
-WAIT_SHARE = 0.2
-# Interval at which a waiting request looks for a target with a free slot.
-WAIT_POLL_SECONDS = 0.02
-# The same for requests beyond the limits of all targets; more come than the limits allow.
-LIMITED_RETRY_SECONDS = (0.2, 1.8)
-MAX_LIMITED_SECONDS = 1.0
-# Range from which Retry-After is drawn, so that refused callers do not all return at the same moment.
-RETRY_AFTER_SECONDS = (0.3, 0.8)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -86,9 +77,7 @@
     ) -> None:
         self.pool = channels.Pool()
         self.stall_detector = stall_detector_.StallDetector()
-        self._failure_domain = failure_domain
         self._dialect = dialect
-        self._targets = targets
         self._loads = loads
         self._budgets = budgets
         self._crashes = crashes
@@ -96,11 +85,17 @@
         self.loss_probe = loss_probe.LossProbe(
             connect=self._connect, on_crash=crashes.record_crash, log=log
         )
-        self._rng = rng
         self._log = log
         self._answer_memory = answer_sinks.AnswerMemory()
-        self._cold = cold.ColdStartLimiter(node_id=node_id)
-        self._unreachable = unreachable.UnreachableTargets()
+        self._chooser = target_choice.TargetChooser(
+            node_id=node_id,
+            failure_domain=failure_domain,
+            targets=targets,
+            loads=loads,
+            crashes=crashes,
+            limits=limits,
+            rng=rng,
+        )
         self._retries_by_service: dict[str, retry.RetryBudget] = {}
         loads.local_stalled = self.stall_detector.suspects
         loads.local_writing = self.stall_detector.active_targets
@@ -137,7 +132,7 @@
         sink: answer_sinks.Collector,
     ) -> attempts.WholeAnswer | failure.Refusal:
         while True:
-            target = await self._wait_for_target(progress)
+            target = await self._chooser.wait(progress)
             if isinstance(target, failure.Refusal):
                 return attempts.corrected_refusal(progress, target)
             sink.restart()
@@ -148,7 +143,7 @@
                     return attempts.WholeAnswer(head=result, body=sink.body)
             elif not self._may_try_elsewhere(progress, result):
                 return attempts.corrected_refusal(
-                    progress, self._refusal("target_lost", result.reason)
+                    progress, self._chooser.refusal("target_lost", result.reason)
                 )
 
     async def stream(
@@ -187,7 +182,7 @@
         sink: answer_sinks.StreamSink,
     ) -> attempts.Streamed | attempts.WholeAnswer | failure.Refusal:
         while True:
-            target = await self._wait_for_target(progress)
+            target = await self._chooser.wait(progress)
             if isinstance(target, failure.Refusal):
                 return attempts.corrected_refusal(progress, target)
             result = await self._stream_from(progress, request, target, sink)
@@ -200,7 +195,7 @@
                     return attempts.WholeAnswer(head=result, body=sink.body)
             elif not self._may_try_elsewhere(progress, result):
                 return attempts.corrected_refusal(
-                    progress, self._refusal("target_lost", result.reason)
+                    progress, self._chooser.refusal("target_lost", result.reason)
                 )
 
     async def _stream_from(
@@ -213,7 +208,7 @@
         """Forwards the events of one target until its stream ends, breaks off or stalls."""
 
         def move_stream() -> None:
-            if sink.abandoned or isinstance(self._choose_target(progress), failure.Refusal):
+            if sink.abandoned or isinstance(self._chooser.choose(progress), failure.Refusal):
                 return
             # The retry is spent first: without one, the stream would be cut although its target may
             # go on.
@@ -243,127 +238,6 @@
             )
         return result
 
-    async def _wait_for_target(
-        self, progress: attempts.Progress
-    ) -> targets_.Target | failure.Refusal:
-        """Returns a target with a free slot, waiting for one up to `WAIT_SHARE` of the objective."""
-        admitted = progress.admitted
-        wait_until = clock.elapsed() + admitted.route.objective * WAIT_SHARE
-        while True:
-            choice = self._choose_target(progress)
-            if isinstance(choice, targets_.Target) or choice.code != "busy":
-                return choice
-            if clock.elapsed() + WAIT_POLL_SECONDS > min(wait_until, admitted.deadline):
-                return choice
-            await asyncio.sleep(WAIT_POLL_SECONDS)
-            progress.waited_seconds += WAIT_POLL_SECONDS
-
-    def _choose_target(self, progress: attempts.Progress) -> targets_.Target | failure.Refusal:
-        admitted = progress.admitted
-        cause = self._crashes.find_cause(progress.traits)
-        if cause is not None:
-            return dataclasses.replace(
-                self._refusal("quarantined", _describe_cause(cause)),
-                retry_after=None,
-                cause=cause.cause_id,
-            )
-        known = self._targets.matching(admitted.service.name, admitted.call.model)
-        untried = [target for target in known if target.target_id not in progress.tried_targets]
-        if not untried:
-            return self._refusal("no_target", f"{len(known)} targets known, none left to try")
-        if self._loads.are_stale:
-            preferred = self._choose_preferred(progress)
-            if preferred is not None:
-                return preferred
-        suspects = self._suspects_among(untried)
-        # A group that lost a member is suspected unless some node still receives events from it.
-        incomplete = frozenset(target.target_id for target in untried if not target.complete)
-        if incomplete:
-            suspects |= incomplete - self._loads.writing_among(incomplete)
-        candidates = [self._candidate(admitted, target, suspects) for target in untried]
-        chosen = placement.choose_target(
-            candidates,
-            failure_domain=self._failure_domain,
-            rng=self._rng,
-            stale=self._loads.are_stale,
-        )
-        if chosen is not None:
-            return chosen
-        return self._limited_refusal(untried) or self._refusal(
-            "busy", f"all {len(untried)} targets are full"
-        )
-
-    def _limited_refusal(self, untried: list[targets_.Target]) -> failure.Refusal | None:
-        """Returns a refusal if only limits keep this node from each target, None otherwise.
-
-        Callers return at different times, over the time in which the limits allow further requests.
-        """
-        node_ids = self._loads.node_ids()
-        waits = [
-            self._limits.seconds_until_free(target.lifetime, node_ids=node_ids)
-            for target in untried
-        ]
-        if min(waits) <= 0.0:
-            return None
-        first = min(min(waits), MAX_LIMITED_SECONDS)
-        return dataclasses.replace(
-            self._refusal("limited", f"all {len(untried)} targets are at the limit that they name"),
-            retry_after=first + self._rng.uniform(*LIMITED_RETRY_SECONDS),
-        )
-
-    def _choose_preferred(self, progress: attempts.Progress) -> targets_.Target | None:
-        """Returns one of the targets that this node uses first, None if all of them are busy."""
-        admitted = progress.admitted
-        untried = [
-            target
-            for target in self._targets.preferred(
-                admitted.service.name, admitted.call.model, self._failure_domain
-            )
-            if target.target_id not in progress.tried_targets
-        ]
-        suspects = self._suspects_among(untried)
-        candidates = [self._candidate(admitted, target, suspects) for target in untried]
-        return placement.choose_target(
-            filter(placement.has_light_load, candidates),
-            failure_domain=self._failure_domain,
-            rng=self._rng,
-            stale=True,
-        )
-
-    def _suspects_among(self, targets: Iterable[targets_.Target]) -> frozenset[str]:
-        """Returns those of the targets that have stopped answering, crashed or refuse connections.
-
-        A target that is gone has no requests in flight, and would be chosen first for its low load.
-        """
-        target_ids = [target.target_id for target in targets]
-        return (
-            self._loads.stalled_among(target_ids)
-            | self._crashes.avoided_among(target_ids)
-            | self._unreachable.among(target_ids)
-        )
-
-    def _candidate(
-        self,
-        admitted: request_admission.AdmittedRequest,
-        target: targets_.Target,
-        suspects: frozenset[str],
-    ) -> placement.Candidate:
-        target_id, node_ids = target.target_id, self._loads.node_ids()
-        return placement.Candidate(
-            target=target,
-            in_flight=self._loads.total_in_flight(target_id),
-            stalled=target_id in suspects,
-            may_send=self._limits.may_send(target.lifetime, node_ids=node_ids)
-            and (
-                not self._targets.is_cold(target)
-                or self._cold.may_send(
-                    target_id,
-                    per_second=admitted.service.cold_per_second,
-                    node_ids=node_ids,
-                )
-            ),
-        )
-
     async def _send(
         self,
         progress: attempts.Progress,
@@ -378,9 +252,7 @@
         progress.tried_targets.add(target.target_id)
         # Counted before the connection is open, so that other requests see that the room is taken.
         self._loads.request_started(target.target_id)
-        if self._targets.is_cold(target):
-            self._cold.record_sent(target.target_id)
-        self._limits.record_sent(target.lifetime, node_ids=self._loads.node_ids())
+        self._chooser.record_sent(target)
         try:
             return await self._exchange(progress, request, target, last_event, sink)
         finally:
@@ -401,7 +273,7 @@
             lifetime=target.lifetime,
         )
         if isinstance(channel, channels.ConnectFailed):
-            self._unreachable.add(target.target_id)
+            self._chooser.record_unreachable(target)
             return attempts.NotSent(reason=channel.reason)
         self._log_placement(progress, target, last_event)
         began_at = clock.elapsed()
@@ -424,7 +296,7 @@
                 is_stale = clock.elapsed() - began_at < STALE_SECONDS
                 result = dataclasses.replace(result, stale_connection=is_stale)
                 if is_stale:
-                    self._unreachable.add(target.target_id)
+                    self._chooser.record_unreachable(target)
             return result
         finally:
             if keep:
@@ -599,15 +471,6 @@
         # The retry of an abandoned stream was spent when it was given up.
         return result.abandoned or self._spend_retry(progress)
 
-    def _refusal(self, code: str, reason: str) -> failure.Refusal:
-        """Returns a refusal with status 503 and a random Retry-After; its outcome is not-run."""
-        return failure.Refusal(
-            reason=reason,
-            code=code,
-            status=503,
-            retry_after=self._rng.uniform(*RETRY_AFTER_SECONDS),
-        )
-
 
 def _added_headers(
     admitted: request_admission.AdmittedRequest, target: targets_.Target, last_event: str
@@ -619,10 +482,3 @@
         priority=admitted.priority,
         last_event_id=last_event,
     )
-
-
-def _describe_cause(cause: crashes_.CrashCause) -> str:
-    return (
-        f"requests with {cause.trait} are refused: {cause.crashes} targets crashed under them; "
-        f"sending it again does not help (cause {cause.cause_id})"
-    )
--- /dev/null
+++ b/basilpost/gateway/target_choice.py
@@ -0,0 +1,198 @@
+"""Chooses the target of a request: the best one that may get it, or a refusal.
+
+It brings together what the node knows: the targets, the requests in flight at them, causes of crashes,
+cold starts, named limits and targets that seem to be gone. `routing.placement` compares candidates.
+"""
+
+import asyncio
+import dataclasses
+import random
+from collections.abc import Iterable
+
+from basilpost.core import clock, failure
+from basilpost.gateway import attempts, request_admission
+from basilpost.members import loads as loads_
+from basilpost.routing import cold, crash_messages, named_limits, placement, unreachable
+from basilpost.routing import crashes as crashes_
+from basilpost.routing import targets as targets_
+
+# Share of the route's latency objective for which a request may wait for a target with a free slot.
+WAIT_SHARE = 0.2
+# Interval at which a waiting request looks for a target with a free slot.
+WAIT_POLL_SECONDS = 0.02
+# Range from which Retry-After is drawn, so that refused callers do not all return at the same moment.
+RETRY_AFTER_SECONDS = (0.3, 0.8)
+# The same for requests beyond the limits of all targets; more come than the limits allow. It is added to
+# the time until a limit allows a request, up to a maximum.
+LIMITED_RETRY_SECONDS = (0.2, 1.8)
+MAX_LIMITED_SECONDS = 1.0
+
+
+class TargetChooser:
+    """Chooses targets for the requests of one node."""
+
+    def __init__(
+        self,
+        *,
+        node_id: str,
+        failure_domain: str,
+        targets: targets_.Targets,
+        loads: loads_.Loads,
+        crashes: crashes_.CrashTracker,
+        limits: named_limits.NamedLimits,
+        rng: random.Random,
+    ) -> None:
+        self._failure_domain = failure_domain
+        self._targets = targets
+        self._loads = loads
+        self._crashes = crashes
+        self._limits = limits
+        self._rng = rng
+        self._cold = cold.ColdStartLimiter(node_id=node_id)
+        self._unreachable = unreachable.UnreachableTargets()
+
+    async def wait(self, progress: attempts.Progress) -> targets_.Target | failure.Refusal:
+        """Returns a target with a free slot, waiting for one up to `WAIT_SHARE` of the objective."""
+        admitted = progress.admitted
+        wait_until = clock.elapsed() + admitted.route.objective * WAIT_SHARE
+        while True:
+            choice = self.choose(progress)
+            if isinstance(choice, targets_.Target) or choice.code != "busy":
+                return choice
+            if clock.elapsed() + WAIT_POLL_SECONDS > min(wait_until, admitted.deadline):
+                return choice
+            await asyncio.sleep(WAIT_POLL_SECONDS)
+            progress.waited_seconds += WAIT_POLL_SECONDS
+
+    def choose(self, progress: attempts.Progress) -> targets_.Target | failure.Refusal:
+        """Returns the best target for a request that was not tried for it, or why there is none."""
+        admitted = progress.admitted
+        cause = self._crashes.find_cause(progress.traits)
+        if cause is not None:
+            return dataclasses.replace(
+                self.refusal("quarantined", _describe_cause(cause)),
+                retry_after=None,
+                cause=cause.cause_id,
+            )
+        known = self._targets.matching(admitted.service.name, admitted.call.model)
+        untried = [target for target in known if target.target_id not in progress.tried_targets]
+        if not untried:
+            return self.refusal("no_target", f"{len(known)} targets known, none left to try")
+        if self._loads.are_stale:
+            preferred = self._choose_preferred(progress)
+            if preferred is not None:
+                return preferred
+        suspects = self._suspects_among(untried)
+        # A group that lost a member is suspected unless some node still receives events from it.
+        incomplete = frozenset(target.target_id for target in untried if not target.complete)
+        if incomplete:
+            suspects |= incomplete - self._loads.writing_among(incomplete)
+        candidates = [self._candidate(admitted, target, suspects) for target in untried]
+        chosen = placement.choose_target(
+            candidates,
+            failure_domain=self._failure_domain,
+            rng=self._rng,
+            stale=self._loads.are_stale,
+        )
+        if chosen is not None:
+            return chosen
+        return self._limited_refusal(untried) or self.refusal(
+            "busy", f"all {len(untried)} targets are full"
+        )
+
+    def record_sent(self, target: targets_.Target) -> None:
+        """Counts a request that is sent to a target, where its rate is bounded."""
+        if self._targets.is_cold(target):
+            self._cold.record_sent(target.target_id)
+        self._limits.record_sent(target.lifetime, node_ids=self._loads.node_ids())
+
+    def record_unreachable(self, target: targets_.Target) -> None:
+        """Avoids a target for a while, to which no connection could be opened."""
+        self._unreachable.add(target.target_id)
+
+    def refusal(self, code: str, reason: str) -> failure.Refusal:
+        """Returns a refusal with status 503 and a random Retry-After; its outcome is not-run."""
+        return failure.Refusal(
+            reason=reason,
+            code=code,
+            status=503,
+            retry_after=self._rng.uniform(*RETRY_AFTER_SECONDS),
+        )
+
+    def _limited_refusal(self, untried: list[targets_.Target]) -> failure.Refusal | None:
+        """Returns a refusal if only limits keep this node from each target, None otherwise.
+
+        Callers return at different times, over the time in which the limits allow further requests.
+        """
+        node_ids = self._loads.node_ids()
+        waits = [
+            self._limits.seconds_until_free(target.lifetime, node_ids=node_ids)
+            for target in untried
+        ]
+        if min(waits) <= 0.0:
+            return None
+        first = min(min(waits), MAX_LIMITED_SECONDS)
+        return dataclasses.replace(
+            self.refusal("limited", f"all {len(untried)} targets are at the limit that they name"),
+            retry_after=first + self._rng.uniform(*LIMITED_RETRY_SECONDS),
+        )
+
+    def _choose_preferred(self, progress: attempts.Progress) -> targets_.Target | None:
+        """Returns one of the targets that this node uses first, None if all of them are busy."""
+        admitted = progress.admitted
+        untried = [
+            target
+            for target in self._targets.preferred(
+                admitted.service.name, admitted.call.model, self._failure_domain
+            )
+            if target.target_id not in progress.tried_targets
+        ]
+        suspects = self._suspects_among(untried)
+        candidates = [self._candidate(admitted, target, suspects) for target in untried]
+        return placement.choose_target(
+            filter(placement.has_light_load, candidates),
+            failure_domain=self._failure_domain,
+            rng=self._rng,
+            stale=True,
+        )
+
+    def _suspects_among(self, targets: Iterable[targets_.Target]) -> frozenset[str]:
+        """Returns those of the targets that have stopped answering, crashed or refuse connections.
+
+        A target that is gone has no requests in flight, and would be chosen first for its low load.
+        """
+        target_ids = [target.target_id for target in targets]
+        return (
+            self._loads.stalled_among(target_ids)
+            | self._crashes.avoided_among(target_ids)
+            | self._unreachable.among(target_ids)
+        )
+
+    def _candidate(
+        self,
+        admitted: request_admission.AdmittedRequest,
+        target: targets_.Target,
+        suspects: frozenset[str],
+    ) -> placement.Candidate:
+        target_id, node_ids = target.target_id, self._loads.node_ids()
+        return placement.Candidate(
+            target=target,
+            in_flight=self._loads.total_in_flight(target_id),
+            stalled=target_id in suspects,
+            may_send=self._limits.may_send(target.lifetime, node_ids=node_ids)
+            and (
+                not self._targets.is_cold(target)
+                or self._cold.may_send(
+                    target_id,
+                    per_second=admitted.service.cold_per_second,
+                    node_ids=node_ids,
+                )
+            ),
+        )
+
+
+def _describe_cause(cause: crash_messages.CrashCause) -> str:
+    return (
+        f"requests with {cause.trait} are refused: {cause.crashes} targets crashed under them; "
+        f"sending it again does not help (cause {cause.cause_id})"
+    )
--- a/basilpost/routing/crash_store.py
+++ b/basilpost/routing/crash_store.py
@@ -14,7 +14,7 @@
 
 from basilpost.core import clock, codec, kernel, names, tasks
 from basilpost.members import feed, node_table
-from basilpost.routing import crash_evidence, crashes
+from basilpost.routing import crash_evidence, crash_messages, crashes
 from basilpost.store import objects
 
 PREFIX = "basilpost-quarantine/"
@@ -41,10 +41,10 @@
     return f"{PREFIX}{trait.kind}-{value}"
 
 
-def decode(stored: objects.Stored) -> crashes.CrashCause | None:
+def decode(stored: objects.Stored) -> crash_messages.CrashCause | None:
     """Returns the cause that an object holds, with its present age; None if it is malformed."""
     try:
-        cause = codec.from_json(stored.value, crashes.CrashCause)
+        cause = codec.from_json(stored.value, crash_messages.CrashCause)
         found_at = datetime.datetime.fromisoformat(cause.found_at)
         age = (datetime.datetime.now(datetime.UTC) - found_at).total_seconds()
     except (ValueError, TypeError):
@@ -120,13 +120,13 @@
                 source="store",
             )
 
-    def _write_soon(self, cause: crashes.CrashCause) -> None:
+    def _write_soon(self, cause: crash_messages.CrashCause) -> None:
         key = key_of(cause.trait)
         if key not in self._writing:
             self._writing.add(key)
             self._tasks.spawn(self._write_until_done(key, cause), name="crash-cause-write")
 
-    async def _write_until_done(self, key: str, cause: crashes.CrashCause) -> None:
+    async def _write_until_done(self, key: str, cause: crash_messages.CrashCause) -> None:
         try:
             if cause.node_id != self._node_id:
                 await asyncio.sleep(random.uniform(*TAKE_OVER_SECONDS))
@@ -135,11 +135,11 @@
         finally:
             self._writing.discard(key)
 
-    def _is_in_force(self, cause: crashes.CrashCause) -> bool:
+    def _is_in_force(self, cause: crash_messages.CrashCause) -> bool:
         known = self._tracker.causes_by_trait.get(cause.trait)
         return known is not None and known.cause.cause_id == cause.cause_id
 
-    async def _write(self, key: str, cause: crashes.CrashCause) -> bool:
+    async def _write(self, key: str, cause: crash_messages.CrashCause) -> bool:
         """Tries to write a cause; returns True if the store has it or one of the same trait."""
         value = codec.to_json(dataclasses.replace(cause, age=0.0))
         stored = self._stored_by_key.get(key)
@@ -173,16 +173,16 @@
                     await self._store.delete(key, version=stored.version, timeout=TIMEOUT_SECONDS)
 
 
-def _kept_seconds(cause: crashes.CrashCause) -> float:
+def _kept_seconds(cause: crash_messages.CrashCause) -> float:
     return crashes.CAUSE_SECONDS + (KEEP_RELEASED_SECONDS if cause.released else 0.0)
 
 
-def release_cause(cause: crashes.CrashCause, reason: str) -> bytes:
+def release_cause(cause: crash_messages.CrashCause, reason: str) -> bytes:
     """Returns the value that releases a cause."""
     return codec.to_json(dataclasses.replace(cause, age=0.0, released=reason or "released"))
 
 
-def list_causes(listing: objects.Listing) -> list[tuple[objects.Stored, crashes.CrashCause]]:
+def list_causes(listing: objects.Listing) -> list[tuple[objects.Stored, crash_messages.CrashCause]]:
     """Returns the causes of a listing with their objects, the latest first."""
     found = ((stored, decode(stored)) for stored in listing.objects)
     causes = [(stored, cause) for stored, cause in found if cause is not None]
--- a/basilpost/routing/crashes.py
+++ b/basilpost/routing/crashes.py
@@ -18,7 +18,7 @@
 
 from basilpost.core import clock, kernel, names, tasks
 from basilpost.members import peers
-from basilpost.routing import crash_evidence
+from basilpost.routing import crash_evidence, crash_messages
 
 # Time after which a crash no longer counts, and after which an answer is forgotten.
 MEMORY_SECONDS = 600.0
@@ -44,71 +44,11 @@
 MAX_LISTED = 8
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class CrashReport:
-    """Tells other nodes that a target crashed and which requests were lost.
-
-    Attributes:
-        target_id: The target.
-        age: Seconds since the crash.
-        requests: The lost requests; further reports of the same crash may add others.
-    """
-
-    target_id: str
-    age: float
-    requests: tuple[crash_evidence.LostRequest, ...]
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class AnsweredTrait:
-    """A trait of a request that was answered `age` seconds ago."""
-
-    trait: crash_evidence.Trait
-    age: float
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class AnswerReport:
-    """Tells other nodes of answers to requests that have a trait of lost requests.
-
-    It also ends what a node sends to a peer when a stream opens, then possibly without any answer.
-    """
-
-    answered: tuple[AnsweredTrait, ...]
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class CrashCause:
-    """A trait that crashes targets; requests with it are refused on all nodes.
-
-    Attributes:
-        cause_id: Unique id of this entry.
-        trait: The trait.
-        found_at: When it was found, ISO 8601 in UTC.
-        node_id: Node that found it.
-        crashes: Number of crashes that speak against it.
-        targets: Targets that crashed, the latest ones.
-        requests: Fingerprints of requests with the trait that were lost, some of them.
-        age: Seconds since it was found.
-        released: Why an operator has released it, empty while it is in force.
-    """
-
-    cause_id: str
-    trait: crash_evidence.Trait
-    found_at: str
-    node_id: str
-    crashes: int
-    targets: tuple[str, ...]
-    requests: tuple[str, ...]
-    age: float = 0.0
-    released: str = ""
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class KnownCause:
     """A cause and when its time is over, on `clock.elapsed`."""
 
-    cause: CrashCause
+    cause: crash_messages.CrashCause
     expires_at: float
 
 
@@ -136,7 +76,7 @@
 
     def __init__(self, *, kernel: kernel.Kernel) -> None:
         self.causes_by_trait: dict[crash_evidence.Trait, KnownCause] = {}
-        self.on_cause: Callable[[CrashCause], None] = lambda cause: None
+        self.on_cause: Callable[[crash_messages.CrashCause], None] = lambda cause: None
         self.heard_from_peer = False
         self._node_id = kernel.node_id
         self._log = kernel.log
@@ -166,9 +106,9 @@
             registry=kernel.registry,
         )
         causes.set_function(lambda: len(self.causes_by_trait))
-        self._peers.handle(CrashReport, self._on_crash_report)
-        self._peers.handle(AnswerReport, self._on_answer_report)
-        self._peers.handle(CrashCause, self._on_cause)
+        self._peers.handle(crash_messages.CrashReport, self._on_crash_report)
+        self._peers.handle(crash_messages.AnswerReport, self._on_answer_report)
+        self._peers.handle(crash_messages.CrashCause, self._on_cause)
         self._peers.subscribe(self._on_stream)
 
     async def stop(self) -> None:
@@ -177,7 +117,9 @@
 
     # What the forwarder asks and reports.
 
-    def find_cause(self, traits: Iterable[crash_evidence.Trait]) -> CrashCause | None:
+    def find_cause(
+        self, traits: Iterable[crash_evidence.Trait]
+    ) -> crash_messages.CrashCause | None:
         """Returns the cause for which a request with these traits is refused, None for others."""
         if not self.causes_by_trait:
             return None
@@ -216,7 +158,9 @@
 
     def record_crash(self, target_id: str, requests: Iterable[crash_evidence.LostRequest]) -> None:
         """Records that a target crashed, here and at the other nodes."""
-        self._add_crash(CrashReport(target_id=target_id, age=0.0, requests=tuple(requests)))
+        self._add_crash(
+            crash_messages.CrashReport(target_id=target_id, age=0.0, requests=tuple(requests))
+        )
 
     def record_answer(self, traits: Iterable[crash_evidence.Trait]) -> None:
         """Records that a request was answered, which clears its traits here and elsewhere."""
@@ -228,11 +172,11 @@
                 self._set_answered(trait, now)
             if is_suspected and self._reported_at.get(trait, 0.0) < self._suspected_at[trait]:
                 self._reported_at[trait] = now
-                cleared.append(AnsweredTrait(trait=trait, age=0.0))
+                cleared.append(crash_messages.AnsweredTrait(trait=trait, age=0.0))
         if cleared:
-            self._peers.broadcast(AnswerReport(answered=tuple(cleared)))
+            self._peers.broadcast(crash_messages.AnswerReport(answered=tuple(cleared)))
 
-    def apply_cause(self, cause: CrashCause) -> bool:
+    def apply_cause(self, cause: crash_messages.CrashCause) -> bool:
         """Takes over a cause or its release; returns False if it was known already."""
         self._ids_by_trait.setdefault(cause.trait, set()).add(cause.cause_id)
         if cause.released:
@@ -248,7 +192,7 @@
         )
         return True
 
-    def expire(self) -> list[CrashCause]:
+    def expire(self) -> list[crash_messages.CrashCause]:
         """Ends the causes whose time is over, forgets old crashes; returns those causes."""
         now = clock.elapsed()
         ended = [known.cause for known in self.causes_by_trait.values() if known.expires_at <= now]
@@ -260,7 +204,7 @@
 
     # Crashes and answers.
 
-    def _add_crash(self, report: CrashReport) -> None:
+    def _add_crash(self, report: crash_messages.CrashReport) -> None:
         """Adds a report's requests to a crash and passes on what is new to this node."""
         known = self._crashes_by_target.get(report.target_id)
         before = known.requests if known is not None else {}
@@ -301,14 +245,14 @@
         await asyncio.sleep(random.uniform(0.0, ANSWER_DELAY_SECONDS))
         now = clock.elapsed()
         answered = [
-            AnsweredTrait(trait=trait, age=now - self._answered_at[trait])
+            crash_messages.AnsweredTrait(trait=trait, age=now - self._answered_at[trait])
             for trait in {trait for request in lost for trait in request.traits}
             if trait in self._answered_at and self._is_news(trait, self._answered_at[trait])
         ]
         if answered:
             for item in answered:
                 self._reported_at[item.trait] = now - item.age
-            self._peers.broadcast(AnswerReport(answered=tuple(answered)))
+            self._peers.broadcast(crash_messages.AnswerReport(answered=tuple(answered)))
 
     def _is_news(self, trait: crash_evidence.Trait, at: float) -> bool:
         """Returns True if other nodes may not know of an answer as recent as this one."""
@@ -346,7 +290,7 @@
             for request in crash.requests.values()
             if evidence.trait in request.traits
         }
-        cause = CrashCause(
+        cause = crash_messages.CrashCause(
             cause_id=uuid.uuid4().hex,
             trait=evidence.trait,
             found_at=clock.utc_now(),
@@ -390,7 +334,7 @@
 
     # Causes.
 
-    def _release(self, cause: CrashCause) -> bool:
+    def _release(self, cause: crash_messages.CrashCause) -> bool:
         """Ends a cause for good; the crashes that spoke against it no longer count."""
         ids = self._ids_by_trait.pop(cause.trait, set())
         is_new = not ids <= self._released_ids.keys()
@@ -418,10 +362,10 @@
 
     # Messages.
 
-    async def _on_crash_report(self, sender: str, message: CrashReport) -> None:
+    async def _on_crash_report(self, sender: str, message: crash_messages.CrashReport) -> None:
         self._add_crash(message)
 
-    async def _on_answer_report(self, sender: str, message: AnswerReport) -> None:
+    async def _on_answer_report(self, sender: str, message: crash_messages.AnswerReport) -> None:
         self.heard_from_peer = True
         now = clock.elapsed()
         news = [item for item in message.answered if self._is_news(item.trait, now - item.age)]
@@ -431,9 +375,9 @@
             if item.trait in self._suspected_at:
                 self._reported_at[item.trait] = max(at, self._reported_at.get(item.trait, at))
         if news:
-            self._peers.broadcast(AnswerReport(answered=tuple(news)))
+            self._peers.broadcast(crash_messages.AnswerReport(answered=tuple(news)))
 
-    async def _on_cause(self, sender: str, message: CrashCause) -> None:
+    async def _on_cause(self, sender: str, message: crash_messages.CrashCause) -> None:
         if self.apply_cause(message):
             self._log.info(
                 "crash_cause_learned",
@@ -453,15 +397,15 @@
             age = CAUSE_SECONDS - (known.expires_at - now)
             self._peers.send(node_id, dataclasses.replace(known.cause, age=max(0.0, age)))
         for crash in self._crashes_by_target.values():
-            report = CrashReport(
+            report = crash_messages.CrashReport(
                 target_id=crash.target_id,
                 age=max(0.0, now - crash.at),
                 requests=tuple(crash.requests.values()),
             )
             self._peers.send(node_id, report)
         answered = tuple(
-            AnsweredTrait(trait=trait, age=now - self._answered_at[trait])
+            crash_messages.AnsweredTrait(trait=trait, age=now - self._answered_at[trait])
             for trait in self._suspected_at
             if trait in self._answered_at
         )
-        self._peers.send(node_id, AnswerReport(answered=answered))
+        self._peers.send(node_id, crash_messages.AnswerReport(answered=answered))
--- a/basilpost/routing/named_limits_test.py
+++ b/basilpost/routing/named_limits_test.py
@@ -44,6 +44,8 @@
     await asyncio.sleep(0.01)
 
 
+# 420 nodes take long on a busy machine; the time is not what is tested.
+@hypothesis.settings(deadline=None, max_examples=40)
 @hypothesis.given(
     limit=strategies.floats(0.0, 60.0), node_count=strategies.sampled_from([1, 3, 9, 420])
 )
