A target whose stream waits for a slow caller does not count as silent

Since streams wait for callers that are more than 1 MB behind, nothing is read from such a target, and the stall detector would have moved the stream and told all nodes that the target stands still.

--- a/basilpost/gateway/answer_sinks.py
+++ b/basilpost/gateway/answer_sinks.py
@@ -180,6 +180,8 @@
         self._stream_bytes = self._stream_pieces = 0
         # Bytes that were forwarded since the caller had surely taken all of them.
         self._unsent_bytes = 0
+        self._waits_for_caller = False
+        self._looks_while_waiting = 0
         self.writing_since: float | None = None
         self._reply = reply
         self._dialect = dialect
@@ -238,7 +240,7 @@
             self.give_up(f"the stream has more than {self._max_events} events")
         elif self._unsent_bytes > MAX_UNSENT_BYTES:
             self._unsent_bytes = 0
-            return self._reply.wait_written()
+            return self._wait_for_caller()
         return None
 
     def end(self) -> None:
@@ -246,6 +248,22 @@
         self._send_head()
         self._reply.end()
 
+    @property
+    def activity(self) -> int:
+        """Returns a number that has risen since the last look if the target is not silent.
+
+        While the caller has to catch up nothing is read, which says nothing about the target.
+        """
+        self._looks_while_waiting += self._waits_for_caller
+        return self.event_count + self._looks_while_waiting
+
+    async def _wait_for_caller(self) -> None:
+        self._waits_for_caller = True
+        try:
+            await self._reply.wait_written()
+        finally:
+            self._waits_for_caller = False
+
     @property
     def writing_seconds(self) -> float:
         """Returns the time since the first event of the current target, 0 without any."""
--- a/basilpost/gateway/answer_sinks_test.py
+++ b/basilpost/gateway/answer_sinks_test.py
@@ -1,5 +1,7 @@
 """Tests of the bounds on answers that never end."""
 
+import asyncio
+
 import pytest
 import tornado.httputil
 
@@ -130,3 +132,37 @@
     assert sink.excess
     # No more than this waits for a caller that reads slowly.
     assert reply.sent <= (reply.waits + 1) * (answer_sinks.MAX_UNSENT_BYTES + len(chunk))
+
+
+class SlowReply(FakeReply):
+    """A caller that reads only when the test says so."""
+
+    def __init__(self):
+        super().__init__()
+        self.may_read = asyncio.Event()
+
+    async def wait_written(self):
+        await self.may_read.wait()
+
+
+async def test_a_target_whose_stream_waits_for_a_slow_caller_counts_as_silent():
+    reply = SlowReply()
+    sink = answer_sinks.StreamSink(
+        reply=reply,
+        dialect=FakeDialect(),
+        last_event="",
+        max_answer_tokens=0,
+        memory=answer_sinks.AnswerMemory(),
+    )
+    sink.on_connected(FakeChannel())
+    sink.on_head(channels.Head(status=200, reason="OK", headers=tornado.httputil.HTTPHeaders()))
+    assert sink.activity == sink.activity
+    waiting = None
+    while waiting is None:
+        waiting = sink.on_chunk(b"data: " + CHUNK + b"\n\n")
+    task = asyncio.create_task(waiting)
+    await asyncio.sleep(0)
+    assert sink.activity < sink.activity
+    reply.may_read.set()
+    await task
+    assert sink.activity == sink.activity
--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -223,7 +223,7 @@
             sink.close_channel()
 
         sink.restart()
-        watch = self.stall_detector.watch(target.target_id, move_stream, lambda: sink.event_count)
+        watch = self.stall_detector.watch(target.target_id, move_stream, lambda: sink.activity)
         try:
             result = await self._send(
                 progress, request, target, last_event=sink.stream.last_id, sink=sink
