The test of rejected tokens checks the rate limit at any speed of the machine

The limit is 20 tokens at once and 5 a second, so 40 calls that take longer than 4 s never exhaust it, and between 2.7 s and 4 s the last one may be either. The test now compares the number of calls let through with the limit over the time they took, which also finds a limit that is not kept but hit at the end.

--- a/basilpost/admin/api_test.py
+++ b/basilpost/admin/api_test.py
@@ -11,8 +11,8 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from basilpost.admin import api, fakes, install
-from basilpost.core import codec, data, hashing, names
+from basilpost.admin import api, fakes, install, limits
+from basilpost.core import clock, codec, data, hashing, names
 from basilpost.members import fakes as member_fakes
 from basilpost.members import standing
 from basilpost.store import memory, objects
@@ -151,8 +151,12 @@
 
 
 async def test_rejected_tokens_are_rate_limited_without_locking_operators_out(call):
+    began_at = clock.elapsed()
     codes = [(await call("GET", "/status", token="guess")).code for _ in range(40)]
-    assert codes[0] == 401 and codes[-1] == 429
+    seconds = clock.elapsed() - began_at
+    assert codes[0] == 401 and set(codes) <= {401, 429}
+    allowed = limits.REJECTED_TOKENS_BURST + limits.REJECTED_TOKENS_PER_SECOND * seconds
+    assert codes.count(401) <= allowed + 1
     assert (await call("GET", "/status")).code == 200
 
 
