Reports of limits and answers are passed on once

Found by reading: two nodes that learn different limits of a runner at the same moment replaced each other's at node after node and passed each on again, without end; so did answers to traits of which a node had forgotten the crash. Reports have an id now and are handled once, and answers are passed on only while their trait is suspected. With the ids ignored the test of limits fails; that of answers passes, as only suspected traits are passed on.

--- a/basilpost/routing/crash_messages.py
+++ b/basilpost/routing/crash_messages.py
@@ -33,8 +33,13 @@
     """Tells other nodes of answers to requests that have a trait of lost requests.
 
     It also ends what a node sends to a peer when a stream opens, then possibly without any answer.
+
+    Attributes:
+        report_id: Unique id; a node can receive the message several times.
+        answered: The traits.
     """
 
+    report_id: str
     answered: tuple[AnsweredTrait, ...]
 
 
--- a/basilpost/routing/crash_store_test.py
+++ b/basilpost/routing/crash_store_test.py
@@ -142,7 +142,9 @@
     nodes = [Node(f"n{number}", store, fakes.PeerHub()) for number in range(3)]
     assert not any(node.store.is_informed() for node in nodes)
     nodes[0].feed.known_age = 0.1
-    await nodes[1].tracker._on_answer_report("peer", crash_messages.AnswerReport(answered=()))
+    await nodes[1].tracker._on_answer_report(
+        "peer", crash_messages.AnswerReport(report_id="a", answered=())
+    )
     assert [node.store.is_informed() for node in nodes] == [True, True, False]
     # Another node may know of causes that the store lacks.
     nodes[0].table.records_by_id["other"] = None
--- a/basilpost/routing/crashes.py
+++ b/basilpost/routing/crashes.py
@@ -17,7 +17,7 @@
 import xxhash
 
 from basilpost.core import clock, kernel, names, tasks
-from basilpost.members import peers
+from basilpost.members import peers, recent_ids
 from basilpost.routing import crash_evidence, crash_messages
 
 # Time after which a crash no longer counts, and after which an answer is forgotten.
@@ -93,6 +93,7 @@
         self._reported_at: dict[crash_evidence.Trait, float] = {}
         self._released_ids: collections.OrderedDict[str, None] = collections.OrderedDict()
         self._ids_by_trait: dict[crash_evidence.Trait, set[str]] = {}
+        self._handled_reports = recent_ids.RecentIds()
         self._reports = 0
         self._is_deciding = False
         self._crashes_total = prometheus_client.Counter(
@@ -174,7 +175,7 @@
                 self._reported_at[trait] = now
                 cleared.append(crash_messages.AnsweredTrait(trait=trait, age=0.0))
         if cleared:
-            self._peers.broadcast(crash_messages.AnswerReport(answered=tuple(cleared)))
+            self._peers.broadcast(self._answer_report(cleared))
 
     def apply_cause(self, cause: crash_messages.CrashCause) -> bool:
         """Takes over a cause or its release; returns False if it was known already."""
@@ -252,7 +253,7 @@
         if answered:
             for item in answered:
                 self._reported_at[item.trait] = now - item.age
-            self._peers.broadcast(crash_messages.AnswerReport(answered=tuple(answered)))
+            self._peers.broadcast(self._answer_report(answered))
 
     def _is_news(self, trait: crash_evidence.Trait, at: float) -> bool:
         """Returns True if other nodes may not know of an answer as recent as this one."""
@@ -367,15 +368,19 @@
 
     async def _on_answer_report(self, sender: str, message: crash_messages.AnswerReport) -> None:
         self.heard_from_peer = True
+        if not self._handled_reports.add(message.report_id):
+            return
         now = clock.elapsed()
-        news = [item for item in message.answered if self._is_news(item.trait, now - item.age)]
+        news = []
         for item in message.answered:
             at = now - item.age
-            self._set_answered(item.trait, at)
             if item.trait in self._suspected_at:
+                if self._is_news(item.trait, at):
+                    news.append(item)
                 self._reported_at[item.trait] = max(at, self._reported_at.get(item.trait, at))
+            self._set_answered(item.trait, at)
         if news:
-            self._peers.broadcast(crash_messages.AnswerReport(answered=tuple(news)))
+            self._peers.broadcast(dataclasses.replace(message, answered=tuple(news)))
 
     async def _on_cause(self, sender: str, message: crash_messages.CrashCause) -> None:
         if self.apply_cause(message):
@@ -403,9 +408,16 @@
                 requests=tuple(crash.requests.values()),
             )
             self._peers.send(node_id, report)
-        answered = tuple(
+        answered = [
             crash_messages.AnsweredTrait(trait=trait, age=now - self._answered_at[trait])
             for trait in self._suspected_at
             if trait in self._answered_at
-        )
-        self._peers.send(node_id, crash_messages.AnswerReport(answered=answered))
+        ]
+        self._peers.send(node_id, self._answer_report(answered))
+
+    def _answer_report(
+        self, answered: Iterable[crash_messages.AnsweredTrait]
+    ) -> crash_messages.AnswerReport:
+        report = crash_messages.AnswerReport(report_id=uuid.uuid4().hex, answered=tuple(answered))
+        self._handled_reports.add(report.report_id)
+        return report
--- a/basilpost/routing/crashes_test.py
+++ b/basilpost/routing/crashes_test.py
@@ -186,3 +186,25 @@
     assert same == crashes.request_fingerprint("w", "/a?b", b"body")
     others = [("x", "/a?b", b"body"), ("w", "/a", b"body"), ("w", "/a?b", b"")]
     assert same not in {crashes.request_fingerprint(*other) for other in others}
+
+
+async def test_answers_to_traits_that_nodes_have_forgotten_are_passed_on_for_ever(now, hub, nodes):
+    handled = []
+    for node, peers in zip(nodes, hub.peers_by_id.values(), strict=True):
+        peers._handlers_by_kind[crash_messages.AnswerReport] = counting(node, handled)
+    nodes[0].record_crash("t", [lost(1, "shared")])
+    await asyncio.sleep(DECIDED_SECONDS)
+    for node in nodes[1:]:
+        node._forget_old_crashes(now[0])
+    handled.clear()
+    nodes[0].record_answer([SHARED])
+    await asyncio.sleep(0.3)
+    assert 2 <= len(handled) <= 6
+
+
+def counting(node, handled):
+    async def handle(sender, message):
+        handled.append(message)
+        await node._on_answer_report(sender, message)
+
+    return handle
--- a/basilpost/routing/named_limits.py
+++ b/basilpost/routing/named_limits.py
@@ -7,11 +7,12 @@
 
 import dataclasses
 import math
+import uuid
 
 import prometheus_client
 
 from basilpost.core import clock, hashing, kernel, names
-from basilpost.members import peers
+from basilpost.members import peers, recent_ids
 
 # A limit that no answer has named for this long is forgotten.
 MEMORY_SECONDS = 30.0
@@ -32,11 +33,13 @@
     """Tells other nodes which limit a runner has named.
 
     Attributes:
+        report_id: Unique id; a node can receive the message several times.
         lifetime: Id of the run of the runner process.
         per_second: Requests per second from all nodes together; None if it no longer names a limit.
         age: Seconds since the runner's answer.
     """
 
+    report_id: str
     lifetime: str
     per_second: float | None
     age: float
@@ -98,6 +101,7 @@
         self._peers = kernel.find(names.PEERS, peers.PeerNetwork)
         self._limits_by_lifetime: dict[str, _Limit] = {}
         self._lifted_at: dict[str, float] = {}
+        self._handled_reports = recent_ids.RecentIds()
         limited = prometheus_client.Gauge(
             "basilpost_limited_targets",
             "Targets whose runners name a limit on the requests that they take",
@@ -145,7 +149,7 @@
         limit = self._limits_by_lifetime[lifetime]
         if now - limit.reported_at >= REPEAT_SECONDS:
             limit.reported_at = now
-            self._peers.broadcast(LimitReport(lifetime=lifetime, per_second=per_second, age=0.0))
+            self._peers.broadcast(self._report(lifetime, per_second, age=0.0))
 
     def record_unnamed(self, lifetime: str, target_id: str, *, sent_at: float) -> None:
         """Records a complete answer without a limit, to a request that was sent at a time.
@@ -155,7 +159,7 @@
         limit = self._limits_by_lifetime.get(lifetime)
         if limit is not None and sent_at > limit.named_at:
             self._lift(lifetime, target_id, clock.elapsed())
-            self._peers.broadcast(LimitReport(lifetime=lifetime, per_second=None, age=0.0))
+            self._peers.broadcast(self._report(lifetime, None, age=0.0))
 
     def _share(self, lifetime: str, limit: _Limit, node_ids: frozenset[str]) -> Share:
         if limit.shared_by is not node_ids:
@@ -201,6 +205,8 @@
 
     async def _on_report(self, sender: str, message: LimitReport) -> None:
         """Applies a report and passes it on if it is news; the newer of two reports holds."""
+        if not self._handled_reports.add(message.report_id):
+            return
         at = clock.elapsed() - message.age
         known = self._limits_by_lifetime.get(message.lifetime)
         if message.per_second is None:
@@ -225,5 +231,11 @@
         for lifetime, limit in self._limits_by_lifetime.items():
             age = now - limit.named_at
             if age < MEMORY_SECONDS:
-                report = LimitReport(lifetime=lifetime, per_second=limit.per_second, age=age)
-                self._peers.send(node_id, report)
+                self._peers.send(node_id, self._report(lifetime, limit.per_second, age=age))
+
+    def _report(self, lifetime: str, per_second: float | None, *, age: float) -> LimitReport:
+        report = LimitReport(
+            report_id=uuid.uuid4().hex, lifetime=lifetime, per_second=per_second, age=age
+        )
+        self._handled_reports.add(report.report_id)
+        return report
--- a/basilpost/routing/named_limits_test.py
+++ b/basilpost/routing/named_limits_test.py
@@ -102,14 +102,14 @@
     nodes[0].record_named(RUNNER, "t", 4.0)
     await settle()
     await nodes[1]._on_report(
-        "n0", named_limits.LimitReport(lifetime=RUNNER, per_second=9.0, age=5.0)
+        "n0", named_limits.LimitReport(report_id="a", lifetime=RUNNER, per_second=9.0, age=5.0)
     )
     assert nodes[1]._limits_by_lifetime[RUNNER].per_second == 4.0
     now[0] += 1.0
     nodes[0].record_unnamed(RUNNER, "t", sent_at=now[0])
     await settle()
     await nodes[1]._on_report(
-        "n0", named_limits.LimitReport(lifetime=RUNNER, per_second=4.0, age=0.5)
+        "n0", named_limits.LimitReport(report_id="b", lifetime=RUNNER, per_second=4.0, age=0.5)
     )
     assert RUNNER not in nodes[1]._limits_by_lifetime
 
@@ -136,3 +136,23 @@
     for number in range(named_limits.MAX_LIMITS + 5):
         nodes[0].record_named(f"vm{number}@1", "t", 1.0)
     assert len(nodes[0]._limits_by_lifetime) <= named_limits.MAX_LIMITS
+
+
+async def test_reports_that_contradict_each_other_are_passed_on_for_ever(now):
+    nodes, _ = make_nodes(5)
+    handled = []
+    for node in nodes:
+        node.test_peers._handlers_by_kind[named_limits.LimitReport] = counting(node, handled)
+    for number, node in enumerate(nodes):
+        node.record_named(RUNNER, "t", 1.0 + number)
+    await asyncio.sleep(0.3)
+    # Each of 5 reports goes at most once over each way between two nodes.
+    assert len(handled) <= 5 * 5 * 4
+
+
+def counting(node, handled):
+    async def handle(sender, message):
+        handled.append(message)
+        await node._on_report(sender, message)
+
+    return handle
