A node that has begun to serve does not go back to starting when a record of another node arrives

Cause: the node counted as alone while no record of a node had arrived; when those of two stopped nodes came, it waited for them again. Change: it is alone only if its own record is the only one, and once informed it stays so. crash_store_test.py failed before with these checks; now it and the starts in pool_crash_parts_test.py pass (12 passed).

--- a/basilpost/routing/crash_store.py
+++ b/basilpost/routing/crash_store.py
@@ -65,6 +65,7 @@
         self._stored_by_key: dict[str, objects.Stored] = {}
         self._writing: set[str] = set()
         self._first_asked_at: float | None = None
+        self._informed = False
         self._tracker.on_cause = self._write_soon
         self._feed = kernel.find(names.FEED, feed.Feed)
         self._feed.follow(
@@ -85,13 +86,18 @@
         A node that has just started would otherwise run requests that all others refuse. A peer knows
         all of them, the store may lack those that were found while it was away.
         """
+        # A record of another node that arrives later does not take it back.
+        self._informed = self._informed or self._can_be_informed()
+        return self._informed
+
+    def _can_be_informed(self) -> bool:
         if self._tracker.heard_from_peer:
             return True
         if self._first_asked_at is None:
             self._first_asked_at = clock.elapsed()
         waited = clock.elapsed() - self._first_asked_at
         if self._feed.age(PREFIX) < math.inf:
-            is_alone = self._table.records_by_id.keys() <= {self._node_id}
+            is_alone = self._table.records_by_id.keys() == {self._node_id}
             return is_alone or waited > MAX_WAIT_FOR_PEER_SECONDS
         return waited > MAX_WAIT_SECONDS
 
--- a/basilpost/routing/crash_store_test.py
+++ b/basilpost/routing/crash_store_test.py
@@ -142,14 +142,15 @@
     nodes = [Node(f"n{number}", store, fakes.PeerHub()) for number in range(3)]
     assert not any(node.store.is_informed() for node in nodes)
     nodes[0].feed.known_age = 0.1
+    # The records of the nodes may not have arrived yet.
+    assert not nodes[0].store.is_informed()
+    nodes[0].table.records_by_id["n0"] = None
     await nodes[1].tracker._on_answer_report(
         "peer", crash_messages.AnswerReport(report_id="a", answered=())
     )
     assert [node.store.is_informed() for node in nodes] == [True, True, False]
-    # Another node may know of causes that the store lacks.
+    # What a node has begun to do it goes on with, when a record of another node arrives.
     nodes[0].table.records_by_id["other"] = None
-    assert not nodes[0].store.is_informed()
-    now[0] += crash_store.MAX_WAIT_FOR_PEER_SECONDS * 1.1
     assert nodes[0].store.is_informed()
     # A node alone beside a store that refuses these objects serves all the same.
     now[0] += crash_store.MAX_WAIT_SECONDS * 1.1
@@ -158,6 +159,20 @@
         await node.close()
 
 
+async def test_a_node_waits_for_a_peer_that_may_know_causes_that_the_store_lacks(
+    store, monkeypatch
+):
+    now = [100.0]
+    monkeypatch.setattr(clock, "elapsed", lambda: now[0])
+    node = Node("n0", store, fakes.PeerHub())
+    node.table.records_by_id |= {"n0": None, "other": None}
+    node.feed.known_age = 0.1
+    assert not node.store.is_informed()
+    now[0] += crash_store.MAX_WAIT_FOR_PEER_SECONDS * 1.1
+    assert node.store.is_informed()
+    await node.close()
+
+
 async def test_malformed_objects_are_no_causes(store):
     node = Node("n0", store, fakes.PeerHub())
     for number, value in enumerate([b"null", b"{}", b'{"trait": 3}']):
