--- a/basilpost/gateway/relay.py
+++ b/basilpost/gateway/relay.py
@@ -65,6 +65,7 @@
 
     Attributes:
         knowledge: The configuration and VMs that this node knows.
+        forwarder: Sends the requests to targets.
     """
 
     def __init__(self, *, kernel: kernel.Kernel, settings: pool_schema.PoolNodeSettings) -> None:
@@ -78,7 +79,7 @@
         self._admission = request_admission.RequestAdmission(
             knowledge=self.knowledge, dialect=self._dialect, rng=rng
         )
-        self._forwarder = forwarding.Forwarder(
+        self.forwarder = forwarding.Forwarder(
             node_id=kernel.node_id,
             failure_domain=settings.failure_domain,
             dialect=self._dialect,
@@ -118,7 +119,7 @@
 
     async def start(self) -> None:
         """Starts listening for callers and for readiness checks."""
-        self._tasks.spawn(self._forwarder.stall_detector.run(), name="stall-watch")
+        self._tasks.spawn(self.forwarder.stall_detector.run(), name="stall-watch")
         self._tasks.spawn(self._sweep_pool(), name="connection-sweep")
         self._server.add_sockets(_bind(self._settings.callers))
         ready = tornado.web.Application(
@@ -181,8 +182,8 @@
         if self._readiness_server is not None:
             self._readiness_server.stop()
         await self._tasks.close()
-        await self._forwarder.loss_probe.close()
-        self._forwarder.pool.close()
+        await self.forwarder.loss_probe.close()
+        self.forwarder.pool.close()
 
     @property
     def in_flight(self) -> int:
@@ -202,7 +203,7 @@
     async def _sweep_pool(self) -> None:
         while True:
             await asyncio.sleep(POOL_SWEEP_SECONDS)
-            self._forwarder.pool.sweep()
+            self.forwarder.pool.sweep()
 
     def start_request(
         self,
@@ -252,9 +253,9 @@
         summary = dataclasses.replace(summary, progress=progress)
         try:
             if admitted.route.streaming:
-                result = await self._forwarder.stream(progress, request, reply)
+                result = await self.forwarder.stream(progress, request, reply)
             else:
-                result = await self._forwarder.fetch(progress, request)
+                result = await self.forwarder.fetch(progress, request)
         except asyncio.CancelledError:
             if request.caller_left:
                 raise
--- /dev/null
+++ b/tests/cut_links.py
@@ -0,0 +1,69 @@
+"""Cuts one node of a test off from all runners, while callers, the store and its peers reach it."""
+
+import asyncio
+import contextlib
+import enum
+import weakref
+
+from basilpost.core import channels
+
+
+class Kind(enum.Enum):
+    """What becomes of a node's connections to runners.
+
+    RESET: open ones are reset and new ones refused. HANG: open ones fall silent for good and new ones
+    are not answered. REFUSE: open ones live on and new ones are refused.
+    """
+
+    RESET = "reset"
+    HANG = "hang"
+    REFUSE = "refuse"
+
+
+class Links:
+    """The connections of one node to runners.
+
+    Attributes:
+        opened: Number of connections opened so far.
+        failed: Number of connections that could not be opened because of the cut.
+    """
+
+    def __init__(self, pool):
+        self.opened = self.failed = 0
+        self._kind = None
+        self._channels = weakref.WeakSet()
+        self._pool = pool
+        self._acquire, pool.acquire = pool.acquire, self._acquire_if_whole
+
+    def cut(self, kind):
+        self._kind = kind
+        for channel in list(self._channels):
+            if kind is Kind.RESET:
+                channel.stream.close(error=ConnectionResetError())
+            elif kind is Kind.HANG and not channel.stream.closed():
+                _silence(channel)
+
+    def heal(self):
+        self._kind = None
+
+    async def _acquire_if_whole(self, address, *, timeout, fresh=False, lifetime=""):
+        keeps_open = self._kind in (Kind.HANG, Kind.REFUSE)
+        has_idle = not fresh and self._pool._idle_by_address.get(address)
+        if self._kind is None or (keeps_open and has_idle):
+            channel = await self._acquire(address, timeout=timeout, fresh=fresh, lifetime=lifetime)
+            if isinstance(channel, channels.Channel):
+                self.opened += channel not in self._channels
+                self._channels.add(channel)
+            return channel
+        if self._kind is Kind.HANG:
+            await asyncio.sleep(timeout)
+        self.failed += 1
+        return channels.ConnectFailed(reason=f"{address}: cut off by the test")
+
+
+def _silence(channel):
+    """Makes a connection pass no more bytes in either direction, without closing it."""
+    with contextlib.suppress(OSError, ValueError, KeyError):
+        channel.stream.io_loop.remove_handler(channel.stream.fileno())
+    channel.send = lambda *args: setattr(channel, "requests", channel.requests + 1)
+    channel.receive = lambda **callbacks: asyncio.Event().wait()
--- a/tests/pool_nodes.py
+++ b/tests/pool_nodes.py
@@ -70,6 +70,10 @@
     def relays(self):
         return [kernel.find(names.RELAY, relay.Relay) for kernel in self.kernels]
 
+    @property
+    def forwarders(self):
+        return [node_relay.forwarder for node_relay in self.relays]
+
     @property
     def peers(self):
         return [kernel.find(names.PEERS, peers.PeerNetwork) for kernel in self.kernels]
--- a/tests/pool_path_test.py
+++ b/tests/pool_path_test.py
@@ -327,7 +327,7 @@
     async with pool_nodes.running(vms=0) as bench:
         for runner in bench.fleet.runners_by_id.values():
             runner.options.work_seconds = 0.5
-        node_loads = bench.relays[0]._forwarder._loads
+        node_loads = bench.relays[0].forwarder._loads
         started, peaks = node_loads.request_started, {}
 
         def record(target_id):
