A node without a path to the runners has its requests sent by other nodes

Cause: there was only the direct path; each request tried target after target. Nodes now check by connections to four VMs whether they have a path, tell their peers, and send requests by way of a node that has one (members/reachability.py, gateway/detours.py). The other node sends once and counts in limits, cold rates and loads; the caller's node keeps deadline, attempts, retries and the stream's events. Carried requests are never carried on. After the cut the direct share rises over 1.5 s. A node without a path names no stalled targets, and its lost answers are no crashes: it accused all targets of both, which its peers believed.

--- a/basilpost/admin/explaining.py
+++ b/basilpost/admin/explaining.py
@@ -22,6 +22,8 @@
         "store_regained",
         "node_started",
         "node_stopping",
+        "runner_path_lost",
+        "runner_path_back",
         "log_lines_dropped",
     }
 )
@@ -37,6 +39,7 @@
     "no_target": "no group or instance could accept it",
     "quarantined": "requests like it crashed the targets that ran them",
     "busy": "all groups or instances were full",
+    "no_path": "the node reached no runner, and no other node could send it",
     "limited": "all groups or instances were at the limit that they name",
     "target_lost": "the target went away under it",
     "deadline": "its deadline passed",
--- a/basilpost/gateway/attempts.py
+++ b/basilpost/gateway/attempts.py
@@ -30,11 +30,13 @@
         writing_seconds: Time from the first event that the target sent to the loss, 0 without any.
         stale_connection: True if a kept connection was closed at once, so that the target may not
             have read the request.
+        by_detour: True if another node sent the request; it looks for the cause of the loss.
     """
 
     abandoned: bool = False
     writing_seconds: float = 0.0
     stale_connection: bool = False
+    by_detour: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -69,6 +71,10 @@
         target: Id of the last target, empty before the first.
         waited_seconds: Seconds for which it waited for a target with a free slot.
         address: `host:port` of the last target.
+        unreached_targets: Those of `tried_targets` to which this node could open no connection.
+        tried_nodes: Ids of the nodes that could not send it for this node.
+        detour_node: Id of the node that sent it last for this node, empty if none did.
+        may_move: True if another node, for which this one sends it, resumes it when it is broken off.
     """
 
     admitted: request_admission.AdmittedRequest
@@ -79,6 +85,10 @@
     target: str = ""
     waited_seconds: float = 0.0
     address: str = ""
+    unreached_targets: set[str] = dataclasses.field(default_factory=set)
+    tried_nodes: set[str] = dataclasses.field(default_factory=set)
+    detour_node: str = ""
+    may_move: bool = False
 
     @functools.cached_property
     def lost_request(self) -> crash_evidence.LostRequest:
@@ -117,7 +127,7 @@
 
 def corrected_refusal(progress: Progress, refusal: failure.Refusal) -> failure.Refusal:
     """Returns the refusal with outcome unknown and status 502 if the request may have run."""
-    if not progress.sends:
+    if not progress.sends or refusal.outcome is failure.Outcome.UNKNOWN:
         return refusal
     return dataclasses.replace(
         refusal, status=502, outcome=failure.Outcome.UNKNOWN, retry_after=None
--- /dev/null
+++ b/basilpost/gateway/detours.py
@@ -0,0 +1,283 @@
+"""Sends requests by way of another node while this one has no path to the runners.
+
+The other node chooses the target and sends the request once; it counts it in all limits on what
+targets get. This node keeps what concerns the caller: deadline, attempts, retry budget, and the events
+that a stream has sent. A request that has come by a detour is never sent on another one.
+"""
+
+import dataclasses
+import math
+import random
+from typing import Any
+
+from basilpost.core import channels, clock, failure, names
+from basilpost.core import kernel as kernel_
+from basilpost.gateway import answer_sinks, attempts, detour_headers, inbound, request_admission
+from basilpost.members import node_table, peers, reachability
+from basilpost.routing import header_dialect
+
+# The port for detours follows that of the peer streams.
+PORT_OFFSET = 1
+CONNECT_SECONDS = 0.3
+# Time for the way between the nodes, by which the other node's time budget is shorter.
+HOP_SECONDS = 0.01
+# A node that could not be reached, or that cannot send requests now, is avoided for this long.
+AVOID_SECONDS = 0.5
+# Cost of a node in another failure domain, in requests in flight.
+OTHER_DOMAIN_COST = 0.5
+# Refusals that concern the other node alone, so that a third one may send the request.
+NODE_REFUSALS = frozenset(
+    {"no_path", "older_configuration", "starting", "stopping", "keys_not_fresh", "cut_by_stop"}
+)
+# The other node gives up a little earlier than this one would.
+DEADLINE_CODE = "deadline"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Detour:
+    """A node that can send requests for this one, and its address for that."""
+
+    node_id: str
+    address: str
+    incarnation: str
+
+
+class Detours:
+    """Chooses nodes for requests that this node cannot send, and passes the answers on."""
+
+    def __init__(
+        self,
+        *,
+        kernel: kernel_.Kernel,
+        failure_domain: str,
+        dialect: header_dialect.HeaderDialect,
+        rng: random.Random,
+    ) -> None:
+        self.pool = channels.Pool()
+        self._node_id = kernel.node_id
+        self._log = kernel.log
+        self._peers = kernel.find(names.PEERS, peers.PeerNetwork)
+        self._table = kernel.find(names.NODE_TABLE, node_table.NodeTable)
+        self._reachability = kernel.find(names.REACHABILITY, reachability.Reachability)
+        self._failure_domain = failure_domain
+        self._dialect = dialect
+        self._rng = rng
+        self._in_flight_by_node: dict[str, int] = {}
+        self._avoided_until_by_node: dict[str, float] = {}
+
+    def choose(self, progress: attempts.Progress) -> Detour | None:
+        """Returns a node that was not tried for a request, None if there is none."""
+        candidates = [
+            node_id for node_id in self._usable_nodes() if node_id not in progress.tried_nodes
+        ]
+        others = [node_id for node_id in candidates if node_id != progress.detour_node]
+        best = min(others or candidates, key=self._cost, default=None)
+        if best is None:
+            return None
+        record = self._table.records_by_id[best]
+        return Detour(node_id=best, address=detour_address(record), incarnation=record.incarnation)
+
+    @property
+    def available(self) -> bool:
+        """Returns True if some node may be able to send requests for this one."""
+        return bool(self._usable_nodes())
+
+    def _usable_nodes(self) -> list[str]:
+        now = clock.elapsed()
+        return [
+            node_id
+            for node_id in self._peers.live_nodes()
+            if node_id != self._node_id
+            and node_id in self._table.records_by_id
+            and node_id not in self._reachability.peers_without_path
+            and self._avoided_until_by_node.get(node_id, -math.inf) <= now
+        ]
+
+    def _cost(self, node_id: str) -> tuple[float, float]:
+        record = self._table.records_by_id[node_id]
+        in_other_domain = record.failure_domain != self._failure_domain
+        in_flight = self._in_flight_by_node.get(node_id, 0)
+        return in_flight + OTHER_DOMAIN_COST * in_other_domain, self._rng.random()
+
+    async def send(
+        self,
+        progress: attempts.Progress,
+        request: inbound.Request,
+        detour: Detour,
+        *,
+        last_event: str,
+        sink: answer_sinks.AnswerSink,
+    ) -> channels.Head | attempts.NotSent | attempts.NotRun | attempts.Lost | failure.Refusal:
+        """Sends a request by way of a node and reads the answer into the sink."""
+        node_id = detour.node_id
+        self._in_flight_by_node[node_id] = self._in_flight_by_node.get(node_id, 0) + 1
+        try:
+            return await self._exchange(progress, request, detour, last_event, sink)
+        finally:
+            self._in_flight_by_node[node_id] -= 1
+            if not self._in_flight_by_node[node_id]:
+                del self._in_flight_by_node[node_id]
+
+    async def _exchange(
+        self,
+        progress: attempts.Progress,
+        request: inbound.Request,
+        detour: Detour,
+        last_event: str,
+        sink: answer_sinks.AnswerSink,
+    ) -> channels.Head | attempts.NotSent | attempts.NotRun | attempts.Lost | failure.Refusal:
+        channel = await self.pool.acquire(
+            detour.address,
+            timeout=CONNECT_SECONDS,
+            fresh=not progress.repeatable,
+            lifetime=detour.incarnation,
+        )
+        if isinstance(channel, channels.ConnectFailed):
+            return self._give_up_node(progress, detour, channel.reason)
+        self._log.info(
+            "request_detoured",
+            request=progress.admitted.call.request_id,
+            detour_node=detour.node_id,
+            sends=progress.sends,
+            last_event=last_event,
+            left_ms=round(request_admission.seconds_left(progress.admitted) * 1000),
+        )
+        progress.detour_node, progress.target = detour.node_id, ""
+        progress.sends += 1
+        keep = False
+        try:
+            sink.on_connected(channel)
+            channel.send(
+                request.method,
+                request.target,
+                self._headers(progress, request, last_event),
+                request.body,
+            )
+            reader = _Reader(sink)
+            head = await channel.receive(on_head=reader.on_head, on_data=reader.on_data)
+            keep = isinstance(head, channels.Head)
+            return self._classify(progress, detour, head, reader)
+        finally:
+            if keep:
+                self.pool.release(channel)
+            else:
+                channel.close()
+
+    def _headers(
+        self, progress: attempts.Progress, request: inbound.Request, last_event: str
+    ) -> Any:
+        headers = self._dialect.detour_headers(
+            request.headers,
+            budget_seconds=request_admission.seconds_left(progress.admitted) - HOP_SECONDS,
+            last_event_id=last_event,
+        )
+        headers.update(
+            detour_headers.encode_errand(
+                detour_headers.Errand(
+                    configuration=progress.admitted.configuration,
+                    # The other node may reach targets to which this one could open no connection.
+                    tried_targets=frozenset(progress.tried_targets - progress.unreached_targets),
+                    may_move=progress.has_attempts_left,
+                )
+            )
+        )
+        return headers
+
+    def _classify(
+        self,
+        progress: attempts.Progress,
+        detour: Detour,
+        head: channels.Head | channels.Broken,
+        reader: "_Reader",
+    ) -> channels.Head | attempts.NotSent | attempts.NotRun | attempts.Lost | failure.Refusal:
+        report = reader.report
+        if report is not None and report.target_id:
+            progress.target = report.target_id
+            progress.tried_targets.add(report.target_id)
+        if isinstance(head, channels.Broken) or report is None:
+            reason = head.reason if isinstance(head, channels.Broken) else "no report"
+            if report is None:
+                self._avoid(detour.node_id)
+            return attempts.Lost(reason=f"{detour.node_id}: {reason}", by_detour=True)
+        code, message, cause = detour_headers.decode_error(reader.refusal_body)
+        match report.result:
+            case detour_headers.Result.ANSWERED:
+                assert reader.head is not None
+                return reader.head
+            case detour_headers.Result.LOST if code == DEADLINE_CODE:
+                return attempts.deadline_refusal(progress)
+            case detour_headers.Result.LOST:
+                return attempts.Lost(reason=f"{detour.node_id}: {message}", by_detour=True)
+            case detour_headers.Result.NOT_RUN:
+                progress.sends -= 1
+                progress.rejections += 1
+                return attempts.NotRun(reason=f"{detour.node_id}: {message}")
+        progress.sends -= 1
+        if code in NODE_REFUSALS or not code:
+            return self._give_up_node(progress, detour, message)
+        return failure.Refusal(
+            reason=message,
+            code=code,
+            status=head.status,
+            retry_after=_retry_after(head),
+            cause=cause,
+        )
+
+    def _give_up_node(
+        self, progress: attempts.Progress, detour: Detour, reason: str
+    ) -> attempts.NotSent:
+        progress.tried_nodes.add(detour.node_id)
+        self._avoid(detour.node_id)
+        return attempts.NotSent(reason=f"{detour.node_id}: {reason}")
+
+    def _avoid(self, node_id: str) -> None:
+        now = clock.elapsed()
+        self._avoided_until_by_node = {
+            known: until for known, until in self._avoided_until_by_node.items() if until > now
+        } | {node_id: now + AVOID_SECONDS}
+
+
+class _Reader:
+    """Passes the answer of a target to a sink, and keeps a refusal by the node.
+
+    Attributes:
+        report: The node's report, None before the head has arrived or without a valid one.
+        head: Head of the target's answer, None if there is none.
+    """
+
+    def __init__(self, sink: answer_sinks.AnswerSink) -> None:
+        self.report: detour_headers.Report | None = None
+        self.head: channels.Head | None = None
+        self._sink = sink
+        self._refusal = bytearray()
+
+    @property
+    def refusal_body(self) -> bytes:
+        return bytes(self._refusal)
+
+    def on_head(self, head: channels.Head) -> None:
+        self.report = detour_headers.decode_report(head.headers)
+        if self.report is not None and self.report.result is detour_headers.Result.ANSWERED:
+            self.head = dataclasses.replace(
+                head, headers=detour_headers.without_detour(head.headers)
+            )
+            self._sink.on_head(self.head)
+
+    def on_data(self, data: bytes) -> Any:
+        if self.head is not None:
+            return self._sink.on_chunk(data)
+        self._refusal += data
+        return None
+
+
+def detour_address(record: node_table.NodeRecord) -> str:
+    """Returns the `host:port` at which a node takes requests of other nodes."""
+    host, _, port = record.peer_address.rpartition(":")
+    return f"{host}:{int(port) + PORT_OFFSET}"
+
+
+def _retry_after(head: channels.Head) -> float | None:
+    try:
+        return float(head.headers.get("Retry-After", ""))
+    except ValueError:
+        return None
--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -3,19 +3,22 @@
 A request that may run only once is never sent again after a byte of it may have been sent, unless the
 runner says that it has not run the request. Other requests may be sent again within the attempts of
 their route, their deadline and a budget that bounds the retries of all nodes together. A stream is
-resumed on another target after its last complete event.
+resumed on another target after its last complete event. While this node has no path to the runners,
+other nodes send its requests, each once; this node does the same for them.
 """
 
 import asyncio
 import dataclasses
 import random
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 from basilpost.core import channels, clock, failure
 from basilpost.gateway import (
     answer_sinks,
     attempts,
+    detour_headers,
+    detours,
     inbound,
     loss_probe,
     request_admission,
@@ -23,6 +26,7 @@
 )
 from basilpost.gateway import stall_detector as stall_detector_
 from basilpost.members import loads as loads_
+from basilpost.members import reachability as reachability_
 from basilpost.routing import crashes as crashes_
 from basilpost.routing import header_dialect, named_limits, retry
 from basilpost.routing import targets as targets_
@@ -52,6 +56,21 @@
     retry_reserve: float
 
 
+@dataclasses.dataclass(kw_only=True, eq=False)
+class _InFlight:
+    """A request on a connection to a target.
+
+    Attributes:
+        progress: The attempts of the request.
+        channel: The connection.
+        abandoned: True if this node closed the connection because its path to the runners is gone.
+    """
+
+    progress: attempts.Progress
+    channel: channels.Channel
+    abandoned: bool = False
+
+
 class Forwarder:
     """Forwards the requests of one node to targets.
 
@@ -72,6 +91,8 @@
         budgets: Budgets,
         crashes: crashes_.CrashTracker,
         limits: named_limits.NamedLimits,
+        reachability: reachability_.Reachability,
+        node_detours: detours.Detours,
         rng: random.Random,
         log: Any,
     ) -> None:
@@ -82,8 +103,16 @@
         self._budgets = budgets
         self._crashes = crashes
         self._limits = limits
+        self._reachability = reachability
+        self._detours = node_detours
+        self._in_flight: set[_InFlight] = set()
+        reachability.connect = self._connect
+        reachability.subscribe(self._on_path_change)
         self.loss_probe = loss_probe.LossProbe(
-            connect=self._connect, on_crash=crashes.record_crash, log=log
+            connect=self._connect,
+            has_path=lambda: reachability.find_path(fresh=True),
+            on_crash=crashes.record_crash,
+            log=log,
         )
         self._log = log
         self._answer_memory = answer_sinks.AnswerMemory()
@@ -97,7 +126,7 @@
             rng=rng,
         )
         self._retries_by_service: dict[str, retry.RetryBudget] = {}
-        loads.local_stalled = self.stall_detector.suspects
+        loads.local_stalled = self._stalled_targets
         loads.local_writing = self.stall_detector.active_targets
         self.stall_detector.active_elsewhere = loads.writing_elsewhere_among
 
@@ -132,11 +161,13 @@
         sink: answer_sinks.Collector,
     ) -> attempts.WholeAnswer | failure.Refusal:
         while True:
-            target = await self._chooser.wait(progress)
-            if isinstance(target, failure.Refusal):
-                return attempts.corrected_refusal(progress, target)
+            way = await self._choose_way(progress)
+            if isinstance(way, failure.Refusal):
+                return attempts.corrected_refusal(progress, way)
             sink.restart()
-            result = await self._send(progress, request, target, last_event="", sink=sink)
+            result = await self._send(progress, request, way, last_event="", sink=sink)
+            if isinstance(result, failure.Refusal):
+                return attempts.corrected_refusal(progress, result)
             if isinstance(result, channels.Head):
                 self._record_answer(progress, result)
                 if result.status < 500 or not self._spend_retry(progress):
@@ -155,13 +186,7 @@
         be completed is aborted and `BrokenOff` is returned.
         """
         self._count_arrival(progress)
-        sink = answer_sinks.StreamSink(
-            reply=reply,
-            dialect=self._dialect,
-            last_event=progress.admitted.call.last_event_id,
-            max_answer_tokens=progress.admitted.call.max_answer_tokens,
-            memory=self._answer_memory,
-        )
+        sink = self._stream_sink(progress, reply)
         try:
             async with asyncio.timeout(max(0.0, request_admission.seconds_left(progress.admitted))):
                 result = await self._stream(progress, request, sink)
@@ -175,6 +200,17 @@
             return attempts.BrokenOff(reason=reason)
         return result
 
+    def _stream_sink(
+        self, progress: attempts.Progress, reply: inbound.Reply
+    ) -> answer_sinks.StreamSink:
+        return answer_sinks.StreamSink(
+            reply=reply,
+            dialect=self._dialect,
+            last_event=progress.admitted.call.last_event_id,
+            max_answer_tokens=progress.admitted.call.max_answer_tokens,
+            memory=self._answer_memory,
+        )
+
     async def _stream(
         self,
         progress: attempts.Progress,
@@ -182,10 +218,14 @@
         sink: answer_sinks.StreamSink,
     ) -> attempts.Streamed | attempts.WholeAnswer | failure.Refusal:
         while True:
-            target = await self._chooser.wait(progress)
-            if isinstance(target, failure.Refusal):
-                return attempts.corrected_refusal(progress, target)
-            result = await self._stream_from(progress, request, target, sink)
+            way = await self._choose_way(progress)
+            if isinstance(way, failure.Refusal):
+                return attempts.corrected_refusal(progress, way)
+            result = await self._stream_from(
+                progress, request, way, sink, may_move=lambda: self._spend_retry(progress)
+            )
+            if isinstance(result, failure.Refusal):
+                return attempts.corrected_refusal(progress, result)
             if isinstance(result, channels.Head):
                 self._record_answer(progress, result)
                 if sink.is_stream:
@@ -202,53 +242,172 @@
         self,
         progress: attempts.Progress,
         request: inbound.Request,
-        target: targets_.Target,
+        way: targets_.Target | detours.Detour,
         sink: answer_sinks.StreamSink,
-    ) -> channels.Head | attempts.NotSent | attempts.NotRun | attempts.Lost:
-        """Forwards the events of one target until its stream ends, breaks off or stalls."""
+        *,
+        may_move: Callable[[], bool],
+    ) -> channels.Head | attempts.NotSent | attempts.NotRun | attempts.Lost | failure.Refusal:
+        """Forwards the events of one target until its stream ends, breaks off or stalls.
+
+        Args:
+            progress: The attempts of the request.
+            request: The request.
+            way: The target, or the node that chooses one.
+            sink: Receives the events.
+            may_move: Called before a stalled stream is moved; returns False to leave it. A retry is
+                spent then: without one, the stream would be cut although its target may go on.
+        """
+        # Streams that other nodes send are watched by node: the same ones watch them by target.
+        source = way.node_id if isinstance(way, detours.Detour) else way.target_id
 
         def move_stream() -> None:
-            if sink.abandoned or isinstance(self._chooser.choose(progress), failure.Refusal):
+            if sink.abandoned or not self._has_alternative(progress) or not may_move():
                 return
-            # The retry is spent first: without one, the stream would be cut although its target may
-            # go on.
-            if not self._spend_retry(progress):
-                return
-            self._log.info(
-                "stream_moved",
-                request=progress.admitted.call.request_id,
-                target=target.target_id,
-            )
+            self._log.info("stream_moved", request=progress.admitted.call.request_id, target=source)
             sink.abandoned = True
             sink.close_channel()
 
         sink.restart()
-        watch = self.stall_detector.watch(target.target_id, move_stream, lambda: sink.activity)
+        watch = self.stall_detector.watch(source, move_stream, lambda: sink.activity)
         try:
             result = await self._send(
-                progress, request, target, last_event=sink.stream.last_id, sink=sink
+                progress, request, way, last_event=sink.stream.last_id, sink=sink
             )
         finally:
             self.stall_detector.unwatch(watch)
         if isinstance(result, channels.Head) and sink.is_stream and not sink.is_complete:
-            result = attempts.Lost(reason=f"{target.target_id}: the stream ended within an event")
+            result = attempts.Lost(reason=f"{source}: the stream ended within an event")
         if isinstance(result, attempts.Lost):
             return dataclasses.replace(
-                result, abandoned=sink.abandoned, writing_seconds=sink.writing_seconds
+                result,
+                abandoned=result.abandoned or sink.abandoned,
+                writing_seconds=sink.writing_seconds,
             )
         return result
 
+    async def _choose_way(
+        self, progress: attempts.Progress
+    ) -> targets_.Target | detours.Detour | failure.Refusal:
+        """Returns the target of a request, or the node that sends it while this one has no path."""
+        if self._reachability.prefers_detour():
+            detour = self._detours.choose(progress)
+            if detour is not None:
+                return detour
+            if not self._reachability.has_path:
+                return self._chooser.refusal(
+                    "no_path", "this node reaches no runner, and no other node can send it now"
+                )
+        chosen = await self._chooser.wait(progress)
+        if isinstance(chosen, failure.Refusal) and progress.unreached_targets:
+            # Other nodes may reach the targets to which this one could open no connection.
+            return self._detours.choose(progress) or chosen
+        return chosen
+
+    def _has_alternative(self, progress: attempts.Progress) -> bool:
+        """Returns True if a request could be sent once more now."""
+        if self._reachability.prefers_detour() and self._detours.choose(progress) is not None:
+            return True
+        return not isinstance(self._chooser.choose(progress), failure.Refusal)
+
+    async def carry(
+        self,
+        progress: attempts.Progress,
+        request: inbound.Request,
+        reply: inbound.Reply,
+    ) -> (
+        attempts.Streamed | attempts.WholeAnswer | attempts.NotRun | attempts.Lost | failure.Refusal
+    ):
+        """Sends a request for another node to one target, which it reaches, and forwards the answer.
+
+        The other node has counted the request's arrival and decides about a retry.
+
+        Args:
+            progress: The attempts that the other node has made.
+            request: The request as that node sent it.
+            reply: The answer to that node, to which the events of a stream are sent.
+        """
+        streaming = progress.admitted.route.streaming
+        sink = (
+            self._stream_sink(progress, reply)
+            if streaming
+            else answer_sinks.Collector(memory=self._answer_memory)
+        )
+        try:
+            async with asyncio.timeout(max(0.0, request_admission.seconds_left(progress.admitted))):
+                return await self._carry(progress, request, reply, sink)
+        except TimeoutError:
+            return attempts.deadline_refusal(progress)
+        finally:
+            sink.discard()
+
+    async def _carry(
+        self,
+        progress: attempts.Progress,
+        request: inbound.Request,
+        reply: inbound.Reply,
+        sink: answer_sinks.Collector,
+    ) -> (
+        attempts.Streamed | attempts.WholeAnswer | attempts.NotRun | attempts.Lost | failure.Refusal
+    ):
+        while True:
+            if not self._reachability.has_path:
+                return self._chooser.refusal("no_path", "this node reaches no runner either")
+            target = await self._chooser.wait(progress)
+            if isinstance(target, failure.Refusal):
+                return target
+            report = detour_headers.Report(
+                result=detour_headers.Result.ANSWERED, target_id=target.target_id
+            )
+            reply.added_headers = report.headers()
+            if isinstance(sink, answer_sinks.StreamSink):
+                result = await self._stream_from(
+                    progress, request, target, sink, may_move=lambda: progress.may_move
+                )
+            else:
+                sink.restart()
+                result = await self._send(progress, request, target, last_event="", sink=sink)
+            if isinstance(result, failure.Refusal):
+                return result
+            if isinstance(result, attempts.NotSent):
+                self._log_failed_attempt(progress, result, again=True)
+                continue
+            if isinstance(result, channels.Head):
+                self._record_answer(progress, result)
+                if isinstance(sink, answer_sinks.StreamSink) and sink.is_stream:
+                    sink.end()
+                    return attempts.Streamed()
+                return attempts.WholeAnswer(head=result, body=sink.body)
+            if isinstance(result, attempts.Lost) and self._may_have_crashed(progress, result):
+                self._report_loss(progress)
+            self._log_failed_attempt(progress, result, again=False)
+            return result
+
     async def _send(
         self,
         progress: attempts.Progress,
         request: inbound.Request,
-        target: targets_.Target,
+        way: targets_.Target | detours.Detour,
         *,
         last_event: str,
         sink: answer_sinks.AnswerSink,
+    ) -> channels.Head | attempts.NotSent | attempts.NotRun | attempts.Lost | failure.Refusal:
+        """Sends a request to a target, or by way of a node, and reads the answer into the sink."""
+        if isinstance(way, detours.Detour):
+            return await self._detours.send(
+                progress, request, way, last_event=last_event, sink=sink
+            )
+        return await self._send_to_target(progress, request, way, last_event, sink)
+
+    async def _send_to_target(
+        self,
+        progress: attempts.Progress,
+        request: inbound.Request,
+        target: targets_.Target,
+        last_event: str,
+        sink: answer_sinks.AnswerSink,
     ) -> channels.Head | attempts.NotSent | attempts.NotRun | attempts.Lost:
-        """Sends a request to a target and reads the answer into the sink."""
         progress.target, progress.address = target.target_id, target.address
+        progress.detour_node = ""
         progress.tried_targets.add(target.target_id)
         # Counted before the connection is open, so that other requests see that the room is taken.
         self._loads.request_started(target.target_id)
@@ -274,10 +433,15 @@
         )
         if isinstance(channel, channels.ConnectFailed):
             self._chooser.record_unreachable(target)
+            progress.unreached_targets.add(target.target_id)
+            await self._reachability.find_path()
             return attempts.NotSent(reason=channel.reason)
         self._log_placement(progress, target, last_event)
         began_at = clock.elapsed()
         keep = False
+        in_flight = _InFlight(progress=progress, channel=channel)
+        self._in_flight.add(in_flight)
+        self._reachability.record_sent()
         try:
             progress.sends += 1
             sink.on_connected(channel)
@@ -297,8 +461,12 @@
                 result = dataclasses.replace(result, stale_connection=is_stale)
                 if is_stale:
                     self._chooser.record_unreachable(target)
+            if isinstance(result, attempts.Lost) and in_flight.abandoned:
+                result = dataclasses.replace(result, abandoned=True)
             return result
         finally:
+            self._in_flight.discard(in_flight)
+            self._reachability.record_ended()
             if keep:
                 self.pool.release(channel)
             else:
@@ -334,6 +502,7 @@
 
         def receive_head(head: channels.Head) -> None:
             nonlocal is_own
+            self._reachability.record_heard()
             is_own = self._is_own_answer(progress, channel, head)
             self._record_limit(target, head, sent_at=sent_at)
             if is_own:
@@ -342,6 +511,7 @@
                 self._log_stray_answer(progress, channel, head)
 
         def receive_chunk(chunk: bytes) -> Awaitable[None] | None:
+            self._reachability.record_heard()
             return sink.on_chunk(chunk) if is_own else None
 
         for _ in range(MAX_STRAY_ANSWERS + 1):
@@ -425,9 +595,23 @@
             again = self._crashes.may_retry(progress.traits) and self._should_retry(
                 progress, result
             )
-            self.loss_probe.report_loss(progress.target, progress.address, progress.lost_request)
+            if not result.by_detour:
+                self._report_loss(progress)
         else:
             again = self._should_retry(progress, result)
+        self._log_failed_attempt(progress, result, again=again)
+        return again
+
+    def _report_loss(self, progress: attempts.Progress) -> None:
+        self.loss_probe.report_loss(progress.target, progress.address, progress.lost_request)
+
+    def _log_failed_attempt(
+        self,
+        progress: attempts.Progress,
+        result: attempts.NotSent | attempts.NotRun | attempts.Lost,
+        *,
+        again: bool,
+    ) -> None:
         self._log.info(
             "attempt_failed",
             request=progress.admitted.call.request_id,
@@ -437,8 +621,8 @@
             again=again,
             fingerprint=progress.fingerprint,
             parts=list(progress.admitted.call.prompt_parts),
+            detour_node=progress.detour_node,
         )
-        return again
 
     def _may_have_crashed(self, progress: attempts.Progress, result: attempts.Lost) -> bool:
         """Returns True if the target may have crashed under this request.
@@ -454,6 +638,20 @@
         if head.status < 300:
             self._crashes.record_answer(progress.traits)
 
+    def _stalled_targets(self) -> frozenset[str]:
+        """Returns the targets that seem stalled; none without a path, when all of them seem so."""
+        return self.stall_detector.suspects() if self._reachability.has_path else frozenset()
+
+    def _on_path_change(self, lost: bool) -> None:
+        """Forgets who seemed stalled; without a path, sends silent requests again if they may be."""
+        self.stall_detector.forget_suspects()
+        if not lost or not self._reachability.is_silent:
+            return
+        for in_flight in tuple(self._in_flight):
+            if self._spend_retry(in_flight.progress):
+                in_flight.abandoned = True
+                in_flight.channel.close()
+
     async def _connect(
         self, address: str, timeout: float
     ) -> channels.Channel | channels.ConnectFailed:
--- a/basilpost/gateway/inbound.py
+++ b/basilpost/gateway/inbound.py
@@ -97,6 +97,7 @@
 
     Attributes:
         started: True once its head was written.
+        added_headers: Headers that are added to those of the answer.
     """
 
     def __init__(
@@ -111,6 +112,7 @@
         self._method = method
         self._announced_close = False
         self.started = False
+        self.added_headers: dict[str, str] = {}
 
     def send_whole(
         self, status: int, reason: str, headers: tornado.httputil.HTTPHeaders, body: bytes
@@ -166,6 +168,7 @@
         body: bytes | None,
     ) -> None:
         self.started = True
+        headers.update(self.added_headers)
         if self._server.closes_after_answer:
             headers["Connection"] = "close"
             self._announced_close = True
--- a/basilpost/gateway/loss_probe.py
+++ b/basilpost/gateway/loss_probe.py
@@ -1,7 +1,8 @@
 """Tells crashed targets from lost answers.
 
 An answer may be lost for many reasons. A target whose connection has broken and that refuses a new
-one has crashed, and with it all requests that were in flight there.
+one has crashed, and with it all requests that were in flight there; unless this node can connect to
+no target at all.
 """
 
 import asyncio
@@ -26,8 +27,16 @@
 class LossProbe:
     """Probes targets that have lost requests, each once for all requests that are lost together."""
 
-    def __init__(self, *, connect: Connect, on_crash: OnCrash, log: Any) -> None:
+    def __init__(
+        self,
+        *,
+        connect: Connect,
+        has_path: Callable[[], Awaitable[bool]],
+        on_crash: OnCrash,
+        log: Any,
+    ) -> None:
         self._connect = connect
+        self._has_path = has_path
         self._on_crash = on_crash
         self._tasks = tasks.TaskSet(log=log)
         self._lost_by_target: dict[str, list[crash_evidence.LostRequest]] = {}
@@ -49,7 +58,7 @@
         lost: list[crash_evidence.LostRequest] = []
         try:
             await asyncio.sleep(GATHER_SECONDS)
-            crashed = await self._is_down(address)
+            crashed = await self._is_down(address) and await self._has_path()
         finally:
             lost = self._lost_by_target.pop(target_id)
         if crashed:
--- a/basilpost/gateway/loss_probe_test.py
+++ b/basilpost/gateway/loss_probe_test.py
@@ -28,7 +28,7 @@
     return []
 
 
-def make_probe(crashes, result, connects):
+def make_probe(crashes, result, connects, *, has_path=True):
     async def connect(address, timeout):
         connects.append(address)
         return result
@@ -36,7 +36,10 @@
     def on_crash(target_id, lost):
         crashes.append((target_id, [request.fingerprint for request in lost]))
 
-    return loss_probe.LossProbe(connect=connect, on_crash=on_crash, log=None)
+    async def find_path():
+        return has_path
+
+    return loss_probe.LossProbe(connect=connect, has_path=find_path, on_crash=on_crash, log=None)
 
 
 def lost(fingerprint):
@@ -81,3 +84,10 @@
     assert await channel.closes_within(0.05) is aborts
     channel.close()
     server.close()
+
+
+async def test_a_node_that_reaches_no_target_takes_them_for_crashed(crashes):
+    probe = make_probe(crashes, channels.ConnectFailed(reason="refused"), [], has_path=False)
+    probe.report_loss("t", "h:1", lost("a"))
+    await asyncio.sleep(WAIT_SECONDS)
+    assert crashes == []
--- a/basilpost/gateway/relay.py
+++ b/basilpost/gateway/relay.py
@@ -16,6 +16,8 @@
 from basilpost.core import clock, failure, kernel, listener, names, tasks
 from basilpost.gateway import (
     attempts,
+    detour_service,
+    detours,
     forwarding,
     inbound,
     request_admission,
@@ -23,6 +25,7 @@
 )
 from basilpost.members import knowledge as knowledges
 from basilpost.members import loads as loads_
+from basilpost.members import reachability
 from basilpost.routing import crash_store, crashes, header_dialect, named_limits
 from basilpost.routing import targets as targets_
 from basilpost.settings import pool_schema
@@ -76,6 +79,13 @@
         self._dialect = kernel.find(names.HEADER_DIALECT, header_dialect.HeaderDialect)
         self.knowledge = kernel.find(names.KNOWLEDGE, knowledges.Knowledge)
         rng = random.Random()
+        self._reachability = kernel.find(names.REACHABILITY, reachability.Reachability)
+        self._detours = detours.Detours(
+            kernel=kernel,
+            failure_domain=settings.failure_domain,
+            dialect=self._dialect,
+            rng=rng,
+        )
         self._admission = request_admission.RequestAdmission(
             knowledge=self.knowledge, dialect=self._dialect, rng=rng
         )
@@ -91,17 +101,21 @@
             ),
             crashes=kernel.find(names.CRASHES, crashes.CrashTracker),
             limits=kernel.find(names.LIMITS, named_limits.NamedLimits),
+            reachability=self._reachability,
+            node_detours=self._detours,
             rng=rng,
             log=kernel.log,
         )
         self._crash_store = kernel.find(names.CRASH_STORE, crash_store.CrashStore)
-        self._server = listener.Listener(
-            self,
-            idle_connection_timeout=IDLE_SECONDS,
-            max_header_size=MAX_HEADER_BYTES,
-            max_body_size=MAX_BODY_BYTES,
-            max_buffer_size=MAX_BODY_BYTES,
+        self._server = _make_server(self)
+        self._detour_service = detour_service.DetourService(
+            kernel=kernel,
+            make_server=_make_server,
+            admit=self._admit,
+            forwarder=self.forwarder,
+            spawn=self._request_tasks.spawn,
         )
+        self._servers = (self._server, self._detour_service.server)
         self._readiness_server: tornado.httpserver.HTTPServer | None = None
         self._draining = False
         self._stop_began_at: float | None = None
@@ -122,6 +136,8 @@
         self._tasks.spawn(self.forwarder.stall_detector.run(), name="stall-watch")
         self._tasks.spawn(self._sweep_pool(), name="connection-sweep")
         self._server.add_sockets(_bind(self._settings.callers))
+        detour_port = self._settings.peer_port + detours.PORT_OFFSET
+        self._detour_service.server.add_sockets(_bind(f"{self._settings.host}:{detour_port}"))
         ready = tornado.web.Application(
             [(r"/.*", _ReadyHandler, {"relay": self})], log_function=lambda handler: None
         )
@@ -142,13 +158,15 @@
         began_at = self._stop_began_at = clock.elapsed()
         self._accept_all_until = began_at + grace * DRAIN_ACCEPT_SHARE
         self._drain_until = began_at + grace - DRAIN_MARGIN_SECONDS
-        self._server.announce_close()
+        for server in self._servers:
+            server.announce_close()
         await asyncio.sleep(READINESS_NOTICE_SECONDS)
         await self._wait_until_answered()
         # No request can arrive between the last look at those in flight and the end of acceptance,
         # because there is no await between them.
-        idle, busy = self._server.idle, self._server.busy
-        self._server.stop_accepting()
+        idle, busy = self._server.idle, self.in_flight
+        for server in self._servers:
+            server.stop_accepting()
         self._log.info(
             "relay_drained",
             cut=busy,
@@ -171,9 +189,11 @@
 
     async def _close_connections(self) -> None:
         """Cancels the requests in flight and closes all connections of callers."""
-        self._server.stop_accepting()
+        for server in self._servers:
+            server.stop_accepting()
         await self._request_tasks.close()
-        await self._server.close_all_connections()
+        for server in self._servers:
+            await server.close_all_connections()
 
     async def stop(self) -> None:
         """Stops listening, cancels running requests and closes all connections."""
@@ -184,11 +204,12 @@
         await self._tasks.close()
         await self.forwarder.loss_probe.close()
         self.forwarder.pool.close()
+        self._detours.pool.close()
 
     @property
     def in_flight(self) -> int:
         """Returns the number of requests whose head has arrived and whose answer is not written."""
-        return self._server.busy
+        return sum(server.busy for server in self._servers)
 
     @property
     def ready(self) -> bool:
@@ -198,12 +219,14 @@
             and self.knowledge.configuration is not None
             and self.knowledge.configuration_age() < READY_MAX_AGE_SECONDS
             and self._crash_store.is_informed()
+            and (self._reachability.has_path or self._detours.available)
         )
 
     async def _sweep_pool(self) -> None:
         while True:
             await asyncio.sleep(POOL_SWEEP_SECONDS)
             self.forwarder.pool.sweep()
+            self._detours.pool.sweep()
 
     def start_request(
         self,
@@ -237,13 +260,9 @@
         summary: request_recorder.RequestSummary,
     ) -> request_recorder.RequestSummary:
         """Serves a request; returns `summary` with how it ended."""
-        admitted = self._admission.admit(request)
+        admitted = self._admit(request)
         if isinstance(admitted, failure.Refusal):
             return self._refuse(reply, admitted, summary)
-        if not self._crash_store.is_informed():
-            return self._refuse(reply, _starting_refusal(), summary)
-        if not self._can_finish_before_stop(admitted):
-            return self._refuse(reply, _stopping_refusal(), summary)
         progress = attempts.Progress(
             admitted=admitted,
             fingerprint=crashes.request_fingerprint(
@@ -272,6 +291,19 @@
             case _:
                 return dataclasses.replace(summary, status=200, outcome="streamed")
 
+    def _admit(
+        self, request: inbound.Request
+    ) -> request_admission.AdmittedRequest | failure.Refusal:
+        """Admits a request, unless this node does not know enough yet or is about to stop."""
+        admitted = self._admission.admit(request)
+        if isinstance(admitted, failure.Refusal):
+            return admitted
+        if not self._crash_store.is_informed():
+            return _starting_refusal()
+        if not self._can_finish_before_stop(admitted):
+            return _stopping_refusal()
+        return admitted
+
     def _cut(
         self,
         reply: inbound.Reply,
@@ -350,6 +382,16 @@
         self.set_status(200 if self._relay.ready else 503)
 
 
+def _make_server(delegate: tornado.httputil.HTTPServerConnectionDelegate) -> listener.Listener:
+    return listener.Listener(
+        delegate,
+        idle_connection_timeout=IDLE_SECONDS,
+        max_header_size=MAX_HEADER_BYTES,
+        max_body_size=MAX_BODY_BYTES,
+        max_buffer_size=MAX_BODY_BYTES,
+    )
+
+
 def _bind(address: str) -> list[socket.socket]:
     host, _, port = address.rpartition(":")
     return tornado.netutil.bind_sockets(int(port), address=host, backlog=LISTEN_BACKLOG)
--- a/basilpost/gateway/request_recorder.py
+++ b/basilpost/gateway/request_recorder.py
@@ -91,6 +91,8 @@
                 "sends": progress.sends,
                 "rejections": progress.rejections,
             }
+            if progress.detour_node:
+                fields["detour_node"] = progress.detour_node
         if summary.cause:
             fields["cause"] = summary.cause
         if stop_began_at is not None:
--- a/basilpost/gateway/stall_detector.py
+++ b/basilpost/gateway/stall_detector.py
@@ -91,6 +91,10 @@
         """Returns the ids of the targets that should get no new requests."""
         return frozenset(self._suspected_at)
 
+    def forget_suspects(self) -> None:
+        """Forgets which targets were suspected, when the silence is known to have another cause."""
+        self._suspected_at.clear()
+
     def active_targets(self) -> frozenset[str]:
         """Returns the ids of the targets that sent an event within `SUSPECT_SECONDS`."""
         recent = clock.elapsed() - SUSPECT_SECONDS
--- /dev/null
+++ b/basilpost/members/reachability.py
@@ -0,0 +1,248 @@
+"""Knows whether this node has a path to the runners, and which of its peers have none.
+
+A node can lose its links to all runners while callers, the store and its peers still reach it. One
+failed connection says little: a runner may have ended. So a suspicion is checked by connections to a
+few VMs in different failure domains. If none opens, this node has no path, and tells its peers. It goes
+on to check until one opens. Nothing is sent on these connections.
+"""
+
+import asyncio
+import dataclasses
+import itertools
+import math
+import random
+from collections.abc import Awaitable, Callable, Iterable
+
+import prometheus_client
+
+from basilpost.core import catalog, channels, clock, failure, kernel, names, tasks
+from basilpost.members import knowledge as knowledges
+from basilpost.members import peers
+
+# VMs that a check connects to at once.
+CHECKED_VMS = 4
+CONNECT_SECONDS = 0.3
+# Time in which a new connection is aborted if nothing listens behind it, as by a proxy whose server is
+# gone.
+ABORT_SECONDS = 0.03
+# A check that found a path this short a time ago is not repeated.
+FRESH_SECONDS = 0.05
+# Time without a byte from any runner, with requests in flight, after which the path is checked.
+SILENT_SECONDS = 0.4
+# Pause after a check because of silence, which a few slow requests cause as well.
+SILENT_CHECK_PAUSE_SECONDS = 1.0
+# Range of the pause between checks of a node without a path. It is drawn, so that nodes that were cut
+# off together do not return together.
+RETURN_CHECK_SECONDS = (0.3, 0.7)
+# Time in which the share of requests that use the path again rises from none to all.
+RETURN_SECONDS = 1.5
+WATCH_SECONDS = 0.1
+# After a check that took longer, this process was itself delayed, and its failure says nothing.
+LATE_CHECK_SECONDS = 2 * (CONNECT_SECONDS + ABORT_SECONDS)
+
+# Opens a connection to an address within some seconds.
+Connect = Callable[[str, float], Awaitable[channels.Channel | channels.ConnectFailed]]
+# Called with True when the path is lost, with False when it is back.
+Listener = Callable[[bool], None]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PathReport:
+    """Tells a peer whether the sender has a path to the runners; sent on each change."""
+
+    has_path: bool
+
+
+class Reachability(kernel.Service):
+    """Whether this node reaches the runners, as last checked, and what its peers report.
+
+    Attributes:
+        has_path: False while no checked VM can be connected to.
+        connect: Opens a connection to a VM; set by the owner of the connections. Without it nothing is
+            checked.
+        peers_without_path: Ids of the nodes that have reported that they have no path.
+    """
+
+    def __init__(self, *, kernel: kernel.Kernel) -> None:
+        self._log = kernel.log
+        self._knowledge = kernel.find(names.KNOWLEDGE, knowledges.Knowledge)
+        self._peers = kernel.find(names.PEERS, peers.PeerNetwork)
+        self._tasks = tasks.TaskSet(log=kernel.log)
+        self._rng = random.Random()
+        self.has_path = True
+        self.connect: Connect | None = None
+        self.peers_without_path: set[str] = set()
+        self._listeners: list[Listener] = []
+        self._check: asyncio.Task[None] | None = None
+        self._found_at = self._checked_at = -math.inf
+        self._lost_at = self._back_at = -math.inf
+        self._in_flight = 0
+        self._heard_at = clock.elapsed()
+        self._lost_total = prometheus_client.Counter(
+            "basilpost_runner_path_losses_total",
+            "Times that this node lost its path to all runners",
+            registry=kernel.registry,
+        )
+        path = prometheus_client.Gauge(
+            "basilpost_runner_path",
+            "1 while this node can connect to runners, else 0",
+            registry=kernel.registry,
+        )
+        path.set_function(lambda: int(self.has_path))
+        self._peers.handle(PathReport, self._on_report)
+        self._peers.subscribe(self._on_stream)
+
+    async def start(self) -> None:
+        """Starts to watch the path."""
+        self._tasks.spawn(self._watch(), name="runner-path")
+
+    async def stop(self) -> None:
+        """Stops watching the path."""
+        await self._tasks.close()
+
+    def subscribe(self, listener: Listener) -> None:
+        """Calls the listener when the path is lost and when it is back."""
+        self._listeners.append(listener)
+
+    def prefers_detour(self) -> bool:
+        """Returns True if the next request is to be sent by another node.
+
+        After the return of the path, the share of such requests falls gradually.
+        """
+        if not self.has_path:
+            return True
+        seconds_back = clock.elapsed() - self._back_at
+        return seconds_back < self._rng.random() * RETURN_SECONDS
+
+    async def find_path(self, *, fresh: bool = False) -> bool:
+        """Returns True if there is a path to the runners; called after a failed connection.
+
+        Args:
+            fresh: True to check in any case, not only if the last check was some time ago.
+        """
+        if not self.has_path:
+            return False
+        if fresh or clock.elapsed() - self._found_at > FRESH_SECONDS:
+            await self._run_check("connection failed")
+        return self.has_path
+
+    def record_sent(self) -> None:
+        """Counts a request that is sent to a runner."""
+        if not self._in_flight:
+            self.record_heard()
+        self._in_flight += 1
+
+    def record_ended(self) -> None:
+        """Counts the end of a request at a runner."""
+        self._in_flight -= 1
+
+    def record_heard(self) -> None:
+        """Records that bytes arrived from a runner."""
+        self._heard_at = clock.elapsed()
+
+    @property
+    def is_silent(self) -> bool:
+        """Returns True if requests are in flight and no runner has sent anything for a while."""
+        return self._in_flight > 0 and clock.elapsed() - self._heard_at > SILENT_SECONDS
+
+    async def _watch(self) -> None:
+        while True:
+            if not self.has_path:
+                await asyncio.sleep(self._rng.uniform(*RETURN_CHECK_SECONDS))
+                await self._run_check("return")
+                continue
+            await asyncio.sleep(WATCH_SECONDS)
+            if self._checked_at == -math.inf:
+                await self._run_check("start")
+            elif self.is_silent and clock.elapsed() - self._checked_at > SILENT_CHECK_PAUSE_SECONDS:
+                await self._run_check("silence")
+
+    async def _run_check(self, reason: str) -> None:
+        """Runs a check, or waits for the one that runs already."""
+        if self._check is None:
+            self._check = self._tasks.spawn(self._check_path(reason), name="runner-path-check")
+        # A caller that leaves must not end a check that others wait for.
+        await asyncio.wait([self._check])
+
+    async def _check_path(self, reason: str) -> None:
+        try:
+            vms = choose_vms(
+                (seen.vm for seen in self._knowledge.vms_by_id.values()), rng=self._rng
+            )
+            if not vms or self.connect is None:
+                return
+            began_at = clock.elapsed()
+            opened = await self._opens_any(self.connect, vms)
+            self._checked_at = clock.elapsed()
+            if self._checked_at - began_at > LATE_CHECK_SECONDS:
+                return
+            if opened:
+                self._found_at = self._checked_at
+            if opened != self.has_path:
+                self._set_path(opened, reason, vms)
+        finally:
+            self._check = None
+
+    async def _opens_any(self, connect: Connect, vms: list[catalog.Vm]) -> bool:
+        attempts = [asyncio.ensure_future(_opens(connect, vm.address)) for vm in vms]
+        try:
+            for attempt in asyncio.as_completed(attempts):
+                if await attempt:
+                    return True
+            return False
+        finally:
+            for task in attempts:
+                task.cancel()
+
+    def _set_path(self, has_path: bool, reason: str, vms: list[catalog.Vm]) -> None:
+        self.has_path = has_path
+        if has_path:
+            self._back_at = clock.elapsed()
+            self._log.info("runner_path_back", seconds=round(self._back_at - self._lost_at, 3))
+        else:
+            self._lost_at = clock.elapsed()
+            self._lost_total.inc()
+            self._log.warning("runner_path_lost", reason=reason, vms=[vm.vm_id for vm in vms])
+        self._peers.broadcast(PathReport(has_path=has_path))
+        for listener in self._listeners:
+            listener(not has_path)
+
+    async def _on_report(self, sender: str, message: PathReport) -> None:
+        if message.has_path:
+            self.peers_without_path.discard(sender)
+        else:
+            self.peers_without_path.add(sender)
+
+    def _on_stream(self, node_id: str, is_open: bool) -> None:
+        self.peers_without_path.discard(node_id)
+        if is_open and not self.has_path:
+            self._peers.send(node_id, PathReport(has_path=False))
+
+
+async def _opens(connect: Connect, address: str) -> bool:
+    channel = await connect(address, CONNECT_SECONDS)
+    if isinstance(channel, channels.ConnectFailed):
+        return False
+    try:
+        return not await channel.closes_within(ABORT_SECONDS)
+    finally:
+        channel.close()
+
+
+def choose_vms(vms: Iterable[catalog.Vm], *, rng: random.Random) -> list[catalog.Vm]:
+    """Returns up to `CHECKED_VMS` random VMs, from as many failure domains as possible.
+
+    VMs that are leaving are passed over unless there are no others.
+    """
+    known = list(vms)
+    candidates = [vm for vm in known if not vm.leaving] or known
+    vms_by_domain: dict[str, list[catalog.Vm]] = {}
+    for vm in rng.sample(candidates, len(candidates)):
+        vms_by_domain.setdefault(vm.failure_domain, []).append(vm)
+    in_turn = itertools.chain.from_iterable(itertools.zip_longest(*vms_by_domain.values()))
+    return [vm for vm in in_turn if vm is not None][:CHECKED_VMS]
+
+
+def no_path_refusal(reason: str, *, retry_after: float) -> failure.Refusal:
+    """Returns the refusal of a request for which neither this node nor a peer has a path."""
+    return failure.Refusal(reason=reason, code="no_path", status=503, retry_after=retry_after)
--- a/basilpost/node/pool_assembly.py
+++ b/basilpost/node/pool_assembly.py
@@ -9,7 +9,16 @@
 from basilpost.core import names
 from basilpost.gateway import relay
 from basilpost.groups import pool_controller
-from basilpost.members import feed, knowledge, loads, node_registry, node_table, store_news, streams
+from basilpost.members import (
+    feed,
+    knowledge,
+    loads,
+    node_registry,
+    node_table,
+    reachability,
+    store_news,
+    streams,
+)
 from basilpost.node import metrics
 from basilpost.platform import decoder as platform_decoder
 from basilpost.platform import headers, runner_client
@@ -54,6 +63,7 @@
     kernel.register(names.TARGETS, targets.Targets(kernel=kernel))
     kernel.register("news", store_news.News(kernel=kernel))
     kernel.register(names.LOADS, loads.Loads(kernel=kernel))
+    kernel.register(names.REACHABILITY, reachability.Reachability(kernel=kernel))
     kernel.register(
         "registry",
         node_registry.Registry(kernel=kernel, record=_node_record(settings, incarnation)),
--- a/basilpost/node/pool_demo.py
+++ b/basilpost/node/pool_demo.py
@@ -24,7 +24,8 @@
 # Retries per request, and further retries in number; see `pool_schema.Bounds`.
 RETRY_SHARE = 0.2
 RETRY_RESERVE = 100.0
-CALLERS_PORT, READINESS_PORT, PEER_PORT, METRICS_PORT = 8001, 8002, 8003, 8004
+# The port after that of the peers serves detours.
+CALLERS_PORT, READINESS_PORT, PEER_PORT, METRICS_PORT = 8001, 8002, 8003, 8005
 
 Say = Callable[[str], None]
 
--- a/basilpost/platform/headers.py
+++ b/basilpost/platform/headers.py
@@ -82,6 +82,16 @@
             result[_LAST_EVENT_ID] = added.last_event_id
         return result
 
+    def detour_headers(
+        self, headers: tornado.httputil.HTTPHeaders, *, budget_seconds: float, last_event_id: str
+    ) -> tornado.httputil.HTTPHeaders:
+        """Returns the headers of a request as they are sent to another node, with the API key."""
+        result = _without(headers, frozenset({_DEADLINE, "Content-Length"}))
+        result[_DEADLINE] = str(max(1, int(budget_seconds * _MS_PER_SECOND)))
+        if last_event_id:
+            result[_LAST_EVENT_ID] = last_event_id
+        return result
+
     def parse_response(
         self, status: int, headers: tornado.httputil.HTTPHeaders
     ) -> header_dialect.ResponseInfo:
--- a/basilpost/routing/header_dialect.py
+++ b/basilpost/routing/header_dialect.py
@@ -87,6 +87,18 @@
     ) -> tornado.httputil.HTTPHeaders:
         """Returns a caller's headers in the form in which they are forwarded to a runner."""
 
+    @abc.abstractmethod
+    def detour_headers(
+        self, headers: tornado.httputil.HTTPHeaders, *, budget_seconds: float, last_event_id: str
+    ) -> tornado.httputil.HTTPHeaders:
+        """Returns a caller's headers in the form in which they are sent to another node.
+
+        Args:
+            headers: The caller's headers.
+            budget_seconds: Time left until the request's deadline.
+            last_event_id: Event after which a resumed stream continues, empty for none.
+        """
+
     @abc.abstractmethod
     def parse_response(self, status: int, headers: tornado.httputil.HTTPHeaders) -> ResponseInfo:
         """Returns what the status and the headers of a runner's response say."""
--- a/tests/cut_links.py
+++ b/tests/cut_links.py
@@ -39,7 +39,7 @@
         self._kind = kind
         for channel in list(self._channels):
             if kind is Kind.RESET:
-                channel.stream.close(error=ConnectionResetError())
+                channel.stream.close((ConnectionResetError, ConnectionResetError(), None))
             elif kind is Kind.HANG and not channel.stream.closed():
                 _silence(channel)
 
--- a/tests/pool_nodes.py
+++ b/tests/pool_nodes.py
@@ -9,10 +9,11 @@
 from basilpost.emulator import pool_fleet
 from basilpost.gateway import relay
 from basilpost.groups import pool_controller
-from basilpost.members import peers
+from basilpost.members import loads, peers, reachability
 from basilpost.node import pool_assembly, pool_demo
 from basilpost.routing import targets
 from basilpost.settings import pool_schema
+from tests import cut_links
 
 GRACE_SECONDS = 4.0
 # Calls that the client has in flight at once.
@@ -20,11 +21,18 @@
 
 
 class Nodes:
-    """Nodes in front of an emulated platform and its runners."""
+    """Nodes in front of an emulated platform and its runners.
+
+    Attributes:
+        kernels: The kernel of each node.
+        links: The connections of each node to runners, which a test may cut.
+        addresses: Each node's address for callers.
+    """
 
     def __init__(self, **fleet):
         self.fleet = pool_fleet.PoolFleet(**fleet)
         self.kernels = []
+        self.links = []
         self.addresses = []
         self._client = tornado.httpclient.AsyncHTTPClient(
             force_instance=True, max_clients=MAX_CALLS
@@ -37,7 +45,7 @@
             await self.add(f"node-{number}")
         await pool_fleet.until(lambda: all(node_relay.ready for node_relay in self.relays))
 
-    async def add(self, node_id, *, failure_domain="a"):
+    async def add(self, node_id, *, failure_domain="a", start=True):
         host = pool_demo.random_loopback_host()
         callers = f"{host}:{pool_demo.CALLERS_PORT}"
         settings = pool_schema.PoolNodeSettings(
@@ -57,8 +65,11 @@
         )
         kernel = pool_assembly.build(settings)
         self.kernels.append(kernel)
+        node_relay = kernel.find(names.RELAY, relay.Relay)
+        self.links.append(cut_links.Links(node_relay.forwarder.pool))
         self.addresses.append(callers)
-        await kernel.start()
+        if start:
+            await kernel.start()
         return kernel
 
     async def stop(self):
@@ -74,6 +85,16 @@
     def forwarders(self):
         return [node_relay.forwarder for node_relay in self.relays]
 
+    @property
+    def reachabilities(self):
+        return [
+            kernel.find(names.REACHABILITY, reachability.Reachability) for kernel in self.kernels
+        ]
+
+    @property
+    def loads(self):
+        return [kernel.find(names.LOADS, loads.Loads) for kernel in self.kernels]
+
     @property
     def peers(self):
         return [kernel.find(names.PEERS, peers.PeerNetwork) for kernel in self.kernels]
