A controller whose orders reach no runner gives control up

While the node that holds the pool's lease was cut off from all runners, its orders were lost and no group was rebuilt until the cut ended: it kept renewing the lease. It now releases the lease when its path is lost, and does not compete for it.

--- a/basilpost/groups/pool_controller.py
+++ b/basilpost/groups/pool_controller.py
@@ -17,7 +17,7 @@
 from basilpost.core import catalog, clock, kernel, names, tasks
 from basilpost.groups import lease as leases
 from basilpost.groups import orders, pool, pool_state, reported_groups
-from basilpost.members import demand, feed, loads, peers
+from basilpost.members import demand, feed, loads, peers, reachability
 from basilpost.members import knowledge as knowledges
 from basilpost.store import objects
 
@@ -78,6 +78,7 @@
         self._knowledge = kernel.find(names.KNOWLEDGE, knowledges.Knowledge)
         self._runners = kernel.find(names.POOL_RUNNER_CLIENT, orders.RunnerClient)
         self._loads = kernel.find(names.LOADS, loads.Loads)
+        self._reachability = kernel.find(names.REACHABILITY, reachability.Reachability)
         self._peers = kernel.find(names.PEERS, peers.PeerNetwork)
         self._tasks = tasks.TaskSet(log=kernel.log)
         self._lease = leases.Lease(
@@ -102,6 +103,7 @@
         self._observe_now = asyncio.Event()
         self._renew_now = asyncio.Event()
         self._knowledge.subscribe(self._changed.set)
+        self._reachability.subscribe(lambda lost: self._changed.set())
         self._peers.handle(ControlReleased, self._handle_release)
 
     async def start(self) -> None:
@@ -112,6 +114,10 @@
         """Stops and announces the release of the lease, so that another node takes over at once."""
         held = self._lease.held
         await self._tasks.close()
+        await self._release(held)
+
+    async def _release(self, held: bool) -> None:
+        """Deletes the lease and, if this node held it, tells those that may take over."""
         await self._lease.release(self._store, timeout=STORE_TIMEOUT_SECONDS)
         if held:
             self._log.info("pool_control_released")
@@ -130,6 +136,10 @@
                 # In a large fleet only the nodes that watch the store compete for the lease.
                 await asyncio.sleep(OBSERVE_SECONDS)
                 continue
+            if not self._reachability.has_path:
+                # Orders of this node would reach no runner.
+                await asyncio.sleep(OBSERVE_SECONDS)
+                continue
             fresh = self._observe_now.is_set()
             self._observe_now.clear()
             if await self._lease.observe(self._store, timeout=STORE_TIMEOUT_SECONDS, fresh=fresh):
@@ -155,7 +165,7 @@
         fence = self._lease.fence
         renewing = self._tasks.spawn(self._keep_renewing(), name="pool-lease")
         try:
-            while self._lease.held and self._lease.fence == fence:
+            while self._lease.held and self._lease.fence == fence and self._reachability.has_path:
                 self._changed.clear()
                 if self._knowledge.vms_age() < LEASE_SECONDS:
                     began_at = clock.monotonic()
@@ -170,7 +180,9 @@
             renewing.cancel()
             self._feed.is_controller = False
             self._log.info("pool_control_lost", fence=fence)
-            self._lease.mark_lost()
+        if not self._reachability.has_path:
+            await self._release(self._lease.held)
+        self._lease.mark_lost()
 
     async def _keep_renewing(self) -> None:
         renewal = 0
--- a/tests/pool_cut_off_test.py
+++ b/tests/pool_cut_off_test.py
@@ -11,6 +11,7 @@
 
 from basilpost.core import clock
 from basilpost.emulator import pool_fleet
+from basilpost.groups import pool_controller
 from basilpost.members import reachability
 from tests import cut_links, pool_nodes
 
@@ -276,3 +277,24 @@
         await asyncio.sleep(0.3)
         await bench.relays[1].drain()
         assert {call.result().code for call in calls} == {200}
+
+
+async def test_control_stays_with_a_node_whose_orders_reach_no_runner():
+    async with pool_nodes.running(nodes=3, vms=6) as bench:
+        await bench.wait_for_groups(1, pool_fleet.LARGE)
+        holder = next(
+            number for number, controller in enumerate(bench.controllers) if controller.is_holder
+        )
+        await lose_path(bench, holder)
+        await pool_fleet.until(
+            lambda: any(
+                controller.is_holder
+                for number, controller in enumerate(bench.controllers)
+                if number != holder
+            ),
+            seconds=pool_controller.LEASE_SECONDS / 2,
+        )
+        assert not bench.controllers[holder].is_holder
+        bench.links[holder].heal()
+        await pool_fleet.until(lambda: bench.reachabilities[holder].has_path)
+        assert sum(controller.is_holder for controller in bench.controllers) == 1
