Log lines of runners that ask for a pause, and of those that leave

The dialect reads both, with bad values told apart; nodes log target_paused and target_leaving; emulated runners can say both. Nothing is decided by them yet.

--- a/basilpost/emulator/pool_runner.py
+++ b/basilpost/emulator/pool_runner.py
@@ -59,6 +59,8 @@
         stalled: True to send no events, as a group does that lost a member.
         endless: Part of the answer whose bytes never end, empty for none; a key of `_ENDLESS`.
         limit_per_second: Limit that answers name, None for none.
+        retry_after: Text of the pause that rejections with 503 ask for, empty for none.
+        leaving: True to say in all answers that the runner leaves, though its entry does not.
         crash_parts: Parts of prompts that crash the runner when it begins to write an answer.
         crash_bodies: Bodies of requests to a plain service that crash the runner.
         down_seconds: Time from a crash to the runner's next start.
@@ -85,6 +87,8 @@
     stalled: bool = False
     endless: str = ""
     limit_per_second: float | None = None
+    retry_after: str = ""
+    leaving: bool = False
     crash_parts: frozenset[str] = frozenset()
     crash_bodies: frozenset[bytes] = frozenset()
     down_seconds: float = 2.0
@@ -383,6 +387,8 @@
         self.set_header(_ATTEMPT, headers.get(_ATTEMPT, ""))
         if self._options.limit_per_second is not None:
             self.set_header("Server-Limit", f"{self._options.limit_per_second:.2f}")
+        if self._options.leaving:
+            self.set_header("Server-Leaving", "1")
         if headers.get("X-Expect-Runner") != self.owner.vm_id or not self._serves():
             self._reject(421)
             return
@@ -412,6 +418,8 @@
     def _reject(self, status: int) -> None:
         self.set_status(status)
         self.set_header("X-Not-Executed", "1")
+        if status == 503 and self._options.retry_after:
+            self.set_header("Retry-After", self._options.retry_after)
         self.finish()
 
     def _log_run(self) -> None:
--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -505,6 +505,7 @@
             self._reachability.record_heard()
             is_own = self._is_own_answer(progress, channel, head)
             self._record_limit(target, head, sent_at=sent_at)
+            self._log_wishes(target, head)
             if is_own:
                 sink.on_head(head)
             else:
@@ -532,6 +533,13 @@
         elif response.signed:
             self._limits.record_unnamed(target.lifetime, target.target_id, sent_at=sent_at)
 
+    def _log_wishes(self, target: targets_.Target, head: channels.Head) -> None:
+        response = self._dialect.parse_response(head.status, head.headers)
+        if response.pause_seconds is not None:
+            self._log.info("target_paused", target=target.target_id, seconds=response.pause_seconds)
+        if response.leaving:
+            self._log.info("target_leaving", target=target.target_id)
+
     def _is_own_answer(
         self, progress: attempts.Progress, channel: channels.Channel, head: channels.Head
     ) -> bool:
--- a/basilpost/platform/headers.py
+++ b/basilpost/platform/headers.py
@@ -24,6 +24,10 @@
 _COLD = "X-Cold-Ms"
 # Requests per second that a runner in need takes from all nodes together, a decimal number.
 _LIMIT = "Server-Limit"
+# "1" in the answers of a runner that will stop.
+_LEAVING = "Server-Leaving"
+# Seconds, in a rejection: the runner wants nothing more from this node for so long.
+_PAUSE = "Retry-After"
 
 _MS_PER_SECOND = 1000.0
 # Bounds on what is kept of a list of parts; requests have a few, with ids of some digits.
@@ -31,6 +35,8 @@
 MAX_PART_ID_LENGTH = 64
 _LOWEST_PRIORITY = 9
 _MISDIRECTED_STATUS = 421
+_UNAVAILABLE_STATUS = 503
+MAX_LOGGED_VALUE = 64
 # Headers that hold for one connection only and are never passed on.
 _HOP_BY_HOP = frozenset(
     {
@@ -96,13 +102,18 @@
         self, status: int, headers: tornado.httputil.HTTPHeaders
     ) -> header_dialect.ResponseInfo:
         """Returns what the status and headers of a runner's answer say."""
+        pause = headers.get(_PAUSE, "") if status == _UNAVAILABLE_STATUS else ""
+        pause_seconds = _non_negative(pause)
         return header_dialect.ResponseInfo(
             request_id=headers.get(_REQUEST_ID, ""),
             signed=_SIGNATURE in headers,
             not_run=_NOT_RUN in headers or status == _MISDIRECTED_STATUS,
             vm_at_fault=headers.get(_AT_FAULT, ""),
             cold_seconds=(_number(headers.get(_COLD, "")) or 0.0) / _MS_PER_SECOND,
-            limit_per_second=_limit(headers.get(_LIMIT, "")),
+            limit_per_second=_non_negative(headers.get(_LIMIT, "")),
+            pause_seconds=pause_seconds,
+            bad_pause=pause[:MAX_LOGGED_VALUE] if pause_seconds is None else "",
+            leaving=headers.get(_LEAVING, "").strip() == "1",
         )
 
     def response_headers(
@@ -133,7 +144,7 @@
     return tuple(part_id[:MAX_PART_ID_LENGTH] for part_id in ids if part_id)
 
 
-def _limit(text: str) -> float | None:
+def _non_negative(text: str) -> float | None:
     number = _number(text)
     return number if number is not None and math.isfinite(number) and number >= 0.0 else None
 
--- a/basilpost/platform/headers_test.py
+++ b/basilpost/platform/headers_test.py
@@ -127,3 +127,24 @@
     assert [limit("2.7"), limit("0"), limit("40")] == [2.7, 0.0, 40.0]
     assert {limit(text) for text in ("", "soon", "nan", "inf", "-1")} == {None}
     assert DIALECT.parse_response(200, make_headers()).limit_per_second is None
+
+
+def test_the_pause_that_a_rejecting_runner_asks_for_is_read():
+    def read(text, status=503):
+        return DIALECT.parse_response(status, make_headers(Retry_After=text))
+
+    assert [read(text).pause_seconds for text in ("3", "0.5", "0", "1e9")] == [3.0, 0.5, 0.0, 1e9]
+    bad = ("soon", "nan", "inf", "-1", "Wed, 21 Oct 2026 07:28:00 GMT")
+    assert {read(text).pause_seconds for text in bad} == {None}
+    assert [read(text).bad_pause for text in bad] == list(bad)
+    assert len(read("x" * 1000).bad_pause) == 64
+    assert read("3", status=429).pause_seconds is None
+    assert (read("").pause_seconds, read("").bad_pause) == (None, "")
+
+
+def test_a_runner_that_leaves_says_so():
+    def leaving(text):
+        return DIALECT.parse_response(200, make_headers(Server_Leaving=text)).leaving
+
+    assert leaving("1")
+    assert not any(leaving(text) for text in ("", "0", "yes"))
--- a/basilpost/routing/header_dialect.py
+++ b/basilpost/routing/header_dialect.py
@@ -64,6 +64,10 @@
         cold_seconds: Time left of the runner's cold start, 0 if it does not say.
         limit_per_second: Requests per second that the runner takes from all nodes together, None if it
             names no limit.
+        pause_seconds: Time for which a runner that rejects a request wants no others from this node, None
+            if it names none. It is not negative and finite, but may be of any length.
+        bad_pause: Text of a pause that is not a valid time, empty without one.
+        leaving: True if the runner says that it will stop.
     """
 
     request_id: str
@@ -72,6 +76,9 @@
     vm_at_fault: str
     cold_seconds: float
     limit_per_second: float | None = None
+    pause_seconds: float | None = None
+    bad_pause: str = ""
+    leaving: bool = False
 
 
 class HeaderDialect(abc.ABC):
