A runner that asks for a pause gets no requests until it is over

Callers were refused as target_lost while runners that had asked for 3 s of rest got 11 to 13 requests of one node in that time. Cause: Retry-After of a runner's answer was read nowhere; a resting runner even held the fewest requests and was chosen first. routing/pauses.py keeps the pause by runner process; the chooser sends nothing until its end, then one request until it is answered. Peers are told and use the runner last. If all targets pause, callers are refused at once with the end of the first pause, spread over 1.6 s. Times count up to 60 s; invalid ones are logged once and ignored.

--- a/basilpost/admin/explaining.py
+++ b/basilpost/admin/explaining.py
@@ -28,6 +28,8 @@
     }
 )
 
+_TARGET_EVENTS = frozenset({"target_crashed", "target_paused", "target_resumed", "target_leaving"})
+
 _CAUSE_EVENTS = frozenset({"crash_cause_found", "crash_cause_learned"})
 
 _DESCRIPTIONS_BY_OUTCOME = {
@@ -40,6 +42,7 @@
     "quarantined": "requests like it crashed the targets that ran them",
     "busy": "all groups or instances were full",
     "no_path": "the node reached no runner, and no other node could send it",
+    "paused": "all groups or instances had asked the node for a pause",
     "limited": "all groups or instances were at the limit that they name",
     "target_lost": "the target went away under it",
     "deadline": "its deadline passed",
@@ -149,7 +152,7 @@
             return False
         if line.event in _NODE_EVENTS:
             return line.node in nodes
-        if line.event == "target_crashed":
+        if line.event in _TARGET_EVENTS:
             return line.fields.get("target") in targets
         return line.fields.get("group") in groups or line.fields.get("vm") in vms
 
--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -28,7 +28,7 @@
 from basilpost.members import loads as loads_
 from basilpost.members import reachability as reachability_
 from basilpost.routing import crashes as crashes_
-from basilpost.routing import header_dialect, named_limits, retry
+from basilpost.routing import header_dialect, named_limits, pauses, retry
 from basilpost.routing import targets as targets_
 
 # Longest time for opening a connection to a target.
@@ -91,6 +91,7 @@
         budgets: Budgets,
         crashes: crashes_.CrashTracker,
         limits: named_limits.NamedLimits,
+        runner_pauses: pauses.RunnerPauses,
         reachability: reachability_.Reachability,
         node_detours: detours.Detours,
         rng: random.Random,
@@ -103,6 +104,7 @@
         self._budgets = budgets
         self._crashes = crashes
         self._limits = limits
+        self._pauses = runner_pauses
         self._reachability = reachability
         self._detours = node_detours
         self._in_flight: set[_InFlight] = set()
@@ -123,6 +125,7 @@
             loads=loads,
             crashes=crashes,
             limits=limits,
+            runner_pauses=runner_pauses,
             rng=rng,
         )
         self._retries_by_service: dict[str, retry.RetryBudget] = {}
@@ -174,7 +177,7 @@
                     return attempts.WholeAnswer(head=result, body=sink.body)
             elif not self._may_try_elsewhere(progress, result):
                 return attempts.corrected_refusal(
-                    progress, self._chooser.refusal("target_lost", result.reason)
+                    progress, self._chooser.refusal_after(progress, result.reason)
                 )
 
     async def stream(
@@ -235,7 +238,7 @@
                     return attempts.WholeAnswer(head=result, body=sink.body)
             elif not self._may_try_elsewhere(progress, result):
                 return attempts.corrected_refusal(
-                    progress, self._chooser.refusal("target_lost", result.reason)
+                    progress, self._chooser.refusal_after(progress, result.reason)
                 )
 
     async def _stream_from(
@@ -505,7 +508,7 @@
             self._reachability.record_heard()
             is_own = self._is_own_answer(progress, channel, head)
             self._record_limit(target, head, sent_at=sent_at)
-            self._log_wishes(target, head)
+            self._record_pause(target, head, sent_at=sent_at)
             if is_own:
                 sink.on_head(head)
             else:
@@ -533,10 +536,17 @@
         elif response.signed:
             self._limits.record_unnamed(target.lifetime, target.target_id, sent_at=sent_at)
 
-    def _log_wishes(self, target: targets_.Target, head: channels.Head) -> None:
+    def _record_pause(
+        self, target: targets_.Target, head: channels.Head, *, sent_at: float
+    ) -> None:
+        """Records the pause that a rejection asks for, or that an answer asks for none."""
         response = self._dialect.parse_response(head.status, head.headers)
+        if response.bad_pause:
+            self._pauses.record_invalid(target.lifetime, target.target_id, response.bad_pause)
         if response.pause_seconds is not None:
-            self._log.info("target_paused", target=target.target_id, seconds=response.pause_seconds)
+            self._pauses.record_asked(target.lifetime, target.target_id, response.pause_seconds)
+        elif response.signed or response.not_run:
+            self._pauses.record_accepted(target.lifetime, target.target_id, sent_at=sent_at)
         if response.leaving:
             self._log.info("target_leaving", target=target.target_id)
 
--- a/basilpost/gateway/target_choice.py
+++ b/basilpost/gateway/target_choice.py
@@ -1,18 +1,18 @@
 """Chooses the target of a request: the best one that may get it, or a refusal.
 
 It brings together what the node knows: the targets, the requests in flight at them, causes of crashes,
-cold starts, named limits and targets that seem to be gone. `routing.placement` compares candidates.
+cold starts, named limits, pauses and targets that seem to be gone. `routing.placement` compares candidates.
 """
 
 import asyncio
 import dataclasses
 import random
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 from basilpost.core import clock, failure
 from basilpost.gateway import attempts, request_admission
 from basilpost.members import loads as loads_
-from basilpost.routing import cold, crash_messages, named_limits, placement, unreachable
+from basilpost.routing import cold, crash_messages, named_limits, pauses, placement, unreachable
 from basilpost.routing import crashes as crashes_
 from basilpost.routing import targets as targets_
 
@@ -22,8 +22,8 @@
 WAIT_POLL_SECONDS = 0.02
 # Range from which Retry-After is drawn, so that refused callers do not all return at the same moment.
 RETRY_AFTER_SECONDS = (0.3, 0.8)
-# The same for requests beyond the limits of all targets; more come than the limits allow. It is added to
-# the time until a limit allows a request, up to a maximum.
+# The same for requests that no target may get yet; more come than the limits of targets allow. It is
+# added to the time until the first target may get one, which counts up to a maximum for limits.
 LIMITED_RETRY_SECONDS = (0.2, 1.8)
 MAX_LIMITED_SECONDS = 1.0
 
@@ -40,6 +40,7 @@
         loads: loads_.Loads,
         crashes: crashes_.CrashTracker,
         limits: named_limits.NamedLimits,
+        runner_pauses: pauses.RunnerPauses,
         rng: random.Random,
     ) -> None:
         self._failure_domain = failure_domain
@@ -47,6 +48,7 @@
         self._loads = loads
         self._crashes = crashes
         self._limits = limits
+        self._pauses = runner_pauses
         self._rng = rng
         self._cold = cold.ColdStartLimiter(node_id=node_id)
         self._unreachable = unreachable.UnreachableTargets()
@@ -77,7 +79,9 @@
         known = self._targets.matching(admitted.service.name, admitted.call.model)
         untried = [target for target in known if target.target_id not in progress.tried_targets]
         if not untried:
-            return self.refusal("no_target", f"{len(known)} targets known, none left to try")
+            return self._paused_refusal(known) or self.refusal(
+                "no_target", f"{len(known)} targets known, none left to try"
+            )
         if self._loads.are_stale:
             preferred = self._choose_preferred(progress)
             if preferred is not None:
@@ -96,8 +100,10 @@
         )
         if chosen is not None:
             return chosen
-        return self._limited_refusal(untried) or self.refusal(
-            "busy", f"all {len(untried)} targets are full"
+        return (
+            self._paused_refusal(known)
+            or self._limited_refusal(untried)
+            or self.refusal("busy", f"all {len(untried)} targets are full")
         )
 
     def record_sent(self, target: targets_.Target) -> None:
@@ -105,6 +111,7 @@
         if self._targets.is_cold(target):
             self._cold.record_sent(target.target_id)
         self._limits.record_sent(target.lifetime, node_ids=self._loads.node_ids())
+        self._pauses.record_sent(target.lifetime)
 
     def record_unreachable(self, target: targets_.Target) -> None:
         """Avoids a target for a while, to which no connection could be opened."""
@@ -119,14 +126,36 @@
             retry_after=self._rng.uniform(*RETRY_AFTER_SECONDS),
         )
 
-    def _limited_refusal(self, untried: list[targets_.Target]) -> failure.Refusal | None:
+    def refusal_after(self, progress: attempts.Progress, reason: str) -> failure.Refusal:
+        """Returns the refusal of a request that failed at a target and is not sent to another one."""
+        admitted = progress.admitted
+        known = self._targets.matching(admitted.service.name, admitted.call.model)
+        return self._paused_refusal(known) or self.refusal("target_lost", reason)
+
+    def _paused_refusal(self, known: Sequence[targets_.Target]) -> failure.Refusal | None:
+        """Returns a refusal if all targets have asked this node for a pause, None otherwise.
+
+        The first callers return when the first pause is over, the others in the time after it.
+        """
+        waits = [self._pauses.seconds_until_free(target.lifetime) for target in known]
+        if min(waits, default=0.0) <= 0.0:
+            return None
+        return dataclasses.replace(
+            self.refusal("paused", f"all {len(known)} targets have asked for a pause"),
+            retry_after=min(waits) + self._rng.uniform(*LIMITED_RETRY_SECONDS),
+        )
+
+    def _limited_refusal(self, untried: Sequence[targets_.Target]) -> failure.Refusal | None:
         """Returns a refusal if only limits keep this node from each target, None otherwise.
 
         Callers return at different times, over the time in which the limits allow further requests.
         """
         node_ids = self._loads.node_ids()
         waits = [
-            self._limits.seconds_until_free(target.lifetime, node_ids=node_ids)
+            max(
+                self._limits.seconds_until_free(target.lifetime, node_ids=node_ids),
+                self._pauses.seconds_until_free(target.lifetime),
+            )
             for target in untried
         ]
         if min(waits) <= 0.0:
@@ -178,8 +207,9 @@
         return placement.Candidate(
             target=target,
             in_flight=self._loads.total_in_flight(target_id),
-            stalled=target_id in suspects,
-            may_send=self._limits.may_send(target.lifetime, node_ids=node_ids)
+            stalled=target_id in suspects or self._pauses.is_told(target.lifetime),
+            may_send=self._pauses.may_send(target.lifetime)
+            and self._limits.may_send(target.lifetime, node_ids=node_ids)
             and (
                 not self._targets.is_cold(target)
                 or self._cold.may_send(
--- /dev/null
+++ b/basilpost/routing/pauses.py
@@ -0,0 +1,199 @@
+"""Keeps requests from targets whose runners have rejected one and asked for a pause.
+
+A runner asks one node, so that node sends nothing until the pause is over. Other nodes are told and
+use the target only if they have no other one: it may reject their requests as well. After the pause
+each node sends one request and waits for its answer before it sends more.
+"""
+
+import dataclasses
+import uuid
+
+import prometheus_client
+
+from basilpost.core import clock, kernel, names
+from basilpost.members import peers, recent_ids
+
+# Longer pauses are cut to this. All runners of a service may ask for them, such as by a wrong unit.
+MAX_PAUSE_SECONDS = 60.0
+# Time after which a request that tests the end of a pause no longer keeps others back.
+TRIAL_SECONDS = 1.0
+# A pause whose end was not tested for this long is forgotten.
+MEMORY_SECONDS = 30.0
+# Pauses, and runners with an invalid one, that are remembered; a fleet has some hundred targets.
+MAX_PAUSES = 4_096
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class PauseReport:
+    """Tells other nodes that a runner has asked the sender for a pause.
+
+    Attributes:
+        report_id: Unique id; a node can receive the message several times.
+        lifetime: Id of the run of the runner process.
+        seconds: Time left of the pause; 0 if the runner has accepted a request since.
+    """
+
+    report_id: str
+    lifetime: str
+    seconds: float
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Pause:
+    """A pause that a runner has asked this node for.
+
+    Attributes:
+        began_at: When its answer arrived, on `clock.elapsed`.
+        until: End of the pause.
+        trial_at: When the request was sent that tests its end, None before.
+    """
+
+    began_at: float
+    until: float
+    trial_at: float | None = None
+
+
+class RunnerPauses(kernel.Service):
+    """The pauses that runners have asked this node for, and those that its peers tell of."""
+
+    def __init__(self, *, kernel: kernel.Kernel) -> None:
+        self._log = kernel.log
+        self._peers = kernel.find(names.PEERS, peers.PeerNetwork)
+        self._pauses_by_lifetime: dict[str, _Pause] = {}
+        self._told_until_by_lifetime: dict[str, float] = {}
+        self._ignored_lifetimes: set[str] = set()
+        self._handled_reports = recent_ids.RecentIds()
+        paused = prometheus_client.Gauge(
+            "basilpost_paused_targets",
+            "Targets whose runners have asked this node for a pause that is not over",
+            registry=kernel.registry,
+        )
+        paused.set_function(self._count_paused)
+        self._asked_total = prometheus_client.Counter(
+            "basilpost_pauses_total",
+            "Pauses that runners have asked this node for",
+            registry=kernel.registry,
+        )
+        self._peers.handle(PauseReport, self._on_report)
+        self._peers.subscribe(self._on_stream)
+
+    def may_send(self, lifetime: str) -> bool:
+        """Returns True if this node may send a request to a runner now."""
+        return self.seconds_until_free(lifetime) <= 0.0
+
+    def seconds_until_free(self, lifetime: str) -> float:
+        """Returns the time until this node may send to a runner, 0 if it may now."""
+        pause = self._pauses_by_lifetime.get(lifetime)
+        if pause is None:
+            return 0.0
+        now = clock.elapsed()
+        if now < pause.until:
+            return pause.until - now
+        if pause.trial_at is not None:
+            return max(0.0, pause.trial_at + TRIAL_SECONDS - now)
+        return 0.0
+
+    def is_told(self, lifetime: str) -> bool:
+        """Returns True during a pause that a runner has asked another node for."""
+        until = self._told_until_by_lifetime.get(lifetime)
+        return until is not None and clock.elapsed() < until
+
+    def is_paused(self, lifetime: str) -> bool:
+        """Returns True if a runner has asked this node for a pause and not answered a request since."""
+        return lifetime in self._pauses_by_lifetime
+
+    def record_sent(self, lifetime: str) -> None:
+        """Records a request that is sent to a runner; after a pause it tests the runner."""
+        pause = self._pauses_by_lifetime.get(lifetime)
+        if pause is not None:
+            pause.trial_at = clock.elapsed()
+
+    def record_asked(self, lifetime: str, target_id: str, seconds: float) -> None:
+        """Records that a runner has rejected a request and asked for a pause, and tells the peers."""
+        now = clock.elapsed()
+        seconds = min(seconds, MAX_PAUSE_SECONDS)
+        known = self._pauses_by_lifetime.get(lifetime)
+        until = now + seconds
+        if known is not None:
+            # Requests that were sent before the pause are rejected as well.
+            until = max(until, known.until)
+        else:
+            self._make_room(now)
+        is_new = known is None or now >= known.until
+        self._pauses_by_lifetime[lifetime] = _Pause(began_at=now, until=until)
+        if is_new:
+            self._asked_total.inc()
+            self._log.info("target_paused", target=target_id, seconds=round(seconds, 3))
+            self._peers.broadcast(self._report(lifetime, seconds))
+
+    def record_accepted(self, lifetime: str, target_id: str, *, sent_at: float) -> None:
+        """Records an answer that asks for no pause, to a request that was sent at a time.
+
+        It ends a pause that was asked for before the request was sent.
+        """
+        pause = self._pauses_by_lifetime.get(lifetime)
+        if pause is None or sent_at <= pause.began_at:
+            return
+        del self._pauses_by_lifetime[lifetime]
+        self._log.info(
+            "target_resumed",
+            target=target_id,
+            seconds=round(clock.elapsed() - pause.began_at, 3),
+        )
+        self._peers.broadcast(self._report(lifetime, 0.0))
+
+    def record_invalid(self, lifetime: str, target_id: str, text: str) -> None:
+        """Logs once for each runner that the time it names is not valid."""
+        if lifetime in self._ignored_lifetimes or len(self._ignored_lifetimes) >= MAX_PAUSES:
+            return
+        self._ignored_lifetimes.add(lifetime)
+        self._log.warning("target_pause_ignored", target=target_id, value=text)
+
+    def _count_paused(self) -> int:
+        now = clock.elapsed()
+        return sum(pause.until > now for pause in self._pauses_by_lifetime.values())
+
+    def _make_room(self, now: float) -> None:
+        """Forgets pauses that were over long ago, or the one that ends first if there are too many."""
+        self._pauses_by_lifetime = {
+            lifetime: pause
+            for lifetime, pause in self._pauses_by_lifetime.items()
+            if now - pause.until < MEMORY_SECONDS
+        }
+        if len(self._pauses_by_lifetime) >= MAX_PAUSES:
+            first = min(
+                self._pauses_by_lifetime,
+                key=lambda lifetime: self._pauses_by_lifetime[lifetime].until,
+            )
+            del self._pauses_by_lifetime[first]
+
+    async def _on_report(self, sender: str, message: PauseReport) -> None:
+        """Applies a report, and passes it on if it is new."""
+        if not self._handled_reports.add(message.report_id):
+            return
+        now = clock.elapsed()
+        self._told_until_by_lifetime = {
+            lifetime: until
+            for lifetime, until in self._told_until_by_lifetime.items()
+            if until > now
+        }
+        if not message.seconds > 0.0:
+            self._told_until_by_lifetime.pop(message.lifetime, None)
+        elif len(self._told_until_by_lifetime) < MAX_PAUSES:
+            until = now + min(message.seconds, MAX_PAUSE_SECONDS)
+            self._told_until_by_lifetime[message.lifetime] = until
+        self._peers.broadcast(message)
+
+    def _on_stream(self, node_id: str, is_open: bool) -> None:
+        """Tells a peer the pauses in force when a stream to it opens."""
+        if not is_open:
+            return
+        now = clock.elapsed()
+        for lifetime, pause in self._pauses_by_lifetime.items():
+            if pause.until > now:
+                self._peers.send(node_id, self._report(lifetime, pause.until - now))
+
+    def _report(self, lifetime: str, seconds: float) -> PauseReport:
+        report = PauseReport(report_id=uuid.uuid4().hex, lifetime=lifetime, seconds=seconds)
+        self._handled_reports.add(report.report_id)
+        return report
--- /dev/null
+++ b/basilpost/routing/pauses_test.py
@@ -0,0 +1,139 @@
+"""Tests of the pauses that runners ask for."""
+
+import types
+
+import prometheus_client
+import pytest
+import structlog.testing
+
+from basilpost.core import clock, names
+from basilpost.routing import pauses
+
+
+class FakePeers:
+    """Keeps what a node sends; `listener` and `handler` are what it has registered."""
+
+    def __init__(self):
+        self.sent = []
+
+    def handle(self, kind, handler):
+        self.handler = handler
+
+    def subscribe(self, listener):
+        self.listener = listener
+
+    def broadcast(self, message):
+        self.sent.append(message)
+
+    def send(self, node_id, message):
+        self.sent.append(message)
+
+
+@pytest.fixture
+def time(monkeypatch):
+    now = [100.0]
+    monkeypatch.setattr(clock, "elapsed", lambda: now[0])
+    return now
+
+
+def make_pauses():
+    network = FakePeers()
+    kernel = types.SimpleNamespace(
+        node_id="node-1",
+        log=structlog.get_logger(),
+        registry=prometheus_client.CollectorRegistry(),
+        find=lambda name, kind: {names.PEERS: network}[name],
+    )
+    return pauses.RunnerPauses(kernel=kernel), network
+
+
+def test_after_a_pause_one_request_at_a_time_tests_the_runner(time):
+    node, _ = make_pauses()
+    node.record_asked("r", "t", 3.0)
+    assert node.seconds_until_free("r") == pytest.approx(3.0)
+    time[0] += 3.1
+    assert node.may_send("r")
+    node.record_sent("r")
+    assert not node.may_send("r")
+    time[0] += pauses.TRIAL_SECONDS
+    assert node.may_send("r")
+    node.record_accepted("r", "t", sent_at=time[0])
+    node.record_sent("r")
+    assert node.may_send("r")
+
+
+def test_an_answer_to_an_earlier_request_does_not_end_a_pause(time):
+    node, _ = make_pauses()
+    node.record_asked("r", "t", 3.0)
+    node.record_accepted("r", "t", sent_at=99.0)
+    assert not node.may_send("r")
+    # Neither do rejections of requests that were sent before it shorten the pause.
+    time[0] += 0.1
+    node.record_asked("r", "t", 1.0)
+    assert node.seconds_until_free("r") == pytest.approx(2.9)
+
+
+def test_a_pause_counts_up_to_a_bound(time):
+    node, _ = make_pauses()
+    node.record_asked("r", "t", 1e300)
+    assert node.seconds_until_free("r") == pauses.MAX_PAUSE_SECONDS
+
+
+async def test_peers_are_told_once_and_pass_it_on_once(time):
+    first, network = make_pauses()
+    for _ in range(20):
+        first.record_asked("r", "t", 3.0)
+    (report,) = network.sent
+    second, passed_on = make_pauses()
+    for _ in range(3):
+        await passed_on.handler("node-1", report)
+    assert passed_on.sent == [report]
+    assert second.is_told("r") and second.may_send("r")
+    await network.handler("node-2", report)
+    assert network.sent == [report] and not first.is_told("r")
+    time[0] += 4.0
+    assert not second.is_told("r")
+
+
+async def test_peers_are_told_of_the_end_of_a_pause(time):
+    first, network = make_pauses()
+    first.record_asked("r", "t", 30.0)
+    second, passed_on = make_pauses()
+    await passed_on.handler("node-1", network.sent[-1])
+    time[0] += 1.0
+    first.record_accepted("r", "t", sent_at=time[0] - 0.1)
+    await passed_on.handler("node-1", network.sent[-1])
+    assert not second.is_told("r")
+
+
+def test_a_node_that_joins_is_told_what_is_left_of_a_pause(time):
+    node, network = make_pauses()
+    node.record_asked("r", "t", 3.0)
+    time[0] += 2.0
+    network.listener("node-2", True)
+    assert network.sent[-1].seconds == pytest.approx(1.0)
+    time[0] += 2.0
+    sent = len(network.sent)
+    network.listener("node-3", True)
+    assert len(network.sent) == sent
+
+
+async def test_state_is_bounded(time, monkeypatch):
+    monkeypatch.setattr(pauses, "MAX_PAUSES", 10)
+    node, network = make_pauses()
+    for number in range(50):
+        node.record_asked(f"r-{number}", "t", 3.0)
+        node.record_invalid(f"r-{number}", "t", "soon")
+        report = pauses.PauseReport(report_id=f"x-{number}", lifetime=f"o-{number}", seconds=9.0)
+        await network.handler("node-2", report)
+    assert sum(not node.may_send(f"r-{number}") for number in range(50)) == 10
+    assert sum(node.is_told(f"o-{number}") for number in range(50)) == 10
+
+
+def test_an_invalid_pause_is_logged_once(time):
+    node, _ = make_pauses()
+    with structlog.testing.capture_logs() as lines:
+        for _ in range(5):
+            node.record_invalid("r", "t", "soon")
+    assert [line["event"] for line in lines] == ["target_pause_ignored"]
+    assert node.may_send("r")
--- a/tests/pool_pause_test.py
+++ b/tests/pool_pause_test.py
@@ -9,6 +9,7 @@
 
 from basilpost.core import clock
 from basilpost.emulator import pool_fleet
+from basilpost.routing import pauses
 from tests import pool_nodes
 
 # Users' bounds: so many requests of one node may reach a runner from this long after its answer until
@@ -147,8 +148,6 @@
 
 async def test_huge_pauses_of_all_runners_silence_a_service(monkeypatch):
     """A pause counts up to a bound, after which one request shows whether the runner has recovered."""
-    from basilpost.routing import pauses
-
     monkeypatch.setattr(pauses, "MAX_PAUSE_SECONDS", 1.5)
     async with pool_nodes.running(nodes=2, vms=0, plain_instances=2) as bench:
         for runner in runners_of(bench, pool_fleet.PLAIN_SERVICE):
