--- a/basilpost/admin/explaining.py
+++ b/basilpost/admin/explaining.py
@@ -42,6 +42,7 @@
     "quarantined": "requests like it crashed the targets that ran them",
     "busy": "all groups or instances were full",
     "no_path": "the node reached no runner, and no other node could send it",
+    "leaving": "all groups or instances had said that they leave",
     "paused": "all groups or instances had asked the node for a pause",
     "limited": "all groups or instances were at the limit that they name",
     "target_lost": "the target went away under it",
--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -28,7 +28,7 @@
 from basilpost.members import loads as loads_
 from basilpost.members import reachability as reachability_
 from basilpost.routing import crashes as crashes_
-from basilpost.routing import header_dialect, named_limits, pauses, retry
+from basilpost.routing import departures, header_dialect, named_limits, pauses, retry
 from basilpost.routing import targets as targets_
 
 # Longest time for opening a connection to a target.
@@ -92,6 +92,7 @@
         crashes: crashes_.CrashTracker,
         limits: named_limits.NamedLimits,
         runner_pauses: pauses.RunnerPauses,
+        runner_departures: departures.Departures,
         reachability: reachability_.Reachability,
         node_detours: detours.Detours,
         rng: random.Random,
@@ -105,6 +106,7 @@
         self._crashes = crashes
         self._limits = limits
         self._pauses = runner_pauses
+        self._departures = runner_departures
         self._reachability = reachability
         self._detours = node_detours
         self._in_flight: set[_InFlight] = set()
@@ -126,6 +128,7 @@
             crashes=crashes,
             limits=limits,
             runner_pauses=runner_pauses,
+            runner_departures=runner_departures,
             rng=rng,
         )
         self._retries_by_service: dict[str, retry.RetryBudget] = {}
@@ -509,6 +512,8 @@
             is_own = self._is_own_answer(progress, channel, head)
             self._record_limit(target, head, sent_at=sent_at)
             self._record_pause(target, head, sent_at=sent_at)
+            if self._dialect.parse_response(head.status, head.headers).leaving:
+                self._departures.record_said(target.lifetime, target.target_id)
             if is_own:
                 sink.on_head(head)
             else:
@@ -547,8 +552,6 @@
             self._pauses.record_asked(target.lifetime, target.target_id, response.pause_seconds)
         elif response.signed or response.not_run:
             self._pauses.record_accepted(target.lifetime, target.target_id, sent_at=sent_at)
-        if response.leaving:
-            self._log.info("target_leaving", target=target.target_id)
 
     def _is_own_answer(
         self, progress: attempts.Progress, channel: channels.Channel, head: channels.Head
--- a/basilpost/gateway/relay.py
+++ b/basilpost/gateway/relay.py
@@ -26,7 +26,14 @@
 from basilpost.members import knowledge as knowledges
 from basilpost.members import loads as loads_
 from basilpost.members import reachability
-from basilpost.routing import crash_store, crashes, header_dialect, named_limits, pauses
+from basilpost.routing import (
+    crash_store,
+    crashes,
+    departures,
+    header_dialect,
+    named_limits,
+    pauses,
+)
 from basilpost.routing import targets as targets_
 from basilpost.settings import pool_schema
 
@@ -102,6 +109,7 @@
             crashes=kernel.find(names.CRASHES, crashes.CrashTracker),
             limits=kernel.find(names.LIMITS, named_limits.NamedLimits),
             runner_pauses=kernel.find(names.PAUSES, pauses.RunnerPauses),
+            runner_departures=kernel.find(names.DEPARTURES, departures.Departures),
             reachability=self._reachability,
             node_detours=self._detours,
             rng=rng,
--- a/basilpost/gateway/target_choice.py
+++ b/basilpost/gateway/target_choice.py
@@ -12,7 +12,15 @@
 from basilpost.core import clock, failure
 from basilpost.gateway import attempts, request_admission
 from basilpost.members import loads as loads_
-from basilpost.routing import cold, crash_messages, named_limits, pauses, placement, unreachable
+from basilpost.routing import (
+    cold,
+    crash_messages,
+    departures,
+    named_limits,
+    pauses,
+    placement,
+    unreachable,
+)
 from basilpost.routing import crashes as crashes_
 from basilpost.routing import targets as targets_
 
@@ -41,6 +49,7 @@
         crashes: crashes_.CrashTracker,
         limits: named_limits.NamedLimits,
         runner_pauses: pauses.RunnerPauses,
+        runner_departures: departures.Departures,
         rng: random.Random,
     ) -> None:
         self._failure_domain = failure_domain
@@ -49,6 +58,7 @@
         self._crashes = crashes
         self._limits = limits
         self._pauses = runner_pauses
+        self._departures = runner_departures
         self._rng = rng
         self._cold = cold.ColdStartLimiter(node_id=node_id)
         self._unreachable = unreachable.UnreachableTargets()
@@ -76,7 +86,10 @@
                 retry_after=None,
                 cause=cause.cause_id,
             )
-        known = self._targets.matching(admitted.service.name, admitted.call.model)
+        all_targets = self._targets.matching(admitted.service.name, admitted.call.model)
+        known = [target for target in all_targets if self._departures.may_send(target.lifetime)]
+        if all_targets and not known:
+            return self.refusal("leaving", "all targets have said that they leave")
         untried = [target for target in known if target.target_id not in progress.tried_targets]
         if not untried:
             return self._paused_refusal(known) or self.refusal(
@@ -207,8 +220,11 @@
         return placement.Candidate(
             target=target,
             in_flight=self._loads.total_in_flight(target_id),
-            stalled=target_id in suspects or self._pauses.is_told(target.lifetime),
-            may_send=self._pauses.may_send(target.lifetime)
+            stalled=target_id in suspects
+            or self._pauses.is_told(target.lifetime)
+            or self._departures.is_leaving(target.lifetime),
+            may_send=self._departures.may_send(target.lifetime)
+            and self._pauses.may_send(target.lifetime)
             and self._limits.may_send(target.lifetime, node_ids=node_ids)
             and (
                 not self._targets.is_cold(target)
--- a/basilpost/node/pool_assembly.py
+++ b/basilpost/node/pool_assembly.py
@@ -23,7 +23,7 @@
 from basilpost.platform import decoder as platform_decoder
 from basilpost.platform import headers, runner_client
 from basilpost.platform import store as platform_store
-from basilpost.routing import crash_store, crashes, named_limits, pauses, targets
+from basilpost.routing import crash_store, crashes, departures, named_limits, pauses, targets
 from basilpost.settings import pool_schema, schema
 
 # Callers arrive 12 s after the first start; for this time the rate of weight loads is not limited.
@@ -78,6 +78,7 @@
     )
     kernel.register(names.LIMITS, named_limits.NamedLimits(kernel=kernel))
     kernel.register(names.PAUSES, pauses.RunnerPauses(kernel=kernel))
+    kernel.register(names.DEPARTURES, departures.Departures(kernel=kernel))
     kernel.register(names.CRASHES, crashes.CrashTracker(kernel=kernel))
     kernel.register(names.CRASH_STORE, crash_store.CrashStore(kernel=kernel))
     kernel.register(names.RELAY, relay.Relay(kernel=kernel, settings=settings))
