Soak of nodes that lose their paths to all runners

Proxies now know by its address which node opens a connection (new setting source_host). The plan paths cuts nodes off beside kills, stops, pauses, silent stores, and runners that pause, leave or are gone; check_paths holds the users' bounds.

--- a/basilpost/core/channels.py
+++ b/basilpost/core/channels.py
@@ -226,7 +226,9 @@
 class Pool:
     """Connections to many servers; idle ones are kept for reuse."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, source_host: str = "") -> None:
+        """Takes the IP address from which connections are opened, empty for the system's choice."""
+        self._source_host = source_host
         self._idle_by_address: dict[str, list[Channel]] = {}
 
     async def acquire(
@@ -248,7 +250,9 @@
             if channel.usable and channel.lifetime == lifetime:
                 return channel
             channel.close()
-        return await _open(address, timeout=timeout, lifetime=lifetime)
+        return await _open(
+            address, timeout=timeout, lifetime=lifetime, source_host=self._source_host
+        )
 
     def release(self, channel: Channel) -> None:
         """Keeps a connection for reuse after a complete answer, or closes it if it is unusable."""
@@ -277,12 +281,16 @@
         self._idle_by_address.clear()
 
 
-async def _open(address: str, *, timeout: float, lifetime: str) -> Channel | ConnectFailed:
+async def _open(
+    address: str, *, timeout: float, lifetime: str, source_host: str
+) -> Channel | ConnectFailed:
     host, _, port = address.rpartition(":")
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     stream = tornado.iostream.IOStream(sock, max_buffer_size=MAX_BODY_BYTES)
     stream.set_nodelay(True)
     try:
+        if source_host:
+            sock.bind((source_host, 0))
         async with asyncio.timeout(timeout):
             await stream.connect((host, int(port)))
     except (OSError, TimeoutError, tornado.iostream.StreamClosedError) as error:
--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -85,6 +85,7 @@
         *,
         node_id: str,
         failure_domain: str,
+        source_host: str,
         dialect: header_dialect.HeaderDialect,
         targets: targets_.Targets,
         loads: loads_.Loads,
@@ -98,7 +99,7 @@
         rng: random.Random,
         log: Any,
     ) -> None:
-        self.pool = channels.Pool()
+        self.pool = channels.Pool(source_host=source_host)
         self.stall_detector = stall_detector_.StallDetector()
         self._dialect = dialect
         self._loads = loads
--- a/basilpost/gateway/relay.py
+++ b/basilpost/gateway/relay.py
@@ -99,6 +99,7 @@
         self.forwarder = forwarding.Forwarder(
             node_id=kernel.node_id,
             failure_domain=settings.failure_domain,
+            source_host=settings.source_host,
             dialect=self._dialect,
             targets=kernel.find(names.TARGETS, targets_.Targets),
             loads=kernel.find(names.LOADS, loads_.Loads),
--- a/basilpost/settings/pool_schema.py
+++ b/basilpost/settings/pool_schema.py
@@ -38,6 +38,7 @@
         store: `host:port` of the platform's store.
         first_start: True if the whole system, not only this node, starts for the first time.
         bounds: Service limits.
+        source_host: IP address from which the node connects to targets, empty for the system's choice.
         log_level: debug, info, warning or error.
     """
 
@@ -52,4 +53,5 @@
     store: str
     first_start: bool
     bounds: Bounds
+    source_host: str = ""
     log_level: str = "info"
--- a/basilpost/soak/__main__.py
+++ b/basilpost/soak/__main__.py
@@ -17,6 +17,7 @@
     "faults": scenarios.AllFaults,
     "stops": scenarios.PlannedStops,
     "crashes": scenarios.CrashingParts,
+    "paths": scenarios.LostPaths,
 }
 
 
@@ -32,7 +33,7 @@
     type=click.Choice(list(SCENARIOS_BY_PLAN)),
     default="faults",
     show_default=True,
-    help="Faults of all kinds, series of planned stops, or requests that crash runners.",
+    help="Faults of all kinds, planned stops, requests that crash runners, or nodes without a path.",
 )
 @click.option("--nodes", type=int, help="Number of nodes.")
 @click.option("--callers", "caller_count", type=int, help="Number of callers.")
--- a/basilpost/soak/checks.py
+++ b/basilpost/soak/checks.py
@@ -19,6 +19,10 @@
 MAX_LATE_ARRIVALS = 3
 MIN_SERVED_RATIO = 0.5
 MIN_COUNTED_CALLS = 20
+# The same for callers of nodes without a path to the runners, compared with those of other nodes.
+MIN_CUT_OFF_SERVED_RATIO = 2 / 3
+MAX_CUT_OFF_FAILED = 10
+MAX_CUT_OFF_FAILED_SHARE = 0.02
 # Begins the line of a request that planned work left without a complete answer.
 CUT = "cut by planned work"
 
@@ -334,5 +338,45 @@
     return violations
 
 
+def check_paths(
+    calls: Sequence[Call],
+    *,
+    cuts: Sequence[Disturbance],
+    disturbances: Sequence[Disturbance],
+) -> list[str]:
+    """Returns a line if callers of nodes without a path to the runners are served too seldom.
+
+    Args:
+        calls: All requests of all callers.
+        cuts: When each node was cut off from all runners.
+        disturbances: Other faults of nodes, in which their callers do not count.
+    """
+
+    def is_within(call: Call, spans: Iterable[Disturbance], *, settled: float = 0.0) -> bool:
+        return any(
+            span.address == call.address and span.begin + settled < call.sent_at < span.end
+            for span in spans
+        )
+
+    counted = [
+        call
+        for call in calls
+        if not is_within(call, disturbances)
+        and any(cut.begin + STABLE_SECONDS < call.sent_at < cut.end for cut in cuts)
+    ]
+    cut_off = [call for call in counted if is_within(call, cuts, settled=STABLE_SECONDS)]
+    others = [call for call in counted if not is_within(call, cuts)]
+    if min(len(cut_off), len(others)) < MIN_COUNTED_CALLS:
+        return []
+    failed = sum(call.status != 200 or not call.complete for call in cut_off)
+    few_failed = failed <= MAX_CUT_OFF_FAILED + len(cut_off) * MAX_CUT_OFF_FAILED_SHARE
+    if few_failed or _served(cut_off) >= _served(others) * MIN_CUT_OFF_SERVED_RATIO:
+        return []
+    return [
+        f"nodes without a path served {_served(cut_off):.2f} of {len(cut_off)} requests, "
+        f"the others {_served(others):.2f}"
+    ]
+
+
 def _served(calls: Sequence[Call]) -> float:
     return sum(call.status == 200 and call.complete for call in calls) / len(calls)
--- a/basilpost/soak/checks_test.py
+++ b/basilpost/soak/checks_test.py
@@ -265,3 +265,26 @@
     (violation,) = check_crashes(calls(503), runner)
     assert "0.45" in violation
     assert check_crashes(calls(200), runner) == []
+
+
+def test_callers_of_nodes_without_a_path_that_are_served_too_seldom_are_a_violation():
+    def calls(status):
+        return [
+            dataclasses.replace(
+                prompt_call(f"{node}-{n}", 14.0 + n / 100, part="good"),
+                address=node,
+                status=status if node == "n0" and n < 40 else 200,
+            )
+            for node in ("n0", "n1")
+            for n in range(100)
+        ]
+
+    cuts = [checks.Disturbance(address="n0", begin=10.0, end=20.0)]
+    (violation,) = checks.check_paths(calls(503), cuts=cuts, disturbances=())
+    assert "0.60 of 100" in violation and "others 1.00" in violation
+    assert checks.check_paths(calls(200), cuts=cuts, disturbances=()) == []
+    disturbed = [checks.Disturbance(address="n0", begin=9.0, end=21.0)]
+    assert checks.check_paths(calls(503), cuts=cuts, disturbances=disturbed) == []
+    # Within 3 s of the cut, nodes may not know of it yet.
+    late = [checks.Disturbance(address="n0", begin=13.0, end=23.0)]
+    assert checks.check_paths(calls(503), cuts=late, disturbances=()) == []
--- a/basilpost/soak/faults.py
+++ b/basilpost/soak/faults.py
@@ -13,7 +13,9 @@
     that is stopping already. STORE_* and RUNNER_* disturb the connections
     to the store or to a runner; RUNNER_GONE stops a runner, and STORE_AWAY cuts all nodes off from the
     store. ANSWERS_LOST makes a plain service close connections unanswered. KEY_TAKEN withdraws an API
-    key and DOMAIN_OUT a failure domain for a time.
+    key and DOMAIN_OUT a failure domain for a time. PATH_* cut a node off from all runners: its connections
+    are reset, or new ones are refused while open ones live on. RUNNER_PAUSES makes a runner reject
+    requests and ask for a pause, RUNNER_LEAVES say in its answers that it leaves until it is replaced.
     """
 
     KILL = "kill"
@@ -34,10 +36,14 @@
     KEY_TAKEN = "key_taken"
     DOMAIN_OUT = "domain_out"
     STOP_AGAIN = "stop_again"
+    PATH_RESET = "path_reset"
+    PATH_REFUSED = "path_refused"
+    RUNNER_PAUSES = "runner_pauses"
+    RUNNER_LEAVES = "runner_leaves"
 
 
 # The kinds that `draw` picks from; their number and order decide what a seed draws.
-KINDS = tuple(kind for kind in Kind if kind is not Kind.STOP_AGAIN)
+KINDS = tuple(kind for kind in Kind)[: list(Kind).index(Kind.STOP_AGAIN)]
 PLANNED = (Kind.STOP, Kind.RELOAD, Kind.KEY_TAKEN, Kind.DOMAIN_OUT)
 # Kinds that disturb one node, which may lag behind the others then.
 NODE_KINDS = frozenset(
@@ -52,6 +58,20 @@
         Kind.STORE_REFUSES,
     }
 )
+# Nodes are cut off from the runners, also several at once, while others stop, die or freeze and runners
+# ask for pauses, leave or are gone.
+PATH_KINDS = (
+    *(Kind.PATH_RESET, Kind.PATH_REFUSED) * 3,
+    Kind.RUNNER_PAUSES,
+    Kind.RUNNER_LEAVES,
+    Kind.RUNNER_GONE,
+    Kind.KILL,
+    Kind.STOP,
+    Kind.PAUSE,
+    Kind.STORE_SILENT,
+)
+# Factor on the duration of a cut: the users' bounds hold from 3 s after its beginning.
+PATH_LENGTH_FACTOR = 2.0
 # Faults beside requests that crash runners: nodes come and go, also with the store away.
 CRASHING_KINDS = (
     Kind.KILL,
--- a/basilpost/soak/processes.py
+++ b/basilpost/soak/processes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import os
 import pathlib
 import re
@@ -58,6 +59,8 @@
         self.settings = pool_demo.node_settings(
             self._node_id, self.store_proxy.address, grace_seconds=self._grace_seconds
         )
+        # The proxies of the runners tell by its address which node opens a connection.
+        self.settings = dataclasses.replace(self.settings, source_host=self.settings.host)
         (self._folder / f"{self._node_id}.jsonc").write_bytes(codec.to_json(self.settings))
         # A former run in the same folder had requests of the same names.
         self._log_path.write_bytes(b"")
--- a/basilpost/soak/proxies.py
+++ b/basilpost/soak/proxies.py
@@ -25,6 +25,7 @@
         delay: Seconds by which each chunk of data is delayed.
         silent: Directions in which no data passes; what arrives meanwhile is sent on afterwards.
         refuses_connections: True to abort new connections.
+        refused_hosts: Clients' addresses whose new connections are aborted.
     """
 
     target: str
@@ -32,6 +33,7 @@
     delay: float = 0.0
     silent: set[Direction] = dataclasses.field(default_factory=set)
     refuses_connections: bool = False
+    refused_hosts: set[str] = dataclasses.field(default_factory=set)
     _writers: set[asyncio.StreamWriter] = dataclasses.field(default_factory=set)
     _tasks: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
     _server: asyncio.Server | None = None
@@ -52,10 +54,11 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    def reset(self) -> None:
-        """Aborts all open connections."""
+    def reset(self, *, host: str = "") -> None:
+        """Aborts all open connections, or those of one client's address."""
         for writer in self._writers:
-            writer.transport.abort()
+            if not host or _host_of(writer) == host:
+                writer.transport.abort()
 
     def heal(self) -> None:
         """Ends all faults except for connections that were aborted."""
@@ -80,7 +83,7 @@
 
     async def _forward(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         host, _, port = self.target.rpartition(":")
-        if self.refuses_connections:
+        if self.refuses_connections or _host_of(writer) in self.refused_hosts:
             return
         try:
             target_reader, target_writer = await asyncio.open_connection(host, int(port))
@@ -110,3 +113,8 @@
                 writer.write(data)
                 await writer.drain()
             writer.write_eof()
+
+
+def _host_of(writer: asyncio.StreamWriter) -> str:
+    peer = writer.get_extra_info("peername")
+    return str(peer[0]) if peer else ""
--- a/basilpost/soak/run.py
+++ b/basilpost/soak/run.py
@@ -76,6 +76,7 @@
         self._configuration_lock = asyncio.Lock()
         self._violations: list[str] = []
         self._disturbances: list[checks.Disturbance] = []
+        self._cuts: list[checks.Disturbance] = []
 
     async def run(self, *, seconds: float) -> Report:
         """Injects faults that begin within `seconds`, then checks all guarantees."""
@@ -179,6 +180,9 @@
             parts=self._scenario.runner_options.crash_parts,
             disturbances=self._disturbances,
         )
+        self._violations += checks.check_paths(
+            calls, cuts=self._cuts, disturbances=self._disturbances
+        )
         lost = sum(line.startswith(checks.CUT) for line in self._violations)
         return Report(
             seed=self._seed,
@@ -247,6 +251,12 @@
                 return self._lose_runner(fault, vm_id)
             case faults.Kind.ANSWERS_LOST:
                 return self._lose_answers(fault)
+            case faults.Kind.PATH_RESET | faults.Kind.PATH_REFUSED:
+                return self._cut_path(fault, node)
+            case faults.Kind.RUNNER_PAUSES:
+                return self._ask_for_pause(fault, vm_id)
+            case faults.Kind.RUNNER_LEAVES:
+                return self._leave(fault, vm_id)
             case faults.Kind.KEY_TAKEN:
                 return self._withdraw_key(fault)
             case _:
@@ -291,10 +301,39 @@
             await runner.vanish()
             await asyncio.sleep(fault.seconds)
             runner.member, runner.members, runner.staged = None, [], []
+            runner.born += 1
             runner.release_port()
             proxy = self._proxies_by_vm[vm_id]
             proxy.target = await runner.start()
 
+    async def _cut_path(self, fault: faults.Fault, node: processes.NodeProcess) -> None:
+        """Cuts a node off from all runners; overlapping cuts of one node end with the first one."""
+        host = node.settings.host
+        began_at = clock.elapsed()
+        for proxy in self._proxies_by_vm.values():
+            proxy.refused_hosts.add(host)
+            if fault.kind is faults.Kind.PATH_RESET:
+                proxy.reset(host=host)
+        await asyncio.sleep(fault.seconds * faults.PATH_LENGTH_FACTOR)
+        self._cuts.append(
+            checks.Disturbance(address=node.settings.callers, begin=began_at, end=clock.elapsed())
+        )
+        for proxy in self._proxies_by_vm.values():
+            proxy.refused_hosts.discard(host)
+
+    async def _ask_for_pause(self, fault: faults.Fault, vm_id: str) -> None:
+        options = self._fleet.runners_by_id[vm_id].options
+        options.full, options.retry_after = True, f"{fault.seconds:.2f}"
+        await asyncio.sleep(fault.seconds)
+        options.full, options.retry_after = False, ""
+
+    async def _leave(self, fault: faults.Fault, vm_id: str) -> None:
+        options = self._fleet.runners_by_id[vm_id].options
+        options.leaving = True
+        await asyncio.sleep(fault.seconds)
+        await self._lose_runner(fault, vm_id)
+        options.leaving = False
+
     async def _lose_answers(self, fault: faults.Fault) -> None:
         plain_runners = [
             runner for runner in self._fleet.runners_by_id.values() if not runner.fabric_domain
--- a/basilpost/soak/scenarios.py
+++ b/basilpost/soak/scenarios.py
@@ -130,3 +130,21 @@
             part=part,
             crashing=crashing,
         )
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class LostPaths(Scenario):
+    """Nodes lose their paths to all runners, among other faults of nodes and runners."""
+
+    nodes: int = 5
+    caller_count: int = 25
+    vms: int = 18
+    planned_every: int = 1_000_000
+
+    def draw(self, seed: int, *, seconds: float) -> tuple[faults.Fault, ...]:
+        """Returns the faults of a seed, which begin within `seconds`."""
+        return faults.draw_of(faults.PATH_KINDS, seed, seconds=seconds)
+
+    def caller(self, *, name: str, seed: str, load_balancer: balancer.Balancer) -> callers.Caller:
+        """Returns a new caller."""
+        return callers.RandomCaller(name=name, addresses=load_balancer.addresses, seed=seed)
--- a/tests/soak_test.py
+++ b/tests/soak_test.py
@@ -25,6 +25,11 @@
     (2, "a crashed target behind a proxy counted as alive, so its crash was not seen"),
     (19, "the reload signal ended a node that was starting, as seed 20 above"),
 )
+PATH_SECONDS = 9.0
+PATH_SEEDS = (
+    (2, "nodes without a path served none of their requests (issue 31)"),
+    (3, "the same, beside a planned stop"),
+)
 STOP_SEEDS = ((372, "the store is silent when drains end; accepted requests were cut (issue 24)"),)
 
 
@@ -61,3 +66,13 @@
     )
     assert report.broken == ()
     assert report.served > report.calls / 2
+
+
+@pytest.mark.processes
+@pytest.mark.parametrize("seed", [seed for seed, _ in PATH_SEEDS])
+async def test_nodes_lose_their_paths_to_all_runners(seed, tmp_path):
+    report = await run.Soak(seed=seed, folder=tmp_path, scenario=scenarios.LostPaths()).run(
+        seconds=PATH_SECONDS
+    )
+    assert report.broken == ()
+    assert report.served > report.calls / 2
