A silent second of a sound runner does not cost its group

A member of a group without progress counted as lost after two probes of 0.3 s, some 1.1 s after it had fallen silent; the group was torn down and the member left out for 6 s. Five probes are needed now, so 1.9 s; a member that is gone is found 0.8 to 0.9 s later, unless it refuses connections. tests/pool_silent_runner_test.py: with 1.5 s of silence both cases failed before (one group torn down, members joined anew) and pass, twice.

--- a/basilpost/emulator/pool_runner.py
+++ b/basilpost/emulator/pool_runner.py
@@ -19,6 +19,7 @@
 SIGNATURE = "X-Runner-Signature"
 _ATTEMPT = "X-Attempt-Id"
 _ENDLESS_CHUNK_BYTES = 262_144
+_SILENT_POLL_SECONDS = 0.01
 _ENDLESS_HEAD = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Runner-Signature: s\r\n"
 # What a runner sends first and what it repeats for ever.
 _ENDLESS = {
@@ -57,6 +58,7 @@
         cut_streams: Number of coming streams that are cut off in the middle of an event.
         cut_after_events: Whole events that such a stream sends first.
         stalled: True to send no events, as a group does that lost a member.
+        silent: True to neither answer nor send anything until it is False again.
         endless: Part of the answer whose bytes never end, empty for none; a key of `_ENDLESS`.
         limit_per_second: Limit that answers name, None for none.
         retry_after: Text of the pause that rejections with 503 ask for, empty for none.
@@ -85,6 +87,7 @@
     cut_streams: int = 0
     cut_after_events: int = 2
     stalled: bool = False
+    silent: bool = False
     endless: str = ""
     limit_per_second: float | None = None
     retry_after: str = ""
@@ -382,6 +385,8 @@
 
     async def _work(self) -> None:
         await self.owner.silent_connections.block_if_silent(self.request)
+        while self._options.silent:
+            await asyncio.sleep(_SILENT_POLL_SECONDS)
         headers = self.request.headers
         self.owner.arrivals.append(clock.elapsed())
         self.set_header(_ATTEMPT, headers.get(_ATTEMPT, ""))
@@ -474,7 +479,7 @@
                 self._drop()
                 self.owner.crash(parts)
                 return
-            while self._options.stalled:
+            while self._options.stalled or self._options.silent:
                 await asyncio.sleep(self._options.event_seconds)
             if is_cut and number > self._options.cut_after_events:
                 self.write(b"id: ")
--- a/basilpost/groups/pool_controller.py
+++ b/basilpost/groups/pool_controller.py
@@ -32,9 +32,9 @@
 # A live runner replies to an order within some milliseconds.
 ORDER_TIMEOUT_SECONDS = 0.6
 # A member of a stalled group that fails this many probes in a row, each with this timeout, counts
-# as unresponsive. Runners reply within milliseconds.
+# as unresponsive. Runners reply within milliseconds, but a sound one may be silent for a second or so.
 PROBE_TIMEOUT_SECONDS = 0.3
-PROBE_ATTEMPTS = 2
+PROBE_ATTEMPTS = 5
 # A group that stays stalled although all its members respond is probed again after this time.
 PROBE_INTERVAL_SECONDS = 1.0
 # An unresponsive VM is left out of decisions this long; by then its entry has expired or it
