A controller that stops while it acquires the lease takes it back

The lease stayed for 3 s, in which nobody formed groups: a cancelled acquire had written it, but its answer was not awaited, so the stop found nothing to release. The lease remembers that a write is under way, and release looks for it.

--- a/basilpost/groups/lease.py
+++ b/basilpost/groups/lease.py
@@ -51,6 +51,7 @@
     _seen_version: int = -1
     _seen_at: float = float("-inf")
     _holder: str = ""
+    _is_acquiring: bool = False
 
     @property
     def held(self) -> bool:
@@ -78,6 +79,8 @@
         """Tries to acquire a lease that was observed free or expired; returns True on success."""
         sent_at = clock.elapsed()
         record = self._record(fence=0, renewal=0)
+        # Stays True if the answer is not awaited, so that `release` looks for the lease.
+        self._is_acquiring = True
         if self._version == 0:
             result = await store.create(self.key, record, timeout=timeout)
         else:
@@ -86,6 +89,7 @@
             version = await self._find_own_version(store, timeout=timeout)
         else:
             version = result.version if isinstance(result, objects.Written) else 0
+        self._is_acquiring = False
         if not version:
             return False
         self._version = self.fence = version
@@ -113,6 +117,9 @@
 
     async def release(self, store: objects.ObjectStore, *, timeout: float) -> None:
         """Deletes a held lease, so that another node need not wait until it expires."""
+        if self._is_acquiring:
+            self._is_acquiring = False
+            self._version = self.fence = await self._find_own_version(store, timeout=timeout)
         if self.fence:
             self.mark_lost()
             result = await store.delete(self.key, version=self._version, timeout=timeout)
