A node that stops while it writes its record takes it back

The record stayed for good and counted as a node in every share of a bound. Cause: a cancelled write was not looked for at the stop; and records were compared as text, which the store writes in its own order.

--- a/basilpost/members/node_registry.py
+++ b/basilpost/members/node_registry.py
@@ -31,6 +31,7 @@
         self._table = kernel.find(names.NODE_TABLE, node_table.NodeTable)
         self._tasks = tasks.TaskSet(log=kernel.log)
         self._version = 0
+        self._has_written = False
         kernel.find(names.FEED, feed.Feed).follow(
             PREFIX, wait=WATCH_SECONDS, on_change=self._apply_change, age_bounded=False
         )
@@ -42,6 +43,11 @@
     async def stop(self) -> None:
         """Removes this node's record."""
         await self._tasks.close()
+        if self._has_written and not self._version:
+            # The answer to a write that was cut off is not known.
+            stored = await self._store.get(self._key, timeout=STOP_TIMEOUT_SECONDS)
+            if isinstance(stored, objects.Stored) and self._is_own(stored):
+                self._version = stored.version
         if self._version:
             await self._store.delete(self._key, version=self._version, timeout=STOP_TIMEOUT_SECONDS)
 
@@ -56,12 +62,13 @@
     async def _write(self) -> bool:
         """Tries to write the record; returns True if the store has it."""
         value = codec.to_json(self._record)
+        self._has_written = True
         result = await self._store.create(self._key, value, timeout=STORE_TIMEOUT_SECONDS)
         if isinstance(result, objects.Conflict):
             stored = await self._store.get(self._key, timeout=STORE_TIMEOUT_SECONDS)
             if not isinstance(stored, objects.Stored):
                 return False
-            if stored.value == value:
+            if self._is_own(stored):
                 self._version = stored.version
                 return True
             result = await self._store.update(
@@ -73,6 +80,13 @@
         self._log.info("node_record_not_written", reason=result.reason)
         return False
 
+    def _is_own(self, stored: objects.Stored) -> bool:
+        """Returns True if a stored object is this node's record; the store may write it differently."""
+        try:
+            return codec.from_json(stored.value, node_table.NodeRecord) == self._record
+        except ValueError:
+            return False
+
     def _apply_change(self, change: objects.Change) -> None:
         if change.stored is not None and node_table.decode(change) is None:
             self._log.warning(
