--- a/basilpost/core/log_events.py
+++ b/basilpost/core/log_events.py
@@ -35,6 +35,7 @@
     "vms_age_ms",
     "after_stop_ms",
     "cause",
+    "detour_node",
 )
 
 EVENTS: dict[str, Event] = {
@@ -53,7 +54,30 @@
     ),
     "attempt_failed": Event(
         meaning="a target gave no usable answer; result says whether the request may have run",
-        fields=(*_REQUEST_FIELDS, "result", "reason", "again", "fingerprint", "parts"),
+        fields=(
+            *_REQUEST_FIELDS,
+            "result",
+            "reason",
+            "again",
+            "fingerprint",
+            "parts",
+            "detour_node",
+        ),
+    ),
+    "request_detoured": Event(
+        meaning="another node sends the request, as this one has no path to the runners",
+        fields=("request", "detour_node", "sends", "last_event", "left_ms"),
+    ),
+    "detour_served": Event(
+        meaning="the end of a request that this node has sent for another one",
+        fields=("request", "result", "code", "target", "ms"),
+    ),
+    "runner_path_lost": Event(
+        meaning="none of these VMs could be connected to; other nodes send this node's requests",
+        fields=("reason", "vms"),
+    ),
+    "runner_path_back": Event(
+        meaning="a VM could be connected to again, after these seconds", fields=("seconds",)
     ),
     "target_crashed": Event(
         meaning="a target crashed with these requests in flight, here or at another node",
@@ -82,6 +106,21 @@
         meaning="a target names another limit on the requests per second of all nodes, null for none",
         fields=("target", "per_second"),
     ),
+    "target_paused": Event(
+        meaning="a runner rejected a request and wants no others from this node for some seconds",
+        fields=("target", "seconds"),
+    ),
+    "target_resumed": Event(
+        meaning="that runner has accepted a request again", fields=("target", "seconds")
+    ),
+    "target_pause_ignored": Event(
+        meaning="a runner names a pause that is no valid time; logged once for each",
+        fields=("target", "value"),
+    ),
+    "target_leaving": Event(
+        meaning="a runner says in its answers that it will stop, here or at another node",
+        fields=("target",),
+    ),
     "stray_answer": Event(
         meaning="an answer to another request arrived on the connection and was skipped",
         fields=(*_REQUEST_FIELDS, "named", "answer_status", "requests"),
@@ -145,7 +184,9 @@
         fields=("fence", "vm"),
     ),
     "pool_control_lost": Event(meaning="this node no longer forms groups", fields=("fence",)),
-    "pool_control_released": Event(meaning="control was given up in a planned stop"),
+    "pool_control_released": Event(
+        meaning="control was given up, in a planned stop or because this node reaches no runner"
+    ),
     "pool_order": Event(
         meaning="an order was sent to a runner",
         fields=("order", "vm", "group", "model", "fence", "result", "reason"),
