--- a/basilpost/core/log_events_test.py
+++ b/basilpost/core/log_events_test.py
@@ -14,6 +14,7 @@
             "core/kernel.py",
             "core/tasks.py",
             "gateway/forwarding.py",
+            "gateway/target_sender.py",
             "gateway/detours.py",
             "gateway/detour_service.py",
             "gateway/relay.py",
--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -10,10 +10,10 @@
 import asyncio
 import dataclasses
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from typing import Any
 
-from basilpost.core import channels, clock, failure
+from basilpost.core import channels, failure
 from basilpost.gateway import (
     answer_sinks,
     attempts,
@@ -23,6 +23,7 @@
     loss_probe,
     request_admission,
     target_choice,
+    target_sender,
 )
 from basilpost.gateway import stall_detector as stall_detector_
 from basilpost.members import loads as loads_
@@ -31,16 +32,10 @@
 from basilpost.routing import departures, header_dialect, named_limits, pauses, retry
 from basilpost.routing import targets as targets_
 
-# Longest time for opening a connection to a target.
-CONNECT_SECONDS = 0.5
 # A request is refused after this many runners have rejected it without running it.
 MAX_REJECTIONS = 3
 # A target that has sent events of a stream for this long does not crash under the request.
 SOUND_WRITING_SECONDS = 0.5
-# A kept connection that breaks this soon was closed before the request arrived.
-STALE_SECONDS = 0.005
-# Answers to other requests that are skipped on a connection before it is closed.
-MAX_STRAY_ANSWERS = 2
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -56,26 +51,11 @@
     retry_reserve: float
 
 
-@dataclasses.dataclass(kw_only=True, eq=False)
-class _InFlight:
-    """A request on a connection to a target.
-
-    Attributes:
-        progress: The attempts of the request.
-        channel: The connection.
-        abandoned: True if this node closed the connection because its path to the runners is gone.
-    """
-
-    progress: attempts.Progress
-    channel: channels.Channel
-    abandoned: bool = False
-
-
 class Forwarder:
     """Forwards the requests of one node to targets.
 
     Attributes:
-        pool: Connections to targets.
+        sender: Sends each request to its target.
         stall_detector: Watches the streams that this node reads.
         loss_probe: Finds out whether targets that lost requests have crashed.
     """
@@ -99,26 +79,13 @@
         rng: random.Random,
         log: Any,
     ) -> None:
-        self.pool = channels.Pool(source_host=source_host)
         self.stall_detector = stall_detector_.StallDetector()
         self._dialect = dialect
         self._loads = loads
         self._budgets = budgets
         self._crashes = crashes
-        self._limits = limits
-        self._pauses = runner_pauses
-        self._departures = runner_departures
         self._reachability = reachability
         self._detours = node_detours
-        self._in_flight: set[_InFlight] = set()
-        reachability.connect = self._connect
-        reachability.subscribe(self._on_path_change)
-        self.loss_probe = loss_probe.LossProbe(
-            connect=self._connect,
-            has_path=lambda: reachability.find_path(fresh=True),
-            on_crash=crashes.record_crash,
-            log=log,
-        )
         self._log = log
         self._answer_memory = answer_sinks.AnswerMemory()
         self._chooser = target_choice.TargetChooser(
@@ -132,6 +99,25 @@
             runner_departures=runner_departures,
             rng=rng,
         )
+        self.sender = target_sender.TargetSender(
+            source_host=source_host,
+            dialect=dialect,
+            loads=loads,
+            chooser=self._chooser,
+            limits=limits,
+            runner_pauses=runner_pauses,
+            runner_departures=runner_departures,
+            reachability=reachability,
+            log=log,
+        )
+        self.loss_probe = loss_probe.LossProbe(
+            connect=self.sender.connect,
+            has_path=lambda: reachability.find_path(fresh=True),
+            on_crash=crashes.record_crash,
+            log=log,
+        )
+        reachability.connect = self.sender.connect
+        reachability.subscribe(self._on_path_change)
         self._retries_by_service: dict[str, retry.RetryBudget] = {}
         loads.local_stalled = self._stalled_targets
         loads.local_writing = self.stall_detector.active_targets
@@ -403,193 +389,7 @@
             return await self._detours.send(
                 progress, request, way, last_event=last_event, sink=sink
             )
-        return await self._send_to_target(progress, request, way, last_event, sink)
-
-    async def _send_to_target(
-        self,
-        progress: attempts.Progress,
-        request: inbound.Request,
-        target: targets_.Target,
-        last_event: str,
-        sink: answer_sinks.AnswerSink,
-    ) -> channels.Head | attempts.NotSent | attempts.NotRun | attempts.Lost:
-        progress.target, progress.address = target.target_id, target.address
-        progress.detour_node = ""
-        progress.tried_targets.add(target.target_id)
-        # Counted before the connection is open, so that other requests see that the room is taken.
-        self._loads.request_started(target.target_id)
-        self._chooser.record_sent(target)
-        try:
-            return await self._exchange(progress, request, target, last_event, sink)
-        finally:
-            self._loads.request_ended(target.target_id)
-
-    async def _exchange(
-        self,
-        progress: attempts.Progress,
-        request: inbound.Request,
-        target: targets_.Target,
-        last_event: str,
-        sink: answer_sinks.AnswerSink,
-    ) -> channels.Head | attempts.NotSent | attempts.NotRun | attempts.Lost:
-        channel = await self.pool.acquire(
-            target.address,
-            timeout=CONNECT_SECONDS,
-            fresh=not progress.repeatable,
-            lifetime=target.lifetime,
-        )
-        if isinstance(channel, channels.ConnectFailed):
-            self._chooser.record_unreachable(target)
-            progress.unreached_targets.add(target.target_id)
-            await self._reachability.find_path()
-            return attempts.NotSent(reason=channel.reason)
-        self._log_placement(progress, target, last_event)
-        began_at = clock.elapsed()
-        keep = False
-        in_flight = _InFlight(progress=progress, channel=channel)
-        self._in_flight.add(in_flight)
-        self._reachability.record_sent()
-        try:
-            progress.sends += 1
-            sink.on_connected(channel)
-            headers = self._dialect.request_headers(
-                request.headers, _added_headers(progress.admitted, target, last_event)
-            )
-            channel.send(request.method, request.target, headers, request.body)
-            result = await self._receive(progress, target, channel, sink)
-            keep = isinstance(result, channels.Head | attempts.NotRun)
-            if isinstance(result, channels.Head):
-                self._loads.demand_meter.count_completion(target.model, clock.elapsed() - began_at)
-            if isinstance(result, attempts.NotRun):
-                progress.sends -= 1
-                progress.rejections += 1
-            if isinstance(result, attempts.Lost) and channel.requests > 1:
-                is_stale = clock.elapsed() - began_at < STALE_SECONDS
-                result = dataclasses.replace(result, stale_connection=is_stale)
-                if is_stale:
-                    self._chooser.record_unreachable(target)
-            if isinstance(result, attempts.Lost) and in_flight.abandoned:
-                result = dataclasses.replace(result, abandoned=True)
-            return result
-        finally:
-            self._in_flight.discard(in_flight)
-            self._reachability.record_ended()
-            if keep:
-                self.pool.release(channel)
-            else:
-                channel.close()
-
-    def _log_placement(
-        self, progress: attempts.Progress, target: targets_.Target, last_event: str
-    ) -> None:
-        self._log.info(
-            "request_placed",
-            request=progress.admitted.call.request_id,
-            target=target.target_id,
-            vm=target.vm_id,
-            # Without this request, which is counted already.
-            in_flight=self._loads.total_in_flight(target.target_id) - 1,
-            slots=target.slots,
-            suspects=self._loads.stalled_count(),
-            sends=progress.sends,
-            last_event=last_event,
-            left_ms=round(request_admission.seconds_left(progress.admitted) * 1000),
-        )
-
-    async def _receive(
-        self,
-        progress: attempts.Progress,
-        target: targets_.Target,
-        channel: channels.Channel,
-        sink: answer_sinks.AnswerSink,
-    ) -> channels.Head | attempts.NotRun | attempts.Lost:
-        """Reads the answer to this request; skips and logs answers to other requests."""
-        is_own = False
-        sent_at = clock.elapsed()
-
-        def receive_head(head: channels.Head) -> None:
-            nonlocal is_own
-            self._reachability.record_heard()
-            is_own = self._is_own_answer(progress, channel, head)
-            self._record_limit(target, head, sent_at=sent_at)
-            self._record_pause(target, head, sent_at=sent_at)
-            if self._dialect.parse_response(head.status, head.headers).leaving:
-                self._departures.record_said(target.lifetime, target.target_id)
-            if is_own:
-                sink.on_head(head)
-            else:
-                self._log_stray_answer(progress, channel, head)
-
-        def receive_chunk(chunk: bytes) -> Awaitable[None] | None:
-            self._reachability.record_heard()
-            return sink.on_chunk(chunk) if is_own else None
-
-        for _ in range(MAX_STRAY_ANSWERS + 1):
-            head = await channel.receive(on_head=receive_head, on_data=receive_chunk)
-            if isinstance(head, channels.Broken):
-                return attempts.Lost(reason=sink.excess or head.reason)
-            if is_own:
-                return self._classify(head, channel)
-        return attempts.Lost(reason=f"{channel.address} sent answers to other requests")
-
-    def _record_limit(
-        self, target: targets_.Target, head: channels.Head, *, sent_at: float
-    ) -> None:
-        """Records the limit that an answer names, or that it names none."""
-        response = self._dialect.parse_response(head.status, head.headers)
-        if response.limit_per_second is not None:
-            self._limits.record_named(target.lifetime, target.target_id, response.limit_per_second)
-        elif response.signed:
-            self._limits.record_unnamed(target.lifetime, target.target_id, sent_at=sent_at)
-
-    def _record_pause(
-        self, target: targets_.Target, head: channels.Head, *, sent_at: float
-    ) -> None:
-        """Records the pause that a rejection asks for, or that an answer asks for none."""
-        response = self._dialect.parse_response(head.status, head.headers)
-        if response.bad_pause:
-            self._pauses.record_invalid(target.lifetime, target.target_id, response.bad_pause)
-        if response.pause_seconds is not None:
-            self._pauses.record_asked(target.lifetime, target.target_id, response.pause_seconds)
-        elif response.signed or response.not_run:
-            self._pauses.record_accepted(target.lifetime, target.target_id, sent_at=sent_at)
-
-    def _is_own_answer(
-        self, progress: attempts.Progress, channel: channels.Channel, head: channels.Head
-    ) -> bool:
-        """Returns True if an answer carries the id of this request, or cannot be for another one.
-
-        On a kept connection a second answer to an earlier request may arrive first. Rejections may carry
-        no request id. Taking one that was meant for another request does no harm, because requests that
-        may run only once get a new connection.
-        """
-        response = self._dialect.parse_response(head.status, head.headers)
-        if response.request_id:
-            return response.request_id == progress.admitted.call.request_id
-        return response.not_run or channel.requests == 1
-
-    def _log_stray_answer(
-        self, progress: attempts.Progress, channel: channels.Channel, head: channels.Head
-    ) -> None:
-        response = self._dialect.parse_response(head.status, head.headers)
-        self._log.warning(
-            "stray_answer",
-            request=progress.admitted.call.request_id,
-            target=progress.target,
-            named=response.request_id,
-            answer_status=head.status,
-            requests=channel.requests,
-        )
-
-    def _classify(
-        self, head: channels.Head, channel: channels.Channel
-    ) -> channels.Head | attempts.NotRun | attempts.Lost:
-        response = self._dialect.parse_response(head.status, head.headers)
-        if response.not_run:
-            return attempts.NotRun(reason=f"{channel.address} rejected it with {head.status}")
-        if head.status < 300 and not response.signed:
-            return attempts.Lost(reason=f"{channel.address} sent an unsigned success")
-        return head
+        return await self.sender.send(progress, request, way, last_event=last_event, sink=sink)
 
     def _retry_budget(self, progress: attempts.Progress) -> retry.RetryBudget:
         service = progress.admitted.service.name
@@ -667,17 +467,8 @@
     def _on_path_change(self, lost: bool) -> None:
         """Forgets who seemed stalled; without a path, sends silent requests again if they may be."""
         self.stall_detector.forget_suspects()
-        if not lost or not self._reachability.is_silent:
-            return
-        for in_flight in tuple(self._in_flight):
-            if self._spend_retry(in_flight.progress):
-                in_flight.abandoned = True
-                in_flight.channel.close()
-
-    async def _connect(
-        self, address: str, timeout: float
-    ) -> channels.Channel | channels.ConnectFailed:
-        return await self.pool.acquire(address, timeout=timeout, fresh=True)
+        if lost and self._reachability.is_silent:
+            self.sender.abandon_silent(self._spend_retry)
 
     def _should_retry(
         self,
@@ -690,15 +481,3 @@
             return progress.rejections < MAX_REJECTIONS and self._retry_budget(progress).spend()
         # The retry of an abandoned stream was spent when it was given up.
         return result.abandoned or self._spend_retry(progress)
-
-
-def _added_headers(
-    admitted: request_admission.AdmittedRequest, target: targets_.Target, last_event: str
-) -> header_dialect.ForwardingInfo:
-    return header_dialect.ForwardingInfo(
-        vm_id=target.vm_id,
-        workspace=admitted.workspace,
-        budget_seconds=request_admission.seconds_left(admitted),
-        priority=admitted.priority,
-        last_event_id=last_event,
-    )
--- a/basilpost/gateway/relay.py
+++ b/basilpost/gateway/relay.py
@@ -213,7 +213,7 @@
             self._readiness_server.stop()
         await self._tasks.close()
         await self.forwarder.loss_probe.close()
-        self.forwarder.pool.close()
+        self.forwarder.sender.pool.close()
         self._detours.pool.close()
 
     @property
@@ -235,7 +235,7 @@
     async def _sweep_pool(self) -> None:
         while True:
             await asyncio.sleep(POOL_SWEEP_SECONDS)
-            self.forwarder.pool.sweep()
+            self.forwarder.sender.pool.sweep()
             self._detours.pool.sweep()
 
     def start_request(
--- /dev/null
+++ b/basilpost/gateway/target_sender.py
@@ -0,0 +1,290 @@
+"""Sends one request to one target and reads its answer.
+
+What an answer says beside its content is recorded here: named limits, pauses and departures of
+runners, and whether bytes arrive from runners at all.
+"""
+
+import dataclasses
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from basilpost.core import channels, clock
+from basilpost.gateway import (
+    answer_sinks,
+    attempts,
+    inbound,
+    request_admission,
+    target_choice,
+)
+from basilpost.members import loads as loads_
+from basilpost.members import reachability as reachability_
+from basilpost.routing import departures, header_dialect, named_limits, pauses
+from basilpost.routing import targets as targets_
+
+# Longest time for opening a connection to a target.
+CONNECT_SECONDS = 0.5
+# A kept connection that breaks this soon was closed before the request arrived.
+STALE_SECONDS = 0.005
+# Answers to other requests that are skipped on a connection before it is closed.
+MAX_STRAY_ANSWERS = 2
+
+
+@dataclasses.dataclass(kw_only=True, eq=False)
+class InFlight:
+    """A request on a connection to a target.
+
+    Attributes:
+        progress: The attempts of the request.
+        channel: The connection.
+        abandoned: True if this node closed the connection because its path to the runners is gone.
+    """
+
+    progress: attempts.Progress
+    channel: channels.Channel
+    abandoned: bool = False
+
+
+class TargetSender:
+    """Sends the requests of one node to targets.
+
+    Attributes:
+        pool: Connections to targets.
+        in_flight: The requests that are sent now.
+    """
+
+    def __init__(
+        self,
+        *,
+        source_host: str,
+        dialect: header_dialect.HeaderDialect,
+        loads: loads_.Loads,
+        chooser: target_choice.TargetChooser,
+        limits: named_limits.NamedLimits,
+        runner_pauses: pauses.RunnerPauses,
+        runner_departures: departures.Departures,
+        reachability: reachability_.Reachability,
+        log: Any,
+    ) -> None:
+        self.pool = channels.Pool(source_host=source_host)
+        self.in_flight: set[InFlight] = set()
+        self._dialect = dialect
+        self._loads = loads
+        self._chooser = chooser
+        self._limits = limits
+        self._pauses = runner_pauses
+        self._departures = runner_departures
+        self._reachability = reachability
+        self._log = log
+
+    async def connect(
+        self, address: str, timeout: float
+    ) -> channels.Channel | channels.ConnectFailed:
+        """Opens a new connection to a target, on which no request is sent."""
+        return await self.pool.acquire(address, timeout=timeout, fresh=True)
+
+    def abandon_silent(self, spend_retry: Callable[[attempts.Progress], bool]) -> None:
+        """Closes the connections of requests that may be sent again; they end as abandoned."""
+        for request in tuple(self.in_flight):
+            if spend_retry(request.progress):
+                request.abandoned = True
+                request.channel.close()
+
+    async def send(
+        self,
+        progress: attempts.Progress,
+        request: inbound.Request,
+        target: targets_.Target,
+        *,
+        last_event: str,
+        sink: answer_sinks.AnswerSink,
+    ) -> channels.Head | attempts.NotSent | attempts.NotRun | attempts.Lost:
+        """Sends a request to a target and reads the answer into the sink."""
+        progress.target, progress.address = target.target_id, target.address
+        progress.detour_node = ""
+        progress.tried_targets.add(target.target_id)
+        # Counted before the connection is open, so that other requests see that the room is taken.
+        self._loads.request_started(target.target_id)
+        self._chooser.record_sent(target)
+        try:
+            return await self._exchange(progress, request, target, last_event, sink)
+        finally:
+            self._loads.request_ended(target.target_id)
+
+    async def _exchange(
+        self,
+        progress: attempts.Progress,
+        request: inbound.Request,
+        target: targets_.Target,
+        last_event: str,
+        sink: answer_sinks.AnswerSink,
+    ) -> channels.Head | attempts.NotSent | attempts.NotRun | attempts.Lost:
+        channel = await self.pool.acquire(
+            target.address,
+            timeout=CONNECT_SECONDS,
+            fresh=not progress.repeatable,
+            lifetime=target.lifetime,
+        )
+        if isinstance(channel, channels.ConnectFailed):
+            self._chooser.record_unreachable(target)
+            progress.unreached_targets.add(target.target_id)
+            await self._reachability.find_path()
+            return attempts.NotSent(reason=channel.reason)
+        self._log_placement(progress, target, last_event)
+        began_at = clock.elapsed()
+        keep = False
+        in_flight = InFlight(progress=progress, channel=channel)
+        self.in_flight.add(in_flight)
+        self._reachability.record_sent()
+        try:
+            progress.sends += 1
+            sink.on_connected(channel)
+            headers = self._dialect.request_headers(
+                request.headers, _added_headers(progress.admitted, target, last_event)
+            )
+            channel.send(request.method, request.target, headers, request.body)
+            result = await self._receive(progress, target, channel, sink)
+            keep = isinstance(result, channels.Head | attempts.NotRun)
+            if isinstance(result, channels.Head):
+                self._loads.demand_meter.count_completion(target.model, clock.elapsed() - began_at)
+            if isinstance(result, attempts.NotRun):
+                progress.sends -= 1
+                progress.rejections += 1
+            if isinstance(result, attempts.Lost) and channel.requests > 1:
+                is_stale = clock.elapsed() - began_at < STALE_SECONDS
+                result = dataclasses.replace(result, stale_connection=is_stale)
+                if is_stale:
+                    self._chooser.record_unreachable(target)
+            if isinstance(result, attempts.Lost) and in_flight.abandoned:
+                result = dataclasses.replace(result, abandoned=True)
+            return result
+        finally:
+            self.in_flight.discard(in_flight)
+            self._reachability.record_ended()
+            if keep:
+                self.pool.release(channel)
+            else:
+                channel.close()
+
+    def _log_placement(
+        self, progress: attempts.Progress, target: targets_.Target, last_event: str
+    ) -> None:
+        self._log.info(
+            "request_placed",
+            request=progress.admitted.call.request_id,
+            target=target.target_id,
+            vm=target.vm_id,
+            # Without this request, which is counted already.
+            in_flight=self._loads.total_in_flight(target.target_id) - 1,
+            slots=target.slots,
+            suspects=self._loads.stalled_count(),
+            sends=progress.sends,
+            last_event=last_event,
+            left_ms=round(request_admission.seconds_left(progress.admitted) * 1000),
+        )
+
+    async def _receive(
+        self,
+        progress: attempts.Progress,
+        target: targets_.Target,
+        channel: channels.Channel,
+        sink: answer_sinks.AnswerSink,
+    ) -> channels.Head | attempts.NotRun | attempts.Lost:
+        """Reads the answer to this request; skips and logs answers to other requests."""
+        is_own = False
+        sent_at = clock.elapsed()
+
+        def receive_head(head: channels.Head) -> None:
+            nonlocal is_own
+            self._reachability.record_heard()
+            is_own = self._is_own_answer(progress, channel, head)
+            self._record_limit(target, head, sent_at=sent_at)
+            self._record_pause(target, head, sent_at=sent_at)
+            if self._dialect.parse_response(head.status, head.headers).leaving:
+                self._departures.record_said(target.lifetime, target.target_id)
+            if is_own:
+                sink.on_head(head)
+            else:
+                self._log_stray_answer(progress, channel, head)
+
+        def receive_chunk(chunk: bytes) -> Awaitable[None] | None:
+            self._reachability.record_heard()
+            return sink.on_chunk(chunk) if is_own else None
+
+        for _ in range(MAX_STRAY_ANSWERS + 1):
+            head = await channel.receive(on_head=receive_head, on_data=receive_chunk)
+            if isinstance(head, channels.Broken):
+                return attempts.Lost(reason=sink.excess or head.reason)
+            if is_own:
+                return self._classify(head, channel)
+        return attempts.Lost(reason=f"{channel.address} sent answers to other requests")
+
+    def _record_limit(
+        self, target: targets_.Target, head: channels.Head, *, sent_at: float
+    ) -> None:
+        """Records the limit that an answer names, or that it names none."""
+        response = self._dialect.parse_response(head.status, head.headers)
+        if response.limit_per_second is not None:
+            self._limits.record_named(target.lifetime, target.target_id, response.limit_per_second)
+        elif response.signed:
+            self._limits.record_unnamed(target.lifetime, target.target_id, sent_at=sent_at)
+
+    def _record_pause(
+        self, target: targets_.Target, head: channels.Head, *, sent_at: float
+    ) -> None:
+        """Records the pause that a rejection asks for, or that an answer asks for none."""
+        response = self._dialect.parse_response(head.status, head.headers)
+        if response.bad_pause:
+            self._pauses.record_invalid(target.lifetime, target.target_id, response.bad_pause)
+        if response.pause_seconds is not None:
+            self._pauses.record_asked(target.lifetime, target.target_id, response.pause_seconds)
+        elif response.signed or response.not_run:
+            self._pauses.record_accepted(target.lifetime, target.target_id, sent_at=sent_at)
+
+    def _is_own_answer(
+        self, progress: attempts.Progress, channel: channels.Channel, head: channels.Head
+    ) -> bool:
+        """Returns True if an answer carries the id of this request, or cannot be for another one.
+
+        On a kept connection a second answer to an earlier request may arrive first. Rejections may carry
+        no request id. Taking one that was meant for another request does no harm, because requests that
+        may run only once get a new connection.
+        """
+        response = self._dialect.parse_response(head.status, head.headers)
+        if response.request_id:
+            return response.request_id == progress.admitted.call.request_id
+        return response.not_run or channel.requests == 1
+
+    def _log_stray_answer(
+        self, progress: attempts.Progress, channel: channels.Channel, head: channels.Head
+    ) -> None:
+        response = self._dialect.parse_response(head.status, head.headers)
+        self._log.warning(
+            "stray_answer",
+            request=progress.admitted.call.request_id,
+            target=progress.target,
+            named=response.request_id,
+            answer_status=head.status,
+            requests=channel.requests,
+        )
+
+    def _classify(
+        self, head: channels.Head, channel: channels.Channel
+    ) -> channels.Head | attempts.NotRun | attempts.Lost:
+        response = self._dialect.parse_response(head.status, head.headers)
+        if response.not_run:
+            return attempts.NotRun(reason=f"{channel.address} rejected it with {head.status}")
+        if head.status < 300 and not response.signed:
+            return attempts.Lost(reason=f"{channel.address} sent an unsigned success")
+        return head
+
+
+def _added_headers(
+    admitted: request_admission.AdmittedRequest, target: targets_.Target, last_event: str
+) -> header_dialect.ForwardingInfo:
+    return header_dialect.ForwardingInfo(
+        vm_id=target.vm_id,
+        workspace=admitted.workspace,
+        budget_seconds=request_admission.seconds_left(admitted),
+        priority=admitted.priority,
+        last_event_id=last_event,
+    )
--- a/tests/pool_crashed_target_test.py
+++ b/tests/pool_crashed_target_test.py
@@ -51,7 +51,7 @@
     async with pool_nodes.running(vms=0, plain_instances=1) as bench:
         assert (await bench.call("/lookup/a", method="GET")).code == 200
         forwarder = bench.kernels[0].find(names.RELAY, relay.Relay).forwarder
-        (idle,) = forwarder.pool._idle_by_address.values()
+        (idle,) = forwarder.sender.pool._idle_by_address.values()
         # The runner's host fails: nothing tells the node that the connection has ended.
         (runner,) = bench.fleet.runners_by_id.values()
         kept = list(idle)
--- a/tests/pool_cut_off_test.py
+++ b/tests/pool_cut_off_test.py
@@ -162,7 +162,7 @@
         (carrier,) = (
             number
             for number, forwarder in enumerate(bench.forwarders)
-            if number and forwarder._in_flight
+            if number and forwarder.sender.in_flight
         )
         await bench.kernels[carrier].stop()
         answer = await stream
@@ -231,7 +231,7 @@
         answer = await bench.call("/lookup/a", node=0, X_Deadline_Ms="600")
         assert answer.code == 504
         assert clock.elapsed() - began_at < 0.9
-        await pool_fleet.until(lambda: not bench.forwarders[1]._in_flight, seconds=0.3)
+        await pool_fleet.until(lambda: not bench.forwarders[1].sender.in_flight, seconds=0.3)
 
 
 async def test_requests_are_counted_at_both_nodes_of_a_detour():
--- a/tests/pool_nodes.py
+++ b/tests/pool_nodes.py
@@ -66,7 +66,7 @@
         kernel = pool_assembly.build(settings)
         self.kernels.append(kernel)
         node_relay = kernel.find(names.RELAY, relay.Relay)
-        self.links.append(cut_links.Links(node_relay.forwarder.pool))
+        self.links.append(cut_links.Links(node_relay.forwarder.sender.pool))
         self.addresses.append(callers)
         if start:
             await kernel.start()
