--- a/basilpost/emulator/pool_fleet.py
+++ b/basilpost/emulator/pool_fleet.py
@@ -138,6 +138,10 @@
             if member is not None and member["state"] == "open" and member["name"].startswith(model)
         )
 
+    def runners_of(self, service: str) -> list[pool_runner.PoolRunner]:
+        """Returns the runners of a service."""
+        return [runner for runner in self.runners_by_id.values() if runner.service == service]
+
     def runs_of(self, attempt: str) -> list[pool_runner.Run]:
         """Returns the runs of a request on all runners."""
         logs = (runner.runs for runner in self.runners_by_id.values())
--- a/tests/pool_leaving_test.py
+++ b/tests/pool_leaving_test.py
@@ -6,8 +6,7 @@
 
 from basilpost.core import clock
 from basilpost.emulator import pool_fleet
-from tests import pool_nodes
-from tests.pool_pause_test import Traffic, runners_of
+from tests import pool_nodes, pool_traffic
 
 # Users' bound: a request that a caller sent later than this after such an answer must not reach it.
 DRAIN_SECONDS = 2.0
@@ -16,11 +15,11 @@
 @pytest.mark.parametrize("path", ["/lookup/a", "/filing/a"])
 async def test_a_runner_that_says_that_it_leaves_gets_new_requests(path):
     async with pool_nodes.running(nodes=3, vms=0, plain_instances=4) as bench:
-        runners = runners_of(bench, pool_fleet.PLAIN_SERVICE)
+        runners = bench.fleet.runners_of(pool_fleet.PLAIN_SERVICE)
         for runner in runners[:2]:
             runner.options.leaving = True
         began_at = clock.elapsed()
-        traffic = Traffic(bench, path, seed=1)
+        traffic = pool_traffic.Traffic(bench, path, seed=1)
         await traffic.run(seconds=4.0, per_second=60.0)
         assert set(traffic.codes) == {200}
         for runner in runners[:2]:
@@ -32,14 +31,14 @@
         await bench.wait_for_groups(3, pool_fleet.LARGE)
         heads = [
             runner
-            for runner in runners_of(bench, pool_fleet.MODEL_SERVICE)
+            for runner in bench.fleet.runners_of(pool_fleet.MODEL_SERVICE)
             if runner.member and runner.member["rank"] == 0
         ]
         for runner in bench.fleet.runners_by_id.values():
             runner.options.events, runner.options.event_seconds = 20, 0.05
         heads[0].options.leaving = True
         began_at = clock.elapsed()
-        traffic = Traffic(bench, "/draft/a", seed=2)
+        traffic = pool_traffic.Traffic(bench, "/draft/a", seed=2)
         await traffic.run(seconds=4.0, per_second=8.0)
         assert [at for at in heads[0].arrivals if at > began_at + DRAIN_SECONDS] == []
         whole = [
@@ -53,7 +52,7 @@
 async def test_nodes_without_the_store_learn_late_that_a_runner_leaves():
     """Another node tells them."""
     async with pool_nodes.running(nodes=3, vms=0, plain_instances=3) as bench:
-        runners = runners_of(bench, pool_fleet.PLAIN_SERVICE)
+        runners = bench.fleet.runners_of(pool_fleet.PLAIN_SERVICE)
         await bench.fleet.store.stop()
         runners[0].options.leaving = True
         while not runners[0].arrivals:
@@ -68,7 +67,7 @@
 
 async def test_the_next_runner_at_the_same_address_is_taken_for_leaving():
     async with pool_nodes.running(nodes=1, vms=0, plain_instances=2) as bench:
-        runner = runners_of(bench, pool_fleet.PLAIN_SERVICE)[0]
+        runner = bench.fleet.runners_of(pool_fleet.PLAIN_SERVICE)[0]
         runner.options.leaving = True
         while not runner.arrivals:
             await bench.call("/lookup/a")
@@ -87,7 +86,7 @@
 async def test_the_only_runner_is_given_up_when_it_says_that_it_leaves():
     """It goes on to serve for a second, in which another one may start; then requests are refused."""
     async with pool_nodes.running(nodes=1, vms=0, plain_instances=1) as bench:
-        (runner,) = runners_of(bench, pool_fleet.PLAIN_SERVICE)
+        (runner,) = bench.fleet.runners_of(pool_fleet.PLAIN_SERVICE)
         runner.options.leaving = True
         assert [(await bench.call("/lookup/a")).code for _ in range(5)] == [200] * 5
         await asyncio.sleep(DRAIN_SECONDS)
--- a/tests/pool_named_limit_test.py
+++ b/tests/pool_named_limit_test.py
@@ -2,14 +2,13 @@
 
 import asyncio
 import itertools
-import random
 
 import pytest
 import structlog.testing
 
 from basilpost.core import clock
 from basilpost.emulator import pool_fleet
-from tests import pool_nodes
+from tests import pool_nodes, pool_traffic
 
 # Bounds of the users' pages.
 WINDOW_SECONDS = 4.0
@@ -19,31 +18,6 @@
 NODES = 3
 
 
-class Traffic:
-    """Open-loop requests to all nodes; `answers` holds them with the time that each took."""
-
-    def __init__(self, bench, path, *, seed):
-        self.answers = []
-        self._bench = bench
-        self._path = path
-        self._rng = random.Random(seed)
-        self._tasks = []
-
-    async def run(self, *, seconds, per_second):
-        end = clock.elapsed() + seconds
-        while clock.elapsed() < end:
-            self._tasks.append(asyncio.create_task(self._send()))
-            await asyncio.sleep(self._rng.expovariate(per_second))
-        await asyncio.gather(*self._tasks)
-
-    async def _send(self):
-        began_at = clock.elapsed()
-        answer = await self._bench.call(
-            self._path, node=self._rng.randrange(len(self._bench.addresses))
-        )
-        self.answers.append((answer, clock.elapsed() - began_at))
-
-
 def most_in_window(times):
     """Returns the largest number of arrivals in any window."""
     times = sorted(times)
@@ -72,7 +46,7 @@
     async with pool_nodes.running(nodes=NODES, vms=0, plain_instances=3) as bench:
         for runner in itertools.islice(bench.fleet.runners_by_id.values(), 2):
             runner.options.limit_per_second = limit
-        traffic = Traffic(bench, "/lookup/a", seed=1)
+        traffic = pool_traffic.Traffic(bench, "/lookup/a", seed=1)
         began_at = clock.elapsed()
         await traffic.run(seconds=8.0, per_second=60.0)
         assert excess(bench, limit, began_at + STABLE_SECONDS) == {}
@@ -88,7 +62,7 @@
         (runner,) = bench.fleet.runners_by_id.values()
         runner.options.limit_per_second = 10.0
         began_at = clock.elapsed()
-        await Traffic(bench, "/lookup/a", seed=2).run(seconds=8.0, per_second=60.0)
+        await pool_traffic.Traffic(bench, "/lookup/a", seed=2).run(seconds=8.0, per_second=60.0)
         late = [at for at in runner.arrivals if at > began_at + STABLE_SECONDS]
         assert 0.6 * 10.0 <= len(late) / 5.0 <= 1.5 * 10.0
         assert excess(bench, 10.0, began_at + STABLE_SECONDS) == {}
@@ -99,9 +73,9 @@
     async with pool_nodes.running(nodes=NODES, vms=0, plain_instances=2) as bench:
         for runner in bench.fleet.runners_by_id.values():
             runner.options.limit_per_second = 1.0
-        warm_up = Traffic(bench, "/lookup/a", seed=3)
+        warm_up = pool_traffic.Traffic(bench, "/lookup/a", seed=3)
         await warm_up.run(seconds=3.0, per_second=20.0)
-        traffic = Traffic(bench, "/lookup/a", seed=4)
+        traffic = pool_traffic.Traffic(bench, "/lookup/a", seed=4)
         await traffic.run(seconds=3.0, per_second=30.0)
         refused = [(answer, seconds) for answer, seconds in traffic.answers if answer.code != 200]
         assert len(refused) > 30
@@ -118,11 +92,11 @@
         (runner,) = bench.fleet.runners_by_id.values()
         runner.options.limit_per_second = 2.0
         with structlog.testing.capture_logs() as lines:
-            await Traffic(bench, "/lookup/a", seed=5).run(seconds=3.0, per_second=30.0)
+            await pool_traffic.Traffic(bench, "/lookup/a", seed=5).run(seconds=3.0, per_second=30.0)
             runner.options.limit_per_second = None
             await asyncio.sleep(1.0)
-            await Traffic(bench, "/lookup/a", seed=6).run(seconds=2.0, per_second=20.0)
-            traffic = Traffic(bench, "/lookup/a", seed=7)
+            await pool_traffic.Traffic(bench, "/lookup/a", seed=6).run(seconds=2.0, per_second=20.0)
+            traffic = pool_traffic.Traffic(bench, "/lookup/a", seed=7)
             await traffic.run(seconds=2.0, per_second=30.0)
         assert {answer.code for answer, _ in traffic.answers} == {200}
         limits = {line["per_second"] for line in lines if line["event"] == "target_limit"}
@@ -133,7 +107,7 @@
     async with pool_nodes.running(nodes=NODES, vms=0, plain_instances=2) as bench:
         for runner in bench.fleet.runners_by_id.values():
             runner.options.limit_per_second = 3.0
-        traffic = Traffic(bench, "/lookup/a", seed=8)
+        traffic = pool_traffic.Traffic(bench, "/lookup/a", seed=8)
         began_at = clock.elapsed()
         running = asyncio.create_task(traffic.run(seconds=9.0, per_second=60.0))
         await asyncio.sleep(4.0)
@@ -150,5 +124,5 @@
         for runner in bench.fleet.runners_by_id.values():
             runner.options.limit_per_second = 2.0
         began_at = clock.elapsed()
-        await Traffic(bench, "/draft/a", seed=9).run(seconds=8.0, per_second=40.0)
+        await pool_traffic.Traffic(bench, "/draft/a", seed=9).run(seconds=8.0, per_second=40.0)
         assert excess(bench, 2.0, began_at + STABLE_SECONDS) == {}
--- a/tests/pool_pause_test.py
+++ b/tests/pool_pause_test.py
@@ -1,8 +1,6 @@
 """Runners that reject requests and ask a node for a pause."""
 
 import asyncio
-import collections
-import random
 
 import pytest
 import structlog.testing
@@ -10,7 +8,7 @@
 from basilpost.core import clock
 from basilpost.emulator import pool_fleet
 from basilpost.routing import pauses
-from tests import pool_nodes
+from tests import pool_nodes, pool_traffic
 
 # Users' bounds: so many requests of one node may reach a runner from this long after its answer until
 # the end of the pause that it asked for.
@@ -18,34 +16,6 @@
 MAX_ARRIVALS = 2
 
 
-class Traffic:
-    """Open-loop requests to all nodes; `answers` holds each one with its duration in seconds."""
-
-    def __init__(self, bench, path, *, seed):
-        self.answers = []
-        self._bench = bench
-        self._path = path
-        self._rng = random.Random(seed)
-
-    async def run(self, *, seconds, per_second):
-        tasks = []
-        end = clock.elapsed() + seconds
-        while clock.elapsed() < end:
-            tasks.append(asyncio.create_task(self._send()))
-            await asyncio.sleep(self._rng.expovariate(per_second))
-        await asyncio.gather(*tasks)
-
-    async def _send(self):
-        began_at = clock.elapsed()
-        node = self._rng.randrange(len(self._bench.addresses))
-        answer = await self._bench.call(self._path, node=node)
-        self.answers.append((answer, clock.elapsed() - began_at))
-
-    @property
-    def codes(self):
-        return collections.Counter(answer.code for answer, _ in self.answers)
-
-
 def ask_for_pause(runner, text):
     """Makes a runner reject all requests and ask for a pause."""
     runner.options.full, runner.options.retry_after = True, text
@@ -62,17 +32,13 @@
     )
 
 
-def runners_of(bench, service):
-    return [runner for runner in bench.fleet.runners_by_id.values() if runner.service == service]
-
-
 @pytest.mark.parametrize("seconds", [1.5, 3.0])
 async def test_a_runner_that_asked_for_a_pause_gets_requests(seconds):
     async with pool_nodes.running(nodes=1, vms=0, plain_instances=5) as bench:
-        runners = runners_of(bench, pool_fleet.PLAIN_SERVICE)
+        runners = bench.fleet.runners_of(pool_fleet.PLAIN_SERVICE)
         for runner in runners[:3]:
             ask_for_pause(runner, str(seconds))
-        traffic = Traffic(bench, "/lookup/a", seed=1)
+        traffic = pool_traffic.Traffic(bench, "/lookup/a", seed=1)
         await traffic.run(seconds=5.0, per_second=40.0)
         for runner in runners[:3]:
             assert most_in_pause(runner, seconds=seconds) <= MAX_ARRIVALS
@@ -85,12 +51,12 @@
         await bench.wait_for_groups(3, pool_fleet.LARGE)
         heads = [
             runner
-            for runner in runners_of(bench, pool_fleet.MODEL_SERVICE)
+            for runner in bench.fleet.runners_of(pool_fleet.MODEL_SERVICE)
             if runner.member and runner.member["rank"] == 0
         ]
         for runner in heads[:-2]:
             ask_for_pause(runner, "3")
-        traffic = Traffic(bench, "/draft/a", seed=2)
+        traffic = pool_traffic.Traffic(bench, "/draft/a", seed=2)
         await traffic.run(seconds=4.0, per_second=15.0)
         for runner in heads[:-2]:
             assert most_in_pause(runner, seconds=3.0) <= MAX_ARRIVALS * len(bench.addresses)
@@ -100,11 +66,11 @@
 async def test_requests_try_one_pausing_runner_after_the_other():
     """They are refused at once, as not run, and told when the first pause ends."""
     async with pool_nodes.running(nodes=2, vms=0, plain_instances=3) as bench:
-        for runner in runners_of(bench, pool_fleet.PLAIN_SERVICE):
+        for runner in bench.fleet.runners_of(pool_fleet.PLAIN_SERVICE):
             ask_for_pause(runner, "4")
         began_at = clock.elapsed()
-        await Traffic(bench, "/lookup/a", seed=3).run(seconds=0.7, per_second=40.0)
-        traffic = Traffic(bench, "/lookup/a", seed=4)
+        await pool_traffic.Traffic(bench, "/lookup/a", seed=3).run(seconds=0.7, per_second=40.0)
+        traffic = pool_traffic.Traffic(bench, "/lookup/a", seed=4)
         await traffic.run(seconds=2.0, per_second=40.0)
         ended_at = clock.elapsed()
         assert set(traffic.codes) == {503}
@@ -118,11 +84,11 @@
 
 async def test_all_nodes_return_at_once_at_the_end_of_a_pause():
     async with pool_nodes.running(nodes=3, vms=0, plain_instances=1) as bench:
-        (runner,) = runners_of(bench, pool_fleet.PLAIN_SERVICE)
+        (runner,) = bench.fleet.runners_of(pool_fleet.PLAIN_SERVICE)
         ask_for_pause(runner, "1")
-        await Traffic(bench, "/lookup/a", seed=5).run(seconds=0.5, per_second=60.0)
+        await pool_traffic.Traffic(bench, "/lookup/a", seed=5).run(seconds=0.5, per_second=60.0)
         runner.options.work_seconds = 0.3
-        traffic = Traffic(bench, "/lookup/a", seed=6)
+        traffic = pool_traffic.Traffic(bench, "/lookup/a", seed=6)
         running = asyncio.create_task(traffic.run(seconds=3.0, per_second=60.0))
         await asyncio.sleep(0.4)
         runner.options.full = False
@@ -136,7 +102,7 @@
 @pytest.mark.parametrize("text", ["soon", "-5", "nan", "inf", "x" * 5000])
 async def test_a_bad_pause_silences_a_runner(text):
     async with pool_nodes.running(nodes=1, vms=0, plain_instances=1) as bench:
-        (runner,) = runners_of(bench, pool_fleet.PLAIN_SERVICE)
+        (runner,) = bench.fleet.runners_of(pool_fleet.PLAIN_SERVICE)
         ask_for_pause(runner, text)
         with structlog.testing.capture_logs() as lines:
             for _ in range(5):
@@ -150,26 +116,26 @@
     """A pause counts up to a bound, after which one request shows whether the runner has recovered."""
     monkeypatch.setattr(pauses, "MAX_PAUSE_SECONDS", 1.5)
     async with pool_nodes.running(nodes=2, vms=0, plain_instances=2) as bench:
-        for runner in runners_of(bench, pool_fleet.PLAIN_SERVICE):
+        for runner in bench.fleet.runners_of(pool_fleet.PLAIN_SERVICE):
             ask_for_pause(runner, "1e12")
-        await Traffic(bench, "/lookup/a", seed=7).run(seconds=0.7, per_second=40.0)
-        for runner in runners_of(bench, pool_fleet.PLAIN_SERVICE):
+        await pool_traffic.Traffic(bench, "/lookup/a", seed=7).run(seconds=0.7, per_second=40.0)
+        for runner in bench.fleet.runners_of(pool_fleet.PLAIN_SERVICE):
             runner.options.full = False
         await asyncio.sleep(1.0)
-        traffic = Traffic(bench, "/lookup/a", seed=8)
+        traffic = pool_traffic.Traffic(bench, "/lookup/a", seed=8)
         await traffic.run(seconds=1.0, per_second=40.0)
         assert traffic.codes[200] > 0.9 * len(traffic.answers)
 
 
 async def test_other_nodes_learn_a_pause_by_a_rejection_of_their_own():
     async with pool_nodes.running(nodes=3, vms=0, plain_instances=3) as bench:
-        runners = runners_of(bench, pool_fleet.PLAIN_SERVICE)
+        runners = bench.fleet.runners_of(pool_fleet.PLAIN_SERVICE)
         ask_for_pause(runners[0], "5")
         while not runners[0].arrivals:
             await bench.call("/lookup/a", node=0)
         await asyncio.sleep(0.2)
         before = len(runners[0].arrivals)
-        traffic = Traffic(bench, "/lookup/a", seed=9)
+        traffic = pool_traffic.Traffic(bench, "/lookup/a", seed=9)
         await traffic.run(seconds=2.0, per_second=30.0)
         assert set(traffic.codes) == {200}
         assert len(runners[0].arrivals) == before
--- a/tests/pool_silent_runner_test.py
+++ b/tests/pool_silent_runner_test.py
@@ -7,8 +7,7 @@
 
 from basilpost.emulator import pool_fleet
 from basilpost.gateway import stall_detector
-from tests import pool_nodes
-from tests.pool_pause_test import Traffic, runners_of
+from tests import pool_nodes, pool_traffic
 
 SILENT_SECONDS = 1.5
 
@@ -22,11 +21,11 @@
         name = bench.fleet.open_groups(pool_fleet.LARGE)[0]
         members = {
             runner.member["rank"]: runner
-            for runner in runners_of(bench, pool_fleet.MODEL_SERVICE)
+            for runner in bench.fleet.runners_of(pool_fleet.MODEL_SERVICE)
             if runner.member and runner.member["name"] == name
         }
         joins = [len(runner.joins) for runner in members.values()]
-        traffic = Traffic(bench, "/draft/a", seed=1)
+        traffic = pool_traffic.Traffic(bench, "/draft/a", seed=1)
         running = asyncio.create_task(traffic.run(seconds=4.0, per_second=15.0))
         await asyncio.sleep(1.0)
         with structlog.testing.capture_logs() as lines:
@@ -47,5 +46,5 @@
         # It is used again once its silence is forgotten.
         before = len(members[0].arrivals)
         await asyncio.sleep(stall_detector.SUSPECT_MEMORY_SECONDS)
-        await Traffic(bench, "/draft/a", seed=2).run(seconds=2.0, per_second=15.0)
+        await pool_traffic.Traffic(bench, "/draft/a", seed=2).run(seconds=2.0, per_second=15.0)
         assert len(members[0].arrivals) > before
