explain shows lost paths, detours, and the pauses for which a request was refused

A request that is refused because all targets pause or leave names none of them, so explain showed no cause. Tests on logs of nodes: a detoured request, one refused as no_path, one refused as paused.

--- a/basilpost/admin/explaining.py
+++ b/basilpost/admin/explaining.py
@@ -143,6 +143,7 @@
     begin = request_lines[0].at - datetime.timedelta(seconds=SHOWN_BEFORE_SECONDS)
     end = request_lines[-1].at + datetime.timedelta(seconds=SHOWN_AFTER_SECONDS)
 
+    outcomes = {line.fields.get("outcome") for line in request_lines}
     causes = {line.fields["cause"] for line in request_lines if line.fields.get("cause")}
 
     def is_related(line: Line) -> bool:
@@ -154,7 +155,11 @@
         if line.event in _NODE_EVENTS:
             return line.node in nodes
         if line.event in _TARGET_EVENTS:
-            return line.fields.get("target") in targets
+            # A request that is refused for all targets names none.
+            is_refused_for_all = line.node in nodes and not outcomes.isdisjoint(
+                {"paused", "leaving"}
+            )
+            return is_refused_for_all or line.fields.get("target") in targets
         return line.fields.get("group") in groups or line.fields.get("vm") in vms
 
     related = [
--- a/tests/pool_explain_test.py
+++ b/tests/pool_explain_test.py
@@ -12,8 +12,9 @@
 from basilpost.cli import explain
 from basilpost.core import log, names
 from basilpost.emulator import pool_fleet
+from basilpost.members import reachability
 from basilpost.routing import crash_evidence, crashes
-from tests import pool_nodes
+from tests import cut_links, pool_nodes
 
 
 @pytest.fixture
@@ -89,3 +90,38 @@
     lines = [json.loads(line) for line in (tmp_path / "node.log").read_text().splitlines()]
     assert all(line["event"] and line["timestamp"] for line in lines)
     assert all("node" in line for line in lines if line["event"] != "log_lines_dropped")
+
+
+async def test_a_request_at_a_node_without_a_path(explain_request):
+    async with pool_nodes.running(nodes=2, vms=0) as bench:
+        bench.links[0].cut(cut_links.Kind.RESET)
+        while bench.reachabilities[0].has_path:
+            detoured = await bench.call("/lookup/a")
+            await asyncio.sleep(reachability.FRESH_SECONDS)
+        detoured = await bench.call("/lookup/a")
+        assert detoured.code == 200
+        bench.links[1].cut(cut_links.Kind.RESET)
+        while bench.reachabilities[1].has_path:
+            await bench.call("/lookup/a", node=1)
+            await asyncio.sleep(reachability.FRESH_SECONDS)
+        refused = await bench.call("/lookup/a")
+        assert refused.code == 503
+    output = explain_request(detoured.attempt)
+    assert "runner_path_lost" in output and "detour_served" in output
+    assert "detour_node=node-1" in output
+    output = explain_request(refused.attempt)
+    assert "runner_path_lost" in output
+    assert "reached no runner" in output.splitlines()[-1]
+    assert output.splitlines()[-1].endswith("it has not run")
+
+
+async def test_a_request_refused_while_all_targets_pause(explain_request):
+    async with pool_nodes.running(vms=0, plain_instances=1) as bench:
+        options = bench.fleet.runners_by_id["desk-0"].options
+        options.full, options.retry_after = True, "5"
+        for _ in range(2):
+            answer = await bench.call("/filing/a")
+        assert answer.code == 503
+    output = explain_request(answer.attempt)
+    assert "target_paused target=desk-0@1 seconds=5.0" in output
+    assert "had asked the node for a pause" in output.splitlines()[-1]
