Nodes tell each other of a pause once, not once for each node that is asked

With 9 nodes and 20 runners that ask for 3 s of rest, each node's report was passed on by each other one: by arithmetic some 2,900 messages a second over the fleet. A report is sent or passed on only if the pause that is known ends over 1 s earlier, and the end of a pause only if it was told.

--- a/basilpost/routing/pauses.py
+++ b/basilpost/routing/pauses.py
@@ -19,6 +19,9 @@
 TRIAL_SECONDS = 1.0
 # A pause whose end was not tested for this long is forgotten.
 MEMORY_SECONDS = 30.0
+# A pause that ends at most this much later than one that is known is not told again: all nodes that a
+# runner rejects would tell all others of it.
+TOLD_SLACK_SECONDS = 1.0
 # Pauses, and runners with an invalid one, that are remembered; a fleet has some hundred targets.
 MAX_PAUSES = 4_096
 
@@ -60,6 +63,7 @@
         self._log = kernel.log
         self._peers = kernel.find(names.PEERS, peers.PeerNetwork)
         self._pauses_by_lifetime: dict[str, _Pause] = {}
+        # Ends of pauses that this node has told its peers of, or was told of.
         self._told_until_by_lifetime: dict[str, float] = {}
         self._ignored_lifetimes: set[str] = set()
         self._handled_reports = recent_ids.RecentIds()
@@ -94,7 +98,7 @@
         return 0.0
 
     def is_told(self, lifetime: str) -> bool:
-        """Returns True during a pause that a runner has asked another node for."""
+        """Returns True during a pause that a runner has asked some node for."""
         until = self._told_until_by_lifetime.get(lifetime)
         return until is not None and clock.elapsed() < until
 
@@ -124,7 +128,9 @@
         if is_new:
             self._asked_total.inc()
             self._log.info("target_paused", target=target_id, seconds=round(seconds, 3))
-            self._peers.broadcast(self._report(lifetime, seconds))
+            if self._is_news(lifetime, until) and self._has_room_for(lifetime):
+                self._told_until_by_lifetime[lifetime] = until
+                self._peers.broadcast(self._report(lifetime, seconds))
 
     def record_accepted(self, lifetime: str, target_id: str, *, sent_at: float) -> None:
         """Records an answer that asks for no pause, to a request that was sent at a time.
@@ -140,7 +146,12 @@
             target=target_id,
             seconds=round(clock.elapsed() - pause.began_at, 3),
         )
-        self._peers.broadcast(self._report(lifetime, 0.0))
+        if self._told_until_by_lifetime.pop(lifetime, None) is not None:
+            self._peers.broadcast(self._report(lifetime, 0.0))
+
+    def _is_news(self, lifetime: str, until: float) -> bool:
+        """Returns True if no pause is known at this node that lasts nearly as long as a given one."""
+        return until - self._told_until_by_lifetime.get(lifetime, 0.0) > TOLD_SLACK_SECONDS
 
     def record_invalid(self, lifetime: str, target_id: str, text: str) -> None:
         """Logs once for each runner that the time it names is not valid."""
@@ -168,7 +179,7 @@
             del self._pauses_by_lifetime[first]
 
     async def _on_report(self, sender: str, message: PauseReport) -> None:
-        """Applies a report, and passes it on if it is new."""
+        """Applies a report, and passes it on if it tells this node something new."""
         if not self._handled_reports.add(message.report_id):
             return
         now = clock.elapsed()
@@ -178,11 +189,17 @@
             if until > now
         }
         if not message.seconds > 0.0:
-            self._told_until_by_lifetime.pop(message.lifetime, None)
-        elif len(self._told_until_by_lifetime) < MAX_PAUSES:
-            until = now + min(message.seconds, MAX_PAUSE_SECONDS)
+            if self._told_until_by_lifetime.pop(message.lifetime, None) is not None:
+                self._peers.broadcast(message)
+            return
+        until = now + min(message.seconds, MAX_PAUSE_SECONDS)
+        if self._is_news(message.lifetime, until) and self._has_room_for(message.lifetime):
             self._told_until_by_lifetime[message.lifetime] = until
-        self._peers.broadcast(message)
+            self._peers.broadcast(message)
+
+    def _has_room_for(self, lifetime: str) -> bool:
+        told = self._told_until_by_lifetime
+        return lifetime in told or len(told) < MAX_PAUSES
 
     def _on_stream(self, node_id: str, is_open: bool) -> None:
         """Tells a peer the pauses in force when a stream to it opens."""
