A request tries eight nodes for a detour at most, and unreachable ones later

In a large fleet a node does not know of all others that they have no path, and records of nodes that have lost power stay: with hundreds cut off, a request would have asked all of them in turn, 3 ms each or 0.3 s for one that does not answer. basilpost/gateway/detours_test.py: without the bound 419 are tried.

--- a/basilpost/gateway/detours.py
+++ b/basilpost/gateway/detours.py
@@ -21,8 +21,12 @@
 CONNECT_SECONDS = 0.3
 # Time for the way between the nodes, by which the other node's time budget is shorter.
 HOP_SECONDS = 0.01
-# A node that could not be reached, or that cannot send requests now, is avoided for this long.
+# A node that cannot send requests now is avoided for this long, and one that could not be reached for
+# longer: records of nodes that have lost power stay.
 AVOID_SECONDS = 0.5
+AVOID_UNREACHED_SECONDS = 5.0
+# Nodes that are tried for a request. In a large fleet not all are known to have no path either.
+MAX_TRIED_NODES = 8
 # Cost of a node in another failure domain, in requests in flight.
 OTHER_DOMAIN_COST = 0.5
 # Refusals that concern the other node alone, so that a third one may send the request.
@@ -66,7 +70,9 @@
         self._avoided_until_by_node: dict[str, float] = {}
 
     def choose(self, progress: attempts.Progress) -> Detour | None:
-        """Returns a node that was not tried for a request, None if there is none."""
+        """Returns a node that was not tried for a request, None if there is none or enough were."""
+        if len(progress.tried_nodes) >= MAX_TRIED_NODES:
+            return None
         candidates = [
             node_id for node_id in self._usable_nodes() if node_id not in progress.tried_nodes
         ]
@@ -133,7 +139,9 @@
             lifetime=detour.incarnation,
         )
         if isinstance(channel, channels.ConnectFailed):
-            return self._give_up_node(progress, detour, channel.reason)
+            return self._give_up_node(
+                progress, detour, channel.reason, seconds=AVOID_UNREACHED_SECONDS
+            )
         self._log.info(
             "request_detoured",
             request=progress.admitted.call.request_id,
@@ -197,7 +205,7 @@
         if isinstance(head, channels.Broken) or report is None:
             reason = head.reason if isinstance(head, channels.Broken) else "no report"
             if report is None:
-                self._avoid(detour.node_id)
+                self._avoid(detour.node_id, AVOID_SECONDS)
             return attempts.Lost(reason=f"{detour.node_id}: {reason}", by_detour=True)
         code, message, cause = detour_headers.decode_error(reader.refusal_body)
         match report.result:
@@ -214,7 +222,7 @@
                 return attempts.NotRun(reason=f"{detour.node_id}: {message}")
         progress.sends -= 1
         if code in NODE_REFUSALS or not code:
-            return self._give_up_node(progress, detour, message)
+            return self._give_up_node(progress, detour, message, seconds=AVOID_SECONDS)
         return failure.Refusal(
             reason=message,
             code=code,
@@ -224,17 +232,17 @@
         )
 
     def _give_up_node(
-        self, progress: attempts.Progress, detour: Detour, reason: str
+        self, progress: attempts.Progress, detour: Detour, reason: str, *, seconds: float
     ) -> attempts.NotSent:
         progress.tried_nodes.add(detour.node_id)
-        self._avoid(detour.node_id)
+        self._avoid(detour.node_id, seconds)
         return attempts.NotSent(reason=f"{detour.node_id}: {reason}")
 
-    def _avoid(self, node_id: str) -> None:
+    def _avoid(self, node_id: str, seconds: float) -> None:
         now = clock.elapsed()
         self._avoided_until_by_node = {
             known: until for known, until in self._avoided_until_by_node.items() if until > now
-        } | {node_id: now + AVOID_SECONDS}
+        } | {node_id: now + seconds}
 
 
 class _Reader:
--- /dev/null
+++ b/basilpost/gateway/detours_test.py
@@ -0,0 +1,94 @@
+"""Tests of the choice of nodes that send requests for another one."""
+
+import random
+import types
+
+import pytest
+import structlog
+
+from basilpost.core import channels, clock, names
+from basilpost.gateway import attempts, detours
+from basilpost.members import node_table
+
+
+@pytest.fixture
+def time(monkeypatch):
+    now = [100.0]
+    monkeypatch.setattr(clock, "elapsed", lambda: now[0])
+    return now
+
+
+def make_detours(count, *, without_path=()):
+    records = {
+        f"n{number}": node_table.NodeRecord(
+            node_id=f"n{number}",
+            peer_address=f"10.0.0.{number}:7000",
+            failure_domain=f"domain-{number % 3}",
+            incarnation="i",
+            lease_seconds=1e9,
+        )
+        for number in range(count)
+    }
+    services = {
+        names.PEERS: types.SimpleNamespace(live_nodes=lambda: tuple(records)),
+        names.NODE_TABLE: types.SimpleNamespace(records_by_id=records),
+        names.REACHABILITY: types.SimpleNamespace(peers_without_path=set(without_path)),
+    }
+    kernel = types.SimpleNamespace(
+        node_id="n0", log=structlog.get_logger(), find=lambda name, kind: services[name]
+    )
+    return detours.Detours(
+        kernel=kernel, failure_domain="domain-0", dialect=None, rng=random.Random(1)
+    )
+
+
+def make_progress():
+    admitted = types.SimpleNamespace(call=types.SimpleNamespace(request_id="r"))
+    return attempts.Progress(admitted=admitted, fingerprint="f")
+
+
+def test_a_near_node_with_a_path_is_chosen(time):
+    node = make_detours(9, without_path={"n3"})
+    chosen = node.choose(make_progress())
+    assert (chosen.node_id, chosen.address) == ("n6", "10.0.0.6:7001")
+
+
+def test_a_node_is_alone_if_all_others_have_no_path(time):
+    node = make_detours(3, without_path={"n1", "n2"})
+    assert node.choose(make_progress()) is None
+    assert not node.available
+
+
+async def test_a_request_tries_all_of_hundreds_of_nodes(time, monkeypatch):
+    node = make_detours(420)
+    tried = []
+
+    async def refuse(address, **options):
+        tried.append(address)
+        return channels.ConnectFailed(reason="refused")
+
+    monkeypatch.setattr(node.pool, "acquire", refuse)
+    monkeypatch.setattr(attempts.Progress, "repeatable", True)
+    progress = make_progress()
+    while (detour := node.choose(progress)) is not None:
+        result = await node.send(progress, None, detour, last_event="", sink=None)
+        assert isinstance(result, attempts.NotSent)
+    assert len(tried) == detours.MAX_TRIED_NODES
+    assert progress.sends == 0
+    # The next request does not try the same ones.
+    assert node.choose(make_progress()).address not in tried
+
+
+async def test_a_node_that_could_not_be_reached_is_tried_again_later(time, monkeypatch):
+    node = make_detours(2)
+
+    async def refuse(address, **options):
+        return channels.ConnectFailed(reason="refused")
+
+    monkeypatch.setattr(node.pool, "acquire", refuse)
+    monkeypatch.setattr(attempts.Progress, "repeatable", True)
+    progress = make_progress()
+    await node.send(progress, None, node.choose(progress), last_event="", sink=None)
+    assert not node.available
+    time[0] += detours.AVOID_UNREACHED_SECONDS
+    assert node.available
