The port for detours is checked in the settings

A node whose metrics_port follows its peer_port could not bind the port for detours and ended with an error of the system. The new test failed before.

--- a/basilpost/gateway/detours.py
+++ b/basilpost/gateway/detours.py
@@ -15,9 +15,8 @@
 from basilpost.gateway import answer_sinks, attempts, detour_headers, inbound, request_admission
 from basilpost.members import node_table, peers, reachability
 from basilpost.routing import header_dialect
+from basilpost.settings import pool_schema
 
-# The port for detours follows that of the peer streams.
-PORT_OFFSET = 1
 CONNECT_SECONDS = 0.3
 # Time for the way between the nodes, by which the other node's time budget is shorter.
 HOP_SECONDS = 0.01
@@ -281,7 +280,7 @@
 def detour_address(record: node_table.NodeRecord) -> str:
     """Returns the `host:port` at which a node takes requests of other nodes."""
     host, _, port = record.peer_address.rpartition(":")
-    return f"{host}:{int(port) + PORT_OFFSET}"
+    return f"{host}:{int(port) + pool_schema.DETOUR_PORT_OFFSET}"
 
 
 def _retry_after(head: channels.Head) -> float | None:
--- a/basilpost/gateway/relay.py
+++ b/basilpost/gateway/relay.py
@@ -146,8 +146,9 @@
         self._tasks.spawn(self.forwarder.stall_detector.run(), name="stall-watch")
         self._tasks.spawn(self._sweep_pool(), name="connection-sweep")
         self._server.add_sockets(_bind(self._settings.callers))
-        detour_port = self._settings.peer_port + detours.PORT_OFFSET
-        self._detour_service.server.add_sockets(_bind(f"{self._settings.host}:{detour_port}"))
+        self._detour_service.server.add_sockets(
+            _bind(f"{self._settings.host}:{self._settings.detour_port}")
+        )
         ready = tornado.web.Application(
             [(r"/.*", _ReadyHandler, {"relay": self})], log_function=lambda handler: None
         )
--- a/basilpost/settings/pool_loader.py
+++ b/basilpost/settings/pool_loader.py
@@ -81,6 +81,18 @@
             (value > 0, f"bounds.{name}", value, "a positive number")
             for name, value in dataclasses.asdict(settings.bounds).items()
         ),
+        (
+            settings.detour_port <= MAX_PORT,
+            "peer_port",
+            settings.peer_port,
+            f"below {MAX_PORT}, as the next port is used too",
+        ),
+        (
+            settings.detour_port != settings.metrics_port,
+            "metrics_port",
+            settings.metrics_port,
+            "another port than the one after peer_port, which is used too",
+        ),
         (bool(settings.node_id), "node_id", settings.node_id, "a name"),
         (
             settings.log_level in ("debug", "info", "warning", "error"),
--- a/basilpost/settings/pool_loader_test.py
+++ b/basilpost/settings/pool_loader_test.py
@@ -57,6 +57,11 @@
     }
 
 
+def test_the_port_after_that_of_the_peers_is_taken():
+    assert errors_of(json.dumps({**GOOD, "metrics_port": 7341})) == {"metrics_port"}
+    assert errors_of(json.dumps({**GOOD, "peer_port": 65535})) == {"peer_port"}
+
+
 def test_a_missing_field_is_an_error():
     assert errors_of(json.dumps({k: v for k, v in GOOD.items() if k != "store"})) == {"store"}
 
--- a/basilpost/settings/pool_schema.py
+++ b/basilpost/settings/pool_schema.py
@@ -5,6 +5,8 @@
 
 import dataclasses
 
+DETOUR_PORT_OFFSET = 1
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Bounds:
@@ -33,7 +35,8 @@
         host: IP address that the node listens on for its peers and for metrics.
         callers: `host:port` that the node listens on for callers.
         readiness: `host:port` for the readiness checks of the load balancer.
-        peer_port: Port of the peer streams, the same on all nodes.
+        peer_port: Port of the peer streams, the same on all nodes; the next port takes the requests of
+            nodes that reach no runner.
         metrics_port: Port of the metrics endpoint.
         store: `host:port` of the platform's store.
         first_start: True if the whole system, not only this node, starts for the first time.
@@ -55,3 +58,8 @@
     bounds: Bounds
     source_host: str = ""
     log_level: str = "info"
+
+    @property
+    def detour_port(self) -> int:
+        """Returns the port that takes the requests of nodes that reach no runner."""
+        return self.peer_port + DETOUR_PORT_OFFSET
