Detours are described in the terms of the field

The headers between nodes are a context instead of an errand, a node sends for a peer instead of carrying, and a function that nothing used is gone.

--- a/basilpost/gateway/detour_headers.py
+++ b/basilpost/gateway/detour_headers.py
@@ -32,7 +32,7 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class Errand:
+class DetourContext:
     """What a node asks of another one besides the request itself.
 
     Attributes:
@@ -59,21 +59,21 @@
         return {_RESULT: self.result.value, _TARGET: self.target_id}
 
 
-def encode_errand(errand: Errand) -> dict[str, str]:
-    """Returns an errand as headers of the request."""
+def encode_context(context: DetourContext) -> dict[str, str]:
+    """Returns the context of a detour as headers of the request."""
     return {
-        _CONFIGURATION: str(errand.configuration),
-        _TRIED: _SEPARATOR.join(sorted(errand.tried_targets)),
-        _MAY_MOVE: str(int(errand.may_move)),
+        _CONFIGURATION: str(context.configuration),
+        _TRIED: _SEPARATOR.join(sorted(context.tried_targets)),
+        _MAY_MOVE: str(int(context.may_move)),
     }
 
 
-def decode_errand(headers: tornado.httputil.HTTPHeaders) -> Errand | None:
-    """Returns the errand in the headers of a request, None if they hold no valid one."""
+def decode_context(headers: tornado.httputil.HTTPHeaders) -> DetourContext | None:
+    """Returns the context in the headers of a request, None if they hold no valid one."""
     version = headers.get(_CONFIGURATION, "")
     if not version.isdecimal():
         return None
-    return Errand(
+    return DetourContext(
         configuration=int(version),
         tried_targets=frozenset(filter(None, headers.get(_TRIED, "").split(_SEPARATOR))),
         may_move=headers.get(_MAY_MOVE) == "1",
--- a/basilpost/gateway/detour_service.py
+++ b/basilpost/gateway/detour_service.py
@@ -1,7 +1,7 @@
 """Takes the requests of other nodes that have no path to the runners, and sends each once.
 
 Such a request is admitted as one of a caller: its key is checked here too. It is never sent on to a
-third node, so it can not go round in a circle.
+third node, so that no loop can form.
 """
 
 import asyncio
@@ -17,6 +17,7 @@
 
 # Starts the handler of a request as a task of the owner.
 Spawn = Callable[..., "asyncio.Task[None]"]
+# Admits a request, or refuses it.
 Admit = Callable[[inbound.Request], request_admission.AdmittedRequest | failure.Refusal]
 
 
@@ -82,14 +83,14 @@
 
     def _begin(self, request: inbound.Request) -> attempts.Progress | failure.Refusal:
         """Returns the attempts that the other node has made, or why it must ask another node."""
-        errand = detour_headers.decode_errand(request.headers)
-        if errand is None:
-            return _refusal("bad_detour", "the request names no valid errand")
+        context = detour_headers.decode_context(request.headers)
+        if context is None:
+            return _refusal("bad_detour", "the request has no valid detour headers")
         request.headers = detour_headers.without_detour(request.headers)
         admitted = self._admit(request)
         if isinstance(admitted, failure.Refusal):
             return admitted
-        if admitted.configuration < errand.configuration:
+        if admitted.configuration < context.configuration:
             return _refusal(
                 "older_configuration", f"only configuration {admitted.configuration} is known"
             )
@@ -98,8 +99,8 @@
             fingerprint=crashes.request_fingerprint(
                 admitted.workspace, request.target, request.body
             ),
-            tried_targets=set(errand.tried_targets),
-            may_move=errand.may_move,
+            tried_targets=set(context.tried_targets),
+            may_move=context.may_move,
         )
 
     async def _answer(
@@ -111,7 +112,7 @@
         """Sends the request and answers; returns the report and the code of a refusal."""
         if isinstance(progress, failure.Refusal):
             return self._refuse(reply, progress), progress.code
-        result = await self._forwarder.carry(progress, request, reply)
+        result = await self._forwarder.send_for_peer(progress, request, reply)
         if reply.started and not isinstance(result, attempts.Streamed):
             # The other node sees that the stream is incomplete, and may resume it.
             reply.abort()
--- a/basilpost/gateway/detours.py
+++ b/basilpost/gateway/detours.py
@@ -8,7 +8,9 @@
 import dataclasses
 import math
 import random
-from typing import Any
+from collections.abc import Awaitable
+
+import tornado.httputil
 
 from basilpost.core import channels, clock, failure, names
 from basilpost.core import kernel as kernel_
@@ -38,7 +40,13 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Detour:
-    """A node that can send requests for this one, and its address for that."""
+    """A node that can send requests for this one.
+
+    Attributes:
+        node_id: Id of the node.
+        address: `host:port` at which it takes them.
+        incarnation: Id of the run of its process.
+    """
 
     node_id: str
     address: str
@@ -46,7 +54,11 @@
 
 
 class Detours:
-    """Chooses nodes for requests that this node cannot send, and passes the answers on."""
+    """Chooses nodes for requests that this node cannot send, and passes the answers on.
+
+    Attributes:
+        pool: Connections to other nodes.
+    """
 
     def __init__(
         self,
@@ -172,15 +184,15 @@
 
     def _headers(
         self, progress: attempts.Progress, request: inbound.Request, last_event: str
-    ) -> Any:
+    ) -> tornado.httputil.HTTPHeaders:
         headers = self._dialect.detour_headers(
             request.headers,
             budget_seconds=request_admission.seconds_left(progress.admitted) - HOP_SECONDS,
             last_event_id=last_event,
         )
         headers.update(
-            detour_headers.encode_errand(
-                detour_headers.Errand(
+            detour_headers.encode_context(
+                detour_headers.DetourContext(
                     configuration=progress.admitted.configuration,
                     # The other node may reach targets to which this one could open no connection.
                     tried_targets=frozenset(progress.tried_targets - progress.unreached_targets),
@@ -260,9 +272,11 @@
 
     @property
     def refusal_body(self) -> bytes:
+        """Returns what has arrived of the body of a refusal."""
         return bytes(self._refusal)
 
     def on_head(self, head: channels.Head) -> None:
+        """Reads the report; passes the head of a target's answer on."""
         self.report = detour_headers.decode_report(head.headers)
         if self.report is not None and self.report.result is detour_headers.Result.ANSWERED:
             self.head = dataclasses.replace(
@@ -270,7 +284,8 @@
             )
             self._sink.on_head(self.head)
 
-    def on_data(self, data: bytes) -> Any:
+    def on_data(self, data: bytes) -> Awaitable[None] | None:
+        """Passes a part of the body on."""
         if self.head is not None:
             return self._sink.on_chunk(data)
         self._refusal += data
--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -302,7 +302,7 @@
             return True
         return not isinstance(self._chooser.choose(progress), failure.Refusal)
 
-    async def carry(
+    async def send_for_peer(
         self,
         progress: attempts.Progress,
         request: inbound.Request,
@@ -327,13 +327,13 @@
         )
         try:
             async with asyncio.timeout(max(0.0, request_admission.seconds_left(progress.admitted))):
-                return await self._carry(progress, request, reply, sink)
+                return await self._send_for_peer(progress, request, reply, sink)
         except TimeoutError:
             return attempts.deadline_refusal(progress)
         finally:
             sink.discard()
 
-    async def _carry(
+    async def _send_for_peer(
         self,
         progress: attempts.Progress,
         request: inbound.Request,
--- a/basilpost/members/reachability.py
+++ b/basilpost/members/reachability.py
@@ -15,7 +15,7 @@
 
 import prometheus_client
 
-from basilpost.core import catalog, channels, clock, failure, kernel, names, tasks
+from basilpost.core import catalog, channels, clock, kernel, names, tasks
 from basilpost.members import knowledge as knowledges
 from basilpost.members import peers
 
@@ -241,8 +241,3 @@
         vms_by_domain.setdefault(vm.failure_domain, []).append(vm)
     in_turn = itertools.chain.from_iterable(itertools.zip_longest(*vms_by_domain.values()))
     return [vm for vm in in_turn if vm is not None][:CHECKED_VMS]
-
-
-def no_path_refusal(reason: str, *, retry_after: float) -> failure.Refusal:
-    """Returns the refusal of a request for which neither this node nor a peer has a path."""
-    return failure.Refusal(reason=reason, code="no_path", status=503, retry_after=retry_after)
--- a/tests/pool_cut_off_test.py
+++ b/tests/pool_cut_off_test.py
@@ -169,7 +169,7 @@
         assert pool_nodes.event_ids(answer.body) == list(range(1, 31))
 
 
-async def test_requests_go_round_in_a_circle_between_nodes_without_a_path():
+async def test_requests_loop_between_nodes_without_a_path():
     """They are refused at once, as not run, and come back at different times."""
     async with pool_nodes.running(nodes=3, vms=0) as bench:
         for node in range(3):
