A busy proxy without a path does not count as the path's return

Traced: node-8 was cut off for 5 s, and counted its path as back after 0.66 s, as the proxy, in a busy process, aborted connections later than the 30 ms that a check waits; requests were then reset one after the other (16 lost in a second). A check for the return waits 0.25 s now, and nothing waits for it. The new unit test failed before and passes.

--- a/basilpost/members/reachability.py
+++ b/basilpost/members/reachability.py
@@ -25,6 +25,8 @@
 # Time in which a new connection is aborted if nothing listens behind it, as by a proxy whose server is
 # gone.
 ABORT_SECONDS = 0.03
+# The same before a lost path counts as back: a busy proxy aborts later, and nothing waits for the result.
+RETURN_ABORT_SECONDS = 0.25
 # A check that found a path this short a time ago is not repeated.
 FRESH_SECONDS = 0.05
 # Time without a byte from any runner, with requests in flight, after which the path is checked.
@@ -38,7 +40,7 @@
 RETURN_SECONDS = 1.5
 WATCH_SECONDS = 0.1
 # After a check that took longer, this process was itself delayed, and its failure says nothing.
-LATE_CHECK_SECONDS = 2 * (CONNECT_SECONDS + ABORT_SECONDS)
+LATE_CHECK_SECONDS = 2 * (CONNECT_SECONDS + RETURN_ABORT_SECONDS)
 
 # Opens a connection to an address within some seconds.
 Connect = Callable[[str, float], Awaitable[channels.Channel | channels.ConnectFailed]]
@@ -184,7 +186,8 @@
             self._check = None
 
     async def _opens_any(self, connect: Connect, vms: list[catalog.Vm]) -> bool:
-        attempts = [asyncio.ensure_future(_opens(connect, vm.address)) for vm in vms]
+        abort_seconds = ABORT_SECONDS if self.has_path else RETURN_ABORT_SECONDS
+        attempts = [asyncio.ensure_future(_opens(connect, vm.address, abort_seconds)) for vm in vms]
         try:
             for attempt in asyncio.as_completed(attempts):
                 if await attempt:
@@ -219,12 +222,12 @@
             self._peers.send(node_id, PathReport(has_path=False))
 
 
-async def _opens(connect: Connect, address: str) -> bool:
+async def _opens(connect: Connect, address: str, abort_seconds: float) -> bool:
     channel = await connect(address, CONNECT_SECONDS)
     if isinstance(channel, channels.ConnectFailed):
         return False
     try:
-        return not await channel.closes_within(ABORT_SECONDS)
+        return not await channel.closes_within(abort_seconds)
     finally:
         channel.close()
 
--- a/basilpost/members/reachability_test.py
+++ b/basilpost/members/reachability_test.py
@@ -36,9 +36,15 @@
 
 
 class FakeChannel:
+    """A connection that is aborted after some seconds, None for never."""
+
+    def __init__(self, aborted_after=None):
+        self._aborted_after = aborted_after
+
     async def closes_within(self, seconds):
-        await asyncio.sleep(seconds)
-        return False
+        is_aborted = self._aborted_after is not None and self._aborted_after < seconds
+        await asyncio.sleep(self._aborted_after if is_aborted else seconds)
+        return is_aborted
 
     def close(self):
         pass
@@ -51,6 +57,7 @@
         self.open = {f"vm-{number}:1" for number in range(vms)}
         self.connects = []
         self.seconds = 0.0
+        self.aborted_after = None
         self.sent = []
         seen = {f"vm-{n}": types.SimpleNamespace(vm=make_vm(n)) for n in range(vms)}
         services = {
@@ -75,7 +82,7 @@
         await asyncio.sleep(self.seconds)
         if address not in self.open:
             return channels.ConnectFailed(reason="refused")
-        return FakeChannel()
+        return FakeChannel(self.aborted_after)
 
 
 async def test_one_vm_that_answers_is_a_path():
@@ -108,6 +115,21 @@
     await node.reachability.stop()
 
 
+async def test_a_busy_proxy_without_a_path_counts_as_its_return():
+    node = Node()
+    node.aborted_after = 0.01
+    await node.reachability.start()
+    await asyncio.sleep(1.0)
+    assert not node.reachability.has_path
+    node.aborted_after = 0.1
+    await asyncio.sleep(5.0)
+    assert not node.reachability.has_path
+    node.aborted_after = None
+    await asyncio.sleep(1.5)
+    assert node.reachability.has_path
+    await node.reachability.stop()
+
+
 async def test_requests_that_fail_together_share_one_check():
     node = Node()
     node.seconds = 0.1
