Requests lost one after the other are a reason to check the path

Connections opened and were aborted some 50 ms later by the busy proxy, after the 30 ms that a check waits. Three requests lost in a row, with no byte from any runner between, now start a check that waits 0.25 s.

--- a/basilpost/gateway/target_sender.py
+++ b/basilpost/gateway/target_sender.py
@@ -154,6 +154,8 @@
                 result = dataclasses.replace(result, stale_connection=is_stale)
                 if is_stale:
                     self._chooser.record_unreachable(target)
+            if isinstance(result, attempts.Lost):
+                self._reachability.record_lost()
             if isinstance(result, attempts.Lost) and in_flight.abandoned:
                 result = dataclasses.replace(result, abandoned=True)
             return result
--- a/basilpost/members/reachability.py
+++ b/basilpost/members/reachability.py
@@ -25,8 +25,10 @@
 # Time in which a new connection is aborted if nothing listens behind it, as by a proxy whose server is
 # gone.
 ABORT_SECONDS = 0.03
-# The same before a lost path counts as back: a busy proxy aborts later, and nothing waits for the result.
-RETURN_ABORT_SECONDS = 0.25
+# The same if there is reason to doubt the path: a busy proxy aborts later.
+DOUBT_ABORT_SECONDS = 0.25
+# Requests lost one after the other, with no byte from any runner between, that give reason to doubt.
+DOUBTED_LOSSES = 3
 # A check that found a path this short a time ago is not repeated.
 FRESH_SECONDS = 0.05
 # Time without a byte from any runner, with requests in flight, after which the path is checked.
@@ -40,7 +42,7 @@
 RETURN_SECONDS = 1.5
 WATCH_SECONDS = 0.1
 # After a check that took longer, this process was itself delayed, and its failure says nothing.
-LATE_CHECK_SECONDS = 2 * (CONNECT_SECONDS + RETURN_ABORT_SECONDS)
+LATE_CHECK_SECONDS = 2 * (CONNECT_SECONDS + DOUBT_ABORT_SECONDS)
 
 # Opens a connection to an address within some seconds.
 Connect = Callable[[str, float], Awaitable[channels.Channel | channels.ConnectFailed]]
@@ -78,7 +80,7 @@
         self._check: asyncio.Task[None] | None = None
         self._found_at = self._checked_at = -math.inf
         self._lost_at = self._back_at = -math.inf
-        self._in_flight = 0
+        self._in_flight = self._losses_since_heard = 0
         self._heard_at = clock.elapsed()
         self._lost_total = prometheus_client.Counter(
             "basilpost_runner_path_losses_total",
@@ -131,7 +133,7 @@
     def record_sent(self) -> None:
         """Counts a request that is sent to a runner."""
         if not self._in_flight:
-            self.record_heard()
+            self._heard_at = clock.elapsed()
         self._in_flight += 1
 
     def record_ended(self) -> None:
@@ -141,6 +143,11 @@
     def record_heard(self) -> None:
         """Records that bytes arrived from a runner."""
         self._heard_at = clock.elapsed()
+        self._losses_since_heard = 0
+
+    def record_lost(self) -> None:
+        """Records that the connection of a request broke."""
+        self._losses_since_heard += 1
 
     @property
     def is_silent(self) -> bool:
@@ -158,6 +165,9 @@
                 await self._run_check("start")
             elif self.is_silent and clock.elapsed() - self._checked_at > SILENT_CHECK_PAUSE_SECONDS:
                 await self._run_check("silence")
+            elif self._losses_since_heard >= DOUBTED_LOSSES:
+                await self._run_check("losses")
+                self._losses_since_heard = 0
 
     async def _run_check(self, reason: str) -> None:
         """Runs a check, or waits for the one that runs already."""
@@ -186,7 +196,8 @@
             self._check = None
 
     async def _opens_any(self, connect: Connect, vms: list[catalog.Vm]) -> bool:
-        abort_seconds = ABORT_SECONDS if self.has_path else RETURN_ABORT_SECONDS
+        in_doubt = not self.has_path or self._losses_since_heard >= DOUBTED_LOSSES
+        abort_seconds = DOUBT_ABORT_SECONDS if in_doubt else ABORT_SECONDS
         attempts = [asyncio.ensure_future(_opens(connect, vm.address, abort_seconds)) for vm in vms]
         try:
             for attempt in asyncio.as_completed(attempts):
--- a/basilpost/members/reachability_test.py
+++ b/basilpost/members/reachability_test.py
@@ -130,6 +130,34 @@
     await node.reachability.stop()
 
 
+async def test_a_busy_proxy_without_a_path_counts_as_one():
+    """It aborts connections late; requests are lost one after the other."""
+    node = Node()
+    node.aborted_after = 0.1
+    await node.reachability.start()
+    await asyncio.sleep(1.0)
+    assert node.reachability.has_path
+    for _ in range(reachability.DOUBTED_LOSSES):
+        node.reachability.record_lost()
+    await asyncio.sleep(0.5)
+    assert not node.reachability.has_path
+    await node.reachability.stop()
+
+
+async def test_losses_between_answers_do_not_count():
+    node = Node()
+    await node.reachability.start()
+    await asyncio.sleep(1.0)
+    checks = len(node.connects)
+    for _ in range(20):
+        node.reachability.record_lost()
+        node.reachability.record_lost()
+        node.reachability.record_heard()
+        await asyncio.sleep(0.1)
+    assert len(node.connects) == checks
+    await node.reachability.stop()
+
+
 async def test_requests_that_fail_together_share_one_check():
     node = Node()
     node.seconds = 0.1
