The only other node is not given up after one failed connection

Cause, since: a node to which one connection was not open in 0.3 s was left out for 5 s, also if it was the only one with a path. If all nodes are avoided, a request now tries the one whose time ends first; a connection that opens ends it; connections get 0.5 s as those to targets do.

--- a/basilpost/gateway/detours.py
+++ b/basilpost/gateway/detours.py
@@ -19,11 +19,11 @@
 from basilpost.routing import header_dialect
 from basilpost.settings import pool_schema
 
-CONNECT_SECONDS = 0.3
+CONNECT_SECONDS = 0.5
 # Time for the way between the nodes, by which the other node's time budget is shorter.
 HOP_SECONDS = 0.01
 # A node that cannot send requests now is avoided for this long, and one that could not be reached for
-# longer: records of nodes that have lost power stay.
+# longer: records of nodes that have lost power stay. If all are avoided, a request tries one of them.
 AVOID_SECONDS = 0.5
 AVOID_UNREACHED_SECONDS = 5.0
 # Nodes that are tried for a request. In a large fleet not all are known to have no path either.
@@ -84,11 +84,19 @@
         """Returns a node that was not tried for a request, None if there is none or enough were."""
         if len(progress.tried_nodes) >= MAX_TRIED_NODES:
             return None
-        candidates = [
+        untried = [
             node_id for node_id in self._usable_nodes() if node_id not in progress.tried_nodes
         ]
+        now = clock.elapsed()
+        candidates = [
+            node_id
+            for node_id in untried
+            if self._avoided_until_by_node.get(node_id, -math.inf) <= now
+        ]
         others = [node_id for node_id in candidates if node_id != progress.detour_node]
         best = min(others or candidates, key=self._cost, default=None)
+        if best is None and not progress.tried_nodes:
+            best = min(untried, key=self._avoided_until_by_node.__getitem__, default=None)
         if best is None:
             return None
         record = self._table.records_by_id[best]
@@ -100,14 +108,13 @@
         return bool(self._usable_nodes())
 
     def _usable_nodes(self) -> list[str]:
-        now = clock.elapsed()
+        """Returns the live nodes that have not reported that they have no path."""
         return [
             node_id
             for node_id in self._peers.live_nodes()
             if node_id != self._node_id
             and node_id in self._table.records_by_id
             and node_id not in self._reachability.peers_without_path
-            and self._avoided_until_by_node.get(node_id, -math.inf) <= now
         ]
 
     def _cost(self, node_id: str) -> tuple[float, float]:
@@ -153,6 +160,7 @@
             return self._give_up_node(
                 progress, detour, channel.reason, seconds=AVOID_UNREACHED_SECONDS
             )
+        self._avoided_until_by_node.pop(detour.node_id, None)
         self._log.info(
             "request_detoured",
             request=progress.admitted.call.request_id,
