The test of a second SIGTERM opens its handle of the process before the first one

The process had ended and was reaped between the log line that the test waits for and pidfd_open. The handle is opened while the process runs now; the test sends as many signals as before and checks the same exit code.

--- a/tests/node_process_test.py
+++ b/tests/node_process_test.py
@@ -25,6 +25,7 @@
 
 async def test_a_second_sigterm_while_the_process_ends_does_not_kill_it(bench):
     node = bench.nodes_by_id["node-1"]
+    process = os.pidfd_open(node.child.pid)
     node.send(signal.SIGTERM)
     log = bench.folder / "node-1.log"
 
@@ -32,7 +33,6 @@
         return "node_stopped" in log.read_text()
 
     await processes.eventually(stopped)
-    process = os.pidfd_open(node.child.pid)
     with contextlib.suppress(ProcessLookupError):
         while node.child.returncode is None:
             signal.pidfd_send_signal(process, signal.SIGTERM)
