A crash is told as fast as before the check of the path

A target that refuses connections is no proxy that aborts them, so then an open connection to another VM is enough; and the target is avoided at once, before the check.

--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -112,7 +112,8 @@
         )
         self.loss_probe = loss_probe.LossProbe(
             connect=self.sender.connect,
-            has_path=lambda: reachability.find_path(fresh=True),
+            has_path=lambda aborts: reachability.find_path(fresh=True, may_abort=aborts),
+            on_down=self._chooser.avoid,
             on_crash=crashes.record_crash,
             log=log,
         )
--- a/basilpost/gateway/loss_probe.py
+++ b/basilpost/gateway/loss_probe.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import enum
 from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
@@ -21,9 +22,19 @@
 GATHER_SECONDS = 0.01
 
 OnCrash = Callable[[str, Iterable[crash_evidence.LostRequest]], None]
+# Takes True if a target aborts connections that have opened; returns True if others can be reached.
+FindPath = Callable[[bool], Awaitable[bool]]
 Connect = Callable[[str, float], Awaitable[channels.Channel | channels.ConnectFailed]]
 
 
+class _State(enum.Enum):
+    """What a target does with a new connection; it is down unless it is UP."""
+
+    UP = enum.auto()
+    REFUSES = enum.auto()
+    ABORTS = enum.auto()
+
+
 class LossProbe:
     """Probes targets that have lost requests, each once for all requests that are lost together."""
 
@@ -31,12 +42,14 @@
         self,
         *,
         connect: Connect,
-        has_path: Callable[[], Awaitable[bool]],
+        has_path: FindPath,
+        on_down: Callable[[str], None],
         on_crash: OnCrash,
         log: Any,
     ) -> None:
         self._connect = connect
         self._has_path = has_path
+        self._on_down = on_down
         self._on_crash = on_crash
         self._tasks = tasks.TaskSet(log=log)
         self._lost_by_target: dict[str, list[crash_evidence.LostRequest]] = {}
@@ -56,19 +69,25 @@
 
     async def _probe(self, target_id: str, address: str) -> None:
         lost: list[crash_evidence.LostRequest] = []
+        crashed = False
         try:
             await asyncio.sleep(GATHER_SECONDS)
-            crashed = await self._is_down(address) and await self._has_path()
+            state = await self._probe_address(address)
+            if state is not _State.UP:
+                # Sound requests must not wait for the check whether this node is to blame.
+                self._on_down(target_id)
+                crashed = await self._has_path(state is _State.ABORTS)
         finally:
             lost = self._lost_by_target.pop(target_id)
         if crashed:
             self._on_crash(target_id, lost)
 
-    async def _is_down(self, address: str) -> bool:
+    async def _probe_address(self, address: str) -> _State:
         channel = await self._connect(address, PROBE_SECONDS)
         if isinstance(channel, channels.ConnectFailed):
-            return True
+            return _State.REFUSES
         try:
-            return await channel.closes_within(ABORT_SECONDS)
+            aborted = await channel.closes_within(ABORT_SECONDS)
+            return _State.ABORTS if aborted else _State.UP
         finally:
             channel.close()
--- a/basilpost/gateway/loss_probe_test.py
+++ b/basilpost/gateway/loss_probe_test.py
@@ -8,7 +8,8 @@
 from basilpost.gateway import loss_probe
 from basilpost.routing import crash_evidence
 
-WAIT_SECONDS = loss_probe.GATHER_SECONDS * 4
+PATH_CHECK_SECONDS = 0.03
+WAIT_SECONDS = loss_probe.GATHER_SECONDS * 4 + PATH_CHECK_SECONDS
 
 
 class FakeChannel:
@@ -28,7 +29,7 @@
     return []
 
 
-def make_probe(crashes, result, connects, *, has_path=True):
+def make_probe(crashes, result, connects, *, has_path=True, down=None):
     async def connect(address, timeout):
         connects.append(address)
         return result
@@ -36,10 +37,17 @@
     def on_crash(target_id, lost):
         crashes.append((target_id, [request.fingerprint for request in lost]))
 
-    async def find_path():
+    async def find_path(may_abort):
+        await asyncio.sleep(PATH_CHECK_SECONDS)
         return has_path
 
-    return loss_probe.LossProbe(connect=connect, has_path=find_path, on_crash=on_crash, log=None)
+    return loss_probe.LossProbe(
+        connect=connect,
+        has_path=find_path,
+        on_down=(down if down is not None else []).append,
+        on_crash=on_crash,
+        log=None,
+    )
 
 
 def lost(fingerprint):
@@ -91,3 +99,13 @@
     probe.report_loss("t", "h:1", lost("a"))
     await asyncio.sleep(WAIT_SECONDS)
     assert crashes == []
+
+
+async def test_a_dead_target_attracts_requests_until_the_path_is_checked(crashes):
+    down = []
+    probe = make_probe(crashes, channels.ConnectFailed(reason="refused"), [], down=down)
+    probe.report_loss("t", "h:1", lost("a"))
+    await asyncio.sleep(loss_probe.GATHER_SECONDS * 2)
+    assert (down, crashes) == (["t"], [])
+    await asyncio.sleep(WAIT_SECONDS)
+    assert crashes == [("t", ["a"])]
--- a/basilpost/gateway/target_choice.py
+++ b/basilpost/gateway/target_choice.py
@@ -128,7 +128,11 @@
 
     def record_unreachable(self, target: targets_.Target) -> None:
         """Avoids a target for a while, to which no connection could be opened."""
-        self._unreachable.add(target.target_id)
+        self.avoid(target.target_id)
+
+    def avoid(self, target_id: str) -> None:
+        """Avoids a target for a while."""
+        self._unreachable.add(target_id)
 
     def refusal(self, code: str, reason: str) -> failure.Refusal:
         """Returns a refusal with status 503 and a random Retry-After; its outcome is not-run."""
--- a/basilpost/members/reachability.py
+++ b/basilpost/members/reachability.py
@@ -118,16 +118,18 @@
         seconds_back = clock.elapsed() - self._back_at
         return seconds_back < self._rng.random() * RETURN_SECONDS
 
-    async def find_path(self, *, fresh: bool = False) -> bool:
+    async def find_path(self, *, fresh: bool = False, may_abort: bool = True) -> bool:
         """Returns True if there is a path to the runners; called after a failed connection.
 
         Args:
             fresh: True to check in any case, not only if the last check was some time ago.
+            may_abort: False if what failed was refused at once, so that a connection that opens is not
+                aborted later.
         """
         if not self.has_path:
             return False
         if fresh or clock.elapsed() - self._found_at > FRESH_SECONDS:
-            await self._run_check("connection failed")
+            await self._run_check("connection failed", may_abort=may_abort)
         return self.has_path
 
     def record_sent(self) -> None:
@@ -169,14 +171,16 @@
                 await self._run_check("losses")
                 self._losses_since_heard = 0
 
-    async def _run_check(self, reason: str) -> None:
+    async def _run_check(self, reason: str, *, may_abort: bool = True) -> None:
         """Runs a check, or waits for the one that runs already."""
         if self._check is None:
-            self._check = self._tasks.spawn(self._check_path(reason), name="runner-path-check")
+            self._check = self._tasks.spawn(
+                self._check_path(reason, may_abort), name="runner-path-check"
+            )
         # A caller that leaves must not end a check that others wait for.
         await asyncio.wait([self._check])
 
-    async def _check_path(self, reason: str) -> None:
+    async def _check_path(self, reason: str, may_abort: bool) -> None:
         try:
             vms = choose_vms(
                 (seen.vm for seen in self._knowledge.vms_by_id.values()), rng=self._rng
@@ -184,7 +188,7 @@
             if not vms or self.connect is None:
                 return
             began_at = clock.elapsed()
-            opened = await self._opens_any(self.connect, vms)
+            opened = await self._opens_any(self.connect, vms, may_abort)
             self._checked_at = clock.elapsed()
             if self._checked_at - began_at > LATE_CHECK_SECONDS:
                 return
@@ -195,9 +199,10 @@
         finally:
             self._check = None
 
-    async def _opens_any(self, connect: Connect, vms: list[catalog.Vm]) -> bool:
+    async def _opens_any(self, connect: Connect, vms: list[catalog.Vm], may_abort: bool) -> bool:
         in_doubt = not self.has_path or self._losses_since_heard >= DOUBTED_LOSSES
-        abort_seconds = DOUBT_ABORT_SECONDS if in_doubt else ABORT_SECONDS
+        usual_seconds = ABORT_SECONDS if may_abort else 0.0
+        abort_seconds = DOUBT_ABORT_SECONDS if in_doubt else usual_seconds
         attempts = [asyncio.ensure_future(_opens(connect, vm.address, abort_seconds)) for vm in vms]
         try:
             for attempt in asyncio.as_completed(attempts):
