--- a/basilpost/admin/explaining.py
+++ b/basilpost/admin/explaining.py
@@ -20,6 +20,7 @@
         "failure_domain_out",
         "failure_domain_in",
         "store_regained",
+        "store_restored",
         "node_started",
         "node_stopping",
         "runner_path_lost",
--- a/basilpost/core/log_events.py
+++ b/basilpost/core/log_events.py
@@ -171,6 +171,14 @@
         meaning="the store answers again; missing entries do not count as removed for a while",
         fields=("away_ms",),
     ),
+    "store_restored": Event(
+        meaning="the store was restored from an older copy; what nodes wrote since is lost",
+        fields=("era", "before"),
+    ),
+    "store_era_malformed": Event(
+        meaning="the store's count of its restores is no number; the last one stays in use",
+        fields=("value",),
+    ),
     "load_hub_silent": Event(
         meaning="the node that sums up the requests in flight is silent; another one is chosen",
         fields=("hub",),
--- a/basilpost/emulator/pool_store.py
+++ b/basilpost/emulator/pool_store.py
@@ -1,5 +1,6 @@
 """Emulates the object store of the users' platform, on top of the in-memory store."""
 
+import asyncio
 import json
 from typing import Any
 
@@ -7,6 +8,8 @@
 from basilpost.store import memory, objects
 
 _STORE_TIMEOUT_SECONDS = 60.0
+# The number in the first answers; it rises each time that the store is restored.
+_FIRST_ERA = 1
 _MS = 1000.0
 
 
@@ -16,12 +19,16 @@
     Attributes:
         store: The in-memory store.
         page_size: Maximum number of objects in one answer to a listing.
+        tells_era: False to answer without the header that tells how often the store was restored.
     """
 
     def __init__(self, *, store: memory.MemoryStore | None = None, page_size: int = 50) -> None:
         super().__init__()
         self.store = store or memory.MemoryStore()
         self.page_size = page_size
+        self.tells_era = True
+        # What the operator and the runners wrote last, None for removed objects.
+        self._written_by_key: dict[str, Any] = {}
 
     def routes(self) -> server.Routes:
         """Returns the handlers of the store."""
@@ -33,6 +40,42 @@
 
     async def put(self, key: str, spec: Any) -> None:
         """Creates an object or overwrites it, as the operator and the runners do."""
+        self._written_by_key[key] = spec
+        await self._put(key, spec)
+
+    async def remove(self, key: str) -> None:
+        """Removes an object if it exists."""
+        self._written_by_key[key] = None
+        await self._remove(key)
+
+    async def restore(
+        self, revision: int, *, away_seconds: float = 0.0, rewrite_seconds: float = 0.0
+    ) -> None:
+        """Restores a copy, after which the operator and the runners write again what is lost.
+
+        Args:
+            revision: Revision of the copy.
+            away_seconds: Time for which the store does not answer before.
+            rewrite_seconds: Time from its return until all is written again.
+        """
+        self.store.faults.down = True
+        await asyncio.sleep(away_seconds)
+        self.store.restore(revision)
+        self.store.faults.down = False
+        for key in list(self._written_by_key):
+            await asyncio.sleep(rewrite_seconds / len(self._written_by_key))
+            await self._write_again(key)
+
+    async def _write_again(self, key: str) -> None:
+        spec = self._written_by_key[key]
+        stored = await self.store.get(key)
+        present = json.loads(stored.value) if isinstance(stored, objects.Stored) else None
+        if spec is None:
+            await self._remove(key)
+        elif spec != present:
+            await self._put(key, spec)
+
+    async def _put(self, key: str, spec: Any) -> None:
         value = json.dumps(spec).encode()
         result = await self.store.get(key)
         if isinstance(result, objects.Stored):
@@ -40,8 +83,7 @@
         else:
             await self.store.create(key, value)
 
-    async def remove(self, key: str) -> None:
-        """Removes an object if it exists."""
+    async def _remove(self, key: str) -> None:
         result = await self.store.get(key)
         if isinstance(result, objects.Stored):
             await self.store.delete(key, version=result.version)
@@ -52,6 +94,12 @@
         self.owner = owner
         self.store = owner.store
 
+    def answer(self, body: Any, *, status: int = 200) -> None:
+        """Ends the request with a JSON body, and tells how often the store was restored."""
+        if self.owner.tells_era:
+            self.set_header("Store-Era", str(_FIRST_ERA + self.store.era))
+        super().answer(body, status=status)
+
     async def prepare(self) -> None:
         await self.owner.silent_connections.block_if_silent(self.request)
 
--- a/basilpost/platform/store.py
+++ b/basilpost/platform/store.py
@@ -15,6 +15,9 @@
 _WATCH_GRACE_SECONDS = 0.7
 _MS_PER_SECOND = 1000
 _ROOT = "/api/objects/"
+# Number of the store's history in all its answers; it rises by one when the store is restored from a
+# copy. Revisions since the copy are then given out again.
+_ERA_HEADER = "Store-Era"
 # Statuses of answers to writes that took no effect.
 _NO_EFFECT_STATUSES = frozenset({400, 403, 404, 413, 429, 503})
 
@@ -39,6 +42,13 @@
             ["method", "kind", "status"],
             registry=registry,
         )
+        self._restores_total = prometheus_client.Counter(
+            "basilpost_store_restores_total",
+            "Restores of the platform's store from an older copy that this node has seen",
+            registry=registry,
+        )
+        self._era: int | None = None
+        self._has_malformed_era = False
 
     def close(self) -> None:
         """Closes the connections that are kept for reuse."""
@@ -166,6 +176,28 @@
         kind = path.removeprefix(_ROOT).partition("/")[0].partition("?")[0]
         status = reply.status if isinstance(reply, http_calls.Reply) else 0
         self._calls_total.labels(method, kind, str(status)).inc()
+        if isinstance(reply, http_calls.Reply):
+            self._note_era(reply)
+
+    def _note_era(self, reply: http_calls.Reply) -> None:
+        """Logs when an answer shows that the store was restored from a copy."""
+        era = self._era_in(reply)
+        if era is None or (self._era is not None and era <= self._era):
+            return
+        if self._era is not None:
+            self._restores_total.inc()
+            self._log.warning("store_restored", era=era, before=self._era)
+        self._era = era
+
+    def _era_in(self, reply: http_calls.Reply) -> int | None:
+        """Returns the era that an answer names, None if there is none or it is no number."""
+        text = reply.headers.get(_ERA_HEADER, "")
+        if text.isascii() and text.isdigit():
+            return int(text)
+        if text and not self._has_malformed_era:
+            self._has_malformed_era = True
+            self._log.warning("store_era_malformed", value=text)
+        return None
 
     async def _write(self, method: str, path: str, key: str, body: Any, timeout: float) -> Write:
         call = http_calls.Call(
--- a/basilpost/platform/store_test.py
+++ b/basilpost/platform/store_test.py
@@ -86,3 +86,14 @@
     assert isinstance(await client.list("things/", timeout=0.3), objects.Unavailable)
     assert isinstance(await client.create("things/a", b"1", timeout=0.3), objects.Unavailable)
     assert isinstance(await client.watch("things/", revision=0, wait=0.1), objects.Unavailable)
+
+
+async def test_a_restore_of_the_store_is_logged_once(client, emulated_store):
+    await client.create("things/a", b"1")
+    emulated_store.store.restore(0)
+    with structlog.testing.capture_logs() as lines:
+        await client.get("things/a")
+        await client.list("things/")
+    assert [(line["event"], line["before"], line["era"]) for line in lines] == [
+        ("store_restored", 1, 2)
+    ]
--- a/basilpost/store/http_calls.py
+++ b/basilpost/store/http_calls.py
@@ -38,11 +38,16 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Reply:
-    """A complete HTTP answer; `etag` is empty if the server sent none."""
+    """A complete HTTP answer; names of headers are matched in any case."""
 
     status: int
     body: bytes
-    etag: str = ""
+    headers: httputil.HTTPHeaders = dataclasses.field(default_factory=httputil.HTTPHeaders)
+
+    @property
+    def etag(self) -> str:
+        """Returns the ETag, empty if the server sent none."""
+        return str(self.headers.get("Etag", ""))
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -162,7 +167,7 @@
                 stream.close()
         if not complete:
             return NoReply(reason=f"{call.method} {call.path}: the answer is incomplete", sent=True)
-        return Reply(status=answer.status, body=b"".join(answer.pieces), etag=answer.etag)
+        return Reply(status=answer.status, body=b"".join(answer.pieces), headers=answer.headers)
 
     def _send(self, connection: http1connection.HTTP1Connection, call: Call, *, keep: bool) -> None:
         headers = httputil.HTTPHeaders(call.headers)
@@ -188,13 +193,13 @@
 
 
 class _Answer(httputil.HTTPMessageDelegate):
-    """Collects the status, ETag and body of an answer."""
+    """Collects the status, headers and body of an answer."""
 
     def __init__(self) -> None:
         self.status = 0
         self.complete = False
         self.keeps_connection = False
-        self.etag = ""
+        self.headers = httputil.HTTPHeaders()
         self.pieces: list[bytes] = []
 
     def headers_received(
@@ -202,10 +207,10 @@
         start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
         headers: httputil.HTTPHeaders,
     ) -> None:
-        """Reads the status and the headers that matter."""
+        """Keeps the status and the headers."""
         assert isinstance(start_line, httputil.ResponseStartLine)
         self.status = start_line.code
-        self.etag = headers.get("Etag", "")
+        self.headers = headers
         has_no_body = start_line.code == _NOT_MODIFIED
         is_delimited = has_no_body or "Content-Length" in headers or "Transfer-Encoding" in headers
         closes = headers.get("Connection", "").lower() == "close"
--- a/basilpost/store/memory.py
+++ b/basilpost/store/memory.py
@@ -31,16 +31,22 @@
 
 
 class MemoryStore(objects.ObjectStore):
-    """Keeps objects in a dictionary, and the latest changes for watches."""
+    """Keeps objects in a dictionary, and the latest changes for watches.
+
+    Attributes:
+        era: Number of times that the store was restored from a copy.
+    """
 
     def __init__(self) -> None:
         self.faults = Faults()
+        self.era = 0
         self.calls_by_kind: collections.Counter[str] = collections.Counter()
         self._stored_by_key: dict[str, objects.Stored] = {}
         self._revision = 0
         self._history: collections.deque[objects.Change] = collections.deque(
             maxlen=_HISTORY_CHANGES
         )
+        self._changed_at: collections.deque[float] = collections.deque(maxlen=_HISTORY_CHANGES)
         self._changed = asyncio.Event()
 
     @property
@@ -115,10 +121,15 @@
         """Waits up to `wait` seconds for changes below a prefix after a revision."""
         if not await self._accept_call("watch", wait):
             return objects.Unavailable(reason=f"watch {prefix}: no answer")
+        if revision > self._revision:
+            return objects.Expired(reason=f"watch {prefix}: revision {revision} is not known")
         if self._history and revision + 1 < self._history[0].version:
             return objects.Expired(reason=f"watch {prefix}: revision {revision} is too old")
+        era = self.era
         deadline = clock.monotonic() + wait
         while True:
+            if era != self.era:
+                return objects.Expired(reason=f"watch {prefix}: the store was restored")
             changes = self._changes_after(prefix, revision)
             left = deadline - clock.monotonic()
             if changes or left <= 0:
@@ -133,6 +144,31 @@
             if self.faults.down:
                 return objects.Unavailable(reason=f"watch {prefix}: the store went down")
 
+    def revision_before(self, seconds: float) -> int:
+        """Returns the revision that the store had that many seconds ago."""
+        until = clock.monotonic() - seconds
+        later = sum(changed_at > until for changed_at in self._changed_at)
+        return self._revision - later
+
+    def restore(self, revision: int) -> None:
+        """Goes back to the state at a revision, as a store that is restored from a copy.
+
+        Later revisions are given out again.
+
+        Raises:
+            ValueError: If the history does not reach back far enough.
+        """
+        if len(self._history) < self._revision:
+            raise ValueError("the store has discarded a part of its history")
+        for _ in range(self._revision - revision):
+            self._history.pop()
+            self._changed_at.pop()
+        latest = {change.key: change.stored for change in self._history}
+        self._stored_by_key = {key: stored for key, stored in latest.items() if stored is not None}
+        self._revision = revision
+        self.era += 1
+        self._wake_watches()
+
     def _changes_after(self, prefix: str, revision: int) -> tuple[objects.Change, ...]:
         if revision >= self._revision:
             return ()
@@ -177,5 +213,9 @@
             stored = objects.Stored(key=key, value=value, version=self._revision)
             self._stored_by_key[key] = stored
         self._history.append(objects.Change(key=key, version=self._revision, stored=stored))
+        self._changed_at.append(clock.monotonic())
+        self._wake_watches()
+
+    def _wake_watches(self) -> None:
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
