--- /dev/null
+++ b/tests/pool_restored_store_test.py
@@ -0,0 +1,62 @@
+"""The platform's store comes back from an older copy: its revisions go back and are given out again.
+
+What nodes wrote since the copy is gone; the operator and the runners write again what they wrote.
+"""
+
+import asyncio
+
+import pytest
+
+from basilpost.core import clock
+from basilpost.emulator import pool_fleet
+from tests import pool_nodes, pool_withdrawal_test
+
+# Changes that the copy lacks, and time for which the store does not answer.
+LOST_CHANGES = 300
+AWAY_SECONDS = 0.3
+REWRITE_SECONDS = 0.3
+# Machines count as in touch again this long after the store's return.
+STABLE_SECONDS = 3.0
+
+
+async def lose_changes(bench, count):
+    """Makes changes of unrelated objects, which a copy from before does not have."""
+    for number in range(count):
+        await bench.fleet.store.store.create(f"unrelated/{clock.elapsed()}-{number}", b"{}")
+
+
+async def restore(bench, revision, **options):
+    """Restores a copy of the store and returns when it answers again, on `clock.elapsed`."""
+    options = {"away_seconds": AWAY_SECONDS, "rewrite_seconds": REWRITE_SECONDS} | options
+    await bench.fleet.store.restore(revision, **options)
+    return clock.elapsed()
+
+
+def without_filing(version):
+    """Returns a configuration that no longer has the route `filing`."""
+    changed = pool_fleet.configuration(version)
+    changed["routes"] = [route for route in changed["routes"] if route["name"] != "filing"]
+    return changed
+
+
+@pytest.mark.parametrize("lost_changes", [30, LOST_CHANGES])
+async def test_requests_are_handled_by_an_older_configuration_after_the_store_was_restored(
+    lost_changes,
+):
+    async with (
+        pool_nodes.running(nodes=3, vms=0) as bench,
+        pool_withdrawal_test.Load(bench).running() as load,
+    ):
+        copy = bench.fleet.store.store.revision
+        await lose_changes(bench, lost_changes)
+        await bench.fleet.configure(pool_fleet.configuration(2))
+        await bench.wait_for_knowledge(lambda known: known.configuration.version == 2)
+        await restore(bench, copy)
+        await asyncio.sleep(STABLE_SECONDS)
+        await bench.fleet.configure(without_filing(3))
+        confirmed_at = clock.elapsed()
+        await asyncio.sleep(
+            pool_withdrawal_test.ROUTE_SECONDS + pool_withdrawal_test.WATCHED_SECONDS
+        )
+        last = load.last_run(bench.fleet.runners_by_id.values())
+        assert 0.0 < last <= confirmed_at + pool_withdrawal_test.ROUTE_SECONDS
