Versions of stored objects hold the era of the store, so a restored store is believed

Cause: revisions of two histories were compared. Versions.merge and deletions_in kept the higher revision and dropped the newer object; a watch went on from a revision that had been given out again and never saw what lay before it; a write could meet its condition by chance. Class of fault: a number is compared outside the history that it counts. Change: the platform's store client decodes Store-Era once and puts it into the high bits of each version (store/eras.py), so that each comparison of versions orders eras first. A watch that is answered in another era ends as expired, a listing whose pages differ in era or an answer from before a known restore counts as none, a write whose condition is from before is a conflict. The feed lists all kinds again at the first sign of a restore, from the store or a peer. Digests leave the era out. Peers of builds that know no eras get plain revisions, and after a restore theirs are not believed (members/peer_versions.py).

--- a/basilpost/core/log_events.py
+++ b/basilpost/core/log_events.py
@@ -179,6 +179,10 @@
         meaning="the store's count of its restores is no number; the last one stays in use",
         fields=("value",),
     ),
+    "objects_listed_again": Event(
+        meaning="the store was restored, as it or a peer tells; nothing known of it is taken for current",
+        fields=("era",),
+    ),
     "load_hub_silent": Event(
         meaning="the node that sums up the requests in flight is silent; another one is chosen",
         fields=("hub",),
--- a/basilpost/emulator/pool_store.py
+++ b/basilpost/emulator/pool_store.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from basilpost.emulator import server
-from basilpost.store import memory, objects
+from basilpost.store import eras, memory, objects
 
 _STORE_TIMEOUT_SECONDS = 60.0
 # The number in the first answers; it rises each time that the store is restored.
@@ -113,7 +113,8 @@
             spec: Decoded JSON value of the object, which the answer repeats; None if it was deleted.
         """
         if isinstance(result, objects.Written):
-            metadata = {"name": key.partition("/")[2], "revision": result.version}
+            revision = eras.revision_of(result.version)
+            metadata = {"name": key.partition("/")[2], "revision": revision}
             self.answer({"metadata": metadata, "spec": spec})
         elif isinstance(result, objects.Conflict):
             self.answer({"error": "conflict"}, status=409)
@@ -137,7 +138,7 @@
             for stored in remaining[: self.owner.page_size]
         ]
         has_more = len(remaining) > self.owner.page_size
-        self.answer({"items": items, "hasMore": has_more, "at": result.revision})
+        self.answer({"items": items, "hasMore": has_more, "at": eras.revision_of(result.revision)})
 
     async def post(self, kind: str) -> None:
         body = self.body_json()
@@ -149,7 +150,7 @@
     async def _watch(self, kind: str) -> None:
         result = await self.store.watch(
             f"{kind}/",
-            revision=int(self.get_argument("watch")),
+            revision=self.store.version_at(int(self.get_argument("watch"))),
             wait=float(self.get_argument("waitMs", "0")) / _MS,
         )
         if isinstance(result, objects.Expired):
@@ -158,7 +159,7 @@
             self.drop_connection()
         else:
             events = [_event(change) for change in result.changes]
-            self.answer({"events": events, "at": result.revision})
+            self.answer({"events": events, "at": eras.revision_of(result.revision)})
 
 
 class _ObjectHandler(_StoreHandler):
@@ -175,7 +176,7 @@
         body = self.body_json()
         key = f"{kind}/{name}"
         value = json.dumps(body["spec"]).encode()
-        version = int(body["metadata"]["revision"])
+        version = self.store.version_at(int(body["metadata"]["revision"]))
         result = await self.store.update(
             key, value, version=version, timeout=_STORE_TIMEOUT_SECONDS
         )
@@ -183,23 +184,19 @@
 
     async def delete(self, kind: str, name: str) -> None:
         key = f"{kind}/{name}"
-        version = int(self.get_argument("revision"))
+        version = self.store.version_at(int(self.get_argument("revision")))
         result = await self.store.delete(key, version=version, timeout=_STORE_TIMEOUT_SECONDS)
         self.answer_write(key, result, None)
 
 
 def _object(key: str, version: int, value: bytes) -> dict[str, Any]:
-    name = key.partition("/")[2]
-    return {"metadata": {"name": name, "revision": version}, "spec": json.loads(value)}
+    metadata = {"name": key.partition("/")[2], "revision": eras.revision_of(version)}
+    return {"metadata": metadata, "spec": json.loads(value)}
 
 
 def _event(change: objects.Change) -> dict[str, Any]:
     if change.stored is None:
-        removed: dict[str, Any] = {
-            "metadata": {"name": change.key.partition("/")[2], "revision": change.version},
-            "spec": None,
-        }
-        return {"removed": True, "object": removed}
+        return {"removed": True, "object": _object(change.key, change.version, b"null")}
     return {
         "removed": False,
         "object": _object(change.key, change.version, change.stored.value),
--- a/basilpost/members/announcer.py
+++ b/basilpost/members/announcer.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable, Iterable
 
 from basilpost.core import clock
-from basilpost.members import messages, peers, versions
+from basilpost.members import messages, peer_versions, peers, versions
 from basilpost.store import objects
 
 # Delay in which changes are collected into one message.
@@ -47,10 +47,12 @@
         *,
         peers: peers.PeerNetwork,
         known: versions.Versions,
+        peer_versions: peer_versions.PeerVersions,
         pull_delay: Callable[[str], float],
     ) -> None:
         self._peers = peers
         self._known = known
+        self._peer_versions = peer_versions
         self._pull_delay = pull_delay
         self._wire_changes_by_key: dict[str, messages.WireChange] = {}
         self._pending: list[tuple[objects.Change, str]] = []
@@ -75,7 +77,8 @@
     def receive(self, sender: str, announcement: messages.VersionAnnouncement) -> None:
         """Records what a neighbour announces, and pulls what this node lacks."""
         missing = self._missing_by_id.setdefault(sender, {})
-        for key, version in announcement.versions_by_key.items():
+        announced = self._peer_versions.versions_from_peer(sender, announcement.versions_by_key)
+        for key, version in announced.items():
             self._track(key, version).announcers.add(sender)
             if version > self._known.version_of(key):
                 missing[key] = version
@@ -130,14 +133,20 @@
         unknown = [change for change in changes if not self._has_announced(node_id, change)]
         self.send_objects(node_id, (change for change in unknown if _is_small(change)))
         versions_by_key = {
-            change.key: change.version for change in unknown if not _is_small(change)
+            change.key: self._peer_versions.to_peer(node_id, change.version)
+            for change in unknown
+            if not _is_small(change)
         }
         if versions_by_key:
             self._peers.send(node_id, messages.VersionAnnouncement(versions_by_key=versions_by_key))
 
     def send_objects(self, node_id: str, changes: Iterable[objects.Change]) -> None:
         """Sends changes with their values, in one or more messages."""
-        for batch in batches(map(self._to_wire, changes)):
+        encoded = (
+            dataclasses.replace(sent, version=self._peer_versions.to_peer(node_id, sent.version))
+            for sent in map(self._to_wire, changes)
+        )
+        for batch in batches(encoded):
             self._peers.send(node_id, batch)
 
     def _to_wire(self, change: objects.Change) -> messages.WireChange:
--- a/basilpost/members/feed.py
+++ b/basilpost/members/feed.py
@@ -14,9 +14,17 @@
 from collections.abc import Callable, Iterable
 
 from basilpost.core import clock, failure, kernel, names, tasks
-from basilpost.members import gossip, node_table, peers, store_follower, topology, versions
+from basilpost.members import (
+    gossip,
+    node_table,
+    peer_versions,
+    peers,
+    store_follower,
+    topology,
+    versions,
+)
 from basilpost.settings import schema
-from basilpost.store import objects
+from basilpost.store import eras, objects
 
 RETRY_SECONDS = 0.25
 # Every call is charged for, failed ones too, so retries slow down. The recovery of the store is
@@ -96,6 +104,7 @@
         self._followed_by_prefix: dict[str, _Followed] = {}
         self._listeners: list[Callable[[], None]] = []
         self._recovery_listeners: list[Callable[[], None]] = []
+        self._restore_listeners: list[Callable[[], None]] = []
         self._failed_calls_by_prefix: dict[str, int] = {}
         self._started_at = clock.elapsed()
         self._contact_at = -math.inf
@@ -166,6 +175,18 @@
         """Calls the listener when the store answers again after an outage, here or to a peer."""
         self._recovery_listeners.append(listener)
 
+    def subscribe_restore(self, listener: Callable[[], None]) -> None:
+        """Calls the listener when the store turns out to be restored from an older copy.
+
+        It is called before any object of the restored store is applied.
+        """
+        self._restore_listeners.append(listener)
+
+    @property
+    def peer_versions(self) -> peer_versions.PeerVersions:
+        """Returns the translation of versions in messages between nodes."""
+        return self._gossip.peer_versions
+
     def offer(self, changes: Iterable[objects.Change], *, source: str) -> None:
         """Applies changes that another node has seen; known and older ones are dropped."""
         for change in changes:
@@ -297,8 +318,22 @@
             for listener in self._recovery_listeners:
                 listener()
 
+    def _note_era(self, version: int) -> None:
+        """Makes all followers list again if a version shows that the store was restored.
+
+        Their watches may wait for long, or go on from a revision that was given out again.
+        """
+        if not self._known.note_era(eras.era_of(version)):
+            return
+        self._log.info("objects_listed_again", era=self._known.era)
+        for followed in self._followed_by_prefix.values():
+            followed.follower.list_again()
+        for listener in self._restore_listeners:
+            listener()
+
     def _apply_listing(self, prefix: str, listing: objects.Listing) -> None:
         self._record_contact()
+        self._note_era(listing.revision)
         for stored in listing.objects:
             self._merge(objects.Change(key=stored.key, version=stored.version, stored=stored), "")
         for deletion in self._known.deletions_in(prefix, listing):
@@ -319,7 +354,10 @@
             ),
             None,
         )
-        if followed is None or not self._known.merge(change):
+        if followed is None:
+            return False
+        self._note_era(change.version)
+        if not self._known.merge(change):
             return False
         if source:
             self._record_contact()
--- a/basilpost/members/gossip.py
+++ b/basilpost/members/gossip.py
@@ -15,9 +15,17 @@
 import xxhash
 
 from basilpost.core import clock, names
-from basilpost.members import announcer, messages, node_table, peers, topology, versions
+from basilpost.members import (
+    announcer,
+    messages,
+    node_table,
+    peer_versions,
+    peers,
+    topology,
+    versions,
+)
 from basilpost.settings import schema
-from basilpost.store import objects
+from basilpost.store import eras, objects
 
 # Keys in one message of a summary.
 SUMMARY_KEYS = 1_000
@@ -78,7 +86,13 @@
         self._known = known
         self._merge = merge
         self._settings = settings
-        self.announcer = announcer.Announcer(peers=peers, known=known, pull_delay=self._pull_delay)
+        self.peer_versions = peer_versions.PeerVersions(peers=peers, known=known)
+        self.announcer = announcer.Announcer(
+            peers=peers,
+            known=known,
+            peer_versions=self.peer_versions,
+            pull_delay=self._pull_delay,
+        )
         self._missing_by_id: dict[str, dict[str, int]] = {}
         self._synced_ids: set[str] = set()
         self._mismatches_by_id: dict[str, int] = {}
@@ -147,11 +161,12 @@
 
     def _send_summary(self, node_id: str) -> None:
         self.announcer.flush()
-        changes = iter(list(self._known.changes_by_key.values()))
+        known = [(change.key, change.version) for change in self._known.changes_by_key.values()]
+        if self._known.era:
+            known.insert(0, (peer_versions.ERA_KEY, eras.version(era=self._known.era, revision=0)))
+        entries = iter(known)
         while True:
-            part = {
-                change.key: change.version for change in itertools.islice(changes, SUMMARY_KEYS)
-            }
+            part = dict(itertools.islice(entries, SUMMARY_KEYS))
             last = len(part) < SUMMARY_KEYS
             self._peers.send(node_id, messages.Summary(versions_by_key=part, last=last))
             if last:
@@ -162,10 +177,9 @@
 
     async def _on_summary(self, sender: str, summary: messages.Summary) -> None:
         missing = self._missing_by_id.setdefault(sender, {})
-        missing |= {
-            key: summary.versions_by_key[key]
-            for key in self._known.outdated_keys(summary.versions_by_key)
-        }
+        theirs = self.peer_versions.versions_from_peer(sender, summary.versions_by_key)
+        theirs.pop(peer_versions.ERA_KEY, None)
+        missing |= {key: theirs[key] for key in self._known.outdated_keys(theirs)}
         if not summary.last:
             return
         if missing and self._is_far(sender):
@@ -215,8 +229,10 @@
         self.announcer.receive(sender, announcement)
 
     async def _on_change_batch(self, sender: str, batch: messages.ChangeBatch) -> None:
-        for change in batch.changes:
-            self._merge(messages.from_wire(change), sender)
+        for sent in batch.changes:
+            change = self.peer_versions.change_from_peer(sender, messages.from_wire(sent))
+            if change is not None:
+                self._merge(change, sender)
 
     # Freshness of the replica, and reached nodes.
 
--- a/basilpost/members/knowledge.py
+++ b/basilpost/members/knowledge.py
@@ -1,6 +1,8 @@
 """What a node knows of configuration, VMs and failure domains, and how current that is.
 
-Within a process an older version never replaces a newer one, even after a stale read (see `feed`).
+Within a process an older version never replaces a newer one, even after a stale read (see `feed`). A
+store that was restored from a copy shows older contents under newer versions until the operator and
+the runners have written theirs again. For that time what is known stays in force.
 """
 
 import asyncio
@@ -12,7 +14,7 @@
 
 from basilpost.core import catalog, clock, failure, kernel, names, tasks
 from basilpost.members import decoding, feed
-from basilpost.store import objects
+from basilpost.store import eras, objects
 
 # Waits of a watch call. Its answer shows the state as of when the call was sent, so twice the wait
 # plus the gap has to stay below the bounds on the age of the configuration, API keys and leaving
@@ -126,7 +128,7 @@
         if change.key != self._decoder.layout.configuration_key:
             return
         if change.stored is None:
-            self._log.error("configuration_removed", revision=change.version)
+            self._log.error("configuration_removed", revision=eras.revision_of(change.version))
             return
         configuration = self._decoder.configuration(change.stored.value)
         if isinstance(configuration, failure.Failure):
@@ -134,14 +136,16 @@
             return
         if self.configuration is not None and configuration.version < self.configuration.version:
             self._log.error(
-                "configuration_older", version=configuration.version, revision=change.version
+                "configuration_older",
+                version=configuration.version,
+                revision=eras.revision_of(change.version),
             )
             return
         self.configuration = configuration
         self._log.info(
             "configuration_in_force",
             version=configuration.version,
-            revision=change.version,
+            revision=eras.revision_of(change.version),
             routes=len(configuration.routes),
             keys=len(configuration.workspaces_by_key),
         )
@@ -153,7 +157,7 @@
             if clock.elapsed() < self._grace_until:
                 self._missing_ids.add(vm_id)
             elif self.vms_by_id.pop(vm_id, None) is not None:
-                self._log.info("vm_gone", vm=vm_id, revision=change.version)
+                self._log.info("vm_gone", vm=vm_id, revision=eras.revision_of(change.version))
             return
         self._missing_ids.discard(vm_id)
         vm = self._decoder.vm(vm_id, change.stored.value)
@@ -171,7 +175,7 @@
             self._log.info(
                 "vm_changed",
                 vm=vm_id,
-                revision=change.version,
+                revision=eras.revision_of(change.version),
                 new=before is None,
                 leaving=vm.leaving,
                 group=vm.member.group if vm.member else "",
@@ -189,13 +193,16 @@
         self._log.info(
             "failure_domain_out" if out else "failure_domain_in",
             failure_domain=failure_domain,
-            revision=change.version,
+            revision=eras.revision_of(change.version),
         )
 
     def _count_malformed(self, kind: str, change: objects.Change, failed: failure.Failure) -> None:
         self._malformed.labels(kind).inc()
         self._log.warning(
-            "malformed_object", key=change.key, revision=change.version, reason=failed.reason
+            "malformed_object",
+            key=change.key,
+            revision=eras.revision_of(change.version),
+            reason=failed.reason,
         )
 
 
--- a/basilpost/members/node_registry.py
+++ b/basilpost/members/node_registry.py
@@ -9,7 +9,7 @@
 
 from basilpost.core import codec, kernel, names, tasks
 from basilpost.members import feed, node_table
-from basilpost.store import objects
+from basilpost.store import eras, objects
 
 PREFIX = "basilpost-nodes/"
 WATCH_SECONDS = 20.0
@@ -92,7 +92,7 @@
             self._log.warning(
                 "malformed_object",
                 key=change.key,
-                revision=change.version,
+                revision=eras.revision_of(change.version),
                 reason="the value is not a node record",
             )
         key = names.NODE_PREFIX + change.key.removeprefix(PREFIX)
--- /dev/null
+++ b/basilpost/members/peer_versions.py
@@ -0,0 +1,73 @@
+"""Versions in messages between nodes of different builds.
+
+Builds before eras (see `store.eras`) take versions for plain revisions. A version with an era would
+be so high for them that they ignore the store's own changes from then on. So a node sends an era only
+to peers that have shown that they know eras, by a version with an era in their summary. Versions
+without an era from other peers count as of this node's era.
+"""
+
+import dataclasses
+
+from basilpost.members import peers, versions
+from basilpost.store import eras, objects
+
+# Entry of each summary of a node that knows the store's era. Older builds ask for an object of this
+# name once and get none.
+ERA_KEY = "basilpost-era"
+
+
+class PeerVersions:
+    """Translates versions between this node and its peers."""
+
+    def __init__(self, *, peers: peers.PeerNetwork, known: versions.Versions) -> None:
+        self._known = known
+        self._capable_ids: set[str] = set()
+        peers.subscribe(self._on_stream)
+
+    def knows_eras(self, node_id: str) -> bool:
+        """Returns True if a peer's build knows eras."""
+        return node_id in self._capable_ids
+
+    def to_peer(self, node_id: str, version: int) -> int:
+        """Returns a version as a peer understands it."""
+        return version if self.knows_eras(node_id) else eras.revision_of(version)
+
+    def from_peer(self, node_id: str, version: int) -> int | None:
+        """Returns the version in a peer's message; None if its era cannot be told.
+
+        After a restore a revision without an era may be one from before it.
+        """
+        if eras.era_of(version):
+            self._capable_ids.add(node_id)
+            return version
+        if self._known.was_restored:
+            return None
+        return eras.version(era=self._known.era, revision=version)
+
+    def versions_from_peer(self, node_id: str, versions_by_key: dict[str, int]) -> dict[str, int]:
+        """Returns the versions in a peer's message by key, without those whose era cannot be told."""
+        translated = {
+            key: self.from_peer(node_id, version) for key, version in versions_by_key.items()
+        }
+        return {key: version for key, version in translated.items() if version is not None}
+
+    def change_from_peer(self, node_id: str, change: objects.Change) -> objects.Change | None:
+        """Returns the change in a peer's message; None if its era cannot be told."""
+        version = self.from_peer(node_id, change.version)
+        return None if version is None else _with_version(change, version)
+
+    def _on_stream(self, node_id: str, is_open: bool) -> None:
+        # The node may have been replaced by one of another build.
+        self._capable_ids.discard(node_id)
+
+
+def without_era(change: objects.Change) -> objects.Change:
+    """Returns a change with its plain revision, as builds before eras understand it."""
+    return _with_version(change, eras.revision_of(change.version))
+
+
+def _with_version(change: objects.Change, version: int) -> objects.Change:
+    if version == change.version:
+        return change
+    stored = change.stored and dataclasses.replace(change.stored, version=version)
+    return dataclasses.replace(change, version=version, stored=stored)
--- a/basilpost/members/store_follower.py
+++ b/basilpost/members/store_follower.py
@@ -87,6 +87,13 @@
         self._on_failure = on_failure or (lambda prefix, why: None)
         self._failures = 0
         self._revision: int | None = None
+        self._watching: asyncio.Future[Any] | None = None
+
+    def list_again(self) -> None:
+        """Makes the next call a listing, and ends a watch that waits."""
+        self._revision = None
+        if self._watching is not None:
+            self._watching.cancel()
 
     async def run(self) -> None:
         """Lists once, then watches; lists again once the store has discarded the revision."""
@@ -110,21 +117,37 @@
         if self._revision is None:
             return await self._list()
         wait = self._wait()
-        result = await _with_timeout(
-            self._store.watch(self.prefix, revision=self._revision, wait=wait),
-            wait + ANSWER_SECONDS,
-        )
+        revision = self._revision
+        result = await _with_timeout(self._watch(revision, wait), wait + ANSWER_SECONDS)
         match result:
             case objects.Changes():
                 for change in result.changes:
                     self._on_change(change)
-                self._revision = max(self._revision, result.revision)
+                if self._revision is not None:
+                    self._revision = max(revision, result.revision)
                 return True
             case objects.Expired():
                 self._revision = None
         self._on_failure(self.prefix, result)
         return False
 
+    async def _watch(
+        self, revision: int, wait: float
+    ) -> objects.Changes | objects.Expired | objects.Unavailable:
+        """Watches from a revision until there is an answer or `list_again` is called."""
+        watching = asyncio.ensure_future(
+            self._store.watch(self.prefix, revision=revision, wait=wait)
+        )
+        self._watching = watching
+        try:
+            await asyncio.wait([watching])
+        finally:
+            self._watching = None
+            watching.cancel()
+        if watching.cancelled():
+            return objects.Expired(reason=f"watch {self.prefix}: the store was restored")
+        return watching.result()
+
     async def _list(self) -> bool:
         listing = await _with_timeout(
             self._store.list(self.prefix, timeout=LIST_SECONDS), LIST_SECONDS + ANSWER_SECONDS
--- a/basilpost/members/store_follower_test.py
+++ b/basilpost/members/store_follower_test.py
@@ -61,3 +61,34 @@
     await asyncio.sleep(0.81)
     assert follower.current_at >= recovered_at
     running.cancel()
+
+
+@pytest.mark.looptime
+async def test_a_watch_goes_on_from_a_revision_that_was_given_out_again():
+    """A restored store has the revision of the watch already, with another change before it."""
+    store = memory.MemoryStore()
+    listings = []
+    follower = new_follower(store)
+    follower._on_listing = lambda prefix, listing: listings.append(listing)
+    await store.create("k/lost", b"1")
+    running = asyncio.create_task(follower.run())
+    await asyncio.sleep(0.5)
+    store.restore(0)
+    await store.create("k/other", b"2")
+    await asyncio.sleep(4)
+    assert [stored.key for stored in listings[-1].objects] == ["k/other"]
+    running.cancel()
+
+
+@pytest.mark.looptime
+async def test_a_waiting_watch_ends_to_list_again():
+    store = memory.MemoryStore()
+    follower = new_follower(store)
+    follower._wait = lambda: 20.0
+    running = asyncio.create_task(follower.run())
+    await asyncio.sleep(3)
+    assert store.calls_by_kind == {"list": 1, "watch": 1}
+    follower.list_again()
+    await asyncio.sleep(1)
+    assert store.calls_by_kind["list"] == 2
+    running.cancel()
--- a/basilpost/members/store_news.py
+++ b/basilpost/members/store_news.py
@@ -9,7 +9,7 @@
 
 from basilpost.core import kernel, names, tasks
 from basilpost.members import feed as feeds
-from basilpost.members import peers
+from basilpost.members import peer_versions, peers
 from basilpost.store import objects
 
 # Changes seen within this time are sent in one message.
@@ -33,6 +33,7 @@
         self._feed = kernel.find(names.FEED, feeds.Feed)
         self._tasks = tasks.TaskSet(log=kernel.log)
         self._collected: list[objects.Change] = []
+        self._peer_versions = self._feed.peer_versions
         self._feed.publish = self._collect
         self._peers.handle(StoreChanges, self._receive)
 
@@ -48,7 +49,20 @@
     async def _send(self) -> None:
         await asyncio.sleep(COLLECT_SECONDS)
         changes, self._collected = tuple(self._collected), []
-        self._peers.broadcast(StoreChanges(changes=changes))
+        # Sends each form of the versions to all nodes that understand it, so that it is encoded once.
+        neighbours = self._peers.neighbours()
+        for knows_eras in (True, False):
+            node_ids = [
+                node_id
+                for node_id in neighbours
+                if self._peer_versions.knows_eras(node_id) is knows_eras
+            ]
+            sent = changes if knows_eras else tuple(map(peer_versions.without_era, changes))
+            if node_ids:
+                self._peers.send_to_all(node_ids, StoreChanges(changes=sent))
 
     async def _receive(self, sender: str, message: StoreChanges) -> None:
-        self._feed.offer(message.changes, source=sender)
+        changes = (
+            self._peer_versions.change_from_peer(sender, change) for change in message.changes
+        )
+        self._feed.offer((change for change in changes if change is not None), source=sender)
--- a/basilpost/members/versions.py
+++ b/basilpost/members/versions.py
@@ -2,6 +2,7 @@
 
 Merging is commutative, associative and idempotent, so changes may arrive in any order and more than
 once. Deletions are kept as tombstones; otherwise a stale read would bring a deleted object back.
+Versions of a later era are newer, see `store.eras`.
 """
 
 import itertools
@@ -10,7 +11,7 @@
 import xxhash
 
 from basilpost.core import names
-from basilpost.store import objects
+from basilpost.store import eras, objects
 
 MAX_TOMBSTONES = 10_000
 
@@ -20,14 +21,27 @@
 
     Attributes:
         changes_by_key: The newest known change of each object.
-        digest: Digest over the keys and versions of all objects except node records.
+        digest: Digest over the keys and revisions of all objects except node records.
+        era: The latest era of the store that this node has heard of.
+        was_restored: True once this node has seen the store in more than one era.
     """
 
     def __init__(self) -> None:
         self.changes_by_key: dict[str, objects.Change] = {}
         self.digest = 0
+        self.era = 0
+        self.was_restored = False
         self._tombstones: dict[str, None] = {}
 
+    def note_era(self, era: int) -> bool:
+        """Keeps the latest era; returns True if the store was restored since the one before."""
+        if era <= self.era:
+            return False
+        restored = self.era > 0
+        self.era = era
+        self.was_restored = self.was_restored or restored
+        return restored
+
     def merge(self, change: objects.Change) -> bool:
         """Applies a change if it is newer than the known version; returns True if it was."""
         known = self.changes_by_key.get(change.key)
@@ -82,7 +96,11 @@
 
 
 def _digest(change: objects.Change) -> int:
-    """Returns a change's part of the digest, 0 for node records, which change too often."""
+    """Returns a change's part of the digest, 0 for node records, which change too often.
+
+    It leaves the era out, as nodes of builds that know no eras compare digests as well.
+    """
     if change.key.startswith(names.NODE_PREFIX):
         return 0
-    return xxhash.xxh3_64_intdigest(f"{change.key}\0{change.version}".encode())
+    revision = eras.revision_of(change.version)
+    return xxhash.xxh3_64_intdigest(f"{change.key}\0{revision}".encode())
--- a/basilpost/members/versions_test.py
+++ b/basilpost/members/versions_test.py
@@ -5,7 +5,7 @@
 
 from basilpost.core import names
 from basilpost.members import versions
-from basilpost.store import objects
+from basilpost.store import eras, objects
 
 KEYS = [names.CONFIG_PREFIX + letter for letter in "abc"]
 REPLICAS = strategies.integers(0, 2)
@@ -86,6 +86,68 @@
 TestMerging = Merging.TestCase
 
 
+class Restoring(stateful.RuleBasedStateMachine):
+    """A store that is restored from copies of any age; changes of all eras arrive in any order."""
+
+    def __init__(self):
+        super().__init__()
+        self.era = 1
+        self.history = []
+        self.ever = []
+        self.replica = versions.Versions()
+        self.highest = {}
+
+    @stateful.rule(key=strategies.sampled_from(KEYS), deleted=strategies.booleans())
+    def write(self, key, deleted):
+        self.add(key, None if deleted else f"{self.era}-{len(self.ever)}".encode())
+
+    @stateful.rule(data=strategies.data())
+    def restore(self, data):
+        kept = self.history[: data.draw(strategies.integers(0, len(self.history)))]
+        self.era += 1
+        self.history = []
+        for change in kept:
+            self.add(change.key, change.stored and change.stored.value)
+
+    @stateful.precondition(lambda self: self.ever)
+    @stateful.rule(data=strategies.data())
+    def deliver(self, data):
+        self.replica.merge(data.draw(strategies.sampled_from(self.ever)))
+
+    @stateful.rule()
+    def list_the_present_store(self):
+        latest = {change.key: change for change in self.history}
+        stored = {key: change.stored for key, change in latest.items() if change.stored}
+        at = eras.version(era=self.era, revision=len(self.history))
+        merge_listing(self.replica, objects.Listing(objects=tuple(stored.values()), revision=at))
+        known = self.replica.changes_by_key
+        assert {key: one.stored for key, one in known.items() if one.stored} == stored
+
+    @stateful.invariant()
+    def versions_never_decrease(self):
+        for key in KEYS:
+            assert self.replica.version_of(key) >= self.highest.get(key, 0)
+            self.highest[key] = self.replica.version_of(key)
+
+    def add(self, key, value):
+        version = eras.version(era=self.era, revision=len(self.history) + 1)
+        stored = value and objects.Stored(key=key, value=value, version=version)
+        change = objects.Change(key=key, version=version, stored=stored)
+        self.history.append(change)
+        self.ever.append(change)
+
+
+Restoring.TestCase.settings = hypothesis.settings(max_examples=60, deadline=None)
+TestRestoring = Restoring.TestCase
+
+
+def test_a_restore_is_noted_once_and_the_first_era_is_none():
+    known = versions.Versions()
+    assert [known.note_era(era) for era in (0, 4, 4, 5, 4, 7)] == [
+        False, False, False, True, False, True
+    ]  # fmt: skip
+
+
 def test_tombstones_are_bounded(monkeypatch):
     monkeypatch.setattr(versions, "MAX_TOMBSTONES", 3)
     known = versions.Versions()
--- a/basilpost/platform/store.py
+++ b/basilpost/platform/store.py
@@ -1,6 +1,7 @@
 """Implements `store.objects.ObjectStore` over the platform's HTTP object store.
 
-A key is `kind/name`, a prefix is `kind/`, and a value is the JSON text of the object's `spec`.
+A key is `kind/name`, a prefix is `kind/`, and a value is the JSON text of the object's `spec`. The
+platform's revisions become versions that also hold the era of the answer, see `store.eras`.
 """
 
 import json
@@ -9,7 +10,7 @@
 
 import prometheus_client
 
-from basilpost.store import http_calls, objects
+from basilpost.store import eras, http_calls, objects
 
 # Time for the answer of a watch to arrive after the wait at the server is over.
 _WATCH_GRACE_SECONDS = 0.7
@@ -18,6 +19,8 @@
 # Number of the store's history in all its answers; it rises by one when the store is restored from a
 # copy. Revisions since the copy are then given out again.
 _ERA_HEADER = "Store-Era"
+# Added to the platform's number, which may begin at 0: that is the era of a store that tells none.
+_ERA_OFFSET = 1
 # Statuses of answers to writes that took no effect.
 _NO_EFFECT_STATUSES = frozenset({400, 403, 404, 413, 429, 503})
 
@@ -47,7 +50,7 @@
             "Restores of the platform's store from an older copy that this node has seen",
             registry=registry,
         )
-        self._era: int | None = None
+        self._era = 0
         self._has_malformed_era = False
 
     def close(self) -> None:
@@ -83,7 +86,7 @@
         changes that were made while later pages were read.
         """
         listed: list[objects.Stored] = []
-        first_revision: int | None = None
+        first_at: int | None = None
         last_name = ""
         while True:
             query = "?" + urllib.parse.urlencode({"sinceRevision": last_name}) if last_name else ""
@@ -91,11 +94,17 @@
             page = _body(reply)
             if page is None:
                 return objects.Unavailable(reason=f"list {prefix}: {_reason(reply)}")
-            items = [self._stored(prefix, item) for item in page["items"]]
+            era = self._era_of(reply)
+            at = eras.version(era=era, revision=page["at"])
+            first_at = at if first_at is None else first_at
+            if eras.era_of(first_at) != era:
+                return objects.Unavailable(
+                    reason=f"list {prefix}: the store was restored meanwhile"
+                )
+            items = [self._stored(prefix, item, era) for item in page["items"]]
             listed += [item for item in items if item is not None]
-            first_revision = page["at"] if first_revision is None else first_revision
             if not page.get("hasMore") or not page["items"]:
-                return objects.Listing(objects=tuple(listed), revision=first_revision)
+                return objects.Listing(objects=tuple(listed), revision=first_at)
             # For the next page the platform expects the last item's name in `sinceRevision`.
             last_name = page["items"][-1]["metadata"]["name"]
 
@@ -122,9 +131,12 @@
         urgency: objects.Urgency = objects.Urgency.NORMAL,
     ) -> Write:
         """Replaces an object whose version must be `version`."""
-        name = key.partition("/")[2]
-        body = {"metadata": {"name": name, "revision": version}, "spec": json.loads(value)}
-        return await self._write("PUT", _path(key), key, body, timeout)
+        if self._is_outdated(version):
+            return _outdated(key)
+        metadata = {"name": key.partition("/")[2], "revision": eras.revision_of(version)}
+        body = {"metadata": metadata, "spec": json.loads(value)}
+        result = await self._write("PUT", _path(key), key, body, timeout)
+        return self._check_condition(key, version, result)
 
     async def delete(
         self,
@@ -135,24 +147,39 @@
         urgency: objects.Urgency = objects.Urgency.NORMAL,
     ) -> Write:
         """Deletes an object whose version must be `version`."""
-        return await self._write("DELETE", f"{_path(key)}?revision={version}", key, None, timeout)
+        if self._is_outdated(version):
+            return _outdated(key)
+        path = f"{_path(key)}?revision={eras.revision_of(version)}"
+        result = await self._write("DELETE", path, key, None, timeout)
+        return self._check_condition(key, version, result)
 
     async def watch(
         self, prefix: str, *, revision: int, wait: float = 10.0
     ) -> objects.Changes | objects.Expired | objects.Unavailable:
-        """Waits up to `wait` seconds for changes of a kind after a revision."""
-        query = urllib.parse.urlencode({"watch": revision, "waitMs": int(wait * _MS_PER_SECOND)})
+        """Waits up to `wait` seconds for changes of a kind after a revision.
+
+        The platform answers 410 to a revision that it does not have. After a restore it may have given
+        the same one out again, which only the era of its answer shows.
+        """
+        plain_revision = eras.revision_of(revision)
+        query = urllib.parse.urlencode(
+            {"watch": plain_revision, "waitMs": int(wait * _MS_PER_SECOND)}
+        )
         reply = await self._read(
             f"{_path(prefix.rstrip('/'))}?{query}", timeout=wait + _WATCH_GRACE_SECONDS, wait=wait
         )
         if isinstance(reply, http_calls.Reply) and reply.status == 410:
-            return objects.Expired(reason=f"watch {prefix}: revision {revision} is too old")
+            return objects.Expired(reason=f"watch {prefix}: no history since {plain_revision}")
         body = _body(reply)
         if body is None:
             return objects.Unavailable(reason=f"watch {prefix}: {_reason(reply)}")
-        changes = (self._change(prefix, event) for event in body["events"])
+        era = self._era_of(reply)
+        if era != eras.era_of(revision):
+            return objects.Expired(reason=f"watch {prefix}: the store was restored")
+        changes = (self._change(prefix, event, era) for event in body["events"])
         return objects.Changes(
-            changes=tuple(change for change in changes if change is not None), revision=body["at"]
+            changes=tuple(change for change in changes if change is not None),
+            revision=eras.version(era=era, revision=body["at"]),
         )
 
     async def _get(
@@ -162,14 +189,19 @@
         if isinstance(reply, http_calls.Reply) and reply.status == 404:
             return objects.Missing(reason=f"no object {key}")
         body = _body(reply)
-        stored = None if body is None else self._stored(key[: key.index("/") + 1], body)
+        prefix = key[: key.index("/") + 1]
+        stored = None if body is None else self._stored(prefix, body, self._era_of(reply))
         return stored or objects.Unavailable(reason=f"get {key}: {_reason(reply)}")
 
     async def _read(
         self, path: str, *, timeout: float, wait: float = 0.0
     ) -> http_calls.Reply | http_calls.NoReply:
+        known_era = self._era
         reply = await self._client.read(path, timeout=timeout, wait=wait)
         self._count("GET", path, reply)
+        if self._era != known_era and self._era_of(reply) < self._era:
+            # The answer was given before the restore that another one has shown meanwhile.
+            return http_calls.NoReply(reason="the store was restored meanwhile", sent=True)
         return reply
 
     def _count(self, method: str, path: str, reply: http_calls.Reply | http_calls.NoReply) -> None:
@@ -180,25 +212,47 @@
             self._note_era(reply)
 
     def _note_era(self, reply: http_calls.Reply) -> None:
-        """Logs when an answer shows that the store was restored from a copy."""
-        era = self._era_in(reply)
-        if era is None or (self._era is not None and era <= self._era):
+        """Keeps the latest era, and logs when an answer shows that the store was restored."""
+        era = self._told_era(reply)
+        if era is None or era <= self._era:
             return
-        if self._era is not None:
+        if self._era:
             self._restores_total.inc()
-            self._log.warning("store_restored", era=era, before=self._era)
+            told = {"era": era - _ERA_OFFSET, "before": self._era - _ERA_OFFSET}
+            self._log.warning("store_restored", **told)
         self._era = era
 
-    def _era_in(self, reply: http_calls.Reply) -> int | None:
-        """Returns the era that an answer names, None if there is none or it is no number."""
+    def _era_of(self, reply: http_calls.Reply | http_calls.NoReply) -> int:
+        """Returns the era of an answer; one that names none counts as of the latest era."""
+        era = None if isinstance(reply, http_calls.NoReply) else self._told_era(reply)
+        return self._era if era is None else era
+
+    def _told_era(self, reply: http_calls.Reply) -> int | None:
+        """Returns the era that an answer names, None if it names no valid one."""
         text = reply.headers.get(_ERA_HEADER, "")
-        if text.isascii() and text.isdigit():
-            return int(text)
+        if text.isascii() and text.isdigit() and int(text) + _ERA_OFFSET <= eras.MAX_ERA:
+            return int(text) + _ERA_OFFSET
         if text and not self._has_malformed_era:
             self._has_malformed_era = True
             self._log.warning("store_era_malformed", value=text)
         return None
 
+    def _is_outdated(self, version: int) -> bool:
+        """Returns True if the store was restored since an object was read, whose revision then
+        belongs to another history."""
+        return eras.era_of(version) < self._era
+
+    def _check_condition(self, key: str, version: int, result: Write) -> Write:
+        """Returns the result of a write; unknown if the store was restored before it was done.
+
+        Its condition then held for a revision that was given out again.
+        """
+        if isinstance(result, objects.Written) and eras.era_of(result.version) > eras.era_of(
+            version
+        ):
+            return objects.Unknown(reason=f"{key}: the store was restored meanwhile")
+        return result
+
     async def _write(self, method: str, path: str, key: str, body: Any, timeout: float) -> Write:
         call = http_calls.Call(
             method=method,
@@ -214,29 +268,30 @@
         reason = f"{method} {key}: status {reply.status}"
         if reply.status in (200, 201):
             written = _body(http_calls.Reply(status=200, body=reply.body)) or {}
-            return objects.Written(version=int((written.get("metadata") or {}).get("revision", 0)))
+            revision = int((written.get("metadata") or {}).get("revision", 0))
+            return objects.Written(version=eras.version(era=self._era_of(reply), revision=revision))
         if reply.status in (404, 409):
             return objects.Conflict(reason=reason)
         if reply.status in _NO_EFFECT_STATUSES:
             return objects.Unavailable(reason=reason)
         return objects.Unknown(reason=reason)
 
-    def _stored(self, prefix: str, raw: Any) -> objects.Stored | None:
+    def _stored(self, prefix: str, raw: Any, era: int) -> objects.Stored | None:
         """Decodes an object; logs one without a usable name or revision and returns None."""
         try:
             metadata = raw["metadata"]
             return objects.Stored(
                 key=prefix + str(metadata["name"]),
                 value=json.dumps(raw.get("spec")).encode(),
-                version=int(metadata["revision"]),
+                version=eras.version(era=era, revision=int(metadata["revision"])),
             )
         except (KeyError, TypeError, ValueError) as error:
             reason = f"object has no usable name or revision: {type(error).__name__} {error}"
             self._log.warning("malformed_object", key=prefix, revision=None, reason=reason)
             return None
 
-    def _change(self, prefix: str, raw: Any) -> objects.Change | None:
-        stored = self._stored(prefix, raw.get("object") if isinstance(raw, dict) else None)
+    def _change(self, prefix: str, raw: Any, era: int) -> objects.Change | None:
+        stored = self._stored(prefix, raw.get("object") if isinstance(raw, dict) else None, era)
         if stored is None:
             return None
         removed = bool(raw.get("removed"))
@@ -245,6 +300,10 @@
         )
 
 
+def _outdated(key: str) -> objects.Conflict:
+    return objects.Conflict(reason=f"{key}: the store was restored since the object was read")
+
+
 def _body(reply: http_calls.Reply | http_calls.NoReply) -> Any:
     """Returns the decoded JSON of an answer with status 200, None for any other answer."""
     if isinstance(reply, http_calls.NoReply) or reply.status != 200:
--- a/basilpost/routing/crash_store.py
+++ b/basilpost/routing/crash_store.py
@@ -15,7 +15,7 @@
 from basilpost.core import clock, codec, kernel, names, tasks
 from basilpost.members import feed, node_table
 from basilpost.routing import crash_evidence, crash_messages, crashes
-from basilpost.store import objects
+from basilpost.store import eras, objects
 
 PREFIX = "basilpost-quarantine/"
 WATCH_SECONDS = 20.0
@@ -115,7 +115,7 @@
             self._log.warning(
                 "malformed_object",
                 key=change.key,
-                revision=change.version,
+                revision=eras.revision_of(change.version),
                 reason="the value is not a cause of crashes",
             )
         elif self._tracker.apply_cause(cause) and not cause.released:
--- a/basilpost/store/memory.py
+++ b/basilpost/store/memory.py
@@ -9,7 +9,7 @@
 import itertools
 
 from basilpost.core import clock
-from basilpost.store import objects
+from basilpost.store import eras, objects
 
 # Latest changes that are kept for watches; a watch from before them gets `Expired`.
 _HISTORY_CHANGES = 10_000
@@ -51,9 +51,13 @@
 
     @property
     def revision(self) -> int:
-        """Returns the revision of the latest change."""
+        """Returns the revision of the latest change, without the era."""
         return self._revision
 
+    def version_at(self, revision: int) -> int:
+        """Returns the version that a revision has in the present era."""
+        return eras.version(era=self.era, revision=revision)
+
     async def get(
         self,
         key: str,
@@ -78,7 +82,8 @@
             return objects.Unavailable(reason=f"list {prefix}: no answer within {timeout} s")
         keys = sorted(key for key in self._stored_by_key if key.startswith(prefix))
         return objects.Listing(
-            objects=tuple(self._stored_by_key[key] for key in keys), revision=self._revision
+            objects=tuple(self._stored_by_key[key] for key in keys),
+            revision=self.version_at(self._revision),
         )
 
     async def create(
@@ -121,11 +126,11 @@
         """Waits up to `wait` seconds for changes below a prefix after a revision."""
         if not await self._accept_call("watch", wait):
             return objects.Unavailable(reason=f"watch {prefix}: no answer")
-        if revision > self._revision:
+        era = self.era
+        if eras.era_of(revision) != era or revision > self.version_at(self._revision):
             return objects.Expired(reason=f"watch {prefix}: revision {revision} is not known")
         if self._history and revision + 1 < self._history[0].version:
             return objects.Expired(reason=f"watch {prefix}: revision {revision} is too old")
-        era = self.era
         deadline = clock.monotonic() + wait
         while True:
             if era != self.era:
@@ -133,7 +138,7 @@
             changes = self._changes_after(prefix, revision)
             left = deadline - clock.monotonic()
             if changes or left <= 0:
-                return objects.Changes(changes=changes, revision=self._revision)
+                return objects.Changes(changes=changes, revision=self.version_at(self._revision))
             changed = self._changed
             try:
                 async with asyncio.timeout(left):
@@ -170,7 +175,7 @@
         self._wake_watches()
 
     def _changes_after(self, prefix: str, revision: int) -> tuple[objects.Change, ...]:
-        if revision >= self._revision:
+        if revision >= self.version_at(self._revision):
             return ()
         newer = itertools.takewhile(
             lambda change: change.version > revision, reversed(self._history)
@@ -203,16 +208,17 @@
         if self.faults.lose_answers > 0:
             self.faults.lose_answers -= 1
             return objects.Unknown(reason=f"{kind} {key}: the answer was lost")
-        return objects.Written(version=self._revision)
+        return objects.Written(version=self.version_at(self._revision))
 
     def _apply(self, key: str, value: bytes | None) -> None:
         stored = None
+        version = self.version_at(self._revision)
         if value is None:
             del self._stored_by_key[key]
         else:
-            stored = objects.Stored(key=key, value=value, version=self._revision)
+            stored = objects.Stored(key=key, value=value, version=version)
             self._stored_by_key[key] = stored
-        self._history.append(objects.Change(key=key, version=self._revision, stored=stored))
+        self._history.append(objects.Change(key=key, version=version, stored=stored))
         self._changed_at.append(clock.monotonic())
         self._wake_watches()
 
--- a/tests/pool_restored_store_test.py
+++ b/tests/pool_restored_store_test.py
@@ -60,3 +60,17 @@
         )
         last = load.last_run(bench.fleet.runners_by_id.values())
         assert 0.0 < last <= confirmed_at + pool_withdrawal_test.ROUTE_SECONDS
+
+
+async def test_changes_are_never_seen_where_a_watch_goes_on_in_another_history():
+    """The restored store has passed the nodes' revisions before they watch again."""
+    async with pool_nodes.running(nodes=3, vms=0) as bench:
+        copy = bench.fleet.store.store.revision
+        await lose_changes(bench, 30)
+        await bench.fleet.configure(pool_fleet.configuration(2))
+        await bench.wait_for_knowledge(lambda known: known.configuration.version == 2)
+        bench.fleet.store.store.restore(copy)
+        await bench.fleet.configure(pool_fleet.configuration(3))
+        await lose_changes(bench, 60)
+        await asyncio.sleep(STABLE_SECONDS)
+        assert {node_relay.knowledge.configuration.version for node_relay in bench.relays} == {3}
