What is known stays in force until it is written again to a restored store

What callers would see: a restored copy shows runners that leave as ready, groups as not there, evacuations as absent. Nodes sent work to them, and the controller sent joins to members of open groups, which breaks the groups up. Change: for 2.3 s after a restore (the operator and the runners write theirs again within about two) knowledge.py holds back the first version of an object that may be older: a missing entry or evacuation, an entry of the same lifetime that is not newly leaving, an entry of a lifetime that was removed before. A second version was written after the restore and counts at once, as does a later lifetime, a VM that leaves or an evacuation that begins. What nobody has written again is then believed, with a line older_contents_applied.

--- a/basilpost/core/log_events.py
+++ b/basilpost/core/log_events.py
@@ -183,6 +183,10 @@
         meaning="the store was restored, as it or a peer tells; nothing known of it is taken for current",
         fields=("era",),
     ),
+    "older_contents_applied": Event(
+        meaning="objects that a restored store showed as older, and nobody has written again, are believed",
+        fields=("objects",),
+    ),
     "load_hub_silent": Event(
         meaning="the node that sums up the requests in flight is silent; another one is chosen",
         fields=("hub",),
--- a/basilpost/members/knowledge.py
+++ b/basilpost/members/knowledge.py
@@ -23,8 +23,11 @@
 VM_WATCH_SECONDS = 1.3
 # A failure domain has to be out of service at all nodes within 5 s.
 FAILURE_DOMAIN_WATCH_SECONDS = 2.5
-# VMs' entries that expired during an outage of the store are back about two seconds after its end.
+# VMs' entries that expired during an outage of the store are back about two seconds after its end,
+# and so is what the operator and the runners wrote to a store that was restored from a copy.
 RETURN_GRACE_SECONDS = 2.3
+# The entry of a VM that was removed within this time may return with a copy of the store.
+REMOVED_MEMORY_SECONDS = 60.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -61,6 +64,10 @@
         self._tasks = tasks.TaskSet(log=kernel.log)
         self._grace_until = 0.0
         self._missing_ids: set[str] = set()
+        self._restored_until = 0.0
+        self._keys_since_restore: set[str] = set()
+        self._held_by_key: dict[str, objects.Change] = {}
+        self._removed_at_by_lifetime: dict[tuple[str, int], float] = {}
         layout = decoder.layout
         self._feed.follow(
             layout.configuration_prefix,
@@ -74,6 +81,7 @@
             on_change=self._apply_out_of_service,
         )
         self._feed.subscribe_store_recovery(self._start_return_grace)
+        self._feed.subscribe_restore(self._keep_until_written_again)
         self._malformed = prometheus_client.Counter(
             "basilpost_malformed_objects_total",
             "Objects of the platform's store that could not be decoded",
@@ -120,10 +128,78 @@
         await asyncio.sleep(RETURN_GRACE_SECONDS)
         missing, self._missing_ids = self._missing_ids, set()
         for vm_id in missing:
-            if self.vms_by_id.pop(vm_id, None) is not None:
-                self._log.info("vm_gone", vm=vm_id, revision=None)
+            self._drop_vm(vm_id, revision=None)
         self._feed.notify_listeners()
 
+    # A restored store shows older contents until the operator and the runners have written again.
+
+    def _keep_until_written_again(self) -> None:
+        """Keeps what is known for a while against older contents of a restored store."""
+        self._restored_until = clock.elapsed() + RETURN_GRACE_SECONDS
+        self._keys_since_restore.clear()
+        self._tasks.spawn(self._apply_held(), name="apply-held")
+
+    async def _apply_held(self) -> None:
+        """Applies the changes that are still held back at the end of that time."""
+        await asyncio.sleep(RETURN_GRACE_SECONDS)
+        if clock.elapsed() < self._restored_until:
+            # The store was restored once more.
+            return
+        held, self._held_by_key = self._held_by_key, {}
+        if held:
+            self._log.info("older_contents_applied", objects=len(held))
+        for change in held.values():
+            is_vm = change.key.startswith(self._decoder.layout.vm_prefix)
+            (self._apply_vm if is_vm else self._apply_out_of_service)(change)
+        self._feed.notify_listeners()
+
+    def _holds_back(self, change: objects.Change, *, is_older: bool) -> bool:
+        """Returns True for a change that may only show the copy; it is applied later.
+
+        A second version of an object was certainly written after the restore.
+        """
+        if clock.elapsed() >= self._restored_until:
+            return False
+        is_first = change.key not in self._keys_since_restore
+        self._keys_since_restore.add(change.key)
+        self._held_by_key.pop(change.key, None)
+        if is_first and is_older:
+            self._held_by_key[change.key] = change
+        return is_first and is_older
+
+    def _repeats_known(self, vm_id: str, vm: catalog.Vm | None) -> bool:
+        """Returns True for a VM's entry that a restored store shows as it is known.
+
+        Its remaining cold time counts from when it was first seen.
+        """
+        known = self.vms_by_id.get(vm_id)
+        is_restored = clock.elapsed() < self._restored_until
+        return is_restored and known is not None and known.vm == vm
+
+    def _may_be_older(self, vm_id: str, vm: catalog.Vm | None) -> bool:
+        """Returns True if a VM's entry, None for a missing one, may be from before what is known."""
+        known = self.vms_by_id.get(vm_id)
+        if vm is None:
+            return known is not None
+        if known is None:
+            return (vm_id, vm.incarnation) in self._removed_at_by_lifetime
+        return vm.incarnation <= known.vm.incarnation and not (
+            vm.leaving and not known.vm.leaving and vm.incarnation == known.vm.incarnation
+        )
+
+    def _drop_vm(self, vm_id: str, *, revision: int | None) -> None:
+        dropped = self.vms_by_id.pop(vm_id, None)
+        if dropped is None:
+            return
+        now = clock.elapsed()
+        self._removed_at_by_lifetime = {
+            lifetime: removed_at
+            for lifetime, removed_at in self._removed_at_by_lifetime.items()
+            if now - removed_at < REMOVED_MEMORY_SECONDS
+        }
+        self._removed_at_by_lifetime[vm_id, dropped.vm.incarnation] = now
+        self._log.info("vm_gone", vm=vm_id, revision=revision)
+
     def _apply_configuration(self, change: objects.Change) -> None:
         if change.key != self._decoder.layout.configuration_key:
             return
@@ -153,14 +229,21 @@
     def _apply_vm(self, change: objects.Change) -> None:
         vm_id = change.key.removeprefix(self._decoder.layout.vm_prefix)
         before = self.vms_by_id.get(vm_id)
-        if change.stored is None:
+        vm = None if change.stored is None else self._decoder.vm(vm_id, change.stored.value)
+        if not isinstance(vm, failure.Failure) and self._repeats_known(vm_id, vm):
+            self._held_by_key.pop(change.key, None)
+            return
+        if not isinstance(vm, failure.Failure) and self._holds_back(
+            change, is_older=self._may_be_older(vm_id, vm)
+        ):
+            return
+        if vm is None:
             if clock.elapsed() < self._grace_until:
                 self._missing_ids.add(vm_id)
-            elif self.vms_by_id.pop(vm_id, None) is not None:
-                self._log.info("vm_gone", vm=vm_id, revision=eras.revision_of(change.version))
+            else:
+                self._drop_vm(vm_id, revision=eras.revision_of(change.version))
             return
         self._missing_ids.discard(vm_id)
-        vm = self._decoder.vm(vm_id, change.stored.value)
         if isinstance(vm, failure.Failure):
             self.vms_by_id.pop(vm_id, None)
             self._count_malformed("vm", change, vm)
@@ -185,6 +268,8 @@
     def _apply_out_of_service(self, change: objects.Change) -> None:
         failure_domain = change.key.removeprefix(self._decoder.layout.out_of_service_prefix)
         out = change.stored is not None
+        if self._holds_back(change, is_older=not out):
+            return
         self.out_of_service = (
             self.out_of_service | {failure_domain}
             if out
--- a/tests/pool_knowledge_test.py
+++ b/tests/pool_knowledge_test.py
@@ -10,7 +10,7 @@
 from basilpost.members import fakes, feed, knowledge, node_table
 from basilpost.platform import decoder
 from basilpost.settings import schema as node_schema
-from basilpost.store import memory, objects
+from basilpost.store import eras, memory, objects
 
 
 @pytest.fixture
@@ -175,3 +175,102 @@
     fake_clock.now += 1.5
     source._apply_change(change("servers/i-1", 7, None))
     assert "i-1" not in known.vms_by_id
+
+
+def restored(key, revision, spec, *, era=2):
+    """Returns a change in a restored store."""
+    return change(key, eras.version(era=era, revision=revision), spec)
+
+
+@pytest.fixture
+def before_restore(known, source, monkeypatch):
+    """A node that has known a store in its first era; the clock is returned."""
+    monkeypatch.setattr(knowledge, "RETURN_GRACE_SECONDS", 0.1)
+    fake_clock = FakeClock(monkeypatch)
+    first = [
+        restored("config/main", 90, pool_fleet.configuration(7), era=1),
+        restored("servers/i-1", 91, entry(state="draining"), era=1),
+        restored("servers/i-2", 92, entry(), era=1),
+        restored("evacuations/b", 93, {}, era=1),
+    ]
+    source.offer(first, source="other")
+    return fake_clock
+
+
+async def test_older_contents_of_a_restored_store_undo_what_is_known(known, source, before_restore):
+    """A leaving VM is ready again in the copy, a VM and an evacuation are missing."""
+    source.offer(
+        [
+            restored("config/main", 20, pool_fleet.configuration(6)),
+            restored("servers/i-1", 21, entry()),
+            restored("servers/i-2", 30, None),
+            restored("evacuations/b", 30, None),
+        ],
+        source="other",
+    )
+    assert known.configuration.version == 7
+    assert known.vms_by_id["i-1"].vm.leaving
+    assert "i-2" in known.vms_by_id
+    assert known.out_of_service == {"b"}
+
+
+async def test_what_is_written_again_to_a_restored_store_is_applied_at_once(
+    known, source, before_restore
+):
+    source.offer(
+        [
+            restored("servers/i-1", 21, entry(born=9)),
+            restored("servers/i-2", 22, entry(state="draining")),
+            restored("servers/i-3", 23, entry()),
+            restored("evacuations/a", 24, {}),
+            restored("evacuations/b", 25, None),
+            restored("evacuations/b", 26, {}),
+            restored("evacuations/b", 27, None),
+        ],
+        source="other",
+    )
+    assert not known.vms_by_id["i-1"].vm.leaving
+    assert known.vms_by_id["i-2"].vm.leaving
+    assert "i-3" in known.vms_by_id
+    assert known.out_of_service == {"a"}
+
+
+async def test_what_nobody_writes_again_is_believed_after_a_time(known, source, before_restore):
+    source.offer(
+        [
+            restored("servers/i-1", 21, entry()),
+            restored("servers/i-2", 30, None),
+            restored("evacuations/b", 30, None),
+        ],
+        source="other",
+    )
+    before_restore.now += 0.2
+    await pool_fleet.until(lambda: "i-2" not in known.vms_by_id)
+    assert not known.vms_by_id["i-1"].vm.leaving
+    assert known.out_of_service == frozenset()
+
+
+async def test_a_vm_that_was_removed_returns_with_the_copy(known, source, before_restore):
+    source.offer([restored("servers/i-2", 94, None, era=1)], source="other")
+    source.offer([restored("servers/i-2", 20, entry())], source="other")
+    assert "i-2" not in known.vms_by_id
+
+
+async def test_a_store_that_is_restored_twice_in_a_row(known, source, before_restore):
+    source.offer([restored("servers/i-1", 21, entry())], source="other")
+    before_restore.now += 0.05
+    source.offer([restored("evacuations/b", 10, None, era=3)], source="other")
+    source.offer([restored("servers/i-1", 9, entry(), era=3)], source="other")
+    assert known.vms_by_id["i-1"].vm.leaving
+    assert known.out_of_service == {"b"}
+    before_restore.now += 0.2
+    await pool_fleet.until(lambda: not known.out_of_service)
+
+
+async def test_a_cold_start_begins_anew_when_the_store_was_restored(known, source, before_restore):
+    source.offer([restored("servers/i-3", 95, entry(coldRemainingMs=2500), era=1)], source="other")
+    before_restore.now += 1.0
+    for revision in (31, 32):
+        again = restored("servers/i-3", revision, entry(coldRemainingMs=2500))
+        source.offer([again], source="other")
+    assert known.vms_by_id["i-3"].cold_until == 102.5
--- a/tests/pool_restored_store_test.py
+++ b/tests/pool_restored_store_test.py
@@ -74,3 +74,19 @@
         await lose_changes(bench, 60)
         await asyncio.sleep(STABLE_SECONDS)
         assert {node_relay.knowledge.configuration.version for node_relay in bench.relays} == {3}
+
+
+async def test_open_groups_are_broken_up_after_the_store_was_restored():
+    """In the copy no VM has a group; the runners write their entries again after some time."""
+    async with pool_nodes.running(nodes=3) as bench:
+        copy = bench.fleet.store.store.revision
+        await bench.wait_for_groups(2)
+        await asyncio.sleep(1.0)
+        runners = bench.fleet.runners_of(pool_fleet.MODEL_SERVICE)
+        groups = bench.fleet.open_groups()
+        orders = [len(runner.orders) for runner in runners]
+        await restore(bench, copy, rewrite_seconds=1.5)
+        await asyncio.sleep(STABLE_SECONDS)
+        assert bench.fleet.open_groups() == groups
+        assert [len(runner.orders) for runner in runners] == orders
+        assert (await bench.draft()).code == 200
