The controller's lease and its fencing numbers outlast a restore of the store

What callers would see: after a restore the controller loses its lease, another node takes it at once, and orders carry fencing numbers and epochs that runners have seen passed, so no group forms; or the numbers exceed what JSON holds exactly, since versions have eras. Cause: a fencing number was the version of the write that acquired the lease. Revisions go back with a restore; versions do not, but epochs are 10,000 times as high. Change: a fencing number is the plain revision or, if that is not above it, one more than the highest number known to have been used: from lease records, and from the epochs that runners report. A holder whose lease a restored store lacks, or shows with an earlier holder, writes it again; the others wait for the time of a lease before a missing one counts as free. A controller gives up when epochs of its runners show a later one.

--- a/basilpost/groups/lease.py
+++ b/basilpost/groups/lease.py
@@ -3,12 +3,16 @@
 The revision of the write that acquired the lease is the controller's fencing number, which rises
 with each holder. Runners reject orders with a lower one, so safety does not depend on the lease.
 The lease only keeps two controllers from working against each other.
+
+A store that is restored from a copy may lose the lease, show an earlier holder, and give revisions out
+again. The holder then writes the lease again, the others give it the time of a lease to do so, and a
+new holder's fencing number is above each one that is known to have been used.
 """
 
 import dataclasses
 
 from basilpost.core import clock, codec
-from basilpost.store import objects
+from basilpost.store import eras, objects
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -18,7 +22,8 @@
     Attributes:
         holder: Id of the node that holds the lease.
         incarnation: Unique id of the process on that node.
-        fence: Fencing number of the holder; 0 in the write that acquires the lease.
+        fence: Fencing number of the holder. In the write that acquires the lease its revision is not
+            known yet, and this is the highest number known to have been used.
         renewal: Number of the renewal, 0 in the write that acquires the lease.
     """
 
@@ -50,8 +55,10 @@
     _version: int = 0
     _seen_version: int = -1
     _seen_at: float = float("-inf")
-    _holder: str = ""
     _is_acquiring: bool = False
+    _highest_fence: int = 0
+    _era: int | None = None
+    _reclaimable_until: float = float("-inf")
 
     @property
     def held(self) -> bool:
@@ -68,17 +75,28 @@
         """
         read = store.get if fresh else store.get_maybe_stale
         found = await read(self.key, timeout=timeout)
+        self._note_era(store.era)
         if isinstance(found, objects.Missing):
             self._version = 0
-            return True
+            return clock.elapsed() >= self._reclaimable_until
         if not isinstance(found, objects.Stored):
             return False
-        return self._track_renewal(found)
+        self._highest_fence = max(self._highest_fence, _fence_in(found))
+        return self._track_renewal(found, fresh=fresh)
+
+    async def acquire(
+        self, store: objects.ObjectStore, *, timeout: float, used_fence: int = 0
+    ) -> bool:
+        """Tries to acquire a lease that was observed free or expired; returns True on success.
 
-    async def acquire(self, store: objects.ObjectStore, *, timeout: float) -> bool:
-        """Tries to acquire a lease that was observed free or expired; returns True on success."""
+        Args:
+            store: The store that holds the lease.
+            timeout: Time for each call in seconds.
+            used_fence: Highest fencing number that runners are known to have seen.
+        """
         sent_at = clock.elapsed()
-        record = self._record(fence=0, renewal=0)
+        self._highest_fence = max(self._highest_fence, used_fence)
+        record = self._record(fence=self._highest_fence, renewal=0)
         # Stays True if the answer is not awaited, so that `release` looks for the lease.
         self._is_acquiring = True
         if self._version == 0:
@@ -92,7 +110,8 @@
         self._is_acquiring = False
         if not version:
             return False
-        self._version = self.fence = version
+        self._version = version
+        self.fence = max(eras.revision_of(version), self._highest_fence + 1)
         self.held_until = sent_at + self.seconds
         return True
 
@@ -108,6 +127,8 @@
         if isinstance(result, objects.Unavailable):
             return True
         version = await self._find_own_version(store, timeout=timeout)
+        if not version and store.era > eras.era_of(self._version):
+            version = await self._reclaim(store, record, timeout=timeout)
         if version:
             self._version = version
             self.held_until = sent_at + self.seconds
@@ -115,11 +136,25 @@
             self.mark_lost()
         return self.fence > 0
 
+    async def _reclaim(self, store: objects.ObjectStore, record: bytes, *, timeout: float) -> int:
+        """Writes a held lease again that a restored store has lost.
+
+        Returns its version, or 0 if it could not be written or belongs to a later holder.
+        """
+        found = await store.get(self.key, timeout=timeout)
+        result: object = found
+        if isinstance(found, objects.Missing):
+            result = await store.create(self.key, record, timeout=timeout)
+        elif isinstance(found, objects.Stored) and _fence_in(found) < self.fence:
+            result = await store.update(self.key, record, version=found.version, timeout=timeout)
+        return result.version if isinstance(result, objects.Written) else 0
+
     async def release(self, store: objects.ObjectStore, *, timeout: float) -> None:
         """Deletes a held lease, so that another node need not wait until it expires."""
         if self._is_acquiring:
             self._is_acquiring = False
-            self._version = self.fence = await self._find_own_version(store, timeout=timeout)
+            self._version = await self._find_own_version(store, timeout=timeout)
+            self.fence = eras.revision_of(self._version)
         if self.fence:
             self.mark_lost()
             result = await store.delete(self.key, version=self._version, timeout=timeout)
@@ -134,10 +169,16 @@
         self.fence = 0
         self.held_until = float("-inf")
 
-    def _track_renewal(self, found: objects.Stored) -> bool:
+    def _note_era(self, era: int) -> None:
+        """Gives the holder time to write the lease again if the store was restored."""
+        if self._era is not None and era > self._era:
+            self._reclaimable_until = clock.elapsed() + self.seconds
+        self._era = era
+
+    def _track_renewal(self, found: objects.Stored, *, fresh: bool) -> bool:
         """Records the version read; returns True if it is unchanged for a lease's duration."""
         # A cheap read may return an older version than an earlier read.
-        if found.version > self._seen_version:
+        if found.version > self._seen_version or (fresh and found.version != self._seen_version):
             self._seen_version = found.version
             self._seen_at = clock.elapsed()
         self._version = self._seen_version
@@ -164,3 +205,14 @@
                 renewal=renewal,
             )
         )
+
+
+def _fence_in(found: objects.Stored) -> int:
+    """Returns the fencing number that the holder of a stored lease has at least."""
+    try:
+        record = codec.from_json(found.value, Record)
+    except ValueError:
+        return 0
+    if record.renewal == 0:
+        return max(eras.revision_of(found.version), record.fence + 1)
+    return record.fence
--- a/basilpost/groups/lease_test.py
+++ b/basilpost/groups/lease_test.py
@@ -4,7 +4,7 @@
 
 from basilpost.core import clock
 from basilpost.groups import lease
-from basilpost.store import memory, objects
+from basilpost.store import eras, memory, objects
 
 SECONDS = 3.0
 
@@ -121,3 +121,90 @@
     now[0] += SECONDS + 0.1
     assert await observe_and_acquire(first, store)
     assert isinstance(await store.get("basilpost-leases/pool"), objects.Stored)
+
+
+async def advance(store, revisions):
+    for number in range(revisions):
+        await store.create(f"other/{store.era}-{store.revision}-{number}", b"1")
+
+
+@pytest.fixture
+async def copy(store):
+    """The revision of a copy from before the lease; the holder's fence is above it."""
+    await advance(store, 5)
+    revision = store.revision
+    await advance(store, 40)
+    return revision
+
+
+async def test_a_lease_that_a_restored_store_has_lost_is_taken_over_from_its_holder(
+    now, store, copy
+):
+    first, second = holder("a"), holder("b")
+    await observe_and_acquire(first, store)
+    fence = first.fence
+    await second.observe(store, timeout=1)
+    store.restore(copy)
+    assert not await observe_and_acquire(second, store)
+    now[0] += 1.0
+    assert await first.renew(store, renewal=1, timeout=1)
+    assert (first.held, first.fence) == (True, fence)
+    for renewal in range(2, 8):
+        now[0] += 1.0
+        assert not await observe_and_acquire(second, store)
+        assert await first.renew(store, renewal=renewal, timeout=1)
+
+
+async def test_an_earlier_holder_in_the_copy_keeps_the_lease_from_the_present_one(now, store, copy):
+    earlier, present = holder("a"), holder("b")
+    await observe_and_acquire(earlier, store)
+    await earlier.renew(store, renewal=1, timeout=1)
+    copy_with_earlier = store.revision
+    await present.observe(store, timeout=1)
+    now[0] += SECONDS + 0.1
+    assert await observe_and_acquire(present, store)
+    store.restore(copy_with_earlier)
+    now[0] += 1.0
+    assert await present.renew(store, renewal=1, timeout=1)
+    assert not await earlier.renew(store, renewal=2, timeout=1)
+    assert present.held
+
+
+async def test_fences_go_down_when_the_store_was_restored(now, store, copy):
+    first, second, third = holder("a"), holder("b"), holder("c")
+    await observe_and_acquire(first, store)
+    await second.observe(store, timeout=1)
+    store.restore(copy)
+    now[0] += SECONDS + 0.1
+    await second.observe(store, timeout=1)
+    now[0] += SECONDS + 0.1
+    assert await observe_and_acquire(second, store)
+    assert eras.revision_of(second._version) < first.fence < second.fence
+    # A node that has seen no earlier holder goes by what runners have seen.
+    now[0] += SECONDS + 0.1
+    await second.release(store, timeout=1)
+    assert await third.observe(store, timeout=1)
+    assert await third.acquire(store, timeout=1, used_fence=second.fence)
+    assert third.fence > second.fence
+
+
+async def test_a_holder_that_missed_a_later_one_takes_the_lease_back(now, store, copy):
+    first, second = holder("a"), holder("b")
+    await observe_and_acquire(first, store)
+    await second.observe(store, timeout=1)
+    store.restore(copy)
+    now[0] += 1.0
+    second._reclaimable_until = now[0]
+    await second.observe(store, timeout=1)
+    now[0] += SECONDS + 0.1
+    assert await observe_and_acquire(second, store)
+    assert not await first.renew(store, renewal=1, timeout=1)
+    assert second.held
+
+
+async def test_a_fence_has_the_era_in_it(now, store):
+    """Runners count with 53 bits, of which epochs need more than fences."""
+    store.era = 7
+    first = holder("a")
+    assert await observe_and_acquire(first, store)
+    assert first.fence == store.revision
--- a/basilpost/groups/pool_controller.py
+++ b/basilpost/groups/pool_controller.py
@@ -49,6 +49,8 @@
 LOAD_RATE_WINDOW_SECONDS = 5.0
 # The first epoch of a holder is its fencing number times this.
 EPOCHS_PER_FENCE = 10_000
+# Higher epochs are not the work of a controller: JSON numbers are exact up to here.
+MAX_EPOCH = 2**53
 # Loads that may start while they are not limited, in the first seconds of a new system.
 UNLIMITED_LOADS = 1_000_000
 
@@ -143,7 +145,9 @@
             fresh = self._observe_now.is_set()
             self._observe_now.clear()
             if await self._lease.observe(self._store, timeout=STORE_TIMEOUT_SECONDS, fresh=fresh):
-                if await self._lease.acquire(self._store, timeout=STORE_TIMEOUT_SECONDS):
+                if await self._lease.acquire(
+                    self._store, timeout=STORE_TIMEOUT_SECONDS, used_fence=self._used_fence()
+                ):
                     await self._act_as_controller()
                     continue
                 # The cheap read may have been outdated, so the next read is fresh.
@@ -166,6 +170,11 @@
         renewing = self._tasks.spawn(self._keep_renewing(), name="pool-lease")
         try:
             while self._lease.held and self._lease.fence == fence and self._reachability.has_path:
+                if self._used_fence() > fence:
+                    # A later controller was lost with a copy of the store, or the epochs are used up.
+                    self._log.warning("pool_control_overtaken", fence=fence, vm="")
+                    await self._release(self._lease.held)
+                    break
                 self._changed.clear()
                 if self._knowledge.vms_age() < LEASE_SECONDS:
                     began_at = clock.monotonic()
@@ -184,6 +193,12 @@
             await self._release(self._lease.held)
         self._lease.mark_lost()
 
+    def _used_fence(self) -> int:
+        """Returns the highest fencing number that the epochs of the runners' groups show."""
+        members = (seen.vm.member for seen in self._knowledge.vms_by_id.values())
+        epochs = (member.epoch for member in members if member is not None)
+        return max((epoch for epoch in epochs if epoch < MAX_EPOCH), default=0) // EPOCHS_PER_FENCE
+
     async def _keep_renewing(self) -> None:
         renewal = 0
         while True:
--- a/basilpost/platform/store.py
+++ b/basilpost/platform/store.py
@@ -50,7 +50,7 @@
             "Restores of the platform's store from an older copy that this node has seen",
             registry=registry,
         )
-        self._era = 0
+        self.era = 0
         self._has_malformed_era = False
 
     def close(self) -> None:
@@ -196,10 +196,10 @@
     async def _read(
         self, path: str, *, timeout: float, wait: float = 0.0
     ) -> http_calls.Reply | http_calls.NoReply:
-        known_era = self._era
+        known_era = self.era
         reply = await self._client.read(path, timeout=timeout, wait=wait)
         self._count("GET", path, reply)
-        if self._era != known_era and self._era_of(reply) < self._era:
+        if self.era != known_era and self._era_of(reply) < self.era:
             # The answer was given before the restore that another one has shown meanwhile.
             return http_calls.NoReply(reason="the store was restored meanwhile", sent=True)
         return reply
@@ -214,18 +214,18 @@
     def _note_era(self, reply: http_calls.Reply) -> None:
         """Keeps the latest era, and logs when an answer shows that the store was restored."""
         era = self._told_era(reply)
-        if era is None or era <= self._era:
+        if era is None or era <= self.era:
             return
-        if self._era:
+        if self.era:
             self._restores_total.inc()
-            told = {"era": era - _ERA_OFFSET, "before": self._era - _ERA_OFFSET}
+            told = {"era": era - _ERA_OFFSET, "before": self.era - _ERA_OFFSET}
             self._log.warning("store_restored", **told)
-        self._era = era
+        self.era = era
 
     def _era_of(self, reply: http_calls.Reply | http_calls.NoReply) -> int:
         """Returns the era of an answer; one that names none counts as of the latest era."""
         era = None if isinstance(reply, http_calls.NoReply) else self._told_era(reply)
-        return self._era if era is None else era
+        return self.era if era is None else era
 
     def _told_era(self, reply: http_calls.Reply) -> int | None:
         """Returns the era that an answer names, None if it names no valid one."""
@@ -240,7 +240,7 @@
     def _is_outdated(self, version: int) -> bool:
         """Returns True if the store was restored since an object was read, whose revision then
         belongs to another history."""
-        return eras.era_of(version) < self._era
+        return eras.era_of(version) < self.era
 
     def _check_condition(self, key: str, version: int, result: Write) -> Write:
         """Returns the result of a write; unknown if the store was restored before it was done.
--- a/basilpost/store/memory.py
+++ b/basilpost/store/memory.py
@@ -168,12 +168,20 @@
         for _ in range(self._revision - revision):
             self._history.pop()
             self._changed_at.pop()
-        latest = {change.key: change.stored for change in self._history}
-        self._stored_by_key = {key: stored for key, stored in latest.items() if stored is not None}
         self._revision = revision
         self.era += 1
+        kept = [self._in_present_era(change) for change in self._history]
+        self._history.clear()
+        self._history.extend(kept)
+        latest = {change.key: change.stored for change in kept}
+        self._stored_by_key = {key: stored for key, stored in latest.items() if stored is not None}
         self._wake_watches()
 
+    def _in_present_era(self, change: objects.Change) -> objects.Change:
+        version = self.version_at(eras.revision_of(change.version))
+        stored = change.stored and dataclasses.replace(change.stored, version=version)
+        return dataclasses.replace(change, version=version, stored=stored)
+
     def _changes_after(self, prefix: str, revision: int) -> tuple[objects.Change, ...]:
         if revision >= self.version_at(self._revision):
             return ()
--- a/basilpost/store/memory_test.py
+++ b/basilpost/store/memory_test.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from basilpost.store import memory, objects
+from basilpost.store import eras, memory, objects
 
 
 @pytest.fixture
@@ -47,3 +47,16 @@
     store.faults.down = True
     assert isinstance(await store.get("a/1", timeout=2), objects.Unavailable)
     assert isinstance(await store.create("a/1", b"one", timeout=2), objects.Unknown)
+
+
+async def test_a_restored_store_has_its_objects_in_a_later_era(store):
+    kept = await store.create("a/1", b"one")
+    lost = await store.create("a/2", b"two")
+    store.restore(1)
+    assert isinstance(await store.get("a/2"), objects.Missing)
+    again = await store.get("a/1")
+    assert again.version > lost.version > kept.version
+    assert isinstance(await store.update("a/1", b"x", version=kept.version), objects.Conflict)
+    assert isinstance(await store.watch("a/", revision=lost.version, wait=0), objects.Expired)
+    written = await store.update("a/1", b"x", version=again.version)
+    assert eras.revision_of(written.version) == eras.revision_of(lost.version)
--- a/basilpost/store/objects.py
+++ b/basilpost/store/objects.py
@@ -1,7 +1,7 @@
 """The interface to the platform's object API, which holds the state that outlives processes.
 
-It assumes no more than the platform guarantees: versions that rise with each change of an object,
-conditional updates, and watches. An answer can be lost after the change took effect, so every write
+It assumes no more than the platform guarantees: versions that rise with each change of an object (the
+module `eras` says how, if the store is restored from a copy), conditional updates, and watches. An answer can be lost after the change took effect, so every write
 has three outcomes: done, refused or unknown.
 """
 
@@ -91,7 +91,13 @@
 
 
 class ObjectStore(abc.ABC):
-    """The platform's object API. `timeout` is in seconds on every call."""
+    """The platform's object API. `timeout` is in seconds on every call.
+
+    Attributes:
+        era: Era of the store by its latest answer, see `eras`; 0 if it tells none.
+    """
+
+    era = 0
 
     @abc.abstractmethod
     async def get(
--- a/tests/pool_restored_store_test.py
+++ b/tests/pool_restored_store_test.py
@@ -90,3 +90,33 @@
         assert bench.fleet.open_groups() == groups
         assert [len(runner.orders) for runner in runners] == orders
         assert (await bench.draft()).code == 200
+
+
+async def test_orders_are_rejected_after_the_store_was_restored():
+    """VMs are added after the restore, while revisions are far below the controller's fence."""
+    bench = pool_nodes.Nodes()
+    await lose_changes(bench, LOST_CHANGES)
+    try:
+        await bench.start(nodes=3)
+        await bench.wait_for_groups(2)
+        await restore(bench, 10)
+        (controller,) = [one for one in bench.controllers if one.is_holder]
+        await controller.stop()
+        await asyncio.sleep(STABLE_SECONDS)
+        runners = [
+            bench.fleet.add(f"vm-new-{number}", pool_fleet.MODEL_SERVICE, fabric_domain="fabric-0")
+            for number in range(3)
+        ]
+        for runner in runners:
+            await runner.start()
+        await bench.wait_for_groups(3)
+        assert not [
+            order
+            for runner in bench.fleet.runners_by_id.values()
+            for order in runner.refused_orders
+        ]
+        fences = [order["fence"] for runner in runners for order in runner.orders]
+        assert fences and min(fences) > LOST_CHANGES
+        assert max(fences) < 2**40
+    finally:
+        await bench.stop()
