Nodes write their records and causes of crashes again to a restored store

What callers would see: after a restore, nodes that started since the copy drop out of the others' tables (no detours, no shared limits, no take-over) until they restart, and a cause of crashes that was written since is gone for nodes that start later. Cause: each node writes its record once, and a cause when it is found; only a deletion that a node sees leads to another write, and a restored store does not show the loss of what a node has not seen there yet. Change: the feed tells of a restore (subscribe_restore); each node writes its record within a second, spread, and missing records stay in the table for 2.3 s; known causes are written again as before, first by their finders.

--- a/basilpost/members/node_registry.py
+++ b/basilpost/members/node_registry.py
@@ -6,8 +6,9 @@
 
 import asyncio
 import dataclasses
+import random
 
-from basilpost.core import codec, kernel, names, tasks
+from basilpost.core import clock, codec, kernel, names, tasks
 from basilpost.members import feed, node_table
 from basilpost.store import eras, objects
 
@@ -15,6 +16,10 @@
 WATCH_SECONDS = 20.0
 STORE_TIMEOUT_SECONDS = 1.0
 RETRY_SECONDS = 0.5
+# Nodes write their records again within this time after a restore of the store, not all at once.
+REWRITE_SECONDS = 1.0
+# Records that a restored store lacks stay in use until their nodes have written them again.
+RESTORE_GRACE_SECONDS = 2.3
 # A stopping node has 0.8 s for all that follows the drain.
 STOP_TIMEOUT_SECONDS = 0.4
 # Records are not renewed, so their lease outlasts any process.
@@ -32,9 +37,11 @@
         self._tasks = tasks.TaskSet(log=kernel.log)
         self._version = 0
         self._has_written = False
-        kernel.find(names.FEED, feed.Feed).follow(
-            PREFIX, wait=WATCH_SECONDS, on_change=self._apply_change, age_bounded=False
-        )
+        self._restored_until = 0.0
+        self._held_deletions_by_key: dict[str, objects.Change] = {}
+        source = kernel.find(names.FEED, feed.Feed)
+        source.follow(PREFIX, wait=WATCH_SECONDS, on_change=self._apply_change, age_bounded=False)
+        source.subscribe_restore(self._write_again)
 
     async def start(self) -> None:
         """Starts to write this node's record."""
@@ -55,6 +62,23 @@
     def _key(self) -> str:
         return PREFIX + self._record.node_id
 
+    def _write_again(self) -> None:
+        """Writes the record to a restored store, which may lack it or have an earlier one."""
+        self._restored_until = clock.elapsed() + RESTORE_GRACE_SECONDS
+        self._tasks.spawn(self._write_after_restore(), name="node-record")
+        self._tasks.spawn(self._apply_held_deletions(), name="node-records-lost")
+
+    async def _write_after_restore(self) -> None:
+        await asyncio.sleep(random.uniform(0.0, REWRITE_SECONDS))
+        await self._write_until_done()
+
+    async def _apply_held_deletions(self) -> None:
+        await asyncio.sleep(RESTORE_GRACE_SECONDS)
+        if clock.elapsed() >= self._restored_until:
+            held, self._held_deletions_by_key = self._held_deletions_by_key, {}
+            for change in held.values():
+                self._apply_change(change)
+
     async def _write_until_done(self) -> None:
         while not await self._write():
             await asyncio.sleep(RETRY_SECONDS)
@@ -88,6 +112,10 @@
             return False
 
     def _apply_change(self, change: objects.Change) -> None:
+        self._held_deletions_by_key.pop(change.key, None)
+        if change.stored is None and clock.elapsed() < self._restored_until:
+            self._held_deletions_by_key[change.key] = change
+            return
         if change.stored is not None and node_table.decode(change) is None:
             self._log.warning(
                 "malformed_object",
--- a/basilpost/routing/crash_store.py
+++ b/basilpost/routing/crash_store.py
@@ -71,6 +71,7 @@
         self._feed.follow(
             PREFIX, wait=WATCH_SECONDS, on_change=self._apply_change, age_bounded=False
         )
+        self._feed.subscribe_restore(self._write_again)
 
     async def start(self) -> None:
         """Starts to end causes whose time is over."""
@@ -126,6 +127,13 @@
                 source="store",
             )
 
+    def _write_again(self) -> None:
+        """Writes the known causes to a restored store, which may lack them."""
+        self._stored_by_key.clear()
+        for known in self._tracker.causes_by_trait.values():
+            if not known.cause.released:
+                self._write_soon(known.cause)
+
     def _write_soon(self, cause: crash_messages.CrashCause) -> None:
         key = key_of(cause.trait)
         if key not in self._writing:
--- a/basilpost/routing/crash_store_test.py
+++ b/basilpost/routing/crash_store_test.py
@@ -20,6 +20,7 @@
 
     def __init__(self):
         self.on_change = None
+        self.on_restore = None
         self.known_age = math.inf
 
     def age(self, prefix):
@@ -28,6 +29,9 @@
     def follow(self, prefix, *, wait, on_change, age_bounded=True):
         self.on_change = on_change
 
+    def subscribe_restore(self, listener):
+        self.on_restore = listener
+
 
 class Node:
     def __init__(self, node_id, store, hub):
@@ -186,3 +190,16 @@
     name = crash_store.key_of(odd).removeprefix(crash_store.PREFIX)
     assert name.removeprefix("part-").isalnum() and len(name) < 80
     assert KEY == f"{crash_store.PREFIX}part-bad"
+
+
+async def test_a_cause_that_was_written_after_the_copy_of_a_restored_store_is_lost(store):
+    """The node has not seen its own write when the store goes back, so nothing tells it of a loss."""
+    node = Node("n0", store, fakes.PeerHub())
+    node.tracker.apply_cause(make_cause("n0"))
+    node.tracker.on_cause(make_cause("n0"))
+    await asyncio.sleep(0.1)
+    store.restore(0)
+    node.feed.on_restore()
+    await asyncio.sleep(0.1)
+    assert (await stored_cause(store)).cause_id == "c1"
+    await node.close()
--- a/tests/members_fleet.py
+++ b/tests/members_fleet.py
@@ -30,6 +30,10 @@
         self.stale_listing = None
         self.calls_by_kind = {}
 
+    @property
+    def era(self):
+        return self.shared.era
+
     async def _call_unless_cut(self, kind, call, seconds):
         self.calls_by_kind[kind] = self.calls_by_kind.get(kind, 0) + 1
         if self.cut:
--- a/tests/pool_fleet_test.py
+++ b/tests/pool_fleet_test.py
@@ -1,5 +1,6 @@
 """Tests of a fleet without a full mesh: a few nodes watch the store and relay what they learn."""
 
+import asyncio
 import contextlib
 import itertools
 
@@ -17,7 +18,10 @@
 
 
 class Node:
-    """A node that follows one key prefix; `seen` has the last version of each key."""
+    """A node that follows one key prefix.
+
+    Its `seen` has the last version of each key, its `known_keys` those that are not deleted.
+    """
 
     def __init__(self, *, node_id, region, shared, network):
         self.node_id = node_id
@@ -25,6 +29,7 @@
         self.store = members_fleet.NodeStore(shared=shared)
         self.kernel = kernel.Kernel(node_id=node_id)
         self.seen = {}
+        self.known_keys = set()
         settings = schema.NodeSettings(
             node_id=node_id,
             failure_domain=region,
@@ -34,7 +39,7 @@
                 full_mesh_nodes=FULL_MESH_NODES, neighbours=4, min_watchers=3, secret="s"
             ),
         )
-        table = node_table.NodeTable()
+        self.table = table = node_table.NodeTable()
         self.kernel.register(names.SETTINGS, settings)
         self.kernel.register(names.OBJECTS, self.store)
         self.kernel.register(names.NODE_TABLE, table)
@@ -60,6 +65,10 @@
 
     def _record_change(self, change):
         self.seen[change.key] = change.version
+        if change.stored is None:
+            self.known_keys.discard(change.key)
+        else:
+            self.known_keys.add(change.key)
 
     @property
     def store_call_count(self):
@@ -111,8 +120,9 @@
 
 
 @contextlib.asynccontextmanager
-async def running():
+async def running(*, era=0):
     fleet = Fleet()
+    fleet.store.era = era
     try:
         for number in range(FLEET_SIZE):
             await fleet.add(number)
@@ -237,3 +247,40 @@
             ),
             seconds=10,
         )
+
+
+async def test_nodes_that_do_not_watch_keep_objects_that_a_restored_store_has_lost():
+    """In the copy no node has a record; revisions are far below those before."""
+    async with running(era=1) as fleet:
+        copy = fleet.store.revision
+        key = f"{PREFIX}vm"
+        for _ in range(5):
+            await fleet.store.create(f"{PREFIX}lost-{_}", b"{}")
+        await pool_fleet.until(
+            lambda: all(f"{PREFIX}lost-4" in node.known_keys for node in fleet.nodes), seconds=3
+        )
+        fleet.store.restore(copy - FLEET_SIZE)
+        written = await fleet.store.create(key, b"{}")
+        await pool_fleet.until(
+            lambda: all(
+                node.seen.get(key) == written.version and node.known_keys == {key}
+                for node in fleet.nodes
+            ),
+            seconds=6,
+        )
+
+
+async def test_records_of_nodes_are_lost_when_the_store_was_restored():
+    async with running(era=1) as fleet:
+        fleet.store.restore(0)
+        fewest = FLEET_SIZE
+        ends_at = clock.elapsed() + 5.0
+        while clock.elapsed() < ends_at:
+            fewest = min(fewest, *(len(node.table.records_by_id) for node in fleet.nodes))
+            await asyncio.sleep(0.02)
+        assert records_in(fleet.store) == FLEET_SIZE
+        assert fewest == FLEET_SIZE
+
+
+def records_in(store):
+    return sum(key.startswith(node_registry.PREFIX) for key in store._stored_by_key)
