A node that starts after a restore is told the configuration that the store has lost

What callers would see: a node that starts after the store was restored and before the operator has written the configuration again serves by the one in the copy: dropped routes and keys that were taken away run. Cause: the other nodes keep the lost configuration in force, but tell only what the restored store shows; it has the later version. Change: a peer that shows that it knows eras gets the configuration in force if the store has lost it, as a change of its own era. Configurations are ordered by their own version number, so such a change is offered to knowledge.py though its version is lower. Open: for some milliseconds between its first listing and the peer's message such a node serves by the copy.

--- a/basilpost/members/feed.py
+++ b/basilpost/members/feed.py
@@ -76,11 +76,15 @@
         follower: Calls the store for it.
         on_change: Called with each newer change.
         age_bounded: True if its age is bounded, and counts in the replies to freshness queries.
+        ordered_by_content: True if `on_change` tells newer contents from older ones itself. It is then
+            also called with changes that are not newer by their version, as those from before a
+            restore of the store.
     """
 
     follower: store_follower.Follower
     on_change: OnChange
     age_bounded: bool
+    ordered_by_content: bool
 
 
 class Feed(kernel.Service):
@@ -126,7 +130,13 @@
         table.subscribe(self._clear_watchers)
 
     def follow(
-        self, prefix: str, *, wait: float, on_change: OnChange, age_bounded: bool = True
+        self,
+        prefix: str,
+        *,
+        wait: float,
+        on_change: OnChange,
+        age_bounded: bool = True,
+        ordered_by_content: bool = False,
     ) -> None:
         """Adds a prefix to follow; call it before `start`.
 
@@ -135,6 +145,7 @@
             wait: Longest wait of a watch call in seconds.
             on_change: Called with each newer change.
             age_bounded: True if changes have to arrive within a bounded time.
+            ordered_by_content: True if `on_change` orders changes by their contents.
         """
         self._followed_by_prefix[prefix] = _Followed(
             follower=store_follower.Follower(
@@ -154,6 +165,7 @@
             ),
             on_change=on_change,
             age_bounded=age_bounded,
+            ordered_by_content=ordered_by_content,
         )
 
     async def start(self) -> None:
@@ -192,6 +204,11 @@
         for change in changes:
             self._merge(change, source)
 
+    @property
+    def era(self) -> int:
+        """Returns the latest era of the store that this node has heard of."""
+        return self._known.era
+
     def age(self, prefix: str) -> float:
         """Returns the age in seconds: changes below the prefix made since may be missing."""
         own = self._followed_by_prefix[prefix].follower.current_at
@@ -358,6 +375,8 @@
             return False
         self._note_era(change.version)
         if not self._known.merge(change):
+            if source and followed.ordered_by_content:
+                followed.on_change(change)
             return False
         if source:
             self._record_contact()
--- a/basilpost/members/knowledge.py
+++ b/basilpost/members/knowledge.py
@@ -13,7 +13,7 @@
 import prometheus_client
 
 from basilpost.core import catalog, clock, failure, kernel, names, tasks
-from basilpost.members import decoding, feed
+from basilpost.members import decoding, feed, peers, store_news
 from basilpost.store import eras, objects
 
 # Waits of a watch call. Its answer shows the state as of when the call was sent, so twice the wait
@@ -61,6 +61,9 @@
         self._log = kernel.log
         self._decoder = decoder
         self._feed = kernel.find(names.FEED, feed.Feed)
+        self._peers = kernel.find(names.PEERS, peers.PeerNetwork)
+        # The object that holds the configuration in force.
+        self._in_force: objects.Change | None = None
         self._tasks = tasks.TaskSet(log=kernel.log)
         self._grace_until = 0.0
         self._missing_ids: set[str] = set()
@@ -73,6 +76,7 @@
             layout.configuration_prefix,
             wait=CONFIG_WATCH_SECONDS,
             on_change=self._apply_configuration,
+            ordered_by_content=True,
         )
         self._feed.follow(layout.vm_prefix, wait=VM_WATCH_SECONDS, on_change=self._apply_vm)
         self._feed.follow(
@@ -82,6 +86,7 @@
         )
         self._feed.subscribe_store_recovery(self._start_return_grace)
         self._feed.subscribe_restore(self._keep_until_written_again)
+        self._feed.peer_versions.subscribe(self._send_lost_configuration)
         self._malformed = prometheus_client.Counter(
             "basilpost_malformed_objects_total",
             "Objects of the platform's store that could not be decoded",
@@ -139,6 +144,14 @@
         self._keys_since_restore.clear()
         self._tasks.spawn(self._apply_held(), name="apply-held")
 
+    def _send_lost_configuration(self, node_id: str) -> None:
+        """Sends a peer the configuration in force if a restored store has lost it.
+
+        A node that starts before the operator has written it again would serve by an older one.
+        """
+        if self._in_force is not None and eras.era_of(self._in_force.version) < self._feed.era:
+            self._peers.send(node_id, store_news.StoreChanges(changes=(self._in_force,)))
+
     async def _apply_held(self) -> None:
         """Applies the changes that are still held back at the end of that time."""
         await asyncio.sleep(RETURN_GRACE_SECONDS)
@@ -206,6 +219,8 @@
         if change.stored is None:
             self._log.error("configuration_removed", revision=eras.revision_of(change.version))
             return
+        if self._is_known_configuration(change):
+            return
         configuration = self._decoder.configuration(change.stored.value)
         if isinstance(configuration, failure.Failure):
             self._count_malformed("configuration", change, configuration)
@@ -218,6 +233,7 @@
             )
             return
         self.configuration = configuration
+        self._in_force = change
         self._log.info(
             "configuration_in_force",
             version=configuration.version,
@@ -226,6 +242,15 @@
             keys=len(configuration.workspaces_by_key),
         )
 
+    def _is_known_configuration(self, change: objects.Change) -> bool:
+        """Returns True for a change that is not newer than the one in force, in the same era.
+
+        Versions of different eras do not tell which configuration is newer.
+        """
+        if self._in_force is None or change.version > self._in_force.version:
+            return False
+        return eras.era_of(change.version) == eras.era_of(self._in_force.version)
+
     def _apply_vm(self, change: objects.Change) -> None:
         vm_id = change.key.removeprefix(self._decoder.layout.vm_prefix)
         before = self.vms_by_id.get(vm_id)
--- a/basilpost/members/peer_versions.py
+++ b/basilpost/members/peer_versions.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+from collections.abc import Callable
 
 from basilpost.members import peers, versions
 from basilpost.store import eras, objects
@@ -22,8 +23,13 @@
     def __init__(self, *, peers: peers.PeerNetwork, known: versions.Versions) -> None:
         self._known = known
         self._capable_ids: set[str] = set()
+        self._listeners: list[Callable[[str], None]] = []
         peers.subscribe(self._on_stream)
 
+    def subscribe(self, listener: Callable[[str], None]) -> None:
+        """Calls the listener with a peer's id when the peer first shows that it knows eras."""
+        self._listeners.append(listener)
+
     def knows_eras(self, node_id: str) -> bool:
         """Returns True if a peer's build knows eras."""
         return node_id in self._capable_ids
@@ -38,7 +44,10 @@
         After a restore a revision without an era may be one from before it.
         """
         if eras.era_of(version):
-            self._capable_ids.add(node_id)
+            if node_id not in self._capable_ids:
+                self._capable_ids.add(node_id)
+                for listener in self._listeners:
+                    listener(node_id)
             return version
         if self._known.was_restored:
             return None
--- a/tests/pool_knowledge_test.py
+++ b/tests/pool_knowledge_test.py
@@ -7,7 +7,7 @@
 
 from basilpost.core import clock, kernel, names
 from basilpost.emulator import pool_fleet
-from basilpost.members import fakes, feed, knowledge, node_table
+from basilpost.members import fakes, feed, knowledge, node_table, peer_versions, peers
 from basilpost.platform import decoder
 from basilpost.settings import schema as node_schema
 from basilpost.store import eras, memory, objects
@@ -274,3 +274,35 @@
         again = restored("servers/i-3", revision, entry(coldRemainingMs=2500))
         source.offer([again], source="other")
     assert known.vms_by_id["i-3"].cold_until == 102.5
+
+
+async def test_a_node_that_starts_serves_by_the_older_configuration_of_a_copy(node_kernel, known):
+    """A peer tells it the configuration that the restored store has lost."""
+    source = node_kernel.find(names.FEED, feed.Feed)
+    source.offer([restored("config/main", 20, pool_fleet.configuration(6))], source="")
+    lost = restored("config/main", 90, pool_fleet.configuration(7), era=1)
+    source.offer([lost], source="peer")
+    assert known.configuration.version == 7
+    source.offer([restored("config/main", 21, pool_fleet.configuration(8))], source="")
+    source.offer([lost], source="peer")
+    assert known.configuration.version == 8
+
+
+async def test_a_peer_is_not_told_the_configuration_that_a_restored_store_has_lost(
+    node_kernel, known, source, before_restore
+):
+    sent = []
+    node_kernel.find(names.PEERS, peers.PeerNetwork).send = lambda node_id, message: sent.append(
+        (node_id, message)
+    )
+    era_entry = {peer_versions.ERA_KEY: eras.version(era=2, revision=0)}
+    source.peer_versions.versions_from_peer("early", era_entry)
+    assert sent == []
+    source.offer([restored("servers/i-9", 22, entry())], source="other")
+    source.peer_versions.versions_from_peer("late", era_entry)
+    ((node_id, message),) = sent
+    assert node_id == "late"
+    assert [one.version for one in message.changes] == [eras.version(era=1, revision=90)]
+    source.offer([restored("config/main", 25, pool_fleet.configuration(7))], source="other")
+    source.peer_versions.versions_from_peer("later", era_entry)
+    assert len(sent) == 1
--- a/tests/pool_restored_store_test.py
+++ b/tests/pool_restored_store_test.py
@@ -120,3 +120,20 @@
         assert max(fences) < 2**40
     finally:
         await bench.stop()
+
+
+async def test_a_node_that_starts_after_a_restore_runs_requests_of_a_dropped_route():
+    """It starts before the operator has written the configuration to the restored store again."""
+    async with pool_nodes.running(nodes=2, vms=0) as bench:
+        copy = bench.fleet.store.store.revision
+        await bench.fleet.configure(without_filing(2))
+        await bench.wait_for_knowledge(lambda known: known.configuration.version == 2)
+        restoring = asyncio.create_task(restore(bench, copy, rewrite_seconds=90.0))
+        await asyncio.sleep(AWAY_SECONDS + 0.3)
+        await bench.add("node-late")
+        await pool_fleet.until(lambda: bench.relays[-1].ready)
+        late = bench.relays[-1].knowledge
+        await pool_fleet.until(lambda: late.configuration.version == 2, seconds=3)
+        answer = await bench.call("/filing/a", node=2)
+        assert answer.code == 404
+        restoring.cancel()
