A missing object of a restored store is not believed because two nodes tell it; soak plan restores

Cause, two in knowledge.py: each listing of the copy tells a missing object with its own revision, and the second such deletion was taken for one that was written after the restore; an entry that came back unchanged left its VM on the list of missing ones. Change: only a version with contents shows that a later one was written after the restore; an entry that is there is never missing.

--- a/basilpost/emulator/pool_store.py
+++ b/basilpost/emulator/pool_store.py
@@ -54,13 +54,14 @@
         """Restores a copy, after which the operator and the runners write again what is lost.
 
         Args:
-            revision: Revision of the copy.
+            revision: Revision of the copy. If the store was restored from an older one while it was away,
+                the copy is of that one.
             away_seconds: Time for which the store does not answer before.
             rewrite_seconds: Time from its return until all is written again.
         """
         self.store.faults.down = True
         await asyncio.sleep(away_seconds)
-        self.store.restore(revision)
+        self.store.restore(min(revision, self.store.revision))
         self.store.faults.down = False
         for key in list(self._written_by_key):
             await asyncio.sleep(rewrite_seconds / len(self._written_by_key))
--- a/basilpost/members/knowledge.py
+++ b/basilpost/members/knowledge.py
@@ -169,12 +169,14 @@
     def _holds_back(self, change: objects.Change, *, is_older: bool) -> bool:
         """Returns True for a change that may only show the copy; it is applied later.
 
-        A second version of an object was certainly written after the restore.
+        After one version of an object, the next one was certainly written after the restore. That an
+        object is missing may be told several times, as each listing of the copy shows it.
         """
         if clock.elapsed() >= self._restored_until:
             return False
         is_first = change.key not in self._keys_since_restore
-        self._keys_since_restore.add(change.key)
+        if change.stored is not None:
+            self._keys_since_restore.add(change.key)
         self._held_by_key.pop(change.key, None)
         if is_first and is_older:
             self._held_by_key[change.key] = change
@@ -255,7 +257,10 @@
         vm_id = change.key.removeprefix(self._decoder.layout.vm_prefix)
         before = self.vms_by_id.get(vm_id)
         vm = None if change.stored is None else self._decoder.vm(vm_id, change.stored.value)
+        if change.stored is not None:
+            self._missing_ids.discard(vm_id)
         if not isinstance(vm, failure.Failure) and self._repeats_known(vm_id, vm):
+            self._keys_since_restore.add(change.key)
             self._held_by_key.pop(change.key, None)
             return
         if not isinstance(vm, failure.Failure) and self._holds_back(
@@ -268,7 +273,6 @@
             else:
                 self._drop_vm(vm_id, revision=eras.revision_of(change.version))
             return
-        self._missing_ids.discard(vm_id)
         if isinstance(vm, failure.Failure):
             self.vms_by_id.pop(vm_id, None)
             self._count_malformed("vm", change, vm)
--- a/basilpost/soak/__main__.py
+++ b/basilpost/soak/__main__.py
@@ -18,6 +18,7 @@
     "stops": scenarios.PlannedStops,
     "crashes": scenarios.CrashingParts,
     "paths": scenarios.LostPaths,
+    "restores": scenarios.RestoredStore,
 }
 
 
@@ -33,7 +34,7 @@
     type=click.Choice(list(SCENARIOS_BY_PLAN)),
     default="faults",
     show_default=True,
-    help="Faults of all kinds, planned stops, requests that crash runners, or nodes without a path.",
+    help="Faults of all kinds, planned stops, crashing requests, lost paths, or restores of the store.",
 )
 @click.option("--nodes", type=int, help="Number of nodes.")
 @click.option("--callers", "caller_count", type=int, help="Number of callers.")
--- a/basilpost/soak/faults.py
+++ b/basilpost/soak/faults.py
@@ -16,6 +16,7 @@
     key and DOMAIN_OUT a failure domain for a time. PATH_* cut a node off from all runners: its connections
     are reset, or new ones are refused while open ones live on. RUNNER_PAUSES makes a runner reject
     requests and ask for a pause, RUNNER_LEAVES say in its answers that it leaves until it is replaced.
+    STORE_RESTORED brings the store back from a copy that is some seconds old.
     """
 
     KILL = "kill"
@@ -40,6 +41,7 @@
     PATH_REFUSED = "path_refused"
     RUNNER_PAUSES = "runner_pauses"
     RUNNER_LEAVES = "runner_leaves"
+    STORE_RESTORED = "store_restored"
 
 
 # The kinds that `draw` picks from; their number and order decide what a seed draws.
@@ -70,6 +72,19 @@
     Kind.PAUSE,
     Kind.STORE_SILENT,
 )
+# The store is restored, also several times in a row, while keys and failure domains are withdrawn and
+# nodes and runners come and go.
+RESTORE_KINDS = (
+    *(Kind.STORE_RESTORED,) * 4,
+    Kind.KEY_TAKEN,
+    Kind.DOMAIN_OUT,
+    Kind.KILL,
+    Kind.STOP,
+    Kind.PAUSE,
+    Kind.STORE_SILENT,
+    Kind.STORE_AWAY,
+    Kind.RUNNER_GONE,
+)
 # Factor on the duration of a cut: the users' bounds hold from 3 s after its beginning.
 PATH_LENGTH_FACTOR = 2.0
 # Faults beside requests that crash runners: nodes come and go, also with the store away.
--- a/basilpost/soak/run.py
+++ b/basilpost/soak/run.py
@@ -23,6 +23,11 @@
 LOST_ANSWERS_PER_FAULT = 3
 SLOW_STORE_DELAY_SECONDS = 0.3
 FAILURE_DOMAINS = ("a", "b")
+# A copy of the store is this many times as old as the fault is long.
+COPY_AGE_FACTOR = 2.0
+# Shares of a fault's length in which the store is away, and then all is written to it again.
+AWAY_SHARE = 0.2
+REWRITE_SHARE = 0.4
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -257,6 +262,8 @@
                 return self._ask_for_pause(fault, vm_id)
             case faults.Kind.RUNNER_LEAVES:
                 return self._leave(fault, vm_id)
+            case faults.Kind.STORE_RESTORED:
+                return self._restore_store(fault)
             case faults.Kind.KEY_TAKEN:
                 return self._withdraw_key(fault)
             case _:
@@ -342,6 +349,14 @@
             LOST_ANSWERS_PER_FAULT
         )
 
+    async def _restore_store(self, fault: faults.Fault) -> None:
+        store = self._fleet.store
+        await store.restore(
+            store.store.revision_before(fault.seconds * COPY_AGE_FACTOR),
+            away_seconds=fault.seconds * AWAY_SHARE,
+            rewrite_seconds=fault.seconds * REWRITE_SHARE,
+        )
+
     async def _withdraw_key(self, fault: faults.Fault) -> None:
         """Withdraws a key for longer than it may still be used, so that a later use is detected."""
         async with self._configuration_lock:
--- a/basilpost/soak/scenarios.py
+++ b/basilpost/soak/scenarios.py
@@ -148,3 +148,17 @@
     def caller(self, *, name: str, seed: str, load_balancer: balancer.Balancer) -> callers.Caller:
         """Returns a new caller."""
         return callers.RandomCaller(name=name, addresses=load_balancer.addresses, seed=seed)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RestoredStore(AllFaults):
+    """The store comes back from older copies, among other faults of nodes, runners and the store."""
+
+    nodes: int = 5
+    caller_count: int = 15
+    vms: int = 12
+    planned_every: int = 1_000_000
+
+    def draw(self, seed: int, *, seconds: float) -> tuple[faults.Fault, ...]:
+        """Returns the faults of a seed, which begin within `seconds`."""
+        return faults.draw_of(faults.RESTORE_KINDS, seed, seconds=seconds)
--- a/tests/pool_knowledge_test.py
+++ b/tests/pool_knowledge_test.py
@@ -1,5 +1,6 @@
 """Tests of a node's knowledge of the store: versions only rise, and its age is known."""
 
+import asyncio
 import json
 import math
 
@@ -306,3 +307,29 @@
     source.offer([restored("config/main", 25, pool_fleet.configuration(7))], source="other")
     source.peer_versions.versions_from_peer("later", era_entry)
     assert len(sent) == 1
+
+
+async def test_two_nodes_that_list_the_copy_undo_what_is_known(known, source, before_restore):
+    for revision in (30, 31):
+        source.offer(
+            [
+                restored("servers/i-2", revision, None),
+                restored("evacuations/b", revision, None),
+            ],
+            source="other",
+        )
+    assert "i-2" in known.vms_by_id
+    assert known.out_of_service == {"b"}
+
+
+async def test_a_vm_is_dropped_whose_entry_is_back_after_an_outage_with_a_restore(
+    known, source, before_restore
+):
+    """The entry is missing at first, which is told twice, and then written again as it was."""
+    before_restore.now += 8.0
+    source.offer([restored("servers/i-2", 30, None)], source="other")
+    source.offer([restored("servers/i-2", 31, None)], source="other")
+    source.offer([restored("servers/i-2", 32, entry())], source="other")
+    before_restore.now += 0.2
+    await asyncio.sleep(0.3)
+    assert "i-2" in known.vms_by_id
--- a/tests/soak_test.py
+++ b/tests/soak_test.py
@@ -30,6 +30,8 @@
     (2, "nodes without a path served none of their requests (issue 31)"),
     (3, "the same, beside a planned stop"),
 )
+RESTORE_SECONDS = 9.0
+RESTORE_SEEDS = ((1, "the store is restored beside other faults"),)
 STOP_SEEDS = ((372, "the store is silent when drains end; accepted requests were cut (issue 24)"),)
 
 
@@ -76,3 +78,13 @@
     )
     assert report.broken == ()
     assert report.served > report.calls / 2
+
+
+@pytest.mark.processes
+@pytest.mark.parametrize("seed", [seed for seed, _ in RESTORE_SEEDS])
+async def test_the_store_is_restored_from_older_copies(seed, tmp_path):
+    report = await run.Soak(seed=seed, folder=tmp_path, scenario=scenarios.RestoredStore()).run(
+        seconds=RESTORE_SECONDS
+    )
+    assert report.broken == ()
+    assert report.served > report.calls / 4
