--- a/basilpost/routing/pauses_test.py
+++ b/basilpost/routing/pauses_test.py
@@ -158,3 +158,24 @@
         again = pauses.PauseReport(report_id=f"x-{number}", lifetime="r", seconds=2.9)
         await second_network.handler("node-3", again)
     assert len(second_network.sent) == 1
+
+
+@pytest.mark.parametrize("recovers_after", [None, 90.0])
+@pytest.mark.parametrize("seconds", [200.0, 5_000.0, 1e12])
+def test_a_runner_that_asks_for_a_long_pause_gets_a_third_request(time, seconds, recovers_after):
+    """The node has a request for it at any time; the runner may recover before the end."""
+    node, _ = make_pauses()
+    node.record_asked("r", "t", seconds)
+    began_at = time[0]
+    arrivals = 0
+    while time[0] < began_at + min(seconds, 20_000.0) - 1.0:
+        time[0] += 1.0
+        if not node.may_send("r"):
+            continue
+        arrivals += 1
+        node.record_sent("r")
+        if recovers_after is not None and time[0] - began_at > recovers_after:
+            node.record_accepted("r", "t", sent_at=time[0])
+        else:
+            node.record_asked("r", "t", began_at + seconds - time[0])
+    assert arrivals <= 2
