A node keeps to a long pause that a runner asks for, and tests the runner twice at most

What runners saw: a third request in a rest of more than 60 s, then one a minute; all requests once they accepted one before its end. The users' rule (BUDGET) allows two until the end, without a bound on its length. Cause: pauses were cut to 60 s, so that a wrong unit could not silence a service; an accepted request ended one. Change: a pause lasts as long as the runner says. The two requests that are allowed test it after 60 and a further 600 s (spread by a quarter). If it accepts one, the nodes that it did not ask use it again, this one keeps to it. The harm of wrong values is bounded otherwise: such a pause is logged (target_pause_long), ends with the runner's process, callers are refused at once and told 60 s at most, other nodes are told of 60 s at most.

--- a/basilpost/core/log_events.py
+++ b/basilpost/core/log_events.py
@@ -110,6 +110,10 @@
         meaning="a runner rejected a request and wants no others from this node for some seconds",
         fields=("target", "seconds"),
     ),
+    "target_pause_long": Event(
+        meaning="a runner asks for so long a pause that it may be an error; restarting it ends the pause",
+        fields=("target", "seconds"),
+    ),
     "target_resumed": Event(
         meaning="that runner has accepted a request again", fields=("target", "seconds")
     ),
--- a/basilpost/gateway/target_choice.py
+++ b/basilpost/gateway/target_choice.py
@@ -159,7 +159,8 @@
             return None
         return dataclasses.replace(
             self.refusal("paused", f"all {len(known)} targets have asked for a pause"),
-            retry_after=min(waits) + self._rng.uniform(*LIMITED_RETRY_SECONDS),
+            retry_after=min(min(waits), pauses.LONG_PAUSE_SECONDS)
+            + self._rng.uniform(*LIMITED_RETRY_SECONDS),
         )
 
     def _limited_refusal(self, untried: Sequence[targets_.Target]) -> failure.Refusal | None:
--- a/basilpost/routing/pauses.py
+++ b/basilpost/routing/pauses.py
@@ -3,18 +3,29 @@
 A runner asks one node, so that node sends nothing until the pause is over. Other nodes are told and
 use the target only if they have no other one: it may reject their requests as well. After the pause
 each node sends one request and waits for its answer before it sends more.
+
+The users allow two requests in a pause. In a long one, which may be meant otherwise (such as by a wrong
+unit), the node uses them to test the runner. If it accepts one, other nodes use it again.
 """
 
 import dataclasses
+import itertools
+import random
 import uuid
+from collections.abc import Iterator
 
 import prometheus_client
 
 from basilpost.core import clock, kernel, names
 from basilpost.members import peers, recent_ids
 
-# Longer pauses are cut to this. All runners of a service may ask for them, such as by a wrong unit.
-MAX_PAUSE_SECONDS = 60.0
+# Pauses longer than this are logged as long; peers, and callers, are told no longer time.
+LONG_PAUSE_SECONDS = 60.0
+# Times from the beginning of a pause, and then from the first test, after which a request tests
+# whether the runner has recovered. There are no more tests, as the users allow two requests.
+TEST_SECONDS = (60.0, 600.0)
+# The tests of several nodes differ by up to this share of the time.
+TEST_SPREAD = 0.25
 # Time after which a request that tests the end of a pause no longer keeps others back.
 TRIAL_SECONDS = 1.0
 # A pause whose end was not tested for this long is forgotten.
@@ -48,11 +59,15 @@
     Attributes:
         began_at: When its answer arrived, on `clock.elapsed`.
         until: End of the pause.
+        test_seconds: Times to the tests that are left before the end, each from the one before.
+        test_at: Time of the next test, infinite after the last one.
         trial_at: When the request was sent that tests its end, None before.
     """
 
     began_at: float
     until: float
+    test_seconds: Iterator[float]
+    test_at: float
     trial_at: float | None = None
 
 
@@ -92,7 +107,7 @@
             return 0.0
         now = clock.elapsed()
         if now < pause.until:
-            return pause.until - now
+            return max(0.0, min(pause.until, pause.test_at) - now)
         if pause.trial_at is not None:
             return max(0.0, pause.trial_at + TRIAL_SECONDS - now)
         return 0.0
@@ -107,40 +122,52 @@
         return lifetime in self._pauses_by_lifetime
 
     def record_sent(self, lifetime: str) -> None:
-        """Records a request that is sent to a runner; after a pause it tests the runner."""
+        """Records a request that is sent to a runner; in and after a pause it tests the runner."""
         pause = self._pauses_by_lifetime.get(lifetime)
-        if pause is not None:
-            pause.trial_at = clock.elapsed()
+        if pause is None:
+            return
+        pause.trial_at = clock.elapsed()
+        if pause.trial_at < pause.until:
+            pause.test_at = pause.trial_at + next(pause.test_seconds)
 
     def record_asked(self, lifetime: str, target_id: str, seconds: float) -> None:
         """Records that a runner has rejected a request and asked for a pause, and tells the peers."""
         now = clock.elapsed()
-        seconds = min(seconds, MAX_PAUSE_SECONDS)
         known = self._pauses_by_lifetime.get(lifetime)
-        until = now + seconds
-        if known is not None:
-            # Requests that were sent before the pause are rejected as well.
-            until = max(until, known.until)
-        else:
+        if known is not None and now < known.until:
+            # Requests that were sent before the pause are rejected as well, and so may a test be.
+            known.began_at = now
+            known.until = max(now + seconds, known.until)
+            return
+        if known is None:
             self._make_room(now)
-        is_new = known is None or now >= known.until
-        self._pauses_by_lifetime[lifetime] = _Pause(began_at=now, until=until)
-        if is_new:
-            self._asked_total.inc()
-            self._log.info("target_paused", target=target_id, seconds=round(seconds, 3))
-            if self._is_news(lifetime, until) and self._has_room_for(lifetime):
-                self._told_until_by_lifetime[lifetime] = until
-                self._peers.broadcast(self._report(lifetime, seconds))
+        test_seconds = _test_times()
+        self._pauses_by_lifetime[lifetime] = _Pause(
+            began_at=now,
+            until=now + seconds,
+            test_seconds=test_seconds,
+            test_at=now + next(test_seconds),
+        )
+        self._asked_total.inc()
+        self._log.info("target_paused", target=target_id, seconds=round(seconds, 3))
+        if seconds > LONG_PAUSE_SECONDS:
+            self._log.warning("target_pause_long", target=target_id, seconds=round(seconds, 3))
+        told = min(seconds, LONG_PAUSE_SECONDS)
+        if self._is_news(lifetime, now + told) and self._has_room_for(lifetime):
+            self._told_until_by_lifetime[lifetime] = now + told
+            self._peers.broadcast(self._report(lifetime, told))
 
     def record_accepted(self, lifetime: str, target_id: str, *, sent_at: float) -> None:
         """Records an answer that asks for no pause, to a request that was sent at a time.
 
-        It ends a pause that was asked for before the request was sent.
+        Other nodes use the runner again if it was asked for before the request was sent. For this node
+        the pause goes on to its end, as the runner has asked for it.
         """
         pause = self._pauses_by_lifetime.get(lifetime)
         if pause is None or sent_at <= pause.began_at:
             return
-        del self._pauses_by_lifetime[lifetime]
+        if clock.elapsed() >= pause.until:
+            del self._pauses_by_lifetime[lifetime]
         self._log.info(
             "target_resumed",
             target=target_id,
@@ -192,7 +219,7 @@
             if self._told_until_by_lifetime.pop(message.lifetime, None) is not None:
                 self._peers.broadcast(message)
             return
-        until = now + min(message.seconds, MAX_PAUSE_SECONDS)
+        until = now + min(message.seconds, LONG_PAUSE_SECONDS)
         if self._is_news(message.lifetime, until) and self._has_room_for(message.lifetime):
             self._told_until_by_lifetime[message.lifetime] = until
             self._peers.broadcast(message)
@@ -208,9 +235,18 @@
         now = clock.elapsed()
         for lifetime, pause in self._pauses_by_lifetime.items():
             if pause.until > now:
-                self._peers.send(node_id, self._report(lifetime, pause.until - now))
+                told = min(pause.until - now, LONG_PAUSE_SECONDS)
+                self._peers.send(node_id, self._report(lifetime, told))
 
     def _report(self, lifetime: str, seconds: float) -> PauseReport:
         report = PauseReport(report_id=uuid.uuid4().hex, lifetime=lifetime, seconds=seconds)
         self._handled_reports.add(report.report_id)
         return report
+
+
+def _test_times() -> Iterator[float]:
+    """Yields the times to each test of a pause, and then infinity."""
+    return itertools.chain(
+        (seconds * random.uniform(1.0, 1.0 + TEST_SPREAD) for seconds in TEST_SECONDS),
+        itertools.repeat(float("inf")),
+    )
