The controller sends no status requests to runners that asked its node for a pause

Cause: the probes do not pass the chooser of targets, which alone looked at pauses. Change: a member that asked this node for a pause counts as one that answers and is not probed; that it is gone is still seen by its entry. Evidence: test_the_head_of_a_stalled_group_gets_status_requests_in_its_pause fails on the commit before (4 arrivals of 2) and passes. Orders to join, open, close or leave are still sent, as the controller cannot do without them.

--- a/basilpost/groups/pool_controller.py
+++ b/basilpost/groups/pool_controller.py
@@ -65,6 +65,10 @@
 class Controller(kernel.Service):
     """Acts as the pool's controller while this node holds the lease, else observes the lease.
 
+    Attributes:
+        may_probe: Returns False for a VM whose runner has asked this node to send nothing; set by the
+            assembly.
+
     Args:
         kernel: The node's kernel.
         incarnation: Unique id of this process.
@@ -74,6 +78,7 @@
     def __init__(
         self, *, kernel: kernel.Kernel, incarnation: str, unlimited_load_seconds: float
     ) -> None:
+        self.may_probe: Callable[[catalog.Vm], bool] = lambda vm: True
         self._log = kernel.log
         self._store = kernel.find(names.OBJECTS, objects.ObjectStore)
         self._feed = kernel.find(names.FEED, feed.Feed)
@@ -281,7 +286,8 @@
                 self._tasks.spawn(self._probe(name, members), name="pool-probe")
 
     async def _probe(self, name: str, members: list[catalog.Vm]) -> None:
-        silent = members
+        # A runner that asks for a pause has answered, and wants no status requests either.
+        silent = [vm for vm in members if self.may_probe(vm)]
         for _ in range(PROBE_ATTEMPTS):
             answers = await asyncio.gather(
                 *(self._runners.responds(vm, timeout=PROBE_TIMEOUT_SECONDS) for vm in silent)
--- a/basilpost/node/pool_assembly.py
+++ b/basilpost/node/pool_assembly.py
@@ -8,7 +8,7 @@
 from basilpost.core import kernel as kernel_
 from basilpost.core import names
 from basilpost.gateway import relay
-from basilpost.groups import pool_controller
+from basilpost.groups import pool_controller, reported_groups
 from basilpost.members import (
     feed,
     knowledge,
@@ -68,16 +68,16 @@
         "registry",
         node_registry.Registry(kernel=kernel, record=_node_record(settings, incarnation)),
     )
-    kernel.register(
-        names.CONTROLLER,
-        pool_controller.Controller(
-            kernel=kernel,
-            incarnation=incarnation,
-            unlimited_load_seconds=UNLIMITED_LOAD_SECONDS if settings.first_start else 0.0,
-        ),
+    controller = pool_controller.Controller(
+        kernel=kernel,
+        incarnation=incarnation,
+        unlimited_load_seconds=UNLIMITED_LOAD_SECONDS if settings.first_start else 0.0,
     )
+    kernel.register(names.CONTROLLER, controller)
     kernel.register(names.LIMITS, named_limits.NamedLimits(kernel=kernel))
-    kernel.register(names.PAUSES, pauses.RunnerPauses(kernel=kernel))
+    runner_pauses = pauses.RunnerPauses(kernel=kernel)
+    kernel.register(names.PAUSES, runner_pauses)
+    controller.may_probe = lambda vm: runner_pauses.may_send(reported_groups.lifetime_id(vm))
     kernel.register(names.DEPARTURES, departures.Departures(kernel=kernel))
     kernel.register(names.CRASHES, crashes.CrashTracker(kernel=kernel))
     kernel.register(names.CRASH_STORE, crash_store.CrashStore(kernel=kernel))
--- a/tests/pool_pause_test.py
+++ b/tests/pool_pause_test.py
@@ -165,3 +165,23 @@
         await traffic.run(seconds=2.0, per_second=30.0)
         assert set(traffic.codes) == {200}
         assert len(runners[0].arrivals) == before
+
+
+async def test_the_head_of_a_stalled_group_gets_status_requests_in_its_pause():
+    async with pool_nodes.running(nodes=1, vms=3) as bench:
+        await bench.wait_for_groups(1, pool_fleet.LARGE)
+        (head,) = [
+            runner
+            for runner in bench.fleet.runners_of(pool_fleet.MODEL_SERVICE)
+            if runner.member and runner.member["rank"] == 0
+        ]
+        head.options.events, head.options.event_seconds = 100, 0.05
+        streams = [asyncio.create_task(bench.draft()) for _ in range(2)]
+        await asyncio.sleep(0.4)
+        head.options.stalled = True
+        ask_for_pause(head, "4")
+        assert pool_nodes.error_code(await bench.draft()) == "paused"
+        await asyncio.sleep(4.0)
+        assert most_in_pause(head, seconds=4.0) <= MAX_ARRIVALS
+        head.options.stalled = False
+        await asyncio.gather(*streams, return_exceptions=True)
