The time that a holder has to write a lost lease again does not pass while the store is away

What callers would see: a group is broken up by a second controller, if the store goes away right after a restore. Cause: the others waited for the time of a lease by the clock; the holder cannot write either while the store does not answer. Change: each read without an answer begins that time anew.

--- a/basilpost/groups/lease.py
+++ b/basilpost/groups/lease.py
@@ -83,6 +83,9 @@
             self._version = 0
             return clock.elapsed() >= self._reclaimable_until
         if not isinstance(found, objects.Stored):
+            if clock.elapsed() < self._reclaimable_until:
+                # The holder may not reach the store either.
+                self._reclaimable_until = clock.elapsed() + self.seconds
             return False
         self._highest_fence = max(self._highest_fence, _fence_in(found))
         return self._track_renewal(found, fresh=fresh)
--- a/basilpost/groups/lease_test.py
+++ b/basilpost/groups/lease_test.py
@@ -229,3 +229,21 @@
     assert not await observe_and_acquire(late, store)
     now[0] += SECONDS
     assert await observe_and_acquire(late, store)
+
+
+async def test_the_time_to_write_a_lost_lease_again_passes_while_the_store_is_away(
+    now, store, copy
+):
+    first, second = holder("a"), holder("b")
+    await observe_and_acquire(first, store)
+    await second.observe(store, timeout=1)
+    store.restore(copy)
+    assert not await observe_and_acquire(second, store)
+    store.faults.down = True
+    for _ in range(5):
+        now[0] += 0.7
+        assert not await second.observe(store, timeout=0.01)
+    store.faults.down = False
+    assert not await observe_and_acquire(second, store)
+    now[0] += SECONDS
+    assert await observe_and_acquire(second, store)
