A node that starts within a restore is told which domains are out; nobody acts on the copy while the store is away

Change: contents are held back until this node is current again; the controller decides nothing until then; peers tell what is in force and lost, of failure domains too, which the new node holds until the operator has had time to write them again; each summary begins with an entry that shows that the build knows eras. What peers tell of an earlier era is never merged.

--- a/basilpost/groups/pool_controller.py
+++ b/basilpost/groups/pool_controller.py
@@ -182,7 +182,8 @@
                     await self._release(self._lease.held)
                     break
                 self._changed.clear()
-                if self._knowledge.vms_age() < LEASE_SECONDS:
+                # A restored store may show VMs of open groups as free.
+                if self._knowledge.vms_age() < LEASE_SECONDS and self._knowledge.is_settled:
                     began_at = clock.monotonic()
                     self._decide()
                     await asyncio.sleep((clock.monotonic() - began_at) * REST_FACTOR)
--- a/basilpost/members/feed.py
+++ b/basilpost/members/feed.py
@@ -76,15 +76,14 @@
         follower: Calls the store for it.
         on_change: Called with each newer change.
         age_bounded: True if its age is bounded, and counts in the replies to freshness queries.
-        ordered_by_content: True if `on_change` tells newer contents from older ones itself. It is then
-            also called with changes that are not newer by their version, as those from before a
-            restore of the store.
+        takes_lost: True if `on_change` is also called with what peers know from before a restore of the
+            store, and the store may have lost.
     """
 
     follower: store_follower.Follower
     on_change: OnChange
     age_bounded: bool
-    ordered_by_content: bool
+    takes_lost: bool
 
 
 class Feed(kernel.Service):
@@ -136,7 +135,7 @@
         wait: float,
         on_change: OnChange,
         age_bounded: bool = True,
-        ordered_by_content: bool = False,
+        takes_lost: bool = False,
     ) -> None:
         """Adds a prefix to follow; call it before `start`.
 
@@ -145,7 +144,7 @@
             wait: Longest wait of a watch call in seconds.
             on_change: Called with each newer change.
             age_bounded: True if changes have to arrive within a bounded time.
-            ordered_by_content: True if `on_change` orders changes by their contents.
+            takes_lost: True if `on_change` also takes what peers know from before a restore.
         """
         self._followed_by_prefix[prefix] = _Followed(
             follower=store_follower.Follower(
@@ -165,7 +164,7 @@
             ),
             on_change=on_change,
             age_bounded=age_bounded,
-            ordered_by_content=ordered_by_content,
+            takes_lost=takes_lost,
         )
 
     async def start(self) -> None:
@@ -214,6 +213,11 @@
         own = self._followed_by_prefix[prefix].follower.current_at
         return clock.elapsed() - max(own, self._gossip.current_at)
 
+    async def wait_until_current_since(self, at: float) -> None:
+        """Waits until no change made before a time, on `clock.elapsed`, is missing here."""
+        while clock.elapsed() - self._max_age() < at:
+            await asyncio.sleep(STALENESS_CHECK_SECONDS)
+
     # Which nodes watch the store depends on the size of the fleet and on the node table.
 
     @property
@@ -374,9 +378,12 @@
         if followed is None:
             return False
         self._note_era(change.version)
-        if not self._known.merge(change):
-            if source and followed.ordered_by_content:
+        if eras.era_of(change.version) < self._known.era:
+            if followed.takes_lost:
                 followed.on_change(change)
+                self.notify_listeners()
+            return False
+        if not self._known.merge(change):
             return False
         if source:
             self._record_contact()
--- a/basilpost/members/gossip.py
+++ b/basilpost/members/gossip.py
@@ -25,7 +25,7 @@
     versions,
 )
 from basilpost.settings import schema
-from basilpost.store import eras, objects
+from basilpost.store import objects
 
 # Keys in one message of a summary.
 SUMMARY_KEYS = 1_000
@@ -162,9 +162,7 @@
     def _send_summary(self, node_id: str) -> None:
         self.announcer.flush()
         known = [(change.key, change.version) for change in self._known.changes_by_key.values()]
-        if self._known.era:
-            known.insert(0, (peer_versions.ERA_KEY, eras.version(era=self._known.era, revision=0)))
-        entries = iter(known)
+        entries = iter([peer_versions.ERA_ENTRY, *known])
         while True:
             part = dict(itertools.islice(entries, SUMMARY_KEYS))
             last = len(part) < SUMMARY_KEYS
@@ -178,7 +176,7 @@
     async def _on_summary(self, sender: str, summary: messages.Summary) -> None:
         missing = self._missing_by_id.setdefault(sender, {})
         theirs = self.peer_versions.versions_from_peer(sender, summary.versions_by_key)
-        theirs.pop(peer_versions.ERA_KEY, None)
+        theirs.pop(peer_versions.ERA_ENTRY[0], None)
         missing |= {key: theirs[key] for key in self._known.outdated_keys(theirs)}
         if not summary.last:
             return
--- a/basilpost/members/knowledge.py
+++ b/basilpost/members/knowledge.py
@@ -67,26 +67,30 @@
         self._tasks = tasks.TaskSet(log=kernel.log)
         self._grace_until = 0.0
         self._missing_ids: set[str] = set()
-        self._restored_until = 0.0
+        # The latest restore of the store, None once all is written again.
+        self._restored_at: float | None = None
         self._keys_since_restore: set[str] = set()
         self._held_by_key: dict[str, objects.Change] = {}
         self._removed_at_by_lifetime: dict[tuple[str, int], float] = {}
+        # The objects that put failure domains out of service.
+        self._out_of_service_by_key: dict[str, objects.Change] = {}
         layout = decoder.layout
         self._feed.follow(
             layout.configuration_prefix,
             wait=CONFIG_WATCH_SECONDS,
             on_change=self._apply_configuration,
-            ordered_by_content=True,
+            takes_lost=True,
         )
         self._feed.follow(layout.vm_prefix, wait=VM_WATCH_SECONDS, on_change=self._apply_vm)
         self._feed.follow(
             layout.out_of_service_prefix,
             wait=FAILURE_DOMAIN_WATCH_SECONDS,
             on_change=self._apply_out_of_service,
+            takes_lost=True,
         )
         self._feed.subscribe_store_recovery(self._start_return_grace)
         self._feed.subscribe_restore(self._keep_until_written_again)
-        self._feed.peer_versions.subscribe(self._send_lost_configuration)
+        self._feed.peer_versions.subscribe(self._send_lost)
         self._malformed = prometheus_client.Counter(
             "basilpost_malformed_objects_total",
             "Objects of the platform's store that could not be decoded",
@@ -140,24 +144,38 @@
 
     def _keep_until_written_again(self) -> None:
         """Keeps what is known for a while against older contents of a restored store."""
-        self._restored_until = clock.elapsed() + RETURN_GRACE_SECONDS
+        self._restored_at = clock.elapsed()
         self._keys_since_restore.clear()
-        self._tasks.spawn(self._apply_held(), name="apply-held")
+        self._tasks.spawn(self._apply_held(self._restored_at), name="apply-held")
 
-    def _send_lost_configuration(self, node_id: str) -> None:
-        """Sends a peer the configuration in force if a restored store has lost it.
+    @property
+    def is_settled(self) -> bool:
+        """Returns False after a restore of the store, until all is written to it again."""
+        return self._restored_at is None
 
-        A node that starts before the operator has written it again would serve by an older one.
-        """
-        if self._in_force is not None and eras.era_of(self._in_force.version) < self._feed.era:
-            self._peers.send(node_id, store_news.StoreChanges(changes=(self._in_force,)))
+    def _send_lost(self, node_id: str) -> None:
+        """Sends a peer what is in force here and a restored store has lost.
 
-    async def _apply_held(self) -> None:
+        A node that starts before the operator has written it again knows only the copy.
+        """
+        in_force = [self._in_force] if self._in_force is not None else []
+        lost = [
+            change
+            for change in (*in_force, *self._out_of_service_by_key.values())
+            if eras.era_of(change.version) < self._feed.era
+        ]
+        if lost:
+            self._peers.send(node_id, store_news.StoreChanges(changes=tuple(lost)))
+
+    async def _apply_held(self, restored_at: float) -> None:
         """Applies the changes that are still held back at the end of that time."""
         await asyncio.sleep(RETURN_GRACE_SECONDS)
-        if clock.elapsed() < self._restored_until:
+        # While the store is out of reach again, nothing that was written since is known.
+        await self._feed.wait_until_current_since(restored_at + RETURN_GRACE_SECONDS)
+        if self._restored_at != restored_at:
             # The store was restored once more.
             return
+        self._restored_at = None
         held, self._held_by_key = self._held_by_key, {}
         if held:
             self._log.info("older_contents_applied", objects=len(held))
@@ -172,7 +190,7 @@
         After one version of an object, the next one was certainly written after the restore. That an
         object is missing may be told several times, as each listing of the copy shows it.
         """
-        if clock.elapsed() >= self._restored_until:
+        if self._restored_at is None:
             return False
         is_first = change.key not in self._keys_since_restore
         if change.stored is not None:
@@ -188,8 +206,7 @@
         Its remaining cold time counts from when it was first seen.
         """
         known = self.vms_by_id.get(vm_id)
-        is_restored = clock.elapsed() < self._restored_until
-        return is_restored and known is not None and known.vm == vm
+        return self._restored_at is not None and known is not None and known.vm == vm
 
     def _may_be_older(self, vm_id: str, vm: catalog.Vm | None) -> bool:
         """Returns True if a VM's entry, None for a missing one, may be from before what is known."""
@@ -295,10 +312,31 @@
             )
 
     def _apply_out_of_service(self, change: objects.Change) -> None:
-        failure_domain = change.key.removeprefix(self._decoder.layout.out_of_service_prefix)
         out = change.stored is not None
+        if eras.era_of(change.version) < self._feed.era:
+            self._keep_lost_withdrawal(change)
+            return
         if self._holds_back(change, is_older=not out):
             return
+        self._set_out_of_service(change)
+
+    def _keep_lost_withdrawal(self, change: objects.Change) -> None:
+        """Takes a failure domain out that was out before a restore, unless nobody writes it again."""
+        if change.stored is None or change.key in self._out_of_service_by_key:
+            return
+        if self._restored_at is None:
+            self._keep_until_written_again()
+        version = eras.version(era=self._feed.era, revision=0)
+        self._held_by_key[change.key] = objects.Change(key=change.key, version=version, stored=None)
+        self._set_out_of_service(change)
+
+    def _set_out_of_service(self, change: objects.Change) -> None:
+        failure_domain = change.key.removeprefix(self._decoder.layout.out_of_service_prefix)
+        out = change.stored is not None
+        if out:
+            self._out_of_service_by_key[change.key] = change
+        else:
+            self._out_of_service_by_key.pop(change.key, None)
         self.out_of_service = (
             self.out_of_service | {failure_domain}
             if out
--- a/basilpost/members/node_registry.py
+++ b/basilpost/members/node_registry.py
@@ -37,11 +37,14 @@
         self._tasks = tasks.TaskSet(log=kernel.log)
         self._version = 0
         self._has_written = False
-        self._restored_until = 0.0
+        # The latest restore of the store, None once all nodes have written their records again.
+        self._restored_at: float | None = None
         self._held_deletions_by_key: dict[str, objects.Change] = {}
-        source = kernel.find(names.FEED, feed.Feed)
-        source.follow(PREFIX, wait=WATCH_SECONDS, on_change=self._apply_change, age_bounded=False)
-        source.subscribe_restore(self._write_again)
+        self._feed = kernel.find(names.FEED, feed.Feed)
+        self._feed.follow(
+            PREFIX, wait=WATCH_SECONDS, on_change=self._apply_change, age_bounded=False
+        )
+        self._feed.subscribe_restore(self._write_again)
 
     async def start(self) -> None:
         """Starts to write this node's record."""
@@ -64,17 +67,19 @@
 
     def _write_again(self) -> None:
         """Writes the record to a restored store, which may lack it or have an earlier one."""
-        self._restored_until = clock.elapsed() + RESTORE_GRACE_SECONDS
+        self._restored_at = clock.elapsed()
         self._tasks.spawn(self._write_after_restore(), name="node-record")
-        self._tasks.spawn(self._apply_held_deletions(), name="node-records-lost")
+        self._tasks.spawn(self._apply_held_deletions(self._restored_at), name="node-records-lost")
 
     async def _write_after_restore(self) -> None:
         await asyncio.sleep(random.uniform(0.0, REWRITE_SECONDS))
         await self._write_until_done()
 
-    async def _apply_held_deletions(self) -> None:
+    async def _apply_held_deletions(self, restored_at: float) -> None:
         await asyncio.sleep(RESTORE_GRACE_SECONDS)
-        if clock.elapsed() >= self._restored_until:
+        await self._feed.wait_until_current_since(restored_at + RESTORE_GRACE_SECONDS)
+        if self._restored_at == restored_at:
+            self._restored_at = None
             held, self._held_deletions_by_key = self._held_deletions_by_key, {}
             for change in held.values():
                 self._apply_change(change)
@@ -113,7 +118,7 @@
 
     def _apply_change(self, change: objects.Change) -> None:
         self._held_deletions_by_key.pop(change.key, None)
-        if change.stored is None and clock.elapsed() < self._restored_until:
+        if change.stored is None and self._restored_at is not None:
             self._held_deletions_by_key[change.key] = change
             return
         if change.stored is not None and node_table.decode(change) is None:
--- a/basilpost/members/peer_versions.py
+++ b/basilpost/members/peer_versions.py
@@ -12,9 +12,9 @@
 from basilpost.members import peers, versions
 from basilpost.store import eras, objects
 
-# Entry of each summary of a node that knows the store's era. Older builds ask for an object of this
-# name once and get none.
-ERA_KEY = "basilpost-era"
+# First entry of each summary, a key and a version with an era, by which a build shows that it knows
+# eras. Older builds ask once for an object of this name and get none.
+ERA_ENTRY = ("basilpost-era", eras.version(era=1, revision=0))
 
 
 class PeerVersions:
--- a/tests/pool_knowledge_test.py
+++ b/tests/pool_knowledge_test.py
@@ -195,6 +195,7 @@
         restored("evacuations/b", 93, {}, era=1),
     ]
     source.offer(first, source="other")
+    monkeypatch.setattr(source, "_max_age", lambda: 0.0)
     return fake_clock
 
 
@@ -296,15 +297,20 @@
     node_kernel.find(names.PEERS, peers.PeerNetwork).send = lambda node_id, message: sent.append(
         (node_id, message)
     )
-    era_entry = {peer_versions.ERA_KEY: eras.version(era=2, revision=0)}
+    era_entry = dict([peer_versions.ERA_ENTRY])
     source.peer_versions.versions_from_peer("early", era_entry)
     assert sent == []
     source.offer([restored("servers/i-9", 22, entry())], source="other")
     source.peer_versions.versions_from_peer("late", era_entry)
     ((node_id, message),) = sent
     assert node_id == "late"
-    assert [one.version for one in message.changes] == [eras.version(era=1, revision=90)]
-    source.offer([restored("config/main", 25, pool_fleet.configuration(7))], source="other")
+    lost = [eras.version(era=1, revision=revision) for revision in (90, 93)]
+    assert [one.version for one in message.changes] == lost
+    again = [
+        restored("config/main", 25, pool_fleet.configuration(7)),
+        restored("evacuations/b", 26, {}),
+    ]
+    source.offer(again, source="other")
     source.peer_versions.versions_from_peer("later", era_entry)
     assert len(sent) == 1
 
@@ -333,3 +339,44 @@
     before_restore.now += 0.2
     await asyncio.sleep(0.3)
     assert "i-2" in known.vms_by_id
+
+
+async def test_the_copy_is_believed_while_the_store_is_out_of_reach_again(
+    known, source, before_restore, monkeypatch
+):
+    """The evacuation was written again meanwhile, but this node cannot see it."""
+    age = [0.0]
+    monkeypatch.setattr(source, "_max_age", lambda: age[0])
+    source.offer([restored("evacuations/b", 30, None)], source="other")
+    before_restore.now += 3.0
+    age[0] = 3.0
+    await asyncio.sleep(0.4)
+    assert known.out_of_service == {"b"}
+    source.offer([restored("evacuations/b", 31, {})], source="other")
+    age[0] = 0.0
+    await asyncio.sleep(0.4)
+    assert known.out_of_service == {"b"}
+    source.offer([restored("evacuations/b", 32, None)], source="other")
+    assert known.out_of_service == frozenset()
+
+
+async def test_a_node_that_starts_after_a_restore_uses_a_domain_that_is_out(
+    known, source, monkeypatch
+):
+    """A peer tells it what the copy lacks; it counts until the operator has had time to write it."""
+    monkeypatch.setattr(knowledge, "RETURN_GRACE_SECONDS", 0.1)
+    monkeypatch.setattr(source, "_max_age", lambda: 0.0)
+    source.offer([restored("servers/i-1", 3, entry())], source="")
+    source.offer([restored("evacuations/b", 93, {}, era=1)], source="peer")
+    source.offer([restored("evacuations/c", 94, {}, era=1)], source="peer")
+    assert known.out_of_service == {"b", "c"}
+    source.offer([restored("evacuations/c", 20, {})], source="")
+    await pool_fleet.until(lambda: known.out_of_service == {"c"})
+
+
+async def test_the_controller_acts_on_the_copy_of_a_restored_store(known, source, before_restore):
+    assert known.is_settled
+    source.offer([restored("servers/i-9", 21, entry())], source="other")
+    assert not known.is_settled
+    before_restore.now += 0.2
+    await pool_fleet.until(lambda: known.is_settled)
--- a/tests/pool_restored_store_test.py
+++ b/tests/pool_restored_store_test.py
@@ -7,8 +7,9 @@
 
 import pytest
 
-from basilpost.core import clock
+from basilpost.core import clock, names
 from basilpost.emulator import pool_fleet
+from basilpost.members import feed
 from tests import pool_nodes, pool_withdrawal_test
 
 # Changes that the copy lacks, and time for which the store does not answer.
@@ -137,3 +138,18 @@
         answer = await bench.call("/filing/a", node=2)
         assert answer.code == 404
         restoring.cancel()
+
+
+async def test_nodes_that_learn_the_era_after_their_streams_opened_are_taken_for_an_older_build():
+    async with pool_nodes.running(nodes=3, vms=0) as bench:
+        feeds = [kernel.find(names.FEED, feed.Feed) for kernel in bench.kernels]
+        node_ids = [kernel.node_id for kernel in bench.kernels]
+        await pool_fleet.until(
+            lambda: all(
+                one.peer_versions.knows_eras(node_id)
+                for one, own_id in zip(feeds, node_ids, strict=True)
+                for node_id in node_ids
+                if node_id != own_id
+            ),
+            seconds=5,
+        )
--- a/tests/soak_test.py
+++ b/tests/soak_test.py
@@ -36,6 +36,10 @@
         12,
         "two nodes that listed the copy undid an evacuation, and a node dropped all VMs (issue 37)",
     ),
+    (
+        38,
+        "a node started within a restore, before the store went away, knew only the copy (issue 37)",
+    ),
     (3, "a node that started after the restore took the lease and broke a group up (issue 37)"),
 )
 STOP_SEEDS = ((372, "the store is silent when drains end; accepted requests were cut (issue 24)"),)
