Holding back the contents of a restored store is a module of its own; a lost configuration replaces none of its version

One fault beside it: a peer's configuration of an earlier era, with the version that is in force, made the node take its own for lost and tell it to others; the test of a node that starts has the case now.

--- a/basilpost/core/log_events_test.py
+++ b/basilpost/core/log_events_test.py
@@ -24,6 +24,7 @@
             "members/knowledge.py",
             "members/loads.py",
             "members/reachability.py",
+            "members/restored_contents.py",
             "members/store_news.py",
             "members/node_registry.py",
             "node/pool_main.py",
--- a/basilpost/members/knowledge.py
+++ b/basilpost/members/knowledge.py
@@ -13,7 +13,7 @@
 import prometheus_client
 
 from basilpost.core import catalog, clock, failure, kernel, names, tasks
-from basilpost.members import decoding, feed, peers, store_news
+from basilpost.members import decoding, feed, peers, restored_contents, store_news
 from basilpost.store import eras, objects
 
 # Waits of a watch call. Its answer shows the state as of when the call was sent, so twice the wait
@@ -23,8 +23,7 @@
 VM_WATCH_SECONDS = 1.3
 # A failure domain has to be out of service at all nodes within 5 s.
 FAILURE_DOMAIN_WATCH_SECONDS = 2.5
-# VMs' entries that expired during an outage of the store are back about two seconds after its end,
-# and so is what the operator and the runners wrote to a store that was restored from a copy.
+# VMs' entries that expired during an outage of the store are back about two seconds after its end.
 RETURN_GRACE_SECONDS = 2.3
 # The entry of a VM that was removed within this time may return with a copy of the store.
 REMOVED_MEMORY_SECONDS = 60.0
@@ -67,10 +66,9 @@
         self._tasks = tasks.TaskSet(log=kernel.log)
         self._grace_until = 0.0
         self._missing_ids: set[str] = set()
-        # The latest restore of the store, None once all is written again.
-        self._restored_at: float | None = None
-        self._keys_since_restore: set[str] = set()
-        self._held_by_key: dict[str, objects.Change] = {}
+        self._restored = restored_contents.RestoredContents(
+            source=self._feed, log=kernel.log, apply=self._apply_held
+        )
         self._removed_at_by_lifetime: dict[tuple[str, int], float] = {}
         # The objects that put failure domains out of service.
         self._out_of_service_by_key: dict[str, objects.Change] = {}
@@ -89,7 +87,7 @@
             takes_lost=True,
         )
         self._feed.subscribe_store_recovery(self._start_return_grace)
-        self._feed.subscribe_restore(self._keep_until_written_again)
+        self._feed.subscribe_restore(self._restored.begin)
         self._feed.peer_versions.subscribe(self._send_lost)
         self._malformed = prometheus_client.Counter(
             "basilpost_malformed_objects_total",
@@ -109,6 +107,12 @@
     async def stop(self) -> None:
         """Stops waiting for missing entries; known objects stay readable."""
         await self._tasks.close()
+        await self._restored.close()
+
+    @property
+    def is_settled(self) -> bool:
+        """Returns False after a restore of the store, until all is written to it again."""
+        return self._restored.is_settled
 
     def subscribe(self, listener: Callable[[], None]) -> None:
         """Calls the listener after each change of a followed object."""
@@ -142,17 +146,6 @@
 
     # A restored store shows older contents until the operator and the runners have written again.
 
-    def _keep_until_written_again(self) -> None:
-        """Keeps what is known for a while against older contents of a restored store."""
-        self._restored_at = clock.elapsed()
-        self._keys_since_restore.clear()
-        self._tasks.spawn(self._apply_held(self._restored_at), name="apply-held")
-
-    @property
-    def is_settled(self) -> bool:
-        """Returns False after a restore of the store, until all is written to it again."""
-        return self._restored_at is None
-
     def _send_lost(self, node_id: str) -> None:
         """Sends a peer what is in force here and a restored store has lost.
 
@@ -167,38 +160,9 @@
         if lost:
             self._peers.send(node_id, store_news.StoreChanges(changes=tuple(lost)))
 
-    async def _apply_held(self, restored_at: float) -> None:
-        """Applies the changes that are still held back at the end of that time."""
-        await asyncio.sleep(RETURN_GRACE_SECONDS)
-        # While the store is out of reach again, nothing that was written since is known.
-        await self._feed.wait_until_current_since(restored_at + RETURN_GRACE_SECONDS)
-        if self._restored_at != restored_at:
-            # The store was restored once more.
-            return
-        self._restored_at = None
-        held, self._held_by_key = self._held_by_key, {}
-        if held:
-            self._log.info("older_contents_applied", objects=len(held))
-        for change in held.values():
-            is_vm = change.key.startswith(self._decoder.layout.vm_prefix)
-            (self._apply_vm if is_vm else self._apply_out_of_service)(change)
-        self._feed.notify_listeners()
-
-    def _holds_back(self, change: objects.Change, *, is_older: bool) -> bool:
-        """Returns True for a change that may only show the copy; it is applied later.
-
-        After one version of an object, the next one was certainly written after the restore. That an
-        object is missing may be told several times, as each listing of the copy shows it.
-        """
-        if self._restored_at is None:
-            return False
-        is_first = change.key not in self._keys_since_restore
-        if change.stored is not None:
-            self._keys_since_restore.add(change.key)
-        self._held_by_key.pop(change.key, None)
-        if is_first and is_older:
-            self._held_by_key[change.key] = change
-        return is_first and is_older
+    def _apply_held(self, change: objects.Change) -> None:
+        is_vm = change.key.startswith(self._decoder.layout.vm_prefix)
+        (self._apply_vm if is_vm else self._apply_out_of_service)(change)
 
     def _repeats_known(self, vm_id: str, vm: catalog.Vm | None) -> bool:
         """Returns True for a VM's entry that a restored store shows as it is known.
@@ -206,7 +170,7 @@
         Its remaining cold time counts from when it was first seen.
         """
         known = self.vms_by_id.get(vm_id)
-        return self._restored_at is not None and known is not None and known.vm == vm
+        return not self.is_settled and known is not None and known.vm == vm
 
     def _may_be_older(self, vm_id: str, vm: catalog.Vm | None) -> bool:
         """Returns True if a VM's entry, None for a missing one, may be from before what is known."""
@@ -244,6 +208,8 @@
         if isinstance(configuration, failure.Failure):
             self._count_malformed("configuration", change, configuration)
             return
+        if self._is_lost_and_not_newer(change, configuration):
+            return
         if self.configuration is not None and configuration.version < self.configuration.version:
             self._log.error(
                 "configuration_older",
@@ -270,6 +236,15 @@
             return False
         return eras.era_of(change.version) == eras.era_of(self._in_force.version)
 
+    def _is_lost_and_not_newer(
+        self, change: objects.Change, configuration: catalog.Configuration
+    ) -> bool:
+        """Returns True for a configuration from before a restore that is in force or older."""
+        if self._in_force is None or self.configuration is None:
+            return False
+        is_lost = change.version < self._in_force.version
+        return is_lost and configuration.version <= self.configuration.version
+
     def _apply_vm(self, change: objects.Change) -> None:
         vm_id = change.key.removeprefix(self._decoder.layout.vm_prefix)
         before = self.vms_by_id.get(vm_id)
@@ -277,10 +252,9 @@
         if change.stored is not None:
             self._missing_ids.discard(vm_id)
         if not isinstance(vm, failure.Failure) and self._repeats_known(vm_id, vm):
-            self._keys_since_restore.add(change.key)
-            self._held_by_key.pop(change.key, None)
+            self._restored.holds_back(change, is_older=False)
             return
-        if not isinstance(vm, failure.Failure) and self._holds_back(
+        if not isinstance(vm, failure.Failure) and self._restored.holds_back(
             change, is_older=self._may_be_older(vm_id, vm)
         ):
             return
@@ -316,7 +290,7 @@
         if eras.era_of(change.version) < self._feed.era:
             self._keep_lost_withdrawal(change)
             return
-        if self._holds_back(change, is_older=not out):
+        if self._restored.holds_back(change, is_older=not out):
             return
         self._set_out_of_service(change)
 
@@ -324,10 +298,8 @@
         """Takes a failure domain out that was out before a restore, unless nobody writes it again."""
         if change.stored is None or change.key in self._out_of_service_by_key:
             return
-        if self._restored_at is None:
-            self._keep_until_written_again()
         version = eras.version(era=self._feed.era, revision=0)
-        self._held_by_key[change.key] = objects.Change(key=change.key, version=version, stored=None)
+        self._restored.hold(objects.Change(key=change.key, version=version, stored=None))
         self._set_out_of_service(change)
 
     def _set_out_of_service(self, change: objects.Change) -> None:
--- a/tests/pool_knowledge_test.py
+++ b/tests/pool_knowledge_test.py
@@ -8,7 +8,15 @@
 
 from basilpost.core import clock, kernel, names
 from basilpost.emulator import pool_fleet
-from basilpost.members import fakes, feed, knowledge, node_table, peer_versions, peers
+from basilpost.members import (
+    fakes,
+    feed,
+    knowledge,
+    node_table,
+    peer_versions,
+    peers,
+    restored_contents,
+)
 from basilpost.platform import decoder
 from basilpost.settings import schema as node_schema
 from basilpost.store import eras, memory, objects
@@ -186,6 +194,7 @@
 @pytest.fixture
 def before_restore(known, source, monkeypatch):
     """A node that has known a store in its first era; the clock is returned."""
+    monkeypatch.setattr(restored_contents, "REWRITE_SECONDS", 0.1)
     monkeypatch.setattr(knowledge, "RETURN_GRACE_SECONDS", 0.1)
     fake_clock = FakeClock(monkeypatch)
     first = [
@@ -288,6 +297,8 @@
     source.offer([restored("config/main", 21, pool_fleet.configuration(8))], source="")
     source.offer([lost], source="peer")
     assert known.configuration.version == 8
+    source.offer([restored("config/main", 95, pool_fleet.configuration(8), era=1)], source="peer")
+    assert eras.era_of(known._in_force.version) == 2
 
 
 async def test_a_peer_is_not_told_the_configuration_that_a_restored_store_has_lost(
@@ -364,7 +375,7 @@
     known, source, monkeypatch
 ):
     """A peer tells it what the copy lacks; it counts until the operator has had time to write it."""
-    monkeypatch.setattr(knowledge, "RETURN_GRACE_SECONDS", 0.1)
+    monkeypatch.setattr(restored_contents, "REWRITE_SECONDS", 0.1)
     monkeypatch.setattr(source, "_max_age", lambda: 0.0)
     source.offer([restored("servers/i-1", 3, entry())], source="")
     source.offer([restored("evacuations/b", 93, {}, era=1)], source="peer")
