What peers of builds before eras tell of the store is not believed once this node knows an era

Cause: it took revisions without an era as of its own era, unless it had itself seen a restore. The older build still has objects from before the restore, whose revisions are above the restored ones. Change: such versions, and what such a peer says of how current it is, count only while no era is known.

--- a/basilpost/members/gossip.py
+++ b/basilpost/members/gossip.py
@@ -250,6 +250,8 @@
         if queried_at is None or not reply.age >= 0:
             return
         self.replied_at = self._now()
+        if not self.peer_versions.is_believed(sender):
+            return
         self._check_digest(sender, reply.digest)
         if not self.announcer.is_synced_with(sender):
             self.announcer.pull_missing(sender)
--- a/basilpost/members/peer_versions.py
+++ b/basilpost/members/peer_versions.py
@@ -3,7 +3,8 @@
 Builds before eras (see `store.eras`) take versions for plain revisions. A version with an era would
 be so high for them that they ignore the store's own changes from then on. So a node sends an era only
 to peers that have shown that they know eras, by a version with an era in their summary. Versions
-without an era from other peers count as of this node's era.
+without an era are believed only while this node knows of none: a peer of an older build takes a
+restored store's objects for old ones, and would tell what was known before the restore.
 """
 
 import dataclasses
@@ -30,6 +31,10 @@
         """Calls the listener with a peer's id when the peer first shows that it knows eras."""
         self._listeners.append(listener)
 
+    def is_believed(self, node_id: str) -> bool:
+        """Returns True if this node takes in what a peer tells of the store."""
+        return self._known.era == 0 or self.knows_eras(node_id)
+
     def knows_eras(self, node_id: str) -> bool:
         """Returns True if a peer's build knows eras."""
         return node_id in self._capable_ids
@@ -39,19 +44,14 @@
         return version if self.knows_eras(node_id) else eras.revision_of(version)
 
     def from_peer(self, node_id: str, version: int) -> int | None:
-        """Returns the version in a peer's message; None if its era cannot be told.
-
-        After a restore a revision without an era may be one from before it.
-        """
+        """Returns the version in a peer's message; None if its era cannot be told."""
         if eras.era_of(version):
             if node_id not in self._capable_ids:
                 self._capable_ids.add(node_id)
                 for listener in self._listeners:
                     listener(node_id)
             return version
-        if self._known.was_restored:
-            return None
-        return eras.version(era=self._known.era, revision=version)
+        return version if self._known.era == 0 else None
 
     def versions_from_peer(self, node_id: str, versions_by_key: dict[str, int]) -> dict[str, int]:
         """Returns the versions in a peer's message by key, without those whose era cannot be told."""
--- a/basilpost/members/peer_versions_test.py
+++ b/basilpost/members/peer_versions_test.py
@@ -29,17 +29,15 @@
     assert translation.to_peer(NEW_BUILD, version) == version
 
 
-def test_a_revision_of_an_older_build_is_of_this_nodes_era(translation):
-    assert translation.from_peer(OLD_BUILD, 70) == eras.version(era=3, revision=70)
-
-
-def test_after_a_restore_revisions_of_older_builds_are_not_believed(known, translation):
-    known.note_era(4)
+def test_revisions_of_older_builds_are_not_believed_once_an_era_is_known(known, translation):
+    """Such a build may have missed a restore, also one from before this node started."""
+    assert not translation.is_believed(OLD_BUILD)
+    assert translation.is_believed(NEW_BUILD)
     assert translation.from_peer(OLD_BUILD, 70) is None
     stored = objects.Stored(key="k", value=b"", version=70)
     change = objects.Change(key="k", version=70, stored=stored)
     assert translation.change_from_peer(OLD_BUILD, change) is None
-    later = eras.version(era=4, revision=5)
+    later = eras.version(era=3, revision=5)
     assert translation.versions_from_peer(NEW_BUILD, {"k": later, "l": 70}) == {"k": later}
 
 
@@ -47,6 +45,7 @@
     node_peers = fakes.FakePeers(node_id="n", hub=fakes.PeerHub())
     translation = peer_versions.PeerVersions(peers=node_peers, known=versions.Versions())
     assert translation.from_peer(OLD_BUILD, 70) == 70
+    assert translation.is_believed(OLD_BUILD)
     assert translation.to_peer(OLD_BUILD, 70) == 70
 
 
--- a/basilpost/members/versions.py
+++ b/basilpost/members/versions.py
@@ -23,14 +23,12 @@
         changes_by_key: The newest known change of each object.
         digest: Digest over the keys and revisions of all objects except node records.
         era: The latest era of the store that this node has heard of.
-        was_restored: True once this node has seen the store in more than one era.
     """
 
     def __init__(self) -> None:
         self.changes_by_key: dict[str, objects.Change] = {}
         self.digest = 0
         self.era = 0
-        self.was_restored = False
         self._tombstones: dict[str, None] = {}
 
     def note_era(self, era: int) -> bool:
@@ -39,7 +37,6 @@
             return False
         restored = self.era > 0
         self.era = era
-        self.was_restored = self.was_restored or restored
         return restored
 
     def merge(self, change: objects.Change) -> bool:
