A frame with a map whose key is a list is rejected as malformed

What peers would see: the stream's task ends with an unexpected error instead of peer_refused. Change: TypeError counts as malformed, like the other errors of msgpack. Evidence: the bytes are an example of the test now; it fails without the change and passes with it.

--- a/basilpost/members/wire.py
+++ b/basilpost/members/wire.py
@@ -93,7 +93,8 @@
         """Returns the envelope in a frame's content, or why it is rejected."""
         try:
             fields = msgpack.unpackb(raw, strict_map_key=False)
-        except (ValueError, RecursionError, msgpack.UnpackException) as error:
+        # A map whose key is a list or a map raises TypeError.
+        except (ValueError, TypeError, RecursionError, msgpack.UnpackException) as error:
             return _malformed(f"the frame is not msgpack: {error!r}")
         if not isinstance(fields, list) or len(fields) != _ENVELOPE_FIELDS:
             return _malformed("the frame is not an envelope")
--- a/tests/members_streams_test.py
+++ b/tests/members_streams_test.py
@@ -200,6 +200,7 @@
 
 
 @hypothesis.given(strategies.binary(max_size=200))
+@hypothesis.example(b"\x81\x90\x00")
 def test_any_bytes_are_decoded_or_refused(raw):
     registry = wire.MessageRegistry()
     for kind in KNOWN_KINDS:
