Load control where a deployment asks for it: ranks, waiting, returns, work, old counts

The emptiest target gets 70 to 134 requests in a second and can process some 20, because all nodes see the same counts of half a second ago; a request that hangs at a target that serves others waits until its caller leaves; groups without the entry of a member are dissolved while they serve, since only an answer at that very moment counted.

Change, all switched on by `contracts` in the settings (platform/contracts.py): - routing/load_interpretation.py: targets are drawn so that the arrivals of all nodes between two reports bring them to a common level. - routing/workload.py: work, first event and memory of a request from the engine's figures. - members/rank_demand.py, routing/rank_admission.py: all nodes admit the same shares of each rank, from sums that travel with the reports of loads. - routing/ranked_queue.py, gateway/load_control.py: requests wait by rank and workspace, woken by freed room. - routing/returns.py: Retry-After over the time that callers accept; returns are known by their smaller time budget. - members/answer_evidence.py: groups that answered after a member fell silent are kept; nodes place requests on them. - gateway/stall_detector.py: single streams that stalled are moved. - `basilpost pressure`, metrics, log events, docs/operators/overload.md, notes in docs/design/load-control.md. request_ended tells the time to the first event beside the predicted one.

--- a/basilpost/cli/main.py
+++ b/basilpost/cli/main.py
@@ -14,6 +14,7 @@
     key,
     load,
     node,
+    pressure,
     quarantine,
     questionnaire,
     runs,
@@ -37,6 +38,7 @@
 main.add_command(key.key)
 main.add_command(load.command)
 main.add_command(node.command, name="node")
+main.add_command(pressure.pressure)
 main.add_command(quarantine.quarantine)
 main.add_command(questionnaire.questionnaire)
 main.add_command(runs.runs)
--- a/basilpost/core/catalog.py
+++ b/basilpost/core/catalog.py
@@ -77,6 +77,31 @@
     warm_seconds: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class EngineFigures:
+    """What an engine's work takes, before the pace of a model.
+
+    Attributes:
+        step_seconds: Time of a step, in which each writing request gets one token.
+        request_step_seconds: Additional time of a step for each writing request.
+        context_step_seconds: Additional time for each thousand tokens of context.
+        read_tokens_per_second: Prompt tokens that a group reads.
+        pair_seconds: Additional reading time for each million pairs of a token and an earlier one.
+        steps_per_pass: Steps between two events of a stream.
+        memory_tokens: Tokens of prompts and answers that a group holds.
+        usual_answer_tokens: Mean length of an answer.
+    """
+
+    step_seconds: float
+    request_step_seconds: float
+    context_step_seconds: float
+    read_tokens_per_second: float
+    pair_seconds: float
+    steps_per_pass: int
+    memory_tokens: int
+    usual_answer_tokens: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Engine:
     """Capacity and models of the engines that a service's runners drive.
@@ -86,6 +111,7 @@
         loads_per_second: Loads of weights that may begin per second, over all VMs.
         loads_at_once: Loads of weights that the weight store bears at the same time; with more of
             them each takes proportionally longer. None if there is no such limit.
+        figures: What the engine's work takes, None if the operators do not say.
         open_seconds: Seconds between the order to open a group and the group's readiness.
         models: The models, in the operator's order.
     """
@@ -95,6 +121,7 @@
     open_seconds: float
     models: tuple[Model, ...]
     loads_at_once: int | None = None
+    figures: EngineFigures | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/basilpost/core/log_events.py
+++ b/basilpost/core/log_events.py
@@ -36,6 +36,9 @@
     "after_stop_ms",
     "cause",
     "detour_node",
+    "first_event_ms",
+    "after_send_ms",
+    "predicted_ms",
 )
 
 EVENTS: dict[str, Event] = {
@@ -191,6 +194,14 @@
         meaning="objects that a restored store showed as older, and nobody has written again, are believed",
         fields=("objects",),
     ),
+    "rank_cut": Event(
+        meaning="callers want more of a model than there is; a share of a rank is refused from now on",
+        fields=("model", "rank", "share", "wanted", "capacity"),
+    ),
+    "rank_admitted": Event(
+        meaning="all new requests of a rank are admitted again",
+        fields=("model", "rank", "share", "wanted", "capacity"),
+    ),
     "load_hub_silent": Event(
         meaning="the node that sums up the requests in flight is silent; another one is chosen",
         fields=("hub",),
--- a/basilpost/gateway/answer_sinks.py
+++ b/basilpost/gateway/answer_sinks.py
@@ -158,6 +158,7 @@
         has_gap: True if the current target skipped an event.
         abandoned: True if this node closed the connection to the current target because it stalled.
         event_count: Number of events forwarded.
+        first_event_at: When the first event of the stream came, whichever target sent it; None before.
         writing_since: When the current target sent its first event, on `clock.elapsed`; None before.
     """
 
@@ -182,6 +183,7 @@
         self._unsent_bytes = 0
         self._waits_for_caller = False
         self._looks_while_waiting = 0
+        self.first_event_at: float | None = None
         self.writing_since: float | None = None
         self._reply = reply
         self._dialect = dialect
@@ -227,6 +229,8 @@
         if new_events.count:
             if self.writing_since is None:
                 self.writing_since = clock.elapsed()
+                if self.first_event_at is None:
+                    self.first_event_at = self.writing_since
             self._send_head()
             self._reply.send_piece(new_events.data)
             self._unsent_bytes += len(new_events.data)
--- a/basilpost/gateway/attempts.py
+++ b/basilpost/gateway/attempts.py
@@ -74,6 +74,10 @@
         unreached_targets: Those of `tried_targets` to which this node could open no connection.
         tried_nodes: Ids of the nodes that could not send it for this node.
         detour_node: Id of the node that sent it last for this node, empty if none did.
+        predicted_seconds: Predicted time from the last send to the first event of its stream, 0 if it is
+            not known.
+        sent_at: When it was sent last, on `clock.elapsed`.
+        first_event_at: When the first event of its stream came, None before.
         may_move: True if another node, for which this one sends it, resumes it when it is broken off.
     """
 
@@ -88,6 +92,9 @@
     unreached_targets: set[str] = dataclasses.field(default_factory=set)
     tried_nodes: set[str] = dataclasses.field(default_factory=set)
     detour_node: str = ""
+    predicted_seconds: float = 0.0
+    sent_at: float = 0.0
+    first_event_at: float | None = None
     may_move: bool = False
 
     @functools.cached_property
--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -20,6 +20,7 @@
     detour_headers,
     detours,
     inbound,
+    load_control,
     loss_probe,
     request_admission,
     target_choice,
@@ -76,12 +77,15 @@
         runner_departures: departures.Departures,
         reachability: reachability_.Reachability,
         node_detours: detours.Detours,
+        control: load_control.LoadControl,
         rng: random.Random,
         log: Any,
     ) -> None:
         self.stall_detector = stall_detector_.StallDetector()
+        self.stall_detector.finds_single_streams = control.enabled
         self._dialect = dialect
         self._loads = loads
+        self._control = control
         self._budgets = budgets
         self._crashes = crashes
         self._reachability = reachability
@@ -97,6 +101,7 @@
             limits=limits,
             runner_pauses=runner_pauses,
             runner_departures=runner_departures,
+            control=control,
             rng=rng,
         )
         self.sender = target_sender.TargetSender(
@@ -133,6 +138,9 @@
     ) -> attempts.WholeAnswer | failure.Refusal:
         """Returns the complete answer of a target, or a refusal at the latest at the deadline."""
         self._count_arrival(progress)
+        refusal = self._control.admit(progress)
+        if refusal is not None:
+            return refusal
         try:
             async with asyncio.timeout(max(0.0, request_admission.seconds_left(progress.admitted))):
                 return await self._fetch(progress, request)
@@ -180,6 +188,9 @@
         be completed is aborted and `BrokenOff` is returned.
         """
         self._count_arrival(progress)
+        refusal = self._control.admit(progress)
+        if refusal is not None:
+            return refusal
         sink = self._stream_sink(progress, reply)
         try:
             async with asyncio.timeout(max(0.0, request_admission.seconds_left(progress.admitted))):
@@ -187,6 +198,7 @@
         except TimeoutError:
             result = attempts.deadline_refusal(progress)
         finally:
+            progress.first_event_at = sink.first_event_at
             sink.discard()
         if reply.started and not isinstance(result, attempts.Streamed):
             reply.abort()
--- a/basilpost/gateway/relay.py
+++ b/basilpost/gateway/relay.py
@@ -20,6 +20,7 @@
     detours,
     forwarding,
     inbound,
+    load_control,
     request_admission,
     request_recorder,
 )
@@ -113,6 +114,7 @@
             runner_departures=kernel.find(names.DEPARTURES, departures.Departures),
             reachability=self._reachability,
             node_detours=self._detours,
+            control=kernel.find(names.LOAD_CONTROL, load_control.LoadControl),
             rng=rng,
             log=kernel.log,
         )
--- a/basilpost/gateway/request_recorder.py
+++ b/basilpost/gateway/request_recorder.py
@@ -91,6 +91,11 @@
                 "sends": progress.sends,
                 "rejections": progress.rejections,
             }
+            if progress.first_event_at is not None:
+                fields["first_event_ms"] = _ms(progress.first_event_at - request.received_at)
+                # From the last send on, to compare both.
+                fields["after_send_ms"] = _ms(progress.first_event_at - progress.sent_at)
+                fields["predicted_ms"] = _ms(progress.predicted_seconds)
             if progress.detour_node:
                 fields["detour_node"] = progress.detour_node
         if summary.cause:
@@ -110,6 +115,10 @@
         )
 
 
+def _ms(seconds: float) -> int:
+    return round(seconds * 1000)
+
+
 def _age_ms(seconds: float) -> int | None:
     """Returns whole milliseconds, None for the infinite age of a view that was never read."""
     return round(seconds * 1000) if seconds < 1e9 else None
--- a/basilpost/gateway/stall_detector.py
+++ b/basilpost/gateway/stall_detector.py
@@ -23,6 +23,11 @@
 # How long a suspected target gets no new requests unless an event arrives from it. If the target is
 # gone, its VM entry has expired by then.
 SUSPECT_MEMORY_SECONDS = 4.0
+# A single stream that has begun and is silent for this long, while its target sends events of others, is
+# stalled: an engine advances all streams of its batch together.
+SINGLE_STALL_SECONDS = 0.5
+# The same for a stream without an event, although one that was sent to the target later has begun.
+OVERTAKEN_SECONDS = 1.0
 CHECK_SECONDS = 0.05
 # After a longer gap between two checks this process was itself delayed, and the silence says nothing
 # about the targets.
@@ -42,6 +47,7 @@
         count: Returns the number of events of the stream so far, over all its targets.
         last_count: Result of `count` at the last check.
         last_event_at: When the last event arrived; before the first event, when the watch started.
+        began_at: When the watch started.
         has_begun: True once an event arrived from this target.
     """
 
@@ -50,6 +56,7 @@
     count: Callable[[], int]
     last_count: int
     last_event_at: float
+    began_at: float
     has_begun: bool = False
 
 
@@ -59,9 +66,12 @@
     Attributes:
         active_elsewhere: Returns those of the given target ids from which other nodes received an
             event a moment ago.
+        finds_single_streams: True to find single streams that have stalled at a target that sends
+            events of others, as one does that hangs on a part of its requests.
     """
 
     def __init__(self) -> None:
+        self.finds_single_streams = False
         self.active_elsewhere: Callable[[Iterable[str]], frozenset[str]] = lambda _: frozenset()
         self._watches_by_target: dict[str, set[WatchedStream]] = {}
         self._suspected_at: dict[str, float] = {}
@@ -76,6 +86,7 @@
             count=count,
             last_count=count(),
             last_event_at=clock.elapsed(),
+            began_at=clock.elapsed(),
         )
         self._watches_by_target.setdefault(target_id, set()).add(watch)
         return watch
@@ -141,15 +152,46 @@
             if silence_seconds > STALL_SECONDS
             for watch in self._watches_by_target[target_id]
         ]
+        if self.finds_single_streams:
+            stalled += self._single_stalled(now, active)
         for watch in stalled:
             watch.on_stall()
 
+    def _single_stalled(self, now: float, active: frozenset[str]) -> list[WatchedStream]:
+        """Returns the streams that have stalled although their target sends events of others."""
+        return [
+            watch
+            for target_id, watches in self._watches_by_target.items()
+            for watch in watches
+            if _has_stalled_alone(watch, watches, now, is_active=target_id in active)
+        ]
+
     def _restart_silence(self, now: float) -> None:
         for watches in self._watches_by_target.values():
             for watch in watches:
                 watch.last_event_at = now
 
 
+def _has_stalled_alone(
+    watch: WatchedStream, watches: set[WatchedStream], now: float, *, is_active: bool
+) -> bool:
+    """Returns True if a stream is silent although its target sends events of other streams.
+
+    Args:
+        watch: The stream.
+        watches: All streams that this node reads from the target.
+        now: The current time on `clock.elapsed`.
+        is_active: True if other nodes receive events from the target.
+    """
+    silence_seconds = now - watch.last_event_at
+    others = [other for other in watches if other is not watch and other.has_begun]
+    if watch.has_begun:
+        hears_others = any(now - other.last_event_at < SUSPECT_SECONDS for other in others)
+        return silence_seconds > SINGLE_STALL_SECONDS and (is_active or hears_others)
+    overtaken = any(other.began_at > watch.began_at for other in others)
+    return silence_seconds > OVERTAKEN_SECONDS and (is_active or overtaken)
+
+
 def _record_new_events(watch: WatchedStream, now: float) -> bool:
     """Records events that arrived since the last check; returns True if there were any."""
     count = watch.count()
--- a/basilpost/gateway/stall_detector_test.py
+++ b/basilpost/gateway/stall_detector_test.py
@@ -115,3 +115,60 @@
     detector.active_elsewhere = lambda _: frozenset()
     time.run(detector, 0.1)
     assert stream.stall_calls
+
+
+@pytest.fixture
+def single_detector(detector):
+    detector.finds_single_streams = True
+    return detector
+
+
+def test_a_request_that_hangs_at_a_target_that_serves_others_is_stalled(single_detector, time):
+    """Without this its caller waits until it gives up."""
+    hanging = Stream(single_detector, "t")
+    time.run(single_detector, 0.1)
+    later = Stream(single_detector, "t")
+    time.run(single_detector, 0.8, later)
+    assert not hanging.stall_calls
+    time.run(single_detector, 0.3, later)
+    assert hanging.stall_calls
+    assert not later.stall_calls
+    assert not single_detector.suspects()
+
+
+def test_a_request_that_others_have_not_overtaken_may_wait_in_the_targets_queue(
+    single_detector, time
+):
+    earlier = Stream(single_detector, "t")
+    time.run(single_detector, 0.1, earlier)
+    queued = Stream(single_detector, "t")
+    time.run(single_detector, 3.0, earlier)
+    assert not queued.stall_calls
+
+
+def test_a_request_that_hangs_is_found_by_the_events_that_other_nodes_receive(
+    single_detector, time
+):
+    single_detector.active_elsewhere = lambda targets: frozenset({"t"})
+    hanging = Stream(single_detector, "t")
+    time.run(single_detector, 0.9)
+    assert not hanging.stall_calls
+    time.run(single_detector, 0.2)
+    assert hanging.stall_calls
+
+
+def test_a_stream_that_stops_midway_is_stalled_and_one_that_is_slow_is_not(single_detector, time):
+    slow, stopped, other = (Stream(single_detector, "t") for _ in range(3))
+    time.run(single_detector, 0.1, slow, stopped, other)
+    for _ in range(5):
+        time.run(single_detector, 0.4, other)
+        time.run(single_detector, 0.05, slow, other)
+    assert stopped.stall_calls
+    assert not slow.stall_calls
+
+
+def test_single_streams_are_not_looked_for_unless_the_deployment_asks(detector, time):
+    hanging = Stream(detector, "t")
+    other = Stream(detector, "t")
+    time.run(detector, 5.0, other)
+    assert not hanging.stall_calls
--- a/basilpost/gateway/target_choice.py
+++ b/basilpost/gateway/target_choice.py
@@ -10,7 +10,8 @@
 from collections.abc import Iterable, Sequence
 
 from basilpost.core import clock, failure
-from basilpost.gateway import attempts, request_admission
+from basilpost.gateway import attempts, load_control, request_admission
+from basilpost.members import answer_evidence
 from basilpost.members import loads as loads_
 from basilpost.routing import (
     cold,
@@ -50,6 +51,7 @@
         limits: named_limits.NamedLimits,
         runner_pauses: pauses.RunnerPauses,
         runner_departures: departures.Departures,
+        control: load_control.LoadControl,
         rng: random.Random,
     ) -> None:
         self._failure_domain = failure_domain
@@ -59,12 +61,16 @@
         self._limits = limits
         self._pauses = runner_pauses
         self._departures = runner_departures
+        self._control = control
+        control.usable_targets = self.count_usable
         self._rng = rng
         self._cold = cold.ColdStartLimiter(node_id=node_id)
         self._unreachable = unreachable.UnreachableTargets()
 
     async def wait(self, progress: attempts.Progress) -> targets_.Target | failure.Refusal:
         """Returns a target with a free slot, waiting for one up to `WAIT_SHARE` of the objective."""
+        if self._control.enabled:
+            return await self._control.wait(progress, lambda: self.choose(progress))
         admitted = progress.admitted
         wait_until = clock.elapsed() + admitted.route.objective * WAIT_SHARE
         while True:
@@ -103,14 +109,9 @@
         # A group that lost a member is suspected unless some node still receives events from it.
         incomplete = frozenset(target.target_id for target in untried if not target.complete)
         if incomplete:
-            suspects |= incomplete - self._loads.writing_among(incomplete)
+            suspects |= self._doubtful(incomplete)
         candidates = [self._candidate(admitted, target, suspects) for target in untried]
-        chosen = placement.choose_target(
-            candidates,
-            failure_domain=self._failure_domain,
-            rng=self._rng,
-            stale=self._loads.are_stale,
-        )
+        chosen = self._place(admitted, candidates)
         if chosen is not None:
             return chosen
         return (
@@ -196,13 +197,57 @@
         ]
         suspects = self._suspects_among(untried)
         candidates = [self._candidate(admitted, target, suspects) for target in untried]
-        return placement.choose_target(
-            filter(placement.has_light_load, candidates),
+        return self._place(admitted, filter(placement.has_light_load, candidates))
+
+    def _place(
+        self,
+        admitted: request_admission.AdmittedRequest,
+        candidates: Iterable[placement.Candidate],
+    ) -> targets_.Target | None:
+        """Returns one of the candidates with room, None if there is none."""
+        if not (self._control.enabled and self._loads.are_stale):
+            return placement.choose_target(
+                candidates,
+                failure_domain=self._failure_domain,
+                rng=self._rng,
+                stale=self._loads.are_stale,
+            )
+        service, model = admitted.service.name, admitted.call.model
+        candidates = tuple(candidates)
+        known = max(1, len(self._targets.matching(service, model)))
+        arrived = self._control.arrivals_per_second(service, model) * self._loads.seconds_old
+        return placement.draw_target(
+            candidates,
             failure_domain=self._failure_domain,
+            expected_arrivals=arrived * len(candidates) / known,
             rng=self._rng,
-            stale=True,
         )
 
+    def _doubtful(self, incomplete: frozenset[str]) -> frozenset[str]:
+        """Returns those of the incomplete groups that have probably lost a member."""
+        doubtful = incomplete - self._loads.writing_among(incomplete)
+        if not self._control.enabled:
+            return doubtful
+        since = clock.elapsed() - answer_evidence.ANSWERED_AFTER_LOSS_SECONDS
+        return frozenset(
+            target_id
+            for target_id in doubtful
+            if (self._loads.answered_at(target_id) or 0.0) < since
+        )
+
+    def count_usable(self, service: str, model: str) -> int:
+        """Returns the number of targets that process requests of this node's callers now."""
+        known = [
+            target
+            for target in self._targets.matching(service, model)
+            if self._departures.may_send(target.lifetime) and self._pauses.may_send(target.lifetime)
+        ]
+        suspects = self._suspects_among(known)
+        suspects |= self._doubtful(
+            frozenset(target.target_id for target in known if not target.complete)
+        )
+        return sum(target.target_id not in suspects for target in known)
+
     def _suspects_among(self, targets: Iterable[targets_.Target]) -> frozenset[str]:
         """Returns those of the targets that have stopped answering, crashed or refuse connections.
 
@@ -222,13 +267,15 @@
         suspects: frozenset[str],
     ) -> placement.Candidate:
         target_id, node_ids = target.target_id, self._loads.node_ids()
+        in_flight = self._loads.total_in_flight(target_id)
         return placement.Candidate(
             target=target,
-            in_flight=self._loads.total_in_flight(target_id),
+            in_flight=in_flight,
             stalled=target_id in suspects
             or self._pauses.is_told(target.lifetime)
             or self._departures.is_leaving(target.lifetime),
             may_send=self._departures.may_send(target.lifetime)
+            and self._control.fits_memory(admitted, in_flight=in_flight)
             and self._pauses.may_send(target.lifetime)
             and self._limits.may_send(target.lifetime, node_ids=node_ids)
             and (
--- a/basilpost/gateway/target_sender.py
+++ b/basilpost/gateway/target_sender.py
@@ -13,12 +13,13 @@
     answer_sinks,
     attempts,
     inbound,
+    load_control,
     request_admission,
     target_choice,
 )
 from basilpost.members import loads as loads_
 from basilpost.members import reachability as reachability_
-from basilpost.routing import departures, header_dialect, named_limits, pauses
+from basilpost.routing import departures, header_dialect, named_limits, pauses, workload
 from basilpost.routing import targets as targets_
 
 # Longest time for opening a connection to a target.
@@ -101,6 +102,8 @@
         """Sends a request to a target and reads the answer into the sink."""
         progress.target, progress.address = target.target_id, target.address
         progress.detour_node = ""
+        progress.sent_at = clock.elapsed()
+        progress.predicted_seconds = self._predict_seconds(progress, target)
         progress.tried_targets.add(target.target_id)
         # Counted before the connection is open, so that other requests see that the room is taken.
         self._loads.request_started(target.target_id)
@@ -110,6 +113,17 @@
         finally:
             self._loads.request_ended(target.target_id)
 
+    def _predict_seconds(self, progress: attempts.Progress, target: targets_.Target) -> float:
+        """Returns the predicted time to the first event, 0 for plain services."""
+        admitted = progress.admitted
+        model = load_control.find_model(admitted)
+        if model is None or admitted.service.engine is None:
+            return 0.0
+        in_flight = self._loads.total_in_flight(target.target_id)
+        return workload.first_event_seconds(
+            admitted.call, admitted.service.engine, model, in_flight=in_flight
+        )
+
     async def _exchange(
         self,
         progress: attempts.Progress,
--- a/basilpost/groups/pool.py
+++ b/basilpost/groups/pool.py
@@ -27,6 +27,7 @@
     spares,
     weight_loads,
 )
+from basilpost.members import answer_evidence
 
 # An order whose effect is not reported is sent again after this time; runners report effects at
 # once.
@@ -49,6 +50,7 @@
     )
     models_by_name = {model.name: model for model in view.models}
     groups = reported_groups.from_vms(view.vms, models_by_name)
+    state = _with_incomplete(view, groups, state)
     state = rebalancing.rebalance(view, groups, _updated(view, groups, state))
     due = list(_group_orders(view, groups, state))
     forming_ids = {
@@ -155,8 +157,22 @@
         dissolving_since_by_group={
             group.name: state.dissolving_since_by_group.get(group.name, view.now)
             for group in groups
-            if group.name not in forming and _can_no_longer_serve(view, group)
+            if group.name not in forming and _can_no_longer_serve(view, group, state)
         },
+        incomplete_since_by_group=state.incomplete_since_by_group,
+    )
+
+
+def _with_incomplete(
+    view: pool_state.View,
+    groups: tuple[reported_groups.ReportedGroup, ...],
+    state: pool_state.State,
+) -> pool_state.State:
+    """Returns the state with the times since when groups have lacked the entry of a member."""
+    since = state.incomplete_since_by_group
+    incomplete = [group.name for group in groups if not group.complete]
+    return dataclasses.replace(
+        state, incomplete_since_by_group={name: since.get(name, view.now) for name in incomplete}
     )
 
 
@@ -194,10 +210,12 @@
     )
 
 
-def _can_no_longer_serve(view: pool_state.View, group: reported_groups.ReportedGroup) -> bool:
+def _can_no_longer_serve(
+    view: pool_state.View, group: reported_groups.ReportedGroup, state: pool_state.State
+) -> bool:
     """Returns True if the group can no longer serve requests; its members will soon be free."""
     if not group.complete:
-        return not _still_serves(view, group)
+        return not _still_serves(view, group, state)
     return group.state is catalog.MemberState.BROKEN or _has_broken_member(group)
 
 
@@ -264,7 +282,7 @@
     for group in groups:
         if group.name in state.forming_by_group:
             continue
-        if not group.complete and _still_serves(view, group):
+        if not group.complete and _still_serves(view, group, state):
             continue
         if not group.complete or group.state is catalog.MemberState.BROKEN:
             yield from _dissolution_orders(group)
@@ -278,13 +296,23 @@
             yield from _dissolution_orders(group)
 
 
-def _still_serves(view: pool_state.View, group: reported_groups.ReportedGroup) -> bool:
-    """Returns True if an incomplete group still answers requests.
+def _still_serves(
+    view: pool_state.View, group: reported_groups.ReportedGroup, state: pool_state.State
+) -> bool:
+    """Returns True if an incomplete group still answers requests, or did a moment ago.
 
     The missing member is then only cut off from the store, so that its entry expired, and still
     works: without it the head could not answer.
     """
-    return group.state is catalog.MemberState.OPEN and group.name in view.answering
+    if group.state is not catalog.MemberState.OPEN:
+        return False
+    if group.name in view.answering:
+        return True
+    return group.name not in view.stalled and answer_evidence.proves_service(
+        view.answered_at_by_group.get(group.name),
+        incomplete_since=state.incomplete_since_by_group.get(group.name, view.now),
+        now=view.now,
+    )
 
 
 def _all_ready(group: reported_groups.ReportedGroup) -> bool:
--- a/basilpost/groups/pool_controller.py
+++ b/basilpost/groups/pool_controller.py
@@ -73,10 +73,17 @@
         kernel: The node's kernel.
         incarnation: Unique id of this process.
         unlimited_load_seconds: Time after the start without a limit on loads; 0 on a restart.
+        keeps_answering_groups: True to keep a group without the entry of a member that answered a
+            moment ago, False to keep it only while it is answering.
     """
 
     def __init__(
-        self, *, kernel: kernel.Kernel, incarnation: str, unlimited_load_seconds: float
+        self,
+        *,
+        kernel: kernel.Kernel,
+        incarnation: str,
+        unlimited_load_seconds: float,
+        keeps_answering_groups: bool = False,
     ) -> None:
         self.may_probe: Callable[[catalog.Vm], bool] = lambda vm: True
         self._log = kernel.log
@@ -95,6 +102,7 @@
             seconds=LEASE_SECONDS,
             is_first_start=unlimited_load_seconds > 0.0,
         )
+        self._keeps_answering_groups = keeps_answering_groups
         self._unlimited_loads_until = clock.elapsed() + unlimited_load_seconds
         self._changed = asyncio.Event()
         self._state_by_service: dict[str, pool_state.State] = {}
@@ -246,6 +254,8 @@
             loads_at_once=self._loads_at_once(engine),
             unresponsive=frozenset(self._unresponsive()),
             answering=self._names_of(groups, self._loads.writing_among),
+            answered_at_by_group=self._answered_at_by_group(groups),
+            stalled=self._names_of(groups, self._loads.stalled_among),
             changed_at_by_vm={
                 reported_groups.lifetime_id(seen.vm): seen.seen_at for seen in service_vms
             },
@@ -277,6 +287,19 @@
         names_by_target = {group.target_id: group.name for group in groups if group.target_id}
         return frozenset(names_by_target[target_id] for target_id in select(names_by_target))
 
+    def _answered_at_by_group(
+        self, groups: Iterable[reported_groups.ReportedGroup]
+    ) -> dict[str, float]:
+        """Returns when the groups that lack the entry of a member were last seen to answer."""
+        if not self._keeps_answering_groups:
+            return {}
+        answered_at_by_name = {
+            group.name: self._loads.answered_at(group.target_id)
+            for group in groups
+            if group.target_id and not group.complete
+        }
+        return {name: at for name, at in answered_at_by_name.items() if at is not None}
+
     def _probe_stalled_groups(self, stalled: frozenset[str], vms: tuple[catalog.Vm, ...]) -> None:
         """Starts to probe the members of stalled groups that were not probed a short time ago."""
         now = clock.elapsed()
--- a/basilpost/groups/pool_state.py
+++ b/basilpost/groups/pool_state.py
@@ -22,6 +22,9 @@
         loads_at_once: Loads that the weight store bears at the same time; None for any number.
         unresponsive: Lifetime ids of VMs that answered no probe while their group made no progress.
         answering: Names of groups from which nodes are receiving answers at this moment.
+        answered_at_by_group: When nodes last saw a group answer, by group name; empty if groups are to
+            be kept only while they are answering.
+        stalled: Names of groups that have stopped sending their answers.
         changed_at_by_vm: Time of the last reported change, where known, by lifetime id. With it a
             new controller does not repeat waits that its predecessor has completed.
     """
@@ -36,6 +39,8 @@
     loads_at_once: int | None = None
     unresponsive: frozenset[str] = frozenset()
     answering: frozenset[str] = frozenset()
+    answered_at_by_group: dict[str, float] = dataclasses.field(default_factory=dict)
+    stalled: frozenset[str] = frozenset()
     changed_at_by_vm: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
@@ -71,6 +76,7 @@
         shortage_since: Since when some model has been short of groups; None while none is.
         dissolving_since_by_group: Since when each group that can no longer serve is being
             dissolved.
+        incomplete_since_by_group: Since when the entry of a member of a group has been missing.
     """
 
     last_order_by_vm: dict[str, SentOrder] = dataclasses.field(default_factory=dict)
@@ -82,6 +88,7 @@
     donor_groups: frozenset[str] = frozenset()
     shortage_since: float | None = None
     dissolving_since_by_group: dict[str, float] = dataclasses.field(default_factory=dict)
+    incomplete_since_by_group: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/basilpost/groups/pool_test.py
+++ b/basilpost/groups/pool_test.py
@@ -341,6 +341,38 @@
     assert order_texts(pool.decide(view(vms), pool_state.State())) == ["leave 7-0 large--7"]
 
 
+def evidence_view(vms, *, now, answered_at, stalled=()):
+    return dataclasses.replace(
+        view(vms, now=now),
+        answered_at_by_group={"large--7": answered_at},
+        stalled=frozenset(stalled),
+    )
+
+
+def test_a_group_that_answered_after_a_member_fell_silent_is_kept_although_it_is_idle_now():
+    """Entries of many cut off runners expire together; most of their groups have no answer under way."""
+    vms = group("7", [OPEN, None, READY])
+    decision = pool.decide(evidence_view(vms, now=100.0, answered_at=99.0), pool_state.State())
+    assert order_texts(decision) == []
+    later = pool.decide(evidence_view(vms, now=103.0, answered_at=101.0), decision.state)
+    assert order_texts(later) == []
+
+
+def test_a_group_that_has_answered_nothing_since_a_member_fell_silent_is_dissolved():
+    vms = group("7", [OPEN, None, READY])
+    decision = pool.decide(evidence_view(vms, now=100.0, answered_at=98.0), pool_state.State())
+    assert order_texts(decision) == ["leave 7-0 large--7"]
+
+
+def test_a_group_without_the_entry_of_a_member_has_to_be_seen_to_answer_again():
+    vms = group("7", [OPEN, None, READY])
+    decision = pool.decide(evidence_view(vms, now=100.0, answered_at=99.5), pool_state.State())
+    stalled = evidence_view(vms, now=101.0, answered_at=99.5, stalled={"large--7"})
+    assert order_texts(pool.decide(stalled, decision.state)) == ["leave 7-0 large--7"]
+    silent = evidence_view(vms, now=103.0, answered_at=99.5)
+    assert order_texts(pool.decide(silent, decision.state)) == ["leave 7-0 large--7"]
+
+
 def test_a_group_whose_heads_entry_has_expired_is_not_kept():
     vms = group("7", [None, READY, READY])
     pool_view = dataclasses.replace(view(vms), answering=frozenset({"large--7"}))
--- a/basilpost/members/loads.py
+++ b/basilpost/members/loads.py
@@ -19,7 +19,7 @@
 import xxhash
 
 from basilpost.core import clock, hashing, kernel, names, tasks
-from basilpost.members import demand, feed, node_table, peers
+from basilpost.members import answer_evidence, demand, feed, node_table, peers, rank_demand
 
 # Interval of reports; requests last a second or more, so counts of this age are nearly exact.
 REPORT_SECONDS = 0.15
@@ -88,6 +88,8 @@
 
     Attributes:
         demand_meter: Measures the demand at this node.
+        rank_demand_meter: Measures the demand by rank at this node; without arrivals it reports nothing.
+        evidence: When targets were last seen to answer.
         local_stalled: Returns the targets that this node sees as stalled; set by the owner.
         local_writing: Returns the targets that have just sent something to this node; set by the
             owner.
@@ -115,6 +117,9 @@
         self._demand_by_others: dict[str, demand.ModelDemand] = {}
         self._node_ids: frozenset[str] | None = None
         self.demand_meter = demand.DemandMeter()
+        self.rank_demand_meter = rank_demand.RankDemandMeter()
+        self.evidence = answer_evidence.AnswerEvidence()
+        self._listeners: list[Callable[[], None]] = []
         self.local_stalled: Callable[[], Iterable[str]] = tuple
         self.local_writing: Callable[[], Iterable[str]] = tuple
         self._table.subscribe(self._clear_node_ids)
@@ -143,6 +148,15 @@
             self._own[short] = left
         else:
             self._own.pop(short, None)
+        self._tell_listeners()
+
+    def subscribe(self, listener: Callable[[], None]) -> None:
+        """Calls the listener when a target may have more room than before."""
+        self._listeners.append(listener)
+
+    def _tell_listeners(self) -> None:
+        for listener in self._listeners:
+            listener()
 
     def own_in_flight(self, target_id: str) -> int:
         """Returns this node's requests in flight at a target."""
@@ -176,10 +190,32 @@
         local = frozenset(self.local_writing())
         return self.writing_elsewhere_among(target_ids) | local.intersection(target_ids)
 
+    def answered_at(self, target_id: str) -> float | None:
+        """Returns when some node last saw a target answer, None if none did."""
+        if target_id in self.local_writing():
+            return clock.elapsed()
+        return self.evidence.answered_at(short_id(target_id))
+
     def demand_by_model(self) -> dict[str, demand.ModelDemand]:
         """Returns the demand by model, of all nodes whose reports arrive."""
         return _combined_demand([self.demand_meter.read(), self._demand_by_others])
 
+    def rank_demand_by_key(self) -> dict[rank_demand.RankKey, rank_demand.RankDemand]:
+        """Returns the demand by model and rank, of all nodes whose reports arrive.
+
+        Without any report of others, the demand at each of them is taken to be that at this node.
+        """
+        own = self.rank_demand_meter.read()
+        if self._demand_by_others or self.node_count() == 1:
+            return rank_demand.by_key(_combined_demand([own, self._demand_by_others]))
+        return rank_demand.by_key(_combined_demand([own] * self.node_count()))
+
+    @property
+    def seconds_old(self) -> float:
+        """Returns how old the counts of the other nodes are at most, while reports arrive."""
+        # An interval passes before each report on the way: one in a full mesh, three over hubs.
+        return REPORT_SECONDS if not self.are_stale else 3 * HUB_REPORT_SECONDS
+
     @property
     def are_stale(self) -> bool:
         """Returns True if counts come over several hops and are older than in a full mesh."""
@@ -208,18 +244,24 @@
     # Reports from other nodes: kept by sender, and summed up for this node's decisions.
 
     async def _on_report(self, sender: str, report: LoadReport) -> None:
-        self._reports_by_node[sender] = _Received(report=report, at=clock.elapsed())
+        self._reports_by_node[sender] = self._received(report)
         if self._feed.is_full_mesh:
             self._update_totals()
 
     async def _on_hub_load(self, sender: str, message: HubLoad) -> None:
-        self._sums_by_hub[sender] = _Received(report=message.report, at=clock.elapsed())
+        self._sums_by_hub[sender] = self._received(message.report)
 
     async def _on_fleet_load(self, sender: str, message: FleetLoad) -> None:
         if sender == self._hub:
-            self._fleet = _Received(report=message.report, at=clock.elapsed())
+            self._fleet = self._received(message.report)
             self._update_totals()
 
+    def _received(self, report: LoadReport) -> _Received:
+        """Returns a report with the time, after recording which targets it saw answer."""
+        now = clock.elapsed()
+        self.evidence.record(report.writing, now)
+        return _Received(report=report, at=now)
+
     def _update_totals(self) -> None:
         """Adds up the latest reports of the other nodes."""
         fleet = self._fleet
@@ -234,6 +276,7 @@
         self._stalled_by_others = frozenset(total.stalled)
         self._writing_by_others = frozenset(total.writing)
         self._demand_by_others = total.demand_by_model
+        self._tell_listeners()
 
     def _reports(self) -> list[LoadReport]:
         received = (*self._reports_by_node.values(), *self._sums_by_hub.values())
@@ -254,8 +297,10 @@
                 in_flight_by_target=dict(self._own),
                 stalled=tuple(sorted(map(short_id, self.local_stalled()))),
                 writing=tuple(sorted(map(short_id, self.local_writing()))),
-                demand_by_model=measured,
+                demand_by_model=measured | self.rank_demand_meter.read(),
             )
+            self.evidence.record(report.writing, now)
+            self.evidence.drop_old(now)
             if mesh:
                 self._broadcast_report(report, now)
             elif self._feed.is_watcher:
--- a/basilpost/node/pool_assembly.py
+++ b/basilpost/node/pool_assembly.py
@@ -7,7 +7,7 @@
 
 from basilpost.core import kernel as kernel_
 from basilpost.core import names
-from basilpost.gateway import relay
+from basilpost.gateway import load_control, relay
 from basilpost.groups import pool_controller, reported_groups
 from basilpost.members import (
     feed,
@@ -20,8 +20,8 @@
     streams,
 )
 from basilpost.node import metrics
+from basilpost.platform import contracts, headers, runner_client
 from basilpost.platform import decoder as platform_decoder
-from basilpost.platform import headers, runner_client
 from basilpost.platform import store as platform_store
 from basilpost.routing import crash_store, crashes, departures, named_limits, pauses, targets
 from basilpost.settings import pool_schema, schema
@@ -42,6 +42,7 @@
 def build(settings: pool_schema.PoolNodeSettings) -> kernel_.Kernel:
     """Returns the kernel of a node, with all services registered and none started."""
     kernel = kernel_.Kernel(node_id=settings.node_id)
+    controls_load = contracts.ask_for_load_control(settings.contracts)
     incarnation = uuid.uuid4().hex
     kernel.register(names.SETTINGS, _peer_settings(settings))
     kernel.register(
@@ -72,6 +73,7 @@
         kernel=kernel,
         incarnation=incarnation,
         unlimited_load_seconds=UNLIMITED_LOAD_SECONDS if settings.first_start else 0.0,
+        keeps_answering_groups=controls_load,
     )
     kernel.register(names.CONTROLLER, controller)
     kernel.register(names.LIMITS, named_limits.NamedLimits(kernel=kernel))
@@ -81,6 +83,9 @@
     kernel.register(names.DEPARTURES, departures.Departures(kernel=kernel))
     kernel.register(names.CRASHES, crashes.CrashTracker(kernel=kernel))
     kernel.register(names.CRASH_STORE, crash_store.CrashStore(kernel=kernel))
+    kernel.register(
+        names.LOAD_CONTROL, load_control.LoadControl(kernel=kernel, enabled=controls_load)
+    )
     kernel.register(names.RELAY, relay.Relay(kernel=kernel, settings=settings))
     kernel.register(
         "metrics",
--- a/basilpost/platform/decode.py
+++ b/basilpost/platform/decode.py
@@ -129,6 +129,7 @@
         loads_per_second=_number(raw, "loadsPerS"),
         loads_at_once=_integer(raw, "loads_at_once") if raw.get("loads_at_once") else None,
         open_seconds=_number(raw, "formMs") / _MS_PER_SECOND,
+        figures=_engine_figures(raw),
         models=tuple(
             catalog.Model(
                 name=_text(model, "name"),
@@ -144,6 +145,31 @@
     )
 
 
+def _engine_figures(raw: dict[str, Any]) -> catalog.EngineFigures | None:
+    """Decodes what an engine's work takes; None if a figure is missing or has no use."""
+    try:
+        figures = catalog.EngineFigures(
+            step_seconds=_number(raw, "step_ms") / _MS_PER_SECOND,
+            request_step_seconds=_number(raw, "per_seq_ms") / _MS_PER_SECOND,
+            context_step_seconds=_number(raw, "context_per_k") / _MS_PER_SECOND,
+            read_tokens_per_second=_number(raw, "read_per_s"),
+            pair_seconds=_number(raw, "pairs_per_m") / _MS_PER_SECOND,
+            steps_per_pass=_integer(raw, "stride"),
+            memory_tokens=_integer(raw, "kvCapacityTokens"),
+            usual_answer_tokens=_number(raw["usual"], "answer"),
+        )
+    except (KeyError, TypeError):
+        return None
+    positive = (
+        figures.step_seconds,
+        figures.read_tokens_per_second,
+        figures.steps_per_pass,
+        figures.memory_tokens,
+        figures.usual_answer_tokens,
+    )
+    return figures if all(value > 0 for value in positive) else None
+
+
 def _limits(raw: dict[str, Any]) -> catalog.Limits:
     return catalog.Limits(
         max_header_bytes=_integer(raw, "maxHeaderBytes"),
--- a/basilpost/platform/headers.py
+++ b/basilpost/platform/headers.py
@@ -15,6 +15,8 @@
 _TOKEN_COUNTS = "X-Token-Usage"
 # Parts of the prompt in order, each as its id, a colon and its number of tokens.
 _PROMPT_PARTS = "X-Prompt-Prefix"
+# The caller's estimate of the tokens of the answer.
+_ANSWER_ESTIMATE = "X-Length-Hint"
 _LAST_EVENT_ID = "Last-Event-Id"
 _WORKSPACE = "X-Tenant"
 _PRIORITY = "X-Request-Priority"
@@ -72,6 +74,7 @@
             max_answer_tokens=int(_number(answer) or 0),
             last_event_id=headers.get(_LAST_EVENT_ID, ""),
             prompt_parts=_part_ids(headers.get(_PROMPT_PARTS, "")),
+            expected_answer_tokens=int(_non_negative(headers.get(_ANSWER_ESTIMATE, "")) or 0),
         )
 
     def request_headers(
--- a/basilpost/routing/header_dialect.py
+++ b/basilpost/routing/header_dialect.py
@@ -21,6 +21,8 @@
             it resumes none.
         prompt_parts: Ids of the parts of the prompt in order. Requests share parts, except for the
             last one, which belongs to the request or to its session.
+        expected_answer_tokens: The caller's estimate of the answer's tokens, 0 without one. It is
+            right at the median and often far off.
     """
 
     request_id: str
@@ -31,6 +33,7 @@
     max_answer_tokens: int
     last_event_id: str
     prompt_parts: tuple[str, ...] = ()
+    expected_answer_tokens: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/basilpost/routing/placement.py
+++ b/basilpost/routing/placement.py
@@ -15,7 +15,7 @@
 import random
 from collections.abc import Callable, Iterable
 
-from basilpost.routing import targets
+from basilpost.routing import load_interpretation, targets
 
 # Cost of a target in another failure domain, in the same unit as the load (a share of its slots): the
 # longer way takes some milliseconds.
@@ -71,6 +71,34 @@
     return best.target if best is not None else None
 
 
+def draw_target(
+    candidates: Iterable[Candidate],
+    *,
+    failure_domain: str,
+    expected_arrivals: float,
+    rng: random.Random,
+) -> targets.Target | None:
+    """Returns a target with room, drawn so that all nodes together fill the targets evenly.
+
+    A target in another failure domain counts as if it had more requests, by `OTHER_DOMAIN_COST`.
+
+    Args:
+        candidates: The targets that have not been tried yet.
+        failure_domain: Failure domain of this node.
+        expected_arrivals: Requests that all nodes have sent to these targets since the counts were
+            taken; see `load_interpretation`.
+        rng: Source of the draw.
+    """
+    options = [candidate for candidate in candidates if candidate.may_send and has_room(candidate)]
+    options = [candidate for candidate in options if not candidate.stalled] or options
+    if not options:
+        return None
+    slots = max(1, max(candidate.target.slots for candidate in options))
+    cost = _cost_from(failure_domain)
+    counts = [(cost(candidate) - STALLED_COST * candidate.stalled) * slots for candidate in options]
+    return options[load_interpretation.draw(counts, expected_arrivals, rng)].target
+
+
 def has_light_load(candidate: Candidate) -> bool:
     """Returns True if a preferred target is to be used before all others."""
     return (
--- /dev/null
+++ b/basilpost/routing/rank_admission.py
@@ -0,0 +1,48 @@
+"""Decides which share of the requests of each rank is admitted while callers want more than there is.
+
+Load pattern: for some seconds callers ask for more than all targets of a model can process, because a
+burst arrives or targets were lost. If all are admitted, the targets fill up and each caller is served
+too late. If each node refuses whom it happens to find no room for, urgent requests pay for others. So
+the nodes add up what each rank wants, and all of them refuse the same shares at once, the least urgent
+ranks first, until what is left can be served in time.
+"""
+
+from collections.abc import Mapping
+
+# Share of the targets' work that is admitted. The rest absorbs what arrives unevenly, and serves
+# callers that return when they were told to.
+ADMITTED_UTILIZATION = 0.9
+# Share of each rank that is admitted however urgent the others are, so that none starves.
+FLOOR_SHARE = 0.1
+# Relative error of sums of work that arrived at many nodes.
+ROUNDING = 1e-9
+
+
+def admitted_shares(
+    wanted_by_rank: Mapping[int, float], *, capacity: float, utilization: float
+) -> dict[int, float]:
+    """Returns the share of the requests to admit, between 0 and 1, by rank.
+
+    Args:
+        wanted_by_rank: Work that arrives per second, in seconds of a target's work; rank 0 is the most
+            urgent.
+        capacity: Number of targets that process it.
+        utilization: Share of the capacity that may be used.
+    """
+    left = capacity * utilization
+    wanted = {rank: work for rank, work in wanted_by_rank.items() if work > 0.0}
+    if sum(wanted.values()) <= left:
+        return dict.fromkeys(wanted, 1.0)
+    floors = {rank: work * FLOOR_SHARE for rank, work in wanted.items()}
+    reserved = sum(floors.values())
+    if reserved >= left:
+        return {rank: FLOOR_SHARE * left / reserved for rank in wanted}
+    left -= reserved
+    shares = {}
+    for rank in sorted(wanted):
+        extra = min(wanted[rank] - floors[rank], left)
+        left -= extra
+        # A rank that gets all it wants has a share of exactly 1, whatever the rounding.
+        full = floors[rank] + extra >= wanted[rank] * (1.0 - ROUNDING)
+        shares[rank] = 1.0 if full else (floors[rank] + extra) / wanted[rank]
+    return shares
--- a/basilpost/settings/pool_schema.py
+++ b/basilpost/settings/pool_schema.py
@@ -43,6 +43,8 @@
         bounds: Service limits.
         source_host: IP address from which the node connects to targets, empty for the system's choice.
         log_level: debug, info, warning or error.
+        contracts: Parts of the platform's terms that are in force, by the platform's names; some of them
+            ask for features of the node.
     """
 
     node_id: str
@@ -58,6 +60,7 @@
     bounds: Bounds
     source_host: str = ""
     log_level: str = "info"
+    contracts: tuple[str, ...] = ()
 
     @property
     def detour_port(self) -> int:
--- a/tests/pool_nodes.py
+++ b/tests/pool_nodes.py
@@ -27,9 +27,14 @@
         kernels: The kernel of each node.
         links: The connections of each node to runners, which a test may cut.
         addresses: Each node's address for callers.
+
+    Args:
+        contracts: Parts of the platform's terms that are in force.
+        fleet: Arguments of the emulated platform.
     """
 
-    def __init__(self, **fleet):
+    def __init__(self, *, contracts=(), **fleet):
+        self._contracts = contracts
         self.fleet = pool_fleet.PoolFleet(**fleet)
         self.kernels = []
         self.links = []
@@ -62,6 +67,7 @@
             bounds=pool_schema.Bounds(
                 grace_seconds=GRACE_SECONDS, retry_share=0.2, retry_reserve=100
             ),
+            contracts=self._contracts,
         )
         kernel = pool_assembly.build(settings)
         self.kernels.append(kernel)
@@ -153,9 +159,9 @@
 
 
 @contextlib.asynccontextmanager
-async def running(*, nodes=1, **fleet):
+async def running(*, nodes=1, contracts=(), **fleet):
     """Starts an emulated platform with nodes in front of it and stops both at the end."""
-    bench = Nodes(**fleet)
+    bench = Nodes(contracts=contracts, **fleet)
     try:
         await bench.start(nodes=nodes)
         yield bench
--- a/tests/pool_process_test.py
+++ b/tests/pool_process_test.py
@@ -18,6 +18,7 @@
 PROGRAM = (sys.executable, "-m", "basilpost.node.pool_process")
 # Values that the platform fills into the template of a node's settings.
 PLATFORM_VALUES = {
+    "contracts": ["base", "platform"],
     "nodeName": "front-a-1",
     "zone": "a",
     "region": "r",
