--- a/basilpost/platform/decode_test.py
+++ b/basilpost/platform/decode_test.py
@@ -179,3 +179,41 @@
 def test_a_configuration_that_lacks_a_required_field_is_malformed(name):
     changed = {key: value for key, value in CONFIGURATION.items() if key != name}
     assert isinstance(decode.configuration(encode(changed)), decode.Malformed)
+
+
+FIGURES = {
+    "step_ms": 6.0,
+    "per_seq_ms": 0.5,
+    "context_per_k": 0.01,
+    "read_per_s": 46000.0,
+    "pairs_per_m": 0.7,
+    "stride": 5,
+    "kvCapacityTokens": 700000,
+    "usual": {"prompt": 841, "answer": 111},
+}
+
+
+def engine_with(**changes):
+    raw = json.loads(json.dumps(CONFIGURATION))
+    engine = next(entry["engine"] for entry in raw["services"] if entry.get("engine"))
+    engine.update(FIGURES | changes)
+    decoded = decode.configuration(json.dumps(raw).encode())
+    assert isinstance(decoded, catalog.Configuration)
+    return next(service.engine for service in decoded.services_by_name.values() if service.engine)
+
+
+def test_the_figures_of_an_engine_are_decoded():
+    figures = engine_with().figures
+    assert figures.step_seconds == pytest.approx(0.006)
+    assert figures.read_tokens_per_second == 46000.0
+    assert (figures.steps_per_pass, figures.memory_tokens) == (5, 700000)
+    assert figures.usual_answer_tokens == 111.0
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [{"step_ms": None}, {"read_per_s": 0.0}, {"usual": {}}, {"usual": None}, {"stride": "5"}],
+)
+def test_a_configuration_with_unusable_figures_holds_without_them(changes):
+    """They were not read before; a change of them must not cost the whole configuration."""
+    assert engine_with(**changes).figures is None
--- a/basilpost/platform/headers_test.py
+++ b/basilpost/platform/headers_test.py
@@ -1,5 +1,6 @@
 """Tests of the headers of requests and answers in both directions."""
 
+import pytest
 import tornado.httputil
 
 from basilpost.platform import headers
@@ -148,3 +149,11 @@
 
     assert leaving("1")
     assert not any(leaving(text) for text in ("", "0", "yes"))
+
+
+@pytest.mark.parametrize(
+    ("text", "tokens"), [("120", 120), ("", 0), ("x", 0), ("-5", 0), ("1e400", 0), ("nan", 0)]
+)
+def test_an_estimate_of_the_answer_that_is_no_number_counts_as_none(text, tokens):
+    sent = tornado.httputil.HTTPHeaders({"X-Length-Hint": text})
+    assert headers.PlatformDialect().parse_request(sent).expected_answer_tokens == tokens
