Demand by rank counts callers whose time budgets differ; first events are predicted with a learned offset

And the predicted first event lacked a nearly constant 130 ms of the engine.

Change: only a budget that is smaller by a sixth shows a return.

--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -281,6 +281,12 @@
             )
         finally:
             self.stall_detector.unwatch(watch)
+        if sink.writing_since is not None and progress.predicted_seconds:
+            self.sender.first_events.record(
+                progress.admitted.call.model,
+                predicted_seconds=progress.predicted_seconds,
+                seconds=sink.writing_since - progress.sent_at,
+            )
         if isinstance(result, channels.Head) and sink.is_stream and not sink.is_complete:
             result = attempts.Lost(reason=f"{source}: the stream ended within an event")
         if isinstance(result, attempts.Lost):
--- a/basilpost/gateway/load_control.py
+++ b/basilpost/gateway/load_control.py
@@ -106,9 +106,8 @@
         share = (
             shares.returning_by_rank if arrival is returns.Arrival.RETURNED else shares.by_rank
         ).get(key.rank, 1.0)
-        refused = self._rng.random() >= share
-        if arrival is returns.Arrival.AT_ONCE and shares.by_rank.get(key.rank, 1.0) < 1.0:
-            refused = True
+        period = returns.period_of(clock.wall_seconds())
+        refused = not returns.is_admitted(progress.fingerprint, arrival, share, period=period)
         work = workload.work_seconds(admitted.call, admitted.service.engine, model)
         if arrival is returns.Arrival.FIRST:
             self._loads.rank_demand_meter.count_arrival(key, work, refused=refused)
@@ -143,7 +142,7 @@
         self, admitted: request_admission.AdmittedRequest, arrival: returns.Arrival
     ) -> None:
         """Counts a request to a plain service, whose work is not known."""
-        if arrival is not returns.Arrival.AT_ONCE and admitted.service.engine is None:
+        if arrival is returns.Arrival.FIRST and admitted.service.engine is None:
             key = rank_demand.RankKey(model=admitted.service.name, rank=admitted.priority)
             self._loads.rank_demand_meter.count_arrival(key, 0.0, refused=False)
 
--- a/basilpost/gateway/target_sender.py
+++ b/basilpost/gateway/target_sender.py
@@ -19,7 +19,14 @@
 )
 from basilpost.members import loads as loads_
 from basilpost.members import reachability as reachability_
-from basilpost.routing import departures, header_dialect, named_limits, pauses, workload
+from basilpost.routing import (
+    departures,
+    first_events,
+    header_dialect,
+    named_limits,
+    pauses,
+    workload,
+)
 from basilpost.routing import targets as targets_
 
 # Longest time for opening a connection to a target.
@@ -51,6 +58,7 @@
     Attributes:
         pool: Connections to targets.
         in_flight: The requests that are sent now.
+        first_events: What the predicted times to first events lack.
     """
 
     def __init__(
@@ -68,6 +76,7 @@
     ) -> None:
         self.pool = channels.Pool(source_host=source_host)
         self.in_flight: set[InFlight] = set()
+        self.first_events = first_events.FirstEventOffsets()
         self._dialect = dialect
         self._loads = loads
         self._chooser = chooser
@@ -120,9 +129,10 @@
         if model is None or admitted.service.engine is None:
             return 0.0
         in_flight = self._loads.total_in_flight(target.target_id)
-        return workload.first_event_seconds(
+        predicted = workload.first_event_seconds(
             admitted.call, admitted.service.engine, model, in_flight=in_flight
         )
+        return self.first_events.correct(model.name, predicted) if predicted else 0.0
 
     async def _exchange(
         self,
--- a/basilpost/routing/returns.py
+++ b/basilpost/routing/returns.py
@@ -3,29 +3,32 @@
 Load pattern: a burst is refused and its callers come back together, while new ones keep arriving; and
 some callers ignore Retry-After and ask again at once. Returns are spread over the time that callers
 accept to wait. A caller that returns after that time finds a part of the room kept for it. One that
-asks again at once counts neither as new demand nor as a return, so it gains nothing and takes nothing
-from others.
+asks again at once meets the same decision at every node, so that asking often gains it nothing.
 """
 
 import enum
+import math
 import random
 
+import xxhash
+
 # Callers wait for as long as Retry-After says, up to a third of the time that they have left.
 ACCEPTED_WAIT_SHARE = 1.0 / 3.0
 # Share of that time after which the first callers may return. A shorter pause would bring them back
 # into the same overload.
-FIRST_RETURN_SHARE = 0.4
-# Share of its first time budget after which a repeated request is one that was told to return.
+FIRST_RETURN_SHARE = 0.5
+# Share of the largest time budget that a caller has spent if it was told to return. Budgets of first
+# attempts differ by some 15 parts in 100, so a smaller share says nothing.
 RETURNED_AFTER_SHARE = FIRST_RETURN_SHARE * ACCEPTED_WAIT_SHARE
-# Budgets of first attempts differ by rounding and by the time of their way.
-FIRST_ATTEMPT_SHARE = 0.02
+# Callers that repeat at once have given up, or returned as told, within this time.
+PERIOD_SECONDS = 4.0
+_HASH_RANGE = 1 << 64
 
 
 class Arrival(enum.Enum):
     """How often the caller of a request has asked, as its time budget shows."""
 
     FIRST = "first"
-    AT_ONCE = "at_once"
     RETURNED = "returned"
 
 
@@ -42,9 +45,7 @@
         largest = max(budget, self._largest_by_route.get(route, 0.0))
         self._largest_by_route[route] = largest
         spent = 1.0 - budget / largest
-        if spent <= FIRST_ATTEMPT_SHARE:
-            return Arrival.FIRST
-        return Arrival.RETURNED if spent >= RETURNED_AFTER_SHARE else Arrival.AT_ONCE
+        return Arrival.RETURNED if spent >= RETURNED_AFTER_SHARE else Arrival.FIRST
 
     def keep(self, routes: frozenset[str]) -> None:
         """Forgets all other routes."""
@@ -53,6 +54,26 @@
         }
 
 
+def is_admitted(fingerprint: str, arrival: Arrival, share: float, *, period: int) -> bool:
+    """Returns True for a share of the requests, and the same each time and at each node for one request.
+
+    The decision holds for a period, so that a request which many callers send is not always refused.
+
+    Args:
+        fingerprint: Identifies requests with the same workspace, path and body.
+        arrival: Whether the caller returns as it was told to; then the decision is a new one.
+        share: Share of the requests to admit.
+        period: Number of the period, see `period_of`.
+    """
+    text = f"{fingerprint} {arrival.value} {period}"
+    return xxhash.xxh3_64_intdigest(text.encode()) / _HASH_RANGE < share
+
+
+def period_of(wall_seconds: float) -> int:
+    """Returns the number of the period that a time of day lies in; nodes' clocks agree closely enough."""
+    return math.floor(wall_seconds / PERIOD_SECONDS)
+
+
 def retry_after(seconds_left: float, rng: random.Random) -> float:
     """Returns the seconds after which a refused caller may return, drawn anew for each caller.
 
