Predicted work is corrected by the requests that are in flight

Change: routing/workload.py tells what share of its work a target does with some requests in flight, from the engine's figures, and a factor between 0.4 and 2 is learned for each model.

--- a/basilpost/gateway/load_control.py
+++ b/basilpost/gateway/load_control.py
@@ -59,6 +59,14 @@
     returning_by_rank: dict[int, float]
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Usable:
+    """Targets that process requests, and the requests of all nodes that they have in flight."""
+
+    targets: int
+    in_flight: int
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Arrivals:
     """Requests that arrive per second, and when that was computed, on `clock.elapsed`."""
@@ -72,17 +80,19 @@
 
     Attributes:
         enabled: False where the deployment does not ask for it.
-        usable_targets: Returns how many targets of a service and model process requests; set by the
-            owner.
+        find_usable: Returns the targets of a service and model that process requests; set by the owner.
     """
 
     def __init__(self, *, kernel: kernel.Kernel, enabled: bool) -> None:
         self.enabled = enabled
-        self.usable_targets: Callable[[str, str], float] = lambda service, model: 0.0
+        self.find_usable: Callable[[str, str], Usable] = lambda service, model: Usable(
+            targets=0, in_flight=0
+        )
         self._loads = kernel.find(names.LOADS, loads_.Loads)
         self._log = kernel.log
         self._rng = random.Random()
         self._budgets = returns.BudgetLearner()
+        self._corrections_by_model: dict[tuple[str, str], workload.Correction] = {}
         self._shares_by_model: dict[tuple[str, str], Shares] = {}
         self._arrivals_by_model: dict[tuple[str, str], Arrivals] = {}
         self._queues_by_model: dict[tuple[str, str], ranked_queue.RankedQueue[Waiter]] = {}
@@ -225,7 +235,8 @@
         work = workload.work_seconds(admitted.call, admitted.service.engine, model)
         if not work:
             return 0.0
-        targets = self.usable_targets(admitted.service.name, model.name)
+        work *= self._correction(admitted.service.name, model.name).factor
+        targets = self.find_usable(admitted.service.name, model.name).targets
         ended_per_second = targets / work / self._loads.node_count()
         return ended_per_second * admitted.route.objective * WAIT_SHARE
 
@@ -258,12 +269,24 @@
         now = clock.elapsed()
         if known is not None and now - known.at < SHARES_SECONDS:
             return known
-        wanted_by_rank = {
-            rank_key.rank: demand.work
+        demand_by_rank = {
+            rank_key.rank: demand
             for rank_key, demand in self._loads.rank_demand_by_key().items()
             if rank_key.model == model.name
         }
-        capacity = self.usable_targets(*key)
+        usable = self.find_usable(*key)
+        capacity = usable.targets
+        correction = self._correction(*key)
+        engine = admitted.service.engine
+        if capacity and engine is not None:
+            correction.record(
+                predicted=sum(demand.work - demand.refused for demand in demand_by_rank.values()),
+                observed=capacity
+                * workload.utilization(engine, in_flight=usable.in_flight / capacity),
+            )
+        wanted_by_rank = {
+            rank: demand.work * correction.factor for rank, demand in demand_by_rank.items()
+        }
         shares = Shares(
             at=now,
             by_rank=_shares_of(wanted_by_rank, capacity, rank_admission.ADMITTED_UTILIZATION),
@@ -275,6 +298,9 @@
             self._log_changes(model.name, known.by_rank, shares.by_rank, wanted_by_rank, capacity)
         return shares
 
+    def _correction(self, service: str, model: str) -> workload.Correction:
+        return self._corrections_by_model.setdefault((service, model), workload.Correction())
+
     def _log_changes(
         self,
         model: str,
--- a/basilpost/gateway/load_control_test.py
+++ b/basilpost/gateway/load_control_test.py
@@ -66,10 +66,17 @@
     fake = FakeLoads()
     node.register(names.LOADS, fake)
     control = load_control.LoadControl(kernel=node, enabled=enabled)
-    control.usable_targets = lambda service, model: targets
+    set_targets(control, targets)
     return control, fake
 
 
+def set_targets(control, targets, *, in_flight=0):
+    """Without requests in flight, predicted work is not corrected."""
+    control.find_usable = lambda service, model: load_control.Usable(
+        targets=targets, in_flight=in_flight
+    )
+
+
 _fingerprints = map(str, itertools.count())
 
 
@@ -154,12 +161,22 @@
     control, _ = make_control(targets=1)
     refused, _ = await offer(control, per_second=15.0, seconds=4.0)
     assert refused
-    control.usable_targets = lambda service, model: 4
+    set_targets(control, 4)
     await asyncio.sleep(load_control.SHARES_SECONDS * 2)
     refused, _ = await offer(control, per_second=15.0, seconds=2.0)
     assert not refused
 
 
+@pytest.mark.looptime
+async def test_nobody_is_refused_beside_free_slots_where_the_prediction_is_wrong():
+    """Estimates of answers that are too high made nodes refuse callers while half of the slots were free."""
+    control, _ = make_control(targets=2)
+    set_targets(control, 2, in_flight=8)
+    await offer(control, per_second=30.0, seconds=4.0)
+    refused, _ = await offer(control, per_second=30.0, seconds=4.0)
+    assert not refused
+
+
 @pytest.mark.looptime
 async def test_callers_that_return_when_told_are_served_before_new_ones():
     control, _ = make_control()
--- a/basilpost/gateway/target_choice.py
+++ b/basilpost/gateway/target_choice.py
@@ -62,7 +62,7 @@
         self._pauses = runner_pauses
         self._departures = runner_departures
         self._control = control
-        control.usable_targets = self.count_usable
+        control.find_usable = self.find_usable
         self._rng = rng
         self._cold = cold.ColdStartLimiter(node_id=node_id)
         self._unreachable = unreachable.UnreachableTargets()
@@ -235,8 +235,8 @@
             if (self._loads.answered_at(target_id) or 0.0) < since
         )
 
-    def count_usable(self, service: str, model: str) -> int:
-        """Returns the number of targets that process requests of this node's callers now."""
+    def find_usable(self, service: str, model: str) -> load_control.Usable:
+        """Returns the targets that process requests of this node's callers now."""
         known = [
             target
             for target in self._targets.matching(service, model)
@@ -246,7 +246,10 @@
         suspects |= self._doubtful(
             frozenset(target.target_id for target in known if not target.complete)
         )
-        return sum(target.target_id not in suspects for target in known)
+        usable = [target.target_id for target in known if target.target_id not in suspects]
+        return load_control.Usable(
+            targets=len(usable), in_flight=sum(map(self._loads.total_in_flight, usable))
+        )
 
     def _suspects_among(self, targets: Iterable[targets_.Target]) -> frozenset[str]:
         """Returns those of the targets that have stopped answering, crashed or refuse connections.
--- a/basilpost/routing/workload.py
+++ b/basilpost/routing/workload.py
@@ -15,6 +15,12 @@
 MAX_ESTIMATE_FACTOR = 4.0
 # Share of a target's memory that requests may fill. Answers that outgrow their estimates use the rest.
 MEMORY_SHARE = 0.9
+# Weight of a new observation in the correction of predicted work, and bounds of the correction.
+CORRECTION_GAIN = 0.05
+MIN_CORRECTION = 0.4
+MAX_CORRECTION = 2.0
+# Work of a model, in targets, below which it says nothing about the correction.
+MIN_OBSERVED_WORK = 0.5
 
 
 def answer_tokens(call: header_dialect.RequestInfo, figures: catalog.EngineFigures) -> float:
@@ -90,6 +96,25 @@
     return started + ahead * work_seconds(call, engine, model)
 
 
+def utilization(engine: catalog.Engine, *, in_flight: float) -> float:
+    """Returns the share of a target's work that it does while it has some requests in flight.
+
+    Steps are shorter with fewer requests, so a half full target does more than half of its work.
+
+    Args:
+        engine: The engines of its service.
+        in_flight: Requests at the target, on average.
+    """
+    slots = max(1, engine.slots)
+    filled = min(1.0, in_flight / slots)
+    if engine.figures is None:
+        return filled
+    full_step = step_seconds(engine.figures, writing=slots, context_tokens=0.0)
+    step = step_seconds(engine.figures, writing=1, context_tokens=0.0)
+    per_request = (full_step - step) / max(1, slots - 1)
+    return filled * full_step / (step + per_request * max(0.0, filled * slots - 1.0))
+
+
 def memory_tokens(call: header_dialect.RequestInfo, figures: catalog.EngineFigures) -> float:
     """Returns the tokens of a target's memory that a request holds at the end of its answer."""
     return call.prompt_tokens + answer_tokens(call, figures)
@@ -107,3 +132,21 @@
     return own * (in_flight + 1) <= figures.memory_tokens * MEMORY_SHARE or (
         not in_flight and own <= figures.memory_tokens
     )
+
+
+class Correction:
+    """The factor by which predicted work of a model differs from what its targets are seen to do.
+
+    Attributes:
+        factor: Multiplies predicted work; 1 until something was observed.
+    """
+
+    def __init__(self) -> None:
+        self.factor = 1.0
+
+    def record(self, *, predicted: float, observed: float) -> None:
+        """Records work that was admitted, as predicted, and what the targets do, both in targets."""
+        if min(predicted, observed) < MIN_OBSERVED_WORK:
+            return
+        seen = min(MAX_CORRECTION, max(MIN_CORRECTION, observed / predicted))
+        self.factor += CORRECTION_GAIN * (seen - self.factor)
--- a/basilpost/routing/workload_test.py
+++ b/basilpost/routing/workload_test.py
@@ -71,3 +71,28 @@
     engine = catalog.Engine(slots=10, loads_per_second=1.0, open_seconds=0.3, models=(MODEL,))
     assert workload.work_seconds(call(), engine, MODEL) == 0.0
     assert workload.first_event_seconds(call(), engine, MODEL, in_flight=50) == 0.0
+
+
+def test_a_half_full_target_does_more_than_half_of_its_work():
+    assert workload.utilization(ENGINE, in_flight=0) == 0.0
+    assert 0.5 < workload.utilization(ENGINE, in_flight=5) < 0.8
+    assert workload.utilization(ENGINE, in_flight=10) == pytest.approx(1.0)
+    assert workload.utilization(ENGINE, in_flight=30) == pytest.approx(1.0)
+
+
+def test_predicted_work_is_corrected_by_the_requests_that_are_in_flight():
+    """Where the figures or the callers' estimates are wrong, callers would be refused beside free slots."""
+    correction = workload.Correction()
+    for _ in range(200):
+        correction.record(predicted=8.0, observed=4.0)
+    assert correction.factor == pytest.approx(0.5, abs=0.05)
+    for _ in range(400):
+        correction.record(predicted=1.0, observed=100.0)
+    assert correction.factor == pytest.approx(workload.MAX_CORRECTION, abs=0.05)
+
+
+def test_a_quiet_model_changes_no_correction():
+    correction = workload.Correction()
+    correction.record(predicted=0.0, observed=0.0)
+    correction.record(predicted=0.01, observed=0.5)
+    assert correction.factor == 1.0
