Demand of nodes with few requests is not counted twice; the correction follows time, not requests

Each of 84 nodes gets two requests a second, and its rate was taken over the time since its first request, which is itself counted. The correction of predicted work changed with each request, so it took 8 s to follow.

Change: demand is counted from the start of the node; the correction has a time constant of 2 s.

Measured: the test of 84 nodes with few requests fails with the rule before; 30 tests of the modules and of pool_overload_test pass.

--- a/basilpost/gateway/load_control.py
+++ b/basilpost/gateway/load_control.py
@@ -283,6 +283,7 @@
                 predicted=sum(demand.work - demand.refused for demand in demand_by_rank.values()),
                 observed=capacity
                 * workload.utilization(engine, in_flight=usable.in_flight / capacity),
+                seconds=now - known.at if known is not None else 0.0,
             )
         wanted_by_rank = {
             rank: demand.work * correction.factor for rank, demand in demand_by_rank.items()
--- a/basilpost/members/rank_demand.py
+++ b/basilpost/members/rank_demand.py
@@ -49,9 +49,8 @@
 
 @dataclasses.dataclass(kw_only=True)
 class _Counts:
-    """Decayed counts since a time on `clock.elapsed`."""
+    """Decayed counts."""
 
-    since: float
     requests: float = 0.0
     work: float = 0.0
     refused: float = 0.0
@@ -62,12 +61,12 @@
 
     def __init__(self) -> None:
         self._counts_by_key: dict[RankKey, _Counts] = {}
-        self._at = clock.elapsed()
+        self._at = self._since = clock.elapsed()
 
     def count_arrival(self, key: RankKey, work: float, *, refused: bool) -> None:
         """Counts an arriving request and the seconds of work that it asks for."""
         self._decay()
-        counts = self._counts_by_key.setdefault(key, _Counts(since=self._at))
+        counts = self._counts_by_key.setdefault(key, _Counts())
         counts.requests += 1.0
         counts.work += work
         counts.refused += work * refused
@@ -75,18 +74,23 @@
     def read(self) -> dict[str, demand.ModelDemand]:
         """Returns the demand in the form in which it is reported."""
         self._decay()
+        seconds = self._counted_seconds()
         return {
             key.text: demand.ModelDemand(
-                arrived_per_second=counts.work / self._seconds(counts),
-                ended=counts.requests / self._seconds(counts),
-                held_seconds=counts.refused / self._seconds(counts),
+                arrived_per_second=counts.work / seconds,
+                ended=counts.requests / seconds,
+                held_seconds=counts.refused / seconds,
             )
             for key, counts in self._counts_by_key.items()
         }
 
-    def _seconds(self, counts: _Counts) -> float:
-        """Returns the time over which requests were counted, weighted by the same decay."""
-        counted = max(MIN_SECONDS, self._at - counts.since)
+    def _counted_seconds(self) -> float:
+        """Returns the time over which requests were counted, weighted by the same decay.
+
+        It counts from the start of the node. Counted from a key's first request, the rate of a node that
+        gets few requests would seem to be twice what it is.
+        """
+        counted = max(MIN_SECONDS, self._at - self._since)
         return DECAY_SECONDS * (1.0 - math.exp(-counted / DECAY_SECONDS))
 
     def _decay(self) -> None:
--- a/basilpost/routing/workload.py
+++ b/basilpost/routing/workload.py
@@ -15,8 +15,8 @@
 MAX_ESTIMATE_FACTOR = 4.0
 # Share of a target's memory that requests may fill. Answers that outgrow their estimates use the rest.
 MEMORY_SHARE = 0.9
-# Weight of a new observation in the correction of predicted work, and bounds of the correction.
-CORRECTION_GAIN = 0.05
+# Time constant of the correction of predicted work, and its bounds.
+CORRECTION_SECONDS = 2.0
 MIN_CORRECTION = 0.4
 MAX_CORRECTION = 2.0
 # Work of a model, in targets, below which it says nothing about the correction.
@@ -144,9 +144,16 @@
     def __init__(self) -> None:
         self.factor = 1.0
 
-    def record(self, *, predicted: float, observed: float) -> None:
-        """Records work that was admitted, as predicted, and what the targets do, both in targets."""
+    def record(self, *, predicted: float, observed: float, seconds: float) -> None:
+        """Records an observation.
+
+        Args:
+            predicted: Work that was admitted per second, as predicted, in targets.
+            observed: Work that the targets are seen to do, in targets.
+            seconds: Time since the last observation.
+        """
         if min(predicted, observed) < MIN_OBSERVED_WORK:
             return
         seen = min(MAX_CORRECTION, max(MIN_CORRECTION, observed / predicted))
-        self.factor += CORRECTION_GAIN * (seen - self.factor)
+        gain = 1.0 - math.exp(-seconds / CORRECTION_SECONDS)
+        self.factor += gain * (seen - self.factor)
