Capacity is planned for the peak of the work that callers want

The controller counts slots that requests held in the last 8 s: in a trough, and at half full targets, a model seems to need less than its next peak takes, and weights are not loaded for it.

Change, where a deployment asks for load control: groups/peak_demand.py keeps the peak of the work that callers want over the time of two loads, in slots of full targets.

Measured: tests of peak_demand and of pool_groups_test, pool_overload_test, pool_test pass.

--- a/basilpost/groups/pool_controller.py
+++ b/basilpost/groups/pool_controller.py
@@ -16,7 +16,7 @@
 
 from basilpost.core import catalog, clock, kernel, names, tasks
 from basilpost.groups import lease as leases
-from basilpost.groups import orders, pool, pool_state, reported_groups
+from basilpost.groups import orders, peak_demand, pool, pool_state, reported_groups
 from basilpost.members import demand, feed, loads, peers, reachability
 from basilpost.members import knowledge as knowledges
 from basilpost.store import objects
@@ -73,8 +73,9 @@
         kernel: The node's kernel.
         incarnation: Unique id of this process.
         unlimited_load_seconds: Time after the start without a limit on loads; 0 on a restart.
-        keeps_answering_groups: True to keep a group without the entry of a member that answered a
-            moment ago, False to keep it only while it is answering.
+        plans_for_load: True to plan capacity for the peak of the work that callers want, and to keep a
+            group without the entry of a member that answered a moment ago; False to plan for the slots
+            that requests held, and to keep such a group only while it is answering.
     """
 
     def __init__(
@@ -83,7 +84,7 @@
         kernel: kernel.Kernel,
         incarnation: str,
         unlimited_load_seconds: float,
-        keeps_answering_groups: bool = False,
+        plans_for_load: bool = False,
     ) -> None:
         self.may_probe: Callable[[catalog.Vm], bool] = lambda vm: True
         self._log = kernel.log
@@ -102,7 +103,8 @@
             seconds=LEASE_SECONDS,
             is_first_start=unlimited_load_seconds > 0.0,
         )
-        self._keeps_answering_groups = keeps_answering_groups
+        self._plans_for_load = plans_for_load
+        self._peaks_by_service: dict[str, peak_demand.PeakDemand] = {}
         self._unlimited_loads_until = clock.elapsed() + unlimited_load_seconds
         self._changed = asyncio.Event()
         self._state_by_service: dict[str, pool_state.State] = {}
@@ -246,9 +248,7 @@
             vms=vms,
             models=engine.models,
             slots_per_group=engine.slots,
-            slots_wanted=demand.slots_wanted(
-                self._loads.demand_by_model(), (model.name for model in engine.models)
-            ),
+            slots_wanted=self._slots_wanted(service, engine),
             next_epoch=self._lease.fence * EPOCHS_PER_FENCE + self._epochs_used,
             loads_left=self._loads_left(engine.loads_per_second),
             loads_at_once=self._loads_at_once(engine),
@@ -287,11 +287,24 @@
         names_by_target = {group.target_id: group.name for group in groups if group.target_id}
         return frozenset(names_by_target[target_id] for target_id in select(names_by_target))
 
+    def _slots_wanted(self, service: str, engine: catalog.Engine) -> dict[str, float]:
+        """Returns the slots that callers want by model, empty until demand was measured."""
+        held = demand.slots_wanted(
+            self._loads.demand_by_model(), (model.name for model in engine.models)
+        )
+        if not self._plans_for_load:
+            return held
+        peaks = self._peaks_by_service.setdefault(service, peak_demand.PeakDemand())
+        now = clock.elapsed()
+        by_work = peak_demand.slots_from_work(self._loads.rank_demand_by_key(), engine)
+        peaks.record(by_work or held, now=now)
+        return peaks.slots_wanted(engine.models, now=now)
+
     def _answered_at_by_group(
         self, groups: Iterable[reported_groups.ReportedGroup]
     ) -> dict[str, float]:
         """Returns when the groups that lack the entry of a member were last seen to answer."""
-        if not self._keeps_answering_groups:
+        if not self._plans_for_load:
             return {}
         answered_at_by_name = {
             group.name: self._loads.answered_at(group.target_id)
--- a/basilpost/node/pool_assembly.py
+++ b/basilpost/node/pool_assembly.py
@@ -73,7 +73,7 @@
         kernel=kernel,
         incarnation=incarnation,
         unlimited_load_seconds=UNLIMITED_LOAD_SECONDS if settings.first_start else 0.0,
-        keeps_answering_groups=controls_load,
+        plans_for_load=controls_load,
     )
     kernel.register(names.CONTROLLER, controller)
     kernel.register(names.LIMITS, named_limits.NamedLimits(kernel=kernel))
