Requests stay near until near targets are half full; a rank that is cut leaves slots to more urgent ones

And pool_overload_test failed once at a load average of 17: 4 of 27 urgent requests were refused as busy, because slots that came free at one node were taken by less urgent requests that waited there.

Change: routing/placement.py draws among the targets of the node's own domain while they are at most half full together. A rank that is cut leaves a tenth of a target's slots, at least one, to more urgent ranks.

--- a/basilpost/gateway/load_control.py
+++ b/basilpost/gateway/load_control.py
@@ -193,11 +193,24 @@
             return attempts.deadline_refusal(progress)
         return chosen
 
-    def fits_memory(self, admitted: request_admission.AdmittedRequest, *, in_flight: int) -> bool:
-        """Returns True if a target has memory for a request beside those that it has."""
+    def may_send(
+        self, admitted: request_admission.AdmittedRequest, *, in_flight: int, slots: int
+    ) -> bool:
+        """Returns True if a target has memory for a request, and a slot that a request of its rank may use.
+
+        Args:
+            admitted: The request.
+            in_flight: Requests that the target has.
+            slots: Its slots.
+        """
         engine = admitted.service.engine
         if not self.enabled or engine is None or engine.figures is None:
             return True
+        shares = self._shares_by_model.get((admitted.service.name, admitted.call.model))
+        if shares is not None and not rank_admission.may_use_slot(
+            admitted.priority, shares.by_rank, in_flight=in_flight, slots=slots
+        ):
+            return False
         return workload.fits_memory(admitted.call, engine.figures, in_flight=in_flight)
 
     def waiting(self) -> int:
--- a/basilpost/gateway/target_choice.py
+++ b/basilpost/gateway/target_choice.py
@@ -278,7 +278,7 @@
             or self._pauses.is_told(target.lifetime)
             or self._departures.is_leaving(target.lifetime),
             may_send=self._departures.may_send(target.lifetime)
-            and self._control.fits_memory(admitted, in_flight=in_flight)
+            and self._control.may_send(admitted, in_flight=in_flight, slots=target.slots)
             and self._pauses.may_send(target.lifetime)
             and self._limits.may_send(target.lifetime, node_ids=node_ids)
             and (
--- a/basilpost/routing/placement.py
+++ b/basilpost/routing/placement.py
@@ -27,6 +27,9 @@
 QUEUE_SHARE = 0.1
 # Share of its slots in use up to which one of the node's preferred targets is chosen.
 PREFERRED_LOAD = 0.7
+# Share of their slots in use up to which the targets of the node's own failure domain are preferred to
+# all others. Above it the first event comes later there by more than the way to another domain takes.
+NEAR_LOAD = 0.5
 # Targets drawn if the counts are stale; the better of two is far better than a single random one.
 DRAWN_TARGETS = 2
 
@@ -80,7 +83,9 @@
 ) -> targets.Target | None:
     """Returns a target with room, drawn so that all nodes together fill the targets evenly.
 
-    A target in another failure domain counts as if it had more requests, by `OTHER_DOMAIN_COST`.
+    Load pattern: demand swings in each failure domain by itself. Targets of the node's own domain come
+    first while they are at most half full together; then all do, and one in another domain counts as if it
+    had more requests, by `OTHER_DOMAIN_COST`.
 
     Args:
         candidates: The targets that have not been tried yet.
@@ -93,6 +98,12 @@
     options = [candidate for candidate in options if not candidate.stalled] or options
     if not options:
         return None
+    near = [candidate for candidate in options if candidate.target.failure_domain == failure_domain]
+    # Not only the emptiest ones: all nodes of the domain would send to these until the next report.
+    in_flight = sum(candidate.in_flight for candidate in near)
+    if near and in_flight <= sum(candidate.target.slots for candidate in near) * NEAR_LOAD:
+        expected_arrivals *= len(near) / len(options)
+        options = near
     slots = max(1, max(candidate.target.slots for candidate in options))
     cost = _cost_from(failure_domain)
     counts = [(cost(candidate) - STALLED_COST * candidate.stalled) * slots for candidate in options]
--- a/basilpost/routing/placement_test.py
+++ b/basilpost/routing/placement_test.py
@@ -98,3 +98,47 @@
     assert not placement.has_light_load(candidate("x", 7))
     assert not placement.has_light_load(candidate("x", stalled=True))
     assert not placement.has_light_load(candidate("x", may_send=False))
+
+
+def drawn(*candidates, arrivals=20.0, draws=600):
+    rng = random.Random(3)
+    return collections.Counter(
+        placement.draw_target(
+            candidates, failure_domain="a", expected_arrivals=arrivals, rng=rng
+        ).target_id
+        for _ in range(draws)
+    )
+
+
+def test_requests_stay_in_their_failure_domain_until_its_targets_are_half_full():
+    near = [candidate("near-1", 2), candidate("near-2", 6)]
+    counts = drawn(*near, candidate("far", 0, domain="b"))
+    assert set(counts) == {"near-1", "near-2"}
+
+
+def test_requests_go_to_other_failure_domains_when_the_own_targets_are_fuller():
+    """Demand swings by domain; a peak in one is served by the others."""
+    near = [candidate("near-1", 8), candidate("near-2", 7)]
+    counts = drawn(*near, candidate("far-1", 1, domain="b"), candidate("far-2", 2, domain="c"))
+    assert counts["far-1"] + counts["far-2"] > 400
+
+
+def test_a_single_empty_target_of_the_own_domain_does_not_get_all_requests():
+    near = [candidate("new", 0), *(candidate(f"near-{number}", 9) for number in range(3))]
+    counts = drawn(*near, candidate("far", 4, domain="b"), arrivals=25.0)
+    assert counts["new"] < 400
+
+
+def test_stalled_and_full_targets_are_not_drawn_for_old_counts():
+    counts = drawn(candidate("x", 1), candidate("y", 0, stalled=True), candidate("z", 11))
+    assert set(counts) == {"x"}
+    rng = random.Random(1)
+    assert (
+        placement.draw_target(
+            [candidate("z", 11), candidate("w", may_send=False)],
+            failure_domain="a",
+            expected_arrivals=5.0,
+            rng=rng,
+        )
+        is None
+    )
--- a/basilpost/routing/rank_admission.py
+++ b/basilpost/routing/rank_admission.py
@@ -14,6 +14,8 @@
 ADMITTED_UTILIZATION = 0.9
 # Share of each rank that is admitted however urgent the others are, so that none starves.
 FLOOR_SHARE = 0.1
+# Share of a target's slots, at least one, that a rank leaves free for more urgent ones while it is cut.
+KEPT_SHARE = 0.1
 # Relative error of sums of work that arrived at many nodes.
 ROUNDING = 1e-9
 
@@ -46,3 +48,22 @@
         full = floors[rank] + extra >= wanted[rank] * (1.0 - ROUNDING)
         shares[rank] = 1.0 if full else (floors[rank] + extra) / wanted[rank]
     return shares
+
+
+def may_use_slot(
+    rank: int, share_by_rank: Mapping[int, float], *, in_flight: int, slots: int
+) -> bool:
+    """Returns True if a request may take one of a target's slots.
+
+    While a rank is cut, it leaves some slots to more urgent ranks. Without them each slot that comes free
+    at one node is taken by a request that waits there, while a more urgent one waits at another node.
+
+    Args:
+        rank: Rank of the request.
+        share_by_rank: Admitted shares of all ranks that callers of the model have.
+        in_flight: Requests that the target has.
+        slots: Its slots.
+    """
+    if share_by_rank.get(rank, 1.0) >= 1.0 or rank <= min(share_by_rank):
+        return True
+    return in_flight < slots - max(1.0, slots * KEPT_SHARE)
--- a/basilpost/routing/rank_admission_test.py
+++ b/basilpost/routing/rank_admission_test.py
@@ -48,3 +48,19 @@
     for more_urgent, less_urgent in zip(shares, shares[1:], strict=False):
         assert more_urgent >= less_urgent - 1e-9
     assert min(shares) > 0.0
+
+
+def test_a_rank_that_is_cut_leaves_slots_to_more_urgent_ones():
+    """Else an urgent request waits at one node while less urgent ones at others take what comes free."""
+
+    def may_use(rank, in_flight, shares):
+        return rank_admission.may_use_slot(rank, shares, in_flight=in_flight, slots=17)
+
+    overloaded = {0: 1.0, 2: 0.4}
+    assert may_use(2, 15, overloaded)
+    assert not may_use(2, 16, overloaded)
+    assert may_use(0, 16, overloaded)
+    assert may_use(2, 16, {0: 1.0, 2: 1.0})
+    # The most urgent rank leaves nothing, also if it is cut itself.
+    assert may_use(1, 16, {1: 0.5, 2: 0.1})
+    assert may_use(2, 16, {})
