The soak plays callers that want more than there is

Cause: the soak had no plan in which callers want more than the groups can process, so load control met no other faults. The emulated platform's configuration can hold the engine's figures.

--- a/basilpost/emulator/pool_fleet.py
+++ b/basilpost/emulator/pool_fleet.py
@@ -18,13 +18,26 @@
 
 
 def configuration(
-    version: int = 1, *, keys: tuple[str, ...] = (KEY, OTHER_KEY), stream_timeout_ms: int = 5000
+    version: int = 1,
+    *,
+    keys: tuple[str, ...] = (KEY, OTHER_KEY),
+    stream_timeout_ms: int = 5000,
+    event_seconds: float = 0.0,
+    events: int = 0,
 ) -> dict[str, Any]:
     """Returns a configuration in the format of the users' platform.
 
     Its routes are `draft`, which streams from the model service, and `filing` and `lookup`, a call that
     may run only once and an idempotent one to the plain service.
+
+    Args:
+        version: Version of the configuration.
+        keys: API keys of the workspace.
+        stream_timeout_ms: Longest time of a stream.
+        event_seconds: Time between events, from which the engine's figures follow; 0 for none.
+        events: Usual number of events of a stream.
     """
+    engine = _engine() | (_figures(event_seconds, events) if event_seconds else {})
     draft = _route("draft", "streaming", MODEL_SERVICE, attempts=2, sticky=True)
     return {
         "version": version,
@@ -34,7 +47,7 @@
             _route("lookup", "idempotent", PLAIN_SERVICE, attempts=2),
         ],
         "services": [
-            {"name": MODEL_SERVICE, "coldPerS": 36.0, "engine": _engine()},
+            {"name": MODEL_SERVICE, "coldPerS": 36.0, "engine": engine},
             {"name": PLAIN_SERVICE, "coldPerS": 0.0},
         ],
         "limits": {
@@ -76,6 +89,20 @@
     }
 
 
+def _figures(event_seconds: float, events: int) -> dict[str, Any]:
+    """Returns the figures of an engine whose steps take the same time whatever its load."""
+    return {
+        "step_ms": event_seconds * 1000.0,
+        "per_seq_ms": 0.0,
+        "context_per_k": 0.0,
+        "read_per_s": 1e6,
+        "pairs_per_m": 0.0,
+        "stride": 1,
+        "kvCapacityTokens": 100_000,
+        "usual": {"prompt": 10, "answer": events},
+    }
+
+
 def _engine() -> dict[str, Any]:
     return {
         "slots": 4,
--- a/basilpost/soak/__main__.py
+++ b/basilpost/soak/__main__.py
@@ -19,6 +19,7 @@
     "crashes": scenarios.CrashingParts,
     "paths": scenarios.LostPaths,
     "restores": scenarios.RestoredStore,
+    "overload": scenarios.Overload,
 }
 
 
@@ -34,7 +35,8 @@
     type=click.Choice(list(SCENARIOS_BY_PLAN)),
     default="faults",
     show_default=True,
-    help="Faults of all kinds, planned stops, crashing requests, lost paths, or restores of the store.",
+    help="Faults of all kinds, planned stops, crashing requests, lost paths, restores of the store, or "
+    "callers that want more than there is.",
 )
 @click.option("--nodes", type=int, help="Number of nodes.")
 @click.option("--callers", "caller_count", type=int, help="Number of callers.")
--- a/basilpost/soak/processes.py
+++ b/basilpost/soak/processes.py
@@ -39,11 +39,13 @@
         folder: pathlib.Path,
         grace_seconds: float,
         stop_seconds: float,
+        contracts: tuple[str, ...] = (),
     ) -> None:
         self.store_proxy = proxies.Proxy(target=store)
         self.stops: list[checks.Stop] = []
         self._grace_seconds = grace_seconds
         self._stop_seconds = stop_seconds
+        self._contracts = contracts
         self._is_stopping = False
         self._log_bytes_before = 0
         self._node_id = node_id
@@ -60,7 +62,9 @@
             self._node_id, self.store_proxy.address, grace_seconds=self._grace_seconds
         )
         # The proxies of the runners tell by its address which node opens a connection.
-        self.settings = dataclasses.replace(self.settings, source_host=self.settings.host)
+        self.settings = dataclasses.replace(
+            self.settings, source_host=self.settings.host, contracts=self._contracts
+        )
         self._write_settings()
         # A former run in the same folder had requests of the same names.
         self._log_path.write_bytes(b"")
--- a/basilpost/soak/run.py
+++ b/basilpost/soak/run.py
@@ -116,6 +116,7 @@
                 folder=self._folder,
                 grace_seconds=self._scenario.grace_seconds,
                 stop_seconds=self._scenario.stop_seconds,
+                contracts=self._scenario.contracts,
             )
             stack.push_async_callback(node.close)
             await node.start()
@@ -140,7 +141,13 @@
 
     def _configuration(self, **options: Any) -> dict[str, Any]:
         return pool_fleet.configuration(
-            self._version, stream_timeout_ms=self._scenario.stream_timeout_ms, **options
+            self._version,
+            stream_timeout_ms=self._scenario.stream_timeout_ms,
+            event_seconds=(
+                self._scenario.runner_options.event_seconds if self._scenario.contracts else 0.0
+            ),
+            events=self._scenario.runner_options.events,
+            **options,
         )
 
     async def _wait_until_all_serve(self, when: str, seconds: float) -> None:
--- a/basilpost/soak/scenarios.py
+++ b/basilpost/soak/scenarios.py
@@ -25,6 +25,7 @@
         stream_timeout_ms: Longest time of a stream by its route.
         runner_options: How the runners behave.
         planned_every: Each seed divisible by this has planned work only, which may cut no request.
+        contracts: Parts of the platform's terms that are in force.
     """
 
     nodes: int = 3
@@ -36,6 +37,7 @@
     stream_timeout_ms: int = 5000
     runner_options: pool_runner.Options = dataclasses.field(default_factory=pool_runner.Options)
     planned_every: int = faults.PLANNED_EVERY
+    contracts: tuple[str, ...] = ()
 
     @abc.abstractmethod
     def draw(self, seed: int, *, seconds: float) -> tuple[faults.Fault, ...]:
@@ -162,3 +164,19 @@
     def draw(self, seed: int, *, seconds: float) -> tuple[faults.Fault, ...]:
         """Returns the faults of a seed, which begin within `seconds`."""
         return faults.draw_of(faults.RESTORE_KINDS, seed, seconds=seconds)
+
+
+def _slow_streams() -> pool_runner.Options:
+    """Returns streams of 0.3 s, so that a group of four slots ends 13 of them in a second."""
+    return pool_runner.Options(events=20, event_seconds=0.015)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Overload(AllFaults):
+    """Callers want more than all groups can process, with load control, among faults of all kinds."""
+
+    nodes: int = 4
+    caller_count: int = 40
+    vms: int = 8
+    contracts: tuple[str, ...] = ("base", "pressure")
+    runner_options: pool_runner.Options = dataclasses.field(default_factory=_slow_streams)
--- a/tests/pool_overload_test.py
+++ b/tests/pool_overload_test.py
@@ -17,21 +17,10 @@
 URGENT, LATER = "key-urgent", "key-later"
 # A stream of the emulated runners lasts 0.2 s, and a group has four slots: it ends 20 a second.
 EVENTS, EVENT_SECONDS = 20, 0.01
-FIGURES = {
-    "step_ms": EVENT_SECONDS * 1000,
-    "per_seq_ms": 0.0,
-    "context_per_k": 0.0,
-    "read_per_s": 1e6,
-    "pairs_per_m": 0.0,
-    "stride": 1,
-    "kvCapacityTokens": 100_000,
-    "usual": {"prompt": 10, "answer": EVENTS},
-}
 
 
 def configuration(version):
-    spec = pool_fleet.configuration(version)
-    spec["services"][0]["engine"] |= FIGURES
+    spec = pool_fleet.configuration(version, event_seconds=EVENT_SECONDS, events=EVENTS)
     spec["tenants"] = [
         {"name": "urgent", "apiKeys": [URGENT], "priority": 0},
         {"name": "later", "apiKeys": [LATER], "priority": 2},
--- a/tests/soak_test.py
+++ b/tests/soak_test.py
@@ -42,6 +42,8 @@
     ),
     (3, "a node that started after the restore took the lease and broke a group up (issue 37)"),
 )
+OVERLOAD_SECONDS = 8.0
+OVERLOAD_SEEDS = ((1, "callers want more than there is, among faults of all kinds (issue 42)"),)
 STOP_SEEDS = ((372, "the store is silent when drains end; accepted requests were cut (issue 24)"),)
 
 
@@ -98,3 +100,13 @@
     )
     assert report.broken == ()
     assert report.served > report.calls / 4
+
+
+@pytest.mark.processes
+@pytest.mark.parametrize("seed", [seed for seed, _ in OVERLOAD_SEEDS])
+async def test_callers_want_more_than_there_is(seed, tmp_path):
+    report = await run.Soak(seed=seed, folder=tmp_path, scenario=scenarios.Overload()).run(
+        seconds=OVERLOAD_SECONDS
+    )
+    assert report.broken == ()
+    assert report.served > report.calls / 10
