Saturated targets do not make requests seem cheaper

Cause: the correction of predicted work took what full targets do for the cost of all that was admitted. With more admitted than they do, requests seemed cheaper, more was admitted, and so on to the bound of 0.4. Seen by pool_overload_test: 3 of 5 runs at a load average of 14 refused 2 to 5 of 16 to 20 urgent requests as busy while 65 to 68% of the less urgent rank were admitted, where a third could be served.

Change: while nine tenths of the slots are in use, an observation may only raise the correction.

--- a/basilpost/gateway/load_control.py
+++ b/basilpost/gateway/load_control.py
@@ -297,6 +297,7 @@
                 observed=capacity
                 * workload.utilization(engine, in_flight=usable.in_flight / capacity),
                 seconds=now - known.at if known is not None else 0.0,
+                saturated=usable.in_flight >= capacity * engine.slots * workload.SATURATED_SHARE,
             )
         wanted_by_rank = {
             rank: demand.work * correction.factor for rank, demand in demand_by_rank.items()
--- a/basilpost/routing/workload.py
+++ b/basilpost/routing/workload.py
@@ -19,6 +19,8 @@
 CORRECTION_SECONDS = 2.0
 MIN_CORRECTION = 0.4
 MAX_CORRECTION = 2.0
+# Share of the slots in use from which targets count as saturated.
+SATURATED_SHARE = 0.9
 # Work of a model, in targets, below which it says nothing about the correction.
 MIN_OBSERVED_WORK = 0.5
 
@@ -144,16 +146,22 @@
     def __init__(self) -> None:
         self.factor = 1.0
 
-    def record(self, *, predicted: float, observed: float, seconds: float) -> None:
+    def record(self, *, predicted: float, observed: float, seconds: float, saturated: bool) -> None:
         """Records an observation.
 
+        Full targets may have been given more than they do. Their work shows then only that requests are
+        not cheaper; taken for their cost, it would admit more and more.
+
         Args:
             predicted: Work that was admitted per second, as predicted, in targets.
             observed: Work that the targets are seen to do, in targets.
             seconds: Time since the last observation.
+            saturated: True if all slots of the targets are in use.
         """
         if min(predicted, observed) < MIN_OBSERVED_WORK:
             return
         seen = min(MAX_CORRECTION, max(MIN_CORRECTION, observed / predicted))
+        if saturated and seen < self.factor:
+            return
         gain = 1.0 - math.exp(-seconds / CORRECTION_SECONDS)
         self.factor += gain * (seen - self.factor)
--- a/basilpost/routing/workload_test.py
+++ b/basilpost/routing/workload_test.py
@@ -84,15 +84,26 @@
     """Where the figures or the callers' estimates are wrong, callers would be refused beside free slots."""
     correction = workload.Correction()
     for _ in range(200):
-        correction.record(predicted=8.0, observed=4.0, seconds=0.1)
+        correction.record(predicted=8.0, observed=4.0, seconds=0.1, saturated=False)
     assert correction.factor == pytest.approx(0.5, abs=0.05)
     for _ in range(400):
-        correction.record(predicted=1.0, observed=100.0, seconds=0.1)
+        correction.record(predicted=1.0, observed=100.0, seconds=0.1, saturated=False)
     assert correction.factor == pytest.approx(workload.MAX_CORRECTION, abs=0.05)
 
 
+def test_saturated_targets_do_not_make_requests_seem_cheaper():
+    """Targets that were given twice what they do seemed to need half the work, and got still more."""
+    correction = workload.Correction()
+    for _ in range(200):
+        correction.record(predicted=20.0, observed=10.0, seconds=0.1, saturated=True)
+    assert correction.factor == 1.0
+    for _ in range(200):
+        correction.record(predicted=5.0, observed=10.0, seconds=0.1, saturated=True)
+    assert correction.factor == pytest.approx(2.0, abs=0.05)
+
+
 def test_a_quiet_model_changes_no_correction():
     correction = workload.Correction()
-    correction.record(predicted=0.0, observed=0.0, seconds=0.1)
-    correction.record(predicted=0.01, observed=0.5, seconds=0.1)
+    correction.record(predicted=0.0, observed=0.0, seconds=0.1, saturated=False)
+    correction.record(predicted=0.01, observed=0.5, seconds=0.1, saturated=False)
     assert correction.factor == 1.0
