Budgets of a bounded number of routes are remembered; metrics of load control are a module of their own

Cause: nothing called the method that forgot routes, so a long series of configurations with new route names would have grown the table without a bound; load_control.py held its metrics beside its decisions. Change: the table is bounded (the test of the unused method is replaced by one of the bound); the metrics move. Result: 37 tests of returns, load control, workload and pool_overload_test pass.

--- a/basilpost/gateway/load_control.py
+++ b/basilpost/gateway/load_control.py
@@ -11,10 +11,8 @@
 import random
 from collections.abc import Callable, Iterable
 
-import prometheus_client
-
 from basilpost.core import catalog, clock, failure, kernel, names
-from basilpost.gateway import attempts, request_admission
+from basilpost.gateway import attempts, load_metrics, request_admission
 from basilpost.members import loads as loads_
 from basilpost.members import rank_demand
 from basilpost.routing import rank_admission, ranked_queue, returns, workload
@@ -97,7 +95,7 @@
         self._arrivals_by_model: dict[tuple[str, str], Arrivals] = {}
         self._queues_by_model: dict[tuple[str, str], ranked_queue.RankedQueue[Waiter]] = {}
         self._dispatch_scheduled = False
-        self._metrics = _Metrics(registry=kernel.registry)
+        self._metrics = load_metrics.LoadMetrics(registry=kernel.registry)
         if enabled:
             self._loads.subscribe(self._schedule_dispatch)
 
@@ -363,52 +361,3 @@
 def _resolve(waiter: Waiter, chosen: Chosen) -> None:
     if not waiter.result.done():
         waiter.result.set_result(chosen)
-
-
-class _Metrics:
-    """What operators see of waiting and admission."""
-
-    def __init__(self, *, registry: prometheus_client.CollectorRegistry) -> None:
-        self.arrivals = prometheus_client.Counter(
-            "basilpost_rank_arrivals_total",
-            "Requests by model, rank, how often their callers had asked, and decision",
-            ["model", "rank", "arrival", "decision"],
-            registry=registry,
-        )
-        self.waiting = prometheus_client.Gauge(
-            "basilpost_requests_waiting",
-            "Requests that wait for room at this node",
-            ["service", "model"],
-            registry=registry,
-        )
-        self._wanted = prometheus_client.Gauge(
-            "basilpost_rank_wanted_work",
-            "Work that callers of all nodes want, in targets, by model and rank",
-            ["model", "rank"],
-            registry=registry,
-        )
-        self._admitted = prometheus_client.Gauge(
-            "basilpost_rank_admitted_share",
-            "Share of the new requests that is admitted, by model and rank",
-            ["model", "rank"],
-            registry=registry,
-        )
-        self._capacity = prometheus_client.Gauge(
-            "basilpost_model_targets",
-            "Targets that process requests, by model",
-            ["model"],
-            registry=registry,
-        )
-
-    def show(
-        self,
-        model: str,
-        wanted_by_rank: dict[int, float],
-        share_by_rank: dict[int, float],
-        capacity: float,
-    ) -> None:
-        """Shows the demand, the room and the admitted shares of a model."""
-        self._capacity.labels(model).set(capacity)
-        for rank, wanted in wanted_by_rank.items():
-            self._wanted.labels(model, str(rank)).set(wanted)
-            self._admitted.labels(model, str(rank)).set(share_by_rank.get(rank, 1.0))
--- a/basilpost/routing/returns.py
+++ b/basilpost/routing/returns.py
@@ -22,6 +22,8 @@
 RETURNED_AFTER_SHARE = FIRST_RETURN_SHARE * ACCEPTED_WAIT_SHARE
 # Callers that repeat at once have given up, or returned as told, within this time.
 PERIOD_SECONDS = 4.0
+# Routes whose budgets are remembered. Configurations change, and some hold over a thousand routes.
+MAX_ROUTES = 4096
 _HASH_RANGE = 1 << 64
 
 
@@ -42,17 +44,13 @@
         """Returns how often the caller of a request has asked; a request without a budget is new."""
         if budget is None or budget <= 0.0:
             return Arrival.FIRST
+        if len(self._largest_by_route) >= MAX_ROUTES:
+            self._largest_by_route.clear()
         largest = max(budget, self._largest_by_route.get(route, 0.0))
         self._largest_by_route[route] = largest
         spent = 1.0 - budget / largest
         return Arrival.RETURNED if spent >= RETURNED_AFTER_SHARE else Arrival.FIRST
 
-    def keep(self, routes: frozenset[str]) -> None:
-        """Forgets all other routes."""
-        self._largest_by_route = {
-            route: budget for route, budget in self._largest_by_route.items() if route in routes
-        }
-
 
 def is_admitted(fingerprint: str, arrival: Arrival, share: float, *, period: int) -> bool:
     """Returns True for a share of the requests, and the same each time and at each node for one request.
