--- a/basilpost/gateway/detours.py
+++ b/basilpost/gateway/detours.py
@@ -10,6 +10,7 @@
 import random
 from collections.abc import Awaitable
 
+import prometheus_client
 import tornado.httputil
 
 from basilpost.core import channels, clock, failure, names
@@ -34,6 +35,9 @@
 NODE_REFUSALS = frozenset(
     {"no_path", "older_configuration", "starting", "stopping", "keys_not_fresh", "cut_by_stop"}
 )
+# Causes of a failed detour for which there is no code of a refusal.
+UNREACHED_CAUSE = "unreached"
+UNKNOWN_CAUSE = "unknown"
 # The other node gives up a little earlier than this one would.
 DEADLINE_CODE = "deadline"
 
@@ -79,6 +83,18 @@
         self._rng = rng
         self._in_flight_by_node: dict[str, int] = {}
         self._avoided_until_by_node: dict[str, float] = {}
+        self._refused_total = prometheus_client.Counter(
+            "basilpost_detours_refused_total",
+            "Requests of this node that another node did not send, by the reason",
+            ["cause"],
+            registry=kernel.registry,
+        )
+        usable = prometheus_client.Gauge(
+            "basilpost_detour_nodes",
+            "Other nodes that may send requests for this one, as far as it knows",
+            registry=kernel.registry,
+        )
+        usable.set_function(lambda: len(self._usable_nodes()))
 
     def choose(self, progress: attempts.Progress) -> Detour | None:
         """Returns a node that was not tried for a request, None if there is none or enough were."""
@@ -107,6 +123,13 @@
         """Returns True if some node may be able to send requests for this one."""
         return bool(self._usable_nodes())
 
+    def why_none(self, progress: attempts.Progress) -> str:
+        """Returns why no node is left that could send a request, as a text for its refusal."""
+        return (
+            f"of {len(self._usable_nodes())} nodes that may send it, {len(progress.tried_nodes)} "
+            f"were asked; {len(self._reachability.peers_without_path)} are known to reach no runner"
+        )
+
     def _usable_nodes(self) -> list[str]:
         """Returns the live nodes that have not reported that they have no path."""
         return [
@@ -157,6 +180,7 @@
             lifetime=detour.incarnation,
         )
         if isinstance(channel, channels.ConnectFailed):
+            self._refused_total.labels(UNREACHED_CAUSE).inc()
             return self._give_up_node(
                 progress, detour, channel.reason, seconds=AVOID_UNREACHED_SECONDS
             )
@@ -240,6 +264,7 @@
                 progress.rejections += 1
                 return attempts.NotRun(reason=f"{detour.node_id}: {message}")
         progress.sends -= 1
+        self._refused_total.labels(code or UNKNOWN_CAUSE).inc()
         if code in NODE_REFUSALS or not code:
             return self._give_up_node(progress, detour, message, seconds=AVOID_SECONDS)
         return failure.Refusal(
--- a/basilpost/gateway/detours_test.py
+++ b/basilpost/gateway/detours_test.py
@@ -3,6 +3,7 @@
 import random
 import types
 
+import prometheus_client
 import pytest
 import structlog
 
@@ -35,7 +36,10 @@
         names.REACHABILITY: types.SimpleNamespace(peers_without_path=set(without_path)),
     }
     kernel = types.SimpleNamespace(
-        node_id="n0", log=structlog.get_logger(), find=lambda name, kind: services[name]
+        node_id="n0",
+        log=structlog.get_logger(),
+        registry=prometheus_client.CollectorRegistry(),
+        find=lambda name, kind: services[name],
     )
     return detours.Detours(
         kernel=kernel, failure_domain="domain-0", dialect=None, rng=random.Random(1)
--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -307,7 +307,7 @@
                 return detour
             if not self._reachability.has_path:
                 return self._chooser.refusal(
-                    "no_path", "this node reaches no runner, and no other node can send it now"
+                    "no_path", f"this node reaches no runner; {self._detours.why_none(progress)}"
                 )
         chosen = await self._chooser.wait(progress)
         if isinstance(chosen, failure.Refusal) and progress.unreached_targets:
