All nodes of a large fleet know who reaches the runners

Callers of nodes without a path to the runners were refused with no_path in fleets of more than 16 nodes, though other nodes could have sent their requests. Cause: beyond the full mesh PathReport reaches neighbours only, so a node asked 8 others drawn by chance, of which most had no path either. Class: what a node's neighbours tell is taken for what the fleet knows.

Entries of path_states now travel in the reports of loads: node to hub, hub to hub, hub to all nodes. Nodes without a path are not asked, nodes that report one go first, and one that has died is no longer named. In a full mesh and while all nodes have a path, the messages stay as they are but for one entry from each node to its hub.

--- a/basilpost/core/hashing.py
+++ b/basilpost/core/hashing.py
@@ -3,11 +3,16 @@
 With rendezvous hashing, nodes agree on the owner of a key without exchanging messages.
 """
 
+import base64
+import functools
 import hashlib
 from collections.abc import Iterable
 
 import xxhash
 
+# Bytes of a short id: with a thousand targets, two of them share one once in two million fleets.
+SHORT_ID_BYTES = 5
+
 
 def rendezvous_order(key: str, candidates: Iterable[str]) -> list[str]:
     """Returns the candidates in the order of preference for a key, the most preferred first."""
@@ -24,6 +29,13 @@
     return xxhash.xxh3_64_intdigest(key.encode()) % buckets
 
 
+@functools.lru_cache(maxsize=4096)
+def short_id(name: str) -> str:
+    """Returns the hash that stands for a target or a node in reports."""
+    digest = xxhash.xxh3_64_digest(name.encode())[:SHORT_ID_BYTES]
+    return base64.b85encode(digest).decode()
+
+
 def body_digest(body: bytes) -> str:
     """Returns a collision-resistant digest of a request body, as hexadecimal text."""
     return hashlib.sha256(body).hexdigest()
--- a/basilpost/gateway/detours.py
+++ b/basilpost/gateway/detours.py
@@ -16,7 +16,7 @@
 from basilpost.core import channels, clock, failure, names
 from basilpost.core import kernel as kernel_
 from basilpost.gateway import answer_sinks, attempts, detour_headers, inbound, request_admission
-from basilpost.members import node_table, peers, reachability
+from basilpost.members import node_table, path_states, peers, reachability
 from basilpost.routing import header_dialect
 from basilpost.settings import pool_schema
 
@@ -27,7 +27,7 @@
 # longer: records of nodes that have lost power stay. If all are avoided, a request tries one of them.
 AVOID_SECONDS = 0.5
 AVOID_UNREACHED_SECONDS = 5.0
-# Nodes that are tried for a request. In a large fleet not all are known to have no path either.
+# Nodes that are tried for a request. For a second after a cut a node may not know who has a path.
 MAX_TRIED_NODES = 8
 # Cost of a node in another failure domain, in requests in flight.
 OTHER_DOMAIN_COST = 0.5
@@ -100,8 +100,11 @@
         """Returns a node that was not tried for a request, None if there is none or enough were."""
         if len(progress.tried_nodes) >= MAX_TRIED_NODES:
             return None
+        service = progress.admitted.service.name
         untried = [
-            node_id for node_id in self._usable_nodes() if node_id not in progress.tried_nodes
+            node_id
+            for node_id in self._usable_nodes(service)
+            if node_id not in progress.tried_nodes
         ]
         now = clock.elapsed()
         candidates = [
@@ -125,26 +128,30 @@
 
     def why_none(self, progress: attempts.Progress) -> str:
         """Returns why no node is left that could send a request, as a text for its refusal."""
+        usable = self._usable_nodes(progress.admitted.service.name)
+        others = len(self._table.records_by_id.keys() - {self._node_id, *usable})
         return (
-            f"of {len(self._usable_nodes())} nodes that may send it, {len(progress.tried_nodes)} "
-            f"were asked; {len(self._reachability.peers_without_path)} are known to reach no runner"
+            f"of {len(usable)} nodes that may send it, {len(progress.tried_nodes)} were asked; "
+            f"{others} are known to be down or to reach no runner"
         )
 
-    def _usable_nodes(self) -> list[str]:
-        """Returns the live nodes that have not reported that they have no path."""
+    def _usable_nodes(self, service: str = path_states.ALL_RUNNERS) -> list[str]:
+        """Returns the live nodes that have not told that they reach no runner of a service."""
         return [
             node_id
             for node_id in self._peers.live_nodes()
             if node_id != self._node_id
             and node_id in self._table.records_by_id
-            and node_id not in self._reachability.peers_without_path
+            and self._reachability.may_send(node_id, service)
         ]
 
-    def _cost(self, node_id: str) -> tuple[float, float]:
+    def _cost(self, node_id: str) -> tuple[bool, float, float]:
+        """Returns the cost of a node; those that are known to have a path go before all others."""
         record = self._table.records_by_id[node_id]
         in_other_domain = record.failure_domain != self._failure_domain
         in_flight = self._in_flight_by_node.get(node_id, 0)
-        return in_flight + OTHER_DOMAIN_COST * in_other_domain, self._rng.random()
+        cost = in_flight + OTHER_DOMAIN_COST * in_other_domain
+        return not self._reachability.confirms(node_id), cost, self._rng.random()
 
     async def send(
         self,
--- a/basilpost/gateway/detours_test.py
+++ b/basilpost/gateway/detours_test.py
@@ -19,7 +19,20 @@
     return now
 
 
-def make_detours(count, *, without_path=()):
+class FakeReachability:
+    """What is known of other nodes: which are named as without a path, and which as with one."""
+
+    def __init__(self, *, without_path=(), with_path=()):
+        self.without_path, self.with_path = set(without_path), set(with_path)
+
+    def may_send(self, node_id, service):
+        return node_id not in self.without_path
+
+    def confirms(self, node_id):
+        return node_id in self.with_path
+
+
+def make_detours(count, **known):
     records = {
         f"n{number}": node_table.NodeRecord(
             node_id=f"n{number}",
@@ -33,7 +46,7 @@
     services = {
         names.PEERS: types.SimpleNamespace(live_nodes=lambda: tuple(records)),
         names.NODE_TABLE: types.SimpleNamespace(records_by_id=records),
-        names.REACHABILITY: types.SimpleNamespace(peers_without_path=set(without_path)),
+        names.REACHABILITY: FakeReachability(**known),
     }
     kernel = types.SimpleNamespace(
         node_id="n0",
@@ -47,7 +60,9 @@
 
 
 def make_progress():
-    admitted = types.SimpleNamespace(call=types.SimpleNamespace(request_id="r"))
+    admitted = types.SimpleNamespace(
+        call=types.SimpleNamespace(request_id="r"), service=types.SimpleNamespace(name="s")
+    )
     return attempts.Progress(admitted=admitted, fingerprint="f")
 
 
@@ -63,6 +78,13 @@
     assert not node.available
 
 
+def test_a_node_that_has_told_of_its_path_is_passed_over(time):
+    """Busier and in another failure domain, it goes before nodes of which nothing is known."""
+    node = make_detours(420, with_path={"n4"})
+    node._in_flight_by_node["n4"] = 30
+    assert {node.choose(make_progress()).node_id for _ in range(20)} == {"n4"}
+
+
 async def test_a_request_tries_all_of_hundreds_of_nodes(time, monkeypatch):
     node = make_detours(420)
     tried = []
@@ -99,7 +121,7 @@
         await node.send(progress, None, detour, last_event="", sink=None)
         assert node.choose(progress) is None
     assert node.available
-    node._reachability.peers_without_path.clear()
+    node._reachability.without_path.clear()
     assert {node.choose(make_progress()).node_id for _ in range(20)} == {"n2"}
     time[0] += detours.AVOID_UNREACHED_SECONDS
     assert {node.choose(make_progress()).node_id for _ in range(20)} == {"n1", "n2"}
--- a/basilpost/members/loads.py
+++ b/basilpost/members/loads.py
@@ -8,18 +8,22 @@
 """
 
 import asyncio
-import base64
 import collections
 import dataclasses
-import functools
 import itertools
 import math
 from collections.abc import Callable, Iterable
 
-import xxhash
-
 from basilpost.core import clock, hashing, kernel, names, tasks
-from basilpost.members import answer_evidence, demand, feed, node_table, peers, rank_demand
+from basilpost.members import (
+    answer_evidence,
+    demand,
+    feed,
+    node_table,
+    path_states,
+    peers,
+    rank_demand,
+)
 
 # Interval of reports; requests last a second or more, so counts of this age are nearly exact.
 REPORT_SECONDS = 0.15
@@ -35,9 +39,6 @@
 # A hub that sends nothing for this long, a few reports, is avoided for a while.
 HUB_SILENCE_SECONDS = 1.0
 HUB_AVOIDED_SECONDS = 5.0
-# Bytes of the hash that stands for a target in reports: with a thousand targets, two of them share
-# a hash once in two million fleets.
-SHORT_ID_BYTES = 5
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -47,7 +48,8 @@
     Attributes:
         in_flight_by_target: Number by short target id; targets without any are left out.
         stalled: Short ids of targets that have stopped sending their answers.
-        writing: Short ids of targets that have just sent a part of an answer.
+        writing: Short ids of targets that have just sent a part of an answer, and entries of
+            `path_states` about nodes.
         demand_by_model: Demand of callers by model.
     """
 
@@ -93,6 +95,8 @@
         local_stalled: Returns the targets that this node sees as stalled; set by the owner.
         local_writing: Returns the targets that have just sent something to this node; set by the
             owner.
+        local_path: Returns the entries of `path_states` about this node; set by the owner.
+        paths: Which nodes reach the runners, by the reports of the other nodes.
     """
 
     def __init__(self, *, kernel: kernel.Kernel) -> None:
@@ -122,6 +126,8 @@
         self._listeners: list[Callable[[], None]] = []
         self.local_stalled: Callable[[], Iterable[str]] = tuple
         self.local_writing: Callable[[], Iterable[str]] = tuple
+        self.local_path: Callable[[], Iterable[str]] = tuple
+        self.paths = path_states.NOTHING_TOLD
         self._table.subscribe(self._clear_node_ids)
         self._peers.handle(LoadReport, self._on_report)
         self._peers.handle(HubLoad, self._on_hub_load)
@@ -137,12 +143,12 @@
 
     def request_started(self, target_id: str) -> None:
         """Counts a request that this node sends to a target."""
-        short = short_id(target_id)
+        short = hashing.short_id(target_id)
         self._own[short] = self._own.get(short, 0) + 1
 
     def request_ended(self, target_id: str) -> None:
         """Counts the end of a request at a target."""
-        short = short_id(target_id)
+        short = hashing.short_id(target_id)
         left = self._own.get(short, 0) - 1
         if left > 0:
             self._own[short] = left
@@ -160,11 +166,11 @@
 
     def own_in_flight(self, target_id: str) -> int:
         """Returns this node's requests in flight at a target."""
-        return self._own.get(short_id(target_id), 0)
+        return self._own.get(hashing.short_id(target_id), 0)
 
     def total_in_flight(self, target_id: str) -> int:
         """Returns the requests in flight at a target, of all nodes whose reports arrive."""
-        short = short_id(target_id)
+        short = hashing.short_id(target_id)
         return self._own.get(short, 0) + max(0, self._in_flight_by_others.get(short, 0))
 
     def stalled_among(self, target_ids: Iterable[str]) -> frozenset[str]:
@@ -172,17 +178,19 @@
         stalled = self._stalled_short_ids()
         if not stalled:
             return stalled
-        return frozenset(target_id for target_id in target_ids if short_id(target_id) in stalled)
+        return frozenset(
+            target_id for target_id in target_ids if hashing.short_id(target_id) in stalled
+        )
 
     def stalled_count(self) -> int:
         """Returns the number of targets that some node sees as stalled and no node hears from."""
         return len(self._stalled_short_ids())
 
     def _stalled_short_ids(self) -> frozenset[str]:
-        stalled = self._stalled_by_others.union(map(short_id, self.local_stalled()))
+        stalled = self._stalled_by_others.union(map(hashing.short_id, self.local_stalled()))
         if not stalled:
             return stalled
-        return stalled - self._writing_by_others.union(map(short_id, self.local_writing()))
+        return stalled - self._writing_by_others.union(map(hashing.short_id, self.local_writing()))
 
     def writing_among(self, target_ids: Iterable[str]) -> frozenset[str]:
         """Returns those of the targets that have just sent something to a node, this one included."""
@@ -194,7 +202,7 @@
         """Returns when some node last saw a target answer, None if none did."""
         if target_id in self.local_writing():
             return clock.elapsed()
-        return self.evidence.answered_at(short_id(target_id))
+        return self.evidence.answered_at(hashing.short_id(target_id))
 
     def demand_by_model(self) -> dict[str, demand.ModelDemand]:
         """Returns the demand by model, of all nodes whose reports arrive."""
@@ -224,7 +232,9 @@
     def writing_elsewhere_among(self, target_ids: Iterable[str]) -> frozenset[str]:
         """Returns those of the targets that have just sent something to other nodes."""
         writing = self._writing_by_others
-        return frozenset(target_id for target_id in target_ids if short_id(target_id) in writing)
+        return frozenset(
+            target_id for target_id in target_ids if hashing.short_id(target_id) in writing
+        )
 
     def node_ids(self) -> frozenset[str]:
         """Returns the ids of all nodes with a record, empty until this node's own one is known."""
@@ -259,7 +269,7 @@
     def _received(self, report: LoadReport) -> _Received:
         """Returns a report with the time, after recording which targets it saw answer."""
         now = clock.elapsed()
-        self.evidence.record(report.writing, now)
+        self.evidence.record(path_states.split(report.writing).target_ids, now)
         return _Received(report=report, at=now)
 
     def _update_totals(self) -> None:
@@ -274,7 +284,9 @@
             others = collections.Counter(total.in_flight_by_target)
         self._in_flight_by_others = others
         self._stalled_by_others = frozenset(total.stalled)
-        self._writing_by_others = frozenset(total.writing)
+        told = path_states.split(total.writing)
+        self._writing_by_others = told.target_ids
+        self.paths = path_states.read(told.entries)
         self._demand_by_others = total.demand_by_model
         self._tell_listeners()
 
@@ -293,13 +305,14 @@
             now = clock.elapsed()
             if now - measured_at >= REPEAT_SECONDS:
                 measured, measured_at = self.demand_meter.read(), now
+            writing = sorted(map(hashing.short_id, self.local_writing()))
             report = LoadReport(
                 in_flight_by_target=dict(self._own),
-                stalled=tuple(sorted(map(short_id, self.local_stalled()))),
-                writing=tuple(sorted(map(short_id, self.local_writing()))),
+                stalled=tuple(sorted(map(hashing.short_id, self.local_stalled()))),
+                writing=(*writing, *self.local_path()),
                 demand_by_model=measured | self.rank_demand_meter.read(),
             )
-            self.evidence.record(report.writing, now)
+            self.evidence.record(writing, now)
             self.evidence.drop_old(now)
             if mesh:
                 self._broadcast_report(report, now)
@@ -318,7 +331,9 @@
         own = combined([report, *(received.report for received in self._reports_by_node.values())])
         self._peers.send_to_all(self._feed.watchers - {self._node_id}, HubLoad(report=own))
         sums = (received.report for received in self._sums_by_hub.values())
-        fleet = FleetLoad(report=combined([own, *sums]))
+        total = combined([own, *sums])
+        writing = path_states.for_fleet(total.writing, hub=self._node_id)
+        fleet = FleetLoad(report=dataclasses.replace(total, writing=writing))
         self._peers.send_to_all(tuple(self._reports_by_node), fleet)
         self._update_totals()
 
@@ -371,13 +386,6 @@
             self._update_totals()
 
 
-@functools.lru_cache(maxsize=4096)
-def short_id(target_id: str) -> str:
-    """Returns the hash that stands for a target in reports."""
-    digest = xxhash.xxh3_64_digest(target_id.encode())[:SHORT_ID_BYTES]
-    return base64.b85encode(digest).decode()
-
-
 def combined(reports: Iterable[LoadReport]) -> LoadReport:
     """Returns the sum of the reports of several nodes."""
     reports = list(reports)
--- a/basilpost/members/reachability.py
+++ b/basilpost/members/reachability.py
@@ -2,8 +2,9 @@
 
 A node can lose its links to all runners while callers, the store and its peers still reach it. One
 failed connection says little: a runner may have ended. So a suspicion is checked by connections to a
-few VMs in different failure domains. If none opens, this node has no path, and tells its peers. It goes
-on to check until one opens. Nothing is sent on these connections.
+few VMs in different failure domains. If none opens, this node has no path, and tells its neighbours at
+once and all nodes in the reports of loads. It goes on to check until one opens. Nothing is sent on
+these connections.
 """
 
 import asyncio
@@ -16,8 +17,9 @@
 import prometheus_client
 
 from basilpost.core import catalog, channels, clock, kernel, names, tasks
+from basilpost.members import feed, path_states, peers
 from basilpost.members import knowledge as knowledges
-from basilpost.members import peers
+from basilpost.members import loads as loads_
 
 # VMs that a check connects to at once.
 CHECKED_VMS = 4
@@ -64,13 +66,17 @@
         has_path: False while no checked VM can be connected to.
         connect: Opens a connection to a VM; set by the owner of the connections. Without it nothing is
             checked.
-        peers_without_path: Ids of the nodes that have reported that they have no path.
+        peers_without_path: Ids of the neighbours that have reported that they have no path.
     """
 
     def __init__(self, *, kernel: kernel.Kernel) -> None:
         self._log = kernel.log
         self._knowledge = kernel.find(names.KNOWLEDGE, knowledges.Knowledge)
+        self._node_id = kernel.node_id
         self._peers = kernel.find(names.PEERS, peers.PeerNetwork)
+        self._feed = kernel.find(names.FEED, feed.Feed)
+        self._loads = kernel.find(names.LOADS, loads_.Loads)
+        self._loads.local_path = self._path_entries
         self._tasks = tasks.TaskSet(log=kernel.log)
         self._rng = random.Random()
         self.has_path = True
@@ -118,6 +124,16 @@
         seconds_back = clock.elapsed() - self._back_at
         return seconds_back < self._rng.random() * RETURN_SECONDS
 
+    def may_send(self, node_id: str, service: str) -> bool:
+        """Returns False if another node has told that it reaches no runner of a service."""
+        return node_id not in self.peers_without_path and not self._loads.paths.denies(
+            node_id, service
+        )
+
+    def confirms(self, node_id: str) -> bool:
+        """Returns True if another node has told lately that it reaches some runner."""
+        return self._loads.paths.confirms(node_id)
+
     async def find_path(self, *, fresh: bool = False, may_abort: bool = True) -> bool:
         """Returns True if there is a path to the runners; called after a failed connection.
 
@@ -226,6 +242,18 @@
         for listener in self._listeners:
             listener(not has_path)
 
+    def _path_entries(self) -> tuple[str, ...]:
+        """Returns what the reports of loads tell of this node.
+
+        In a full mesh each node sees by its streams which others are alive.
+        """
+        lost_scopes = () if self.has_path else (path_states.ALL_RUNNERS,)
+        return path_states.entries_of(
+            self._node_id,
+            lost_scopes=lost_scopes,
+            has_path=self.has_path and not self._feed.is_full_mesh,
+        )
+
     async def _on_report(self, sender: str, message: PathReport) -> None:
         if message.has_path:
             self.peers_without_path.discard(sender)
--- a/basilpost/members/reachability_test.py
+++ b/basilpost/members/reachability_test.py
@@ -9,7 +9,7 @@
 import structlog
 
 from basilpost.core import catalog, channels, clock, names
-from basilpost.members import reachability
+from basilpost.members import path_states, reachability
 
 pytestmark = pytest.mark.looptime
 
@@ -68,8 +68,11 @@
                 broadcast=self.sent.append,
                 send=lambda node_id, message: self.sent.append((node_id, message)),
             ),
+            names.FEED: types.SimpleNamespace(is_full_mesh=False),
+            names.LOADS: types.SimpleNamespace(paths=path_states.NOTHING_TOLD),
         }
         kernel = types.SimpleNamespace(
+            node_id="n0",
             log=structlog.get_logger(),
             registry=prometheus_client.CollectorRegistry(),
             find=lambda name, kind: services[name],
--- a/tests/pool_fleet_test.py
+++ b/tests/pool_fleet_test.py
@@ -2,11 +2,20 @@
 
 import asyncio
 import contextlib
+import functools
 import itertools
 
 from basilpost.core import clock, kernel, names
 from basilpost.emulator import pool_fleet
-from basilpost.members import feed, loads, memory_transport, node_registry, node_table, streams
+from basilpost.members import (
+    feed,
+    loads,
+    memory_transport,
+    node_registry,
+    node_table,
+    path_states,
+    streams,
+)
 from basilpost.settings import schema
 from basilpost.store import memory
 from tests import members_fleet
@@ -231,6 +240,41 @@
         )
 
 
+async def test_who_has_a_path_is_known_to_neighbours_only_or_long_after_a_crash():
+    """All nodes learn within the users' 3 s who has one; one that crashes is soon not named."""
+    async with running() as fleet:
+        cut_off, others = fleet.nodes[:-4], fleet.nodes[-4:]
+        for node in fleet.nodes:
+            node.loads.local_path = functools.partial(
+                path_states.entries_of, node.node_id, lost_scopes=(), has_path=True
+            )
+        await asyncio.sleep(0.5)
+        assert not any(node.loads.paths.with_path for node in fleet.non_watchers)
+        for node in cut_off:
+            node.loads.local_path = functools.partial(
+                path_states.entries_of, node.node_id, lost_scopes=("",), has_path=False
+            )
+
+        def knows(node, named):
+            return all(
+                node.loads.paths.confirms(other.node_id) == (other in named)
+                and node.loads.paths.denies(other.node_id, "s") == (other in cut_off)
+                for other in fleet.nodes
+                if other is not node
+            )
+
+        await pool_fleet.until(
+            lambda: all(knows(node, others) for node in fleet.nodes), seconds=3.0
+        )
+        crashed = others.pop()
+        await fleet.crash([crashed])
+        await pool_fleet.until(
+            lambda: not any(node.loads.paths.confirms(crashed.node_id) for node in cut_off),
+            seconds=loads.MAX_REPORT_AGE_SECONDS + 1.5,
+        )
+        assert all(knows(node, others) for node in cut_off if node in fleet.nodes)
+
+
 async def test_counts_of_requests_in_flight_recover_when_hubs_crash():
     async with running() as fleet:
         for node in fleet.nodes:
