A node that reaches no runner of one service has its requests sent by others

Callers of a plain service were refused with no_target at nodes that had lost their links to its few runners but reached others. Cause: one flag for all runners; such a node counted as one with a path, so others sent it requests that it could not send either, and its refusal ended the request.

members/service_paths.py checks the path to a service after a failed connection and until it is back; the entries of path_states tell it to all nodes; a node that reaches no target of a service says no_path, so the request goes to a third node. The probe is a module of its own.

--- a/basilpost/admin/explaining.py
+++ b/basilpost/admin/explaining.py
@@ -25,6 +25,8 @@
         "node_stopping",
         "runner_path_lost",
         "runner_path_back",
+        "service_path_lost",
+        "service_path_back",
         "log_lines_dropped",
     }
 )
--- a/basilpost/core/log_events.py
+++ b/basilpost/core/log_events.py
@@ -82,6 +82,15 @@
     "runner_path_back": Event(
         meaning="a VM could be connected to again, after these seconds", fields=("seconds",)
     ),
+    "service_path_lost": Event(
+        meaning="none of these VMs of the service could be connected to, but VMs of others; other "
+        "nodes send the requests to it",
+        fields=("service", "vms"),
+    ),
+    "service_path_back": Event(
+        meaning="a VM of the service could be connected to again, after these seconds",
+        fields=("service", "seconds"),
+    ),
     "target_crashed": Event(
         meaning="a target crashed with these requests in flight, here or at another node",
         fields=("target", "requests", "parts"),
--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -301,7 +301,7 @@
         self, progress: attempts.Progress
     ) -> targets_.Target | detours.Detour | failure.Refusal:
         """Returns the target of a request, or the node that sends it while this one has no path."""
-        if self._reachability.prefers_detour():
+        if self._reachability.prefers_detour(progress.admitted.service.name):
             detour = self._detours.choose(progress)
             if detour is not None:
                 return detour
@@ -317,7 +317,8 @@
 
     def _has_alternative(self, progress: attempts.Progress) -> bool:
         """Returns True if a request could be sent once more now."""
-        if self._reachability.prefers_detour() and self._detours.choose(progress) is not None:
+        prefers_detour = self._reachability.prefers_detour(progress.admitted.service.name)
+        if prefers_detour and self._detours.choose(progress) is not None:
             return True
         return not isinstance(self._chooser.choose(progress), failure.Refusal)
 
@@ -362,10 +363,13 @@
         attempts.Streamed | attempts.WholeAnswer | attempts.NotRun | attempts.Lost | failure.Refusal
     ):
         while True:
-            if not self._reachability.has_path:
+            if not self._reachability.reaches(progress.admitted.service.name):
                 return self._chooser.refusal("no_path", "this node reaches no runner either")
             target = await self._chooser.wait(progress)
             if isinstance(target, failure.Refusal):
+                if target.code == "no_target" and progress.unreached_targets:
+                    # Another node may reach the targets to which this one could open no connection.
+                    return self._chooser.refusal("no_path", "this node reaches no target either")
                 return target
             report = detour_headers.Report(
                 result=detour_headers.Result.ANSWERED, target_id=target.target_id
--- a/basilpost/gateway/target_sender.py
+++ b/basilpost/gateway/target_sender.py
@@ -151,7 +151,7 @@
         if isinstance(channel, channels.ConnectFailed):
             self._chooser.record_unreachable(target)
             progress.unreached_targets.add(target.target_id)
-            await self._reachability.find_path()
+            await self._reachability.find_path(service=progress.admitted.service.name)
             return attempts.NotSent(reason=channel.reason)
         self._log_placement(progress, target, last_event)
         began_at = clock.elapsed()
--- a/basilpost/members/reachability.py
+++ b/basilpost/members/reachability.py
@@ -9,26 +9,17 @@
 
 import asyncio
 import dataclasses
-import itertools
 import math
 import random
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Callable
 
 import prometheus_client
 
-from basilpost.core import catalog, channels, clock, kernel, names, tasks
-from basilpost.members import feed, path_states, peers
+from basilpost.core import catalog, clock, kernel, names, tasks
+from basilpost.members import feed, path_probe, path_states, peers, service_paths
 from basilpost.members import knowledge as knowledges
 from basilpost.members import loads as loads_
 
-# VMs that a check connects to at once.
-CHECKED_VMS = 4
-CONNECT_SECONDS = 0.3
-# Time in which a new connection is aborted if nothing listens behind it, as by a proxy whose server is
-# gone.
-ABORT_SECONDS = 0.03
-# The same if there is reason to doubt the path: a busy proxy aborts later.
-DOUBT_ABORT_SECONDS = 0.25
 # Requests lost one after the other, with no byte from any runner between, that give reason to doubt.
 DOUBTED_LOSSES = 3
 # A check that found a path this short a time ago is not repeated.
@@ -37,17 +28,8 @@
 SILENT_SECONDS = 0.4
 # Pause after a check because of silence, which a few slow requests cause as well.
 SILENT_CHECK_PAUSE_SECONDS = 1.0
-# Range of the pause between checks of a node without a path. It is drawn, so that nodes that were cut
-# off together do not return together.
-RETURN_CHECK_SECONDS = (0.3, 0.7)
-# Time in which the share of requests that use the path again rises from none to all.
-RETURN_SECONDS = 1.5
 WATCH_SECONDS = 0.1
-# After a check that took longer, this process was itself delayed, and its failure says nothing.
-LATE_CHECK_SECONDS = 2 * (CONNECT_SECONDS + DOUBT_ABORT_SECONDS)
 
-# Opens a connection to an address within some seconds.
-Connect = Callable[[str, float], Awaitable[channels.Channel | channels.ConnectFailed]]
 # Called with True when the path is lost, with False when it is back.
 Listener = Callable[[bool], None]
 
@@ -80,9 +62,12 @@
         self._tasks = tasks.TaskSet(log=kernel.log)
         self._rng = random.Random()
         self.has_path = True
-        self.connect: Connect | None = None
+        self.connect: path_probe.Connect | None = None
         self.peers_without_path: set[str] = set()
         self._listeners: list[Listener] = []
+        self._services = service_paths.ServicePaths(
+            vms_of=self._vms_of, rng=self._rng, task_set=self._tasks, kernel=kernel
+        )
         self._check: asyncio.Task[None] | None = None
         self._found_at = self._checked_at = -math.inf
         self._lost_at = self._back_at = -math.inf
@@ -114,15 +99,22 @@
         """Calls the listener when the path is lost and when it is back."""
         self._listeners.append(listener)
 
-    def prefers_detour(self) -> bool:
-        """Returns True if the next request is to be sent by another node.
+    def reaches(self, service: str) -> bool:
+        """Returns False if this node can connect to no VM of a service, as last checked."""
+        return self.has_path and not self._services.is_lost(service)
+
+    def prefers_detour(self, service: str) -> bool:
+        """Returns True if the next request to a service is to be sent by another node.
 
         After the return of the path, the share of such requests falls gradually.
         """
         if not self.has_path:
             return True
-        seconds_back = clock.elapsed() - self._back_at
-        return seconds_back < self._rng.random() * RETURN_SECONDS
+        seconds_back = clock.elapsed() - max(self._back_at, self._services.back_at(service))
+        return (
+            self._services.is_lost(service)
+            or seconds_back < self._rng.random() * service_paths.RETURN_SECONDS
+        )
 
     def may_send(self, node_id: str, service: str) -> bool:
         """Returns False if another node has told that it reaches no runner of a service."""
@@ -134,19 +126,24 @@
         """Returns True if another node has told lately that it reaches some runner."""
         return self._loads.paths.confirms(node_id)
 
-    async def find_path(self, *, fresh: bool = False, may_abort: bool = True) -> bool:
+    async def find_path(
+        self, *, service: str = "", fresh: bool = False, may_abort: bool = True
+    ) -> bool:
         """Returns True if there is a path to the runners; called after a failed connection.
 
         Args:
+            service: Service of the VM that could not be connected to, empty to ask for any runner.
             fresh: True to check in any case, not only if the last check was some time ago.
             may_abort: False if what failed was refused at once, so that a connection that opens is not
                 aborted later.
         """
-        if not self.has_path:
+        if not self.reaches(service):
             return False
         if fresh or clock.elapsed() - self._found_at > FRESH_SECONDS:
             await self._run_check("connection failed", may_abort=may_abort)
-        return self.has_path
+        if service and self.has_path and self.connect is not None:
+            await self._services.check(service, self.connect)
+        return self.reaches(service)
 
     def record_sent(self) -> None:
         """Counts a request that is sent to a runner."""
@@ -175,7 +172,7 @@
     async def _watch(self) -> None:
         while True:
             if not self.has_path:
-                await asyncio.sleep(self._rng.uniform(*RETURN_CHECK_SECONDS))
+                await asyncio.sleep(self._rng.uniform(*service_paths.RETURN_CHECK_SECONDS))
                 await self._run_check("return")
                 continue
             await asyncio.sleep(WATCH_SECONDS)
@@ -198,7 +195,7 @@
 
     async def _check_path(self, reason: str, may_abort: bool) -> None:
         try:
-            vms = choose_vms(
+            vms = path_probe.choose_vms(
                 (seen.vm for seen in self._knowledge.vms_by_id.values()), rng=self._rng
             )
             if not vms or self.connect is None:
@@ -206,7 +203,7 @@
             began_at = clock.elapsed()
             opened = await self._opens_any(self.connect, vms, may_abort)
             self._checked_at = clock.elapsed()
-            if self._checked_at - began_at > LATE_CHECK_SECONDS:
+            if self._checked_at - began_at > path_probe.LATE_SECONDS:
                 return
             if opened:
                 self._found_at = self._checked_at
@@ -215,19 +212,18 @@
         finally:
             self._check = None
 
-    async def _opens_any(self, connect: Connect, vms: list[catalog.Vm], may_abort: bool) -> bool:
+    async def _opens_any(
+        self, connect: path_probe.Connect, vms: list[catalog.Vm], may_abort: bool
+    ) -> bool:
         in_doubt = not self.has_path or self._losses_since_heard >= DOUBTED_LOSSES
-        usual_seconds = ABORT_SECONDS if may_abort else 0.0
-        abort_seconds = DOUBT_ABORT_SECONDS if in_doubt else usual_seconds
-        attempts = [asyncio.ensure_future(_opens(connect, vm.address, abort_seconds)) for vm in vms]
-        try:
-            for attempt in asyncio.as_completed(attempts):
-                if await attempt:
-                    return True
-            return False
-        finally:
-            for task in attempts:
-                task.cancel()
+        usual_seconds = path_probe.ABORT_SECONDS if may_abort else 0.0
+        abort_seconds = path_probe.DOUBT_ABORT_SECONDS if in_doubt else usual_seconds
+        opened = await path_probe.opens_any(connect, vms, abort_seconds=abort_seconds)
+        return opened is not None
+
+    def _vms_of(self, service: str) -> list[catalog.Vm]:
+        seen = self._knowledge.vms_by_id.values()
+        return [entry.vm for entry in seen if entry.vm.service == service]
 
     def _set_path(self, has_path: bool, reason: str, vms: list[catalog.Vm]) -> None:
         self.has_path = has_path
@@ -247,7 +243,8 @@
 
         In a full mesh each node sees by its streams which others are alive.
         """
-        lost_scopes = () if self.has_path else (path_states.ALL_RUNNERS,)
+        lost_services = self._services.lost_services
+        lost_scopes = lost_services if self.has_path else (path_states.ALL_RUNNERS,)
         return path_states.entries_of(
             self._node_id,
             lost_scopes=lost_scopes,
@@ -264,27 +261,3 @@
         self.peers_without_path.discard(node_id)
         if is_open and not self.has_path:
             self._peers.send(node_id, PathReport(has_path=False))
-
-
-async def _opens(connect: Connect, address: str, abort_seconds: float) -> bool:
-    channel = await connect(address, CONNECT_SECONDS)
-    if isinstance(channel, channels.ConnectFailed):
-        return False
-    try:
-        return not await channel.closes_within(abort_seconds)
-    finally:
-        channel.close()
-
-
-def choose_vms(vms: Iterable[catalog.Vm], *, rng: random.Random) -> list[catalog.Vm]:
-    """Returns up to `CHECKED_VMS` random VMs, from as many failure domains as possible.
-
-    VMs that are leaving are passed over unless there are no others.
-    """
-    known = list(vms)
-    candidates = [vm for vm in known if not vm.leaving] or known
-    vms_by_domain: dict[str, list[catalog.Vm]] = {}
-    for vm in rng.sample(candidates, len(candidates)):
-        vms_by_domain.setdefault(vm.failure_domain, []).append(vm)
-    in_turn = itertools.chain.from_iterable(itertools.zip_longest(*vms_by_domain.values()))
-    return [vm for vm in in_turn if vm is not None][:CHECKED_VMS]
--- a/basilpost/members/reachability_test.py
+++ b/basilpost/members/reachability_test.py
@@ -9,7 +9,7 @@
 import structlog
 
 from basilpost.core import catalog, channels, clock, names
-from basilpost.members import path_states, reachability
+from basilpost.members import path_probe, path_states, reachability, service_paths
 
 pytestmark = pytest.mark.looptime
 
@@ -103,10 +103,10 @@
     await node.reachability.start()
     await asyncio.sleep(1.0)
     assert not node.reachability.has_path
-    assert node.reachability.prefers_detour()
+    assert node.reachability.prefers_detour("s")
     checks = len(node.connects)
     await asyncio.sleep(10.0)
-    assert 10 * reachability.CHECKED_VMS <= len(node.connects) - checks <= 160
+    assert 10 * path_probe.CHECKED_VMS <= len(node.connects) - checks <= 160
     node.open = every
     await asyncio.sleep(1.0)
     assert node.reachability.has_path
@@ -165,9 +165,9 @@
     node = Node()
     node.seconds = 0.1
     await asyncio.gather(*(node.reachability.find_path() for _ in range(50)))
-    assert len(node.connects) == reachability.CHECKED_VMS
+    assert len(node.connects) == path_probe.CHECKED_VMS
     await node.reachability.find_path()
-    assert len(node.connects) == reachability.CHECKED_VMS
+    assert len(node.connects) == path_probe.CHECKED_VMS
 
 
 async def test_a_caller_that_leaves_does_not_end_the_check_of_others():
@@ -183,7 +183,7 @@
 
 async def test_a_check_during_which_the_process_was_delayed_says_nothing():
     node = Node()
-    node.seconds = 2 * reachability.LATE_CHECK_SECONDS
+    node.seconds = 2 * path_probe.LATE_SECONDS
     node.open = set()
     assert await node.reachability.find_path()
 
@@ -197,7 +197,7 @@
     await asyncio.sleep(1.5)
     node.reachability.record_heard()
     assert node.reachability.has_path
-    assert len(node.connects) - checks == reachability.CHECKED_VMS
+    assert len(node.connects) - checks == path_probe.CHECKED_VMS
     node.open = set()
     await asyncio.sleep(2.0)
     assert not node.reachability.has_path
@@ -212,9 +212,9 @@
     await node.reachability._run_check("return")
     shares = []
     for _ in range(4):
-        detours = sum(node.reachability.prefers_detour() for _ in range(1000))
+        detours = sum(node.reachability.prefers_detour("s") for _ in range(1000))
         shares.append(detours / 1000)
-        await asyncio.sleep(reachability.RETURN_SECONDS / 3)
+        await asyncio.sleep(service_paths.RETURN_SECONDS / 3)
     assert shares[0] > 0.95 and 0.5 < shares[1] < 0.8 and 0.2 < shares[2] < 0.5
     assert shares[3] == 0.0
 
@@ -225,9 +225,9 @@
         make_vm(number, leaving=True) for number in range(30, 40)
     ]
     for _ in range(50):
-        chosen = reachability.choose_vms(vms, rng=rng)
-        assert len(chosen) == reachability.CHECKED_VMS
+        chosen = path_probe.choose_vms(vms, rng=rng)
+        assert len(chosen) == path_probe.CHECKED_VMS
         assert len({vm.failure_domain for vm in chosen}) == 3
         assert not any(vm.leaving for vm in chosen)
-    assert reachability.choose_vms(vms[30:32], rng=rng)
-    assert reachability.choose_vms([], rng=rng) == []
+    assert path_probe.choose_vms(vms[30:32], rng=rng)
+    assert path_probe.choose_vms([], rng=rng) == []
--- a/tests/cut_links.py
+++ b/tests/cut_links.py
@@ -31,13 +31,17 @@
     def __init__(self, pool):
         self.opened = self.failed = 0
         self._kind = None
+        self._addresses = None
         self._channels = weakref.WeakSet()
         self._pool = pool
         self._acquire, pool.acquire = pool.acquire, self._acquire_if_whole
 
-    def cut(self, kind):
-        self._kind = kind
+    def cut(self, kind, *, addresses=None):
+        """Cuts the node off from the runners at some addresses, from all by default."""
+        self._kind, self._addresses = kind, addresses
         for channel in list(self._channels):
+            if not self._is_cut(channel.address):
+                continue
             if kind is Kind.RESET:
                 channel.stream.close((ConnectionResetError, ConnectionResetError(), None))
             elif kind is Kind.HANG and not channel.stream.closed():
@@ -46,10 +50,13 @@
     def heal(self):
         self._kind = None
 
+    def _is_cut(self, address):
+        return self._kind is not None and (self._addresses is None or address in self._addresses)
+
     async def _acquire_if_whole(self, address, *, timeout, fresh=False, lifetime=""):
         keeps_open = self._kind in (Kind.HANG, Kind.REFUSE)
         has_idle = not fresh and self._pool._idle_by_address.get(address)
-        if self._kind is None or (keeps_open and has_idle):
+        if not self._is_cut(address) or (keeps_open and has_idle):
             channel = await self._acquire(address, timeout=timeout, fresh=fresh, lifetime=lifetime)
             if isinstance(channel, channels.Channel):
                 self.opened += channel not in self._channels
--- a/tests/pool_cut_off_test.py
+++ b/tests/pool_cut_off_test.py
@@ -12,7 +12,7 @@
 from basilpost.core import clock
 from basilpost.emulator import pool_fleet
 from basilpost.groups import pool_controller
-from basilpost.members import reachability
+from basilpost.members import reachability, service_paths
 from tests import cut_links, pool_nodes
 
 # Users' bounds: from this long after the cut, at most one first try in 50 and one more may fail.
@@ -86,6 +86,27 @@
         check_served(callers, range(cut_count), since=cut_at + STABLE_SECONDS)
 
 
+@pytest.mark.parametrize("kind", cut_links.Kind)
+async def test_callers_of_nodes_without_a_path_to_one_service_are_not_served(kind):
+    """The nodes reach the other service, and most other nodes have lost the same one."""
+    async with pool_nodes.running(nodes=6, fabric_domains=3, vms=6, plain_instances=3) as bench:
+        await bench.wait_for_groups(3, pool_fleet.LARGE)
+        plain = {
+            runner.address
+            for runner in bench.fleet.runners_by_id.values()
+            if not runner.fabric_domain
+        }
+        callers = Callers(bench)
+        running = asyncio.create_task(callers.run(seconds=7.0, per_second=5.0))
+        await asyncio.sleep(1.0)
+        for node in range(5):
+            bench.links[node].cut(kind, addresses=plain)
+        cut_at = clock.elapsed()
+        await running
+        check_served(callers, range(5, 6), since=cut_at)
+        check_served(callers, range(5), since=cut_at + STABLE_SECONDS)
+
+
 async def wait_until_lost(bench, node):
     """Waits until a node knows that it has no path to the runners, and its peers know it too."""
     node_id = bench.kernels[node].node_id
@@ -260,7 +281,7 @@
         await pool_fleet.until(lambda: bench.reachabilities[0].has_path)
         with structlog.testing.capture_logs() as lines:
             answers = [await bench.call("/lookup/a", node=0) for _ in range(20)]
-            await asyncio.sleep(reachability.RETURN_SECONDS)
+            await asyncio.sleep(service_paths.RETURN_SECONDS)
             detoured = sum(line["event"] == "request_detoured" for line in lines)
             answers += [await bench.call("/lookup/a", node=0) for _ in range(20)]
         assert {answer.code for answer in answers} == {200}
