One odd entry in the store costs that entry only

Another writer's entry that was nested 100,000 deep, or held a number of hundreds or thousands of digits, ended the following of all entries on every node, or made each answer of the store count as none; a port out of range ended a task for each request. Cause: the parser and the decoder caught the errors of wrong types only, the whole answer was parsed as one value, and an exception in one change ended the task that follows them. Class: a value that another program wrote is trusted to be in range.

A change that cannot be applied is logged and passed over (change_not_applied), and an answer that cannot be applied is a failed call, after which all is listed again.

--- a/basilpost/core/channels.py
+++ b/basilpost/core/channels.py
@@ -285,6 +285,7 @@
     address: str, *, timeout: float, lifetime: str, source_host: str
 ) -> Channel | ConnectFailed:
     host, _, port = address.rpartition(":")
+    # An address that no socket takes raises ValueError or OverflowError.
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     stream = tornado.iostream.IOStream(sock, max_buffer_size=MAX_BODY_BYTES)
     stream.set_nodelay(True)
@@ -293,7 +294,13 @@
             sock.bind((source_host, 0))
         async with asyncio.timeout(timeout):
             await stream.connect((host, int(port)))
-    except (OSError, TimeoutError, tornado.iostream.StreamClosedError) as error:
+    except (
+        OSError,
+        TimeoutError,
+        ValueError,
+        OverflowError,
+        tornado.iostream.StreamClosedError,
+    ) as error:
         stream.close()
         return ConnectFailed(reason=f"{address}: {type(error).__name__} {error}")
     except asyncio.CancelledError:
--- a/basilpost/core/codec.py
+++ b/basilpost/core/codec.py
@@ -13,6 +13,8 @@
 import cattrs.preconf.msgpack
 import msgpack
 
+from basilpost.core import tolerant_json
+
 T = TypeVar("T")
 
 
@@ -41,8 +43,15 @@
         ValueError: If the bytes are not JSON or do not match the record.
     """
     try:
-        return json_converter().structure(json.loads(raw), kind)
-    except (cattrs.BaseValidationError, AttributeError, KeyError, TypeError) as error:
+        return json_converter().structure(tolerant_json.loads(raw), kind)
+    except (
+        cattrs.BaseValidationError,
+        ArithmeticError,
+        AttributeError,
+        KeyError,
+        RecursionError,
+        TypeError,
+    ) as error:
         raise ValueError(f"not a {kind.__name__}: {error!r}") from error
 
 
@@ -62,8 +71,10 @@
         return msgpack_converter().structure(msgpack.unpackb(raw), kind)
     except (
         cattrs.BaseValidationError,
+        ArithmeticError,
         AttributeError,
         KeyError,
+        RecursionError,
         TypeError,
         msgpack.UnpackException,
     ) as error:
--- a/basilpost/core/log_events.py
+++ b/basilpost/core/log_events.py
@@ -82,6 +82,10 @@
     "runner_path_back": Event(
         meaning="a VM could be connected to again, after these seconds", fields=("seconds",)
     ),
+    "change_not_applied": Event(
+        meaning="a change of an object raised an error, which is logged with it, and is ignored",
+        fields=("key", "revision"),
+    ),
     "service_path_lost": Event(
         meaning="none of these VMs of the service could be connected to, but VMs of others; other "
         "nodes send the requests to it",
--- a/basilpost/emulator/pool_store.py
+++ b/basilpost/emulator/pool_store.py
@@ -20,6 +20,8 @@
         store: The in-memory store.
         page_size: Maximum number of objects in one answer to a listing.
         tells_era: False to answer without the header that tells how often the store was restored.
+        raw_text_by_marker: JSON text that answers have in place of strings, for values that another writer
+            left and that this process could not write.
     """
 
     def __init__(self, *, store: memory.MemoryStore | None = None, page_size: int = 50) -> None:
@@ -27,6 +29,7 @@
         self.store = store or memory.MemoryStore()
         self.page_size = page_size
         self.tells_era = True
+        self.raw_text_by_marker: dict[str, str] = {}
         # What the operator and the runners wrote last, None for removed objects.
         self._written_by_key: dict[str, Any] = {}
 
@@ -99,7 +102,15 @@
         """Ends the request with a JSON body, and tells how often the store was restored."""
         if self.owner.tells_era:
             self.set_header("Store-Era", str(_FIRST_ERA + self.store.era))
-        super().answer(body, status=status)
+        if not self.owner.raw_text_by_marker:
+            super().answer(body, status=status)
+            return
+        text = json.dumps(body)
+        for marker, raw in self.owner.raw_text_by_marker.items():
+            text = text.replace(json.dumps(marker), raw)
+        self.set_status(status)
+        self.set_header("Content-Type", "application/json")
+        self.finish(text)
 
     async def prepare(self) -> None:
         await self.owner.silent_connections.block_if_silent(self.request)
--- a/basilpost/members/feed.py
+++ b/basilpost/members/feed.py
@@ -380,7 +380,7 @@
         self._note_era(change.version)
         if eras.era_of(change.version) < self._known.era:
             if followed.takes_lost:
-                followed.on_change(change)
+                self._tell(followed, change)
                 self.notify_listeners()
             return False
         if not self._known.merge(change):
@@ -391,10 +391,18 @@
             self.publish(change)
         if not self.is_full_mesh:
             self._gossip.announcer.publish(change, source)
-        followed.on_change(change)
+        self._tell(followed, change)
         self.notify_listeners()
         return True
 
+    def _tell(self, followed: _Followed, change: objects.Change) -> None:
+        """Passes a change on; one that cannot be applied must not keep the others back."""
+        try:
+            followed.on_change(change)
+        except Exception:
+            revision = eras.revision_of(change.version)
+            self._log.exception("change_not_applied", key=change.key, revision=revision)
+
     def notify_listeners(self) -> None:
         """Calls the listeners of changes."""
         for listener in self._listeners:
--- a/basilpost/members/node_table.py
+++ b/basilpost/members/node_table.py
@@ -7,9 +7,10 @@
 
 import dataclasses
 import enum
+import math
 from collections.abc import Callable
 
-from basilpost.core import clock, codec, names
+from basilpost.core import addresses, clock, codec, names
 from basilpost.members import replica
 from basilpost.store import objects
 
@@ -163,6 +164,8 @@
     if change.stored is None:
         return None
     try:
-        return codec.from_json(change.stored.value, NodeRecord)
+        record = codec.from_json(change.stored.value, NodeRecord)
     except ValueError:
         return None
+    is_usable = addresses.is_valid(record.peer_address) and math.isfinite(record.lease_seconds)
+    return record if is_usable and record.node_id.isprintable() else None
--- a/basilpost/members/store_follower.py
+++ b/basilpost/members/store_follower.py
@@ -101,7 +101,7 @@
             if await self._before_call():
                 self._revision = None
             sent_at = self._now()
-            if await self._call():
+            if await self._call_safely():
                 self.current_at = sent_at
                 self.answered_at = self._now()
                 self._failures = 0
@@ -112,6 +112,19 @@
                 self._failures = min(self._failures + 1, MAX_DOUBLINGS)
                 await asyncio.sleep(delay * random.uniform(0.5, 1.0))
 
+    async def _call_safely(self) -> bool:
+        """Makes one call; an answer that cannot be applied counts as failed, and all is listed again.
+
+        Whatever another program has written to the store must not end the following.
+        """
+        try:
+            return await self._call()
+        except Exception as error:
+            self._revision = None
+            reason = f"{self.prefix}: the answer cannot be applied: {type(error).__name__} {error}"
+            self._on_failure(self.prefix, objects.Unavailable(reason=reason))
+            return False
+
     async def _call(self) -> bool:
         """Makes one call; returns True if the replica is current as of when it was sent."""
         if self._revision is None:
--- a/basilpost/platform/decode.py
+++ b/basilpost/platform/decode.py
@@ -5,10 +5,10 @@
 """
 
 import dataclasses
-import json
+import math
 from typing import Any
 
-from basilpost.core import catalog, failure
+from basilpost.core import addresses, catalog, failure, tolerant_json
 
 CONFIG_KEY = "config/main"
 CONFIG_PREFIX = "config/"
@@ -16,6 +16,11 @@
 EVACUATION_PREFIX = "evacuations/"
 
 _MS_PER_SECOND = 1000.0
+# Integers beyond this are not exact in all JSON readers.
+_MAX_INTEGER = 2**53
+_MAX_REASON_LENGTH = 300
+# What decoding raises for an object with missing, unusable or too large parts.
+_DECODE_ERRORS = (ValueError, TypeError, KeyError, AttributeError, ArithmeticError, RecursionError)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -26,32 +31,38 @@
 def vm(vm_id: str, raw: bytes) -> catalog.Vm | Malformed:
     """Decodes the entry that the platform keeps for one server (a runner on a VM)."""
     try:
-        return _vm(vm_id, json.loads(raw))
-    except (ValueError, TypeError, KeyError, AttributeError) as error:
-        return Malformed(reason=f"entry {vm_id}: {type(error).__name__} {error}")
+        return _vm(vm_id, tolerant_json.loads(raw))
+    except _DECODE_ERRORS as error:
+        return _malformed(f"entry {vm_id}", error)
 
 
 def configuration(raw: bytes) -> catalog.Configuration | Malformed:
     """Decodes the configuration that the operators wrote."""
     try:
-        return _configuration(json.loads(raw))
-    except (ValueError, TypeError, KeyError, AttributeError) as error:
-        return Malformed(reason=f"configuration: {type(error).__name__} {error}")
+        return _configuration(tolerant_json.loads(raw))
+    except _DECODE_ERRORS as error:
+        return _malformed("configuration", error)
+
+
+def _malformed(name: str, error: Exception) -> Malformed:
+    return Malformed(reason=f"{name}: {type(error).__name__} {error}"[:_MAX_REASON_LENGTH])
 
 
 def _vm(vm_id: str, raw: dict[str, Any]) -> catalog.Vm:
     state = raw["state"]
     if state not in ("ready", "draining"):
         raise ValueError(f"unknown state {state!r}")
-    host, _, port = _text(raw, "address").rpartition(":")
-    if not host or not port.isdigit():
-        raise ValueError(f"address is not host:port: {raw['address']!r}")
+    address = _text(raw, "address")
+    if not addresses.is_valid(address):
+        raise ValueError(f"address is not host:port: {address!r}")
+    if not (vm_id.isascii() and vm_id.isprintable()):
+        raise ValueError(f"name is no header value: {vm_id!r}")
     return catalog.Vm(
         vm_id=vm_id,
         # The platform's documentation promises `born`, but its examples leave it out.
         incarnation=_integer(raw, "born") if "born" in raw else 0,
         service=_text(raw, "service"),
-        address=raw["address"],
+        address=address,
         failure_domain=_text(raw, "zone"),
         # `domain` is the fabric domain, not the failure domain.
         fabric_domain=_text(raw, "domain") if raw.get("domain") else "",
@@ -105,11 +116,11 @@
         ),
         streaming=streaming,
         repeat=catalog.Repeat.IDEMPOTENT if may_repeat else catalog.Repeat.ONCE,
-        max_attempts=max(1, int(raw.get("maxAttempts", 1))),
+        max_attempts=max(1, int(_finite(raw.get("maxAttempts", 1)))),
         timeout=_number(raw, "timeoutMs") / _MS_PER_SECOND,
         objective=_number(raw, "targetLatencyMs") / _MS_PER_SECOND,
-        max_gap=float(raw.get("gapAimMs") or 0) / _MS_PER_SECOND,
-        priority=int(raw.get("priority") or 0),
+        max_gap=_finite(raw.get("gapAimMs") or 0) / _MS_PER_SECOND,
+        priority=int(_finite(raw.get("priority") or 0)),
         anonymous=bool(raw.get("anonymous")),
     )
 
@@ -118,7 +129,7 @@
     engine = raw.get("engine")
     return catalog.Service(
         name=_text(raw, "name"),
-        cold_per_second=float(raw.get("coldPerS") or 0),
+        cold_per_second=_finite(raw.get("coldPerS") or 0),
         engine=_engine(engine) if engine and engine.get("models") else None,
     )
 
@@ -158,7 +169,7 @@
             memory_tokens=_integer(raw, "kvCapacityTokens"),
             usual_answer_tokens=_number(raw["usual"], "answer"),
         )
-    except (KeyError, TypeError):
+    except (KeyError, TypeError, ValueError):
         return None
     positive = (
         figures.step_seconds,
@@ -183,6 +194,9 @@
     value = raw[name]
     if not isinstance(value, str) or not value:
         raise TypeError(f"{name} is {value!r}, expected a non-empty string")
+    # Control characters and lone surrogates fit into no header and no log line.
+    if not value.isprintable():
+        raise ValueError(f"{name} is {value!r}, expected printable text")
     return value
 
 
@@ -190,6 +204,8 @@
     value = raw[name]
     if isinstance(value, bool) or not isinstance(value, int):
         raise TypeError(f"{name} is {value!r}, expected an integer")
+    if not 0 <= value <= _MAX_INTEGER:
+        raise ValueError(f"{name} is {value!r}, expected 0 to {_MAX_INTEGER}")
     return value
 
 
@@ -197,4 +213,11 @@
     value = raw[name]
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise TypeError(f"{name} is {value!r}, expected a number")
-    return float(value)
+    return _finite(value)
+
+
+def _finite(value: Any) -> float:
+    number = float(value)
+    if not math.isfinite(number):
+        raise ValueError(f"{value!r} is no finite number")
+    return number
--- a/basilpost/platform/headers.py
+++ b/basilpost/platform/headers.py
@@ -149,11 +149,12 @@
 
 def _non_negative(text: str) -> float | None:
     number = _number(text)
-    return number if number is not None and math.isfinite(number) and number >= 0.0 else None
+    return number if number is not None and number >= 0.0 else None
 
 
 def _number(text: str) -> float | None:
     try:
-        return float(text)
+        number = float(text)
     except ValueError:
         return None
+    return number if math.isfinite(number) else None
--- a/basilpost/platform/store.py
+++ b/basilpost/platform/store.py
@@ -5,11 +5,13 @@
 """
 
 import json
+import typing
 import urllib.parse
 from typing import Any
 
 import prometheus_client
 
+from basilpost.core import tolerant_json
 from basilpost.store import eras, http_calls, objects
 
 # Time for the answer of a watch to arrive after the wait at the server is over.
@@ -21,6 +23,8 @@
 _ERA_HEADER = "Store-Era"
 # Added to the platform's number, which may begin at 0: that is the era of a store that tells none.
 _ERA_OFFSET = 1
+_MAX_ERA_DIGITS = 9
+_MAX_LOGGED_LENGTH = 80
 # Statuses of answers to writes that took no effect.
 _NO_EFFECT_STATUSES = frozenset({400, 403, 404, 413, 429, 503})
 
@@ -91,7 +95,7 @@
         while True:
             query = "?" + urllib.parse.urlencode({"sinceRevision": last_name}) if last_name else ""
             reply = await self._read(_path(prefix.rstrip("/")) + query, timeout=timeout)
-            page = _body(reply)
+            page = _page(reply, "items")
             if page is None:
                 return objects.Unavailable(reason=f"list {prefix}: {_reason(reply)}")
             era = self._era_of(reply)
@@ -106,7 +110,11 @@
             if not page.get("hasMore") or not page["items"]:
                 return objects.Listing(objects=tuple(listed), revision=first_at)
             # For the next page the platform expects the last item's name in `sinceRevision`.
-            last_name = page["items"][-1]["metadata"]["name"]
+            last = page["items"][-1]
+            name = _name_of(last)
+            if not name or name == last_name:
+                return objects.Unavailable(reason=f"list {prefix}: the last item has no new name")
+            last_name = name
 
     async def create(
         self,
@@ -170,7 +178,7 @@
         )
         if isinstance(reply, http_calls.Reply) and reply.status == 410:
             return objects.Expired(reason=f"watch {prefix}: no history since {plain_revision}")
-        body = _body(reply)
+        body = _page(reply, "events")
         if body is None:
             return objects.Unavailable(reason=f"watch {prefix}: {_reason(reply)}")
         era = self._era_of(reply)
@@ -230,11 +238,12 @@
     def _told_era(self, reply: http_calls.Reply) -> int | None:
         """Returns the era that an answer names, None if it names no valid one."""
         text = reply.headers.get(_ERA_HEADER, "")
-        if text.isascii() and text.isdigit() and int(text) + _ERA_OFFSET <= eras.MAX_ERA:
+        is_number = text.isascii() and text.isdigit() and len(text) <= _MAX_ERA_DIGITS
+        if is_number and int(text) + _ERA_OFFSET <= eras.MAX_ERA:
             return int(text) + _ERA_OFFSET
         if text and not self._has_malformed_era:
             self._has_malformed_era = True
-            self._log.warning("store_era_malformed", value=text)
+            self._log.warning("store_era_malformed", value=text[:_MAX_LOGGED_LENGTH])
         return None
 
     def _is_outdated(self, version: int) -> bool:
@@ -267,8 +276,8 @@
             return kind(reason=f"{method} {key}: {reply.reason}")
         reason = f"{method} {key}: status {reply.status}"
         if reply.status in (200, 201):
-            written = _body(http_calls.Reply(status=200, body=reply.body)) or {}
-            revision = int((written.get("metadata") or {}).get("revision", 0))
+            written = _body(http_calls.Reply(status=200, body=reply.body))
+            revision = _revision_of(written) or 0
             return objects.Written(version=eras.version(era=self._era_of(reply), revision=revision))
         if reply.status in (404, 409):
             return objects.Conflict(reason=reason)
@@ -278,17 +287,16 @@
 
     def _stored(self, prefix: str, raw: Any, era: int) -> objects.Stored | None:
         """Decodes an object; logs one without a usable name or revision and returns None."""
-        try:
-            metadata = raw["metadata"]
-            return objects.Stored(
-                key=prefix + str(metadata["name"]),
-                value=json.dumps(raw.get("spec")).encode(),
-                version=eras.version(era=era, revision=int(metadata["revision"])),
-            )
-        except (KeyError, TypeError, ValueError) as error:
-            reason = f"object has no usable name or revision: {type(error).__name__} {error}"
+        name, revision = _name_of(raw), _revision_of(raw)
+        if not name or revision is None:
+            reason = "object has no usable name or revision"
             self._log.warning("malformed_object", key=prefix, revision=None, reason=reason)
             return None
+        return objects.Stored(
+            key=prefix + name,
+            value=_spec_of(raw),
+            version=eras.version(era=era, revision=revision),
+        )
 
     def _change(self, prefix: str, raw: Any, era: int) -> objects.Change | None:
         stored = self._stored(prefix, raw.get("object") if isinstance(raw, dict) else None, era)
@@ -309,11 +317,46 @@
     if isinstance(reply, http_calls.NoReply) or reply.status != 200:
         return None
     try:
-        return json.loads(reply.body)
+        return tolerant_json.loads(reply.body)
     except ValueError:
         return None
 
 
+def _page(reply: http_calls.Reply | http_calls.NoReply, field: str) -> dict[str, Any] | None:
+    """Returns the body of an answer with a list and the revision that it is of, else None."""
+    body = _body(reply)
+    if not isinstance(body, dict) or not isinstance(body.get(field), list):
+        return None
+    return body if _is_revision(body.get("at")) else None
+
+
+def _name_of(raw: Any) -> str:
+    """Returns the name of an object, empty if it has none of use."""
+    metadata = raw.get("metadata") if isinstance(raw, dict) else None
+    name = metadata.get("name") if isinstance(metadata, dict) else None
+    return name if isinstance(name, str) and name.isprintable() else ""
+
+
+def _revision_of(raw: Any) -> int | None:
+    """Returns the revision of an object, None if it has none of use."""
+    metadata = raw.get("metadata") if isinstance(raw, dict) else None
+    revision = metadata.get("revision") if isinstance(metadata, dict) else None
+    return revision if _is_revision(revision) else None
+
+
+def _is_revision(value: Any) -> typing.TypeGuard[int]:
+    is_integer = isinstance(value, int) and not isinstance(value, bool)
+    return is_integer and 0 <= value < 1 << eras.REVISION_BITS
+
+
+def _spec_of(raw: dict[str, Any]) -> bytes:
+    """Returns the JSON text of an object's content, null if it is nested too deeply."""
+    try:
+        return json.dumps(raw.get("spec")).encode()
+    except (RecursionError, ValueError):
+        return b"null"
+
+
 def _reason(reply: http_calls.Reply | http_calls.NoReply) -> str:
     return reply.reason if isinstance(reply, http_calls.NoReply) else f"status {reply.status}"
 
--- a/basilpost/store/http_calls.py
+++ b/basilpost/store/http_calls.py
@@ -121,7 +121,14 @@
         try:
             async with asyncio.timeout_at(deadline):
                 stream = await self._connect()
-        except (OSError, TimeoutError, iostream.StreamClosedError) as error:
+        except (
+            OSError,
+            TimeoutError,
+            ValueError,
+            OverflowError,
+            iostream.StreamClosedError,
+        ) as error:
+            # Addresses that no socket takes raise ValueError or OverflowError.
             return NoReply(reason=f"no connection to {self._authority}: {error!r}", sent=False)
         left = deadline - clock.monotonic()
         return await self._exchange(stream, call, timeout=left, keep=keep)
--- /dev/null
+++ b/tests/pool_odd_entries_test.py
@@ -0,0 +1,107 @@
+"""Another writer leaves an odd entry among those of the runners in the platform's store."""
+
+import pytest
+import structlog.testing
+
+from basilpost.emulator import pool_fleet
+from tests import pool_nodes
+
+MARKER = "@odd@"
+DEEP = "[" * 100_000 + "]" * 100_000
+LESS_DEEP = "[" * 900 + "]" * 900
+LARGE = "9" * 401
+HUGE = "9" * 6_000
+HOST = "127.0.0.1"
+# Values of single fields of an entry, as JSON text.
+ODD_FIELDS = {
+    "deep-unknown": ("unknown", DEEP),
+    "less-deep-unknown": ("unknown", LESS_DEEP),
+    "huge-unknown": ("unknown", HUGE),
+    "deep-service": ("service", DEEP),
+    "less-deep-zone": ("zone", LESS_DEEP),
+    "surrogate-zone": ("zone", '"\\ud800"'),
+    "header-in-service": ("service", '"desk\\r\\nX: y"'),
+    "less-deep-staged": ("staged", LESS_DEEP),
+    "large-cold": ("coldRemainingMs", LARGE),
+    "huge-cold": ("coldRemainingMs", HUGE),
+    "infinite-cold": ("coldRemainingMs", "1e999"),
+    "no-number-cold": ("coldRemainingMs", "NaN"),
+    "large-slots": ("slots", LARGE),
+    "negative-slots": ("slots", "-1"),
+    "infinite-slots": ("slots", "1e999"),
+    "large-born": ("born", LARGE),
+    "infinite-born": ("born", "Infinity"),
+    "large-epoch": ("group", f'{{"name": "g-1", "epoch": {LARGE}, "rank": 0, "state": "open"}}'),
+    "large-rank": ("group", f'{{"name": "g-1", "epoch": 1, "rank": {LARGE}, "state": "open"}}'),
+    "negative-rank": ("group", '{"name": "g-1", "epoch": 1, "rank": -9, "state": "open"}'),
+    "odd-group-name": ("group", '{"name": "\\u0000", "epoch": 1, "rank": 0, "state": "open"}'),
+    "deep-group": ("group", DEEP),
+    "port-70000": ("address", f'"{HOST}:70000"'),
+    "port-0": ("address", f'"{HOST}:0"'),
+    "negative-port": ("address", f'"{HOST}:-1"'),
+    "port-in-other-digits": ("address", f'"{HOST}:\\u0668\\u0660"'),
+    "huge-port": ("address", f'"{HOST}:{HUGE}"'),
+    "header-in-host": ("address", f'"{HOST}\\r\\nX-Tenant: other:80"'),
+    "surrogate-host": ("address", '"\\ud800:80"'),
+    "space-in-host": ("address", '"a b:80"'),
+}
+ODD_ENTRIES = {
+    "deep": DEEP,
+    "less-deep": LESS_DEEP,
+    "huge": HUGE,
+    "null": "null",
+    "list": "[]",
+    "text": '"text"',
+    "empty": "{}",
+}
+
+
+def entry(address, service=pool_fleet.PLAIN_SERVICE):
+    return {
+        "service": service,
+        "address": address,
+        "zone": "a",
+        "version": "v1",
+        "slots": 4,
+        "state": "ready",
+        "coldRemainingMs": 0,
+        "born": 5,
+        "sequence": 0,
+    }
+
+
+async def check_entries_are_followed(odd_entry, raw):
+    """Serves requests and follows entries that come later, at old nodes and at one that starts."""
+    with structlog.testing.capture_logs() as lines:
+        async with pool_nodes.running(nodes=2, vms=3, plain_instances=3) as bench:
+            await bench.wait_for_groups(1, pool_fleet.LARGE)
+            bench.fleet.store.raw_text_by_marker[MARKER] = raw
+            await bench.fleet.store.put("servers/0-odd", odd_entry)
+            await bench.wait_for_knowledge(lambda known: known.vms_age() < 2.0)
+            await bench.add("late")
+            await pool_fleet.until(lambda: bench.relays[2].ready)
+            await bench.fleet.store.put("servers/zz-later", entry("127.9.9.9:1", "other"))
+            await bench.wait_for_knowledge(lambda known: "zz-later" in known.vms_by_id)
+            await bench.wait_for_knowledge(lambda known: len(known.vms_by_id) >= 7)
+            answers = [
+                await bench.call(path, node=node)
+                for path in ("/lookup/a", "/filing/a", "/draft/a") * 3
+                for node in range(3)
+            ]
+            assert [answer.code for answer in answers] == [200] * 27
+    failed = [line for line in lines if line["event"] in ("task_failed", "store_lost")]
+    assert not failed, failed
+
+
+@pytest.mark.parametrize("name", ODD_FIELDS)
+async def test_an_odd_field_ends_the_following_of_all_entries(name):
+    field, raw = ODD_FIELDS[name]
+    odd_entry = entry(f"{HOST}:9") | {field: MARKER}
+    if field in ("group", "staged"):
+        odd_entry |= {"service": pool_fleet.MODEL_SERVICE, "domain": "f0"}
+    await check_entries_are_followed(odd_entry, raw)
+
+
+@pytest.mark.parametrize("name", ODD_ENTRIES)
+async def test_an_entry_that_is_odd_as_a_whole_ends_the_following_of_all_entries(name):
+    await check_entries_are_followed(MARKER, ODD_ENTRIES[name])
