A stream goes on only with the event that follows

Here errors by status ended the stream as incomplete, but a signed page, an event without an id or one with an id that is text were forwarded. Cause: only ids that are numbers were compared. Ids of thousands of digits, or a superscript digit, raised an error as well.

After a resumption the first event needs an id that continues the stream, and the answer the media type of its beginning; otherwise it is a gap and the next target is tried or the caller's connection is closed.

--- a/basilpost/emulator/pool_runner.py
+++ b/basilpost/emulator/pool_runner.py
@@ -54,6 +54,9 @@
         stray_answers: Number of coming requests to a plain service on whose connection an answer to
             another request, a stray answer, is sent first.
         unnamed_stray_answers: True to leave the request id out of stray answers.
+        refuses_as_stray: True to send refusals that say "not run" as stray answers.
+        resumed_answer: What is sent on the connection of a stream that is resumed, in place of its
+            answer; empty to resume it.
         order_delay: Seconds by which coming orders are delayed; those get no answer. 0 for none.
         cut_streams: Number of coming streams that are cut off in the middle of an event.
         cut_after_events: Whole events that such a stream sends first.
@@ -83,6 +86,8 @@
     lose_answers: int = 0
     stray_answers: int = 0
     unnamed_stray_answers: bool = False
+    refuses_as_stray: bool = False
+    resumed_answer: bytes = b""
     order_delay: float = 0.0
     cut_streams: int = 0
     cut_after_events: int = 2
@@ -459,12 +464,21 @@
         if self._options.stray_answers > 0:
             self._options.stray_answers -= 1
             name = b"" if self._options.unnamed_stray_answers else b"X-Attempt-Id: stray\r\n"
-            stray = b"HTTP/1.1 200 OK\r\n" + name + b"Content-Length: 5\r\n"
-            self._write_raw(stray + b"X-Runner-Signature: s\r\n\r\nstray")
+            if self._options.refuses_as_stray:
+                refusal = b"HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n"
+                self._write_raw(refusal + name + b"\r\n")
+            else:
+                stray = b"HTTP/1.1 200 OK\r\n" + name + b"Content-Length: 5\r\n"
+                self._write_raw(stray + b"X-Runner-Signature: s\r\n\r\nstray")
         self.set_header(SIGNATURE, "s")
         self.finish(body)
 
     async def _answer_stream(self) -> None:
+        if self._options.resumed_answer and self.request.headers.get("Last-Event-Id"):
+            name = self.request.headers.get(_ATTEMPT, "").encode()
+            self._write_raw(self._options.resumed_answer.replace(b"@", name))
+            self._drop()
+            return
         self.set_header(SIGNATURE, "s")
         self.set_header("Content-Type", "text/event-stream")
         is_cut = self._options.cut_streams > 0
--- a/basilpost/gateway/answer_sinks.py
+++ b/basilpost/gateway/answer_sinks.py
@@ -202,9 +202,14 @@
         self.writing_since = None
 
     def on_head(self, head: channels.Head) -> None:
-        """Decides whether the answer is a stream: its status is 200 and it is signed."""
+        """Decides whether the answer is a stream: its status is 200 and it is signed.
+
+        One that resumes a stream has to have the type of its beginning too.
+        """
         response = self._dialect.parse_response(head.status, head.headers)
         self.is_stream = head.status == _OK and response.signed
+        if self._reply.started and self._head is not None:
+            self.is_stream = self.is_stream and _media_type(head) == _media_type(self._head)
         if self.is_stream and self._head is None:
             self._head = head
 
@@ -280,6 +285,11 @@
         self._reply.send_head(self._head.status, self._head.reason, headers)
 
 
+def _media_type(head: channels.Head) -> str:
+    media_type, _, _ = head.headers.get("Content-Type", "").partition(";")
+    return str(media_type).strip().lower()
+
+
 def max_events_of(max_answer_tokens: int) -> int:
     """Returns the most events of a stream; `max_answer_tokens` is 0 if its request names no bound."""
     if not max_answer_tokens:
--- a/basilpost/gateway/sse.py
+++ b/basilpost/gateway/sse.py
@@ -1,7 +1,8 @@
 """Splits a resumable event stream into complete events and tracks the id of the last one.
 
 A stream that is resumed on another target must neither lose nor repeat an event, so only complete
-events are forwarded.
+events are forwarded. What that target sends first has to carry the id of the event to go on with: an
+error page, or an event of another stream, would otherwise be taken for a part of this one.
 """
 
 import dataclasses
@@ -9,6 +10,8 @@
 from basilpost.gateway import events
 
 _ID = b"id:"
+# Ids of more digits are text.
+_MAX_ID_DIGITS = 18
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -40,6 +43,9 @@
         self.last_id = last_id
         self._max_events = max_events
         self._events_of_target = 0
+        self._has_forwarded = False
+        # True until the first event of a target that resumes the stream.
+        self._is_resuming = False
         self._rest = bytearray()
         # Up to here the rest holds no separator.
         self._searched = 0
@@ -58,6 +64,7 @@
         """Discards an incomplete event, before the stream is resumed on another target."""
         self._rest.clear()
         self._searched = self._events_of_target = 0
+        self._is_resuming = self._has_forwarded
 
     def feed(self, chunk: bytes) -> NewEvents:
         """Adds a chunk of the stream; returns the events that it completes, without repeated ones."""
@@ -76,6 +83,9 @@
         has_gap = False
         for event in complete.split(events.SEPARATOR)[:-1]:
             event_id = _event_id(event)
+            if self._is_resuming and not self._may_resume(event_id):
+                has_gap = True
+                break
             if event_id and not self._is_next(event_id):
                 if self._is_repeated(event_id):
                     continue
@@ -83,16 +93,29 @@
                 break
             kept.append(event + events.SEPARATOR)
             self.last_id = event_id or self.last_id
+            self._has_forwarded, self._is_resuming = True, False
         return NewEvents(data=b"".join(kept), count=len(kept), has_gap=has_gap)
 
     def _is_next(self, event_id: str) -> bool:
         """Returns True if the id follows the last one; ids that are not numbers count as following."""
-        if not (event_id.isdigit() and self.last_id.isdigit()):
-            return True
-        return int(event_id) == int(self.last_id) + 1
+        number, last = _number(event_id), _number(self.last_id)
+        return number is None or last is None or number == last + 1
 
     def _is_repeated(self, event_id: str) -> bool:
-        return int(event_id) <= int(self.last_id)
+        number, last = _number(event_id), _number(self.last_id)
+        return number is not None and last is not None and number <= last
+
+    def _may_resume(self, event_id: str) -> bool:
+        """Returns True if an event with this id may come first from a target that resumes the stream."""
+        if _number(self.last_id) is None:
+            return bool(event_id)
+        return _number(event_id) is not None
+
+
+def _number(event_id: str) -> int | None:
+    """Returns the number that an id is, None if it is text."""
+    is_number = event_id.isascii() and event_id.isdigit() and len(event_id) <= _MAX_ID_DIGITS
+    return int(event_id) if is_number else None
 
 
 def _event_id(event: bytes) -> str:
--- a/basilpost/gateway/sse_test.py
+++ b/basilpost/gateway/sse_test.py
@@ -69,3 +69,19 @@
             b"".join(event(n) for n in range(int(stream.last_id or 0) + 1, count + 1))
         ).data
     assert out == b"".join(event(number) for number in range(1, count + 1))
+
+
+def test_an_event_without_the_next_id_is_taken_for_the_resumption():
+    for other in (b"data: error\n\n", b"id: x\ndata: error\n\n", b"id: \xb2\ndata: error\n\n"):
+        stream = sse.ResumableStream(last_id="")
+        stream.feed(event(1) + event(2))
+        stream.restart()
+        passed = stream.feed(other + event(3))
+        assert (passed.data, passed.has_gap) == (b"", True)
+
+
+def test_ids_that_no_integer_takes_end_the_reading():
+    for odd_id in (b"\xb2", b"9" * 6000):
+        stream = sse.ResumableStream(last_id="1")
+        odd = b"id: " + odd_id + b"\ndata: x\n\n"
+        assert stream.feed(odd).data == odd
