A rejection without a request's id on a kept connection proves nothing

Another operator's report: a runner wrote an earlier refusal once more, and clients were told 'not run' for requests that a runner was running. It happens here for idempotent requests: a rejection without an id on a kept connection was taken as the answer to the request that was just sent. Requests that run at most once have a new connection each, so none of them was refused or repeated. The comment that it does no harm overlooked that a refusal says not-run to callers of any request.

Such a rejection now counts as a lost answer: the request may be repeated where its route allows it, and is never refused as not run.

--- a/basilpost/gateway/target_sender.py
+++ b/basilpost/gateway/target_sender.py
@@ -271,9 +271,8 @@
     ) -> bool:
         """Returns True if an answer carries the id of this request, or cannot be for another one.
 
-        On a kept connection a second answer to an earlier request may arrive first. Rejections may carry
-        no request id. Taking one that was meant for another request does no harm, because requests that
-        may run only once get a new connection.
+        On a kept connection a second answer to an earlier request may arrive first. A rejection without a
+        request id is taken as the own one; see `_classify`.
         """
         response = self._dialect.parse_response(head.status, head.headers)
         if response.request_id:
@@ -297,6 +296,9 @@
         self, head: channels.Head, channel: channels.Channel
     ) -> channels.Head | attempts.NotRun | attempts.Lost:
         response = self._dialect.parse_response(head.status, head.headers)
+        if response.not_run and not response.request_id and channel.requests > 1:
+            # It may be the rejection of an earlier request, written once more, while this one runs.
+            return attempts.Lost(reason=f"{channel.address} rejected a request without its id")
         if response.not_run:
             return attempts.NotRun(reason=f"{channel.address} rejected it with {head.status}")
         if head.status < 300 and not response.signed:
