Addresses in node records are checked where they are used

Detours now pass over a node whose record has no such address, and dialling a peer counts an address that no socket takes as out of reach, so the task that keeps its stream goes on. Further odd entries are tested: group names of other programs, and the highest values that are taken.

--- a/basilpost/gateway/detours.py
+++ b/basilpost/gateway/detours.py
@@ -13,7 +13,7 @@
 import prometheus_client
 import tornado.httputil
 
-from basilpost.core import channels, clock, failure, names
+from basilpost.core import addresses, channels, clock, failure, names
 from basilpost.core import kernel as kernel_
 from basilpost.gateway import answer_sinks, attempts, detour_headers, inbound, request_admission
 from basilpost.members import node_table, path_states, peers, reachability
@@ -142,6 +142,7 @@
             for node_id in self._peers.live_nodes()
             if node_id != self._node_id
             and node_id in self._table.records_by_id
+            and addresses.is_valid(self._table.records_by_id[node_id].peer_address)
             and self._reachability.may_send(node_id, service)
         ]
 
--- a/basilpost/members/connections.py
+++ b/basilpost/members/connections.py
@@ -158,7 +158,8 @@
             async with asyncio.timeout(self._timing.peer_silence):
                 reader, writer = await self._transport.connect(self._address_of(node_id))
                 hello = await self._handshake(reader, writer, dialled=True, lasting=lasting)
-        except (OSError, TimeoutError):
+        except (OSError, TimeoutError, ValueError, OverflowError):
+            # An address in a record that no socket takes raises ValueError or OverflowError.
             hello = wire.FrameRefused(reason=f"{node_id} is out of reach", cause="unreachable")
         if isinstance(hello, handshake.Hello) and hello.node_id != node_id:
             hello = wire.FrameRefused(reason=f"found {hello.node_id!r}", cause="unauthenticated")
--- a/tests/pool_odd_entries_test.py
+++ b/tests/pool_odd_entries_test.py
@@ -12,6 +12,13 @@
 LARGE = "9" * 401
 HUGE = "9" * 6_000
 HOST = "127.0.0.1"
+
+
+def group(name, *, epoch=1, rank=0):
+    """Returns the JSON text of a membership."""
+    return f'{{"name": "{name}", "epoch": {epoch}, "rank": {rank}, "state": "open"}}'
+
+
 # Values of single fields of an entry, as JSON text.
 ODD_FIELDS = {
     "deep-unknown": ("unknown", DEEP),
@@ -36,6 +43,15 @@
     "negative-rank": ("group", '{"name": "g-1", "epoch": 1, "rank": -9, "state": "open"}'),
     "odd-group-name": ("group", '{"name": "\\u0000", "epoch": 1, "rank": 0, "state": "open"}'),
     "deep-group": ("group", DEEP),
+    "other-group-name": ("group", group("g-1")),
+    "large-number-in-group-name": ("group", group(f"{pool_fleet.LARGE}--{LARGE}")),
+    "huge-number-in-group-name": ("group", group(f"{pool_fleet.LARGE}--{HUGE}")),
+    "standby-group-name": ("group", group(f"standby-{pool_fleet.LARGE}--x")),
+    "highest-epoch": ("group", group(f"{pool_fleet.LARGE}--1", epoch=2**53)),
+    "highest-rank": ("group", group(f"{pool_fleet.LARGE}--1", rank=2**53)),
+    "highest-slots": ("slots", str(2**53)),
+    "highest-cold": ("coldRemainingMs", "1e300"),
+    "negative-cold": ("coldRemainingMs", "-1e300"),
     "port-70000": ("address", f'"{HOST}:70000"'),
     "port-0": ("address", f'"{HOST}:0"'),
     "negative-port": ("address", f'"{HOST}:-1"'),
@@ -74,9 +90,9 @@
     """Serves requests and follows entries that come later, at old nodes and at one that starts."""
     with structlog.testing.capture_logs() as lines:
         async with pool_nodes.running(nodes=2, vms=3, plain_instances=3) as bench:
-            await bench.wait_for_groups(1, pool_fleet.LARGE)
             bench.fleet.store.raw_text_by_marker[MARKER] = raw
             await bench.fleet.store.put("servers/0-odd", odd_entry)
+            await bench.wait_for_groups(1, pool_fleet.LARGE)
             await bench.wait_for_knowledge(lambda known: known.vms_age() < 2.0)
             await bench.add("late")
             await pool_fleet.until(lambda: bench.relays[2].ready)
