--- a/basilpost/soak/faults.py
+++ b/basilpost/soak/faults.py
@@ -16,7 +16,8 @@
     key and DOMAIN_OUT a failure domain for a time. PATH_* cut a node off from all runners: its connections
     are reset, or new ones are refused while open ones live on. RUNNER_PAUSES makes a runner reject
     requests and ask for a pause, RUNNER_LEAVES say in its answers that it leaves until it is replaced.
-    STORE_RESTORED brings the store back from a copy that is some seconds old.
+    STORE_RESTORED brings the store back from a copy that is some seconds old. MOST_PATHS cuts all nodes but
+    one to three off from all runners, and MOST_SERVICE_PATHS from those of the plain service.
     """
 
     KILL = "kill"
@@ -42,6 +43,8 @@
     RUNNER_PAUSES = "runner_pauses"
     RUNNER_LEAVES = "runner_leaves"
     STORE_RESTORED = "store_restored"
+    MOST_PATHS = "most_paths"
+    MOST_SERVICE_PATHS = "most_service_paths"
 
 
 # The kinds that `draw` picks from; their number and order decide what a seed draws.
@@ -72,6 +75,20 @@
     Kind.PAUSE,
     Kind.STORE_SILENT,
 )
+# Most nodes of a large fleet are cut off at once, again and again, beside single ones, while nodes stop,
+# die or freeze.
+LARGE_FLEET_KINDS = (
+    *(Kind.MOST_PATHS, Kind.MOST_SERVICE_PATHS) * 3,
+    Kind.PATH_RESET,
+    Kind.PATH_REFUSED,
+    Kind.RUNNER_GONE,
+    Kind.KILL,
+    Kind.STOP,
+    Kind.PAUSE,
+    Kind.STORE_SILENT,
+)
+# Range of the number of nodes that a cut of most of them leaves.
+NODES_LEFT = (1, 3)
 # The store is restored, also several times in a row, while keys and failure domains are withdrawn and
 # nodes and runners come and go.
 RESTORE_KINDS = (
--- a/basilpost/soak/run.py
+++ b/basilpost/soak/run.py
@@ -7,7 +7,8 @@
 import functools
 import itertools
 import pathlib
-from collections.abc import Awaitable
+import random
+from collections.abc import Awaitable, Iterable
 from typing import Any
 
 from basilpost.core import clock
@@ -264,7 +265,9 @@
             case faults.Kind.ANSWERS_LOST:
                 return self._lose_answers(fault)
             case faults.Kind.PATH_RESET | faults.Kind.PATH_REFUSED:
-                return self._cut_path(fault, node)
+                return self._cut_path(fault, node, tuple(self._proxies_by_vm.values()))
+            case faults.Kind.MOST_PATHS | faults.Kind.MOST_SERVICE_PATHS:
+                return self._cut_most_paths(fault)
             case faults.Kind.RUNNER_PAUSES:
                 return self._ask_for_pause(fault, vm_id)
             case faults.Kind.RUNNER_LEAVES:
@@ -320,11 +323,28 @@
             proxy = self._proxies_by_vm[vm_id]
             proxy.target = await runner.start()
 
-    async def _cut_path(self, fault: faults.Fault, node: processes.NodeProcess) -> None:
-        """Cuts a node off from all runners; overlapping cuts of one node end with the first one."""
+    async def _cut_most_paths(self, fault: faults.Fault) -> None:
+        """Cuts all nodes but a few off, from all runners or from those of the plain service."""
+        rng = random.Random(fault.target_index)
+        count = len(self._nodes) - rng.randint(*faults.NODES_LEFT)
+        kind = rng.choice((faults.Kind.PATH_RESET, faults.Kind.PATH_REFUSED))
+        cut = dataclasses.replace(fault, kind=kind)
+        all_proxies = [
+            proxy
+            for vm_id, proxy in self._proxies_by_vm.items()
+            if fault.kind is faults.Kind.MOST_PATHS
+            or not self._fleet.runners_by_id[vm_id].fabric_domain
+        ]
+        nodes = rng.sample(self._nodes, count)
+        await asyncio.gather(*(self._cut_path(cut, node, all_proxies) for node in nodes))
+
+    async def _cut_path(
+        self, fault: faults.Fault, node: processes.NodeProcess, cut: Iterable[proxies.Proxy]
+    ) -> None:
+        """Cuts a node off from some runners; overlapping cuts of one node end with the first one."""
         host = node.settings.host
         began_at = clock.elapsed()
-        for proxy in self._proxies_by_vm.values():
+        for proxy in cut:
             proxy.refused_hosts.add(host)
             if fault.kind is faults.Kind.PATH_RESET:
                 proxy.reset(host=host)
@@ -332,7 +352,7 @@
         self._cuts.append(
             checks.Disturbance(address=node.settings.callers, begin=began_at, end=clock.elapsed())
         )
-        for proxy in self._proxies_by_vm.values():
+        for proxy in cut:
             proxy.refused_hosts.discard(host)
 
     async def _ask_for_pause(self, fault: faults.Fault, vm_id: str) -> None:
--- a/basilpost/soak/scenarios.py
+++ b/basilpost/soak/scenarios.py
@@ -152,6 +152,21 @@
         return callers.RandomCaller(name=name, addresses=load_balancer.addresses, seed=seed)
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class LargeFleet(LostPaths):
+    """Most nodes of a fleet beyond the full mesh lose their paths at once, among other faults.
+
+    The few that are left carry the requests of all, so there are few callers.
+    """
+
+    nodes: int = 24
+    caller_count: int = 10
+
+    def draw(self, seed: int, *, seconds: float) -> tuple[faults.Fault, ...]:
+        """Returns the faults of a seed, which begin within `seconds`."""
+        return faults.draw_of(faults.LARGE_FLEET_KINDS, seed, seconds=seconds)
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class RestoredStore(AllFaults):
     """The store comes back from older copies, among other faults of nodes, runners and the store."""
--- a/tests/soak_test.py
+++ b/tests/soak_test.py
@@ -30,6 +30,8 @@
     (2, "nodes without a path served none of their requests (issue 31)"),
     (3, "the same, beside a planned stop"),
 )
+FLEET_SECONDS = 9.0
+FLEET_SEEDS = ((1, "nodes of a large fleet searched for one with a path by chance (issue 45)"),)
 RESTORE_SECONDS = 9.0
 RESTORE_SEEDS = (
     (
@@ -92,6 +94,16 @@
     assert report.served > report.calls / 2
 
 
+@pytest.mark.processes
+@pytest.mark.parametrize("seed", [seed for seed, _ in FLEET_SEEDS])
+async def test_most_nodes_of_a_large_fleet_lose_their_paths(seed, tmp_path):
+    report = await run.Soak(seed=seed, folder=tmp_path, scenario=scenarios.LargeFleet()).run(
+        seconds=FLEET_SECONDS
+    )
+    assert report.broken == ()
+    assert report.served > report.calls / 2
+
+
 @pytest.mark.processes
 @pytest.mark.parametrize("seed", [seed for seed, _ in RESTORE_SEEDS])
 async def test_the_store_is_restored_from_older_copies(seed, tmp_path):
