A large fleet whose watchers reach no runner has a controller

If all watchers are cut off, no group is formed or repaired until the cut ends, though other nodes reach the runners. Such a node now competes when it knows that no watcher reaches a runner, and the controller calls the store like a watcher.

--- a/basilpost/groups/pool_controller.py
+++ b/basilpost/groups/pool_controller.py
@@ -17,7 +17,7 @@
 from basilpost.core import catalog, clock, kernel, names, tasks
 from basilpost.groups import lease as leases
 from basilpost.groups import orders, peak_demand, pool, pool_state, reported_groups
-from basilpost.members import demand, feed, loads, peers, reachability
+from basilpost.members import demand, feed, loads, path_states, peers, reachability
 from basilpost.members import knowledge as knowledges
 from basilpost.store import objects
 
@@ -150,8 +150,7 @@
     async def _run(self) -> None:
         await asyncio.sleep(random.uniform(0.0, 0.2))
         while True:
-            if not self._feed.is_watcher and not self._feed.has_stale_peer_data:
-                # In a large fleet only the nodes that watch the store compete for the lease.
+            if not self._may_compete():
                 await asyncio.sleep(OBSERVE_SECONDS)
                 continue
             if not self._reachability.has_path:
@@ -176,6 +175,18 @@
             except TimeoutError:
                 continue
 
+    def _may_compete(self) -> bool:
+        """Returns True if this node may take the lease.
+
+        In a large fleet only the nodes that watch the store do, unless none of them reaches a runner.
+        """
+        if self._feed.is_watcher or self._feed.has_stale_peer_data:
+            return True
+        return not any(
+            self._reachability.may_send(node_id, path_states.ALL_RUNNERS)
+            for node_id in self._feed.watchers
+        )
+
     async def _act_as_controller(self) -> None:
         """Makes decisions and sends orders until the lease is lost."""
         self._log.info("pool_control_gained", fence=self._lease.fence)
--- a/basilpost/members/feed.py
+++ b/basilpost/members/feed.py
@@ -279,7 +279,8 @@
     async def _wait_until_call_is_due(self, *, age_bounded: bool) -> bool:
         """Waits until this node has to call the store; returns True if it has to list then.
 
-        A watcher calls at once, another node when its peers' data is stale. A node that has just
+        A watcher calls at once, and so does the controller, which must see changes first; another node
+        when its peers' data is stale. A node that has just
         started first learns from the records of the nodes, which are not bounded in age, whether it
         is to watch.
         """
@@ -290,7 +291,9 @@
         call_at = started_at + (
             DELAYED_CALL_SECONDS * random.uniform(0.5, 1.0) if peers_reply else 0.0
         )
-        while not self.is_watcher and (not self.has_stale_peer_data or clock.elapsed() < call_at):
+        while not (self.is_watcher or self.is_controller) and (
+            not self.has_stale_peer_data or clock.elapsed() < call_at
+        ):
             await asyncio.sleep(STALENESS_CHECK_SECONDS)
         return clock.elapsed() - started_at > LIST_AGAIN_SECONDS
 
--- a/tests/pool_nodes.py
+++ b/tests/pool_nodes.py
@@ -9,7 +9,7 @@
 from basilpost.emulator import pool_fleet
 from basilpost.gateway import relay
 from basilpost.groups import pool_controller
-from basilpost.members import loads, peers, reachability
+from basilpost.members import feed, loads, peers, reachability
 from basilpost.node import pool_assembly, pool_demo
 from basilpost.routing import targets
 from basilpost.settings import pool_schema
@@ -101,6 +101,10 @@
     def loads(self):
         return [kernel.find(names.LOADS, loads.Loads) for kernel in self.kernels]
 
+    @property
+    def feeds(self):
+        return [kernel.find(names.FEED, feed.Feed) for kernel in self.kernels]
+
     @property
     def peers(self):
         return [kernel.find(names.PEERS, peers.PeerNetwork) for kernel in self.kernels]
