Tasks on which a node relies go on after an error

One exception in a task that follows the store, reports loads, watches paths or decides for the pool ended that task for the life of the process; it was logged, and nothing started it again. TaskSet.keep_running logs the error and starts the task again after 0.5 s; 20 long-lived tasks use it. Tests of records with odd addresses, and of addresses.

--- a/basilpost/core/tasks.py
+++ b/basilpost/core/tasks.py
@@ -1,13 +1,15 @@
 """Keeps references to background tasks, so that none is garbage-collected or fails unnoticed."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
 import structlog
 
 # Time after which tasks that have not ended are cancelled again.
 CANCEL_RETRY_SECONDS = 0.2
+# Time after which a task that is to run until the end is started again after an error.
+RESTART_SECONDS = 0.5
 
 
 class TaskSet:
@@ -24,6 +26,23 @@
         task.add_done_callback(self._on_done)
         return task
 
+    def keep_running(self, run: Callable[[], Awaitable[None]], *, name: str) -> asyncio.Task[None]:
+        """Starts a task that runs until it returns; after an error it is logged and started again.
+
+        For tasks on which the node relies: whatever value another program sends, one error must not
+        end them for good.
+        """
+        return self.spawn(self._run_until_done(run, name), name=name)
+
+    async def _run_until_done(self, run: Callable[[], Awaitable[None]], name: str) -> None:
+        while True:
+            try:
+                await run()
+                return
+            except Exception as error:
+                self._log.error("task_failed", task=name, exc_info=error)
+            await asyncio.sleep(RESTART_SECONDS)
+
     async def close(self) -> None:
         """Cancels all tasks and waits until they have ended."""
         # Some library calls swallow a cancellation that arrives together with their result, so the
--- a/basilpost/gateway/detours_test.py
+++ b/basilpost/gateway/detours_test.py
@@ -125,3 +125,14 @@
     assert {node.choose(make_progress()).node_id for _ in range(20)} == {"n2"}
     time[0] += detours.AVOID_UNREACHED_SECONDS
     assert {node.choose(make_progress()).node_id for _ in range(20)} == {"n1", "n2"}
+
+
+@pytest.mark.parametrize("address", ["", "n1", "10.0.0.1:", "10.0.0.1:70000", "10.0.0.1:\u0668"])
+def test_an_address_in_a_record_that_no_socket_takes_ends_each_request(time, address):
+    node = make_detours(2)
+    odd = node_table.NodeRecord(
+        node_id="n1", peer_address=address, incarnation="i", lease_seconds=1e9
+    )
+    node._table.records_by_id["n1"] = odd
+    assert node.choose(make_progress()) is None
+    assert not node.available
--- a/basilpost/gateway/relay.py
+++ b/basilpost/gateway/relay.py
@@ -145,8 +145,8 @@
 
     async def start(self) -> None:
         """Starts listening for callers and for readiness checks."""
-        self._tasks.spawn(self.forwarder.stall_detector.run(), name="stall-watch")
-        self._tasks.spawn(self._sweep_pool(), name="connection-sweep")
+        self._tasks.keep_running(self.forwarder.stall_detector.run, name="stall-watch")
+        self._tasks.keep_running(self._sweep_pool, name="connection-sweep")
         self._server.add_sockets(_bind(self._settings.callers))
         self._detour_service.server.add_sockets(
             _bind(f"{self._settings.host}:{self._settings.detour_port}")
--- a/basilpost/groups/controllers.py
+++ b/basilpost/groups/controllers.py
@@ -59,7 +59,7 @@
 
     async def start(self) -> None:
         """Starts reading the VM list; controllers start as their domains become known."""
-        self._tasks.spawn(self._run(), name="controllers")
+        self._tasks.keep_running(self._run, name="controllers")
 
     async def stop(self) -> None:
         """Stops all controllers after their current round, then releases their domains."""
--- a/basilpost/groups/credits.py
+++ b/basilpost/groups/credits.py
@@ -95,7 +95,7 @@
     async def start(self) -> None:
         """Starts to grant credits on targets that this node controls, and to ask for credits."""
         self._directory_changed()
-        self._tasks.spawn(self._granter.run(), name="granter")
+        self._tasks.keep_running(self._granter.run, name="granter")
         self._tasks.spawn(self._start_ask_tasks(), name="credits")
 
     async def stop(self) -> None:
--- a/basilpost/groups/health.py
+++ b/basilpost/groups/health.py
@@ -96,7 +96,7 @@
 
     async def start(self) -> None:
         """Starts to probe the targets that fall to this node."""
-        self._tasks.spawn(self._run_probes(), name="health")
+        self._tasks.keep_running(self._run_probes, name="health")
 
     async def stop(self) -> None:
         """Stops probing."""
--- a/basilpost/groups/pool_controller.py
+++ b/basilpost/groups/pool_controller.py
@@ -126,7 +126,7 @@
 
     async def start(self) -> None:
         """Starts to observe the lease."""
-        self._tasks.spawn(self._run(), name="pool-controller")
+        self._tasks.keep_running(self._run, name="pool-controller")
 
     async def stop(self) -> None:
         """Stops and announces the release of the lease, so that another node takes over at once."""
@@ -194,7 +194,7 @@
         self._epochs_used = 0
         self._feed.is_controller = True
         fence = self._lease.fence
-        renewing = self._tasks.spawn(self._keep_renewing(), name="pool-lease")
+        renewing = self._tasks.keep_running(self._keep_renewing, name="pool-lease")
         try:
             while self._lease.held and self._lease.fence == fence and self._reachability.has_path:
                 if self._used_fence() > fence:
--- a/basilpost/members/connections.py
+++ b/basilpost/members/connections.py
@@ -81,7 +81,7 @@
         """Starts to listen and to connect to the wanted nodes."""
         self.address = await self._transport.listen(self._accept)
         self._update_wanted()
-        self._tasks.spawn(self._maintain_streams(), name="peer-heartbeats")
+        self._tasks.keep_running(self._maintain_streams, name="peer-heartbeats")
 
     async def stop(self) -> None:
         """Sends the queued frames and closes all streams."""
--- a/basilpost/members/feed.py
+++ b/basilpost/members/feed.py
@@ -171,8 +171,8 @@
         """Starts to follow the store and the peers."""
         self._started_at = clock.elapsed()
         for prefix, followed in self._followed_by_prefix.items():
-            self._tasks.spawn(followed.follower.run(), name=f"follow-{prefix}")
-        self._tasks.spawn(self._query_neighbours(), name="feed-ask")
+            self._tasks.keep_running(followed.follower.run, name=f"follow-{prefix}")
+        self._tasks.keep_running(self._query_neighbours, name="feed-ask")
 
     async def stop(self) -> None:
         """Stops following."""
--- a/basilpost/members/lease.py
+++ b/basilpost/members/lease.py
@@ -72,8 +72,8 @@
 
     async def start(self) -> None:
         """Starts to renew the lease; the node also starts while the store is unavailable."""
-        self._tasks.spawn(self._keep_renewing(), name="lease")
-        self._tasks.spawn(self._keep_retiring(), name="retire-nodes")
+        self._tasks.keep_running(self._keep_renewing, name="lease")
+        self._tasks.keep_running(self._keep_retiring, name="retire-nodes")
 
     async def stop(self) -> None:
         """Announces the departure to the peers and deletes the lease."""
--- a/basilpost/members/loads.py
+++ b/basilpost/members/loads.py
@@ -135,7 +135,7 @@
 
     async def start(self) -> None:
         """Starts to send reports."""
-        self._tasks.spawn(self._report(), name="load-reports")
+        self._tasks.keep_running(self._report, name="load-reports")
 
     async def stop(self) -> None:
         """Stops sending reports."""
--- a/basilpost/members/node_registry.py
+++ b/basilpost/members/node_registry.py
@@ -48,7 +48,7 @@
 
     async def start(self) -> None:
         """Starts to write this node's record."""
-        self._tasks.spawn(self._write_until_done(), name="node-record")
+        self._tasks.keep_running(self._write_until_done, name="node-record")
 
     async def stop(self) -> None:
         """Removes this node's record."""
--- a/basilpost/members/quorum_standing.py
+++ b/basilpost/members/quorum_standing.py
@@ -72,7 +72,7 @@
     async def start(self) -> None:
         """Starts to check the standing regularly and to detect pauses of the process."""
         self._checked_at = clock.monotonic()
-        self._tasks.spawn(self._check_regularly(), name="standing")
+        self._tasks.keep_running(self._check_regularly, name="standing")
 
     async def stop(self) -> None:
         """Stops the checks."""
--- a/basilpost/members/reachability.py
+++ b/basilpost/members/reachability.py
@@ -89,7 +89,7 @@
 
     async def start(self) -> None:
         """Starts to watch the path."""
-        self._tasks.spawn(self._watch(), name="runner-path")
+        self._tasks.keep_running(self._watch, name="runner-path")
 
     async def stop(self) -> None:
         """Stops watching the path."""
--- a/basilpost/members/store_replica.py
+++ b/basilpost/members/store_replica.py
@@ -88,9 +88,9 @@
     async def start(self) -> None:
         """Starts to follow the store and the peers."""
         for follower in self._followers:
-            self._tasks.spawn(follower.run(), name=f"follow-{follower.prefix}")
-        self._tasks.spawn(self.gossip.run(), name="spread")
-        self._tasks.spawn(self._expiry_reporter.run(), name="lapses")
+            self._tasks.keep_running(follower.run, name=f"follow-{follower.prefix}")
+        self._tasks.keep_running(self.gossip.run, name="spread")
+        self._tasks.keep_running(self._expiry_reporter.run, name="lapses")
 
     async def stop(self) -> None:
         """Stops following; the known objects stay readable."""
--- a/basilpost/routing/crash_store.py
+++ b/basilpost/routing/crash_store.py
@@ -75,7 +75,7 @@
 
     async def start(self) -> None:
         """Starts to end causes whose time is over."""
-        self._tasks.spawn(self._expire(), name="crash-causes")
+        self._tasks.keep_running(self._expire, name="crash-causes")
 
     async def stop(self) -> None:
         """Cancels writes in the background."""
