A node that lost its path to one service does not accuse its targets

Cause: a target that refuses a connection counts as crashed if this node reaches any runner at all. It now has to reach another one of the same service; a service of one VM is judged as before.

test_a_node_without_a_path_to_one_service_accuses_its_targets failed on the parent and passes.

--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -117,7 +117,9 @@
         )
         self.loss_probe = loss_probe.LossProbe(
             connect=self.sender.connect,
-            has_path=lambda aborts: reachability.find_path(fresh=True, may_abort=aborts),
+            has_path=lambda service, aborts: reachability.find_path(
+                service=service, fresh=True, may_abort=aborts
+            ),
             on_down=self._chooser.avoid,
             on_crash=crashes.record_crash,
             log=log,
@@ -448,7 +450,12 @@
         return again
 
     def _report_loss(self, progress: attempts.Progress) -> None:
-        self.loss_probe.report_loss(progress.target, progress.address, progress.lost_request)
+        self.loss_probe.report_loss(
+            progress.target,
+            progress.address,
+            progress.lost_request,
+            service=progress.admitted.service.name,
+        )
 
     def _log_failed_attempt(
         self,
--- a/basilpost/gateway/loss_probe.py
+++ b/basilpost/gateway/loss_probe.py
@@ -2,7 +2,7 @@
 
 An answer may be lost for many reasons. A target whose connection has broken and that refuses a new
 one has crashed, and with it all requests that were in flight there; unless this node can connect to
-no target at all.
+no target of the service.
 """
 
 import asyncio
@@ -22,8 +22,9 @@
 GATHER_SECONDS = 0.01
 
 OnCrash = Callable[[str, Iterable[crash_evidence.LostRequest]], None]
-# Takes True if a target aborts connections that have opened; returns True if others can be reached.
-FindPath = Callable[[bool], Awaitable[bool]]
+# Takes the target's service, and True if it aborts connections that have opened; returns True if other
+# targets can be reached.
+FindPath = Callable[[str, bool], Awaitable[bool]]
 Connect = Callable[[str, float], Awaitable[channels.Channel | channels.ConnectFailed]]
 
 
@@ -54,20 +55,22 @@
         self._tasks = tasks.TaskSet(log=log)
         self._lost_by_target: dict[str, list[crash_evidence.LostRequest]] = {}
 
-    def report_loss(self, target_id: str, address: str, lost: crash_evidence.LostRequest) -> None:
+    def report_loss(
+        self, target_id: str, address: str, lost: crash_evidence.LostRequest, *, service: str
+    ) -> None:
         """Adds a lost request; the target is probed unless a probe of it is on its way."""
         waiting = self._lost_by_target.get(target_id)
         if waiting is not None:
             waiting.append(lost)
             return
         self._lost_by_target[target_id] = [lost]
-        self._tasks.spawn(self._probe(target_id, address), name="loss-probe")
+        self._tasks.spawn(self._probe(target_id, address, service), name="loss-probe")
 
     async def close(self) -> None:
         """Cancels the probes."""
         await self._tasks.close()
 
-    async def _probe(self, target_id: str, address: str) -> None:
+    async def _probe(self, target_id: str, address: str, service: str) -> None:
         lost: list[crash_evidence.LostRequest] = []
         crashed = False
         try:
@@ -76,7 +79,7 @@
             if state is not _State.UP:
                 # Sound requests must not wait for the check whether this node is to blame.
                 self._on_down(target_id)
-                crashed = await self._has_path(state is _State.ABORTS)
+                crashed = await self._has_path(service, state is _State.ABORTS)
         finally:
             lost = self._lost_by_target.pop(target_id)
         if crashed:
--- a/basilpost/gateway/loss_probe_test.py
+++ b/basilpost/gateway/loss_probe_test.py
@@ -37,7 +37,7 @@
     def on_crash(target_id, lost):
         crashes.append((target_id, [request.fingerprint for request in lost]))
 
-    async def find_path(may_abort):
+    async def find_path(service, may_abort):
         await asyncio.sleep(PATH_CHECK_SECONDS)
         return has_path
 
@@ -58,7 +58,7 @@
     connects = []
     probe = make_probe(crashes, channels.ConnectFailed(reason="refused"), connects)
     for name in "abc":
-        probe.report_loss("t", "h:1", lost(name))
+        probe.report_loss("t", "h:1", lost(name), service="s")
     await asyncio.sleep(WAIT_SECONDS)
     assert crashes == [("t", ["a", "b", "c"])]
     assert connects == ["h:1"]
@@ -67,7 +67,7 @@
 async def test_a_target_that_accepts_connections_has_not_crashed(crashes):
     channel = FakeChannel()
     probe = make_probe(crashes, channel, [])
-    probe.report_loss("t", "h:1", lost("a"))
+    probe.report_loss("t", "h:1", lost("a"), service="s")
     await asyncio.sleep(WAIT_SECONDS)
     assert crashes == []
     assert channel.closed
@@ -75,7 +75,7 @@
 
 async def test_a_target_behind_a_proxy_that_aborts_connections_has_crashed(crashes):
     probe = make_probe(crashes, FakeChannel(aborted=True), [])
-    probe.report_loss("t", "h:1", lost("a"))
+    probe.report_loss("t", "h:1", lost("a"), service="s")
     await asyncio.sleep(WAIT_SECONDS)
     assert crashes == [("t", ["a"])]
 
@@ -96,7 +96,7 @@
 
 async def test_a_node_that_reaches_no_target_takes_them_for_crashed(crashes):
     probe = make_probe(crashes, channels.ConnectFailed(reason="refused"), [], has_path=False)
-    probe.report_loss("t", "h:1", lost("a"))
+    probe.report_loss("t", "h:1", lost("a"), service="s")
     await asyncio.sleep(WAIT_SECONDS)
     assert crashes == []
 
@@ -104,7 +104,7 @@
 async def test_a_dead_target_attracts_requests_until_the_path_is_checked(crashes):
     down = []
     probe = make_probe(crashes, channels.ConnectFailed(reason="refused"), [], down=down)
-    probe.report_loss("t", "h:1", lost("a"))
+    probe.report_loss("t", "h:1", lost("a"), service="s")
     await asyncio.sleep(loss_probe.GATHER_SECONDS * 2)
     assert (down, crashes) == (["t"], [])
     await asyncio.sleep(WAIT_SECONDS)
--- a/basilpost/members/reachability.py
+++ b/basilpost/members/reachability.py
@@ -141,8 +141,9 @@
             return False
         if fresh or clock.elapsed() - self._found_at > FRESH_SECONDS:
             await self._run_check("connection failed", may_abort=may_abort)
-        if service and self.has_path and self.connect is not None:
-            await self._services.check(service, self.connect)
+        # A service of one VM tells nothing of the way to it: the VM may have ended.
+        if service and self.has_path and self.connect and len(self._vms_of(service)) > 1:
+            await self._services.check(service, self.connect, fresh=fresh)
         return self.reaches(service)
 
     def record_sent(self) -> None:
--- a/basilpost/members/service_paths.py
+++ b/basilpost/members/service_paths.py
@@ -70,10 +70,16 @@
         """Returns when the path to a service came back, on `clock.elapsed`; minus infinity for never."""
         return self._back_at_by_service.get(service, -math.inf)
 
-    async def check(self, service: str, connect: path_probe.Connect) -> None:
-        """Checks the path to a service, or waits for the check that runs already."""
+    async def check(
+        self, service: str, connect: path_probe.Connect, *, fresh: bool = False
+    ) -> None:
+        """Checks the path to a service, or waits for the check that runs already.
+
+        Unless `fresh` is set, a path that was found a moment ago is not checked again.
+        """
         found_at = self._found_at_by_service.get(service, -math.inf)
-        if self.is_lost(service) or clock.elapsed() - found_at <= FRESH_SECONDS:
+        is_known = not fresh and clock.elapsed() - found_at <= FRESH_SECONDS
+        if self.is_lost(service) or is_known:
             return
         if service not in self._checks_by_service:
             self._checks_by_service[service] = self._tasks.spawn(
--- a/tests/pool_cut_off_test.py
+++ b/tests/pool_cut_off_test.py
@@ -227,6 +227,23 @@
         assert [line for line in lines if line["event"] == "runner_path_lost"]
 
 
+async def test_a_node_without_a_path_to_one_service_accuses_its_targets():
+    async with pool_nodes.running(nodes=3, vms=3, plain_instances=3) as bench:
+        await bench.wait_for_groups(1, pool_fleet.LARGE)
+        plain = bench.fleet.runners_of(pool_fleet.PLAIN_SERVICE)
+        for runner in plain:
+            runner.options.work_seconds = 1.0
+        with structlog.testing.capture_logs() as lines:
+            calls = [asyncio.create_task(bench.call("/filing/a", node=0)) for _ in range(6)]
+            await asyncio.sleep(0.4)
+            addresses = {runner.address for runner in plain}
+            bench.links[0].cut(cut_links.Kind.RESET, addresses=addresses)
+            await asyncio.gather(*calls)
+            await asyncio.sleep(0.5)
+        assert not [line for line in lines if line["event"] == "target_crashed"]
+        assert [line for line in lines if line["event"] == "service_path_lost"]
+
+
 async def test_whole_uploads_and_long_answers_are_cut_on_a_detour():
     async with pool_nodes.running(nodes=2, vms=0) as bench:
         await lose_path(bench, 0)
