Names with a space that does not break are taken; one constant, clearer names

Found on the last read: text of other programs was refused if Python does not call it printable, such as a no-break space in a workspace's name, which would have refused a whole configuration; core/texts.py refuses control characters and lone surrogates only. Also: FRESH_SECONDS stood twice; Detours.why_none is explain_refusal.

--- a/basilpost/gateway/detours.py
+++ b/basilpost/gateway/detours.py
@@ -126,7 +126,7 @@
         """Returns True if some node may be able to send requests for this one."""
         return bool(self._usable_nodes())
 
-    def why_none(self, progress: attempts.Progress) -> str:
+    def explain_refusal(self, progress: attempts.Progress) -> str:
         """Returns why no node is left that could send a request, as a text for its refusal."""
         usable = self._usable_nodes(progress.admitted.service.name)
         others = len(self._table.records_by_id.keys() - {self._node_id, *usable})
--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -309,7 +309,8 @@
                 return detour
             if not self._reachability.has_path:
                 return self._chooser.refusal(
-                    "no_path", f"this node reaches no runner; {self._detours.why_none(progress)}"
+                    "no_path",
+                    f"this node reaches no runner; {self._detours.explain_refusal(progress)}",
                 )
         chosen = await self._chooser.wait(progress)
         if isinstance(chosen, failure.Refusal) and progress.unreached_targets:
--- a/basilpost/members/node_table.py
+++ b/basilpost/members/node_table.py
@@ -10,7 +10,7 @@
 import math
 from collections.abc import Callable
 
-from basilpost.core import clock, codec, names
+from basilpost.core import clock, codec, names, texts
 from basilpost.members import replica
 from basilpost.store import objects
 
@@ -167,5 +167,5 @@
         record = codec.from_json(change.stored.value, NodeRecord)
     except ValueError:
         return None
-    is_usable = math.isfinite(record.lease_seconds) and record.node_id.isprintable()
+    is_usable = math.isfinite(record.lease_seconds) and texts.is_plain(record.node_id)
     return record if is_usable else None
--- a/basilpost/members/path_probe.py
+++ b/basilpost/members/path_probe.py
@@ -18,6 +18,8 @@
 ABORT_SECONDS = 0.03
 # The same if there is reason to doubt the path: a busy proxy aborts later.
 DOUBT_ABORT_SECONDS = 0.25
+# A path that was found this short a time ago is not probed again.
+FRESH_SECONDS = 0.05
 # After a probe that took longer, this process was itself delayed, and its failure says nothing.
 LATE_SECONDS = 2 * (CONNECT_SECONDS + DOUBT_ABORT_SECONDS)
 
--- a/basilpost/members/reachability.py
+++ b/basilpost/members/reachability.py
@@ -22,8 +22,6 @@
 
 # Requests lost one after the other, with no byte from any runner between, that give reason to doubt.
 DOUBTED_LOSSES = 3
-# A check that found a path this short a time ago is not repeated.
-FRESH_SECONDS = 0.05
 # Time without a byte from any runner, with requests in flight, after which the path is checked.
 SILENT_SECONDS = 0.4
 # Pause after a check because of silence, which a few slow requests cause as well.
@@ -139,7 +137,7 @@
         """
         if not self.reaches(service):
             return False
-        if fresh or clock.elapsed() - self._found_at > FRESH_SECONDS:
+        if fresh or clock.elapsed() - self._found_at > path_probe.FRESH_SECONDS:
             await self._run_check("connection failed", may_abort=may_abort)
         # A service of one VM tells nothing of the way to it: the VM may have ended.
         if service and self.has_path and self.connect and len(self._vms_of(service)) > 1:
--- a/basilpost/members/service_paths.py
+++ b/basilpost/members/service_paths.py
@@ -20,8 +20,6 @@
 RETURN_CHECK_SECONDS = (0.3, 0.7)
 # Time in which the share of requests that use a path again rises from none to all.
 RETURN_SECONDS = 1.5
-# A check that found a path this short a time ago is not repeated.
-FRESH_SECONDS = 0.05
 
 
 class ServicePaths:
@@ -78,7 +76,7 @@
         Unless `fresh` is set, a path that was found a moment ago is not checked again.
         """
         found_at = self._found_at_by_service.get(service, -math.inf)
-        is_known = not fresh and clock.elapsed() - found_at <= FRESH_SECONDS
+        is_known = not fresh and clock.elapsed() - found_at <= path_probe.FRESH_SECONDS
         if self.is_lost(service) or is_known:
             return
         if service not in self._checks_by_service:
--- a/basilpost/platform/decode.py
+++ b/basilpost/platform/decode.py
@@ -8,7 +8,7 @@
 import math
 from typing import Any
 
-from basilpost.core import addresses, catalog, failure, tolerant_json
+from basilpost.core import addresses, catalog, failure, texts, tolerant_json
 
 CONFIG_KEY = "config/main"
 CONFIG_PREFIX = "config/"
@@ -194,9 +194,8 @@
     value = raw[name]
     if not isinstance(value, str) or not value:
         raise TypeError(f"{name} is {value!r}, expected a non-empty string")
-    # Control characters and lone surrogates fit into no header and no log line.
-    if not value.isprintable():
-        raise ValueError(f"{name} is {value!r}, expected printable text")
+    if not texts.is_plain(value):
+        raise ValueError(f"{name} is {value!r}, expected text without control characters")
     return value
 
 
--- a/basilpost/platform/store.py
+++ b/basilpost/platform/store.py
@@ -11,7 +11,7 @@
 
 import prometheus_client
 
-from basilpost.core import tolerant_json
+from basilpost.core import texts, tolerant_json
 from basilpost.store import eras, http_calls, objects
 
 # Time for the answer of a watch to arrive after the wait at the server is over.
@@ -334,7 +334,7 @@
     """Returns the name of an object, empty if it has none of use."""
     metadata = raw.get("metadata") if isinstance(raw, dict) else None
     name = metadata.get("name") if isinstance(metadata, dict) else None
-    return name if isinstance(name, str) and name.isprintable() else ""
+    return name if isinstance(name, str) and texts.is_plain(name) else ""
 
 
 def _revision_of(raw: Any) -> int | None:
