The test of lost answers no longer fails by the draw of targets

Traced by its log: each of two equal runners loses five answers, and all six requests went to the same one, which happens by chance in 1 of 32 runs, on earlier code too. Each runner loses six answers now, so all six requests have to end with 502, wherever they go.

--- a/tests/pool_path_test.py
+++ b/tests/pool_path_test.py
@@ -220,7 +220,8 @@
 async def test_a_request_whose_answers_are_lost_is_not_taken_for_one_that_fells_runners():
     async with pool_nodes.running(nodes=2, vms=0, plain_instances=2) as bench:
         for runner in bench.fleet.runners_by_id.values():
-            runner.options.lose_answers = 5
+            # Both are equally good, so all requests may go to the same one.
+            runner.options.lose_answers = 6
         answers = [await bench.call("/filing/a", node=number % 2) for number in range(6)]
         assert {answer.code for answer in answers} == {502}
         for runner in bench.fleet.runners_by_id.values():
