--- a/tests/cut_links.py
+++ b/tests/cut_links.py
@@ -12,12 +12,14 @@
     """What becomes of a node's connections to runners.
 
     RESET: open ones are reset and new ones refused. HANG: open ones fall silent for good and new ones
-    are not answered. REFUSE: open ones live on and new ones are refused.
+    are not answered. REFUSE: open ones live on and new ones are refused. SILENT: open ones fall silent
+    for good and new ones open, but pass nothing either.
     """
 
     RESET = "reset"
     HANG = "hang"
     REFUSE = "refuse"
+    SILENT = "silent"
 
 
 class Links:
@@ -44,7 +46,7 @@
                 continue
             if kind is Kind.RESET:
                 channel.stream.close((ConnectionResetError, ConnectionResetError(), None))
-            elif kind is Kind.HANG and not channel.stream.closed():
+            elif kind in (Kind.HANG, Kind.SILENT) and not channel.stream.closed():
                 _silence(channel)
 
     def heal(self):
@@ -56,11 +58,14 @@
     async def _acquire_if_whole(self, address, *, timeout, fresh=False, lifetime=""):
         keeps_open = self._kind in (Kind.HANG, Kind.REFUSE)
         has_idle = not fresh and self._pool._idle_by_address.get(address)
-        if not self._is_cut(address) or (keeps_open and has_idle):
+        is_silent = self._kind is Kind.SILENT
+        if not self._is_cut(address) or is_silent or (keeps_open and has_idle):
             channel = await self._acquire(address, timeout=timeout, fresh=fresh, lifetime=lifetime)
             if isinstance(channel, channels.Channel):
                 self.opened += channel not in self._channels
                 self._channels.add(channel)
+                if is_silent and self._is_cut(address) and not channel.stream.closed():
+                    _silence(channel)
             return channel
         if self._kind is Kind.HANG:
             await asyncio.sleep(timeout)
@@ -70,7 +75,17 @@
 
 def _silence(channel):
     """Makes a connection pass no more bytes in either direction, without closing it."""
+    stream = channel.stream
     with contextlib.suppress(OSError, ValueError, KeyError):
-        channel.stream.io_loop.remove_handler(channel.stream.fileno())
+        stream.io_loop.remove_handler(stream.fileno())
+    # The stream must not register its socket again, neither now nor when it is closed.
+    stream._state, stream._add_io_state = None, lambda state: None
+    closed = asyncio.Event()
+    stream.set_close_callback(closed.set)
+
+    async def receive(**callbacks):
+        await closed.wait()
+        return channels.Broken(reason="closed by the node")
+
     channel.send = lambda *args: setattr(channel, "requests", channel.requests + 1)
-    channel.receive = lambda **callbacks: asyncio.Event().wait()
+    channel.receive = receive
