--- a/basilpost/core/log_events.py
+++ b/basilpost/core/log_events.py
@@ -75,6 +75,10 @@
         meaning="the end of a request that this node has sent for another one",
         fields=("request", "result", "code", "target", "ms"),
     ),
+    "runner_path_checked": Event(
+        meaning="requests were in flight and all runners silent, so these VMs were asked",
+        fields=("reason", "result", "in_flight", "silent_ms", "ms", "vms"),
+    ),
     "runner_path_lost": Event(
         meaning="none of these VMs could be connected to; other nodes send this node's requests",
         fields=("reason", "vms"),
--- a/basilpost/gateway/target_choice.py
+++ b/basilpost/gateway/target_choice.py
@@ -117,7 +117,15 @@
         return (
             self._paused_refusal(known)
             or self._limited_refusal(untried)
-            or self.refusal("busy", f"all {len(untried)} targets are full")
+            or self.refusal("busy", self._describe_full(candidates))
+        )
+
+    def _describe_full(self, candidates: Sequence[placement.Candidate]) -> str:
+        own = sum(self._loads.own_in_flight(one.target.target_id) for one in candidates)
+        return (
+            f"all {len(candidates)} targets are full: {sum(one.in_flight for one in candidates)} "
+            f"requests in flight, {own} of them of this node; "
+            f"{sum(one.stalled for one in candidates)} targets are avoided"
         )
 
     def record_sent(self, target: targets_.Target) -> None:
--- a/basilpost/members/reachability.py
+++ b/basilpost/members/reachability.py
@@ -76,6 +76,12 @@
             "Times that this node lost its path to all runners",
             registry=kernel.registry,
         )
+        self._checks_total = prometheus_client.Counter(
+            "basilpost_runner_path_checks_total",
+            "Checks whether this node reaches any runner, by reason and result",
+            ["reason", "result"],
+            registry=kernel.registry,
+        )
         path = prometheus_client.Gauge(
             "basilpost_runner_path",
             "1 while this node can connect to runners, else 0",
@@ -202,6 +208,7 @@
             began_at = clock.elapsed()
             opened = await self._opens_any(self.connect, vms, may_abort)
             self._checked_at = clock.elapsed()
+            self._record_check(reason, opened, vms, self._checked_at - began_at)
             if self._checked_at - began_at > path_probe.LATE_SECONDS:
                 return
             if opened:
@@ -211,6 +218,23 @@
         finally:
             self._check = None
 
+    def _record_check(
+        self, reason: str, has_path: bool, vms: list[catalog.Vm], seconds: float
+    ) -> None:
+        result = "path" if has_path else "no_path"
+        self._checks_total.labels(reason, result).inc()
+        # The other checks are frequent, and a change of the result is logged by itself.
+        if reason == "silence":
+            self._log.info(
+                "runner_path_checked",
+                reason=reason,
+                result=result,
+                in_flight=self._in_flight,
+                silent_ms=round((clock.elapsed() - self._heard_at) * 1000),
+                ms=round(seconds * 1000),
+                vms=[vm.vm_id for vm in vms],
+            )
+
     async def _opens_any(
         self, connect: path_probe.Connect, vms: list[catalog.Vm], may_abort: bool
     ) -> bool:
