--- a/basilpost/core/catalog.py
+++ b/basilpost/core/catalog.py
@@ -133,11 +133,13 @@
         cold_per_second: Requests per second that a runner can take during its cold start; 0 if its
             runners have none.
         engine: The engines of a service that groups of VMs serve; None for a plain service.
+        health_path: Path of the health check of its runners, empty if the operators name none.
     """
 
     name: str
     cold_per_second: float
     engine: Engine | None
+    health_path: str = ""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/basilpost/core/log_events.py
+++ b/basilpost/core/log_events.py
@@ -76,27 +76,27 @@
         fields=("request", "result", "code", "target", "ms"),
     ),
     "runner_path_checked": Event(
-        meaning="requests were in flight and all runners silent, so these VMs were asked",
-        fields=("reason", "result", "in_flight", "silent_ms", "ms", "vms"),
+        meaning="requests were in flight and the runners of a service silent, so these VMs were asked",
+        fields=("reason", "contact", "in_flight", "silent_ms", "ms", "vms"),
     ),
     "runner_path_lost": Event(
-        meaning="none of these VMs could be connected to; other nodes send this node's requests",
+        meaning="none of these VMs answered a status request; other nodes send this node's requests",
         fields=("reason", "vms"),
     ),
     "runner_path_back": Event(
-        meaning="a VM could be connected to again, after these seconds", fields=("seconds",)
+        meaning="a VM answered again, after these seconds", fields=("seconds",)
     ),
     "change_not_applied": Event(
         meaning="a change of an object raised an error, which is logged with it, and is ignored",
         fields=("key", "revision"),
     ),
     "service_path_lost": Event(
-        meaning="none of these VMs of the service could be connected to, but VMs of others; other "
-        "nodes send the requests to it",
-        fields=("service", "vms"),
+        meaning="none of these VMs of the service answered a status request, but VMs of others did; "
+        "other nodes send the requests to it",
+        fields=("service", "contact", "vms"),
     ),
     "service_path_back": Event(
-        meaning="a VM of the service could be connected to again, after these seconds",
+        meaning="a VM of the service answered again, after these seconds",
         fields=("service", "seconds"),
     ),
     "target_crashed": Event(
--- a/basilpost/emulator/pool_fleet.py
+++ b/basilpost/emulator/pool_fleet.py
@@ -48,7 +48,7 @@
         ],
         "services": [
             {"name": MODEL_SERVICE, "coldPerS": 36.0, "engine": engine},
-            {"name": PLAIN_SERVICE, "coldPerS": 0.0},
+            {"name": PLAIN_SERVICE, "coldPerS": 0.0, "healthPath": "/health"},
         ],
         "limits": {
             "maxHeaderBytes": 16384,
--- a/basilpost/emulator/pool_runner.py
+++ b/basilpost/emulator/pool_runner.py
@@ -163,7 +163,9 @@
         crashes: Its crashes.
         announced_address: Address that its entry names, its own one if empty; such as a proxy's.
         on_down: Called with True when it crashes, with False when it has started again.
-        arrivals: When each request arrived, also of those that it rejected.
+        arrivals: When each request arrived, also of those that it rejected and of status requests.
+        status_requests: When each status request arrived.
+        rejections: When it rejected a request as full.
     """
 
     def __init__(
@@ -197,6 +199,8 @@
         self.announced_address = ""
         self.on_down: Callable[[bool], None] = lambda down: None
         self.arrivals: list[float] = []
+        self.status_requests: list[float] = []
+        self.rejections: list[float] = []
         self._last_model = ""
         self._store = store
         self._tasks: set[asyncio.Task[None]] = set()
@@ -205,7 +209,11 @@
     def routes(self) -> server.Routes:
         """Returns the handlers of the runner."""
         owner = {"owner": self}
-        return [(r"/api/order", _OrderHandler, owner), (r"/.*", _WorkHandler, owner)]
+        return [
+            (r"/api/order", _OrderHandler, owner),
+            (r"/api/report|/health", _StatusHandler, owner),
+            (r"/.*", _WorkHandler, owner),
+        ]
 
     async def start(self) -> str:
         """Starts listening, registers in the store and returns the address."""
@@ -378,6 +386,20 @@
         await self.owner.handle_order(order)
 
 
+class _StatusHandler(server.JsonHandler):
+    def initialize(self, owner: PoolRunner) -> None:
+        self.owner = owner
+
+    async def get(self) -> None:
+        await self.owner.silent_connections.block_if_silent(self.request)
+        while self.owner.options.silent:
+            await asyncio.sleep(_SILENT_POLL_SECONDS)
+        now = clock.elapsed()
+        self.owner.arrivals.append(now)
+        self.owner.status_requests.append(now)
+        self.answer({"sequence": len(self.owner.orders)})
+
+
 class _WorkHandler(web.RequestHandler):
     def initialize(self, owner: PoolRunner) -> None:
         self.owner = owner
@@ -403,6 +425,7 @@
             self._reject(421)
             return
         if self._options.full:
+            self.owner.rejections.append(clock.elapsed())
             self._reject(503)
             return
         self._log_run()
--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -117,15 +117,15 @@
         )
         self.loss_probe = loss_probe.LossProbe(
             connect=self.sender.connect,
-            has_path=lambda service, aborts: reachability.find_path(
-                service=service, fresh=True, may_abort=aborts
-            ),
+            has_path=lambda service: reachability.find_path(service=service, fresh=True),
             on_down=self._chooser.avoid,
             on_crash=crashes.record_crash,
             log=log,
         )
-        reachability.connect = self.sender.connect
-        reachability.subscribe(self._on_path_change)
+        reachability.give_up_silent = lambda service: self.sender.give_up_silent(
+            service, self._spend_retry
+        )
+        reachability.subscribe(lambda lost: self.stall_detector.forget_suspects())
         self._retries_by_service: dict[str, retry.RetryBudget] = {}
         loads.local_stalled = self._stalled_targets
         loads.local_writing = self.stall_detector.active_targets
@@ -268,8 +268,13 @@
         # Streams that other nodes send are watched by node: the same ones watch them by target.
         source = way.node_id if isinstance(way, detours.Detour) else way.target_id
 
+        service = progress.admitted.service.name
+
         def move_stream() -> None:
-            if sink.abandoned or not self._has_alternative(progress) or not may_move():
+            # If nothing passes on this node's links, another target of its own would be silent as well.
+            if sink.abandoned or self._reachability.is_in_doubt(service):
+                return
+            if not self._has_alternative(progress) or not may_move():
                 return
             self._log.info("stream_moved", request=progress.admitted.call.request_id, target=source)
             sink.abandoned = True
@@ -303,7 +308,11 @@
         self, progress: attempts.Progress
     ) -> targets_.Target | detours.Detour | failure.Refusal:
         """Returns the target of a request, or the node that sends it while this one has no path."""
-        if self._reachability.prefers_detour(progress.admitted.service.name):
+        service = progress.admitted.service.name
+        if not progress.repeatable:
+            # Sent on a link on which nothing passes, it could not be sent by another node any more.
+            await self._reachability.settle_doubt(service)
+        if self._reachability.prefers_detour(service):
             detour = self._detours.choose(progress)
             if detour is not None:
                 return detour
@@ -365,8 +374,10 @@
     ) -> (
         attempts.Streamed | attempts.WholeAnswer | attempts.NotRun | attempts.Lost | failure.Refusal
     ):
+        service = progress.admitted.service.name
         while True:
-            if not self._reachability.reaches(progress.admitted.service.name):
+            await self._reachability.settle_doubt(service)
+            if not self._reachability.reaches(service):
                 return self._chooser.refusal("no_path", "this node reaches no runner either")
             target = await self._chooser.wait(progress)
             if isinstance(target, failure.Refusal):
@@ -495,12 +506,6 @@
         """Returns the targets that seem stalled; none without a path, when all of them seem so."""
         return self.stall_detector.suspects() if self._reachability.has_path else frozenset()
 
-    def _on_path_change(self, lost: bool) -> None:
-        """Forgets who seemed stalled; without a path, sends silent requests again if they may be."""
-        self.stall_detector.forget_suspects()
-        if lost and self._reachability.is_silent:
-            self.sender.abandon_silent(self._spend_retry)
-
     def _should_retry(
         self,
         progress: attempts.Progress,
--- a/basilpost/gateway/loss_probe.py
+++ b/basilpost/gateway/loss_probe.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import enum
 from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
@@ -22,20 +21,11 @@
 GATHER_SECONDS = 0.01
 
 OnCrash = Callable[[str, Iterable[crash_evidence.LostRequest]], None]
-# Takes the target's service, and True if it aborts connections that have opened; returns True if other
-# targets can be reached.
-FindPath = Callable[[str, bool], Awaitable[bool]]
+# Takes the target's service; returns True if other targets can be reached.
+FindPath = Callable[[str], Awaitable[bool]]
 Connect = Callable[[str, float], Awaitable[channels.Channel | channels.ConnectFailed]]
 
 
-class _State(enum.Enum):
-    """What a target does with a new connection; it is down unless it is UP."""
-
-    UP = enum.auto()
-    REFUSES = enum.auto()
-    ABORTS = enum.auto()
-
-
 class LossProbe:
     """Probes targets that have lost requests, each once for all requests that are lost together."""
 
@@ -75,22 +65,21 @@
         crashed = False
         try:
             await asyncio.sleep(GATHER_SECONDS)
-            state = await self._probe_address(address)
-            if state is not _State.UP:
+            if await self._is_down(address):
                 # Sound requests must not wait for the check whether this node is to blame.
                 self._on_down(target_id)
-                crashed = await self._has_path(service, state is _State.ABORTS)
+                crashed = await self._has_path(service)
         finally:
             lost = self._lost_by_target.pop(target_id)
         if crashed:
             self._on_crash(target_id, lost)
 
-    async def _probe_address(self, address: str) -> _State:
+    async def _is_down(self, address: str) -> bool:
+        """Returns True if a target refuses a new connection, or aborts it."""
         channel = await self._connect(address, PROBE_SECONDS)
         if isinstance(channel, channels.ConnectFailed):
-            return _State.REFUSES
+            return True
         try:
-            aborted = await channel.closes_within(ABORT_SECONDS)
-            return _State.ABORTS if aborted else _State.UP
+            return await channel.closes_within(ABORT_SECONDS)
         finally:
             channel.close()
--- a/basilpost/gateway/loss_probe_test.py
+++ b/basilpost/gateway/loss_probe_test.py
@@ -37,7 +37,7 @@
     def on_crash(target_id, lost):
         crashes.append((target_id, [request.fingerprint for request in lost]))
 
-    async def find_path(service, may_abort):
+    async def find_path(service):
         await asyncio.sleep(PATH_CHECK_SECONDS)
         return has_path
 
--- a/basilpost/gateway/relay.py
+++ b/basilpost/gateway/relay.py
@@ -23,6 +23,7 @@
     load_control,
     request_admission,
     request_recorder,
+    status_probe,
 )
 from basilpost.members import knowledge as knowledges
 from basilpost.members import loads as loads_
@@ -118,6 +119,11 @@
             rng=rng,
             log=kernel.log,
         )
+        self._reachability.ask = status_probe.StatusProbe(
+            connect=self.forwarder.sender.connect,
+            dialect=self._dialect,
+            knowledge=self.knowledge,
+        ).ask
         self._crash_store = kernel.find(names.CRASH_STORE, crash_store.CrashStore)
         self._server = _make_server(self)
         self._detour_service = detour_service.DetourService(
--- a/basilpost/gateway/target_sender.py
+++ b/basilpost/gateway/target_sender.py
@@ -43,14 +43,25 @@
 
     Attributes:
         progress: The attempts of the request.
-        channel: The connection.
+        target_id: Id of the target.
+        channel: The connection, None while it opens.
+        heard: True once bytes have arrived on it.
+        counted: True while the request is counted as in flight at its target.
         abandoned: True if this node closed the connection because its path to the runners is gone.
     """
 
     progress: attempts.Progress
-    channel: channels.Channel
+    target_id: str
+    channel: channels.Channel | None = None
+    heard: bool = False
+    counted: bool = True
     abandoned: bool = False
 
+    @property
+    def service(self) -> str:
+        """Returns the name of the service."""
+        return self.progress.admitted.service.name
+
 
 class TargetSender:
     """Sends the requests of one node to targets.
@@ -92,13 +103,31 @@
         """Opens a new connection to a target, on which no request is sent."""
         return await self.pool.acquire(address, timeout=timeout, fresh=True)
 
-    def abandon_silent(self, spend_retry: Callable[[attempts.Progress], bool]) -> None:
-        """Closes the connections of requests that may be sent again; they end as abandoned."""
-        for request in tuple(self.in_flight):
-            if spend_retry(request.progress):
+    def give_up_silent(
+        self, service: str, spend_retry: Callable[[attempts.Progress], bool]
+    ) -> None:
+        """Gives up the requests to a service that were sent on links on which nothing passes.
+
+        Those that may be sent again end as abandoned. The others wait on, as they may have arrived, but
+        are no longer counted: to all nodes their targets would look full.
+        """
+        silent = [
+            request
+            for request in self.in_flight
+            if request.service == service and request.channel is not None and not request.heard
+        ]
+        for request in silent:
+            self._stop_counting(request)
+            if not request.abandoned and spend_retry(request.progress):
                 request.abandoned = True
+                assert request.channel is not None
                 request.channel.close()
 
+    def _stop_counting(self, request: InFlight) -> None:
+        if request.counted:
+            request.counted = False
+            self._loads.request_ended(request.target_id)
+
     async def send(
         self,
         progress: attempts.Progress,
@@ -117,10 +146,11 @@
         # Counted before the connection is open, so that other requests see that the room is taken.
         self._loads.request_started(target.target_id)
         self._chooser.record_sent(target)
+        in_flight = InFlight(progress=progress, target_id=target.target_id)
         try:
-            return await self._exchange(progress, request, target, last_event, sink)
+            return await self._exchange(in_flight, request, target, last_event, sink)
         finally:
-            self._loads.request_ended(target.target_id)
+            self._stop_counting(in_flight)
 
     def _predict_seconds(self, progress: attempts.Progress, target: targets_.Target) -> float:
         """Returns the predicted time to the first event, 0 for plain services."""
@@ -136,12 +166,13 @@
 
     async def _exchange(
         self,
-        progress: attempts.Progress,
+        in_flight: InFlight,
         request: inbound.Request,
         target: targets_.Target,
         last_event: str,
         sink: answer_sinks.AnswerSink,
     ) -> channels.Head | attempts.NotSent | attempts.NotRun | attempts.Lost:
+        progress = in_flight.progress
         channel = await self.pool.acquire(
             target.address,
             timeout=CONNECT_SECONDS,
@@ -151,14 +182,14 @@
         if isinstance(channel, channels.ConnectFailed):
             self._chooser.record_unreachable(target)
             progress.unreached_targets.add(target.target_id)
-            await self._reachability.find_path(service=progress.admitted.service.name)
+            await self._reachability.find_path(service=in_flight.service)
             return attempts.NotSent(reason=channel.reason)
         self._log_placement(progress, target, last_event)
         began_at = clock.elapsed()
         keep = False
-        in_flight = InFlight(progress=progress, channel=channel)
+        in_flight.channel = channel
         self.in_flight.add(in_flight)
-        self._reachability.record_sent()
+        self._reachability.record_sent(in_flight.service)
         try:
             progress.sends += 1
             sink.on_connected(channel)
@@ -166,7 +197,7 @@
                 request.headers, _added_headers(progress.admitted, target, last_event)
             )
             channel.send(request.method, request.target, headers, request.body)
-            result = await self._receive(progress, target, channel, sink)
+            result = await self._receive(in_flight, target, channel, sink)
             keep = isinstance(result, channels.Head | attempts.NotRun)
             if isinstance(result, channels.Head):
                 self._loads.demand_meter.count_completion(target.model, clock.elapsed() - began_at)
@@ -185,7 +216,7 @@
             return result
         finally:
             self.in_flight.discard(in_flight)
-            self._reachability.record_ended()
+            self._reachability.record_ended(in_flight.service)
             if keep:
                 self.pool.release(channel)
             else:
@@ -210,18 +241,20 @@
 
     async def _receive(
         self,
-        progress: attempts.Progress,
+        in_flight: InFlight,
         target: targets_.Target,
         channel: channels.Channel,
         sink: answer_sinks.AnswerSink,
     ) -> channels.Head | attempts.NotRun | attempts.Lost:
         """Reads the answer to this request; skips and logs answers to other requests."""
+        progress = in_flight.progress
         is_own = False
         sent_at = clock.elapsed()
 
         def receive_head(head: channels.Head) -> None:
             nonlocal is_own
-            self._reachability.record_heard()
+            in_flight.heard = True
+            self._reachability.record_heard(in_flight.service)
             is_own = self._is_own_answer(progress, channel, head)
             self._record_limit(target, head, sent_at=sent_at)
             self._record_pause(target, head, sent_at=sent_at)
@@ -233,7 +266,7 @@
                 self._log_stray_answer(progress, channel, head)
 
         def receive_chunk(chunk: bytes) -> Awaitable[None] | None:
-            self._reachability.record_heard()
+            self._reachability.record_heard(in_flight.service)
             return sink.on_chunk(chunk) if is_own else None
 
         for _ in range(MAX_STRAY_ANSWERS + 1):
--- a/basilpost/members/path_probe.py
+++ b/basilpost/members/path_probe.py
@@ -1,59 +1,63 @@
-"""Connections to a few VMs, which show whether there is a path to them.
+"""Status requests to a few VMs, which show whether there is a path to them.
 
-One that opens is enough. Nothing is sent on it.
+Evidence of a path is an answer, not a connection: a middlebox, or the backlog of a process that has
+stopped, opens connections on which nothing passes. One VM that answers is enough.
 """
 
 import asyncio
+import enum
 import itertools
 import random
 from collections.abc import Awaitable, Callable, Iterable
 
-from basilpost.core import catalog, channels
+from basilpost.core import catalog
 
-# VMs that are connected to at once.
+# VMs that are asked at once.
 CHECKED_VMS = 4
 CONNECT_SECONDS = 0.3
-# Time in which a new connection is aborted if nothing listens behind it, as by a proxy whose server is
-# gone.
-ABORT_SECONDS = 0.03
-# The same if there is reason to doubt the path: a busy proxy aborts later.
-DOUBT_ABORT_SECONDS = 0.25
+# Time from the open connection to the head of the answer. Runners answer such a request within
+# milliseconds, without a slot or after a few others.
+ANSWER_SECONDS = 0.5
 # A path that was found this short a time ago is not probed again.
 FRESH_SECONDS = 0.05
 # After a probe that took longer, this process was itself delayed, and its failure says nothing.
-LATE_SECONDS = 2 * (CONNECT_SECONDS + DOUBT_ABORT_SECONDS)
+LATE_SECONDS = 2 * (CONNECT_SECONDS + ANSWER_SECONDS)
 
-# Opens a connection to an address within some seconds.
-Connect = Callable[[str, float], Awaitable[channels.Channel | channels.ConnectFailed]]
 
+class Contact(enum.Enum):
+    """What came of a status request to a VM.
 
-async def opens_any(
-    connect: Connect, vms: Iterable[catalog.Vm], *, abort_seconds: float
-) -> catalog.Vm | None:
-    """Returns the first of some VMs to which a connection opens and stays open, None if none does."""
+    UNREACHED: no connection opened, or it was closed without an answer. SILENT: it stayed open without
+    one. ANSWERED: an answer of any status began.
+    """
 
-    async def opened(vm: catalog.Vm) -> catalog.Vm | None:
-        return vm if await _opens(connect, vm.address, abort_seconds) else None
+    UNREACHED = "unreached"
+    SILENT = "silent"
+    ANSWERED = "answered"
 
-    attempts = [asyncio.ensure_future(opened(vm)) for vm in vms]
-    try:
-        for attempt in asyncio.as_completed(attempts):
-            if (vm := await attempt) is not None:
-                return vm
-        return None
-    finally:
-        for task in attempts:
-            task.cancel()
 
+# Sends a VM a status request on a new connection; takes at most `CONNECT_SECONDS` and `ANSWER_SECONDS`.
+Ask = Callable[[catalog.Vm], Awaitable[Contact]]
 
-async def _opens(connect: Connect, address: str, abort_seconds: float) -> bool:
-    channel = await connect(address, CONNECT_SECONDS)
-    if isinstance(channel, channels.ConnectFailed):
-        return False
+
+async def ask_any(ask: Ask, vms: Iterable[catalog.Vm]) -> Contact:
+    """Asks some VMs at once; returns `ANSWERED` as soon as one answers.
+
+    Otherwise it returns `SILENT` if a connection to one of them stayed open, `UNREACHED` if none did.
+    """
+    requests = [asyncio.ensure_future(ask(vm)) for vm in vms]
+    best = Contact.UNREACHED
     try:
-        return not await channel.closes_within(abort_seconds)
+        for request in asyncio.as_completed(requests):
+            contact = await request
+            if contact is Contact.ANSWERED:
+                return contact
+            if contact is Contact.SILENT:
+                best = contact
+        return best
     finally:
-        channel.close()
+        for task in requests:
+            task.cancel()
 
 
 def choose_vms(vms: Iterable[catalog.Vm], *, rng: random.Random) -> list[catalog.Vm]:
--- a/basilpost/members/path_states.py
+++ b/basilpost/members/path_states.py
@@ -52,7 +52,7 @@
             return False
         node = hashing.short_id(node_id)
         return any(
-            Lost(node=node, scope=scope) in self.lost for scope in (ALL_RUNNERS, _scope_id(service))
+            Lost(node=node, scope=scope) in self.lost for scope in (ALL_RUNNERS, scope_id(service))
         )
 
 
@@ -76,7 +76,7 @@
         has_path: True to tell that it reaches some runner.
     """
     node = hashing.short_id(node_id)
-    lost = (f"{_WITHOUT_PATH}{node}{_WITHOUT_PATH}{_scope_id(scope)}" for scope in lost_scopes)
+    lost = (f"{_WITHOUT_PATH}{node}{_WITHOUT_PATH}{scope_id(scope)}" for scope in lost_scopes)
     return (*sorted(lost), *([f"{_WITH_PATH}{node}"] if has_path else []))
 
 
@@ -113,5 +113,6 @@
     return (*sorted(told.target_ids), *(one for entries in named for one in entries))
 
 
-def _scope_id(scope: str) -> str:
+def scope_id(scope: str) -> str:
+    """Returns what stands for a service in an entry; `ALL_RUNNERS` stands for itself."""
     return scope and hashing.short_id(scope)
--- a/basilpost/members/reachability.py
+++ b/basilpost/members/reachability.py
@@ -1,10 +1,11 @@
 """Knows whether this node has a path to the runners, and which of its peers have none.
 
 A node can lose its links to all runners while callers, the store and its peers still reach it. One
-failed connection says little: a runner may have ended. So a suspicion is checked by connections to a
-few VMs in different failure domains. If none opens, this node has no path, and tells its neighbours at
-once and all nodes in the reports of loads. It goes on to check until one opens. Nothing is sent on
-these connections.
+failed connection says little: a runner may have ended. Nor does an open one, on which nothing may pass.
+So a suspicion is checked by status requests to a few VMs in different failure domains. If none
+answers, this node has no path, and tells its neighbours at once and all nodes in the reports of loads.
+It goes on to ask until one answers. What cut one node off may have cut off others, so a node that is
+told of a loss checks its own path, before it sends requests on links on which nothing passes.
 """
 
 import asyncio
@@ -15,23 +16,50 @@
 
 import prometheus_client
 
-from basilpost.core import catalog, clock, kernel, names, tasks
+from basilpost.core import catalog, clock, hashing, kernel, names, tasks
 from basilpost.members import feed, path_probe, path_states, peers, service_paths
 from basilpost.members import knowledge as knowledges
 from basilpost.members import loads as loads_
 
 # Requests lost one after the other, with no byte from any runner between, that give reason to doubt.
 DOUBTED_LOSSES = 3
-# Time without a byte from any runner, with requests in flight, after which the path is checked.
+# Time without a byte from any runner of a service, with requests in flight, after which the path to it
+# is checked.
 SILENT_SECONDS = 0.4
 # Pause after a check because of silence, which a few slow requests cause as well.
 SILENT_CHECK_PAUSE_SECONDS = 1.0
+# Shortest time between checks because other nodes have lost their paths, one after the other.
+TOLD_CHECK_PAUSE_SECONDS = 2.0
 WATCH_SECONDS = 0.1
 
 # Called with True when the path is lost, with False when it is back.
 Listener = Callable[[bool], None]
 
 
+@dataclasses.dataclass(kw_only=True)
+class _Traffic:
+    """This node's requests to the runners of one service.
+
+    Times are on `clock.elapsed`.
+
+    Attributes:
+        in_flight: Requests without a complete answer.
+        heard_at: When a byte last arrived from one of the runners, or the first of the requests was sent.
+        checked_at: When the path was last checked because of silence.
+        check: That check while it runs.
+    """
+
+    in_flight: int = 0
+    heard_at: float = -math.inf
+    checked_at: float = -math.inf
+    check: asyncio.Task[None] | None = None
+
+    @property
+    def silent_seconds(self) -> float:
+        """Returns for how long no runner has sent a byte, 0 without requests in flight."""
+        return clock.elapsed() - self.heard_at if self.in_flight else 0.0
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class PathReport:
     """Tells a peer whether the sender has a path to the runners; sent on each change."""
@@ -43,9 +71,12 @@
     """Whether this node reaches the runners, as last checked, and what its peers report.
 
     Attributes:
-        has_path: False while no checked VM can be connected to.
-        connect: Opens a connection to a VM; set by the owner of the connections. Without it nothing is
+        has_path: False while none of the checked VMs answers.
+        ask: Sends a VM a status request; set by the owner of the connections. Without it nothing is
             checked.
+        may_ask: Returns False for a VM that must not be asked now; set by the owner.
+        give_up_silent: Called repeatedly with a service to which there is no path while requests to it
+            are silent; set by the owner of the requests.
         peers_without_path: Ids of the neighbours that have reported that they have no path.
     """
 
@@ -60,17 +91,22 @@
         self._tasks = tasks.TaskSet(log=kernel.log)
         self._rng = random.Random()
         self.has_path = True
-        self.connect: path_probe.Connect | None = None
+        self.ask: path_probe.Ask | None = None
+        self.may_ask: Callable[[catalog.Vm], bool] = lambda vm: True
+        self.give_up_silent: Callable[[str], None] = lambda service: None
         self.peers_without_path: set[str] = set()
         self._listeners: list[Listener] = []
+        self._told_lost: frozenset[path_states.Lost] = frozenset()
+        self._suspected_services: set[str] = set()
+        self._loads.subscribe(self._on_loads)
         self._services = service_paths.ServicePaths(
-            vms_of=self._vms_of, rng=self._rng, task_set=self._tasks, kernel=kernel
+            vms_of=self._askable_vms_of, rng=self._rng, task_set=self._tasks, kernel=kernel
         )
         self._check: asyncio.Task[None] | None = None
         self._found_at = self._checked_at = -math.inf
         self._lost_at = self._back_at = -math.inf
-        self._in_flight = self._losses_since_heard = 0
-        self._heard_at = clock.elapsed()
+        self._losses_since_heard = 0
+        self._traffic_by_service: dict[str, _Traffic] = {}
         self._lost_total = prometheus_client.Counter(
             "basilpost_runner_path_losses_total",
             "Times that this node lost its path to all runners",
@@ -78,13 +114,13 @@
         )
         self._checks_total = prometheus_client.Counter(
             "basilpost_runner_path_checks_total",
-            "Checks whether this node reaches any runner, by reason and result",
-            ["reason", "result"],
+            "Checks whether this node reaches any runner, by reason and what the VMs did",
+            ["reason", "contact"],
             registry=kernel.registry,
         )
         path = prometheus_client.Gauge(
             "basilpost_runner_path",
-            "1 while this node can connect to runners, else 0",
+            "1 while runners answer this node, else 0",
             registry=kernel.registry,
         )
         path.set_function(lambda: int(self.has_path))
@@ -94,6 +130,7 @@
     async def start(self) -> None:
         """Starts to watch the path."""
         self._tasks.keep_running(self._watch, name="runner-path")
+        self._tasks.keep_running(self._await_return, name="runner-path-return")
 
     async def stop(self) -> None:
         """Stops watching the path."""
@@ -104,7 +141,7 @@
         self._listeners.append(listener)
 
     def reaches(self, service: str) -> bool:
-        """Returns False if this node can connect to no VM of a service, as last checked."""
+        """Returns False if no VM of a service answers this node, as last checked."""
         return self.has_path and not self._services.is_lost(service)
 
     def prefers_detour(self, service: str) -> bool:
@@ -130,123 +167,183 @@
         """Returns True if another node has told lately that it reaches some runner."""
         return self._loads.paths.confirms(node_id)
 
-    async def find_path(
-        self, *, service: str = "", fresh: bool = False, may_abort: bool = True
-    ) -> bool:
+    async def find_path(self, *, service: str = "", fresh: bool = False) -> bool:
         """Returns True if there is a path to the runners; called after a failed connection.
 
         Args:
             service: Service of the VM that could not be connected to, empty to ask for any runner.
             fresh: True to check in any case, not only if the last check was some time ago.
-            may_abort: False if what failed was refused at once, so that a connection that opens is not
-                aborted later.
         """
         if not self.reaches(service):
             return False
         if fresh or clock.elapsed() - self._found_at > path_probe.FRESH_SECONDS:
-            await self._run_check("connection failed", may_abort=may_abort)
-        # A service of one VM tells nothing of the way to it: the VM may have ended.
-        if service and self.has_path and self.connect and len(self._vms_of(service)) > 1:
-            await self._services.check(service, self.connect, fresh=fresh)
+            await self._run_check("connection failed")
+        await self._check_service(service, fresh=fresh)
         return self.reaches(service)
 
-    def record_sent(self) -> None:
-        """Counts a request that is sent to a runner."""
-        if not self._in_flight:
-            self._heard_at = clock.elapsed()
-        self._in_flight += 1
-
-    def record_ended(self) -> None:
-        """Counts the end of a request at a runner."""
-        self._in_flight -= 1
-
-    def record_heard(self) -> None:
-        """Records that bytes arrived from a runner."""
-        self._heard_at = clock.elapsed()
+    async def _check_service(self, service: str, *, fresh: bool) -> None:
+        """Checks the path to a service, unless there is none to any runner."""
+        # A service of one VM tells nothing of the way to it: the VM may have ended.
+        if service and self.has_path and self.ask and len(self._askable_vms_of(service)) > 1:
+            await self._services.check(service, self.ask, fresh=fresh)
+
+    def record_sent(self, service: str) -> None:
+        """Counts a request that is sent to a runner of a service."""
+        traffic = self._traffic_by_service.setdefault(service, _Traffic())
+        if not traffic.in_flight:
+            traffic.heard_at = clock.elapsed()
+        traffic.in_flight += 1
+
+    def record_ended(self, service: str) -> None:
+        """Counts the end of a request at a runner of a service."""
+        self._traffic_by_service[service].in_flight -= 1
+
+    def record_heard(self, service: str) -> None:
+        """Records that bytes arrived from a runner of a service."""
+        self._traffic_by_service[service].heard_at = clock.elapsed()
         self._losses_since_heard = 0
 
     def record_lost(self) -> None:
         """Records that the connection of a request broke."""
         self._losses_since_heard += 1
 
-    @property
-    def is_silent(self) -> bool:
-        """Returns True if requests are in flight and no runner has sent anything for a while."""
-        return self._in_flight > 0 and clock.elapsed() - self._heard_at > SILENT_SECONDS
+    def is_silent(self, service: str) -> bool:
+        """Returns True if requests are in flight and no runner of the service has sent anything for long."""
+        traffic = self._traffic_by_service.get(service)
+        return traffic is not None and traffic.silent_seconds > SILENT_SECONDS
+
+    def is_in_doubt(self, service: str) -> bool:
+        """Returns True if the runners of a service are silent and no check has told yet why."""
+        traffic = self._traffic_by_service.get(service)
+        return (
+            traffic is not None
+            and traffic.silent_seconds > SILENT_SECONDS
+            and self.reaches(service)
+            and (traffic.check is not None or traffic.checked_at < traffic.heard_at)
+        )
+
+    async def settle_doubt(self, service: str) -> None:
+        """Waits until it is known whether there is a path, if the runners of a service are silent."""
+        if self.is_in_doubt(service):
+            await asyncio.wait([self._check_silence(service)])
 
     async def _watch(self) -> None:
         while True:
-            if not self.has_path:
-                await asyncio.sleep(self._rng.uniform(*service_paths.RETURN_CHECK_SECONDS))
-                await self._run_check("return")
-                continue
             await asyncio.sleep(WATCH_SECONDS)
-            if self._checked_at == -math.inf:
+            if self.has_path and self._checked_at == -math.inf:
                 await self._run_check("start")
-            elif self.is_silent and clock.elapsed() - self._checked_at > SILENT_CHECK_PAUSE_SECONDS:
-                await self._run_check("silence")
-            elif self._losses_since_heard >= DOUBTED_LOSSES:
+            elif self.has_path and self._losses_since_heard >= DOUBTED_LOSSES:
                 await self._run_check("losses")
                 self._losses_since_heard = 0
+            elif self._suspected_services:
+                await self._check_suspected()
+            for service in [name for name in self._traffic_by_service if self.is_silent(name)]:
+                self._handle_silence(service)
+
+    async def _check_suspected(self) -> None:
+        """Checks the paths that other nodes have lost."""
+        if clock.elapsed() - self._checked_at < TOLD_CHECK_PAUSE_SECONDS:
+            return
+        services, self._suspected_services = self._suspected_services, set()
+        if self.has_path:
+            await self._run_check("told")
+        for service in services:
+            await self._check_service(service, fresh=True)
+
+    def _on_loads(self) -> None:
+        """Notes the losses that other nodes tell in the reports of loads."""
+        lost = self._loads.paths.lost
+        if lost == self._told_lost:
+            return
+        new, self._told_lost = lost - self._told_lost, lost
+        scopes = {one.scope for one in new if one.node != hashing.short_id(self._node_id)}
+        self._suspected_services |= {
+            service
+            for service in (
+                path_states.ALL_RUNNERS,
+                *{seen.vm.service for seen in self._knowledge.vms_by_id.values()},
+            )
+            if path_states.scope_id(service) in scopes
+        }
+
+    def _handle_silence(self, service: str) -> None:
+        """Checks the path to a silent service, or has its requests given up if there is none."""
+        traffic = self._traffic_by_service[service]
+        if not self.reaches(service):
+            self.give_up_silent(service)
+        elif clock.elapsed() - traffic.checked_at > SILENT_CHECK_PAUSE_SECONDS:
+            self._check_silence(service)
+
+    def _check_silence(self, service: str) -> asyncio.Task[None]:
+        """Starts a check of the path to a silent service, or returns the one that runs already."""
+        traffic = self._traffic_by_service[service]
+
+        async def check() -> None:
+            try:
+                await self._run_check("silence")
+                await self._check_service(service, fresh=True)
+            finally:
+                traffic.checked_at, traffic.check = clock.elapsed(), None
+
+        if traffic.check is None:
+            traffic.check = self._tasks.spawn(check(), name="silence-check")
+        return traffic.check
 
-    async def _run_check(self, reason: str, *, may_abort: bool = True) -> None:
+    async def _await_return(self) -> None:
+        while True:
+            await asyncio.sleep(self._rng.uniform(*service_paths.RETURN_CHECK_SECONDS))
+            if not self.has_path:
+                await self._run_check("return")
+
+    async def _run_check(self, reason: str) -> None:
         """Runs a check, or waits for the one that runs already."""
         if self._check is None:
-            self._check = self._tasks.spawn(
-                self._check_path(reason, may_abort), name="runner-path-check"
-            )
+            self._check = self._tasks.spawn(self._check_path(reason), name="runner-path-check")
         # A caller that leaves must not end a check that others wait for.
         await asyncio.wait([self._check])
 
-    async def _check_path(self, reason: str, may_abort: bool) -> None:
+    async def _check_path(self, reason: str) -> None:
         try:
-            vms = path_probe.choose_vms(
-                (seen.vm for seen in self._knowledge.vms_by_id.values()), rng=self._rng
-            )
-            if not vms or self.connect is None:
+            known = (seen.vm for seen in self._knowledge.vms_by_id.values())
+            vms = path_probe.choose_vms(filter(self.may_ask, known), rng=self._rng)
+            if not vms or self.ask is None:
                 return
             began_at = clock.elapsed()
-            opened = await self._opens_any(self.connect, vms, may_abort)
+            contact = await path_probe.ask_any(self.ask, vms)
             self._checked_at = clock.elapsed()
-            self._record_check(reason, opened, vms, self._checked_at - began_at)
+            self._record_check(reason, contact, vms, self._checked_at - began_at)
             if self._checked_at - began_at > path_probe.LATE_SECONDS:
                 return
-            if opened:
+            has_path = contact is path_probe.Contact.ANSWERED
+            if has_path:
                 self._found_at = self._checked_at
-            if opened != self.has_path:
-                self._set_path(opened, reason, vms)
+            if has_path != self.has_path:
+                self._set_path(has_path, reason, vms)
         finally:
             self._check = None
 
     def _record_check(
-        self, reason: str, has_path: bool, vms: list[catalog.Vm], seconds: float
+        self, reason: str, contact: path_probe.Contact, vms: list[catalog.Vm], seconds: float
     ) -> None:
-        result = "path" if has_path else "no_path"
-        self._checks_total.labels(reason, result).inc()
+        self._checks_total.labels(reason, contact.value).inc()
         # The other checks are frequent, and a change of the result is logged by itself.
         if reason == "silence":
+            traffic = self._traffic_by_service.values()
             self._log.info(
                 "runner_path_checked",
                 reason=reason,
-                result=result,
-                in_flight=self._in_flight,
-                silent_ms=round((clock.elapsed() - self._heard_at) * 1000),
+                contact=contact.value,
+                in_flight=sum(one.in_flight for one in traffic),
+                silent_ms=round(max(one.silent_seconds for one in traffic) * 1000),
                 ms=round(seconds * 1000),
                 vms=[vm.vm_id for vm in vms],
             )
 
-    async def _opens_any(
-        self, connect: path_probe.Connect, vms: list[catalog.Vm], may_abort: bool
-    ) -> bool:
-        in_doubt = not self.has_path or self._losses_since_heard >= DOUBTED_LOSSES
-        usual_seconds = path_probe.ABORT_SECONDS if may_abort else 0.0
-        abort_seconds = path_probe.DOUBT_ABORT_SECONDS if in_doubt else usual_seconds
-        opened = await path_probe.opens_any(connect, vms, abort_seconds=abort_seconds)
-        return opened is not None
-
-    def _vms_of(self, service: str) -> list[catalog.Vm]:
+    def _askable_vms_of(self, service: str) -> list[catalog.Vm]:
         seen = self._knowledge.vms_by_id.values()
-        return [entry.vm for entry in seen if entry.vm.service == service]
+        return [
+            entry.vm for entry in seen if entry.vm.service == service and self.may_ask(entry.vm)
+        ]
 
     def _set_path(self, has_path: bool, reason: str, vms: list[catalog.Vm]) -> None:
         self.has_path = has_path
@@ -279,6 +376,7 @@
             self.peers_without_path.discard(sender)
         else:
             self.peers_without_path.add(sender)
+            self._suspected_services.add(path_states.ALL_RUNNERS)
 
     def _on_stream(self, node_id: str, is_open: bool) -> None:
         self.peers_without_path.discard(node_id)
--- a/basilpost/members/reachability_test.py
+++ b/basilpost/members/reachability_test.py
@@ -8,7 +8,7 @@
 import pytest
 import structlog
 
-from basilpost.core import catalog, channels, clock, names
+from basilpost.core import catalog, clock, hashing, names
 from basilpost.members import path_probe, path_states, reachability, service_paths
 
 pytestmark = pytest.mark.looptime
@@ -35,30 +35,25 @@
     )
 
 
-class FakeChannel:
-    """A connection that is aborted after some seconds, None for never."""
-
-    def __init__(self, aborted_after=None):
-        self._aborted_after = aborted_after
-
-    async def closes_within(self, seconds):
-        is_aborted = self._aborted_after is not None and self._aborted_after < seconds
-        await asyncio.sleep(self._aborted_after if is_aborted else seconds)
-        return is_aborted
-
-    def close(self):
-        pass
-
-
 class Node:
-    """A node's view of the runners, and the addresses that can be connected to."""
+    """A node's view of the runners, and the addresses that answer.
+
+    Attributes:
+        open: Addresses that can be connected to.
+        silent: True if nothing passes on open connections.
+        aborted_after: Time after which connections are aborted without an answer, None for never.
+    """
 
     def __init__(self, *, vms=9):
         self.open = {f"vm-{number}:1" for number in range(vms)}
         self.connects = []
         self.seconds = 0.0
+        self.silent = False
         self.aborted_after = None
         self.sent = []
+        self.loads = types.SimpleNamespace(
+            paths=path_states.NOTHING_TOLD, subscribe=self.set_load_listener
+        )
         seen = {f"vm-{n}": types.SimpleNamespace(vm=make_vm(n)) for n in range(vms)}
         services = {
             names.KNOWLEDGE: types.SimpleNamespace(vms_by_id=seen),
@@ -69,7 +64,7 @@
                 send=lambda node_id, message: self.sent.append((node_id, message)),
             ),
             names.FEED: types.SimpleNamespace(is_full_mesh=False),
-            names.LOADS: types.SimpleNamespace(paths=path_states.NOTHING_TOLD),
+            names.LOADS: self.loads,
         }
         kernel = types.SimpleNamespace(
             node_id="n0",
@@ -78,14 +73,23 @@
             find=lambda name, kind: services[name],
         )
         self.reachability = reachability.Reachability(kernel=kernel)
-        self.reachability.connect = self.connect
+        self.reachability.ask = self.ask
+
+    def set_load_listener(self, listener):
+        self.tell_loads = listener
 
-    async def connect(self, address, timeout):
-        self.connects.append(address)
+    async def ask(self, vm):
+        self.connects.append(vm.address)
         await asyncio.sleep(self.seconds)
-        if address not in self.open:
-            return channels.ConnectFailed(reason="refused")
-        return FakeChannel(self.aborted_after)
+        if vm.address not in self.open:
+            return path_probe.Contact.UNREACHED
+        if self.silent:
+            await asyncio.sleep(path_probe.ANSWER_SECONDS)
+            return path_probe.Contact.SILENT
+        if self.aborted_after is not None:
+            await asyncio.sleep(self.aborted_after)
+            return path_probe.Contact.UNREACHED
+        return path_probe.Contact.ANSWERED
 
 
 async def test_one_vm_that_answers_is_a_path():
@@ -136,10 +140,10 @@
 async def test_a_busy_proxy_without_a_path_counts_as_one():
     """It aborts connections late; requests are lost one after the other."""
     node = Node()
-    node.aborted_after = 0.1
     await node.reachability.start()
     await asyncio.sleep(1.0)
     assert node.reachability.has_path
+    node.aborted_after = 0.1
     for _ in range(reachability.DOUBTED_LOSSES):
         node.reachability.record_lost()
     await asyncio.sleep(0.5)
@@ -152,10 +156,11 @@
     await node.reachability.start()
     await asyncio.sleep(1.0)
     checks = len(node.connects)
+    node.reachability.record_sent("s")
     for _ in range(20):
         node.reachability.record_lost()
         node.reachability.record_lost()
-        node.reachability.record_heard()
+        node.reachability.record_heard("s")
         await asyncio.sleep(0.1)
     assert len(node.connects) == checks
     await node.reachability.stop()
@@ -193,17 +198,94 @@
     await node.reachability.start()
     await asyncio.sleep(1.0)
     checks = len(node.connects)
-    node.reachability.record_sent()
-    await asyncio.sleep(1.5)
-    node.reachability.record_heard()
+    node.reachability.record_sent("s")
+    await asyncio.sleep(1.4)
+    node.reachability.record_heard("s")
     assert node.reachability.has_path
-    assert len(node.connects) - checks == path_probe.CHECKED_VMS
+    # The path to all runners, and that to the service.
+    assert len(node.connects) - checks == 2 * path_probe.CHECKED_VMS
     node.open = set()
     await asyncio.sleep(2.0)
     assert not node.reachability.has_path
     await node.reachability.stop()
 
 
+async def test_connections_that_open_and_pass_nothing_count_as_a_path():
+    node = Node()
+    await node.reachability.start()
+    await asyncio.sleep(1.0)
+    node.silent = True
+    node.reachability.record_sent("s")
+    given_up = []
+    node.reachability.give_up_silent = given_up.append
+    await asyncio.sleep(0.45)
+    assert node.reachability.is_in_doubt("s")
+    await node.reachability.settle_doubt("s")
+    assert not node.reachability.has_path
+    assert not node.reachability.is_in_doubt("s")
+    assert clock.elapsed() - 1.0 < 1.5
+    await asyncio.sleep(0.2)
+    assert "s" in given_up
+    node.silent = False
+    await asyncio.sleep(service_paths.RETURN_CHECK_SECONDS[1] + path_probe.ANSWER_SECONDS + 0.1)
+    assert node.reachability.has_path
+    await node.reachability.stop()
+
+
+async def test_silent_runners_of_one_service_hide_behind_the_answers_of_another():
+    node = Node()
+    await node.reachability.start()
+    await asyncio.sleep(1.0)
+    node.reachability.record_sent("other")
+    node.reachability.record_sent("s")
+    for _ in range(6):
+        await asyncio.sleep(0.1)
+        node.reachability.record_heard("other")
+    assert node.reachability.is_silent("s") and not node.reachability.is_silent("other")
+    await node.reachability.stop()
+
+
+@pytest.mark.parametrize("tells", ["neighbour", "reports"])
+async def test_a_node_notices_its_lost_path_only_by_requests_that_it_loses(tells):
+    """Another node, cut off by the same fault, has told of its loss."""
+    node = Node()
+    await node.reachability.start()
+    await asyncio.sleep(5.0)
+    node.silent = True
+    if tells == "neighbour":
+        await node.reachability._on_report("n1", reachability.PathReport(has_path=False))
+    else:
+        lost = path_states.Lost(node=hashing.short_id("n1"), scope=path_states.ALL_RUNNERS)
+        node.loads.paths = path_states.PathStates(with_path=frozenset(), lost=frozenset({lost}))
+        node.tell_loads()
+    await asyncio.sleep(reachability.WATCH_SECONDS + path_probe.ANSWER_SECONDS + 0.1)
+    assert not node.reachability.has_path
+    await node.reachability.stop()
+
+
+async def test_one_node_that_loses_its_path_again_and_again_makes_others_ask_all_the_time():
+    node = Node()
+    await node.reachability.start()
+    await asyncio.sleep(5.0)
+    checks = len(node.connects)
+    for turn in range(100):
+        await node.reachability._on_report("n1", reachability.PathReport(has_path=turn % 2 == 0))
+        await asyncio.sleep(0.1)
+    most = 1 + 10 / reachability.TOLD_CHECK_PAUSE_SECONDS
+    assert len(node.connects) - checks <= most * path_probe.CHECKED_VMS
+    await node.reachability.stop()
+
+
+async def test_a_vm_that_must_not_be_asked_gets_status_requests():
+    node = Node()
+    node.reachability.may_ask = lambda vm: vm.vm_id in ("vm-1", "vm-2")
+    assert await node.reachability.find_path(service="s", fresh=True)
+    assert set(node.connects) == {"vm-1:1", "vm-2:1"}
+    node.reachability.may_ask = lambda vm: False
+    node.open = set()
+    assert await node.reachability.find_path(service="s", fresh=True)
+
+
 async def test_the_share_of_detours_falls_gradually_after_the_return():
     node = Node()
     every, node.open = node.open, set()
--- a/basilpost/members/service_paths.py
+++ b/basilpost/members/service_paths.py
@@ -1,4 +1,4 @@
-"""Knows the services of which this node can connect to no VM, though it reaches other runners.
+"""Knows the services of which no VM answers this node, though other runners do.
 
 A service of three VMs can lose its links to a node while hundreds of others keep theirs. To the whole
 node, and to a check of a few random VMs, its path then looks sound.
@@ -23,10 +23,10 @@
 
 
 class ServicePaths:
-    """Paths to single services, checked after failed connections and until they are back.
+    """Paths to single services, checked after failed connections and silence, until they are back.
 
     Args:
-        vms_of: Returns the known VMs of a service.
+        vms_of: Returns the VMs of a service that may be asked for their status.
         rng: Source of the pauses between checks and of the checked VMs.
         task_set: Runs the checks.
         kernel: The owner's kernel.
@@ -50,7 +50,7 @@
         self._checks_by_service: dict[str, asyncio.Task[None]] = {}
         lost = prometheus_client.Gauge(
             "basilpost_services_without_path",
-            "Services of which this node can connect to no VM, though it reaches other runners",
+            "Services of which no VM answers this node, though other runners do",
             registry=kernel.registry,
         )
         lost.set_function(lambda: len(self._lost_at_by_service))
@@ -61,16 +61,14 @@
         return tuple(sorted(self._lost_at_by_service))
 
     def is_lost(self, service: str) -> bool:
-        """Returns True if no VM of a service could be connected to."""
+        """Returns True if no VM of a service answered."""
         return service in self._lost_at_by_service
 
     def back_at(self, service: str) -> float:
         """Returns when the path to a service came back, on `clock.elapsed`; minus infinity for never."""
         return self._back_at_by_service.get(service, -math.inf)
 
-    async def check(
-        self, service: str, connect: path_probe.Connect, *, fresh: bool = False
-    ) -> None:
+    async def check(self, service: str, ask: path_probe.Ask, *, fresh: bool = False) -> None:
         """Checks the path to a service, or waits for the check that runs already.
 
         Unless `fresh` is set, a path that was found a moment ago is not checked again.
@@ -81,37 +79,37 @@
             return
         if service not in self._checks_by_service:
             self._checks_by_service[service] = self._tasks.spawn(
-                self._check(service, connect), name="service-path-check"
+                self._check(service, ask), name="service-path-check"
             )
         # A caller that leaves must not end a check that others wait for.
         await asyncio.wait([self._checks_by_service[service]])
 
-    async def _check(self, service: str, connect: path_probe.Connect) -> None:
+    async def _check(self, service: str, ask: path_probe.Ask) -> None:
         try:
             vms = path_probe.choose_vms(self._vms_of(service), rng=self._rng)
             began_at = clock.elapsed()
-            opened = await path_probe.opens_any(
-                connect, vms, abort_seconds=path_probe.ABORT_SECONDS
-            )
+            contact = await path_probe.ask_any(ask, vms)
             now = clock.elapsed()
-            if opened is not None:
+            if contact is path_probe.Contact.ANSWERED:
                 self._found_at_by_service[service] = now
             elif vms and now - began_at <= path_probe.LATE_SECONDS:
                 self._lost_at_by_service[service] = now
                 self._log.warning(
-                    "service_path_lost", service=service, vms=[vm.vm_id for vm in vms]
+                    "service_path_lost",
+                    service=service,
+                    contact=contact.value,
+                    vms=[vm.vm_id for vm in vms],
                 )
-                self._tasks.spawn(self._await_return(service, connect), name="service-path-return")
+                self._tasks.spawn(self._await_return(service, ask), name="service-path-return")
         finally:
             del self._checks_by_service[service]
 
-    async def _await_return(self, service: str, connect: path_probe.Connect) -> None:
+    async def _await_return(self, service: str, ask: path_probe.Ask) -> None:
         while True:
             await asyncio.sleep(self._rng.uniform(*RETURN_CHECK_SECONDS))
             vms = path_probe.choose_vms(self._vms_of(service), rng=self._rng)
-            abort_seconds = path_probe.DOUBT_ABORT_SECONDS
             # Without any VM there is nothing to reach, here or from elsewhere.
-            if not vms or await path_probe.opens_any(connect, vms, abort_seconds=abort_seconds):
+            if not vms or await path_probe.ask_any(ask, vms) is path_probe.Contact.ANSWERED:
                 break
         now = clock.elapsed()
         self._back_at_by_service[service] = now
--- a/basilpost/members/service_paths_test.py
+++ b/basilpost/members/service_paths_test.py
@@ -8,7 +8,7 @@
 import pytest
 import structlog
 
-from basilpost.core import channels, clock, tasks
+from basilpost.core import clock, tasks
 from basilpost.members import path_probe, reachability_test, service_paths
 
 pytestmark = pytest.mark.looptime
@@ -20,7 +20,7 @@
 
 
 class Node:
-    """A node's paths to a service of three VMs, of which some can be connected to."""
+    """A node's paths to a service of three VMs, of which some answer."""
 
     def __init__(self):
         self.vms = [reachability_test.make_vm(number) for number in range(3)]
@@ -36,15 +36,15 @@
             ),
         )
 
-    async def connect(self, address, timeout):
+    async def ask(self, vm):
         self.connects += 1
         await asyncio.sleep(0.01)
-        if address not in self.open:
-            return channels.ConnectFailed(reason="refused")
-        return reachability_test.FakeChannel()
+        if vm.address not in self.open:
+            return path_probe.Contact.SILENT
+        return path_probe.Contact.ANSWERED
 
     async def check(self):
-        await self.paths.check("s", self.connect)
+        await self.paths.check("s", self.ask)
         return not self.paths.is_lost("s")
 
 
@@ -62,9 +62,7 @@
     await asyncio.sleep(2.0)
     assert node.paths.is_lost("s")
     node.open = {"vm-0:1"}
-    await asyncio.sleep(
-        service_paths.RETURN_CHECK_SECONDS[1] + path_probe.DOUBT_ABORT_SECONDS + 0.1
-    )
+    await asyncio.sleep(service_paths.RETURN_CHECK_SECONDS[1] + 0.1)
     assert not node.paths.is_lost("s")
     assert clock.elapsed() - node.paths.back_at("s") < 1.0
     await node.tasks.close()
@@ -90,9 +88,9 @@
 async def test_a_check_during_which_the_process_was_delayed_says_nothing():
     node = Node()
 
-    async def connect(address, timeout):
+    async def ask(vm):
         await asyncio.sleep(2 * path_probe.LATE_SECONDS)
-        return channels.ConnectFailed(reason="no connection in time")
+        return path_probe.Contact.UNREACHED
 
-    await node.paths.check("s", connect)
+    await node.paths.check("s", ask)
     assert not node.paths.is_lost("s")
--- a/basilpost/node/pool_assembly.py
+++ b/basilpost/node/pool_assembly.py
@@ -64,7 +64,8 @@
     kernel.register(names.TARGETS, targets.Targets(kernel=kernel))
     kernel.register("news", store_news.News(kernel=kernel))
     kernel.register(names.LOADS, loads.Loads(kernel=kernel))
-    kernel.register(names.REACHABILITY, reachability.Reachability(kernel=kernel))
+    node_reachability = reachability.Reachability(kernel=kernel)
+    kernel.register(names.REACHABILITY, node_reachability)
     kernel.register(
         "registry",
         node_registry.Registry(kernel=kernel, record=_node_record(settings, incarnation)),
@@ -79,6 +80,9 @@
     kernel.register(names.LIMITS, named_limits.NamedLimits(kernel=kernel))
     runner_pauses = pauses.RunnerPauses(kernel=kernel)
     kernel.register(names.PAUSES, runner_pauses)
+    node_reachability.may_ask = lambda vm: not runner_pauses.is_paused(
+        reported_groups.lifetime_id(vm)
+    )
     controller.may_probe = lambda vm: runner_pauses.may_send(reported_groups.lifetime_id(vm))
     kernel.register(names.DEPARTURES, departures.Departures(kernel=kernel))
     kernel.register(names.CRASHES, crashes.CrashTracker(kernel=kernel))
--- a/basilpost/platform/decode.py
+++ b/basilpost/platform/decode.py
@@ -131,9 +131,16 @@
         name=_text(raw, "name"),
         cold_per_second=_finite(raw.get("coldPerS") or 0),
         engine=_engine(engine) if engine and engine.get("models") else None,
+        health_path=_path(raw.get("healthPath")),
     )
 
 
+def _path(value: Any) -> str:
+    """Returns a path without a space or control character; empty for any other value."""
+    is_path = isinstance(value, str) and value.startswith("/") and value.isascii()
+    return value if is_path and value.isprintable() and " " not in value else ""
+
+
 def _engine(raw: dict[str, Any]) -> catalog.Engine:
     return catalog.Engine(
         slots=_integer(raw, "slots"),
--- a/basilpost/platform/decode_test.py
+++ b/basilpost/platform/decode_test.py
@@ -169,6 +169,26 @@
     assert configuration.limits.idle_seconds == 15.0
 
 
+@pytest.mark.parametrize(
+    "raw, path",
+    [
+        ("/health", "/health"),
+        (None, ""),
+        ("", ""),
+        (7, ""),
+        ("health", ""),
+        ("/a b", ""),
+        ("/a\r\nX-Tenant: t", ""),
+        ("/\u00e9", ""),
+        (["/"], ""),
+    ],
+)
+def test_an_odd_health_path_makes_a_configuration_unusable_or_breaks_a_request(raw, path):
+    changed = json.loads(encode(CONFIGURATION))
+    changed["services"][0]["healthPath"] = raw
+    assert decode.configuration(encode(changed)).services_by_name["huvo11a"].health_path == path
+
+
 def test_a_stream_that_cannot_be_resumed_may_run_only_once():
     changed = json.loads(encode(CONFIGURATION))
     changed["routes"][0]["resumable"] = False
--- a/basilpost/platform/headers.py
+++ b/basilpost/platform/headers.py
@@ -4,9 +4,12 @@
 
 import tornado.httputil
 
+from basilpost.core import catalog
 from basilpost.routing import header_dialect
 
 EXPECT_VM = "X-Expect-Runner"
+# Path at which runners with an engine report their status; needs no slot.
+REPORT_PATH = "/api/report"
 _REQUEST_ID = "X-Attempt-Id"
 _API_KEY = "X-Credential"
 _DEADLINE = "X-Deadline-Ms"
@@ -125,6 +128,12 @@
         """Returns the headers of a runner's answer as they are sent to the caller."""
         return _without(headers, frozenset())
 
+    def status_path(self, service: catalog.Service | None) -> str:
+        """Returns the path of an engine's report, or of the health check of a plain service."""
+        if service is None or service.engine is not None:
+            return REPORT_PATH
+        return service.health_path or REPORT_PATH
+
     def refusal_headers(self, request_id: str) -> dict[str, str]:
         """Returns the headers that name the request in an answer that the node itself gives."""
         return {_REQUEST_ID: request_id} if request_id else {}
--- a/basilpost/platform/runner_client.py
+++ b/basilpost/platform/runner_client.py
@@ -9,7 +9,6 @@
 from basilpost.store import http_calls
 
 _ORDER_PATH = "/api/order"
-_REPORT_PATH = "/api/report"
 # Answers to orders and reports have some hundred bytes; runners in trouble may send without end.
 _MAX_ANSWER_BYTES = 262_144
 
@@ -41,7 +40,7 @@
     async def responds(self, vm: catalog.Vm, *, timeout: float) -> bool:
         """Returns True if the runner answers a status request in time, with any HTTP status."""
         client = _client(vm)
-        reply = await client.read(_REPORT_PATH, timeout=timeout)
+        reply = await client.read(headers.REPORT_PATH, timeout=timeout)
         client.close()
         return isinstance(reply, http_calls.Reply)
 
--- a/basilpost/routing/header_dialect.py
+++ b/basilpost/routing/header_dialect.py
@@ -5,6 +5,8 @@
 
 import tornado.httputil
 
+from basilpost.core import catalog
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class RequestInfo:
@@ -119,6 +121,10 @@
     ) -> tornado.httputil.HTTPHeaders:
         """Returns a runner's headers in the form in which they are passed to the caller."""
 
+    @abc.abstractmethod
+    def status_path(self, service: catalog.Service | None) -> str:
+        """Returns the path at which the runners of a service tell their status; None if it is unknown."""
+
     @abc.abstractmethod
     def refusal_headers(self, request_id: str) -> dict[str, str]:
         """Returns the headers that name the request in a refusal by the node itself."""
--- a/tests/pool_leaving_test.py
+++ b/tests/pool_leaving_test.py
@@ -55,7 +55,7 @@
         runners = bench.fleet.runners_of(pool_fleet.PLAIN_SERVICE)
         await bench.fleet.store.stop()
         runners[0].options.leaving = True
-        while not runners[0].arrivals:
+        while len(runners[0].arrivals) == len(runners[0].status_requests):
             await bench.call("/lookup/a", node=0)
         before = len(runners[0].arrivals)
         await asyncio.sleep(0.2)
@@ -69,7 +69,7 @@
     async with pool_nodes.running(nodes=1, vms=0, plain_instances=2) as bench:
         runner = bench.fleet.runners_of(pool_fleet.PLAIN_SERVICE)[0]
         runner.options.leaving = True
-        while not runner.arrivals:
+        while len(runner.arrivals) == len(runner.status_requests):
             await bench.call("/lookup/a")
         runner.options.leaving = False
         runner.born += 1
@@ -77,10 +77,10 @@
         await bench.wait_for_knowledge(
             lambda knowledge: knowledge.vms_by_id[runner.vm_id].vm.incarnation == runner.born
         )
-        before = len(runner.arrivals)
+        before = len(runner.runs)
         for _ in range(20):
             await bench.call("/lookup/a")
-        assert len(runner.arrivals) > before
+        assert len(runner.runs) > before
 
 
 async def test_the_only_runner_is_given_up_when_it_says_that_it_leaves():
--- a/tests/pool_pause_test.py
+++ b/tests/pool_pause_test.py
@@ -26,7 +26,7 @@
     return max(
         (
             sum(at + SETTLE_SECONDS < later < at + seconds for later in runner.arrivals)
-            for at in runner.arrivals
+            for at in runner.rejections
         ),
         default=0,
     )
@@ -167,7 +167,7 @@
     async with pool_nodes.running(nodes=3, vms=0, plain_instances=3) as bench:
         runners = bench.fleet.runners_of(pool_fleet.PLAIN_SERVICE)
         ask_for_pause(runners[0], "5")
-        while not runners[0].arrivals:
+        while not runners[0].rejections:
             await bench.call("/lookup/a", node=0)
         await asyncio.sleep(0.2)
         before = len(runners[0].arrivals)
