--- a/basilpost/gateway/event_exchange.py
+++ b/basilpost/gateway/event_exchange.py
@@ -18,6 +18,8 @@
 
 _END_OF_HEAD = b"\r\n\r\n"
 _MAX_HEAD_BYTES = 65_536
+# Interim heads, such as 100 Continue, before that of the answer.
+_MAX_INTERIM_HEADS = 8
 _MAX_BUFFERED_BYTES = 262_144
 
 
@@ -56,6 +58,7 @@
         self._buffer = b""
         self._receiver: Receiver | None = None
         self._length: int | None = None
+        self._interim_heads = 0
         self._max_silence = float("inf")
 
     def send(self, method: str, path: str, headers: Mapping[str, str], body: bytes) -> None:
@@ -157,28 +160,38 @@
         self._resume()
 
     def _read_head(self) -> None:
-        end = self._buffer.find(_END_OF_HEAD)
-        if end < 0:
-            if len(self._buffer) > _MAX_HEAD_BYTES:
-                self.abort("the head of the answer is too large")
-            return
-        raw = self._buffer[:end].decode("latin1")
-        self._buffer = self._buffer[end + len(_END_OF_HEAD) :]
-        try:
-            self._parse_head(raw)
-        except (tornado.httputil.HTTPInputError, ValueError) as error:
-            self.abort(f"malformed head: {error}")
+        """Reads the head of the answer once it is complete, and passes over interim ones before it."""
+        while self.received_head is None and self._broken is None:
+            end = self._buffer.find(_END_OF_HEAD)
+            if end < 0:
+                if len(self._buffer) > _MAX_HEAD_BYTES:
+                    self.abort("the head of the answer is too large")
+                return
+            raw = self._buffer[:end].decode("latin1")
+            self._buffer = self._buffer[end + len(_END_OF_HEAD) :]
+            try:
+                self._parse_head(raw)
+            except (tornado.httputil.HTTPInputError, ValueError) as error:
+                self.abort(f"malformed head: {error}")
 
     def _parse_head(self, raw: str) -> None:
         first, _, rest = raw.partition("\r\n")
         start = tornado.httputil.parse_response_start_line(first)
+        if start.code < 200:
+            self._interim_heads += 1
+            if self._interim_heads > _MAX_INTERIM_HEADS:
+                self.abort("too many interim heads")
+            return
         headers = tornado.httputil.HTTPHeaders.parse(rest)
         if "Transfer-Encoding" in headers:
             self.abort("chunks in answer to HTTP/1.0")
             return
         self.first_byte_at = clock.monotonic()
         if "Content-Length" in headers:
-            self._length = int(headers["Content-Length"])
+            length = headers["Content-Length"]
+            if not (length.isascii() and length.isdigit()):
+                raise ValueError(f"the length is {length!r}")
+            self._length = int(length)
             self._count_body(len(self._buffer))
         self.received_head = exchange.Head(status=start.code, headers=headers)
 
