--- a/basilpost/gateway/relay.py
+++ b/basilpost/gateway/relay.py
@@ -13,7 +13,7 @@
 import tornado.netutil
 import tornado.web
 
-from basilpost.core import clock, failure, kernel, listener, names, tasks
+from basilpost.core import catalog, clock, failure, kernel, listener, names, tasks
 from basilpost.gateway import (
     attempts,
     detour_service,
@@ -32,6 +32,7 @@
     crash_store,
     crashes,
     departures,
+    durations,
     header_dialect,
     named_limits,
     pauses,
@@ -51,10 +52,12 @@
 # The load balancer may take this long to notice that the node reports not ready, and sends new
 # connections until then.
 READINESS_NOTICE_SECONDS = 2.5
-# The drain ends this long before the grace period, the time between SIGTERM and SIGKILL.
+# The drain ends this long before the grace period, the time between SIGTERM and SIGKILL, or by this share
+# of a short one.
 DRAIN_MARGIN_SECONDS = 0.8
-# Share of the grace period in which all requests are accepted. After it, only requests whose deadline is
-# before the end of the drain are.
+DRAIN_MARGIN_SHARE = 0.15
+# Share of the grace period in which requests are accepted that will probably end before the drain does.
+# After it, only requests whose deadline is before the end of the drain are.
 DRAIN_ACCEPT_SHARE = 0.33
 DRAIN_POLL_SECONDS = 0.05
 # Passes of the event loop from a readable socket to the head of the request on it.
@@ -137,8 +140,9 @@
         self._readiness_server: tornado.httpserver.HTTPServer | None = None
         self._draining = False
         self._stop_began_at: float | None = None
-        self._accept_all_until = math.inf
+        self._accept_likely_until = math.inf
         self._drain_until = math.inf
+        self._durations = durations.RecentDurations()
         self._recorder = request_recorder.RequestRecorder(kernel=kernel, knowledge=self.knowledge)
         open_connections = prometheus_client.Gauge(
             "basilpost_caller_connections",
@@ -167,19 +171,20 @@
     async def drain(self) -> None:
         """Ends the service to callers: afterwards no connection of a caller is open.
 
-        The node reports not ready at once. Requests are accepted for `DRAIN_ACCEPT_SHARE` of the grace
-        period, later only if their deadline is before its end. At the first moment without a request in
-        flight, nothing is read from callers any more. Requests that are still in flight at the end of
-        the grace period are cut.
+        The node reports not ready at once. Requests are accepted if their deadline is before the end of
+        the drain, and for `DRAIN_ACCEPT_SHARE` of the grace period also if they may run again and nearly
+        all like them would have ended by then. At the first moment without a request in flight, nothing
+        is read from callers any more. Requests that are still in flight at the end are cut.
         """
         self._draining = True
         grace = self._settings.bounds.grace_seconds
         began_at = self._stop_began_at = clock.elapsed()
-        self._accept_all_until = began_at + grace * DRAIN_ACCEPT_SHARE
-        self._drain_until = began_at + grace - DRAIN_MARGIN_SECONDS
+        self._accept_likely_until = began_at + grace * DRAIN_ACCEPT_SHARE
+        margin = min(DRAIN_MARGIN_SECONDS, grace * DRAIN_MARGIN_SHARE)
+        self._drain_until = began_at + grace - margin
         for server in self._servers:
             server.announce_close()
-        await asyncio.sleep(READINESS_NOTICE_SECONDS)
+        await asyncio.sleep(min(READINESS_NOTICE_SECONDS, grace - margin))
         await self._wait_until_answered()
         # No request can arrive between the last look at those in flight and the end of acceptance,
         # because there is no await between them.
@@ -265,6 +270,9 @@
         try:
             summary = await self._answer(request, reply, summary)
             await reply.wait_sent()
+            if summary.progress is not None and 200 <= summary.status < 300:
+                route = summary.progress.admitted.route.name
+                self._durations.record(route, clock.elapsed() - request.received_at)
         except asyncio.CancelledError:
             outcome = "caller_left" if request.caller_left else "cut_by_stop"
             summary = dataclasses.replace(summary, outcome=outcome)
@@ -338,7 +346,13 @@
 
     def _can_finish_before_stop(self, admitted: request_admission.AdmittedRequest) -> bool:
         """Returns False if the request might still run when the drain ends."""
-        return clock.elapsed() < self._accept_all_until or admitted.deadline < self._drain_until
+        now = clock.elapsed()
+        if admitted.deadline < self._drain_until:
+            return True
+        # Whoever sent a request that must not run again could do nothing after a cut.
+        if admitted.route.repeat is catalog.Repeat.ONCE or now >= self._accept_likely_until:
+            return False
+        return now + self._durations.estimate(admitted.route.name) < self._drain_until
 
     def _refuse(
         self,
