--- a/basilpost/core/log_events.py
+++ b/basilpost/core/log_events.py
@@ -99,6 +99,14 @@
         meaning="a VM of the service answered again, after these seconds",
         fields=("service", "seconds"),
     ),
+    "target_silent": Event(
+        meaning="a target with requests of this node does not answer a status request, and is avoided",
+        fields=("target", "contact"),
+    ),
+    "target_answers": Event(
+        meaning="the target answers status requests again, after these seconds",
+        fields=("target", "seconds"),
+    ),
     "target_crashed": Event(
         meaning="a target crashed with these requests in flight, here or at another node",
         fields=("target", "requests", "parts"),
--- a/basilpost/core/log_events_test.py
+++ b/basilpost/core/log_events_test.py
@@ -18,6 +18,7 @@
             "gateway/detours.py",
             "gateway/detour_service.py",
             "gateway/relay.py",
+            "gateway/silent_targets.py",
             "gateway/request_recorder.py",
             "groups/pool_controller.py",
             "members/feed.py",
--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -23,6 +23,7 @@
     load_control,
     loss_probe,
     request_admission,
+    silent_targets,
     target_choice,
     target_sender,
 )
@@ -92,6 +93,13 @@
         self._detours = node_detours
         self._log = log
         self._answer_memory = answer_sinks.AnswerMemory()
+        self._silent_targets = silent_targets.SilentTargets(
+            ask_vm=reachability.ask_vm,
+            give_up=lambda target_id: self.sender.give_up_silent(
+                lambda request: request.target_id == target_id, self._spend_retry
+            ),
+            log=log,
+        )
         self._chooser = target_choice.TargetChooser(
             node_id=node_id,
             failure_domain=failure_domain,
@@ -101,6 +109,7 @@
             limits=limits,
             runner_pauses=runner_pauses,
             runner_departures=runner_departures,
+            unanswering=self._silent_targets,
             control=control,
             rng=rng,
         )
@@ -113,6 +122,7 @@
             runner_pauses=runner_pauses,
             runner_departures=runner_departures,
             reachability=reachability,
+            unanswering=self._silent_targets,
             log=log,
         )
         self.loss_probe = loss_probe.LossProbe(
@@ -123,7 +133,7 @@
             log=log,
         )
         reachability.give_up_silent = lambda service: self.sender.give_up_silent(
-            service, self._spend_retry
+            lambda request: request.service == service, self._spend_retry
         )
         reachability.subscribe(lambda lost: self.stall_detector.forget_suspects())
         self._retries_by_service: dict[str, retry.RetryBudget] = {}
@@ -325,6 +335,8 @@
         if isinstance(chosen, failure.Refusal) and progress.unreached_targets:
             # Other nodes may reach the targets to which this one could open no connection.
             return self._detours.choose(progress) or chosen
+        if isinstance(chosen, targets_.Target) and self._silent_targets.among([chosen.target_id]):
+            return self._detours.choose(progress) or chosen
         return chosen
 
     def _has_alternative(self, progress: attempts.Progress) -> bool:
--- a/basilpost/gateway/relay.py
+++ b/basilpost/gateway/relay.py
@@ -156,6 +156,7 @@
     async def start(self) -> None:
         """Starts listening for callers and for readiness checks."""
         self._tasks.keep_running(self.forwarder.stall_detector.run, name="stall-watch")
+        self._tasks.keep_running(self.forwarder.sender.silent_targets.run, name="silent-targets")
         self._tasks.keep_running(self._sweep_pool, name="connection-sweep")
         self._server.add_sockets(_bind(self._settings.callers))
         self._detour_service.server.add_sockets(
@@ -227,6 +228,7 @@
             self._readiness_server.stop()
         await self._tasks.close()
         await self.forwarder.loss_probe.close()
+        await self.forwarder.sender.silent_targets.close()
         self.forwarder.sender.pool.close()
         self._detours.pool.close()
 
--- a/basilpost/gateway/target_sender.py
+++ b/basilpost/gateway/target_sender.py
@@ -15,6 +15,7 @@
     inbound,
     load_control,
     request_admission,
+    silent_targets,
     target_choice,
 )
 from basilpost.members import loads as loads_
@@ -70,6 +71,7 @@
         pool: Connections to targets.
         in_flight: The requests that are sent now.
         first_events: What the predicted times to first events lack.
+        silent_targets: Targets to which nothing passes from this node.
     """
 
     def __init__(
@@ -83,6 +85,7 @@
         runner_pauses: pauses.RunnerPauses,
         runner_departures: departures.Departures,
         reachability: reachability_.Reachability,
+        unanswering: silent_targets.SilentTargets,
         log: Any,
     ) -> None:
         self.pool = channels.Pool(source_host=source_host)
@@ -95,6 +98,7 @@
         self._pauses = runner_pauses
         self._departures = runner_departures
         self._reachability = reachability
+        self.silent_targets = unanswering
         self._log = log
 
     async def connect(
@@ -104,23 +108,21 @@
         return await self.pool.acquire(address, timeout=timeout, fresh=True)
 
     def give_up_silent(
-        self, service: str, spend_retry: Callable[[attempts.Progress], bool]
+        self,
+        is_affected: Callable[[InFlight], bool],
+        spend_retry: Callable[[attempts.Progress], bool],
     ) -> None:
-        """Gives up the requests to a service that were sent on links on which nothing passes.
+        """Gives up those of some requests that were sent on links on which nothing passes.
 
         Those that may be sent again end as abandoned. The others wait on, as they may have arrived, but
         are no longer counted: to all nodes their targets would look full.
         """
-        silent = [
-            request
-            for request in self.in_flight
-            if request.service == service and request.channel is not None and not request.heard
-        ]
-        for request in silent:
+        for request in tuple(self.in_flight):
+            if request.heard or request.abandoned or not is_affected(request):
+                continue
             self._stop_counting(request)
-            if not request.abandoned and spend_retry(request.progress):
+            if request.channel is not None and spend_retry(request.progress):
                 request.abandoned = True
-                assert request.channel is not None
                 request.channel.close()
 
     def _stop_counting(self, request: InFlight) -> None:
@@ -190,6 +192,7 @@
         in_flight.channel = channel
         self.in_flight.add(in_flight)
         self._reachability.record_sent(in_flight.service)
+        self.silent_targets.record_sent(target.target_id, target.vm_id)
         try:
             progress.sends += 1
             sink.on_connected(channel)
@@ -217,6 +220,7 @@
         finally:
             self.in_flight.discard(in_flight)
             self._reachability.record_ended(in_flight.service)
+            self.silent_targets.record_ended(target.target_id)
             if keep:
                 self.pool.release(channel)
             else:
@@ -251,10 +255,14 @@
         is_own = False
         sent_at = clock.elapsed()
 
+        def record_heard() -> None:
+            self._reachability.record_heard(in_flight.service)
+            self.silent_targets.record_heard(target.target_id)
+
         def receive_head(head: channels.Head) -> None:
             nonlocal is_own
             in_flight.heard = True
-            self._reachability.record_heard(in_flight.service)
+            record_heard()
             is_own = self._is_own_answer(progress, channel, head)
             self._record_limit(target, head, sent_at=sent_at)
             self._record_pause(target, head, sent_at=sent_at)
@@ -266,7 +274,7 @@
                 self._log_stray_answer(progress, channel, head)
 
         def receive_chunk(chunk: bytes) -> Awaitable[None] | None:
-            self._reachability.record_heard(in_flight.service)
+            record_heard()
             return sink.on_chunk(chunk) if is_own else None
 
         for _ in range(MAX_STRAY_ANSWERS + 1):
--- a/basilpost/members/reachability.py
+++ b/basilpost/members/reachability.py
@@ -181,6 +181,13 @@
         await self._check_service(service, fresh=fresh)
         return self.reaches(service)
 
+    async def ask_vm(self, vm_id: str) -> path_probe.Contact | None:
+        """Asks a VM for its status; returns None if it is not known, or must not be asked now."""
+        seen = self._knowledge.vms_by_id.get(vm_id)
+        if seen is None or self.ask is None or not self.may_ask(seen.vm):
+            return None
+        return await self.ask(seen.vm)
+
     async def _check_service(self, service: str, *, fresh: bool) -> None:
         """Checks the path to a service, unless there is none to any runner."""
         # A service of one VM tells nothing of the way to it: the VM may have ended.
--- a/tests/pool_cut_off_test.py
+++ b/tests/pool_cut_off_test.py
@@ -111,6 +111,29 @@
         check_served(callers, range(5), since=cut_at + STABLE_SECONDS)
 
 
+@pytest.mark.parametrize("kind", cut_links.Kind)
+async def test_requests_hang_at_the_targets_that_one_node_does_not_reach(kind):
+    """The nodes reach half of the groups and half of the plain instances; others reach all."""
+    async with pool_nodes.running(nodes=4, fabric_domains=3, vms=6, plain_instances=6) as bench:
+        await bench.wait_for_groups(3, pool_fleet.LARGE)
+        runners = sorted(bench.fleet.runners_by_id.values(), key=lambda runner: runner.vm_id)
+        plain = [runner.address for runner in runners if not runner.fabric_domain]
+        heads = [
+            runner.address
+            for runner in runners
+            if runner.member is not None and runner.member["rank"] == 0
+        ]
+        callers = Callers(bench)
+        running = asyncio.create_task(callers.run(seconds=9.0, per_second=4.0))
+        await asyncio.sleep(1.0)
+        for node in range(2):
+            bench.links[node].cut(kind, addresses={*plain[::2], *heads[::2]})
+        cut_at = clock.elapsed()
+        await running
+        check_served(callers, range(2, 4), since=cut_at)
+        check_served(callers, range(2), since=cut_at + STABLE_SECONDS)
+
+
 async def wait_until_lost(bench, node):
     """Waits until a node knows that it has no path to the runners, and its peers know it too."""
     node_id = bench.kernels[node].node_id
