--- a/basilpost/soak/__main__.py
+++ b/basilpost/soak/__main__.py
@@ -18,6 +18,7 @@
     "stops": scenarios.PlannedStops,
     "crashes": scenarios.CrashingParts,
     "paths": scenarios.LostPaths,
+    "silent-paths": scenarios.SilentPaths,
     "fleet": scenarios.LargeFleet,
     "restores": scenarios.RestoredStore,
     "overload": scenarios.Overload,
@@ -36,8 +37,8 @@
     type=click.Choice(list(SCENARIOS_BY_PLAN)),
     default="faults",
     show_default=True,
-    help="Faults of all kinds, planned stops, crashing requests, lost paths, lost paths of most nodes of a "
-    "large fleet, restores of the store, or callers that want more than there is.",
+    help="Faults of all kinds, planned stops, crashing requests, lost paths, paths on which nothing passes, "
+    "lost paths of most nodes of a large fleet, restores of the store, or callers that want more than there is.",
 )
 @click.option("--nodes", type=int, help="Number of nodes.")
 @click.option("--callers", "caller_count", type=int, help="Number of callers.")
--- a/basilpost/soak/faults.py
+++ b/basilpost/soak/faults.py
@@ -14,7 +14,8 @@
     to the store or to a runner; RUNNER_GONE stops a runner, and STORE_AWAY cuts all nodes off from the
     store. ANSWERS_LOST makes a plain service close connections unanswered. KEY_TAKEN withdraws an API
     key and DOMAIN_OUT a failure domain for a time. PATH_* cut a node off from all runners: its connections
-    are reset, or new ones are refused while open ones live on. RUNNER_PAUSES makes a runner reject
+    are reset, or new ones are refused while open ones live on, or all open and pass nothing, to all runners
+    or to half of them. RUNNER_PAUSES makes a runner reject
     requests and ask for a pause, RUNNER_LEAVES say in its answers that it leaves until it is replaced.
     STORE_RESTORED brings the store back from a copy that is some seconds old. MOST_PATHS cuts all nodes but
     one to three off from all runners, and MOST_SERVICE_PATHS from those of the plain service.
@@ -45,6 +46,8 @@
     STORE_RESTORED = "store_restored"
     MOST_PATHS = "most_paths"
     MOST_SERVICE_PATHS = "most_service_paths"
+    PATH_SILENT = "path_silent"
+    HALF_PATH_SILENT = "half_path_silent"
 
 
 # The kinds that `draw` picks from; their number and order decide what a seed draws.
@@ -75,6 +78,12 @@
     Kind.PAUSE,
     Kind.STORE_SILENT,
 )
+# The same, mostly with links that open and pass nothing.
+SILENT_PATH_KINDS = (
+    *(Kind.PATH_SILENT,) * 4,
+    *(Kind.HALF_PATH_SILENT,) * 3,
+    *PATH_KINDS[2:],
+)
 # Most nodes of a large fleet are cut off at once, again and again, beside single ones, while nodes stop,
 # die or freeze.
 LARGE_FLEET_KINDS = (
--- a/basilpost/soak/proxies.py
+++ b/basilpost/soak/proxies.py
@@ -26,6 +26,8 @@
         silent: Directions in which no data passes; what arrives meanwhile is sent on afterwards.
         refuses_connections: True to abort new connections.
         refused_hosts: Clients' addresses whose new connections are aborted.
+        silent_hosts: Clients' addresses whose connections open and pass nothing. A connection that has
+            lost bytes passes nothing more, also when the address is no longer among these.
     """
 
     target: str
@@ -34,6 +36,7 @@
     silent: set[Direction] = dataclasses.field(default_factory=set)
     refuses_connections: bool = False
     refused_hosts: set[str] = dataclasses.field(default_factory=set)
+    silent_hosts: set[str] = dataclasses.field(default_factory=set)
     _writers: set[asyncio.StreamWriter] = dataclasses.field(default_factory=set)
     _tasks: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
     _server: asyncio.Server | None = None
@@ -91,20 +94,28 @@
             # The target is down; the client's connection is aborted as well.
             return
         self._writers.add(target_writer)
+        link = _Link(host=_host_of(writer))
         try:
             await asyncio.gather(
-                self._copy(reader, target_writer, Direction.UP),
-                self._copy(target_reader, writer, Direction.DOWN),
+                self._copy(reader, target_writer, Direction.UP, link),
+                self._copy(target_reader, writer, Direction.DOWN, link),
             )
         finally:
             self._writers.discard(target_writer)
             target_writer.transport.abort()
 
     async def _copy(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, direction: Direction
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        direction: Direction,
+        link: "_Link",
     ) -> None:
         with contextlib.suppress(OSError):
             while data := await reader.read(_READ_BYTES):
+                link.is_lost = link.is_lost or link.host in self.silent_hosts
+                if link.is_lost:
+                    continue
                 if self.delay:
                     await asyncio.sleep(self.delay)
                 while direction in self.silent:
@@ -115,6 +126,14 @@
             writer.write_eof()
 
 
+@dataclasses.dataclass(kw_only=True)
+class _Link:
+    """A connection of one client's address; `is_lost` is set once bytes on it were dropped."""
+
+    host: str
+    is_lost: bool = False
+
+
 def _host_of(writer: asyncio.StreamWriter) -> str:
     peer = writer.get_extra_info("peername")
     return str(peer[0]) if peer else ""
--- a/basilpost/soak/run.py
+++ b/basilpost/soak/run.py
@@ -264,8 +264,10 @@
                 return self._lose_runner(fault, vm_id)
             case faults.Kind.ANSWERS_LOST:
                 return self._lose_answers(fault)
-            case faults.Kind.PATH_RESET | faults.Kind.PATH_REFUSED:
+            case faults.Kind.PATH_RESET | faults.Kind.PATH_REFUSED | faults.Kind.PATH_SILENT:
                 return self._cut_path(fault, node, tuple(self._proxies_by_vm.values()))
+            case faults.Kind.HALF_PATH_SILENT:
+                return self._cut_path(fault, node, [self._proxies_by_vm[one] for one in ids[::2]])
             case faults.Kind.MOST_PATHS | faults.Kind.MOST_SERVICE_PATHS:
                 return self._cut_most_paths(fault)
             case faults.Kind.RUNNER_PAUSES:
@@ -344,8 +346,9 @@
         """Cuts a node off from some runners; overlapping cuts of one node end with the first one."""
         host = node.settings.host
         began_at = clock.elapsed()
+        silent = fault.kind in (faults.Kind.PATH_SILENT, faults.Kind.HALF_PATH_SILENT)
         for proxy in cut:
-            proxy.refused_hosts.add(host)
+            (proxy.silent_hosts if silent else proxy.refused_hosts).add(host)
             if fault.kind is faults.Kind.PATH_RESET:
                 proxy.reset(host=host)
         await asyncio.sleep(fault.seconds * faults.PATH_LENGTH_FACTOR)
@@ -353,7 +356,7 @@
             checks.Disturbance(address=node.settings.callers, begin=began_at, end=clock.elapsed())
         )
         for proxy in cut:
-            proxy.refused_hosts.discard(host)
+            (proxy.silent_hosts if silent else proxy.refused_hosts).discard(host)
 
     async def _ask_for_pause(self, fault: faults.Fault, vm_id: str) -> None:
         options = self._fleet.runners_by_id[vm_id].options
--- a/basilpost/soak/scenarios.py
+++ b/basilpost/soak/scenarios.py
@@ -152,6 +152,15 @@
         return callers.RandomCaller(name=name, addresses=load_balancer.addresses, seed=seed)
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class SilentPaths(LostPaths):
+    """Nodes' links to all or half of the runners open and pass nothing, among other faults."""
+
+    def draw(self, seed: int, *, seconds: float) -> tuple[faults.Fault, ...]:
+        """Returns the faults of a seed, which begin within `seconds`."""
+        return faults.draw_of(faults.SILENT_PATH_KINDS, seed, seconds=seconds)
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class LargeFleet(LostPaths):
     """Most nodes of a fleet beyond the full mesh lose their paths at once, among other faults.
--- a/tests/soak_test.py
+++ b/tests/soak_test.py
@@ -30,6 +30,10 @@
     (2, "nodes without a path served none of their requests (issue 31)"),
     (3, "the same, beside a planned stop"),
 )
+SILENT_PATH_SECONDS = 9.0
+SILENT_PATH_SEEDS = (
+    (3, "nodes whose links open and pass nothing served too few requests (issue 48)"),
+)
 FLEET_SECONDS = 9.0
 FLEET_SEEDS = ((1, "nodes of a large fleet searched for one with a path by chance (issue 45)"),)
 RESTORE_SECONDS = 9.0
@@ -94,6 +98,16 @@
     assert report.served > report.calls / 2
 
 
+@pytest.mark.processes
+@pytest.mark.parametrize("seed", [seed for seed, _ in SILENT_PATH_SEEDS])
+async def test_links_of_nodes_to_runners_open_and_pass_nothing(seed, tmp_path):
+    report = await run.Soak(seed=seed, folder=tmp_path, scenario=scenarios.SilentPaths()).run(
+        seconds=SILENT_PATH_SECONDS
+    )
+    assert report.broken == ()
+    assert report.served > report.calls / 2
+
+
 @pytest.mark.processes
 @pytest.mark.parametrize("seed", [seed for seed, _ in FLEET_SEEDS])
 async def test_most_nodes_of_a_large_fleet_lose_their_paths(seed, tmp_path):
