--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -23,10 +23,10 @@
     load_control,
     loss_probe,
     request_admission,
-    silent_targets,
     target_choice,
     target_sender,
 )
+from basilpost.gateway import silent_targets as silent_targets_
 from basilpost.gateway import stall_detector as stall_detector_
 from basilpost.members import loads as loads_
 from basilpost.members import reachability as reachability_
@@ -93,7 +93,7 @@
         self._detours = node_detours
         self._log = log
         self._answer_memory = answer_sinks.AnswerMemory()
-        self._silent_targets = silent_targets.SilentTargets(
+        self._silent_targets = silent_targets_.SilentTargets(
             ask_vm=reachability.ask_vm,
             give_up=lambda target_id: self.sender.give_up_silent(
                 lambda request: request.target_id == target_id, self._spend_retry
@@ -109,7 +109,7 @@
             limits=limits,
             runner_pauses=runner_pauses,
             runner_departures=runner_departures,
-            unanswering=self._silent_targets,
+            silent_targets=self._silent_targets,
             control=control,
             rng=rng,
         )
@@ -122,7 +122,7 @@
             runner_pauses=runner_pauses,
             runner_departures=runner_departures,
             reachability=reachability,
-            unanswering=self._silent_targets,
+            silent_targets=self._silent_targets,
             log=log,
         )
         self.loss_probe = loss_probe.LossProbe(
@@ -277,7 +277,6 @@
         """
         # Streams that other nodes send are watched by node: the same ones watch them by target.
         source = way.node_id if isinstance(way, detours.Detour) else way.target_id
-
         service = progress.admitted.service.name
 
         def move_stream() -> None:
--- a/basilpost/gateway/relay.py
+++ b/basilpost/gateway/relay.py
@@ -347,11 +347,13 @@
         return dataclasses.replace(summary, outcome=refusal.code, reason=refusal.reason)
 
     def _can_finish_before_stop(self, admitted: request_admission.AdmittedRequest) -> bool:
-        """Returns False if the request might still run when the drain ends."""
+        """Returns False if the request would probably still run when the drain ends.
+
+        One that may run only once must not be able to: after a cut its caller could do nothing.
+        """
         now = clock.elapsed()
         if admitted.deadline < self._drain_until:
             return True
-        # Whoever sent a request that must not run again could do nothing after a cut.
         if admitted.route.repeat is catalog.Repeat.ONCE or now >= self._accept_likely_until:
             return False
         return now + self._durations.estimate(admitted.route.name) < self._drain_until
--- a/basilpost/gateway/target_choice.py
+++ b/basilpost/gateway/target_choice.py
@@ -10,7 +10,8 @@
 from collections.abc import Iterable, Sequence
 
 from basilpost.core import clock, failure
-from basilpost.gateway import attempts, load_control, request_admission, silent_targets
+from basilpost.gateway import attempts, load_control, request_admission
+from basilpost.gateway import silent_targets as silent_targets_
 from basilpost.members import answer_evidence
 from basilpost.members import loads as loads_
 from basilpost.routing import (
@@ -51,7 +52,7 @@
         limits: named_limits.NamedLimits,
         runner_pauses: pauses.RunnerPauses,
         runner_departures: departures.Departures,
-        unanswering: silent_targets.SilentTargets,
+        silent_targets: silent_targets_.SilentTargets,
         control: load_control.LoadControl,
         rng: random.Random,
     ) -> None:
@@ -62,7 +63,7 @@
         self._limits = limits
         self._pauses = runner_pauses
         self._departures = runner_departures
-        self._silent_targets = unanswering
+        self._silent_targets = silent_targets
         self._control = control
         control.find_usable = self.find_usable
         self._rng = rng
--- a/basilpost/gateway/target_sender.py
+++ b/basilpost/gateway/target_sender.py
@@ -15,9 +15,9 @@
     inbound,
     load_control,
     request_admission,
-    silent_targets,
     target_choice,
 )
+from basilpost.gateway import silent_targets as silent_targets_
 from basilpost.members import loads as loads_
 from basilpost.members import reachability as reachability_
 from basilpost.routing import (
@@ -85,7 +85,7 @@
         runner_pauses: pauses.RunnerPauses,
         runner_departures: departures.Departures,
         reachability: reachability_.Reachability,
-        unanswering: silent_targets.SilentTargets,
+        silent_targets: silent_targets_.SilentTargets,
         log: Any,
     ) -> None:
         self.pool = channels.Pool(source_host=source_host)
@@ -98,7 +98,7 @@
         self._pauses = runner_pauses
         self._departures = runner_departures
         self._reachability = reachability
-        self.silent_targets = unanswering
+        self.silent_targets = silent_targets
         self._log = log
 
     async def connect(
