--- a/tests/pool_cut_off_test.py
+++ b/tests/pool_cut_off_test.py
@@ -268,6 +268,23 @@
         assert [line for line in lines if line["event"] == "service_path_lost"]
 
 
+async def test_requests_that_hang_make_their_targets_look_full_to_sound_nodes():
+    async with pool_nodes.running(nodes=2, vms=0, plain_instances=2) as bench:
+        bench.links[0].cut(cut_links.Kind.SILENT)
+        # They may run only once, so they wait until their deadlines.
+        filings = [asyncio.create_task(bench.call("/filing/a", node=0)) for _ in range(8)]
+        targets = bench.targets[1].matching(pool_fleet.PLAIN_SERVICE, "")
+
+        def in_flight():
+            return sum(bench.loads[1].total_in_flight(target.target_id) for target in targets)
+
+        await pool_fleet.until(lambda: in_flight() == len(filings))
+        await pool_fleet.until(lambda: not bench.reachabilities[0].has_path)
+        await pool_fleet.until(lambda: not in_flight(), seconds=1.0)
+        assert not any(filing.done() for filing in filings)
+        assert {answer.code for answer in await asyncio.gather(*filings)} == {504}
+
+
 async def test_whole_uploads_and_long_answers_are_cut_on_a_detour():
     async with pool_nodes.running(nodes=2, vms=0) as bench:
         await lose_path(bench, 0)
