--- a/basilpost/gateway/relay.py
+++ b/basilpost/gateway/relay.py
@@ -272,9 +272,6 @@
         try:
             summary = await self._answer(request, reply, summary)
             await reply.wait_sent()
-            if summary.progress is not None and 200 <= summary.status < 300:
-                route = summary.progress.admitted.route.name
-                self._durations.record(route, clock.elapsed() - request.received_at)
         except asyncio.CancelledError:
             outcome = "caller_left" if request.caller_left else "cut_by_stop"
             summary = dataclasses.replace(summary, outcome=outcome)
@@ -299,6 +296,8 @@
             ),
         )
         summary = dataclasses.replace(summary, progress=progress)
+        running = self._durations.begin(admitted.route.name, began_at=request.received_at)
+        result: object = None
         try:
             if admitted.route.streaming:
                 result = await self.forwarder.stream(progress, request, reply)
@@ -308,6 +307,9 @@
             if request.caller_left:
                 raise
             return self._cut(reply, summary, progress)
+        finally:
+            answered = isinstance(result, attempts.WholeAnswer | attempts.Streamed)
+            self._durations.end(running, answered=answered)
         match result:
             case failure.Refusal():
                 return self._refuse(reply, result, summary)
