--- a/review/lib/bench.py
+++ b/review/lib/bench.py
@@ -135,6 +135,10 @@
             )
         self._record.write(f"node {self.name} started at {self.callers}")
 
+    def is_later_start(self):
+        """Makes the settings say that the system has started before."""
+        self._fields["bootstrap"] = False
+
     @property
     def pid(self):
         return self._child.pid
@@ -195,6 +199,8 @@
                 writer.close()
     except TimeoutError:
         return Answer(0, {}, b"", "no answer in time")
+    except Incomplete as error:
+        return Answer(0, {}, error.body, "closed within the answer")
     except (OSError, asyncio.IncompleteReadError) as error:
         return Answer(0, {}, b"", f"closed: {error!r}")
 
@@ -211,8 +217,16 @@
     await writer.drain()
 
 
+class Incomplete(Exception):
+    """The channel ended before the answer was complete."""
+
+    def __init__(self, body):
+        super().__init__(f"{len(body)} bytes of the body had come")
+        self.body = body
+
+
 async def receive(reader):
-    """Reads one answer with a length or in chunks."""
+    """Reads one answer with a length or in chunks; raises Incomplete if it breaks off in its body."""
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin1")
     first, *rest = head.strip().split("\r\n")
     headers = {}
@@ -222,10 +236,13 @@
     status = int(first.split()[1])
     if headers.get("transfer-encoding", "").lower() == "chunked":
         body = b""
-        while size := int((await reader.readuntil(b"\r\n")).strip(), 16):
-            body += await reader.readexactly(size)
+        try:
+            while size := int((await reader.readuntil(b"\r\n")).strip(), 16):
+                body += await reader.readexactly(size)
+                await reader.readexactly(2)
             await reader.readexactly(2)
-        await reader.readexactly(2)
+        except (OSError, asyncio.IncompleteReadError) as error:
+            raise Incomplete(body) from error
         return Answer(status, headers, body)
     return Answer(status, headers, await reader.readexactly(int(headers.get("content-length", 0))))
 
