--- a/review/lib/bench.py
+++ b/review/lib/bench.py
@@ -27,6 +27,8 @@
 )  # fmt: skip
 GRACE_SECONDS = 8
 START_SECONDS = 20.0
+# A case runs for 120 s at most.
+CASE_SECONDS = 95.0
 
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 
@@ -260,15 +262,23 @@
     raise CouldNotRun(why)
 
 
+async def _run(case, record):
+    """Runs a case within its time; at SIGTERM it ends its processes as at its end."""
+    task = asyncio.current_task()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    async with asyncio.timeout(CASE_SECONDS):
+        return await case(record)
+
+
 def main(case, folder):
     """Runs a case, a coroutine function that returns True if the rule held; ends the process."""
     # The stand-ins close connections on purpose.
     logging.getLogger("tornado").setLevel(logging.CRITICAL)
     record = Record(folder)
     try:
-        held = asyncio.run(case(record))
-    except CouldNotRun as error:
-        record.write(f"RESULT: could not run: {error}")
+        held = asyncio.run(_run(case, record))
+    except (CouldNotRun, TimeoutError, asyncio.CancelledError) as error:
+        record.write(f"RESULT: could not run: {error!r}")
         sys.exit(COULD_NOT_RUN)
     except Exception as error:
         record.write(f"RESULT: could not run: {error!r}")
