Log cancelled attempts, probes of targets, and what kind of loss an attempt was

The logs did not tell apart whether a crash was missed because its attempt was cancelled, because a broken stream counted as an answer, or because the probe found the target alive. attempt_cancelled, target_probed and the fields writing_ms, abandoned and stale of attempt_failed do.

--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -487,6 +487,7 @@
         *,
         again: bool,
     ) -> None:
+        loss = result if isinstance(result, attempts.Lost) else attempts.Lost(reason="")
         self._log.info(
             "attempt_failed",
             request=progress.admitted.call.request_id,
@@ -497,6 +498,9 @@
             fingerprint=progress.fingerprint,
             parts=list(progress.admitted.call.prompt_parts),
             detour_node=progress.detour_node,
+            writing_ms=round(loss.writing_seconds * 1000),
+            abandoned=loss.abandoned,
+            stale=loss.stale_connection,
         )
 
     def _may_have_crashed(self, progress: attempts.Progress, result: attempts.Lost) -> bool:
--- a/basilpost/gateway/loss_probe.py
+++ b/basilpost/gateway/loss_probe.py
@@ -42,6 +42,7 @@
         self._has_path = has_path
         self._on_down = on_down
         self._on_crash = on_crash
+        self._log = log
         self._tasks = tasks.TaskSet(log=log)
         self._lost_by_target: dict[str, list[crash_evidence.LostRequest]] = {}
 
@@ -62,15 +63,23 @@
 
     async def _probe(self, target_id: str, address: str, service: str) -> None:
         lost: list[crash_evidence.LostRequest] = []
-        crashed = False
+        down = crashed = False
         try:
             await asyncio.sleep(GATHER_SECONDS)
-            if await self._is_down(address):
+            down = await self._is_down(address)
+            if down:
                 # Sound requests must not wait for the check whether this node is to blame.
                 self._on_down(target_id)
                 crashed = await self._has_path(service)
         finally:
             lost = self._lost_by_target.pop(target_id)
+        self._log.info(
+            "target_probed",
+            target=target_id,
+            down=down,
+            crashed=crashed,
+            requests=[request.fingerprint for request in lost],
+        )
         if crashed:
             self._on_crash(target_id, lost)
 
--- a/basilpost/gateway/loss_probe_test.py
+++ b/basilpost/gateway/loss_probe_test.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+import structlog
 
 from basilpost.core import channels
 from basilpost.gateway import loss_probe
@@ -46,7 +47,7 @@
         has_path=find_path,
         on_down=(down if down is not None else []).append,
         on_crash=on_crash,
-        log=None,
+        log=structlog.get_logger(),
     )
 
 
--- a/basilpost/gateway/target_sender.py
+++ b/basilpost/gateway/target_sender.py
@@ -188,7 +188,7 @@
             return attempts.NotSent(reason=channel.reason)
         self._log_placement(progress, target, last_event)
         began_at = clock.elapsed()
-        keep = False
+        result: channels.Head | attempts.NotRun | attempts.Lost | None = None
         in_flight.channel = channel
         self.in_flight.add(in_flight)
         self._reachability.record_sent(in_flight.service)
@@ -201,7 +201,6 @@
             )
             channel.send(request.method, request.target, headers, request.body)
             result = await self._receive(in_flight, target, channel, sink)
-            keep = isinstance(result, channels.Head | attempts.NotRun)
             if isinstance(result, channels.Head):
                 self._loads.demand_meter.count_completion(target.model, clock.elapsed() - began_at)
             if isinstance(result, attempts.NotRun):
@@ -221,11 +220,25 @@
             self.in_flight.discard(in_flight)
             self._reachability.record_ended(in_flight.service)
             self.silent_targets.record_ended(target.target_id)
-            if keep:
+            if result is None:
+                self._log_cancelled(progress, target, clock.elapsed() - began_at)
+            if isinstance(result, channels.Head | attempts.NotRun):
                 self.pool.release(channel)
             else:
                 channel.close()
 
+    def _log_cancelled(
+        self, progress: attempts.Progress, target: targets_.Target, seconds: float
+    ) -> None:
+        self._log.info(
+            "attempt_cancelled",
+            request=progress.admitted.call.request_id,
+            target=target.target_id,
+            fingerprint=progress.fingerprint,
+            parts=list(progress.admitted.call.prompt_parts),
+            after_send_ms=round(seconds * 1000),
+        )
+
     def _log_placement(
         self, progress: attempts.Progress, target: targets_.Target, last_event: str
     ) -> None:
