--- a/basilpost/emulator/pool_runner.py
+++ b/basilpost/emulator/pool_runner.py
@@ -67,7 +67,9 @@
         retry_after: Text of the pause that rejections with 503 ask for, empty for none.
         leaving: True to say in all answers that the runner leaves, though its entry does not.
         crash_parts: Parts of prompts that crash the runner when it begins to write an answer.
-        crash_bodies: Bodies of requests to a plain service that crash the runner.
+        crash_bodies: Bodies of requests that crash the runner.
+        crash_seconds: Time from the begin of such a request to the crash, whether its caller still waits
+            or not; None to crash when the answer would begin.
         down_seconds: Time from a crash to the runner's next start.
         entry_seconds: Time from a crash until its entry is removed from the store.
     """
@@ -99,6 +101,7 @@
     leaving: bool = False
     crash_parts: frozenset[str] = frozenset()
     crash_bodies: frozenset[bytes] = frozenset()
+    crash_seconds: float | None = None
     down_seconds: float = 2.0
     entry_seconds: float = 1.0
 
@@ -134,10 +137,17 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Crash:
-    """A crash of a runner: when, in seconds of `clock.elapsed`, and the parts that caused it."""
+    """A crash of a runner.
+
+    Attributes:
+        at: When it crashed, in seconds of `clock.elapsed`.
+        parts: Ids of the parts of the prompt that caused it.
+        body: Body of the request that caused it.
+    """
 
     at: float
     parts: tuple[str, ...]
+    body: bytes = b""
 
 
 class PoolRunner(server.EmulatedServer):
@@ -226,9 +236,18 @@
         await self.stop()
         await self._store.remove(f"servers/{self.vm_id}")
 
-    def crash(self, parts: tuple[str, ...] = ()) -> None:
+    def crash_after(self, seconds: float, parts: tuple[str, ...], body: bytes) -> None:
+        """Crashes after some time, unless the runner ends before."""
+
+        async def crash() -> None:
+            await asyncio.sleep(seconds)
+            self.crash(parts, body)
+
+        self._run_in_background(crash())
+
+    def crash(self, parts: tuple[str, ...] = (), body: bytes = b"") -> None:
         """Ends at once and starts again after some time, as another process without a group."""
-        self.crashes.append(Crash(at=clock.elapsed(), parts=parts))
+        self.crashes.append(Crash(at=clock.elapsed(), parts=parts, body=body))
         self.on_down(True)
         task = asyncio.get_running_loop().create_task(self._crash_and_return())
         self._returns.add(task)
@@ -429,6 +448,10 @@
             self._reject(503)
             return
         self._log_run()
+        if self._crashes_runner() and self._options.crash_seconds is not None:
+            self.owner.crash_after(
+                self._options.crash_seconds, self._prompt_parts(), self.request.body
+            )
         if self._options.endless:
             await self._send_endless(*_ENDLESS[self._options.endless])
         elif self._options.lose_answers > 0:
@@ -476,9 +499,9 @@
         await asyncio.sleep(
             self._draw_seconds(self._options.work_seconds, self._options.slowest_work_seconds)
         )
-        if self.request.body in self._options.crash_bodies:
+        if self._crashes_at_answer():
             self._drop()
-            self.owner.crash()
+            self.owner.crash(body=self.request.body)
             return
         answer = {"attempt": self.request.headers.get(_ATTEMPT)}
         if self._options.padding_bytes:
@@ -508,13 +531,12 @@
         self._options.cut_streams -= is_cut
         first = int(self.request.headers.get("Last-Event-Id") or 0) + 1
         pause = self._draw_seconds(self._options.event_seconds, self._options.slowest_event_seconds)
-        parts = self._prompt_parts()
-        crashes = not self._options.crash_parts.isdisjoint(parts)
+        crashes = self._crashes_at_answer()
         for number in range(first, self._options.events + 1):
             await asyncio.sleep(pause)
             if crashes:
                 self._drop()
-                self.owner.crash(parts)
+                self.owner.crash(self._prompt_parts(), self.request.body)
                 return
             while self._options.stalled or self._options.silent:
                 await asyncio.sleep(self._options.event_seconds)
@@ -528,6 +550,14 @@
             await self.flush()
         self.finish()
 
+    def _crashes_runner(self) -> bool:
+        return self.request.body in self._options.crash_bodies or not (
+            self._options.crash_parts.isdisjoint(self._prompt_parts())
+        )
+
+    def _crashes_at_answer(self) -> bool:
+        return self._options.crash_seconds is None and self._crashes_runner()
+
     def _prompt_parts(self) -> tuple[str, ...]:
         text = self.request.headers.get("X-Prompt-Prefix", "")
         return tuple(part.partition(":")[0] for part in text.split(",") if part)
--- a/tests/pool_nodes.py
+++ b/tests/pool_nodes.py
@@ -143,10 +143,13 @@
     def next_attempt_id(self):
         return f"attempt-{next(self._attempt_numbers)}"
 
-    async def call(self, path, *, node=0, method="POST", body=b"x", attempt=None, **headers):
+    async def call(
+        self, path, *, node=0, method="POST", body=b"x", attempt=None, leaves_after=10, **headers
+    ):
         """Sends a request to a node and returns the answer, whatever its status.
 
-        The answer's `attempt` is the attempt id that was sent.
+        The answer's `attempt` is the attempt id that was sent. Without an answer the caller closes the
+        connection after `leaves_after` seconds.
         """
         attempt = attempt or self.next_attempt_id()
         model = pool_fleet.LARGE if path.startswith("/draft") else ""
@@ -157,7 +160,7 @@
             method=method,
             headers={name: value for name, value in all_headers.items() if value},
             body=None if method == "GET" else body,
-            request_timeout=10,
+            request_timeout=leaves_after,
         )
         answer = await self._client.fetch(request, raise_error=False)
         answer.attempt = attempt
--- /dev/null
+++ b/tests/pool_unwaited_crash_test.py
@@ -0,0 +1,128 @@
+"""A request that crashes each runner that runs it, with nobody waiting for the answer by then."""
+
+import asyncio
+import collections
+import contextlib
+import dataclasses
+import itertools
+
+import pytest
+import tornado.httpclient
+
+from basilpost.core import clock
+from basilpost.emulator import pool_fleet
+from tests import pool_nodes
+
+NODES = 3
+# Bounds of the users' pages: crashes after which the request has to be known, the time that this may
+# take, and arrivals at runners after it. Sound requests are served all the while.
+KNOWN_AFTER_CRASHES = 3
+STABLE_SECONDS = 3.0
+MAX_LATE_ARRIVALS = 3
+MIN_SERVED = 0.95
+# The request comes again and again at this interval, at any node.
+REPEAT_SECONDS = 0.7
+SECONDS = 14.0
+# Pause between sound requests.
+SOUND_SECONDS = 0.08
+BODY = b"crashes"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Case:
+    """A request that crashes runners.
+
+    Attributes:
+        crash_seconds: Time from its begin at a runner to the crash.
+        leaves_after: Time after which its caller closes the connection.
+        deadline_ms: Its deadline.
+        path: Its path.
+        parts: Parts of its prompt.
+    """
+
+    crash_seconds: float
+    leaves_after: float = 10.0
+    deadline_ms: int = 4000
+    path: str = "/draft/one"
+    parts: str = "f0:40,own:50"
+
+
+CASES = {
+    "caller-left": Case(crash_seconds=0.09, leaves_after=0.04),
+    "plain-left": Case(crash_seconds=0.05, leaves_after=0.02, path="/lookup/one", parts=""),
+    "deadline-passed": Case(crash_seconds=0.3, deadline_ms=200),
+    "answer-begun": Case(crash_seconds=0.7),
+}
+
+
+def prepare(bench, case):
+    for runner in bench.fleet.runners_by_id.values():
+        runner.options = dataclasses.replace(
+            runner.options,
+            events=30 if case.crash_seconds > 0.5 else 15,
+            event_seconds=0.03,
+            work_seconds=0.02,
+            crash_bodies=frozenset({BODY}),
+            crash_seconds=case.crash_seconds,
+        )
+
+
+async def send_once(bench, case, *, node):
+    headers = {"X-Deadline-Ms": str(case.deadline_ms), "X-Prompt-Prefix": case.parts}
+    with contextlib.suppress(tornado.httpclient.HTTPError, OSError):
+        await bench.call(case.path, node=node, body=BODY, leaves_after=case.leaves_after, **headers)
+
+
+async def send_repeatedly(bench, case, *, seconds):
+    """Sends the request at each node in turn; its caller may leave before it is answered."""
+    end = clock.elapsed() + seconds
+    async with asyncio.TaskGroup() as group:
+        for node in itertools.cycle(range(NODES)):
+            if clock.elapsed() > end:
+                return
+            group.create_task(send_once(bench, case, node=node))
+            await asyncio.sleep(REPEAT_SECONDS)
+
+
+async def send_sound(bench, path, *, seconds):
+    """Returns the statuses of sound requests, 0 for those without a whole answer."""
+
+    async def send(number):
+        with contextlib.suppress(tornado.httpclient.HTTPError, OSError):
+            return (await bench.call(path, node=number % NODES, body=str(number).encode())).code
+        return 0
+
+    end = clock.elapsed() + seconds
+    tasks = []
+    while clock.elapsed() < end:
+        tasks.append(asyncio.create_task(send(len(tasks))))
+        await asyncio.sleep(SOUND_SECONDS)
+    return collections.Counter(await asyncio.gather(*tasks))
+
+
+def crashed_at(bench):
+    return sorted(
+        crash.at for runner in bench.fleet.runners_by_id.values() for crash in runner.crashes
+    )
+
+
+def arrivals(bench, since):
+    logs = (runner.runs for runner in bench.fleet.runners_by_id.values())
+    return [run for run in itertools.chain(*logs) if run.body == BODY and run.at > since]
+
+
+@pytest.mark.parametrize("case", CASES.values(), ids=CASES.keys())
+async def test_crashes_that_no_caller_waits_for_are_not_counted(case):
+    async with pool_nodes.running(nodes=NODES, fabric_domains=4, plain_instances=6) as bench:
+        await bench.wait_for_groups(4, pool_fleet.LARGE)
+        prepare(bench, case)
+        sound = asyncio.create_task(send_sound(bench, case.path, seconds=SECONDS))
+        await asyncio.sleep(1.0)
+        await send_repeatedly(bench, case, seconds=SECONDS - 1.0)
+        statuses = await sound
+        crashed = crashed_at(bench)
+        assert len(crashed) >= KNOWN_AFTER_CRASHES
+        late = arrivals(bench, crashed[KNOWN_AFTER_CRASHES - 1] + STABLE_SECONDS)
+        served = statuses[200] / statuses.total()
+        assert len(late) <= MAX_LATE_ARRIVALS, (len(crashed), len(late), served)
+        assert served >= MIN_SERVED, (len(crashed), statuses)
