Watch a target after a request ended there without an answer

A crash was evidence only as the result of an attempt: when the caller had left, the deadline had passed or this node had given the attempt up before the crash, nobody looked at the target any more. Now each such target is watched for a second by a connection on which nothing is sent, whoever waits. It has crashed if it closes that connection and refuses or closes a new one too; the crash counts against the requests that ended there within the last second, so a caller that left earlier is not blamed. A connect that times out is no evidence for a cancelled request, as on links on which nothing passes. The same watch sees targets behind a proxy that aborts connections later than 50 ms.

Of the new unit tests those of cancelled requests and of the late proxy cannot pass before, as the old probe looked once, for 50 ms. loss_probe_test: the fake connection closes after a time instead of at once, and a living target is watched to the end before the test asks.

--- a/basilpost/core/channels.py
+++ b/basilpost/core/channels.py
@@ -37,7 +37,13 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class ConnectFailed(failure.Failure):
-    """No connection could be opened, so nothing was sent."""
+    """No connection could be opened, so nothing was sent.
+
+    Attributes:
+        timed_out: True if the other end did not answer in time, False if it refused.
+    """
+
+    timed_out: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -302,7 +308,10 @@
         tornado.iostream.StreamClosedError,
     ) as error:
         stream.close()
-        return ConnectFailed(reason=f"{address}: {type(error).__name__} {error}")
+        return ConnectFailed(
+            reason=f"{address}: {type(error).__name__} {error}",
+            timed_out=isinstance(error, TimeoutError),
+        )
     except asyncio.CancelledError:
         stream.close()
         raise
--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -123,6 +123,7 @@
             runner_departures=runner_departures,
             reachability=reachability,
             silent_targets=self._silent_targets,
+            on_cancelled=lambda progress: self._watch_target(progress, cancelled=True),
             log=log,
         )
         self.loss_probe = loss_probe.LossProbe(
@@ -418,8 +419,8 @@
                     sink.end()
                     return attempts.Streamed()
                 return attempts.WholeAnswer(head=result, body=sink.body)
-            if isinstance(result, attempts.Lost) and self._may_have_crashed(progress, result):
-                self._report_loss(progress)
+            if isinstance(result, attempts.Lost):
+                self._report_loss(progress, result)
             self._log_failed_attempt(progress, result, again=False)
             return result
 
@@ -461,19 +462,22 @@
         result: attempts.NotSent | attempts.NotRun | attempts.Lost,
     ) -> bool:
         """Logs a failed attempt; returns True if the request may be sent to another target."""
-        if isinstance(result, attempts.Lost) and self._may_have_crashed(progress, result):
-            again = self._crashes.may_retry(progress.traits) and self._should_retry(
-                progress, result
-            )
-            if not result.by_detour:
-                self._report_loss(progress)
-        else:
-            again = self._should_retry(progress, result)
+        again = self._should_retry(progress, result)
+        if isinstance(result, attempts.Lost):
+            self._report_loss(progress, result)
         self._log_failed_attempt(progress, result, again=again)
         return again
 
-    def _report_loss(self, progress: attempts.Progress) -> None:
-        self.loss_probe.report_loss(
+    def _report_loss(self, progress: attempts.Progress, result: attempts.Lost) -> None:
+        """Has the target of a lost request watched, or clears a request that is not to blame."""
+        if result.writing_seconds >= SOUND_WRITING_SECONDS:
+            self._crashes.record_answer(progress.traits)
+        elif not result.by_detour and not result.stale_connection:
+            self._watch_target(progress, cancelled=result.abandoned)
+
+    def _watch_target(self, progress: attempts.Progress, *, cancelled: bool) -> None:
+        report = self.loss_probe.report_cancelled if cancelled else self.loss_probe.report_loss
+        report(
             progress.target,
             progress.address,
             progress.lost_request,
@@ -503,15 +507,13 @@
             stale=loss.stale_connection,
         )
 
-    def _may_have_crashed(self, progress: attempts.Progress, result: attempts.Lost) -> bool:
-        """Returns True if the target may have crashed under this request.
-
-        A stream that went on for a while clears its request, although its end is lost.
-        """
+    def _may_crash_again(self, progress: attempts.Progress, result: attempts.Lost) -> bool:
+        """Returns True if another target may crash under a lost request as one did before."""
+        if result.abandoned or result.stale_connection:
+            return False
         if result.writing_seconds >= SOUND_WRITING_SECONDS:
-            self._crashes.record_answer(progress.traits)
             return False
-        return not result.abandoned and not result.stale_connection
+        return not self._crashes.may_retry(progress.traits)
 
     def _record_answer(self, progress: attempts.Progress, head: channels.Head) -> None:
         if head.status < 300:
@@ -530,5 +532,7 @@
             return True
         if isinstance(result, attempts.NotRun):
             return progress.rejections < MAX_REJECTIONS and self._retry_budget(progress).spend()
+        if self._may_crash_again(progress, result):
+            return False
         # The retry of an abandoned stream was spent when it was given up.
         return result.abandoned or self._spend_retry(progress)
--- a/basilpost/gateway/loss_probe.py
+++ b/basilpost/gateway/loss_probe.py
@@ -1,24 +1,33 @@
 """Tells crashed targets from lost answers.
 
-An answer may be lost for many reasons. A target whose connection has broken and that refuses a new
-one has crashed, and with it all requests that were in flight there; unless this node can connect to
-no target of the service.
+An answer may be lost for many reasons, and a request may end before its answer because its caller
+leaves, its deadline passes or this node gives it up; its target may work on. In each case the target
+is watched for a while by a connection on which nothing is sent. A target that refuses a new
+connection, or closes it again, has crashed, and with it all requests that ended there lately without
+an answer; unless this node can connect to no target of the service.
 """
 
 import asyncio
+import collections
+import dataclasses
 from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
-from basilpost.core import channels, tasks
+from basilpost.core import channels, clock, tasks
 from basilpost.routing import crash_evidence
 
+# Time for which a target is watched after a request ended there without an answer. Runners stop work
+# on a cancelled request within half a second; a crash long after that has another cause.
+WATCH_SECONDS = 1.0
 # Longest time for opening the connection that shows whether a target lives.
 PROBE_SECONDS = 0.25
 # Time in which a new connection is aborted if nothing listens behind it, as by a proxy whose server
-# is gone.
+# is gone. One that is closed later may have been reset on its way, so a second one is opened.
 ABORT_SECONDS = 0.05
 # Pause before the probe, in which the other requests at the target are lost too.
 GATHER_SECONDS = 0.01
+# Bound on the requests that are remembered for a watched target.
+MAX_REQUESTS = 64
 
 OnCrash = Callable[[str, Iterable[crash_evidence.LostRequest]], None]
 # Takes the target's service; returns True if other targets can be reached.
@@ -26,8 +35,44 @@
 Connect = Callable[[str, float], Awaitable[channels.Channel | channels.ConnectFailed]]
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Ended:
+    """A request that ended at a target without an answer, and when, on `clock.elapsed`."""
+
+    request: crash_evidence.LostRequest
+    at: float
+
+
+class _Watch:
+    """A watched target and the requests that ended there without an answer.
+
+    Attributes:
+        connection_lost: True if a connection to the target broke under one of the requests.
+    """
+
+    def __init__(self, *, target_id: str, address: str, service: str) -> None:
+        self.target_id = target_id
+        self.address = address
+        self.service = service
+        self.connection_lost = False
+        self._ended: collections.deque[_Ended] = collections.deque(maxlen=MAX_REQUESTS)
+
+    def add(self, request: crash_evidence.LostRequest) -> None:
+        """Adds a request that ended just now."""
+        self._ended.append(_Ended(request=request, at=clock.elapsed()))
+
+    @property
+    def seconds_left(self) -> float:
+        """Returns how much longer the target has to be watched."""
+        return self._ended[-1].at + WATCH_SECONDS - clock.elapsed()
+
+    def requests_since(self, at: float) -> list[crash_evidence.LostRequest]:
+        """Returns the requests that ended at or after a time."""
+        return [ended.request for ended in self._ended if ended.at >= at]
+
+
 class LossProbe:
-    """Probes targets that have lost requests, each once for all requests that are lost together."""
+    """Watches targets at which requests ended without an answer, each once for all of them."""
 
     def __init__(
         self,
@@ -44,51 +89,87 @@
         self._on_crash = on_crash
         self._log = log
         self._tasks = tasks.TaskSet(log=log)
-        self._lost_by_target: dict[str, list[crash_evidence.LostRequest]] = {}
+        self._watches_by_target: dict[str, _Watch] = {}
 
     def report_loss(
-        self, target_id: str, address: str, lost: crash_evidence.LostRequest, *, service: str
+        self, target_id: str, address: str, request: crash_evidence.LostRequest, *, service: str
+    ) -> None:
+        """Adds a request whose connection broke or carried no valid answer."""
+        watch = self._add(target_id, address, request, service)
+        watch.connection_lost = True
+
+    def report_cancelled(
+        self, target_id: str, address: str, request: crash_evidence.LostRequest, *, service: str
     ) -> None:
-        """Adds a lost request; the target is probed unless a probe of it is on its way."""
-        waiting = self._lost_by_target.get(target_id)
-        if waiting is not None:
-            waiting.append(lost)
-            return
-        self._lost_by_target[target_id] = [lost]
-        self._tasks.spawn(self._probe(target_id, address, service), name="loss-probe")
+        """Adds a request whose connection this node closed before the answer was complete."""
+        self._add(target_id, address, request, service)
 
     async def close(self) -> None:
-        """Cancels the probes."""
+        """Ends all watches."""
         await self._tasks.close()
 
-    async def _probe(self, target_id: str, address: str, service: str) -> None:
-        lost: list[crash_evidence.LostRequest] = []
-        down = crashed = False
+    def _add(
+        self, target_id: str, address: str, request: crash_evidence.LostRequest, service: str
+    ) -> _Watch:
+        watch = self._watches_by_target.get(target_id)
+        if watch is not None:
+            watch.add(request)
+            return watch
+        watch = _Watch(target_id=target_id, address=address, service=service)
+        watch.add(request)
+        self._watches_by_target[target_id] = watch
+        self._tasks.spawn(self._run(watch), name="loss-probe")
+        return watch
+
+    async def _run(self, watch: _Watch) -> None:
+        crashed = False
         try:
             await asyncio.sleep(GATHER_SECONDS)
-            down = await self._is_down(address)
+            down = await self._goes_down(watch)
+            since = clock.elapsed() - WATCH_SECONDS
             if down:
                 # Sound requests must not wait for the check whether this node is to blame.
-                self._on_down(target_id)
-                crashed = await self._has_path(service)
+                self._on_down(watch.target_id)
+                crashed = await self._has_path(watch.service)
         finally:
-            lost = self._lost_by_target.pop(target_id)
+            del self._watches_by_target[watch.target_id]
+        lost = watch.requests_since(since)
         self._log.info(
             "target_probed",
-            target=target_id,
+            target=watch.target_id,
             down=down,
             crashed=crashed,
             requests=[request.fingerprint for request in lost],
         )
         if crashed:
-            self._on_crash(target_id, lost)
+            self._on_crash(watch.target_id, lost)
 
-    async def _is_down(self, address: str) -> bool:
-        """Returns True if a target refuses a new connection, or aborts it."""
-        channel = await self._connect(address, PROBE_SECONDS)
-        if isinstance(channel, channels.ConnectFailed):
+    async def _goes_down(self, watch: _Watch) -> bool:
+        """Returns True once the target refuses or closes connections, False at the end of the watch."""
+        was_closed = False
+        while watch.seconds_left > 0:
+            channel = await self._connect(watch.address, PROBE_SECONDS)
+            if isinstance(channel, channels.ConnectFailed):
+                # A link on which nothing passes times out too, though its target lives.
+                if watch.connection_lost or not channel.timed_out:
+                    return True
+                continue
+            try:
+                if await channel.closes_within(ABORT_SECONDS):
+                    return True
+                if not await _closes(channel, watch):
+                    return False
+            finally:
+                channel.close()
+            if was_closed:
+                return True
+            was_closed = True
+        return False
+
+
+async def _closes(channel: channels.Channel, watch: _Watch) -> bool:
+    """Returns True if the other end closes a connection while its target is watched."""
+    while (seconds := watch.seconds_left) > 0:
+        if await channel.closes_within(seconds):
             return True
-        try:
-            return await channel.closes_within(ABORT_SECONDS)
-        finally:
-            channel.close()
+    return False
--- a/basilpost/gateway/loss_probe_test.py
+++ b/basilpost/gateway/loss_probe_test.py
@@ -1,6 +1,7 @@
 """Tests of the probe that tells crashed targets from lost answers."""
 
 import asyncio
+import math
 
 import pytest
 import structlog
@@ -14,12 +15,17 @@
 
 
 class FakeChannel:
-    def __init__(self, *, aborted=False):
-        self.aborted = aborted
+    """A connection that the other end closes some time after it was opened."""
+
+    def __init__(self, *, closes_after=math.inf):
+        self.closes_after = closes_after
         self.closed = False
 
     async def closes_within(self, seconds):
-        return self.aborted
+        waited = min(seconds, self.closes_after)
+        await asyncio.sleep(waited)
+        self.closes_after -= waited
+        return self.closes_after <= 0
 
     def close(self):
         self.closed = True
@@ -31,9 +37,11 @@
 
 
 def make_probe(crashes, result, connects, *, has_path=True, down=None):
+    """Makes a probe whose connections all end in one result, or in one of a list after the other."""
+
     async def connect(address, timeout):
         connects.append(address)
-        return result
+        return result.pop(0) if isinstance(result, list) else result
 
     def on_crash(target_id, lost):
         crashes.append((target_id, [request.fingerprint for request in lost]))
@@ -69,13 +77,13 @@
     channel = FakeChannel()
     probe = make_probe(crashes, channel, [])
     probe.report_loss("t", "h:1", lost("a"), service="s")
-    await asyncio.sleep(WAIT_SECONDS)
+    await asyncio.sleep(WAIT_SECONDS + loss_probe.WATCH_SECONDS)
     assert crashes == []
     assert channel.closed
 
 
 async def test_a_target_behind_a_proxy_that_aborts_connections_has_crashed(crashes):
-    probe = make_probe(crashes, FakeChannel(aborted=True), [])
+    probe = make_probe(crashes, FakeChannel(closes_after=0), [])
     probe.report_loss("t", "h:1", lost("a"), service="s")
     await asyncio.sleep(WAIT_SECONDS)
     assert crashes == [("t", ["a"])]
@@ -110,3 +118,63 @@
     assert (down, crashes) == (["t"], [])
     await asyncio.sleep(WAIT_SECONDS)
     assert crashes == [("t", ["a"])]
+
+
+REFUSED = channels.ConnectFailed(reason="refused")
+TIMED_OUT = channels.ConnectFailed(reason="no connection in time", timed_out=True)
+
+
+@pytest.mark.parametrize("name", ["report_loss", "report_cancelled"])
+async def test_a_target_crashes_after_its_request_was_cancelled(crashes, name):
+    """Nobody waits for the answer by then, as the caller has left or the deadline has passed."""
+    probe = make_probe(crashes, [FakeChannel(closes_after=0.3), REFUSED], [])
+    getattr(probe, name)("t", "h:1", lost("a"), service="s")
+    await asyncio.sleep(0.3 + WAIT_SECONDS)
+    assert crashes == [("t", ["a"])]
+
+
+async def test_a_request_is_blamed_for_a_crash_long_after_its_caller_has_left(crashes):
+    """A later request keeps the target watched; the crash counts against that one only."""
+    left_before_crash = loss_probe.WATCH_SECONDS * 1.2
+    probe = make_probe(crashes, [FakeChannel(closes_after=left_before_crash), REFUSED], [])
+    probe.report_cancelled("t", "h:1", lost("early"), service="s")
+    await asyncio.sleep(loss_probe.WATCH_SECONDS / 2)
+    probe.report_cancelled("t", "h:1", lost("late"), service="s")
+    await asyncio.sleep(loss_probe.WATCH_SECONDS)
+    assert crashes == [("t", ["late"])]
+
+
+async def test_a_connection_that_was_reset_on_its_way_counts_as_a_crash(crashes):
+    probe = make_probe(crashes, [FakeChannel(closes_after=0.1), FakeChannel()], [])
+    probe.report_cancelled("t", "h:1", lost("a"), service="s")
+    await asyncio.sleep(loss_probe.WATCH_SECONDS + WAIT_SECONDS)
+    assert crashes == []
+
+
+async def test_a_proxy_that_aborts_connections_late_hides_a_crash(crashes):
+    late = loss_probe.ABORT_SECONDS * 2
+    probe = make_probe(
+        crashes, [FakeChannel(closes_after=late), FakeChannel(closes_after=late)], []
+    )
+    probe.report_loss("t", "h:1", lost("a"), service="s")
+    await asyncio.sleep(late * 2 + WAIT_SECONDS)
+    assert crashes == [("t", ["a"])]
+
+
+async def test_a_link_on_which_nothing_passes_makes_its_target_look_crashed(crashes):
+    """The deadlines of requests on it pass; the target lives."""
+    silent = make_probe(crashes, [TIMED_OUT, FakeChannel()], [])
+    silent.report_cancelled("t", "h:1", lost("a"), service="s")
+    await asyncio.sleep(loss_probe.WATCH_SECONDS + WAIT_SECONDS)
+    assert crashes == []
+
+
+async def test_all_requests_that_ended_lately_are_named_once(crashes):
+    connects = []
+    probe = make_probe(crashes, [FakeChannel(closes_after=0.2), REFUSED], connects)
+    for number in range(loss_probe.MAX_REQUESTS + 10):
+        probe.report_cancelled("t", "h:1", lost(str(number)), service="s")
+    await asyncio.sleep(0.2 + WAIT_SECONDS)
+    (crash,) = crashes
+    assert crash == ("t", [str(number) for number in range(10, loss_probe.MAX_REQUESTS + 10)])
+    assert connects == ["h:1", "h:1"]
--- a/basilpost/gateway/target_sender.py
+++ b/basilpost/gateway/target_sender.py
@@ -86,8 +86,15 @@
         runner_departures: departures.Departures,
         reachability: reachability_.Reachability,
         silent_targets: silent_targets_.SilentTargets,
+        on_cancelled: Callable[[attempts.Progress], None],
         log: Any,
     ) -> None:
+        """Takes the node's services.
+
+        Args:
+            on_cancelled: Called with the attempts of a request that was cancelled after it was sent; its
+                target may work on.
+        """
         self.pool = channels.Pool(source_host=source_host)
         self.in_flight: set[InFlight] = set()
         self.first_events = first_events.FirstEventOffsets()
@@ -99,6 +106,7 @@
         self._departures = runner_departures
         self._reachability = reachability
         self.silent_targets = silent_targets
+        self._on_cancelled = on_cancelled
         self._log = log
 
     async def connect(
@@ -222,6 +230,7 @@
             self.silent_targets.record_ended(target.target_id)
             if result is None:
                 self._log_cancelled(progress, target, clock.elapsed() - began_at)
+                self._on_cancelled(progress)
             if isinstance(result, channels.Head | attempts.NotRun):
                 self.pool.release(channel)
             else:
--- a/tests/cut_links.py
+++ b/tests/cut_links.py
@@ -70,7 +70,9 @@
         if self._kind is Kind.HANG:
             await asyncio.sleep(timeout)
         self.failed += 1
-        return channels.ConnectFailed(reason=f"{address}: cut off by the test")
+        return channels.ConnectFailed(
+            reason=f"{address}: cut off by the test", timed_out=self._kind is Kind.HANG
+        )
 
 
 def _silence(channel):
