Count crashes of a service whose targets are all down

Where a request had crashed all instances of a small service, nodes took the service for unreachable, blamed their own links and counted no crash, although the runners had ended; callers saw the request sent on without end. If the service cannot be reached, a crash now counts once the platform lists the runner's process no more, or another run of it, within 6 s; it counts for the time at which the target went down. A target whose process goes on, behind a lost path, counts as before: not at all.

--- a/basilpost/gateway/attempts.py
+++ b/basilpost/gateway/attempts.py
@@ -71,6 +71,7 @@
         target: Id of the last target, empty before the first.
         waited_seconds: Seconds for which it waited for a target with a free slot.
         address: `host:port` of the last target.
+        lifetime: Run of the runner process that is the last target.
         unreached_targets: Those of `tried_targets` to which this node could open no connection.
         tried_nodes: Ids of the nodes that could not send it for this node.
         detour_node: Id of the node that sent it last for this node, empty if none did.
@@ -89,6 +90,7 @@
     target: str = ""
     waited_seconds: float = 0.0
     address: str = ""
+    lifetime: str = ""
     unreached_targets: set[str] = dataclasses.field(default_factory=set)
     tried_nodes: set[str] = dataclasses.field(default_factory=set)
     detour_node: str = ""
--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -129,6 +129,7 @@
         self.loss_probe = loss_probe.LossProbe(
             connect=self.sender.connect,
             has_path=lambda service: reachability.find_path(service=service, fresh=True),
+            has_ended=targets.has_ended,
             on_down=self._chooser.avoid,
             on_crash=crashes.record_crash,
             log=log,
@@ -482,6 +483,7 @@
             progress.address,
             progress.lost_request,
             service=progress.admitted.service.name,
+            lifetime=progress.lifetime,
         )
 
     def _log_failed_attempt(
--- a/basilpost/gateway/loss_probe.py
+++ b/basilpost/gateway/loss_probe.py
@@ -4,7 +4,8 @@
 leaves, its deadline passes or this node gives it up; its target may work on. In each case the target
 is watched for a while by a connection on which nothing is sent. A target that refuses a new
 connection, or closes it again, has crashed, and with it all requests that ended there lately without
-an answer; unless this node can connect to no target of the service.
+an answer. If this node can connect to no target of the service, its links may be to blame: then the
+target has crashed if the platform lists its runner's process no more.
 """
 
 import asyncio
@@ -26,12 +27,19 @@
 ABORT_SECONDS = 0.05
 # Pause before the probe, in which the other requests at the target are lost too.
 GATHER_SECONDS = 0.01
+# Time for which a target counts as perhaps crashed while its service cannot be reached. It covers the
+# return of a runner, and the removal of its entry after three intervals of silence.
+CONFIRM_SECONDS = 6.0
+CONFIRM_POLL_SECONDS = 0.1
 # Bound on the requests that are remembered for a watched target.
 MAX_REQUESTS = 64
 
-OnCrash = Callable[[str, Iterable[crash_evidence.LostRequest]], None]
+# Takes the target, the requests that crashed with it, and the seconds since then.
+OnCrash = Callable[[str, Iterable[crash_evidence.LostRequest], float], None]
 # Takes the target's service; returns True if other targets can be reached.
 FindPath = Callable[[str], Awaitable[bool]]
+# Takes the id of a run of a runner process; returns True if the platform lists it no more.
+HasEnded = Callable[[str], bool]
 Connect = Callable[[str, float], Awaitable[channels.Channel | channels.ConnectFailed]]
 
 
@@ -50,10 +58,11 @@
         connection_lost: True if a connection to the target broke under one of the requests.
     """
 
-    def __init__(self, *, target_id: str, address: str, service: str) -> None:
+    def __init__(self, *, target_id: str, address: str, service: str, lifetime: str) -> None:
         self.target_id = target_id
         self.address = address
         self.service = service
+        self.lifetime = lifetime
         self.connection_lost = False
         self._ended: collections.deque[_Ended] = collections.deque(maxlen=MAX_REQUESTS)
 
@@ -79,12 +88,14 @@
         *,
         connect: Connect,
         has_path: FindPath,
+        has_ended: HasEnded,
         on_down: Callable[[str], None],
         on_crash: OnCrash,
         log: Any,
     ) -> None:
         self._connect = connect
         self._has_path = has_path
+        self._has_ended = has_ended
         self._on_down = on_down
         self._on_crash = on_crash
         self._log = log
@@ -92,33 +103,53 @@
         self._watches_by_target: dict[str, _Watch] = {}
 
     def report_loss(
-        self, target_id: str, address: str, request: crash_evidence.LostRequest, *, service: str
+        self,
+        target_id: str,
+        address: str,
+        request: crash_evidence.LostRequest,
+        *,
+        service: str,
+        lifetime: str = "",
     ) -> None:
-        """Adds a request whose connection broke or carried no valid answer."""
-        watch = self._add(target_id, address, request, service)
+        """Adds a request whose connection broke or carried no valid answer.
+
+        Args:
+            target_id: The target that it was sent to.
+            address: `host:port` of the target.
+            request: The request.
+            service: Name of the target's service.
+            lifetime: Run of the runner process.
+        """
+        watch = self._watch(target_id, address, service, lifetime)
+        watch.add(request)
         watch.connection_lost = True
 
     def report_cancelled(
-        self, target_id: str, address: str, request: crash_evidence.LostRequest, *, service: str
+        self,
+        target_id: str,
+        address: str,
+        request: crash_evidence.LostRequest,
+        *,
+        service: str,
+        lifetime: str = "",
     ) -> None:
-        """Adds a request whose connection this node closed before the answer was complete."""
-        self._add(target_id, address, request, service)
+        """Adds a request whose connection this node closed before the answer was complete.
+
+        The arguments are those of `report_loss`.
+        """
+        self._watch(target_id, address, service, lifetime).add(request)
 
     async def close(self) -> None:
         """Ends all watches."""
         await self._tasks.close()
 
-    def _add(
-        self, target_id: str, address: str, request: crash_evidence.LostRequest, service: str
-    ) -> _Watch:
+    def _watch(self, target_id: str, address: str, service: str, lifetime: str) -> _Watch:
+        """Returns the watch of a target, which begins if there is none."""
         watch = self._watches_by_target.get(target_id)
-        if watch is not None:
-            watch.add(request)
-            return watch
-        watch = _Watch(target_id=target_id, address=address, service=service)
-        watch.add(request)
-        self._watches_by_target[target_id] = watch
-        self._tasks.spawn(self._run(watch), name="loss-probe")
+        if watch is None:
+            watch = _Watch(target_id=target_id, address=address, service=service, lifetime=lifetime)
+            self._watches_by_target[target_id] = watch
+            self._tasks.spawn(self._run(watch), name="loss-probe")
         return watch
 
     async def _run(self, watch: _Watch) -> None:
@@ -126,14 +157,16 @@
         try:
             await asyncio.sleep(GATHER_SECONDS)
             down = await self._goes_down(watch)
-            since = clock.elapsed() - WATCH_SECONDS
+            down_at = clock.elapsed()
             if down:
                 # Sound requests must not wait for the check whether this node is to blame.
                 self._on_down(watch.target_id)
                 crashed = await self._has_path(watch.service)
         finally:
             del self._watches_by_target[watch.target_id]
-        lost = watch.requests_since(since)
+        lost = watch.requests_since(down_at - WATCH_SECONDS)
+        if down and not crashed:
+            crashed = await self._ends(watch.lifetime)
         self._log.info(
             "target_probed",
             target=watch.target_id,
@@ -142,7 +175,16 @@
             requests=[request.fingerprint for request in lost],
         )
         if crashed:
-            self._on_crash(watch.target_id, lost)
+            self._on_crash(watch.target_id, lost, clock.elapsed() - down_at)
+
+    async def _ends(self, lifetime: str) -> bool:
+        """Returns True once the platform lists a runner's process no more, False if it goes on."""
+        until = clock.elapsed() + CONFIRM_SECONDS
+        while lifetime and clock.elapsed() < until:
+            if self._has_ended(lifetime):
+                return True
+            await asyncio.sleep(CONFIRM_POLL_SECONDS)
+        return False
 
     async def _goes_down(self, watch: _Watch) -> bool:
         """Returns True once the target refuses or closes connections, False at the end of the watch."""
--- a/basilpost/gateway/target_sender.py
+++ b/basilpost/gateway/target_sender.py
@@ -149,6 +149,7 @@
     ) -> channels.Head | attempts.NotSent | attempts.NotRun | attempts.Lost:
         """Sends a request to a target and reads the answer into the sink."""
         progress.target, progress.address = target.target_id, target.address
+        progress.lifetime = target.lifetime
         progress.detour_node = ""
         progress.sent_at = clock.elapsed()
         progress.predicted_seconds = self._predict_seconds(progress, target)
--- a/basilpost/groups/reported_groups.py
+++ b/basilpost/groups/reported_groups.py
@@ -10,6 +10,7 @@
 
 from basilpost.core import catalog
 
+_LIFETIME_SEPARATOR = "@"
 _EPOCH_SEPARATOR = "--"
 # A spare holds a model's weights in memory as the only member of a group that is never opened.
 _STANDBY_PREFIX = "standby-"
@@ -65,7 +66,12 @@
 
 def lifetime_id(vm: catalog.Vm) -> str:
     """Returns an id that is unique to one run of the VM's runner process."""
-    return f"{vm.vm_id}@{vm.incarnation}"
+    return f"{vm.vm_id}{_LIFETIME_SEPARATOR}{vm.incarnation}"
+
+
+def vm_id_of(lifetime: str) -> str:
+    """Returns the id of the VM of an id from `lifetime_id`."""
+    return lifetime.rpartition(_LIFETIME_SEPARATOR)[0]
 
 
 def group_name(model: str, epoch: int) -> str:
--- a/basilpost/routing/crashes.py
+++ b/basilpost/routing/crashes.py
@@ -157,10 +157,12 @@
             and self._crashes_by_target[target_id].at > oldest
         )
 
-    def record_crash(self, target_id: str, requests: Iterable[crash_evidence.LostRequest]) -> None:
-        """Records that a target crashed, here and at the other nodes."""
+    def record_crash(
+        self, target_id: str, requests: Iterable[crash_evidence.LostRequest], age: float = 0.0
+    ) -> None:
+        """Records that a target crashed `age` seconds ago, here and at the other nodes."""
         self._add_crash(
-            crash_messages.CrashReport(target_id=target_id, age=0.0, requests=tuple(requests))
+            crash_messages.CrashReport(target_id=target_id, age=age, requests=tuple(requests))
         )
 
     def record_answer(self, traits: Iterable[crash_evidence.Trait]) -> None:
--- a/basilpost/routing/targets.py
+++ b/basilpost/routing/targets.py
@@ -186,6 +186,11 @@
         targets = self._targets_by_service.get(service, ())
         return tuple(target for target in targets if target.model == model) if model else targets
 
+    def has_ended(self, lifetime: str) -> bool:
+        """Returns True if the platform lists another run of a runner process, or none any more."""
+        seen = self._knowledge.vms_by_id.get(reported_groups.vm_id_of(lifetime))
+        return seen is None or reported_groups.lifetime_id(seen.vm) != lifetime
+
     def preferred(self, service: str, model: str, failure_domain: str) -> tuple[Target, ...]:
         """Returns the few targets that this node uses first in a large fleet, the nearest ones."""
         known = self.matching(service, model)
