The rest of a stream clears no request that crashed the target before

A request that crashes each runner after 0.7 s of events was completed by the next target, which was asked for the events after those only and answered them in less time. This counted as an answer to the whole request and wiped its crashes. Now only an answer that one target made from beginning to end clears a request.

--- a/basilpost/gateway/attempts.py
+++ b/basilpost/gateway/attempts.py
@@ -79,6 +79,7 @@
             not known.
         sent_at: When it was sent last, on `clock.elapsed`.
         first_event_at: When the first event of its stream came, None before.
+        resumed: True if its last target was asked for the rest of a stream only.
         may_move: True if another node, for which this one sends it, resumes it when it is broken off.
     """
 
@@ -97,6 +98,7 @@
     predicted_seconds: float = 0.0
     sent_at: float = 0.0
     first_event_at: float | None = None
+    resumed: bool = False
     may_move: bool = False
 
     @functools.cached_property
--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -293,6 +293,7 @@
             sink.close_channel()
 
         sink.restart()
+        progress.resumed = bool(sink.stream.last_id)
         watch = self.stall_detector.watch(source, move_stream, lambda: sink.activity)
         try:
             result = await self._send(
@@ -518,7 +519,8 @@
         return not self._crashes.may_retry(progress.traits[-1:] if writes else progress.traits)
 
     def _record_answer(self, progress: attempts.Progress, head: channels.Head) -> None:
-        if head.status < 300:
+        """Clears the traits of a request that one target has answered from beginning to end."""
+        if head.status < 300 and not progress.resumed:
             self._crashes.record_answer(progress.traits)
 
     def _stalled_targets(self) -> frozenset[str]:
