Count crashes at once under requests on kept connections

Now kept connections whose end has arrived at the socket are not used any more, also if the event loop has not read it yet, so what is left of such losses is counted as any other. The request is sent again as before.

--- a/basilpost/core/channels.py
+++ b/basilpost/core/channels.py
@@ -226,8 +226,18 @@
             not self.stream.closed()
             and not self.stream.writing()
             and clock.elapsed() < self.usable_until
+            and not self._is_closed_by_server()
         )
 
+    def _is_closed_by_server(self) -> bool:
+        """Returns True if the server has closed the connection, also if the loop has not noticed it yet."""
+        try:
+            return not self.stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
 
 class Pool:
     """Connections to many servers; idle ones are kept for reuse."""
--- a/basilpost/core/channels_test.py
+++ b/basilpost/core/channels_test.py
@@ -71,6 +71,21 @@
         pool.close()
 
 
+async def test_a_kept_connection_is_used_although_its_end_has_arrived():
+    """The event loop reads it only after the next request has chosen the connection."""
+    serve = make_handler(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+    async with run_server(serve) as address:
+        pool = channels.Pool()
+        _, _, kept = await request(pool, address)
+        assert kept.usable
+        serve.connections[0].get_extra_info("socket").shutdown(socket.SHUT_WR)
+        assert not kept.usable
+        head, _, channel = await request(pool, address)
+        assert head.status == 200
+        assert channel is not kept
+        pool.close()
+
+
 async def test_a_connection_with_connection_close_is_not_kept():
     serve = make_handler(b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
     async with run_server(serve) as address:
--- a/basilpost/gateway/attempts.py
+++ b/basilpost/gateway/attempts.py
@@ -26,10 +26,10 @@
 
     Attributes:
         abandoned: True if this node closed the connection because the target stalled. The runner may
-            still be alive then, so the request is not suspected of crashing it.
+            still be alive then.
         writing_seconds: Time from the first event that the target sent to the loss, 0 without any.
-        stale_connection: True if a kept connection was closed at once, so that the target may not
-            have read the request.
+        stale_connection: True if a kept connection was closed at once, so that the target may have
+            ended before it read the request.
         by_detour: True if another node sent the request; it looks for the cause of the loss.
     """
 
--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -473,7 +473,7 @@
 
     def _report_loss(self, progress: attempts.Progress, result: attempts.Lost) -> None:
         """Has the target of a lost request watched; another node does so for one that it has sent."""
-        if not result.by_detour and not result.stale_connection:
+        if not result.by_detour:
             self._watch_target(progress, cancelled=result.abandoned)
 
     def _watch_target(self, progress: attempts.Progress, *, cancelled: bool) -> None:
--- a/tests/pool_unwaited_crash_test.py
+++ b/tests/pool_unwaited_crash_test.py
@@ -12,7 +12,7 @@
 
 from basilpost.core import clock, names
 from basilpost.emulator import pool_fleet
-from basilpost.routing import crashes
+from basilpost.routing import crash_evidence, crashes
 from tests import pool_nodes
 
 NODES = 3
@@ -200,3 +200,15 @@
         assert len(crashed_at(bench)) == 10
         assert causes(bench) == [[]] * NODES
         assert statuses[200] / statuses.total() >= MIN_SERVED, statuses
+
+
+async def test_a_crash_at_once_on_a_kept_connection_passes_for_an_idle_one_that_was_closed():
+    async with pool_nodes.running(vms=0, plain_instances=12) as bench:
+        prepare(bench, Case(crash_seconds=0.001))
+        for _ in range(KNOWN_AFTER_CRASHES):
+            # Sound requests leave open connections to all instances that live.
+            await asyncio.gather(*(bench.call("/lookup/one") for _ in range(24)))
+            await bench.call("/lookup/one", body=BODY)
+            await asyncio.sleep(crash_evidence.SEPARATE_SECONDS * 1.5)
+        assert len(crashed_at(bench)) >= KNOWN_AFTER_CRASHES
+        await pool_fleet.until(lambda: causes(bench) == [["request"]], seconds=STABLE_SECONDS)
