Soak: requests that crash runners after their callers have left

Plan unwaited-crashes has callers that leave or set short deadlines, and two repeated requests that end each runner 0.12 s after it began to run them; late arrivals are counted by request as by part.

--- a/basilpost/emulator/pool_runner.py
+++ b/basilpost/emulator/pool_runner.py
@@ -468,7 +468,11 @@
             self.set_header(SIGNATURE, "s")
             self.finish(b"failed")
         elif self.owner.fabric_domain:
-            await self._answer_stream()
+            try:
+                await self._answer_stream()
+            except iostream.StreamClosedError:
+                # The caller has left.
+                self._finished = True
         else:
             await self._answer_plain()
 
--- a/basilpost/soak/__main__.py
+++ b/basilpost/soak/__main__.py
@@ -17,6 +17,7 @@
     "faults": scenarios.AllFaults,
     "stops": scenarios.PlannedStops,
     "crashes": scenarios.CrashingParts,
+    "unwaited-crashes": scenarios.UnwaitedCrashes,
     "paths": scenarios.LostPaths,
     "silent-paths": scenarios.SilentPaths,
     "fleet": scenarios.LargeFleet,
@@ -37,7 +38,7 @@
     type=click.Choice(list(SCENARIOS_BY_PLAN)),
     default="faults",
     show_default=True,
-    help="Faults of all kinds, planned stops, crashing requests, lost paths, paths on which nothing passes, "
+    help="Faults of all kinds, planned stops, crashing requests, such whose callers leave, lost paths, paths on which nothing passes, "
     "lost paths of most nodes of a large fleet, restores of the store, or callers that want more than there is.",
 )
 @click.option("--nodes", type=int, help="Number of nodes.")
--- a/basilpost/soak/callers.py
+++ b/basilpost/soak/callers.py
@@ -3,7 +3,9 @@
 import abc
 import asyncio
 import contextlib
+import enum
 import itertools
+import math
 import random
 
 import tornado.httputil
@@ -30,6 +32,20 @@
 STREAM_BUDGET_MS = (5000, 8000)
 
 
+class Ending(enum.Enum):
+    """How a request of an impatient caller ends if it is not answered before."""
+
+    WAITS = "waits"
+    LEAVES = "leaves"
+    DEADLINE = "deadline"
+
+
+# A third of the requests each; those that crash runners do so mostly after the caller is gone.
+ENDINGS = tuple(Ending)
+LEAVE_SECONDS = (0.01, 0.1)
+SHORT_DEADLINE_MS = 100
+
+
 class Caller(abc.ABC):
     """A client that sends one request at a time.
 
@@ -61,10 +77,23 @@
         """Returns the parts of the prompt of a request, none unless a subclass names some."""
         return ()
 
+    def _body(self, attempt: str) -> bytes:
+        """Returns the body of a request other than a lookup."""
+        return attempt.encode()
+
     async def _exchange(
-        self, channel: channels.Channel, path: str, key: str, *, budget_ms: int
+        self,
+        channel: channels.Channel,
+        path: str,
+        key: str,
+        *,
+        budget_ms: int,
+        leaves_after: float = math.inf,
     ) -> checks.Call:
-        """Sends a request on a connection, reads the answer and records both."""
+        """Sends a request on a connection, reads the answer and records both.
+
+        Without an answer the caller gives up after `leaves_after` seconds, or some time after the deadline.
+        """
         attempt = f"{self._name}-{next(self._request_numbers)}"
         sent_at = clock.elapsed()
         model = pool_fleet.LARGE if path == "draft" else ""
@@ -74,13 +103,14 @@
         if prompt_parts := self._prompt_parts(attempt):
             headers["X-Prompt-Prefix"] = ",".join(f"{part}:10" for part in prompt_parts)
         method = "GET" if path == "lookup" else "POST"
-        body = b"" if path == "lookup" else attempt.encode()
+        body = b"" if path == "lookup" else self._body(attempt)
+        patience = min(leaves_after, budget_ms / 1000 + ANSWER_MARGIN_SECONDS)
         heads: list[channels.Head] = []
         body_parts: list[bytes] = []
         result: channels.Head | channels.Broken | None = None
         with contextlib.suppress(TimeoutError):
             channel.send(method, f"/{path}/{self._name}", headers, body)
-            async with asyncio.timeout(budget_ms / 1000 + ANSWER_MARGIN_SECONDS):
+            async with asyncio.timeout(patience):
                 result = await channel.receive(on_head=heads.append, on_data=body_parts.append)
         head = heads[-1] if heads else None
         call = checks.Call(
@@ -96,6 +126,7 @@
             ended_at=clock.elapsed(),
             timed_out=result is None,
             prompt_parts=prompt_parts,
+            sent_body=body,
         )
         self.calls.append(call)
         return call
@@ -122,12 +153,22 @@
             )
             await asyncio.sleep(self._random.uniform(*PAUSE_SECONDS))
 
-    async def send_request(self, address: str, path: str, key: str) -> checks.Call | None:
+    async def send_request(
+        self,
+        address: str,
+        path: str,
+        key: str,
+        *,
+        budget_ms: int = DEADLINE_MS,
+        leaves_after: float = math.inf,
+    ) -> checks.Call | None:
         """Sends one request and returns its record, or None if no connection could be opened."""
         channel = await self._channels.acquire(address, timeout=CONNECT_TIMEOUT_SECONDS)
         if isinstance(channel, channels.ConnectFailed):
             return None
-        call = await self._exchange(channel, path, key, budget_ms=DEADLINE_MS)
+        call = await self._exchange(
+            channel, path, key, budget_ms=budget_ms, leaves_after=leaves_after
+        )
         if call.complete:
             self._channels.release(channel)
         else:
@@ -163,6 +204,37 @@
         return SHARED_PART, self._part, attempt
 
 
+class ImpatientCaller(RandomCaller):
+    """A client that often leaves before it is answered, or sets a deadline that passes before.
+
+    Its requests may all have one body, which crashes runners; then it sends less often, and streams only.
+    """
+
+    def __init__(
+        self, *, name: str, addresses: tuple[str, ...], seed: str, crashing_body: bytes
+    ) -> None:
+        super().__init__(name=name, addresses=addresses, seed=seed)
+        self._crashing_body = crashing_body
+
+    async def run(self) -> None:
+        """Sends requests with pauses until `stop` is called."""
+        while not self._stopping.is_set():
+            ending = self._random.choice(ENDINGS)
+            await self.send_request(
+                self._random.choice(self._addresses),
+                "draft" if self._crashing_body else self._random.choice(REQUEST_KINDS),
+                pool_fleet.KEY,
+                budget_ms=SHORT_DEADLINE_MS if ending is Ending.DEADLINE else DEADLINE_MS,
+                leaves_after=(
+                    self._random.uniform(*LEAVE_SECONDS) if ending is Ending.LEAVES else math.inf
+                ),
+            )
+            await self._pause(CRASHING_PAUSE_SECONDS if self._crashing_body else PAUSE_SECONDS)
+
+    def _body(self, attempt: str) -> bytes:
+        return self._crashing_body or super()._body(attempt)
+
+
 class BalancedCaller(Caller):
     """A client behind the load balancer, with one connection that is idle most of the time.
 
--- a/basilpost/soak/checks.py
+++ b/basilpost/soak/checks.py
@@ -12,10 +12,12 @@
 # Time after which a withdrawn key or failure domain must no longer be used.
 WITHDRAWAL_SECONDS = 5.0
 NOT_RUN_STATUSES = frozenset({421, 429, 503})
-# Users' bounds on requests with a part that crashes runners: it has to be known this long after so many
-# crashes, so many may arrive later, and sound ones are served at least so much as before.
+# Users' bounds on requests that crash runners, by a part of their prompts or each by itself: the part or the
+# request has to be known this long after so many crashes, so many may arrive later, and sound ones are
+# served at least so much as before.
 STABLE_SECONDS = 3.0
 KNOWN_AFTER_CRASHES = 5
+REQUEST_KNOWN_AFTER_CRASHES = 3
 MAX_LATE_ARRIVALS = 3
 MIN_SERVED_RATIO = 0.5
 MIN_COUNTED_CALLS = 20
@@ -45,6 +47,7 @@
         ended_at: When the answer was complete, the connection was closed or the caller gave up.
         timed_out: True if the caller gave up.
         prompt_parts: Ids of the parts of its prompt.
+        sent_body: Its body.
     """
 
     attempt: str
@@ -59,6 +62,7 @@
     ended_at: float = 0.0
     timed_out: bool = False
     prompt_parts: tuple[str, ...] = ()
+    sent_body: bytes = b""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -287,9 +291,18 @@
     runners: Iterable[pool_runner.PoolRunner],
     *,
     parts: frozenset[str],
+    bodies: frozenset[bytes] = frozenset(),
     disturbances: Sequence[Disturbance],
 ) -> list[str]:
-    """Returns a line for each broken guarantee about parts of prompts that crash runners."""
+    """Returns a line for each broken guarantee about requests that crash runners.
+
+    Args:
+        calls: All requests of all callers.
+        runners: The emulated runners, with their logs.
+        parts: Parts of prompts that crash runners.
+        bodies: Bodies of requests that crash runners, each sent again and again.
+        disturbances: Faults of nodes, in which what they send does not count.
+    """
     runners = list(runners)
     calls_by_attempt = {call.attempt: call for call in calls}
 
@@ -300,33 +313,42 @@
 
     violations = []
     known_at = []
-    for part in sorted(parts):
+    causes: list[str | bytes] = [*sorted(parts), *sorted(bodies)]
+    for cause in causes:
+        known_after = KNOWN_AFTER_CRASHES if cause in parts else REQUEST_KNOWN_AFTER_CRASHES
         crashes = sorted(
-            crash.at for runner in runners for crash in runner.crashes if part in crash.parts
+            crash.at for runner in runners for crash in runner.crashes if _has(crash, cause)
         )
-        if len(crashes) < KNOWN_AFTER_CRASHES:
+        if len(crashes) < known_after:
             known_at += crashes[-1:]
             continue
-        known_at.append(crashes[KNOWN_AFTER_CRASHES - 1] + STABLE_SECONDS)
+        known_at.append(crashes[known_after - 1] + STABLE_SECONDS)
         late = [
             run
             for runner in runners
             for run in runner.runs
-            if part in run.parts
+            if _has(run, cause)
             and run.at > known_at[-1]
             and not is_disturbed(calls_by_attempt[run.attempt], run.at)
         ]
         if len(late) > MAX_LATE_ARRIVALS:
-            violations.append(f"{part} crashed {len(crashes)} runners, {len(late)} arrivals late")
+            name = cause if isinstance(cause, str) else cause.decode()
+            violations.append(f"{name} crashed {len(crashes)} runners, {len(late)} arrivals late")
     if known_at:
         sound = [
             call
             for call in calls
             if call.path == "draft"
             and parts.isdisjoint(call.prompt_parts)
+            and call.sent_body not in bodies
             and not is_disturbed(call, call.sent_at)
         ]
-        first = min(crash.at for runner in runners for crash in runner.crashes if crash.parts)
+        first = min(
+            crash.at
+            for runner in runners
+            for crash in runner.crashes
+            if any(_has(crash, cause) for cause in causes)
+        )
         before = [call for call in sound if call.sent_at < first]
         after = [call for call in sound if call.sent_at > max(known_at) + STABLE_SECONDS]
         if min(len(before), len(after)) >= MIN_COUNTED_CALLS and _served(after) < (
@@ -338,6 +360,11 @@
     return violations
 
 
+def _has(item: pool_runner.Run | pool_runner.Crash, cause: str | bytes) -> bool:
+    """Returns True if a run or a crash has a part of a prompt, or a body."""
+    return cause in item.parts if isinstance(cause, str) else cause == item.body
+
+
 def check_paths(
     calls: Sequence[Call],
     *,
--- a/basilpost/soak/checks_test.py
+++ b/basilpost/soak/checks_test.py
@@ -253,6 +253,48 @@
     assert check_crashes(calls, runner, [disturbed]) == []
 
 
+def test_late_arrivals_of_a_request_that_crashes_runners_are_counted():
+    calls = [
+        checks.Call(
+            attempt=f"a{number}",
+            path="draft",
+            key=pool_fleet.KEY,
+            sent_at=20.0 + number,
+            status=0,
+            complete=False,
+            signed=False,
+            body=b"",
+            sent_body=b"bad",
+        )
+        for number in range(4)
+    ]
+
+    def late_lines(arrivals, *, body=b"bad"):
+        runner = crashed_runner([])
+        runner.crashes += [pool_runner.Crash(at=at, parts=(), body=body) for at in (1.0, 2.0, 3.0)]
+        runner.runs += [
+            pool_runner.Run(
+                attempt=call.attempt,
+                workspace="",
+                path="/draft/c",
+                body=b"bad",
+                group="g",
+                epoch=1,
+                after="",
+                credential_forwarded=False,
+                at=call.sent_at,
+            )
+            for call in calls[:arrivals]
+        ]
+        return checks.check_crashes(
+            calls, [runner], parts=frozenset(), bodies=frozenset({b"bad"}), disturbances=()
+        )
+
+    assert late_lines(4) == ["bad crashed 3 runners, 4 arrivals late"]
+    assert late_lines(3) == []
+    assert late_lines(4, body=b"other") == []
+
+
 def test_sound_requests_that_are_served_less_than_half_as_often_are_a_violation():
     def calls(status):
         before = [prompt_call(f"b{n}", 1.0, part="good") for n in range(20)]
--- a/basilpost/soak/run.py
+++ b/basilpost/soak/run.py
@@ -191,6 +191,7 @@
             calls,
             self._fleet.runners_by_id.values(),
             parts=self._scenario.runner_options.crash_parts,
+            bodies=self._scenario.runner_options.crash_bodies,
             disturbances=self._disturbances,
         )
         self._violations += checks.check_paths(
--- a/basilpost/soak/scenarios.py
+++ b/basilpost/soak/scenarios.py
@@ -134,6 +134,43 @@
         )
 
 
+CRASHING_BODIES = (b"crash-0", b"crash-1")
+
+
+def _work_until_crash() -> pool_runner.Options:
+    """Returns streams of 0.2 s, and runners that end 0.12 s after a crashing request began."""
+    return pool_runner.Options(
+        events=10,
+        event_seconds=0.02,
+        crash_bodies=frozenset(CRASHING_BODIES),
+        crash_seconds=0.12,
+        crash_events=60,
+        down_seconds=1.5,
+    )
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class UnwaitedCrashes(CrashingParts):
+    """Two requests crash runners after most of their callers have left, among the same faults."""
+
+    runner_options: pool_runner.Options = dataclasses.field(default_factory=_work_until_crash)
+
+    def caller(self, *, name: str, seed: str, load_balancer: balancer.Balancer) -> callers.Caller:
+        """Returns a new caller; some send requests that crash runners."""
+        number = int(name.removeprefix("c"))
+        crashing = number % CRASHING_CALLER_EVERY == 0
+        return callers.ImpatientCaller(
+            name=name,
+            addresses=load_balancer.addresses,
+            seed=seed,
+            crashing_body=(
+                CRASHING_BODIES[number // CRASHING_CALLER_EVERY % len(CRASHING_BODIES)]
+                if crashing
+                else b""
+            ),
+        )
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class LostPaths(Scenario):
     """Nodes lose their paths to all runners, among other faults of nodes and runners."""
--- a/tests/soak_test.py
+++ b/tests/soak_test.py
@@ -25,6 +25,9 @@
     (2, "a crashed target behind a proxy counted as alive, so its crash was not seen"),
     (19, "the reload signal ended a node that was starting, as seed 20 above"),
 )
+UNWAITED_CRASH_SEEDS = (
+    (2, "crashes were not counted once the caller had left or its deadline had passed (issue 54)"),
+)
 PATH_SECONDS = 9.0
 PATH_SEEDS = (
     (2, "nodes without a path served none of their requests (issue 31)"),
@@ -90,6 +93,16 @@
     assert report.served > report.calls / 2
 
 
+@pytest.mark.processes
+@pytest.mark.parametrize("seed", [seed for seed, _ in UNWAITED_CRASH_SEEDS])
+async def test_requests_crash_runners_after_their_callers_have_left(seed, tmp_path):
+    report = await run.Soak(seed=seed, folder=tmp_path, scenario=scenarios.UnwaitedCrashes()).run(
+        seconds=CRASHES_SECONDS
+    )
+    assert report.broken == ()
+    assert report.served > report.calls / 4
+
+
 @pytest.mark.processes
 @pytest.mark.parametrize("seed", [seed for seed, _ in PATH_SEEDS])
 async def test_nodes_lose_their_paths_to_all_runners(seed, tmp_path):
