Hold the connection that watches a target for a second at most

While requests were cancelled at a target all the time, its watch lasted as long. A server closes a connection without a request after some seconds; two such closes in a row counted as a crash of a target that lives. Each connection is now held for a second, then another one is opened.

--- a/basilpost/gateway/loss_probe.py
+++ b/basilpost/gateway/loss_probe.py
@@ -20,6 +20,9 @@
 # Time for which a target is watched after a request ended there without an answer. Runners stop work
 # on a cancelled request within half a second; a crash long after that has another cause.
 WATCH_SECONDS = 1.0
+# Longest time for which one connection is held without a request. Servers close such connections after
+# some seconds, which is no crash.
+HOLD_SECONDS = 1.0
 # Longest time for opening the connection that shows whether a target lives.
 PROBE_SECONDS = 0.25
 # Time in which a new connection is aborted if nothing listens behind it, as by a proxy whose server
@@ -196,22 +199,14 @@
                 if watch.connection_lost or not channel.timed_out:
                     return True
                 continue
+            opened_at = clock.elapsed()
             try:
-                if await channel.closes_within(ABORT_SECONDS):
-                    return True
-                if not await _closes(channel, watch):
-                    return False
+                closes = await channel.closes_within(
+                    max(ABORT_SECONDS, min(watch.seconds_left, HOLD_SECONDS))
+                )
             finally:
                 channel.close()
-            if was_closed:
+            if closes and (was_closed or clock.elapsed() - opened_at < ABORT_SECONDS):
                 return True
-            was_closed = True
+            was_closed = closes
         return False
-
-
-async def _closes(channel: channels.Channel, watch: _Watch) -> bool:
-    """Returns True if the other end closes a connection while its target is watched."""
-    while (seconds := watch.seconds_left) > 0:
-        if await channel.closes_within(seconds):
-            return True
-    return False
