--- a/basilpost/core/log_events.py
+++ b/basilpost/core/log_events.py
@@ -65,8 +65,16 @@
             "fingerprint",
             "parts",
             "detour_node",
+            "writing_ms",
+            "abandoned",
+            "stale",
         ),
     ),
+    "attempt_cancelled": Event(
+        meaning="a request that was sent ended before its answer: its caller left, its deadline passed "
+        "or the node stopped",
+        fields=(*_REQUEST_FIELDS, "fingerprint", "parts", "after_send_ms"),
+    ),
     "request_detoured": Event(
         meaning="another node sends the request, as this one has no path to the runners",
         fields=("request", "detour_node", "sends", "last_event", "left_ms"),
@@ -107,6 +115,11 @@
         meaning="the target answers status requests again, after these seconds",
         fields=("target", "seconds"),
     ),
+    "target_probed": Event(
+        meaning="the watch of a target after requests ended there without an answer is over; down: it "
+        "refused or closed connections; crashed: this counts against the requests",
+        fields=("target", "down", "crashed", "requests"),
+    ),
     "target_crashed": Event(
         meaning="a target crashed with these requests in flight, here or at another node",
         fields=("target", "requests", "parts"),
--- a/basilpost/core/log_events_test.py
+++ b/basilpost/core/log_events_test.py
@@ -16,6 +16,7 @@
             "gateway/forwarding.py",
             "gateway/target_sender.py",
             "gateway/detours.py",
+            "gateway/loss_probe.py",
             "gateway/detour_service.py",
             "gateway/relay.py",
             "gateway/silent_targets.py",
