Soak, plan unwaited-crashes: one crashing request for each of its callers

Requests of several callers with one body differ in their paths, so they are different requests; the check took them for one and asked for the bound after three crashes of both together.

--- a/basilpost/soak/scenarios.py
+++ b/basilpost/soak/scenarios.py
@@ -134,7 +134,8 @@
         )
 
 
-CRASHING_BODIES = (b"crash-0", b"crash-1")
+# One for each caller whose requests crash runners: requests of several callers differ in their paths.
+CRASHING_BODIES = tuple(f"crash-{number}".encode() for number in range(64))
 
 
 def _work_until_crash() -> pool_runner.Options:
@@ -151,7 +152,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class UnwaitedCrashes(CrashingParts):
-    """Two requests crash runners after most of their callers have left, among the same faults."""
+    """Three requests crash runners after most of their callers have left, among the same faults."""
 
     runner_options: pool_runner.Options = dataclasses.field(default_factory=_work_until_crash)
 
