--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -513,10 +513,11 @@
         """Returns True if another target may crash under a lost request as one did before."""
         if result.abandoned or result.stale_connection:
             return False
-        # Most streams that break off while they write are innocent ones beside the request that crashed
-        # the target. They share parts of their prompts, but none is the same request.
-        writes = result.writing_seconds >= SOUND_WRITING_SECONDS
-        return not self._crashes.may_retry(progress.traits[-1:] if writes else progress.traits)
+        if result.writing_seconds >= SOUND_WRITING_SECONDS:
+            # Most such streams are innocent ones beside the request that crashed the target. They share
+            # parts of its prompt, but are other requests.
+            return not self._crashes.may_retry([progress.lost_request.own_trait])
+        return not self._crashes.may_retry(progress.traits)
 
     def _record_answer(self, progress: attempts.Progress, head: channels.Head) -> None:
         """Clears the traits of a request that one target has answered from beginning to end."""
--- a/basilpost/routing/crash_evidence.py
+++ b/basilpost/routing/crash_evidence.py
@@ -63,6 +63,11 @@
         """Returns what may have crashed the target."""
         return traits_of(self.fingerprint, self.parts)
 
+    @property
+    def own_trait(self) -> Trait:
+        """Returns the trait that only the request itself and its repeats have."""
+        return Trait(kind=_REQUEST, value=self.fingerprint)
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Crash:
