Emulator: runners that answer twice, and close orders that cut or wait

A close order now leaves the group closing until its requests have ended; with cutoff it ends their connections. An option answers a share of the requests to a plain service twice, named or not, after a delay. The first answers and the requests that were cut are logged for checks.

--- a/basilpost/emulator/pool_runner.py
+++ b/basilpost/emulator/pool_runner.py
@@ -14,12 +14,13 @@
 from tornado import iostream, web
 
 from basilpost.core import clock
-from basilpost.emulator import pool_store, server, silent_connections
+from basilpost.emulator import pool_store, second_answers, server, silent_connections
 
 SIGNATURE = "X-Runner-Signature"
 _ATTEMPT = "X-Attempt-Id"
 _ENDLESS_CHUNK_BYTES = 262_144
 _SILENT_POLL_SECONDS = 0.01
+_CLOSING_POLL_SECONDS = 0.01
 _ENDLESS_HEAD = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Runner-Signature: s\r\n"
 # What a runner sends first and what it repeats for ever.
 _ENDLESS = {
@@ -55,6 +56,7 @@
             another request, a stray answer, is sent first.
         unnamed_stray_answers: True to leave the request id out of stray answers.
         refuses_as_stray: True to send refusals that say "not run" as stray answers.
+        answers_twice: How requests to a plain service are answered twice, None for once.
         resumed_answer: What is sent on the connection of a stream that is resumed, in place of its
             answer; empty to resume it.
         order_delay: Seconds by which coming orders are delayed; those get no answer. 0 for none.
@@ -90,6 +92,7 @@
     stray_answers: int = 0
     unnamed_stray_answers: bool = False
     refuses_as_stray: bool = False
+    answers_twice: second_answers.SecondAnswers | None = None
     resumed_answer: bytes = b""
     order_delay: float = 0.0
     cut_streams: int = 0
@@ -178,6 +181,9 @@
         arrivals: When each request arrived, also of those that it rejected and of status requests.
         status_requests: When each status request arrived.
         rejections: When it rejected a request as full.
+        cut_off: Ids of the requests that it cut off as ordered.
+        first_statuses: Status of its own, first answer to each request to a plain service that it
+            answered, by the id of the request.
     """
 
     def __init__(
@@ -213,6 +219,9 @@
         self.arrivals: list[float] = []
         self.status_requests: list[float] = []
         self.rejections: list[float] = []
+        self.cut_off: list[str] = []
+        self.first_statuses: list[tuple[str, int]] = []
+        self._working: dict[_WorkHandler, str] = {}
         self._last_model = ""
         self._store = store
         self._tasks: set[asyncio.Task[None]] = set()
@@ -310,7 +319,7 @@
             case "open":
                 return await self._open(order)
             case "close":
-                return await self._set_state(order, "ready")
+                return await self._close(order)
             case "leave":
                 return await self._leave(order)
             case "stage":
@@ -359,6 +368,23 @@
         await asyncio.sleep(self.options.open_seconds)
         await self._set_state(order, "open")
 
+    async def _close(self, order: dict[str, Any]) -> int:
+        """Ends the group's service; it is ready again when no request is at work any more."""
+        status = await self._set_state(order, "closing")
+        if status == 200:
+            if order.get("closeMode") == "cutoff":
+                for handler, attempt in self._working.items():
+                    self.cut_off.append(attempt)
+                    silent_connections.stream_of(handler.request).close()
+                self._working.clear()
+            self._run_in_background(self._finish_close(order))
+        return status
+
+    async def _finish_close(self, order: dict[str, Any]) -> None:
+        while self._working:
+            await asyncio.sleep(_CLOSING_POLL_SECONDS)
+        await self._set_state(order, "ready")
+
     async def _set_state(self, order: dict[str, Any], state: str) -> int:
         if not self._is_in(order) or self.member is None:
             return 409
@@ -468,11 +494,14 @@
             self.set_header(SIGNATURE, "s")
             self.finish(b"failed")
         elif self.owner.fabric_domain:
+            self.owner._working[self] = headers.get(_ATTEMPT, "")
             try:
                 await self._answer_stream()
             except iostream.StreamClosedError:
-                # The caller has left.
+                # The caller has left, or the group was closed by cutting its requests off.
                 self._finished = True
+            finally:
+                self.owner._working.pop(self, None)
         else:
             await self._answer_plain()
 
@@ -526,9 +555,35 @@
             else:
                 stray = b"HTTP/1.1 200 OK\r\n" + name + b"Content-Length: 5\r\n"
                 self._write_raw(stray + b"X-Runner-Signature: s\r\n\r\nstray")
-        self.set_header(SIGNATURE, "s")
+        if self._options.answers_twice is not None:
+            body = self._prepare_second_answer(self._options.answers_twice, body)
+        self.owner.first_statuses.append((answer["attempt"] or "", self.get_status()))
+        if not self._says_not_run():
+            self.set_header(SIGNATURE, "s")
         self._end(body)
 
+    def _prepare_second_answer(self, plan: second_answers.SecondAnswers, body: bytes) -> bytes:
+        """Has a second answer written behind the first one; returns the body of the first one."""
+        attempt = self.request.headers.get(_ATTEMPT, "")
+        delay = plan.draw_delay(random.Random(f"{attempt} {self.owner.vm_id}"))
+        if delay is None:
+            return body
+        stream = silent_connections.stream_of(self.request)
+        self.owner._run_in_background(
+            second_answers.write_late(stream, plan.encode_second(attempt), delay=delay)
+        )
+        if self.request.method != "GET":
+            return body
+        if not plan.first_named:
+            self.clear_header(_ATTEMPT)
+        self.set_status(plan.first_status)
+        if plan.first_status == second_answers.NOT_RUN_STATUS:
+            self.set_header("X-Not-Executed", "1")
+        return body if plan.first_status == 200 else b"failed"
+
+    def _says_not_run(self) -> bool:
+        return "X-Not-Executed" in self._headers
+
     async def _answer_stream(self) -> None:
         if self._options.resumed_answer and self.request.headers.get("Last-Event-Id"):
             name = self.request.headers.get(_ATTEMPT, "").encode()
--- /dev/null
+++ b/basilpost/emulator/second_answers.py
@@ -0,0 +1,53 @@
+"""Emulates runners that answer a request twice on one connection, the second time late."""
+
+import asyncio
+import dataclasses
+import random
+
+from tornado import iostream
+
+_REASONS = {200: "OK", 500: "Internal Server Error", 503: "Service Unavailable"}
+NOT_RUN_STATUS = 503
+SECOND_BODY = b"second"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class SecondAnswers:
+    """How a runner of a plain service answers requests twice.
+
+    Other requests than GET get their usual first answer, whatever `first_status` is.
+
+    Attributes:
+        share: Share of the requests that are answered twice, from 0 to 1.
+        first_status: 200, 500 or 503; with 503 the runner says that it has not run the request.
+        first_named: True if the first answer names the request.
+        second_status: The same for the second answer.
+        second_named: True if the second answer names the request.
+        delays: Seconds between the answers, one of which is drawn for each request.
+    """
+
+    share: float
+    first_status: int = 500
+    first_named: bool = False
+    second_status: int = 200
+    second_named: bool = True
+    delays: tuple[float, ...] = (0.0, 0.005, 0.02, 0.08)
+
+    def draw_delay(self, rng: random.Random) -> float | None:
+        """Returns the seconds until the second answer to a request, None if it gets no second one."""
+        return rng.choice(self.delays) if rng.random() < self.share else None
+
+    def encode_second(self, attempt: str) -> bytes:
+        """Returns the bytes of the second answer to a request."""
+        status = self.second_status
+        fields = [f"HTTP/1.1 {status} {_REASONS[status]}", f"Content-Length: {len(SECOND_BODY)}"]
+        fields += [f"X-Attempt-Id: {attempt}"] if self.second_named else []
+        fields.append("X-Not-Executed: 1" if status == NOT_RUN_STATUS else "X-Runner-Signature: s")
+        return "\r\n".join([*fields, "", ""]).encode() + SECOND_BODY
+
+
+async def write_late(stream: iostream.IOStream, data: bytes, *, delay: float) -> None:
+    """Writes bytes to a connection after some time, unless it is closed by then."""
+    await asyncio.sleep(delay)
+    if not stream.closed():
+        stream.write(data)
