--- a/basilpost/core/channels.py
+++ b/basilpost/core/channels.py
@@ -7,6 +7,7 @@
 import asyncio
 import dataclasses
 import socket
+import typing
 from collections.abc import Awaitable, Callable
 
 import tornado.http1connection
@@ -18,6 +19,8 @@
 MAX_HEADER_BYTES = 65_536
 MAX_BODY_BYTES = 64 * 1024 * 1024
 READ_BYTES = 65_536
+# Larger bodies are written apart from their headers.
+MAX_JOINED_BODY_BYTES = 65_536
 # Pieces of a body after which other connections get their turn.
 PIECES_PER_PASS = 32
 # For servers that announce no idle time; those keep idle connections for 5 s or longer.
@@ -152,7 +155,7 @@
         method: str,
         path: str,
         headers: tornado.httputil.HTTPHeaders,
-        body: bytes,
+        body: bytes | bytearray,
     ) -> None:
         """Writes one request; a failure is reported when the answer is read."""
         self.requests += 1
@@ -161,12 +164,26 @@
         self._connection = _StreamingConnection(self.stream, True, _PARAMETERS)
         start = tornado.httputil.RequestStartLine(method, path, "HTTP/1.1")
         try:
-            writing = self._connection.write_headers(start, headers, body or None)
+            writing = self._write(self._connection, start, headers, body)
             writing.add_done_callback(_retrieve_error)
             self._connection.finish()
         except tornado.iostream.StreamClosedError:
             self.stream.close()
 
+    @staticmethod
+    def _write(
+        connection: _StreamingConnection,
+        start: tornado.httputil.RequestStartLine,
+        headers: tornado.httputil.HTTPHeaders,
+        body: bytes | bytearray,
+    ) -> "asyncio.Future[None]":
+        """Writes a request; a large body apart from the headers, as joining them would copy it."""
+        if len(body) <= MAX_JOINED_BODY_BYTES:
+            return connection.write_headers(start, headers, bytes(body) or None)
+        connection.write_headers(start, headers).add_done_callback(_retrieve_error)
+        # Tornado writes any buffer of bytes without a copy.
+        return connection.write(typing.cast(bytes, body))
+
     async def receive(self, *, on_head: Callable[[Head], None], on_data: OnData) -> Head | Broken:
         """Reads one answer; returns its head once the body is complete.
 
--- a/basilpost/gateway/detour_service.py
+++ b/basilpost/gateway/detour_service.py
@@ -35,6 +35,7 @@
         make_server: Callable[[tornado.httputil.HTTPServerConnectionDelegate], listener.Listener],
         admit: Admit,
         forwarder: forwarding.Forwarder,
+        make_body: inbound.MakeBody,
         spawn: Spawn,
     ) -> None:
         self.server = make_server(self)
@@ -42,6 +43,7 @@
         self._dialect = kernel.find(names.HEADER_DIALECT, header_dialect.HeaderDialect)
         self._admit = admit
         self._forwarder = forwarder
+        self._make_body = make_body
         self._spawn = spawn
         self._served = prometheus_client.Counter(
             "basilpost_detours_served_total",
@@ -58,6 +60,7 @@
             connection=request_conn,
             server=self.server,
             handler=self._serve,
+            make_body=self._make_body,
             spawn=lambda handling: self._spawn(handling, name="detour"),
         )
 
--- a/basilpost/gateway/inbound.py
+++ b/basilpost/gateway/inbound.py
@@ -2,16 +2,19 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
 import tornado.http1connection
 import tornado.httputil
 import tornado.iostream
 
-from basilpost.core import clock, listener
+from basilpost.core import clock, failure, listener
+from basilpost.gateway import body_memory
 
 Handler = Callable[["Request", "Reply"], Coroutine[Any, Any, None]]
+# Returns the collector of a request's body, whose headers have arrived.
+MakeBody = Callable[["Request"], body_memory.Body]
 _NO_BODY_STATUSES = frozenset({204, 304})
 
 
@@ -25,6 +28,7 @@
         body: The whole body, empty before it has arrived.
         received_at: When the headers arrived, on `clock.elapsed`.
         caller_left: True once the caller has closed the connection.
+        body_refusal: Why the request is refused for its body, None unless it is.
     """
 
     def __init__(
@@ -33,21 +37,24 @@
         connection: tornado.httputil.HTTPConnection,
         server: listener.Listener,
         handler: Handler,
+        make_body: MakeBody,
         spawn: Callable[[Coroutine[Any, Any, None]], "asyncio.Task[None]"],
     ) -> None:
         assert isinstance(connection, tornado.http1connection.HTTP1Connection)
         self._connection = connection
         self._server = server
         self._handler = handler
+        self._make_body = make_body
         self._spawn = spawn
-        self._chunks: list[bytes] = []
+        self._arriving: body_memory.Body | None = None
         self._task: asyncio.Task[None] | None = None
         self.method = ""
         self.target = ""
         self.headers = tornado.httputil.HTTPHeaders()
-        self.body = b""
+        self.body: bytes | bytearray = b""
         self.received_at = 0.0
         self.caller_left = False
+        self.body_refusal: failure.Refusal | None = None
 
     @property
     def path(self) -> str:
@@ -58,21 +65,32 @@
         self,
         start_line: tornado.httputil.RequestStartLine | tornado.httputil.ResponseStartLine,
         headers: tornado.httputil.HTTPHeaders,
-    ) -> None:
-        """Stores method, target and headers; part of Tornado's delegate interface."""
+    ) -> Awaitable[None] | None:
+        """Stores method, target and headers; part of Tornado's delegate interface.
+
+        The body is read when what it returns is done.
+        """
         assert isinstance(start_line, tornado.httputil.RequestStartLine)
         self.method, self.target = start_line.method, start_line.path
         self.headers = headers
         self.received_at = clock.elapsed()
-
-    def data_received(self, chunk: bytes) -> None:
+        length = headers.get("Content-Length", "0")
+        if length == "0" and "Transfer-Encoding" not in headers:
+            return None
+        self._arriving = self._make_body(self)
+        # Tornado refuses a length that is not a number when it begins to read the body.
+        return self._arriving.begin(int(length) if length.isdecimal() else 0)
+
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         """Stores a chunk of the body; part of Tornado's delegate interface."""
-        self._chunks.append(chunk)
+        assert self._arriving is not None
+        return self._arriving.add(chunk)
 
     def finish(self) -> None:
         """Starts the handler; part of Tornado's delegate interface."""
-        self.body = b"".join(self._chunks)
-        self._chunks.clear()
+        if self._arriving is not None:
+            self.body_refusal = self._arriving.refusal
+            self.body = self._arriving.join()
         self._connection.set_close_callback(self.on_connection_close)
         reply = Reply(connection=self._connection, server=self._server, method=self.method)
         self._task = self._spawn(self._handle(reply))
@@ -82,6 +100,14 @@
         self.caller_left = True
         if self._task is not None:
             self._task.cancel()
+        else:
+            self._release_body()
+
+    def _release_body(self) -> None:
+        """Frees the body: reference cycles may keep the request itself for a while."""
+        if self._arriving is not None:
+            self._arriving.release()
+        self.body = b""
 
     async def _handle(self, reply: "Reply") -> None:
         try:
@@ -90,6 +116,8 @@
             # The caller must not wait for an answer that nobody sends any more.
             self._connection.close()
             raise
+        finally:
+            self._release_body()
 
 
 class Reply:
--- a/basilpost/gateway/relay.py
+++ b/basilpost/gateway/relay.py
@@ -16,6 +16,7 @@
 from basilpost.core import catalog, clock, failure, kernel, listener, names, tasks
 from basilpost.gateway import (
     attempts,
+    body_memory,
     detour_service,
     detours,
     forwarding,
@@ -40,7 +41,7 @@
 from basilpost.routing import targets as targets_
 from basilpost.settings import pool_schema
 
-# Fixed limits of the HTTP server. They are above all limits that operators may configure, because the
+# Fixed limits of the HTTP server, beside those of `body_memory`. They are above all limits that operators may configure, because the
 # server starts before the node may have read the configuration.
 MAX_HEADER_BYTES = 65_536
 MAX_BODY_BYTES = 64 * 1024 * 1024
@@ -127,6 +128,9 @@
             dialect=self._dialect,
             knowledge=self.knowledge,
         ).ask
+        self._bodies = body_memory.BodyMemory(
+            max_bytes=int(settings.memory_mb * body_memory.BYTES_PER_MB * body_memory.MEMORY_SHARE)
+        )
         self._crash_store = kernel.find(names.CRASH_STORE, crash_store.CrashStore)
         self._server = _make_server(self)
         self._detour_service = detour_service.DetourService(
@@ -134,6 +138,7 @@
             make_server=_make_server,
             admit=self._admit,
             forwarder=self.forwarder,
+            make_body=self._make_body,
             spawn=self._request_tasks.spawn,
         )
         self._servers = (self._server, self._detour_service.server)
@@ -264,9 +269,13 @@
             connection=request_conn,
             server=self._server,
             handler=self._serve,
+            make_body=self._make_body,
             spawn=lambda handling: self._request_tasks.spawn(handling, name="request"),
         )
 
+    def _make_body(self, request: inbound.Request) -> body_memory.Body:
+        return self._admission.make_body(request, self._bodies)
+
     async def _serve(self, request: inbound.Request, reply: inbound.Reply) -> None:
         summary = request_recorder.RequestSummary(call=self._dialect.parse_request(request.headers))
         try:
@@ -326,6 +335,8 @@
         self, request: inbound.Request
     ) -> request_admission.AdmittedRequest | failure.Refusal:
         """Admits a request, unless this node does not know enough yet or is about to stop."""
+        if request.body_refusal is not None:
+            return request.body_refusal
         admitted = self._admission.admit(request)
         if isinstance(admitted, failure.Refusal):
             return admitted
--- a/basilpost/gateway/request_admission.py
+++ b/basilpost/gateway/request_admission.py
@@ -4,7 +4,7 @@
 import random
 
 from basilpost.core import catalog, clock, failure
-from basilpost.gateway import inbound
+from basilpost.gateway import body_memory, inbound
 from basilpost.members import knowledge as knowledges
 from basilpost.routing import header_dialect, routes
 
@@ -12,8 +12,12 @@
 # may not know of a revocation and refuses requests that need a key.
 KEY_CHECK_MAX_AGE_SECONDS = 4.6
 UNAVAILABLE_RETRY_SECONDS = 0.5
+# Rank of a request whose route is not known.
+LOWEST_PRIORITY = 9
 # Time budget of a request that names none; the route's timeout bounds it too.
 DEFAULT_BUDGET_SECONDS = 30.0
+# Largest body while no configuration is known; its request is refused anyway.
+UNKNOWN_MAX_BODY_BYTES = 65_536
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -87,6 +91,35 @@
             configuration=configuration.version,
         )
 
+    def make_body(
+        self, request: inbound.Request, memory: body_memory.BodyMemory
+    ) -> body_memory.Body:
+        """Returns the collector of a request's body, under the limit of the operators."""
+        configuration = self._knowledge.configuration
+        return body_memory.Body(
+            memory=memory,
+            max_bytes=(
+                UNKNOWN_MAX_BODY_BYTES
+                if configuration is None
+                else configuration.limits.max_body_bytes
+            ),
+            terms=lambda: self._wait_terms(request),
+        )
+
+    def _wait_terms(self, request: inbound.Request) -> body_memory.WaitTerms:
+        configuration = self._knowledge.configuration
+        route = None
+        if configuration is not None:
+            route = self._routes(configuration).find(request.headers.get("Host", ""), request.path)
+        budget = self._dialect.parse_request(request.headers).budget_seconds
+        return body_memory.WaitTerms(
+            priority=LOWEST_PRIORITY if route is None else route.priority,
+            wait_seconds=min(
+                body_memory.MAX_WAIT_SECONDS,
+                body_memory.WAIT_SHARE * (DEFAULT_BUDGET_SECONDS if budget is None else budget),
+            ),
+        )
+
     def _routes(self, configuration: catalog.Configuration) -> routes.RouteTable:
         if self._table is None or self._table[0] is not configuration:
             self._table = (configuration, routes.RouteTable(configuration))
--- a/basilpost/node/pool_main.py
+++ b/basilpost/node/pool_main.py
@@ -1,6 +1,7 @@
 """Runs a node that serves a pool of VMs of the users' platform, until it is asked to stop.
 
-The environment variable BASILPOST_CONFIG names the settings file. Only what a node needs is
+The environment variable BASILPOST_CONFIG names the settings file; BASILPOST_MEMORY_MB, if it is set, has
+precedence over the file's `memory_mb`. Only what a node needs is
 imported, to keep restarts short: a node does not serve while it restarts.
 """
 
@@ -17,6 +18,7 @@
 from basilpost.settings import loader, pool_loader
 
 SETTINGS_VARIABLE = "BASILPOST_CONFIG"
+MEMORY_VARIABLE = "BASILPOST_MEMORY_MB"
 # Longest time for which a node that has stopped waits for the reader of its log.
 LOG_FLUSH_SECONDS = 0.2
 _EXIT_BAD_SETTINGS = 2
@@ -50,7 +52,9 @@
     """Reads the settings and runs the node; returns the exit code."""
     path = os.environ.get(SETTINGS_VARIABLE, "")
     try:
-        loaded = pool_loader.load(path)
+        loaded = pool_loader.with_memory(
+            pool_loader.load(path), os.environ.get(MEMORY_VARIABLE, ""), variable=MEMORY_VARIABLE
+        )
     except loader.SettingsError as error:
         print(error, file=sys.stderr)
         return _EXIT_BAD_SETTINGS
--- a/basilpost/routing/crashes.py
+++ b/basilpost/routing/crashes.py
@@ -52,7 +52,7 @@
     expires_at: float
 
 
-def request_fingerprint(workspace: str, target: str, body: bytes) -> str:
+def request_fingerprint(workspace: str, target: str, body: bytes | bytearray) -> str:
     """Returns a digest by which repeats of a request are recognised.
 
     Args:
--- a/basilpost/settings/pool_loader.py
+++ b/basilpost/settings/pool_loader.py
@@ -33,6 +33,21 @@
     return parse(text, file=path)
 
 
+def with_memory(loaded: Loaded, memory_mb: str, *, variable: str) -> Loaded:
+    """Returns settings with the memory that an environment variable names, if it is not empty.
+
+    Raises:
+        loader.SettingsError: If it is not a positive whole number.
+    """
+    if not memory_mb:
+        return loaded
+    if not (memory_mb.isascii() and memory_mb.isdigit() and int(memory_mb) > 0):
+        error = loader.setting_error(variable, "", repr(memory_mb), "a positive whole number")
+        raise loader.SettingsError((error,))
+    settings = dataclasses.replace(loaded.settings, memory_mb=int(memory_mb))
+    return dataclasses.replace(loaded, settings=settings)
+
+
 def parse(text: str, *, file: str) -> Loaded:
     """Parses and checks the text of a settings file.
 
@@ -93,6 +108,7 @@
             settings.metrics_port,
             "another port than the one after peer_port, which is used too",
         ),
+        (settings.memory_mb > 0, "memory_mb", settings.memory_mb, "a positive number"),
         (bool(settings.node_id), "node_id", settings.node_id, "a name"),
         (
             settings.log_level in ("debug", "info", "warning", "error"),
--- a/basilpost/settings/pool_loader_test.py
+++ b/basilpost/settings/pool_loader_test.py
@@ -79,3 +79,12 @@
     broken.write_bytes(b"\xff\xfe\x00")
     with pytest.raises(loader.SettingsError):
         pool_loader.load(str(broken))
+
+
+def test_the_environment_may_name_the_memory_of_the_process():
+    loaded = pool_loader.parse(json.dumps(GOOD), file="node.jsonc")
+    assert pool_loader.with_memory(loaded, "", variable="MEMORY") == loaded
+    assert pool_loader.with_memory(loaded, "512", variable="MEMORY").settings.memory_mb == 512
+    for text in ("0", "many", "-1", "1.5"):
+        with pytest.raises(loader.SettingsError, match="MEMORY"):
+            pool_loader.with_memory(loaded, text, variable="MEMORY")
--- a/basilpost/settings/pool_schema.py
+++ b/basilpost/settings/pool_schema.py
@@ -45,6 +45,7 @@
         log_level: debug, info, warning or error.
         contracts: Parts of the platform's terms that are in force, by the platform's names; some of them
             ask for features of the node.
+        memory_mb: Memory, in megabytes, that the process may use.
     """
 
     node_id: str
@@ -61,6 +62,7 @@
     source_host: str = ""
     log_level: str = "info"
     contracts: tuple[str, ...] = ()
+    memory_mb: int = 300
 
     @property
     def detour_port(self) -> int:
