--- a/basilpost/core/log_events.py
+++ b/basilpost/core/log_events.py
@@ -70,6 +70,22 @@
             "stale",
         ),
     ),
+    "retry_decided": Event(
+        meaning="whether a request that failed, stalled or has to move is sent once more, why, and what "
+        "is left of this node's budget for its service",
+        fields=(
+            *_REQUEST_FIELDS,
+            "service",
+            "cause",
+            "allowed",
+            "denied_by",
+            "budget_left",
+            "budget_max",
+            "sends",
+            "rejections",
+            "detour_node",
+        ),
+    ),
     "attempt_cancelled": Event(
         meaning="a request that was sent ended before its answer: its caller left, its deadline passed "
         "or the node stopped",
--- a/basilpost/core/log_events_test.py
+++ b/basilpost/core/log_events_test.py
@@ -21,6 +21,7 @@
             "gateway/relay.py",
             "gateway/silent_targets.py",
             "gateway/request_recorder.py",
+            "gateway/retry_budgets.py",
             "groups/pool_controller.py",
             "members/feed.py",
             "members/knowledge.py",
--- a/basilpost/gateway/attempts.py
+++ b/basilpost/gateway/attempts.py
@@ -81,6 +81,7 @@
         first_event_at: When the first event of its stream came, None before.
         resumed: True if its last target was asked for the rest of a stream only.
         may_move: True if another node, for which this one sends it, resumes it when it is broken off.
+        denials: Causes for which it was denied to be sent once more, each with the value of `sends`.
     """
 
     admitted: request_admission.AdmittedRequest
@@ -100,6 +101,7 @@
     first_event_at: float | None = None
     resumed: bool = False
     may_move: bool = False
+    denials: set[tuple[str, int]] = dataclasses.field(default_factory=set)
 
     @functools.cached_property
     def lost_request(self) -> crash_evidence.LostRequest:
--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -23,6 +23,7 @@
     load_control,
     loss_probe,
     request_admission,
+    retry_budgets,
     target_choice,
     target_sender,
 )
@@ -31,7 +32,7 @@
 from basilpost.members import loads as loads_
 from basilpost.members import reachability as reachability_
 from basilpost.routing import crashes as crashes_
-from basilpost.routing import departures, header_dialect, named_limits, pauses, retry
+from basilpost.routing import departures, header_dialect, named_limits, pauses
 from basilpost.routing import targets as targets_
 
 # A request is refused after this many runners have rejected it without running it.
@@ -41,19 +42,6 @@
 SOUND_WRITING_SECONDS = 0.5
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Budgets:
-    """Bounds on the retries of requests to one service.
-
-    Attributes:
-        retry_share: Retries allowed per arriving request.
-        retry_reserve: Number of retries to a service allowed beyond that share, over all nodes.
-    """
-
-    retry_share: float
-    retry_reserve: float
-
-
 class Forwarder:
     """Forwards the requests of one node to targets.
 
@@ -72,7 +60,7 @@
         dialect: header_dialect.HeaderDialect,
         targets: targets_.Targets,
         loads: loads_.Loads,
-        budgets: Budgets,
+        retries: retry_budgets.RetryBudgets,
         crashes: crashes_.CrashTracker,
         limits: named_limits.NamedLimits,
         runner_pauses: pauses.RunnerPauses,
@@ -88,7 +76,7 @@
         self._dialect = dialect
         self._loads = loads
         self._control = control
-        self._budgets = budgets
+        self._retries = retries
         self._crashes = crashes
         self._reachability = reachability
         self._detours = node_detours
@@ -97,7 +85,7 @@
         self._silent_targets = silent_targets_.SilentTargets(
             ask_vm=reachability.ask_vm,
             give_up=lambda target_id: self.sender.give_up_silent(
-                lambda request: request.target_id == target_id, self._spend_retry
+                lambda request: request.target_id == target_id, self._spend_retry_of_silent
             ),
             log=log,
         )
@@ -136,16 +124,15 @@
             log=log,
         )
         reachability.give_up_silent = lambda service: self.sender.give_up_silent(
-            lambda request: request.service == service, self._spend_retry
+            lambda request: request.service == service, self._spend_retry_of_silent
         )
         reachability.subscribe(lambda lost: self.stall_detector.forget_suspects())
-        self._retries_by_service: dict[str, retry.RetryBudget] = {}
         loads.local_stalled = self._stalled_targets
         loads.local_writing = self.stall_detector.active_targets
         self.stall_detector.active_elsewhere = loads.writing_elsewhere_among
 
     def _count_arrival(self, progress: attempts.Progress) -> None:
-        self._retry_budget(progress).deposit()
+        self._retries.count_request(progress.admitted.service.name)
         self._loads.demand_meter.count_arrival(progress.admitted.call.model)
 
     async def fetch(
@@ -187,7 +174,9 @@
                 return attempts.corrected_refusal(progress, result)
             if isinstance(result, channels.Head):
                 self._record_answer(progress, result)
-                if result.status < 500 or not self._spend_retry(progress):
+                if result.status < 500 or not self._spend_retry(
+                    progress, retry_budgets.RetryCause.FAILED
+                ):
                     return attempts.WholeAnswer(head=result, body=sink.body)
             elif not self._may_try_elsewhere(progress, result):
                 return attempts.corrected_refusal(
@@ -243,7 +232,11 @@
             if isinstance(way, failure.Refusal):
                 return attempts.corrected_refusal(progress, way)
             result = await self._stream_from(
-                progress, request, way, sink, may_move=lambda: self._spend_retry(progress)
+                progress,
+                request,
+                way,
+                sink,
+                may_move=lambda: self._spend_retry(progress, retry_budgets.RetryCause.STALLED),
             )
             if isinstance(result, failure.Refusal):
                 return attempts.corrected_refusal(progress, result)
@@ -252,7 +245,9 @@
                 if sink.is_stream:
                     sink.end()
                     return attempts.Streamed()
-                if result.status < 500 or not self._spend_retry(progress):
+                if result.status < 500 or not self._spend_retry(
+                    progress, retry_budgets.RetryCause.FAILED
+                ):
                     return attempts.WholeAnswer(head=result, body=sink.body)
             elif not self._may_try_elsewhere(progress, result):
                 return attempts.corrected_refusal(
@@ -443,21 +438,12 @@
             )
         return await self.sender.send(progress, request, way, last_event=last_event, sink=sink)
 
-    def _retry_budget(self, progress: attempts.Progress) -> retry.RetryBudget:
-        service = progress.admitted.service.name
-        max_retries = self._budgets.retry_reserve / self._loads.node_count()
-        budget = self._retries_by_service.get(service)
-        if budget is None:
-            budget = retry.RetryBudget(
-                share=self._budgets.retry_share, reserve=max_retries, max_balance=max_retries
-            )
-            self._retries_by_service[service] = budget
-        budget.set_max_balance(max_retries)
-        return budget
-
-    def _spend_retry(self, progress: attempts.Progress) -> bool:
+    def _spend_retry(self, progress: attempts.Progress, cause: retry_budgets.RetryCause) -> bool:
         """Spends a retry and returns True if the request may run once more."""
-        return progress.has_attempts_left and self._retry_budget(progress).spend()
+        return self._retries.decide(progress, cause)
+
+    def _spend_retry_of_silent(self, progress: attempts.Progress) -> bool:
+        return self._spend_retry(progress, retry_budgets.RetryCause.SILENT)
 
     def _may_try_elsewhere(
         self,
@@ -533,11 +519,18 @@
         progress: attempts.Progress,
         result: attempts.NotSent | attempts.NotRun | attempts.Lost,
     ) -> bool:
+        cause, denial = retry_budgets.RetryCause.LOST, retry_budgets.Denial.NONE
         if isinstance(result, attempts.NotSent):
             return True
         if isinstance(result, attempts.NotRun):
-            return progress.rejections < MAX_REJECTIONS and self._retry_budget(progress).spend()
-        if self._may_crash_again(progress, result):
-            return False
-        # The retry of an abandoned stream was spent when it was given up.
-        return result.abandoned or self._spend_retry(progress)
+            cause = retry_budgets.RetryCause.REJECTED
+            if progress.rejections >= MAX_REJECTIONS:
+                denial = retry_budgets.Denial.REJECTIONS
+        elif result.abandoned:
+            # The retry of an abandoned stream was spent when it was given up.
+            return True
+        elif result.stale_connection:
+            cause = retry_budgets.RetryCause.STALE
+        elif self._may_crash_again(progress, result):
+            denial = retry_budgets.Denial.CRASHES
+        return self._retries.decide(progress, cause, denial=denial)
--- a/basilpost/gateway/relay.py
+++ b/basilpost/gateway/relay.py
@@ -23,6 +23,7 @@
     load_control,
     request_admission,
     request_recorder,
+    retry_budgets,
     status_probe,
 )
 from basilpost.members import knowledge as knowledges
@@ -91,6 +92,7 @@
         self._dialect = kernel.find(names.HEADER_DIALECT, header_dialect.HeaderDialect)
         self.knowledge = kernel.find(names.KNOWLEDGE, knowledges.Knowledge)
         rng = random.Random()
+        loads = kernel.find(names.LOADS, loads_.Loads)
         self._reachability = kernel.find(names.REACHABILITY, reachability.Reachability)
         self._detours = detours.Detours(
             kernel=kernel,
@@ -107,10 +109,15 @@
             source_host=settings.source_host,
             dialect=self._dialect,
             targets=kernel.find(names.TARGETS, targets_.Targets),
-            loads=kernel.find(names.LOADS, loads_.Loads),
-            budgets=forwarding.Budgets(
-                retry_share=settings.bounds.retry_share * RETRY_SPEND_SHARE,
-                retry_reserve=settings.bounds.retry_reserve * RETRY_SPEND_SHARE,
+            loads=loads,
+            retries=retry_budgets.RetryBudgets(
+                bounds=retry_budgets.RetryBounds(
+                    share=settings.bounds.retry_share * RETRY_SPEND_SHARE,
+                    reserve=settings.bounds.retry_reserve * RETRY_SPEND_SHARE,
+                ),
+                node_count=loads.node_count,
+                registry=kernel.registry,
+                log=kernel.log,
             ),
             crashes=kernel.find(names.CRASHES, crashes.CrashTracker),
             limits=kernel.find(names.LIMITS, named_limits.NamedLimits),
--- a/basilpost/routing/retry.py
+++ b/basilpost/routing/retry.py
@@ -22,7 +22,12 @@
 
 
 class RetryBudget:
-    """A balance of retries: each admitted request adds a share of one, each retry spends one."""
+    """A balance of retries: each admitted request adds a share of one, each retry spends one.
+
+    Attributes:
+        balance: The retries that may be spent now.
+        max_balance: Upper bound of the balance.
+    """
 
     def __init__(
         self,
@@ -32,23 +37,23 @@
         max_balance: float = MAX_RETRY_RESERVE,
     ) -> None:
         self._share = share
-        self._max_balance = max_balance
-        self._balance = reserve
+        self.max_balance = max_balance
+        self.balance = reserve
 
     def set_max_balance(self, max_balance: float) -> None:
         """Changes the upper bound of the balance, such as when the number of nodes has changed."""
-        self._max_balance = max_balance
-        self._balance = min(self._balance, max_balance)
+        self.max_balance = max_balance
+        self.balance = min(self.balance, max_balance)
 
     def deposit(self) -> None:
         """Adds the share of one admitted request to the balance."""
-        self._balance = min(self._max_balance, self._balance + self._share)
+        self.balance = min(self.max_balance, self.balance + self._share)
 
     def spend(self) -> bool:
         """Spends one retry; returns False if the balance holds less than one."""
-        if self._balance < 1.0:
+        if self.balance < 1.0:
             return False
-        self._balance -= 1.0
+        self.balance -= 1.0
         return True
 
 
