--- a/tests/pool_nodes.py
+++ b/tests/pool_nodes.py
@@ -55,7 +55,7 @@
             lambda: all(reachable._checked_at > -math.inf for reachable in self.reachabilities)
         )
 
-    async def add(self, node_id, *, failure_domain="a", start=True):
+    async def add(self, node_id, *, failure_domain="a", start=True, first_start=True):
         host = pool_demo.random_loopback_host()
         callers = f"{host}:{pool_demo.CALLERS_PORT}"
         settings = pool_schema.PoolNodeSettings(
@@ -68,7 +68,7 @@
             peer_port=pool_demo.PEER_PORT,
             metrics_port=pool_demo.METRICS_PORT,
             store=self.fleet.store.address,
-            first_start=True,
+            first_start=first_start,
             bounds=pool_schema.Bounds(
                 grace_seconds=GRACE_SECONDS, retry_share=0.2, retry_reserve=100
             ),
