--- a/basilpost/gateway/relay.py
+++ b/basilpost/gateway/relay.py
@@ -116,6 +116,7 @@
                     reserve=settings.bounds.retry_reserve * RETRY_SPEND_SHARE,
                 ),
                 node_count=loads.node_count,
+                first_start=settings.first_start,
                 registry=kernel.registry,
                 log=kernel.log,
             ),
--- a/basilpost/gateway/retry_budgets.py
+++ b/basilpost/gateway/retry_budgets.py
@@ -1,9 +1,14 @@
 """Decides whether a request may be sent once more, and tells why.
 
-The users bound the repeats that reach the runners of a service, over all nodes together. Each node keeps
-a budget of its own for each service, so that none has to ask another one.
+The users bound the repeats that reach the runners of a service, over all nodes together and in any span of
+`WINDOW_SECONDS`. Each node keeps a budget of its own for each service, so that none has to ask another one:
+its share of the reserve, and a share of each of its callers' requests.
+
+All budgets together stay within the bound also while nodes restart, because a process gets its share of
+the reserve only a window after its start. What the process before it has spent is out of the window by then.
 """
 
+import collections
 import dataclasses
 import enum
 from collections.abc import Callable
@@ -11,10 +16,16 @@
 
 import prometheus_client
 
+from basilpost.core import clock
 from basilpost.gateway import attempts
 from basilpost.routing import retry
 
 ALLOWED = "allowed"
+# The users' bound holds for any span of this length.
+WINDOW_SECONDS = 10.0
+# In the first window of the whole system a node may not know all the others yet. It takes its share to be
+# that of a node among so many.
+FIRST_START_NODES = 16
 
 
 class RetryCause(enum.Enum):
@@ -72,6 +83,26 @@
     reserve: float
 
 
+class _MostNodes:
+    """The largest number of nodes that was known within the last window.
+
+    A node that has left may have spent its share just before.
+    """
+
+    def __init__(self) -> None:
+        # Numbers in falling order, each with the time at which it was last known.
+        self._counts: collections.deque[tuple[float, int]] = collections.deque()
+
+    def record(self, now: float, count: int) -> int:
+        """Records the number of nodes known now; returns the largest one of the window."""
+        while self._counts and self._counts[-1][1] <= count:
+            self._counts.pop()
+        self._counts.append((now, count))
+        while self._counts[0][0] < now - WINDOW_SECONDS:
+            self._counts.popleft()
+        return self._counts[0][1]
+
+
 class RetryBudgets:
     """The retry budgets of one node, by service."""
 
@@ -80,6 +111,7 @@
         *,
         bounds: RetryBounds,
         node_count: Callable[[], int],
+        first_start: bool,
         registry: prometheus_client.CollectorRegistry,
         log: Any,
     ) -> None:
@@ -88,13 +120,19 @@
         Args:
             bounds: Bounds for all nodes together.
             node_count: Returns the number of nodes that this one knows of, itself included.
+            first_start: True if the whole system starts for the first time, so that no process before this
+                one can have spent retries.
             registry: Registry of the node's metrics.
             log: The node's log.
         """
         self._bounds = bounds
         self._node_count = node_count
+        self._most_nodes = _MostNodes()
+        self._first_start = first_start
+        self._full_share_at = clock.elapsed() + WINDOW_SECONDS
         self._log = log
         self._budgets_by_service: dict[str, retry.RetryBudget] = {}
+        self._has_full_shares = False
         self._decisions = prometheus_client.Counter(
             "basilpost_retry_decisions_total",
             "Decisions whether a request is sent once more, by the cause and by what denied it",
@@ -157,16 +195,32 @@
         return allowed
 
     def _budget(self, service: str) -> retry.RetryBudget:
-        max_retries = self._bounds.reserve / self._node_count()
+        now = clock.elapsed()
+        max_retries = self._bounds.reserve / self._most_nodes.record(now, self._node_count())
+        if not self._has_full_shares and now >= self._full_share_at:
+            self._has_full_shares = True
+            for known in self._budgets_by_service.values():
+                known.set_max_balance(max_retries)
+                known.grant_reserve()
         budget = self._budgets_by_service.get(service)
         if budget is None:
             budget = retry.RetryBudget(
-                share=self._bounds.share, reserve=max_retries, max_balance=max_retries
+                share=self._bounds.share,
+                reserve=self._first_reserve(max_retries),
+                max_balance=max_retries,
             )
             self._budgets_by_service[service] = budget
         budget.set_max_balance(max_retries)
         return budget
 
+    def _first_reserve(self, max_retries: float) -> float:
+        """Returns the reserve of a budget that is used for the first time."""
+        if self._has_full_shares:
+            return max_retries
+        if self._first_start:
+            return min(max_retries, self._bounds.reserve / FIRST_START_NODES)
+        return 0.0
+
 
 def _denial(progress: attempts.Progress, cause: RetryCause) -> Denial:
     """Returns what the request itself has against another send; one that was rejected has not run."""
--- a/basilpost/gateway/retry_budgets_test.py
+++ b/basilpost/gateway/retry_budgets_test.py
@@ -14,13 +14,17 @@
 
 
 def budgets(*, reserve=2.0, nodes=2):
+    """Returns the registry and the budgets of a node that has its share of the reserve."""
     registry = prometheus_client.CollectorRegistry()
-    return registry, retry_budgets.RetryBudgets(
+    node = retry_budgets.RetryBudgets(
         bounds=retry_budgets.RetryBounds(share=0.5, reserve=reserve),
         node_count=lambda: nodes,
+        first_start=False,
         registry=registry,
         log=structlog.get_logger(),
     )
+    node._full_share_at = 0.0
+    return registry, node
 
 
 def progress(*, sends=1, max_attempts=2, repeat=catalog.Repeat.IDEMPOTENT):
--- a/basilpost/routing/retry.py
+++ b/basilpost/routing/retry.py
@@ -27,6 +27,7 @@
     Attributes:
         balance: The retries that may be spent now.
         max_balance: Upper bound of the balance.
+        spent: The retries that were spent so far.
     """
 
     def __init__(
@@ -39,6 +40,7 @@
         self._share = share
         self.max_balance = max_balance
         self.balance = reserve
+        self.spent = 0
 
     def set_max_balance(self, max_balance: float) -> None:
         """Changes the upper bound of the balance, such as when the number of nodes has changed."""
@@ -54,8 +56,13 @@
         if self.balance < 1.0:
             return False
         self.balance -= 1.0
+        self.spent += 1
         return True
 
+    def grant_reserve(self) -> None:
+        """Fills the balance up to its upper bound, less what was spent so far."""
+        self.balance = max(self.balance, self.max_balance - self.spent)
+
 
 @dataclasses.dataclass(kw_only=True)
 class Breaker:
