Log why groups are closed, and which streams a planned close meets

- pool_order: at_once and cause (member_leaves, donor, incomplete, broken)
- target_closing: the streams of a node at a group closed because a member leaves
- attempt_failed: whether the target is closed as planned, and the attempts and retries left; broken_off follows such a line

No behaviour changes. Unit tests of log events and of the pool, and tests/pool_path_test.py, tests/pool_groups_test.py pass.

--- a/basilpost/core/log_events.py
+++ b/basilpost/core/log_events.py
@@ -68,6 +68,9 @@
             "writing_ms",
             "abandoned",
             "stale",
+            "closing",
+            "attempts_left",
+            "retries_left",
         ),
     ),
     "attempt_cancelled": Event(
@@ -170,6 +173,10 @@
         meaning="an answer to another request arrived on the connection and was skipped",
         fields=(*_REQUEST_FIELDS, "named", "answer_status", "requests"),
     ),
+    "target_closing": Event(
+        meaning="a group is closed because a member leaves, while it answers these streams of this node",
+        fields=("target", "requests"),
+    ),
     "stream_moved": Event(
         meaning="a stream is resumed on another target because its target sends nothing",
         fields=_REQUEST_FIELDS,
@@ -258,7 +265,7 @@
     ),
     "pool_order": Event(
         meaning="an order was sent to a runner",
-        fields=("order", "vm", "group", "model", "fence", "result", "reason"),
+        fields=("order", "vm", "group", "model", "fence", "at_once", "cause", "result", "reason"),
     ),
     "still_group_probed": Event(
         meaning="the members of a group without progress were asked for their status",
--- a/basilpost/core/log_events_test.py
+++ b/basilpost/core/log_events_test.py
@@ -17,6 +17,7 @@
             "gateway/target_sender.py",
             "gateway/detours.py",
             "gateway/loss_probe.py",
+            "gateway/planned_moves.py",
             "gateway/detour_service.py",
             "gateway/relay.py",
             "gateway/silent_targets.py",
--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -22,6 +22,7 @@
     inbound,
     load_control,
     loss_probe,
+    planned_moves,
     request_admission,
     target_choice,
     target_sender,
@@ -60,6 +61,7 @@
     Attributes:
         sender: Sends each request to its target.
         stall_detector: Watches the streams that this node reads.
+        planned_moves: Follows the streams at targets that are closed as planned.
         loss_probe: Finds out whether targets that lost requests have crashed.
     """
 
@@ -127,6 +129,8 @@
             on_cancelled=lambda progress: self._watch_target(progress, cancelled=True),
             log=log,
         )
+        self._targets = targets
+        self.planned_moves = planned_moves.PlannedMoves(closing=targets.closing, log=log)
         self.loss_probe = loss_probe.LossProbe(
             connect=self.sender.connect,
             has_path=lambda service: reachability.find_path(service=service, fresh=True),
@@ -295,12 +299,14 @@
         sink.restart()
         progress.resumed = bool(sink.stream.last_id)
         watch = self.stall_detector.watch(source, move_stream, lambda: sink.activity)
+        planned = self.planned_moves.watch(source, progress.admitted.call.request_id)
         try:
             result = await self._send(
                 progress, request, way, last_event=sink.stream.last_id, sink=sink
             )
         finally:
             self.stall_detector.unwatch(watch)
+            self.planned_moves.unwatch(planned)
         if sink.writing_since is not None and progress.predicted_seconds:
             self.sender.first_events.record(
                 progress.admitted.call.model,
@@ -507,6 +513,9 @@
             writing_ms=round(loss.writing_seconds * 1000),
             abandoned=loss.abandoned,
             stale=loss.stale_connection,
+            closing=progress.target in self._targets.closing(),
+            attempts_left=progress.admitted.route.max_attempts - progress.sends,
+            retries_left=round(self._retry_budget(progress).balance, 1),
         )
 
     def _may_crash_again(self, progress: attempts.Progress, result: attempts.Lost) -> bool:
--- a/basilpost/gateway/relay.py
+++ b/basilpost/gateway/relay.py
@@ -156,6 +156,7 @@
     async def start(self) -> None:
         """Starts listening for callers and for readiness checks."""
         self._tasks.keep_running(self.forwarder.stall_detector.run, name="stall-watch")
+        self._tasks.keep_running(self.forwarder.planned_moves.run, name="planned-moves")
         self._tasks.keep_running(self.forwarder.sender.silent_targets.run, name="silent-targets")
         self._tasks.keep_running(self._sweep_pool, name="connection-sweep")
         self._server.add_sockets(_bind(self._settings.callers))
--- a/basilpost/groups/orders.py
+++ b/basilpost/groups/orders.py
@@ -22,6 +22,15 @@
     STAGE = "stage"
 
 
+class Cause(enum.Enum):
+    """Why a group is closed or dissolved, for the log."""
+
+    MEMBER_LEAVES = "member_leaves"
+    DONOR = "donor"
+    INCOMPLETE = "incomplete"
+    BROKEN = "broken"
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Order:
     """An order to the runner of one VM.
@@ -34,6 +43,7 @@
         model: Model to load, for JOIN and STAGE.
         members: Ids of all members, the head first, for JOIN.
         at_once: For CLOSE: True cuts requests in progress, False lets them finish.
+        cause: For CLOSE and LEAVE: why the group is closed or dissolved.
     """
 
     kind: Kind
@@ -43,6 +53,7 @@
     model: str = ""
     members: tuple[str, ...] = ()
     at_once: bool = False
+    cause: Cause | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/basilpost/groups/pool.py
+++ b/basilpost/groups/pool.py
@@ -285,7 +285,8 @@
         if not group.complete and _still_serves(view, group, state):
             continue
         if not group.complete or group.state is catalog.MemberState.BROKEN:
-            yield from _dissolution_orders(group)
+            cause = orders.Cause.BROKEN if group.complete else orders.Cause.INCOMPLETE
+            yield from _dissolution_orders(group, cause)
         elif group.name in state.donor_groups:
             yield from _donor_orders(group)
         elif group.leaving:
@@ -293,7 +294,7 @@
         elif group.state is catalog.MemberState.READY and _all_ready(group):
             yield _order(orders.Kind.OPEN, group, group.members[0])
         elif _has_broken_member(group):
-            yield from _dissolution_orders(group)
+            yield from _dissolution_orders(group, orders.Cause.BROKEN)
 
 
 def _still_serves(
@@ -327,11 +328,13 @@
     )
 
 
-def _dissolution_orders(group: reported_groups.ReportedGroup) -> Iterable[orders.Order]:
+def _dissolution_orders(
+    group: reported_groups.ReportedGroup, cause: orders.Cause
+) -> Iterable[orders.Order]:
     """Returns the orders that dissolve a group: first the head leaves, then the other members."""
     head = group.head
     members = (head,) if head is not None else group.members
-    return [_order(orders.Kind.LEAVE, group, vm) for vm in members]
+    return [_order(orders.Kind.LEAVE, group, vm, cause=cause) for vm in members]
 
 
 def _leaving_group_orders(
@@ -343,18 +346,20 @@
             return []
         # Requests that are cut resume at another group at once. Letting them finish first would
         # cost all callers more.
-        close = _order(orders.Kind.CLOSE, group, group.members[0])
+        close = _order(orders.Kind.CLOSE, group, group.members[0], cause=orders.Cause.MEMBER_LEAVES)
         return [dataclasses.replace(close, at_once=True)]
     if group.state is catalog.MemberState.CLOSING:
         return []
-    return _dissolution_orders(group)
+    return _dissolution_orders(group, orders.Cause.MEMBER_LEAVES)
 
 
 def _donor_orders(group: reported_groups.ReportedGroup) -> Iterable[orders.Order]:
     """Returns the orders that dissolve a donor group after its requests have finished."""
     if group.state is catalog.MemberState.OPEN:
-        return [_order(orders.Kind.CLOSE, group, group.members[0])]
-    return [] if group.state is catalog.MemberState.CLOSING else _dissolution_orders(group)
+        return [_order(orders.Kind.CLOSE, group, group.members[0], cause=orders.Cause.DONOR)]
+    if group.state is catalog.MemberState.CLOSING:
+        return []
+    return _dissolution_orders(group, orders.Cause.DONOR)
 
 
 def _has_replacement(view: pool_state.View, group: reported_groups.ReportedGroup) -> bool:
@@ -403,8 +408,14 @@
     )
 
 
-def _order(kind: orders.Kind, group: reported_groups.ReportedGroup, vm: catalog.Vm) -> orders.Order:
-    return orders.Order(kind=kind, vm=vm, group=group.name, epoch=group.epoch)
+def _order(
+    kind: orders.Kind,
+    group: reported_groups.ReportedGroup,
+    vm: catalog.Vm,
+    *,
+    cause: orders.Cause | None = None,
+) -> orders.Order:
+    return orders.Order(kind=kind, vm=vm, group=group.name, epoch=group.epoch, cause=cause)
 
 
 def _is_due(view: pool_state.View, state: pool_state.State, order: orders.Order) -> bool:
--- a/basilpost/routing/retry.py
+++ b/basilpost/routing/retry.py
@@ -44,6 +44,11 @@
         """Adds the share of one admitted request to the balance."""
         self._balance = min(self._max_balance, self._balance + self._share)
 
+    @property
+    def balance(self) -> float:
+        """Returns the retries that may be spent now."""
+        return self._balance
+
     def spend(self) -> bool:
         """Spends one retry; returns False if the balance holds less than one."""
         if self._balance < 1.0:
--- a/basilpost/routing/targets.py
+++ b/basilpost/routing/targets.py
@@ -125,6 +125,33 @@
     ]
 
 
+def find_closing(
+    seen_vms: Iterable[knowledges.SeenVm], configuration: catalog.Configuration
+) -> frozenset[str]:
+    """Returns the ids of the groups that are closed because a member leaves or has left.
+
+    Their heads finish the requests that they have and accept no others.
+    """
+    vms = [seen.vm for seen in seen_vms]
+    names_closing = {
+        vm.member.group
+        for vm in vms
+        if vm.member is not None and vm.member.state is catalog.MemberState.CLOSING
+    }
+    members = [vm for vm in vms if vm.member is not None and vm.member.group in names_closing]
+    models_by_name = {
+        model.name: model
+        for service in configuration.services_by_name.values()
+        if service.engine is not None
+        for model in service.engine.models
+    }
+    return frozenset(
+        group.target_id
+        for group in reported_groups.from_vms(members, models_by_name)
+        if group.state is catalog.MemberState.CLOSING and (group.leaving or not group.complete)
+    )
+
+
 def preferred_targets(
     known: Iterable[Target], node_id: str, failure_domain: str
 ) -> tuple[Target, ...]:
@@ -158,6 +185,8 @@
         self._preferred_by_model: dict[tuple[str, str], tuple[Target, ...]] = {}
         self._previously_complete: frozenset[str] = frozenset()
         self._stale = True
+        # None after a change, until it is asked for again.
+        self._closing: frozenset[str] | None = None
         self._target_counts = prometheus_client.Gauge(
             "basilpost_targets",
             "Targets that may get new work, by service and state",
@@ -186,6 +215,13 @@
         targets = self._targets_by_service.get(service, ())
         return tuple(target for target in targets if target.model == model) if model else targets
 
+    def closing(self) -> frozenset[str]:
+        """Returns the ids of the groups that are closed because a member leaves or has left."""
+        configuration = self._knowledge.configuration
+        if self._closing is None and configuration is not None:
+            self._closing = find_closing(self._knowledge.vms_by_id.values(), configuration)
+        return self._closing or frozenset()
+
     def has_ended(self, lifetime: str) -> bool:
         """Returns True if the platform lists another run of a runner process, or none any more."""
         seen = self._knowledge.vms_by_id.get(reported_groups.vm_id_of(lifetime))
@@ -214,3 +250,4 @@
 
     def _mark_stale(self) -> None:
         self._stale = True
+        self._closing = None
