A planned close no longer cuts streams; nodes move those that others can take

Callers got streams that ended without all events while one member of a group drained, although no runner, link or node had failed.

Cause: the controller closed a group with a leaving member with closeMode cutoff as soon as spares could replace the member. It does not know which requests may be sent again, have attempts and retries left, or find room at another group.

Close orders now always let the head finish the requests that it has. Each node moves those of its streams from a group that is closed because a member leaves that may be sent again, have an attempt and a retry left, and find a free slot at a sound group. All other streams end at the old head, and the member that drains goes on to work until then. Streams that a node sends for another one stay, as only that one knows whether a retry is left. Donor groups are left alone as before: their streams end by themselves.

Order.at_once and its log field go, as nothing cuts any more; the series test asserts that each close order received names the mode queue.

--- a/basilpost/core/log_events.py
+++ b/basilpost/core/log_events.py
@@ -178,8 +178,9 @@
         fields=("target", "requests"),
     ),
     "stream_moved": Event(
-        meaning="a stream is resumed on another target because its target sends nothing",
-        fields=_REQUEST_FIELDS,
+        meaning="a stream is resumed on another target because its target sends nothing, or because its "
+        "group is closed as planned; then `to` is the next target",
+        fields=(*_REQUEST_FIELDS, "to"),
     ),
     "request_ended": Event(
         meaning="the caller has its answer, has left, or its connection was closed",
@@ -265,7 +266,7 @@
     ),
     "pool_order": Event(
         meaning="an order was sent to a runner",
-        fields=("order", "vm", "group", "model", "fence", "at_once", "cause", "result", "reason"),
+        fields=("order", "vm", "group", "model", "fence", "cause", "result", "reason"),
     ),
     "still_group_probed": Event(
         meaning="the members of a group without progress were asked for their status",
--- a/basilpost/gateway/answer_sinks.py
+++ b/basilpost/gateway/answer_sinks.py
@@ -156,7 +156,7 @@
         stream: The events from all targets so far, as one stream.
         is_stream: True if the current target's answer is a stream.
         has_gap: True if the current target skipped an event.
-        abandoned: True if this node closed the connection to the current target because it stalled.
+        abandoned: True if this node closed the connection to the current target to move the stream.
         event_count: Number of events forwarded.
         first_event_at: When the first event of the stream came, whichever target sent it; None before.
         writing_since: When the current target sent its first event, on `clock.elapsed`; None before.
--- a/basilpost/gateway/attempts.py
+++ b/basilpost/gateway/attempts.py
@@ -6,6 +6,7 @@
 from basilpost.core import catalog, channels, failure
 from basilpost.gateway import request_admission
 from basilpost.routing import crash_evidence
+from basilpost.routing import targets as targets_
 
 # The names NotSent, NotRun and Lost are values of the log field `result` of `attempt_failed`.
 
@@ -25,8 +26,8 @@
     """The answer did not arrive completely; the request may have run.
 
     Attributes:
-        abandoned: True if this node closed the connection because the target stalled. The runner may
-            still be alive then.
+        abandoned: True if this node closed the connection because the target stalled or its group is
+            closed as planned. The runner may still be alive then.
         writing_seconds: Time from the first event that the target sent to the loss, 0 without any.
         stale_connection: True if a kept connection was closed at once, so that the target may have
             ended before it read the request.
@@ -80,6 +81,8 @@
         sent_at: When it was sent last, on `clock.elapsed`.
         first_event_at: When the first event of its stream came, None before.
         resumed: True if its last target was asked for the rest of a stream only.
+        reserved_target: Target at which this node has counted the request before sending it there, None
+            if there is none.
         may_move: True if another node, for which this one sends it, resumes it when it is broken off.
     """
 
@@ -99,6 +102,7 @@
     sent_at: float = 0.0
     first_event_at: float | None = None
     resumed: bool = False
+    reserved_target: targets_.Target | None = None
     may_move: bool = False
 
     @functools.cached_property
--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -61,7 +61,7 @@
     Attributes:
         sender: Sends each request to its target.
         stall_detector: Watches the streams that this node reads.
-        planned_moves: Follows the streams at targets that are closed as planned.
+        planned_moves: Moves streams from groups that are closed as planned.
         loss_probe: Finds out whether targets that lost requests have crashed.
     """
 
@@ -130,7 +130,12 @@
             log=log,
         )
         self._targets = targets
-        self.planned_moves = planned_moves.PlannedMoves(closing=targets.closing, log=log)
+        self.planned_moves = planned_moves.PlannedMoves(
+            closing=targets.closing,
+            choose=self._chooser.choose_with_free_slot,
+            loads=loads,
+            log=log,
+        )
         self.loss_probe = loss_probe.LossProbe(
             connect=self.sender.connect,
             has_path=lambda service: reachability.find_path(service=service, fresh=True),
@@ -219,6 +224,7 @@
         finally:
             progress.first_event_at = sink.first_event_at
             sink.discard()
+            self.planned_moves.take_reserved(progress)
         if reply.started and not isinstance(result, attempts.Streamed):
             reply.abort()
             reason = result.reason if isinstance(result, failure.Refusal) else "no more events"
@@ -247,7 +253,12 @@
             if isinstance(way, failure.Refusal):
                 return attempts.corrected_refusal(progress, way)
             result = await self._stream_from(
-                progress, request, way, sink, may_move=lambda: self._spend_retry(progress)
+                progress,
+                request,
+                way,
+                sink,
+                may_move=lambda: self._spend_retry(progress),
+                spend_retry=lambda: self._spend_planned_retry(progress),
             )
             if isinstance(result, failure.Refusal):
                 return attempts.corrected_refusal(progress, result)
@@ -271,6 +282,7 @@
         sink: answer_sinks.StreamSink,
         *,
         may_move: Callable[[], bool],
+        spend_retry: Callable[[], bool] | None = None,
     ) -> channels.Head | attempts.NotSent | attempts.NotRun | attempts.Lost | failure.Refusal:
         """Forwards the events of one target until its stream ends, breaks off or stalls.
 
@@ -281,6 +293,7 @@
             sink: Receives the events.
             may_move: Called before a stalled stream is moved; returns False to leave it. A retry is
                 spent then: without one, the stream would be cut although its target may go on.
+            spend_retry: The same for a stream whose group is closed as planned; None to leave it there.
         """
         # Streams that other nodes send are watched by node: the same ones watch them by target.
         source = way.node_id if isinstance(way, detours.Detour) else way.target_id
@@ -299,7 +312,7 @@
         sink.restart()
         progress.resumed = bool(sink.stream.last_id)
         watch = self.stall_detector.watch(source, move_stream, lambda: sink.activity)
-        planned = self.planned_moves.watch(source, progress.admitted.call.request_id)
+        planned = self.planned_moves.watch(source, progress, sink, spend_retry)
         try:
             result = await self._send(
                 progress, request, way, last_event=sink.stream.last_id, sink=sink
@@ -327,6 +340,9 @@
         self, progress: attempts.Progress
     ) -> targets_.Target | detours.Detour | failure.Refusal:
         """Returns the target of a request, or the node that sends it while this one has no path."""
+        reserved = self.planned_moves.take_reserved(progress)
+        if reserved is not None:
+            return reserved
         service = progress.admitted.service.name
         if not progress.repeatable:
             # Sent on a link on which nothing passes, it could not be sent by another node any more.
@@ -465,6 +481,13 @@
         """Spends a retry and returns True if the request may run once more."""
         return progress.has_attempts_left and self._retry_budget(progress).spend()
 
+    def _spend_planned_retry(self, progress: attempts.Progress) -> bool:
+        """Spends the retry of a planned move, unless this node may not reach the next target."""
+        service = progress.admitted.service.name
+        if self._reachability.is_in_doubt(service) or self._reachability.prefers_detour(service):
+            return False
+        return self._spend_retry(progress)
+
     def _may_try_elsewhere(
         self,
         progress: attempts.Progress,
@@ -479,7 +502,8 @@
 
     def _report_loss(self, progress: attempts.Progress, result: attempts.Lost) -> None:
         """Has the target of a lost request watched; another node does so for one that it has sent."""
-        if not result.by_detour:
+        # A head that has ended as planned after a stream has moved away is no crash.
+        if not result.by_detour and progress.reserved_target is None:
             self._watch_target(progress, cancelled=result.abandoned)
 
     def _watch_target(self, progress: attempts.Progress, *, cancelled: bool) -> None:
--- a/basilpost/gateway/target_choice.py
+++ b/basilpost/gateway/target_choice.py
@@ -123,6 +123,19 @@
             or self.refusal("busy", self._describe_full(candidates))
         )
 
+    def choose_with_free_slot(self, progress: attempts.Progress) -> targets_.Target | None:
+        """Returns a sound target with a free slot for a request now, None if there is none.
+
+        Requests beyond the slots are left to new requests: other nodes may place some there at the same
+        moment, and the counts of their requests in flight come a little later.
+        """
+        chosen = self.choose(progress)
+        if isinstance(chosen, failure.Refusal) or not chosen.complete:
+            return None
+        is_avoided = self._departures.is_leaving(chosen.lifetime) or self._suspects_among([chosen])
+        has_slot = self._loads.total_in_flight(chosen.target_id) < chosen.slots
+        return chosen if has_slot and not is_avoided else None
+
     def _describe_full(self, candidates: Sequence[placement.Candidate]) -> str:
         own = sum(self._loads.own_in_flight(one.target.target_id) for one in candidates)
         return (
--- a/basilpost/groups/orders.py
+++ b/basilpost/groups/orders.py
@@ -11,7 +11,7 @@
     """The operation that a runner is ordered to carry out.
 
     JOIN makes the VM a member of a group and loads the model, OPEN and CLOSE start and stop the
-    group's acceptance of requests, LEAVE ends the VM's membership, and STAGE copies the weights of
+    group's acceptance of requests (those that it has finish), LEAVE ends the VM's membership, and STAGE copies the weights of
     a model to the VM's host.
     """
 
@@ -42,7 +42,6 @@
         epoch: Epoch of the group. Epochs only rise and are never reused.
         model: Model to load, for JOIN and STAGE.
         members: Ids of all members, the head first, for JOIN.
-        at_once: For CLOSE: True cuts requests in progress, False lets them finish.
         cause: For CLOSE and LEAVE: why the group is closed or dissolved.
     """
 
@@ -52,7 +51,6 @@
     epoch: int = 0
     model: str = ""
     members: tuple[str, ...] = ()
-    at_once: bool = False
     cause: Cause | None = None
 
 
--- a/basilpost/groups/pool.py
+++ b/basilpost/groups/pool.py
@@ -344,10 +344,10 @@
     if group.state is catalog.MemberState.OPEN:
         if not _has_replacement(view, group):
             return []
-        # Requests that are cut resume at another group at once. Letting them finish first would
-        # cost all callers more.
-        close = _order(orders.Kind.CLOSE, group, group.members[0], cause=orders.Cause.MEMBER_LEAVES)
-        return [dataclasses.replace(close, at_once=True)]
+        # The nodes move the streams that other groups can take; only they know which these are.
+        return [
+            _order(orders.Kind.CLOSE, group, group.members[0], cause=orders.Cause.MEMBER_LEAVES)
+        ]
     if group.state is catalog.MemberState.CLOSING:
         return []
     return _dissolution_orders(group, orders.Cause.MEMBER_LEAVES)
--- a/basilpost/groups/pool_controller.py
+++ b/basilpost/groups/pool_controller.py
@@ -387,7 +387,6 @@
             group=order.group,
             model=order.model,
             fence=fence,
-            at_once=order.at_once,
             cause=order.cause.value if order.cause is not None else "",
             result=name,
             reason="" if isinstance(result, orders.Accepted) else result.reason,
--- a/basilpost/platform/runner_client.py
+++ b/basilpost/platform/runner_client.py
@@ -11,6 +11,8 @@
 _ORDER_PATH = "/api/order"
 # Answers to orders and reports have some hundred bytes; runners in trouble may send without end.
 _MAX_ANSWER_BYTES = 262_144
+# Mode of a CLOSE order in which the head finishes the requests that it has.
+_FINISH_REQUESTS = "queue"
 
 
 class PlatformRunnerClient(orders.RunnerClient):
@@ -60,5 +62,5 @@
     if order.kind is orders.Kind.JOIN:
         body["members"] = list(order.members)
     if order.kind is orders.Kind.CLOSE:
-        body["closeMode"] = "cutoff" if order.at_once else "queue"
+        body["closeMode"] = _FINISH_REQUESTS
     return body
--- a/tests/pool_planned_close_test.py
+++ b/tests/pool_planned_close_test.py
@@ -198,6 +198,13 @@
         await streams.end()
         assert streams.lost == []
         assert len(streams.refused) < 0.5 * len(streams.attempts)
+        closes = [
+            order
+            for runner in bench.fleet.runners_of(pool_fleet.MODEL_SERVICE)
+            for order in runner.orders
+            if order["operation"] == "close"
+        ]
+        assert closes and {order["closeMode"] for order in closes} == {"queue"}
 
 
 def _return(runner):
