--- a/basilpost/core/log_events.py
+++ b/basilpost/core/log_events.py
@@ -68,6 +68,9 @@
             "writing_ms",
             "abandoned",
             "stale",
+            "closing",
+            "attempts_left",
+            "retries_left",
         ),
     ),
     "retry_decided": Event(
@@ -186,9 +189,14 @@
         meaning="an answer to another request arrived on the connection and was skipped",
         fields=(*_REQUEST_FIELDS, "named", "answer_status", "requests"),
     ),
+    "target_closing": Event(
+        meaning="a group is closed because a member leaves, while it answers these streams of this node",
+        fields=("target", "requests"),
+    ),
     "stream_moved": Event(
-        meaning="a stream is resumed on another target because its target sends nothing",
-        fields=_REQUEST_FIELDS,
+        meaning="a stream is resumed on another target because its target sends nothing, or because its "
+        "group is closed as planned; then `to` is the next target",
+        fields=(*_REQUEST_FIELDS, "to"),
     ),
     "request_ended": Event(
         meaning="the caller has its answer, has left, or its connection was closed",
@@ -274,7 +282,7 @@
     ),
     "pool_order": Event(
         meaning="an order was sent to a runner",
-        fields=("order", "vm", "group", "model", "fence", "result", "reason"),
+        fields=("order", "vm", "group", "model", "fence", "cause", "result", "reason"),
     ),
     "still_group_probed": Event(
         meaning="the members of a group without progress were asked for their status",
--- a/basilpost/gateway/retry_budgets.py
+++ b/basilpost/gateway/retry_budgets.py
@@ -152,6 +152,10 @@
         budget.deposit()
         self._left.labels(service).set(budget.balance)
 
+    def retries_left(self, service: str) -> float:
+        """Returns the number of retries that this node may allow now for a service."""
+        return self._budget(service).balance
+
     def decide(
         self, progress: attempts.Progress, cause: RetryCause, *, denial: Denial = Denial.NONE
     ) -> bool:
--- a/basilpost/groups/pool_controller.py
+++ b/basilpost/groups/pool_controller.py
@@ -387,6 +387,7 @@
             group=order.group,
             model=order.model,
             fence=fence,
+            cause=order.cause.value if order.cause is not None else "",
             result=name,
             reason="" if isinstance(result, orders.Accepted) else result.reason,
         )
