--- a/basilpost/routing/retry.py
+++ b/basilpost/routing/retry.py
@@ -51,11 +51,6 @@
         """Adds the share of one admitted request to the balance."""
         self.balance = min(self.max_balance, self.balance + self._share)
 
-    @property
-    def balance(self) -> float:
-        """Returns the retries that may be spent now."""
-        return self._balance
-
     def spend(self) -> bool:
         """Spends one retry; returns False if the balance holds less than one."""
         if self.balance < 1.0:
