Emulator: a first answer that says not run is logged as a rejection

check_repeats reported requests that ran on more runners than allowed: the emulator logged a run before it answered 503 with X-Not-Executed. The arrival is now marked as rejected.

--- a/basilpost/emulator/pool_runner.py
+++ b/basilpost/emulator/pool_runner.py
@@ -619,8 +619,15 @@
         self.set_status(plan.first_status)
         if plan.first_status == second_answers.NOT_RUN_STATUS:
             self.set_header("X-Not-Executed", "1")
+            self._mark_not_run(attempt)
         return body if plan.first_status == 200 else b"failed"
 
+    def _mark_not_run(self, attempt: str) -> None:
+        """Logs the last arrival of a request as rejected, as its first answer says."""
+        log = self.owner.arrival_log
+        index = max(number for number, arrival in enumerate(log) if arrival.attempt == attempt)
+        log[index] = dataclasses.replace(log[index], ran=False)
+
     def _says_not_run(self) -> bool:
         return "X-Not-Executed" in self._headers
 
--- a/basilpost/emulator/pool_runner_test.py
+++ b/basilpost/emulator/pool_runner_test.py
@@ -85,6 +85,22 @@
         await store.stop()
 
 
+async def test_a_first_answer_that_says_not_run_is_logged_as_a_rejection():
+    """Counted as a run, it would seem to use an attempt of the request."""
+    store = pool_store.PoolStore()
+    await store.start()
+    plan = second_answers.SecondAnswers(share=1.0, first_status=503)
+    runner = await start_runner(store, answers_twice=plan)
+    try:
+        channel = await connect(runner)
+        send(channel, "one")
+        await read(channel)
+        assert [arrival.ran for arrival in runner.arrival_log] == [False]
+    finally:
+        await runner.stop()
+        await store.stop()
+
+
 @pytest.mark.parametrize("full", [False, True])
 async def test_arrivals_are_logged_with_the_deadline_that_the_node_named(full):
     """Without rejected requests and deadlines in the log, no check could count repeats by them."""
