--- a/basilpost/gateway/attempts.py
+++ b/basilpost/gateway/attempts.py
@@ -7,6 +7,8 @@
 from basilpost.gateway import request_admission
 from basilpost.routing import crash_evidence
 
+# Longest body of a failure that a node holds while another target is tried.
+MAX_KEPT_FAILURE_BYTES = 65_536
 # The names NotSent, NotRun and Lost are values of the log field `result` of `attempt_failed`.
 
 
@@ -81,6 +83,8 @@
         first_event_at: When the first event of its stream came, None before.
         resumed: True if its last target was asked for the rest of a stream only.
         may_move: True if another node, for which this one sends it, resumes it when it is broken off.
+        failed_answer: The latest answer of a target with a status of 500 or above after which the request
+            was sent once more, None without one or if it is large.
         denials: Causes for which it was denied to be sent once more, each with the value of `sends`.
     """
 
@@ -101,6 +105,7 @@
     first_event_at: float | None = None
     resumed: bool = False
     may_move: bool = False
+    failed_answer: WholeAnswer | None = None
     denials: set[tuple[str, int]] = dataclasses.field(default_factory=set)
 
     @functools.cached_property
@@ -125,6 +130,10 @@
         """Returns True if the route allows that the request runs once more."""
         return self.repeatable and self.sends < self.admitted.route.max_attempts
 
+    def keep_failed_answer(self, answer: WholeAnswer) -> None:
+        """Keeps a failure that a target has answered, unless it is large."""
+        self.failed_answer = answer if len(answer.body) <= MAX_KEPT_FAILURE_BYTES else None
+
 
 def deadline_refusal(progress: Progress) -> failure.Refusal:
     """Returns the refusal of a request past its deadline: 503 if it cannot have run, else 504."""
@@ -145,3 +154,11 @@
     return dataclasses.replace(
         refusal, status=502, outcome=failure.Outcome.UNKNOWN, retry_after=None
     )
+
+
+def final_result(progress: Progress, refusal: failure.Refusal) -> WholeAnswer | failure.Refusal:
+    """Returns what a request ends with that no target answers any more.
+
+    A failure that a target has answered goes before a refusal, which could say less to the caller.
+    """
+    return progress.failed_answer or corrected_refusal(progress, refusal)
--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -147,7 +147,7 @@
             async with asyncio.timeout(max(0.0, request_admission.seconds_left(progress.admitted))):
                 return await self._fetch(progress, request)
         except TimeoutError:
-            return attempts.deadline_refusal(progress)
+            return progress.failed_answer or attempts.deadline_refusal(progress)
 
     async def _fetch(
         self, progress: attempts.Progress, request: inbound.Request
@@ -167,19 +167,18 @@
         while True:
             way = await self._choose_way(progress)
             if isinstance(way, failure.Refusal):
-                return attempts.corrected_refusal(progress, way)
+                return attempts.final_result(progress, way)
             sink.restart()
             result = await self._send(progress, request, way, last_event="", sink=sink)
             if isinstance(result, failure.Refusal):
-                return attempts.corrected_refusal(progress, result)
+                return attempts.final_result(progress, result)
             if isinstance(result, channels.Head):
                 self._record_answer(progress, result)
-                if result.status < 500 or not self._spend_retry(
-                    progress, retry_budgets.RetryCause.FAILED
-                ):
-                    return attempts.WholeAnswer(head=result, body=sink.body)
+                answer = attempts.WholeAnswer(head=result, body=sink.body)
+                if result.status < 500 or not self._may_retry_failure(progress, answer):
+                    return answer
             elif not self._may_try_elsewhere(progress, result):
-                return attempts.corrected_refusal(
+                return attempts.final_result(
                     progress, self._chooser.refusal_after(progress, result.reason)
                 )
 
@@ -200,7 +199,7 @@
             async with asyncio.timeout(max(0.0, request_admission.seconds_left(progress.admitted))):
                 result = await self._stream(progress, request, sink)
         except TimeoutError:
-            result = attempts.deadline_refusal(progress)
+            result = progress.failed_answer or attempts.deadline_refusal(progress)
         finally:
             progress.first_event_at = sink.first_event_at
             sink.discard()
@@ -230,7 +229,7 @@
         while True:
             way = await self._choose_way(progress)
             if isinstance(way, failure.Refusal):
-                return attempts.corrected_refusal(progress, way)
+                return attempts.final_result(progress, way)
             result = await self._stream_from(
                 progress,
                 request,
@@ -239,18 +238,17 @@
                 may_move=lambda: self._spend_retry(progress, retry_budgets.RetryCause.STALLED),
             )
             if isinstance(result, failure.Refusal):
-                return attempts.corrected_refusal(progress, result)
+                return attempts.final_result(progress, result)
             if isinstance(result, channels.Head):
                 self._record_answer(progress, result)
                 if sink.is_stream:
                     sink.end()
                     return attempts.Streamed()
-                if result.status < 500 or not self._spend_retry(
-                    progress, retry_budgets.RetryCause.FAILED
-                ):
-                    return attempts.WholeAnswer(head=result, body=sink.body)
+                answer = attempts.WholeAnswer(head=result, body=sink.body)
+                if result.status < 500 or not self._may_retry_failure(progress, answer):
+                    return answer
             elif not self._may_try_elsewhere(progress, result):
-                return attempts.corrected_refusal(
+                return attempts.final_result(
                     progress, self._chooser.refusal_after(progress, result.reason)
                 )
 
@@ -442,6 +440,26 @@
         """Spends a retry and returns True if the request may run once more."""
         return self._retries.decide(progress, cause)
 
+    def _may_retry_failure(self, progress: attempts.Progress, answer: attempts.WholeAnswer) -> bool:
+        """Returns True if a request that a target has failed may be sent to another one.
+
+        The answer is kept, in case that no other target gives one.
+        """
+        denial = retry_budgets.Denial.NONE
+        if not self._may_have_alternative(progress):
+            denial = retry_budgets.Denial.NO_TARGET
+        if not self._retries.decide(progress, retry_budgets.RetryCause.FAILED, denial=denial):
+            return False
+        progress.keep_failed_answer(answer)
+        return True
+
+    def _may_have_alternative(self, progress: attempts.Progress) -> bool:
+        """Returns False if no other target is left; one that is full may have room in a moment."""
+        if self._has_alternative(progress):
+            return True
+        choice = self._chooser.choose(progress)
+        return isinstance(choice, failure.Refusal) and choice.code == "busy"
+
     def _spend_retry_of_silent(self, progress: attempts.Progress) -> bool:
         return self._spend_retry(progress, retry_budgets.RetryCause.SILENT)
 
--- a/basilpost/gateway/retry_budgets.py
+++ b/basilpost/gateway/retry_budgets.py
@@ -58,6 +58,7 @@
         RUNS_ONCE: It may run only once.
         ATTEMPTS: It has been sent as often as its route allows.
         REJECTIONS: As many runners have rejected it as may.
+        NO_TARGET: No other target is left.
         CRASHES: Targets crash under requests like it.
         BUDGET: The budget is spent.
     """
@@ -66,6 +67,7 @@
     RUNS_ONCE = "runs_once"
     ATTEMPTS = "attempts"
     REJECTIONS = "rejections"
+    NO_TARGET = "no_target"
     CRASHES = "crashes"
     BUDGET = "budget"
 
