--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -156,7 +156,7 @@
             async with asyncio.timeout(max(0.0, request_admission.seconds_left(progress.admitted))):
                 return await self._fetch(progress, request)
         except TimeoutError:
-            return attempts.deadline_refusal(progress)
+            return progress.failed_answer or attempts.deadline_refusal(progress)
 
     async def _fetch(
         self, progress: attempts.Progress, request: inbound.Request
@@ -176,19 +176,18 @@
         while True:
             way = await self._choose_way(progress)
             if isinstance(way, failure.Refusal):
-                return attempts.corrected_refusal(progress, way)
+                return attempts.final_result(progress, way)
             sink.restart()
             result = await self._send(progress, request, way, last_event="", sink=sink)
             if isinstance(result, failure.Refusal):
-                return attempts.corrected_refusal(progress, result)
+                return attempts.final_result(progress, result)
             if isinstance(result, channels.Head):
                 self._record_answer(progress, result)
-                if result.status < 500 or not self._spend_retry(
-                    progress, retry_budgets.RetryCause.FAILED
-                ):
-                    return attempts.WholeAnswer(head=result, body=sink.body)
+                answer = attempts.WholeAnswer(head=result, body=sink.body)
+                if result.status < 500 or not self._may_retry_failure(progress, answer):
+                    return answer
             elif not self._may_try_elsewhere(progress, result):
-                return attempts.corrected_refusal(
+                return attempts.final_result(
                     progress, self._chooser.refusal_after(progress, result.reason)
                 )
 
@@ -209,7 +208,7 @@
             async with asyncio.timeout(max(0.0, request_admission.seconds_left(progress.admitted))):
                 result = await self._stream(progress, request, sink)
         except TimeoutError:
-            result = attempts.deadline_refusal(progress)
+            result = progress.failed_answer or attempts.deadline_refusal(progress)
         finally:
             progress.first_event_at = sink.first_event_at
             sink.discard()
@@ -240,7 +239,7 @@
         while True:
             way = await self._choose_way(progress)
             if isinstance(way, failure.Refusal):
-                return attempts.corrected_refusal(progress, way)
+                return attempts.final_result(progress, way)
             result = await self._stream_from(
                 progress,
                 request,
@@ -250,18 +249,17 @@
                 spend_retry=lambda: self._spend_planned_retry(progress),
             )
             if isinstance(result, failure.Refusal):
-                return attempts.corrected_refusal(progress, result)
+                return attempts.final_result(progress, result)
             if isinstance(result, channels.Head):
                 self._record_answer(progress, result)
                 if sink.is_stream:
                     sink.end()
                     return attempts.Streamed()
-                if result.status < 500 or not self._spend_retry(
-                    progress, retry_budgets.RetryCause.FAILED
-                ):
-                    return attempts.WholeAnswer(head=result, body=sink.body)
+                answer = attempts.WholeAnswer(head=result, body=sink.body)
+                if result.status < 500 or not self._may_retry_failure(progress, answer):
+                    return answer
             elif not self._may_try_elsewhere(progress, result):
-                return attempts.corrected_refusal(
+                return attempts.final_result(
                     progress, self._chooser.refusal_after(progress, result.reason)
                 )
 
@@ -460,6 +458,26 @@
         """Spends a retry and returns True if the request may run once more."""
         return self._retries.decide(progress, cause)
 
+    def _may_retry_failure(self, progress: attempts.Progress, answer: attempts.WholeAnswer) -> bool:
+        """Returns True if a request that a target has failed may be sent to another one.
+
+        The answer is kept, in case that no other target gives one.
+        """
+        denial = retry_budgets.Denial.NONE
+        if not self._may_have_alternative(progress):
+            denial = retry_budgets.Denial.NO_TARGET
+        if not self._retries.decide(progress, retry_budgets.RetryCause.FAILED, denial=denial):
+            return False
+        progress.keep_failed_answer(answer)
+        return True
+
+    def _may_have_alternative(self, progress: attempts.Progress) -> bool:
+        """Returns False if no other target is left; one that is full may have room in a moment."""
+        if self._has_alternative(progress):
+            return True
+        choice = self._chooser.choose(progress)
+        return isinstance(choice, failure.Refusal) and choice.code == "busy"
+
     def _spend_retry_of_silent(self, progress: attempts.Progress) -> bool:
         return self._spend_retry(progress, retry_budgets.RetryCause.SILENT)
 
