Members stay with a head that works on while its entry, or one of theirs, is gone

Callers got streams that stood still and ended without all events after the entry of a head had been removed as planned: the runner serves on for some seconds.

Cause: a group without the entry of its head counted as gone, and all its other members were ordered to leave at once, without looking at whether nodes had requests at the head. In the same way a head that was closing, with the entry of another member gone, was ordered to leave, which cuts its requests off.

The controller remembers the target id of each reported group. An incomplete group whose head is closing or has no entry is left alone while nodes have requests in flight there, it is not stalled, and ten seconds are not over, the longest that a runner which stops as planned goes on to work.

A controller that takes over after the entry of the head was removed does not know its target id and dissolves the group at once, as before.

--- a/basilpost/groups/pool.py
+++ b/basilpost/groups/pool.py
@@ -36,6 +36,8 @@
 # load time plus the extra seconds. A STAGE order is sent again after this many times the load time.
 LOAD_TIMEOUT_FACTOR = 3.0
 FORMING_TIMEOUT_EXTRA_SECONDS = 4.0
+# A runner that stops as planned goes on to work for at most this long.
+FINISH_SECONDS = 10.0
 # Survivors of a group leave it and join spares within this time.
 REBUILD_SECONDS = 2.0
 
@@ -305,6 +307,8 @@
     The missing member is then only cut off from the store, so that its entry expired, and still
     works: without it the head could not answer.
     """
+    if group.state in (None, catalog.MemberState.CLOSING):
+        return _finishes_requests(view, group, state)
     if group.state is not catalog.MemberState.OPEN:
         return False
     if group.name in view.answering:
@@ -316,6 +320,18 @@
     )
 
 
+def _finishes_requests(
+    view: pool_state.View, group: reported_groups.ReportedGroup, state: pool_state.State
+) -> bool:
+    """Returns True if the head of an incomplete group still works on the requests that it has.
+
+    The entry of a runner that stops as planned may be removed before it stops. A head without its
+    members stalls, and a head that leaves the group cuts its requests off.
+    """
+    since = state.incomplete_since_by_group.get(group.name, view.now)
+    return group.name in view.working - view.stalled and view.now - since < FINISH_SECONDS
+
+
 def _all_ready(group: reported_groups.ReportedGroup) -> bool:
     ready = (catalog.MemberState.READY, catalog.MemberState.OPEN)
     return all(vm.member is not None and vm.member.state in ready for vm in group.members)
--- a/basilpost/groups/pool_controller.py
+++ b/basilpost/groups/pool_controller.py
@@ -116,6 +116,8 @@
             ["kind", "result"],
             registry=kernel.registry,
         )
+        # By group name, of the groups that are reported; the entry of a head may be missing meanwhile.
+        self._target_ids_by_service: dict[str, dict[str, str]] = {}
         self._unresponsive_until: dict[str, float] = {}
         self._probed_at: dict[str, float] = {}
         self._observe_now = asyncio.Event()
@@ -254,6 +256,9 @@
         ]
         vms = tuple(seen.vm for seen in service_vms)
         groups = reported_groups.from_vms(vms, {model.name: model for model in engine.models})
+        known = self._target_ids_by_service.get(service, {})
+        target_ids = {group.name: group.target_id or known.get(group.name, "") for group in groups}
+        self._target_ids_by_service[service] = target_ids
         view = pool_state.View(
             now=clock.elapsed(),
             vms=vms,
@@ -264,14 +269,15 @@
             loads_left=self._loads_left(engine.loads_per_second),
             loads_at_once=self._loads_at_once(engine),
             unresponsive=frozenset(self._unresponsive()),
-            answering=self._names_of(groups, self._loads.writing_among),
+            answering=self._names_of(target_ids, self._loads.writing_among),
             answered_at_by_group=self._answered_at_by_group(groups),
-            stalled=self._names_of(groups, self._loads.stalled_among),
+            stalled=self._names_of(target_ids, self._loads.stalled_among),
+            working=self._names_of(target_ids, self._loads.used_among),
             changed_at_by_vm={
                 reported_groups.lifetime_id(seen.vm): seen.seen_at for seen in service_vms
             },
         )
-        self._probe_stalled_groups(self._names_of(groups, self._loads.stalled_among), vms)
+        self._probe_stalled_groups(self._names_of(target_ids, self._loads.stalled_among), vms)
         state = self._state_by_service.get(service, pool_state.State())
         decision = pool.decide(view, state)
         self._state_by_service[service] = decision.state
@@ -291,11 +297,11 @@
 
     @staticmethod
     def _names_of(
-        groups: Iterable[reported_groups.ReportedGroup],
+        target_ids: dict[str, str],
         select: Callable[[Iterable[str]], frozenset[str]],
     ) -> frozenset[str]:
         """Returns the names of the groups whose targets are selected."""
-        names_by_target = {group.target_id: group.name for group in groups if group.target_id}
+        names_by_target = {target_id: name for name, target_id in target_ids.items() if target_id}
         return frozenset(names_by_target[target_id] for target_id in select(names_by_target))
 
     def _slots_wanted(self, service: str, engine: catalog.Engine) -> dict[str, float]:
--- a/basilpost/groups/pool_state.py
+++ b/basilpost/groups/pool_state.py
@@ -25,6 +25,7 @@
         answered_at_by_group: When nodes last saw a group answer, by group name; empty if groups are to
             be kept only while they are answering.
         stalled: Names of groups that have stopped sending their answers.
+        working: Names of groups at which nodes have requests in flight.
         changed_at_by_vm: Time of the last reported change, where known, by lifetime id. With it a
             new controller does not repeat waits that its predecessor has completed.
     """
@@ -41,6 +42,7 @@
     answering: frozenset[str] = frozenset()
     answered_at_by_group: dict[str, float] = dataclasses.field(default_factory=dict)
     stalled: frozenset[str] = frozenset()
+    working: frozenset[str] = frozenset()
     changed_at_by_vm: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
--- a/basilpost/groups/pool_test.py
+++ b/basilpost/groups/pool_test.py
@@ -233,6 +233,36 @@
     assert order_texts(pool.decide(view(vms), pool_state.State())) == ["leave 7-0 large--7"]
 
 
+def view_of_work(vms, *, now=100.0, working=("large--7",), stalled=()):
+    return dataclasses.replace(
+        view(vms, now=now), working=frozenset(working), stalled=frozenset(stalled)
+    )
+
+
+def test_members_leave_while_a_head_without_an_entry_is_at_work():
+    """The group stalls without them, and its requests are cut."""
+    vms = group("7", [None, READY, READY])
+    before = pool.decide(view_of_work(vms), pool_state.State())
+    assert order_texts(before) == []
+    after = pool.decide(view_of_work(vms, now=102.0, working=()), before.state)
+    assert order_texts(after) == ["leave 7-1 large--7", "leave 7-2 large--7"]
+
+
+def test_a_closing_head_leaves_with_its_requests_when_a_member_has_no_entry():
+    vms = group("7", [CLOSING, READY, None])
+    assert order_texts(pool.decide(view_of_work(vms), pool_state.State())) == []
+
+
+def test_a_group_without_a_member_is_kept_for_ever():
+    """Requests at it may hang, and a runner that stops as planned does so within ten seconds."""
+    for states in ([None, READY, READY], [CLOSING, READY, None]):
+        vms = group("7", states)
+        before = pool.decide(view_of_work(vms), pool_state.State())
+        assert order_texts(pool.decide(view_of_work(vms, now=110.0), before.state)) != []
+        stalled = pool.decide(view_of_work(vms, stalled=["large--7"]), pool_state.State())
+        assert order_texts(stalled) != []
+
+
 def test_a_leaving_vm_joins_nothing():
     vms = [vm("a"), vm("b"), vm("c", leaving=True)]
     decision = pool.decide(view(vms), free_for(vms, 99))
--- a/basilpost/members/loads.py
+++ b/basilpost/members/loads.py
@@ -173,6 +173,10 @@
         short = hashing.short_id(target_id)
         return self._own.get(short, 0) + max(0, self._in_flight_by_others.get(short, 0))
 
+    def used_among(self, target_ids: Iterable[str]) -> frozenset[str]:
+        """Returns those of the targets at which requests are in flight."""
+        return frozenset(filter(self.total_in_flight, target_ids))
+
     def stalled_among(self, target_ids: Iterable[str]) -> frozenset[str]:
         """Returns those of the targets that some node sees as stalled and no node hears from."""
         stalled = self._stalled_short_ids()
--- a/tests/pool_planned_close_test.py
+++ b/tests/pool_planned_close_test.py
@@ -178,6 +178,24 @@
             assert second.at - drained_at < MOVE_SECONDS
 
 
+async def test_members_leave_a_group_whose_delisted_head_is_at_work():
+    """The group stalls without them, and its streams are cut."""
+    async with running(groups=2, resumable=False, maxAttempts=1) as bench:
+        streams = Streams(bench)
+        await start_streams(bench, streams, 4)
+        group, attempts = busiest_group(bench)
+        assert attempts
+        head, *others = members_of(bench, group)
+        assert head.member["rank"] == 0
+        await bench.fleet.store.remove(f"servers/{head.vm_id}")
+        while head._working:
+            assert members_of(bench, group) == [head, *others]
+            await asyncio.sleep(0.01)
+        await pool_fleet.until(lambda: members_of(bench, group) == [head], seconds=DRAIN_SECONDS)
+        await streams.end()
+        assert streams.lost == []
+
+
 @pytest.mark.parametrize("attempts", [1, 2])
 async def test_drains_in_series_beside_configurations_cut_streams(attempts):
     rng = random.Random(58)
