A group of a removed model finishes the requests that have no event yet

The group of a model that a configuration removes counts as incomplete. It was kept while it sent events, and its head was ordered to leave, which cuts its requests off, once none had arrived for 0.3 s; requests that waited or were read had none yet. It is now kept while nodes have requests in flight there, as one whose head is closing, for ten seconds at most, and longer while it sends events, as before.

Found by reading for the cause of the planned closes; no caller was seen to lose a request by it. The new test of the pool failed before (leave for the head).

--- a/basilpost/groups/pool.py
+++ b/basilpost/groups/pool.py
@@ -307,8 +307,9 @@
     The missing member is then only cut off from the store, so that its entry expired, and still
     works: without it the head could not answer.
     """
-    if group.state in (None, catalog.MemberState.CLOSING):
-        return _finishes_requests(view, group, state)
+    is_finishing = group.model is None or group.state in (None, catalog.MemberState.CLOSING)
+    if is_finishing and _finishes_requests(view, group, state):
+        return True
     if group.state is not catalog.MemberState.OPEN:
         return False
     if group.name in view.answering:
@@ -325,8 +326,8 @@
 ) -> bool:
     """Returns True if the head of an incomplete group still works on the requests that it has.
 
-    The entry of a runner that stops as planned may be removed before it stops. A head without its
-    members stalls, and a head that leaves the group cuts its requests off.
+    The entry of a runner that stops as planned may be removed before it stops, and a configuration may
+    remove the model. A head without its members stalls, and one that leaves cuts its requests off.
     """
     since = state.incomplete_since_by_group.get(group.name, view.now)
     return group.name in view.working - view.stalled and view.now - since < FINISH_SECONDS
--- a/basilpost/groups/pool_test.py
+++ b/basilpost/groups/pool_test.py
@@ -263,6 +263,16 @@
         assert order_texts(stalled) != []
 
 
+def test_the_requests_of_a_removed_model_are_cut_before_their_first_event():
+    """Its group sends nothing for a while, although requests are at work there."""
+    vms = group("7", [OPEN, READY, READY])
+    without = dataclasses.replace(view_of_work(vms), models=(SMALL,))
+    before = pool.decide(without, pool_state.State())
+    assert order_texts(before) == []
+    idle = dataclasses.replace(view_of_work(vms, now=101.0, working=()), models=(SMALL,))
+    assert order_texts(pool.decide(idle, before.state)) == ["leave 7-0 large--7"]
+
+
 def test_a_leaving_vm_joins_nothing():
     vms = [vm("a"), vm("b"), vm("c", leaving=True)]
     decision = pool.decide(view(vms), free_for(vms, 99))
