A group without a spare closes before its leaving member has stopped

A group with a member that drains was closed only if spares could replace the member. Without one it took requests until the member stopped, after ten seconds at most as the head always had work; then all its streams stood still and those that may not be sent again were lost, although the drain was known all the while.

Found by reading for the cause of the planned closes; the emulated head does not stall without a member. The new test of the pool failed before (no close order).

--- a/basilpost/groups/pool.py
+++ b/basilpost/groups/pool.py
@@ -38,6 +38,9 @@
 FORMING_TIMEOUT_EXTRA_SECONDS = 4.0
 # A runner that stops as planned goes on to work for at most this long.
 FINISH_SECONDS = 10.0
+# A group that no spare can replace takes requests for this long after a member has said that it will
+# stop. The other half of that time is left to the requests that it has.
+SERVE_WITH_LEAVING_SECONDS = FINISH_SECONDS / 2
 # Survivors of a group leave it and join spares within this time.
 REBUILD_SECONDS = 2.0
 
@@ -52,7 +55,7 @@
     )
     models_by_name = {model.name: model for model in view.models}
     groups = reported_groups.from_vms(view.vms, models_by_name)
-    state = _with_incomplete(view, groups, state)
+    state = _with_times(view, groups, state)
     state = rebalancing.rebalance(view, groups, _updated(view, groups, state))
     due = list(_group_orders(view, groups, state))
     forming_ids = {
@@ -162,19 +165,27 @@
             if group.name not in forming and _can_no_longer_serve(view, group, state)
         },
         incomplete_since_by_group=state.incomplete_since_by_group,
+        leaving_since_by_group=state.leaving_since_by_group,
     )
 
 
-def _with_incomplete(
+def _with_times(
     view: pool_state.View,
     groups: tuple[reported_groups.ReportedGroup, ...],
     state: pool_state.State,
 ) -> pool_state.State:
-    """Returns the state with the times since when groups have lacked the entry of a member."""
-    since = state.incomplete_since_by_group
-    incomplete = [group.name for group in groups if not group.complete]
+    """Returns the state with the times since when groups have lacked an entry, or a member leaves."""
+    incomplete, leaving = state.incomplete_since_by_group, state.leaving_since_by_group
     return dataclasses.replace(
-        state, incomplete_since_by_group={name: since.get(name, view.now) for name in incomplete}
+        state,
+        incomplete_since_by_group={
+            group.name: incomplete.get(group.name, view.now)
+            for group in groups
+            if not group.complete
+        },
+        leaving_since_by_group={
+            group.name: leaving.get(group.name, view.now) for group in groups if group.leaving
+        },
     )
 
 
@@ -292,7 +303,7 @@
         elif group.name in state.donor_groups:
             yield from _donor_orders(group)
         elif group.leaving:
-            yield from _leaving_group_orders(view, group)
+            yield from _leaving_group_orders(view, group, state)
         elif group.state is catalog.MemberState.READY and _all_ready(group):
             yield _order(orders.Kind.OPEN, group, group.members[0])
         elif _has_broken_member(group):
@@ -355,11 +366,16 @@
 
 
 def _leaving_group_orders(
-    view: pool_state.View, group: reported_groups.ReportedGroup
+    view: pool_state.View, group: reported_groups.ReportedGroup, state: pool_state.State
 ) -> Iterable[orders.Order]:
-    """Returns the orders that dissolve a group with a leaving member once spares can replace it."""
+    """Returns the orders that dissolve a group with a leaving member.
+
+    It serves until spares can replace the member, but not so long that its requests would stall.
+    """
     if group.state is catalog.MemberState.OPEN:
-        if not _has_replacement(view, group):
+        leaving_since = state.leaving_since_by_group.get(group.name, view.now)
+        may_serve = view.now - leaving_since < SERVE_WITH_LEAVING_SECONDS
+        if may_serve and not _has_replacement(view, group):
             return []
         # The nodes move the streams that other groups can take; only they know which these are.
         return [
--- a/basilpost/groups/pool_state.py
+++ b/basilpost/groups/pool_state.py
@@ -79,6 +79,7 @@
         dissolving_since_by_group: Since when each group that can no longer serve is being
             dissolved.
         incomplete_since_by_group: Since when the entry of a member of a group has been missing.
+        leaving_since_by_group: Since when a member of a group has said that it will stop.
     """
 
     last_order_by_vm: dict[str, SentOrder] = dataclasses.field(default_factory=dict)
@@ -91,6 +92,7 @@
     shortage_since: float | None = None
     dissolving_since_by_group: dict[str, float] = dataclasses.field(default_factory=dict)
     incomplete_since_by_group: dict[str, float] = dataclasses.field(default_factory=dict)
+    leaving_since_by_group: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/basilpost/groups/pool_test.py
+++ b/basilpost/groups/pool_test.py
@@ -273,6 +273,17 @@
     assert order_texts(pool.decide(idle, before.state)) == ["leave 7-0 large--7"]
 
 
+def test_a_group_serves_until_its_leaving_member_has_stopped():
+    """Without a spare, too, it is closed so early that its requests end before the member does."""
+    vms = group("7", [OPEN, READY, READY])
+    vms[2] = dataclasses.replace(vms[2], leaving=True)
+    state = pool_state.State()
+    for now, expected in ((100.0, []), (104.9, []), (105.0, ["close 7-0 large--7"])):
+        decision = pool.decide(view(vms, now=now), state)
+        assert order_texts(decision) == expected
+        state = decision.state
+
+
 def test_a_leaving_vm_joins_nothing():
     vms = [vm("a"), vm("b"), vm("c", leaving=True)]
     decision = pool.decide(view(vms), free_for(vms, 99))
