--- a/basilpost/groups/pool_state.py
+++ b/basilpost/groups/pool_state.py
@@ -25,6 +25,7 @@
         answered_at_by_group: When nodes last saw a group answer, by group name; empty if groups are to
             be kept only while they are answering.
         stalled: Names of groups that have stopped sending their answers.
+        working: Names of groups at which nodes have requests in flight.
         changed_at_by_vm: Time of the last reported change, where known, by lifetime id. With it a
             new controller does not repeat waits that its predecessor has completed.
     """
@@ -41,6 +42,7 @@
     answering: frozenset[str] = frozenset()
     answered_at_by_group: dict[str, float] = dataclasses.field(default_factory=dict)
     stalled: frozenset[str] = frozenset()
+    working: frozenset[str] = frozenset()
     changed_at_by_vm: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
@@ -77,6 +79,7 @@
         dissolving_since_by_group: Since when each group that can no longer serve is being
             dissolved.
         incomplete_since_by_group: Since when the entry of a member of a group has been missing.
+        leaving_since_by_group: Since when a member of a group has said that it will stop.
     """
 
     last_order_by_vm: dict[str, SentOrder] = dataclasses.field(default_factory=dict)
@@ -89,6 +92,7 @@
     shortage_since: float | None = None
     dissolving_since_by_group: dict[str, float] = dataclasses.field(default_factory=dict)
     incomplete_since_by_group: dict[str, float] = dataclasses.field(default_factory=dict)
+    leaving_since_by_group: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
