--- a/basilpost/core/channels.py
+++ b/basilpost/core/channels.py
@@ -60,6 +60,30 @@
     headers: tornado.httputil.HTTPHeaders
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Reuse:
+    """State of a connection when a request is about to be sent on it.
+
+    Attributes:
+        requests: Number of requests that were sent on it before.
+        carried: True if one of them had the same id.
+        unread: True if bytes have arrived on it that no request asked for.
+    """
+
+    requests: int = 0
+    carried: bool = False
+    unread: bool = False
+
+
+class _Stream(tornado.iostream.IOStream):
+    """A stream that knows whether bytes wait in its buffer."""
+
+    @property
+    def has_buffered(self) -> bool:
+        """Returns True if bytes were read from the socket that no reader has taken."""
+        return self._read_buffer_size > 0
+
+
 class _StreamingConnection(tornado.http1connection.HTTP1Connection):
     """Reads a body without a length in pieces until the connection ends.
 
@@ -134,19 +158,33 @@
         usable_until: Time on `clock.elapsed` after which the server may close it as idle.
         requests: Number of requests sent on it.
         lifetime: Run of the server process that it was opened to, empty if unknown.
+        reuse: Its state when it was acquired for the current request.
     """
 
-    def __init__(
-        self, *, address: str, stream: tornado.iostream.IOStream, lifetime: str = ""
-    ) -> None:
+    def __init__(self, *, address: str, stream: _Stream, lifetime: str = "") -> None:
         self.address = address
         self.lifetime = lifetime
         self.stream = stream
         self.usable_until = 0.0
         self.requests = 0
+        self.reuse = Reuse()
+        # Hashes take less room than ids, which callers choose.
+        self._carried_ids: set[int] = set()
         self._connection: _StreamingConnection | None = None
         self._closed = False
 
+    def begin(self, request_id: str) -> None:
+        """Records that a request with an id, empty if it has none, is sent next."""
+        self.reuse = Reuse(
+            requests=self.requests, carried=self.has_carried(request_id), unread=self.has_unread
+        )
+        if request_id:
+            self._carried_ids.add(hash(request_id))
+
+    def has_carried(self, request_id: str) -> bool:
+        """Returns True if a request with this id was sent on this connection."""
+        return hash(request_id) in self._carried_ids
+
     def send(
         self,
         method: str,
@@ -229,14 +267,23 @@
             and not self._is_closed_by_server()
         )
 
+    @property
+    def has_unread(self) -> bool:
+        """Returns True if bytes have arrived that nobody has read, also if the loop has not read them."""
+        return not self.stream.closed() and (self.stream.has_buffered or bool(self._peek()))
+
     def _is_closed_by_server(self) -> bool:
         """Returns True if the server has closed the connection, also if the loop has not noticed it yet."""
+        return self._peek() == b""
+
+    def _peek(self) -> bytes | None:
+        """Returns the next byte in the socket, empty after its end, None if nothing has arrived."""
         try:
-            return not self.stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+            return self.stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
         except BlockingIOError:
-            return False
+            return None
         except OSError:
-            return True
+            return b""
 
 
 class Pool:
@@ -248,7 +295,13 @@
         self._idle_by_address: dict[str, list[Channel]] = {}
 
     async def acquire(
-        self, address: str, *, timeout: float, fresh: bool = False, lifetime: str = ""
+        self,
+        address: str,
+        *,
+        timeout: float,
+        fresh: bool = False,
+        lifetime: str = "",
+        request_id: str = "",
     ) -> Channel | ConnectFailed:
         """Returns an idle connection, or opens one within `timeout` seconds.
 
@@ -259,16 +312,21 @@
                 one, and then it is unknown whether a request sent on it has run.
             lifetime: Run of the server process that must answer. A connection to an earlier one is not
                 used: after a failure of its host, nothing tells this end that it is closed.
+            request_id: Id of the request that will be sent, empty if it has none.
         """
         idle = [] if fresh else self._idle_by_address.get(address, [])
         while idle:
             channel = idle.pop()
             if channel.usable and channel.lifetime == lifetime:
+                channel.begin(request_id)
                 return channel
             channel.close()
-        return await _open(
+        opened = await _open(
             address, timeout=timeout, lifetime=lifetime, source_host=self._source_host
         )
+        if isinstance(opened, Channel):
+            opened.begin(request_id)
+        return opened
 
     def release(self, channel: Channel) -> None:
         """Keeps a connection for reuse after a complete answer, or closes it if it is unusable."""
@@ -303,7 +361,7 @@
     host, _, port = address.rpartition(":")
     # An address that no socket takes raises ValueError or OverflowError.
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    stream = tornado.iostream.IOStream(sock, max_buffer_size=MAX_BODY_BYTES)
+    stream = _Stream(sock, max_buffer_size=MAX_BODY_BYTES)
     stream.set_nodelay(True)
     try:
         if source_host:
--- a/basilpost/core/log_events.py
+++ b/basilpost/core/log_events.py
@@ -17,6 +17,8 @@
 
 
 _REQUEST_FIELDS = ("request", "target")
+# What the connection had carried: earlier requests, the same id, bytes that nobody asked for.
+_REUSE_FIELDS = ("requests", "carried", "unread")
 _REQUEST_ENDED_FIELDS = (
     "request",
     "outcome",
@@ -53,6 +55,7 @@
             "sends",
             "last_event",
             "left_ms",
+            *_REUSE_FIELDS,
         ),
     ),
     "attempt_failed": Event(
@@ -77,7 +80,7 @@
     ),
     "request_detoured": Event(
         meaning="another node sends the request, as this one has no path to the runners",
-        fields=("request", "detour_node", "sends", "last_event", "left_ms"),
+        fields=("request", "detour_node", "sends", "last_event", "left_ms", *_REUSE_FIELDS),
     ),
     "detour_served": Event(
         meaning="the end of a request that this node has sent for another one",
@@ -168,7 +171,7 @@
     ),
     "stray_answer": Event(
         meaning="an answer to another request arrived on the connection and was skipped",
-        fields=(*_REQUEST_FIELDS, "named", "answer_status", "requests"),
+        fields=(*_REQUEST_FIELDS, "named", "answer_status", *_REUSE_FIELDS),
     ),
     "stream_moved": Event(
         meaning="a stream is resumed on another target because its target sends nothing",
--- a/basilpost/gateway/detours.py
+++ b/basilpost/gateway/detours.py
@@ -186,6 +186,7 @@
             timeout=CONNECT_SECONDS,
             fresh=not progress.repeatable,
             lifetime=detour.incarnation,
+            request_id=progress.admitted.call.request_id,
         )
         if isinstance(channel, channels.ConnectFailed):
             self._refused_total.labels(UNREACHED_CAUSE).inc()
@@ -200,6 +201,9 @@
             sends=progress.sends,
             last_event=last_event,
             left_ms=round(request_admission.seconds_left(progress.admitted) * 1000),
+            requests=channel.reuse.requests,
+            carried=channel.reuse.carried,
+            unread=channel.reuse.unread,
         )
         progress.detour_node, progress.target = detour.node_id, ""
         progress.sends += 1
--- a/basilpost/gateway/target_sender.py
+++ b/basilpost/gateway/target_sender.py
@@ -189,13 +189,14 @@
             timeout=CONNECT_SECONDS,
             fresh=not progress.repeatable,
             lifetime=target.lifetime,
+            request_id=progress.admitted.call.request_id,
         )
         if isinstance(channel, channels.ConnectFailed):
             self._chooser.record_unreachable(target)
             progress.unreached_targets.add(target.target_id)
             await self._reachability.find_path(service=in_flight.service)
             return attempts.NotSent(reason=channel.reason)
-        self._log_placement(progress, target, last_event)
+        self._log_placement(progress, target, last_event, channel.reuse)
         began_at = clock.elapsed()
         result: channels.Head | attempts.NotRun | attempts.Lost | None = None
         in_flight.channel = channel
@@ -250,7 +251,11 @@
         )
 
     def _log_placement(
-        self, progress: attempts.Progress, target: targets_.Target, last_event: str
+        self,
+        progress: attempts.Progress,
+        target: targets_.Target,
+        last_event: str,
+        reuse: channels.Reuse,
     ) -> None:
         self._log.info(
             "request_placed",
@@ -264,6 +269,9 @@
             sends=progress.sends,
             last_event=last_event,
             left_ms=round(request_admission.seconds_left(progress.admitted) * 1000),
+            requests=reuse.requests,
+            carried=reuse.carried,
+            unread=reuse.unread,
         )
 
     async def _receive(
@@ -354,6 +362,8 @@
             named=response.request_id,
             answer_status=head.status,
             requests=channel.requests,
+            carried=channel.reuse.carried,
+            unread=channel.reuse.unread,
         )
 
     def _classify(
--- a/tests/cut_links.py
+++ b/tests/cut_links.py
@@ -55,12 +55,12 @@
     def _is_cut(self, address):
         return self._kind is not None and (self._addresses is None or address in self._addresses)
 
-    async def _acquire_if_whole(self, address, *, timeout, fresh=False, lifetime=""):
+    async def _acquire_if_whole(self, address, *, timeout, fresh=False, **options):
         keeps_open = self._kind in (Kind.HANG, Kind.REFUSE)
         has_idle = not fresh and self._pool._idle_by_address.get(address)
         is_silent = self._kind is Kind.SILENT
         if not self._is_cut(address) or is_silent or (keeps_open and has_idle):
-            channel = await self._acquire(address, timeout=timeout, fresh=fresh, lifetime=lifetime)
+            channel = await self._acquire(address, timeout=timeout, fresh=fresh, **options)
             if isinstance(channel, channels.Channel):
                 self.opened += channel not in self._channels
                 self._channels.add(channel)
