--- a/basilpost/emulator/pool_runner.py
+++ b/basilpost/emulator/pool_runner.py
@@ -56,7 +56,7 @@
             another request, a stray answer, is sent first.
         unnamed_stray_answers: True to leave the request id out of stray answers.
         refuses_as_stray: True to send refusals that say "not run" as stray answers.
-        answers_twice: How requests to a plain service are answered twice, None for once.
+        answers_twice: How requests are answered twice, None for once.
         resumed_answer: What is sent on the connection of a stream that is resumed, in place of its
             answer; empty to resume it.
         order_delay: Seconds by which coming orders are delayed; those get no answer. 0 for none.
@@ -182,8 +182,8 @@
         status_requests: When each status request arrived.
         rejections: When it rejected a request as full.
         cut_off: Ids of the requests that it cut off as ordered.
-        first_statuses: Status of its own, first answer to each request to a plain service that it
-            answered, by the id of the request.
+        first_statuses: Id of each request and status of its own, first answer to it, in the order of the
+            answers; of streams only while `answers_twice` is set.
     """
 
     def __init__(
@@ -569,10 +569,12 @@
         if delay is None:
             return body
         stream = silent_connections.stream_of(self.request)
+        is_stream = bool(self.owner.fabric_domain)
+        second_body = second_answers.SECOND_EVENT if is_stream else second_answers.SECOND_BODY
         self.owner._run_in_background(
-            second_answers.write_late(stream, plan.encode_second(attempt), delay=delay)
+            second_answers.write_late(stream, plan.encode_second(attempt, second_body), delay=delay)
         )
-        if self.request.method != "GET":
+        if self.request.method != "GET" and not is_stream:
             return body
         if not plan.first_named:
             self.clear_header(_ATTEMPT)
@@ -590,6 +592,15 @@
             self._write_raw(self._options.resumed_answer.replace(b"@", name))
             self._drop()
             return
+        if self._options.answers_twice is not None:
+            body = self._prepare_second_answer(self._options.answers_twice, b"")
+            request_id = self.request.headers.get(_ATTEMPT, "")
+            self.owner.first_statuses.append((request_id, self.get_status()))
+            if body:
+                if not self._says_not_run():
+                    self.set_header(SIGNATURE, "s")
+                self._end(body)
+                return
         self.set_header(SIGNATURE, "s")
         self.set_header("Content-Type", "text/event-stream")
         is_cut = self._options.cut_streams > 0
--- a/basilpost/store/http_calls_test.py
+++ b/basilpost/store/http_calls_test.py
@@ -19,6 +19,7 @@
         self.connections = 0
         self.answers_before_silence = 1000
         self.answers_before_close = 1000
+        self.extra_answer = b""
 
     async def serve(self, reader, writer):
         self.connections += 1
@@ -29,7 +30,7 @@
                 if answered >= self.answers_before_close:
                     break
                 if answered < self.answers_before_silence:
-                    writer.write(ANSWER)
+                    writer.write(ANSWER + self.extra_answer)
                 answered += 1
         writer.close()
 
@@ -78,6 +79,15 @@
         assert isinstance(await client.read("/x", timeout=5), http_calls.Reply)
 
 
+async def test_a_read_gets_an_answer_that_waited_on_a_kept_connection():
+    """A server that answers a read twice must not have the second answer taken for that to the next one."""
+    async with serve_and_connect() as (server, client):
+        server.extra_answer = ANSWER.replace(b"ok", b"no")
+        for _ in range(3):
+            assert (await client.read("/x", timeout=5)).body == b"ok"
+            await asyncio.sleep(0.02)
+
+
 async def test_a_write_without_an_answer_counts_as_sent():
     async with serve_and_connect() as (server, client):
         server.answers_before_silence = 0
