--- a/basilpost/core/channels.py
+++ b/basilpost/core/channels.py
@@ -26,6 +26,8 @@
 IDLE_MARGIN_SECONDS = 1.0
 # Idle connections to one server that are kept for reuse.
 MAX_IDLE_PER_SERVER = 32
+# Requests on one connection, which remembers their ids. It bounds that memory to some 30 kB.
+MAX_REQUESTS_PER_CONNECTION = 500
 
 # Takes a part of a body; no more is read until what it returns is done.
 OnData = Callable[[bytes], Awaitable[None] | None]
@@ -264,6 +266,7 @@
             not self.stream.closed()
             and not self.stream.writing()
             and clock.elapsed() < self.usable_until
+            and self.requests < MAX_REQUESTS_PER_CONNECTION
             and not self._is_closed_by_server()
         )
 
@@ -312,15 +315,14 @@
                 one, and then it is unknown whether a request sent on it has run.
             lifetime: Run of the server process that must answer. A connection to an earlier one is not
                 used: after a failure of its host, nothing tells this end that it is closed.
-            request_id: Id of the request that will be sent, empty if it has none.
+            request_id: Id of the request that will be sent, empty if it has none. A connection carries
+                an id once: a late second answer to the earlier request could not be told from the
+                answer to this one.
         """
-        idle = [] if fresh else self._idle_by_address.get(address, [])
-        while idle:
-            channel = idle.pop()
-            if channel.usable and channel.lifetime == lifetime:
-                channel.begin(request_id)
-                return channel
-            channel.close()
+        channel = None if fresh else self._take_idle(address, lifetime, request_id)
+        if channel is not None:
+            channel.begin(request_id)
+            return channel
         opened = await _open(
             address, timeout=timeout, lifetime=lifetime, source_host=self._source_host
         )
@@ -328,6 +330,22 @@
             opened.begin(request_id)
         return opened
 
+    def _take_idle(self, address: str, lifetime: str, request_id: str) -> Channel | None:
+        """Returns the connection that was used last among those for a request, None without one."""
+        idle = self._idle_by_address.get(address, [])
+        passed_over: list[Channel] = []
+        taken: Channel | None = None
+        while idle and taken is None:
+            channel = idle.pop()
+            if not channel.usable or channel.lifetime != lifetime:
+                channel.close()
+            elif channel.has_carried(request_id):
+                passed_over.append(channel)
+            else:
+                taken = channel
+        idle.extend(reversed(passed_over))
+        return taken
+
     def release(self, channel: Channel) -> None:
         """Keeps a connection for reuse after a complete answer, or closes it if it is unusable."""
         idle = self._idle_by_address.setdefault(channel.address, [])
--- a/basilpost/core/channels_test.py
+++ b/basilpost/core/channels_test.py
@@ -21,10 +21,10 @@
         server.close()
 
 
-async def request(pool, address, body=b"", *, fresh=False):
+async def request(pool, address, body=b"", *, fresh=False, request_id=""):
     """Sends one request; returns the head or the failure, the body and the connection."""
     pieces = []
-    channel = await pool.acquire(address, timeout=1, fresh=fresh)
+    channel = await pool.acquire(address, timeout=1, fresh=fresh, request_id=request_id)
     channel.send("POST", "/", tornado.httputil.HTTPHeaders({"Host": "h"}), body)
     async with asyncio.timeout(3):
         head = await channel.receive(on_head=lambda head: None, on_data=pieces.append)
@@ -86,6 +86,44 @@
         pool.close()
 
 
+async def test_a_connection_carries_a_request_id_twice():
+    """A late second answer to the first request would be taken for that to the second one."""
+    serve = make_handler(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+    async with run_server(serve) as address:
+        pool = channels.Pool()
+        _, _, first = await request(pool, address, request_id="one")
+        _, _, second = await request(pool, address, request_id="one")
+        assert second is not first
+        _, _, third = await request(pool, address, request_id="one")
+        assert third not in (first, second)
+        # The connections that were passed over stay in use for other requests.
+        _, _, other = await request(pool, address, request_id="two")
+        assert other is third
+        assert len(serve.connections) == 3
+        pool.close()
+
+
+async def test_requests_without_an_id_lose_their_kept_connection():
+    serve = make_handler(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+    async with run_server(serve) as address:
+        pool = channels.Pool()
+        for _ in range(3):
+            await request(pool, address)
+        assert len(serve.connections) == 1
+        pool.close()
+
+
+async def test_the_ids_of_a_connection_are_remembered_without_bound(monkeypatch):
+    monkeypatch.setattr(channels, "MAX_REQUESTS_PER_CONNECTION", 10)
+    serve = make_handler(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+    async with run_server(serve) as address:
+        pool = channels.Pool()
+        for number in range(30):
+            await request(pool, address, request_id=str(number))
+        assert len(serve.connections) == 3
+        pool.close()
+
+
 async def test_a_connection_with_connection_close_is_not_kept():
     serve = make_handler(b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
     async with run_server(serve) as address:
