--- a/basilpost/core/channels.py
+++ b/basilpost/core/channels.py
@@ -13,7 +13,7 @@
 import tornado.httputil
 import tornado.iostream
 
-from basilpost.core import clock, failure
+from basilpost.core import clock, failure, idle_streams
 
 MAX_HEADER_BYTES = 65_536
 MAX_BODY_BYTES = 64 * 1024 * 1024
@@ -77,15 +77,6 @@
     unread: bool = False
 
 
-class _Stream(tornado.iostream.IOStream):
-    """A stream that knows whether bytes wait in its buffer."""
-
-    @property
-    def has_buffered(self) -> bool:
-        """Returns True if bytes were read from the socket that no reader has taken."""
-        return self._read_buffer_size > 0
-
-
 class _StreamingConnection(tornado.http1connection.HTTP1Connection):
     """Reads a body without a length in pieces until the connection ends.
 
@@ -163,7 +154,9 @@
         reuse: Its state when it was acquired for the current request.
     """
 
-    def __init__(self, *, address: str, stream: _Stream, lifetime: str = "") -> None:
+    def __init__(
+        self, *, address: str, stream: tornado.iostream.IOStream, lifetime: str = ""
+    ) -> None:
         self.address = address
         self.lifetime = lifetime
         self.stream = stream
@@ -261,40 +254,38 @@
 
     @property
     def usable(self) -> bool:
-        """Returns True if another request may be sent on this connection."""
+        """Returns True if another request may be sent on this connection.
+
+        Bytes that wait on it belong to no request that is still to come.
+        """
         return (
             not self.stream.closed()
             and not self.stream.writing()
             and clock.elapsed() < self.usable_until
             and self.requests < MAX_REQUESTS_PER_CONNECTION
-            and not self._is_closed_by_server()
+            and idle_streams.is_quiet(self.stream)
         )
 
     @property
     def has_unread(self) -> bool:
         """Returns True if bytes have arrived that nobody has read, also if the loop has not read them."""
-        return not self.stream.closed() and (self.stream.has_buffered or bool(self._peek()))
-
-    def _is_closed_by_server(self) -> bool:
-        """Returns True if the server has closed the connection, also if the loop has not noticed it yet."""
-        return self._peek() == b""
-
-    def _peek(self) -> bytes | None:
-        """Returns the next byte in the socket, empty after its end, None if nothing has arrived."""
-        try:
-            return self.stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return None
-        except OSError:
-            return b""
+        return not self.stream.closed() and idle_streams.has_unread(self.stream)
 
 
 class Pool:
     """Connections to many servers; idle ones are kept for reuse."""
 
-    def __init__(self, *, source_host: str = "") -> None:
-        """Takes the IP address from which connections are opened, empty for the system's choice."""
+    def __init__(
+        self, *, source_host: str = "", on_unread: Callable[[Channel], None] | None = None
+    ) -> None:
+        """Creates an empty pool.
+
+        Args:
+            source_host: IP address from which connections are opened, empty for the system's choice.
+            on_unread: Called with a connection before it is closed because bytes wait on it.
+        """
         self._source_host = source_host
+        self._on_unread = on_unread
         self._idle_by_address: dict[str, list[Channel]] = {}
 
     async def acquire(
@@ -338,7 +329,7 @@
         while idle and taken is None:
             channel = idle.pop()
             if not channel.usable or channel.lifetime != lifetime:
-                channel.close()
+                self._drop(channel)
             elif channel.has_carried(request_id):
                 passed_over.append(channel)
             else:
@@ -352,20 +343,25 @@
         if channel.usable and len(idle) < MAX_IDLE_PER_SERVER:
             idle.append(channel)
         else:
-            channel.close()
+            self._drop(channel)
 
     def sweep(self) -> None:
         """Closes connections that have been idle for too long."""
         for address, idle in list(self._idle_by_address.items()):
             kept = [channel for channel in idle if channel.usable]
             for channel in idle:
-                if not channel.usable:
-                    channel.close()
+                if channel not in kept:
+                    self._drop(channel)
             if kept:
                 self._idle_by_address[address] = kept
             else:
                 del self._idle_by_address[address]
 
+    def _drop(self, channel: Channel) -> None:
+        if self._on_unread is not None and channel.has_unread:
+            self._on_unread(channel)
+        channel.close()
+
     def close(self) -> None:
         """Closes all idle connections."""
         for channel in [channel for idle in self._idle_by_address.values() for channel in idle]:
@@ -379,7 +375,7 @@
     host, _, port = address.rpartition(":")
     # An address that no socket takes raises ValueError or OverflowError.
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    stream = _Stream(sock, max_buffer_size=MAX_BODY_BYTES)
+    stream = tornado.iostream.IOStream(sock, max_buffer_size=MAX_BODY_BYTES)
     stream.set_nodelay(True)
     try:
         if source_host:
--- a/basilpost/core/channels_test.py
+++ b/basilpost/core/channels_test.py
@@ -86,6 +86,28 @@
         pool.close()
 
 
+async def test_a_request_is_sent_on_a_connection_with_unread_bytes():
+    """They may wait in the stream's buffer, with the answer before them, or in the socket."""
+    answer = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+    async with run_server(serve := make_handler(answer + answer)) as address:
+        pool = channels.Pool()
+        for _ in range(3):
+            head, body, channel = await request(pool, address)
+            assert (head.status, body) == (200, b"ok")
+            assert channel.stream.closed()
+        assert len(serve.connections) == 3
+    async with run_server(serve := make_handler(answer)) as address:
+        _, _, kept = await request(pool, address)
+        assert kept.usable
+        serve.connections[0].write(answer)
+        await serve.connections[0].drain()
+        assert not kept.usable
+        _, _, channel = await request(pool, address)
+        assert channel is not kept
+        assert len(serve.connections) == 2
+        pool.close()
+
+
 async def test_a_connection_carries_a_request_id_twice():
     """A late second answer to the first request would be taken for that to the second one."""
     serve = make_handler(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
--- a/basilpost/core/log_events.py
+++ b/basilpost/core/log_events.py
@@ -173,6 +173,10 @@
         meaning="an answer to another request arrived on the connection and was skipped",
         fields=(*_REQUEST_FIELDS, "named", "answer_status", *_REUSE_FIELDS),
     ),
+    "connection_unread": Event(
+        meaning="an idle connection is closed because bytes have arrived on it that no request asked for",
+        fields=("address", "lifetime", "requests"),
+    ),
     "stream_moved": Event(
         meaning="a stream is resumed on another target because its target sends nothing",
         fields=_REQUEST_FIELDS,
--- a/basilpost/gateway/detours.py
+++ b/basilpost/gateway/detours.py
@@ -72,7 +72,7 @@
         dialect: header_dialect.HeaderDialect,
         rng: random.Random,
     ) -> None:
-        self.pool = channels.Pool()
+        self.pool = channels.Pool(on_unread=self._log_unread)
         self._node_id = kernel.node_id
         self._log = kernel.log
         self._peers = kernel.find(names.PEERS, peers.PeerNetwork)
@@ -226,6 +226,14 @@
             else:
                 channel.close()
 
+    def _log_unread(self, channel: channels.Channel) -> None:
+        self._log.warning(
+            "connection_unread",
+            address=channel.address,
+            lifetime=channel.lifetime,
+            requests=channel.requests,
+        )
+
     def _headers(
         self, progress: attempts.Progress, request: inbound.Request, last_event: str
     ) -> tornado.httputil.HTTPHeaders:
--- a/basilpost/gateway/target_sender.py
+++ b/basilpost/gateway/target_sender.py
@@ -95,7 +95,7 @@
             on_cancelled: Called with the attempts of a request that was cancelled after it was sent; its
                 target may work on.
         """
-        self.pool = channels.Pool(source_host=source_host)
+        self.pool = channels.Pool(source_host=source_host, on_unread=self._log_unread)
         self.in_flight: set[InFlight] = set()
         self.first_events = first_events.FirstEventOffsets()
         self._dialect = dialect
@@ -351,6 +351,14 @@
             return response.request_id == progress.admitted.call.request_id
         return response.not_run or channel.requests == 1
 
+    def _log_unread(self, channel: channels.Channel) -> None:
+        self._log.warning(
+            "connection_unread",
+            address=channel.address,
+            lifetime=channel.lifetime,
+            requests=channel.requests,
+        )
+
     def _log_stray_answer(
         self, progress: attempts.Progress, channel: channels.Channel, head: channels.Head
     ) -> None:
--- a/basilpost/store/http_calls.py
+++ b/basilpost/store/http_calls.py
@@ -14,7 +14,7 @@
 
 from tornado import http1connection, httputil, iostream, tcpclient
 
-from basilpost.core import clock
+from basilpost.core import clock, idle_streams
 
 # Bounds on the idle connections to the server that are kept for later reads.
 _MAX_IDLE_CONNECTIONS = 8
@@ -194,8 +194,9 @@
             self._idle.pop(0)[1].close()
         while self._idle:
             stream = self._idle.pop()[1]
-            if not stream.closed():
+            if not stream.closed() and idle_streams.is_quiet(stream):
                 return stream
+            stream.close()
         return None
 
 
