--- a/basilpost/core/channels.py
+++ b/basilpost/core/channels.py
@@ -26,6 +26,9 @@
 IDLE_MARGIN_SECONDS = 1.0
 # Idle connections to one server that are kept for reuse.
 MAX_IDLE_PER_SERVER = 32
+# Time in which a server process gets one request on each connection after an answer could not be
+# attributed to a request. Its next such answer would cost another request.
+SINGLE_USE_SECONDS = 10.0
 # Requests on one connection, which remembers their ids. It bounds that memory to some 30 kB.
 MAX_REQUESTS_PER_CONNECTION = 500
 
@@ -287,6 +290,8 @@
         self._source_host = source_host
         self._on_unread = on_unread
         self._idle_by_address: dict[str, list[Channel]] = {}
+        # By address and lifetime.
+        self._single_use_until_by_server: dict[tuple[str, str], float] = {}
 
     async def acquire(
         self,
@@ -310,7 +315,8 @@
                 an id once: a late second answer to the earlier request could not be told from the
                 answer to this one.
         """
-        channel = None if fresh else self._take_idle(address, lifetime, request_id)
+        single_use = self._is_single_use(address, lifetime)
+        channel = None if fresh or single_use else self._take_idle(address, lifetime, request_id)
         if channel is not None:
             channel.begin(request_id)
             return channel
@@ -337,16 +343,35 @@
         idle.extend(reversed(passed_over))
         return taken
 
+    def require_single_use(self, channel: Channel) -> None:
+        """Has connections to the server process of a connection carry one request each for a while.
+
+        An answer that names no request can only be attributed on a connection with one request.
+        """
+        server = channel.address, channel.lifetime
+        self._single_use_until_by_server[server] = clock.elapsed() + SINGLE_USE_SECONDS
+
+    def _is_single_use(self, address: str, lifetime: str) -> bool:
+        until = self._single_use_until_by_server.get((address, lifetime))
+        return until is not None and clock.elapsed() < until
+
     def release(self, channel: Channel) -> None:
         """Keeps a connection for reuse after a complete answer, or closes it if it is unusable."""
         idle = self._idle_by_address.setdefault(channel.address, [])
-        if channel.usable and len(idle) < MAX_IDLE_PER_SERVER:
+        single_use = self._is_single_use(channel.address, channel.lifetime)
+        if channel.usable and not single_use and len(idle) < MAX_IDLE_PER_SERVER:
             idle.append(channel)
         else:
             self._drop(channel)
 
     def sweep(self) -> None:
         """Closes connections that have been idle for too long."""
+        now = clock.elapsed()
+        self._single_use_until_by_server = {
+            server: until
+            for server, until in self._single_use_until_by_server.items()
+            if until > now
+        }
         for address, idle in list(self._idle_by_address.items()):
             kept = [channel for channel in idle if channel.usable]
             for channel in idle:
--- a/basilpost/core/channels_test.py
+++ b/basilpost/core/channels_test.py
@@ -108,6 +108,25 @@
         pool.close()
 
 
+async def test_a_server_that_needs_single_use_gets_two_requests_on_a_connection(monkeypatch):
+    monkeypatch.setattr(channels, "SINGLE_USE_SECONDS", 0.2)
+    serve = make_handler(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+    async with run_server(serve) as address:
+        pool = channels.Pool()
+        _, _, channel = await request(pool, address)
+        pool.require_single_use(channel)
+        for _ in range(2):
+            await request(pool, address)
+        assert len(serve.connections) == 3
+        await asyncio.sleep(0.25)
+        pool.sweep()
+        for _ in range(2):
+            await request(pool, address)
+        # The first one was kept before, and is used again.
+        assert len(serve.connections) == 3
+        pool.close()
+
+
 async def test_a_connection_carries_a_request_id_twice():
     """A late second answer to the first request would be taken for that to the second one."""
     serve = make_handler(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
--- a/basilpost/core/log_events.py
+++ b/basilpost/core/log_events.py
@@ -71,6 +71,7 @@
             "writing_ms",
             "abandoned",
             "stale",
+            "unattributed",
         ),
     ),
     "attempt_cancelled": Event(
@@ -170,7 +171,7 @@
         fields=("target",),
     ),
     "stray_answer": Event(
-        meaning="an answer to another request arrived on the connection and was skipped",
+        meaning="an answer arrived that names another request and is skipped, or that names none and ends the attempt",
         fields=(*_REQUEST_FIELDS, "named", "answer_status", *_REUSE_FIELDS),
     ),
     "connection_unread": Event(
--- a/basilpost/gateway/attempts.py
+++ b/basilpost/gateway/attempts.py
@@ -31,12 +31,14 @@
         stale_connection: True if a kept connection was closed at once, so that the target may have
             ended before it read the request.
         by_detour: True if another node sent the request; it looks for the cause of the loss.
+        unattributed: True if the target sent answers of which none is surely that to the request.
     """
 
     abandoned: bool = False
     writing_seconds: float = 0.0
     stale_connection: bool = False
     by_detour: bool = False
+    unattributed: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -474,7 +474,8 @@
     def _report_loss(self, progress: attempts.Progress, result: attempts.Lost) -> None:
         """Has the target of a lost request watched; another node does so for one that it has sent."""
         if not result.by_detour:
-            self._watch_target(progress, cancelled=result.abandoned)
+            # After an unattributed answer this node closed the connection; the target lives.
+            self._watch_target(progress, cancelled=result.abandoned or result.unattributed)
 
     def _watch_target(self, progress: attempts.Progress, *, cancelled: bool) -> None:
         report = self.loss_probe.report_cancelled if cancelled else self.loss_probe.report_loss
@@ -507,6 +508,7 @@
             writing_ms=round(loss.writing_seconds * 1000),
             abandoned=loss.abandoned,
             stale=loss.stale_connection,
+            unattributed=loss.unattributed,
         )
 
     def _may_crash_again(self, progress: attempts.Progress, result: attempts.Lost) -> bool:
--- a/basilpost/gateway/target_sender.py
+++ b/basilpost/gateway/target_sender.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import enum
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -38,6 +39,20 @@
 MAX_STRAY_ANSWERS = 2
 
 
+class _Attribution(enum.Enum):
+    """Which request an answer on the connection of a request belongs to.
+
+    Attributes:
+        OWN: To this request.
+        OTHER: It names another one; this one may still be answered.
+        UNKNOWN: It names none, and the connection has carried other requests or answers.
+    """
+
+    OWN = "own"
+    OTHER = "other"
+    UNKNOWN = "unknown"
+
+
 @dataclasses.dataclass(kw_only=True, eq=False)
 class InFlight:
     """A request on a connection to a target.
@@ -216,12 +231,17 @@
             if isinstance(result, attempts.NotRun):
                 progress.sends -= 1
                 progress.rejections += 1
-            if isinstance(result, attempts.Lost) and channel.requests > 1:
+            if isinstance(result, attempts.Lost) and result.unattributed:
+                self.pool.require_single_use(channel)
+                if channel.requests > 1:
+                    # On a connection of its own the request may be sent to the same target.
+                    progress.tried_targets.discard(target.target_id)
+            elif isinstance(result, attempts.Lost) and channel.requests > 1:
                 is_stale = clock.elapsed() - began_at < STALE_SECONDS
                 result = dataclasses.replace(result, stale_connection=is_stale)
                 if is_stale:
                     self._chooser.record_unreachable(target)
-            if isinstance(result, attempts.Lost):
+            if isinstance(result, attempts.Lost) and not result.unattributed:
                 self._reachability.record_lost()
             if isinstance(result, attempts.Lost) and in_flight.abandoned:
                 result = dataclasses.replace(result, abandoned=True)
@@ -281,9 +301,14 @@
         channel: channels.Channel,
         sink: answer_sinks.AnswerSink,
     ) -> channels.Head | attempts.NotRun | attempts.Lost:
-        """Reads the answer to this request; skips and logs answers to other requests."""
+        """Reads the answer to this request.
+
+        Answers to other requests are skipped. One that cannot be attributed ends the attempt: if it is
+        this request's own one, what follows it must not be taken for the answer.
+        """
         progress = in_flight.progress
-        is_own = False
+        attribution = _Attribution.OTHER
+        answers = 0
         sent_at = clock.elapsed()
 
         def record_heard() -> None:
@@ -291,30 +316,42 @@
             self.silent_targets.record_heard(target.target_id)
 
         def receive_head(head: channels.Head) -> None:
-            nonlocal is_own
+            nonlocal attribution, answers
             in_flight.heard = True
             record_heard()
-            is_own = self._is_own_answer(progress, channel, head)
+            attribution = self._attribute(
+                progress, head, is_first=channel.requests == 1 and not answers
+            )
+            answers += 1
             self._record_limit(target, head, sent_at=sent_at)
             self._record_pause(target, head, sent_at=sent_at)
             if self._dialect.parse_response(head.status, head.headers).leaving:
                 self._departures.record_said(target.lifetime, target.target_id)
-            if is_own:
+            if attribution is _Attribution.OWN:
                 sink.on_head(head)
-            else:
-                self._log_stray_answer(progress, channel, head)
+                return
+            self._log_stray_answer(progress, channel, head)
+            if attribution is _Attribution.UNKNOWN:
+                channel.close()
 
         def receive_chunk(chunk: bytes) -> Awaitable[None] | None:
             record_heard()
-            return sink.on_chunk(chunk) if is_own else None
+            return sink.on_chunk(chunk) if attribution is _Attribution.OWN else None
 
         for _ in range(MAX_STRAY_ANSWERS + 1):
             head = await channel.receive(on_head=receive_head, on_data=receive_chunk)
+            if attribution is _Attribution.UNKNOWN:
+                return attempts.Lost(
+                    reason=f"{channel.address} sent an answer that names no request",
+                    unattributed=True,
+                )
             if isinstance(head, channels.Broken):
                 return attempts.Lost(reason=sink.excess or head.reason)
-            if is_own:
+            if attribution is _Attribution.OWN:
                 return self._classify(head, channel)
-        return attempts.Lost(reason=f"{channel.address} sent answers to other requests")
+        return attempts.Lost(
+            reason=f"{channel.address} sent answers to other requests", unattributed=True
+        )
 
     def _record_limit(
         self, target: targets_.Target, head: channels.Head, *, sent_at: float
@@ -338,18 +375,23 @@
         elif response.signed or response.not_run:
             self._pauses.record_accepted(target.lifetime, target.target_id, sent_at=sent_at)
 
-    def _is_own_answer(
-        self, progress: attempts.Progress, channel: channels.Channel, head: channels.Head
-    ) -> bool:
-        """Returns True if an answer carries the id of this request, or cannot be for another one.
+    def _attribute(
+        self, progress: attempts.Progress, head: channels.Head, *, is_first: bool
+    ) -> _Attribution:
+        """Returns which request an answer belongs to.
+
+        The id tells sendings apart, as a connection carries an id once.
 
-        On a kept connection a second answer to an earlier request may arrive first. A rejection without a
-        request id is taken as the own one; see `_classify`.
+        Args:
+            progress: The attempts of the request.
+            head: Head of the answer.
+            is_first: True if it is the first answer on a connection that carried no other request.
         """
-        response = self._dialect.parse_response(head.status, head.headers)
-        if response.request_id:
-            return response.request_id == progress.admitted.call.request_id
-        return response.not_run or channel.requests == 1
+        named = self._dialect.parse_response(head.status, head.headers).request_id
+        if named:
+            is_own = named == progress.admitted.call.request_id
+            return _Attribution.OWN if is_own else _Attribution.OTHER
+        return _Attribution.OWN if is_first else _Attribution.UNKNOWN
 
     def _log_unread(self, channel: channels.Channel) -> None:
         self._log.warning(
@@ -378,9 +420,6 @@
         self, head: channels.Head, channel: channels.Channel
     ) -> channels.Head | attempts.NotRun | attempts.Lost:
         response = self._dialect.parse_response(head.status, head.headers)
-        if response.not_run and not response.request_id and channel.requests > 1:
-            # It may be the rejection of an earlier request, written once more, while this one runs.
-            return attempts.Lost(reason=f"{channel.address} rejected a request without its id")
         if response.not_run:
             return attempts.NotRun(reason=f"{channel.address} rejected it with {head.status}")
         if head.status < 300 and not response.signed:
--- a/tests/pool_path_test.py
+++ b/tests/pool_path_test.py
@@ -5,6 +5,7 @@
 import pytest
 import tornado.simple_httpclient
 
+from basilpost.core import channels
 from basilpost.emulator import pool_fleet, pool_runner
 from basilpost.routing import cold, crash_evidence, placement, retry, targets
 from tests import pool_nodes
@@ -153,8 +154,12 @@
             assert answer.attempt.encode() in answer.body
 
 
-async def test_a_nameless_answer_on_a_kept_connection_is_not_taken_for_the_next_request():
+async def test_a_nameless_answer_on_a_kept_connection_is_not_taken_for_the_next_request(
+    monkeypatch,
+):
     """A second answer to an earlier request may come without the id of its request."""
+    # Each turn needs a kept connection, also after such an answer.
+    monkeypatch.setattr(channels, "SINGLE_USE_SECONDS", 0.0)
     async with pool_nodes.running(vms=0, plain_instances=1) as bench:
         runner = bench.fleet.runners_by_id["desk-0"]
         assert (await bench.call("/lookup/a", method="GET")).code == 200
--- a/tests/pool_repeated_refusal_test.py
+++ b/tests/pool_repeated_refusal_test.py
@@ -2,12 +2,15 @@
 
 import pytest
 
+from basilpost.core import channels
 from tests import pool_nodes
 
 
 @pytest.mark.parametrize("named", [False, True])
-async def test_a_request_that_ran_is_refused_as_not_run_for_an_earlier_refusal(named):
+async def test_a_request_that_ran_is_refused_as_not_run_for_an_earlier_refusal(named, monkeypatch):
     """A filing has a connection of its own, on which only a refusal with another id can be a foreign one."""
+    # A sound answer has to leave a kept connection behind, also after one that names no request.
+    monkeypatch.setattr(channels, "SINGLE_USE_SECONDS", 0.0)
     async with pool_nodes.running(vms=0, plain_instances=1) as bench:
         runner = bench.fleet.runners_by_id["desk-0"]
         assert (await bench.call("/lookup/a", method="GET")).code == 200
--- a/tests/pool_second_answers_test.py
+++ b/tests/pool_second_answers_test.py
@@ -9,6 +9,7 @@
 import structlog.testing
 import tornado.httputil
 
+from basilpost.core import channels
 from basilpost.emulator import pool_fleet, pool_runner, second_answers
 from basilpost.gateway import detours
 from tests import cut_links, pool_cut_off_test, pool_nodes
@@ -91,10 +92,15 @@
         yield bench
 
 
+@pytest.mark.parametrize("keeps", [False, True])
 @pytest.mark.parametrize("share", [0.25, 1.0])
 @pytest.mark.parametrize("status", FAILURES)
-async def test_a_failure_without_an_id_is_skipped_for_a_second_answer(status, share):
+async def test_a_failure_without_an_id_is_skipped_for_a_second_answer(
+    monkeypatch, status, share, keeps
+):
     """The runner's own failure names no request, and its second answer is a named success."""
+    if keeps:
+        monkeypatch.setattr(channels, "SINGLE_USE_SECONDS", 0.0)
     async with kept_connections() as bench:
         set_plan(bench, share=share, first_status=status)
         answers, faults = await call_evenly(bench)
@@ -103,6 +109,20 @@
             assert 200 not in {answer.code for answer in answers}
 
 
+async def test_each_answer_without_an_id_costs_a_request():
+    """A runner that left the id out once gets one request on each connection for a while."""
+    async with kept_connections() as bench:
+        set_plan(bench, share=1.0)
+        with structlog.testing.capture_logs() as lines:
+            answers = [await bench.call("/lookup/a", method="GET") for _ in range(30)]
+        lost = [line for line in lines if line["event"] == "attempt_failed"]
+        assert {line["result"] for line in lost} == {"Lost"}
+        assert all(line["unattributed"] and not line["stale"] for line in lost)
+        assert len(lost) <= len(bench.fleet.runners_by_id)
+        # The first request may meet both runners; all others end with their runner's own failure.
+        assert {answer.code for answer in answers[1:]} == {500}
+
+
 @pytest.mark.parametrize("status", FAILURES)
 async def test_a_success_without_an_id_is_skipped_for_a_second_answer(status):
     """The runner's own success names no request, and its second answer is a named failure."""
