--- a/basilpost/core/log_events.py
+++ b/basilpost/core/log_events.py
@@ -17,6 +17,8 @@
 
 
 _REQUEST_FIELDS = ("request", "target")
+# What the connection had carried: earlier requests, the same id, bytes that nobody asked for.
+_REUSE_FIELDS = ("requests", "carried", "unread")
 _REQUEST_ENDED_FIELDS = (
     "request",
     "outcome",
@@ -53,6 +55,7 @@
             "sends",
             "last_event",
             "left_ms",
+            *_REUSE_FIELDS,
         ),
     ),
     "attempt_failed": Event(
@@ -68,6 +71,7 @@
             "writing_ms",
             "abandoned",
             "stale",
+            "unattributed",
             "closing",
             "attempts_left",
             "retries_left",
@@ -96,7 +100,7 @@
     ),
     "request_detoured": Event(
         meaning="another node sends the request, as this one has no path to the runners",
-        fields=("request", "detour_node", "sends", "last_event", "left_ms"),
+        fields=("request", "detour_node", "sends", "last_event", "left_ms", *_REUSE_FIELDS),
     ),
     "detour_served": Event(
         meaning="the end of a request that this node has sent for another one",
@@ -186,8 +190,12 @@
         fields=("target",),
     ),
     "stray_answer": Event(
-        meaning="an answer to another request arrived on the connection and was skipped",
-        fields=(*_REQUEST_FIELDS, "named", "answer_status", "requests"),
+        meaning="an answer arrived that names another request and is skipped, or that names none and ends the attempt",
+        fields=(*_REQUEST_FIELDS, "named", "answer_status", *_REUSE_FIELDS),
+    ),
+    "connection_unread": Event(
+        meaning="an idle connection is closed because bytes have arrived on it that no request asked for",
+        fields=("address", "lifetime", "requests"),
     ),
     "target_closing": Event(
         meaning="a group is closed because a member leaves, while it answers these streams of this node",
--- a/basilpost/gateway/detours.py
+++ b/basilpost/gateway/detours.py
@@ -72,7 +72,7 @@
         dialect: header_dialect.HeaderDialect,
         rng: random.Random,
     ) -> None:
-        self.pool = channels.Pool()
+        self.pool = channels.Pool(on_unread=self._log_unread)
         self._node_id = kernel.node_id
         self._log = kernel.log
         self._peers = kernel.find(names.PEERS, peers.PeerNetwork)
@@ -186,6 +186,7 @@
             timeout=CONNECT_SECONDS,
             fresh=not progress.repeatable,
             lifetime=detour.incarnation,
+            request_id=progress.admitted.call.request_id,
         )
         if isinstance(channel, channels.ConnectFailed):
             self._refused_total.labels(UNREACHED_CAUSE).inc()
@@ -200,6 +201,9 @@
             sends=progress.sends,
             last_event=last_event,
             left_ms=round(request_admission.seconds_left(progress.admitted) * 1000),
+            requests=channel.reuse.requests,
+            carried=channel.reuse.carried,
+            unread=channel.reuse.unread,
         )
         progress.detour_node, progress.target = detour.node_id, ""
         progress.sends += 1
@@ -222,6 +226,14 @@
             else:
                 channel.close()
 
+    def _log_unread(self, channel: channels.Channel) -> None:
+        self._log.warning(
+            "connection_unread",
+            address=channel.address,
+            lifetime=channel.lifetime,
+            requests=channel.requests,
+        )
+
     def _headers(
         self, progress: attempts.Progress, request: inbound.Request, last_event: str
     ) -> tornado.httputil.HTTPHeaders:
--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -504,7 +504,8 @@
         """Has the target of a lost request watched; another node does so for one that it has sent."""
         # A head that has ended as planned after a stream has moved away is no crash.
         if not result.by_detour and progress.reserved_target is None:
-            self._watch_target(progress, cancelled=result.abandoned)
+            # After an unattributed answer this node closed the connection; the target lives.
+            self._watch_target(progress, cancelled=result.abandoned or result.unattributed)
 
     def _watch_target(self, progress: attempts.Progress, *, cancelled: bool) -> None:
         report = self.loss_probe.report_cancelled if cancelled else self.loss_probe.report_loss
@@ -537,6 +538,7 @@
             writing_ms=round(loss.writing_seconds * 1000),
             abandoned=loss.abandoned,
             stale=loss.stale_connection,
+            unattributed=loss.unattributed,
             closing=progress.target in self._targets.closing(),
             attempts_left=progress.admitted.route.max_attempts - progress.sends,
             retries_left=round(self._retries.retries_left(progress.admitted.service.name), 1),
