--- a/basilpost/gateway/target_sender.py
+++ b/basilpost/gateway/target_sender.py
@@ -323,8 +323,10 @@
                 progress, head, is_first=channel.requests == 1 and not answers
             )
             answers += 1
-            self._record_limit(target, head, sent_at=sent_at)
-            self._record_pause(target, head, sent_at=sent_at)
+            # Other answers may be older than the limit or the pause; they do not end it.
+            is_own = attribution is _Attribution.OWN
+            self._record_limit(target, head, sent_at=sent_at, is_own=is_own)
+            self._record_pause(target, head, sent_at=sent_at, is_own=is_own)
             if self._dialect.parse_response(head.status, head.headers).leaving:
                 self._departures.record_said(target.lifetime, target.target_id)
             if attribution is _Attribution.OWN:
@@ -354,17 +356,17 @@
         )
 
     def _record_limit(
-        self, target: targets_.Target, head: channels.Head, *, sent_at: float
+        self, target: targets_.Target, head: channels.Head, *, sent_at: float, is_own: bool
     ) -> None:
         """Records the limit that an answer names, or that it names none."""
         response = self._dialect.parse_response(head.status, head.headers)
         if response.limit_per_second is not None:
             self._limits.record_named(target.lifetime, target.target_id, response.limit_per_second)
-        elif response.signed:
+        elif response.signed and is_own:
             self._limits.record_unnamed(target.lifetime, target.target_id, sent_at=sent_at)
 
     def _record_pause(
-        self, target: targets_.Target, head: channels.Head, *, sent_at: float
+        self, target: targets_.Target, head: channels.Head, *, sent_at: float, is_own: bool
     ) -> None:
         """Records the pause that a rejection asks for, or that an answer asks for none."""
         response = self._dialect.parse_response(head.status, head.headers)
@@ -372,7 +374,7 @@
             self._pauses.record_invalid(target.lifetime, target.target_id, response.bad_pause)
         if response.pause_seconds is not None:
             self._pauses.record_asked(target.lifetime, target.target_id, response.pause_seconds)
-        elif response.signed or response.not_run:
+        elif is_own and (response.signed or response.not_run):
             self._pauses.record_accepted(target.lifetime, target.target_id, sent_at=sent_at)
 
     def _attribute(
--- a/tests/pool_second_answers_test.py
+++ b/tests/pool_second_answers_test.py
@@ -275,6 +275,20 @@
             proxy.stop()
 
 
+async def test_a_limit_ends_with_an_answer_to_an_earlier_request():
+    """Such an answer may be older than the limit, so it does not tell that the limit is over."""
+    async with kept_connections(plain_instances=1) as bench:
+        (runner,) = bench.fleet.runners_by_id.values()
+        runner.options.limit_per_second = 50.0
+        assert (await bench.call("/lookup/a", method="GET")).code == 200
+        with structlog.testing.capture_logs() as lines:
+            for _ in range(5):
+                runner.options.stray_answers = 1
+                assert (await bench.call("/lookup/a", method="GET")).code == 200
+        assert [line for line in lines if line["event"] == "stray_answer"]
+        assert [line for line in lines if line["event"] == "target_limit"] == []
+
+
 async def test_sound_runners_lose_their_kept_connections():
     """New connections to runners are priced, so calls one after another share one to each runner."""
     async with kept_connections() as bench:
