--- a/basilpost/gateway/detour_headers.py
+++ b/basilpost/gateway/detour_headers.py
@@ -11,7 +11,8 @@
 _MAY_MOVE = "Basilpost-Detour-May-Move"
 _RESULT = "Basilpost-Detour-Result"
 _TARGET = "Basilpost-Detour-Target"
-_ALL = (_CONFIGURATION, _TRIED, _MAY_MOVE, _RESULT, _TARGET)
+_REQUEST = "Basilpost-Detour-Request"
+_ALL = (_CONFIGURATION, _TRIED, _MAY_MOVE, _RESULT, _TARGET, _REQUEST)
 _SEPARATOR = ","
 
 
@@ -49,14 +50,22 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Report:
-    """The result of a request at another node, and the target it was sent to, if any."""
+    """The result of a request at another node.
+
+    Attributes:
+        result: What became of it.
+        target_id: The target that it was sent to, empty for none.
+        request_id: Its id; empty from nodes of an earlier version, and for a request without one.
+    """
 
     result: Result
     target_id: str = ""
+    request_id: str = ""
 
     def headers(self) -> dict[str, str]:
         """Returns the report as headers of the answer."""
-        return {_RESULT: self.result.value, _TARGET: self.target_id}
+        headers = {_RESULT: self.result.value, _TARGET: self.target_id}
+        return headers | ({_REQUEST: self.request_id} if self.request_id else {})
 
 
 def encode_context(context: DetourContext) -> dict[str, str]:
@@ -86,7 +95,11 @@
         result = Result(headers.get(_RESULT, ""))
     except ValueError:
         return None
-    return Report(result=result, target_id=headers.get(_TARGET, ""))
+    return Report(
+        result=result,
+        target_id=headers.get(_TARGET, ""),
+        request_id=headers.get(_REQUEST, ""),
+    )
 
 
 def without_detour(headers: tornado.httputil.HTTPHeaders) -> tornado.httputil.HTTPHeaders:
--- a/basilpost/gateway/detour_service.py
+++ b/basilpost/gateway/detour_service.py
@@ -63,18 +63,19 @@
 
     async def _serve(self, request: inbound.Request, reply: inbound.Reply) -> None:
         began_at = clock.elapsed()
+        request_id = self._dialect.parse_request(request.headers).request_id
         progress = self._begin(request)
         try:
-            report, code = await self._answer(request, reply, progress)
+            report, code = await self._answer(request, reply, progress, request_id)
             await reply.wait_sent()
         except asyncio.CancelledError:
             if request.caller_left:
                 raise
-            report, code = self._cut(reply, progress)
+            report, code = self._cut(reply, progress, request_id)
         self._served.labels(report.result.value).inc()
         self._log.info(
             "detour_served",
-            request=self._dialect.parse_request(request.headers).request_id,
+            request=request_id,
             result=report.result.value,
             code=code,
             target=report.target_id,
@@ -108,10 +109,11 @@
         request: inbound.Request,
         reply: inbound.Reply,
         progress: attempts.Progress | failure.Refusal,
+        request_id: str,
     ) -> tuple[detour_headers.Report, str]:
         """Sends the request and answers; returns the report and the code of a refusal."""
         if isinstance(progress, failure.Refusal):
-            return self._refuse(reply, progress), progress.code
+            return self._refuse(reply, progress, request_id), progress.code
         result = await self._forwarder.send_for_peer(progress, request, reply)
         if reply.started and not isinstance(result, attempts.Streamed):
             # The other node sees that the stream is incomplete, and may resume it.
@@ -125,7 +127,7 @@
                 reply.send_whole(result.head.status, result.head.reason, headers, result.body)
                 return _report(detour_headers.Result.ANSWERED, progress), ""
             case failure.Refusal() if not progress.sends:
-                return self._refuse(reply, result), result.code
+                return self._refuse(reply, result, request_id), result.code
             case attempts.NotRun():
                 report = _report(detour_headers.Result.NOT_RUN, progress)
             case _:
@@ -135,22 +137,29 @@
         return report, code
 
     def _cut(
-        self, reply: inbound.Reply, progress: attempts.Progress | failure.Refusal
+        self,
+        reply: inbound.Reply,
+        progress: attempts.Progress | failure.Refusal,
+        request_id: str,
     ) -> tuple[detour_headers.Report, str]:
         """Ends a request that a planned stop of this node has cancelled."""
         code, reason = "cut_by_stop", "the node stopped before the answer was complete"
         if isinstance(progress, attempts.Progress) and progress.sends:
             report = _report(detour_headers.Result.LOST, progress)
         else:
-            report = detour_headers.Report(result=detour_headers.Result.REFUSED)
+            report = detour_headers.Report(
+                result=detour_headers.Result.REFUSED, request_id=request_id
+            )
         if reply.started:
             reply.abort()
         else:
             self._send_error(reply, report, status=503, code=code, reason=reason)
         return report, code
 
-    def _refuse(self, reply: inbound.Reply, refusal: failure.Refusal) -> detour_headers.Report:
-        report = detour_headers.Report(result=detour_headers.Result.REFUSED)
+    def _refuse(
+        self, reply: inbound.Reply, refusal: failure.Refusal, request_id: str
+    ) -> detour_headers.Report:
+        report = detour_headers.Report(result=detour_headers.Result.REFUSED, request_id=request_id)
         self._send_error(
             reply,
             report,
@@ -182,7 +191,11 @@
 
 
 def _report(result: detour_headers.Result, progress: attempts.Progress) -> detour_headers.Report:
-    return detour_headers.Report(result=result, target_id=progress.target)
+    return detour_headers.Report(
+        result=result,
+        target_id=progress.target,
+        request_id=progress.admitted.call.request_id,
+    )
 
 
 def _refusal(code: str, reason: str) -> failure.Refusal:
--- a/basilpost/gateway/detours.py
+++ b/basilpost/gateway/detours.py
@@ -8,7 +8,7 @@
 import dataclasses
 import math
 import random
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 
 import prometheus_client
 import tornado.httputil
@@ -216,8 +216,19 @@
                 self._headers(progress, request, last_event),
                 request.body,
             )
-            reader = _Reader(sink)
+            reader = _Reader(
+                sink=sink,
+                channel=channel,
+                is_own=lambda head, report: self._is_own(progress, channel, head, report),
+            )
             head = await channel.receive(on_head=reader.on_head, on_data=reader.on_data)
+            if reader.is_foreign:
+                self.pool.require_single_use(channel)
+                return attempts.Lost(
+                    reason=f"{detour.node_id}: an answer that may be to another request",
+                    by_detour=True,
+                    unattributed=True,
+                )
             keep = isinstance(head, channels.Head)
             return self._classify(progress, detour, head, reader)
         finally:
@@ -226,6 +237,24 @@
             else:
                 channel.close()
 
+    def _is_own(
+        self,
+        progress: attempts.Progress,
+        channel: channels.Channel,
+        head: channels.Head,
+        report: detour_headers.Report | None,
+    ) -> bool:
+        """Returns True if an answer is surely that to a request.
+
+        It names the request, or its connection has carried no other one. Nodes of an earlier version
+        name it only in the answers of runners.
+        """
+        named = report.request_id if report is not None else ""
+        named = named or self._dialect.parse_response(head.status, head.headers).request_id
+        if named:
+            return named == progress.admitted.call.request_id
+        return channel.requests == 1
+
     def _log_unread(self, channel: channels.Channel) -> None:
         self._log.warning(
             "connection_unread",
@@ -313,14 +342,24 @@
     """Passes the answer of a target to a sink, and keeps a refusal by the node.
 
     Attributes:
+        is_foreign: True if the answer may be to another request; its connection is closed then.
         report: The node's report, None before the head has arrived or without a valid one.
         head: Head of the target's answer, None if there is none.
     """
 
-    def __init__(self, sink: answer_sinks.AnswerSink) -> None:
+    def __init__(
+        self,
+        *,
+        sink: answer_sinks.AnswerSink,
+        channel: channels.Channel,
+        is_own: Callable[[channels.Head, detour_headers.Report | None], bool],
+    ) -> None:
+        self.is_foreign = False
         self.report: detour_headers.Report | None = None
         self.head: channels.Head | None = None
         self._sink = sink
+        self._channel = channel
+        self._is_own = is_own
         self._refusal = bytearray()
 
     @property
@@ -330,7 +369,12 @@
 
     def on_head(self, head: channels.Head) -> None:
         """Reads the report; passes the head of a target's answer on."""
-        self.report = detour_headers.decode_report(head.headers)
+        report = detour_headers.decode_report(head.headers)
+        if not self._is_own(head, report):
+            self.is_foreign = True
+            self._channel.close()
+            return
+        self.report = report
         if self.report is not None and self.report.result is detour_headers.Result.ANSWERED:
             self.head = dataclasses.replace(
                 head, headers=detour_headers.without_detour(head.headers)
--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -401,7 +401,9 @@
                     return self._chooser.refusal("no_path", "this node reaches no target either")
                 return target
             report = detour_headers.Report(
-                result=detour_headers.Result.ANSWERED, target_id=target.target_id
+                result=detour_headers.Result.ANSWERED,
+                target_id=target.target_id,
+                request_id=progress.admitted.call.request_id,
             )
             reply.added_headers = report.headers()
             if isinstance(sink, answer_sinks.StreamSink):
