--- a/tests/pool_planned_close_test.py
+++ b/tests/pool_planned_close_test.py
@@ -30,7 +30,7 @@
 
 
 class Streams:
-    """Streams to all nodes in turn.
+    """Streams to all nodes, or to some of them, in turn.
 
     Attributes:
         attempts: Their ids.
@@ -38,7 +38,8 @@
         refused: Ids of those that were refused as not run.
     """
 
-    def __init__(self, bench):
+    def __init__(self, bench, *, nodes=None):
+        self._nodes = nodes if nodes is not None else range(len(bench.addresses))
         self.attempts = []
         self.lost = []
         self.refused = []
@@ -48,7 +49,7 @@
     def start(self, count=1):
         for _ in range(count):
             attempt = self._bench.next_attempt_id()
-            node = len(self.attempts) % len(self._bench.addresses)
+            node = self._nodes[len(self.attempts) % len(self._nodes)]
             self.attempts.append(attempt)
             self._tasks.append(asyncio.create_task(self._read(attempt, node)))
 
@@ -178,6 +179,38 @@
             assert second.at - drained_at < MOVE_SECONDS
 
 
+async def test_streams_are_cut_when_the_controller_changes_after_it_closed_their_group():
+    async with running(groups=2, nodes=3, maxAttempts=1) as bench:
+        controls = [controller.is_holder for controller in bench.controllers]
+        streams = Streams(bench, nodes=[number for number, held in enumerate(controls) if not held])
+        await start_streams(bench, streams, 4)
+        group, attempts = busiest_group(bench)
+        assert attempts
+        members = members_of(bench, group)
+        await drain(members[2])
+        await pool_fleet.until(lambda: members[0].member["state"] == "closing")
+        await bench.kernels.pop(controls.index(True)).stop()
+        await until_replaced(bench, group, 2)
+        await streams.end()
+        assert streams.lost == []
+
+
+async def test_a_close_order_without_an_answer_cuts_streams():
+    async with running(groups=2, maxAttempts=1) as bench:
+        streams = Streams(bench)
+        await start_streams(bench, streams, 4)
+        group, attempts = busiest_group(bench)
+        assert attempts
+        members = members_of(bench, group)
+        members[0].options.order_delay = 0.5
+        await drain(members[1])
+        await pool_fleet.until(lambda: members[0].member["state"] == "closing")
+        members[0].options.order_delay = 0.0
+        await until_replaced(bench, group, 2)
+        await streams.end()
+        assert streams.lost == []
+
+
 async def test_members_leave_a_group_whose_delisted_head_is_at_work():
     """The group stalls without them, and its streams are cut."""
     async with running(groups=2, resumable=False, maxAttempts=1) as bench:
