Emulator: runners log each request that arrives, with the deadline handed on

Bounds on repeats count arrivals, also those that a runner rejects, but only runs were logged, without deadlines. A runner's ends are logged too, as users leave out runners that ended while a request ran.

--- a/basilpost/emulator/pool_runner.py
+++ b/basilpost/emulator/pool_runner.py
@@ -155,6 +155,25 @@
     body: bytes = b""
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Arrival:
+    """A request that reached a runner.
+
+    Attributes:
+        attempt: Id of the request.
+        at: When the runner read it, in seconds of `clock.elapsed`.
+        deadline_ms: Time that the node named for it, None if it named none.
+        lifetime: Number of the runner's start.
+        ran: False if the runner rejected it.
+    """
+
+    attempt: str
+    at: float
+    deadline_ms: int | None
+    lifetime: int = 1
+    ran: bool = True
+
+
 class PoolRunner(server.EmulatedServer):
     """The emulated runner of one VM; it registers in the store as the platform's runners do.
 
@@ -179,6 +198,8 @@
         announced_address: Address that its entry names, its own one if empty; such as a proxy's.
         on_down: Called with True when it crashes, with False when it has started again.
         arrivals: When each request arrived, also of those that it rejected and of status requests.
+        arrival_log: The requests that arrived, also those that it rejected, without status requests.
+        ended_at: When it crashed or vanished.
         status_requests: When each status request arrived.
         rejections: When it rejected a request as full.
         cut_off: Ids of the requests that it cut off as ordered.
@@ -217,6 +238,8 @@
         self.announced_address = ""
         self.on_down: Callable[[bool], None] = lambda down: None
         self.arrivals: list[float] = []
+        self.arrival_log: list[Arrival] = []
+        self.ended_at: list[float] = []
         self.status_requests: list[float] = []
         self.rejections: list[float] = []
         self.cut_off: list[str] = []
@@ -244,6 +267,7 @@
 
     async def vanish(self) -> None:
         """Stops without notice and removes its entry from the store."""
+        self.ended_at.append(clock.elapsed())
         await self.stop()
         await self._store.remove(f"servers/{self.vm_id}")
 
@@ -261,6 +285,7 @@
     def crash(self, parts: tuple[str, ...] = (), body: bytes = b"") -> None:
         """Ends at once and starts again after some time, as another process without a group."""
         self.crashes.append(Crash(at=clock.elapsed(), parts=parts, body=body))
+        self.ended_at.append(self.crashes[-1].at)
         self.on_down(True)
         task = asyncio.get_running_loop().create_task(self._crash_and_return())
         self._returns.add(task)
@@ -473,10 +498,12 @@
         if self._options.leaving:
             self.set_header("Server-Leaving", "1")
         if headers.get("X-Expect-Runner") != self.owner.vm_id or not self._serves():
+            self._log_arrival(ran=False)
             self._reject(421)
             return
         if self._options.full:
             self.owner.rejections.append(clock.elapsed())
+            self._log_arrival(ran=False)
             self._reject(503)
             return
         self._log_run()
@@ -517,7 +544,20 @@
             self.set_header("Retry-After", self._options.retry_after)
         self.finish()
 
+    def _log_arrival(self, *, ran: bool) -> None:
+        deadline = self.request.headers.get("X-Deadline-Ms", "")
+        self.owner.arrival_log.append(
+            Arrival(
+                attempt=self.request.headers.get(_ATTEMPT, ""),
+                at=clock.elapsed(),
+                deadline_ms=int(deadline) if deadline.isdecimal() else None,
+                lifetime=self.owner.born,
+                ran=ran,
+            )
+        )
+
     def _log_run(self) -> None:
+        self._log_arrival(ran=True)
         headers, member = self.request.headers, self.owner.member or {}
         self.owner.runs.append(
             Run(
--- a/basilpost/emulator/pool_runner_test.py
+++ b/basilpost/emulator/pool_runner_test.py
@@ -83,3 +83,24 @@
     finally:
         await runner.stop()
         await store.stop()
+
+
+@pytest.mark.parametrize("full", [False, True])
+async def test_arrivals_are_logged_with_the_deadline_that_the_node_named(full):
+    """Without rejected requests and deadlines in the log, no check could count repeats by them."""
+    store = pool_store.PoolStore()
+    await store.start()
+    runner = await start_runner(store, full=full)
+    try:
+        channel = await connect(runner)
+        fields = {"X-Attempt-Id": "one", "X-Expect-Runner": "vm-0", "Host": "runner"}
+        headers = tornado.httputil.HTTPHeaders(fields | {"X-Deadline-Ms": "1500"})
+        channel.send("GET", "/a", headers, b"")
+        await read(channel)
+        await runner.vanish()
+        (arrival,) = runner.arrival_log
+        assert (arrival.attempt, arrival.deadline_ms, arrival.ran) == ("one", 1500, not full)
+        assert runner.ended_at[0] >= arrival.at
+    finally:
+        await runner.stop()
+        await store.stop()
