--- a/basilpost/soak/callers.py
+++ b/basilpost/soak/callers.py
@@ -127,6 +127,7 @@
             timed_out=result is None,
             prompt_parts=prompt_parts,
             sent_body=body,
+            budget_ms=budget_ms,
         )
         self.calls.append(call)
         return call
--- a/basilpost/soak/checks.py
+++ b/basilpost/soak/checks.py
@@ -48,6 +48,7 @@
         timed_out: True if the caller gave up.
         prompt_parts: Ids of the parts of its prompt.
         sent_body: Its body.
+        budget_ms: Time that the caller named as its deadline, 0 for none.
     """
 
     attempt: str
@@ -63,6 +64,7 @@
     timed_out: bool = False
     prompt_parts: tuple[str, ...] = ()
     sent_body: bytes = b""
+    budget_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
