Emulator: copies of streams, members that matter, and runners that leave unannounced

Copies of whole streams can follow these on their connections; a head cuts its streams 0.5 s after a member has left, if the fleet says so; a runner can leave the list and serve on. Own answers are logged with body and time, which tell the answers to repeats under one id apart. Configurations can have further streaming routes.

--- a/basilpost/emulator/pool_fleet.py
+++ b/basilpost/emulator/pool_fleet.py
@@ -1,6 +1,7 @@
 """The emulated platform of the users in one process: store, model runners and a plain service."""
 
 import asyncio
+import functools
 import itertools
 from collections.abc import Callable
 from typing import Any
@@ -24,6 +25,9 @@
     stream_timeout_ms: int = 5000,
     event_seconds: float = 0.0,
     events: int = 0,
+    draft_kinds: bool = False,
+    large_share: float = 0.8,
+    further_route: bool = False,
 ) -> dict[str, Any]:
     """Returns a configuration in the format of the users' platform.
 
@@ -36,15 +40,27 @@
         stream_timeout_ms: Longest time of a stream.
         event_seconds: Time between events, from which the engine's figures follow; 0 for none.
         events: Usual number of events of a stream.
+        draft_kinds: True for further routes to the model service: `draft-once`, whose streams may be resumed
+            but have one attempt, and `draft-whole`, whose streams may not be resumed.
+        large_share: The large model's share of the work.
+        further_route: True for one more route, which nobody uses.
     """
-    engine = _engine() | (_figures(event_seconds, events) if event_seconds else {})
-    draft = _route("draft", "streaming", MODEL_SERVICE, attempts=2, sticky=True)
+    engine = _engine(large_share) | (_figures(event_seconds, events) if event_seconds else {})
+    drafts = [_route("draft", "streaming", MODEL_SERVICE, attempts=2, sticky=True)]
+    if draft_kinds:
+        drafts += [
+            _route("draft-once", "streaming", MODEL_SERVICE, attempts=1, sticky=True),
+            _route("draft-whole", "streaming", MODEL_SERVICE, attempts=1, sticky=True)
+            | {"resumable": False},
+        ]
+    further = [_route("further", "idempotent", PLAIN_SERVICE, attempts=2)] if further_route else []
     return {
         "version": version,
         "routes": [
-            draft | {"timeoutMs": stream_timeout_ms},
+            *(draft | {"timeoutMs": stream_timeout_ms} for draft in drafts),
             _route("filing", "non_idempotent", PLAIN_SERVICE, attempts=1),
             _route("lookup", "idempotent", PLAIN_SERVICE, attempts=2),
+            *further,
         ],
         "services": [
             {"name": MODEL_SERVICE, "coldPerS": 36.0, "engine": engine},
@@ -103,14 +119,29 @@
     }
 
 
-def _engine() -> dict[str, Any]:
+def _engine(large_share: float) -> dict[str, Any]:
+    small_share = round(1.0 - large_share, 3)
     return {
         "slots": 4,
         "loadsPerS": 50.0,
         "formMs": 20.0,
         "models": [
-            {"name": LARGE, "size": 3, "share": 0.8, "pace": 1.0, "loadS": 0.2, "warmS": 0.02},
-            {"name": SMALL, "size": 2, "share": 0.2, "pace": 0.6, "loadS": 0.2, "warmS": 0.02},
+            {
+                "name": LARGE,
+                "size": 3,
+                "share": large_share,
+                "pace": 1.0,
+                "loadS": 0.2,
+                "warmS": 0.02,
+            },
+            {
+                "name": SMALL,
+                "size": 2,
+                "share": small_share,
+                "pace": 0.6,
+                "loadS": 0.2,
+                "warmS": 0.02,
+            },
         ],
     }
 
@@ -121,11 +152,13 @@
     Attributes:
         store: The platform's store.
         runners_by_id: Runners by the id of their VM.
+        members_matter: True if the streams of a group stall once a member has left it.
     """
 
     def __init__(self, *, fabric_domains: int = 1, vms: int = 6, plain_instances: int = 2) -> None:
         self.store = pool_store.PoolStore()
         self.runners_by_id: dict[str, pool_runner.PoolRunner] = {}
+        self.members_matter = False
         for domain, number in itertools.product(range(fabric_domains), range(vms)):
             self.add(f"vm-{domain}-{number}", MODEL_SERVICE, fabric_domain=f"fabric-{domain}")
         for number in range(plain_instances):
@@ -136,9 +169,20 @@
         runner = pool_runner.PoolRunner(
             vm_id=vm_id, service=service, store=self.store, fabric_domain=fabric_domain
         )
+        runner.has_lost_member = functools.partial(self._has_lost_member, runner)
         self.runners_by_id[vm_id] = runner
         return runner
 
+    def _has_lost_member(self, head: pool_runner.PoolRunner) -> bool:
+        """Returns True if a member of a head's group is not in the group any more."""
+        if not self.members_matter or head.member is None:
+            return False
+        group = (head.member["name"], head.member["epoch"])
+        members = [self.runners_by_id[vm_id].member for vm_id in head.members]
+        return any(
+            member is None or (member["name"], member["epoch"]) != group for member in members
+        )
+
     async def start(self) -> None:
         """Starts the store and the runners, and writes the first configuration."""
         await self.store.start()
--- a/basilpost/emulator/pool_runner.py
+++ b/basilpost/emulator/pool_runner.py
@@ -21,6 +21,8 @@
 _ENDLESS_CHUNK_BYTES = 262_144
 _SILENT_POLL_SECONDS = 0.01
 _CLOSING_POLL_SECONDS = 0.01
+# Time without progress after which a group that lost a member cuts its streams.
+_STALL_SECONDS = 0.5
 _ENDLESS_HEAD = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Runner-Signature: s\r\n"
 # What a runner sends first and what it repeats for ever.
 _ENDLESS = {
@@ -57,6 +59,7 @@
         unnamed_stray_answers: True to leave the request id out of stray answers.
         refuses_as_stray: True to send refusals that say "not run" as stray answers.
         answers_twice: How requests to a plain service are answered twice, None for once.
+        copied_streams: How copies of whole streams follow these on their connections, None for none.
         resumed_answer: What is sent on the connection of a stream that is resumed, in place of its
             answer; empty to resume it.
         order_delay: Seconds by which coming orders are delayed; those get no answer. 0 for none.
@@ -93,6 +96,7 @@
     unnamed_stray_answers: bool = False
     refuses_as_stray: bool = False
     answers_twice: second_answers.SecondAnswers | None = None
+    copied_streams: second_answers.StreamCopies | None = None
     resumed_answer: bytes = b""
     order_delay: float = 0.0
     cut_streams: int = 0
@@ -140,6 +144,23 @@
     parts: tuple[str, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Answer:
+    """A runner's own, first answer to a request to a plain service.
+
+    Attributes:
+        attempt: Id of the request.
+        status: Status of the answer.
+        body: Body of the answer.
+        at: When it was sent, in seconds of `clock.elapsed`.
+    """
+
+    attempt: str
+    status: int
+    body: bytes
+    at: float
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Crash:
     """A crash of a runner.
@@ -203,8 +224,10 @@
         status_requests: When each status request arrived.
         rejections: When it rejected a request as full.
         cut_off: Ids of the requests that it cut off as ordered.
-        first_statuses: Status of its own, first answer to each request to a plain service that it
-            answered, by the id of the request.
+        answers: Its own, first answers to the requests to a plain service that it answered.
+        is_listed: False once it leaves without a report; its entry is not written any more.
+        has_lost_member: Tells whether a member of its group has left, joined another one or ended. Its
+            streams move no further then, and are cut after a while.
     """
 
     def __init__(
@@ -243,13 +266,25 @@
         self.status_requests: list[float] = []
         self.rejections: list[float] = []
         self.cut_off: list[str] = []
-        self.first_statuses: list[tuple[str, int]] = []
+        self.answers: list[Answer] = []
+        self.is_listed = True
+        self.has_lost_member: Callable[[], bool] = lambda: False
         self._working: dict[_WorkHandler, str] = {}
         self._last_model = ""
         self._store = store
         self._tasks: set[asyncio.Task[None]] = set()
         self._returns: set[asyncio.Task[None]] = set()
 
+    @property
+    def first_statuses(self) -> list[tuple[str, int]]:
+        """Returns the id of each request of `answers` with the status of the answer."""
+        return [(answer.attempt, answer.status) for answer in self.answers]
+
+    @property
+    def is_working(self) -> bool:
+        """Returns True if a stream is at work."""
+        return bool(self._working)
+
     def routes(self) -> server.Routes:
         """Returns the handlers of the runner."""
         owner = {"owner": self}
@@ -265,6 +300,11 @@
         await self.report()
         return address
 
+    async def leave_list(self) -> None:
+        """Removes its entry from the store without a report before; it serves on meanwhile."""
+        self.is_listed = False
+        await self._store.remove(f"servers/{self.vm_id}")
+
     async def vanish(self) -> None:
         """Stops without notice and removes its entry from the store."""
         self.ended_at.append(clock.elapsed())
@@ -312,6 +352,8 @@
 
     async def report(self) -> None:
         """Writes the runner's entry to the store."""
+        if not self.is_listed:
+            return
         entry = {
             "service": self.service,
             "address": self.announced_address or self.address,
@@ -519,6 +561,7 @@
         elif self._options.fail:
             self.set_status(500)
             self.set_header(SIGNATURE, "s")
+            self._log_answer(b"failed")
             self.finish(b"failed")
         elif self.owner.fabric_domain:
             self.owner._working[self] = headers.get(_ATTEMPT, "")
@@ -582,7 +625,10 @@
             self._drop()
             self.owner.crash(body=self.request.body)
             return
-        answer = {"attempt": self.request.headers.get(_ATTEMPT)}
+        answer: dict[str, Any] = {"attempt": self.request.headers.get(_ATTEMPT)}
+        if self._options.answers_twice is not None:
+            # Tells the answers to repeats under one id apart.
+            answer["run"] = f"{self.owner.vm_id}/{len(self.owner.runs)}"
         if self._options.padding_bytes:
             answer["padding"] = "x" * self._options.padding_bytes
         body = json.dumps(answer).encode()
@@ -597,11 +643,21 @@
                 self._write_raw(stray + b"X-Runner-Signature: s\r\n\r\nstray")
         if self._options.answers_twice is not None:
             body = self._prepare_second_answer(self._options.answers_twice, body)
-        self.owner.first_statuses.append((answer["attempt"] or "", self.get_status()))
+        self._log_answer(body)
         if not self._says_not_run():
             self.set_header(SIGNATURE, "s")
         self._end(body)
 
+    def _log_answer(self, body: bytes) -> None:
+        self.owner.answers.append(
+            Answer(
+                attempt=self.request.headers.get(_ATTEMPT, ""),
+                status=self.get_status(),
+                body=body,
+                at=clock.elapsed(),
+            )
+        )
+
     def _prepare_second_answer(self, plan: second_answers.SecondAnswers, body: bytes) -> bytes:
         """Has a second answer written behind the first one; returns the body of the first one."""
         attempt = self.request.headers.get(_ATTEMPT, "")
@@ -646,16 +702,37 @@
                 return
             while self._options.stalled or self._options.silent:
                 await asyncio.sleep(self._options.event_seconds)
+            if self.owner.has_lost_member():
+                await asyncio.sleep(_STALL_SECONDS)
+                self._drop()
+                return
             if is_cut and number > self._options.cut_after_events:
                 self.write(b"id: ")
                 await self.flush()
                 self._drop()
                 return
-            attempt = self.request.headers.get(_ATTEMPT)
-            self.write(f"id: {number}\ndata: {attempt} {number}\n\n".encode())
+            self.write(self._event(number))
             await self.flush()
+        if self._options.copied_streams is not None:
+            self._prepare_copy(self._options.copied_streams)
         self._end()
 
+    def _event(self, number: int) -> bytes:
+        attempt = self.request.headers.get(_ATTEMPT)
+        return f"id: {number}\ndata: {attempt} {number}\n\n".encode()
+
+    def _prepare_copy(self, plan: second_answers.StreamCopies) -> None:
+        """Has a copy of the whole stream written behind it."""
+        attempt = self.request.headers.get(_ATTEMPT, "")
+        delay = plan.draw_delay(random.Random(f"{attempt} {self.owner.vm_id}"))
+        if delay is None:
+            return
+        body = b"".join(self._event(number) for number in range(1, self._options.events + 1))
+        stream = silent_connections.stream_of(self.request)
+        self.owner._run_in_background(
+            second_answers.write_late(stream, plan.encode_copy(attempt, body), delay=delay)
+        )
+
     def _end(self, body: bytes = b"") -> None:
         """Completes the answer, after which the request does not crash the runner any more."""
         if self._coming_crash is not None:
--- a/basilpost/emulator/pool_runner_test.py
+++ b/basilpost/emulator/pool_runner_test.py
@@ -1,12 +1,14 @@
 """Tests of the emulated runner: what it does must be what the platform's pages say of runners."""
 
 import asyncio
+import dataclasses
 
 import pytest
 import tornado.httputil
 
 from basilpost.core import channels
-from basilpost.emulator import pool_runner, pool_store, second_answers
+from basilpost.emulator import pool_fleet, pool_runner, pool_store, second_answers
+from basilpost.store import objects
 
 
 async def start_runner(store, **options):
@@ -104,3 +106,64 @@
     finally:
         await runner.stop()
         await store.stop()
+
+
+async def test_a_copy_of_a_stream_follows_it_on_its_connection():
+    """Without it no test shows a stream that is answered with the events of an earlier one."""
+    store = pool_store.PoolStore()
+    await store.start()
+    copies = second_answers.StreamCopies(share=1.0, named=False, delays=(0.01,))
+    runner = await start_runner(store, grouped=True, events=3, copied_streams=copies)
+    runner.member = {"name": "large--1", "epoch": 1, "rank": 0, "state": "open"}
+    try:
+        channel = await connect(runner)
+        send(channel, "one", method="POST")
+        bodies, names = [], []
+        for _ in range(2):
+            parts = []
+            head = await channel.receive(on_head=lambda head: None, on_data=parts.append)
+            bodies.append(b"".join(parts))
+            names.append(head.headers.get("X-Attempt-Id"))
+        assert bodies[0] == bodies[1] and b"one 3" in bodies[0]
+        assert names == ["one", None]
+    finally:
+        await runner.stop()
+        await store.stop()
+
+
+async def test_a_head_cuts_its_streams_after_a_member_has_left():
+    """Without it no test shows streams that are lost as members leave while their head works."""
+    fleet = pool_fleet.PoolFleet(vms=2, plain_instances=0)
+    fleet.members_matter = True
+    await fleet.start()
+    head, other = fleet.runners_by_id.values()
+    head.options = dataclasses.replace(head.options, events=10, event_seconds=0.02)
+    try:
+        for runner in (head, other):
+            runner.members = [head.vm_id, other.vm_id]
+            rank = runner.members.index(runner.vm_id)
+            runner.member = {"name": "large--1", "epoch": 1, "rank": rank, "state": "open"}
+        channel = await connect(head)
+        fields = {"X-Attempt-Id": "one", "X-Expect-Runner": head.vm_id, "Host": "runner"}
+        channel.send("POST", "/a", tornado.httputil.HTTPHeaders(fields), b"")
+        reading = asyncio.create_task(read(channel))
+        await asyncio.sleep(0.05)
+        assert not head.has_lost_member()
+        await other.handle_order(order("leave"))
+        assert isinstance(await reading, channels.Broken)
+    finally:
+        await fleet.stop()
+
+
+async def test_a_runner_that_leaves_without_a_report_serves_on_without_an_entry():
+    fleet = pool_fleet.PoolFleet(vms=1, plain_instances=0)
+    await fleet.start()
+    (runner,) = fleet.runners_by_id.values()
+    try:
+        await runner.leave_list()
+        await runner.report()
+        entry = await fleet.store.store.get(f"servers/{runner.vm_id}")
+        assert isinstance(entry, objects.Missing)
+        assert isinstance(await connect(runner), channels.Channel)
+    finally:
+        await fleet.stop()
--- a/basilpost/emulator/second_answers.py
+++ b/basilpost/emulator/second_answers.py
@@ -9,6 +9,9 @@
 _REASONS = {200: "OK", 500: "Internal Server Error", 503: "Service Unavailable"}
 NOT_RUN_STATUS = 503
 SECOND_BODY = b"second"
+_STATUSES = tuple(_REASONS)
+# Range of the share of requests that a runner of a drawn mix answers twice.
+_DRAWN_SHARE = (0.1, 0.4)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -46,6 +49,48 @@
         return "\r\n".join([*fields, "", ""]).encode() + SECOND_BODY
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class StreamCopies:
+    """How copies of whole streams follow these on their connections.
+
+    Attributes:
+        share: Share of the streams that are copied, from 0 to 1.
+        named: True if the copy names the request of the stream.
+        delays: Seconds between the stream and its copy, one of which is drawn for each stream.
+    """
+
+    share: float
+    named: bool = True
+    delays: tuple[float, ...] = (0.0, 0.005, 0.02, 0.08)
+
+    def draw_delay(self, rng: random.Random) -> float | None:
+        """Returns the seconds until the copy of a stream, None if it is not copied."""
+        return rng.choice(self.delays) if rng.random() < self.share else None
+
+    def encode_copy(self, attempt: str, body: bytes) -> bytes:
+        """Returns the bytes of the copy of a stream."""
+        fields = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream", "X-Runner-Signature: s"]
+        fields += [f"X-Attempt-Id: {attempt}"] if self.named else []
+        fields.append(f"Content-Length: {len(body)}")
+        return "\r\n".join([*fields, "", ""]).encode() + body
+
+
+def draw_second_answers(rng: random.Random) -> SecondAnswers:
+    """Returns how one runner answers twice: statuses, names and share are drawn."""
+    return SecondAnswers(
+        share=rng.uniform(*_DRAWN_SHARE),
+        first_status=rng.choice(_STATUSES),
+        first_named=rng.random() < 0.5,
+        second_status=rng.choice(_STATUSES),
+        second_named=rng.random() < 0.5,
+    )
+
+
+def draw_stream_copies(rng: random.Random) -> StreamCopies:
+    """Returns how copies follow the streams of one runner."""
+    return StreamCopies(share=rng.uniform(*_DRAWN_SHARE), named=rng.random() < 0.5)
+
+
 async def write_late(stream: iostream.IOStream, data: bytes, *, delay: float) -> None:
     """Writes bytes to a connection after some time, unless it is closed by then."""
     await asyncio.sleep(delay)
