--- a/basilpost/soak/__main__.py
+++ b/basilpost/soak/__main__.py
@@ -11,7 +11,7 @@
 
 import click
 
-from basilpost.soak import run, scenarios
+from basilpost.soak import answer_scenarios, drain_scenarios, run, scenarios
 
 SCENARIOS_BY_PLAN: dict[str, Callable[..., scenarios.Scenario]] = {
     "faults": scenarios.AllFaults,
@@ -23,6 +23,8 @@
     "fleet": scenarios.LargeFleet,
     "restores": scenarios.RestoredStore,
     "overload": scenarios.Overload,
+    "second-answers": answer_scenarios.SecondAnswers,
+    "planned-drains": drain_scenarios.PlannedDrains,
 }
 
 
@@ -39,7 +41,8 @@
     default="faults",
     show_default=True,
     help="Faults of all kinds, planned stops, crashing requests, such whose callers leave, lost paths, paths on which nothing passes, "
-    "lost paths of most nodes of a large fleet, restores of the store, or callers that want more than there is.",
+    "lost paths of most nodes of a large fleet, restores of the store, callers that want more than there is, "
+    "runners that answer twice, or runners that drain one after another.",
 )
 @click.option("--nodes", type=int, help="Number of nodes.")
 @click.option("--callers", "caller_count", type=int, help="Number of callers.")
--- a/basilpost/soak/callers.py
+++ b/basilpost/soak/callers.py
@@ -89,14 +89,16 @@
         *,
         budget_ms: int,
         leaves_after: float = math.inf,
+        attempt: str = "",
     ) -> checks.Call:
         """Sends a request on a connection, reads the answer and records both.
 
         Without an answer the caller gives up after `leaves_after` seconds, or some time after the deadline.
+        A request that is sent again has an `attempt`, the id under which it was sent before.
         """
-        attempt = f"{self._name}-{next(self._request_numbers)}"
+        attempt = attempt or f"{self._name}-{next(self._request_numbers)}"
         sent_at = clock.elapsed()
-        model = pool_fleet.LARGE if path == "draft" else ""
+        model = pool_fleet.LARGE if path in checks.STREAMING_PATHS else ""
         headers = tornado.httputil.HTTPHeaders(
             pool_fleet.call_headers(attempt, model=model, key=key, budget_ms=budget_ms)
         )
@@ -162,13 +164,14 @@
         *,
         budget_ms: int = DEADLINE_MS,
         leaves_after: float = math.inf,
+        attempt: str = "",
     ) -> checks.Call | None:
         """Sends one request and returns its record, or None if no connection could be opened."""
         channel = await self._channels.acquire(address, timeout=CONNECT_TIMEOUT_SECONDS)
         if isinstance(channel, channels.ConnectFailed):
             return None
         call = await self._exchange(
-            channel, path, key, budget_ms=budget_ms, leaves_after=leaves_after
+            channel, path, key, budget_ms=budget_ms, leaves_after=leaves_after, attempt=attempt
         )
         if call.complete:
             self._channels.release(channel)
--- a/basilpost/soak/checks.py
+++ b/basilpost/soak/checks.py
@@ -12,6 +12,9 @@
 # Time after which a withdrawn key or failure domain must no longer be used.
 WITHDRAWAL_SECONDS = 5.0
 NOT_RUN_STATUSES = frozenset({421, 429, 503})
+# Kinds of requests that must run once at most, and those that are answered with a stream of events.
+RUN_ONCE_PATHS = frozenset({"filing", "draft-whole"})
+STREAMING_PATHS = frozenset({"draft", "draft-once", "draft-whole"})
 # Users' bounds on requests that crash runners, by a part of their prompts or each by itself: the part or the
 # request has to be known this long after so many crashes, so many may arrive later, and sound ones are
 # served at least so much as before.
@@ -36,7 +39,8 @@
     Attributes:
         attempt: Id of the request; the headers and the runners' logs call it an attempt.
         path: `lookup`, an idempotent call to a plain service; `filing`, a call to it that must run at
-            most once; or `draft`, a request to a model that is answered with a stream of events.
+            most once; or `draft`, a request to a model that is answered with a stream of events. The
+            streams of `draft-once` have one attempt, and those of `draft-whole` may not be resumed.
         key: API key that it was sent with.
         sent_at: When it was sent, in seconds of `clock.elapsed`.
         status: Status of the answer, 0 if none came.
@@ -140,17 +144,34 @@
     runs_by_attempt: dict[str, list[pool_runner.Run]] = collections.defaultdict(list)
     for run in itertools.chain.from_iterable(runner.runs for runner in runners):
         runs_by_attempt[run.attempt].append(run)
-    calls_by_attempt = {call.attempt: call for call in calls}
+    calls_by_attempt: dict[str, list[Call]] = collections.defaultdict(list)
+    for call in sorted(calls, key=lambda call: call.sent_at):
+        calls_by_attempt[call.attempt].append(call)
+
+    def runs_of(call: Call) -> list[pool_runner.Run]:
+        """Returns the runs of a request up to its caller's repeat under the same id, if any."""
+        return [
+            run
+            for run in runs_by_attempt[call.attempt]
+            if _call_of(run, calls_by_attempt[call.attempt]) is call
+        ]
+
     violations = [
         f"{violation}: {call.attempt}, {call.path}, status {call.status}{_after_stop(call, stops)}"
         for call in calls
-        for violation in _violations_of_call(call, runs_by_attempt[call.attempt], events)
+        for violation in _violations_of_call(call, runs_of(call), events)
+    ]
+    violations += [
+        f"ran more than once: {attempt}, {sent[0].path}, sent {len(sent)} times"
+        for attempt, sent in calls_by_attempt.items()
+        if sent[0].path in RUN_ONCE_PATHS and len(runs_by_attempt[attempt]) > 1
     ]
     if planned_only:
         violations += [
-            f"{CUT}: {call.attempt}, {call.path}, status {call.status}{_after_stop(call, stops)}"
+            f"{CUT}: {call.attempt}, {call.path}, status {call.status}"
+            f"{_cut_as_ordered(call, runners)}{_after_stop(call, stops)}"
             for call in calls
-            if _is_lost(call, bool(runs_by_attempt[call.attempt]), logged_requests)
+            if _is_lost(call, bool(runs_of(call)), logged_requests)
         ]
     violations += [
         f"ran unasked: {attempt}" for attempt in runs_by_attempt if attempt not in calls_by_attempt
@@ -164,8 +185,7 @@
         f"key {withdrawal.name} was in use after its time: {call.attempt}"
         for withdrawal in withdrawn_keys
         for call in calls
-        if call.key == withdrawal.name
-        and _ran_after(withdrawal, call, runs_by_attempt[call.attempt])
+        if call.key == withdrawal.name and _ran_after(withdrawal, call, runs_of(call))
     ]
     violations += _uses_of_failure_domains(runners, calls_by_attempt, withdrawn_failure_domains)
     return violations + _joins_without_leaving(runners)
@@ -196,6 +216,17 @@
     return not call.complete and (ran or was_read)
 
 
+def _call_of(run: pool_runner.Run, sent: Sequence[Call]) -> Call:
+    """Returns which of the calls with a run's id, in the order in which they were sent, the run is of."""
+    return next((call for call in reversed(sent) if call.sent_at <= run.at), sent[0])
+
+
+def _cut_as_ordered(call: Call, runners: Iterable[pool_runner.PoolRunner]) -> str:
+    """Tells which runners cut a request off because an order said so."""
+    vm_ids = [runner.vm_id for runner in runners if call.attempt in runner.cut_off]
+    return f", cut off as ordered by {' and '.join(vm_ids)}" if vm_ids else ""
+
+
 def _after_stop(call: Call, stops: Iterable[Stop]) -> str:
     """Describes when a request was sent and ended relative to the last stop of its node before."""
     earlier = [stop for stop in stops if stop.address == call.address and stop.at < call.ended_at]
@@ -210,21 +241,22 @@
 
 
 def _violations_of_call(call: Call, runs: Sequence[pool_runner.Run], events: int) -> Iterable[str]:
-    if call.path == "filing" and len(runs) > 1:
-        yield "ran more than once"
-    if call.path == "filing" and call.status in NOT_RUN_STATUSES and runs:
+    if call.path in RUN_ONCE_PATHS and call.status in NOT_RUN_STATUSES and runs:
         yield "ran although the answer says not"
     if call.status == 200 and call.complete:
         if not call.signed:
             yield "a success without signature"
         if not _has_expected_body(call, events):
             yield "a success with another body"
-    if call.path == "draft" and not _has_consecutive_events(call):
-        yield "events are missing or come twice"
+    if call.path in STREAMING_PATHS and call.status == 200:
+        if not _has_consecutive_events(call):
+            yield "events are missing or come twice"
+        if not _has_own_events(call):
+            yield "events of another request"
 
 
 def _has_expected_body(call: Call, events: int) -> bool:
-    if call.path == "draft":
+    if call.path in STREAMING_PATHS:
         return event_ids(call.body) == list(range(1, events + 1))
     try:
         return bool(json.loads(call.body)["attempt"] == call.attempt)
@@ -233,10 +265,16 @@
 
 
 def _has_consecutive_events(call: Call) -> bool:
-    ids = event_ids(call.body) if call.status == 200 else []
+    ids = event_ids(call.body)
     return ids == list(range(1, len(ids) + 1))
 
 
+def _has_own_events(call: Call) -> bool:
+    lines = call.body.decode(errors="replace").split("\n")[:-1]
+    data = [line.removeprefix("data: ") for line in lines if line.startswith("data: ")]
+    return all(text.startswith(f"{call.attempt} ") for text in data)
+
+
 def event_ids(body: bytes) -> list[int]:
     """Returns the ids of the complete events of a stream."""
     events = body.decode(errors="replace").split("\n\n")[:-1]
@@ -245,7 +283,7 @@
 
 def _uses_of_failure_domains(
     runners: Iterable[pool_runner.PoolRunner],
-    calls_by_attempt: dict[str, Call],
+    calls_by_attempt: dict[str, list[Call]],
     withdrawn_failure_domains: Sequence[Withdrawal],
 ) -> list[str]:
     return [
@@ -254,8 +292,8 @@
         for runner in runners
         if runner.failure_domain == withdrawal.name
         for run in runner.runs
-        if (call := calls_by_attempt.get(run.attempt)) is not None
-        and _ran_after(withdrawal, call, [run])
+        if (sent := calls_by_attempt.get(run.attempt)) is not None
+        and _ran_after(withdrawal, _call_of(run, sent), [run])
     ]
 
 
--- a/basilpost/soak/checks_test.py
+++ b/basilpost/soak/checks_test.py
@@ -9,7 +9,8 @@
 from basilpost.soak import checks
 
 EVENTS = b"".join(
-    f"id: {number}\ndata: x\n\n".encode() for number in range(1, pool_runner.Options().events + 1)
+    f"id: {number}\ndata: one {number}\n\n".encode()
+    for number in range(1, pool_runner.Options().events + 1)
 )
 FILED = checks.Call(
     attempt="one",
@@ -75,6 +76,16 @@
             [RAN],
             "events are missing or come twice",
         ),
+        (
+            dataclasses.replace(DRAFTED, body=EVENTS.replace(b"one 2", b"other 2")),
+            [RAN],
+            "events of another request",
+        ),
+        (
+            dataclasses.replace(DRAFTED, path="draft-whole"),
+            [RAN, RAN],
+            "ran more than once",
+        ),
         (
             dataclasses.replace(FILED, attempt="other", body=b'{"attempt": "other"}'),
             [RAN],
@@ -128,6 +139,37 @@
     assert lines == ([checks.CUT] if lost else [])
 
 
+def test_a_repeat_under_the_same_id_is_told_from_the_request_before():
+    """A run of the repeat must not be taken for a run of a request that was answered as not run."""
+    refused = dataclasses.replace(FILED, status=503, ended_at=101.0)
+    repeated = dataclasses.replace(FILED, sent_at=102.0)
+
+    def lines(*runs):
+        return [
+            line.partition(":")[0]
+            for line in checks.check(
+                [refused, repeated],
+                [runner(*runs)],
+                withdrawn_keys=(),
+                withdrawn_failure_domains=(),
+                planned_only=False,
+            )
+        ]
+
+    early, late = (dataclasses.replace(RAN, at=at) for at in (100.5, 102.5))
+    assert lines(late) == []
+    assert lines(early) == ["ran although the answer says not"]
+    assert lines(early, late) == ["ran although the answer says not", "ran more than once"]
+
+
+def test_a_lost_stream_is_reported_with_the_runner_that_cut_it_off_as_ordered():
+    cut = dataclasses.replace(DRAFTED, complete=False, body=EVENTS[:20])
+    cutting = runner(RAN)
+    cutting.cut_off.append("one")
+    (line,) = broken_lines(cut, cutting, planned_only=True)
+    assert line == "cut by planned work: one, draft, status 200, cut off as ordered by vm"
+
+
 def test_a_lost_request_is_reported_with_the_last_stop_before_its_end():
     cut = dataclasses.replace(FILED, complete=False, status=0, address="n", ended_at=100.5)
     stops = [
--- a/basilpost/soak/faults.py
+++ b/basilpost/soak/faults.py
@@ -19,6 +19,10 @@
     requests and ask for a pause, RUNNER_LEAVES say in its answers that it leaves until it is replaced.
     STORE_RESTORED brings the store back from a copy that is some seconds old. MOST_PATHS cuts all nodes but
     one to three off from all runners, and MOST_SERVICE_PATHS from those of the plain service.
+    RUNNER_DRAINS makes the head of a group, or another member, report that it drains and later that it is
+    ready again; RUNNER_RETIRES ends it after its drain for good, and RUNNER_UNLISTED removes its entry without
+    such a report while it serves on until its group has no work. CONFIGURED writes a configuration with the
+    same content, with another route, timeout or share.
     """
 
     KILL = "kill"
@@ -48,6 +52,10 @@
     MOST_SERVICE_PATHS = "most_service_paths"
     PATH_SILENT = "path_silent"
     HALF_PATH_SILENT = "half_path_silent"
+    RUNNER_DRAINS = "runner_drains"
+    RUNNER_RETIRES = "runner_retires"
+    RUNNER_UNLISTED = "runner_unlisted"
+    CONFIGURED = "configured"
 
 
 # The kinds that `draw` picks from; their number and order decide what a seed draws.
@@ -66,6 +74,8 @@
         Kind.STORE_REFUSES,
     }
 )
+# Kinds that disturb the connections of one runner.
+RUNNER_CONNECTION_KINDS = frozenset({Kind.RUNNER_SILENT, Kind.RUNNER_ONE_WAY, Kind.RUNNER_RESET})
 # Nodes are cut off from the runners, also several at once, while others stop, die or freeze and runners
 # ask for pauses, leave or are gone.
 PATH_KINDS = (
@@ -111,6 +121,36 @@
     Kind.STORE_AWAY,
     Kind.RUNNER_GONE,
 )
+# Faults of all kinds beside runners that answer twice; cuts make requests go through other nodes.
+SECOND_ANSWER_KINDS = (
+    *PLANNED,
+    Kind.CONFIGURED,
+    Kind.KILL,
+    Kind.PAUSE,
+    Kind.PATH_RESET,
+    Kind.PATH_REFUSED,
+    Kind.HALF_PATH_SILENT,
+    Kind.RUNNER_RESET,
+    Kind.RUNNER_ONE_WAY,
+    Kind.RUNNER_GONE,
+    Kind.ANSWERS_LOST,
+    Kind.STORE_SILENT,
+)
+# Beside runners that drain one after another, in seeds with planned work only and in others.
+PLANNED_BESIDE_DRAINS = (*(Kind.CONFIGURED,) * 3, *PLANNED)
+UNPLANNED_BESIDE_DRAINS = (
+    Kind.KILL,
+    Kind.PAUSE,
+    Kind.RUNNER_GONE,
+    Kind.RUNNER_RESET,
+    Kind.STORE_SILENT,
+    Kind.PATH_RESET,
+)
+# Seconds from one drain to the next; a seed has one of them. Each drain takes 2.5 s.
+DRAIN_GAPS_SECONDS = (0.5, 0.6, 1.0, 2.0)
+DRAIN_SECONDS = 2.5
+# How runners leave; most are back after their drain.
+DRAIN_KINDS = (*(Kind.RUNNER_DRAINS,) * 6, Kind.RUNNER_RETIRES, Kind.RUNNER_UNLISTED)
 # Factor on the duration of a cut: the users' bounds hold from 3 s after its beginning.
 PATH_LENGTH_FACTOR = 2.0
 # Faults beside requests that crash runners: nodes come and go, also with the store away.
@@ -231,3 +271,30 @@
             at += rng.uniform(*STOP_GAP_SECONDS)
         series_at += rng.expovariate(1.0 / MEAN_SERIES_GAP_SECONDS)
     return tuple(sorted(faults, key=lambda fault: fault.at))
+
+
+def draw_drains(seed: int, *, seconds: float, planned_only: bool) -> tuple[Fault, ...]:
+    """Returns drains of one runner after another and what happens beside them.
+
+    Args:
+        seed: Seed of the random numbers; the same seed gives the same faults.
+        seconds: Time during which faults begin.
+        planned_only: True for planned work only.
+    """
+    rng = random.Random(f"drains/{seed}")
+    gap = rng.choice(DRAIN_GAPS_SECONDS)
+    drains = [
+        Fault(
+            kind=rng.choice(DRAIN_KINDS),
+            at=number * gap,
+            seconds=DRAIN_SECONDS,
+            target_index=rng.randrange(1_000),
+        )
+        for number in range(1, round(seconds / gap))
+    ]
+    kinds = PLANNED_BESIDE_DRAINS + (() if planned_only else UNPLANNED_BESIDE_DRAINS)
+    beside = draw_of(kinds, seed, seconds=seconds)
+    # Withdrawals wait for each other and take 5 to 9 s each, so more of them only lengthen the run.
+    withdrawals = [fault for fault in beside if fault.kind in (Kind.KEY_TAKEN, Kind.DOMAIN_OUT)]
+    kept = [fault for fault in beside if fault not in withdrawals[1:]]
+    return tuple(sorted([*drains, *kept], key=lambda fault: fault.at))
--- a/basilpost/soak/repeat_checks.py
+++ b/basilpost/soak/repeat_checks.py
@@ -47,6 +47,16 @@
     end: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _RunnerLog:
+    """What a runner logged; each sending of a request by its caller has an id of its own."""
+
+    vm_id: str
+    service: str
+    arrival_log: tuple[pool_runner.Arrival, ...]
+    ended_at: tuple[float, ...]
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class _LoggedArrival:
     """An arrival with the runner that logged it."""
@@ -76,32 +86,69 @@
             among those that ran a request, nor do deadlines of requests that it read meanwhile.
     """
     runners = list(runners)
+    calls, logs = _tell_sendings_apart(calls, runners)
     return [
-        *_check_windows(calls, runners, bounds),
-        *_check_attempts(calls, runners, bounds, runner_faults),
-        *_check_deadlines(calls, runners, disturbances, runner_faults),
+        *_check_windows(calls, logs, bounds),
+        *_check_attempts(calls, logs, bounds, runner_faults),
+        *_check_deadlines(calls, logs, disturbances, runner_faults),
     ]
 
 
 def count_repeats(runners: Iterable[pool_runner.PoolRunner]) -> dict[str, int]:
     """Returns the number of repeats by service, over the whole run."""
-    return {service: len(_repeat_times(group)) for service, group in _by_service(runners).items()}
+    logs = _tell_sendings_apart((), runners)[1]
+    return {service: len(_repeat_times(group)) for service, group in _by_service(logs).items()}
 
 
-def _by_service(
-    runners: Iterable[pool_runner.PoolRunner],
-) -> dict[str, list[pool_runner.PoolRunner]]:
-    runners_by_service: dict[str, list[pool_runner.PoolRunner]] = collections.defaultdict(list)
+def _tell_sendings_apart(
+    calls: Sequence[checks.Call], runners: Iterable[pool_runner.PoolRunner]
+) -> tuple[Sequence[checks.Call], Sequence[_RunnerLog]]:
+    """Numbers what callers sent under one id, as a caller's own repeat is a new request.
+
+    An arrival is taken for one of the last sending before it.
+    """
+    sent_at_by_attempt: dict[str, list[float]] = collections.defaultdict(list)
+    for call in sorted(calls, key=lambda call: call.sent_at):
+        sent_at_by_attempt[call.attempt].append(call.sent_at)
+
+    def name(attempt: str, at: float) -> str:
+        number = bisect.bisect_right(sent_at_by_attempt.get(attempt, []), at)
+        return attempt if number <= 1 else f"{attempt} sent {number} times"
+
+    numbered = [
+        dataclasses.replace(call, attempt=name(call.attempt, call.sent_at)) for call in calls
+    ]
+    logs = [
+        _RunnerLog(
+            vm_id=runner.vm_id,
+            service=runner.service,
+            arrival_log=tuple(
+                dataclasses.replace(arrival, attempt=name(arrival.attempt, arrival.at))
+                for arrival in runner.arrival_log
+            ),
+            ended_at=tuple(runner.ended_at),
+        )
+        for runner in runners
+    ]
+    return numbered, logs
+
+
+def _by_service(runners: Iterable[_RunnerLog]) -> dict[str, list[_RunnerLog]]:
+    runners_by_service: dict[str, list[_RunnerLog]] = collections.defaultdict(list)
     for runner in runners:
         runners_by_service[runner.service].append(runner)
     return runners_by_service
 
 
 def _service_of(call: checks.Call) -> str:
-    return pool_fleet.MODEL_SERVICE if call.path == "draft" else pool_fleet.PLAIN_SERVICE
+    return (
+        pool_fleet.MODEL_SERVICE
+        if call.path in checks.STREAMING_PATHS
+        else pool_fleet.PLAIN_SERVICE
+    )
 
 
-def _repeat_times(runners: Iterable[pool_runner.PoolRunner]) -> list[float]:
+def _repeat_times(runners: Iterable[_RunnerLog]) -> list[float]:
     """Returns when each repeat reached one of the runners, in order."""
     times_by_attempt: dict[str, list[float]] = collections.defaultdict(list)
     for arrival in itertools.chain.from_iterable(runner.arrival_log for runner in runners):
@@ -113,7 +160,7 @@
 
 def _check_windows(
     calls: Sequence[checks.Call],
-    runners: Sequence[pool_runner.PoolRunner],
+    runners: Sequence[_RunnerLog],
     bounds: RepeatBounds,
 ) -> Iterable[str]:
     for service, group in _by_service(runners).items():
@@ -175,7 +222,7 @@
 
 def _check_attempts(
     calls: Sequence[checks.Call],
-    runners: Sequence[pool_runner.PoolRunner],
+    runners: Sequence[_RunnerLog],
     bounds: RepeatBounds,
     runner_faults: Sequence[RunnerFault],
 ) -> Iterable[str]:
@@ -208,7 +255,7 @@
 
 def _check_deadlines(
     calls: Sequence[checks.Call],
-    runners: Sequence[pool_runner.PoolRunner],
+    runners: Sequence[_RunnerLog],
     disturbances: Sequence[checks.Disturbance],
     runner_faults: Sequence[RunnerFault],
 ) -> Iterable[str]:
@@ -269,7 +316,7 @@
     return end > first.at + first.deadline_ms / 1000 and end > call.sent_at + call.budget_ms / 1000
 
 
-def _logged(runners: Iterable[pool_runner.PoolRunner]) -> Iterable[_LoggedArrival]:
+def _logged(runners: Iterable[_RunnerLog]) -> Iterable[_LoggedArrival]:
     return (
         _LoggedArrival(vm_id=runner.vm_id, arrival=arrival)
         for runner in runners
--- a/basilpost/soak/repeat_checks_test.py
+++ b/basilpost/soak/repeat_checks_test.py
@@ -174,3 +174,13 @@
         pool_fleet.PLAIN_SERVICE: 3,
         pool_fleet.MODEL_SERVICE: 0,
     }
+
+
+def test_a_callers_repeat_under_the_same_id_is_a_request_of_its_own():
+    """The arrivals of such repeats must not use up the bound on the nodes' own repeats."""
+    sent = [call("one", sent_at=100.0 + number) for number in range(12)]
+    arrivals = [arrival("one", at=one.sent_at + 0.1) for one in sent]
+    assert broken(sent, [runner("a", arrivals)]) == []
+    again = [arrival("one", at=one.sent_at + 0.2, ran=False) for one in sent]
+    more = [arrival("one", at=one.sent_at + 0.3, ran=False) for one in sent]
+    assert broken(sent, [runner("a", arrivals), runner("b", [*again, *more])]) == ["repeats"]
--- a/basilpost/soak/run.py
+++ b/basilpost/soak/run.py
@@ -8,12 +8,24 @@
 import itertools
 import pathlib
 import random
-from collections.abc import Awaitable, Iterable
-from typing import Any
+from collections.abc import Awaitable, Collection, Iterable
 
 from basilpost.core import clock
 from basilpost.emulator import pool_fleet
-from basilpost.soak import balancer, callers, checks, faults, processes, proxies, scenarios
+from basilpost.node import pool_demo
+from basilpost.soak import (
+    answer_checks,
+    balancer,
+    callers,
+    checks,
+    faults,
+    operator_work,
+    processes,
+    proxies,
+    repeat_checks,
+    runner_work,
+    scenarios,
+)
 
 START_TIMEOUT_SECONDS = 20.0
 # Time after the last fault within which every node must serve every kind of request again. It
@@ -23,7 +35,17 @@
 # Consecutive answers that one instance of the plain service loses.
 LOST_ANSWERS_PER_FAULT = 3
 SLOW_STORE_DELAY_SECONDS = 0.3
-FAILURE_DOMAINS = ("a", "b")
+REPEAT_BOUNDS = repeat_checks.RepeatBounds(
+    share=pool_demo.RETRY_SHARE,
+    slack=pool_demo.RETRY_RESERVE,
+    max_attempts_by_path={
+        "lookup": 2,
+        "filing": 1,
+        "draft": 2,
+        "draft-once": 1,
+        "draft-whole": 1,
+    },
+)
 # A copy of the store is this many times as old as the fault is long.
 COPY_AGE_FACTOR = 2.0
 # Shares of a fault's length in which the store is away, and then all is written to it again.
@@ -64,25 +86,27 @@
         self, *, seed: int, folder: pathlib.Path, scenario: scenarios.Scenario | None = None
     ) -> None:
         self._seed = seed
-        self._scenario = scenario or scenarios.AllFaults()
+        self._scenario = (scenario or scenarios.AllFaults()).for_seed(seed)
         self._fleet = pool_fleet.PoolFleet(
-            vms=self._scenario.vms, plain_instances=len(FAILURE_DOMAINS) * 2
+            vms=self._scenario.vms, plain_instances=self._scenario.plain_instances
         )
+        self._fleet.members_matter = self._scenario.members_matter
         for number, runner in enumerate(self._fleet.runners_by_id.values()):
-            runner.failure_domain = FAILURE_DOMAINS[number % len(FAILURE_DOMAINS)]
-            runner.options = dataclasses.replace(self._scenario.runner_options)
+            runner.failure_domain = operator_work.FAILURE_DOMAINS[
+                number % len(operator_work.FAILURE_DOMAINS)
+            ]
+            runner.options = self._scenario.options_of(runner, seed=seed)
         self._folder = folder
         self._nodes: list[processes.NodeProcess] = []
         self._proxies_by_vm: dict[str, proxies.Proxy] = {}
         self._restart_locks_by_vm: dict[str, asyncio.Lock] = collections.defaultdict(asyncio.Lock)
         self._callers: list[callers.Caller] = []
-        self._withdrawn_keys: list[checks.Withdrawal] = []
-        self._withdrawn_failure_domains: list[checks.Withdrawal] = []
-        self._version = 1
-        self._configuration_lock = asyncio.Lock()
+        self._operator = operator_work.OperatorWork(fleet=self._fleet, scenario=self._scenario)
+        self._runner_work = runner_work.RunnerWork(fleet=self._fleet)
         self._violations: list[str] = []
         self._disturbances: list[checks.Disturbance] = []
         self._cuts: list[checks.Disturbance] = []
+        self._runner_faults: list[repeat_checks.RunnerFault] = []
 
     async def run(self, *, seconds: float) -> Report:
         """Injects faults that begin within `seconds`, then checks all guarantees."""
@@ -101,7 +125,7 @@
     async def _start(self, stack: contextlib.AsyncExitStack) -> None:
         stack.push_async_callback(self._fleet.stop)
         await self._fleet.start()
-        await self._fleet.configure(self._configuration())
+        await self._operator.configure()
         for runner in self._fleet.runners_by_id.values():
             proxy = proxies.Proxy(target=runner.address)
             await proxy.start()
@@ -140,17 +164,6 @@
         self._callers += started
         return [asyncio.create_task(caller.run()) for caller in started]
 
-    def _configuration(self, **options: Any) -> dict[str, Any]:
-        return pool_fleet.configuration(
-            self._version,
-            stream_timeout_ms=self._scenario.stream_timeout_ms,
-            event_seconds=(
-                self._scenario.runner_options.event_seconds if self._scenario.contracts else 0.0
-            ),
-            events=self._scenario.runner_options.events,
-            **options,
-        )
-
     async def _wait_until_all_serve(self, when: str, seconds: float) -> None:
         """Waits until each node serves each kind of request; what times out is a violation."""
         probe = callers.RandomCaller(name=f"probe-{len(self._callers)}", addresses=(), seed="")
@@ -180,13 +193,21 @@
         self._violations += checks.check(
             calls,
             self._fleet.runners_by_id.values(),
-            withdrawn_keys=self._withdrawn_keys,
-            withdrawn_failure_domains=self._withdrawn_failure_domains,
+            withdrawn_keys=self._operator.withdrawn_keys,
+            withdrawn_failure_domains=self._operator.withdrawn_failure_domains,
             planned_only=self._seed % self._scenario.planned_every == 0,
             stops=stops,
             logged_requests=logged_requests,
             events=self._scenario.runner_options.events,
         )
+        self._violations += answer_checks.check_answers(calls, self._fleet.runners_by_id.values())
+        self._violations += repeat_checks.check_repeats(
+            calls,
+            self._fleet.runners_by_id.values(),
+            bounds=REPEAT_BOUNDS,
+            disturbances=self._disturbances,
+            runner_faults=self._runner_faults,
+        )
         self._violations += checks.check_crashes(
             calls,
             self._fleet.runners_by_id.values(),
@@ -214,6 +235,9 @@
         began_at = clock.elapsed()
         node = self._nodes[fault.target_index % len(self._nodes)]
         await self._inject(fault)
+        if fault.kind in faults.RUNNER_CONNECTION_KINDS:
+            ids = sorted(self._proxies_by_vm)
+            self._log_runner_faults([ids[fault.target_index % len(ids)]], began_at)
         if fault.kind in faults.NODE_KINDS:
             self._disturbances.append(
                 checks.Disturbance(
@@ -223,6 +247,12 @@
                 )
             )
 
+    def _log_runner_faults(self, vm_ids: Iterable[str], began_at: float) -> None:
+        self._runner_faults += [
+            repeat_checks.RunnerFault(vm_id=vm_id, begin=began_at, end=clock.elapsed())
+            for vm_id in vm_ids
+        ]
+
     def _inject(self, fault: faults.Fault) -> Awaitable[None]:
         node = self._nodes[fault.target_index % len(self._nodes)]
         ids = sorted(self._proxies_by_vm)
@@ -277,10 +307,16 @@
                 return self._leave(fault, vm_id)
             case faults.Kind.STORE_RESTORED:
                 return self._restore_store(fault)
+            case faults.Kind.CONFIGURED:
+                return self._operator.configure_anew(fault)
+            case faults.Kind.RUNNER_DRAINS | faults.Kind.RUNNER_RETIRES:
+                return self._runner_work.drain(fault)
+            case faults.Kind.RUNNER_UNLISTED:
+                return self._runner_work.leave_list(fault)
             case faults.Kind.KEY_TAKEN:
-                return self._withdraw_key(fault)
+                return self._operator.withdraw_key(fault)
             case _:
-                return self._withdraw_failure_domain(fault)
+                return self._operator.withdraw_failure_domain(fault)
 
     async def _stop_again(self, node: processes.NodeProcess) -> None:
         node.stop_again()
@@ -321,6 +357,7 @@
             await runner.vanish()
             await asyncio.sleep(fault.seconds)
             runner.member, runner.members, runner.staged = None, [], []
+            runner.state = "ready"
             runner.born += 1
             runner.release_port()
             proxy = self._proxies_by_vm[vm_id]
@@ -342,7 +379,7 @@
         await asyncio.gather(*(self._cut_path(cut, node, all_proxies) for node in nodes))
 
     async def _cut_path(
-        self, fault: faults.Fault, node: processes.NodeProcess, cut: Iterable[proxies.Proxy]
+        self, fault: faults.Fault, node: processes.NodeProcess, cut: Collection[proxies.Proxy]
     ) -> None:
         """Cuts a node off from some runners; overlapping cuts of one node end with the first one."""
         host = node.settings.host
@@ -356,6 +393,9 @@
         self._cuts.append(
             checks.Disturbance(address=node.settings.callers, begin=began_at, end=clock.elapsed())
         )
+        self._log_runner_faults(
+            [vm_id for vm_id, proxy in self._proxies_by_vm.items() if proxy in cut], began_at
+        )
         for proxy in cut:
             (proxy.silent_hosts if silent else proxy.refused_hosts).discard(host)
 
@@ -388,30 +428,6 @@
             rewrite_seconds=fault.seconds * REWRITE_SHARE,
         )
 
-    async def _withdraw_key(self, fault: faults.Fault) -> None:
-        """Withdraws a key for longer than it may still be used, so that a later use is detected."""
-        async with self._configuration_lock:
-            self._version += 1
-            await self._fleet.configure(self._configuration(keys=(pool_fleet.KEY,)))
-            at = clock.elapsed()
-            await asyncio.sleep(checks.WITHDRAWAL_SECONDS + fault.seconds)
-            self._withdrawn_keys.append(
-                checks.Withdrawal(name=pool_fleet.OTHER_KEY, at=at, until=clock.elapsed())
-            )
-            self._version += 1
-            await self._fleet.configure(self._configuration())
-
-    async def _withdraw_failure_domain(self, fault: faults.Fault) -> None:
-        async with self._configuration_lock:
-            name = FAILURE_DOMAINS[-1]
-            await self._fleet.store.put(f"evacuations/{name}", {})
-            at = clock.elapsed()
-            await asyncio.sleep(checks.WITHDRAWAL_SECONDS + fault.seconds)
-            self._withdrawn_failure_domains.append(
-                checks.Withdrawal(name=name, at=at, until=clock.elapsed())
-            )
-            await self._fleet.store.remove(f"evacuations/{name}")
-
 
 def _set_down(proxy: proxies.Proxy, down: bool) -> None:
     """Makes a proxy refuse connections while the runner behind it is down."""
--- a/basilpost/soak/scenarios.py
+++ b/basilpost/soak/scenarios.py
@@ -26,6 +26,9 @@
         runner_options: How the runners behave.
         planned_every: Each seed divisible by this has planned work only, which may cut no request.
         contracts: Parts of the platform's terms that are in force.
+        plain_instances: Number of runners of the plain service.
+        draft_kinds: True for further routes that stream; see `pool_fleet.configuration`.
+        members_matter: True if the streams of a group stall once a member has left it.
     """
 
     nodes: int = 3
@@ -38,6 +41,17 @@
     runner_options: pool_runner.Options = dataclasses.field(default_factory=pool_runner.Options)
     planned_every: int = faults.PLANNED_EVERY
     contracts: tuple[str, ...] = ()
+    plain_instances: int = 4
+    draft_kinds: bool = False
+    members_matter: bool = False
+
+    def for_seed(self, seed: int) -> "Scenario":
+        """Returns the scenario with the sizes that a seed draws; a subclass may draw some."""
+        return self
+
+    def options_of(self, runner: pool_runner.PoolRunner, *, seed: int) -> pool_runner.Options:
+        """Returns how a runner behaves; a subclass may draw it from the seed."""
+        return dataclasses.replace(self.runner_options)
 
     @abc.abstractmethod
     def draw(self, seed: int, *, seconds: float) -> tuple[faults.Fault, ...]:
--- a/tests/soak_test.py
+++ b/tests/soak_test.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from basilpost.soak import faults, run, scenarios
+from basilpost.soak import answer_scenarios, drain_scenarios, faults, run, scenarios
 
 SECONDS = 8.0
 # Each seed with the reason why it is listed.
@@ -55,6 +55,13 @@
 )
 OVERLOAD_SECONDS = 8.0
 OVERLOAD_SEEDS = ((1, "callers want more than there is, among faults of all kinds (issue 42)"),)
+ANSWER_SECONDS = 6.0
+ANSWER_SEEDS = (
+    (1, "callers got the status of a second answer in place of the runner's own (issue 58)"),
+    (5, "callers got a second answer as a success although the runner had failed (issue 58)"),
+)
+DRAIN_SECONDS = 6.0
+DRAIN_SEEDS = ((4, "a close order cut streams that no other group could go on with (issue 58)"),)
 STOP_SEEDS = ((372, "the store is silent when drains end; accepted requests were cut (issue 24)"),)
 
 
@@ -151,3 +158,27 @@
     )
     assert report.broken == ()
     assert report.served > report.calls / 10
+
+
+@pytest.mark.processes
+@pytest.mark.parametrize("seed", [seed for seed, _ in ANSWER_SEEDS])
+async def test_runners_answer_twice(seed, tmp_path):
+    """Guards against answers of a runner that reach a caller in place of the runner's own, first one."""
+    scenario = answer_scenarios.SecondAnswers()
+    report = await run.Soak(seed=seed, folder=tmp_path, scenario=scenario).run(
+        seconds=ANSWER_SECONDS
+    )
+    assert report.broken == ()
+    assert report.served > report.calls / 4
+
+
+@pytest.mark.processes
+@pytest.mark.parametrize("seed", [seed for seed, _ in DRAIN_SEEDS])
+async def test_runners_drain_one_after_another(seed, tmp_path):
+    """Guards against planned work on runners that ends streams without all of their events."""
+    scenario = drain_scenarios.PlannedDrains()
+    report = await run.Soak(seed=seed, folder=tmp_path, scenario=scenario).run(
+        seconds=DRAIN_SECONDS
+    )
+    assert report.broken == ()
+    assert report.served > report.calls / 4
