Soak: model runners answer twice too, and streams are checked against their own answers

Plan second-answers let streams only be followed by copies, and answers to streams were not compared with the runners' own. Half of the model runners now answer twice, also with a failure first; answer_checks.py compares the status of every answer.

--- a/basilpost/emulator/pool_runner.py
+++ b/basilpost/emulator/pool_runner.py
@@ -58,7 +58,7 @@
             another request, a stray answer, is sent first.
         unnamed_stray_answers: True to leave the request id out of stray answers.
         refuses_as_stray: True to send refusals that say "not run" as stray answers.
-        answers_twice: How requests to a plain service are answered twice, None for once.
+        answers_twice: How requests are answered twice, None for once.
         copied_streams: How copies of whole streams follow these on their connections, None for none.
         resumed_answer: What is sent on the connection of a stream that is resumed, in place of its
             answer; empty to resume it.
@@ -146,12 +146,12 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Answer:
-    """A runner's own, first answer to a request to a plain service.
+    """A runner's own, first answer to a request.
 
     Attributes:
         attempt: Id of the request.
         status: Status of the answer.
-        body: Body of the answer.
+        body: Body of the answer, empty for a stream.
         at: When it was sent, in seconds of `clock.elapsed`.
     """
 
@@ -224,7 +224,8 @@
         status_requests: When each status request arrived.
         rejections: When it rejected a request as full.
         cut_off: Ids of the requests that it cut off as ordered.
-        answers: Its own, first answers to the requests to a plain service that it answered.
+        answers: Its own, first answers to requests, in the order of the answers; the bodies of streams
+            are left out.
         is_listed: False once it leaves without a report; its entry is not written any more.
         has_lost_member: Tells whether a member of its group has left, joined another one or ended. Its
             streams move no further then, and are cut after a while.
@@ -665,10 +666,12 @@
         if delay is None:
             return body
         stream = silent_connections.stream_of(self.request)
+        is_stream = bool(self.owner.fabric_domain)
+        second_body = second_answers.SECOND_EVENT if is_stream else second_answers.SECOND_BODY
         self.owner._run_in_background(
-            second_answers.write_late(stream, plan.encode_second(attempt), delay=delay)
+            second_answers.write_late(stream, plan.encode_second(attempt, second_body), delay=delay)
         )
-        if self.request.method != "GET":
+        if self.request.method != "GET" and not is_stream:
             return body
         if not plan.first_named:
             self.clear_header(_ATTEMPT)
@@ -686,6 +689,15 @@
             self._write_raw(self._options.resumed_answer.replace(b"@", name))
             self._drop()
             return
+        body = b""
+        if self._options.answers_twice is not None:
+            body = self._prepare_second_answer(self._options.answers_twice, b"")
+        self._log_answer(body)
+        if body:
+            if not self._says_not_run():
+                self.set_header(SIGNATURE, "s")
+            self._end(body)
+            return
         self.set_header(SIGNATURE, "s")
         self.set_header("Content-Type", "text/event-stream")
         is_cut = self._options.cut_streams > 0
--- a/basilpost/emulator/second_answers.py
+++ b/basilpost/emulator/second_answers.py
@@ -12,13 +12,14 @@
 _STATUSES = tuple(_REASONS)
 # Range of the share of requests that a runner of a drawn mix answers twice.
 _DRAWN_SHARE = (0.1, 0.4)
+SECOND_EVENT = b"id: 1\ndata: second\n\n"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class SecondAnswers:
-    """How a runner of a plain service answers requests twice.
+    """How a runner answers requests twice.
 
-    Other requests than GET get their usual first answer, whatever `first_status` is.
+    Requests to a plain service other than GET get their usual first answer, whatever `first_status` is.
 
     Attributes:
         share: Share of the requests that are answered twice, from 0 to 1.
@@ -40,13 +41,13 @@
         """Returns the seconds until the second answer to a request, None if it gets no second one."""
         return rng.choice(self.delays) if rng.random() < self.share else None
 
-    def encode_second(self, attempt: str) -> bytes:
+    def encode_second(self, attempt: str, body: bytes = SECOND_BODY) -> bytes:
         """Returns the bytes of the second answer to a request."""
         status = self.second_status
-        fields = [f"HTTP/1.1 {status} {_REASONS[status]}", f"Content-Length: {len(SECOND_BODY)}"]
+        fields = [f"HTTP/1.1 {status} {_REASONS[status]}", f"Content-Length: {len(body)}"]
         fields += [f"X-Attempt-Id: {attempt}"] if self.second_named else []
         fields.append("X-Not-Executed: 1" if status == NOT_RUN_STATUS else "X-Runner-Signature: s")
-        return "\r\n".join([*fields, "", ""]).encode() + SECOND_BODY
+        return "\r\n".join([*fields, "", ""]).encode() + body
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/basilpost/soak/answer_checks.py
+++ b/basilpost/soak/answer_checks.py
@@ -9,10 +9,10 @@
 def check_answers(
     calls: Sequence[checks.Call], runners: Iterable[pool_runner.PoolRunner]
 ) -> list[str]:
-    """Returns a line for each answer to a plain call that is not a runner's own answer to it.
+    """Returns a line for each answer that is not a runner's own answer to the request.
 
-    A success must be some runner's own success with its body. A failure with a runner's signature must
-    have the status of some runner's own answer.
+    A success must be some runner's own success, with its body if it is no stream. A failure with a
+    runner's signature must have the status of some runner's own answer.
 
     Args:
         calls: All requests of all callers.
@@ -26,7 +26,7 @@
         f"{violation}: {call.attempt}, {call.path}, status {call.status}"
         f", its runners answered {[answer.status for answer in own]}"
         for call in calls
-        if call.path not in checks.STREAMING_PATHS and call.complete
+        if call.complete
         # The caller's repeats have the same id, so the time tells which sending was answered.
         for own in [
             [
@@ -44,7 +44,9 @@
         successes = [answer for answer in own if answer.status == 200]
         if not successes:
             yield "a success that no runner gave"
-        elif call.body not in [answer.body for answer in successes]:
+        elif call.path not in checks.STREAMING_PATHS and call.body not in [
+            answer.body for answer in successes
+        ]:
             yield "a success without its runner's body"
     elif call.signed and call.status not in [answer.status for answer in own]:
         yield "a failure with a status that no runner gave"
--- a/basilpost/soak/answer_checks_test.py
+++ b/basilpost/soak/answer_checks_test.py
@@ -38,7 +38,7 @@
         ([], {"status": 502, "signed": False, "body": b"lost"}),
         ([FAILED], {"status": 502, "signed": False, "body": b"lost"}),
         ([FAILED], {"complete": False}),
-        ([], {"path": "draft"}),
+        ([dataclasses.replace(OWN, body=b"")], {"path": "draft"}),
     ],
 )
 def test_own_answers_and_the_nodes_own_failures_pass(answers, changes):
@@ -64,6 +64,10 @@
     assert broken([FAILED, OWN], body=b"failed") == ["a success without its runner's body"]
 
 
+def test_a_stream_that_no_runner_began_is_detected():
+    assert broken([FAILED], path="draft") == ["a success that no runner gave"]
+
+
 def test_a_signed_failure_with_another_status_is_detected():
     assert broken([FAILED], status=503) == ["a failure with a status that no runner gave"]
     assert broken([OWN], status=500) == ["a failure with a status that no runner gave"]
--- a/basilpost/soak/answer_scenarios.py
+++ b/basilpost/soak/answer_scenarios.py
@@ -12,6 +12,8 @@
 # Most requests are calls to the plain service, and most of these may be repeated.
 _REQUEST_KINDS = (*("lookup",) * 6, "filing", "draft")
 _REPEATS = (0, 3)
+# Share of the model runners whose streams are followed by copies; the others answer twice.
+_COPYING_SHARE = 0.5
 
 
 class RepeatingCaller(callers.RandomCaller):
@@ -57,7 +59,7 @@
     def options_of(self, runner: pool_runner.PoolRunner, *, seed: int) -> pool_runner.Options:
         """Returns which requests a runner answers twice, and how."""
         rng = random.Random(f"answers/{seed}/{runner.vm_id}")
-        if runner.fabric_domain:
+        if runner.fabric_domain and rng.random() < _COPYING_SHARE:
             copies = second_answers.draw_stream_copies(rng)
             return dataclasses.replace(self.runner_options, copied_streams=copies)
         twice = second_answers.draw_second_answers(rng)
