--- a/basilpost/emulator/pool_fleet.py
+++ b/basilpost/emulator/pool_fleet.py
@@ -153,9 +153,20 @@
         store: The platform's store.
         runners_by_id: Runners by the id of their VM.
         members_matter: True if the streams of a group stall once a member has left it.
+
+    Args:
+        spec: The first configuration, that of `configuration` if None.
     """
 
-    def __init__(self, *, fabric_domains: int = 1, vms: int = 6, plain_instances: int = 2) -> None:
+    def __init__(
+        self,
+        *,
+        fabric_domains: int = 1,
+        vms: int = 6,
+        plain_instances: int = 2,
+        spec: dict[str, Any] | None = None,
+    ) -> None:
+        self._spec = configuration() if spec is None else spec
         self.store = pool_store.PoolStore()
         self.runners_by_id: dict[str, pool_runner.PoolRunner] = {}
         self.members_matter = False
@@ -186,7 +197,7 @@
     async def start(self) -> None:
         """Starts the store and the runners, and writes the first configuration."""
         await self.store.start()
-        await self.configure(configuration())
+        await self.configure(self._spec)
         for runner in self.runners_by_id.values():
             await runner.start()
 
--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -22,6 +22,7 @@
     inbound,
     load_control,
     loss_probe,
+    planned_moves,
     request_admission,
     retry_budgets,
     target_choice,
@@ -48,6 +49,7 @@
     Attributes:
         sender: Sends each request to its target.
         stall_detector: Watches the streams that this node reads.
+        planned_moves: Moves streams from groups that are closed as planned.
         loss_probe: Finds out whether targets that lost requests have crashed.
     """
 
@@ -115,6 +117,13 @@
             on_cancelled=lambda progress: self._watch_target(progress, cancelled=True),
             log=log,
         )
+        self._targets = targets
+        self.planned_moves = planned_moves.PlannedMoves(
+            closing=targets.closing,
+            choose=self._chooser.choose_with_free_slot,
+            loads=loads,
+            log=log,
+        )
         self.loss_probe = loss_probe.LossProbe(
             connect=self.sender.connect,
             has_path=lambda service: reachability.find_path(service=service, fresh=True),
@@ -204,6 +213,7 @@
         finally:
             progress.first_event_at = sink.first_event_at
             sink.discard()
+            self.planned_moves.take_reserved(progress)
         if reply.started and not isinstance(result, attempts.Streamed):
             reply.abort()
             reason = result.reason if isinstance(result, failure.Refusal) else "no more events"
@@ -237,6 +247,7 @@
                 way,
                 sink,
                 may_move=lambda: self._spend_retry(progress, retry_budgets.RetryCause.STALLED),
+                spend_retry=lambda: self._spend_planned_retry(progress),
             )
             if isinstance(result, failure.Refusal):
                 return attempts.corrected_refusal(progress, result)
@@ -262,6 +273,7 @@
         sink: answer_sinks.StreamSink,
         *,
         may_move: Callable[[], bool],
+        spend_retry: Callable[[], bool] | None = None,
     ) -> channels.Head | attempts.NotSent | attempts.NotRun | attempts.Lost | failure.Refusal:
         """Forwards the events of one target until its stream ends, breaks off or stalls.
 
@@ -272,6 +284,7 @@
             sink: Receives the events.
             may_move: Called before a stalled stream is moved; returns False to leave it. A retry is
                 spent then: without one, the stream would be cut although its target may go on.
+            spend_retry: The same for a stream whose group is closed as planned; None to leave it there.
         """
         # Streams that other nodes send are watched by node: the same ones watch them by target.
         source = way.node_id if isinstance(way, detours.Detour) else way.target_id
@@ -290,12 +303,14 @@
         sink.restart()
         progress.resumed = bool(sink.stream.last_id)
         watch = self.stall_detector.watch(source, move_stream, lambda: sink.activity)
+        planned = self.planned_moves.watch(source, progress, sink, spend_retry)
         try:
             result = await self._send(
                 progress, request, way, last_event=sink.stream.last_id, sink=sink
             )
         finally:
             self.stall_detector.unwatch(watch)
+            self.planned_moves.unwatch(planned)
         if sink.writing_since is not None and progress.predicted_seconds:
             self.sender.first_events.record(
                 progress.admitted.call.model,
@@ -316,6 +331,9 @@
         self, progress: attempts.Progress
     ) -> targets_.Target | detours.Detour | failure.Refusal:
         """Returns the target of a request, or the node that sends it while this one has no path."""
+        reserved = self.planned_moves.take_reserved(progress)
+        if reserved is not None:
+            return reserved
         service = progress.admitted.service.name
         if not progress.repeatable:
             # Sent on a link on which nothing passes, it could not be sent by another node any more.
@@ -445,6 +463,13 @@
     def _spend_retry_of_silent(self, progress: attempts.Progress) -> bool:
         return self._spend_retry(progress, retry_budgets.RetryCause.SILENT)
 
+    def _spend_planned_retry(self, progress: attempts.Progress) -> bool:
+        """Spends the retry of a planned move, unless this node may not reach the next target."""
+        service = progress.admitted.service.name
+        if self._reachability.is_in_doubt(service) or self._reachability.prefers_detour(service):
+            return False
+        return self._spend_retry(progress, retry_budgets.RetryCause.PLANNED)
+
     def _may_try_elsewhere(
         self,
         progress: attempts.Progress,
@@ -459,7 +484,8 @@
 
     def _report_loss(self, progress: attempts.Progress, result: attempts.Lost) -> None:
         """Has the target of a lost request watched; another node does so for one that it has sent."""
-        if not result.by_detour:
+        # A head that has ended as planned after a stream has moved away is no crash.
+        if not result.by_detour and progress.reserved_target is None:
             self._watch_target(progress, cancelled=result.abandoned)
 
     def _watch_target(self, progress: attempts.Progress, *, cancelled: bool) -> None:
@@ -493,6 +519,9 @@
             writing_ms=round(loss.writing_seconds * 1000),
             abandoned=loss.abandoned,
             stale=loss.stale_connection,
+            closing=progress.target in self._targets.closing(),
+            attempts_left=progress.admitted.route.max_attempts - progress.sends,
+            retries_left=round(self._retries.retries_left(progress.admitted.service.name), 1),
         )
 
     def _may_crash_again(self, progress: attempts.Progress, result: attempts.Lost) -> bool:
