Emulator: a second answer to a stream follows the whole stream

The second answer is now written behind the last event, as behind a plain answer.

basilpost/emulator/pool_runner_test.py: 9 passed, the new one fails before.

--- a/basilpost/emulator/pool_runner.py
+++ b/basilpost/emulator/pool_runner.py
@@ -523,6 +523,8 @@
         self.owner = owner
         self._options = owner.options
         self._coming_crash: asyncio.Task[None] | None = None
+        # Bytes that are written behind the whole answer, and how many seconds later.
+        self._behind_answer: tuple[bytes, float] | None = None
 
     async def get(self) -> None:
         await self._work()
@@ -665,12 +667,9 @@
         delay = plan.draw_delay(random.Random(f"{attempt} {self.owner.vm_id}"))
         if delay is None:
             return body
-        stream = silent_connections.stream_of(self.request)
         is_stream = bool(self.owner.fabric_domain)
         second_body = second_answers.SECOND_EVENT if is_stream else second_answers.SECOND_BODY
-        self.owner._run_in_background(
-            second_answers.write_late(stream, plan.encode_second(attempt, second_body), delay=delay)
-        )
+        self._behind_answer = (plan.encode_second(attempt, second_body), delay)
         if self.request.method != "GET" and not is_stream:
             return body
         if not plan.first_named:
@@ -740,15 +739,16 @@
         if delay is None:
             return
         body = b"".join(self._event(number) for number in range(1, self._options.events + 1))
-        stream = silent_connections.stream_of(self.request)
-        self.owner._run_in_background(
-            second_answers.write_late(stream, plan.encode_copy(attempt, body), delay=delay)
-        )
+        self._behind_answer = (plan.encode_copy(attempt, body), delay)
 
     def _end(self, body: bytes = b"") -> None:
         """Completes the answer, after which the request does not crash the runner any more."""
         if self._coming_crash is not None:
             self._coming_crash.cancel()
+        if self._behind_answer is not None:
+            data, delay = self._behind_answer
+            stream = silent_connections.stream_of(self.request)
+            self.owner._run_in_background(second_answers.write_late(stream, data, delay=delay))
         self.finish(body)
 
     def _crashes_runner(self) -> bool:
--- a/basilpost/emulator/pool_runner_test.py
+++ b/basilpost/emulator/pool_runner_test.py
@@ -167,3 +167,24 @@
         assert isinstance(await connect(runner), channels.Channel)
     finally:
         await fleet.stop()
+
+
+async def test_a_second_answer_to_a_stream_follows_the_whole_stream():
+    """It came before the first event, so that no reader could tell which answer was the runner's first."""
+    store = pool_store.PoolStore()
+    await store.start()
+    plan = second_answers.SecondAnswers(share=1.0, first_status=200, delays=(0.0,))
+    runner = await start_runner(store, grouped=True, events=3, answers_twice=plan)
+    runner.member = {"name": "large--1", "epoch": 1, "rank": 0, "state": "open"}
+    try:
+        channel = await connect(runner)
+        send(channel, "one", method="POST")
+        parts = []
+        head = await channel.receive(on_head=lambda head: None, on_data=parts.append)
+        assert head.headers.get("X-Attempt-Id") is None
+        assert b"one 3" in b"".join(parts)
+        second = await read(channel)
+        assert second.headers.get("X-Attempt-Id") == "one"
+    finally:
+        await runner.stop()
+        await store.stop()
