Emulator: orders for an older state are refused, and sequences count as on the platform

The emulated runner ignored `expected`, gave the number of orders received as the sequence of its entry and of its report, and kept fences over a restart.

--- a/basilpost/emulator/pool_runner.py
+++ b/basilpost/emulator/pool_runner.py
@@ -174,6 +174,8 @@
         highest_fence: Highest fencing token that it has accepted.
         refused_orders: The orders that it answered with 412.
         highest_epoch: Highest epoch of the groups that it was ordered to join.
+        begun_orders: Number of the orders that began something since its present start. An order
+            that expects another number is refused.
         born: Number of its present start.
         crashes: Its crashes.
         announced_address: Address that its entry names, its own one if empty; such as a proxy's.
@@ -212,6 +214,7 @@
         self.highest_fence = 0
         self.refused_orders: list[dict[str, Any]] = []
         self.highest_epoch = 0
+        self.begun_orders = 0
         self.born = 1
         self.crashes: list[Crash] = []
         self.announced_address = ""
@@ -223,6 +226,7 @@
         self.first_statuses: list[tuple[str, int]] = []
         self._working: dict[_WorkHandler, str] = {}
         self._last_model = ""
+        self._check_ins = 0
         self._store = store
         self._tasks: set[asyncio.Task[None]] = set()
         self._returns: set[asyncio.Task[None]] = set()
@@ -269,6 +273,8 @@
     async def _crash_and_return(self) -> None:
         options = self.options
         self.member, self.members, self._last_model = None, [], ""
+        self.highest_fence = self.highest_epoch = 0
+        self.begun_orders = self._check_ins = 0
         self.born += 1
         for task in list(self._tasks):
             task.cancel()
@@ -287,6 +293,7 @@
 
     async def report(self) -> None:
         """Writes the runner's entry to the store."""
+        self._check_ins += 1
         entry = {
             "service": self.service,
             "address": self.announced_address or self.address,
@@ -296,7 +303,8 @@
             "state": self.state,
             "coldRemainingMs": 0,
             "born": self.born,
-            "sequence": len(self.orders),
+            # In an entry this counts check-ins; orders are counted in the runner's own report.
+            "sequence": self._check_ins,
         }
         if self.fabric_domain:
             entry |= {"domain": self.fabric_domain, "staged": self.staged, "group": self.member}
@@ -313,6 +321,8 @@
         if order.get("fence", 0) < self.highest_fence:
             return 412
         self.highest_fence = order.get("fence", 0)
+        if order.get("expected", self.begun_orders) != self.begun_orders:
+            return 409
         match order["operation"]:
             case "join":
                 return await self._join(order)
@@ -323,6 +333,7 @@
             case "leave":
                 return await self._leave(order)
             case "stage":
+                self.begun_orders += 1
                 self._run_in_background(self._stage(order["model"]))
                 return 202
         return 400
@@ -333,6 +344,7 @@
         self.highest_epoch = order["epoch"]
         if self._is_in(order):
             return 200 if self.members == order["members"] else 412
+        self.begun_orders += 1
         before = self.member["name"] if self.member else None
         self.joins.append((order["group"], before))
         self.members = order["members"]
@@ -361,6 +373,7 @@
     async def _open(self, order: dict[str, Any]) -> int:
         if not self._is_in(order) or self.member is None or self.member["state"] != "ready":
             return 409
+        self.begun_orders += 1
         self._run_in_background(self._finish_open(order))
         return 202
 
@@ -372,6 +385,7 @@
         """Ends the group's service; it is ready again when no request is at work any more."""
         status = await self._set_state(order, "closing")
         if status == 200:
+            self.begun_orders += 1
             if order.get("closeMode") == "cutoff":
                 for handler, attempt in self._working.items():
                     self.cut_off.append(attempt)
@@ -394,6 +408,7 @@
 
     async def _leave(self, order: dict[str, Any]) -> int:
         if self._is_in(order):
+            self.begun_orders += 1
             self.member, self.members = None, []
             await self.report()
         return 200
@@ -447,7 +462,14 @@
         now = clock.elapsed()
         self.owner.arrivals.append(now)
         self.owner.status_requests.append(now)
-        self.answer({"sequence": len(self.owner.orders)})
+        self.answer(
+            {
+                "sequence": self.owner.begun_orders,
+                "born": self.owner.born,
+                "group": self.owner.member,
+                "staged": self.owner.staged,
+            }
+        )
 
 
 class _WorkHandler(web.RequestHandler):
--- a/basilpost/emulator/pool_runner_test.py
+++ b/basilpost/emulator/pool_runner_test.py
@@ -68,6 +68,36 @@
         await store.stop()
 
 
+async def test_an_order_for_an_older_state_is_refused():
+    """The emulator ignored `expected`, so no test showed what a late order does to a runner."""
+    store = pool_store.PoolStore()
+    await store.start()
+    runner = await start_runner(store, grouped=True, events=1, load_seconds=0.01, open_seconds=0.01)
+    join = order("join", model="large", members=["vm-0"])
+    try:
+        assert await runner.handle_order({**join, "expected": 1}) == 409
+        assert await runner.handle_order({**join, "expected": 0}) == 202
+        assert runner.begun_orders == 1
+        assert await runner.handle_order(join) == 200
+        assert await runner.handle_order(order("leave", group="large--0", epoch=0)) == 200
+        assert runner.begun_orders == 1
+        late = {**join, "group": "large--2", "epoch": 2, "expected": 0}
+        assert await runner.handle_order(late) == 409
+        assert (runner.member["name"], runner.highest_epoch) == ("large--1", 1)
+        while runner.member["state"] != "ready":
+            await asyncio.sleep(0.01)
+        assert await runner.handle_order(order("open")) == 202
+        while runner.member["state"] != "open":
+            await asyncio.sleep(0.01)
+        assert await runner.handle_order(order("close")) == 200
+        assert await runner.handle_order(order("leave")) == 200
+        assert runner.begun_orders == 4
+        assert await runner.handle_order({**late, "expected": 4}) == 202
+    finally:
+        await runner.stop()
+        await store.stop()
+
+
 async def test_a_second_answer_follows_the_first_one_on_its_connection():
     store = pool_store.PoolStore()
     await store.start()
