Tests of orders in transit, which fail: late and repeated orders to VMs in other groups

A JOIN that got no answer is carried out at a VM that has joined another group meanwhile; the JOINs of a group that is being formed are sent again to VMs in another group; a group is opened although a member was ordered to leave it. The state machine finds the same with controllers that are replaced at any step.

--- a/basilpost/groups/pool_test.py
+++ b/basilpost/groups/pool_test.py
@@ -208,6 +208,56 @@
     assert {order.vm.vm_id for order in later.orders} == {"1", "2"}
 
 
+def joining_after_a_takeover():
+    """Returns five VMs and the state of a controller that has just sent three of them a JOIN.
+
+    The VMs 0, 3 and 4 were ordered by its predecessor to form the group large--7; only 0 has joined.
+    """
+    member = catalog.Membership(group="large--7", epoch=7, rank=0, state=READY)
+    vms = [vm(str(number), staged=("large",)) for number in (1, 3, 4)]
+    vms.append(vm("0", staged=("large",), member=member))
+    return vms, pool.decide(view(vms), free_for(vms, 99)).state
+
+
+def with_large_7(vms, *, head_state=READY):
+    """Returns the VMs after the predecessor's JOINs were carried out late."""
+    members = [
+        catalog.Membership(
+            group="large--7", epoch=7, rank=rank, state=head_state if not rank else READY
+        )
+        for rank in range(3)
+    ]
+    member_by_id = dict(zip("034", members, strict=True))
+    return [dataclasses.replace(one, member=member_by_id.get(one.vm_id, one.member)) for one in vms]
+
+
+def test_a_join_is_not_sent_again_to_a_vm_that_is_in_another_group():
+    """A VM that took a late JOIN of another group was ordered away from that group when it was open."""
+    vms, state = joining_after_a_takeover()
+    for head_state in (READY, OPEN):
+        later = pool.decide(view(with_large_7(vms, head_state=head_state), now=102.0), state)
+        joined_ids = {one.vm.vm_id for one in later.orders if one.kind is orders.Kind.JOIN}
+        assert joined_ids.isdisjoint("034")
+
+
+def test_a_group_is_no_longer_formed_once_a_member_is_in_another_complete_group():
+    """Its other members waited for the end of the forming time and served nobody."""
+    vms, state = joining_after_a_takeover()
+    later = pool.decide(view(with_large_7(vms, head_state=OPEN), now=100.5), state)
+    assert later.state.forming_by_group == {}
+
+
+def test_a_group_is_not_opened_after_a_member_was_ordered_to_leave_it():
+    """The LEAVE may be carried out seconds later, while the group serves requests."""
+    vms, state = joining_after_a_takeover()
+    assert state.last_order_by_vm["0@1"].order.kind is orders.Kind.LEAVE
+    soon = pool.decide(view(with_large_7(vms), now=100.5), state)
+    assert "open 0 large--7" not in order_texts(soon)
+    later = pool.decide(view(with_large_7(vms), now=101.5), soon.state)
+    assert "leave 0 large--7" in order_texts(later)
+    assert "open 0 large--7" not in order_texts(later)
+
+
 def test_a_group_that_loses_a_member_while_it_forms_is_dissolved():
     vms = [vm(str(number)) for number in range(3)]
     first = pool.decide(view(vms), free_for(vms, 99))
--- /dev/null
+++ b/basilpost/groups/pool_transit_test.py
@@ -0,0 +1,245 @@
+"""State machine of orders in transit: lost, late, repeated and reordered, from several controllers.
+
+Runners behave as the platform says. Controllers decide on views that are older than the runners'
+reports, are replaced at any step, and may go on after another one has taken the lease.
+"""
+
+import dataclasses
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from basilpost.core import catalog
+from basilpost.groups import orders, pool, pool_state, reported_groups
+
+MODEL = catalog.Model(name="m", vms=2, pace=1.0, work_share=1.0, load_seconds=4.0, warm_seconds=0.5)
+VM_IDS = ("a", "b", "c", "d", "e")
+EPOCHS_PER_FENCE = 1000
+OPENED = (catalog.MemberState.OPEN, catalog.MemberState.CLOSING)
+STEPS_SECONDS = (0.05, 0.3, 1.1)
+FATES = ("now", "now", "late", "lost")
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Snapshot:
+    """What a runner reports of itself at one moment."""
+
+    vm: catalog.Vm
+    begun_orders: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Transit:
+    """An order that a runner may still carry out."""
+
+    order: orders.Order
+    fence: int
+    expected: int | None
+
+
+class Runner:
+    """A runner that carries out orders as the platform's pages say."""
+
+    def __init__(self, vm_id):
+        self.born = 0
+        self.vm_id = vm_id
+        self.snapshots = []
+        self.ready_groups = set()
+        self.restart()
+
+    def restart(self):
+        self.born += 1
+        self.fence = self.epoch = self.begun_orders = 0
+        self.member = None
+        self.member_ids = ()
+        self.leaving = False
+        self.snapshots.clear()
+        self.report()
+
+    def report(self):
+        vm = catalog.Vm(
+            vm_id=self.vm_id,
+            incarnation=self.born,
+            service="s",
+            address="",
+            failure_domain="z",
+            fabric_domain="f",
+            slots=4,
+            leaving=self.leaving,
+            cold_seconds=0.0,
+            staged=("m",),
+            member=self.member,
+        )
+        self.snapshots.append(Snapshot(vm=vm, begun_orders=self.begun_orders))
+
+    @property
+    def group(self):
+        return self.member.group if self.member else ""
+
+    @property
+    def state(self):
+        return self.member.state if self.member else None
+
+    def accepts(self, transit):
+        """Returns True if an order may begin something now; records its fencing number and epoch."""
+        if transit.fence < self.fence:
+            return False
+        self.fence = transit.fence
+        if transit.expected not in (None, self.begun_orders):
+            return False
+        order = transit.order
+        match order.kind:
+            case orders.Kind.JOIN:
+                if order.epoch < self.epoch or order.group == self.group:
+                    return False
+                self.epoch = order.epoch
+                return True
+            case orders.Kind.OPEN:
+                return order.group == self.group and self.state is catalog.MemberState.READY
+            case orders.Kind.CLOSE:
+                return order.group == self.group and self.state is catalog.MemberState.OPEN
+            case orders.Kind.LEAVE:
+                return order.group == self.group
+        return False
+
+    def begin(self, order):
+        """Carries out an order that was accepted; loads and openings take no time here."""
+        self.begun_orders += 1
+        match order.kind:
+            case orders.Kind.JOIN:
+                self.member_ids = order.members
+                self.member = catalog.Membership(
+                    group=order.group,
+                    epoch=order.epoch,
+                    rank=order.members.index(self.vm_id),
+                    state=catalog.MemberState.READY,
+                )
+                self.ready_groups.add(order.group)
+            case orders.Kind.LEAVE:
+                self.member, self.member_ids = None, ()
+            case orders.Kind.OPEN:
+                self.member = dataclasses.replace(self.member, state=catalog.MemberState.OPEN)
+            case orders.Kind.CLOSE:
+                self.member = dataclasses.replace(self.member, state=catalog.MemberState.READY)
+        self.report()
+
+
+class Controller:
+    """A node that holds, or believes that it holds, the lease."""
+
+    def __init__(self, fence, runners):
+        self.fence = fence
+        self.state = pool_state.State()
+        self.epochs_used = 0
+        self.seen_by_id = {runner.vm_id: runner.snapshots[-1].vm for runner in runners}
+        self.hidden_ids = set()
+
+    def decide(self, now):
+        view = pool_state.View(
+            now=now,
+            vms=tuple(vm for vm_id, vm in self.seen_by_id.items() if vm_id not in self.hidden_ids),
+            models=(MODEL,),
+            slots_per_group=4,
+            slots_wanted={},
+            next_epoch=self.fence * EPOCHS_PER_FENCE + self.epochs_used,
+            loads_left=100,
+        )
+        decision = pool.decide(view, self.state)
+        self.state = decision.state
+        self.epochs_used += decision.epochs_used
+        return decision.orders
+
+
+class OrdersInTransit(stateful.RuleBasedStateMachine):
+    """No order takes a VM out of a serving group by a join, and none opens a partial group."""
+
+    def __init__(self):
+        super().__init__()
+        self.runners_by_id = {vm_id: Runner(vm_id) for vm_id in VM_IDS}
+        self.now = 100.0
+        self.fence = 0
+        self.controllers = []
+        self.in_transit = []
+        self.add_controller()
+
+    def add_controller(self):
+        self.fence += 1
+        self.controllers.append(Controller(self.fence, self.runners_by_id.values()))
+
+    @stateful.rule()
+    @stateful.precondition(lambda self: len(self.controllers) < 3)
+    def another_controller_takes_the_lease(self):
+        self.add_controller()
+
+    @stateful.rule()
+    @stateful.precondition(lambda self: len(self.controllers) > 1)
+    def the_oldest_controller_dies(self):
+        self.controllers.pop(0)
+
+    @stateful.rule(data=st.data())
+    def a_controller_decides(self, data):
+        controller = data.draw(st.sampled_from(self.controllers))
+        self.now += data.draw(st.sampled_from(STEPS_SECONDS))
+        sees_all = data.draw(st.booleans())
+        for vm_id, runner in self.runners_by_id.items():
+            if sees_all or data.draw(st.booleans()):
+                controller.seen_by_id[vm_id] = runner.snapshots[-1].vm
+        for order in controller.decide(self.now):
+            transit = self.sent(order, controller.fence, data)
+            fate = data.draw(st.sampled_from(FATES))
+            if transit is None or fate == "lost":
+                continue
+            if fate == "now":
+                self.carry_out(transit)
+            else:
+                self.in_transit.append(transit)
+
+    def sent(self, order, fence, data):
+        """Returns an order as it is sent to the runner."""
+        return Transit(order=order, fence=fence, expected=None)
+
+    @stateful.rule(data=st.data(), repeats=st.booleans())
+    @stateful.precondition(lambda self: self.in_transit)
+    def a_late_order_is_carried_out(self, data, repeats):
+        transit = data.draw(st.sampled_from(self.in_transit))
+        if not repeats:
+            self.in_transit.remove(transit)
+        self.carry_out(transit)
+
+    @stateful.rule(vm_id=st.sampled_from(VM_IDS))
+    def a_runner_restarts(self, vm_id):
+        self.in_transit = [one for one in self.in_transit if one.order.vm.vm_id != vm_id]
+        self.runners_by_id[vm_id].restart()
+
+    @stateful.rule(vm_id=st.sampled_from(VM_IDS))
+    def a_runner_drains(self, vm_id):
+        self.runners_by_id[vm_id].leaving = True
+        self.runners_by_id[vm_id].report()
+
+    @stateful.rule(data=st.data(), vm_id=st.sampled_from(VM_IDS))
+    def an_entry_expires_or_is_back(self, data, vm_id):
+        controller = data.draw(st.sampled_from(self.controllers))
+        controller.hidden_ids ^= {vm_id}
+
+    def carry_out(self, transit):
+        order, runner = transit.order, self.runners_by_id[transit.order.vm.vm_id]
+        if not runner.accepts(transit):
+            return
+        if order.kind is orders.Kind.JOIN and not reported_groups.is_spare(runner.snapshots[-1].vm):
+            head = self.runners_by_id[runner.member_ids[0]]
+            opened = head.group == runner.group and head.state in OPENED
+            raise AssertionError(
+                f"{runner.vm_id} leaves {runner.group} for {order.group}, opened: {opened}"
+            )
+        if order.kind is orders.Kind.OPEN:
+            members = [self.runners_by_id[vm_id] for vm_id in runner.member_ids]
+            assert len(members) == MODEL.vms
+            assert all(order.group in one.ready_groups for one in members)
+        runner.begin(order)
+
+
+TestOrdersInTransit = OrdersInTransit.TestCase
+TestOrdersInTransit.settings = hypothesis.settings(
+    max_examples=100, stateful_step_count=30, deadline=None, derandomize=True
+)
