A JOIN is carried out only by a VM that has begun no order since it was free

Cause: epochs and fencing numbers order the controllers' decisions, but a later decision may reach a VM after the late orders of an earlier one, and then wins. Change: before a JOIN the client reads the runner's report, which shows its group and the number of orders that it has begun, and the JOIN names that number; a VM in a serving group is sent none. The runner refuses the JOIN once it has begun anything else. So a JOIN can take no VM out of a serving group, whoever sent it and however late, and whatever the controller's view was. A report is 0.2 s old; if it still shows the group that the VM was just ordered to leave, the number is one higher, so that no group is formed later than before. Cost: one status request for each JOIN, which is priced below an order.

--- a/basilpost/groups/orders.py
+++ b/basilpost/groups/orders.py
@@ -34,6 +34,8 @@
         model: Model to load, for JOIN and STAGE.
         members: Ids of all members, the head first, for JOIN.
         at_once: For CLOSE: True cuts requests in progress, False lets them finish.
+        left_group: For JOIN: the group that this controller ordered the VM to leave just before, empty
+            for none.
     """
 
     kind: Kind
@@ -43,6 +45,23 @@
     model: str = ""
     members: tuple[str, ...] = ()
     at_once: bool = False
+    left_group: str = ""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Report:
+    """What a runner says of itself; it may be some tenths of a second old.
+
+    Attributes:
+        group: Name of the group that the runner is in, empty for none.
+        begun_orders: Number of orders that began something since the runner started; None if it does
+            not count them.
+        incarnation: Start time of the runner, None if it names none.
+    """
+
+    group: str
+    begun_orders: int | None
+    incarnation: int | None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -73,7 +92,11 @@
 
     @abc.abstractmethod
     async def send(self, order: Order, *, fence: int, timeout: float) -> Result:
-        """Sends one order with the fencing number of the controller that issues it."""
+        """Sends one order with the fencing number of the controller that issues it.
+
+        A runner that counts its orders carries out a JOIN, however late, only if the VM is in no
+        serving group and the runner has begun no other order since.
+        """
 
     @abc.abstractmethod
     async def responds(self, vm: catalog.Vm, *, timeout: float) -> bool:
--- a/basilpost/groups/pool.py
+++ b/basilpost/groups/pool.py
@@ -95,7 +95,8 @@
         due += [order for order in preparations if order.kind is orders.Kind.JOIN]
         due += weight_loads.load_orders(view, state, unassigned, planned, serving_counts)
     now_due, loads = _within_load_limit(
-        [order for order in due if _is_due(view, state, order)], view.loads_left
+        [_with_left_group(state, order) for order in due if _is_due(view, state, order)],
+        view.loads_left,
     )
     state = dataclasses.replace(
         state,
@@ -419,6 +420,15 @@
     return view.now - last.sent_at >= wait
 
 
+def _with_left_group(state: pool_state.State, order: orders.Order) -> orders.Order:
+    """Returns a JOIN with the group that the VM was ordered to leave by its last order, if any."""
+    last = state.last_order_by_vm.get(reported_groups.lifetime_id(order.vm))
+    if order.kind is not orders.Kind.JOIN or last is None:
+        return order
+    left = last.order.group if last.order.kind is orders.Kind.LEAVE else ""
+    return dataclasses.replace(order, left_group=left)
+
+
 def _repeats(one: orders.Order, other: orders.Order) -> bool:
     """Returns True if one order repeats the other.
 
--- a/basilpost/groups/pool_transit_test.py
+++ b/basilpost/groups/pool_transit_test.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 
 from basilpost.core import catalog
-from basilpost.groups import orders, pool, pool_state, reported_groups
+from basilpost.groups import joins, orders, pool, pool_state, reported_groups
 
 MODEL = catalog.Model(name="m", vms=2, pace=1.0, work_share=1.0, load_seconds=4.0, warm_seconds=0.5)
 VM_IDS = ("a", "b", "c", "d", "e")
@@ -196,8 +196,25 @@
                 self.in_transit.append(transit)
 
     def sent(self, order, fence, data):
-        """Returns an order as it is sent to the runner."""
-        return Transit(order=order, fence=fence, expected=None)
+        """Returns an order as it is sent to the runner, None if it is not.
+
+        The condition of a JOIN comes from a report that may be older than the controller's view.
+        """
+        if order.kind is not orders.Kind.JOIN:
+            return Transit(order=order, fence=fence, expected=None)
+        snapshots = self.runners_by_id[order.vm.vm_id].snapshots
+        shown = data.draw(st.sampled_from(snapshots[-3:]))
+        condition = joins.condition(
+            order,
+            orders.Report(
+                group=shown.vm.member.group if shown.vm.member else "",
+                begun_orders=shown.begun_orders,
+                incarnation=shown.vm.incarnation,
+            ),
+        )
+        if isinstance(condition, orders.Result):
+            return None
+        return Transit(order=order, fence=fence, expected=condition)
 
     @stateful.rule(data=st.data(), repeats=st.booleans())
     @stateful.precondition(lambda self: self.in_transit)
--- a/basilpost/groups/reported_groups.py
+++ b/basilpost/groups/reported_groups.py
@@ -91,7 +91,12 @@
 
 def is_spare(vm: catalog.Vm) -> bool:
     """Returns True if the VM is in no serving group; it may be in a standby group."""
-    return vm.member is None or vm.member.group.startswith(_STANDBY_PREFIX)
+    return vm.member is None or not is_serving(vm.member.group)
+
+
+def is_serving(name: str) -> bool:
+    """Returns True for the name of a serving group, False for a standby group or an empty name."""
+    return bool(name) and not name.startswith(_STANDBY_PREFIX)
 
 
 def epoch_from_name(name: str) -> int:
--- a/basilpost/platform/decode.py
+++ b/basilpost/platform/decode.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from basilpost.core import addresses, catalog, failure, texts, tolerant_json
+from basilpost.groups import orders
 
 CONFIG_KEY = "config/main"
 CONFIG_PREFIX = "config/"
@@ -36,6 +37,14 @@
         return _malformed(f"entry {vm_id}", error)
 
 
+def report(raw: bytes) -> orders.Report | Malformed:
+    """Decodes what a runner says of itself."""
+    try:
+        return _report(tolerant_json.loads(raw))
+    except _DECODE_ERRORS as error:
+        return _malformed("report", error)
+
+
 def configuration(raw: bytes) -> catalog.Configuration | Malformed:
     """Decodes the configuration that the operators wrote."""
     try:
@@ -74,6 +83,16 @@
     )
 
 
+def _report(raw: dict[str, Any]) -> orders.Report:
+    member = _membership(raw.get("group"))
+    return orders.Report(
+        group="" if member is None else member.group,
+        # In a report this counts orders; in an entry of the store it counts check-ins.
+        begun_orders=_integer(raw, "sequence") if "sequence" in raw else None,
+        incarnation=_integer(raw, "born") if "born" in raw else None,
+    )
+
+
 def _membership(raw: dict[str, Any] | None) -> catalog.Membership | None:
     if not raw or not raw.get("name"):
         return None
