JOINs of a group that is being formed go only to VMs in no serving group

Cause: only the first JOIN looked at the VM's report; later ones went to each member that did not report the group that is being formed, with the VM as it was at the beginning. Change: each JOIN is made from the present report, for VMs in no serving group. A group is no longer formed once a member is in another complete group, so that its other members are free at once and not only when the forming time is over.

--- a/basilpost/groups/pool.py
+++ b/basilpost/groups/pool.py
@@ -3,9 +3,9 @@
 The functions are pure and run again after each change. An order is sent again as long as the
 reports do not show its effect. Two rules keep the groups consistent:
 
-- A VM is ordered to join a group only when it reports no group or a standby group, and the head of
-  a group leaves before any other member. So no VM is in two groups, whatever orders are still in
-  transit: an order names one group and epoch, and epochs are never reused.
+- A VM is ordered to join a group only when it reports no group or a standby group, each time that
+  the order is sent, and the head of a group leaves before any other member. `joins` has the runner
+  refuse a late JOIN. So no VM is in two groups, whatever orders are still in transit.
 - A group is opened only after every member has reported that it is ready in it.
 
 When VMs are lost one after another, the survivors of a group keep their weights and form a new
@@ -63,11 +63,11 @@
     joins = [
         join
         for name, members in itertools.chain(state.forming_by_group.items(), formed.items())
-        for join in _join_orders(name, members)
+        for join in _join_orders(view, name, members)
     ]
     joined_ids = {reported_groups.lifetime_id(vm) for members in formed.values() for vm in members}
     unassigned = [vm for vm in free if reported_groups.lifetime_id(vm) not in joined_ids]
-    due += [join for join in joins if not _reports_group(view, join)]
+    due += joins
     settled = [
         vm
         for vm in unassigned
@@ -128,7 +128,7 @@
     forming = {
         name: members
         for name, members in state.forming_by_group.items()
-        if _is_still_forming(view, state, name, members, vms_by_lifetime)
+        if _is_still_forming(view, groups, state, name, members, vms_by_lifetime)
     }
     free = {key for key, vm in vms_by_lifetime.items() if reported_groups.is_spare(vm)}
     reported_names = {vm.member.group for vm in view.vms if vm.member is not None}
@@ -252,6 +252,7 @@
 
 def _is_still_forming(
     view: pool_state.View,
+    groups: tuple[reported_groups.ReportedGroup, ...],
     state: pool_state.State,
     name: str,
     members: tuple[catalog.Vm, ...],
@@ -268,7 +269,11 @@
     current = [vms_by_lifetime.get(reported_groups.lifetime_id(vm)) for vm in members]
     if model is None or any(vm is None or vm.leaving for vm in current):
         return False
-    if all(vm is not None and vm.member is not None and vm.member.group == name for vm in current):
+    reported = [vm.member.group for vm in current if vm is not None and vm.member is not None]
+    if reported.count(name) == len(members):
+        return False
+    if any(group.complete and group.name != name and group.name in reported for group in groups):
+        # Orders that a predecessor sent were carried out late.
         return False
     timeout = model.load_seconds * LOAD_TIMEOUT_FACTOR + FORMING_TIMEOUT_EXTRA_SECONDS
     return view.now - state.forming_since_by_group[name] < timeout
@@ -380,8 +385,15 @@
     )
 
 
-def _join_orders(name: str, members: tuple[catalog.Vm, ...]) -> Iterable[orders.Order]:
+def _join_orders(
+    view: pool_state.View, name: str, members: tuple[catalog.Vm, ...]
+) -> Iterable[orders.Order]:
+    """Returns the orders to join a group for those of its members that are in no serving group."""
     ids = tuple(vm.vm_id for vm in members)
+    spares_by_lifetime = {
+        reported_groups.lifetime_id(vm): vm for vm in view.vms if reported_groups.is_spare(vm)
+    }
+    current = (spares_by_lifetime.get(reported_groups.lifetime_id(vm)) for vm in members)
     epoch = reported_groups.epoch_from_name(name)
     return [
         orders.Order(
@@ -392,18 +404,11 @@
             model=reported_groups.model_from_name(name),
             members=ids,
         )
-        for vm in members
+        for vm in current
+        if vm is not None
     ]
 
 
-def _reports_group(view: pool_state.View, join: orders.Order) -> bool:
-    """Returns True if the VM reports the group that the order tells it to join."""
-    return any(
-        vm.vm_id == join.vm.vm_id and vm.member is not None and vm.member.group == join.group
-        for vm in view.vms
-    )
-
-
 def _order(kind: orders.Kind, group: reported_groups.ReportedGroup, vm: catalog.Vm) -> orders.Order:
     return orders.Order(kind=kind, vm=vm, group=group.name, epoch=group.epoch)
 
