Soak, plan late-orders: half of all orders are carried out 2 to 12 s late

The emulated runner can leave a share of its orders unanswered and carry them out later. The plan adds nodes that are killed, stopped and paused, runners that are gone, and a store that is away. By the logs a node that is asked to stop releases the lease 5 to 30 ms after its JOINs were accepted, and the next controller, whose view does not show them yet, orders the VMs into its own groups.

--- a/basilpost/emulator/pool_runner.py
+++ b/basilpost/emulator/pool_runner.py
@@ -60,6 +60,9 @@
         resumed_answer: What is sent on the connection of a stream that is resumed, in place of its
             answer; empty to resume it.
         order_delay: Seconds by which coming orders are delayed; those get no answer. 0 for none.
+        late_order_share: Share of the orders that get no answer and are carried out some seconds
+            later.
+        late_order_seconds: Range of the time by which these are late.
         cut_streams: Number of coming streams that are cut off in the middle of an event.
         cut_after_events: Whole events that such a stream sends first.
         stalled: True to send no events, as a group does that lost a member.
@@ -95,6 +98,8 @@
     answers_twice: second_answers.SecondAnswers | None = None
     resumed_answer: bytes = b""
     order_delay: float = 0.0
+    late_order_share: float = 0.0
+    late_order_seconds: tuple[float, float] = (2.0, 12.0)
     cut_streams: int = 0
     cut_after_events: int = 2
     stalled: bool = False
@@ -173,6 +178,7 @@
         state: State of the runner as written to the store.
         highest_fence: Highest fencing token that it has accepted.
         refused_orders: The orders that it answered with 412.
+        late_orders: Number of the orders that it left unanswered to carry them out later.
         highest_epoch: Highest epoch of the groups that it was ordered to join.
         begun_orders: Number of the orders that began something since its present start. An order
             that expects another number is refused.
@@ -215,6 +221,7 @@
         self.refused_orders: list[dict[str, Any]] = []
         self.highest_epoch = 0
         self.begun_orders = 0
+        self.late_orders = 0
         self.born = 1
         self.crashes: list[Crash] = []
         self.announced_address = ""
@@ -227,6 +234,7 @@
         self._working: dict[_WorkHandler, str] = {}
         self._last_model = ""
         self._check_ins = 0
+        self._order_random = random.Random(vm_id)
         self._store = store
         self._tasks: set[asyncio.Task[None]] = set()
         self._returns: set[asyncio.Task[None]] = set()
@@ -438,16 +446,29 @@
         order = self.body_json()
         self.owner.orders.append(order)
         if self.owner.options.order_delay:
-            self.owner._run_in_background(self._handle_delayed(order))
+            self.owner._run_in_background(
+                self._handle_delayed(order, self.owner.options.order_delay)
+            )
             self.drop_connection()
             return
         if self.request.headers.get("X-Expect-Runner") != self.owner.vm_id:
             self.answer({}, status=421)
             return
+        if self._draws_late():
+            self.owner.late_orders += 1
+            delay = self.owner._order_random.uniform(*self.owner.options.late_order_seconds)
+            self.owner._run_in_background(self._handle_delayed(order, delay))
+            # The connection stays open without an answer until the sender gives it up.
+            await asyncio.sleep(delay)
+            self.drop_connection()
+            return
         self.answer({}, status=await self.owner.handle_order(order))
 
-    async def _handle_delayed(self, order: dict[str, Any]) -> None:
-        await asyncio.sleep(self.owner.options.order_delay)
+    def _draws_late(self) -> bool:
+        return self.owner._order_random.random() < self.owner.options.late_order_share
+
+    async def _handle_delayed(self, order: dict[str, Any], delay: float) -> None:
+        await asyncio.sleep(delay)
         await self.owner.handle_order(order)
 
 
--- a/basilpost/soak/__main__.py
+++ b/basilpost/soak/__main__.py
@@ -23,6 +23,7 @@
     "fleet": scenarios.LargeFleet,
     "restores": scenarios.RestoredStore,
     "overload": scenarios.Overload,
+    "late-orders": scenarios.LateOrders,
 }
 
 
@@ -39,7 +40,7 @@
     default="faults",
     show_default=True,
     help="Faults of all kinds, planned stops, crashing requests, such whose callers leave, lost paths, paths on which nothing passes, "
-    "lost paths of most nodes of a large fleet, restores of the store, or callers that want more than there is.",
+    "lost paths of most nodes of a large fleet, restores of the store, callers that want more than there is, or orders that are carried out late.",
 )
 @click.option("--nodes", type=int, help="Number of nodes.")
 @click.option("--callers", "caller_count", type=int, help="Number of callers.")
--- a/basilpost/soak/scenarios.py
+++ b/basilpost/soak/scenarios.py
@@ -228,6 +228,36 @@
         return faults.draw_of(faults.RESTORE_KINDS, seed, seconds=seconds)
 
 
+# Nodes that hold the lease come and go while groups lose members or have to be closed.
+LATE_ORDER_KINDS = (
+    *(faults.Kind.RUNNER_GONE,) * 3,
+    *(faults.Kind.KILL,) * 3,
+    faults.Kind.STOP,
+    faults.Kind.PAUSE,
+    faults.Kind.STORE_AWAY,
+    faults.Kind.STORE_SILENT,
+)
+
+
+def _late_orders() -> pool_runner.Options:
+    """Returns runners that leave half of all orders unanswered and carry them out 2 to 12 s later."""
+    return pool_runner.Options(late_order_share=0.5)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class LateOrders(AllFaults):
+    """Orders are carried out late, several at once, while nodes and runners come and go."""
+
+    nodes: int = 4
+    vms: int = 16
+    runner_options: pool_runner.Options = dataclasses.field(default_factory=_late_orders)
+    planned_every: int = 1_000_000
+
+    def draw(self, seed: int, *, seconds: float) -> tuple[faults.Fault, ...]:
+        """Returns the faults of a seed, which begin within `seconds`."""
+        return faults.draw_of(LATE_ORDER_KINDS, seed, seconds=seconds)
+
+
 def _slow_streams() -> pool_runner.Options:
     """Returns streams of 0.3 s, so that a group of four slots ends 13 of them in a second."""
     return pool_runner.Options(events=20, event_seconds=0.015)
--- a/tests/soak_test.py
+++ b/tests/soak_test.py
@@ -27,6 +27,7 @@
 )
 UNWAITED_CRASH_SEEDS = (
     (2, "crashes were not counted once the caller had left or its deadline had passed (issue 54)"),
+    (33, "a new controller ordered VMs away that had just joined its predecessor's groups (issue 55)"),
 )
 PATH_SECONDS = 9.0
 PATH_SEEDS = (
@@ -53,6 +54,10 @@
     ),
     (3, "a node that started after the restore took the lease and broke a group up (issue 37)"),
 )
+LATE_ORDER_SECONDS = 10.0
+LATE_ORDER_SEEDS = (
+    (8, "a repeated JOIN was carried out late, and the VM was ordered to another group (issue 55)"),
+)
 OVERLOAD_SECONDS = 8.0
 OVERLOAD_SEEDS = ((1, "callers want more than there is, among faults of all kinds (issue 42)"),)
 STOP_SEEDS = ((372, "the store is silent when drains end; accepted requests were cut (issue 24)"),)
@@ -151,3 +156,13 @@
     )
     assert report.broken == ()
     assert report.served > report.calls / 10
+
+
+@pytest.mark.processes
+@pytest.mark.parametrize("seed", [seed for seed, _ in LATE_ORDER_SEEDS])
+async def test_orders_are_carried_out_late(seed, tmp_path):
+    report = await run.Soak(seed=seed, folder=tmp_path, scenario=scenarios.LateOrders()).run(
+        seconds=LATE_ORDER_SECONDS
+    )
+    assert report.broken == ()
+    assert report.served > report.calls / 4
