--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -446,7 +446,7 @@
         The answer is kept, in case that no other target gives one.
         """
         denial = retry_budgets.Denial.NONE
-        if not self._may_have_alternative(progress):
+        if progress.has_attempts_left and not self._may_have_alternative(progress):
             denial = retry_budgets.Denial.NO_TARGET
         if not self._retries.decide(progress, retry_budgets.RetryCause.FAILED, denial=denial):
             return False
--- a/tests/pool_failed_answer_test.py
+++ b/tests/pool_failed_answer_test.py
@@ -21,6 +21,20 @@
     return registry.get_sample_value("basilpost_retry_budget_left", service)
 
 
+def denials(bench):
+    """Returns how often a repeat after a failure was denied, by the reason."""
+    (metric,) = (
+        metric
+        for metric in bench.kernels[0].registry.collect()
+        if metric.name == "basilpost_retry_decisions"
+    )
+    return {
+        sample.labels["result"]: sample.value
+        for sample in metric.samples
+        if sample.name.endswith("_total") and sample.labels["cause"] == "failed"
+    }
+
+
 def is_failure_of_runner(answer):
     return (answer.code, answer.body, pool_runner.SIGNATURE in answer.headers) == (
         500,
@@ -36,6 +50,10 @@
         answers = [await bench.call("/lookup/one", method="GET") for _ in range(CALLS)]
         assert all(map(is_failure_of_runner, answers)), [answer.code for answer in answers]
         assert retries_left(bench) > CALLS * 0.2 * 0.7
+        assert denials(bench) == {"no_target": CALLS}
+        filed = [await bench.call("/filing/one") for _ in range(CALLS)]
+        assert all(map(is_failure_of_runner, filed)), [answer.code for answer in filed]
+        assert denials(bench) == {"no_target": CALLS, "runs_once": CALLS}
 
 
 @pytest.mark.parametrize("options", [{"full": True}, {"lose_answers": 1000}, {"silent": True}])
