Failing test: streams move to a group that rejects them

A planned move closes the old connection before the next target has accepted the stream. If that target rejects it, and no other one is left, the caller has a part of the stream although the old head would have ended it.

A fix has to keep the old connection until the next target answers.

--- a/tests/pool_planned_close_test.py
+++ b/tests/pool_planned_close_test.py
@@ -179,6 +179,21 @@
             assert second.at - drained_at < MOVE_SECONDS
 
 
+async def test_streams_move_to_a_group_that_rejects_them():
+    """It takes no more than it has, as when other nodes have just filled it."""
+    async with running(groups=2) as bench:
+        streams = Streams(bench)
+        await start_streams(bench, streams, 4)
+        group, attempts = busiest_group(bench)
+        assert attempts
+        for runner in bench.fleet.runners_of(pool_fleet.MODEL_SERVICE):
+            runner.options.full = True
+        await drain(members_of(bench, group)[1])
+        await until_replaced(bench, group, 2)
+        await streams.end()
+        assert streams.lost == []
+
+
 async def test_streams_are_cut_when_the_controller_changes_after_it_closed_their_group():
     async with running(groups=2, nodes=3, maxAttempts=1) as bench:
         controls = [controller.is_holder for controller in bench.controllers]
