--- a/basilpost/core/channels_test.py
+++ b/basilpost/core/channels_test.py
@@ -19,6 +19,9 @@
         yield f"{host}:{port}"
     finally:
         server.close()
+        # A writer that is collected after its loop was closed raises an error wherever that happens.
+        for writer in getattr(serve, "connections", ()):
+            writer.close()
 
 
 async def request(pool, address, body=b"", *, fresh=False, request_id=""):
--- a/basilpost/gateway/target_sender.py
+++ b/basilpost/gateway/target_sender.py
@@ -232,9 +232,8 @@
                 progress.sends -= 1
                 progress.rejections += 1
             if isinstance(result, attempts.Lost) and result.unattributed:
-                self.pool.require_single_use(channel)
                 if channel.requests > 1:
-                    # On a connection of its own the request may be sent to the same target.
+                    # It says nothing against the target, which may get the request on another connection.
                     progress.tried_targets.discard(target.target_id)
             elif isinstance(result, attempts.Lost) and channel.requests > 1:
                 is_stale = clock.elapsed() - began_at < STALE_SECONDS
@@ -334,6 +333,7 @@
                 return
             self._log_stray_answer(progress, channel, head)
             if attribution is _Attribution.UNKNOWN:
+                self.pool.require_single_use(channel)
                 channel.close()
 
         def receive_chunk(chunk: bytes) -> Awaitable[None] | None:
