--- a/tests/soak_test.py
+++ b/tests/soak_test.py
@@ -27,7 +27,10 @@
 )
 UNWAITED_CRASH_SEEDS = (
     (2, "crashes were not counted once the caller had left or its deadline had passed (issue 54)"),
-    (33, "a new controller ordered VMs away that had just joined its predecessor's groups (issue 55)"),
+    (
+        33,
+        "a new controller ordered VMs away that had just joined its predecessor's groups (issue 55)",
+    ),
 )
 PATH_SECONDS = 9.0
 PATH_SEEDS = (
