--- a/basilpost/core/channels.py
+++ b/basilpost/core/channels.py
@@ -14,7 +14,7 @@
 import tornado.httputil
 import tornado.iostream
 
-from basilpost.core import clock, failure
+from basilpost.core import clock, failure, idle_streams
 
 MAX_HEADER_BYTES = 65_536
 MAX_BODY_BYTES = 64 * 1024 * 1024
@@ -29,6 +29,11 @@
 IDLE_MARGIN_SECONDS = 1.0
 # Idle connections to one server that are kept for reuse.
 MAX_IDLE_PER_SERVER = 32
+# Time in which a server process gets one request on each connection after an answer could not be
+# attributed to a request. Its next such answer would cost another request.
+SINGLE_USE_SECONDS = 10.0
+# Requests on one connection, which remembers their ids. It bounds that memory to some 30 kB.
+MAX_REQUESTS_PER_CONNECTION = 500
 
 # Takes a part of a body; no more is read until what it returns is done.
 OnData = Callable[[bytes], Awaitable[None] | None]
@@ -63,6 +68,21 @@
     headers: tornado.httputil.HTTPHeaders
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Reuse:
+    """State of a connection when a request is about to be sent on it.
+
+    Attributes:
+        requests: Number of requests that were sent on it before.
+        carried: True if one of them had the same id.
+        unread: True if bytes have arrived on it that no request asked for.
+    """
+
+    requests: int = 0
+    carried: bool = False
+    unread: bool = False
+
+
 class _StreamingConnection(tornado.http1connection.HTTP1Connection):
     """Reads a body without a length in pieces until the connection ends.
 
@@ -137,6 +157,7 @@
         usable_until: Time on `clock.elapsed` after which the server may close it as idle.
         requests: Number of requests sent on it.
         lifetime: Run of the server process that it was opened to, empty if unknown.
+        reuse: Its state when it was acquired for the current request.
     """
 
     def __init__(
@@ -147,9 +168,24 @@
         self.stream = stream
         self.usable_until = 0.0
         self.requests = 0
+        self.reuse = Reuse()
+        # Hashes take less room than ids, which callers choose.
+        self._carried_ids: set[int] = set()
         self._connection: _StreamingConnection | None = None
         self._closed = False
 
+    def begin(self, request_id: str) -> None:
+        """Records that a request with an id, empty if it has none, is sent next."""
+        self.reuse = Reuse(
+            requests=self.requests, carried=self.has_carried(request_id), unread=self.has_unread
+        )
+        if request_id:
+            self._carried_ids.add(hash(request_id))
+
+    def has_carried(self, request_id: str) -> bool:
+        """Returns True if a request with this id was sent on this connection."""
+        return hash(request_id) in self._carried_ids
+
     def send(
         self,
         method: str,
@@ -238,34 +274,50 @@
 
     @property
     def usable(self) -> bool:
-        """Returns True if another request may be sent on this connection."""
+        """Returns True if another request may be sent on this connection.
+
+        Bytes that wait on it belong to no request that is still to come.
+        """
         return (
             not self.stream.closed()
             and not self.stream.writing()
             and clock.elapsed() < self.usable_until
-            and not self._is_closed_by_server()
+            and self.requests < MAX_REQUESTS_PER_CONNECTION
+            and idle_streams.is_quiet(self.stream)
         )
 
-    def _is_closed_by_server(self) -> bool:
-        """Returns True if the server has closed the connection, also if the loop has not noticed it yet."""
-        try:
-            return not self.stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
+    @property
+    def has_unread(self) -> bool:
+        """Returns True if bytes have arrived that nobody has read, also if the loop has not read them."""
+        return not self.stream.closed() and idle_streams.has_unread(self.stream)
 
 
 class Pool:
     """Connections to many servers; idle ones are kept for reuse."""
 
-    def __init__(self, *, source_host: str = "") -> None:
-        """Takes the IP address from which connections are opened, empty for the system's choice."""
+    def __init__(
+        self, *, source_host: str = "", on_unread: Callable[[Channel], None] | None = None
+    ) -> None:
+        """Creates an empty pool.
+
+        Args:
+            source_host: IP address from which connections are opened, empty for the system's choice.
+            on_unread: Called with a connection before it is closed because bytes wait on it.
+        """
         self._source_host = source_host
+        self._on_unread = on_unread
         self._idle_by_address: dict[str, list[Channel]] = {}
+        # By address and lifetime.
+        self._single_use_until_by_server: dict[tuple[str, str], float] = {}
 
     async def acquire(
-        self, address: str, *, timeout: float, fresh: bool = False, lifetime: str = ""
+        self,
+        address: str,
+        *,
+        timeout: float,
+        fresh: bool = False,
+        lifetime: str = "",
+        request_id: str = "",
     ) -> Channel | ConnectFailed:
         """Returns an idle connection, or opens one within `timeout` seconds.
 
@@ -276,37 +328,82 @@
                 one, and then it is unknown whether a request sent on it has run.
             lifetime: Run of the server process that must answer. A connection to an earlier one is not
                 used: after a failure of its host, nothing tells this end that it is closed.
+            request_id: Id of the request that will be sent, empty if it has none. A connection carries
+                an id once: a late second answer to the earlier request could not be told from the
+                answer to this one.
         """
-        idle = [] if fresh else self._idle_by_address.get(address, [])
-        while idle:
-            channel = idle.pop()
-            if channel.usable and channel.lifetime == lifetime:
-                return channel
-            channel.close()
-        return await _open(
+        single_use = self._is_single_use(address, lifetime)
+        channel = None if fresh or single_use else self._take_idle(address, lifetime, request_id)
+        if channel is not None:
+            channel.begin(request_id)
+            return channel
+        opened = await _open(
             address, timeout=timeout, lifetime=lifetime, source_host=self._source_host
         )
+        if isinstance(opened, Channel):
+            opened.begin(request_id)
+        return opened
+
+    def _take_idle(self, address: str, lifetime: str, request_id: str) -> Channel | None:
+        """Returns the connection that was used last among those for a request, None without one."""
+        idle = self._idle_by_address.get(address, [])
+        passed_over: list[Channel] = []
+        taken: Channel | None = None
+        while idle and taken is None:
+            channel = idle.pop()
+            if not channel.usable or channel.lifetime != lifetime:
+                self._drop(channel)
+            elif channel.has_carried(request_id):
+                passed_over.append(channel)
+            else:
+                taken = channel
+        idle.extend(reversed(passed_over))
+        return taken
+
+    def require_single_use(self, channel: Channel) -> None:
+        """Has connections to the server process of a connection carry one request each for a while.
+
+        An answer that names no request can only be attributed on a connection with one request.
+        """
+        server = channel.address, channel.lifetime
+        self._single_use_until_by_server[server] = clock.elapsed() + SINGLE_USE_SECONDS
+
+    def _is_single_use(self, address: str, lifetime: str) -> bool:
+        until = self._single_use_until_by_server.get((address, lifetime))
+        return until is not None and clock.elapsed() < until
 
     def release(self, channel: Channel) -> None:
         """Keeps a connection for reuse after a complete answer, or closes it if it is unusable."""
         idle = self._idle_by_address.setdefault(channel.address, [])
-        if channel.usable and len(idle) < MAX_IDLE_PER_SERVER:
+        single_use = self._is_single_use(channel.address, channel.lifetime)
+        if channel.usable and not single_use and len(idle) < MAX_IDLE_PER_SERVER:
             idle.append(channel)
         else:
-            channel.close()
+            self._drop(channel)
 
     def sweep(self) -> None:
         """Closes connections that have been idle for too long."""
+        now = clock.elapsed()
+        self._single_use_until_by_server = {
+            server: until
+            for server, until in self._single_use_until_by_server.items()
+            if until > now
+        }
         for address, idle in list(self._idle_by_address.items()):
             kept = [channel for channel in idle if channel.usable]
             for channel in idle:
-                if not channel.usable:
-                    channel.close()
+                if channel not in kept:
+                    self._drop(channel)
             if kept:
                 self._idle_by_address[address] = kept
             else:
                 del self._idle_by_address[address]
 
+    def _drop(self, channel: Channel) -> None:
+        if self._on_unread is not None and channel.has_unread:
+            self._on_unread(channel)
+        channel.close()
+
     def close(self) -> None:
         """Closes all idle connections."""
         for channel in [channel for idle in self._idle_by_address.values() for channel in idle]:
--- a/basilpost/groups/pool_test.py
+++ b/basilpost/groups/pool_test.py
@@ -233,6 +233,57 @@
     assert order_texts(pool.decide(view(vms), pool_state.State())) == ["leave 7-0 large--7"]
 
 
+def view_of_work(vms, *, now=100.0, working=("large--7",), stalled=()):
+    return dataclasses.replace(
+        view(vms, now=now), working=frozenset(working), stalled=frozenset(stalled)
+    )
+
+
+def test_members_leave_while_a_head_without_an_entry_is_at_work():
+    """The group stalls without them, and its requests are cut."""
+    vms = group("7", [None, READY, READY])
+    before = pool.decide(view_of_work(vms), pool_state.State())
+    assert order_texts(before) == []
+    after = pool.decide(view_of_work(vms, now=102.0, working=()), before.state)
+    assert order_texts(after) == ["leave 7-1 large--7", "leave 7-2 large--7"]
+
+
+def test_a_closing_head_leaves_with_its_requests_when_a_member_has_no_entry():
+    vms = group("7", [CLOSING, READY, None])
+    assert order_texts(pool.decide(view_of_work(vms), pool_state.State())) == []
+
+
+def test_a_group_without_a_member_is_kept_for_ever():
+    """Requests at it may hang, and a runner that stops as planned does so within ten seconds."""
+    for states in ([None, READY, READY], [CLOSING, READY, None]):
+        vms = group("7", states)
+        before = pool.decide(view_of_work(vms), pool_state.State())
+        assert order_texts(pool.decide(view_of_work(vms, now=110.0), before.state)) != []
+        stalled = pool.decide(view_of_work(vms, stalled=["large--7"]), pool_state.State())
+        assert order_texts(stalled) != []
+
+
+def test_the_requests_of_a_removed_model_are_cut_before_their_first_event():
+    """Its group sends nothing for a while, although requests are at work there."""
+    vms = group("7", [OPEN, READY, READY])
+    without = dataclasses.replace(view_of_work(vms), models=(SMALL,))
+    before = pool.decide(without, pool_state.State())
+    assert order_texts(before) == []
+    idle = dataclasses.replace(view_of_work(vms, now=101.0, working=()), models=(SMALL,))
+    assert order_texts(pool.decide(idle, before.state)) == ["leave 7-0 large--7"]
+
+
+def test_a_group_serves_until_its_leaving_member_has_stopped():
+    """Without a spare, too, it is closed so early that its requests end before the member does."""
+    vms = group("7", [OPEN, READY, READY])
+    vms[2] = dataclasses.replace(vms[2], leaving=True)
+    state = pool_state.State()
+    for now, expected in ((100.0, []), (104.9, []), (105.0, ["close 7-0 large--7"])):
+        decision = pool.decide(view(vms, now=now), state)
+        assert order_texts(decision) == expected
+        state = decision.state
+
+
 def test_a_leaving_vm_joins_nothing():
     vms = [vm("a"), vm("b"), vm("c", leaving=True)]
     decision = pool.decide(view(vms), free_for(vms, 99))
