--- a/basilpost/soak/callers.py
+++ b/basilpost/soak/callers.py
@@ -51,10 +51,12 @@
 
     Attributes:
         calls: The requests that it sent, with their answers.
+        unread: A line for each connection on which a node sent bytes that no request asked for.
     """
 
     def __init__(self, *, name: str, seed: str) -> None:
         self.calls: list[checks.Call] = []
+        self.unread: list[str] = []
         self._name = name
         self._random = random.Random(seed)
         self._request_numbers = itertools.count()
@@ -68,6 +70,12 @@
         """Makes `run` return after the request that is in flight."""
         self._stopping.set()
 
+    def _record_unread(self, channel: channels.Channel) -> None:
+        self.unread.append(
+            f"bytes without a request on the connection of {self._name} to {channel.address}, "
+            f"after {channel.requests} requests"
+        )
+
     async def _pause(self, bounds: tuple[float, float]) -> None:
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(self._random.uniform(*bounds)):
@@ -144,7 +152,7 @@
     def __init__(self, *, name: str, addresses: tuple[str, ...], seed: str) -> None:
         super().__init__(name=name, seed=seed)
         self._addresses = addresses
-        self._channels = channels.Pool()
+        self._channels = channels.Pool(on_unread=self._record_unread)
 
     async def run(self) -> None:
         """Sends requests with short pauses until `stop` is called."""
@@ -277,6 +285,8 @@
         )
         key = self._random.choice(checks.api_keys())
         call = await self._exchange(channel, path, key, budget_ms=budget_ms)
+        if call.complete and channel.has_unread:
+            self._record_unread(channel)
         # Right after an answer, a connection is unusable only if the answer says that it is closed.
         if call.complete and channel.usable:
             # A callback makes the stream notice when the node closes it.
--- a/basilpost/soak/run.py
+++ b/basilpost/soak/run.py
@@ -200,6 +200,7 @@
             logged_requests=logged_requests,
             events=self._scenario.runner_options.events,
         )
+        self._violations += itertools.chain.from_iterable(caller.unread for caller in self._callers)
         self._violations += answer_checks.check_answers(calls, self._fleet.runners_by_id.values())
         self._violations += repeat_checks.check_repeats(
             calls,
