A node without a configuration refuses large bodies for now, not for good

Callers of a node that had not read the configuration got 413 for any body above 65,536 bytes, and no caller comes again after 413. The limit that stands in for the unknown one refused as if the operators had set it, before the admission could answer 503 (starting).

The body now carries the refusal of its excess.

--- a/basilpost/gateway/body_memory.py
+++ b/basilpost/gateway/body_memory.py
@@ -120,8 +120,9 @@
 
     Args:
         memory: Counts the bodies of the node.
-        max_bytes: Largest body that the operators allow.
+        max_bytes: Largest body that is taken.
         terms: Returns how the body may wait for room; called only if it has to.
+        excess: Refusal of a larger body; by default it tells that the operators allow none.
 
     Attributes:
         refusal: Why the request is refused, None unless it is. Its body is then read and discarded, so
@@ -129,11 +130,17 @@
     """
 
     def __init__(
-        self, *, memory: BodyMemory, max_bytes: int, terms: Callable[[], WaitTerms]
+        self,
+        *,
+        memory: BodyMemory,
+        max_bytes: int,
+        terms: Callable[[], WaitTerms],
+        excess: failure.Refusal | None = None,
     ) -> None:
         self.refusal: failure.Refusal | None = None
         self._memory = memory
         self._max_bytes = max_bytes
+        self._excess = excess or too_large(max_bytes)
         self._terms = terms
         self._pieces: list[bytes] = []
         # A large body of known length is assembled in place: thousands of freed pieces would leave the
@@ -146,7 +153,7 @@
     def begin(self, length: int) -> Awaitable[None] | None:
         """Takes room for a body of a known length, 0 if it is not known; waits if there is none."""
         if length > self._max_bytes:
-            self.refusal = too_large(self._max_bytes)
+            self.refusal = self._excess
             return None
         self._length = length
         return self._take(length)
@@ -155,7 +162,7 @@
         """Adds a piece; no further one is read before what it returns is done."""
         begin, self._size = self._size, self._size + len(piece)
         if self.refusal is None and self._size > self._max_bytes:
-            self._refuse(too_large(self._max_bytes))
+            self._refuse(self._excess)
         if self.refusal is not None:
             return None
         if self._buffer is None and self._length > SMALL_BODY_BYTES:
--- a/basilpost/gateway/request_admission.py
+++ b/basilpost/gateway/request_admission.py
@@ -16,7 +16,7 @@
 LOWEST_PRIORITY = 9
 # Time budget of a request that names none; the route's timeout bounds it too.
 DEFAULT_BUDGET_SECONDS = 30.0
-# Largest body while no configuration is known; its request is refused anyway.
+# Largest body that is taken while no configuration is known.
 UNKNOWN_MAX_BODY_BYTES = 65_536
 
 
@@ -62,7 +62,7 @@
         """Returns the admitted request, or the refusal if it cannot be served."""
         configuration = self._knowledge.configuration
         if configuration is None:
-            return _unavailable("starting", "no configuration is known yet")
+            return _no_configuration()
         route = self._routes(configuration).find(request.headers.get("Host", ""), request.path)
         if route is None:
             return _refusal("no_route", 404, "no route matches host and path")
@@ -96,13 +96,17 @@
     ) -> body_memory.Body:
         """Returns the collector of a request's body, under the limit of the operators."""
         configuration = self._knowledge.configuration
+        if configuration is None:
+            return body_memory.Body(
+                memory=memory,
+                max_bytes=UNKNOWN_MAX_BODY_BYTES,
+                terms=lambda: self._wait_terms(request),
+                # The operators may allow it.
+                excess=_no_configuration(),
+            )
         return body_memory.Body(
             memory=memory,
-            max_bytes=(
-                UNKNOWN_MAX_BODY_BYTES
-                if configuration is None
-                else configuration.limits.max_body_bytes
-            ),
+            max_bytes=configuration.limits.max_body_bytes,
             terms=lambda: self._wait_terms(request),
         )
 
@@ -139,3 +143,7 @@
     return failure.Refusal(
         reason=reason, code=code, status=503, retry_after=UNAVAILABLE_RETRY_SECONDS
     )
+
+
+def _no_configuration() -> failure.Refusal:
+    return _unavailable("starting", "no configuration is known yet")
