A new controller lets a group serve only until its leaving member stops

A group without a spare serves for five seconds after a member has said that it will stop; the other five are left to its requests. A controller counted them from its own start. After a change 4.9 s later the group was closed 9.9 s after the member had said so, so that streams there stall when the member stops.

The time of the member's entry is used where it is known, as for free VMs.

--- a/basilpost/groups/pool.py
+++ b/basilpost/groups/pool.py
@@ -190,11 +190,19 @@
             if not group.complete
         },
         leaving_since_by_group={
-            group.name: leaving.get(group.name, view.now) for group in groups if group.leaving
+            group.name: leaving.get(group.name, _leaving_since(view, group))
+            for group in groups
+            if group.leaving
         },
     )
 
 
+def _leaving_since(view: pool_state.View, group: reported_groups.ReportedGroup) -> float:
+    """Returns when a member of a group said that it will stop, also if another controller saw it."""
+    ids = [reported_groups.lifetime_id(vm) for vm in group.members if vm.leaving]
+    return min((view.changed_at_by_vm.get(key, view.now) for key in ids), default=view.now)
+
+
 def _group_counts(
     view: pool_state.View,
     groups: tuple[reported_groups.ReportedGroup, ...],
--- a/basilpost/groups/pool_test.py
+++ b/basilpost/groups/pool_test.py
@@ -334,6 +334,16 @@
         state = decision.state
 
 
+def test_a_new_controller_lets_a_group_serve_until_its_leaving_member_stops():
+    """The time that the member has left does not begin anew with the controller."""
+    vms = group("7", [OPEN, READY, READY])
+    vms[2] = dataclasses.replace(vms[2], leaving=True)
+    said_at = {reported_groups.lifetime_id(vms[2]): 100.0}
+    for now, expected in ((104.9, []), (105.0, ["close 7-0 large--7"])):
+        seen = dataclasses.replace(view(vms, now=now), changed_at_by_vm=said_at)
+        assert order_texts(pool.decide(seen, pool_state.State())) == expected
+
+
 def test_a_leaving_vm_joins_nothing():
     vms = [vm("a"), vm("b"), vm("c", leaving=True)]
     decision = pool.decide(view(vms), free_for(vms, 99))
