Bodies in chunks no longer wait for each other until they are refused

Callers that sent large bodies in chunks at once got 503 (memory_full). The room of such a body was taken piece by piece, and each piece counted as a small body: it went past the bodies that waited, up to 1.25 of the bound, where all of them held a part and waited for the rest until their time was over.

A body of unknown length that is not small now takes at once the room that it may need, at most half of the bound, and gives back what it did not need.

--- a/basilpost/gateway/body_memory.py
+++ b/basilpost/gateway/body_memory.py
@@ -54,11 +54,12 @@
 
     Attributes:
         held: Bytes of bodies that are held, or for which room is kept.
+        max_bytes: Bound on these, which small bodies may exceed by a share.
     """
 
     def __init__(self, *, max_bytes: int) -> None:
         self.held = 0
-        self._max_bytes = max_bytes
+        self.max_bytes = max_bytes
         self._waiters: list[_Waiter] = []
         self._numbers = itertools.count()
 
@@ -68,7 +69,7 @@
         There is always room for one body when nothing is held.
         """
         if size <= SMALL_BODY_BYTES:
-            has_room = self.held + size <= self._max_bytes * (1.0 + SMALL_BODY_EXCESS)
+            has_room = self.held + size <= self.max_bytes * (1.0 + SMALL_BODY_EXCESS)
         else:
             has_room = not self._waiting() and self._fits(size)
         self.held += size if has_room else 0
@@ -101,7 +102,7 @@
         self._admit_waiters()
 
     def _fits(self, size: int) -> bool:
-        return not self.held or self.held + size <= self._max_bytes
+        return not self.held or self.held + size <= self.max_bytes
 
     def _waiting(self) -> bool:
         while self._waiters and self._waiters[0].room.done():
@@ -171,10 +172,13 @@
             self._buffer[begin : self._size] = piece
             return None
         self._pieces.append(piece)
-        return self._take(self._size - self._taken) if self._size > self._taken else None
+        return self._take(self._next_room()) if self._size > self._taken else None
 
     def join(self) -> bytes | bytearray:
         """Returns the whole body, for which room is kept until `release` is called."""
+        if self._taken > self._size:
+            surplus, self._taken = self._taken - self._size, self._size
+            self._memory.release(surplus)
         if self._buffer is not None:
             return self._buffer
         body = self._pieces[0] if len(self._pieces) == 1 else b"".join(self._pieces)
@@ -189,6 +193,17 @@
         if taken:
             self._memory.release(taken)
 
+    def _next_room(self) -> int:
+        """Returns the room to take for a body of unknown length.
+
+        One that is not small takes at once what it may need. Bodies that hold a part of it and wait for
+        the rest would wait for each other.
+        """
+        missing = self._size - self._taken
+        if self._size <= SMALL_BODY_BYTES:
+            return missing
+        return max(missing, min(self._max_bytes, self._memory.max_bytes // 2) - self._taken)
+
     def _take(self, size: int) -> Awaitable[None] | None:
         if not size:
             return None
--- a/basilpost/gateway/body_memory_test.py
+++ b/basilpost/gateway/body_memory_test.py
@@ -89,6 +89,37 @@
     assert (body.refusal.status, memory.held) == (413, 0)
 
 
+@pytest.mark.looptime
+async def test_bodies_in_chunks_wait_for_each_other_until_they_are_refused(memory):
+    """Each of them holds a part of its room, so that none gets the rest."""
+
+    async def upload():
+        body = make_body(memory, max_bytes=2 * MB, wait_seconds=0.9)
+        body.begin(0)
+        for _ in range(16):
+            waiting = body.add(b"x" * (2 * MB // 16))
+            if waiting is not None:
+                await waiting
+            await asyncio.sleep(0.003)
+        body.join()
+        body.release()
+        return body.refusal
+
+    assert set(await asyncio.gather(*(upload() for _ in range(40)))) == {None}
+    assert memory.held == 0
+
+
+async def test_a_body_in_chunks_keeps_room_that_it_does_not_need(memory):
+    body = make_body(memory)
+    body.begin(0)
+    for _ in range(3):
+        body.add(b"x" * body_memory.SMALL_BODY_BYTES)
+    body.join()
+    assert memory.held == 3 * body_memory.SMALL_BODY_BYTES
+    body.release()
+    assert memory.held == 0
+
+
 async def test_a_body_arrives_whole_whether_its_length_is_known_or_not(memory):
     data = bytes(range(256)) * 1024
     for length in (len(data), 0):
