A request without an id no longer ends the reuse of connections to its runner

After one such request on a kept connection, every caller's requests to that runner got connections of their own for ten seconds, and the request itself was lost once: its answer names no request either, which counts as one that cannot be attributed. Callers that send no id, such as checks, could keep it so for good.

Such a request now gets a connection of its own, on which the first answer is its own.

--- a/basilpost/gateway/detours.py
+++ b/basilpost/gateway/detours.py
@@ -184,7 +184,8 @@
         channel = await self.pool.acquire(
             detour.address,
             timeout=CONNECT_SECONDS,
-            fresh=not progress.repeatable,
+            # On a kept connection the answer to a request without an id could not be attributed.
+            fresh=not progress.repeatable or not progress.admitted.call.request_id,
             lifetime=detour.incarnation,
             request_id=progress.admitted.call.request_id,
         )
--- a/basilpost/gateway/target_sender.py
+++ b/basilpost/gateway/target_sender.py
@@ -199,12 +199,14 @@
         sink: answer_sinks.AnswerSink,
     ) -> channels.Head | attempts.NotSent | attempts.NotRun | attempts.Lost:
         progress = in_flight.progress
+        request_id = progress.admitted.call.request_id
         channel = await self.pool.acquire(
             target.address,
             timeout=CONNECT_SECONDS,
-            fresh=not progress.repeatable,
+            # On a kept connection the answer to a request without an id could not be attributed.
+            fresh=not progress.repeatable or not request_id,
             lifetime=target.lifetime,
-            request_id=progress.admitted.call.request_id,
+            request_id=request_id,
         )
         if isinstance(channel, channels.ConnectFailed):
             self._chooser.record_unreachable(target)
--- a/tests/pool_second_answers_test.py
+++ b/tests/pool_second_answers_test.py
@@ -109,6 +109,19 @@
             assert 200 not in {answer.code for answer in answers}
 
 
+async def test_one_request_without_an_id_ends_the_reuse_of_connections_for_all_callers():
+    """Its answer names no request either; the runner is sound."""
+    async with kept_connections() as bench:
+        with structlog.testing.capture_logs() as lines:
+            for number in range(20):
+                anonymous = {"X-Attempt-Id": ""} if number == 0 else {}
+                answer = await bench.call("/lookup/a", method="GET", **anonymous)
+                assert answer.code == 200
+        assert [line for line in lines if line["event"] == "attempt_failed"] == []
+        placed = [line["requests"] for line in lines if line["event"] == "request_placed"]
+        assert placed.count(0) == 1
+
+
 async def test_each_answer_without_an_id_costs_a_request():
     """A runner that left the id out once gets one request on each connection for a while."""
     async with kept_connections() as bench:
