A planned move cuts a stream that the next group does not take, known red

The connection to the closing head is closed before another group has taken the stream. If that group rejects it or fails it, and no other is left, the caller's stream is broken off, although the old head would have finished it. The nodes learn each other's requests in flight 0.15 s late, and a second group may close at the same moment, so that a free slot may be none.

--- a/tests/pool_planned_close_test.py
+++ b/tests/pool_planned_close_test.py
@@ -179,6 +179,22 @@
             assert second.at - drained_at < MOVE_SECONDS
 
 
+@pytest.mark.parametrize("trouble", ["full", "fail"])
+async def test_a_stream_is_cut_for_a_group_that_does_not_take_it(trouble):
+    """The group seemed to have room; the stream would have ended where it was."""
+    async with running(groups=2) as bench:
+        streams = Streams(bench)
+        await start_streams(bench, streams, 2)
+        group, attempts = busiest_group(bench)
+        assert attempts
+        for runner in bench.fleet.runners_of(pool_fleet.MODEL_SERVICE):
+            if runner.member is not None and runner.member["name"] != group:
+                setattr(runner.options, trouble, True)
+        await drain(members_of(bench, group)[1])
+        await streams.end()
+        assert streams.lost == []
+
+
 async def test_streams_are_cut_when_the_controller_changes_after_it_closed_their_group():
     async with running(groups=2, nodes=3, maxAttempts=1) as bench:
         controls = [controller.is_holder for controller in bench.controllers]
