--- a/basilpost/core/catalog.py
+++ b/basilpost/core/catalog.py
@@ -170,6 +170,8 @@
         services_by_name: All services.
         workspaces_by_key: Workspaces by API key.
         limits: Limits on callers.
+        checks_keys: False if it names no workspaces at all, so that requests need no key. A list of
+            workspaces without keys allows no request.
     """
 
     version: int
@@ -177,6 +179,7 @@
     services_by_name: dict[str, Service]
     workspaces_by_key: dict[str, Workspace]
     limits: Limits
+    checks_keys: bool = True
 
 
 class MemberState(enum.Enum):
--- a/basilpost/gateway/request_admission.py
+++ b/basilpost/gateway/request_admission.py
@@ -68,7 +68,7 @@
             return _refusal("no_route", 404, "no route matches host and path")
         call = self._dialect.parse_request(request.headers)
         workspace = configuration.workspaces_by_key.get(call.key)
-        if not route.anonymous:
+        if configuration.checks_keys and not route.anonymous:
             if self._knowledge.configuration_age() > KEY_CHECK_MAX_AGE_SECONDS:
                 return _unavailable("keys_not_fresh", "keys cannot be checked now")
             if workspace is None:
--- a/basilpost/platform/decode.py
+++ b/basilpost/platform/decode.py
@@ -116,6 +116,7 @@
             for key in tenant["apiKeys"]
         },
         limits=_limits(raw["limits"]),
+        checks_keys=raw.get("tenants") is not None,
     )
 
 
--- a/tests/pool_path_test.py
+++ b/tests/pool_path_test.py
@@ -70,6 +70,21 @@
         assert not bench.fleet.runs_of(refused.attempt)
 
 
+async def test_a_configuration_without_workspaces_refuses_every_request():
+    """Keys are checked only where a configuration names workspaces; an empty list allows no key."""
+    async with pool_nodes.running(vms=0) as bench:
+        open_to_all = pool_fleet.configuration(2)
+        del open_to_all["tenants"]
+        await bench.fleet.configure(open_to_all)
+        await bench.wait_for_knowledge(lambda knowledge: knowledge.configuration.version == 2)
+        answer = await bench.call("/filing/a", X_Credential="")
+        assert answer.code == 200
+        assert bench.fleet.runs_of(answer.attempt)[0].workspace == ""
+        await bench.fleet.configure(pool_fleet.configuration(3) | {"tenants": []})
+        await bench.wait_for_knowledge(lambda knowledge: knowledge.configuration.version == 3)
+        assert (await bench.call("/filing/a")).code == 401
+
+
 async def test_a_key_that_was_taken_away_is_refused():
     async with pool_nodes.running(vms=0) as bench:
         assert (await bench.call("/filing/a", X_Credential=pool_fleet.OTHER_KEY)).code == 200
