--- a/basilpost/groups/pool.py
+++ b/basilpost/groups/pool.py
@@ -316,6 +316,16 @@
             continue
         if not group.complete and _still_serves(view, group, state):
             continue
+        head = group.head
+        if (
+            head is not None
+            and group.state is catalog.MemberState.OPEN
+            and not group.complete
+            and _finishes_requests(view, group, state)
+        ):
+            # A head that leaves cuts off its requests, also those that have no event yet.
+            yield _order(orders.Kind.CLOSE, group, head, cause=orders.Cause.INCOMPLETE)
+            continue
         if not group.complete or group.state is catalog.MemberState.BROKEN:
             cause = orders.Cause.BROKEN if group.complete else orders.Cause.INCOMPLETE
             yield from _dissolution_orders(group, cause)
--- a/basilpost/groups/pool_test.py
+++ b/basilpost/groups/pool_test.py
@@ -303,6 +303,17 @@
     assert order_texts(pool.decide(view_of_work(vms), pool_state.State())) == []
 
 
+def test_an_open_head_leaves_with_its_requests_when_a_member_has_no_entry():
+    """No event has come yet, as with long prompts or the first request of an idle group."""
+    vms = group("7", [OPEN, READY, None])
+    at_work = pool.decide(view_of_work(vms), pool_state.State())
+    assert order_texts(at_work) == ["close 7-0 large--7"]
+    idle = pool.decide(view_of_work(vms, working=()), pool_state.State())
+    assert order_texts(idle) == ["leave 7-0 large--7"]
+    stalled = pool.decide(view_of_work(vms, stalled=["large--7"]), pool_state.State())
+    assert order_texts(stalled) == ["leave 7-0 large--7"]
+
+
 def test_a_group_without_a_member_is_kept_for_ever():
     """Requests at it may hang, and a runner that stops as planned does so within ten seconds."""
     for states in ([None, READY, READY], [CLOSING, READY, None]):
