--- a/basilpost/emulator/pool_runner.py
+++ b/basilpost/emulator/pool_runner.py
@@ -463,13 +463,16 @@
         if status == 200:
             self.begun_orders += 1
             if order.get("closeMode") == "cutoff":
-                for handler, attempt in self._working.items():
-                    self.cut_off.append(attempt)
-                    silent_connections.stream_of(handler.request).close()
-                self._working.clear()
+                self._cut_off_requests()
             self._run_in_background(self._finish_close(order))
         return status
 
+    def _cut_off_requests(self) -> None:
+        for handler, attempt in self._working.items():
+            self.cut_off.append(attempt)
+            silent_connections.stream_of(handler.request).close()
+        self._working.clear()
+
     async def _finish_close(self, order: dict[str, Any]) -> None:
         while self._working:
             await asyncio.sleep(_CLOSING_POLL_SECONDS)
@@ -486,6 +489,8 @@
         if self._is_in(order):
             self.begun_orders += 1
             self.member, self.members = None, []
+            # An order to leave takes effect at once, so a head finishes nothing.
+            self._cut_off_requests()
             await self.report()
         return 200
 
