--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,9 @@
 	touch $@
 
 test: setup
-	$(PY) -m pytest -n $(JOBS) --dist loadfile
+	$(PY) -m pytest -n $(JOBS) --dist loadfile -m "not crowd"; parallel=$$?; \
+	$(PY) -m pytest -m crowd; serial=$$?; \
+	test $$parallel -eq 0 -a $$serial -eq 0
 
 demo: setup
 	$(PY) -m basilpost demo
