--- a/basilpost/admin/api.py
+++ b/basilpost/admin/api.py
@@ -17,7 +17,7 @@
     status,
     status_handlers,
 )
-from basilpost.core import clock, kernel, listener, names
+from basilpost.core import clock, connection_limits, kernel, listener, names
 from basilpost.members import directory, replica
 from basilpost.settings import configuration, schema
 
@@ -31,8 +31,7 @@
     def __init__(self, *, kernel: kernel.Kernel) -> None:
         settings = kernel.find(names.SETTINGS, schema.NodeSettings)
         self._listen = settings.admin
-        self._log = kernel.log
-        self._registry = kernel.registry
+        self._kernel = kernel
         self._server: listener.Listener | None = None
         self.port = 0
         self._context = make_context(kernel, settings)
@@ -40,18 +39,22 @@
     async def start(self) -> None:
         """Opens the listening socket and begins to serve."""
         server = listener.Listener(
-            make_application(self._context, registry=self._registry),
+            make_application(self._context, registry=self._kernel.registry),
             max_body_size=limits.MAX_READ_BYTES,
             max_buffer_size=limits.MAX_READ_BYTES + limits.MAX_HEADER_BYTES,
             max_header_size=limits.MAX_HEADER_BYTES,
             body_timeout=limits.BODY_SECONDS,
-            idle_connection_timeout=limits.IDLE_SECONDS,
+            name="admin",
+            kernel=self._kernel,
+            limits=lambda: connection_limits.Limits(
+                header_seconds=limits.IDLE_SECONDS, idle_seconds=limits.IDLE_SECONDS
+            ),
         )
         sockets = tornado.netutil.bind_sockets(self._listen.port, self._listen.host)
         server.add_sockets(sockets)
         self._server = server
         self.port = sockets[0].getsockname()[1]
-        self._log.info("admin_listening", host=self._listen.host, port=self.port)
+        self._kernel.log.info("admin_listening", host=self._listen.host, port=self.port)
 
     async def stop(self) -> None:
         """Closes each connection once its request is answered, and waits for operators' changes.
--- /dev/null
+++ b/basilpost/core/connection_limits.py
@@ -0,0 +1,106 @@
+"""Finds the connections of a server that exceed its limits of time, without a timer for each one.
+
+A connection that waits for a request holds a descriptor and memory for as long as its peer likes.
+"""
+
+import collections
+import dataclasses
+import enum
+from collections.abc import Iterator
+
+import tornado.iostream
+
+from basilpost.core import clock, idle_streams
+
+# Limits while operators name none.
+DEFAULT_SECONDS = 30.0
+
+
+class Cause(enum.Enum):
+    """Why a connection was closed."""
+
+    HEAD = "head"
+    IDLE = "idle"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Limits:
+    """Limits on the connections of a server.
+
+    Attributes:
+        header_seconds: Longest time for the rest of a request's head after its first byte.
+        idle_seconds: Time after which a connection on which no request has begun is closed.
+    """
+
+    header_seconds: float = DEFAULT_SECONDS
+    idle_seconds: float = DEFAULT_SECONDS
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Wait:
+    """The wait of a connection for a request.
+
+    Attributes:
+        began_at: When it was opened, or its latest answer was written.
+        head_seen_at: When a part of a head was first seen on it, None before.
+    """
+
+    began_at: float
+    head_seen_at: float | None = None
+
+
+class OpenConnections:
+    """The open connections of a server, by whether they carry a request."""
+
+    def __init__(self) -> None:
+        # In the order in which they began to wait.
+        self._waits_by_stream: collections.OrderedDict[tornado.iostream.IOStream, _Wait] = (
+            collections.OrderedDict()
+        )
+        self._busy: set[tornado.iostream.IOStream] = set()
+
+    @property
+    def busy(self) -> int:
+        """Returns the number of connections that carry a request."""
+        return len(self._busy)
+
+    @property
+    def waiting(self) -> int:
+        """Returns the number of connections that wait for a request."""
+        return len(self._waits_by_stream)
+
+    def add_waiting(self, stream: tornado.iostream.IOStream) -> None:
+        """Notes that a connection waits for its first or next request."""
+        self._busy.discard(stream)
+        self._waits_by_stream[stream] = _Wait(began_at=clock.monotonic())
+        self._waits_by_stream.move_to_end(stream)
+
+    def add_busy(self, stream: tornado.iostream.IOStream) -> None:
+        """Notes that the head of a request has arrived on a connection."""
+        self._waits_by_stream.pop(stream, None)
+        self._busy.add(stream)
+
+    def remove(self, stream: tornado.iostream.IOStream) -> None:
+        """Forgets a connection."""
+        self._waits_by_stream.pop(stream, None)
+        self._busy.discard(stream)
+
+    def all_waiting(self) -> tuple[tornado.iostream.IOStream, ...]:
+        """Returns the connections that wait for a request, the one that has waited longest first."""
+        return tuple(self._waits_by_stream)
+
+    def expired(self, limits: Limits) -> Iterator[tuple[tornado.iostream.IOStream, Cause]]:
+        """Yields the connections whose time has run out.
+
+        A connection with bytes that have arrived and were not read yet is left for the next time.
+        """
+        now = clock.monotonic()
+        for stream, wait in tuple(self._waits_by_stream.items()):
+            if wait.head_seen_at is None and idle_streams.has_buffered(stream):
+                wait.head_seen_at = now
+            if wait.head_seen_at is None:
+                cause, ends_at = Cause.IDLE, wait.began_at + limits.idle_seconds
+            else:
+                cause, ends_at = Cause.HEAD, wait.head_seen_at + limits.header_seconds
+            if now >= ends_at and idle_streams.waits_for_bytes(stream):
+                yield stream, cause
--- a/basilpost/core/idle_streams.py
+++ b/basilpost/core/idle_streams.py
@@ -1,4 +1,4 @@
-"""Tells what waits on a connection that is idle, before it is used again.
+"""Tells what waits on a connection that is idle, before it is used again or closed.
 
 The event loop may not have read yet what has arrived, so the socket is asked as well.
 """
@@ -20,6 +20,16 @@
     return stream._read_buffer_size == 0 and _peek(stream) is None
 
 
+def has_buffered(stream: iostream.IOStream) -> bool:
+    """Returns True if bytes were read from the socket that no reader has taken yet."""
+    return stream._read_buffer_size > 0
+
+
+def waits_for_bytes(stream: iostream.IOStream) -> bool:
+    """Returns True if a reader waits and nothing that has arrived could still be passed to it."""
+    return stream.reading() and not stream.closed() and _peek(stream) is None
+
+
 def _peek(stream: iostream.IOStream) -> bytes | None:
     """Returns the next byte in the socket, empty after its end, None if nothing has arrived."""
     if isinstance(stream.socket, ssl.SSLSocket):
--- a/basilpost/core/kernel.py
+++ b/basilpost/core/kernel.py
@@ -36,12 +36,19 @@
         node_id: Unique name of the node.
         registry: Registry of the node's Prometheus metrics.
         log: Logger that adds the node's name to each line.
+        closed_connections: Counts the connections that were closed by a limit.
     """
 
     def __init__(self, *, node_id: str) -> None:
         self.node_id = node_id
         self.registry = prometheus_client.CollectorRegistry()
         self.log = structlog.get_logger().bind(node=node_id)
+        self.closed_connections = prometheus_client.Counter(
+            "basilpost_connections_closed_total",
+            "Connections that were closed by a limit, by what they were opened to and the limit",
+            ["listener", "cause"],
+            registry=self.registry,
+        )
         self._services_by_name: dict[str, object] = {}
         self._started: list[Service] = []
 
--- a/basilpost/core/listener.py
+++ b/basilpost/core/listener.py
@@ -1,19 +1,22 @@
-"""An HTTP server that can end without cutting a request whose head it has read.
+"""An HTTP server with limits on its connections, which can end without cutting a request.
 
 A count of handlers at work is no sign that a server may end: connections that callers keep open are
 still read after the count was looked at, and the end of an answer may not have been written yet.
 """
 
 import asyncio
+import collections
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 import tornado.http1connection
 import tornado.httpserver
 import tornado.httputil
+import tornado.iostream
 
-from basilpost.core import clock
+from basilpost.core import clock, connection_limits, kernel
 
+SWEEP_SECONDS = 1.0
 _POLL_SECONDS = 0.05
 
 
@@ -22,26 +25,45 @@
 
     A connection does so from the end of the request's head until its answer is written to the socket.
 
+    Args:
+        name: What the connections are for, in the log and the metrics.
+        kernel: Takes the log lines and metrics of the server.
+        limits: Returns the limits on connections, which may change.
+
     Attributes:
         closes_after_answer: True if callers are told that their connection is closed after its answer.
     """
 
-    def initialize(self, *args: Any, **kwargs: Any) -> None:
+    def initialize(  # type: ignore[override]
+        self,
+        *args: Any,
+        name: str,
+        kernel: kernel.Kernel,
+        limits: Callable[[], connection_limits.Limits],
+        **kwargs: Any,
+    ) -> None:
         """Initializes the server; Tornado calls this in place of the constructor."""
         super().initialize(*args, **kwargs)
-        self._busy_by_connection: dict[tornado.http1connection.HTTP1ServerConnection, bool] = {}
+        # Tornado's limit would be one for idle connections and slow heads alike, with a timer for each.
+        self.conn_params.header_timeout = None
+        self._name = name
+        self._kernel = kernel
+        self._limits = limits
+        self._open = connection_limits.OpenConnections()
+        self._closed_by_cause: collections.Counter[connection_limits.Cause] = collections.Counter()
+        self._sweep_timer: asyncio.TimerHandle | None = None
         self._draining = False
         self.closes_after_answer = False
 
     @property
     def busy(self) -> int:
         """Returns the number of connections that carry a request."""
-        return sum(self._busy_by_connection.values())
+        return self._open.busy
 
     @property
     def idle(self) -> int:
         """Returns the number of connections that wait for a request."""
-        return len(self._busy_by_connection) - self.busy
+        return self._open.waiting
 
     def announce_close(self) -> None:
         """Makes answers tell callers that their connection is closed.
@@ -57,28 +79,52 @@
     ) -> tornado.httputil.HTTPMessageDelegate:
         """Called by Tornado when a connection is open or its answer is written."""
         assert isinstance(server_conn, tornado.http1connection.HTTP1ServerConnection)
-        self._busy_by_connection[server_conn] = False
+        stream = server_conn.stream
+        self._open.add_waiting(stream)
         if self._draining:
-            server_conn.stream.close()
+            stream.close()
+        elif self._sweep_timer is None:
+            self._schedule_sweep()
         return _HeadObserver(
             inner=super().start_request(server_conn, request_conn),
-            on_head=lambda: self._busy_by_connection.update({server_conn: True}),
-            is_closed=server_conn.stream.closed,
+            on_head=lambda: self._open.add_busy(stream),
+            is_closed=stream.closed,
         )
 
     def on_close(self, server_conn: object) -> None:
         """Called by Tornado when a connection has ended."""
         assert isinstance(server_conn, tornado.http1connection.HTTP1ServerConnection)
-        self._busy_by_connection.pop(server_conn, None)
+        self._open.remove(server_conn.stream)
         super().on_close(server_conn)
 
+    def _schedule_sweep(self) -> None:
+        self._sweep_timer = asyncio.get_running_loop().call_later(SWEEP_SECONDS, self._sweep)
+
+    def _sweep(self) -> None:
+        """Closes the connections beyond their limits, and reports what was closed since the last time."""
+        for stream, cause in self._open.expired(self._limits()):
+            self._close(stream, cause)
+        for cause, count in self._closed_by_cause.items():
+            self._kernel.closed_connections.labels(self._name, cause.value).inc(count)
+            self._kernel.log.info(
+                "connections_closed", listener=self._name, cause=cause.value, count=count
+            )
+        self._closed_by_cause.clear()
+        self._sweep_timer = None
+        if self._open.waiting or self._open.busy:
+            self._schedule_sweep()
+
+    def _close(self, stream: tornado.iostream.IOStream, cause: connection_limits.Cause) -> None:
+        self._closed_by_cause[cause] += 1
+        stream.close()
+        self._open.remove(stream)
+
     def stop_accepting(self) -> None:
         """Stops listening and closes the connections without a request, the others after their answer."""
         self.stop()
         self._draining = True
-        for connection, is_busy in self._busy_by_connection.items():
-            if not is_busy:
-                connection.stream.close()
+        for stream in self._open.all_waiting():
+            stream.close()
 
     async def drain(self, give_up_at: float) -> int:
         """Stops listening, and closes each connection as soon as it carries no request.
--- a/basilpost/core/listener_test.py
+++ b/basilpost/core/listener_test.py
@@ -6,7 +6,7 @@
 import tornado.netutil
 import tornado.web
 
-from basilpost.core import clock, listener
+from basilpost.core import clock, connection_limits, kernel, listener
 
 
 class EchoHandler(tornado.web.RequestHandler):
@@ -22,7 +22,14 @@
     """A listener and the connections to it."""
 
     def __init__(self):
-        self.listener = listener.Listener(tornado.web.Application([("/", EchoHandler)]))
+        self.kernel = kernel.Kernel(node_id="node-1")
+        self.limits = connection_limits.Limits()
+        self.listener = listener.Listener(
+            tornado.web.Application([("/", EchoHandler)]),
+            name="test",
+            kernel=self.kernel,
+            limits=lambda: self.limits,
+        )
         sockets = tornado.netutil.bind_sockets(0, address="127.0.0.1")
         self.listener.add_sockets(sockets)
         self._address = sockets[0].getsockname()
--- a/basilpost/core/log_events.py
+++ b/basilpost/core/log_events.py
@@ -299,6 +299,11 @@
     "peer_secret_is_empty": Event(meaning="peer streams are not authenticated"),
     "peer_refused": Event(meaning="a peer stream could not be opened", fields=("cause", "reason")),
     "peer_stream_ended": Event(meaning="a peer stream was lost", fields=("peer", "cause")),
+    "connections_closed": Event(
+        meaning="connections to this listener were closed by a limit in the last second: `head` was not "
+        "complete in time, `idle` had no request",
+        fields=("listener", "cause", "count"),
+    ),
     "relay_listening": Event(meaning="callers can connect", fields=("address",)),
     "relay_drained": Event(
         meaning="a planned stop has waited for the requests in flight",
--- a/basilpost/gateway/relay.py
+++ b/basilpost/gateway/relay.py
@@ -6,6 +6,7 @@
 import math
 import random
 import socket
+from collections.abc import Callable
 
 import prometheus_client
 import tornado.httpserver
@@ -13,7 +14,16 @@
 import tornado.netutil
 import tornado.web
 
-from basilpost.core import catalog, clock, failure, kernel, listener, names, tasks
+from basilpost.core import (
+    catalog,
+    clock,
+    connection_limits,
+    failure,
+    kernel,
+    listener,
+    names,
+    tasks,
+)
 from basilpost.gateway import (
     attempts,
     body_memory,
@@ -46,9 +56,6 @@
 # server starts before the node may have read the configuration.
 MAX_HEADER_BYTES = 65_536
 MAX_BODY_BYTES = 64 * 1024 * 1024
-# Callers may reuse a connection that was idle for most of the operators' idle limit, so the server must
-# not close it before.
-IDLE_SECONDS = 30.0
 # A node whose configuration is older than this reports that it is not ready.
 READY_MAX_AGE_SECONDS = 4.0
 # The load balancer may take this long to notice that the node reports not ready, and sends new
@@ -140,10 +147,14 @@
             max_bytes=int(settings.memory_mb * body_memory.BYTES_PER_MB * body_memory.MEMORY_SHARE)
         )
         self._crash_store = kernel.find(names.CRASH_STORE, crash_store.CrashStore)
-        self._server = _make_server(self)
+        self._server = _make_server(
+            self, name="callers", kernel=kernel, limits=self._connection_limits
+        )
         self._detour_service = detour_service.DetourService(
             kernel=kernel,
-            make_server=_make_server,
+            make_server=lambda delegate: _make_server(
+                delegate, name="detours", kernel=kernel, limits=connection_limits.Limits
+            ),
             admit=self._admit,
             forwarder=self.forwarder,
             make_body=self._make_body,
@@ -282,6 +293,18 @@
             spawn=lambda handling: self._request_tasks.spawn(handling, name="request"),
         )
 
+    def _connection_limits(self) -> connection_limits.Limits:
+        """Returns the operators' limits, and defaults for those that they do not name."""
+        configuration = self.knowledge.configuration
+        if configuration is None:
+            return connection_limits.Limits()
+        limits = configuration.limits
+        default = connection_limits.DEFAULT_SECONDS
+        return connection_limits.Limits(
+            header_seconds=limits.header_seconds if limits.header_seconds > 0 else default,
+            idle_seconds=limits.idle_seconds if limits.idle_seconds > 0 else default,
+        )
+
     def _make_body(self, request: inbound.Request) -> body_memory.Body:
         return self._admission.make_body(request, self._bodies)
 
@@ -441,10 +464,18 @@
         self.set_status(200 if self._relay.ready else 503)
 
 
-def _make_server(delegate: tornado.httputil.HTTPServerConnectionDelegate) -> listener.Listener:
+def _make_server(
+    delegate: tornado.httputil.HTTPServerConnectionDelegate,
+    *,
+    name: str,
+    kernel: kernel.Kernel,
+    limits: Callable[[], connection_limits.Limits],
+) -> listener.Listener:
     return listener.Listener(
         delegate,
-        idle_connection_timeout=IDLE_SECONDS,
+        name=name,
+        kernel=kernel,
+        limits=limits,
         max_header_size=MAX_HEADER_BYTES,
         max_body_size=MAX_BODY_BYTES,
         max_buffer_size=MAX_BODY_BYTES,
--- a/basilpost/gateway/server.py
+++ b/basilpost/gateway/server.py
@@ -4,7 +4,7 @@
 
 import tornado.netutil
 
-from basilpost.core import clock, kernel, listener, names, tasks
+from basilpost.core import clock, connection_limits, kernel, listener, names, tasks
 from basilpost.gateway import claimed_requests as claimed_requests_
 from basilpost.gateway import context, dispatch, metrics, routes, upstream
 from basilpost.members import directory, peers, replica, standing
@@ -51,7 +51,11 @@
         self.port = sockets[0].getsockname()[1]
         self._server = listener.Listener(
             routes.application(self.context),
-            idle_connection_timeout=_IDLE_SECONDS,
+            name="gateway",
+            kernel=self._kernel,
+            limits=lambda: connection_limits.Limits(
+                header_seconds=_IDLE_SECONDS, idle_seconds=_IDLE_SECONDS
+            ),
             max_header_size=_MAX_HEADER_BYTES,
         )
         self._server.add_sockets(sockets)
