--- a/basilpost/core/connection_limits.py
+++ b/basilpost/core/connection_limits.py
@@ -6,6 +6,7 @@
 import collections
 import dataclasses
 import enum
+import itertools
 from collections.abc import Iterator
 
 import tornado.iostream
@@ -14,6 +15,8 @@
 
 # Limits while operators name none.
 DEFAULT_SECONDS = 30.0
+# Connections that are looked at to find one that may be closed for a new one.
+_MAX_LOOKS = 16
 
 
 class Cause(enum.Enum):
@@ -21,6 +24,10 @@
 
     HEAD = "head"
     IDLE = "idle"
+    # Closed so that a new connection can be accepted.
+    REPLACED = "replaced"
+    # Closed as soon as it was accepted.
+    REFUSED = "refused"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -89,6 +96,11 @@
         """Returns the connections that wait for a request, the one that has waited longest first."""
         return tuple(self._waits_by_stream)
 
+    def longest_waiting(self) -> tornado.iostream.IOStream | None:
+        """Returns the connection that has waited longest and on which nothing has arrived unread."""
+        oldest = itertools.islice(self._waits_by_stream, _MAX_LOOKS)
+        return next(filter(idle_streams.waits_for_bytes, oldest), None)
+
     def expired(self, limits: Limits) -> Iterator[tuple[tornado.iostream.IOStream, Cause]]:
         """Yields the connections whose time has run out.
 
--- a/basilpost/core/listener.py
+++ b/basilpost/core/listener.py
@@ -6,15 +6,16 @@
 
 import asyncio
 import collections
-from collections.abc import Awaitable, Callable
-from typing import Any
+import socket
+from collections.abc import Awaitable, Callable, Iterable
+from typing import Any, cast
 
 import tornado.http1connection
 import tornado.httpserver
 import tornado.httputil
 import tornado.iostream
 
-from basilpost.core import clock, connection_limits, kernel
+from basilpost.core import accepting, clock, connection_limits, kernel
 
 SWEEP_SECONDS = 1.0
 _POLL_SECONDS = 0.05
@@ -65,6 +66,25 @@
         """Returns the number of connections that wait for a request."""
         return self._open.waiting
 
+    def add_sockets(self, sockets: Iterable[socket.socket]) -> None:
+        """Accepts connections on listening sockets."""
+        super().add_sockets(
+            cast(
+                socket.socket,
+                accepting.ListeningSocket(
+                    inner=listening,
+                    free_descriptor=self._close_longest_waiting,
+                    on_refused=lambda: self._count(connection_limits.Cause.REFUSED),
+                ),
+            )
+            for listening in sockets
+        )
+
+    def handle_stream(self, stream: tornado.iostream.IOStream, address: tuple[Any, ...]) -> None:
+        """Called by Tornado when a connection was accepted."""
+        self._open.add_waiting(stream)
+        super().handle_stream(stream, address)
+
     def announce_close(self) -> None:
         """Makes answers tell callers that their connection is closed.
 
@@ -83,7 +103,7 @@
         self._open.add_waiting(stream)
         if self._draining:
             stream.close()
-        elif self._sweep_timer is None:
+        else:
             self._schedule_sweep()
         return _HeadObserver(
             inner=super().start_request(server_conn, request_conn),
@@ -98,7 +118,8 @@
         super().on_close(server_conn)
 
     def _schedule_sweep(self) -> None:
-        self._sweep_timer = asyncio.get_running_loop().call_later(SWEEP_SECONDS, self._sweep)
+        if self._sweep_timer is None:
+            self._sweep_timer = asyncio.get_running_loop().call_later(SWEEP_SECONDS, self._sweep)
 
     def _sweep(self) -> None:
         """Closes the connections beyond their limits, and reports what was closed since the last time."""
@@ -115,10 +136,21 @@
             self._schedule_sweep()
 
     def _close(self, stream: tornado.iostream.IOStream, cause: connection_limits.Cause) -> None:
-        self._closed_by_cause[cause] += 1
+        self._count(cause)
         stream.close()
         self._open.remove(stream)
 
+    def _close_longest_waiting(self) -> bool:
+        """Closes the connection that has waited longest for a request; returns False if there is none."""
+        stream = self._open.longest_waiting()
+        if stream is not None:
+            self._close(stream, connection_limits.Cause.REPLACED)
+        return stream is not None
+
+    def _count(self, cause: connection_limits.Cause) -> None:
+        self._closed_by_cause[cause] += 1
+        self._schedule_sweep()
+
     def stop_accepting(self) -> None:
         """Stops listening and closes the connections without a request, the others after their answer."""
         self.stop()
