--- a/basilpost/core/connection_limits.py
+++ b/basilpost/core/connection_limits.py
@@ -37,10 +37,12 @@
     Attributes:
         header_seconds: Longest time for the rest of a request's head after its first byte.
         idle_seconds: Time after which a connection on which no request has begun is closed.
+        max_connections: Largest number of open connections, None for no limit.
     """
 
     header_seconds: float = DEFAULT_SECONDS
     idle_seconds: float = DEFAULT_SECONDS
+    max_connections: int | None = None
 
 
 @dataclasses.dataclass(kw_only=True)
--- a/basilpost/core/connection_limits_test.py
+++ b/basilpost/core/connection_limits_test.py
@@ -38,12 +38,17 @@
         self._callers = []
 
     async def connect(self):
-        """Returns the caller's end of a new connection."""
+        """Returns the caller's end of a new connection, which the listener waits on."""
+        caller = self.connect_now()
+        await self.turn()
+        return caller
+
+    def connect_now(self):
+        """Returns the caller's end of a connection that was accepted just now."""
         caller, accepted = socket.socketpair()
         caller.setblocking(False)
         self._callers.append(caller)
         self.listener.handle_stream(tornado.iostream.IOStream(accepted), ("127.0.0.1", 1))
-        await self.turn()
         return caller
 
     async def turn(self):
@@ -173,3 +178,42 @@
     caller.close()
     await bench.pass_time(2 * listener.SWEEP_SECONDS)
     assert bench.listener._sweep_timer is None
+
+
+async def test_a_new_connection_replaces_the_one_without_a_request_for_longest(bench):
+    bench.limits = connection_limits.Limits(max_connections=3)
+    busy = await bench.connect()
+    await bench.send(busy, b"GET / HTTP/1.1\r\nHost: x\r\nSeconds: 9\r\n\r\n")
+    kept, waiting = await bench.connect(), await bench.connect()
+    await bench.pass_time(1.0)
+    await bench.send(kept, WHOLE)
+    assert kept.recv(65_536).startswith(b"HTTP/1.1 200")
+    await bench.send(await bench.connect(), WHOLE[:9])
+    assert not is_open(waiting) and is_open(kept) and is_open(busy)
+    await bench.connect()
+    assert not is_open(kept) and is_open(busy)
+    await bench.pass_time(listener.SWEEP_SECONDS)
+    assert bench.closed("replaced") == 2
+
+
+async def test_a_new_connection_is_closed_if_all_others_carry_requests(bench):
+    bench.limits = connection_limits.Limits(max_connections=2)
+    busy = [await bench.connect() for _ in range(2)]
+    for caller in busy:
+        await bench.send(caller, b"GET / HTTP/1.1\r\nHost: x\r\nSeconds: 3\r\n\r\n")
+    assert not is_open(await bench.connect())
+    await bench.pass_time(4.0)
+    assert all(caller.recv(65_536).startswith(b"HTTP/1.1 200") for caller in busy)
+    assert bench.closed("refused") == 1
+    await bench.send(last := await bench.connect(), WHOLE)
+    assert last.recv(65_536).startswith(b"HTTP/1.1 200")
+
+
+async def test_a_connection_with_an_unread_request_is_not_replaced(bench):
+    bench.limits = connection_limits.Limits(max_connections=1)
+    caller = await bench.connect()
+    caller.send(WHOLE)
+    other = bench.connect_now()
+    await bench.turn()
+    assert caller.recv(65_536).startswith(b"HTTP/1.1 200")
+    assert not is_open(other)
--- a/basilpost/core/listener.py
+++ b/basilpost/core/listener.py
@@ -82,6 +82,11 @@
 
     def handle_stream(self, stream: tornado.iostream.IOStream, address: tuple[Any, ...]) -> None:
         """Called by Tornado when a connection was accepted."""
+        max_connections = self._limits().max_connections
+        is_full = max_connections is not None and self.busy + self.idle >= max_connections
+        if is_full and not self._close_longest_waiting():
+            self._close(stream, connection_limits.Cause.REFUSED)
+            return
         self._open.add_waiting(stream)
         super().handle_stream(stream, address)
 
--- a/basilpost/gateway/relay.py
+++ b/basilpost/gateway/relay.py
@@ -27,6 +27,7 @@
 from basilpost.gateway import (
     attempts,
     body_memory,
+    connection_bounds,
     detour_service,
     detours,
     forwarding,
@@ -146,6 +147,9 @@
         self._bodies = body_memory.BodyMemory(
             max_bytes=int(settings.memory_mb * body_memory.BYTES_PER_MB * body_memory.MEMORY_SHARE)
         )
+        self._bounds = connection_bounds.divide(
+            max_descriptors=settings.max_descriptors, memory_mb=settings.memory_mb
+        )
         self._crash_store = kernel.find(names.CRASH_STORE, crash_store.CrashStore)
         self._server = _make_server(
             self, name="callers", kernel=kernel, limits=self._connection_limits
@@ -297,10 +301,11 @@
         """Returns the operators' limits, and defaults for those that they do not name."""
         configuration = self.knowledge.configuration
         if configuration is None:
-            return connection_limits.Limits()
+            return connection_limits.Limits(max_connections=self._bounds.callers)
         limits = configuration.limits
         default = connection_limits.DEFAULT_SECONDS
         return connection_limits.Limits(
+            max_connections=self._bounds.callers,
             header_seconds=limits.header_seconds if limits.header_seconds > 0 else default,
             idle_seconds=limits.idle_seconds if limits.idle_seconds > 0 else default,
         )
--- a/basilpost/node/pool_main.py
+++ b/basilpost/node/pool_main.py
@@ -1,8 +1,9 @@
 """Runs a node that serves a pool of VMs of the users' platform, until it is asked to stop.
 
-The environment variable BASILPOST_CONFIG names the settings file; BASILPOST_MEMORY_MB, if it is set, has
-precedence over the file's `memory_mb`. Only what a node needs is
-imported, to keep restarts short: a node does not serve while it restarts.
+The environment variable BASILPOST_CONFIG names the settings file; BASILPOST_MEMORY_MB and
+BASILPOST_MAX_DESCRIPTORS, if they are set, have precedence over the file's `memory_mb` and
+`max_descriptors`. Only what a node needs is imported, to keep restarts short: a node does not serve
+while it restarts.
 """
 
 import asyncio
@@ -19,6 +20,7 @@
 
 SETTINGS_VARIABLE = "BASILPOST_CONFIG"
 MEMORY_VARIABLE = "BASILPOST_MEMORY_MB"
+DESCRIPTORS_VARIABLE = "BASILPOST_MAX_DESCRIPTORS"
 # Longest time for which a node that has stopped waits for the reader of its log.
 LOG_FLUSH_SECONDS = 0.2
 _EXIT_BAD_SETTINGS = 2
@@ -55,6 +57,9 @@
         loaded = pool_loader.with_memory(
             pool_loader.load(path), os.environ.get(MEMORY_VARIABLE, ""), variable=MEMORY_VARIABLE
         )
+        loaded = pool_loader.with_descriptors(
+            loaded, os.environ.get(DESCRIPTORS_VARIABLE, ""), variable=DESCRIPTORS_VARIABLE
+        )
     except loader.SettingsError as error:
         print(error, file=sys.stderr)
         return _EXIT_BAD_SETTINGS
--- a/basilpost/settings/pool_loader.py
+++ b/basilpost/settings/pool_loader.py
@@ -39,13 +39,26 @@
     Raises:
         loader.SettingsError: If it is not a positive whole number.
     """
-    if not memory_mb:
+    return _with_number(loaded, "memory_mb", memory_mb, variable=variable)
+
+
+def with_descriptors(loaded: Loaded, max_descriptors: str, *, variable: str) -> Loaded:
+    """Returns settings with the descriptors that an environment variable names, if it is not empty.
+
+    Raises:
+        loader.SettingsError: If it is not a positive whole number.
+    """
+    return _with_number(loaded, "max_descriptors", max_descriptors, variable=variable)
+
+
+def _with_number(loaded: Loaded, field: str, text: str, *, variable: str) -> Loaded:
+    if not text:
         return loaded
-    if not (memory_mb.isascii() and memory_mb.isdigit() and int(memory_mb) > 0):
-        error = loader.setting_error(variable, "", repr(memory_mb), "a positive whole number")
+    if not (text.isascii() and text.isdigit() and int(text) > 0):
+        error = loader.setting_error(variable, "", repr(text), "a positive whole number")
         raise loader.SettingsError((error,))
-    settings = dataclasses.replace(loaded.settings, memory_mb=int(memory_mb))
-    return dataclasses.replace(loaded, settings=settings)
+    changes: dict[str, Any] = {field: int(text)}
+    return dataclasses.replace(loaded, settings=dataclasses.replace(loaded.settings, **changes))
 
 
 def parse(text: str, *, file: str) -> Loaded:
@@ -109,6 +122,12 @@
             "another port than the one after peer_port, which is used too",
         ),
         (settings.memory_mb > 0, "memory_mb", settings.memory_mb, "a positive number"),
+        (
+            settings.max_descriptors is None or settings.max_descriptors > 0,
+            "max_descriptors",
+            settings.max_descriptors,
+            "a positive number or null",
+        ),
         (bool(settings.node_id), "node_id", settings.node_id, "a name"),
         (
             settings.log_level in ("debug", "info", "warning", "error"),
--- a/basilpost/settings/pool_loader_test.py
+++ b/basilpost/settings/pool_loader_test.py
@@ -88,3 +88,25 @@
     for text in ("0", "many", "-1", "1.5"):
         with pytest.raises(loader.SettingsError, match="MEMORY"):
             pool_loader.with_memory(loaded, text, variable="MEMORY")
+
+
+def test_descriptors_may_be_named_by_the_file_and_by_the_environment():
+    assert pool_loader.parse(json.dumps(GOOD), file="f").settings.max_descriptors is None
+    loaded = pool_loader.parse(json.dumps(GOOD | {"max_descriptors": 900}), file="f")
+    assert pool_loader.with_descriptors(loaded, "", variable="FDS").settings.max_descriptors == 900
+    assert (
+        pool_loader.with_descriptors(loaded, "4100", variable="FDS").settings.max_descriptors
+        == 4100
+    )
+
+
+@pytest.mark.parametrize("text", ["-1", "many", "0"])
+def test_descriptors_of_the_environment_that_are_no_count_are_reported(text):
+    loaded = pool_loader.parse(json.dumps(GOOD), file="f")
+    with pytest.raises(loader.SettingsError):
+        pool_loader.with_descriptors(loaded, text, variable="FDS")
+
+
+@pytest.mark.parametrize("value", [0, -3, "900", 1.5])
+def test_descriptors_of_the_file_that_are_no_count_are_reported(value):
+    assert errors_of(json.dumps(GOOD | {"max_descriptors": value})) == {"max_descriptors"}
--- a/basilpost/settings/pool_schema.py
+++ b/basilpost/settings/pool_schema.py
@@ -46,6 +46,7 @@
         contracts: Parts of the platform's terms that are in force, by the platform's names; some of them
             ask for features of the node.
         memory_mb: Memory, in megabytes, that the process may use.
+        max_descriptors: Descriptors that the process may have open; None for the system's limit on it.
     """
 
     node_id: str
@@ -63,6 +64,7 @@
     log_level: str = "info"
     contracts: tuple[str, ...] = ()
     memory_mb: int = 300
+    max_descriptors: int | None = None
 
     @property
     def detour_port(self) -> int:
