--- a/basilpost/core/connection_limits.py
+++ b/basilpost/core/connection_limits.py
@@ -38,11 +38,14 @@
         header_seconds: Longest time for the rest of a request's head after its first byte.
         idle_seconds: Time after which a connection on which no request has begun is closed.
         max_connections: Largest number of open connections, None for no limit.
+        max_header_bytes: Bytes of a head that are read at most, None for the server's own limit. A
+            connection with a longer head is closed.
     """
 
     header_seconds: float = DEFAULT_SECONDS
     idle_seconds: float = DEFAULT_SECONDS
     max_connections: int | None = None
+    max_header_bytes: int | None = None
 
 
 @dataclasses.dataclass(kw_only=True)
--- a/basilpost/core/listener.py
+++ b/basilpost/core/listener.py
@@ -49,7 +49,8 @@
         self.conn_params.header_timeout = None
         self._name = name
         self._kernel = kernel
-        self._limits = limits
+        self._find_limits = limits
+        self._max_header_bytes = self.conn_params.max_header_size
         self._open = connection_limits.OpenConnections()
         self._closed_by_cause: collections.Counter[connection_limits.Cause] = collections.Counter()
         self._sweep_timer: asyncio.TimerHandle | None = None
@@ -122,6 +123,14 @@
         self._open.remove(server_conn.stream)
         super().on_close(server_conn)
 
+    def _limits(self) -> connection_limits.Limits:
+        """Returns the limits; from now on heads are read up to theirs."""
+        limits = self._find_limits()
+        self.conn_params.max_header_size = min(
+            self._max_header_bytes, limits.max_header_bytes or self._max_header_bytes
+        )
+        return limits
+
     def _schedule_sweep(self) -> None:
         if self._sweep_timer is None:
             self._sweep_timer = asyncio.get_running_loop().call_later(SWEEP_SECONDS, self._sweep)
--- a/basilpost/gateway/relay.py
+++ b/basilpost/gateway/relay.py
@@ -57,6 +57,8 @@
 # server starts before the node may have read the configuration.
 MAX_HEADER_BYTES = 65_536
 MAX_BODY_BYTES = 64 * 1024 * 1024
+# Heads up to this multiple of the operators' limit are read, so that their callers get an answer.
+READ_HEADER_FACTOR = 2
 # A node whose configuration is older than this reports that it is not ready.
 READY_MAX_AGE_SECONDS = 4.0
 # The load balancer may take this long to notice that the node reports not ready, and sends new
@@ -306,6 +308,7 @@
         default = connection_limits.DEFAULT_SECONDS
         return connection_limits.Limits(
             max_connections=self._bounds.callers,
+            max_header_bytes=limits.max_header_bytes * READ_HEADER_FACTOR,
             header_seconds=limits.header_seconds if limits.header_seconds > 0 else default,
             idle_seconds=limits.idle_seconds if limits.idle_seconds > 0 else default,
         )
@@ -332,7 +335,7 @@
         summary: request_recorder.RequestSummary,
     ) -> request_recorder.RequestSummary:
         """Serves a request; returns `summary` with how it ended."""
-        admitted = self._admit(request)
+        admitted = self._admission.refuse_long_head(request) or self._admit(request)
         if isinstance(admitted, failure.Refusal):
             return self._refuse(reply, admitted, summary)
         progress = attempts.Progress(
--- a/basilpost/gateway/request_admission.py
+++ b/basilpost/gateway/request_admission.py
@@ -91,6 +91,16 @@
             configuration=configuration.version,
         )
 
+    def refuse_long_head(self, request: inbound.Request) -> failure.Refusal | None:
+        """Returns the refusal of a request whose head is longer than the operators allow, else None."""
+        configuration = self._knowledge.configuration
+        if configuration is None or not configuration.limits.max_header_bytes:
+            return None
+        max_bytes = configuration.limits.max_header_bytes
+        if _least_head_bytes(request) <= max_bytes:
+            return None
+        return _refusal("head_too_large", 431, f"the head is larger than {max_bytes} bytes")
+
     def make_body(
         self, request: inbound.Request, memory: body_memory.BodyMemory
     ) -> body_memory.Body:
@@ -135,6 +145,13 @@
     return admitted.deadline - clock.elapsed()
 
 
+def _least_head_bytes(request: inbound.Request) -> int:
+    """Returns the length of the shortest head that has the method, target and headers of a request."""
+    lines = (len(name) + len(value) for name, value in request.headers.get_all())
+    start_line = len(request.method) + len(request.target) + len("  HTTP/1.1")
+    return start_line + sum(length + len(":\r\n") for length in lines) + len("\r\n\r\n")
+
+
 def _refusal(code: str, status: int, reason: str) -> failure.Refusal:
     return failure.Refusal(reason=reason, code=code, status=status)
 
--- a/tests/pool_connection_limits_test.py
+++ b/tests/pool_connection_limits_test.py
@@ -111,3 +111,39 @@
         async with connected(bench) as (reader, _):
             with pytest.raises(TimeoutError):
                 await asyncio.wait_for(reader.read(), 0.5 + LATE_SECONDS)
+
+
+def padded_request(attempt, head_bytes):
+    """Returns a request whose head has this many bytes."""
+    whole = request_bytes(attempt)
+    head, _, body = whole.partition(b"\r\n\r\n")
+    padding = head_bytes - len(head) - len(b"\r\nX-Padding: \r\n\r\n")
+    return head + b"\r\nX-Padding: " + b"p" * padding + b"\r\n\r\n" + body
+
+
+async def answer_to_head_of(bench, head_bytes):
+    """Returns the status line of the answer to a request with such a head, empty for none."""
+    async with connected(bench) as (reader, writer):
+        writer.write(padded_request(f"head-{head_bytes}", head_bytes))
+        try:
+            return await read_answer(reader)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return b""
+
+
+# A head above the operators' maxHeaderBytes was taken and passed on to a runner.
+async def test_a_head_above_the_operators_limit_reaches_a_runner():
+    spec = configuration()
+    spec["limits"]["maxHeaderBytes"] = 9_000
+    async with pool_nodes.running(vms=0, spec=spec) as bench:
+        assert (await answer_to_head_of(bench, 9_000)).startswith(b"HTTP/1.1 200")
+        assert (await answer_to_head_of(bench, 9_100)).startswith(b"HTTP/1.1 431")
+        assert await answer_to_head_of(bench, 60_000) == b""
+        assert not bench.fleet.runs_of("head-9100") and not bench.fleet.runs_of("head-60000")
+
+
+async def test_a_head_of_60_kb_is_read_where_operators_allow_it():
+    spec = configuration()
+    spec["limits"]["maxHeaderBytes"] = 100_000
+    async with pool_nodes.running(vms=0, spec=spec) as bench:
+        assert (await answer_to_head_of(bench, 60_000)).startswith(b"HTTP/1.1 200")
