--- a/basilpost/core/connection_limits.py
+++ b/basilpost/core/connection_limits.py
@@ -24,6 +24,7 @@
 
     HEAD = "head"
     IDLE = "idle"
+    ANSWER = "answer"
     # Closed so that a new connection can be accepted.
     REPLACED = "replaced"
     # Closed as soon as it was accepted.
@@ -37,6 +38,8 @@
     Attributes:
         header_seconds: Longest time for the rest of a request's head after its first byte.
         idle_seconds: Time after which a connection on which no request has begun is closed.
+        answer_seconds: Longest time from the end of a head until the answer is written, None for no
+            limit. With a limit, a connection that carries a request may be closed for a new one.
         max_connections: Largest number of open connections, None for no limit.
         max_header_bytes: Bytes of a head that are read at most, None for the server's own limit. A
             connection with a longer head is closed.
@@ -44,6 +47,7 @@
 
     header_seconds: float = DEFAULT_SECONDS
     idle_seconds: float = DEFAULT_SECONDS
+    answer_seconds: float | None = None
     max_connections: int | None = None
     max_header_bytes: int | None = None
 
@@ -69,12 +73,15 @@
         self._waits_by_stream: collections.OrderedDict[tornado.iostream.IOStream, _Wait] = (
             collections.OrderedDict()
         )
-        self._busy: set[tornado.iostream.IOStream] = set()
+        # When the head of its request arrived on each connection, in this order.
+        self._busy_since_by_stream: collections.OrderedDict[tornado.iostream.IOStream, float] = (
+            collections.OrderedDict()
+        )
 
     @property
     def busy(self) -> int:
         """Returns the number of connections that carry a request."""
-        return len(self._busy)
+        return len(self._busy_since_by_stream)
 
     @property
     def waiting(self) -> int:
@@ -83,19 +90,19 @@
 
     def add_waiting(self, stream: tornado.iostream.IOStream) -> None:
         """Notes that a connection waits for its first or next request."""
-        self._busy.discard(stream)
+        self._busy_since_by_stream.pop(stream, None)
         self._waits_by_stream[stream] = _Wait(began_at=clock.monotonic())
         self._waits_by_stream.move_to_end(stream)
 
     def add_busy(self, stream: tornado.iostream.IOStream) -> None:
         """Notes that the head of a request has arrived on a connection."""
         self._waits_by_stream.pop(stream, None)
-        self._busy.add(stream)
+        self._busy_since_by_stream[stream] = clock.monotonic()
 
     def remove(self, stream: tornado.iostream.IOStream) -> None:
         """Forgets a connection."""
         self._waits_by_stream.pop(stream, None)
-        self._busy.discard(stream)
+        self._busy_since_by_stream.pop(stream, None)
 
     def all_waiting(self) -> tuple[tornado.iostream.IOStream, ...]:
         """Returns the connections that wait for a request, the one that has waited longest first."""
@@ -106,6 +113,10 @@
         oldest = itertools.islice(self._waits_by_stream, _MAX_LOOKS)
         return next(filter(idle_streams.waits_for_bytes, oldest), None)
 
+    def longest_busy(self) -> tornado.iostream.IOStream | None:
+        """Returns the connection that has carried its request for longest."""
+        return next(iter(self._busy_since_by_stream), None)
+
     def expired(self, limits: Limits) -> Iterator[tuple[tornado.iostream.IOStream, Cause]]:
         """Yields the connections whose time has run out.
 
@@ -121,3 +132,7 @@
                 cause, ends_at = Cause.HEAD, wait.head_seen_at + limits.header_seconds
             if now >= ends_at and idle_streams.waits_for_bytes(stream):
                 yield stream, cause
+        if limits.answer_seconds is not None:
+            for stream, since in tuple(self._busy_since_by_stream.items()):
+                if now >= since + limits.answer_seconds:
+                    yield stream, Cause.ANSWER
--- a/basilpost/core/connection_limits_test.py
+++ b/basilpost/core/connection_limits_test.py
@@ -217,3 +217,24 @@
     await bench.turn()
     assert caller.recv(65_536).startswith(b"HTTP/1.1 200")
     assert not is_open(other)
+
+
+async def test_a_request_beyond_the_limit_of_an_answer_is_closed(bench):
+    bench.limits = connection_limits.Limits(answer_seconds=2.0)
+    quick, slow = await bench.connect(), await bench.connect()
+    await bench.send(quick, b"GET / HTTP/1.1\r\nHost: x\r\nSeconds: 1.9\r\n\r\n")
+    await bench.send(slow, b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n")
+    await bench.pass_time(2.0 + listener.SWEEP_SECONDS)
+    assert quick.recv(65_536).startswith(b"HTTP/1.1 200")
+    assert not is_open(slow)
+    assert bench.closed("answer") == 1
+
+
+async def test_the_oldest_unfinished_request_makes_room_where_answers_are_made_at_once(bench):
+    bench.limits = connection_limits.Limits(answer_seconds=60.0, max_connections=2)
+    unfinished = [await bench.connect() for _ in range(2)]
+    for caller in unfinished:
+        await bench.send(caller, b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n")
+    await bench.send(last := await bench.connect(), WHOLE)
+    assert last.recv(65_536).startswith(b"HTTP/1.1 200")
+    assert [is_open(caller) for caller in unfinished] == [False, True]
--- a/basilpost/core/listener.py
+++ b/basilpost/core/listener.py
@@ -74,7 +74,7 @@
                 socket.socket,
                 accepting.ListeningSocket(
                     inner=listening,
-                    free_descriptor=self._close_longest_waiting,
+                    free_descriptor=self._make_room,
                     on_refused=lambda: self._count(connection_limits.Cause.REFUSED),
                 ),
             )
@@ -85,7 +85,7 @@
         """Called by Tornado when a connection was accepted."""
         max_connections = self._limits().max_connections
         is_full = max_connections is not None and self.busy + self.idle >= max_connections
-        if is_full and not self._close_longest_waiting():
+        if is_full and not self._make_room():
             self._close(stream, connection_limits.Cause.REFUSED)
             return
         self._open.add_waiting(stream)
@@ -154,9 +154,11 @@
         stream.close()
         self._open.remove(stream)
 
-    def _close_longest_waiting(self) -> bool:
-        """Closes the connection that has waited longest for a request; returns False if there is none."""
+    def _make_room(self) -> bool:
+        """Closes a connection for a new one; returns False if there is none that may be closed."""
         stream = self._open.longest_waiting()
+        if stream is None and self._limits().answer_seconds is not None:
+            stream = self._open.longest_busy()
         if stream is not None:
             self._close(stream, connection_limits.Cause.REPLACED)
         return stream is not None
--- a/basilpost/core/log_events.py
+++ b/basilpost/core/log_events.py
@@ -301,8 +301,8 @@
     "peer_stream_ended": Event(meaning="a peer stream was lost", fields=("peer", "cause")),
     "connections_closed": Event(
         meaning="connections to this listener were closed by a limit in the last second: `head` was not "
-        "complete in time, `idle` had no request, `replaced` had none for longest when another one came, "
-        "`refused` found no room",
+        "complete in time, `idle` had no request, `answer` had none in time, `replaced` was closed for a "
+        "new one, `refused` found no room",
         fields=("listener", "cause", "count"),
     ),
     "relay_listening": Event(meaning="callers can connect", fields=("address",)),
--- a/basilpost/gateway/relay.py
+++ b/basilpost/gateway/relay.py
@@ -9,7 +9,6 @@
 from collections.abc import Callable
 
 import prometheus_client
-import tornado.httpserver
 import tornado.httputil
 import tornado.netutil
 import tornado.web
@@ -22,6 +21,7 @@
     kernel,
     listener,
     names,
+    page_server,
     tasks,
 )
 from basilpost.gateway import (
@@ -167,7 +167,13 @@
             spawn=self._request_tasks.spawn,
         )
         self._servers = (self._server, self._detour_service.server)
-        self._readiness_server: tornado.httpserver.HTTPServer | None = None
+        self._readiness_server = page_server.make(
+            application=tornado.web.Application(
+                [(r"/.*", _ReadyHandler, {"relay": self})], log_function=lambda handler: None
+            ),
+            name="readiness",
+            kernel=kernel,
+        )
         self._draining = False
         self._stop_began_at: float | None = None
         self._accept_likely_until = math.inf
@@ -193,10 +199,6 @@
         self._detour_service.server.add_sockets(
             _bind(f"{self._settings.host}:{self._settings.detour_port}")
         )
-        ready = tornado.web.Application(
-            [(r"/.*", _ReadyHandler, {"relay": self})], log_function=lambda handler: None
-        )
-        self._readiness_server = tornado.httpserver.HTTPServer(ready)
         self._readiness_server.add_sockets(_bind(self._settings.readiness))
         self._log.info("relay_listening", address=self._settings.callers)
 
@@ -255,8 +257,7 @@
         """Stops listening, cancels running requests and closes all connections."""
         self._log.info("relay_stopping", idle=self._server.idle, busy=self._server.busy)
         await self._close_connections()
-        if self._readiness_server is not None:
-            self._readiness_server.stop()
+        self._readiness_server.stop()
         await self._tasks.close()
         await self.forwarder.loss_probe.close()
         await self.forwarder.sender.silent_targets.close()
--- a/basilpost/node/metrics.py
+++ b/basilpost/node/metrics.py
@@ -4,11 +4,10 @@
 import tornado.netutil
 import tornado.web
 
-from basilpost.core import clock, connection_limits, kernel, listener
+from basilpost.core import clock, kernel, page_server
 
 # A pool's node has less than 1 s left after its callers' requests have been waited for.
 _STOP_SECONDS = 0.2
-IDLE_SECONDS = 3600.0
 
 
 class MetricsServer(kernel.Service):
@@ -18,13 +17,10 @@
         self._host = host
         self._port = port
         handlers = [(r"/metrics", _Handler, {"registry": kernel.registry})]
-        self._server = listener.Listener(
-            tornado.web.Application(handlers, log_function=lambda handler: None),
+        self._server = page_server.make(
+            application=tornado.web.Application(handlers, log_function=lambda handler: None),
             name="metrics",
             kernel=kernel,
-            limits=lambda: connection_limits.Limits(
-                header_seconds=IDLE_SECONDS, idle_seconds=IDLE_SECONDS
-            ),
         )
 
     async def start(self) -> None:
--- a/tests/pool_connection_crowd_test.py
+++ b/tests/pool_connection_crowd_test.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 import os
+import pathlib
+import re
 import resource
 import socket
 import sys
@@ -21,6 +23,7 @@
 CROWD_SECONDS = 3.0
 START_SECONDS = 20.0
 TRIES = 5
+UNWANTED_BYTES = 60_000_000
 HALF_A_HEAD = b"POST /lookup/a HTTP/1.1\r\nHost: "
 
 pytestmark = pytest.mark.processes
@@ -55,9 +58,31 @@
             await self.process.wait()
         await self.fleet.stop()
 
-    def address(self):
-        host, _, port = self.settings.callers.rpartition(":")
-        return host, int(port)
+    def address(self, listener="callers"):
+        settings = self.settings
+        ports = {
+            "callers": settings.callers.rpartition(":")[2],
+            "readiness": settings.readiness.rpartition(":")[2],
+            "detours": settings.detour_port,
+            "metrics": settings.metrics_port,
+        }
+        return settings.host, int(ports[listener])
+
+    def peak_memory(self):
+        """Returns the most memory that the process has had, in bytes."""
+        status = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
+        return int(re.search(r"VmHWM:\s+(\d+) kB", status)[1]) * 1024
+
+    async def status_of(self, listener, path):
+        """Returns the status line of a page on a new connection, empty if there is no answer."""
+        try:
+            async with asyncio.timeout(2.0):
+                reader, writer = await asyncio.open_connection(*self.address(listener))
+                with contextlib.closing(writer):
+                    writer.write(b"GET %b HTTP/1.1\r\nHost: x\r\n\r\n" % path)
+                    return await pool_connection_limits_test.read_answer(reader)
+        except (OSError, TimeoutError, asyncio.IncompleteReadError):
+            return b""
 
     def descriptors(self):
         return len(os.listdir(f"/proc/{self.process.pid}/fd"))
@@ -117,15 +142,46 @@
 
 # A node took connections until it had no descriptor left, also for its store and its runners.
 @pytest.mark.parametrize("data", [b"", HALF_A_HEAD], ids=["silent", "half-a-head"])
-async def test_a_crowd_takes_the_descriptors_that_a_node_needs(tmp_path, data):
+@pytest.mark.parametrize("listener", ["callers", "readiness", "metrics"])
+async def test_a_crowd_takes_the_descriptors_that_a_node_needs(tmp_path, listener, data):
     async with running(tmp_path) as node:
         peak = 0
-        async with crowd(node.address(), data):
+        async with crowd(node.address(listener), data):
             for _ in range(round(CROWD_SECONDS / 0.05)):
                 peak = max(peak, node.descriptors())
                 await asyncio.sleep(0.05)
             beside = await node.is_served_in_some_tries()
+            readiness = await node.status_of("readiness", b"/")
+            metrics = await node.status_of("metrics", b"/metrics")
         after = await node.is_served_in_some_tries()
         assert node.process.returncode is None
         assert peak <= MAX_DESCRIPTORS
         assert (beside, after) == (True, True)
+        assert readiness.startswith(b"HTTP/1.1 200") and metrics.startswith(b"HTTP/1.1 200")
+
+
+# Bodies that no page of a server takes were read up to 100 MB each.
+@pytest.mark.parametrize("listener", ["readiness", "metrics"])
+async def test_a_body_that_nobody_wants_is_kept_in_memory(tmp_path, listener):
+    async with running(tmp_path) as node:
+        before = node.peak_memory()
+        reader, writer = await asyncio.open_connection(*node.address(listener))
+        head = b"POST /metrics HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n"
+        with contextlib.closing(writer), contextlib.suppress(ConnectionError, TimeoutError):
+            writer.write(head % (UNWANTED_BYTES + 1) + b"x" * UNWANTED_BYTES)
+            async with asyncio.timeout(3.0):
+                await writer.drain()
+        await asyncio.sleep(0.5)
+        assert node.peak_memory() - before < UNWANTED_BYTES / 4
+        assert await node.is_served_in_some_tries()
+
+
+# A request that never ends kept its connection, and enough of them kept all others out.
+@pytest.mark.parametrize("listener", ["readiness", "metrics"])
+async def test_unfinished_requests_keep_the_balancer_out(tmp_path, listener):
+    unfinished = b"POST /metrics HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n"
+    async with running(tmp_path) as node:
+        async with crowd(node.address(listener), unfinished):
+            assert (await node.status_of(listener, b"/metrics")).startswith(b"HTTP/1.1 200")
+        assert node.process.returncode is None
+        assert await node.is_served_in_some_tries()
