--- a/basilpost/gateway/relay.py
+++ b/basilpost/gateway/relay.py
@@ -6,17 +6,28 @@
 import math
 import random
 import socket
+from collections.abc import Callable
 
 import prometheus_client
-import tornado.httpserver
 import tornado.httputil
 import tornado.netutil
 import tornado.web
 
-from basilpost.core import catalog, clock, failure, kernel, listener, names, tasks
+from basilpost.core import (
+    catalog,
+    clock,
+    connection_limits,
+    failure,
+    kernel,
+    listener,
+    names,
+    page_server,
+    tasks,
+)
 from basilpost.gateway import (
     attempts,
     body_memory,
+    connection_bounds,
     detour_service,
     detours,
     forwarding,
@@ -46,9 +57,8 @@
 # server starts before the node may have read the configuration.
 MAX_HEADER_BYTES = 65_536
 MAX_BODY_BYTES = 64 * 1024 * 1024
-# Callers may reuse a connection that was idle for most of the operators' idle limit, so the server must
-# not close it before.
-IDLE_SECONDS = 30.0
+# Heads up to this multiple of the operators' limit are read, so that their callers get an answer.
+READ_HEADER_FACTOR = 2
 # A node whose configuration is older than this reports that it is not ready.
 READY_MAX_AGE_SECONDS = 4.0
 # The load balancer may take this long to notice that the node reports not ready, and sends new
@@ -139,18 +149,31 @@
         self._bodies = body_memory.BodyMemory(
             max_bytes=int(settings.memory_mb * body_memory.BYTES_PER_MB * body_memory.MEMORY_SHARE)
         )
+        self._bounds = connection_bounds.divide(
+            max_descriptors=settings.max_descriptors, memory_mb=settings.memory_mb
+        )
         self._crash_store = kernel.find(names.CRASH_STORE, crash_store.CrashStore)
-        self._server = _make_server(self)
+        self._server = _make_server(
+            self, name="callers", kernel=kernel, limits=self._connection_limits
+        )
         self._detour_service = detour_service.DetourService(
             kernel=kernel,
-            make_server=_make_server,
+            make_server=lambda delegate: _make_server(
+                delegate, name="detours", kernel=kernel, limits=connection_limits.Limits
+            ),
             admit=self._admit,
             forwarder=self.forwarder,
             make_body=self._make_body,
             spawn=self._request_tasks.spawn,
         )
         self._servers = (self._server, self._detour_service.server)
-        self._readiness_server: tornado.httpserver.HTTPServer | None = None
+        self._readiness_server = page_server.make(
+            application=tornado.web.Application(
+                [(r"/.*", _ReadyHandler, {"relay": self})], log_function=lambda handler: None
+            ),
+            name="readiness",
+            kernel=kernel,
+        )
         self._draining = False
         self._stop_began_at: float | None = None
         self._accept_likely_until = math.inf
@@ -176,10 +199,6 @@
         self._detour_service.server.add_sockets(
             _bind(f"{self._settings.host}:{self._settings.detour_port}")
         )
-        ready = tornado.web.Application(
-            [(r"/.*", _ReadyHandler, {"relay": self})], log_function=lambda handler: None
-        )
-        self._readiness_server = tornado.httpserver.HTTPServer(ready)
         self._readiness_server.add_sockets(_bind(self._settings.readiness))
         self._log.info("relay_listening", address=self._settings.callers)
 
@@ -238,8 +257,7 @@
         """Stops listening, cancels running requests and closes all connections."""
         self._log.info("relay_stopping", idle=self._server.idle, busy=self._server.busy)
         await self._close_connections()
-        if self._readiness_server is not None:
-            self._readiness_server.stop()
+        self._readiness_server.stop()
         await self._tasks.close()
         await self.forwarder.loss_probe.close()
         await self.forwarder.sender.silent_targets.close()
@@ -282,6 +300,20 @@
             spawn=lambda handling: self._request_tasks.spawn(handling, name="request"),
         )
 
+    def _connection_limits(self) -> connection_limits.Limits:
+        """Returns the operators' limits, and defaults for those that they do not name."""
+        configuration = self.knowledge.configuration
+        if configuration is None:
+            return connection_limits.Limits(max_connections=self._bounds.callers)
+        limits = configuration.limits
+        default = connection_limits.DEFAULT_SECONDS
+        return connection_limits.Limits(
+            max_connections=self._bounds.callers,
+            max_header_bytes=limits.max_header_bytes * READ_HEADER_FACTOR,
+            header_seconds=limits.header_seconds if limits.header_seconds > 0 else default,
+            idle_seconds=limits.idle_seconds if limits.idle_seconds > 0 else default,
+        )
+
     def _make_body(self, request: inbound.Request) -> body_memory.Body:
         return self._admission.make_body(request, self._bodies)
 
@@ -304,7 +336,7 @@
         summary: request_recorder.RequestSummary,
     ) -> request_recorder.RequestSummary:
         """Serves a request; returns `summary` with how it ended."""
-        admitted = self._admit(request)
+        admitted = self._admission.refuse_long_head(request) or self._admit(request)
         if isinstance(admitted, failure.Refusal):
             return self._refuse(reply, admitted, summary)
         progress = attempts.Progress(
@@ -441,10 +473,18 @@
         self.set_status(200 if self._relay.ready else 503)
 
 
-def _make_server(delegate: tornado.httputil.HTTPServerConnectionDelegate) -> listener.Listener:
+def _make_server(
+    delegate: tornado.httputil.HTTPServerConnectionDelegate,
+    *,
+    name: str,
+    kernel: kernel.Kernel,
+    limits: Callable[[], connection_limits.Limits],
+) -> listener.Listener:
     return listener.Listener(
         delegate,
-        idle_connection_timeout=IDLE_SECONDS,
+        name=name,
+        kernel=kernel,
+        limits=limits,
         max_header_size=MAX_HEADER_BYTES,
         max_body_size=MAX_BODY_BYTES,
         max_buffer_size=MAX_BODY_BYTES,
