Log lines that wait in the buffer are written when the reader makes room

A line that found the pipe full waited for the next line. When nothing more was logged, or the process was killed, up to 1 MB of lines was lost, among them the ends of the last requests. Counts of dropped lines were written with a later line only, and not at the end.

The event loop now writes the buffer as soon as the descriptor is writable. A task reports dropped lines each second and at the end of the process. Nothing runs while the buffer is empty but that task.

--- a/basilpost/core/log_writer.py
+++ b/basilpost/core/log_writer.py
@@ -2,9 +2,11 @@
 
 Each kind of event is limited to a number of lines per second, and lines that nobody has read yet
 wait in a bounded buffer. Lines beyond these limits are dropped and counted, and the counts are
-logged. Refusals, warnings and errors have a higher limit than the lines of successful requests.
+logged. Refusals, warnings and errors have a higher limit than the lines of successful requests. An
+event loop writes the buffer as the reader makes room; without one it is written with the next line.
 """
 
+import asyncio
 import collections
 import json
 import os
@@ -55,8 +57,20 @@
         self._buffer = bytearray()
         self._budget = LineBudget()
         self._reported_at = time.monotonic()
+        self._loop: asyncio.AbstractEventLoop | None = None
+        self._waits_for_reader = False
         os.set_blocking(descriptor, False)
 
+    def attach(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Lets an event loop write the buffer as soon as the reader makes room."""
+        self._loop = loop
+        self.flush()
+
+    def detach(self) -> None:
+        """Ends the use of the event loop, which is about to close."""
+        self._stop_waiting()
+        self._loop = None
+
     def write(self, kind: str, line: str, *, important: bool) -> None:
         """Writes a line, buffers it, or drops and counts it."""
         now = time.monotonic()
@@ -67,9 +81,14 @@
             self.dropped_by_kind[kind] += 1
         else:
             self._buffer += data
+        self.report_dropped()
+        self.flush()
+
+    def report_dropped(self) -> None:
+        """Logs how many lines were dropped, once in `REPORT_INTERVAL_SECONDS` at most."""
+        now = time.monotonic()
         if self.dropped_by_kind and now - self._reported_at >= REPORT_INTERVAL_SECONDS:
             self._report(now)
-        self.flush()
 
     def flush(self) -> None:
         """Writes as much of the buffer as the descriptor accepts without blocking."""
@@ -77,21 +96,36 @@
             try:
                 written = os.write(self._descriptor, self._buffer)
             except BlockingIOError:
+                self._wait_for_reader()
                 return
             except OSError:
                 # The reader has closed its end; logging must not stop the node.
                 self._buffer.clear()
-                return
+                break
             del self._buffer[:written]
+        self._stop_waiting()
 
     def close(self, *, timeout: float) -> None:
         """Writes what is left in the buffer, waiting `timeout` seconds for the reader at most."""
+        self.detach()
         give_up_at = time.monotonic() + timeout
+        if self.dropped_by_kind:
+            self._report(time.monotonic())
         self.flush()
         while self._buffer and (seconds := give_up_at - time.monotonic()) > 0:
             select.select([], [self._descriptor], [], seconds)
             self.flush()
 
+    def _wait_for_reader(self) -> None:
+        if self._loop is not None and not self._waits_for_reader:
+            self._loop.add_writer(self._descriptor, self.flush)
+            self._waits_for_reader = True
+
+    def _stop_waiting(self) -> None:
+        if self._loop is not None and self._waits_for_reader:
+            self._loop.remove_writer(self._descriptor)
+        self._waits_for_reader = False
+
     def _report(self, now: float) -> None:
         counts: dict[str, Any] = {"event": DROPPED_LINES_EVENT, "level": "warning"}
         counts["dropped"] = dict(self.dropped_by_kind)
--- a/basilpost/core/log_writer_test.py
+++ b/basilpost/core/log_writer_test.py
@@ -1,5 +1,6 @@
 """Tests that logging is limited and never blocks."""
 
+import asyncio
 import json
 import os
 import threading
@@ -46,6 +47,33 @@
     assert writer.dropped_by_kind.total() > 15_000
 
 
+async def test_lines_wait_in_the_buffer_until_another_one_is_logged(pipe):
+    # Without a later line they were never written, and a kill of the process lost them.
+    writer = log_writer.LineWriter(descriptor=pipe[1])
+    writer.attach(asyncio.get_running_loop())
+    sent = [f"{number:06}" + "x" * 994 for number in range(300)]
+    for number, line in enumerate(sent):
+        writer.write(f"kind {number}", line, important=False)
+    lines = []
+    async with asyncio.timeout(5.0):
+        while len("".join(lines)) < len("".join(sent)):
+            lines += read_all(pipe[0])
+            await asyncio.sleep(0.001)
+    writer.detach()
+    assert "".join(lines) == "".join(sent)
+
+
+def test_the_number_of_dropped_lines_is_not_written_at_the_end(pipe):
+    # It was written with a later line only.
+    writer = log_writer.LineWriter(descriptor=pipe[1])
+    for _ in range(log_writer.MAX_LINES_PER_SECOND * 3):
+        writer.write("k", "line", important=False)
+    writer.close(timeout=1.0)
+    last = json.loads(read_all(pipe[0])[-1])
+    assert last["event"] == "log_lines_dropped"
+    assert last["dropped"]["k"] >= log_writer.MAX_LINES_PER_SECOND
+
+
 def test_a_line_cut_by_a_full_pipe_is_continued_later(pipe):
     writer = log_writer.LineWriter(descriptor=pipe[1])
     sent = [f"{number:06}" + "x" * 994 for number in range(300)]
--- a/basilpost/node/pool_main.py
+++ b/basilpost/node/pool_main.py
@@ -11,7 +11,7 @@
 import sys
 
 from basilpost.core import kernel as kernel_
-from basilpost.core import log, names
+from basilpost.core import log, log_writer, names, tasks
 from basilpost.gateway import relay
 from basilpost.groups import pool_controller
 from basilpost.node import pool_assembly, signals
@@ -21,11 +21,37 @@
 MEMORY_VARIABLE = "BASILPOST_MEMORY_MB"
 # Longest time for which a node that has stopped waits for the reader of its log.
 LOG_FLUSH_SECONDS = 0.2
+# Interval at which dropped lines are reported and waiting ones are tried once more.
+LOG_TEND_SECONDS = 1.0
 _EXIT_BAD_SETTINGS = 2
 
 
-async def run(loaded: pool_loader.Loaded) -> None:
-    """Serves until SIGTERM or SIGINT, then drains requests in flight and stops."""
+async def run(loaded: pool_loader.Loaded, writer: log_writer.LineWriter) -> None:
+    """Serves until SIGTERM or SIGINT, then drains requests in flight and stops.
+
+    Args:
+        loaded: The settings.
+        writer: Writes the log.
+    """
+    writer.attach(asyncio.get_running_loop())
+    background = tasks.TaskSet()
+    background.keep_running(lambda: _tend_log(writer), name="log")
+    try:
+        await _serve(loaded)
+    finally:
+        await background.close()
+        writer.detach()
+
+
+async def _tend_log(writer: log_writer.LineWriter) -> None:
+    """Reports dropped lines and tries to write waiting ones, also if nothing else is logged."""
+    while True:
+        await asyncio.sleep(LOG_TEND_SECONDS)
+        writer.report_dropped()
+        writer.flush()
+
+
+async def _serve(loaded: pool_loader.Loaded) -> None:
     settings = loaded.settings
     kernel = pool_assembly.build(settings)
     stop = asyncio.Event()
@@ -59,7 +85,7 @@
         print(error, file=sys.stderr)
         return _EXIT_BAD_SETTINGS
     writer = log.configure_bounded(descriptor=sys.stdout.fileno(), level=loaded.settings.log_level)
-    asyncio.run(run(loaded))
+    asyncio.run(run(loaded, writer))
     writer.close(timeout=LOG_FLUSH_SECONDS)
     return 0
 
