Lines of broken-off requests are dropped last instead of with those of whole answers

request_ended of a stream that was broken off, cut by the stop or left has status 0 or 200, so it shared the 100 lines a second of whole answers. A burst of requests, or a buffer full of other lines, dropped it.

Lines have one of three priorities: ordinary (100 a second and kind), traces of requests and of the process (300), failures (1,000). Ordinary lines take half of the buffer at most, traces three quarters. Each outcome of request_ended has a limit of its own. request_ended is a warning if a runner may have run the request and its caller has no whole answer. The check of the table of events also reads calls whose level is chosen.

Induced before: after 500 lines of streamed requests within a second the former code dropped the line of a broken_off, cut_by_stop and caller_left request (3 of 3); now it is written. Tests that name a priority instead of important=True are otherwise unchanged.

--- a/basilpost/core/log_events.py
+++ b/basilpost/core/log_events.py
@@ -10,10 +10,13 @@
     Attributes:
         meaning: What has happened or was decided.
         fields: Names of the fields, besides event, level, timestamp and node.
+        is_trace: True if the line tells what became of a request or of the process; it is kept longer
+            than others when lines are dropped.
     """
 
     meaning: str
     fields: tuple[str, ...] = ()
+    is_trace: bool = False
 
 
 _REQUEST_FIELDS = ("request", "target")
@@ -57,6 +60,7 @@
             "left_ms",
             *_REUSE_FIELDS,
         ),
+        is_trace=True,
     ),
     "attempt_failed": Event(
         meaning="a target gave no usable answer; result says whether the request may have run",
@@ -76,6 +80,7 @@
             "attempts_left",
             "retries_left",
         ),
+        is_trace=True,
     ),
     "retry_decided": Event(
         meaning="whether a request that failed, stalled or has to move is sent once more, why, and what "
@@ -92,19 +97,23 @@
             "rejections",
             "detour_node",
         ),
+        is_trace=True,
     ),
     "attempt_cancelled": Event(
         meaning="a request that was sent ended before its answer: its caller left, its deadline passed "
         "or the node stopped",
         fields=(*_REQUEST_FIELDS, "fingerprint", "parts", "after_send_ms"),
+        is_trace=True,
     ),
     "request_detoured": Event(
         meaning="another node sends the request, as this one has no path to the runners",
         fields=("request", "detour_node", "sends", "last_event", "left_ms", *_REUSE_FIELDS),
+        is_trace=True,
     ),
     "detour_served": Event(
         meaning="the end of a request that this node has sent for another one",
         fields=("request", "result", "code", "target", "ms"),
+        is_trace=True,
     ),
     "runner_path_checked": Event(
         meaning="requests were in flight and the runners of a service silent, so these VMs were asked",
@@ -200,15 +209,18 @@
     "target_closing": Event(
         meaning="a group is closed because a member leaves, while it answers these streams of this node",
         fields=("target", "requests"),
+        is_trace=True,
     ),
     "stream_moved": Event(
         meaning="a stream is resumed on another target because its target sends nothing, or because its "
         "group is closed as planned; then `to` is the next target",
         fields=(*_REQUEST_FIELDS, "to"),
+        is_trace=True,
     ),
     "request_ended": Event(
         meaning="the caller has its answer, has left, or its connection was closed",
         fields=_REQUEST_ENDED_FIELDS,
+        is_trace=True,
     ),
     "configuration_in_force": Event(
         meaning="a newer configuration is in force from now on",
@@ -303,15 +315,16 @@
     "relay_drained": Event(
         meaning="a planned stop has waited for the requests in flight",
         fields=("cut", "ms", "idle", "busy"),
+        is_trace=True,
     ),
     "relay_stopping": Event(
         meaning="the relay stops; connections of callers that are still open",
         fields=("idle", "busy"),
     ),
-    "node_starting": Event(meaning="the process begins", fields=("failure_domain",)),
-    "node_started": Event(meaning="all services have started"),
-    "node_stopping": Event(meaning="a planned stop begins"),
-    "node_stopped": Event(meaning="the process ends"),
+    "node_starting": Event(meaning="the process begins", fields=("failure_domain",), is_trace=True),
+    "node_started": Event(meaning="all services have started", is_trace=True),
+    "node_stopping": Event(meaning="a planned stop begins", is_trace=True),
+    "node_stopped": Event(meaning="the process ends", is_trace=True),
     "settings_fields_ignored": Event(
         meaning="the settings file has unknown fields", fields=("fields",)
     ),
@@ -330,6 +343,8 @@
     ),
 }
 
+TRACES = frozenset(name for name, event in EVENTS.items() if event.is_trace)
+
 
 def as_table() -> str:
     """Returns the events as a Markdown table."""
--- a/basilpost/core/log_events_test.py
+++ b/basilpost/core/log_events_test.py
@@ -49,15 +49,23 @@
 def logged_events(path):
     """Yields the event and the names of the fields of each logging call of a module."""
     for node in ast.walk(ast.parse(path.read_text())):
-        if not isinstance(node, ast.Call) or not isinstance(node.func, ast.Attribute):
+        if not isinstance(node, ast.Call):
             continue
-        owner = ast.unparse(node.func.value)
-        if node.func.attr in LEVELS and owner.endswith("log"):
+        functions = (
+            [node.func.body, node.func.orelse] if isinstance(node.func, ast.IfExp) else [node.func]
+        )
+        if any(map(_is_logging, functions)):
             names = _string_values(node.args[0])
             fields = {keyword.arg for keyword in node.keywords if keyword.arg}
             yield from ((name, fields) for name in names)
 
 
+def _is_logging(function):
+    if not isinstance(function, ast.Attribute):
+        return False
+    return function.attr in LEVELS and ast.unparse(function.value).endswith("log")
+
+
 def _string_values(node):
     if isinstance(node, ast.IfExp):
         return [*_string_values(node.body), *_string_values(node.orelse)]
--- a/basilpost/core/log_writer.py
+++ b/basilpost/core/log_writer.py
@@ -2,12 +2,14 @@
 
 Each kind of event is limited to a number of lines per second, and lines that nobody has read yet
 wait in a bounded buffer. Lines beyond these limits are dropped and counted, and the counts are
-logged. Refusals, warnings and errors have a higher limit than the lines of successful requests. An
-event loop writes the buffer as the reader makes room; without one it is written with the next line.
+logged. The limits of both depend on the line's priority, so that ordinary lines are dropped first
+and those that tell of a broken request last. An event loop writes the buffer as the reader makes
+room; without one it is written with the next line.
 """
 
 import asyncio
 import collections
+import enum
 import json
 import os
 import select
@@ -15,11 +17,24 @@
 from collections.abc import MutableMapping
 from typing import Any
 
-# Limit per kind of event; a node serves some tens of requests per second.
-MAX_LINES_PER_SECOND = 100
-# Factor on the limit for events that explain a failure.
-IMPORTANT_FACTOR = 3
+from basilpost.core import log_events
+
+
+class Priority(enum.IntEnum):
+    """Importance of a line; lower ones are dropped first."""
+
+    ORDINARY = 0
+    # Traces a request: where it was sent and how it ended.
+    TRACE = 1
+    # Tells of a failure.
+    FAILURE = 2
+
+
 MAX_BUFFER_BYTES = 1_000_000
+# A node serves some tens of requests per second, and breaks off at most some hundreds at once.
+MAX_LINES_PER_SECOND = {Priority.ORDINARY: 100, Priority.TRACE: 300, Priority.FAILURE: 1000}
+# Share of the buffer up to which lines are taken.
+BUFFER_SHARE = {Priority.ORDINARY: 0.5, Priority.TRACE: 0.75, Priority.FAILURE: 1.0}
 REPORT_INTERVAL_SECONDS = 5.0
 DROPPED_LINES_EVENT = "log_lines_dropped"
 
@@ -29,18 +44,16 @@
 
     def __init__(self) -> None:
         self._second = 0
-        self._lines_by_kind: collections.Counter[str] = collections.Counter()
+        self._lines_by_kind: collections.Counter[tuple[str, Priority]] = collections.Counter()
 
-    def admit(self, kind: str, *, important: bool, now: float) -> bool:
+    def admit(self, kind: str, *, priority: Priority, now: float) -> bool:
         """Returns True and counts the line if one more of its kind may be written."""
         if int(now) != self._second:
             self._second = int(now)
             self._lines_by_kind.clear()
-        limit = MAX_LINES_PER_SECOND * (IMPORTANT_FACTOR if important else 1)
-        key = f"{kind}!" if important else kind
-        if self._lines_by_kind[key] >= limit:
+        if self._lines_by_kind[kind, priority] >= MAX_LINES_PER_SECOND[priority]:
             return False
-        self._lines_by_kind[key] += 1
+        self._lines_by_kind[kind, priority] += 1
         return True
 
 
@@ -49,10 +62,12 @@
 
     Attributes:
         dropped_by_kind: Lines dropped since the last report.
+        dropped_total: Lines dropped since the start.
     """
 
     def __init__(self, *, descriptor: int) -> None:
         self.dropped_by_kind: collections.Counter[str] = collections.Counter()
+        self.dropped_total = 0
         self._descriptor = descriptor
         self._buffer = bytearray()
         self._budget = LineBudget()
@@ -61,6 +76,11 @@
         self._waits_for_reader = False
         os.set_blocking(descriptor, False)
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Returns the number of bytes that the reader has not taken yet."""
+        return len(self._buffer)
+
     def attach(self, loop: asyncio.AbstractEventLoop) -> None:
         """Lets an event loop write the buffer as soon as the reader makes room."""
         self._loop = loop
@@ -71,14 +91,14 @@
         self._stop_waiting()
         self._loop = None
 
-    def write(self, kind: str, line: str, *, important: bool) -> None:
+    def write(self, kind: str, line: str, *, priority: Priority) -> None:
         """Writes a line, buffers it, or drops and counts it."""
         now = time.monotonic()
         data = line.encode(errors="replace") + b"\n"
-        if len(self._buffer) + len(data) > MAX_BUFFER_BYTES or not self._budget.admit(
-            kind, important=important, now=now
-        ):
-            self.dropped_by_kind[kind] += 1
+        if len(self._buffer) + len(data) > MAX_BUFFER_BYTES * BUFFER_SHARE[
+            priority
+        ] or not self._budget.admit(kind, priority=priority, now=now):
+            self._count_dropped(kind)
         else:
             self._buffer += data
         self.report_dropped()
@@ -126,6 +146,10 @@
             self._loop.remove_writer(self._descriptor)
         self._waits_for_reader = False
 
+    def _count_dropped(self, kind: str) -> None:
+        self.dropped_by_kind[kind] += 1
+        self.dropped_total += 1
+
     def _report(self, now: float) -> None:
         counts: dict[str, Any] = {"event": DROPPED_LINES_EVENT, "level": "warning"}
         counts["dropped"] = dict(self.dropped_by_kind)
@@ -143,20 +167,28 @@
     def __init__(self, *, writer: LineWriter) -> None:
         self._writer = writer
 
-    def msg(self, *, kind: str, line: str, important: bool) -> None:
+    def msg(self, *, kind: str, line: str, priority: Priority) -> None:
         """Writes a rendered line."""
-        self._writer.write(kind, line, important=important)
+        self._writer.write(kind, line, priority=priority)
 
     debug = info = warning = error = critical = exception = msg
 
 
 def render(logger: Any, method: str, event: MutableMapping[str, Any]) -> dict[str, Any]:
-    """Renders an event as JSON and marks important ones; the last processor of structlog."""
-    status = event.get("status")
-    failed = isinstance(status, int) and status not in (200, 0)
-    important = failed or event.get("level") in ("warning", "error", "critical")
+    """Renders an event as JSON with its priority; the last processor of structlog."""
+    kind = str(event.get("event"))
+    outcome = event.get("outcome")
     return {
-        "kind": str(event.get("event")),
+        # Each outcome has a limit of its own, so that whole answers do not displace others.
+        "kind": f"{kind} {outcome}" if outcome else kind,
         "line": json.dumps(event, default=repr),
-        "important": important,
+        "priority": _priority_of(kind, event),
     }
+
+
+def _priority_of(kind: str, event: MutableMapping[str, Any]) -> Priority:
+    if event.get("level") in ("warning", "error", "critical"):
+        return Priority.FAILURE
+    status = event.get("status")
+    is_failed = isinstance(status, int) and status not in (200, 0)
+    return Priority.TRACE if is_failed or kind in log_events.TRACES else Priority.ORDINARY
--- a/basilpost/core/log_writer_test.py
+++ b/basilpost/core/log_writer_test.py
@@ -11,6 +11,8 @@
 
 from basilpost.core import log, log_writer
 
+ORDINARY_LINES = log_writer.MAX_LINES_PER_SECOND[log_writer.Priority.ORDINARY]
+
 
 @pytest.fixture
 def pipe():
@@ -21,20 +23,24 @@
 
 
 def read_all(reading):
+    return read_text(reading).splitlines()
+
+
+def read_text(reading):
     os.set_blocking(reading, False)
     pieces = []
     while True:
         try:
             piece = os.read(reading, 1 << 20)
         except BlockingIOError:
-            return b"".join(pieces).decode().splitlines()
+            return b"".join(pieces).decode()
         pieces.append(piece)
 
 
 def test_lines_are_written_complete_and_in_order(pipe):
     writer = log_writer.LineWriter(descriptor=pipe[1])
     for number in range(50):
-        writer.write("k", f"line {number}", important=False)
+        writer.write("k", f"line {number}", priority=log_writer.Priority.ORDINARY)
     assert read_all(pipe[0]) == [f"line {number}" for number in range(50)]
 
 
@@ -42,7 +48,7 @@
     writer = log_writer.LineWriter(descriptor=pipe[1])
     started = time.monotonic()
     for number in range(20_000):
-        writer.write(f"kind {number}", "x" * 500, important=False)
+        writer.write(f"kind {number}", "x" * 500, priority=log_writer.Priority.ORDINARY)
     assert time.monotonic() - started < 5
     assert writer.dropped_by_kind.total() > 15_000
 
@@ -53,7 +59,7 @@
     writer.attach(asyncio.get_running_loop())
     sent = [f"{number:06}" + "x" * 994 for number in range(300)]
     for number, line in enumerate(sent):
-        writer.write(f"kind {number}", line, important=False)
+        writer.write(f"kind {number}", line, priority=log_writer.Priority.ORDINARY)
     lines = []
     async with asyncio.timeout(5.0):
         while len("".join(lines)) < len("".join(sent)):
@@ -66,19 +72,19 @@
 def test_the_number_of_dropped_lines_is_not_written_at_the_end(pipe):
     # It was written with a later line only.
     writer = log_writer.LineWriter(descriptor=pipe[1])
-    for _ in range(log_writer.MAX_LINES_PER_SECOND * 3):
-        writer.write("k", "line", important=False)
+    for _ in range(ORDINARY_LINES * 3):
+        writer.write("k", "line", priority=log_writer.Priority.ORDINARY)
     writer.close(timeout=1.0)
     last = json.loads(read_all(pipe[0])[-1])
     assert last["event"] == "log_lines_dropped"
-    assert last["dropped"]["k"] >= log_writer.MAX_LINES_PER_SECOND
+    assert last["dropped"]["k"] >= ORDINARY_LINES
 
 
 def test_a_line_cut_by_a_full_pipe_is_continued_later(pipe):
     writer = log_writer.LineWriter(descriptor=pipe[1])
     sent = [f"{number:06}" + "x" * 994 for number in range(300)]
     for number, line in enumerate(sent):
-        writer.write(f"kind {number}", line, important=False)
+        writer.write(f"kind {number}", line, priority=log_writer.Priority.ORDINARY)
     lines = []
     for _ in range(20):
         lines += read_all(pipe[0])
@@ -90,7 +96,7 @@
     writer = log_writer.LineWriter(descriptor=pipe[1])
     sent = [f"{number:06}" + "x" * 994 for number in range(300)]
     for number, line in enumerate(sent):
-        writer.write(f"kind {number}", line, important=False)
+        writer.write(f"kind {number}", line, priority=log_writer.Priority.ORDINARY)
     closing = threading.Thread(target=writer.close, kwargs={"timeout": 5.0})
     closing.start()
     lines = []
@@ -103,7 +109,7 @@
 def test_a_reader_that_takes_nothing_delays_the_end_for_a_bounded_time(pipe):
     writer = log_writer.LineWriter(descriptor=pipe[1])
     for number in range(300):
-        writer.write(f"kind {number}", "x" * 1_000, important=False)
+        writer.write(f"kind {number}", "x" * 1_000, priority=log_writer.Priority.ORDINARY)
     began_at = time.monotonic()
     writer.close(timeout=0.2)
     assert 0.2 <= time.monotonic() - began_at < 2.0
@@ -112,20 +118,62 @@
 def test_many_lines_of_one_kind_displace_neither_failures_nor_other_kinds(pipe):
     writer = log_writer.LineWriter(descriptor=pipe[1])
     for _ in range(5000):
-        writer.write("request_ended", "fine", important=False)
-    writer.write("request_ended", "failed", important=True)
-    writer.write("vm_gone", "gone", important=False)
+        writer.write("request_ended", "fine", priority=log_writer.Priority.ORDINARY)
+    writer.write("request_ended", "failed", priority=log_writer.Priority.FAILURE)
+    writer.write("vm_gone", "gone", priority=log_writer.Priority.ORDINARY)
     lines = read_all(pipe[0])
-    assert lines.count("fine") <= 2 * log_writer.MAX_LINES_PER_SECOND
+    assert lines.count("fine") <= 2 * ORDINARY_LINES
     assert {"failed", "gone"} <= set(lines)
     assert writer.dropped_by_kind["request_ended"] > 4000
 
 
+def read_and_flush(reading, writer):
+    """Returns all lines, also those that wait in the buffer."""
+    text = ""
+    while writer.buffered_bytes:
+        text += read_text(reading)
+        writer.flush()
+    return (text + read_text(reading)).splitlines()
+
+
+def ends_of(lines, outcome):
+    return [line for line in map(json.loads, lines) if line.get("outcome") == outcome]
+
+
+@pytest.mark.parametrize(
+    ("outcome", "level"),
+    [("broken_off", "warning"), ("cut_by_stop", "warning"), ("caller_left", "info")],
+)
+def test_lines_of_lost_requests_are_dropped_with_those_of_whole_ones(pipe, outcome, level):
+    # Lines of broken-off requests had the priority of those of whole ones, as their status is 0.
+    writer = log.configure_bounded(descriptor=pipe[1], level="info")
+    logger = structlog.get_logger()
+    for number in range(500):
+        logger.info("request_ended", request=f"whole-{number}", outcome="streamed", status=200)
+        logger.info("vm_changed", vm=f"vm-{number}")
+    getattr(logger, level)("request_ended", request="lost", outcome=outcome, status=0)
+    structlog.reset_defaults()
+    lines = read_and_flush(pipe[0], writer)
+    assert len(ends_of(lines, outcome)) == 1
+
+
+def test_ordinary_lines_take_the_buffer_of_failures(pipe):
+    # While the reader stalled, ordinary lines left no room for those of broken-off requests.
+    writer = log_writer.LineWriter(descriptor=pipe[1])
+    for number in range(3_000):
+        writer.write(f"kind {number}", "x" * 500, priority=log_writer.Priority.ORDINARY)
+    for number in range(500):
+        writer.write("request_ended", f"whole {number}", priority=log_writer.Priority.TRACE)
+        writer.write("request_ended", f"lost {number}", priority=log_writer.Priority.FAILURE)
+    lines = read_and_flush(pipe[0], writer)
+    assert len([line for line in lines if line.startswith("lost")]) == 500
+
+
 def test_a_closed_pipe_raises_no_error():
     reading, writing = os.pipe()
     os.close(reading)
     writer = log_writer.LineWriter(descriptor=writing)
-    writer.write("k", "line", important=True)
+    writer.write("k", "line", priority=log_writer.Priority.FAILURE)
     os.close(writing)
 
 
--- a/basilpost/gateway/request_recorder.py
+++ b/basilpost/gateway/request_recorder.py
@@ -14,6 +14,8 @@
 # objective, which is some tens of milliseconds.
 WAIT_BUCKETS_SECONDS = (0.0, 0.02, 0.04, 0.08, 0.16, 0.32, 0.64)
 
+_EXPECTED_ENDS = frozenset({"answered", "streamed", "caller_left"})
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class RequestSummary:
@@ -102,7 +104,7 @@
             fields["cause"] = summary.cause
         if stop_began_at is not None:
             fields["after_stop_ms"] = round((request.received_at - stop_began_at) * 1000)
-        self._log.info(
+        (self._log.warning if _is_lost(summary) else self._log.info)(
             "request_ended",
             request=summary.call.request_id,
             outcome=summary.outcome,
@@ -115,6 +117,12 @@
         )
 
 
+def _is_lost(summary: RequestSummary) -> bool:
+    """Returns True if a target may have run the request and its caller has no whole answer."""
+    was_sent = summary.progress is not None and summary.progress.sends > 0
+    return was_sent and summary.outcome not in _EXPECTED_ENDS
+
+
 def _ms(seconds: float) -> int:
     return round(seconds * 1000)
 
