The log's blocking mode does not depend on processes that share its pipe

The blocking mode belongs to the pipe's open file, which every process that inherits the pipe shares. One that made it blocking again made each log line of a node wait for the reader, and the node with it. The node in turn made standard error non-blocking if it is the same pipe, where a traceback then failed with BlockingIOError.

The writer opens a pipe anew, with a mode of its own; other kinds of files are treated as before, and so is a pipe that can't be opened anew. Both new tests fail with log_writer.py of the commit before.

--- a/basilpost/core/log_writer.py
+++ b/basilpost/core/log_writer.py
@@ -9,10 +9,12 @@
 
 import asyncio
 import collections
+import contextlib
 import enum
 import json
 import os
 import select
+import stat
 import time
 from collections.abc import MutableMapping
 from typing import Any
@@ -58,7 +60,10 @@
 
 
 class LineWriter:
-    """Writes whole lines to a file descriptor that it makes non-blocking.
+    """Writes whole lines to a file descriptor without blocking.
+
+    Other processes may share a pipe: the writer opens it anew where the system allows that, so that
+    neither their blocking mode nor its own affects the other.
 
     Attributes:
         dropped_by_kind: Lines dropped since the last report.
@@ -68,13 +73,12 @@
     def __init__(self, *, descriptor: int) -> None:
         self.dropped_by_kind: collections.Counter[str] = collections.Counter()
         self.dropped_total = 0
-        self._descriptor = descriptor
+        self._descriptor = _open_non_blocking(descriptor)
         self._buffer = bytearray()
         self._budget = LineBudget()
         self._reported_at = time.monotonic()
         self._loop: asyncio.AbstractEventLoop | None = None
         self._waits_for_reader = False
-        os.set_blocking(descriptor, False)
 
     @property
     def buffered_bytes(self) -> int:
@@ -192,3 +196,17 @@
     status = event.get("status")
     is_failed = isinstance(status, int) and status not in (200, 0)
     return Priority.TRACE if is_failed or kind in log_events.TRACES else Priority.ORDINARY
+
+
+def _open_non_blocking(descriptor: int) -> int:
+    """Returns a non-blocking descriptor of the same file.
+
+    The blocking mode belongs to the open file, which other processes may share.
+    """
+    if stat.S_ISFIFO(os.fstat(descriptor).st_mode):
+        # Fails without /proc, or if nobody reads the pipe.
+        with contextlib.suppress(OSError):
+            path = f"/proc/self/fd/{descriptor}"
+            return os.open(path, os.O_WRONLY | os.O_NONBLOCK | os.O_CLOEXEC)
+    os.set_blocking(descriptor, False)
+    return descriptor
--- a/basilpost/core/log_writer_test.py
+++ b/basilpost/core/log_writer_test.py
@@ -80,6 +80,30 @@
     assert last["dropped"]["k"] >= ORDINARY_LINES
 
 
+def test_a_process_that_shares_the_pipe_makes_the_log_block(pipe):
+    # The blocking mode belongs to the pipe's open file, which inheriting processes share.
+    writer = log_writer.LineWriter(descriptor=pipe[1])
+    os.set_blocking(pipe[1], True)
+
+    def write_more_than_the_pipe_holds():
+        for number in range(300):
+            writer.write(f"kind {number}", "x" * 1_000, priority=log_writer.Priority.ORDINARY)
+
+    writing = threading.Thread(target=write_more_than_the_pipe_holds, daemon=True)
+    writing.start()
+    writing.join(timeout=5.0)
+    is_blocked = writing.is_alive()
+    while writing.is_alive():
+        read_all(pipe[0])
+    assert not is_blocked
+
+
+def test_the_log_changes_the_blocking_mode_of_a_shared_pipe(pipe):
+    # Standard error may be the same pipe; writing a traceback to it failed with BlockingIOError.
+    log_writer.LineWriter(descriptor=pipe[1])
+    assert os.get_blocking(pipe[1])
+
+
 def test_a_line_cut_by_a_full_pipe_is_continued_later(pipe):
     writer = log_writer.LineWriter(descriptor=pipe[1])
     sent = [f"{number:06}" + "x" * 994 for number in range(300)]
