Log lines wait for the next reader of a named pipe instead of being lost uncounted

When the reader of the log had closed its end, all lines that waited were thrown away without a count, and the next reader of a named pipe did not learn of it. They now wait within the limits of the buffer; a line of which the reader may have got the beginning ends there and is counted as cut_line. A reader that has gone does not delay the end of the process.

test_lines_written_without_a_reader_are_lost_uncounted fails with log_writer.py of the commit before: the line written without a reader is missing.

--- a/basilpost/core/log_writer.py
+++ b/basilpost/core/log_writer.py
@@ -39,6 +39,9 @@
 BUFFER_SHARE = {Priority.ORDINARY: 0.5, Priority.TRACE: 0.75, Priority.FAILURE: 1.0}
 REPORT_INTERVAL_SECONDS = 5.0
 DROPPED_LINES_EVENT = "log_lines_dropped"
+# Stands for the kind of a line of which a reader that has gone got the beginning only.
+CUT_LINE = "cut_line"
+_END_OF_LINE = ord("\n")
 
 
 class LineBudget:
@@ -79,6 +82,8 @@
         self._reported_at = time.monotonic()
         self._loop: asyncio.AbstractEventLoop | None = None
         self._waits_for_reader = False
+        # True if the reader has got the beginning of the buffer's first line.
+        self._is_within_line = False
 
     @property
     def buffered_bytes(self) -> int:
@@ -123,9 +128,10 @@
                 self._wait_for_reader()
                 return
             except OSError:
-                # The reader has closed its end; logging must not stop the node.
-                self._buffer.clear()
+                # The reader has closed its end. A later one of a named pipe gets the lines that wait.
+                self._drop_cut_line()
                 break
+            self._is_within_line = self._buffer[written - 1] != _END_OF_LINE
             del self._buffer[:written]
         self._stop_waiting()
 
@@ -137,8 +143,12 @@
             self._report(time.monotonic())
         self.flush()
         while self._buffer and (seconds := give_up_at - time.monotonic()) > 0:
-            select.select([], [self._descriptor], [], seconds)
+            _, writable, _ = select.select([], [self._descriptor], [], seconds)
+            waiting = len(self._buffer)
             self.flush()
+            if writable and len(self._buffer) == waiting:
+                # The reader has closed its end.
+                return
 
     def _wait_for_reader(self) -> None:
         if self._loop is not None and not self._waits_for_reader:
@@ -150,6 +160,13 @@
             self._loop.remove_writer(self._descriptor)
         self._waits_for_reader = False
 
+    def _drop_cut_line(self) -> None:
+        if self._is_within_line:
+            # Its end stays: what is unread of the line may still be in the pipe.
+            del self._buffer[: self._buffer.index(_END_OF_LINE)]
+            self._is_within_line = False
+            self._count_dropped(CUT_LINE)
+
     def _count_dropped(self, kind: str) -> None:
         self.dropped_by_kind[kind] += 1
         self.dropped_total += 1
--- a/basilpost/core/log_writer_test.py
+++ b/basilpost/core/log_writer_test.py
@@ -201,6 +201,38 @@
     os.close(writing)
 
 
+def test_lines_written_without_a_reader_are_lost_uncounted(tmp_path):
+    # They were thrown away; the reader of a named pipe may be restarted.
+    path = tmp_path / "log"
+    os.mkfifo(path)
+    reading = os.open(path, os.O_RDONLY | os.O_NONBLOCK)
+    writer = log_writer.LineWriter(descriptor=os.open(path, os.O_WRONLY))
+    # More than the pipe holds, so that the reader ends within a line.
+    for number in range(20):
+        writer.write(f"kind {number}", "x" * 9_999, priority=log_writer.Priority.ORDINARY)
+    os.close(reading)
+    writer.write("request_ended", "without a reader", priority=log_writer.Priority.FAILURE)
+    reading = os.open(path, os.O_RDONLY | os.O_NONBLOCK)
+    writer.write("request_ended", "with the next reader", priority=log_writer.Priority.FAILURE)
+    lines = read_and_flush(reading, writer)
+    assert lines[-2:] == ["without a reader", "with the next reader"]
+    # All but the one that was cut are whole.
+    assert sorted(map(len, lines[:-2]))[1:] == [9_999] * 19
+    assert writer.dropped_by_kind == {log_writer.CUT_LINE: 1}
+    os.close(reading)
+
+
+def test_a_reader_that_has_gone_does_not_delay_the_end():
+    reading, writing = os.pipe()
+    writer = log_writer.LineWriter(descriptor=writing)
+    os.close(reading)
+    writer.write("k", "line", priority=log_writer.Priority.FAILURE)
+    began_at = time.monotonic()
+    writer.close(timeout=5.0)
+    assert time.monotonic() - began_at < 2.0
+    os.close(writing)
+
+
 def test_each_event_is_one_json_object_on_a_line(pipe):
     log.configure_bounded(descriptor=pipe[1], level="info")
     structlog.get_logger().bind(node="n").info("request_ended", request="r", status=503)
