The log tells why a process ended and which requests were in flight

A process that ended by an exception, sys.exit or a signal left no line: at most a traceback on standard error, and the lines in the buffer were lost.

node_ended is the last line on every path that Python sees: planned stop, exception, SystemExit, and signals that end a process by default. It has the cause, the exit code and the ids of the requests in flight; the buffer is then written. SIGKILL and power stay visible as a node_starting with no node_ended before it.

--- a/basilpost/core/log_events.py
+++ b/basilpost/core/log_events.py
@@ -321,10 +321,20 @@
         meaning="the relay stops; connections of callers that are still open",
         fields=("idle", "busy"),
     ),
-    "node_starting": Event(meaning="the process begins", fields=("failure_domain",), is_trace=True),
+    "node_starting": Event(
+        meaning="the process begins",
+        fields=("failure_domain", "pid", "version", "memory_mb"),
+        is_trace=True,
+    ),
     "node_started": Event(meaning="all services have started", is_trace=True),
     "node_stopping": Event(meaning="a planned stop begins", is_trace=True),
-    "node_stopped": Event(meaning="the process ends", is_trace=True),
+    "node_stopped": Event(meaning="a planned stop is over", is_trace=True),
+    "node_ended": Event(
+        meaning="the process ends; cause is stop, a signal or the type of an exception, and requests are "
+        "those in flight. SIGKILL and a power failure leave no such line",
+        fields=("cause", "exit_code", "requests", "pid", "exception"),
+        is_trace=True,
+    ),
     "settings_fields_ignored": Event(
         meaning="the settings file has unknown fields", fields=("fields",)
     ),
--- a/basilpost/gateway/relay.py
+++ b/basilpost/gateway/relay.py
@@ -83,6 +83,7 @@
     Attributes:
         knowledge: The configuration and VMs that this node knows.
         forwarder: Sends the requests to targets.
+        recorder: Knows the requests in flight and logs their ends.
     """
 
     def __init__(self, *, kernel: kernel.Kernel, settings: pool_schema.PoolNodeSettings) -> None:
@@ -156,7 +157,7 @@
         self._accept_likely_until = math.inf
         self._drain_until = math.inf
         self._durations = durations.RecentDurations()
-        self._recorder = request_recorder.RequestRecorder(kernel=kernel, knowledge=self.knowledge)
+        self.recorder = request_recorder.RequestRecorder(kernel=kernel, knowledge=self.knowledge)
         open_connections = prometheus_client.Gauge(
             "basilpost_caller_connections",
             "Open connections of callers, with an unanswered request (busy) or without one (idle)",
@@ -286,7 +287,7 @@
         return self._admission.make_body(request, self._bodies)
 
     async def _serve(self, request: inbound.Request, reply: inbound.Reply) -> None:
-        summary = request_recorder.RequestSummary(call=self._dialect.parse_request(request.headers))
+        summary = self.recorder.begin(request, self._dialect.parse_request(request.headers))
         try:
             summary = await self._answer(request, reply, summary)
             await reply.wait_sent()
@@ -295,7 +296,7 @@
             summary = dataclasses.replace(summary, outcome=outcome)
             raise
         finally:
-            self._recorder.record(request, summary, stop_began_at=self._stop_began_at)
+            self.recorder.record(request, summary, stop_began_at=self._stop_began_at)
 
     async def _answer(
         self,
--- a/basilpost/gateway/request_recorder.py
+++ b/basilpost/gateway/request_recorder.py
@@ -1,6 +1,7 @@
 """Records how each request ended: a log line, a counter and two histograms."""
 
 import dataclasses
+import itertools
 
 import prometheus_client
 
@@ -14,6 +15,8 @@
 # objective, which is some tens of milliseconds.
 WAIT_BUCKETS_SECONDS = (0.0, 0.02, 0.04, 0.08, 0.16, 0.32, 0.64)
 
+# Requests that a log line lists at most.
+MAX_LISTED = 200
 _EXPECTED_ENDS = frozenset({"answered", "streamed", "caller_left"})
 
 
@@ -40,11 +43,13 @@
 
 
 class RequestRecorder:
-    """Writes the log line and the metrics of each request that ended."""
+    """Knows the requests in flight; writes the log line and the metrics of each that ended."""
 
     def __init__(self, *, kernel: kernel.Kernel, knowledge: knowledges.Knowledge) -> None:
         self._log = kernel.log
         self._knowledge = knowledge
+        # Ids of the requests in flight, in the order of their arrival.
+        self._open_ids: dict[inbound.Request, str] = {}
         self._requests = prometheus_client.Counter(
             "basilpost_requests_total",
             "Requests by route, status and outcome",
@@ -66,6 +71,15 @@
             registry=kernel.registry,
         )
 
+    def begin(self, request: inbound.Request, call: header_dialect.RequestInfo) -> RequestSummary:
+        """Counts a request as in flight until it is recorded."""
+        self._open_ids[request] = call.request_id
+        return RequestSummary(call=call)
+
+    def open_requests(self) -> tuple[str, ...]:
+        """Returns the ids of the oldest requests in flight, `MAX_LISTED` at most."""
+        return tuple(itertools.islice(self._open_ids.values(), MAX_LISTED))
+
     def record(
         self, request: inbound.Request, summary: RequestSummary, *, stop_began_at: float | None
     ) -> None:
@@ -76,6 +90,7 @@
             summary: How it ended.
             stop_began_at: When the node was asked to stop, on `clock.elapsed`; None if it was not.
         """
+        self._open_ids.pop(request, None)
         seconds = clock.elapsed() - request.received_at
         progress = summary.progress
         route = progress.admitted.route.name if progress is not None else ""
--- a/basilpost/node/pool_main.py
+++ b/basilpost/node/pool_main.py
@@ -10,34 +10,36 @@
 import signal
 import sys
 
+import basilpost
 from basilpost.core import kernel as kernel_
 from basilpost.core import log, log_writer, names, tasks
 from basilpost.gateway import relay
 from basilpost.groups import pool_controller
-from basilpost.node import pool_assembly, signals
+from basilpost.node import pool_assembly, process_end, signals
 from basilpost.settings import loader, pool_loader
 
 SETTINGS_VARIABLE = "BASILPOST_CONFIG"
 MEMORY_VARIABLE = "BASILPOST_MEMORY_MB"
-# Longest time for which a node that has stopped waits for the reader of its log.
-LOG_FLUSH_SECONDS = 0.2
 # Interval at which dropped lines are reported and waiting ones are tried once more.
 LOG_TEND_SECONDS = 1.0
 _EXIT_BAD_SETTINGS = 2
 
 
-async def run(loaded: pool_loader.Loaded, writer: log_writer.LineWriter) -> None:
+async def run(
+    loaded: pool_loader.Loaded, writer: log_writer.LineWriter, ending: process_end.ProcessEnd
+) -> None:
     """Serves until SIGTERM or SIGINT, then drains requests in flight and stops.
 
     Args:
         loaded: The settings.
         writer: Writes the log.
+        ending: Logs the end of the process.
     """
     writer.attach(asyncio.get_running_loop())
     background = tasks.TaskSet()
     background.keep_running(lambda: _tend_log(writer), name="log")
     try:
-        await _serve(loaded)
+        await _serve(loaded, ending)
     finally:
         await background.close()
         writer.detach()
@@ -51,15 +53,21 @@
         writer.flush()
 
 
-async def _serve(loaded: pool_loader.Loaded) -> None:
+async def _serve(loaded: pool_loader.Loaded, ending: process_end.ProcessEnd) -> None:
     settings = loaded.settings
-    kernel = pool_assembly.build(settings)
+    kernel = ending.kernel = pool_assembly.build(settings)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for signal_number in signals.STOP:
         loop.add_signal_handler(signal_number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, _ignore_reload, kernel)
-    kernel.log.info("node_starting", failure_domain=settings.failure_domain)
+    kernel.log.info(
+        "node_starting",
+        failure_domain=settings.failure_domain,
+        pid=os.getpid(),
+        version=basilpost.__version__,
+        memory_mb=settings.memory_mb,
+    )
     if loaded.ignored:
         kernel.log.warning("settings_fields_ignored", fields=list(loaded.ignored))
     await kernel.start()
@@ -85,8 +93,20 @@
         print(error, file=sys.stderr)
         return _EXIT_BAD_SETTINGS
     writer = log.configure_bounded(descriptor=sys.stdout.fileno(), level=loaded.settings.log_level)
-    asyncio.run(run(loaded, writer))
-    writer.close(timeout=LOG_FLUSH_SECONDS)
+    ending = process_end.ProcessEnd(writer=writer)
+    ending.watch_signals()
+    try:
+        with asyncio.Runner() as runner:
+            try:
+                runner.run(run(loaded, writer, ending))
+            except BaseException:
+                # When the runner closes, it cancels them.
+                ending.capture_requests()
+                raise
+    except BaseException as error:
+        ending.log_error(error)
+        raise
+    ending.log_stop()
     return 0
 
 
--- /dev/null
+++ b/tests/pool_process_end_test.py
@@ -0,0 +1,152 @@
+"""The log tells how the process of a pool's node ended, and which requests were in flight."""
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import sys
+
+import pytest
+import tornado.httpclient
+
+from basilpost.core import codec
+from basilpost.emulator import pool_fleet
+from basilpost.node import pool_demo
+
+EXIT_SECONDS = 15.0
+BUDGET_MS = 8000
+# Runs a node with one more service, whose statements are filled in.
+FAULTY_NODE = """
+import asyncio, signal, sys
+from basilpost.core import kernel
+from basilpost.node import pool_assembly, pool_main
+
+build = pool_assembly.build
+
+class Faulty(kernel.Service):
+    async def start(self):
+        {start}
+
+def build_faulty(settings):
+    node = build(settings)
+    node.register("faulty", Faulty())
+    return node
+
+pool_assembly.build = build_faulty
+sys.exit(pool_main.main())
+"""
+EXIT_ON_SIGNAL = "asyncio.get_running_loop().add_signal_handler(signal.SIGWINCH, sys.exit, 3)"
+
+
+class EndingNode:
+    """A node process before an emulated platform, with one stream that takes seconds."""
+
+    def __init__(self, folder):
+        self.fleet = pool_fleet.PoolFleet(vms=3, plain_instances=1)
+        self._folder = folder
+        self._client = tornado.httpclient.AsyncHTTPClient(force_instance=True)
+
+    async def start(self, *, fault="pass"):
+        await self.fleet.start()
+        settings = pool_demo.node_settings("node-0", self.fleet.store.address)
+        self._callers = settings.callers
+        path = self._folder / "node.jsonc"
+        path.write_bytes(codec.to_json(settings))
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-c", FAULTY_NODE.format(start=fault),
+            env={**os.environ, "BASILPOST_CONFIG": str(path)},
+            stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.DEVNULL,
+        )  # fmt: skip
+
+    async def close(self):
+        with contextlib.suppress(ProcessLookupError):
+            self.process.kill()
+        await self.process.wait()
+        await self.fleet.stop()
+
+    @contextlib.asynccontextmanager
+    async def streaming(self, attempt):
+        """Sends a request for a stream; it is in flight at a runner in the body of the context."""
+        async with asyncio.timeout(EXIT_SECONDS):
+            while (await self._call("first")).code != 200:
+                await asyncio.sleep(0.05)
+        for runner in self.fleet.runners_by_id.values():
+            runner.options.events, runner.options.event_seconds = 50, 0.1
+        calling = asyncio.ensure_future(self._call(attempt))
+        await pool_fleet.until(lambda: self.fleet.runs_of(attempt))
+        yield
+        await asyncio.wait([calling])
+        calling.exception()
+
+    async def _call(self, attempt):
+        headers = pool_fleet.call_headers(attempt, model=pool_fleet.LARGE, budget_ms=BUDGET_MS)
+        request = tornado.httpclient.HTTPRequest(
+            f"http://{self._callers}/draft/a", method="POST", body=b"x", headers=headers
+        )
+        try:
+            return await self._client.fetch(request, raise_error=False)
+        except OSError as error:
+            return tornado.httpclient.HTTPResponse(request, 599, error=error)
+
+    async def end(self):
+        """Waits until the process has ended; returns the lines of its log."""
+        async with asyncio.timeout(EXIT_SECONDS):
+            out, _ = await self.process.communicate()
+        return [json.loads(line) for line in out.splitlines()]
+
+
+@pytest.fixture
+async def node(tmp_path):
+    node = EndingNode(tmp_path)
+    yield node
+    await node.close()
+
+
+@pytest.mark.processes
+async def test_a_process_that_ends_by_itself_leaves_no_line(node):
+    # Only standard error had a traceback, and the lines in the buffer were lost.
+    await node.start(fault=EXIT_ON_SIGNAL)
+    async with node.streaming("cut-by-exit"):
+        node.process.send_signal(signal.SIGWINCH)
+        lines = await node.end()
+    assert node.process.returncode == 3
+    ended = lines[-1]
+    assert (ended["event"], ended["cause"], ended["exit_code"]) == ("node_ended", "SystemExit", 3)
+    assert ended["requests"] == ["cut-by-exit"]
+
+
+@pytest.mark.processes
+async def test_an_error_of_a_service_ends_the_process_without_a_line(node):
+    await node.start(fault="raise MemoryError('no memory')")
+    lines = await node.end()
+    assert node.process.returncode == 1
+    ended = lines[-1]
+    assert (ended["event"], ended["cause"], ended["exit_code"]) == ("node_ended", "MemoryError", 1)
+    assert ended["exception"][0]["exc_type"] == "MemoryError"
+    assert ended["node"] == "node-0"
+
+
+@pytest.mark.processes
+@pytest.mark.parametrize("signal_number", [signal.SIGUSR1, signal.SIGALRM])
+async def test_a_signal_ends_the_process_without_a_line(node, signal_number):
+    await node.start()
+    async with node.streaming("cut-by-signal"):
+        node.process.send_signal(signal_number)
+        lines = await node.end()
+    assert node.process.returncode == -signal_number
+    ended = lines[-1]
+    assert (ended["event"], ended["cause"]) == ("node_ended", signal_number.name)
+    assert ended["requests"] == ["cut-by-signal"]
+
+
+@pytest.mark.processes
+async def test_the_last_line_of_a_planned_stop_names_the_process(node):
+    await node.start()
+    await pool_fleet.until(lambda: node.fleet.open_groups(pool_fleet.LARGE))
+    node.process.send_signal(signal.SIGTERM)
+    lines = await node.end()
+    assert node.process.returncode == 0
+    starting, ended = lines[0], lines[-1]
+    assert (starting["event"], starting["pid"]) == ("node_starting", node.process.pid)
+    assert (ended["event"], ended["cause"], ended["exit_code"]) == ("node_ended", "stop", 0)
