--- a/basilpost/emulator/pool_runner.py
+++ b/basilpost/emulator/pool_runner.py
@@ -14,7 +14,13 @@
 from tornado import iostream, web
 
 from basilpost.core import clock
-from basilpost.emulator import pool_store, second_answers, server, silent_connections
+from basilpost.emulator import (
+    pool_store,
+    second_answers,
+    server,
+    silent_connections,
+    stream_endings,
+)
 
 SIGNATURE = "X-Runner-Signature"
 _ATTEMPT = "X-Attempt-Id"
@@ -234,6 +240,7 @@
         cut_off: Ids of the requests that it cut off as ordered.
         answers: Its own, first answers to requests, in the order of the answers; the bodies of streams
             are left out.
+        endings: How its streams ended.
         is_listed: False once it leaves without a report; its entry is not written any more.
         has_lost_member: Tells whether a member of its group has left, joined another one or ended. Its
             streams move no further then, and are cut after a while.
@@ -278,6 +285,7 @@
         self.rejections: list[float] = []
         self.cut_off: list[str] = []
         self.answers: list[Answer] = []
+        self.endings: list[stream_endings.Ending] = []
         self.is_listed = True
         self.has_lost_member: Callable[[], bool] = lambda: False
         self._working: dict[_WorkHandler, str] = {}
@@ -470,6 +478,7 @@
     def _cut_off_requests(self) -> None:
         for handler, attempt in self._working.items():
             self.cut_off.append(attempt)
+            handler.ended_by = stream_endings.EndedBy.ORDER
             silent_connections.stream_of(handler.request).close()
         self._working.clear()
 
@@ -573,6 +582,8 @@
         self._coming_crash: asyncio.Task[None] | None = None
         # Bytes that are written behind the whole answer, and how many seconds later.
         self._behind_answer: tuple[bytes, float] | None = None
+        # What ends the stream if this end does; None for the other end.
+        self.ended_by: stream_endings.EndedBy | None = None
 
     async def get(self) -> None:
         await self._work()
@@ -616,6 +627,7 @@
             self.finish(b"failed")
         elif self.owner.fabric_domain:
             self.owner._working[self] = headers.get(_ATTEMPT, "")
+            born, members = self.owner.born, tuple(self.owner.members)
             try:
                 await self._answer_stream()
             except iostream.StreamClosedError:
@@ -623,6 +635,7 @@
                 self._finished = True
             finally:
                 self.owner._working.pop(self, None)
+                self._log_ending(born, members)
         else:
             await self._answer_plain()
 
@@ -668,6 +681,20 @@
             )
         )
 
+    def _log_ending(self, born: int, members: tuple[str, ...]) -> None:
+        ended_by = self.ended_by
+        if ended_by is None:
+            has_ended = self.owner.born != born or not self.owner.is_serving
+            ended_by = stream_endings.EndedBy.RUNNER if has_ended else stream_endings.EndedBy.NODE
+        self.owner.endings.append(
+            stream_endings.Ending(
+                attempt=self.request.headers.get(_ATTEMPT, ""),
+                at=clock.elapsed(),
+                by=ended_by,
+                members=members,
+            )
+        )
+
     async def _answer_plain(self) -> None:
         await asyncio.sleep(
             self._draw_seconds(self._options.work_seconds, self._options.slowest_work_seconds)
@@ -798,6 +825,7 @@
 
     def _end(self, body: bytes = b"") -> None:
         """Completes the answer, after which the request does not crash the runner any more."""
+        self.ended_by = stream_endings.EndedBy.COMPLETE
         if self._coming_crash is not None:
             self._coming_crash.cancel()
         if self._behind_answer is not None:
@@ -842,4 +870,5 @@
 
     def _drop(self) -> None:
         self._finished = True
+        self.ended_by = stream_endings.EndedBy.RUNNER
         silent_connections.stream_of(self.request).close()
--- a/basilpost/emulator/pool_runner_test.py
+++ b/basilpost/emulator/pool_runner_test.py
@@ -42,6 +42,18 @@
     return {"operation": operation, "fence": 1, "group": "large--1", "epoch": 1, **fields}
 
 
+async def start_open_head(store, **options):
+    """Starts a runner that is the head and only member of an open group."""
+    runner = await start_runner(store, grouped=True, **options)
+    await runner.handle_order(order("join", model="large", members=["vm-0"]))
+    while runner.member["state"] != "ready":
+        await asyncio.sleep(0.01)
+    await runner.handle_order(order("open"))
+    while runner.member["state"] != "open":
+        await asyncio.sleep(0.01)
+    return runner
+
+
 @pytest.mark.parametrize(("mode", "whole"), [("queue", True), ("cutoff", False)])
 async def test_a_close_order_cuts_requests_only_if_it_says_so(mode, whole):
     """The emulator took both modes for one, so no test showed streams that a close order cut."""
@@ -234,3 +246,31 @@
     finally:
         await runner.stop()
         await store.stop()
+
+
+@pytest.mark.parametrize("closer", ["complete", "runner", "order", "node"])
+async def test_the_log_tells_which_end_closed_a_stream(closer):
+    """The emulator's log did not tell a stream that its node cut from one that the runner broke off."""
+    store = pool_store.PoolStore()
+    await store.start()
+    runner = await start_open_head(store, events=10, event_seconds=0.02)
+    try:
+        channel = await connect(runner)
+        send(channel, "one", method="POST")
+        reading = asyncio.create_task(read(channel))
+        await asyncio.sleep(0.05)
+        if closer == "runner":
+            await runner.vanish()
+        elif closer == "order":
+            await runner.handle_order(order("close", closeMode="cutoff"))
+        elif closer == "node":
+            channel.close()
+        await reading
+        while not runner.endings:
+            await asyncio.sleep(0.01)
+        (ending,) = runner.endings
+        assert (ending.attempt, ending.by.value) == ("one", closer)
+        assert ending.members == ("vm-0",)
+    finally:
+        await runner.stop()
+        await store.stop()
--- a/basilpost/emulator/server.py
+++ b/basilpost/emulator/server.py
@@ -33,6 +33,11 @@
         self.address = ""
         self.silent_connections = silent_connections.SilentConnections()
 
+    @property
+    def is_serving(self) -> bool:
+        """Returns True while it listens."""
+        return self._server is not None
+
     @abc.abstractmethod
     def routes(self) -> Routes:
         """Returns the request handlers with their URL patterns and arguments."""
