--- a/basilpost/emulator/pool_runner.py
+++ b/basilpost/emulator/pool_runner.py
@@ -27,6 +27,7 @@
 _ENDLESS_CHUNK_BYTES = 262_144
 _SILENT_POLL_SECONDS = 0.01
 _CLOSING_POLL_SECONDS = 0.01
+_QUEUE_POLL_SECONDS = 0.01
 # Time without progress after which a group that lost a member cuts its streams.
 _STALL_SECONDS = 0.5
 _ENDLESS_HEAD = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Runner-Signature: s\r\n"
@@ -57,6 +58,8 @@
         slowest_event_seconds: If set, the time between events is drawn for each stream, between
             `event_seconds` and this.
         slowest_work_seconds: If set, the same for requests to a plain service.
+        running: Streams that run at once; further ones wait for one to end. 0 for no limit.
+        waiting: Streams that may wait; those beyond are rejected with 503.
         full: True to reject requests with 503 before running them.
         fail: True to run requests and answer them with a signed 500.
         lose_answers: Number of coming requests that run but whose connection is closed unanswered.
@@ -98,6 +101,8 @@
     padding_bytes: int = 0
     slowest_event_seconds: float = 0.0
     slowest_work_seconds: float = 0.0
+    running: int = 0
+    waiting: int = 0
     full: bool = False
     fail: bool = False
     lose_answers: int = 0
@@ -306,6 +311,15 @@
         """Returns True if a stream is at work."""
         return bool(self._working)
 
+    @property
+    def stream_count(self) -> int:
+        """Returns the number of streams that run or wait."""
+        return len(self._working)
+
+    def position_of(self, handler: "_WorkHandler") -> int:
+        """Returns how many streams came before the one of a handler and have not ended."""
+        return list(self._working).index(handler)
+
     def routes(self) -> server.Routes:
         """Returns the handlers of the runner."""
         owner = {"owner": self}
@@ -605,7 +619,7 @@
             self._log_arrival(ran=False)
             self._reject(421)
             return
-        if self._options.full:
+        if self._options.full or self._has_no_room():
             self.owner.rejections.append(clock.elapsed())
             self._log_arrival(ran=False)
             self._reject(503)
@@ -629,6 +643,7 @@
             self.owner._working[self] = headers.get(_ATTEMPT, "")
             born, members = self.owner.born, tuple(self.owner.members)
             try:
+                await self._wait_for_slot()
                 await self._answer_stream()
             except iostream.StreamClosedError:
                 # The caller has left, or the group was closed by cutting its requests off.
@@ -644,6 +659,16 @@
             return True
         return self.owner.member is not None and self.owner.member["state"] == "open"
 
+    def _has_no_room(self) -> bool:
+        room = self._options.running + self._options.waiting
+        return bool(self._options.running) and self.owner.stream_count >= room
+
+    async def _wait_for_slot(self) -> None:
+        while self._options.running and self.owner.position_of(self) >= self._options.running:
+            if silent_connections.stream_of(self.request).closed():
+                raise iostream.StreamClosedError
+            await asyncio.sleep(_QUEUE_POLL_SECONDS)
+
     def _reject(self, status: int) -> None:
         self.set_status(status)
         self.set_header("X-Not-Executed", "1")
--- a/basilpost/emulator/pool_runner_test.py
+++ b/basilpost/emulator/pool_runner_test.py
@@ -274,3 +274,24 @@
     finally:
         await runner.stop()
         await store.stop()
+
+
+async def test_a_head_rejects_streams_beyond_its_slots_and_its_queue():
+    """The emulated heads took any number of streams, so none that moved to a full group was rejected."""
+    store = pool_store.PoolStore()
+    await store.start()
+    runner = await start_open_head(store, events=5, event_seconds=0.05, running=1, waiting=1)
+    try:
+        readings = []
+        for attempt in ("one", "two", "three"):
+            channel = await connect(runner)
+            send(channel, attempt, method="POST")
+            readings.append(asyncio.create_task(read(channel)))
+            await asyncio.sleep(0.05)
+        assert [(await reading).status for reading in readings] == [200, 200, 503]
+        first, second = runner.endings
+        assert second.at - first.at >= 0.25
+        assert [arrival.ran for arrival in runner.arrival_log] == [True, True, False]
+    finally:
+        await runner.stop()
+        await store.stop()
