--- a/basilpost/emulator/pool_runner.py
+++ b/basilpost/emulator/pool_runner.py
@@ -248,7 +248,7 @@
         endings: How its streams ended.
         is_listed: False once it leaves without a report; its entry is not written any more.
         has_lost_member: Tells whether a member of its group has left, joined another one or ended. Its
-            streams move no further then, and are cut after a while.
+            streams move no further then, and are cut after a while; the group is broken then.
     """
 
     def __init__(
@@ -436,6 +436,17 @@
                 return 202
         return 400
 
+    @property
+    def is_broken(self) -> bool:
+        """Returns True if its group has stalled after the loss of a member."""
+        return self.member is not None and self.member["state"] == "broken"
+
+    async def break_group(self) -> None:
+        """Reports its open group as broken; streams that have begun are cut."""
+        if self.member is not None and self.member["state"] == "open":
+            self.member = {**self.member, "state": "broken"}
+            await self.report()
+
     async def _join(self, order: dict[str, Any]) -> int:
         if order["epoch"] < self.highest_epoch:
             return 412
@@ -619,7 +630,7 @@
             self._log_arrival(ran=False)
             self._reject(421)
             return
-        if self._options.full or self._has_no_room():
+        if self._options.full or self._has_no_room() or self.owner.is_broken:
             self.owner.rejections.append(clock.elapsed())
             self._log_arrival(ran=False)
             self._reject(503)
@@ -657,7 +668,7 @@
     def _serves(self) -> bool:
         if not self.owner.fabric_domain:
             return True
-        return self.owner.member is not None and self.owner.member["state"] == "open"
+        return self.owner.member is not None and self.owner.member["state"] in ("open", "broken")
 
     def _has_no_room(self) -> bool:
         room = self._options.running + self._options.waiting
@@ -822,7 +833,8 @@
                 await asyncio.sleep(self._options.event_seconds)
             if self.owner.has_lost_member():
                 await asyncio.sleep(_STALL_SECONDS)
-                self._drop()
+                await self.owner.break_group()
+                self._end_in_broken_group()
                 return
             if is_cut and number > self._options.cut_after_events:
                 self.write(b"id: ")
@@ -835,6 +847,20 @@
             self._prepare_copy(self._options.copied_streams)
         self._end()
 
+    def _end_in_broken_group(self) -> None:
+        """Cuts the stream, or rejects its request if it has no event yet and so has not run."""
+        if self._headers_written:
+            self._drop()
+            return
+        attempt = self.request.headers.get(_ATTEMPT, "")
+        self.owner.runs.remove(
+            next(run for run in reversed(self.owner.runs) if run.attempt == attempt)
+        )
+        self._mark_not_run(attempt)
+        self.clear_header(SIGNATURE)
+        self.ended_by = stream_endings.EndedBy.RUNNER
+        self._reject(503)
+
     def _event(self, number: int) -> bytes:
         attempt = self.request.headers.get(_ATTEMPT)
         return f"id: {number}\ndata: {attempt} {number}\n\n".encode()
--- a/basilpost/emulator/pool_runner_test.py
+++ b/basilpost/emulator/pool_runner_test.py
@@ -295,3 +295,27 @@
     finally:
         await runner.stop()
         await store.stop()
+
+
+async def test_a_group_without_a_member_breaks_and_rejects():
+    """The emulated head served on after the loss of a member, and cut streams that had not begun."""
+    store = pool_store.PoolStore()
+    await store.start()
+    runner = await start_open_head(store, events=10, event_seconds=0.1)
+    try:
+        channels_by_attempt = {attempt: await connect(runner) for attempt in ("one", "two")}
+        for attempt, channel in channels_by_attempt.items():
+            send(channel, attempt, method="POST")
+            await asyncio.sleep(0.15)
+            runner.has_lost_member = lambda: True
+        begun, waiting = [await read(channel) for channel in channels_by_attempt.values()]
+        assert isinstance(begun, channels.Broken)
+        assert (waiting.status, waiting.headers["X-Not-Executed"]) == (503, "1")
+        assert [run.attempt for run in runner.runs] == ["one"]
+        assert runner.member["state"] == "broken"
+        late = await connect(runner)
+        send(late, "three", method="POST")
+        assert (await read(late)).status == 503
+    finally:
+        await runner.stop()
+        await store.stop()
