--- a/basilpost/emulator/pool_fleet.py
+++ b/basilpost/emulator/pool_fleet.py
@@ -185,13 +185,16 @@
         return runner
 
     def _has_lost_member(self, head: pool_runner.PoolRunner) -> bool:
-        """Returns True if a member of a head's group is not in the group any more."""
+        """Returns True if a member of a head's group has ended or is not in the group any more."""
         if not self.members_matter or head.member is None:
             return False
         group = (head.member["name"], head.member["epoch"])
-        members = [self.runners_by_id[vm_id].member for vm_id in head.members]
+        members = [self.runners_by_id[vm_id] for vm_id in head.members]
         return any(
-            member is None or (member["name"], member["epoch"]) != group for member in members
+            not other.is_serving
+            or other.member is None
+            or (other.member["name"], other.member["epoch"]) != group
+            for other in members
         )
 
     async def start(self) -> None:
--- a/basilpost/emulator/pool_runner.py
+++ b/basilpost/emulator/pool_runner.py
@@ -675,9 +675,11 @@
         return bool(self._options.running) and self.owner.stream_count >= room
 
     async def _wait_for_slot(self) -> None:
-        while self._options.running and self.owner.position_of(self) >= self._options.running:
+        while self._options.running:
             if silent_connections.stream_of(self.request).closed():
                 raise iostream.StreamClosedError
+            if self.owner.position_of(self) < self._options.running:
+                return
             await asyncio.sleep(_QUEUE_POLL_SECONDS)
 
     def _reject(self, status: int) -> None:
--- a/basilpost/emulator/pool_runner_test.py
+++ b/basilpost/emulator/pool_runner_test.py
@@ -319,3 +319,19 @@
     finally:
         await runner.stop()
         await store.stop()
+
+
+async def test_a_group_stalls_as_soon_as_a_member_has_ended():
+    """The emulated group served on until the member was back, as if nothing had happened to it."""
+    fleet = pool_fleet.PoolFleet(vms=2)
+    fleet.members_matter = True
+    await fleet.start()
+    head, other = (fleet.runners_by_id[f"vm-0-{number}"] for number in range(2))
+    try:
+        for runner in (head, other):
+            await runner.handle_order(order("join", model="large", members=["vm-0-0", "vm-0-1"]))
+        assert not head.has_lost_member()
+        await other.vanish()
+        assert head.has_lost_member()
+    finally:
+        await fleet.stop()
