--- a/basilpost/soak/__main__.py
+++ b/basilpost/soak/__main__.py
@@ -11,7 +11,7 @@
 
 import click
 
-from basilpost.soak import answer_scenarios, drain_scenarios, run, scenarios
+from basilpost.soak import answer_scenarios, drain_scenarios, run, scenarios, version_scenarios
 
 SCENARIOS_BY_PLAN: dict[str, Callable[..., scenarios.Scenario]] = {
     "faults": scenarios.AllFaults,
@@ -25,6 +25,7 @@
     "overload": scenarios.Overload,
     "second-answers": answer_scenarios.SecondAnswers,
     "planned-drains": drain_scenarios.PlannedDrains,
+    "versions": version_scenarios.Versions,
     "late-orders": scenarios.LateOrders,
 }
 
@@ -43,7 +44,7 @@
     show_default=True,
     help="Faults of all kinds, planned stops, crashing requests, such whose callers leave, lost paths, paths on which nothing passes, "
     "lost paths of most nodes of a large fleet, restores of the store, callers that want more than there is, "
-    "runners that answer twice, runners that drain one after another, or orders that are carried out late.",
+    "runners that answer twice, runners that drain one after another, versions of the configuration beside kills of all nodes, or orders that are carried out late.",
 )
 @click.option("--nodes", type=int, help="Number of nodes.")
 @click.option("--callers", "caller_count", type=int, help="Number of callers.")
--- a/basilpost/soak/callers.py
+++ b/basilpost/soak/callers.py
@@ -89,6 +89,17 @@
         """Returns the body of a request other than a lookup."""
         return attempt.encode()
 
+    def _send(
+        self,
+        channel: channels.Channel,
+        method: str,
+        path: str,
+        headers: tornado.httputil.HTTPHeaders,
+        body: bytes,
+    ) -> None:
+        """Writes a request; its body has a length unless a subclass sends it otherwise."""
+        channel.send(method, path, headers, body)
+
     async def _exchange(
         self,
         channel: channels.Channel,
@@ -119,7 +130,7 @@
         body_parts: list[bytes] = []
         result: channels.Head | channels.Broken | None = None
         with contextlib.suppress(TimeoutError):
-            channel.send(method, f"/{path}/{self._name}", headers, body)
+            self._send(channel, method, f"/{path}/{self._name}", headers, body)
             async with asyncio.timeout(patience):
                 result = await channel.receive(on_head=heads.append, on_data=body_parts.append)
         head = heads[-1] if heads else None
--- a/basilpost/soak/faults.py
+++ b/basilpost/soak/faults.py
@@ -22,7 +22,12 @@
     RUNNER_DRAINS makes the head of a group, or another member, report that it drains and later that it is
     ready again; RUNNER_RETIRES ends it after its drain for good, and RUNNER_UNLISTED removes its entry without
     such a report while it serves on until its group has no work. CONFIGURED writes a configuration with the
-    same content, with another route, timeout or share.
+    same content, with another route, timeout or share. ROUTES_CHANGE writes a series of versions that move,
+    split, drop, time out and re-key routes; ROUTES_ADDED one with some hundred routes more, removed again
+    later. FLEET_KILLED kills all nodes soon after a configuration was confirmed, and starts them again.
+    RUNNERS_RESET and STORES_RESET reset all nodes' connections to runners, or to the store, at once.
+    RUNNER_CRASHES ends a runner, which is back without a group. EVACUATED takes a failure domain out for a
+    shorter time than DOMAIN_OUT.
     """
 
     KILL = "kill"
@@ -56,6 +61,13 @@
     RUNNER_RETIRES = "runner_retires"
     RUNNER_UNLISTED = "runner_unlisted"
     CONFIGURED = "configured"
+    ROUTES_CHANGE = "routes_change"
+    ROUTES_ADDED = "routes_added"
+    FLEET_KILLED = "fleet_killed"
+    RUNNERS_RESET = "runners_reset"
+    STORES_RESET = "stores_reset"
+    RUNNER_CRASHES = "runner_crashes"
+    EVACUATED = "evacuated"
 
 
 # The kinds that `draw` picks from; their number and order decide what a seed draws.
--- a/basilpost/soak/operator_work.py
+++ b/basilpost/soak/operator_work.py
@@ -1,6 +1,7 @@
 """What the operator does during a run: configurations, and keys and failure domains withdrawn."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
 from basilpost.core import clock
@@ -24,11 +25,15 @@
     Attributes:
         withdrawn_keys: Keys that were withdrawn.
         withdrawn_failure_domains: Failure domains that were withdrawn.
+        reshape: Returns the configuration for arguments of `pool_fleet.configuration` and a version.
     """
 
     def __init__(self, *, fleet: pool_fleet.PoolFleet, scenario: scenarios.Scenario) -> None:
         self.withdrawn_keys: list[checks.Withdrawal] = []
         self.withdrawn_failure_domains: list[checks.Withdrawal] = []
+        self.reshape: Callable[[dict[str, Any], int], dict[str, Any]] = (
+            lambda configured, version: pool_fleet.configuration(version, **configured)
+        )
         self._fleet = fleet
         self._version = 0
         options = scenario.runner_options
@@ -47,7 +52,7 @@
         async with self._write_lock:
             self._configured |= changes
             self._version += 1
-            await self._fleet.configure(pool_fleet.configuration(self._version, **self._configured))
+            await self._fleet.configure(self.reshape(self._configured, self._version))
 
     async def configure_anew(self, fault: faults.Fault) -> None:
         """Writes the same content again, or changes the routes, the streams' timeout or the shares."""
@@ -70,6 +75,13 @@
             )
             await self.configure(keys=checks.api_keys())
 
+    async def evacuate(self, fault: faults.Fault) -> None:
+        """Takes a failure domain out of service for the time of a fault."""
+        async with self._withdrawal_lock:
+            await self._fleet.store.put(f"evacuations/{FAILURE_DOMAINS[-1]}", {})
+            await asyncio.sleep(fault.seconds)
+            await self._fleet.store.remove(f"evacuations/{FAILURE_DOMAINS[-1]}")
+
     async def withdraw_failure_domain(self, fault: faults.Fault) -> None:
         """Takes a failure domain out of service for longer than it may still be used."""
         async with self._withdrawal_lock:
--- a/basilpost/soak/processes.py
+++ b/basilpost/soak/processes.py
@@ -29,6 +29,8 @@
         settings: Settings of the node.
         store_proxy: The proxy through which the node reaches the store.
         stops: The planned stops of the process.
+        killed_at: When it was killed, in seconds of `clock.elapsed`.
+        own_ends: A line for each end of the process that no signal of the run explains.
     """
 
     def __init__(
@@ -46,6 +48,8 @@
         self._grace_seconds = grace_seconds
         self._stop_seconds = stop_seconds
         self._contracts = contracts
+        self.killed_at: list[float] = []
+        self.own_ends: list[str] = []
         self._is_stopping = False
         self._log_bytes_before = 0
         self._node_id = node_id
@@ -77,6 +81,7 @@
 
     async def close(self) -> None:
         """Kills the process if it runs, and stops the proxy."""
+        self.record_own_end()
         if self._process is not None and self._process.returncode is None:
             self._process.kill()
             await self._process.wait()
@@ -85,6 +90,8 @@
     async def kill(self, *, seconds: float) -> None:
         """Kills the process and starts it again after some seconds."""
         async with self._lifecycle_lock:
+            self.record_own_end()
+            self.killed_at.append(clock.elapsed())
             self._signal(signal.SIGKILL)
             assert self._process is not None
             await self._process.wait()
@@ -96,6 +103,7 @@
         """Sends SIGTERM, later SIGKILL, and starts the process again once it has exited."""
         async with self._lifecycle_lock:
             assert self._process is not None
+            self.record_own_end()
             at = clock.elapsed()
             self._signal(signal.SIGTERM)
             self._is_stopping = True
@@ -135,6 +143,21 @@
         """Sends SIGHUP, on which the process reads its settings again."""
         self._signal(signal.SIGHUP)
 
+    def record_own_end(self) -> None:
+        """Records that the process has ended although nobody asked it to; to be called before a signal."""
+        if self._process is not None and self._process.returncode is not None:
+            self.own_ends.append(f"{self._node_id} ended by itself with {self._process.returncode}")
+
+    def errors(self) -> list[str]:
+        """Returns the lines that the process wrote beside its log, such as those of a traceback."""
+        lines = self._log_path.read_text(errors="replace").splitlines()
+        return [line for line in lines if not line.startswith("{")]
+
+    def lines_about(self, request_id: str) -> list[str]:
+        """Returns the lines of the log that name a request."""
+        lines = self._log_path.read_text(errors="replace").splitlines()
+        return [line for line in lines if f'"{request_id}"' in line]
+
     def logged_requests(self) -> frozenset[str]:
         """Returns the ids of the requests that the log names, all of which the node has read."""
         log = self._log_path.read_bytes()
--- a/basilpost/soak/run.py
+++ b/basilpost/soak/run.py
@@ -8,7 +8,7 @@
 import itertools
 import pathlib
 import random
-from collections.abc import Awaitable, Collection, Iterable
+from collections.abc import Awaitable, Collection, Iterable, Mapping
 
 from basilpost.core import clock
 from basilpost.emulator import pool_fleet
@@ -19,12 +19,14 @@
     callers,
     checks,
     faults,
+    loss_checks,
     operator_work,
     processes,
     proxies,
     repeat_checks,
     runner_work,
     scenarios,
+    version_work,
 )
 
 START_TIMEOUT_SECONDS = 20.0
@@ -32,6 +34,8 @@
 # covers a lease of the controller, the loads of a group and the return of the runners.
 RECOVERY_TIMEOUT_SECONDS = 12.0
 PROBE_INTERVAL_SECONDS = 0.2
+# Time after the last fault in which callers that fill all groups go on; then each node must serve.
+CALM_SECONDS = 2.0
 # Consecutive answers that one instance of the plain service loses.
 LOST_ANSWERS_PER_FAULT = 3
 SLOW_STORE_DELAY_SECONDS = 0.3
@@ -67,6 +71,8 @@
         crossed: Number of other requests without a complete answer. With planned work only, these met the
             close of their connection before a node had read them.
         broken: A line for each broken guarantee.
+        excused: Number of accepted requests without a complete answer, by the fault that ended them, where
+            losses are counted.
     """
 
     seed: int
@@ -77,6 +83,7 @@
     lost: int
     crossed: int
     broken: tuple[str, ...]
+    excused: Mapping[str, int] = dataclasses.field(default_factory=dict)
 
 
 class Soak:
@@ -91,6 +98,7 @@
             vms=self._scenario.vms, plain_instances=self._scenario.plain_instances
         )
         self._fleet.members_matter = self._scenario.members_matter
+        self._scenario.extend_fleet(self._fleet)
         for number, runner in enumerate(self._fleet.runners_by_id.values()):
             runner.failure_domain = operator_work.FAILURE_DOMAINS[
                 number % len(operator_work.FAILURE_DOMAINS)
@@ -102,6 +110,7 @@
         self._restart_locks_by_vm: dict[str, asyncio.Lock] = collections.defaultdict(asyncio.Lock)
         self._callers: list[callers.Caller] = []
         self._operator = operator_work.OperatorWork(fleet=self._fleet, scenario=self._scenario)
+        self._version_work = version_work.VersionWork(operator=self._operator, nodes=self._nodes)
         self._runner_work = runner_work.RunnerWork(fleet=self._fleet)
         self._violations: list[str] = []
         self._disturbances: list[checks.Disturbance] = []
@@ -116,10 +125,11 @@
             await self._wait_until_all_serve("at the start", START_TIMEOUT_SECONDS)
             caller_tasks = self._start_callers(stack)
             await asyncio.gather(*(self._inject_when_due(fault) for fault in schedule))
+            if self._scenario.fills_groups:
+                await asyncio.sleep(CALM_SECONDS)
+                await self._stop_callers(caller_tasks)
             await self._wait_until_all_serve("after the last fault", RECOVERY_TIMEOUT_SECONDS)
-            for caller in self._callers:
-                caller.stop()
-            await asyncio.gather(*caller_tasks)
+            await self._stop_callers(caller_tasks)
         return self._report(schedule)
 
     async def _start(self, stack: contextlib.AsyncExitStack) -> None:
@@ -164,6 +174,11 @@
         self._callers += started
         return [asyncio.create_task(caller.run()) for caller in started]
 
+    async def _stop_callers(self, caller_tasks: list[asyncio.Task[None]]) -> None:
+        for caller in self._callers:
+            caller.stop()
+        await asyncio.gather(*caller_tasks)
+
     async def _wait_until_all_serve(self, when: str, seconds: float) -> None:
         """Waits until each node serves each kind of request; what times out is a violation."""
         probe = callers.RandomCaller(name=f"probe-{len(self._callers)}", addresses=(), seed="")
@@ -188,6 +203,10 @@
         logged_requests = frozenset(
             itertools.chain.from_iterable(node.logged_requests() for node in self._nodes)
         )
+        for node in self._nodes:
+            self._violations += node.own_ends
+        losses = self._find_losses(calls, logged_requests)
+        self._violations += losses.lines
         for stop in stops:
             self._violations += checks.check_stop(stop, seconds=self._scenario.stop_seconds)
         self._violations += checks.check(
@@ -229,6 +248,30 @@
             lost=lost,
             crossed=sum(not call.complete for call in calls) - lost,
             broken=tuple(self._violations),
+            excused=losses.excused,
+        )
+
+    def _find_losses(
+        self, calls: list[checks.Call], logged_requests: frozenset[str]
+    ) -> loss_checks.Losses:
+        if not self._scenario.counts_losses:
+            return loss_checks.Losses(lines=(), excused={})
+        for node in self._nodes:
+            self._violations += [
+                f"{node.settings.node_id} wrote beside its log: {line}" for line in node.errors()
+            ]
+        return loss_checks.find_losses(
+            calls,
+            self._fleet.runners_by_id.values(),
+            killed_at_by_address={
+                node.settings.callers: tuple(node.killed_at) for node in self._nodes
+            },
+            runner_faults=self._runner_faults,
+            logged_requests=logged_requests,
+            shortest_timeout=version_work.SHORT_TIMEOUT_MS / 1000,
+            lines_about=lambda request_id: [
+                line for node in self._nodes for line in node.lines_about(request_id)
+            ],
         )
 
     async def _inject_when_due(self, fault: faults.Fault) -> None:
@@ -239,6 +282,8 @@
         if fault.kind in faults.RUNNER_CONNECTION_KINDS:
             ids = sorted(self._proxies_by_vm)
             self._log_runner_faults([ids[fault.target_index % len(ids)]], began_at)
+        if fault.kind is faults.Kind.RUNNERS_RESET:
+            self._log_runner_faults(self._proxies_by_vm, began_at)
         if fault.kind in faults.NODE_KINDS:
             self._disturbances.append(
                 checks.Disturbance(
@@ -308,6 +353,20 @@
                 return self._leave(fault, vm_id)
             case faults.Kind.STORE_RESTORED:
                 return self._restore_store(fault)
+            case faults.Kind.ROUTES_CHANGE:
+                return self._version_work.change_routes(fault)
+            case faults.Kind.ROUTES_ADDED:
+                return self._version_work.add_routes(fault)
+            case faults.Kind.FLEET_KILLED:
+                return self._kill_fleet(fault)
+            case faults.Kind.RUNNERS_RESET:
+                return self._reset(list(self._proxies_by_vm.values()))
+            case faults.Kind.STORES_RESET:
+                return self._reset([node.store_proxy for node in self._nodes])
+            case faults.Kind.RUNNER_CRASHES:
+                return self._crash_runner(vm_id)
+            case faults.Kind.EVACUATED:
+                return self._operator.evacuate(fault)
             case faults.Kind.CONFIGURED:
                 return self._operator.configure_anew(fault)
             case faults.Kind.RUNNER_DRAINS | faults.Kind.RUNNER_RETIRES:
@@ -364,6 +423,15 @@
             proxy = self._proxies_by_vm[vm_id]
             proxy.target = await runner.start()
 
+    async def _crash_runner(self, vm_id: str) -> None:
+        runner = self._fleet.runners_by_id[vm_id]
+        async with self._restart_locks_by_vm[vm_id]:
+            runner.crash()
+            await asyncio.sleep(runner.options.down_seconds)
+
+    async def _kill_fleet(self, fault: faults.Fault) -> None:
+        self._disturbances += await self._version_work.kill_fleet(fault)
+
     async def _cut_most_paths(self, fault: faults.Fault) -> None:
         """Cuts all nodes but a few off, from all runners or from those of the plain service."""
         rng = random.Random(fault.target_index)
--- a/basilpost/soak/scenarios.py
+++ b/basilpost/soak/scenarios.py
@@ -3,7 +3,7 @@
 import abc
 import dataclasses
 
-from basilpost.emulator import pool_runner
+from basilpost.emulator import pool_fleet, pool_runner
 from basilpost.node import pool_demo
 from basilpost.soak import balancer, callers, faults
 
@@ -29,6 +29,10 @@
         plain_instances: Number of runners of the plain service.
         draft_kinds: True for further routes that stream; see `pool_fleet.configuration`.
         members_matter: True if the streams of a group stall once a member has left it.
+        counts_losses: True if each accepted request must get its complete answer, unless a fault of its
+            own node, runner or link ended it; see `loss_checks`.
+        fills_groups: True if callers may want all slots, so that they have to stop before it can be seen
+            whether all nodes serve again.
     """
 
     nodes: int = 3
@@ -44,11 +48,16 @@
     plain_instances: int = 4
     draft_kinds: bool = False
     members_matter: bool = False
+    counts_losses: bool = False
+    fills_groups: bool = False
 
     def for_seed(self, seed: int) -> "Scenario":
         """Returns the scenario with the sizes that a seed draws; a subclass may draw some."""
         return self
 
+    def extend_fleet(self, fleet: pool_fleet.PoolFleet) -> None:  # noqa: B027
+        """Adds further runners to a fleet that has not started; a subclass may add some."""
+
     def options_of(self, runner: pool_runner.PoolRunner, *, seed: int) -> pool_runner.Options:
         """Returns how a runner behaves; a subclass may draw it from the seed."""
         return dataclasses.replace(self.runner_options)
