--- a/basilpost/emulator/pool_runner.py
+++ b/basilpost/emulator/pool_runner.py
@@ -14,13 +14,20 @@
 from tornado import iostream, web
 
 from basilpost.core import clock
-from basilpost.emulator import pool_store, second_answers, server, silent_connections
+from basilpost.emulator import (
+    pool_store,
+    second_answers,
+    server,
+    silent_connections,
+    stream_endings,
+)
 
 SIGNATURE = "X-Runner-Signature"
 _ATTEMPT = "X-Attempt-Id"
 _ENDLESS_CHUNK_BYTES = 262_144
 _SILENT_POLL_SECONDS = 0.01
 _CLOSING_POLL_SECONDS = 0.01
+_QUEUE_POLL_SECONDS = 0.01
 # Time without progress after which a group that lost a member cuts its streams.
 _STALL_SECONDS = 0.5
 _ENDLESS_HEAD = b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Runner-Signature: s\r\n"
@@ -51,6 +58,8 @@
         slowest_event_seconds: If set, the time between events is drawn for each stream, between
             `event_seconds` and this.
         slowest_work_seconds: If set, the same for requests to a plain service.
+        running: Streams that run at once; further ones wait for one to end. 0 for no limit.
+        waiting: Streams that may wait; those beyond are rejected with 503.
         full: True to reject requests with 503 before running them.
         fail: True to run requests and answer them with a signed 500.
         lose_answers: Number of coming requests that run but whose connection is closed unanswered.
@@ -92,6 +101,8 @@
     padding_bytes: int = 0
     slowest_event_seconds: float = 0.0
     slowest_work_seconds: float = 0.0
+    running: int = 0
+    waiting: int = 0
     full: bool = False
     fail: bool = False
     lose_answers: int = 0
@@ -234,9 +245,10 @@
         cut_off: Ids of the requests that it cut off as ordered.
         answers: Its own, first answers to requests, in the order of the answers; the bodies of streams
             are left out.
+        endings: How its streams ended.
         is_listed: False once it leaves without a report; its entry is not written any more.
         has_lost_member: Tells whether a member of its group has left, joined another one or ended. Its
-            streams move no further then, and are cut after a while.
+            streams move no further then, and are cut after a while; the group is broken then.
     """
 
     def __init__(
@@ -278,6 +290,7 @@
         self.rejections: list[float] = []
         self.cut_off: list[str] = []
         self.answers: list[Answer] = []
+        self.endings: list[stream_endings.Ending] = []
         self.is_listed = True
         self.has_lost_member: Callable[[], bool] = lambda: False
         self._working: dict[_WorkHandler, str] = {}
@@ -298,6 +311,15 @@
         """Returns True if a stream is at work."""
         return bool(self._working)
 
+    @property
+    def stream_count(self) -> int:
+        """Returns the number of streams that run or wait."""
+        return len(self._working)
+
+    def position_of(self, handler: "_WorkHandler") -> int:
+        """Returns how many streams came before the one of a handler and have not ended."""
+        return list(self._working).index(handler)
+
     def routes(self) -> server.Routes:
         """Returns the handlers of the runner."""
         owner = {"owner": self}
@@ -414,6 +436,17 @@
                 return 202
         return 400
 
+    @property
+    def is_broken(self) -> bool:
+        """Returns True if its group has stalled after the loss of a member."""
+        return self.member is not None and self.member["state"] == "broken"
+
+    async def break_group(self) -> None:
+        """Reports its open group as broken; streams that have begun are cut."""
+        if self.member is not None and self.member["state"] == "open":
+            self.member = {**self.member, "state": "broken"}
+            await self.report()
+
     async def _join(self, order: dict[str, Any]) -> int:
         if order["epoch"] < self.highest_epoch:
             return 412
@@ -470,6 +503,7 @@
     def _cut_off_requests(self) -> None:
         for handler, attempt in self._working.items():
             self.cut_off.append(attempt)
+            handler.ended_by = stream_endings.EndedBy.ORDER
             silent_connections.stream_of(handler.request).close()
         self._working.clear()
 
@@ -573,6 +607,8 @@
         self._coming_crash: asyncio.Task[None] | None = None
         # Bytes that are written behind the whole answer, and how many seconds later.
         self._behind_answer: tuple[bytes, float] | None = None
+        # What ends the stream if this end does; None for the other end.
+        self.ended_by: stream_endings.EndedBy | None = None
 
     async def get(self) -> None:
         await self._work()
@@ -594,7 +630,7 @@
             self._log_arrival(ran=False)
             self._reject(421)
             return
-        if self._options.full:
+        if self._options.full or self._has_no_room() or self.owner.is_broken:
             self.owner.rejections.append(clock.elapsed())
             self._log_arrival(ran=False)
             self._reject(503)
@@ -616,20 +652,35 @@
             self.finish(b"failed")
         elif self.owner.fabric_domain:
             self.owner._working[self] = headers.get(_ATTEMPT, "")
+            born, members = self.owner.born, tuple(self.owner.members)
             try:
+                await self._wait_for_slot()
                 await self._answer_stream()
             except iostream.StreamClosedError:
                 # The caller has left, or the group was closed by cutting its requests off.
                 self._finished = True
             finally:
                 self.owner._working.pop(self, None)
+                self._log_ending(born, members)
         else:
             await self._answer_plain()
 
     def _serves(self) -> bool:
         if not self.owner.fabric_domain:
             return True
-        return self.owner.member is not None and self.owner.member["state"] == "open"
+        return self.owner.member is not None and self.owner.member["state"] in ("open", "broken")
+
+    def _has_no_room(self) -> bool:
+        room = self._options.running + self._options.waiting
+        return bool(self._options.running) and self.owner.stream_count >= room
+
+    async def _wait_for_slot(self) -> None:
+        while self._options.running:
+            if silent_connections.stream_of(self.request).closed():
+                raise iostream.StreamClosedError
+            if self.owner.position_of(self) < self._options.running:
+                return
+            await asyncio.sleep(_QUEUE_POLL_SECONDS)
 
     def _reject(self, status: int) -> None:
         self.set_status(status)
@@ -668,6 +719,20 @@
             )
         )
 
+    def _log_ending(self, born: int, members: tuple[str, ...]) -> None:
+        ended_by = self.ended_by
+        if ended_by is None:
+            has_ended = self.owner.born != born or not self.owner.is_serving
+            ended_by = stream_endings.EndedBy.RUNNER if has_ended else stream_endings.EndedBy.NODE
+        self.owner.endings.append(
+            stream_endings.Ending(
+                attempt=self.request.headers.get(_ATTEMPT, ""),
+                at=clock.elapsed(),
+                by=ended_by,
+                members=members,
+            )
+        )
+
     async def _answer_plain(self) -> None:
         await asyncio.sleep(
             self._draw_seconds(self._options.work_seconds, self._options.slowest_work_seconds)
@@ -770,7 +835,8 @@
                 await asyncio.sleep(self._options.event_seconds)
             if self.owner.has_lost_member():
                 await asyncio.sleep(_STALL_SECONDS)
-                self._drop()
+                await self.owner.break_group()
+                self._end_in_broken_group()
                 return
             if is_cut and number > self._options.cut_after_events:
                 self.write(b"id: ")
@@ -783,6 +849,20 @@
             self._prepare_copy(self._options.copied_streams)
         self._end()
 
+    def _end_in_broken_group(self) -> None:
+        """Cuts the stream, or rejects its request if it has no event yet and so has not run."""
+        if self._headers_written:
+            self._drop()
+            return
+        attempt = self.request.headers.get(_ATTEMPT, "")
+        self.owner.runs.remove(
+            next(run for run in reversed(self.owner.runs) if run.attempt == attempt)
+        )
+        self._mark_not_run(attempt)
+        self.clear_header(SIGNATURE)
+        self.ended_by = stream_endings.EndedBy.RUNNER
+        self._reject(503)
+
     def _event(self, number: int) -> bytes:
         attempt = self.request.headers.get(_ATTEMPT)
         return f"id: {number}\ndata: {attempt} {number}\n\n".encode()
@@ -798,6 +878,7 @@
 
     def _end(self, body: bytes = b"") -> None:
         """Completes the answer, after which the request does not crash the runner any more."""
+        self.ended_by = stream_endings.EndedBy.COMPLETE
         if self._coming_crash is not None:
             self._coming_crash.cancel()
         if self._behind_answer is not None:
@@ -842,4 +923,5 @@
 
     def _drop(self) -> None:
         self._finished = True
+        self.ended_by = stream_endings.EndedBy.RUNNER
         silent_connections.stream_of(self.request).close()
--- a/basilpost/emulator/pool_runner_test.py
+++ b/basilpost/emulator/pool_runner_test.py
@@ -42,6 +42,18 @@
     return {"operation": operation, "fence": 1, "group": "large--1", "epoch": 1, **fields}
 
 
+async def start_open_head(store, **options):
+    """Starts a runner that is the head and only member of an open group."""
+    runner = await start_runner(store, grouped=True, **options)
+    await runner.handle_order(order("join", model="large", members=["vm-0"]))
+    while runner.member["state"] != "ready":
+        await asyncio.sleep(0.01)
+    await runner.handle_order(order("open"))
+    while runner.member["state"] != "open":
+        await asyncio.sleep(0.01)
+    return runner
+
+
 @pytest.mark.parametrize(("mode", "whole"), [("queue", True), ("cutoff", False)])
 async def test_a_close_order_cuts_requests_only_if_it_says_so(mode, whole):
     """The emulator took both modes for one, so no test showed streams that a close order cut."""
@@ -234,3 +246,92 @@
     finally:
         await runner.stop()
         await store.stop()
+
+
+@pytest.mark.parametrize("closer", ["complete", "runner", "order", "node"])
+async def test_the_log_tells_which_end_closed_a_stream(closer):
+    """The emulator's log did not tell a stream that its node cut from one that the runner broke off."""
+    store = pool_store.PoolStore()
+    await store.start()
+    runner = await start_open_head(store, events=10, event_seconds=0.02)
+    try:
+        channel = await connect(runner)
+        send(channel, "one", method="POST")
+        reading = asyncio.create_task(read(channel))
+        await asyncio.sleep(0.05)
+        if closer == "runner":
+            await runner.vanish()
+        elif closer == "order":
+            await runner.handle_order(order("close", closeMode="cutoff"))
+        elif closer == "node":
+            channel.close()
+        await reading
+        while not runner.endings:
+            await asyncio.sleep(0.01)
+        (ending,) = runner.endings
+        assert (ending.attempt, ending.by.value) == ("one", closer)
+        assert ending.members == ("vm-0",)
+    finally:
+        await runner.stop()
+        await store.stop()
+
+
+async def test_a_head_rejects_streams_beyond_its_slots_and_its_queue():
+    """The emulated heads took any number of streams, so none that moved to a full group was rejected."""
+    store = pool_store.PoolStore()
+    await store.start()
+    runner = await start_open_head(store, events=5, event_seconds=0.05, running=1, waiting=1)
+    try:
+        readings = []
+        for attempt in ("one", "two", "three"):
+            channel = await connect(runner)
+            send(channel, attempt, method="POST")
+            readings.append(asyncio.create_task(read(channel)))
+            await asyncio.sleep(0.05)
+        assert [(await reading).status for reading in readings] == [200, 200, 503]
+        first, second = runner.endings
+        assert second.at - first.at >= 0.25
+        assert [arrival.ran for arrival in runner.arrival_log] == [True, True, False]
+    finally:
+        await runner.stop()
+        await store.stop()
+
+
+async def test_a_group_without_a_member_breaks_and_rejects():
+    """The emulated head served on after the loss of a member, and cut streams that had not begun."""
+    store = pool_store.PoolStore()
+    await store.start()
+    runner = await start_open_head(store, events=10, event_seconds=0.1)
+    try:
+        channels_by_attempt = {attempt: await connect(runner) for attempt in ("one", "two")}
+        for attempt, channel in channels_by_attempt.items():
+            send(channel, attempt, method="POST")
+            await asyncio.sleep(0.15)
+            runner.has_lost_member = lambda: True
+        begun, waiting = [await read(channel) for channel in channels_by_attempt.values()]
+        assert isinstance(begun, channels.Broken)
+        assert (waiting.status, waiting.headers["X-Not-Executed"]) == (503, "1")
+        assert [run.attempt for run in runner.runs] == ["one"]
+        assert runner.member["state"] == "broken"
+        late = await connect(runner)
+        send(late, "three", method="POST")
+        assert (await read(late)).status == 503
+    finally:
+        await runner.stop()
+        await store.stop()
+
+
+async def test_a_group_stalls_as_soon_as_a_member_has_ended():
+    """The emulated group served on until the member was back, as if nothing had happened to it."""
+    fleet = pool_fleet.PoolFleet(vms=2)
+    fleet.members_matter = True
+    await fleet.start()
+    head, other = (fleet.runners_by_id[f"vm-0-{number}"] for number in range(2))
+    try:
+        for runner in (head, other):
+            await runner.handle_order(order("join", model="large", members=["vm-0-0", "vm-0-1"]))
+        assert not head.has_lost_member()
+        await other.vanish()
+        assert head.has_lost_member()
+    finally:
+        await fleet.stop()
