request_ended tells who ended a stream, how far it came and why

The reason of a broken-off stream named the lack of another target, not what had ended the last one.

New fields: events, last_event, answer_end (what marks the end of the runner's answer: chunks, length or the close of the connection), written (the socket has taken all bytes), closed_by and close_error, repeats and denied (why it was sent once more, or not) and last_failure. Those that do not apply are left out. No decision depends on them.

--- a/basilpost/core/log_events.py
+++ b/basilpost/core/log_events.py
@@ -44,6 +44,15 @@
     "first_event_ms",
     "after_send_ms",
     "predicted_ms",
+    "written",
+    "closed_by",
+    "close_error",
+    "events",
+    "last_event",
+    "answer_end",
+    "repeats",
+    "denied",
+    "last_failure",
 )
 
 EVENTS: dict[str, Event] = {
--- a/basilpost/gateway/answer_sinks.py
+++ b/basilpost/gateway/answer_sinks.py
@@ -5,10 +5,11 @@
 """
 
 import abc
+import enum
 from collections.abc import Awaitable
 
 from basilpost.core import channels, clock
-from basilpost.gateway import inbound, sse
+from basilpost.gateway import attempts, inbound, sse
 from basilpost.routing import header_dialect
 
 _OK = 200
@@ -29,6 +30,15 @@
 MAX_UNSENT_BYTES = 1024 * 1024
 
 
+class AnswerEnd(enum.StrEnum):
+    """What marks the end of an answer; a value of the log field `answer_end`."""
+
+    CHUNKS = "chunks"
+    LENGTH = "length"
+    # The connection's orderly close: the end of a process looks the same.
+    CLOSE = "close"
+
+
 class AnswerSink(abc.ABC):
     """Receives the answer to one request, from one target after another until one completes it."""
 
@@ -188,6 +198,7 @@
         self._reply = reply
         self._dialect = dialect
         self._head: channels.Head | None = None
+        self._answer_end = AnswerEnd.CLOSE
 
     @property
     def is_complete(self) -> bool:
@@ -212,6 +223,7 @@
             self.is_stream = self.is_stream and _media_type(head) == _media_type(self._head)
         if self.is_stream and self._head is None:
             self._head = head
+        self._answer_end = _answer_end(head)
 
     def on_chunk(self, chunk: bytes) -> Awaitable[None] | None:
         """Forwards the events that the chunk completes; closes the connection at a gap.
@@ -278,6 +290,13 @@
         """Returns the time since the first event of the current target, 0 without any."""
         return 0.0 if self.writing_since is None else clock.elapsed() - self.writing_since
 
+    def describe(self, progress: attempts.Progress) -> None:
+        """Records what was forwarded of the stream."""
+        progress.first_event_at = self.first_event_at
+        progress.event_count = self.event_count
+        progress.last_event = self.stream.last_id if self.event_count else ""
+        progress.answer_end = self._answer_end if self.is_stream else ""
+
     def _send_head(self) -> None:
         if self._reply.started or self._head is None:
             return
@@ -285,6 +304,12 @@
         self._reply.send_head(self._head.status, self._head.reason, headers)
 
 
+def _answer_end(head: channels.Head) -> AnswerEnd:
+    if "Transfer-Encoding" in head.headers:
+        return AnswerEnd.CHUNKS
+    return AnswerEnd.LENGTH if "Content-Length" in head.headers else AnswerEnd.CLOSE
+
+
 def _media_type(head: channels.Head) -> str:
     media_type, _, _ = head.headers.get("Content-Type", "").partition(";")
     return str(media_type).strip().lower()
--- a/basilpost/gateway/attempts.py
+++ b/basilpost/gateway/attempts.py
@@ -91,6 +91,11 @@
         failed_answer: The latest answer of a target with a status of 500 or above after which the request
             was sent once more, None without one or if it is large.
         denials: Causes for which it was denied to be sent once more, each with the value of `sends`.
+        repeats: Causes for which it was allowed to be sent once more, in their order.
+        last_failure: What ended its last attempt that failed, empty without one.
+        event_count: Number of events of its stream that were forwarded.
+        last_event: Id of the last one of them, empty without one.
+        answer_end: What marks the end of its stream; see `answer_sinks.AnswerEnd`.
     """
 
     admitted: request_admission.AdmittedRequest
@@ -113,6 +118,11 @@
     may_move: bool = False
     failed_answer: WholeAnswer | None = None
     denials: set[tuple[str, int]] = dataclasses.field(default_factory=set)
+    repeats: list[str] = dataclasses.field(default_factory=list)
+    last_failure: str = ""
+    event_count: int = 0
+    last_event: str = ""
+    answer_end: str = ""
 
     @functools.cached_property
     def lost_request(self) -> crash_evidence.LostRequest:
--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -210,7 +210,7 @@
         except TimeoutError:
             result = progress.failed_answer or attempts.deadline_refusal(progress)
         finally:
-            progress.first_event_at = sink.first_event_at
+            sink.describe(progress)
             sink.discard()
             self.planned_moves.take_reserved(progress)
         if reply.started and not isinstance(result, attempts.Streamed):
@@ -527,6 +527,7 @@
         again: bool,
     ) -> None:
         loss = result if isinstance(result, attempts.Lost) else attempts.Lost(reason="")
+        progress.last_failure = f"{type(result).__name__}: {result.reason}"
         self._log.info(
             "attempt_failed",
             request=progress.admitted.call.request_id,
--- a/basilpost/gateway/inbound.py
+++ b/basilpost/gateway/inbound.py
@@ -28,6 +28,7 @@
         body: The whole body, empty before it has arrived.
         received_at: When the headers arrived, on `clock.elapsed`.
         caller_left: True once the caller has closed the connection.
+        close_error: The error with which the connection ended, such as a reset; empty for none.
         body_refusal: Why the request is refused for its body, None unless it is.
     """
 
@@ -54,6 +55,7 @@
         self.body: bytes | bytearray = b""
         self.received_at = 0.0
         self.caller_left = False
+        self.close_error = ""
         self.body_refusal: failure.Refusal | None = None
 
     @property
@@ -98,6 +100,8 @@
     def on_connection_close(self) -> None:
         """Cancels the handler, because the caller is gone; part of Tornado's delegate interface."""
         self.caller_left = True
+        error = self._connection.stream.error
+        self.close_error = type(error).__name__ if error is not None else ""
         if self._task is not None:
             self._task.cancel()
         else:
@@ -125,6 +129,8 @@
 
     Attributes:
         started: True once its head was written.
+        aborted: True once the node has closed the connection before the end of the answer.
+        written: True once the whole answer is written to the socket.
         added_headers: Headers that are added to those of the answer.
     """
 
@@ -140,6 +146,9 @@
         self._method = method
         self._announced_close = False
         self.started = False
+        self.aborted = False
+        self.written = False
+        self._ended = False
         self.added_headers: dict[str, str] = {}
 
     def send_whole(
@@ -181,11 +190,13 @@
         Closes the connection if the answer says so.
         """
         await self.wait_written()
+        self.written = self._ended and _has_written_all(self._connection.stream)
         if self._announced_close:
             self._connection.close()
 
     def abort(self) -> None:
         """Closes the connection, so that an incomplete answer is not taken for complete."""
+        self.aborted = self.aborted or not self._connection.stream.closed()
         self._connection.close()
 
     def _write_head(
@@ -207,12 +218,19 @@
             self.abort()
 
     def _finish(self) -> None:
+        self._ended = not self._connection.stream.closed()
         try:
             self._connection.finish()
         except tornado.iostream.StreamClosedError:
             self.abort()
 
 
+def _has_written_all(stream: tornado.iostream.IOStream) -> bool:
+    """Returns True if the socket has taken all bytes that were written to a stream, closed or not."""
+    # Tornado empties its buffer when it closes a stream, and keeps these counts only.
+    return stream._total_write_done_index == stream._total_write_index
+
+
 def _ignore_write_error(writing: "asyncio.Future[None]") -> None:
     """Retrieves the error of a failed write, so that asyncio does not log it as unhandled.
 
--- a/basilpost/gateway/relay.py
+++ b/basilpost/gateway/relay.py
@@ -293,10 +293,10 @@
             await reply.wait_sent()
         except asyncio.CancelledError:
             outcome = "caller_left" if request.caller_left else "cut_by_stop"
-            summary = dataclasses.replace(summary, outcome=outcome)
+            summary = dataclasses.replace(self.recorder.known(request), outcome=outcome)
             raise
         finally:
-            self.recorder.record(request, summary, stop_began_at=self._stop_began_at)
+            self.recorder.record(request, reply, summary, stop_began_at=self._stop_began_at)
 
     async def _answer(
         self,
@@ -315,6 +315,7 @@
             ),
         )
         summary = dataclasses.replace(summary, progress=progress)
+        self.recorder.update(request, summary)
         running = self._durations.begin(admitted.route.name, began_at=request.received_at)
         result: object = None
         try:
--- a/basilpost/gateway/request_recorder.py
+++ b/basilpost/gateway/request_recorder.py
@@ -48,8 +48,8 @@
     def __init__(self, *, kernel: kernel.Kernel, knowledge: knowledges.Knowledge) -> None:
         self._log = kernel.log
         self._knowledge = knowledge
-        # Ids of the requests in flight, in the order of their arrival.
-        self._open_ids: dict[inbound.Request, str] = {}
+        # The requests in flight, in the order of their arrival.
+        self._open: dict[inbound.Request, RequestSummary] = {}
         self._requests = prometheus_client.Counter(
             "basilpost_requests_total",
             "Requests by route, status and outcome",
@@ -73,24 +73,39 @@
 
     def begin(self, request: inbound.Request, call: header_dialect.RequestInfo) -> RequestSummary:
         """Counts a request as in flight until it is recorded."""
-        self._open_ids[request] = call.request_id
-        return RequestSummary(call=call)
+        summary = self._open[request] = RequestSummary(call=call)
+        return summary
+
+    def update(self, request: inbound.Request, summary: RequestSummary) -> None:
+        """Replaces what is known of a request in flight."""
+        self._open[request] = summary
+
+    def known(self, request: inbound.Request) -> RequestSummary:
+        """Returns what is known of a request in flight."""
+        return self._open[request]
 
     def open_requests(self) -> tuple[str, ...]:
         """Returns the ids of the oldest requests in flight, `MAX_LISTED` at most."""
-        return tuple(itertools.islice(self._open_ids.values(), MAX_LISTED))
+        oldest = itertools.islice(self._open.values(), MAX_LISTED)
+        return tuple(summary.call.request_id for summary in oldest)
 
     def record(
-        self, request: inbound.Request, summary: RequestSummary, *, stop_began_at: float | None
+        self,
+        request: inbound.Request,
+        reply: inbound.Reply,
+        summary: RequestSummary,
+        *,
+        stop_began_at: float | None,
     ) -> None:
         """Writes the log line of a request that has ended, and counts it.
 
         Args:
             request: The request.
+            reply: Its answer.
             summary: How it ended.
             stop_began_at: When the node was asked to stop, on `clock.elapsed`; None if it was not.
         """
-        self._open_ids.pop(request, None)
+        self._open.pop(request, None)
         seconds = clock.elapsed() - request.received_at
         progress = summary.progress
         route = progress.admitted.route.name if progress is not None else ""
@@ -113,8 +128,13 @@
                 # From the last send on, to compare both.
                 fields["after_send_ms"] = _ms(progress.first_event_at - progress.sent_at)
                 fields["predicted_ms"] = _ms(progress.predicted_seconds)
+            fields |= _stream_fields(progress)
             if progress.detour_node:
                 fields["detour_node"] = progress.detour_node
+        if reply.aborted or request.caller_left:
+            fields["closed_by"] = "node" if reply.aborted else "caller"
+        if request.close_error:
+            fields["close_error"] = request.close_error
         if summary.cause:
             fields["cause"] = summary.cause
         if stop_began_at is not None:
@@ -125,6 +145,7 @@
             outcome=summary.outcome,
             status=summary.status,
             reason=summary.reason,
+            written=reply.written,
             ms=round(seconds * 1000),
             configuration_age_ms=_age_ms(self._knowledge.configuration_age()),
             vms_age_ms=_age_ms(self._knowledge.vms_age()),
@@ -138,6 +159,24 @@
     return was_sent and summary.outcome not in _EXPECTED_ENDS
 
 
+def _stream_fields(progress: attempts.Progress) -> dict[str, object]:
+    """Returns how far a stream came and why it was sent more than once; only what applies."""
+    fields: dict[str, object] = {}
+    if progress.event_count:
+        fields = {
+            "events": progress.event_count,
+            "last_event": progress.last_event,
+            "answer_end": progress.answer_end,
+        }
+    if progress.repeats:
+        fields["repeats"] = progress.repeats
+    if progress.denials:
+        fields["denied"] = sorted({cause for cause, _ in progress.denials})
+    if progress.last_failure:
+        fields["last_failure"] = progress.last_failure
+    return fields
+
+
 def _ms(seconds: float) -> int:
     return round(seconds * 1000)
 
--- a/basilpost/gateway/retry_budgets.py
+++ b/basilpost/gateway/retry_budgets.py
@@ -182,6 +182,8 @@
             if (cause.value, progress.sends) in progress.denials:
                 return False
             progress.denials.add((cause.value, progress.sends))
+        else:
+            progress.repeats.append(cause.value)
         self._decisions.labels(cause.value, denial.value or ALLOWED).inc()
         self._left.labels(service).set(budget.balance)
         self._log.info(
