A request whose connection ends before its handler runs has a line of its end

A request whose head had arrived left no line if its connection ended before the whole body came, if Tornado refused the body as malformed, or if its task was cancelled before its first step, which never runs then; in that case its body also stayed counted. request_ended now has the outcome incomplete; such a request has not run.

--- a/basilpost/gateway/inbound.py
+++ b/basilpost/gateway/inbound.py
@@ -15,6 +15,8 @@
 Handler = Callable[["Request", "Reply"], Coroutine[Any, Any, None]]
 # Returns the collector of a request's body, whose headers have arrived.
 MakeBody = Callable[["Request"], body_memory.Body]
+# Called with a request whose head has arrived and whose handler will not run.
+OnDropped = Callable[["Request"], None]
 _NO_BODY_STATUSES = frozenset({204, 304})
 
 
@@ -40,6 +42,7 @@
         handler: Handler,
         make_body: MakeBody,
         spawn: Callable[[Coroutine[Any, Any, None]], "asyncio.Task[None]"],
+        on_dropped: OnDropped | None = None,
     ) -> None:
         assert isinstance(connection, tornado.http1connection.HTTP1Connection)
         self._connection = connection
@@ -47,6 +50,8 @@
         self._handler = handler
         self._make_body = make_body
         self._spawn = spawn
+        self._on_dropped = on_dropped
+        self._is_handled = False
         self._arriving: body_memory.Body | None = None
         self._task: asyncio.Task[None] | None = None
         self.method = ""
@@ -96,6 +101,8 @@
         self._connection.set_close_callback(self.on_connection_close)
         reply = Reply(connection=self._connection, server=self._server, method=self.method)
         self._task = self._spawn(self._handle(reply))
+        # A task that is cancelled before its first step never runs.
+        self._task.add_done_callback(lambda task: self._drop())
 
     def on_connection_close(self) -> None:
         """Cancels the handler, because the caller is gone; part of Tornado's delegate interface."""
@@ -105,7 +112,16 @@
         if self._task is not None:
             self._task.cancel()
         else:
-            self._release_body()
+            self._drop()
+
+    def _drop(self) -> None:
+        """Ends a request that no handler has handled."""
+        if self._is_handled:
+            return
+        self._is_handled = True
+        self._release_body()
+        if self._on_dropped is not None:
+            self._on_dropped(self)
 
     def _release_body(self) -> None:
         """Frees the body: reference cycles may keep the request itself for a while."""
@@ -114,6 +130,7 @@
         self.body = b""
 
     async def _handle(self, reply: "Reply") -> None:
+        self._is_handled = True
         try:
             await self._handler(self, reply)
         except BaseException:
--- a/basilpost/gateway/relay.py
+++ b/basilpost/gateway/relay.py
@@ -281,8 +281,13 @@
             handler=self._serve,
             make_body=self._make_body,
             spawn=lambda handling: self._request_tasks.spawn(handling, name="request"),
+            on_dropped=self._record_dropped,
         )
 
+    def _record_dropped(self, request: inbound.Request) -> None:
+        call = self._dialect.parse_request(request.headers)
+        self.recorder.record_dropped(request, call, stop_began_at=self._stop_began_at)
+
     def _make_body(self, request: inbound.Request) -> body_memory.Body:
         return self._admission.make_body(request, self._bodies)
 
--- a/basilpost/gateway/request_recorder.py
+++ b/basilpost/gateway/request_recorder.py
@@ -17,6 +17,7 @@
 
 # Requests that a log line lists at most.
 MAX_LISTED = 200
+_DROPPED = "the connection ended before the whole request had arrived"
 _EXPECTED_ENDS = frozenset({"answered", "streamed", "caller_left"})
 
 
@@ -28,8 +29,8 @@
         call: What the headers of the request say.
         progress: The attempts made for it, None if it was not admitted.
         status: HTTP status sent to the caller, 0 if the caller got no complete answer.
-        outcome: answered, streamed, broken_off, caller_left, cut_by_stop or the code of a refusal;
-            empty until the request has ended.
+        outcome: answered, streamed, broken_off, caller_left, cut_by_stop, incomplete or the code of a
+            refusal; empty until the request has ended.
         reason: Why it was refused or broken off.
         cause: Id of the cause of crashes for which it was refused, empty for none.
     """
@@ -89,10 +90,21 @@
         oldest = itertools.islice(self._open.values(), MAX_LISTED)
         return tuple(summary.call.request_id for summary in oldest)
 
+    def record_dropped(
+        self,
+        request: inbound.Request,
+        call: header_dialect.RequestInfo,
+        *,
+        stop_began_at: float | None,
+    ) -> None:
+        """Records a request whose connection ended before it was handled; it has not run."""
+        summary = RequestSummary(call=call, outcome="incomplete", reason=_DROPPED)
+        self.record(request, None, summary, stop_began_at=stop_began_at)
+
     def record(
         self,
         request: inbound.Request,
-        reply: inbound.Reply,
+        reply: inbound.Reply | None,
         summary: RequestSummary,
         *,
         stop_began_at: float | None,
@@ -101,7 +113,7 @@
 
         Args:
             request: The request.
-            reply: Its answer.
+            reply: Its answer, None if it was not handled.
             summary: How it ended.
             stop_began_at: When the node was asked to stop, on `clock.elapsed`; None if it was not.
         """
@@ -131,8 +143,9 @@
             fields |= _stream_fields(progress)
             if progress.detour_node:
                 fields["detour_node"] = progress.detour_node
-        if reply.aborted or request.caller_left:
-            fields["closed_by"] = "node" if reply.aborted else "caller"
+        is_aborted = reply is not None and reply.aborted
+        if is_aborted or request.caller_left:
+            fields["closed_by"] = "node" if is_aborted else "caller"
         if request.close_error:
             fields["close_error"] = request.close_error
         if summary.cause:
@@ -145,7 +158,7 @@
             outcome=summary.outcome,
             status=summary.status,
             reason=summary.reason,
-            written=reply.written,
+            written=reply is not None and reply.written,
             ms=round(seconds * 1000),
             configuration_age_ms=_age_ms(self._knowledge.configuration_age()),
             vms_age_ms=_age_ms(self._knowledge.vms_age()),
--- a/tests/pool_request_ends_test.py
+++ b/tests/pool_request_ends_test.py
@@ -12,6 +12,7 @@
 from tests import pool_nodes
 
 EVENTS = 6
+CHUNKED = b"Transfer-Encoding: chunked"
 
 
 def request_bytes(attempt, *, length=1, body=b"x", budget_ms=4000):
@@ -88,6 +89,46 @@
     assert ended["written"] is False
 
 
+async def test_a_request_whose_body_does_not_arrive_has_no_line():
+    async with running() as (bench, lines):
+        caller = Caller(bench.addresses[0])
+        caller.socket.sendall(request_bytes("half", length=1000, body=b"x" * 10))
+        await pool_fleet.until(lambda: bench.relays[0].in_flight)
+        caller.leave()
+        ended = await end_of(lines, "half")
+    assert (ended["outcome"], ended["closed_by"]) == ("incomplete", "caller")
+    assert ended["path"] == "/draft/one"
+
+
+async def test_a_request_whose_chunks_are_malformed_has_no_line():
+    async with running() as (bench, lines):
+        caller = Caller(bench.addresses[0])
+        head = request_bytes("odd", body=b"").replace(b"Content-Length: 1", CHUNKED)
+        caller.socket.sendall(head + b"no-number\r\n")
+        ended = await end_of(lines, "odd")
+    assert ended["outcome"] == "incomplete"
+
+
+async def test_a_request_that_is_cancelled_before_its_first_step_has_no_line():
+    async with running() as (bench, lines):
+        relay = bench.relays[0]
+        spawn = relay._request_tasks.spawn
+
+        def spawn_and_cancel(handling, **options):
+            task = spawn(handling, **options)
+            task.cancel()
+            return task
+
+        relay._request_tasks.spawn = spawn_and_cancel
+        caller = Caller(bench.addresses[0])
+        caller.socket.sendall(request_bytes("early"))
+        ended = await end_of(lines, "early")
+        relay._request_tasks.spawn = spawn
+        held = relay._bodies.held
+    assert ended["outcome"] == "incomplete"
+    assert held == 0
+
+
 async def test_the_end_of_a_broken_off_stream_does_not_tell_what_broke_it():
     async with running(cut_streams=1) as (bench, lines):
         with contextlib.suppress(Exception):
