--- a/basilpost/gateway/inbound.py
+++ b/basilpost/gateway/inbound.py
@@ -15,6 +15,8 @@
 Handler = Callable[["Request", "Reply"], Coroutine[Any, Any, None]]
 # Returns the collector of a request's body, whose headers have arrived.
 MakeBody = Callable[["Request"], body_memory.Body]
+# Called with a request whose head has arrived and whose handler will not run.
+OnDropped = Callable[["Request"], None]
 _NO_BODY_STATUSES = frozenset({204, 304})
 
 
@@ -28,6 +30,7 @@
         body: The whole body, empty before it has arrived.
         received_at: When the headers arrived, on `clock.elapsed`.
         caller_left: True once the caller has closed the connection.
+        close_error: The error with which the connection ended, such as a reset; empty for none.
         body_refusal: Why the request is refused for its body, None unless it is.
     """
 
@@ -39,6 +42,7 @@
         handler: Handler,
         make_body: MakeBody,
         spawn: Callable[[Coroutine[Any, Any, None]], "asyncio.Task[None]"],
+        on_dropped: OnDropped | None = None,
     ) -> None:
         assert isinstance(connection, tornado.http1connection.HTTP1Connection)
         self._connection = connection
@@ -46,6 +50,8 @@
         self._handler = handler
         self._make_body = make_body
         self._spawn = spawn
+        self._on_dropped = on_dropped
+        self._is_handled = False
         self._arriving: body_memory.Body | None = None
         self._task: asyncio.Task[None] | None = None
         self.method = ""
@@ -54,6 +60,7 @@
         self.body: bytes | bytearray = b""
         self.received_at = 0.0
         self.caller_left = False
+        self.close_error = ""
         self.body_refusal: failure.Refusal | None = None
 
     @property
@@ -94,14 +101,27 @@
         self._connection.set_close_callback(self.on_connection_close)
         reply = Reply(connection=self._connection, server=self._server, method=self.method)
         self._task = self._spawn(self._handle(reply))
+        # A task that is cancelled before its first step never runs.
+        self._task.add_done_callback(lambda task: self._drop())
 
     def on_connection_close(self) -> None:
         """Cancels the handler, because the caller is gone; part of Tornado's delegate interface."""
         self.caller_left = True
+        error = self._connection.stream.error
+        self.close_error = type(error).__name__ if error is not None else ""
         if self._task is not None:
             self._task.cancel()
         else:
-            self._release_body()
+            self._drop()
+
+    def _drop(self) -> None:
+        """Ends a request that no handler has handled."""
+        if self._is_handled:
+            return
+        self._is_handled = True
+        self._release_body()
+        if self._on_dropped is not None:
+            self._on_dropped(self)
 
     def _release_body(self) -> None:
         """Frees the body: reference cycles may keep the request itself for a while."""
@@ -110,6 +130,7 @@
         self.body = b""
 
     async def _handle(self, reply: "Reply") -> None:
+        self._is_handled = True
         try:
             await self._handler(self, reply)
         except BaseException:
@@ -125,6 +146,8 @@
 
     Attributes:
         started: True once its head was written.
+        aborted: True once the node has closed the connection before the end of the answer.
+        written: True once the whole answer is written to the socket.
         added_headers: Headers that are added to those of the answer.
     """
 
@@ -140,6 +163,9 @@
         self._method = method
         self._announced_close = False
         self.started = False
+        self.aborted = False
+        self.written = False
+        self._ended = False
         self.added_headers: dict[str, str] = {}
 
     def send_whole(
@@ -181,11 +207,13 @@
         Closes the connection if the answer says so.
         """
         await self.wait_written()
+        self.written = self._ended and _has_written_all(self._connection.stream)
         if self._announced_close:
             self._connection.close()
 
     def abort(self) -> None:
         """Closes the connection, so that an incomplete answer is not taken for complete."""
+        self.aborted = self.aborted or not self._connection.stream.closed()
         self._connection.close()
 
     def _write_head(
@@ -207,12 +235,19 @@
             self.abort()
 
     def _finish(self) -> None:
+        self._ended = not self._connection.stream.closed()
         try:
             self._connection.finish()
         except tornado.iostream.StreamClosedError:
             self.abort()
 
 
+def _has_written_all(stream: tornado.iostream.IOStream) -> bool:
+    """Returns True if the socket has taken all bytes that were written to a stream, closed or not."""
+    # Tornado empties its buffer when it closes a stream, and keeps these counts only.
+    return stream._total_write_done_index == stream._total_write_index
+
+
 def _ignore_write_error(writing: "asyncio.Future[None]") -> None:
     """Retrieves the error of a failed write, so that asyncio does not log it as unhandled.
 
--- a/basilpost/gateway/relay.py
+++ b/basilpost/gateway/relay.py
@@ -299,6 +299,7 @@
             handler=self._serve,
             make_body=self._make_body,
             spawn=lambda handling: self._request_tasks.spawn(handling, name="request"),
+            on_dropped=self._record_dropped,
         )
 
     def _connection_limits(self) -> connection_limits.Limits:
@@ -315,6 +316,10 @@
             idle_seconds=limits.idle_seconds if limits.idle_seconds > 0 else default,
         )
 
+    def _record_dropped(self, request: inbound.Request) -> None:
+        call = self._dialect.parse_request(request.headers)
+        self.recorder.record_dropped(request, call, stop_began_at=self._stop_began_at)
+
     def _make_body(self, request: inbound.Request) -> body_memory.Body:
         return self._admission.make_body(request, self._bodies)
 
@@ -325,10 +330,10 @@
             await reply.wait_sent()
         except asyncio.CancelledError:
             outcome = "caller_left" if request.caller_left else "cut_by_stop"
-            summary = dataclasses.replace(summary, outcome=outcome)
+            summary = dataclasses.replace(self.recorder.known(request), outcome=outcome)
             raise
         finally:
-            self.recorder.record(request, summary, stop_began_at=self._stop_began_at)
+            self.recorder.record(request, reply, summary, stop_began_at=self._stop_began_at)
 
     async def _answer(
         self,
@@ -347,6 +352,7 @@
             ),
         )
         summary = dataclasses.replace(summary, progress=progress)
+        self.recorder.update(request, summary)
         running = self._durations.begin(admitted.route.name, began_at=request.received_at)
         result: object = None
         try:
