--- a/basilpost/core/log_events.py
+++ b/basilpost/core/log_events.py
@@ -202,10 +202,15 @@
         fields=("target", "requests"),
     ),
     "stream_moved": Event(
-        meaning="a stream is resumed on another target because its target sends nothing, or because its "
-        "group is closed as planned; then `to` is the next target",
+        meaning="a stream is resumed on another target because its target sends nothing, or goes on at "
+        "another one, `to`, because its group is closed as planned",
         fields=(*_REQUEST_FIELDS, "to"),
     ),
+    "stream_kept": Event(
+        meaning="a stream stays at a target whose group is closed as planned, because the next one, `to`, "
+        "has not taken it",
+        fields=(*_REQUEST_FIELDS, "to", "result", "reason"),
+    ),
     "request_ended": Event(
         meaning="the caller has its answer, has left, or its connection was closed",
         fields=_REQUEST_ENDED_FIELDS,
--- a/basilpost/core/log_events_test.py
+++ b/basilpost/core/log_events_test.py
@@ -21,6 +21,7 @@
             "gateway/detours.py",
             "gateway/loss_probe.py",
             "gateway/planned_moves.py",
+            "gateway/handovers.py",
             "gateway/detour_service.py",
             "gateway/relay.py",
             "gateway/silent_targets.py",
--- a/basilpost/emulator/pool_runner.py
+++ b/basilpost/emulator/pool_runner.py
@@ -52,6 +52,7 @@
             `event_seconds` and this.
         slowest_work_seconds: If set, the same for requests to a plain service.
         full: True to reject requests with 503 before running them.
+        max_running: Number of streams beyond which it rejects requests alike, 0 for no bound.
         fail: True to run requests and answer them with a signed 500.
         lose_answers: Number of coming requests that run but whose connection is closed unanswered.
         stray_answers: Number of coming requests to a plain service on whose connection an answer to
@@ -68,6 +69,7 @@
         late_order_seconds: Range of the time by which these are late.
         cut_streams: Number of coming streams that are cut off in the middle of an event.
         cut_after_events: Whole events that such a stream sends first.
+        names_runs: True to name in each event the runner, and the event after which the run began.
         stalled: True to send no events, as a group does that lost a member.
         silent: True to neither answer nor send anything until it is False again.
         endless: Part of the answer whose bytes never end, empty for none; a key of `_ENDLESS`.
@@ -93,6 +95,7 @@
     slowest_event_seconds: float = 0.0
     slowest_work_seconds: float = 0.0
     full: bool = False
+    max_running: int = 0
     fail: bool = False
     lose_answers: int = 0
     stray_answers: int = 0
@@ -106,6 +109,7 @@
     late_order_seconds: tuple[float, float] = (2.0, 12.0)
     cut_streams: int = 0
     cut_after_events: int = 2
+    names_runs: bool = False
     stalled: bool = False
     silent: bool = False
     endless: str = ""
@@ -594,7 +598,7 @@
             self._log_arrival(ran=False)
             self._reject(421)
             return
-        if self._options.full:
+        if self._options.full or 0 < self._options.max_running <= len(self.owner._working):
             self.owner.rejections.append(clock.elapsed())
             self._log_arrival(ran=False)
             self._reject(503)
@@ -785,7 +789,10 @@
 
     def _event(self, number: int) -> bytes:
         attempt = self.request.headers.get(_ATTEMPT)
-        return f"id: {number}\ndata: {attempt} {number}\n\n".encode()
+        run = ""
+        if self._options.names_runs:
+            run = f" {self.owner.vm_id} {self.request.headers.get('Last-Event-Id') or 0}"
+        return f"id: {number}\ndata: {attempt} {number}{run}\n\n".encode()
 
     def _prepare_copy(self, plan: second_answers.StreamCopies) -> None:
         """Has a copy of the whole stream written behind it."""
--- a/basilpost/gateway/answer_sinks.py
+++ b/basilpost/gateway/answer_sinks.py
@@ -5,6 +5,7 @@
 """
 
 import abc
+import asyncio
 from collections.abc import Awaitable
 
 from basilpost.core import channels, clock
@@ -27,6 +28,8 @@
 MAX_HELD_BYTES = 48 * 1024 * 1024
 # Bytes of a stream that wait for its caller.
 MAX_UNSENT_BYTES = 1024 * 1024
+# Bytes of events that are held back; beyond them no more is read.
+MAX_HELD_BACK_BYTES = 64 * 1024
 
 
 class AnswerSink(abc.ABC):
@@ -40,6 +43,14 @@
         """Returns why the answer was given up for its size, empty if it was not."""
         return ""
 
+    @property
+    def last_event(self) -> str:
+        """Returns the id of the event after which a target is to go on, empty for the whole answer.
+
+        It is read after `on_connected`.
+        """
+        return ""
+
     @abc.abstractmethod
     def restart(self) -> None:
         """Discards what was not forwarded yet, before the request is sent to another target."""
@@ -157,6 +168,7 @@
         is_stream: True if the current target's answer is a stream.
         has_gap: True if the current target skipped an event.
         abandoned: True if this node closed the connection to the current target to move the stream.
+            What still comes from there is ignored.
         event_count: Number of events forwarded.
         first_event_at: When the first event of the stream came, whichever target sent it; None before.
         writing_since: When the current target sent its first event, on `clock.elapsed`; None before.
@@ -183,6 +195,9 @@
         self._unsent_bytes = 0
         self._waits_for_caller = False
         self._looks_while_waiting = 0
+        # Set when events are no longer held back; None while they are forwarded.
+        self._released: asyncio.Event | None = None
+        self._held_back_bytes = self._held_back_pieces = 0
         self.first_event_at: float | None = None
         self.writing_since: float | None = None
         self._reply = reply
@@ -194,22 +209,71 @@
         """Returns True if the stream has no gap and no incomplete event at its end."""
         return not self.has_gap and self.stream.at_boundary
 
+    @property
+    def last_event(self) -> str:
+        """Returns the id of the last event that the caller has."""
+        return self.stream.last_id
+
     def restart(self) -> None:
         """Prepares for another target, which resumes the stream after the last complete event."""
         super().restart()
+        self._end_hold()
         self.stream.restart()
         self.is_stream = self.has_gap = self.abandoned = False
         self.writing_since = None
 
-    def on_head(self, head: channels.Head) -> None:
-        """Decides whether the answer is a stream: its status is 200 and it is signed.
+    def hold(self) -> None:
+        """Holds the events back that come from now on, until `release` or `restart`.
+
+        While another target is asked to go on after the last event, the caller must not get further ones.
+        """
+        if self._released is None:
+            self._released = asyncio.Event()
+
+    def release(self) -> None:
+        """Forwards the events that were held back, and those that come from now on."""
+        if self._released is None:
+            return
+        held_back = b""
+        if self.is_stream:
+            held_back = self.body
+            self.discard()
+        self._end_hold()
+        if held_back:
+            self._forward(held_back)
+
+    def abandon(self) -> None:
+        """Closes the connection to the current target, because the stream goes on at another one."""
+        self.abandoned = True
+        self._end_hold()
+        self.close_channel()
+
+    def _end_hold(self) -> None:
+        if self._released is not None:
+            self._released.set()
+        self._released = None
+        self._held_back_bytes = 0
+
+    def _hold_back(self, chunk: bytes, released: asyncio.Event) -> Awaitable[None] | None:
+        super().on_chunk(chunk)
+        self._held_back_pieces += 1
+        self._held_back_bytes += len(chunk)
+        return wait_for(released) if self._held_back_bytes > MAX_HELD_BACK_BYTES else None
+
+    def accepts(self, head: channels.Head) -> bool:
+        """Returns True if an answer is a stream: its status is 200 and it is signed.
 
         One that resumes a stream has to have the type of its beginning too.
         """
         response = self._dialect.parse_response(head.status, head.headers)
-        self.is_stream = head.status == _OK and response.signed
+        is_stream = head.status == _OK and response.signed
         if self._reply.started and self._head is not None:
-            self.is_stream = self.is_stream and _media_type(head) == _media_type(self._head)
+            is_stream = is_stream and _media_type(head) == _media_type(self._head)
+        return is_stream
+
+    def on_head(self, head: channels.Head) -> None:
+        """Decides whether the answer is a stream."""
+        self.is_stream = self.accepts(head)
         if self.is_stream and self._head is None:
             self._head = head
 
@@ -220,16 +284,25 @@
         """
         if not self.is_stream:
             return super().on_chunk(chunk)
-        if self._excess:
+        if self._excess or self.abandoned:
             return None
+        if self._released is not None:
+            return self._hold_back(chunk, self._released)
+        self._forward(chunk)
+        if self._unsent_bytes > MAX_UNSENT_BYTES and not self._excess and not self.has_gap:
+            self._unsent_bytes = 0
+            return self._wait_for_caller()
+        return None
+
+    def _forward(self, chunk: bytes) -> None:
         self._stream_bytes += len(chunk)
         self._stream_pieces += 1
         if self._stream_pieces > self._max_events * PIECES_PER_EVENT:
             self.give_up(f"the stream comes in more than {self._stream_pieces - 1} pieces")
-            return None
+            return
         if self._stream_bytes > MAX_STREAM_BYTES:
             self.give_up(f"the stream is longer than {MAX_STREAM_BYTES} bytes")
-            return None
+            return
         new_events = self.stream.feed(chunk)
         if new_events.count:
             if self.writing_since is None:
@@ -247,10 +320,6 @@
             self.give_up(f"an event is longer than {MAX_EVENT_BYTES} bytes")
         elif new_events.too_many:
             self.give_up(f"the stream has more than {self._max_events} events")
-        elif self._unsent_bytes > MAX_UNSENT_BYTES:
-            self._unsent_bytes = 0
-            return self._wait_for_caller()
-        return None
 
     def end(self) -> None:
         """Ends the caller's answer as complete."""
@@ -264,7 +333,7 @@
         While the caller has to catch up nothing is read, which says nothing about the target.
         """
         self._looks_while_waiting += self._waits_for_caller
-        return self.event_count + self._looks_while_waiting
+        return self.event_count + self._held_back_pieces + self._looks_while_waiting
 
     async def _wait_for_caller(self) -> None:
         self._waits_for_caller = True
@@ -290,6 +359,11 @@
     return str(media_type).strip().lower()
 
 
+async def wait_for(event: asyncio.Event) -> None:
+    """Waits until an event is set, as what `AnswerSink.on_chunk` returns."""
+    await event.wait()
+
+
 def max_events_of(max_answer_tokens: int) -> int:
     """Returns the most events of a stream; `max_answer_tokens` is 0 if its request names no bound."""
     if not max_answer_tokens:
--- a/basilpost/gateway/attempts.py
+++ b/basilpost/gateway/attempts.py
@@ -6,7 +6,6 @@
 from basilpost.core import catalog, channels, failure
 from basilpost.gateway import request_admission
 from basilpost.routing import crash_evidence
-from basilpost.routing import targets as targets_
 
 # Longest body of a failure that a node holds while another target is tried.
 MAX_KEPT_FAILURE_BYTES = 65_536
@@ -85,8 +84,7 @@
         sent_at: When it was sent last, on `clock.elapsed`.
         first_event_at: When the first event of its stream came, None before.
         resumed: True if its last target was asked for the rest of a stream only.
-        reserved_target: Target at which this node has counted the request before sending it there, None
-            if there is none.
+        declined_targets: Ids of the targets that did not take its stream over, and have not run it.
         may_move: True if another node, for which this one sends it, resumes it when it is broken off.
         failed_answer: The latest answer of a target with a status of 500 or above after which the request
             was sent once more, None without one or if it is large.
@@ -109,7 +107,7 @@
     sent_at: float = 0.0
     first_event_at: float | None = None
     resumed: bool = False
-    reserved_target: targets_.Target | None = None
+    declined_targets: set[str] = dataclasses.field(default_factory=set)
     may_move: bool = False
     failed_answer: WholeAnswer | None = None
     denials: set[tuple[str, int]] = dataclasses.field(default_factory=set)
@@ -141,6 +139,44 @@
         self.failed_answer = answer if len(answer.body) <= MAX_KEPT_FAILURE_BYTES else None
 
 
+class Branch:
+    """An attempt beside another one of the same request, each with a record of its own.
+
+    Attributes:
+        progress: The record of this attempt.
+    """
+
+    def __init__(self, trunk: Progress) -> None:
+        self.progress = dataclasses.replace(
+            trunk,
+            tried_targets=set(trunk.tried_targets),
+            unreached_targets=set(trunk.unreached_targets),
+        )
+        self._trunk = trunk
+        self._sends, self._rejections = trunk.sends, trunk.rejections
+
+    def count_sends(self) -> None:
+        """Counts what this attempt has sent since the last call as sent by the request."""
+        self._trunk.sends += self.progress.sends - self._sends
+        self._sends = self.progress.sends
+
+    def count(self) -> None:
+        """Counts sends and rejections of this attempt since the last call as those of the request."""
+        self.count_sends()
+        self._trunk.rejections += self.progress.rejections - self._rejections
+        self._rejections = self.progress.rejections
+
+    def replace_trunk(self) -> None:
+        """Makes this attempt the last one of the request; the other one has ended."""
+        self.count()
+        trunk, branch = self._trunk, self.progress
+        trunk.target, trunk.address, trunk.lifetime = branch.target, branch.address, branch.lifetime
+        trunk.detour_node = branch.detour_node
+        trunk.sent_at, trunk.predicted_seconds = branch.sent_at, branch.predicted_seconds
+        trunk.tried_targets = branch.tried_targets
+        trunk.unreached_targets = branch.unreached_targets
+
+
 def deadline_refusal(progress: Progress) -> failure.Refusal:
     """Returns the refusal of a request past its deadline: 503 if it cannot have run, else 504."""
     if not progress.sends:
--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -19,6 +19,7 @@
     attempts,
     detour_headers,
     detours,
+    handovers,
     inbound,
     load_control,
     loss_probe,
@@ -118,10 +119,13 @@
             log=log,
         )
         self._targets = targets
+        self._handovers = handovers.Handovers(
+            loads=loads, memory=self._answer_memory, on_lost=self._report_loss, log=log
+        )
         self.planned_moves = planned_moves.PlannedMoves(
             closing=targets.closing,
             choose=self._chooser.choose_with_free_slot,
-            loads=loads,
+            node_handovers=self._handovers,
             log=log,
         )
         self.loss_probe = loss_probe.LossProbe(
@@ -178,7 +182,7 @@
             if isinstance(way, failure.Refusal):
                 return attempts.final_result(progress, way)
             sink.restart()
-            result = await self._send(progress, request, way, last_event="", sink=sink)
+            result = await self._send(progress, request, way, sink)
             if isinstance(result, failure.Refusal):
                 return attempts.final_result(progress, result)
             if isinstance(result, channels.Head):
@@ -212,7 +216,7 @@
         finally:
             progress.first_event_at = sink.first_event_at
             sink.discard()
-            self.planned_moves.take_reserved(progress)
+            self._handovers.cancel(progress)
         if reply.started and not isinstance(result, attempts.Streamed):
             reply.abort()
             reason = result.reason if isinstance(result, failure.Refusal) else "no more events"
@@ -292,23 +296,34 @@
             # If nothing passes on this node's links, another target of its own would be silent as well.
             if sink.abandoned or self._reachability.is_in_doubt(service):
                 return
+            if self._handovers.find(progress) is not None:
+                return
             if not self._has_alternative(progress) or not may_move():
                 return
             self._log.info("stream_moved", request=progress.admitted.call.request_id, target=source)
-            sink.abandoned = True
-            sink.close_channel()
+            sink.abandon()
 
-        sink.restart()
-        progress.resumed = bool(sink.stream.last_id)
+        handover = self._handovers.take(progress)
+        if handover is None:
+            sink.restart()
+        progress.resumed = bool(sink.last_event)
         watch = self.stall_detector.watch(source, move_stream, lambda: sink.activity)
-        planned = self.planned_moves.watch(source, progress, sink, spend_retry)
+        planned = self.planned_moves.watch(
+            source,
+            progress,
+            sink,
+            send=lambda branch, target, into: self.sender.send(branch, request, target, sink=into),
+            spend_retry=spend_retry,
+        )
         try:
-            result = await self._send(
-                progress, request, way, last_event=sink.stream.last_id, sink=sink
-            )
+            if handover is None:
+                result = await self._send(progress, request, way, sink)
+            else:
+                result = await handover.join()
         finally:
             self.stall_detector.unwatch(watch)
             self.planned_moves.unwatch(planned)
+        self._handovers.settle(progress, sink, result)
         if sink.writing_since is not None and progress.predicted_seconds:
             self.sender.first_events.record(
                 progress.admitted.call.model,
@@ -329,9 +344,9 @@
         self, progress: attempts.Progress
     ) -> targets_.Target | detours.Detour | failure.Refusal:
         """Returns the target of a request, or the node that sends it while this one has no path."""
-        reserved = self.planned_moves.take_reserved(progress)
-        if reserved is not None:
-            return reserved
+        handover = self._handovers.find(progress)
+        if handover is not None:
+            return handover.target
         service = progress.admitted.service.name
         if not progress.repeatable:
             # Sent on a link on which nothing passes, it could not be sent by another node any more.
@@ -423,7 +438,7 @@
                 )
             else:
                 sink.restart()
-                result = await self._send(progress, request, target, last_event="", sink=sink)
+                result = await self._send(progress, request, target, sink)
             if isinstance(result, failure.Refusal):
                 return result
             if isinstance(result, attempts.NotSent):
@@ -445,16 +460,14 @@
         progress: attempts.Progress,
         request: inbound.Request,
         way: targets_.Target | detours.Detour,
-        *,
-        last_event: str,
         sink: answer_sinks.AnswerSink,
     ) -> channels.Head | attempts.NotSent | attempts.NotRun | attempts.Lost | failure.Refusal:
         """Sends a request to a target, or by way of a node, and reads the answer into the sink."""
         if isinstance(way, detours.Detour):
             return await self._detours.send(
-                progress, request, way, last_event=last_event, sink=sink
+                progress, request, way, last_event=sink.last_event, sink=sink
             )
-        return await self.sender.send(progress, request, way, last_event=last_event, sink=sink)
+        return await self.sender.send(progress, request, way, sink=sink)
 
     def _spend_retry(self, progress: attempts.Progress, cause: retry_budgets.RetryCause) -> bool:
         """Spends a retry and returns True if the request may run once more."""
@@ -465,6 +478,10 @@
 
         The answer is kept, in case that no other target gives one.
         """
+        if self._handovers.find(progress) is not None:
+            # Its retry was spent when it began.
+            progress.keep_failed_answer(answer)
+            return True
         denial = retry_budgets.Denial.NONE
         if progress.has_attempts_left and not self._may_have_alternative(progress):
             denial = retry_budgets.Denial.NO_TARGET
@@ -481,6 +498,9 @@
         return isinstance(choice, failure.Refusal) and choice.code == "busy"
 
     def _spend_retry_of_silent(self, progress: attempts.Progress) -> bool:
+        # A stream that is handed over goes on at its present target.
+        if self._handovers.is_branch(progress):
+            return True
         return self._spend_retry(progress, retry_budgets.RetryCause.SILENT)
 
     def _spend_planned_retry(self, progress: attempts.Progress) -> bool:
@@ -505,7 +525,8 @@
     def _report_loss(self, progress: attempts.Progress, result: attempts.Lost) -> None:
         """Has the target of a lost request watched; another node does so for one that it has sent."""
         # A head that has ended as planned after a stream has moved away is no crash.
-        if not result.by_detour and progress.reserved_target is None:
+        has_moved = result.abandoned and self._handovers.find(progress) is not None
+        if not result.by_detour and not has_moved:
             # After an unattributed answer this node closed the connection; the target lives.
             self._watch_target(progress, cancelled=result.abandoned or result.unattributed)
 
@@ -573,6 +594,9 @@
         cause, denial = retry_budgets.RetryCause.LOST, retry_budgets.Denial.NONE
         if isinstance(result, attempts.NotSent):
             return True
+        if self._handovers.find(progress) is not None:
+            # Its retry was spent when it began.
+            return True
         if isinstance(result, attempts.NotRun):
             cause = retry_budgets.RetryCause.REJECTED
             if progress.rejections >= MAX_REJECTIONS:
--- /dev/null
+++ b/basilpost/gateway/handovers.py
@@ -0,0 +1,329 @@
+"""Hands streams over to other targets without a loss if these do not take them.
+
+The next target is asked to go on after the last event that the caller has. From then on what comes from
+the present one is held back, as the two runs of the request need not agree: the caller gets either the next
+target's events after that one, or those held back. The connection to the present target is closed once
+the next one has sent its first event. If it rejects or fails the stream, or sends no event in time, the
+stream stays where it is, with all its events. If the present target breaks off meanwhile, the next one is
+used at once.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from basilpost.core import channels
+from basilpost.gateway import answer_sinks, attempts, sse
+from basilpost.members import loads as loads_
+from basilpost.routing import targets as targets_
+
+# Time in which the next target has to send its first event. Callers leave after 2 s without any.
+TAKE_SECONDS = 1.0
+
+Result = channels.Head | attempts.NotSent | attempts.NotRun | attempts.Lost
+# Sends a request to a target and reads the answer into a sink.
+Send = Callable[[attempts.Progress, targets_.Target, answer_sinks.AnswerSink], Awaitable[Result]]
+
+
+class NextSink(answer_sinks.Collector):
+    """Receives the answer of the next target; once that is used, it goes to the sink of the stream.
+
+    Attributes:
+        has_taken: True once an event has arrived with which the stream can go on.
+    """
+
+    def __init__(
+        self,
+        *,
+        stream_sink: answer_sinks.StreamSink,
+        memory: answer_sinks.AnswerMemory,
+        on_taken: Callable[[], None],
+    ) -> None:
+        super().__init__(memory=memory)
+        self.has_taken = False
+        self._stream_sink = stream_sink
+        self._on_taken = on_taken
+        self._rest: sse.ResumableStream | None = None
+        self._head: channels.Head | None = None
+        self._is_stream = False
+        self._used = asyncio.Event()
+
+    @property
+    def excess(self) -> str:
+        """Returns why the answer was given up, empty if it was not."""
+        return super().excess or (self._stream_sink.excess if self._used.is_set() else "")
+
+    @property
+    def last_event(self) -> str:
+        """Returns the id of the last event that the caller has."""
+        return self._stream_sink.last_event
+
+    def on_connected(self, channel: channels.Channel) -> None:
+        """Has the present target's events held back, as the request is sent next."""
+        super().on_connected(channel)
+        if self._used.is_set():
+            self._stream_sink.on_connected(channel)
+            return
+        self._stream_sink.hold()
+        self._rest = self._stream_sink.stream.fork()
+
+    def on_head(self, head: channels.Head) -> None:
+        """Decides whether the answer goes on with the stream."""
+        if self._used.is_set():
+            self._stream_sink.on_head(head)
+            return
+        self._head = head
+        self._is_stream = self._stream_sink.accepts(head)
+
+    def on_chunk(self, chunk: bytes) -> Awaitable[None] | None:
+        """Collects the answer up to its first event, and reads on when that is used."""
+        if self._used.is_set():
+            return self._stream_sink.on_chunk(chunk)
+        super().on_chunk(chunk)
+        if not self._is_stream or self.excess:
+            return None
+        assert self._rest is not None
+        new_events = self._rest.feed(chunk)
+        if new_events.has_gap or new_events.too_many:
+            self.give_up(f"it does not go on after event {self.last_event or '0'}")
+        elif self._rest.pending_bytes > answer_sinks.MAX_EVENT_BYTES:
+            self.give_up(f"an event is longer than {answer_sinks.MAX_EVENT_BYTES} bytes")
+        elif new_events.count:
+            self.has_taken = True
+            self._on_taken()
+            return answer_sinks.wait_for(self._used)
+        return None
+
+    async def use(self) -> None:
+        """Passes the answer on to the sink of the stream, which reads from no other target any more."""
+        body = self.body
+        self.discard()
+        self._used.set()
+        self._stream_sink.restart()
+        if self.channel is not None:
+            self._stream_sink.on_connected(self.channel)
+        if self._head is not None:
+            self._stream_sink.on_head(self._head)
+        waiting = self._stream_sink.on_chunk(body) if body else None
+        if waiting is not None:
+            await waiting
+
+
+class Handover:
+    """An attempt to have a stream go on at another target.
+
+    Attributes:
+        target: The next target.
+        branch: The record of the attempt.
+        is_used: True once the request depends on this attempt.
+    """
+
+    def __init__(
+        self,
+        *,
+        trunk: attempts.Progress,
+        target: targets_.Target,
+        stream_sink: answer_sinks.StreamSink,
+        memory: answer_sinks.AnswerMemory,
+        loads: loads_.Loads,
+        send: Send,
+        on_taken: Callable[["Handover"], None],
+        on_declined: Callable[["Handover", Result], None],
+    ) -> None:
+        self.target = target
+        self.branch = attempts.Branch(trunk)
+        self.branch.progress.resumed = bool(stream_sink.last_event)
+        self.is_used = False
+        self._loads = loads
+        self._send = send
+        self._on_declined = on_declined
+        self._sink = NextSink(
+            stream_sink=stream_sink, memory=memory, on_taken=lambda: on_taken(self)
+        )
+        self._limit: asyncio.Timeout | None = None
+        # Counted at once, so that other streams do not count on the same free slot.
+        self._is_reserved = True
+        loads.request_started(target.target_id)
+        self._task = asyncio.get_running_loop().create_task(self._run(), name="handover")
+
+    @property
+    def has_taken(self) -> bool:
+        """Returns True if the next target has sent an event with which the stream goes on."""
+        return self._sink.has_taken
+
+    def use(self) -> None:
+        """Makes the request depend on this attempt; `join` has to follow."""
+        self.is_used = True
+        self.end_limit()
+
+    def end_limit(self) -> None:
+        """Lets the attempt take as long as its request may."""
+        if self._limit is not None and not self._limit.expired():
+            self._limit.reschedule(None)
+
+    def cancel(self) -> None:
+        """Ends the attempt, because the stream has ended or its caller has left."""
+        self._task.cancel()
+        self._end_reservation()
+        self._sink.discard()
+        self.branch.count()
+
+    async def join(self) -> Result:
+        """Passes the answer on to the caller; returns the result when it ends."""
+        self.branch.replace_trunk()
+        try:
+            await self._sink.use()
+            return await self._task
+        finally:
+            self._task.cancel()
+            self._sink.discard()
+            self.branch.count()
+
+    async def _run(self) -> Result:
+        self._end_reservation()
+        result: Result
+        try:
+            async with asyncio.timeout(None if self.is_used else TAKE_SECONDS) as self._limit:
+                result = await self._send(self.branch.progress, self.target, self._sink)
+        except TimeoutError:
+            result = attempts.Lost(reason=f"no event within {TAKE_SECONDS} s", abandoned=True)
+        if not self.is_used and not self.has_taken:
+            self._sink.discard()
+            # Rejections of a stream that goes on do not bring it nearer to its refusal.
+            self.branch.count_sends()
+            self._on_declined(self, result)
+        return result
+
+    def _end_reservation(self) -> None:
+        if self._is_reserved:
+            self._is_reserved = False
+            self._loads.request_ended(self.target.target_id)
+
+
+class Handovers:
+    """The handovers of one node that are under way, one for each request at most."""
+
+    def __init__(
+        self,
+        *,
+        loads: loads_.Loads,
+        memory: answer_sinks.AnswerMemory,
+        on_lost: Callable[[attempts.Progress, attempts.Lost], None],
+        log: Any,
+    ) -> None:
+        """Takes the node's services.
+
+        Args:
+            loads: Counts the requests in flight.
+            memory: Counts the bytes of answers.
+            on_lost: Called with the record of an attempt whose target has lost the request.
+            log: The node's log.
+        """
+        self._loads = loads
+        self._memory = memory
+        self._on_lost = on_lost
+        self._log = log
+        self._handovers_by_trunk: dict[attempts.Progress, Handover] = {}
+
+    def find(self, progress: attempts.Progress) -> Handover | None:
+        """Returns the handover of a request that is under way, None without one."""
+        return self._handovers_by_trunk.get(progress)
+
+    def is_branch(self, progress: attempts.Progress) -> bool:
+        """Returns True if a record is that of a handover, without which the stream can go on."""
+        return any(
+            handover.branch.progress is progress and not handover.is_used
+            for handover in self._handovers_by_trunk.values()
+        )
+
+    def start(
+        self,
+        progress: attempts.Progress,
+        sink: answer_sinks.StreamSink,
+        target: targets_.Target,
+        send: Send,
+    ) -> None:
+        """Asks another target to go on with a stream.
+
+        Args:
+            progress: The attempts of the request.
+            sink: Receives the events of the present target.
+            target: The next target.
+            send: Sends the request.
+        """
+
+        def switch(handover: Handover) -> None:
+            handover.end_limit()
+            self._log.info(
+                "stream_moved",
+                request=progress.admitted.call.request_id,
+                target=progress.target,
+                to=target.target_id,
+            )
+            sink.abandon()
+
+        def keep(handover: Handover, result: Result) -> None:
+            if self._handovers_by_trunk.get(progress) is not handover:
+                return
+            del self._handovers_by_trunk[progress]
+            self._record_declined(progress, handover, result)
+            sink.release()
+
+        self._handovers_by_trunk[progress] = Handover(
+            trunk=progress,
+            target=target,
+            stream_sink=sink,
+            memory=self._memory,
+            loads=self._loads,
+            send=send,
+            on_taken=switch,
+            on_declined=keep,
+        )
+
+    def settle(
+        self, progress: attempts.Progress, sink: answer_sinks.StreamSink, result: object
+    ) -> None:
+        """Decides about a handover whose stream has ended at its present target.
+
+        The handover is of no use any more if the answer is complete. Otherwise it is the next attempt.
+        """
+        handover = self.find(progress)
+        if handover is None:
+            return
+        is_answered = isinstance(result, channels.Head) and (sink.is_stream or result.status < 500)
+        if is_answered and not handover.has_taken:
+            self.cancel(progress)
+            sink.release()
+        else:
+            handover.use()
+
+    def take(self, progress: attempts.Progress) -> Handover | None:
+        """Returns the handover that is the next attempt of a request, which has to await `join`."""
+        return self._handovers_by_trunk.pop(progress, None)
+
+    def cancel(self, progress: attempts.Progress) -> None:
+        """Ends the handover of a request, if there is one."""
+        handover = self.take(progress)
+        if handover is not None:
+            handover.cancel()
+
+    def _record_declined(
+        self, progress: attempts.Progress, handover: Handover, result: Result
+    ) -> None:
+        target_id = handover.target.target_id
+        if isinstance(result, attempts.NotRun | attempts.NotSent):
+            progress.declined_targets.add(target_id)
+        else:
+            progress.tried_targets.add(target_id)
+        self._log.info(
+            "stream_kept",
+            request=progress.admitted.call.request_id,
+            target=progress.target,
+            to=target_id,
+            result=type(result).__name__,
+            reason=(
+                f"status {result.status}" if isinstance(result, channels.Head) else result.reason
+            ),
+        )
+        if isinstance(result, attempts.Lost):
+            self._on_lost(handover.branch.progress, result)
--- a/basilpost/gateway/planned_moves.py
+++ b/basilpost/gateway/planned_moves.py
@@ -2,8 +2,7 @@
 
 The head of such a group finishes the requests that it has, and the group cannot be replaced before.
 So each node moves those of its streams that may be resumed and that another group has room for. All
-others end at the old head. A stream is counted at its next target before its connection is closed, so
-that several streams do not count on the same free slot.
+others end at the old head, also those that no other group takes when they are handed over.
 """
 
 import asyncio
@@ -11,13 +10,14 @@
 from collections.abc import Callable
 from typing import Any
 
-from basilpost.gateway import answer_sinks, attempts
-from basilpost.members import loads as loads_
+from basilpost.gateway import answer_sinks, attempts, handovers
 from basilpost.routing import targets as targets_
 
 # Interval between two moves from the same group. The nodes tell each other of their requests in flight
 # each 0.15 s; in that time each of them moves a few streams at most.
 MOVE_SECONDS = 0.05
+# A stream that so many groups have rejected stays where it is.
+MAX_DECLINES = 3
 
 
 @dataclasses.dataclass(kw_only=True, eq=False)
@@ -28,6 +28,7 @@
         target_id: Id of the target.
         progress: The attempts of the request.
         sink: Receives the events.
+        send: Sends the request to another target.
         spend_retry: Spends a retry and returns True if the stream may move; None for a stream that
             this node sends for another one, which alone knows the retries that are left.
     """
@@ -35,6 +36,7 @@
     target_id: str
     progress: attempts.Progress
     sink: answer_sinks.StreamSink
+    send: handovers.Send
     spend_retry: Callable[[], bool] | None
 
 
@@ -44,7 +46,8 @@
     Args:
         closing: Returns the ids of the groups that are closed because a member leaves.
         choose: Returns a target with a free slot for a request that was not tried for it, or None.
-        loads: Counts the requests in flight.
+        node_handovers: Hands the streams over.
+        log: The node's log.
     """
 
     def __init__(
@@ -52,12 +55,12 @@
         *,
         closing: Callable[[], frozenset[str]],
         choose: Callable[[attempts.Progress], targets_.Target | None],
-        loads: loads_.Loads,
+        node_handovers: handovers.Handovers,
         log: Any,
     ) -> None:
         self._closing = closing
         self._choose = choose
-        self._loads = loads
+        self._handovers = node_handovers
         self._log = log
         self._watches_by_target: dict[str, set[WatchedStream]] = {}
         self._logged: frozenset[str] = frozenset()
@@ -67,11 +70,13 @@
         target_id: str,
         progress: attempts.Progress,
         sink: answer_sinks.StreamSink,
+        *,
+        send: handovers.Send,
         spend_retry: Callable[[], bool] | None,
     ) -> WatchedStream:
         """Starts following a stream that is about to be sent to a target."""
         watch = WatchedStream(
-            target_id=target_id, progress=progress, sink=sink, spend_retry=spend_retry
+            target_id=target_id, progress=progress, sink=sink, send=send, spend_retry=spend_retry
         )
         self._watches_by_target.setdefault(target_id, set()).add(watch)
         return watch
@@ -83,13 +88,6 @@
         if not watches:
             self._watches_by_target.pop(watch.target_id, None)
 
-    def take_reserved(self, progress: attempts.Progress) -> targets_.Target | None:
-        """Returns the target to which a stream moves, and ends the reservation there."""
-        target, progress.reserved_target = progress.reserved_target, None
-        if target is not None:
-            self._loads.request_ended(target.target_id)
-        return target
-
     async def run(self) -> None:
         """Moves streams periodically until cancelled."""
         while True:
@@ -111,23 +109,25 @@
         self._log.info("target_closing", target=target_id, requests=requests)
 
     def _move(self, watch: WatchedStream) -> bool:
-        """Reserves a place at another target and closes the connection, if the stream may move."""
+        """Begins to hand a stream over to another target, if it may move and one has room for it."""
         progress, sink = watch.progress, watch.sink
         if watch.spend_retry is None or sink.channel is None or sink.abandoned:
             return False
-        if not progress.has_attempts_left:
+        if self._handovers.find(progress) is not None or not sink.stream.may_resume:
+            return False
+        if not progress.has_attempts_left or len(progress.declined_targets) >= MAX_DECLINES:
             return False
-        target = self._choose(progress)
+        target = self._choose(_without_declined(progress))
         if target is None or not watch.spend_retry():
             return False
-        self._loads.request_started(target.target_id)
-        progress.reserved_target = target
-        sink.abandoned = True
-        sink.close_channel()
-        self._log.info(
-            "stream_moved",
-            request=progress.admitted.call.request_id,
-            target=watch.target_id,
-            to=target.target_id,
-        )
+        self._handovers.start(progress, sink, target, watch.send)
         return True
+
+
+def _without_declined(progress: attempts.Progress) -> attempts.Progress:
+    """Returns a record of a request by which no target is chosen that has not taken its stream."""
+    if not progress.declined_targets:
+        return progress
+    return dataclasses.replace(
+        progress, tried_targets=progress.tried_targets | progress.declined_targets
+    )
--- a/basilpost/gateway/sse.py
+++ b/basilpost/gateway/sse.py
@@ -50,6 +50,11 @@
         # Up to here the rest holds no separator.
         self._searched = 0
 
+    @property
+    def may_resume(self) -> bool:
+        """Returns True if another target can be told where to go on."""
+        return bool(self.last_id) or not self._has_forwarded
+
     @property
     def at_boundary(self) -> bool:
         """Returns True if no incomplete event is buffered."""
@@ -66,6 +71,12 @@
         self._searched = self._events_of_target = 0
         self._is_resuming = self._has_forwarded
 
+    def fork(self) -> "ResumableStream":
+        """Returns what is left of the stream, as another target would send it."""
+        fork = ResumableStream(last_id=self.last_id, max_events=self._max_events)
+        fork._is_resuming = fork._has_forwarded = self._has_forwarded
+        return fork
+
     def feed(self, chunk: bytes) -> NewEvents:
         """Adds a chunk of the stream; returns the events that it completes, without repeated ones."""
         self._rest += chunk
--- a/basilpost/gateway/target_sender.py
+++ b/basilpost/gateway/target_sender.py
@@ -159,7 +159,6 @@
         request: inbound.Request,
         target: targets_.Target,
         *,
-        last_event: str,
         sink: answer_sinks.AnswerSink,
     ) -> channels.Head | attempts.NotSent | attempts.NotRun | attempts.Lost:
         """Sends a request to a target and reads the answer into the sink."""
@@ -174,7 +173,7 @@
         self._chooser.record_sent(target)
         in_flight = InFlight(progress=progress, target_id=target.target_id)
         try:
-            return await self._exchange(in_flight, request, target, last_event, sink)
+            return await self._exchange(in_flight, request, target, sink)
         finally:
             self._stop_counting(in_flight)
 
@@ -195,7 +194,6 @@
         in_flight: InFlight,
         request: inbound.Request,
         target: targets_.Target,
-        last_event: str,
         sink: answer_sinks.AnswerSink,
     ) -> channels.Head | attempts.NotSent | attempts.NotRun | attempts.Lost:
         progress = in_flight.progress
@@ -213,6 +211,8 @@
             progress.unreached_targets.add(target.target_id)
             await self._reachability.find_path(service=in_flight.service)
             return attempts.NotSent(reason=channel.reason)
+        sink.on_connected(channel)
+        last_event = sink.last_event
         self._log_placement(progress, target, last_event, channel.reuse)
         began_at = clock.elapsed()
         result: channels.Head | attempts.NotRun | attempts.Lost | None = None
@@ -222,7 +222,6 @@
         self.silent_targets.record_sent(target.target_id, target.vm_id)
         try:
             progress.sends += 1
-            sink.on_connected(channel)
             headers = self._dialect.request_headers(
                 request.headers, _added_headers(progress.admitted, target, last_event)
             )
