--- a/basilpost/emulator/pool_runner.py
+++ b/basilpost/emulator/pool_runner.py
@@ -77,6 +77,7 @@
         late_order_seconds: Range of the time by which these are late.
         cut_streams: Number of coming streams that are cut off in the middle of an event.
         cut_after_events: Whole events that such a stream sends first.
+        names_runs: True to name in each event the runner, and the event after which the run began.
         stalled: True to send no events, as a group does that lost a member.
         silent: True to neither answer nor send anything until it is False again.
         endless: Part of the answer whose bytes never end, empty for none; a key of `_ENDLESS`.
@@ -117,6 +118,7 @@
     late_order_seconds: tuple[float, float] = (2.0, 12.0)
     cut_streams: int = 0
     cut_after_events: int = 2
+    names_runs: bool = False
     stalled: bool = False
     silent: bool = False
     endless: str = ""
@@ -865,7 +867,10 @@
 
     def _event(self, number: int) -> bytes:
         attempt = self.request.headers.get(_ATTEMPT)
-        return f"id: {number}\ndata: {attempt} {number}\n\n".encode()
+        run = ""
+        if self._options.names_runs:
+            run = f" {self.owner.vm_id} {self.request.headers.get('Last-Event-Id') or 0}"
+        return f"id: {number}\ndata: {attempt} {number}{run}\n\n".encode()
 
     def _prepare_copy(self, plan: second_answers.StreamCopies) -> None:
         """Has a copy of the whole stream written behind it."""
