--- /dev/null
+++ b/basilpost/core/caller_stream.py
@@ -0,0 +1,108 @@
+"""Connections of callers, which report the bytes that they hold."""
+
+import socket
+from collections.abc import Callable
+from typing import Any
+
+import tornado.iostream
+
+from basilpost.core import connection_memory, listener
+
+# Most that is read at once, and that is passed on as one piece of a body. A connection that is not
+# read any more holds up to this.
+READ_BYTES = 16_384
+
+
+class CallerStream(tornado.iostream.IOStream, connection_memory.HoldingConnection):
+    """The connection of a caller.
+
+    Args:
+        connection: Its socket.
+        memory: Counts what all connections hold.
+        max_buffer_size: Most that may be read and not parsed.
+
+    Attributes:
+        progress: The bytes that it has moved lately.
+        waiting_bytes: Bytes of a body that were parsed and wait for room.
+        carries_request: True while a request that arrived on it has no answer yet.
+    """
+
+    def __init__(
+        self,
+        connection: socket.socket,
+        *,
+        memory: connection_memory.ConnectionMemory,
+        max_buffer_size: int,
+    ) -> None:
+        super().__init__(connection, max_buffer_size=max_buffer_size, read_chunk_size=READ_BYTES)
+        self.progress = connection_memory.Progress()
+        self.waiting_bytes = 0
+        self.carries_request = False
+        self._memory = memory
+        memory.add(self)
+
+    @property
+    def held_bytes(self) -> int:
+        """Returns the bytes that were read and not parsed, wait for room, or were not sent yet."""
+        return self._read_buffer_size + self.waiting_bytes + self._unsent_bytes
+
+    @property
+    def may_be_dropped(self) -> bool:
+        """Returns False while a request runs of which nothing was answered yet."""
+        return not self.carries_request or self._unsent_bytes > 0
+
+    def drop(self) -> None:
+        """Closes the connection and frees what it holds."""
+        self.close()
+        # What is left here would be parsed before the end is noticed.
+        self._read_buffer = bytearray()
+        self._read_buffer_size = 0
+
+    def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
+        """Reads from the socket; part of Tornado's interface of streams."""
+        count = super().read_from_fd(buf)
+        if count:
+            self.progress.now += count
+            self._memory.note_held(self, count)
+        return count
+
+    def write_to_fd(self, data: memoryview) -> int:
+        """Writes to the socket; part of Tornado's interface of streams."""
+        count = super().write_to_fd(data)
+        self.progress.now += count
+        return count
+
+    def write(self, data: bytes | memoryview) -> Any:
+        """Sends bytes, or keeps them until the caller takes them."""
+        unsent_before = self._unsent_bytes
+        writing = super().write(data)
+        self._memory.note_held(self, max(0, self._unsent_bytes - unsent_before))
+        return writing
+
+    def close(self, exc_info: Any = False) -> None:
+        """Closes the connection."""
+        super().close(exc_info)
+        self._memory.remove(self)
+
+    @property
+    def _unsent_bytes(self) -> int:
+        # Tornado takes the buffer away from a closed stream.
+        return 0 if self._write_buffer is None else len(self._write_buffer)
+
+
+class CallerListener(listener.Listener):
+    """A listener whose connections are made by a function.
+
+    Args:
+        make_stream: Makes the stream of an accepted connection.
+    """
+
+    def initialize(  # type: ignore[override]
+        self, *args: Any, make_stream: Callable[[socket.socket], CallerStream], **kwargs: Any
+    ) -> None:
+        """Initializes the server; Tornado calls this in place of the constructor."""
+        super().initialize(*args, **kwargs)
+        self._make_stream = make_stream
+
+    def _handle_connection(self, connection: socket.socket, address: Any) -> None:
+        self.handle_stream(self._make_stream(connection), address)
--- a/basilpost/core/log_events.py
+++ b/basilpost/core/log_events.py
@@ -193,6 +193,11 @@
         meaning="an answer arrived that names another request and is skipped, or that names none and ends the attempt",
         fields=(*_REQUEST_FIELDS, "named", "answer_status", *_REUSE_FIELDS),
     ),
+    "connections_dropped": Event(
+        meaning="connections of callers were closed, those first that had moved fewest bytes for what "
+        "they held, because all of them held too many bytes; once a second at most",
+        fields=("count", "bytes", "held"),
+    ),
     "connection_unread": Event(
         meaning="an idle connection is closed because bytes have arrived on it that no request asked for",
         fields=("address", "lifetime", "requests"),
--- a/basilpost/core/log_events_test.py
+++ b/basilpost/core/log_events_test.py
@@ -14,6 +14,7 @@
     *(
         ROOT / "basilpost" / name
         for name in (
+            "core/connection_memory.py",
             "core/kernel.py",
             "core/tasks.py",
             "gateway/forwarding.py",
--- a/basilpost/gateway/inbound.py
+++ b/basilpost/gateway/inbound.py
@@ -9,7 +9,7 @@
 import tornado.httputil
 import tornado.iostream
 
-from basilpost.core import clock, failure, listener
+from basilpost.core import caller_stream, clock, failure, listener
 from basilpost.gateway import body_memory
 
 Handler = Callable[["Request", "Reply"], Coroutine[Any, Any, None]]
@@ -84,7 +84,20 @@
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         """Stores a chunk of the body; part of Tornado's delegate interface."""
         assert self._arriving is not None
-        return self._arriving.add(chunk)
+        waiting = self._arriving.add(chunk)
+        return None if waiting is None else self._wait_for_room(waiting, len(chunk))
+
+    async def _wait_for_room(self, waiting: Awaitable[None], size: int) -> None:
+        stream = self._connection.stream
+        if not isinstance(stream, caller_stream.CallerStream):
+            await waiting
+            return
+        # Tornado may hold as much again that it has parsed.
+        stream.waiting_bytes = size + caller_stream.READ_BYTES
+        try:
+            await waiting
+        finally:
+            stream.waiting_bytes = 0
 
     def finish(self) -> None:
         """Starts the handler; part of Tornado's delegate interface."""
@@ -110,6 +123,7 @@
         self.body = b""
 
     async def _handle(self, reply: "Reply") -> None:
+        self._set_carries_request(True)
         try:
             await self._handler(self, reply)
         except BaseException:
@@ -117,8 +131,13 @@
             self._connection.close()
             raise
         finally:
+            self._set_carries_request(False)
             self._release_body()
 
+    def _set_carries_request(self, carries: bool) -> None:
+        if isinstance(self._connection.stream, caller_stream.CallerStream):
+            self._connection.stream.carries_request = carries
+
 
 class Reply:
     """The answer to one request.
--- a/basilpost/gateway/relay.py
+++ b/basilpost/gateway/relay.py
@@ -13,7 +13,17 @@
 import tornado.netutil
 import tornado.web
 
-from basilpost.core import catalog, clock, failure, kernel, listener, names, tasks
+from basilpost.core import (
+    caller_stream,
+    catalog,
+    clock,
+    connection_memory,
+    failure,
+    kernel,
+    listener,
+    names,
+    tasks,
+)
 from basilpost.gateway import (
     attempts,
     body_memory,
@@ -71,6 +81,13 @@
 # spend their retries independently.
 RETRY_SPEND_SHARE = 0.7
 LISTEN_BACKLOG = 1024
+_SERVER_OPTIONS = {
+    "idle_connection_timeout": IDLE_SECONDS,
+    "max_header_size": MAX_HEADER_BYTES,
+    "max_body_size": MAX_BODY_BYTES,
+    "max_buffer_size": MAX_BODY_BYTES,
+    "chunk_size": caller_stream.READ_BYTES,
+}
 
 
 class Relay(kernel.Service, tornado.httputil.HTTPServerConnectionDelegate):
@@ -140,7 +157,16 @@
             max_bytes=int(settings.memory_mb * body_memory.BYTES_PER_MB * body_memory.MEMORY_SHARE)
         )
         self._crash_store = kernel.find(names.CRASH_STORE, crash_store.CrashStore)
-        self._server = _make_server(self)
+        self._connection_memory = connection_memory.ConnectionMemory(
+            max_bytes=int(
+                settings.memory_mb * body_memory.BYTES_PER_MB * connection_memory.MEMORY_SHARE
+            ),
+            log=kernel.log,
+            registry=kernel.registry,
+        )
+        self._server = caller_stream.CallerListener(
+            self, make_stream=self._make_stream, **_SERVER_OPTIONS
+        )
         self._detour_service = detour_service.DetourService(
             kernel=kernel,
             make_server=_make_server,
@@ -171,6 +197,7 @@
         self._tasks.keep_running(self.forwarder.stall_detector.run, name="stall-watch")
         self._tasks.keep_running(self.forwarder.planned_moves.run, name="planned-moves")
         self._tasks.keep_running(self.forwarder.sender.silent_targets.run, name="silent-targets")
+        self._tasks.keep_running(self._connection_memory.run, name="connection-memory")
         self._tasks.keep_running(self._sweep_pool, name="connection-sweep")
         self._server.add_sockets(_bind(self._settings.callers))
         self._detour_service.server.add_sockets(
@@ -282,6 +309,11 @@
             spawn=lambda handling: self._request_tasks.spawn(handling, name="request"),
         )
 
+    def _make_stream(self, connection: socket.socket) -> caller_stream.CallerStream:
+        return caller_stream.CallerStream(
+            connection, memory=self._connection_memory, max_buffer_size=MAX_BODY_BYTES
+        )
+
     def _make_body(self, request: inbound.Request) -> body_memory.Body:
         return self._admission.make_body(request, self._bodies)
 
@@ -442,13 +474,7 @@
 
 
 def _make_server(delegate: tornado.httputil.HTTPServerConnectionDelegate) -> listener.Listener:
-    return listener.Listener(
-        delegate,
-        idle_connection_timeout=IDLE_SECONDS,
-        max_header_size=MAX_HEADER_BYTES,
-        max_body_size=MAX_BODY_BYTES,
-        max_buffer_size=MAX_BODY_BYTES,
-    )
+    return listener.Listener(delegate, **_SERVER_OPTIONS)
 
 
 def _bind(address: str) -> list[socket.socket]:
