--- a/basilpost/gateway/relay.py
+++ b/basilpost/gateway/relay.py
@@ -14,9 +14,11 @@
 import tornado.web
 
 from basilpost.core import (
+    caller_stream,
     catalog,
     clock,
     connection_limits,
+    connection_memory,
     failure,
     kernel,
     listener,
@@ -81,6 +83,12 @@
 # spend their retries independently.
 RETRY_SPEND_SHARE = 0.7
 LISTEN_BACKLOG = 1024
+_SERVER_OPTIONS = {
+    "max_header_size": MAX_HEADER_BYTES,
+    "max_body_size": MAX_BODY_BYTES,
+    "max_buffer_size": MAX_BODY_BYTES,
+    "chunk_size": caller_stream.READ_BYTES,
+}
 
 
 class Relay(kernel.Service, tornado.httputil.HTTPServerConnectionDelegate):
@@ -154,8 +162,20 @@
             max_descriptors=settings.max_descriptors, memory_mb=settings.memory_mb
         )
         self._crash_store = kernel.find(names.CRASH_STORE, crash_store.CrashStore)
-        self._server = _make_server(
-            self, name="callers", kernel=kernel, limits=self._connection_limits
+        self._connection_memory = connection_memory.ConnectionMemory(
+            max_bytes=int(
+                settings.memory_mb * body_memory.BYTES_PER_MB * connection_memory.MEMORY_SHARE
+            ),
+            log=kernel.log,
+            registry=kernel.registry,
+        )
+        self._server = caller_stream.CallerListener(
+            self,
+            make_stream=self._make_stream,
+            name="callers",
+            kernel=kernel,
+            limits=self._connection_limits,
+            **_SERVER_OPTIONS,
         )
         self._detour_service = detour_service.DetourService(
             kernel=kernel,
@@ -195,6 +215,7 @@
         self._tasks.keep_running(self.forwarder.stall_detector.run, name="stall-watch")
         self._tasks.keep_running(self.forwarder.planned_moves.run, name="planned-moves")
         self._tasks.keep_running(self.forwarder.sender.silent_targets.run, name="silent-targets")
+        self._tasks.keep_running(self._connection_memory.run, name="connection-memory")
         self._tasks.keep_running(self._sweep_pool, name="connection-sweep")
         self._server.add_sockets(_bind(self._settings.callers))
         self._detour_service.server.add_sockets(
@@ -320,6 +341,11 @@
         call = self._dialect.parse_request(request.headers)
         self.recorder.record_dropped(request, call, stop_began_at=self._stop_began_at)
 
+    def _make_stream(self, connection: socket.socket) -> caller_stream.CallerStream:
+        return caller_stream.CallerStream(
+            connection, memory=self._connection_memory, max_buffer_size=MAX_BODY_BYTES
+        )
+
     def _make_body(self, request: inbound.Request) -> body_memory.Body:
         return self._admission.make_body(request, self._bodies)
 
@@ -492,9 +518,7 @@
         name=name,
         kernel=kernel,
         limits=limits,
-        max_header_size=MAX_HEADER_BYTES,
-        max_body_size=MAX_BODY_BYTES,
-        max_buffer_size=MAX_BODY_BYTES,
+        **_SERVER_OPTIONS,
     )
 
 
