--- a/basilpost/gateway/connection_bounds.py
+++ b/basilpost/gateway/connection_bounds.py
@@ -10,6 +10,7 @@
 
 # Shares of the descriptors of a process.
 CALLERS_SHARE = 0.7
+NODES_SHARE = 0.15
 # Share of the memory of a node for connections of callers, and what one of them takes without its
 # request, in bytes.
 MEMORY_SHARE = 0.33
@@ -22,9 +23,11 @@
 
     Attributes:
         callers: Connections of callers.
+        nodes: Connections of nodes that reach no runner.
     """
 
     callers: int
+    nodes: int
 
 
 def divide(*, max_descriptors: int | None, memory_mb: int) -> Bounds:
@@ -32,7 +35,11 @@
     if max_descriptors is None:
         max_descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     by_memory = memory_mb * body_memory.BYTES_PER_MB * MEMORY_SHARE / CONNECTION_BYTES
-    by_descriptors = (
-        by_memory if max_descriptors == resource.RLIM_INFINITY else max_descriptors * CALLERS_SHARE
+    if max_descriptors == resource.RLIM_INFINITY:
+        descriptors = by_memory / CALLERS_SHARE
+    else:
+        descriptors = min(by_memory / CALLERS_SHARE, max_descriptors)
+    return Bounds(
+        callers=max(1, int(descriptors * CALLERS_SHARE)),
+        nodes=max(1, int(descriptors * NODES_SHARE)),
     )
-    return Bounds(callers=max(1, int(min(by_memory, by_descriptors))))
--- a/basilpost/gateway/connection_bounds_test.py
+++ b/basilpost/gateway/connection_bounds_test.py
@@ -8,18 +8,18 @@
 
 
 @pytest.mark.parametrize(
-    ("max_descriptors", "memory_mb", "callers"),
+    ("max_descriptors", "memory_mb", "callers", "nodes"),
     [
-        pytest.param(4100, 300, 2870, id="the-users-machines"),
-        pytest.param(1024, 300, 716, id="few-descriptors"),
-        pytest.param(4100, 60, 604, id="little-memory"),
-        pytest.param(resource.RLIM_INFINITY, 300, 3021, id="no-limit-on-descriptors"),
-        pytest.param(1, 1, 1, id="at-least-one"),
+        pytest.param(4100, 300, 2870, 615, id="the-users-machines"),
+        pytest.param(1024, 300, 716, 153, id="few-descriptors"),
+        pytest.param(4100, 60, 604, 129, id="little-memory"),
+        pytest.param(resource.RLIM_INFINITY, 300, 3021, 647, id="no-limit-on-descriptors"),
+        pytest.param(1, 1, 1, 1, id="at-least-one"),
     ],
 )
-def test_callers_get_a_part_of_what_is_scarcer(max_descriptors, memory_mb, callers):
+def test_connections_get_a_part_of_what_is_scarcer(max_descriptors, memory_mb, callers, nodes):
     bounds = connection_bounds.divide(max_descriptors=max_descriptors, memory_mb=memory_mb)
-    assert bounds.callers == callers
+    assert (bounds.callers, bounds.nodes) == (callers, nodes)
 
 
 def test_without_a_setting_the_limit_of_the_process_holds(monkeypatch):
--- a/basilpost/gateway/relay.py
+++ b/basilpost/gateway/relay.py
@@ -159,7 +159,10 @@
         self._detour_service = detour_service.DetourService(
             kernel=kernel,
             make_server=lambda delegate: _make_server(
-                delegate, name="detours", kernel=kernel, limits=connection_limits.Limits
+                delegate,
+                name="detours",
+                kernel=kernel,
+                limits=lambda: connection_limits.Limits(max_connections=self._bounds.nodes),
             ),
             admit=self._admit,
             forwarder=self.forwarder,
--- a/tests/pool_connection_crowd_test.py
+++ b/tests/pool_connection_crowd_test.py
@@ -142,7 +142,7 @@
 
 # A node took connections until it had no descriptor left, also for its store and its runners.
 @pytest.mark.parametrize("data", [b"", HALF_A_HEAD], ids=["silent", "half-a-head"])
-@pytest.mark.parametrize("listener", ["callers", "readiness", "metrics"])
+@pytest.mark.parametrize("listener", ["callers", "readiness", "detours", "metrics"])
 async def test_a_crowd_takes_the_descriptors_that_a_node_needs(tmp_path, listener, data):
     async with running(tmp_path) as node:
         peak = 0
