--- a/tests/soak_test.py
+++ b/tests/soak_test.py
@@ -4,7 +4,14 @@
 
 import pytest
 
-from basilpost.soak import answer_scenarios, drain_scenarios, faults, run, scenarios
+from basilpost.soak import (
+    answer_scenarios,
+    drain_scenarios,
+    faults,
+    run,
+    scenarios,
+    version_scenarios,
+)
 
 SECONDS = 8.0
 # Each seed with the reason why it is listed.
@@ -70,6 +77,11 @@
 )
 DRAIN_SECONDS = 6.0
 DRAIN_SEEDS = ((4, "a close order cut streams that no other group could go on with (issue 58)"),)
+VERSION_SECONDS = 5.0
+VERSION_SEEDS = (
+    (45, "five series of versions, a large one, the fleet killed, all links reset (issue 61)"),
+    (55, "the fleet killed twice after versions, all links reset, half the VMs out (issue 61)"),
+)
 STOP_SEEDS = ((372, "the store is silent when drains end; accepted requests were cut (issue 24)"),)
 
 
@@ -192,6 +204,18 @@
     assert report.served > report.calls / 4
 
 
+@pytest.mark.processes
+@pytest.mark.parametrize("seed", [seed for seed, _ in VERSION_SEEDS])
+async def test_versions_come_in_series_beside_kills_of_the_whole_fleet(seed, tmp_path):
+    """Guards against accepted streams that a node cuts around a version or after the fleet has returned."""
+    scenario = version_scenarios.Versions()
+    report = await run.Soak(seed=seed, folder=tmp_path, scenario=scenario).run(
+        seconds=VERSION_SECONDS
+    )
+    assert report.broken == ()
+    assert report.served > report.calls / 10
+
+
 @pytest.mark.processes
 @pytest.mark.parametrize("seed", [seed for seed, _ in LATE_ORDER_SEEDS])
 async def test_orders_are_carried_out_late(seed, tmp_path):
