A request that a fault of the node ends has an outcome in its line

An exception of a handler left request_ended with an empty outcome and without route and target, and the counter of requests with an empty label; task_failed names no request. The outcome is internal_error with the exception as reason.

--- a/basilpost/admin/explaining.py
+++ b/basilpost/admin/explaining.py
@@ -39,6 +39,7 @@
     "answered": "it was answered",
     "streamed": "its stream was passed on whole",
     "caller_left": "the caller disconnected before the answer was complete",
+    "internal_error": "the node failed because of a bug",
     "incomplete": "its connection ended before all of it had arrived",
     "cut_by_stop": "the node was asked to stop and ended before the answer was complete",
     "broken_off": "its stream started but could not be completed",
--- a/basilpost/gateway/relay.py
+++ b/basilpost/gateway/relay.py
@@ -300,6 +300,13 @@
             outcome = "caller_left" if request.caller_left else "cut_by_stop"
             summary = dataclasses.replace(self.recorder.known(request), outcome=outcome)
             raise
+        except Exception as error:
+            summary = dataclasses.replace(
+                self.recorder.known(request),
+                outcome="internal_error",
+                reason=f"{type(error).__name__}: {error}",
+            )
+            raise
         finally:
             self.recorder.record(request, reply, summary, stop_began_at=self._stop_began_at)
 
--- a/basilpost/gateway/request_recorder.py
+++ b/basilpost/gateway/request_recorder.py
@@ -29,8 +29,8 @@
         call: What the headers of the request say.
         progress: The attempts made for it, None if it was not admitted.
         status: HTTP status sent to the caller, 0 if the caller got no complete answer.
-        outcome: answered, streamed, broken_off, caller_left, cut_by_stop, incomplete or the code of a
-            refusal; empty until the request has ended.
+        outcome: answered, streamed, broken_off, caller_left, cut_by_stop, incomplete, internal_error or the
+            code of a refusal; empty until the request has ended.
         reason: Why it was refused or broken off.
         cause: Id of the cause of crashes for which it was refused, empty for none.
     """
--- a/tests/pool_request_ends_test.py
+++ b/tests/pool_request_ends_test.py
@@ -129,6 +129,21 @@
     assert held == 0
 
 
+async def test_a_request_that_a_fault_of_the_node_ends_has_no_outcome():
+    async with running() as (bench, lines):
+
+        async def fail(*arguments):
+            raise RuntimeError("induced")
+
+        bench.forwarders[0].stream = fail
+        caller = Caller(bench.addresses[0])
+        caller.socket.sendall(request_bytes("faulty"))
+        ended = await end_of(lines, "faulty")
+        assert await asyncio.to_thread(caller.socket.recv, 10_000) == b""
+    assert (ended["outcome"], ended["reason"]) == ("internal_error", "RuntimeError: induced")
+    assert ended["route"] == "draft"
+
+
 async def test_the_end_of_a_broken_off_stream_does_not_tell_what_broke_it():
     async with running(cut_streams=1) as (bench, lines):
         with contextlib.suppress(Exception):
