The log of a killed process tells which requests it had in flight

A request that waits for room, or whose placement was dropped from the log in a burst, left nothing when its process was killed. requests_in_flight lists the ids of those that have been in flight for a second, each 2 s while there are any, 200 at most. With request_placed and node_ended the log of each process now names every request that it cut while it was in flight for longer than that.

--- a/basilpost/core/log_events.py
+++ b/basilpost/core/log_events.py
@@ -231,6 +231,11 @@
         fields=_REQUEST_ENDED_FIELDS,
         is_trace=True,
     ),
+    "requests_in_flight": Event(
+        meaning="these requests have been in flight for a second; written each 2 s while there are any",
+        fields=("count", "requests"),
+        is_trace=True,
+    ),
     "configuration_in_force": Event(
         meaning="a newer configuration is in force from now on",
         fields=("version", "revision", "routes", "keys"),
--- a/basilpost/gateway/relay.py
+++ b/basilpost/gateway/relay.py
@@ -172,6 +172,7 @@
         self._tasks.keep_running(self.forwarder.stall_detector.run, name="stall-watch")
         self._tasks.keep_running(self.forwarder.planned_moves.run, name="planned-moves")
         self._tasks.keep_running(self.forwarder.sender.silent_targets.run, name="silent-targets")
+        self._tasks.keep_running(self.recorder.run, name="request-list")
         self._tasks.keep_running(self._sweep_pool, name="connection-sweep")
         self._server.add_sockets(_bind(self._settings.callers))
         self._detour_service.server.add_sockets(
--- a/basilpost/gateway/request_recorder.py
+++ b/basilpost/gateway/request_recorder.py
@@ -1,5 +1,6 @@
 """Records how each request ended: a log line, a counter and two histograms."""
 
+import asyncio
 import dataclasses
 import itertools
 
@@ -17,6 +18,9 @@
 
 # Requests that a log line lists at most.
 MAX_LISTED = 200
+LIST_SECONDS = 2.0
+# Younger requests have a line of their placement that is as recent.
+LISTED_AFTER_SECONDS = 1.0
 _DROPPED = "the connection ended before the whole request had arrived"
 _EXPECTED_ENDS = frozenset({"answered", "streamed", "caller_left"})
 
@@ -90,6 +94,26 @@
         oldest = itertools.islice(self._open.values(), MAX_LISTED)
         return tuple(summary.call.request_id for summary in oldest)
 
+    async def run(self) -> None:
+        """Logs the requests that have been in flight for a while periodically, until cancelled.
+
+        If the process is killed, its last line of this kind tells what it had.
+        """
+        while True:
+            await asyncio.sleep(LIST_SECONDS)
+            self.list_requests()
+
+    def list_requests(self) -> None:
+        """Logs the requests that have been in flight for `LISTED_AFTER_SECONDS`, if there are any."""
+        arrived_before = clock.elapsed() - LISTED_AFTER_SECONDS
+        listed = [
+            summary.call.request_id
+            for request, summary in self._open.items()
+            if request.received_at <= arrived_before
+        ]
+        if listed:
+            self._log.info("requests_in_flight", count=len(listed), requests=listed[:MAX_LISTED])
+
     def record_dropped(
         self,
         request: inbound.Request,
--- a/tests/pool_process_end_test.py
+++ b/tests/pool_process_end_test.py
@@ -140,6 +140,20 @@
     assert ended["requests"] == ["cut-by-signal"]
 
 
+@pytest.mark.processes
+async def test_a_kill_leaves_no_line_of_the_requests_in_flight(node):
+    await node.start()
+    async with node.streaming("cut-by-kill"):
+        # Longer than the interval between two lines, and shorter than the stream.
+        await asyncio.sleep(3.5)
+        node.process.kill()
+        lines = await node.end()
+    events = [line["event"] for line in lines if line.get("request") == "cut-by-kill"]
+    assert events == ["request_placed"]
+    listed = [line["requests"] for line in lines if line["event"] == "requests_in_flight"]
+    assert listed[-1] == ["cut-by-kill"]
+
+
 @pytest.mark.processes
 async def test_the_last_line_of_a_planned_stop_names_the_process(node):
     await node.start()
