Errors that libraries report are in the log

An exception in a callback of the event loop, or a task whose error nobody retrieves, was text on standard error only: asyncio and Tornado report these by the standard logging. The check of the table of events covers core/log.py.

--- a/basilpost/core/log.py
+++ b/basilpost/core/log.py
@@ -2,6 +2,8 @@
 
 import logging
 import sys
+import threading
+from typing import Any
 
 import structlog
 import structlog.tracebacks
@@ -60,3 +62,26 @@
         logger_factory=lambda *args: log_writer.BoundedLogger(writer=writer),
     )
     return writer
+
+
+class LibraryMessages(logging.Handler):
+    """Logs warnings and errors of libraries, such as asyncio's on callbacks that have failed."""
+
+    def __init__(self, *, log: Any) -> None:
+        super().__init__(level=logging.WARNING)
+        self._log = log
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Logs a message; one of another thread goes to standard error."""
+        if threading.current_thread() is not threading.main_thread():
+            # The log belongs to the main thread.
+            if logging.lastResort is not None:
+                logging.lastResort.handle(record)
+            return
+        is_error = record.levelno >= logging.ERROR
+        (self._log.error if is_error else self._log.warning)(
+            "library_message",
+            library=record.name,
+            message=record.getMessage(),
+            exc_info=record.exc_info,
+        )
--- a/basilpost/core/log_events.py
+++ b/basilpost/core/log_events.py
@@ -359,6 +359,10 @@
     "task_failed": Event(
         meaning="a background task failed because of a bug", fields=("task", "exception")
     ),
+    "library_message": Event(
+        meaning="a warning or an error of a library, such as one on a callback that has failed",
+        fields=("library", "message", "exception"),
+    ),
     "service_stop_failed": Event(
         meaning="a service could not be stopped because of a bug", fields=("service", "exception")
     ),
--- a/basilpost/core/log_events_test.py
+++ b/basilpost/core/log_events_test.py
@@ -15,6 +15,7 @@
         ROOT / "basilpost" / name
         for name in (
             "core/kernel.py",
+            "core/log.py",
             "core/tasks.py",
             "gateway/forwarding.py",
             "gateway/target_sender.py",
--- a/basilpost/node/pool_main.py
+++ b/basilpost/node/pool_main.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import logging
 import os
 import signal
 import sys
@@ -56,6 +57,7 @@
 async def _serve(loaded: pool_loader.Loaded, ending: process_end.ProcessEnd) -> None:
     settings = loaded.settings
     kernel = ending.kernel = pool_assembly.build(settings)
+    logging.getLogger().addHandler(log.LibraryMessages(log=kernel.log))
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for signal_number in signals.STOP:
--- a/tests/pool_process_end_test.py
+++ b/tests/pool_process_end_test.py
@@ -127,6 +127,18 @@
     assert ended["node"] == "node-0"
 
 
+@pytest.mark.processes
+async def test_an_error_in_a_callback_is_not_in_the_log(node):
+    # It was on standard error only.
+    await node.start(fault="asyncio.get_running_loop().call_soon(lambda: 1 / 0)")
+    await pool_fleet.until(lambda: node.fleet.open_groups(pool_fleet.LARGE))
+    node.process.send_signal(signal.SIGTERM)
+    lines = await node.end()
+    (message,) = [line for line in lines if line["event"] == "library_message"]
+    assert (message["library"], message["level"]) == ("asyncio", "error")
+    assert message["exception"][0]["exc_type"] == "ZeroDivisionError"
+
+
 @pytest.mark.processes
 @pytest.mark.parametrize("signal_number", [signal.SIGUSR1, signal.SIGALRM])
 async def test_a_signal_ends_the_process_without_a_line(node, signal_number):
