Metrics of the process: start time, memory, descriptors, bodies and lines of the log

Nothing told from outside that a process had started again or how much memory it held. The collector of prometheus_client for processes is registered for a pool's node, beside the bytes of bodies that it holds and the lines that its log has dropped or not delivered. Streams by end and moves by cause have counters already (basilpost_requests_total, basilpost_retry_decisions_total). The collector reads /proc at a scrape only.

--- a/basilpost/gateway/relay.py
+++ b/basilpost/gateway/relay.py
@@ -164,6 +164,12 @@
             ["state"],
             registry=kernel.registry,
         )
+        held_bodies = prometheus_client.Gauge(
+            "basilpost_caller_body_bytes",
+            "Bytes of callers' request bodies that this node holds or has room for",
+            registry=kernel.registry,
+        )
+        held_bodies.set_function(lambda: self._bodies.held)
         open_connections.labels("idle").set_function(lambda: self._server.idle)
         open_connections.labels("busy").set_function(lambda: self._server.busy)
 
--- a/basilpost/node/pool_main.py
+++ b/basilpost/node/pool_main.py
@@ -11,6 +11,8 @@
 import signal
 import sys
 
+import prometheus_client
+
 import basilpost
 from basilpost.core import kernel as kernel_
 from basilpost.core import log, log_writer, names, tasks
@@ -40,7 +42,7 @@
     background = tasks.TaskSet()
     background.keep_running(lambda: _tend_log(writer), name="log")
     try:
-        await _serve(loaded, ending)
+        await _serve(loaded, writer, ending)
     finally:
         await background.close()
         writer.detach()
@@ -54,15 +56,18 @@
         writer.flush()
 
 
-async def _serve(loaded: pool_loader.Loaded, ending: process_end.ProcessEnd) -> None:
+async def _serve(
+    loaded: pool_loader.Loaded, writer: log_writer.LineWriter, ending: process_end.ProcessEnd
+) -> None:
     settings = loaded.settings
     kernel = ending.kernel = pool_assembly.build(settings)
-    logging.getLogger().addHandler(log.LibraryMessages(log=kernel.log))
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for signal_number in signals.STOP:
         loop.add_signal_handler(signal_number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, _ignore_reload, kernel)
+    logging.getLogger().addHandler(log.LibraryMessages(log=kernel.log))
+    _add_metrics(kernel, writer)
     kernel.log.info(
         "node_starting",
         failure_domain=settings.failure_domain,
@@ -84,6 +89,21 @@
     kernel.log.info("node_stopped")
 
 
+def _add_metrics(kernel: kernel_.Kernel, writer: log_writer.LineWriter) -> None:
+    """Registers the metrics of the process, such as its start time, memory and descriptors."""
+    prometheus_client.ProcessCollector(registry=kernel.registry)
+    dropped = prometheus_client.Gauge(
+        "basilpost_log_lines_dropped", "Log lines dropped since the start", registry=kernel.registry
+    )
+    dropped.set_function(lambda: writer.dropped_total)
+    buffered = prometheus_client.Gauge(
+        "basilpost_log_buffered_bytes",
+        "Bytes of log lines that the reader of the log has not taken yet",
+        registry=kernel.registry,
+    )
+    buffered.set_function(lambda: writer.buffered_bytes)
+
+
 def main() -> int:
     """Reads the settings and runs the node; returns the exit code."""
     path = os.environ.get(SETTINGS_VARIABLE, "")
--- a/tests/pool_process_test.py
+++ b/tests/pool_process_test.py
@@ -89,6 +89,11 @@
             b'basilpost_targets{service="desk",state="warm"} 1.0',
             b"basilpost_knowledge_age_seconds",
             b"basilpost_store_calls_total",
+            b"basilpost_caller_body_bytes",
+            b"basilpost_log_lines_dropped 0.0",
+            b"process_start_time_seconds",
+            b"process_resident_memory_bytes",
+            b"process_open_fds",
         ):
             assert name in metrics.body, name
         child.send_signal(signal.SIGHUP)
