--- a/basilpost/core/log_events.py
+++ b/basilpost/core/log_events.py
@@ -241,6 +241,11 @@
         fields=_REQUEST_ENDED_FIELDS,
         is_trace=True,
     ),
+    "requests_in_flight": Event(
+        meaning="these requests have been in flight for a second; written each 2 s while there are any",
+        fields=("count", "requests"),
+        is_trace=True,
+    ),
     "configuration_in_force": Event(
         meaning="a newer configuration is in force from now on",
         fields=("version", "revision", "routes", "keys"),
@@ -370,6 +375,10 @@
     "task_failed": Event(
         meaning="a background task failed because of a bug", fields=("task", "exception")
     ),
+    "library_message": Event(
+        meaning="a warning or an error of a library, such as one on a callback that has failed",
+        fields=("library", "message", "exception"),
+    ),
     "service_stop_failed": Event(
         meaning="a service could not be stopped because of a bug", fields=("service", "exception")
     ),
--- a/basilpost/core/log_events_test.py
+++ b/basilpost/core/log_events_test.py
@@ -17,6 +17,7 @@
             "core/connection_memory.py",
             "core/kernel.py",
             "core/listener.py",
+            "core/log.py",
             "core/tasks.py",
             "gateway/forwarding.py",
             "gateway/target_sender.py",
--- a/basilpost/gateway/relay.py
+++ b/basilpost/gateway/relay.py
@@ -210,6 +210,12 @@
             ["state"],
             registry=kernel.registry,
         )
+        held_bodies = prometheus_client.Gauge(
+            "basilpost_caller_body_bytes",
+            "Bytes of callers' request bodies that this node holds or has room for",
+            registry=kernel.registry,
+        )
+        held_bodies.set_function(lambda: self._bodies.held)
         open_connections.labels("idle").set_function(lambda: self._server.idle)
         open_connections.labels("busy").set_function(lambda: self._server.busy)
 
@@ -219,6 +225,7 @@
         self._tasks.keep_running(self.forwarder.planned_moves.run, name="planned-moves")
         self._tasks.keep_running(self.forwarder.sender.silent_targets.run, name="silent-targets")
         self._tasks.keep_running(self._connection_memory.run, name="connection-memory")
+        self._tasks.keep_running(self.recorder.run, name="request-list")
         self._tasks.keep_running(self._sweep_pool, name="connection-sweep")
         self._server.add_sockets(_bind(self._settings.callers))
         self._detour_service.server.add_sockets(
@@ -361,6 +368,13 @@
             outcome = "caller_left" if request.caller_left else "cut_by_stop"
             summary = dataclasses.replace(self.recorder.known(request), outcome=outcome)
             raise
+        except Exception as error:
+            summary = dataclasses.replace(
+                self.recorder.known(request),
+                outcome="internal_error",
+                reason=f"{type(error).__name__}: {error}",
+            )
+            raise
         finally:
             self.recorder.record(request, reply, summary, stop_began_at=self._stop_began_at)
 
--- a/tests/pool_process_end_test.py
+++ b/tests/pool_process_end_test.py
@@ -127,6 +127,18 @@
     assert ended["node"] == "node-0"
 
 
+@pytest.mark.processes
+async def test_an_error_in_a_callback_is_not_in_the_log(node):
+    # It was on standard error only.
+    await node.start(fault="asyncio.get_running_loop().call_soon(lambda: 1 / 0)")
+    await pool_fleet.until(lambda: node.fleet.open_groups(pool_fleet.LARGE))
+    node.process.send_signal(signal.SIGTERM)
+    lines = await node.end()
+    (message,) = [line for line in lines if line["event"] == "library_message"]
+    assert (message["library"], message["level"]) == ("asyncio", "error")
+    assert message["exception"][0]["exc_type"] == "ZeroDivisionError"
+
+
 @pytest.mark.processes
 @pytest.mark.parametrize("signal_number", [signal.SIGUSR1, signal.SIGALRM])
 async def test_a_signal_ends_the_process_without_a_line(node, signal_number):
@@ -140,6 +152,20 @@
     assert ended["requests"] == ["cut-by-signal"]
 
 
+@pytest.mark.processes
+async def test_a_kill_leaves_no_line_of_the_requests_in_flight(node):
+    await node.start()
+    async with node.streaming("cut-by-kill"):
+        # Longer than the interval between two lines, and shorter than the stream.
+        await asyncio.sleep(3.5)
+        node.process.kill()
+        lines = await node.end()
+    events = [line["event"] for line in lines if line.get("request") == "cut-by-kill"]
+    assert events == ["request_placed"]
+    listed = [line["requests"] for line in lines if line["event"] == "requests_in_flight"]
+    assert listed[-1] == ["cut-by-kill"]
+
+
 @pytest.mark.processes
 async def test_the_last_line_of_a_planned_stop_names_the_process(node):
     await node.start()
