--- a/basilpost/core/caller_stream.py
+++ b/basilpost/core/caller_stream.py
@@ -48,8 +48,11 @@
 
     @property
     def may_be_dropped(self) -> bool:
-        """Returns False while a request runs of which nothing was answered yet."""
-        return not self.carries_request or self._unsent_bytes > 0
+        """Returns False while a request runs of which nothing was answered yet, or its body waits.
+
+        What waits for room is not freed by closing the connection.
+        """
+        return not self.waiting_bytes and (not self.carries_request or self._unsent_bytes > 0)
 
     def drop(self) -> None:
         """Closes the connection and frees what it holds."""
--- a/basilpost/gateway/body_memory.py
+++ b/basilpost/gateway/body_memory.py
@@ -2,7 +2,8 @@
 
 A body is held from its first byte until its request is answered, because the request may be sent once
 more. While there is no room for a body it is not read, so that its bytes stay with the caller; a
-request whose body gets no room in time is refused and has not run.
+request whose body gets no room in time is refused and has not run. While others wait, bodies that move
+little for the room that they hold lose it: their requests are refused at once and have not run.
 """
 
 import asyncio
@@ -12,6 +13,7 @@
 from collections.abc import Awaitable, Callable
 
 from basilpost.core import failure
+from basilpost.gateway import body_progress
 
 # Bodies up to this size do not wait behind large ones, and may exceed the bound by a share of it.
 SMALL_BODY_BYTES = 65_536
@@ -24,6 +26,9 @@
 # give up on a request that is not read within a second.
 WAIT_SHARE = 0.25
 MAX_WAIT_SECONDS = 0.9
+# Bytes of the bound for each body that may wait while it holds a piece which is not counted. Further
+# ones are refused at once.
+BYTES_PER_WAITING_PIECE = 131_072
 # Shortest time after which a refused caller may return.
 MIN_RETRY_SECONDS = 0.1
 
@@ -55,6 +60,7 @@
     Attributes:
         held: Bytes of bodies that are held, or for which room is kept.
         max_bytes: Bound on these, which small bodies may exceed by a share.
+        arrivals: The bodies that hold room and are not whole yet.
     """
 
     def __init__(self, *, max_bytes: int) -> None:
@@ -62,6 +68,8 @@
         self.max_bytes = max_bytes
         self._waiters: list[_Waiter] = []
         self._numbers = itertools.count()
+        self._waiting_pieces = 0
+        self.arrivals = body_progress.Arrivals(on_tick=self._make_room)
 
     def take(self, size: int) -> bool:
         """Takes room for some bytes; returns False if there is none or others wait for it.
@@ -75,11 +83,22 @@
         self.held += size if has_room else 0
         return has_room
 
+    async def wait_with_piece(self, size: int, terms: WaitTerms) -> bool:
+        """Waits as `wait` does, unless too many bodies wait that have arrived in part."""
+        if self._waiting_pieces >= self.max_bytes // BYTES_PER_WAITING_PIECE:
+            return False
+        self._waiting_pieces += 1
+        try:
+            return await self.wait(size, terms)
+        finally:
+            self._waiting_pieces -= 1
+
     async def wait(self, size: int, terms: WaitTerms) -> bool:
         """Waits for room for some bytes and takes it; returns False if there is none in time."""
         room: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         waiter = _Waiter(priority=terms.priority, size=size, number=next(self._numbers), room=room)
         heapq.heappush(self._waiters, waiter)
+        self._make_room()
         try:
             async with asyncio.timeout(terms.wait_seconds):
                 await asyncio.shield(room)
@@ -101,6 +120,15 @@
         self.held -= size
         self._admit_waiters()
 
+    def _make_room(self) -> None:
+        """Takes room from bodies that move little for it, as long as others wait."""
+        if not self._waiting():
+            return
+        for arrival in self.arrivals.yielding():
+            arrival.give_up()
+            if not self._waiting():
+                return
+
     def _fits(self, size: int) -> bool:
         return not self.held or self.held + size <= self.max_bytes
 
@@ -128,6 +156,7 @@
     Attributes:
         refusal: Why the request is refused, None unless it is. Its body is then read and discarded, so
             that the caller reads the refusal.
+        on_given_up: Called when the request is refused though the rest of its body may never come.
     """
 
     def __init__(
@@ -143,13 +172,17 @@
         self._max_bytes = max_bytes
         self._excess = excess or too_large(max_bytes)
         self._terms = terms
-        self._pieces: list[bytes] = []
-        # A large body of known length is assembled in place: thousands of freed pieces would leave the
-        # memory of the process fragmented.
-        self._buffer: bytearray | None = None
+        # Bodies are assembled in place: thousands of freed pieces would leave the memory of the process
+        # fragmented, and a piece costs more than its bytes if these are few.
+        self._buffer = bytearray()
         self._length = 0
-        self._size = 0
-        self._taken = 0
+        self._arrival = body_progress.Arrival(give_up=self._give_up)
+        self._watched = False
+        self.on_given_up: Callable[[], None] = lambda: None
+
+    @property
+    def _size(self) -> int:
+        return self._arrival.size
 
     def begin(self, length: int) -> Awaitable[None] | None:
         """Takes room for a body of a known length, 0 if it is not known; waits if there is none."""
@@ -161,35 +194,35 @@
 
     def add(self, piece: bytes) -> Awaitable[None] | None:
         """Adds a piece; no further one is read before what it returns is done."""
-        begin, self._size = self._size, self._size + len(piece)
+        begin = self._size
+        self._arrival.size += len(piece)
+        self._arrival.idle_ticks = 0
         if self.refusal is None and self._size > self._max_bytes:
             self._refuse(self._excess)
         if self.refusal is not None:
             return None
-        if self._buffer is None and self._length > SMALL_BODY_BYTES:
-            self._buffer = bytearray(self._length)
-        if self._buffer is not None:
+        if self._length:
+            if not self._buffer:
+                self._buffer = bytearray(self._length)
             self._buffer[begin : self._size] = piece
             return None
-        self._pieces.append(piece)
-        return self._take(self._next_room()) if self._size > self._taken else None
+        self._buffer += piece
+        missing_room = self._size - self._arrival.room
+        return self._take(self._next_room()) if missing_room > 0 else None
 
-    def join(self) -> bytes | bytearray:
+    def join(self) -> bytearray:
         """Returns the whole body, for which room is kept until `release` is called."""
-        if self._taken > self._size:
-            surplus, self._taken = self._taken - self._size, self._size
+        self._memory.arrivals.remove(self._arrival)
+        if self._arrival.room > self._size:
+            surplus, self._arrival.room = self._arrival.room - self._size, self._size
             self._memory.release(surplus)
-        if self._buffer is not None:
-            return self._buffer
-        body = self._pieces[0] if len(self._pieces) == 1 else b"".join(self._pieces)
-        self._pieces.clear()
-        return body
+        return self._buffer
 
     def release(self) -> None:
         """Gives the room of the body back."""
-        taken, self._taken = self._taken, 0
-        self._pieces.clear()
-        self._buffer = None
+        self._memory.arrivals.remove(self._arrival)
+        taken, self._arrival.room = self._arrival.room, 0
+        self._buffer = bytearray()
         if taken:
             self._memory.release(taken)
 
@@ -199,26 +232,42 @@
         One that is not small takes at once what it may need. Bodies that hold a part of it and wait for
         the rest would wait for each other.
         """
-        missing = self._size - self._taken
+        missing = self._size - self._arrival.room
         if self._size <= SMALL_BODY_BYTES:
             return missing
-        return max(missing, min(self._max_bytes, self._memory.max_bytes // 2) - self._taken)
+        return max(missing, min(self._max_bytes, self._memory.max_bytes // 2) - self._arrival.room)
 
     def _take(self, size: int) -> Awaitable[None] | None:
         if not size:
             return None
         if self._memory.take(size):
-            self._taken += size
+            self._add_room(size)
             return None
         return self._wait(size)
 
+    def _add_room(self, size: int) -> None:
+        self._arrival.room += size
+        if not self._watched:
+            self._watched = True
+            self._memory.arrivals.add(self._arrival)
+
     async def _wait(self, size: int) -> None:
         terms = self._terms()
-        if await self._memory.wait(size, terms):
-            self._taken += size
+        self._arrival.waits = True
+        try:
+            wait = self._memory.wait_with_piece if self._size else self._memory.wait
+            has_room = await wait(size, terms)
+        finally:
+            self._arrival.waits = False
+        if has_room:
+            self._add_room(size)
         else:
             self._refuse(no_room(terms.wait_seconds))
 
+    def _give_up(self) -> None:
+        self._refuse(_stopped())
+        self.on_given_up()
+
     def _refuse(self, refusal: failure.Refusal) -> None:
         self.refusal = refusal
         self.release()
@@ -239,3 +288,13 @@
         status=503,
         retry_after=max(MIN_RETRY_SECONDS, waited_seconds),
     )
+
+
+def _stopped() -> failure.Refusal:
+    """Returns the refusal of a request whose body moved too little while others waited for room."""
+    return failure.Refusal(
+        reason="the body moved too little for the room that it held",
+        code="memory_full",
+        status=503,
+        retry_after=MAX_WAIT_SECONDS,
+    )
--- a/basilpost/gateway/inbound.py
+++ b/basilpost/gateway/inbound.py
@@ -78,6 +78,7 @@
         if length == "0" and "Transfer-Encoding" not in headers:
             return None
         self._arriving = self._make_body(self)
+        self._arriving.on_given_up = self._refuse_early
         # Tornado refuses a length that is not a number when it begins to read the body.
         return self._arriving.begin(int(length) if length.isdecimal() else 0)
 
@@ -92,8 +93,8 @@
         if not isinstance(stream, caller_stream.CallerStream):
             await waiting
             return
-        # Tornado may hold as much again that it has parsed.
-        stream.waiting_bytes = size + caller_stream.READ_BYTES
+        # The piece and its copy, and what Tornado has parsed behind it.
+        stream.waiting_bytes = 2 * size + caller_stream.READ_BYTES
         try:
             await waiting
         finally:
@@ -101,11 +102,25 @@
 
     def finish(self) -> None:
         """Starts the handler; part of Tornado's delegate interface."""
+        if self._task is not None:
+            return
         if self._arriving is not None:
             self.body_refusal = self._arriving.refusal
             self.body = self._arriving.join()
         self._connection.set_close_callback(self.on_connection_close)
-        reply = Reply(connection=self._connection, server=self._server, method=self.method)
+        self._start_handler(closes=False)
+
+    def _refuse_early(self) -> None:
+        """Starts the handler of a request that is refused while its body arrives."""
+        if self._task is None and not self.caller_left:
+            assert self._arriving is not None
+            self.body_refusal = self._arriving.refusal
+            self._start_handler(closes=True)
+
+    def _start_handler(self, *, closes: bool) -> None:
+        reply = Reply(
+            connection=self._connection, server=self._server, method=self.method, closes=closes
+        )
         self._task = self._spawn(self._handle(reply))
 
     def on_connection_close(self) -> None:
@@ -142,6 +157,12 @@
 class Reply:
     """The answer to one request.
 
+    Args:
+        connection: The connection of the request.
+        server: Tells whether connections are closed after their answer.
+        method: HTTP method of the request.
+        closes: True if this connection is closed after its answer.
+
     Attributes:
         started: True once its head was written.
         added_headers: Headers that are added to those of the answer.
@@ -153,10 +174,12 @@
         connection: tornado.http1connection.HTTP1Connection,
         server: listener.Listener,
         method: str,
+        closes: bool,
     ) -> None:
         self._connection = connection
         self._server = server
         self._method = method
+        self._closes = closes
         self._announced_close = False
         self.started = False
         self.added_headers: dict[str, str] = {}
@@ -216,7 +239,7 @@
     ) -> None:
         self.started = True
         headers.update(self.added_headers)
-        if self._server.closes_after_answer:
+        if self._closes or self._server.closes_after_answer:
             headers["Connection"] = "close"
             self._announced_close = True
         line = tornado.httputil.ResponseStartLine("HTTP/1.1", status, reason)
