--- a/basilpost/core/connection_limits.py
+++ b/basilpost/core/connection_limits.py
@@ -7,7 +7,7 @@
 import dataclasses
 import enum
 import itertools
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 import tornado.iostream
 
@@ -16,7 +16,7 @@
 # Limits while operators name none.
 DEFAULT_SECONDS = 30.0
 # Connections that are looked at to find one that may be closed for a new one.
-_MAX_LOOKS = 16
+_MAX_LOOKS = 64
 
 
 class Cause(enum.Enum):
@@ -39,8 +39,9 @@
         header_seconds: Longest time for the rest of a request's head after its first byte.
         idle_seconds: Time after which a connection on which no request has begun is closed.
         answer_seconds: Longest time from the end of a head until the answer is written, None for no
-            limit. With a limit, a connection that carries a request may be closed for a new one.
-        max_connections: Largest number of open connections, None for no limit.
+            limit. With a limit, a request that has arrived whole may make room for a new connection.
+        max_connections: Largest number of open connections, None for no limit. Beyond it a new one
+            replaces the one that has been without a whole request for longest.
         max_header_bytes: Bytes of a head that are read at most, None for the server's own limit. A
             connection with a longer head is closed.
     """
@@ -65,6 +66,9 @@
     head_seen_at: float | None = None
 
 
+_Times = collections.OrderedDict[tornado.iostream.IOStream, float]
+
+
 class OpenConnections:
     """The open connections of a server, by whether they carry a request."""
 
@@ -73,15 +77,15 @@
         self._waits_by_stream: collections.OrderedDict[tornado.iostream.IOStream, _Wait] = (
             collections.OrderedDict()
         )
-        # When the head of its request arrived on each connection, in this order.
-        self._busy_since_by_stream: collections.OrderedDict[tornado.iostream.IOStream, float] = (
-            collections.OrderedDict()
-        )
+        # When the head of its request arrived on each connection, in this order; the body has arrived
+        # on those that are answered.
+        self._arriving_since_by_stream: _Times = collections.OrderedDict()
+        self._answered_since_by_stream: _Times = collections.OrderedDict()
 
     @property
     def busy(self) -> int:
         """Returns the number of connections that carry a request."""
-        return len(self._busy_since_by_stream)
+        return len(self._arriving_since_by_stream) + len(self._answered_since_by_stream)
 
     @property
     def waiting(self) -> int:
@@ -90,32 +94,48 @@
 
     def add_waiting(self, stream: tornado.iostream.IOStream) -> None:
         """Notes that a connection waits for its first or next request."""
-        self._busy_since_by_stream.pop(stream, None)
+        self.remove(stream)
         self._waits_by_stream[stream] = _Wait(began_at=clock.monotonic())
-        self._waits_by_stream.move_to_end(stream)
 
-    def add_busy(self, stream: tornado.iostream.IOStream) -> None:
+    def add_arriving(self, stream: tornado.iostream.IOStream) -> None:
         """Notes that the head of a request has arrived on a connection."""
-        self._waits_by_stream.pop(stream, None)
-        self._busy_since_by_stream[stream] = clock.monotonic()
+        self.remove(stream)
+        self._arriving_since_by_stream[stream] = clock.monotonic()
+
+    def add_answered(self, stream: tornado.iostream.IOStream) -> None:
+        """Notes that a request has arrived whole, and is answered."""
+        since = self._arriving_since_by_stream.pop(stream, None)
+        if since is not None:
+            self._answered_since_by_stream[stream] = since
 
     def remove(self, stream: tornado.iostream.IOStream) -> None:
         """Forgets a connection."""
         self._waits_by_stream.pop(stream, None)
-        self._busy_since_by_stream.pop(stream, None)
+        self._arriving_since_by_stream.pop(stream, None)
+        self._answered_since_by_stream.pop(stream, None)
 
     def all_waiting(self) -> tuple[tornado.iostream.IOStream, ...]:
         """Returns the connections that wait for a request, the one that has waited longest first."""
         return tuple(self._waits_by_stream)
 
-    def longest_waiting(self) -> tornado.iostream.IOStream | None:
-        """Returns the connection that has waited longest and on which nothing has arrived unread."""
-        oldest = itertools.islice(self._waits_by_stream, _MAX_LOOKS)
+    def longest_unfinished(self) -> tornado.iostream.IOStream | None:
+        """Returns the connection that has been without a whole request for longest.
+
+        Those that wait for a head come before those that wait for the rest of a body. Connections on
+        which something has arrived unread are left out.
+        """
+        groups: tuple[Iterable[tornado.iostream.IOStream], ...] = (
+            self._waits_by_stream,
+            self._arriving_since_by_stream,
+        )
+        oldest = itertools.chain.from_iterable(
+            itertools.islice(group, _MAX_LOOKS) for group in groups
+        )
         return next(filter(idle_streams.waits_for_bytes, oldest), None)
 
-    def longest_busy(self) -> tornado.iostream.IOStream | None:
-        """Returns the connection that has carried its request for longest."""
-        return next(iter(self._busy_since_by_stream), None)
+    def longest_answered(self) -> tornado.iostream.IOStream | None:
+        """Returns the connection whose request has waited for its answer for longest."""
+        return next(iter(self._answered_since_by_stream), None)
 
     def expired(self, limits: Limits) -> Iterator[tuple[tornado.iostream.IOStream, Cause]]:
         """Yields the connections whose time has run out.
@@ -133,6 +153,9 @@
             if now >= ends_at and idle_streams.waits_for_bytes(stream):
                 yield stream, cause
         if limits.answer_seconds is not None:
-            for stream, since in tuple(self._busy_since_by_stream.items()):
+            for stream, since in (
+                *self._arriving_since_by_stream.items(),
+                *self._answered_since_by_stream.items(),
+            ):
                 if now >= since + limits.answer_seconds:
                     yield stream, Cause.ANSWER
--- a/basilpost/core/connection_limits_test.py
+++ b/basilpost/core/connection_limits_test.py
@@ -238,3 +238,17 @@
     await bench.send(last := await bench.connect(), WHOLE)
     assert last.recv(65_536).startswith(b"HTTP/1.1 200")
     assert [is_open(caller) for caller in unfinished] == [False, True]
+
+
+async def test_the_oldest_unfinished_body_makes_room_and_no_request_that_is_answered(bench):
+    bench.limits = connection_limits.Limits(max_connections=3)
+    answered = await bench.connect()
+    await bench.send(answered, b"GET / HTTP/1.1\r\nHost: x\r\nSeconds: 3\r\n\r\n")
+    unfinished = [await bench.connect() for _ in range(2)]
+    for caller in unfinished:
+        await bench.send(caller, b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n12345678")
+    await bench.send(last := await bench.connect(), WHOLE)
+    assert last.recv(65_536).startswith(b"HTTP/1.1 200")
+    assert [is_open(caller) for caller in unfinished] == [False, True]
+    await bench.pass_time(3.0)
+    assert answered.recv(65_536).startswith(b"HTTP/1.1 200")
--- a/basilpost/core/listener.py
+++ b/basilpost/core/listener.py
@@ -113,7 +113,8 @@
             self._schedule_sweep()
         return _HeadObserver(
             inner=super().start_request(server_conn, request_conn),
-            on_head=lambda: self._open.add_busy(stream),
+            on_head=lambda: self._open.add_arriving(stream),
+            on_whole=lambda: self._open.add_answered(stream),
             is_closed=stream.closed,
         )
 
@@ -156,9 +157,9 @@
 
     def _make_room(self) -> bool:
         """Closes a connection for a new one; returns False if there is none that may be closed."""
-        stream = self._open.longest_waiting()
+        stream = self._open.longest_unfinished()
         if stream is None and self._limits().answer_seconds is not None:
-            stream = self._open.longest_busy()
+            stream = self._open.longest_answered()
         if stream is not None:
             self._close(stream, connection_limits.Cause.REPLACED)
         return stream is not None
@@ -188,7 +189,7 @@
 
 
 class _HeadObserver(tornado.httputil.HTTPMessageDelegate):
-    """Passes a request on to its reader, and tells when its head has arrived.
+    """Passes a request on to its reader, and tells when its head and the whole of it have arrived.
 
     A request whose connection is closed is not handled. Tornado may have read it before the connection
     was closed, and parse it only afterwards.
@@ -199,10 +200,12 @@
         *,
         inner: tornado.httputil.HTTPMessageDelegate,
         on_head: Callable[[], None],
+        on_whole: Callable[[], None],
         is_closed: Callable[[], bool],
     ) -> None:
         self._inner = inner
         self._on_head = on_head
+        self._on_whole = on_whole
         self._is_closed = is_closed
 
     def headers_received(
@@ -220,6 +223,7 @@
         if self._is_closed():
             self._inner.on_connection_close()
         else:
+            self._on_whole()
             self._inner.finish()
 
     def on_connection_close(self) -> None:
--- a/tests/pool_connection_crowd_test.py
+++ b/tests/pool_connection_crowd_test.py
@@ -185,3 +185,15 @@
             assert (await node.status_of(listener, b"/metrics")).startswith(b"HTTP/1.1 200")
         assert node.process.returncode is None
         assert await node.is_served_in_some_tries()
+
+
+# Bodies that never end kept their connections, and enough of them kept all other callers out.
+async def test_unfinished_bodies_keep_other_callers_out(tmp_path):
+    unfinished = pool_connection_limits_test.request_bytes("unfinished")[:-1]
+    async with running(tmp_path) as node:
+        async with crowd(node.address(), unfinished):
+            assert await node.is_served_in_some_tries()
+            assert node.descriptors() <= MAX_DESCRIPTORS
+        assert node.process.returncode is None
+        assert await node.is_served_in_some_tries()
+        assert not node.fleet.runs_of("unfinished")
