--- a/basilpost/gateway/server.py
+++ b/basilpost/gateway/server.py
@@ -6,7 +6,7 @@
 
 from basilpost.core import clock, connection_limits, kernel, listener, names, tasks
 from basilpost.gateway import claimed_requests as claimed_requests_
-from basilpost.gateway import context, dispatch, metrics, routes, upstream
+from basilpost.gateway import connection_bounds, context, dispatch, metrics, routes, upstream
 from basilpost.members import directory, peers, replica, standing
 from basilpost.routing import interfaces
 from basilpost.runs import ledger, witnesses
@@ -18,6 +18,8 @@
 _MAX_HEADER_BYTES = 32_768
 # Time after which an idle connection of a caller is closed.
 _IDLE_SECONDS = 120.0
+# Memory of which connections of callers may take a part.
+_MEMORY_MB = 1_000
 
 
 class Gateway(kernel.Service):
@@ -49,13 +51,18 @@
         listen = self._settings.gateway.listen
         sockets = tornado.netutil.bind_sockets(listen.port, address=listen.host)
         self.port = sockets[0].getsockname()[1]
+        limits = connection_limits.Limits(
+            header_seconds=_IDLE_SECONDS,
+            idle_seconds=_IDLE_SECONDS,
+            max_connections=connection_bounds.divide(
+                max_descriptors=None, memory_mb=_MEMORY_MB
+            ).callers,
+        )
         self._server = listener.Listener(
             routes.application(self.context),
             name="gateway",
             kernel=self._kernel,
-            limits=lambda: connection_limits.Limits(
-                header_seconds=_IDLE_SECONDS, idle_seconds=_IDLE_SECONDS
-            ),
+            limits=lambda: limits,
             max_header_size=_MAX_HEADER_BYTES,
         )
         self._server.add_sockets(sockets)
--- a/basilpost/gateway/server_test.py
+++ b/basilpost/gateway/server_test.py
@@ -4,7 +4,9 @@
 """
 
 import asyncio
+import contextlib
 import json
+import resource
 import socket
 
 import pytest
@@ -522,3 +524,30 @@
     await asyncio.gather(bench.shut_down(), *calls)
     assert answered_keys
     assert claimed_keys == answered_keys
+
+
+@contextlib.asynccontextmanager
+async def connections(port, count, data=b""):
+    """Opens connections that send some bytes and stay open."""
+    writers = []
+    try:
+        for _ in range(count):
+            _, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(data)
+            writers.append(writer)
+        await asyncio.sleep(0.2)
+        yield
+    finally:
+        for writer in writers:
+            writer.close()
+
+
+# Idle connections took all descriptors, also those for peers, the store and targets.
+@pytest.mark.parametrize("data", [b"", b"POST /v1/chat"], ids=["silent", "half-a-head"])
+async def test_a_crowd_takes_the_descriptors_of_the_process(bench, monkeypatch, data):
+    limits = (40, 40)
+    monkeypatch.setattr(resource, "getrlimit", lambda kind: limits)
+    await bench.start(Script())
+    async with connections(bench.gateway.port, 60, data):
+        assert bench.gateway._server.idle < limits[0]
+        assert (await bench.call()).code == 200
