--- a/basilpost/admin/api.py
+++ b/basilpost/admin/api.py
@@ -47,7 +47,9 @@
             name="admin",
             kernel=self._kernel,
             limits=lambda: connection_limits.Limits(
-                header_seconds=limits.IDLE_SECONDS, idle_seconds=limits.IDLE_SECONDS
+                header_seconds=limits.HEADER_SECONDS,
+                idle_seconds=limits.IDLE_SECONDS,
+                max_connections=limits.MAX_CONNECTIONS,
             ),
         )
         sockets = tornado.netutil.bind_sockets(self._listen.port, self._listen.host)
--- a/basilpost/admin/api_test.py
+++ b/basilpost/admin/api_test.py
@@ -393,3 +393,23 @@
     received += await reader.read()
     assert received.endswith(b"]}\n")
     await stopping
+
+
+# Connections of anybody took all descriptors of a node, and read up to 1 MB each.
+@pytest.mark.parametrize(
+    "sent", [b"", request_bytes("POST", "/keys", b"x")[:-1]], ids=["silent", "unfinished"]
+)
+async def test_a_crowd_takes_the_descriptors_and_the_memory_of_a_node(callers, sent):
+    port = callers[0].port
+    opened = []
+    for _ in range(150):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(sent)
+        opened.append(writer)
+        await asyncio.sleep(0)
+    await asyncio.sleep(0.2)
+    server = callers[0].node.kernel.find(names.ADMIN, api.AdminApi)._server
+    assert server.idle + server.busy <= 64
+    assert (await callers[0]("GET", "/status")).code == 200
+    for writer in opened:
+        writer.close()
--- a/basilpost/admin/limits.py
+++ b/basilpost/admin/limits.py
@@ -14,7 +14,10 @@
 MAX_READ_BYTES = 1_000_000
 MAX_HEADER_BYTES = 16_000
 BODY_SECONDS = 10.0
+HEADER_SECONDS = 10.0
 IDLE_SECONDS = 60.0
+# Each may hold a body of `MAX_READ_BYTES`.
+MAX_CONNECTIONS = 64
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
