--- a/basilpost/gateway/call_handler.py
+++ b/basilpost/gateway/call_handler.py
@@ -38,7 +38,7 @@
     def initialize(self, context: context.Context) -> None:
         """Stores the shared context; called by Tornado for each request."""
         super().initialize(context)
-        self._pieces: list[bytes] = []
+        self._body = bytearray()
         self._size = 0
         self._is_counted = False
         self._refusal: failure.Refusal | None = None
@@ -70,7 +70,7 @@
             self._refusal = refusals.memory_full()
         if self._refusal is not None:
             return None
-        self._pieces.append(chunk)
+        self._body += chunk
         self.context.body_bytes += len(chunk)
         return None
 
@@ -84,7 +84,7 @@
         if self._refusal is not None:
             self.refuse(self._refusal)
             return
-        body = b"".join(self._pieces)
+        body = bytes(self._body)
         with structlog.contextvars.bound_contextvars(request_id=self.caller_request_id):
             self._task = asyncio.create_task(self.run(body))
             try:
@@ -223,8 +223,8 @@
         self.context.metrics.answers.labels(self.service_name, status, outcome.value).inc()
 
     def _release(self) -> None:
-        self.context.body_bytes -= sum(len(piece) for piece in self._pieces)
-        self._pieces = []
+        self.context.body_bytes -= len(self._body)
+        self._body = bytearray()
         if self._is_counted:
             self._is_counted = False
             self.context.in_flight -= 1
--- a/basilpost/gateway/server_test.py
+++ b/basilpost/gateway/server_test.py
@@ -5,9 +5,11 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import json
 import resource
 import socket
+import tracemalloc
 
 import pytest
 import tornado.httpclient
@@ -536,7 +538,7 @@
             writer.write(data)
             writers.append(writer)
         await asyncio.sleep(0.2)
-        yield
+        yield writers
     finally:
         for writer in writers:
             writer.close()
@@ -551,3 +553,39 @@
     async with connections(bench.gateway.port, 60, data):
         assert bench.gateway._server.idle < limits[0]
         assert (await bench.call()).code == 200
+
+
+def allow_bodies(bench, **limits):
+    """Changes the limits on bodies of a gateway that has started."""
+    context = bench.gateway.context
+    gateway = dataclasses.replace(context.settings.gateway, upload_seconds=30.0, **limits)
+    context.settings = dataclasses.replace(context.settings, gateway=gateway)
+
+
+def head_of_body(length):
+    return (
+        "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key\r\n"
+        f"Content-Length: {length}\r\n\r\n"
+    ).encode()
+
+
+# Each piece of a body was kept as an object of its own, of which only its bytes were counted.
+async def test_a_body_in_tiny_pieces_takes_many_times_its_bytes(bench):
+    pieces, piece = 4_000, b"xy"
+    await bench.start(Script())
+    allow_bodies(bench, max_body_bytes=1_000_000)
+    _, writer = await asyncio.open_connection("127.0.0.1", bench.gateway.port)
+    writer.write(head_of_body(1_000_000))
+    await asyncio.sleep(0.1)
+    with contextlib.closing(writer):
+        tracemalloc.start()
+        for _ in range(pieces):
+            writer.write(piece)
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+        async with asyncio.timeout(10):
+            while bench.gateway.context.body_bytes < pieces * len(piece):
+                await asyncio.sleep(0.01)
+        held, _ = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+    assert held < 10 * pieces * len(piece)
