--- a/basilpost/gateway/server_test.py
+++ b/basilpost/gateway/server_test.py
@@ -4,8 +4,12 @@
 """
 
 import asyncio
+import contextlib
+import dataclasses
 import json
+import resource
 import socket
+import tracemalloc
 
 import pytest
 import tornado.httpclient
@@ -522,3 +526,66 @@
     await asyncio.gather(bench.shut_down(), *calls)
     assert answered_keys
     assert claimed_keys == answered_keys
+
+
+@contextlib.asynccontextmanager
+async def connections(port, count, data=b""):
+    """Opens connections that send some bytes and stay open."""
+    writers = []
+    try:
+        for _ in range(count):
+            _, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write(data)
+            writers.append(writer)
+        await asyncio.sleep(0.2)
+        yield writers
+    finally:
+        for writer in writers:
+            writer.close()
+
+
+# Idle connections took all descriptors, also those for peers, the store and targets.
+@pytest.mark.parametrize("data", [b"", b"POST /v1/chat"], ids=["silent", "half-a-head"])
+async def test_a_crowd_takes_the_descriptors_of_the_process(bench, monkeypatch, data):
+    limits = (40, 40)
+    monkeypatch.setattr(resource, "getrlimit", lambda kind: limits)
+    await bench.start(Script())
+    async with connections(bench.gateway.port, 60, data):
+        assert bench.gateway._server.idle < limits[0]
+        assert (await bench.call()).code == 200
+
+
+def allow_bodies(bench, **limits):
+    """Changes the limits on bodies of a gateway that has started."""
+    context = bench.gateway.context
+    gateway = dataclasses.replace(context.settings.gateway, upload_seconds=30.0, **limits)
+    context.settings = dataclasses.replace(context.settings, gateway=gateway)
+
+
+def head_of_body(length):
+    return (
+        "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key\r\n"
+        f"Content-Length: {length}\r\n\r\n"
+    ).encode()
+
+
+# Each piece of a body was kept as an object of its own, of which only its bytes were counted.
+async def test_a_body_in_tiny_pieces_takes_many_times_its_bytes(bench):
+    pieces, piece = 4_000, b"xy"
+    await bench.start(Script())
+    allow_bodies(bench, max_body_bytes=1_000_000)
+    _, writer = await asyncio.open_connection("127.0.0.1", bench.gateway.port)
+    writer.write(head_of_body(1_000_000))
+    await asyncio.sleep(0.1)
+    with contextlib.closing(writer):
+        tracemalloc.start()
+        for _ in range(pieces):
+            writer.write(piece)
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+        async with asyncio.timeout(10):
+            while bench.gateway.context.body_bytes < pieces * len(piece):
+                await asyncio.sleep(0.01)
+        held, _ = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+    assert held < 10 * pieces * len(piece)
