A node logs that another one has started again without a planned stop

When processes were killed and returned, the others logged the end of a peer stream only, which a broken link looks like as well. node_restarted names the node whose record has a new incarnation though the old one was not removed, as a planned stop does; a node may log it of itself.

The new test fails on the commit before and passes now; core, members, their streams and the restored store: 202 passed.

--- a/basilpost/core/log_events.py
+++ b/basilpost/core/log_events.py
@@ -325,6 +325,12 @@
     "peer_secret_is_empty": Event(meaning="peer streams are not authenticated"),
     "peer_refused": Event(meaning="a peer stream could not be opened", fields=("cause", "reason")),
     "peer_stream_ended": Event(meaning="a peer stream was lost", fields=("peer", "cause")),
+    "node_restarted": Event(
+        meaning="another node, or this one, has started again without a planned stop, as the node records "
+        "show; incarnation is of the new process",
+        fields=("peer", "incarnation"),
+        is_trace=True,
+    ),
     "relay_listening": Event(meaning="callers can connect", fields=("address",)),
     "relay_drained": Event(
         meaning="a planned stop has waited for the requests in flight",
--- a/basilpost/members/node_registry.py
+++ b/basilpost/members/node_registry.py
@@ -34,6 +34,7 @@
         self._record = record
         self._store = kernel.find(names.OBJECTS, objects.ObjectStore)
         self._table = kernel.find(names.NODE_TABLE, node_table.NodeTable)
+        self._table.on_restart = self._log_restart
         self._tasks = tasks.TaskSet(log=kernel.log)
         self._version = 0
         self._has_written = False
@@ -61,6 +62,9 @@
         if self._version:
             await self._store.delete(self._key, version=self._version, timeout=STOP_TIMEOUT_SECONDS)
 
+    def _log_restart(self, record: node_table.NodeRecord) -> None:
+        self._log.info("node_restarted", peer=record.node_id, incarnation=record.incarnation)
+
     @property
     def _key(self) -> str:
         return PREFIX + self._record.node_id
--- a/basilpost/members/node_table.py
+++ b/basilpost/members/node_table.py
@@ -59,6 +59,7 @@
 
     Attributes:
         records_by_id: The newest record of each node.
+        on_restart: Called with the record of a node that has started again without a planned stop.
         sees_renewals: Returns True if this node follows renewals in the store; set by the owner.
     """
 
@@ -68,6 +69,7 @@
         self._departed_incarnations: dict[str, str] = {}
         self._expired_ids: set[str] = set()
         self.sees_renewals: Callable[[], bool] = lambda: True
+        self.on_restart: Callable[[NodeRecord], None] = lambda record: None
         self._listeners: list[Listener] = []
 
     def attach(self, source: replica.Replica) -> None:
@@ -89,6 +91,8 @@
         self._expired_ids.discard(node_id)
         self.records_by_id[node_id] = record
         self._renewed_at_by_id[node_id] = clock.monotonic()
+        if before is not None and before.incarnation != record.incarnation:
+            self.on_restart(record)
         if before is None or _identity(before) != _identity(record):
             self._notify()
 
--- a/tests/pool_process_end_test.py
+++ b/tests/pool_process_end_test.py
@@ -8,11 +8,14 @@
 import sys
 
 import pytest
+import structlog.testing
 import tornado.httpclient
 
 from basilpost.core import codec
 from basilpost.emulator import pool_fleet
+from basilpost.members import node_registry
 from basilpost.node import pool_demo
+from tests import pool_nodes
 
 EXIT_SECONDS = 15.0
 BUDGET_MS = 8000
@@ -176,3 +179,22 @@
     starting, ended = lines[0], lines[-1]
     assert (starting["event"], starting["pid"]) == ("node_starting", node.process.pid)
     assert (ended["event"], ended["cause"], ended["exit_code"]) == ("node_ended", "stop", 0)
+
+
+async def test_no_node_logs_that_another_one_was_killed_and_has_returned():
+    async with pool_nodes.running(nodes=2) as bench:
+        await pool_fleet.until(lambda: all(peers.neighbours() for peers in bench.peers))
+        # A killed process does not remove its record.
+        killed = bench.kernels[1].find("registry", node_registry.Registry)
+        killed._has_written, killed._version = False, 0
+        with structlog.testing.capture_logs() as lines:
+            await bench.kernels[1].stop()
+            await bench.add("node-1", first_start=False)
+            await pool_fleet.until(lambda: restarts(lines))
+    assert restarts(lines) == ["node-1"]
+
+
+def restarts(lines):
+    """Returns the nodes of which node-0 has logged a restart."""
+    logged = [line for line in lines if line["event"] == "node_restarted"]
+    return [line["peer"] for line in logged if line["node"] == "node-0"]
