--- a/basilpost/core/log_events.py
+++ b/basilpost/core/log_events.py
@@ -341,6 +341,12 @@
         "new one, `refused` found no room",
         fields=("listener", "cause", "count"),
     ),
+    "node_restarted": Event(
+        meaning="another node, or this one, has started again without a planned stop, as the node records "
+        "show; incarnation is of the new process",
+        fields=("peer", "incarnation"),
+        is_trace=True,
+    ),
     "relay_listening": Event(meaning="callers can connect", fields=("address",)),
     "relay_drained": Event(
         meaning="a planned stop has waited for the requests in flight",
