--- a/basilpost/core/log_events.py
+++ b/basilpost/core/log_events.py
@@ -202,13 +202,13 @@
         fields=("target", "requests"),
     ),
     "stream_moved": Event(
-        meaning="a stream is resumed on another target because its target sends nothing, or goes on at "
-        "another one, `to`, because its group is closed as planned",
+        meaning="a stream goes on at another target, `to`, because its target sends nothing or its group "
+        "is closed as planned; without `to` it is resumed by way of another node, or by the one that asked",
         fields=(*_REQUEST_FIELDS, "to"),
     ),
     "stream_kept": Event(
-        meaning="a stream stays at a target whose group is closed as planned, because the next one, `to`, "
-        "has not taken it",
+        meaning="a stream stays at a target that sends nothing or whose group is closed as planned, because "
+        "the next one, `to`, has not taken it or the target sends again",
         fields=(*_REQUEST_FIELDS, "to", "result", "reason"),
     ),
     "request_ended": Event(
--- a/basilpost/gateway/answer_sinks.py
+++ b/basilpost/gateway/answer_sinks.py
@@ -6,7 +6,7 @@
 
 import abc
 import asyncio
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 
 from basilpost.core import channels, clock
 from basilpost.gateway import inbound, sse
@@ -197,6 +197,7 @@
         self._looks_while_waiting = 0
         # Set when events are no longer held back; None while they are forwarded.
         self._released: asyncio.Event | None = None
+        self._on_held_back: Callable[[], None] = _do_nothing
         self._held_back_bytes = self._held_back_pieces = 0
         self.first_event_at: float | None = None
         self.writing_since: float | None = None
@@ -222,11 +223,15 @@
         self.is_stream = self.has_gap = self.abandoned = False
         self.writing_since = None
 
-    def hold(self) -> None:
+    def hold(self, on_held_back: Callable[[], None]) -> None:
         """Holds the events back that come from now on, until `release` or `restart`.
 
         While another target is asked to go on after the last event, the caller must not get further ones.
+
+        Args:
+            on_held_back: Called when something is held back.
         """
+        self._on_held_back = on_held_back
         if self._released is None:
             self._released = asyncio.Event()
 
@@ -252,12 +257,14 @@
         if self._released is not None:
             self._released.set()
         self._released = None
+        self._on_held_back = _do_nothing
         self._held_back_bytes = 0
 
     def _hold_back(self, chunk: bytes, released: asyncio.Event) -> Awaitable[None] | None:
         super().on_chunk(chunk)
         self._held_back_pieces += 1
         self._held_back_bytes += len(chunk)
+        self._on_held_back()
         return wait_for(released) if self._held_back_bytes > MAX_HELD_BACK_BYTES else None
 
     def accepts(self, head: channels.Head) -> bool:
@@ -359,6 +366,10 @@
     return str(media_type).strip().lower()
 
 
+def _do_nothing() -> None:
+    pass
+
+
 async def wait_for(event: asyncio.Event) -> None:
     """Waits until an event is set, as what `AnswerSink.on_chunk` returns."""
     await event.wait()
--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -23,6 +23,7 @@
     inbound,
     load_control,
     loss_probe,
+    next_sinks,
     planned_moves,
     request_admission,
     retry_budgets,
@@ -298,22 +299,38 @@
                 return
             if self._handovers.find(progress) is not None:
                 return
+            # Another node that has sent the stream on resumes it itself.
+            is_own = isinstance(way, targets_.Target) and spend_retry is not None
+            if is_own and not self._reachability.prefers_detour(service):
+                self._hand_over_silent(progress, sink, send_beside, may_move)
+                return
             if not self._has_alternative(progress) or not may_move():
                 return
             self._log.info("stream_moved", request=progress.admitted.call.request_id, target=source)
             sink.abandon()
 
+        async def send_beside(
+            branch: attempts.Progress,
+            target: targets_.Target,
+            next_sink: next_sinks.NextSink,
+        ) -> handovers.Result:
+            beside = self.stall_detector.watch(
+                target.target_id,
+                lambda: self._give_up_silent_handover(progress, branch),
+                lambda: next_sink.activity,
+            )
+            try:
+                return await self.sender.send(branch, request, target, sink=next_sink)
+            finally:
+                self.stall_detector.unwatch(beside)
+
         handover = self._handovers.take(progress)
         if handover is None:
             sink.restart()
         progress.resumed = bool(sink.last_event)
         watch = self.stall_detector.watch(source, move_stream, lambda: sink.activity)
         planned = self.planned_moves.watch(
-            source,
-            progress,
-            sink,
-            send=lambda branch, target, into: self.sender.send(branch, request, target, sink=into),
-            spend_retry=spend_retry,
+            source, progress, sink, send=send_beside, spend_retry=spend_retry
         )
         try:
             if handover is None:
@@ -340,6 +357,30 @@
             )
         return result
 
+    def _hand_over_silent(
+        self,
+        progress: attempts.Progress,
+        sink: answer_sinks.StreamSink,
+        send: handovers.Send,
+        may_move: Callable[[], bool],
+    ) -> None:
+        """Begins to hand a stream over whose target sends nothing, if another one may get it."""
+        if not self._handovers.may_start(progress, sink):
+            return
+        target = self._chooser.choose(handovers.without_declined(progress))
+        if isinstance(target, targets_.Target) and may_move():
+            self._handovers.start(progress, sink, target, send, is_planned=False)
+
+    def _give_up_silent_handover(
+        self, progress: attempts.Progress, branch: attempts.Progress
+    ) -> None:
+        """Gives a next target up that sends nothing either, if a third one can be asked."""
+        handover = self._handovers.find(progress)
+        if handover is None or handover.branch.progress is not branch:
+            return
+        if branch.has_attempts_left and self._has_alternative(branch):
+            handover.give_up()
+
     async def _choose_way(
         self, progress: attempts.Progress
     ) -> targets_.Target | detours.Detour | failure.Refusal:
@@ -525,7 +566,8 @@
     def _report_loss(self, progress: attempts.Progress, result: attempts.Lost) -> None:
         """Has the target of a lost request watched; another node does so for one that it has sent."""
         # A head that has ended as planned after a stream has moved away is no crash.
-        has_moved = result.abandoned and self._handovers.find(progress) is not None
+        handover = self._handovers.find(progress)
+        has_moved = handover is not None and handover.is_planned and result.abandoned
         if not result.by_detour and not has_moved:
             # After an unattributed answer this node closed the connection; the target lives.
             self._watch_target(progress, cancelled=result.abandoned or result.unattributed)
--- a/basilpost/gateway/handovers.py
+++ b/basilpost/gateway/handovers.py
@@ -6,107 +6,29 @@
 the next one has sent its first event. If it rejects or fails the stream, or sends no event in time, the
 stream stays where it is, with all its events. If the present target breaks off meanwhile, the next one is
 used at once.
+
+A stream leaves its target because that is closed as planned, or because it sends nothing. In the first
+case the next target has a limited time. In the second it has as long as the present one sends nothing.
 """
 
 import asyncio
+import dataclasses
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 from basilpost.core import channels
-from basilpost.gateway import answer_sinks, attempts, sse
+from basilpost.gateway import answer_sinks, attempts, next_sinks
 from basilpost.members import loads as loads_
 from basilpost.routing import targets as targets_
 
 # Time in which the next target has to send its first event. Callers leave after 2 s without any.
 TAKE_SECONDS = 1.0
+# A stream that so many targets have rejected stays where it is.
+MAX_DECLINES = 3
 
 Result = channels.Head | attempts.NotSent | attempts.NotRun | attempts.Lost
 # Sends a request to a target and reads the answer into a sink.
-Send = Callable[[attempts.Progress, targets_.Target, answer_sinks.AnswerSink], Awaitable[Result]]
-
-
-class NextSink(answer_sinks.Collector):
-    """Receives the answer of the next target; once that is used, it goes to the sink of the stream.
-
-    Attributes:
-        has_taken: True once an event has arrived with which the stream can go on.
-    """
-
-    def __init__(
-        self,
-        *,
-        stream_sink: answer_sinks.StreamSink,
-        memory: answer_sinks.AnswerMemory,
-        on_taken: Callable[[], None],
-    ) -> None:
-        super().__init__(memory=memory)
-        self.has_taken = False
-        self._stream_sink = stream_sink
-        self._on_taken = on_taken
-        self._rest: sse.ResumableStream | None = None
-        self._head: channels.Head | None = None
-        self._is_stream = False
-        self._used = asyncio.Event()
-
-    @property
-    def excess(self) -> str:
-        """Returns why the answer was given up, empty if it was not."""
-        return super().excess or (self._stream_sink.excess if self._used.is_set() else "")
-
-    @property
-    def last_event(self) -> str:
-        """Returns the id of the last event that the caller has."""
-        return self._stream_sink.last_event
-
-    def on_connected(self, channel: channels.Channel) -> None:
-        """Has the present target's events held back, as the request is sent next."""
-        super().on_connected(channel)
-        if self._used.is_set():
-            self._stream_sink.on_connected(channel)
-            return
-        self._stream_sink.hold()
-        self._rest = self._stream_sink.stream.fork()
-
-    def on_head(self, head: channels.Head) -> None:
-        """Decides whether the answer goes on with the stream."""
-        if self._used.is_set():
-            self._stream_sink.on_head(head)
-            return
-        self._head = head
-        self._is_stream = self._stream_sink.accepts(head)
-
-    def on_chunk(self, chunk: bytes) -> Awaitable[None] | None:
-        """Collects the answer up to its first event, and reads on when that is used."""
-        if self._used.is_set():
-            return self._stream_sink.on_chunk(chunk)
-        super().on_chunk(chunk)
-        if not self._is_stream or self.excess:
-            return None
-        assert self._rest is not None
-        new_events = self._rest.feed(chunk)
-        if new_events.has_gap or new_events.too_many:
-            self.give_up(f"it does not go on after event {self.last_event or '0'}")
-        elif self._rest.pending_bytes > answer_sinks.MAX_EVENT_BYTES:
-            self.give_up(f"an event is longer than {answer_sinks.MAX_EVENT_BYTES} bytes")
-        elif new_events.count:
-            self.has_taken = True
-            self._on_taken()
-            return answer_sinks.wait_for(self._used)
-        return None
-
-    async def use(self) -> None:
-        """Passes the answer on to the sink of the stream, which reads from no other target any more."""
-        body = self.body
-        self.discard()
-        self._used.set()
-        self._stream_sink.restart()
-        if self.channel is not None:
-            self._stream_sink.on_connected(self.channel)
-        if self._head is not None:
-            self._stream_sink.on_head(self._head)
-        waiting = self._stream_sink.on_chunk(body) if body else None
-        if waiting is not None:
-            await waiting
+Send = Callable[[attempts.Progress, targets_.Target, next_sinks.NextSink], Awaitable[Result]]
 
 
 class Handover:
@@ -115,6 +37,7 @@
     Attributes:
         target: The next target.
         branch: The record of the attempt.
+        is_planned: True if the present target is closed as planned, False if it sends nothing.
         is_used: True once the request depends on this attempt.
     """
 
@@ -127,18 +50,23 @@
         memory: answer_sinks.AnswerMemory,
         loads: loads_.Loads,
         send: Send,
+        is_planned: bool,
         on_taken: Callable[["Handover"], None],
         on_declined: Callable[["Handover", Result], None],
     ) -> None:
         self.target = target
         self.branch = attempts.Branch(trunk)
         self.branch.progress.resumed = bool(stream_sink.last_event)
+        self.is_planned = is_planned
         self.is_used = False
         self._loads = loads
         self._send = send
         self._on_declined = on_declined
-        self._sink = NextSink(
-            stream_sink=stream_sink, memory=memory, on_taken=lambda: on_taken(self)
+        self._sink = next_sinks.NextSink(
+            stream_sink=stream_sink,
+            memory=memory,
+            on_taken=lambda: on_taken(self),
+            on_held_back=self._on_held_back,
         )
         self._limit: asyncio.Timeout | None = None
         # Counted at once, so that other streams do not count on the same free slot.
@@ -156,10 +84,19 @@
         self.is_used = True
         self.end_limit()
 
+    def give_up(self) -> None:
+        """Leaves the stream at its present target, unless the next one has taken it."""
+        if not self.is_used and not self.has_taken:
+            self._set_limit(asyncio.get_running_loop().time())
+
+    def _on_held_back(self) -> None:
+        if not self.is_planned:
+            # The present target, which was silent, is back first.
+            self.give_up()
+
     def end_limit(self) -> None:
         """Lets the attempt take as long as its request may."""
-        if self._limit is not None and not self._limit.expired():
-            self._limit.reschedule(None)
+        self._set_limit(None)
 
     def cancel(self) -> None:
         """Ends the attempt, because the stream has ended or its caller has left."""
@@ -183,10 +120,12 @@
         self._end_reservation()
         result: Result
         try:
-            async with asyncio.timeout(None if self.is_used else TAKE_SECONDS) as self._limit:
+            async with asyncio.timeout(self._first_limit()) as self._limit:
                 result = await self._send(self.branch.progress, self.target, self._sink)
         except TimeoutError:
-            result = attempts.Lost(reason=f"no event within {TAKE_SECONDS} s", abandoned=True)
+            result = attempts.Lost(reason="no event in time", abandoned=True)
+        finally:
+            self._limit = None
         if not self.is_used and not self.has_taken:
             self._sink.discard()
             # Rejections of a stream that goes on do not bring it nearer to its refusal.
@@ -194,6 +133,13 @@
             self._on_declined(self, result)
         return result
 
+    def _set_limit(self, when: float | None) -> None:
+        if self._limit is not None and not self._limit.expired():
+            self._limit.reschedule(when)
+
+    def _first_limit(self) -> float | None:
+        return TAKE_SECONDS if self.is_planned and not self.is_used else None
+
     def _end_reservation(self) -> None:
         if self._is_reserved:
             self._is_reserved = False
@@ -242,6 +188,8 @@
         sink: answer_sinks.StreamSink,
         target: targets_.Target,
         send: Send,
+        *,
+        is_planned: bool,
     ) -> None:
         """Asks another target to go on with a stream.
 
@@ -250,6 +198,7 @@
             sink: Receives the events of the present target.
             target: The next target.
             send: Sends the request.
+            is_planned: True if the present target is closed as planned, False if it sends nothing.
         """
 
         def switch(handover: Handover) -> None:
@@ -276,10 +225,21 @@
             memory=self._memory,
             loads=self._loads,
             send=send,
+            is_planned=is_planned,
             on_taken=switch,
             on_declined=keep,
         )
 
+    def may_start(self, progress: attempts.Progress, sink: answer_sinks.StreamSink) -> bool:
+        """Returns True if a stream can be handed over, and not too many targets have rejected it."""
+        return (
+            sink.channel is not None
+            and not sink.abandoned
+            and sink.stream.may_resume
+            and self.find(progress) is None
+            and len(progress.declined_targets) < MAX_DECLINES
+        )
+
     def settle(
         self, progress: attempts.Progress, sink: answer_sinks.StreamSink, result: object
     ) -> None:
@@ -327,3 +287,12 @@
         )
         if isinstance(result, attempts.Lost):
             self._on_lost(handover.branch.progress, result)
+
+
+def without_declined(progress: attempts.Progress) -> attempts.Progress:
+    """Returns a record of a request by which no target is chosen that has not taken its stream."""
+    if not progress.declined_targets:
+        return progress
+    return dataclasses.replace(
+        progress, tried_targets=progress.tried_targets | progress.declined_targets
+    )
--- a/basilpost/gateway/handovers_test.py
+++ b/basilpost/gateway/handovers_test.py
@@ -153,8 +153,10 @@
         self.sink.on_head(head())
         self.say_old(1, 2)
 
-    async def start(self):
-        self.handovers.start(self.progress, self.sink, TARGET, self.next.send)
+    async def start(self, *, is_planned=True):
+        self.handovers.start(
+            self.progress, self.sink, TARGET, self.next.send, is_planned=is_planned
+        )
         await self.pause()
 
     async def pause(self):
@@ -377,7 +379,7 @@
 async def test_a_target_works_on_for_a_caller_that_has_left(moment):
     bench = Bench()
     if moment == "before-it-runs":
-        bench.handovers.start(bench.progress, bench.sink, TARGET, bench.next.send)
+        bench.handovers.start(bench.progress, bench.sink, TARGET, bench.next.send, is_planned=True)
         assert bench.loads.in_flight == 1
     else:
         await bench.start()
@@ -399,7 +401,7 @@
 
 async def test_a_handover_is_counted_twice_or_not_before_it_is_sent():
     bench = Bench()
-    bench.handovers.start(bench.progress, bench.sink, TARGET, bench.next.send)
+    bench.handovers.start(bench.progress, bench.sink, TARGET, bench.next.send, is_planned=True)
     assert bench.loads.in_flight == 1
     await bench.pause()
     # From here on the sender counts it.
@@ -423,3 +425,64 @@
     assert bench.memory.total == 0
     bench.sink.on_chunk(b"\n\n")
     assert [number for number, _ in bench.events] == ["1", "2", "3"]
+
+
+async def test_a_silent_stream_waits_for_a_slow_target_in_vain():
+    """Nobody else has the stream, so that the next target may take its time."""
+    bench = Bench()
+    await bench.start(is_planned=False)
+    await asyncio.sleep(handovers.TAKE_SECONDS * 1.5)
+    assert not bench.next.cancelled
+    bench.next.sink.on_head(head())
+    bench.say_next(3)
+    assert bench.old_channel.closed
+    bench.handovers.cancel(bench.progress)
+
+
+async def test_a_silent_stream_is_cut_although_its_target_sends_again():
+    bench = Bench()
+    await bench.start(is_planned=False)
+    bench.say_old(3, 4)
+    await bench.pause()
+    assert bench.next.cancelled
+    bench.assert_kept()
+
+
+async def test_a_silent_stream_is_cut_for_a_target_that_rejects_it():
+    bench = Bench()
+    await bench.start(is_planned=False)
+    await bench.end_next(attempts.NotRun(reason="full"))
+    bench.say_old(3, 4)
+    bench.assert_kept()
+
+
+@pytest.mark.parametrize("is_taken", [False, True])
+async def test_a_target_is_given_up_that_has_taken_a_stream(is_taken):
+    bench = Bench()
+    await bench.start(is_planned=False)
+    handover = bench.handovers.find(bench.progress)
+    if is_taken:
+        bench.next.sink.on_head(head())
+        bench.say_next(3)
+    handover.give_up()
+    handover.give_up()
+    await bench.pause()
+    assert bench.next.cancelled is not is_taken
+    assert bench.sink.abandoned is is_taken
+    bench.handovers.cancel(bench.progress)
+
+
+async def test_a_slow_target_counts_as_silent_while_it_sends():
+    bench = Bench()
+    await bench.start()
+    activity = bench.next.sink.activity
+    bench.next.sink.on_head(head())
+    bench.next.sink.on_chunk(b"id: 3\n")
+    assert bench.next.sink.activity > activity
+    bench.settle(BROKEN)
+    joining = asyncio.create_task(bench.handovers.take(bench.progress).join())
+    await bench.pause()
+    activity = bench.next.sink.activity
+    bench.next.sink.on_chunk(b"data: next\n\n")
+    assert bench.next.sink.activity > activity
+    joining.cancel()
--- a/basilpost/gateway/planned_moves.py
+++ b/basilpost/gateway/planned_moves.py
@@ -16,8 +16,6 @@
 # Interval between two moves from the same group. The nodes tell each other of their requests in flight
 # each 0.15 s; in that time each of them moves a few streams at most.
 MOVE_SECONDS = 0.05
-# A stream that so many groups have rejected stays where it is.
-MAX_DECLINES = 3
 
 
 @dataclasses.dataclass(kw_only=True, eq=False)
@@ -111,23 +109,12 @@
     def _move(self, watch: WatchedStream) -> bool:
         """Begins to hand a stream over to another target, if it may move and one has room for it."""
         progress, sink = watch.progress, watch.sink
-        if watch.spend_retry is None or sink.channel is None or sink.abandoned:
+        if watch.spend_retry is None or not self._handovers.may_start(progress, sink):
             return False
-        if self._handovers.find(progress) is not None or not sink.stream.may_resume:
+        if not progress.has_attempts_left:
             return False
-        if not progress.has_attempts_left or len(progress.declined_targets) >= MAX_DECLINES:
-            return False
-        target = self._choose(_without_declined(progress))
+        target = self._choose(handovers.without_declined(progress))
         if target is None or not watch.spend_retry():
             return False
-        self._handovers.start(progress, sink, target, watch.send)
+        self._handovers.start(progress, sink, target, watch.send, is_planned=True)
         return True
-
-
-def _without_declined(progress: attempts.Progress) -> attempts.Progress:
-    """Returns a record of a request by which no target is chosen that has not taken its stream."""
-    if not progress.declined_targets:
-        return progress
-    return dataclasses.replace(
-        progress, tried_targets=progress.tried_targets | progress.declined_targets
-    )
--- a/basilpost/gateway/planned_moves_test.py
+++ b/basilpost/gateway/planned_moves_test.py
@@ -175,7 +175,7 @@
     """Each time its caller would wait, and a retry be spent."""
     bench = Bench(slots=9)
     progress = bench.add().progress
-    progress.declined_targets = {f"t-{number}" for number in range(planned_moves.MAX_DECLINES)}
+    progress.declined_targets = {f"t-{number}" for number in range(handovers.MAX_DECLINES)}
     bench.moves.check()
     assert bench.moved == [] and bench.retries == 9
 
--- a/tests/pool_stream_handover_test.py
+++ b/tests/pool_stream_handover_test.py
@@ -203,3 +203,51 @@
         await planned_closes.until_replaced(bench, group, 2)
         await streams.end()
         assert streams.lost == []
+
+
+SILENT_SECONDS = 1.0
+
+
+@pytest.mark.parametrize("trouble", ["full", "fail", "stalled"])
+async def test_a_silent_stream_is_cut_for_a_group_that_does_not_take_it(trouble):
+    """Its own group sends nothing for a moment, and would go on."""
+    async with one_stream() as handover:
+        for runner in handover.others:
+            setattr(runner.options, trouble, True)
+        await asyncio.sleep(0.3)
+        for runner in handover.old:
+            runner.options.stalled = True
+        await asyncio.sleep(SILENT_SECONDS)
+        for runner in handover.old:
+            runner.options.stalled = False
+        answer = await handover.task
+        assert_in_order(answer)
+        assert {vm_id for _, vm_id, _ in runs_by_event(answer.body)} == {handover.old[0].vm_id}
+        arrivals = [arrival for runner in handover.others for arrival in runner.arrival_log]
+        assert len(arrivals) == 1
+
+
+async def test_a_stream_stays_at_a_group_that_sends_nothing_any_more():
+    async with one_stream() as handover:
+        await asyncio.sleep(0.3)
+        for runner in handover.old:
+            runner.options.stalled = True
+        answer = await handover.task
+        assert_in_order(answer)
+        assert len(handover.runs) == 2
+
+
+async def test_a_stream_stays_at_two_groups_that_send_nothing_any_more():
+    async with one_stream(groups=3, maxAttempts=3) as handover:
+        for runner in handover.others:
+            runner.options.stalled = True
+        await asyncio.sleep(0.3)
+        for runner in handover.old:
+            runner.options.stalled = True
+        await handover.until_runs(2)
+        next_group = planned_closes.members_of(handover.bench, handover.runs[-1].group)
+        for runner in handover.others:
+            runner.options.stalled = runner in next_group
+        answer = await handover.task
+        assert_in_order(answer)
+        assert len(handover.runs) == 3
