--- a/basilpost/core/caller_stream.py
+++ b/basilpost/core/caller_stream.py
@@ -1,12 +1,12 @@
 """Connections of callers, which report the bytes that they hold."""
 
 import socket
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import tornado.iostream
 
-from basilpost.core import connection_memory, listener
+from basilpost.core import connection_memory, listener, turns
 
 # Most that is read at once, and that is passed on as one piece of a body. A connection that is not
 # read any more holds up to this.
@@ -19,6 +19,7 @@
     Args:
         connection: Its socket.
         memory: Counts what all connections hold.
+        read_turns: Gives the connections turns to parse what has arrived.
         max_buffer_size: Most that may be read and not parsed.
 
     Attributes:
@@ -32,6 +33,7 @@
         connection: socket.socket,
         *,
         memory: connection_memory.ConnectionMemory,
+        read_turns: turns.Turns,
         max_buffer_size: int,
     ) -> None:
         super().__init__(connection, max_buffer_size=max_buffer_size, read_chunk_size=READ_BYTES)
@@ -39,6 +41,8 @@
         self.waiting_bytes = 0
         self.carries_request = False
         self._memory = memory
+        self._turns = read_turns
+        self._granted = 0
         memory.add(self)
 
     @property
@@ -61,6 +65,35 @@
         self._read_buffer = bytearray()
         self._read_buffer_size = 0
 
+    def read_until(self, delimiter: bytes, max_bytes: int | None = None) -> Awaitable[bytes]:
+        """Reads to a delimiter, once the connection has its turn."""
+        if self._take_read():
+            return super().read_until(delimiter, max_bytes)
+        return self._read_until_in_turn(delimiter, max_bytes)
+
+    def read_bytes(self, num_bytes: int, partial: bool = False) -> Awaitable[bytes]:
+        """Reads some bytes, once the connection has its turn."""
+        if self._take_read():
+            return super().read_bytes(num_bytes, partial)
+        return self._read_bytes_in_turn(num_bytes, partial)
+
+    async def _read_until_in_turn(self, delimiter: bytes, max_bytes: int | None) -> bytes:
+        await self._wait_for_turn()
+        return await super().read_until(delimiter, max_bytes)
+
+    async def _read_bytes_in_turn(self, num_bytes: int, partial: bool) -> bytes:
+        await self._wait_for_turn()
+        return await super().read_bytes(num_bytes, partial)
+
+    def _take_read(self) -> bool:
+        if self._granted:
+            self._granted -= 1
+            return True
+        return self._turns.take()
+
+    async def _wait_for_turn(self) -> None:
+        self._granted = await self._turns.wait() - 1
+
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """Reads from the socket; part of Tornado's interface of streams."""
         count = super().read_from_fd(buf)
--- a/basilpost/core/caller_stream_test.py
+++ b/basilpost/core/caller_stream_test.py
@@ -9,7 +9,7 @@
 import structlog
 import tornado.iostream
 
-from basilpost.core import caller_stream, connection_memory
+from basilpost.core import caller_stream, connection_memory, turns
 
 LARGE = 8_000_000
 
@@ -28,7 +28,9 @@
     near, far = socket.socketpair()
     far.setblocking(False)
     near.setblocking(False)
-    stream = caller_stream.CallerStream(near, memory=memory, max_buffer_size=LARGE)
+    stream = caller_stream.CallerStream(
+        near, memory=memory, read_turns=turns.Turns(), max_buffer_size=LARGE
+    )
     with contextlib.closing(far):
         yield stream, far
     stream.close()
@@ -74,3 +76,33 @@
     assert stream.held_bytes == 0
     with pytest.raises(tornado.iostream.StreamClosedError):
         await reading
+
+
+async def test_a_connection_parses_its_lines_in_turns(ends):
+    stream, far = ends
+    lines = 4 * turns.READS_PER_PASS
+    far.send(b"\r\n" * lines)
+    passes = 0
+
+    async def count_passes():
+        nonlocal passes
+        while True:
+            passes += 1
+            await asyncio.sleep(0)
+
+    counting = asyncio.create_task(count_passes())
+    for _ in range(lines):
+        await stream.read_until(b"\r\n", max_bytes=64)
+    counting.cancel()
+    assert passes >= lines // turns.READS_PER_PASS
+
+
+async def test_a_connection_that_is_closed_while_it_waits_for_its_turn_ends_there(ends):
+    stream, far = ends
+    while stream._turns.take():
+        pass
+    reading = asyncio.ensure_future(stream.read_until(b"\r\n", max_bytes=64))
+    await asyncio.sleep(0)
+    stream.close()
+    with pytest.raises(tornado.iostream.StreamClosedError):
+        await reading
--- a/basilpost/gateway/relay.py
+++ b/basilpost/gateway/relay.py
@@ -23,6 +23,7 @@
     listener,
     names,
     tasks,
+    turns,
 )
 from basilpost.gateway import (
     attempts,
@@ -164,6 +165,7 @@
             log=kernel.log,
             registry=kernel.registry,
         )
+        self._read_turns = turns.Turns()
         self._server = caller_stream.CallerListener(
             self, make_stream=self._make_stream, **_SERVER_OPTIONS
         )
@@ -311,7 +313,10 @@
 
     def _make_stream(self, connection: socket.socket) -> caller_stream.CallerStream:
         return caller_stream.CallerStream(
-            connection, memory=self._connection_memory, max_buffer_size=MAX_BODY_BYTES
+            connection,
+            memory=self._connection_memory,
+            read_turns=self._read_turns,
+            max_buffer_size=MAX_BODY_BYTES,
         )
 
     def _make_body(self, request: inbound.Request) -> body_memory.Body:
