--- a/basilpost/gateway/call_handler.py
+++ b/basilpost/gateway/call_handler.py
@@ -8,7 +8,7 @@
 import tornado.web
 
 from basilpost.core import clock, data, failure, hashing, names
-from basilpost.gateway import context, dispatch, refusals, request_parsing
+from basilpost.gateway import context, dispatch, refusals, request_parsing, upload_memory
 from basilpost.members import standing
 from basilpost.routing import interfaces
 
@@ -38,7 +38,7 @@
     def initialize(self, context: context.Context) -> None:
         """Stores the shared context; called by Tornado for each request."""
         super().initialize(context)
-        self._body = bytearray()
+        self._upload: upload_memory.Upload | None = None
         self._size = 0
         self._is_counted = False
         self._refusal: failure.Refusal | None = None
@@ -56,6 +56,7 @@
         self._upload_timer = asyncio.get_running_loop().call_later(
             seconds, self._refuse_slow_upload, seconds
         )
+        self._upload = self.context.uploads.begin(give_up=self._give_up_upload)
         self._refusal = self._head_refusal()
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
@@ -66,12 +67,14 @@
             self.http_connection().close()
         if self._refusal is None and self._size > gateway.max_body_bytes:
             self._refusal = refusals.too_large(gateway.max_body_bytes)
-        elif self._refusal is None and self.context.body_bytes > gateway.max_buffered_bytes:
+        if self._upload is None:
+            return None
+        if self._refusal is None and not self.context.uploads.add(
+            self._upload, chunk, max_held=gateway.max_buffered_bytes
+        ):
             self._refusal = refusals.memory_full()
         if self._refusal is not None:
-            return None
-        self._body += chunk
-        self.context.body_bytes += len(chunk)
+            self._release_body()
         return None
 
     async def run(self, body: bytes) -> None:
@@ -84,7 +87,7 @@
         if self._refusal is not None:
             self.refuse(self._refusal)
             return
-        body = bytes(self._body)
+        body = self.context.uploads.end(self._upload) if self._upload is not None else b""
         with structlog.contextvars.bound_contextvars(request_id=self.caller_request_id):
             self._task = asyncio.create_task(self.run(body))
             try:
@@ -214,6 +217,10 @@
         if not self._finished:
             self.refuse(refusals.upload_timeout(seconds))
 
+    def _give_up_upload(self) -> None:
+        if not self._finished:
+            self.refuse(refusals.upload_given_up())
+
     def _cancel_upload_timer(self) -> None:
         if self._upload_timer is not None:
             self._upload_timer.cancel()
@@ -222,9 +229,13 @@
         """Counts an answer in the metrics."""
         self.context.metrics.answers.labels(self.service_name, status, outcome.value).inc()
 
+    def _release_body(self) -> None:
+        if self._upload is not None:
+            self.context.uploads.release(self._upload)
+            self._upload = None
+
     def _release(self) -> None:
-        self.context.body_bytes -= len(self._body)
-        self._body = bytearray()
+        self._release_body()
         if self._is_counted:
             self._is_counted = False
             self.context.in_flight -= 1
--- a/basilpost/gateway/context.py
+++ b/basilpost/gateway/context.py
@@ -7,7 +7,7 @@
 
 from basilpost.core import failure
 from basilpost.gateway import claimed_requests as claimed_requests_
-from basilpost.gateway import dispatch, metrics, refusals, request_parsing
+from basilpost.gateway import dispatch, metrics, refusals, request_parsing, upload_memory
 from basilpost.members import directory, standing
 from basilpost.routing import interfaces
 from basilpost.settings import schema
@@ -22,7 +22,7 @@
         draining: True once a planned stop has begun; requests are still accepted.
         stopping: True once new requests are refused.
         in_flight: Number of requests in progress.
-        body_bytes: Bytes of request bodies in memory.
+        uploads: Request bodies in memory.
     """
 
     settings: schema.NodeSettings
@@ -40,7 +40,14 @@
     draining: bool = False
     stopping: bool = False
     in_flight: int = 0
-    body_bytes: int = 0
+    uploads: upload_memory.UploadMemory = dataclasses.field(
+        default_factory=upload_memory.UploadMemory
+    )
+
+    @property
+    def body_bytes(self) -> int:
+        """Returns the bytes of request bodies in memory."""
+        return self.uploads.held
 
 
 class BaseHandler(tornado.web.RequestHandler):
--- a/basilpost/gateway/refusals.py
+++ b/basilpost/gateway/refusals.py
@@ -81,6 +81,16 @@
     )
 
 
+def upload_given_up() -> failure.Refusal:
+    """Returns the refusal of a body that arrived more slowly than others that found no room."""
+    return failure.Refusal(
+        reason="the body arrived slowly, and its room was needed for others",
+        code="upload_timeout",
+        status=408,
+        retry_after=1.0,
+    )
+
+
 def memory_full() -> failure.Refusal:
     """Returns the refusal of a body while the node holds as many body bytes as it may."""
     return failure.Refusal(
--- a/basilpost/gateway/server_test.py
+++ b/basilpost/gateway/server_test.py
@@ -589,3 +589,18 @@
         held, _ = tracemalloc.get_traced_memory()
         tracemalloc.stop()
     assert held < 10 * pieces * len(piece)
+
+
+# Bodies that stop held their room until the limit of an upload, and all others were refused.
+@pytest.mark.parametrize("trickle", [b"", b"x"], ids=["stopped", "a-byte-now-and-then"])
+async def test_bodies_that_stop_keep_others_out(bench, trickle):
+    await bench.start(Script())
+    allow_bodies(bench, max_body_bytes=10_000, max_buffered_bytes=30_000)
+    async with connections(bench.gateway.port, 5, head_of_body(9_999) + b"x" * 9_000) as writers:
+        statuses = []
+        for _ in range(8):
+            statuses.append((await bench.call()).code)
+            for writer in writers:
+                writer.write(trickle)
+            await asyncio.sleep(0.5)
+        assert statuses[-1] == 200, statuses
