--- a/basilpost/core/log_events.py
+++ b/basilpost/core/log_events.py
@@ -226,14 +226,14 @@
         is_trace=True,
     ),
     "stream_moved": Event(
-        meaning="a stream is resumed on another target because its target sends nothing, or goes on at "
-        "another one, `to`, because its group is closed as planned",
+        meaning="a stream goes on at another target, `to`, because its target sends nothing or its group "
+        "is closed as planned; without `to` it is resumed by way of another node, or by the one that asked",
         fields=(*_REQUEST_FIELDS, "to"),
         is_trace=True,
     ),
     "stream_kept": Event(
-        meaning="a stream stays at a target whose group is closed as planned, because the next one, `to`, "
-        "has not taken it",
+        meaning="a stream stays at a target that sends nothing or whose group is closed as planned, because "
+        "the next one, `to`, has not taken it or the target sends again",
         fields=(*_REQUEST_FIELDS, "to", "result", "reason"),
     ),
     "request_ended": Event(
@@ -341,6 +341,12 @@
         "new one, `refused` found no room",
         fields=("listener", "cause", "count"),
     ),
+    "node_restarted": Event(
+        meaning="another node, or this one, has started again without a planned stop, as the node records "
+        "show; incarnation is of the new process",
+        fields=("peer", "incarnation"),
+        is_trace=True,
+    ),
     "relay_listening": Event(meaning="callers can connect", fields=("address",)),
     "relay_drained": Event(
         meaning="a planned stop has waited for the requests in flight",
