--- a/tests/handover_ends_test.py
+++ b/tests/handover_ends_test.py
@@ -128,3 +128,22 @@
     bench.next.ended.set_exception(RuntimeError("a fault"))
     await bench.pause()
     bench.assert_kept()
+
+
+# As above: a last event of the silent target ended the handover, and its break made it the next attempt.
+@pytest.mark.parametrize("passes", [1, 2])
+async def test_a_silent_target_that_breaks_off_after_an_event_is_followed_beyond_the_attempts(
+    passes,
+):
+    bench = bench_.Bench()
+    await bench.start(is_planned=False)
+    bench.say_old(3)
+    for _ in range(passes):
+        await asyncio.sleep(0)
+    bench.settle(BROKEN)
+    handover = bench.handovers.take(bench.progress)
+    if handover is not None:
+        if not bench.next.ended.done():
+            bench.next.ended.set_result(bench_.head())
+        result = await handover.join()
+        assert not isinstance(result, attempts.Lost) or not result.abandoned
