--- a/basilpost/gateway/body_memory.py
+++ b/basilpost/gateway/body_memory.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import dataclasses
+import functools
 import heapq
 import itertools
 from collections.abc import Awaitable, Callable
@@ -29,6 +30,8 @@
 # Bytes of the bound for each body that may wait while it holds a piece which is not counted. Further
 # ones are refused at once.
 BYTES_PER_WAITING_PIECE = 131_072
+# Limits of time on a body for which none are given.
+DEFAULT_SECONDS = 30.0
 # Shortest time after which a refused caller may return.
 MIN_RETRY_SECONDS = 0.1
 
@@ -46,6 +49,19 @@
     wait_seconds: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class TimeLimits:
+    """Limits of time on the body of one request.
+
+    Attributes:
+        idle_seconds: Longest time without a byte.
+        whole_seconds: Longest time until it is whole.
+    """
+
+    idle_seconds: float = DEFAULT_SECONDS
+    whole_seconds: float = DEFAULT_SECONDS
+
+
 @dataclasses.dataclass(order=True, kw_only=True)
 class _Waiter:
     priority: int
@@ -60,7 +76,7 @@
     Attributes:
         held: Bytes of bodies that are held, or for which room is kept.
         max_bytes: Bound on these, which small bodies may exceed by a share.
-        arrivals: The bodies that hold room and are not whole yet.
+        arrivals: The bodies that are not whole yet.
     """
 
     def __init__(self, *, max_bytes: int) -> None:
@@ -125,7 +141,7 @@
         if not self._waiting():
             return
         for arrival in self.arrivals.yielding():
-            arrival.give_up()
+            arrival.give_up(body_progress.Cause.ROOM)
             if not self._waiting():
                 return
 
@@ -152,6 +168,7 @@
         max_bytes: Largest body that is taken.
         terms: Returns how the body may wait for room; called only if it has to.
         excess: Refusal of a larger body; by default it tells that the operators allow none.
+        time_limits: Returns the limits of time on the body.
 
     Attributes:
         refusal: Why the request is refused, None unless it is. Its body is then read and discarded, so
@@ -166,6 +183,7 @@
         max_bytes: int,
         terms: Callable[[], WaitTerms],
         excess: failure.Refusal | None = None,
+        time_limits: Callable[[], TimeLimits] = TimeLimits,
     ) -> None:
         self.refusal: failure.Refusal | None = None
         self._memory = memory
@@ -176,8 +194,8 @@
         # fragmented, and a piece costs more than its bytes if these are few.
         self._buffer = bytearray()
         self._length = 0
-        self._arrival = body_progress.Arrival(give_up=self._give_up)
-        self._watched = False
+        self._time_limits = time_limits
+        self._arrival = body_progress.Arrival(give_up=self._give_up, limits=lambda: self._limits)
         self.on_given_up: Callable[[], None] = lambda: None
 
     @property
@@ -186,8 +204,9 @@
 
     def begin(self, length: int) -> Awaitable[None] | None:
         """Takes room for a body of a known length, 0 if it is not known; waits if there is none."""
+        self._memory.arrivals.add(self._arrival)
         if length > self._max_bytes:
-            self.refusal = self._excess
+            self._refuse(self._excess)
             return None
         self._length = length
         return self._take(length)
@@ -219,8 +238,11 @@
         return self._buffer
 
     def release(self) -> None:
-        """Gives the room of the body back."""
+        """Gives the room of the body back, and ends its arrival."""
         self._memory.arrivals.remove(self._arrival)
+        self._free()
+
+    def _free(self) -> None:
         taken, self._arrival.room = self._arrival.room, 0
         self._buffer = bytearray()
         if taken:
@@ -241,16 +263,10 @@
         if not size:
             return None
         if self._memory.take(size):
-            self._add_room(size)
+            self._arrival.room += size
             return None
         return self._wait(size)
 
-    def _add_room(self, size: int) -> None:
-        self._arrival.room += size
-        if not self._watched:
-            self._watched = True
-            self._memory.arrivals.add(self._arrival)
-
     async def _wait(self, size: int) -> None:
         terms = self._terms()
         self._arrival.waits = True
@@ -260,17 +276,32 @@
         finally:
             self._arrival.waits = False
         if has_room:
-            self._add_room(size)
+            self._arrival.room += size
         else:
             self._refuse(no_room(terms.wait_seconds))
 
-    def _give_up(self) -> None:
-        self._refuse(_stopped())
+    @functools.cached_property
+    def _times(self) -> TimeLimits:
+        return self._time_limits()
+
+    @functools.cached_property
+    def _limits(self) -> body_progress.Limits:
+        return body_progress.Limits(
+            idle_seconds=self._times.idle_seconds,
+            whole_seconds=self._times.whole_seconds,
+        )
+
+    def _give_up(self, cause: body_progress.Cause) -> None:
+        """Ends the arrival; a refusal that was decided before stays."""
+        if self.refusal is None:
+            stopped = cause is body_progress.Cause.ROOM
+            self._refuse(_stopped() if stopped else _not_whole(cause, self._times))
+        self.release()
         self.on_given_up()
 
     def _refuse(self, refusal: failure.Refusal) -> None:
         self.refusal = refusal
-        self.release()
+        self._free()
 
 
 def too_large(max_bytes: int) -> failure.Refusal:
@@ -298,3 +329,14 @@
         status=503,
         retry_after=MAX_WAIT_SECONDS,
     )
+
+
+def _not_whole(cause: body_progress.Cause, limits: TimeLimits) -> failure.Refusal:
+    """Returns the refusal of a request whose body did not come within its limits of time."""
+    if cause is body_progress.Cause.IDLE:
+        reason = f"no byte of the body came for {limits.idle_seconds:.2f} s"
+    else:
+        reason = f"the body was not whole after {limits.whole_seconds:.2f} s"
+    return failure.Refusal(
+        reason=reason, code="body_timeout", status=408, retry_after=MIN_RETRY_SECONDS
+    )
--- a/basilpost/gateway/body_progress.py
+++ b/basilpost/gateway/body_progress.py
@@ -1,4 +1,4 @@
-"""Watches bodies while they arrive, and finds those that move little for the room that they hold.
+"""Watches bodies while they arrive: finds those that move little for their room, and ends those that stop.
 
 Time is counted in ticks of a timer, not by the clock: after the event loop was held up, bodies that have
 arrived and were not read yet would look as if they had stopped.
@@ -6,6 +6,7 @@
 
 import asyncio
 import dataclasses
+import enum
 from collections.abc import Callable
 
 TICK_SECONDS = 0.1
@@ -18,12 +19,34 @@
 SLOWEST_SECONDS = 30.0
 
 
+class Cause(enum.Enum):
+    """Why a body is given up before it is whole."""
+
+    ROOM = "room"
+    IDLE = "idle"
+    DEADLINE = "deadline"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Limits:
+    """Limits on one body, whether its request is refused or not.
+
+    Attributes:
+        idle_seconds: Longest time without a byte.
+        whole_seconds: Longest time until it is whole.
+    """
+
+    idle_seconds: float
+    whole_seconds: float
+
+
 @dataclasses.dataclass(kw_only=True, eq=False)
 class Arrival:
     """The progress of one body.
 
     Attributes:
-        give_up: Refuses the request, so that the room is free.
+        give_up: Refuses the request, so that the room is free and its caller has an answer.
+        limits: Returns the limits on it.
         size: Bytes that have arrived.
         room: Bytes of room that it holds.
         ticks: Ticks since it began.
@@ -31,7 +54,8 @@
         waits: True while it waits for room and is not read.
     """
 
-    give_up: Callable[[], None]
+    give_up: Callable[[Cause], None]
+    limits: Callable[[], Limits]
     size: int = 0
     room: int = 0
     ticks: int = 0
@@ -76,6 +100,10 @@
             if not arrival.waits:
                 arrival.ticks += 1
                 arrival.idle_ticks += 1
+        for arrival, cause in [(each, _exceeded(each)) for each in self._arrivals]:
+            if cause is not None:
+                self.remove(arrival)
+                arrival.give_up(cause)
         self._on_tick()
         if self._arrivals:
             self._schedule()
@@ -88,3 +116,15 @@
         return True
     seconds = arrival.ticks * TICK_SECONDS
     return seconds >= SLOW_AFTER_SECONDS and arrival.size * SLOWEST_SECONDS < arrival.room * seconds
+
+
+def _exceeded(arrival: Arrival) -> Cause | None:
+    """Returns which limit a body exceeds, None for none."""
+    if arrival.waits:
+        return None
+    limits = arrival.limits()
+    if arrival.idle_ticks * TICK_SECONDS >= limits.idle_seconds:
+        return Cause.IDLE
+    if arrival.ticks * TICK_SECONDS >= limits.whole_seconds:
+        return Cause.DEADLINE
+    return None
--- a/basilpost/gateway/request_admission.py
+++ b/basilpost/gateway/request_admission.py
@@ -103,11 +103,23 @@
                 terms=lambda: self._wait_terms(request),
                 # The operators may allow it.
                 excess=_no_configuration(),
+                time_limits=lambda: self._time_limits(request),
             )
         return body_memory.Body(
             memory=memory,
             max_bytes=configuration.limits.max_body_bytes,
             terms=lambda: self._wait_terms(request),
+            time_limits=lambda: self._time_limits(request),
+        )
+
+    def _time_limits(self, request: inbound.Request) -> body_memory.TimeLimits:
+        """Returns the operators' limit on a slow head for pauses, and the request's budget."""
+        configuration = self._knowledge.configuration
+        idle = 0.0 if configuration is None else configuration.limits.header_seconds
+        budget = self._dialect.parse_request(request.headers).budget_seconds
+        return body_memory.TimeLimits(
+            idle_seconds=idle if idle > 0.0 else body_memory.DEFAULT_SECONDS,
+            whole_seconds=DEFAULT_BUDGET_SECONDS if budget is None else budget,
         )
 
     def _wait_terms(self, request: inbound.Request) -> body_memory.WaitTerms:
