--- a/basilpost/gateway/body_memory.py
+++ b/basilpost/gateway/body_memory.py
@@ -30,6 +30,10 @@
 # Bytes of the bound for each body that may wait while it holds a piece which is not counted. Further
 # ones are refused at once.
 BYTES_PER_WAITING_PIECE = 131_072
+# Most that is read of the body of a refused request, as a multiple of the largest body and at least. A
+# caller that has sent its body whole reads the refusal; after this it may only see a closed connection.
+DISCARDED_MULTIPLE = 4
+MIN_DISCARDED_BYTES = 1_048_576
 # Limits of time on a body for which none are given.
 DEFAULT_SECONDS = 30.0
 # Shortest time after which a refused caller may return.
@@ -219,6 +223,8 @@
         if self.refusal is None and self._size > self._max_bytes:
             self._refuse(self._excess)
         if self.refusal is not None:
+            if self._size > max(MIN_DISCARDED_BYTES, DISCARDED_MULTIPLE * self._max_bytes):
+                self._end()
             return None
         if self._length:
             if not self._buffer:
@@ -296,6 +302,9 @@
         if self.refusal is None:
             stopped = cause is body_progress.Cause.ROOM
             self._refuse(_stopped() if stopped else _not_whole(cause, self._times))
+        self._end()
+
+    def _end(self) -> None:
         self.release()
         self.on_given_up()
 
--- a/basilpost/gateway/body_memory_test.py
+++ b/basilpost/gateway/body_memory_test.py
@@ -242,3 +242,14 @@
     body.add(b"x")
     await asyncio.sleep(1.2 * body_memory.DEFAULT_SECONDS)
     assert given_up == [413]
+
+
+async def test_the_body_of_a_refused_request_is_not_read_for_ever(memory):
+    body, given_up = make_body(memory, max_bytes=MB), []
+    body.on_given_up = lambda: given_up.append(body.refusal.status)
+    body.begin(100 * MB)
+    for _ in range(body_memory.DISCARDED_MULTIPLE):
+        body.add(b"x" * MB)
+    assert given_up == []
+    body.add(b"x")
+    assert given_up == [413]
--- a/tests/pool_stalled_body_test.py
+++ b/tests/pool_stalled_body_test.py
@@ -36,6 +36,10 @@
     def send(self, data):
         self._writer.write(data)
 
+    async def drain(self):
+        async with asyncio.timeout(ANSWER_SECONDS):
+            await self._writer.drain()
+
     async def read_status(self):
         async with asyncio.timeout(ANSWER_SECONDS):
             return int((await self._reader.readline()).split()[1])
@@ -102,3 +106,16 @@
         caller.send(b"x")
         assert await caller.read_status() == 413
         assert await caller.is_closed()
+
+
+async def test_a_refused_body_that_goes_on_is_read_to_its_end(bench):
+    length, piece, sent = 32_000_000, bytes(65_536), 0
+    async with calling(bench) as caller:
+        caller.begin("endless", length=length)
+        with contextlib.suppress(OSError):
+            while sent < length:
+                caller.send(piece)
+                await caller.drain()
+                sent += len(piece)
+        assert await caller.is_closed()
+    assert sent < length
