--- a/basilpost/core/connection_memory.py
+++ b/basilpost/core/connection_memory.py
@@ -39,9 +39,11 @@
 
     Attributes:
         progress: The bytes that it has moved lately.
+        carries_request: True while a request that arrived on it has no answer yet.
     """
 
     progress: Progress
+    carries_request: bool
 
     @property
     @abc.abstractmethod
@@ -61,7 +63,8 @@
 class ConnectionMemory:
     """Counts what the connections of callers hold, and closes some when it is too much.
 
-    Those that have moved fewest bytes for what they hold are closed first.
+    Those without a request that has arrived are closed first, and among them those that have moved fewest
+    bytes for what they hold. The answers of the others are lost with their connections.
 
     Args:
         max_bytes: Bound on the bytes that all of them hold.
@@ -129,7 +132,9 @@
             for each, held in held_by_connection.items()
             if held and each is not spared and each.may_be_dropped
         ]
-        candidates.sort(key=lambda each: _recent(each) / held_by_connection[each])
+        candidates.sort(
+            key=lambda each: (each.carries_request, _recent(each) / held_by_connection[each])
+        )
         for connection in candidates:
             if self._counted <= self._max_bytes * KEPT_SHARE:
                 break
--- a/tests/caller_memory_test.py
+++ b/tests/caller_memory_test.py
@@ -6,7 +6,7 @@
 import prometheus_client
 import structlog
 
-from basilpost.core import caller_stream, connection_memory
+from basilpost.core import caller_stream, connection_memory, turns
 
 MAX_BYTES = 1_000_000
 ANSWER_BYTES = 400_000
@@ -19,7 +19,9 @@
     """Yields the node's end of a connection and the socket of its caller."""
     node_end, caller_end = socket.socketpair()
     node_end.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SENT_AT_ONCE_BYTES)
-    stream = caller_stream.CallerStream(node_end, memory=memory, max_buffer_size=10 * HEAD_BYTES)
+    stream = caller_stream.CallerStream(
+        node_end, memory=memory, read_turns=turns.Turns(), max_buffer_size=10 * HEAD_BYTES
+    )
     try:
         yield stream, caller_end
     finally:
