--- a/basilpost/core/caller_stream.py
+++ b/basilpost/core/caller_stream.py
@@ -25,6 +25,7 @@
     Attributes:
         progress: The bytes that it has moved lately.
         waiting_bytes: Bytes of a body that were parsed and wait for room.
+        parsed_bytes: Bytes of a body that arrives which Tornado still refers to.
         carries_request: True while a request that arrived on it has no answer yet.
     """
 
@@ -39,6 +40,7 @@
         super().__init__(connection, max_buffer_size=max_buffer_size, read_chunk_size=READ_BYTES)
         self.progress = connection_memory.Progress()
         self.waiting_bytes = 0
+        self.parsed_bytes = 0
         self.carries_request = False
         self._memory = memory
         self._turns = read_turns
@@ -47,8 +49,9 @@
 
     @property
     def held_bytes(self) -> int:
-        """Returns the bytes that were read and not parsed, wait for room, or were not sent yet."""
-        return self._read_buffer_size + self.waiting_bytes + self._unsent_bytes
+        """Returns the bytes that were read and are not freed, wait for room, or were not sent yet."""
+        read = self._read_buffer_size + self.parsed_bytes + self.waiting_bytes
+        return read + self._unsent_bytes
 
     @property
     def may_be_dropped(self) -> bool:
@@ -58,6 +61,10 @@
         """
         return not self.waiting_bytes and (not self.carries_request or self._unsent_bytes > 0)
 
+    def note_piece(self, size: int) -> None:
+        """Notes that a piece of a body was passed on; Tornado refers to the latest one and its copy."""
+        self.parsed_bytes = min(2 * READ_BYTES, self.parsed_bytes + 2 * size)
+
     def drop(self) -> None:
         """Closes the connection and frees what it holds."""
         self.close()
--- a/basilpost/core/caller_stream_test.py
+++ b/basilpost/core/caller_stream_test.py
@@ -106,3 +106,12 @@
     stream.close()
     with pytest.raises(tornado.iostream.StreamClosedError):
         await reading
+
+
+async def test_the_pieces_of_a_body_that_arrives_are_held(ends):
+    stream, _ = ends
+    stream.note_piece(100)
+    assert stream.held_bytes == 200
+    for _ in range(10):
+        stream.note_piece(caller_stream.READ_BYTES)
+    assert stream.held_bytes == 2 * caller_stream.READ_BYTES
--- a/basilpost/gateway/inbound.py
+++ b/basilpost/gateway/inbound.py
@@ -85,6 +85,8 @@
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         """Stores a chunk of the body; part of Tornado's delegate interface."""
         assert self._arriving is not None
+        if isinstance(self._connection.stream, caller_stream.CallerStream):
+            self._connection.stream.note_piece(len(chunk))
         waiting = self._arriving.add(chunk)
         return None if waiting is None else self._wait_for_room(waiting, len(chunk))
 
@@ -93,8 +95,7 @@
         if not isinstance(stream, caller_stream.CallerStream):
             await waiting
             return
-        # The piece and its copy, and what Tornado has parsed behind it.
-        stream.waiting_bytes = 2 * size + caller_stream.READ_BYTES
+        stream.waiting_bytes = size
         try:
             await waiting
         finally:
@@ -107,6 +108,8 @@
         if self._arriving is not None:
             self.body_refusal = self._arriving.refusal
             self.body = self._arriving.join()
+        if isinstance(self._connection.stream, caller_stream.CallerStream):
+            self._connection.stream.parsed_bytes = 0
         self._connection.set_close_callback(self.on_connection_close)
         self._start_handler(closes=False)
 
