--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -23,10 +23,10 @@
     inbound,
     load_control,
     loss_probe,
-    next_sinks,
     planned_moves,
     request_admission,
     retry_budgets,
+    silent_moves,
     target_choice,
     target_sender,
 )
@@ -129,6 +129,12 @@
             node_handovers=self._handovers,
             log=log,
         )
+        self._silent_moves = silent_moves.SilentMoves(
+            choose=self._chooser.choose,
+            detector=self.stall_detector,
+            sender=self.sender,
+            node_handovers=self._handovers,
+        )
         self.loss_probe = loss_probe.LossProbe(
             connect=self.sender.connect,
             has_path=lambda service: reachability.find_path(service=service, fresh=True),
@@ -293,6 +299,8 @@
         source = way.node_id if isinstance(way, detours.Detour) else way.target_id
         service = progress.admitted.service.name
 
+        send_beside = self._silent_moves.make_send(progress, request)
+
         def move_stream() -> None:
             # If nothing passes on this node's links, another target of its own would be silent as well.
             if sink.abandoned or self._reachability.is_in_doubt(service):
@@ -302,28 +310,13 @@
             # Another node that has sent the stream on resumes it itself.
             is_own = isinstance(way, targets_.Target) and spend_retry is not None
             if is_own and not self._reachability.prefers_detour(service):
-                self._hand_over_silent(progress, sink, send_beside, may_move)
+                self._silent_moves.move(progress, sink, send_beside, may_move)
                 return
             if not self._has_alternative(progress) or not may_move():
                 return
             self._log.info("stream_moved", request=progress.admitted.call.request_id, target=source)
             sink.abandon()
 
-        async def send_beside(
-            branch: attempts.Progress,
-            target: targets_.Target,
-            next_sink: next_sinks.NextSink,
-        ) -> handovers.Result:
-            beside = self.stall_detector.watch(
-                target.target_id,
-                lambda: self._give_up_silent_handover(progress, branch),
-                lambda: next_sink.activity,
-            )
-            try:
-                return await self.sender.send(branch, request, target, sink=next_sink)
-            finally:
-                self.stall_detector.unwatch(beside)
-
         handover = self._handovers.take(progress)
         if handover is None:
             sink.restart()
@@ -357,30 +350,6 @@
             )
         return result
 
-    def _hand_over_silent(
-        self,
-        progress: attempts.Progress,
-        sink: answer_sinks.StreamSink,
-        send: handovers.Send,
-        may_move: Callable[[], bool],
-    ) -> None:
-        """Begins to hand a stream over whose target sends nothing, if another one may get it."""
-        if not self._handovers.may_start(progress, sink):
-            return
-        target = self._chooser.choose(handovers.without_declined(progress))
-        if isinstance(target, targets_.Target) and may_move():
-            self._handovers.start(progress, sink, target, send, is_planned=False)
-
-    def _give_up_silent_handover(
-        self, progress: attempts.Progress, branch: attempts.Progress
-    ) -> None:
-        """Gives a next target up that sends nothing either, if a third one can be asked."""
-        handover = self._handovers.find(progress)
-        if handover is None or handover.branch.progress is not branch:
-            return
-        if branch.has_attempts_left and self._has_alternative(branch):
-            handover.give_up()
-
     async def _choose_way(
         self, progress: attempts.Progress
     ) -> targets_.Target | detours.Detour | failure.Refusal:
