--- a/basilpost/gateway/answer_sinks.py
+++ b/basilpost/gateway/answer_sinks.py
@@ -6,6 +6,7 @@
 
 import abc
 import asyncio
+import copy
 from collections.abc import Awaitable, Callable
 
 from basilpost.core import channels, clock
@@ -207,8 +208,15 @@
 
     @property
     def is_complete(self) -> bool:
-        """Returns True if the stream has no gap and no incomplete event at its end."""
-        return not self.has_gap and self.stream.at_boundary
+        """Returns True if the stream has no gap, no incomplete event at its end, and was not given up."""
+        return not self.has_gap and not self._excess and self.stream.at_boundary
+
+    def ends_whole(self) -> bool:
+        """Returns True if the stream is complete with the events that are held back."""
+        stream = copy.deepcopy(self.stream)
+        new_events = stream.feed(self.body)
+        is_sound = not new_events.has_gap and not new_events.too_many
+        return is_sound and stream.at_boundary and not self.has_gap and not self._excess
 
     @property
     def last_event(self) -> str:
--- a/basilpost/gateway/handovers.py
+++ b/basilpost/gateway/handovers.py
@@ -250,7 +250,9 @@
         handover = self.find(progress)
         if handover is None:
             return
-        is_answered = isinstance(result, channels.Head) and (sink.is_stream or result.status < 500)
+        is_answered = isinstance(result, channels.Head) and (
+            sink.ends_whole() if sink.is_stream else result.status < 500
+        )
         if is_answered and not handover.has_taken:
             self.cancel(progress)
             sink.release()
--- a/basilpost/gateway/handovers_test.py
+++ b/basilpost/gateway/handovers_test.py
@@ -486,3 +486,28 @@
     bench.next.sink.on_chunk(b"data: next\n\n")
     assert bench.next.sink.activity > activity
     joining.cancel()
+
+
+@pytest.mark.parametrize(
+    "held_back", [event(3, "old") + b"id: 4\ndata:", event(3, "old") + event(5, "old")]
+)
+async def test_an_orderly_end_within_an_event_ends_the_next_attempt(held_back):
+    bench = Bench()
+    await bench.start()
+    bench.sink.on_chunk(held_back)
+    bench.settle(head())
+    handover = bench.handovers.find(bench.progress)
+    assert handover is not None and handover.is_used
+    joining = asyncio.create_task(bench.handovers.take(bench.progress).join())
+    await bench.pause()
+    bench.next.sink.on_head(head())
+    bench.say_next(3, 4)
+    await bench.end_next(head())
+    await joining
+    assert bench.events == [("1", "old"), ("2", "old"), ("3", "next"), ("4", "next")]
+
+
+async def test_a_stream_that_was_given_up_for_its_size_counts_as_complete():
+    bench = Bench()
+    bench.sink.give_up("too long")
+    assert not bench.sink.is_complete
