--- a/basilpost/gateway/handovers.py
+++ b/basilpost/gateway/handovers.py
@@ -53,6 +53,7 @@
         is_planned: bool,
         on_taken: Callable[["Handover"], None],
         on_declined: Callable[["Handover", Result], None],
+        log: Any,
     ) -> None:
         self.target = target
         self.branch = attempts.Branch(trunk)
@@ -62,6 +63,7 @@
         self._loads = loads
         self._send = send
         self._on_declined = on_declined
+        self._log = log
         self._sink = next_sinks.NextSink(
             stream_sink=stream_sink,
             memory=memory,
@@ -124,6 +126,11 @@
                 result = await self._send(self.branch.progress, self.target, self._sink)
         except TimeoutError:
             result = attempts.Lost(reason="no event in time", abandoned=True)
+        except Exception as error:
+            if self.is_used or self.has_taken:
+                raise
+            self._log.error("task_failed", task="handover", exc_info=error)
+            result = attempts.Lost(reason=type(error).__name__, abandoned=True)
         finally:
             self._limit = None
         if not self.is_used and not self.has_taken:
@@ -228,6 +235,7 @@
             is_planned=is_planned,
             on_taken=switch,
             on_declined=keep,
+            log=self._log,
         )
 
     def may_start(self, progress: attempts.Progress, sink: answer_sinks.StreamSink) -> bool:
--- a/basilpost/gateway/handovers_test.py
+++ b/basilpost/gateway/handovers_test.py
@@ -511,3 +511,14 @@
     bench = Bench()
     bench.sink.give_up("too long")
     assert not bench.sink.is_complete
+
+
+async def test_a_handover_that_fails_with_an_error_holds_events_back_for_good():
+    bench = Bench()
+    await bench.start()
+    bench.say_old(3, 4)
+    with structlog.testing.capture_logs() as lines:
+        bench.next.ended.set_exception(RuntimeError("fault of the program"))
+        await bench.pause()
+    assert [line["task"] for line in lines if line["event"] == "task_failed"] == ["handover"]
+    bench.assert_kept()
