--- a/basilpost/gateway/handovers.py
+++ b/basilpost/gateway/handovers.py
@@ -115,6 +115,7 @@
             return await self._task
         finally:
             self._task.cancel()
+            self._end_reservation()
             self._sink.discard()
             self.branch.count()
 
--- a/basilpost/gateway/handovers_test.py
+++ b/basilpost/gateway/handovers_test.py
@@ -522,3 +522,15 @@
         await bench.pause()
     assert [line["task"] for line in lines if line["event"] == "task_failed"] == ["handover"]
     bench.assert_kept()
+
+
+async def test_a_place_stays_taken_when_the_caller_leaves_before_the_next_target_is_asked():
+    bench = Bench()
+    bench.handovers.start(bench.progress, bench.sink, TARGET, bench.next.send, is_planned=True)
+    bench.settle(BROKEN)
+    joining = bench.handovers.take(bench.progress).join()
+    joining.send(None)
+    with pytest.raises(asyncio.CancelledError):
+        joining.throw(asyncio.CancelledError())
+    await bench.pause()
+    assert (bench.loads.in_flight, bench.next.asked_after) == (0, [])
