--- a/basilpost/gateway/handovers.py
+++ b/basilpost/gateway/handovers.py
@@ -117,7 +117,8 @@
             self._task.cancel()
             self._end_reservation()
             self._sink.discard()
-            self.branch.count()
+            # The attempt may have begun to send only after the first call.
+            self.branch.replace_trunk()
 
     async def _run(self) -> Result:
         self._end_reservation()
--- a/basilpost/gateway/handovers_test.py
+++ b/basilpost/gateway/handovers_test.py
@@ -534,3 +534,17 @@
         joining.throw(asyncio.CancelledError())
     await bench.pause()
     assert (bench.loads.in_flight, bench.next.asked_after) == (0, [])
+
+
+async def test_a_loss_at_the_next_target_is_attributed_to_the_old_one():
+    """The request came to depend on the handover before that had begun to send."""
+    bench = Bench()
+    bench.handovers.start(bench.progress, bench.sink, TARGET, bench.next.send, is_planned=True)
+    bench.settle(BROKEN)
+    joining = bench.handovers.take(bench.progress).join()
+    joining.send(None)
+    await bench.pause()
+    await bench.end_next(BROKEN)
+    with pytest.raises(StopIteration):
+        joining.send(None)
+    assert bench.progress.target == NEXT
