--- a/basilpost/gateway/attempts.py
+++ b/basilpost/gateway/attempts.py
@@ -88,6 +88,7 @@
         may_move: True if another node, for which this one sends it, resumes it when it is broken off.
         failed_answer: The latest answer of a target with a status of 500 or above after which the request
             was sent once more, None without one or if it is large.
+        joined: The attempt on which the request depends although another one began it, None without one.
         denials: Causes for which it was denied to be sent once more, each with the value of `sends`.
     """
 
@@ -111,6 +112,7 @@
     may_move: bool = False
     failed_answer: WholeAnswer | None = None
     denials: set[tuple[str, int]] = dataclasses.field(default_factory=set)
+    joined: "Branch | None" = None
 
     @functools.cached_property
     def lost_request(self) -> crash_evidence.LostRequest:
@@ -132,7 +134,8 @@
     @property
     def has_attempts_left(self) -> bool:
         """Returns True if the route allows that the request runs once more."""
-        return self.repeatable and self.sends < self.admitted.route.max_attempts
+        sends = self.sends + (self.joined.uncounted_sends if self.joined is not None else 0)
+        return self.repeatable and sends < self.admitted.route.max_attempts
 
     def keep_failed_answer(self, answer: WholeAnswer) -> None:
         """Keeps a failure that a target has answered, unless it is large."""
@@ -147,14 +150,22 @@
     """
 
     def __init__(self, trunk: Progress) -> None:
+        if trunk.joined is not None:
+            trunk.joined.count()
         self.progress = dataclasses.replace(
             trunk,
+            joined=None,
             tried_targets=set(trunk.tried_targets),
             unreached_targets=set(trunk.unreached_targets),
         )
         self._trunk = trunk
         self._sends, self._rejections = trunk.sends, trunk.rejections
 
+    @property
+    def uncounted_sends(self) -> int:
+        """Returns what this attempt has sent since it was counted last."""
+        return self.progress.sends - self._sends
+
     def count_sends(self) -> None:
         """Counts what this attempt has sent since the last call as sent by the request."""
         self._trunk.sends += self.progress.sends - self._sends
@@ -175,6 +186,7 @@
         trunk.sent_at, trunk.predicted_seconds = branch.sent_at, branch.predicted_seconds
         trunk.tried_targets = branch.tried_targets
         trunk.unreached_targets = branch.unreached_targets
+        trunk.joined = self
 
 
 def deadline_refusal(progress: Progress) -> failure.Refusal:
--- a/basilpost/gateway/handovers_test.py
+++ b/basilpost/gateway/handovers_test.py
@@ -88,12 +88,15 @@
         self.cancelled = False
         self.sink = None
         self.ended = None
+        self.reachable = asyncio.Event()
+        self.reachable.set()
 
     async def send(self, progress, target, sink):
         assert target is TARGET
         progress.target = target.target_id
         progress.tried_targets.add(target.target_id)
         self.ended = asyncio.get_running_loop().create_future()
+        await self.reachable.wait()
         self.sink = sink
         sink.on_connected(self.channel)
         self.asked_after.append(sink.last_event)
@@ -548,3 +551,22 @@
     with pytest.raises(StopIteration):
         joining.send(None)
     assert bench.progress.target == NEXT
+
+
+async def test_a_third_attempt_is_allowed_while_the_second_one_is_under_way():
+    """Its connection was opened after the old target had broken off."""
+    bench = Bench()
+    bench.next.reachable.clear()
+    await bench.start()
+    bench.settle(BROKEN)
+    handover = bench.handovers.take(bench.progress)
+    joining = asyncio.create_task(handover.join())
+    await bench.pause()
+    assert bench.progress.has_attempts_left
+    bench.next.reachable.set()
+    await bench.pause()
+    bench.next.sink.on_head(head())
+    assert not bench.progress.has_attempts_left
+    await bench.end_next(attempts.NotRun(reason="full"))
+    await joining
+    assert (bench.progress.sends, bench.progress.rejections) == (1, 1)
