--- a/basilpost/gateway/handovers.py
+++ b/basilpost/gateway/handovers.py
@@ -53,6 +53,7 @@
         is_planned: bool,
         on_taken: Callable[["Handover"], None],
         on_declined: Callable[["Handover", Result], None],
+        log: Any,
     ) -> None:
         self.target = target
         self.branch = attempts.Branch(trunk)
@@ -62,6 +63,7 @@
         self._loads = loads
         self._send = send
         self._on_declined = on_declined
+        self._log = log
         self._sink = next_sinks.NextSink(
             stream_sink=stream_sink,
             memory=memory,
@@ -113,8 +115,10 @@
             return await self._task
         finally:
             self._task.cancel()
+            self._end_reservation()
             self._sink.discard()
-            self.branch.count()
+            # The attempt may have begun to send only after the first call.
+            self.branch.replace_trunk()
 
     async def _run(self) -> Result:
         self._end_reservation()
@@ -124,6 +128,11 @@
                 result = await self._send(self.branch.progress, self.target, self._sink)
         except TimeoutError:
             result = attempts.Lost(reason="no event in time", abandoned=True)
+        except Exception as error:
+            if self.is_used or self.has_taken:
+                raise
+            self._log.error("task_failed", task="handover", exc_info=error)
+            result = attempts.Lost(reason=type(error).__name__, abandoned=True)
         finally:
             self._limit = None
         if not self.is_used and not self.has_taken:
@@ -228,6 +237,7 @@
             is_planned=is_planned,
             on_taken=switch,
             on_declined=keep,
+            log=self._log,
         )
 
     def may_start(self, progress: attempts.Progress, sink: answer_sinks.StreamSink) -> bool:
@@ -250,7 +260,9 @@
         handover = self.find(progress)
         if handover is None:
             return
-        is_answered = isinstance(result, channels.Head) and (sink.is_stream or result.status < 500)
+        is_answered = isinstance(result, channels.Head) and (
+            sink.ends_whole() if sink.is_stream else result.status < 500
+        )
         if is_answered and not handover.has_taken:
             self.cancel(progress)
             sink.release()
--- a/basilpost/gateway/handovers_test.py
+++ b/basilpost/gateway/handovers_test.py
@@ -88,12 +88,15 @@
         self.cancelled = False
         self.sink = None
         self.ended = None
+        self.reachable = asyncio.Event()
+        self.reachable.set()
 
     async def send(self, progress, target, sink):
         assert target is TARGET
         progress.target = target.target_id
         progress.tried_targets.add(target.target_id)
         self.ended = asyncio.get_running_loop().create_future()
+        await self.reachable.wait()
         self.sink = sink
         sink.on_connected(self.channel)
         self.asked_after.append(sink.last_event)
@@ -486,3 +489,84 @@
     bench.next.sink.on_chunk(b"data: next\n\n")
     assert bench.next.sink.activity > activity
     joining.cancel()
+
+
+@pytest.mark.parametrize(
+    "held_back", [event(3, "old") + b"id: 4\ndata:", event(3, "old") + event(5, "old")]
+)
+async def test_an_orderly_end_within_an_event_ends_the_next_attempt(held_back):
+    bench = Bench()
+    await bench.start()
+    bench.sink.on_chunk(held_back)
+    bench.settle(head())
+    handover = bench.handovers.find(bench.progress)
+    assert handover is not None and handover.is_used
+    joining = asyncio.create_task(bench.handovers.take(bench.progress).join())
+    await bench.pause()
+    bench.next.sink.on_head(head())
+    bench.say_next(3, 4)
+    await bench.end_next(head())
+    await joining
+    assert bench.events == [("1", "old"), ("2", "old"), ("3", "next"), ("4", "next")]
+
+
+async def test_a_stream_that_was_given_up_for_its_size_counts_as_complete():
+    bench = Bench()
+    bench.sink.give_up("too long")
+    assert not bench.sink.is_complete
+
+
+async def test_a_handover_that_fails_with_an_error_holds_events_back_for_good():
+    bench = Bench()
+    await bench.start()
+    bench.say_old(3, 4)
+    with structlog.testing.capture_logs() as lines:
+        bench.next.ended.set_exception(RuntimeError("fault of the program"))
+        await bench.pause()
+    assert [line["task"] for line in lines if line["event"] == "task_failed"] == ["handover"]
+    bench.assert_kept()
+
+
+async def test_a_place_stays_taken_when_the_caller_leaves_before_the_next_target_is_asked():
+    bench = Bench()
+    bench.handovers.start(bench.progress, bench.sink, TARGET, bench.next.send, is_planned=True)
+    bench.settle(BROKEN)
+    joining = bench.handovers.take(bench.progress).join()
+    joining.send(None)
+    with pytest.raises(asyncio.CancelledError):
+        joining.throw(asyncio.CancelledError())
+    await bench.pause()
+    assert (bench.loads.in_flight, bench.next.asked_after) == (0, [])
+
+
+async def test_a_loss_at_the_next_target_is_attributed_to_the_old_one():
+    """The request came to depend on the handover before that had begun to send."""
+    bench = Bench()
+    bench.handovers.start(bench.progress, bench.sink, TARGET, bench.next.send, is_planned=True)
+    bench.settle(BROKEN)
+    joining = bench.handovers.take(bench.progress).join()
+    joining.send(None)
+    await bench.pause()
+    await bench.end_next(BROKEN)
+    with pytest.raises(StopIteration):
+        joining.send(None)
+    assert bench.progress.target == NEXT
+
+
+async def test_a_third_attempt_is_allowed_while_the_second_one_is_under_way():
+    """Its connection was opened after the old target had broken off."""
+    bench = Bench()
+    bench.next.reachable.clear()
+    await bench.start()
+    bench.settle(BROKEN)
+    handover = bench.handovers.take(bench.progress)
+    joining = asyncio.create_task(handover.join())
+    await bench.pause()
+    assert bench.progress.has_attempts_left
+    bench.next.reachable.set()
+    await bench.pause()
+    bench.next.sink.on_head(head())
+    assert not bench.progress.has_attempts_left
+    await bench.end_next(attempts.NotRun(reason="full"))
+    await joining
+    assert (bench.progress.sends, bench.progress.rejections) == (1, 1)
