--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -511,6 +511,8 @@
         # A stream that is handed over goes on at its present target.
         if self._handovers.is_branch(progress):
             return True
+        if not self._may_have_alternative(progress):
+            return False
         return self._spend_retry(progress, retry_budgets.RetryCause.SILENT)
 
     def _spend_planned_retry(self, progress: attempts.Progress) -> bool:
