--- a/basilpost/gateway/handovers.py
+++ b/basilpost/gateway/handovers.py
@@ -127,7 +127,8 @@
             async with asyncio.timeout(self._first_limit()) as self._limit:
                 result = await self._send(self.branch.progress, self.target, self._sink)
         except TimeoutError:
-            result = attempts.Lost(reason="no event in time", abandoned=True)
+            # Once the request depends on this attempt, it needs a retry of its own to be sent again.
+            result = attempts.Lost(reason="no event in time", abandoned=not self.is_used)
         except Exception as error:
             if self.is_used or self.has_taken:
                 raise
