--- a/basilpost/gateway/attempts.py
+++ b/basilpost/gateway/attempts.py
@@ -85,6 +85,7 @@
         first_event_at: When the first event of its stream came, None before.
         resumed: True if its last target was asked for the rest of a stream only.
         declined_targets: Ids of the targets that did not take its stream over, and have not run it.
+        declines: How often targets did not take its stream over, and have not run it.
         may_move: True if another node, for which this one sends it, resumes it when it is broken off.
         failed_answer: The latest answer of a target with a status of 500 or above after which the request
             was sent once more, None without one or if it is large.
@@ -114,6 +115,7 @@
     first_event_at: float | None = None
     resumed: bool = False
     declined_targets: set[str] = dataclasses.field(default_factory=set)
+    declines: int = 0
     may_move: bool = False
     failed_answer: WholeAnswer | None = None
     denials: set[tuple[str, int]] = dataclasses.field(default_factory=set)
--- a/basilpost/gateway/handovers.py
+++ b/basilpost/gateway/handovers.py
@@ -25,6 +25,9 @@
 TAKE_SECONDS = 1.0
 # A stream that so many targets have rejected stays where it is.
 MAX_DECLINES = 3
+# Time after which a target that has rejected a silent stream is asked again. Callers leave after 2 s without
+# an event.
+ASK_AGAIN_SECONDS = 0.6
 
 Result = channels.Head | attempts.NotSent | attempts.NotRun | attempts.Lost
 # Sends a request to a target and reads the answer into a sink.
@@ -286,6 +289,11 @@
         target_id = handover.target.target_id
         if isinstance(result, attempts.NotRun | attempts.NotSent):
             progress.declined_targets.add(target_id)
+            progress.declines += 1
+            if not handover.is_planned and progress.declines < MAX_DECLINES:
+                asyncio.get_running_loop().call_later(
+                    ASK_AGAIN_SECONDS, progress.declined_targets.discard, target_id
+                )
         else:
             progress.tried_targets.add(target_id)
         self._log.info(
