--- a/basilpost/groups/orders.py
+++ b/basilpost/groups/orders.py
@@ -27,6 +27,7 @@
 
     MEMBER_LEAVES = "member_leaves"
     DONOR = "donor"
+    GIVEN_UP = "given_up"
     INCOMPLETE = "incomplete"
     BROKEN = "broken"
     ABANDONED = "abandoned"
--- a/basilpost/groups/pool.py
+++ b/basilpost/groups/pool.py
@@ -21,6 +21,7 @@
 from basilpost.core import catalog
 from basilpost.groups import (
     formation,
+    given_up,
     orders,
     pool_state,
     rebalancing,
@@ -56,7 +57,7 @@
     )
     models_by_name = {model.name: model for model in view.models}
     groups = reported_groups.from_vms(view.vms, models_by_name)
-    state = _with_times(view, groups, state)
+    state = given_up.with_sizes_and_work_times(view, groups, _with_times(view, groups, state))
     state = rebalancing.rebalance(view, groups, _updated(view, groups, state))
     due = list(_group_orders(view, groups, state))
     forming_ids = {
@@ -171,6 +172,8 @@
         },
         incomplete_since_by_group=state.incomplete_since_by_group,
         leaving_since_by_group=state.leaving_since_by_group,
+        size_by_group=state.size_by_group,
+        worked_at_by_group=state.worked_at_by_group,
         abandoned_groups=state.abandoned_groups,
     )
 
@@ -241,9 +244,11 @@
     view: pool_state.View, group: reported_groups.ReportedGroup, state: pool_state.State
 ) -> bool:
     """Returns True if the group can no longer serve requests; its members will soon be free."""
+    if given_up.is_given_up(group, state):
+        return not given_up.still_works(view, group, state)
     if not group.complete:
         return not _still_serves(view, group, state)
-    return group.state is catalog.MemberState.BROKEN or _has_broken_member(group)
+    return group.has_broken_member
 
 
 def _survivors(
@@ -314,6 +319,9 @@
     for group in groups:
         if group.name in state.forming_by_group:
             continue
+        if given_up.is_given_up(group, state):
+            yield from given_up.orders_for(view, group, state)
+            continue
         if not group.complete and _still_serves(view, group, state):
             continue
         head = group.head
@@ -338,7 +346,7 @@
                 yield from _dissolution_orders(group, orders.Cause.ABANDONED)
             else:
                 yield _order(orders.Kind.OPEN, group, group.members[0])
-        elif _has_broken_member(group):
+        elif group.has_broken_member:
             yield from _dissolution_orders(group, orders.Cause.BROKEN)
 
 
@@ -381,13 +389,6 @@
     return all(vm.member is not None and vm.member.state in ready for vm in group.members)
 
 
-def _has_broken_member(group: reported_groups.ReportedGroup) -> bool:
-    return any(
-        vm.member is not None and vm.member.state is catalog.MemberState.BROKEN
-        for vm in group.members
-    )
-
-
 def _dissolution_orders(
     group: reported_groups.ReportedGroup, cause: orders.Cause
 ) -> Iterable[orders.Order]:
--- a/basilpost/groups/pool_state.py
+++ b/basilpost/groups/pool_state.py
@@ -80,6 +80,9 @@
             dissolved.
         incomplete_since_by_group: Since when the entry of a member of a group has been missing.
         leaving_since_by_group: Since when a member of a group has said that it will stop.
+        size_by_group: Number of members of each reported group that was seen with all of them.
+        worked_at_by_group: When each group that is given up was last seen at work, at the earliest
+            when it was given up.
         abandoned_groups: Names of groups that this controller ordered some member to leave. Names are
             never used again, so the set holds no more than the groups of one controller's time.
     """
@@ -95,6 +98,8 @@
     dissolving_since_by_group: dict[str, float] = dataclasses.field(default_factory=dict)
     incomplete_since_by_group: dict[str, float] = dataclasses.field(default_factory=dict)
     leaving_since_by_group: dict[str, float] = dataclasses.field(default_factory=dict)
+    size_by_group: dict[str, int] = dataclasses.field(default_factory=dict)
+    worked_at_by_group: dict[str, float] = dataclasses.field(default_factory=dict)
     abandoned_groups: frozenset[str] = frozenset()
 
 
--- a/basilpost/groups/reported_groups.py
+++ b/basilpost/groups/reported_groups.py
@@ -53,16 +53,26 @@
     @property
     def complete(self) -> bool:
         """Returns True if exactly one VM reports each rank that the model requires."""
-        if self.model is None:
-            return False
-        ranks = [vm.member.rank for vm in self.members if vm.member is not None]
-        return ranks == list(range(self.model.vms))
+        return self.model is not None and self.has_ranks(self.model.vms)
+
+    @property
+    def has_broken_member(self) -> bool:
+        """Returns True if any member, the head included, reports that the group is broken."""
+        return any(
+            vm.member is not None and vm.member.state is catalog.MemberState.BROKEN
+            for vm in self.members
+        )
 
     @property
     def leaving(self) -> bool:
         """Returns True if any member has announced that it will stop."""
         return any(vm.leaving for vm in self.members)
 
+    def has_ranks(self, count: int) -> bool:
+        """Returns True if exactly one VM reports each rank below the count, and none a higher one."""
+        ranks = [vm.member.rank for vm in self.members if vm.member is not None]
+        return ranks == list(range(count))
+
 
 def lifetime_id(vm: catalog.Vm) -> str:
     """Returns an id that is unique to one run of the VM's runner process."""
