--- a/basilpost/groups/given_up.py
+++ b/basilpost/groups/given_up.py
@@ -1,4 +1,4 @@
-"""Decides on groups that are given up as the configuration no longer has their model.
+"""Decides on groups that are given up as the configuration removes their model or changes its size.
 
 All members are there, so the head can finish its requests. Its report tells when it has: it is ready
 again after an order to close. The counts that nodes share and the silence of a target do not tell; a
@@ -44,11 +44,17 @@
 def is_given_up(group: reported_groups.ReportedGroup, state: pool_state.State) -> bool:
     """Returns True if the group has all its members, but the configuration no longer its model.
 
-    A controller that does not know the size takes the members that it sees for all. If a member is
-    missing nevertheless, the group breaks.
+    A model of another size is another one. A controller that does not know the size of the group takes
+    the members that it sees for all, unless the model has more: then some were probably lost. If a
+    member is missing nevertheless, the group breaks.
     """
-    size = state.size_by_group.get(group.name, len(group.members))
-    return group.model is None and group.has_ranks(size)
+    known_size = state.size_by_group.get(group.name)
+    size = known_size if known_size is not None else len(group.members)
+    if group.model is not None and (
+        size == group.model.vms or (known_size is None and size < group.model.vms)
+    ):
+        return False
+    return group.has_ranks(size)
 
 
 def still_works(
--- a/basilpost/groups/pool_test.py
+++ b/basilpost/groups/pool_test.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+import pytest
+
 from basilpost.core import catalog
 from basilpost.groups import formation, orders, pool, pool_state, reported_groups
 from basilpost.groups import given_up as given_up_groups
@@ -375,6 +377,35 @@
         state = decision.state
 
 
+@pytest.mark.parametrize(
+    ("vms", "is_known"), [(2, True), (2, False), (4, True)], ids=["fewer", "fewer-new", "more"]
+)
+def test_the_requests_of_a_model_whose_size_changes_are_cut_as_their_group_is_silent(vms, is_known):
+    """A new controller does not know the size of the group; it sees more members than the model has."""
+    before = pool.decide(given_up(OPEN, now=99.0, models=(LARGE, SMALL)), pool_state.State())
+    state = before.state if is_known else pool_state.State()
+    models = (model("large", vms), SMALL)
+    for now, head_state, working, expected in (
+        (100.0, OPEN, ["large--7"], ["close 7-0 large--7"]),
+        (100.5, CLOSING, ["large--7"], []),
+        (100.6, CLOSING, [], []),
+        (100.7, READY, [], ["leave 7-0 large--7"]),
+    ):
+        seen = given_up(head_state, now=now, models=models, working=working, stalled=working)
+        decision = pool.decide(seen, state)
+        assert order_texts(decision) == expected
+        state = decision.state
+
+
+def test_a_group_that_lost_a_member_is_kept_as_one_of_another_size():
+    """A controller that does not know how many members it had takes it for what it probably is."""
+    vms = group("7", [CLOSING, READY, None])
+    silent = view_of_work(vms, stalled=["large--7"])
+    assert order_texts(pool.decide(silent, pool_state.State())) == ["leave 7-0 large--7"]
+    whole = pool.decide(view_of_work(group("7", [OPEN, READY, READY])), pool_state.State())
+    assert order_texts(pool.decide(silent, whole.state)) == ["leave 7-0 large--7"]
+
+
 def test_a_silent_group_of_a_removed_model_is_kept_for_ever():
     """Its head may hang with its requests, or reject the order to close."""
     for head_state in (OPEN, CLOSING):
--- a/tests/pool_removed_model_test.py
+++ b/tests/pool_removed_model_test.py
@@ -35,12 +35,34 @@
 # Streams of one node at one target ended alike after a version; no other group had their model.
 @pytest.mark.parametrize("is_silent", [False, True])
 async def test_streams_of_a_removed_model_are_cut_after_a_version(is_silent):
-    async with planned_closes.running(groups=2) as bench:
+    await streams_after(without_large(2), is_silent=is_silent)
+
+
+# No other group may take them over.
+ONCE = {"resumable": False, "maxAttempts": 1}
+
+
+def with_large_of(version, size):
+    spec = planned_closes.configuration(version, **ONCE)
+    engine = spec["services"][0]["engine"]
+    engine["models"] = [engine["models"][0] | {"size": size}]
+    return spec
+
+
+# The head was ordered to leave, as the group was not whole by the new size.
+@pytest.mark.parametrize("size", [2, 4])
+async def test_streams_of_a_model_whose_size_changes_are_cut_after_a_version(size):
+    await streams_after(with_large_of(2, size), is_silent=True, **ONCE)
+
+
+async def streams_after(spec, *, is_silent, **route_fields):
+    """Checks that streams that run at a version of the configuration end whole."""
+    async with planned_closes.running(groups=2, **route_fields) as bench:
         streams = planned_closes.Streams(bench)
         await planned_closes.start_streams(bench, streams, 4)
         group, _ = planned_closes.busiest_group(bench)
         members = planned_closes.members_of(bench, group)
-        await bench.fleet.configure(without_large(2))
+        await bench.fleet.configure(spec)
         await pool_fleet.until(
             lambda: all(each.knowledge.configuration.version == 2 for each in bench.relays)
         )
