--- a/basilpost/groups/pool_transit_test.py
+++ b/basilpost/groups/pool_transit_test.py
@@ -4,6 +4,7 @@
 reports, are replaced at any step, and may go on after another one has taken the lease.
 """
 
+import collections
 import dataclasses
 
 import hypothesis
@@ -11,9 +12,11 @@
 from hypothesis import strategies as st
 
 from basilpost.core import catalog
-from basilpost.groups import joins, orders, pool, pool_state, reported_groups
+from basilpost.groups import given_up, joins, orders, pool, pool_state, reported_groups
 
 MODEL = catalog.Model(name="m", vms=2, pace=1.0, work_share=1.0, load_seconds=4.0, warm_seconds=0.5)
+# No group of it can be formed.
+OTHER_MODEL = dataclasses.replace(MODEL, name="other", vms=9)
 VM_IDS = ("a", "b", "c", "d", "e")
 EPOCHS_PER_FENCE = 1000
 OPENED = (catalog.MemberState.OPEN, catalog.MemberState.CLOSING)
@@ -46,6 +49,7 @@
         self.vm_id = vm_id
         self.snapshots = []
         self.ready_groups = set()
+        self.has_requests = False
         self.restart()
 
     def restart(self):
@@ -121,7 +125,10 @@
             case orders.Kind.OPEN:
                 self.member = dataclasses.replace(self.member, state=catalog.MemberState.OPEN)
             case orders.Kind.CLOSE:
-                self.member = dataclasses.replace(self.member, state=catalog.MemberState.READY)
+                state = (
+                    catalog.MemberState.CLOSING if self.has_requests else catalog.MemberState.READY
+                )
+                self.member = dataclasses.replace(self.member, state=state)
         self.report()
 
 
@@ -134,16 +141,20 @@
         self.epochs_used = 0
         self.seen_by_id = {runner.vm_id: runner.snapshots[-1].vm for runner in runners}
         self.hidden_ids = set()
+        self.models = (MODEL,)
+        self.working = self.stalled = frozenset()
 
     def decide(self, now):
         view = pool_state.View(
             now=now,
             vms=tuple(vm for vm_id, vm in self.seen_by_id.items() if vm_id not in self.hidden_ids),
-            models=(MODEL,),
+            models=self.models,
             slots_per_group=4,
             slots_wanted={},
             next_epoch=self.fence * EPOCHS_PER_FENCE + self.epochs_used,
             loads_left=100,
+            working=self.working,
+            stalled=self.stalled,
         )
         decision = pool.decide(view, self.state)
         self.state = decision.state
@@ -186,6 +197,7 @@
             if sees_all or data.draw(st.booleans()):
                 controller.seen_by_id[vm_id] = runner.snapshots[-1].vm
         decided = controller.decide(self.now)
+        self.check_decided(controller, decided)
         for order in decided:
             # The LEAVE would be carried out while the group serves.
             assert order.kind is not orders.Kind.OPEN or not any(
@@ -203,6 +215,9 @@
             else:
                 self.in_transit.append(transit)
 
+    def check_decided(self, controller, decided):
+        """Checks orders beyond what holds for all of them."""
+
     def sent(self, order, fence, data):
         """Returns an order as it is sent to the runner, None if it is not.
 
@@ -264,6 +279,76 @@
         runner.begin(order)
 
 
+class VersionsInTransit(OrdersInTransit):
+    """The model is removed and comes back while heads have requests, which nodes may not know of.
+
+    No head leaves with requests while the controller sees all members of its group.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.model_changed_at = self.now
+        for rank, vm_id in enumerate(VM_IDS[: MODEL.vms]):
+            runner = self.runners_by_id[vm_id]
+            runner.member = catalog.Membership(
+                group="m--1",
+                epoch=1,
+                rank=rank,
+                state=catalog.MemberState.READY if rank else catalog.MemberState.OPEN,
+            )
+            runner.member_ids, runner.epoch = VM_IDS[: MODEL.vms], 1
+            runner.ready_groups.add("m--1")
+            runner.report()
+            self.controllers[0].seen_by_id[vm_id] = runner.snapshots[-1].vm
+
+    @stateful.rule(data=st.data(), works=st.booleans(), is_silent=st.booleans())
+    def a_controller_learns_of_a_version(self, data, works, is_silent):
+        controller = data.draw(st.sampled_from(self.controllers))
+        self.show_work(controller, works=works, is_silent=is_silent)
+        controller.models = (OTHER_MODEL if controller.models == (MODEL,) else MODEL,)
+        self.model_changed_at = self.now
+
+    @stateful.rule(vm_id=st.sampled_from(VM_IDS))
+    def a_head_gets_requests(self, vm_id):
+        runner = self.runners_by_id[vm_id]
+        runner.has_requests = runner.state is catalog.MemberState.OPEN
+
+    @stateful.rule(vm_id=st.sampled_from(VM_IDS))
+    def the_requests_of_a_head_end(self, vm_id):
+        runner = self.runners_by_id[vm_id]
+        runner.has_requests = False
+        if runner.state is catalog.MemberState.CLOSING:
+            runner.member = dataclasses.replace(runner.member, state=catalog.MemberState.READY)
+            runner.report()
+
+    @stateful.rule(data=st.data(), works=st.booleans(), is_silent=st.booleans())
+    def nodes_see_other_work(self, data, works, is_silent):
+        controller = data.draw(st.sampled_from(self.controllers))
+        self.show_work(controller, works=works, is_silent=is_silent)
+
+    def show_work(self, controller, *, works, is_silent):
+        names = frozenset(runner.group for runner in self.runners_by_id.values() if runner.group)
+        controller.working = names if works else frozenset()
+        controller.stalled = names if is_silent else frozenset()
+
+    def check_decided(self, controller, decided):
+        if self.now - self.model_changed_at >= given_up.IDLE_SECONDS:
+            return
+        shown = [
+            vm for key, vm in controller.seen_by_id.items() if key not in controller.hidden_ids
+        ]
+        sizes = collections.Counter(vm.member.group for vm in shown if vm.member is not None)
+        for order in decided:
+            member = order.vm.member
+            if order.kind is orders.Kind.LEAVE and member.state in OPENED:
+                assert sizes[order.group] < MODEL.vms
+
+
+TestVersionsInTransit = VersionsInTransit.TestCase
+TestVersionsInTransit.settings = hypothesis.settings(
+    max_examples=200, stateful_step_count=40, deadline=None, derandomize=True
+)
+
 TestOrdersInTransit = OrdersInTransit.TestCase
 TestOrdersInTransit.settings = hypothesis.settings(
     max_examples=100, stateful_step_count=30, deadline=None, derandomize=True
