--- a/review/6/case.py
+++ b/review/6/case.py
@@ -106,7 +106,9 @@
             on_stage.record.write(f"{runner.vm_id} ran {[run.attempt for run in runner.runs]}")
             on_stage.record.write(f"{runner.vm_id} is in {runner.member}")
         on_stage.record.write(f"later than recoveryS: {served} of {asked} served")
-        print(f"served {served} of {asked} after the recovery, {served_before} of {asked_before} before")
+        print(
+            f"served {served} of {asked} after the recovery, {served_before} of {asked_before} before"
+        )
         return served * 4 < asked
 
 
