--- a/review/lib-2/stage.py
+++ b/review/lib-2/stage.py
@@ -14,6 +14,7 @@
 import sys
 import tempfile
 import time
+import traceback
 
 from basilpost.emulator import pool_fleet
 
@@ -146,7 +147,7 @@
                 fields["Content-Length"] = str(len(body))
             lines += [f"{name}: {value}".encode() for name, value in fields.items()]
             writer.write(b"\r\n".join([*lines, b"", b""]) + body)
-            return await _read_answer(reader, method)
+            return await read_answer(reader, method)
     except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
         return None
     finally:
@@ -154,7 +155,7 @@
             writer.close()
 
 
-async def _read_answer(reader, method):
+async def read_answer(reader, method):
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin1").split("\r\n")
     status = int(head[0].split(" ")[1])
     headers = {}
@@ -234,14 +235,23 @@
             await self.until(node.is_ready, what=f"{node.node_id} is ready")
 
 
+def _stop(number, frame):
+    """Ends the case, with its processes, when it is asked to stop."""
+    sys.exit(NOT_RUN)
+
+
 def run(main):
     """Runs a case and exits: 0 if the rule held, 1 if it was broken, 2 if the case could not run."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    signal.signal(signal.SIGTERM, _stop)
     try:
         broken = asyncio.run(main(trouble))
     except CannotRunError as error:
         print(f"cannot run: {error}")
         sys.exit(NOT_RUN)
+    except Exception:
+        traceback.print_exc()
+        sys.exit(NOT_RUN)
     sys.exit(BROKEN if broken else HELD)
 
 
