--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -7,7 +7,7 @@
 out=$(mktemp -d)
 trap 'rm -rf "$out"' EXIT
 PYTHONPYCACHEPREFIX="$out" PYTHONPATH="target/deps:.:review/lib-2" python3 -c "
-import stage
+import relay, stage
 from basilpost.emulator import pool_fleet, pool_runner, pool_store
 "
 echo "stand-ins are ready"
