--- a/review/lib-3/stand_ins.py
+++ b/review/lib-3/stand_ins.py
@@ -89,7 +89,7 @@
     }  # fmt: skip
 
 
-async def keep_checked_in(runner_id, host, store):
+async def keep_checked_in(runner_id, host, store, *, slots=6):
     """Writes a runner's entry to the store each heartbeat."""
     born = int(time.time() * 1000)
     store_host, _, store_port = store.partition(":")
@@ -97,7 +97,7 @@
     def check_in(sequence):
         entry = {
             "service": "desk", "address": f"{host}:{RUNNER_PORT}", "zone": "a", "version": "v1",
-            "slots": 6, "state": "ready", "coldRemainingMs": 0, "sequence": sequence, "born": born,
+            "slots": slots, "state": "ready", "coldRemainingMs": 0, "sequence": sequence, "born": born,
         }  # fmt: skip
         connection = http.client.HTTPConnection(store_host, int(store_port), timeout=2)
         with contextlib.suppress(OSError):
@@ -242,7 +242,7 @@
 class Node:
     """A node as a process, started as the deploy file says."""
 
-    def __init__(self, *, name, zone, store, folder, root, grace_seconds=8):
+    def __init__(self, *, name, zone, store, folder, root):
         self.name = name
         self.host = random_host()
         self.port = FRONT_PORT
@@ -255,24 +255,12 @@
             "readiness": f"{self.host}:{READINESS_PORT}",
             "peer_port": INTERNAL_PORTS[0], "metrics_port": INTERNAL_PORTS[1], "store": store,
             "first_start": True, "contracts": CONTRACTS,
-            "bounds": {"grace_seconds": grace_seconds, "retry_share": 0.2, "retry_reserve": 136},
+            "bounds": {"grace_seconds": 8, "retry_share": 0.2, "retry_reserve": 136},
         }  # fmt: skip
 
-    def write_settings(self, *, grace_seconds=None):
-        """Writes the settings file, as the platform does; returns its path."""
-        if grace_seconds is not None:
-            self._settings["bounds"]["grace_seconds"] = grace_seconds
+    async def start(self):
         path = self._folder / f"{self.name}.jsonc"
         path.write_text(json.dumps(self._settings))
-        return path
-
-    def signal(self, number):
-        """Sends a signal to the process, unless it has ended."""
-        if self._process.returncode is None:
-            self._process.send_signal(number)
-
-    async def start(self):
-        path = self.write_settings()
         kept = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
         environment = kept | {
             "PYTHONPATH": str(self._root / "target" / "deps"), "BASILPOST_CONFIG": str(path),
@@ -299,16 +287,6 @@
             await asyncio.sleep(0.1)
         return False
 
-    @property
-    def has_ended(self):
-        return self._process.returncode is not None
-
-    async def wait(self, *, seconds):
-        """Waits until the process has ended, at most for some seconds."""
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(seconds):
-                await self._process.wait()
-
     async def end(self):
         if self._process is not None and self._process.returncode is None:
             self._process.send_signal(signal.SIGKILL)
