A new controller knows the target of a group whose head has no entry any more

Callers got streams that stood still and ended without all events after the entry of a head had been removed as planned and control had passed to another node.

Cause: only the controller that saw the entry remembered the group's target id. The next one looked up the group's requests under an empty id, found none, and ordered the other members to leave while the head was at work.

Every node now keeps the last entry of each VM for 60 s after its removal, and the controller derives the target id from it.

--- /dev/null
+++ b/basilpost/groups/missing_entries.py
@@ -0,0 +1,41 @@
+"""Derives what the missing entries of a group's members showed while they were there.
+
+Every node remembers the entries that it saw removed, so a node that takes over as the controller knows
+the same as the one before it.
+"""
+
+from collections.abc import Iterable
+
+from basilpost.groups import reported_groups
+from basilpost.members import knowledge
+
+
+def target_ids(
+    groups: Iterable[reported_groups.ReportedGroup],
+    removed: Iterable[knowledge.RemovedVm],
+    told: Iterable[str] = (),
+) -> dict[str, str]:
+    """Returns the target id of each group by name, empty if it is not known.
+
+    Args:
+        groups: Reported groups; some lack the entry of their head.
+        removed: VMs whose entries were removed.
+        told: Ids of targets without an entry at which other nodes have requests in flight.
+    """
+    unlisted = {reported_groups.group_of_target(target_id): target_id for target_id in told}
+    unlisted |= {
+        reported_groups.group_of_target(target_id): target_id
+        for target_id in unlisted_target_ids(removed)
+    }
+    return {group.name: group.target_id or unlisted.get(group.name, "") for group in groups}
+
+
+def unlisted_target_ids(removed: Iterable[knowledge.RemovedVm]) -> list[str]:
+    """Returns the target ids of the groups whose heads are among the removed VMs."""
+    return [
+        reported_groups.target_id(one.vm.member.group, one.vm.incarnation)
+        for one in removed
+        if one.vm.member is not None
+        and one.vm.member.rank == 0
+        and reported_groups.is_serving(one.vm.member.group)
+    ]
--- a/basilpost/groups/pool_controller.py
+++ b/basilpost/groups/pool_controller.py
@@ -16,7 +16,14 @@
 
 from basilpost.core import catalog, clock, kernel, names, tasks
 from basilpost.groups import lease as leases
-from basilpost.groups import orders, peak_demand, pool, pool_state, reported_groups
+from basilpost.groups import (
+    missing_entries,
+    orders,
+    peak_demand,
+    pool,
+    pool_state,
+    reported_groups,
+)
 from basilpost.members import demand, feed, loads, path_states, peers, reachability
 from basilpost.members import knowledge as knowledges
 from basilpost.store import objects
@@ -116,12 +123,11 @@
             ["kind", "result"],
             registry=kernel.registry,
         )
-        # By group name, of the groups that are reported; the entry of a head may be missing meanwhile.
-        self._target_ids_by_service: dict[str, dict[str, str]] = {}
         self._unresponsive_until: dict[str, float] = {}
         self._probed_at: dict[str, float] = {}
         self._observe_now = asyncio.Event()
         self._renew_now = asyncio.Event()
+        self._loads.local_unlisted = self._unlisted_target_ids
         self._knowledge.subscribe(self._changed.set)
         self._reachability.subscribe(lambda lost: self._changed.set())
         self._peers.handle(ControlReleased, self._handle_release)
@@ -256,9 +262,11 @@
         ]
         vms = tuple(seen.vm for seen in service_vms)
         groups = reported_groups.from_vms(vms, {model.name: model for model in engine.models})
-        known = self._target_ids_by_service.get(service, {})
-        target_ids = {group.name: group.target_id or known.get(group.name, "") for group in groups}
-        self._target_ids_by_service[service] = target_ids
+        target_ids = missing_entries.target_ids(
+            groups,
+            self._knowledge.removed_by_lifetime.values(),
+            told=self._loads.unlisted_elsewhere,
+        )
         view = pool_state.View(
             now=clock.elapsed(),
             vms=vms,
@@ -286,6 +294,9 @@
         for order in decision.orders:
             self._tasks.spawn(self._send_order(order, self._lease.fence), name="pool-order")
 
+    def _unlisted_target_ids(self) -> Iterable[str]:
+        return missing_entries.unlisted_target_ids(self._knowledge.removed_by_lifetime.values())
+
     # Members of stalled groups that stop responding before their entries expire.
 
     def _unresponsive(self) -> Iterable[str]:
--- a/basilpost/groups/reported_groups.py
+++ b/basilpost/groups/reported_groups.py
@@ -91,7 +91,12 @@
 
 def target_id(group: str, incarnation: int) -> str:
     """Returns the id of a group as a target of requests, unique to one run of its head."""
-    return f"{group}@{incarnation}"
+    return f"{group}{_LIFETIME_SEPARATOR}{incarnation}"
+
+
+def group_of_target(target: str) -> str:
+    """Returns the name of the group of an id from `target_id`."""
+    return target.rpartition(_LIFETIME_SEPARATOR)[0]
 
 
 def standby_name(model: str, epoch: int) -> str:
--- a/basilpost/members/knowledge.py
+++ b/basilpost/members/knowledge.py
@@ -44,12 +44,22 @@
     seen_at: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class RemovedVm:
+    """A VM as its last entry showed it, and when that entry was removed, on `clock.elapsed`."""
+
+    vm: catalog.Vm
+    removed_at: float
+
+
 class Knowledge(kernel.Service):
     """The decoded objects of the platform's store.
 
     Attributes:
         configuration: The newest valid configuration, None before the first.
         vms_by_id: All VMs with a runner that is alive.
+        removed_by_lifetime: VMs whose entries were removed less than `REMOVED_MEMORY_SECONDS` before
+            the last removal, by VM id and incarnation.
         out_of_service: Failure domains that operators have taken out of service.
     """
 
@@ -69,7 +79,7 @@
         self._restored = restored_contents.RestoredContents(
             source=self._feed, log=kernel.log, apply=self._apply_held
         )
-        self._removed_at_by_lifetime: dict[tuple[str, int], float] = {}
+        self.removed_by_lifetime: dict[tuple[str, int], RemovedVm] = {}
         # The objects that put failure domains out of service.
         self._out_of_service_by_key: dict[str, objects.Change] = {}
         layout = decoder.layout
@@ -178,7 +188,7 @@
         if vm is None:
             return known is not None
         if known is None:
-            return (vm_id, vm.incarnation) in self._removed_at_by_lifetime
+            return (vm_id, vm.incarnation) in self.removed_by_lifetime
         return vm.incarnation <= known.vm.incarnation and not (
             vm.leaving and not known.vm.leaving and vm.incarnation == known.vm.incarnation
         )
@@ -187,14 +197,17 @@
         dropped = self.vms_by_id.pop(vm_id, None)
         if dropped is None:
             return
+        self._remember_removed(dropped.vm)
+        self._log.info("vm_gone", vm=vm_id, revision=revision)
+
+    def _remember_removed(self, vm: catalog.Vm) -> None:
         now = clock.elapsed()
-        self._removed_at_by_lifetime = {
-            lifetime: removed_at
-            for lifetime, removed_at in self._removed_at_by_lifetime.items()
-            if now - removed_at < REMOVED_MEMORY_SECONDS
+        self.removed_by_lifetime = {
+            lifetime: removed
+            for lifetime, removed in self.removed_by_lifetime.items()
+            if now - removed.removed_at < REMOVED_MEMORY_SECONDS
         }
-        self._removed_at_by_lifetime[vm_id, dropped.vm.incarnation] = now
-        self._log.info("vm_gone", vm=vm_id, revision=revision)
+        self.removed_by_lifetime[vm.vm_id, vm.incarnation] = RemovedVm(vm=vm, removed_at=now)
 
     def _apply_configuration(self, change: objects.Change) -> None:
         if change.key != self._decoder.layout.configuration_key:
@@ -265,10 +278,13 @@
                 self._drop_vm(vm_id, revision=eras.revision_of(change.version))
             return
         if isinstance(vm, failure.Failure):
-            self.vms_by_id.pop(vm_id, None)
+            if self.vms_by_id.pop(vm_id, None) is not None and before is not None:
+                self._remember_removed(before.vm)
             self._count_malformed("vm", change, vm)
             return
         now = clock.elapsed()
+        if before is not None and before.vm.incarnation != vm.incarnation:
+            self._remember_removed(before.vm)
         self.vms_by_id[vm_id] = SeenVm(vm=vm, cold_until=now + vm.cold_seconds, seen_at=now)
         # In a large fleet only the watchers log this: a line on each node for each change would cost
         # nodes times VMs.
--- a/basilpost/members/loads.py
+++ b/basilpost/members/loads.py
@@ -23,6 +23,7 @@
     path_states,
     peers,
     rank_demand,
+    unlisted_targets,
 )
 
 # Interval of reports; requests last a second or more, so counts of this age are nearly exact.
@@ -48,8 +49,8 @@
     Attributes:
         in_flight_by_target: Number by short target id; targets without any are left out.
         stalled: Short ids of targets that have stopped sending their answers.
-        writing: Short ids of targets that have just sent a part of an answer, and entries of
-            `path_states` about nodes.
+        writing: Short ids of targets that have just sent a part of an answer, entries of `path_states`
+            about nodes, and items of `unlisted_targets`.
         demand_by_model: Demand of callers by model.
     """
 
@@ -96,7 +97,9 @@
         local_writing: Returns the targets that have just sent something to this node; set by the
             owner.
         local_path: Returns the entries of `path_states` about this node; set by the owner.
+        local_unlisted: Returns the ids of targets whose entry is gone from the store; set by the owner.
         paths: Which nodes reach the runners, by the reports of the other nodes.
+        unlisted_elsewhere: Ids of targets without an entry at which other nodes have requests in flight.
     """
 
     def __init__(self, *, kernel: kernel.Kernel) -> None:
@@ -127,6 +130,8 @@
         self.local_stalled: Callable[[], Iterable[str]] = tuple
         self.local_writing: Callable[[], Iterable[str]] = tuple
         self.local_path: Callable[[], Iterable[str]] = tuple
+        self.local_unlisted: Callable[[], Iterable[str]] = tuple
+        self.unlisted_elsewhere: frozenset[str] = frozenset()
         self.paths = path_states.NOTHING_TOLD
         self._table.subscribe(self._clear_node_ids)
         self._peers.handle(LoadReport, self._on_report)
@@ -291,6 +296,7 @@
         told = path_states.split(total.writing)
         self._writing_by_others = told.target_ids
         self.paths = path_states.read(told.entries)
+        self.unlisted_elsewhere = unlisted_targets.decode(told.unlisted)
         self._demand_by_others = total.demand_by_model
         self._tell_listeners()
 
@@ -313,7 +319,7 @@
             report = LoadReport(
                 in_flight_by_target=dict(self._own),
                 stalled=tuple(sorted(map(hashing.short_id, self.local_stalled()))),
-                writing=(*writing, *self.local_path()),
+                writing=(*writing, *self.local_path(), *self._unlisted_in_use()),
                 demand_by_model=measured | self.rank_demand_meter.read(),
             )
             self.evidence.record(writing, now)
@@ -326,6 +332,10 @@
                 self._report_to_hub(report, now)
             self._drop_old_reports(now)
 
+    def _unlisted_in_use(self) -> tuple[str, ...]:
+        """Returns the items that name targets without an entry at which this node has requests."""
+        return unlisted_targets.encode(filter(self.own_in_flight, self.local_unlisted()))
+
     def _broadcast_report(self, report: LoadReport, now: float) -> None:
         if report != self._sent or now - self._sent_at >= REPEAT_SECONDS:
             self._peers.broadcast(report)
--- a/basilpost/members/path_states.py
+++ b/basilpost/members/path_states.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterable
 
 from basilpost.core import hashing
+from basilpost.members import unlisted_targets
 
 # First characters of entries; no short id contains them.
 _WITH_PATH = "/"
@@ -61,10 +62,17 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Split:
-    """The short ids of targets and the entries about nodes of a report."""
+    """The parts of the `writing` of a report.
+
+    Attributes:
+        target_ids: Short ids of targets that have just sent a part of an answer.
+        entries: Entries about nodes.
+        unlisted: Items of `unlisted_targets`.
+    """
 
     target_ids: frozenset[str]
     entries: frozenset[str]
+    unlisted: frozenset[str] = frozenset()
 
 
 def entries_of(node_id: str, *, lost_scopes: Iterable[str], has_path: bool) -> tuple[str, ...]:
@@ -84,7 +92,8 @@
     """Returns the parts of the `writing` of a report."""
     writing = frozenset(writing)
     entries = frozenset(one for one in writing if one[:1] in (_WITH_PATH, _WITHOUT_PATH))
-    return Split(target_ids=writing - entries, entries=entries)
+    unlisted = frozenset(one for one in writing if one[:1] == unlisted_targets.PREFIX)
+    return Split(target_ids=writing - entries - unlisted, entries=entries, unlisted=unlisted)
 
 
 def read(entries: Iterable[str]) -> PathStates:
@@ -105,12 +114,13 @@
     told = split(writing)
     with_path = [one for one in told.entries if one[0] == _WITH_PATH]
     lost = [one for one in told.entries if one[0] == _WITHOUT_PATH]
+    targets = (*sorted(told.target_ids), *sorted(told.unlisted)[: unlisted_targets.MAX_NAMES])
     if not lost:
-        return tuple(sorted(told.target_ids))
+        return targets
     named = (
         hashing.rendezvous_order(hub, entries)[:MAX_NAMED_NODES] for entries in (lost, with_path)
     )
-    return (*sorted(told.target_ids), *(one for entries in named for one in entries))
+    return (*targets, *(one for entries in named for one in entries))
 
 
 def scope_id(scope: str) -> str:
--- a/tests/pool_knowledge_test.py
+++ b/tests/pool_knowledge_test.py
@@ -127,6 +127,17 @@
     assert "i-1" not in known.vms_by_id
 
 
+@pytest.mark.parametrize(
+    "last", [None, entry(slots="many"), entry(born=6)], ids=["removed", "malformed", "restarted"]
+)
+async def test_the_last_entry_of_a_vm_is_forgotten(known, source, last):
+    """A controller that takes over needs it to tell whether the VM's group is at work."""
+    source.offer([change("servers/i-1", 5, entry())], source="other")
+    assert known.removed_by_lifetime == {}
+    source.offer([change("servers/i-1", 6, last)], source="other")
+    assert known.removed_by_lifetime["i-1", 5].vm.slots == 4
+
+
 async def test_a_failure_domain_returns_to_service(known, source):
     source.offer([change("evacuations/a", 5, {})], source="other")
     assert known.out_of_service == {"a"}
--- a/tests/pool_planned_close_test.py
+++ b/tests/pool_planned_close_test.py
@@ -17,6 +17,8 @@
 MOVE_SECONDS = 1.0
 EVENTS = 40
 EVENT_SECONDS = 0.05
+# Streams of 6 s are still at work when a lease of 3 s has expired and another node has taken over.
+LONG_EVENT_SECONDS = 0.15
 EVENT_IDS = list(range(1, EVENTS + 1))
 
 
@@ -260,6 +262,70 @@
         assert streams.lost == []
 
 
+@contextlib.asynccontextmanager
+async def delisted_head_at_work():
+    """Yields a bench, streams through one node, their group's members, and the other nodes' numbers.
+
+    The streams may not be resumed. The entry of the head is removed, and another node, the controller,
+    has seen that.
+    """
+    async with running(groups=1, nodes=3, resumable=False, maxAttempts=1, timeoutMs=8000) as bench:
+        for runner in bench.fleet.runners_of(pool_fleet.MODEL_SERVICE):
+            runner.options.events, runner.options.event_seconds = EVENTS, LONG_EVENT_SECONDS
+        holder = [controller.is_holder for controller in bench.controllers].index(True)
+        first, *others = sorted(range(3), key=lambda number: number == holder)
+        bench.controllers[first]._may_compete = lambda: False
+        streams = Streams(bench, nodes=[first])
+        await start_streams(bench, streams, 3)
+        group, attempts = busiest_group(bench)
+        assert len(attempts) == 3
+        head, *rest = members_of(bench, group)
+        await head.leave_list()
+        await bench.wait_for_knowledge(lambda known: head.vm_id not in known.vms_by_id)
+        yield bench, streams, (head, *rest), others
+
+
+async def assert_members_stay(bench, streams, members):
+    """Waits until the head has finished its streams; its members stay for that time, then leave."""
+    head = members[0]
+    group = head.member["name"]
+    while head._working:
+        assert members_of(bench, group) == list(members)
+        await asyncio.sleep(0.01)
+    await pool_fleet.until(lambda: members_of(bench, group) == [head], seconds=DRAIN_SECONDS)
+    await streams.end()
+    assert streams.lost == []
+
+
+async def test_members_leave_a_delisted_head_at_work_when_the_controller_is_stopped():
+    """The next controller does not know which target the group was."""
+    async with delisted_head_at_work() as (bench, streams, members, others):
+        await bench.kernels[others[1]].stop()
+        await assert_members_stay(bench, streams, members)
+
+
+async def test_members_leave_a_delisted_head_at_work_when_the_controller_is_frozen():
+    """The lease expires; the next controller does not know which target the group was."""
+    async with delisted_head_at_work() as (bench, streams, members, others):
+        frozen = bench.controllers[others[1]]
+        await frozen._tasks.close()
+        await pool_fleet.until(lambda: bench.controllers[others[0]].is_holder)
+        await assert_members_stay(bench, streams, members)
+
+
+async def test_members_leave_a_delisted_head_at_work_when_a_new_node_becomes_the_controller():
+    """It has never seen the entry of the head; only the node that has the requests has."""
+    async with delisted_head_at_work() as (bench, streams, members, others):
+        await bench.add("node-new", first_start=False)
+        await bench.wait_for_knowledge(lambda known: members[1].vm_id in known.vms_by_id)
+        # Nodes repeat their reports each second.
+        await asyncio.sleep(1.2)
+        for number in others:
+            await bench.kernels[number].stop()
+        await pool_fleet.until(lambda: bench.controllers[-1].is_holder)
+        await assert_members_stay(bench, streams, members)
+
+
 @pytest.mark.parametrize("attempts", [1, 2])
 async def test_drains_in_series_beside_configurations_cut_streams(attempts):
     rng = random.Random(58)
