A new controller counts the weight loads that the one before it has begun

The users' CEILING rule was broken when control passed to another node beside loads: in a span of 5 s twice the loads began that the weight store bears. Not seen by the users; found by asking which facts only the controller has.

Cause: a controller kept the times of its load orders to itself.

A controller names its loads in its load reports, at once and before the orders go out, and every node counts them for the span of the limit. A process that is younger than that span begins no load, unless the whole system starts for the first time. The names travel as the entries about paths do; builds without this change pass them on.

--- a/basilpost/groups/pool_controller.py
+++ b/basilpost/groups/pool_controller.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import collections
 import contextlib
 import dataclasses
 import math
@@ -24,7 +23,15 @@
     pool_state,
     reported_groups,
 )
-from basilpost.members import demand, feed, loads, path_states, peers, reachability
+from basilpost.members import (
+    begun_loads,
+    demand,
+    feed,
+    loads,
+    path_states,
+    peers,
+    reachability,
+)
 from basilpost.members import knowledge as knowledges
 from basilpost.store import objects
 
@@ -54,8 +61,6 @@
 # After a decision the controller rests for this many times as long as the decision took, so that
 # the changes of a large pool are decided on together.
 REST_FACTOR = 3.0
-# Period over which the rate limit of loads from the weight store is enforced.
-LOAD_RATE_WINDOW_SECONDS = 5.0
 # The first epoch of a holder is its fencing number times this.
 EPOCHS_PER_FENCE = 10_000
 # Higher epochs are not the work of a controller: JSON numbers are exact up to here.
@@ -118,7 +123,6 @@
         self._changed = asyncio.Event()
         self._state_by_service: dict[str, pool_state.State] = {}
         self._epochs_used = 0
-        self._load_times: collections.deque[float] = collections.deque()
         self._order_counter = prometheus_client.Counter(
             "basilpost_pool_orders_total",
             "Orders to runners by kind and result",
@@ -294,7 +298,8 @@
         decision = pool.decide(view, state)
         self._state_by_service[service] = decision.state
         self._epochs_used += decision.epochs_used
-        self._load_times.extend([view.now] * decision.loads_used)
+        if decision.loads_used:
+            self._loads.weight_loads_begin(decision.loads_used)
         for order in decision.orders:
             self._tasks.spawn(self._send_order(order, self._lease.fence), name="pool-order")
 
@@ -382,13 +387,12 @@
 
     def _loads_left(self, loads_per_second: float) -> int:
         now = clock.elapsed()
-        while self._load_times and now - self._load_times[0] > LOAD_RATE_WINDOW_SECONDS:
-            self._load_times.popleft()
         if now < self._unlimited_loads_until:
             return UNLIMITED_LOADS
-        return max(
-            0, math.floor(loads_per_second * LOAD_RATE_WINDOW_SECONDS) - len(self._load_times)
-        )
+        begun = self._loads.begun_loads.count(now)
+        if begun is None:
+            return 0
+        return max(0, math.floor(loads_per_second * begun_loads.SPAN_SECONDS) - begun)
 
     def _loads_at_once(self, engine: catalog.Engine) -> int | None:
         """Returns how many loads may be under way; any number in the first seconds of a system."""
--- a/basilpost/members/loads.py
+++ b/basilpost/members/loads.py
@@ -9,14 +9,17 @@
 
 import asyncio
 import collections
+import contextlib
 import dataclasses
 import itertools
 import math
+import secrets
 from collections.abc import Callable, Iterable
 
 from basilpost.core import clock, hashing, kernel, names, tasks
 from basilpost.members import (
     answer_evidence,
+    begun_loads,
     demand,
     feed,
     node_table,
@@ -50,7 +53,7 @@
         in_flight_by_target: Number by short target id; targets without any are left out.
         stalled: Short ids of targets that have stopped sending their answers.
         writing: Short ids of targets that have just sent a part of an answer, entries of `path_states`
-            about nodes, and items of `unlisted_targets`.
+            about nodes, items of `unlisted_targets`, and names of `begun_loads`.
         demand_by_model: Demand of callers by model.
     """
 
@@ -93,6 +96,7 @@
         demand_meter: Measures the demand at this node.
         rank_demand_meter: Measures the demand by rank at this node; without arrivals it reports nothing.
         evidence: When targets were last seen to answer.
+        begun_loads: Loads of weights that began lately.
         local_stalled: Returns the targets that this node sees as stalled; set by the owner.
         local_writing: Returns the targets that have just sent something to this node; set by the
             owner.
@@ -126,6 +130,10 @@
         self.demand_meter = demand.DemandMeter()
         self.rank_demand_meter = rank_demand.RankDemandMeter()
         self.evidence = answer_evidence.AnswerEvidence()
+        self.begun_loads = begun_loads.BegunLoads(
+            source=hashing.short_id(secrets.token_hex(8)), started_at=clock.elapsed()
+        )
+        self._report_now = asyncio.Event()
         self._listeners: list[Callable[[], None]] = []
         self.local_stalled: Callable[[], Iterable[str]] = tuple
         self.local_writing: Callable[[], Iterable[str]] = tuple
@@ -161,6 +169,11 @@
             self._own.pop(short, None)
         self._tell_listeners()
 
+    def weight_loads_begin(self, count: int) -> None:
+        """Counts loads of weights that this node begins, and tells the others at once."""
+        self.begun_loads.begin(count, clock.elapsed())
+        self._report_now.set()
+
     def subscribe(self, listener: Callable[[], None]) -> None:
         """Calls the listener when a target may have more room than before."""
         self._listeners.append(listener)
@@ -278,7 +291,9 @@
     def _received(self, report: LoadReport) -> _Received:
         """Returns a report with the time, after recording which targets it saw answer."""
         now = clock.elapsed()
-        self.evidence.record(path_states.split(report.writing).target_ids, now)
+        told = path_states.split(report.writing)
+        self.evidence.record(told.target_ids, now)
+        self.begun_loads.record(told.loads, now)
         return _Received(report=report, at=now)
 
     def _update_totals(self) -> None:
@@ -311,7 +326,10 @@
         measured_at = -math.inf
         while True:
             mesh = self._feed.is_full_mesh
-            await asyncio.sleep(REPORT_SECONDS if mesh else HUB_REPORT_SECONDS)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(REPORT_SECONDS if mesh else HUB_REPORT_SECONDS):
+                    await self._report_now.wait()
+            self._report_now.clear()
             now = clock.elapsed()
             if now - measured_at >= REPEAT_SECONDS:
                 measured, measured_at = self.demand_meter.read(), now
@@ -319,7 +337,12 @@
             report = LoadReport(
                 in_flight_by_target=dict(self._own),
                 stalled=tuple(sorted(map(hashing.short_id, self.local_stalled()))),
-                writing=(*writing, *self.local_path(), *self._unlisted_in_use()),
+                writing=(
+                    *writing,
+                    *self.local_path(),
+                    *self._unlisted_in_use(),
+                    *self.begun_loads.own_names(now),
+                ),
                 demand_by_model=measured | self.rank_demand_meter.read(),
             )
             self.evidence.record(writing, now)
--- a/basilpost/members/path_states.py
+++ b/basilpost/members/path_states.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterable
 
 from basilpost.core import hashing
-from basilpost.members import unlisted_targets
+from basilpost.members import begun_loads, unlisted_targets
 
 # First characters of entries; no short id contains them.
 _WITH_PATH = "/"
@@ -68,11 +68,13 @@
         target_ids: Short ids of targets that have just sent a part of an answer.
         entries: Entries about nodes.
         unlisted: Items of `unlisted_targets`.
+        loads: Names of `begun_loads`.
     """
 
     target_ids: frozenset[str]
     entries: frozenset[str]
     unlisted: frozenset[str] = frozenset()
+    loads: frozenset[str] = frozenset()
 
 
 def entries_of(node_id: str, *, lost_scopes: Iterable[str], has_path: bool) -> tuple[str, ...]:
@@ -93,7 +95,13 @@
     writing = frozenset(writing)
     entries = frozenset(one for one in writing if one[:1] in (_WITH_PATH, _WITHOUT_PATH))
     unlisted = frozenset(one for one in writing if one[:1] == unlisted_targets.PREFIX)
-    return Split(target_ids=writing - entries - unlisted, entries=entries, unlisted=unlisted)
+    loads = frozenset(one for one in writing if one[:1] == begun_loads.PREFIX)
+    return Split(
+        target_ids=writing - entries - unlisted - loads,
+        entries=entries,
+        unlisted=unlisted,
+        loads=loads,
+    )
 
 
 def read(entries: Iterable[str]) -> PathStates:
@@ -114,13 +122,17 @@
     told = split(writing)
     with_path = [one for one in told.entries if one[0] == _WITH_PATH]
     lost = [one for one in told.entries if one[0] == _WITHOUT_PATH]
-    targets = (*sorted(told.target_ids), *sorted(told.unlisted)[: unlisted_targets.MAX_NAMES])
+    others = (
+        *sorted(told.target_ids),
+        *sorted(told.unlisted)[: unlisted_targets.MAX_NAMES],
+        *sorted(told.loads)[: begun_loads.MAX_NAMES],
+    )
     if not lost:
-        return targets
+        return others
     named = (
         hashing.rendezvous_order(hub, entries)[:MAX_NAMED_NODES] for entries in (lost, with_path)
     )
-    return (*targets, *(one for entries in named for one in entries))
+    return (*others, *(one for entries in named for one in entries))
 
 
 def scope_id(scope: str) -> str:
