A new controller dates the loss of an entry as the one before it did

A group that had lost the entry of a member, and that nodes had seen to answer since, was closed when control passed to another node; a group without the entry of its head could be waited for ten seconds anew. Not seen by callers; found as a time that only the controller knows.

Cause: `incomplete_since_by_group` began at the takeover, so answers from before it did not count as evidence of service.

The time is derived from the removed entries that every node remembers. A node that started later than the removal counts from its takeover as before.

Evidence: two tests of pool_test failed before and pass.

--- a/basilpost/groups/missing_entries.py
+++ b/basilpost/groups/missing_entries.py
@@ -39,3 +39,26 @@
         and one.vm.member.rank == 0
         and reported_groups.is_serving(one.vm.member.group)
     ]
+
+
+def missing_since(
+    groups: Iterable[reported_groups.ReportedGroup], removed: Iterable[knowledge.RemovedVm]
+) -> dict[str, float]:
+    """Returns when the first missing entry of a member was removed, by the name of its group.
+
+    Groups whose members have all their entries, as far as is known, are left out.
+    """
+    removed_at: dict[str, dict[int, float]] = {}
+    for one in removed:
+        if one.vm.member is not None:
+            by_rank = removed_at.setdefault(one.vm.member.group, {})
+            by_rank[one.vm.member.rank] = one.removed_at
+    missing = {
+        group.name: [
+            at
+            for rank, at in removed_at.get(group.name, {}).items()
+            if rank not in {vm.member.rank for vm in group.members if vm.member is not None}
+        ]
+        for group in groups
+    }
+    return {name: min(times) for name, times in missing.items() if times}
--- a/basilpost/groups/missing_entries_test.py
+++ b/basilpost/groups/missing_entries_test.py
@@ -49,6 +49,18 @@
     assert known == {"large--7": ""}
 
 
+def test_the_loss_of_a_member_is_dated_by_another_lifetime_or_group():
+    whole, open_group = groups_of(vm(0), vm(1), vm(2)), groups_of(vm(0))
+    lost = [
+        removed(vm(1), at=12.0),
+        removed(vm(2), at=11.0),
+        removed(vm(0, incarnation=4), at=3.0),
+        removed(dataclasses.replace(vm(1, group="large--6"), vm_id="other"), at=2.0),
+    ]
+    assert missing_entries.missing_since(open_group, lost) == {"large--7": 11.0}
+    assert missing_entries.missing_since(whole, lost) == {}
+
+
 def test_a_head_that_is_listed_again_is_named_by_its_removed_entry():
     whole = groups_of(vm(0, incarnation=6), vm(1), vm(2))
     assert missing_entries.target_ids(whole, [removed(vm(0))]) == {"large--7": "large--7@6"}
--- a/basilpost/groups/pool.py
+++ b/basilpost/groups/pool.py
@@ -190,7 +190,9 @@
     return dataclasses.replace(
         state,
         incomplete_since_by_group={
-            group.name: incomplete.get(group.name, view.now)
+            group.name: incomplete.get(
+                group.name, view.missing_since_by_group.get(group.name, view.now)
+            )
             for group in groups
             if not group.complete
         },
--- a/basilpost/groups/pool_controller.py
+++ b/basilpost/groups/pool_controller.py
@@ -268,10 +268,9 @@
         ]
         vms = tuple(seen.vm for seen in service_vms)
         groups = reported_groups.from_vms(vms, {model.name: model for model in engine.models})
+        removed = self._knowledge.removed_by_lifetime.values()
         target_ids = missing_entries.target_ids(
-            groups,
-            self._knowledge.removed_by_lifetime.values(),
-            told=self._loads.unlisted_elsewhere,
+            groups, removed, told=self._loads.unlisted_elsewhere
         )
         view = pool_state.View(
             now=clock.elapsed(),
@@ -279,6 +278,7 @@
             models=engine.models,
             slots_per_group=engine.slots,
             slots_wanted=self._slots_wanted(service, engine),
+            missing_since_by_group=missing_entries.missing_since(groups, removed),
             first_epoch=self._lease.fence * EPOCHS_PER_FENCE,
             next_epoch=self._lease.fence * EPOCHS_PER_FENCE + self._epochs_used,
             loads_left=self._loads_left(engine.loads_per_second),
--- a/basilpost/groups/pool_state.py
+++ b/basilpost/groups/pool_state.py
@@ -17,6 +17,8 @@
         slots_per_group: Slots of one group.
         slots_wanted: Slots by model that would serve all callers; empty while demand is not
             measured.
+        missing_since_by_group: When the first missing entry of a member of a group was removed, as far as
+            this node saw it.
         first_epoch: Groups with a lower epoch were formed by another controller.
         next_epoch: Lowest epoch that no group has used.
         loads_left: Loads from the weight store that may start now.
@@ -47,6 +49,7 @@
     working: frozenset[str] = frozenset()
     work_delay_seconds: float = 0.0
     changed_at_by_vm: dict[str, float] = dataclasses.field(default_factory=dict)
+    missing_since_by_group: dict[str, float] = dataclasses.field(default_factory=dict)
     first_epoch: int = 0
 
 
--- a/basilpost/groups/pool_test.py
+++ b/basilpost/groups/pool_test.py
@@ -624,6 +624,26 @@
     assert order_texts(later) == []
 
 
+def test_a_new_controller_takes_an_old_loss_for_one_of_this_moment():
+    """It asked the group for an answer since the takeover, and dissolved it without one."""
+    vms = group("7", [OPEN, None, READY])
+    seen = dataclasses.replace(
+        evidence_view(vms, now=100.0, answered_at=97.5), missing_since_by_group={"large--7": 97.0}
+    )
+    assert order_texts(pool.decide(seen, pool_state.State())) == []
+    silent = dataclasses.replace(seen, answered_at_by_group={"large--7": 95.0})
+    assert order_texts(pool.decide(silent, pool_state.State())) == ["leave 7-0 large--7"]
+
+
+def test_a_new_controller_waits_for_a_removed_head_for_another_ten_seconds():
+    vms = group("7", [None, READY, READY])
+    seen = dataclasses.replace(
+        view_of_work(vms), missing_since_by_group={"large--7": 100.0 - pool.FINISH_SECONDS}
+    )
+    leaves = ["leave 7-1 large--7", "leave 7-2 large--7"]
+    assert order_texts(pool.decide(seen, pool_state.State())) == leaves
+
+
 def test_a_group_that_has_answered_nothing_since_a_member_fell_silent_is_dissolved():
     vms = group("7", [OPEN, None, READY])
     decision = pool.decide(evidence_view(vms, now=100.0, answered_at=98.0), pool_state.State())
