Soak: heads leave the list beside changes of the controller

The plan takeovers removes the entry of a working head, or has one drain, and stops the node that holds control up to 0.8 s later; odd seeds kill it or freeze it for longer than its lease. The holder is read from the lease in the emulated store. Draws of other plans are unchanged.

--- a/basilpost/soak/drain_scenarios.py
+++ b/basilpost/soak/drain_scenarios.py
@@ -70,3 +70,14 @@
     def caller(self, *, name: str, seed: str, load_balancer: balancer.Balancer) -> callers.Caller:
         """Returns a new caller."""
         return DraftingCaller(name=name, addresses=load_balancer.addresses, seed=seed)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Takeovers(PlannedDrains):
+    """Heads are taken off the list while they work on, and the controller is stopped, killed or frozen."""
+
+    def draw(self, seed: int, *, seconds: float) -> tuple[faults.Fault, ...]:
+        """Returns the removed heads and the lost controllers of a seed."""
+        return faults.draw_takeovers(
+            seed, seconds=seconds, planned_only=seed % self.planned_every == 0
+        )
--- a/basilpost/soak/faults.py
+++ b/basilpost/soak/faults.py
@@ -163,6 +163,12 @@
 DRAIN_SECONDS = 2.5
 # How runners leave; most are back after their drain.
 DRAIN_KINDS = (*(Kind.RUNNER_DRAINS,) * 6, Kind.RUNNER_RETIRES, Kind.RUNNER_UNLISTED)
+# Time from a head whose entry is removed to the loss of the controller: before nodes have told of their
+# requests, or while the controller waits for these to end.
+TAKEOVER_DELAY_SECONDS = (0.0, 0.8)
+TAKEOVER_GAP_SECONDS = (1.0, 3.0)
+# A frozen controller stays so for longer than its lease.
+FREEZE_SECONDS = 4.0
 # Factor on the duration of a cut: the users' bounds hold from 3 s after its beginning.
 PATH_LENGTH_FACTOR = 2.0
 # Faults beside requests that crash runners: nodes come and go, also with the store away.
@@ -211,12 +217,14 @@
         at: When it begins, in seconds after the start of the traffic.
         seconds: How long it lasts.
         target_index: Picks the node or runner, modulo their number.
+        hits_controller: True to pick the node that holds control of the pool instead.
     """
 
     kind: Kind
     at: float
     seconds: float
     target_index: int
+    hits_controller: bool = dataclasses.field(default=False, repr=False)
 
 
 def has_planned_changes_only(seed: int) -> bool:
@@ -310,3 +318,32 @@
     withdrawals = [fault for fault in beside if fault.kind in (Kind.KEY_TAKEN, Kind.DOMAIN_OUT)]
     kept = [fault for fault in beside if fault not in withdrawals[1:]]
     return tuple(sorted([*drains, *kept], key=lambda fault: fault.at))
+
+
+def draw_takeovers(seed: int, *, seconds: float, planned_only: bool) -> tuple[Fault, ...]:
+    """Returns heads whose entries are removed while they work on, each followed by a new controller.
+
+    Args:
+        seed: Seed of the random numbers; the same seed gives the same faults.
+        seconds: Time during which faults begin.
+        planned_only: True to stop controllers as planned only, not to kill or freeze them.
+    """
+    rng = random.Random(f"takeovers/{seed}")
+    ends = (Kind.STOP,) if planned_only else (Kind.STOP, Kind.KILL, Kind.PAUSE)
+    drawn = []
+    at = rng.uniform(*TAKEOVER_GAP_SECONDS)
+    while at < seconds:
+        kind = rng.choice((Kind.RUNNER_UNLISTED, Kind.RUNNER_UNLISTED, Kind.RUNNER_DRAINS))
+        index = rng.randrange(1_000)
+        drawn.append(Fault(kind=kind, at=at, seconds=DRAIN_SECONDS, target_index=index))
+        drawn.append(
+            Fault(
+                kind=rng.choice(ends),
+                at=at + rng.uniform(*TAKEOVER_DELAY_SECONDS),
+                seconds=FREEZE_SECONDS,
+                target_index=index,
+                hits_controller=True,
+            )
+        )
+        at += rng.uniform(*TAKEOVER_GAP_SECONDS)
+    return tuple(sorted(drawn, key=lambda fault: fault.at))
--- a/basilpost/soak/faults_test.py
+++ b/basilpost/soak/faults_test.py
@@ -28,3 +28,12 @@
         for fault in faults.draw_drains(seed, seconds=8.0, planned_only=False)
     }
     assert kinds >= set(faults.UNPLANNED_BESIDE_DRAINS) | set(faults.DRAIN_KINDS)
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_a_planned_takeover_kills_or_freezes_a_node(seed):
+    """A stream that is lost beside it would be excused."""
+    drawn = faults.draw_takeovers(seed, seconds=8.0, planned_only=True)
+    lost = [fault.kind for fault in drawn if fault.hits_controller]
+    assert lost and set(lost) == {faults.Kind.STOP}
+    assert drawn == faults.draw_takeovers(seed, seconds=8.0, planned_only=True)
--- a/basilpost/soak/run.py
+++ b/basilpost/soak/run.py
@@ -10,8 +10,9 @@
 import random
 from collections.abc import Awaitable, Collection, Iterable, Mapping
 
-from basilpost.core import clock
+from basilpost.core import clock, codec
 from basilpost.emulator import pool_fleet
+from basilpost.groups import lease, pool_controller
 from basilpost.node import pool_demo
 from basilpost.soak import (
     answer_checks,
@@ -28,6 +29,7 @@
     scenarios,
     version_work,
 )
+from basilpost.store import objects
 
 START_TIMEOUT_SECONDS = 20.0
 # Time after the last fault within which every node must serve every kind of request again. It
@@ -39,6 +41,7 @@
 # Consecutive answers that one instance of the plain service loses.
 LOST_ANSWERS_PER_FAULT = 3
 SLOW_STORE_DELAY_SECONDS = 0.3
+LEASE_READ_SECONDS = 1.0
 REPEAT_BOUNDS = repeat_checks.RepeatBounds(
     share=pool_demo.RETRY_SHARE,
     slack=pool_demo.RETRY_RESERVE,
@@ -277,8 +280,8 @@
     async def _inject_when_due(self, fault: faults.Fault) -> None:
         await asyncio.sleep(fault.at)
         began_at = clock.elapsed()
-        node = self._nodes[fault.target_index % len(self._nodes)]
-        await self._inject(fault)
+        node = await self._node_of(fault)
+        await self._inject(fault, node)
         if fault.kind in faults.RUNNER_CONNECTION_KINDS:
             ids = sorted(self._proxies_by_vm)
             self._log_runner_faults([ids[fault.target_index % len(ids)]], began_at)
@@ -299,8 +302,20 @@
             for vm_id in vm_ids
         ]
 
-    def _inject(self, fault: faults.Fault) -> Awaitable[None]:
-        node = self._nodes[fault.target_index % len(self._nodes)]
+    async def _node_of(self, fault: faults.Fault) -> processes.NodeProcess:
+        """Returns the node that a fault disturbs; any one if the controller is meant and there is none."""
+        drawn = self._nodes[fault.target_index % len(self._nodes)]
+        if not fault.hits_controller:
+            return drawn
+        found = await self._fleet.store.store.get(
+            pool_controller.LEASE_KEY, timeout=LEASE_READ_SECONDS
+        )
+        if not isinstance(found, objects.Stored):
+            return drawn
+        holder = codec.from_json(found.value, lease.Record).holder
+        return next((node for node in self._nodes if node.settings.node_id == holder), drawn)
+
+    def _inject(self, fault: faults.Fault, node: processes.NodeProcess) -> Awaitable[None]:
         ids = sorted(self._proxies_by_vm)
         vm_id = ids[fault.target_index % len(ids)]
         proxy = self._proxies_by_vm[vm_id]
--- a/tests/soak_test.py
+++ b/tests/soak_test.py
@@ -77,6 +77,8 @@
 )
 DRAIN_SECONDS = 6.0
 DRAIN_SEEDS = ((4, "a close order cut streams that no other group could go on with (issue 58)"),)
+TAKEOVER_SECONDS = 5.0
+TAKEOVER_SEEDS = ((4, "a new controller had members leave a head at work (issue 67)"),)
 VERSION_SECONDS = 5.0
 VERSION_SEEDS = (
     (45, "five series of versions, a large one, the fleet killed, all links reset (issue 61)"),
@@ -204,6 +206,18 @@
     assert report.served > report.calls / 4
 
 
+@pytest.mark.processes
+@pytest.mark.parametrize("seed", [seed for seed, _ in TAKEOVER_SEEDS])
+async def test_heads_leave_the_list_beside_changes_of_the_controller(seed, tmp_path):
+    """Guards against a new controller that dissolves groups whose work only the last one knew of."""
+    scenario = drain_scenarios.Takeovers()
+    report = await run.Soak(seed=seed, folder=tmp_path, scenario=scenario).run(
+        seconds=TAKEOVER_SECONDS
+    )
+    assert report.broken == ()
+    assert report.served > report.calls / 4
+
+
 @pytest.mark.processes
 @pytest.mark.parametrize("seed", [seed for seed, _ in VERSION_SEEDS])
 async def test_versions_come_in_series_beside_kills_of_the_whole_fleet(seed, tmp_path):
