An answer without a length counts as whole only if its runner still listens

Cause: the orderly end of a connection was taken for the end of such an answer. The system closes the connections of a process that has crashed in the same way.

After such an answer a node waits 10 ms and opens a connection to the runner. If that is refused or takes 0.25 s, the answer is lost: a request that may be sent again is, a stream goes on after its last event, and the answers of others end broken off. The new connection is kept for the next request. Answers that a node sends for another one are covered, as the sending node looks. A runner that ends as planned within 10 ms of such an answer makes it count as lost, too.

--- a/basilpost/core/channels.py
+++ b/basilpost/core/channels.py
@@ -87,12 +87,15 @@
     """Reads a body without a length in pieces until the connection ends.
 
     Attributes:
+        has_no_length: True if the end of the connection ends the answer.
         reset: True if the connection ended with an error, not with an orderly close.
     """
 
+    has_no_length = False
     reset = False
 
     async def _read_body_until_close(self, delegate: tornado.httputil.HTTPMessageDelegate) -> None:
+        self.has_no_length = True
         while True:
             try:
                 chunk = await self.stream.read_bytes(READ_BYTES, partial=True)
@@ -158,6 +161,9 @@
         requests: Number of requests sent on it.
         lifetime: Run of the server process that it was opened to, empty if unknown.
         reuse: Its state when it was acquired for the current request.
+        was_idle: True once it was kept idle, so that the server may have closed it meanwhile.
+        ended_answer: True if its orderly close was the end of the last answer, which named no length. The
+            end of the server process looks the same.
     """
 
     def __init__(
@@ -169,6 +175,8 @@
         self.usable_until = 0.0
         self.requests = 0
         self.reuse = Reuse()
+        self.was_idle = False
+        self.ended_answer = False
         # Hashes take less room than ids, which callers choose.
         self._carried_ids: set[int] = set()
         self._connection: _StreamingConnection | None = None
@@ -240,6 +248,7 @@
         if receiver.head is None or not receiver.finished or connection.reset or self._closed:
             self.close()
             return Broken(reason=f"{self.address} closed the connection")
+        self.ended_answer = connection.has_no_length
         self._set_idle_time(receiver.head.headers)
         return receiver.head
 
@@ -377,10 +386,16 @@
         idle = self._idle_by_address.setdefault(channel.address, [])
         single_use = self._is_single_use(channel.address, channel.lifetime)
         if channel.usable and not single_use and len(idle) < MAX_IDLE_PER_SERVER:
+            channel.was_idle = True
             idle.append(channel)
         else:
             self._drop(channel)
 
+    def keep_unused(self, channel: Channel) -> None:
+        """Keeps a new connection, on which nothing was sent, for a request."""
+        channel.usable_until = clock.elapsed() + DEFAULT_IDLE_SECONDS
+        self.release(channel)
+
     def sweep(self) -> None:
         """Closes connections that have been idle for too long."""
         now = clock.elapsed()
--- a/basilpost/gateway/target_sender.py
+++ b/basilpost/gateway/target_sender.py
@@ -4,6 +4,7 @@
 runners, and whether bytes arrive from runners at all.
 """
 
+import asyncio
 import dataclasses
 import enum
 from collections.abc import Awaitable, Callable
@@ -35,6 +36,10 @@
 CONNECT_SECONDS = 0.5
 # A kept connection that breaks this soon was closed before the request arrived.
 STALE_SECONDS = 0.005
+# Time for opening the connection that shows whether a runner lives after an answer without a length, and
+# the pause before it, in which a process that ends closes all that it has open.
+ALIVE_SECONDS = 0.25
+ALIVE_PAUSE_SECONDS = 0.01
 # Answers to other requests that are skipped on a connection before it is closed.
 MAX_STRAY_ANSWERS = 2
 
@@ -236,7 +241,7 @@
                 if channel.requests > 1:
                     # It says nothing against the target, which may get the request on another connection.
                     progress.tried_targets.discard(target.target_id)
-            elif isinstance(result, attempts.Lost) and channel.requests > 1:
+            elif isinstance(result, attempts.Lost) and channel.was_idle:
                 is_stale = clock.elapsed() - began_at < STALE_SECONDS
                 result = dataclasses.replace(result, stale_connection=is_stale)
                 if is_stale:
@@ -351,11 +356,32 @@
             if isinstance(head, channels.Broken):
                 return attempts.Lost(reason=sink.excess or head.reason)
             if attribution is _Attribution.OWN:
-                return self._classify(head, channel)
+                result = self._classify(head, channel)
+                is_answer = isinstance(result, channels.Head)
+                if is_answer and channel.ended_answer and not await self._is_alive(target):
+                    return attempts.Lost(
+                        reason=f"{channel.address} ended an answer without a length and is gone"
+                    )
+                return result
         return attempts.Lost(
             reason=f"{channel.address} sent answers to other requests", unattributed=True
         )
 
+    async def _is_alive(self, target: targets_.Target) -> bool:
+        """Returns True if a runner takes a new connection, which is kept for a request.
+
+        The system closes the connections of a process that has crashed as a runner does at the end of an
+        answer without a length.
+        """
+        await asyncio.sleep(ALIVE_PAUSE_SECONDS)
+        opened = await self.pool.acquire(
+            target.address, timeout=ALIVE_SECONDS, fresh=True, lifetime=target.lifetime
+        )
+        if isinstance(opened, channels.ConnectFailed):
+            return False
+        self.pool.keep_unused(opened)
+        return True
+
     def _record_limit(
         self, target: targets_.Target, head: channels.Head, *, sent_at: float, is_own: bool
     ) -> None:
--- /dev/null
+++ b/tests/pool_unframed_answer_test.py
@@ -0,0 +1,210 @@
+"""Answers without a length, which end with their connection: whole ones, and those that a crash cuts."""
+
+import asyncio
+import contextlib
+import dataclasses
+
+import pytest
+from tornado import simple_httpclient
+
+from basilpost.emulator import pool_fleet
+from basilpost.node import pool_demo
+from tests import cut_links, pool_nodes
+
+LINES = 8
+LINE_SECONDS = 0.05
+STREAM_ROUTE = {"streaming": ("news", True), "once": ("news-once", False)}
+
+
+@dataclasses.dataclass(frozen=True)
+class Request:
+    """A request as a runner read it."""
+
+    path: str
+    attempt: str
+    last_event: int
+
+
+class Runner:
+    """A runner of the plain service whose answers have no length.
+
+    Attributes:
+        crashes_after: Number of lines or events after which it crashes, None for never. As the system
+            does for a process that ends, it closes its connections in order and listens no more.
+        requests: The requests that it ran.
+        connections: Number of connections that were opened to it.
+    """
+
+    def __init__(self, vm_id):
+        self.vm_id = vm_id
+        self.crashes_after = None
+        self.requests = []
+        self.connections = 0
+        self._writers = set()
+
+    async def start(self, store):
+        self._server = await asyncio.start_server(self._serve, pool_demo.random_loopback_host(), 0)
+        host, port = self._server.sockets[0].getsockname()
+        entry = {
+            "service": pool_fleet.PLAIN_SERVICE,
+            "address": f"{host}:{port}",
+            "zone": "a",
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "coldRemainingMs": 0,
+            "born": 1,
+            "sequence": 1,
+        }
+        await store.put(f"servers/{self.vm_id}", entry)
+
+    def end(self):
+        self._server.close()
+        for writer in self._writers:
+            writer.close()
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        self._writers.add(writer)
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+                headers = {
+                    name.lower(): value
+                    for name, _, value in (line.partition(": ") for line in head[1:] if line)
+                }
+                await reader.readexactly(int(headers.get("content-length", 0)))
+                path = head[0].split(" ")[1]
+                if path.startswith(("/health", "/api")):
+                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+                    continue
+                await self._answer(path, headers, writer)
+                break
+        self._writers.discard(writer)
+        writer.close()
+
+    async def _answer(self, path, headers, writer):
+        request = Request(
+            path=path,
+            attempt=headers["x-attempt-id"],
+            last_event=int(headers.get("last-event-id") or 0),
+        )
+        self.requests.append(request)
+        is_stream = path.startswith("/news")
+        media_type = "text/event-stream" if is_stream else "text/plain"
+        writer.write(
+            f"HTTP/1.1 200 OK\r\nX-Attempt-Id: {request.attempt}\r\nX-Runner-Signature: s\r\n"
+            f"Content-Type: {media_type}\r\nConnection: close\r\n\r\n".encode()
+        )
+        for number in range(request.last_event + 1, LINES + 1):
+            if number - 1 == self.crashes_after:
+                self.end()
+                return
+            writer.write(piece(number) if is_stream else line(number))
+            await writer.drain()
+            await asyncio.sleep(LINE_SECONDS)
+
+
+def line(number):
+    return b"line %d\n" % number
+
+
+def piece(number):
+    return b"id: %d\ndata: %d\n\n" % (number, number)
+
+
+WHOLE = b"".join(map(line, range(1, LINES + 1)))
+
+
+@contextlib.asynccontextmanager
+async def running(*, runners=2, nodes=1):
+    """Starts nodes before runners whose answers have no length."""
+    spec = pool_fleet.configuration(1)
+    for name, resumable in STREAM_ROUTE.values():
+        route = next(route for route in spec["routes"] if route["name"] == "lookup")
+        spec["routes"].append(
+            route
+            | {"name": name, "pathPrefix": f"/{name}/", "kind": "streaming", "resumable": resumable}
+        )
+    async with pool_nodes.running(nodes=nodes, vms=3, plain_instances=0, spec=spec) as bench:
+        started = [Runner(f"raw-{number}") for number in range(runners)]
+        try:
+            for runner in started:
+                await runner.start(bench.fleet.store)
+            await bench.wait_for_knowledge(
+                lambda known: all(runner.vm_id in known.vms_by_id for runner in started)
+            )
+            yield bench, started
+        finally:
+            for runner in started:
+                runner.end()
+
+
+async def crash_in_an_answer(bench, runners, path, **options):
+    """Sends requests until the first runner has crashed in the middle of one; returns its answer."""
+    runners[0].crashes_after = 5
+    while True:
+        answer = await bench.call(path, **options)
+        if any(request.attempt == answer.attempt for request in runners[0].requests):
+            return answer
+
+
+async def test_a_look_up_that_a_crash_cuts_is_answered_with_a_part_of_the_answer():
+    async with running() as (bench, runners):
+        answer = await crash_in_an_answer(bench, runners, "/lookup/a", method="GET")
+        assert answer.code == 200
+        assert answer.body == WHOLE
+        assert [request.attempt for request in runners[1].requests][-1] == answer.attempt
+
+
+async def test_a_filing_that_a_crash_cuts_is_answered_as_a_success():
+    async with running() as (bench, runners):
+        answer = await crash_in_an_answer(bench, runners, "/filing/a")
+        assert answer.code == 502
+        assert all(request.attempt != answer.attempt for request in runners[1].requests)
+
+
+async def test_a_stream_that_a_crash_cuts_ends_as_complete():
+    async with running() as (bench, runners):
+        answer = await crash_in_an_answer(bench, runners, "/news/a")
+        assert pool_nodes.event_ids(answer.body) == list(range(1, LINES + 1))
+        assert runners[1].requests[-1].last_event == 5
+
+
+async def test_a_stream_that_may_not_be_resumed_ends_as_complete_after_a_crash():
+    async with running() as (bench, runners):
+        # The caller's connection ends without the last chunk.
+        with pytest.raises(simple_httpclient.HTTPStreamClosedError):
+            await crash_in_an_answer(bench, runners, "/news-once/a")
+
+
+@pytest.mark.parametrize(("path", "status"), [("/lookup/a", 200), ("/filing/a", 502)])
+async def test_a_cut_answer_is_passed_on_by_another_node_as_complete(path, status):
+    """The node of the caller has no path to the runners."""
+    async with running(nodes=2) as (bench, runners):
+        bench.links[0].cut(cut_links.Kind.RESET)
+        await bench.call(path, node=0)
+        await pool_fleet.until(lambda: not bench.reachabilities[0].has_path)
+        answer = await crash_in_an_answer(bench, runners, path, node=0)
+        assert answer.code == status
+        assert status != 200 or answer.body == WHOLE
+
+
+@pytest.mark.parametrize("path", ["/lookup/a", "/filing/a", "/news/a", "/news-once/a"])
+async def test_whole_answers_without_a_length_are_taken_for_cut_ones(path):
+    async with running(runners=1) as (bench, runners):
+        for _ in range(4):
+            answer = await bench.call(path)
+            assert answer.code == 200
+            ids = pool_nodes.event_ids(answer.body)
+            assert answer.body == WHOLE or ids == list(range(1, LINES + 1))
+        assert len(runners[0].requests) == 4
+
+
+async def test_the_look_at_a_runner_costs_a_connection_for_each_answer():
+    """The connection that shows that the runner lives carries the next request."""
+    async with running(runners=1) as (bench, runners):
+        before = runners[0].connections
+        for _ in range(6):
+            assert (await bench.call("/lookup/a", method="GET")).code == 200
+        assert runners[0].connections - before <= 7
