A head that holds a second status line is refused

Callers got a success with the body of a failure: a faulty runner began a second copy of an answer, broke off within its head, and the next answer on the connection followed.

Cause: an answer on a kept connection was taken for the request's own by its id alone. The bytes of the copy may come together with the answer, so that nothing waits on the connection when the request is sent.

Whatever part of a head comes first, the status line of the real answer then stands within the joined head. Such a head now ends the attempt, on any connection. A connection that has carried an answer to no waiting request is not used again. A sound answer whose headers or reason name "HTTP/1.1 200" or the like would be refused; "Via: HTTP/1.1 proxy" is not.

Evidence: every prefix of an extra answer, in four orders of headers, with length and in chunks, on kept and fresh connections: 16 of 16 cases failed before, at the first prefix that is a status, and pass. The soak's plan second-answers draws broken-off copies for three in ten of the runners that answer twice.

--- a/basilpost/core/channels.py
+++ b/basilpost/core/channels.py
@@ -6,6 +6,8 @@
 
 import asyncio
 import dataclasses
+import itertools
+import re
 import socket
 import typing
 from collections.abc import Awaitable, Callable
@@ -35,6 +37,10 @@
 # Requests on one connection, which remembers their ids. It bounds that memory to some 30 kB.
 MAX_REQUESTS_PER_CONNECTION = 500
 
+# A status line within a head: a server began an answer and broke off, and the next one follows. The first
+# one's status would stand for that of the next.
+_STATUS_LINE = re.compile(r"HTTP/[0-9]\.[0-9] [0-9]{3}")
+
 # Takes a part of a body; no more is read until what it returns is done.
 OnData = Callable[[bytes], Awaitable[None] | None]
 
@@ -121,6 +127,7 @@
         self._on_head = on_head
         self._on_data = on_data
         self.head: Head | None = None
+        self.is_joined = False
         self.finished = False
         self._pieces = 0
 
@@ -130,6 +137,10 @@
         headers: tornado.httputil.HTTPHeaders,
     ) -> None:
         assert isinstance(start_line, tornado.httputil.ResponseStartLine)
+        if _joins_answers(start_line, headers):
+            self.is_joined = True
+            self._stream.close()
+            return
         if start_line.code < 200:
             return
         self.head = Head(status=start_line.code, reason=start_line.reason, headers=headers)
@@ -151,6 +162,14 @@
             self._stream.close()
 
 
+def _joins_answers(
+    start_line: tornado.httputil.ResponseStartLine, headers: tornado.httputil.HTTPHeaders
+) -> bool:
+    """Returns True if a head holds a second status line, in its first line or in a header."""
+    texts = itertools.chain([start_line.reason], itertools.chain.from_iterable(headers.get_all()))
+    return any(_STATUS_LINE.search(text) for text in texts)
+
+
 class Channel:
     """One connection to a server, for one request at a time.
 
@@ -162,6 +181,8 @@
         lifetime: Run of the server process that it was opened to, empty if unknown.
         reuse: Its state when it was acquired for the current request.
         was_idle: True once it was kept idle, so that the server may have closed it meanwhile.
+        carried_extra: True once it carried an answer to no request that waited; what else comes on it may
+            join with the next answer, so it is not used again.
         ended_answer: True if its orderly close was the end of the last answer, which named no length. The
             end of the server process looks the same.
     """
@@ -176,6 +197,7 @@
         self.requests = 0
         self.reuse = Reuse()
         self.was_idle = False
+        self.carried_extra = False
         self.ended_answer = False
         # Hashes take less room than ids, which callers choose.
         self._carried_ids: set[int] = set()
@@ -242,6 +264,8 @@
         try:
             await connection.read_response(receiver)
         except tornado.iostream.StreamClosedError as error:
+            if receiver.is_joined:
+                return Broken(reason=f"{self.address} sent two answers whose heads are joined")
             return Broken(reason=f"{self.address} closed the connection: {error.real_error}")
         except tornado.httputil.HTTPInputError as error:
             return Broken(reason=f"{self.address} sent bytes that are not an HTTP answer: {error}")
@@ -292,6 +316,7 @@
             and not self.stream.writing()
             and clock.elapsed() < self.usable_until
             and self.requests < MAX_REQUESTS_PER_CONNECTION
+            and not self.carried_extra
             and idle_streams.is_quiet(self.stream)
         )
 
--- a/basilpost/core/channels_test.py
+++ b/basilpost/core/channels_test.py
@@ -5,6 +5,7 @@
 import socket
 import struct
 
+import pytest
 import tornado.httputil
 
 from basilpost.core import channels
@@ -248,3 +249,82 @@
         pass
     failure = await channels.Pool().acquire(address, timeout=1)
     assert isinstance(failure, channels.ConnectFailed)
+
+
+def answer_bytes(order, *, request_id, status, body, is_chunked):
+    """Returns an answer whose headers come in one of the orders that usual HTTP servers write."""
+    reason = {200: "OK", 500: "Internal Server Error"}[status]
+    framing = "Transfer-Encoding: chunked" if is_chunked else f"Content-Length: {len(body)}"
+    lines_by_kind = {
+        "server": "Server: records/4.2",
+        "date": "Date: Sun, 06 Dec 2026 12:00:00 GMT",
+        "type": "Content-Type: text/plain; charset=utf-8",
+        "framing": framing,
+        "id": f"X-Attempt-Id: {request_id}",
+        "signature": f"X-Runner-Signature: s.{status}.{len(body)}",
+    }
+    lines = [f"HTTP/1.1 {status} {reason}", *(lines_by_kind[kind] for kind in order), "", ""]
+    content = b"%x\r\n%b\r\n0\r\n\r\n" % (len(body), body) if is_chunked else body
+    return "\r\n".join(lines).encode() + content
+
+
+HEADER_ORDERS = {
+    "id-last": ("server", "date", "type", "framing", "id", "signature"),
+    "id-first": ("id", "signature", "date", "type", "server", "framing"),
+    "framing-first": ("framing", "type", "date", "server", "signature", "id"),
+    "few": ("framing", "id"),
+}
+
+
+@pytest.mark.parametrize("is_fresh", [False, True], ids=["kept", "fresh"])
+@pytest.mark.parametrize("is_chunked", [False, True], ids=["length", "chunks"])
+@pytest.mark.parametrize("order", HEADER_ORDERS.values(), ids=HEADER_ORDERS)
+async def test_the_beginning_of_an_extra_answer_is_read_as_one_head_with_the_next_answer(
+    order, is_chunked, is_fresh
+):
+    """The status of the extra answer then stands for that of the request's own one."""
+    extra = answer_bytes(
+        order, request_id="first", status=200, body=b"record 17\n", is_chunked=is_chunked
+    )
+    own = answer_bytes(
+        order, request_id="second", status=500, body=b"it is locked\n", is_chunked=is_chunked
+    )
+    left_over = b""
+
+    async def serve(reader, writer):
+        with contextlib.suppress(asyncio.IncompleteReadError, OSError):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                writer.write(left_over + own if b"/second" in head else extra)
+        writer.close()
+
+    async with run_server(serve) as address:
+        for size in range(1, len(extra) + 1):
+            left_over = extra[:size]
+            pool = channels.Pool()
+            channel = await pool.acquire(address, timeout=1)
+            headers = {"Host": "h"}
+            if not is_fresh:
+                channel.send("GET", "/first", tornado.httputil.HTTPHeaders(headers), b"")
+                await channel.receive(on_head=lambda head: None, on_data=lambda data: None)
+            channel.send("GET", "/second", tornado.httputil.HTTPHeaders(headers), b"")
+            while True:
+                pieces = []
+                async with asyncio.timeout(3):
+                    head = await channel.receive(on_head=lambda head: None, on_data=pieces.append)
+                if isinstance(head, channels.Broken):
+                    break
+                if head.headers["X-Attempt-Id"] == "second":
+                    assert (head.status, b"".join(pieces)) == (500, b"it is locked\n"), left_over
+                    break
+            channel.close()
+            pool.close()
+
+
+async def test_a_header_that_names_the_protocol_is_refused():
+    data = b"HTTP/1.1 200 OK\r\nVia: HTTP/1.1 proxy\r\nContent-Length: 2\r\n\r\nok"
+    async with run_server(make_handler(data)) as address:
+        pool = channels.Pool()
+        head, body, _ = await request(pool, address)
+        assert (head.status, body) == (200, b"ok")
+        pool.close()
--- a/basilpost/emulator/second_answers.py
+++ b/basilpost/emulator/second_answers.py
@@ -28,6 +28,7 @@
         second_status: The same for the second answer.
         second_named: True if the second answer names the request.
         delays: Seconds between the answers, one of which is drawn for each request.
+        breaks_off: True if the second answer ends after some of its bytes, drawn for each request.
     """
 
     share: float
@@ -36,6 +37,7 @@
     second_status: int = 200
     second_named: bool = True
     delays: tuple[float, ...] = (0.0, 0.005, 0.02, 0.08)
+    breaks_off: bool = False
 
     def draw_delay(self, rng: random.Random) -> float | None:
         """Returns the seconds until the second answer to a request, None if it gets no second one."""
@@ -47,7 +49,10 @@
         fields = [f"HTTP/1.1 {status} {_REASONS[status]}", f"Content-Length: {len(body)}"]
         fields += [f"X-Attempt-Id: {attempt}"] if self.second_named else []
         fields.append("X-Not-Executed: 1" if status == NOT_RUN_STATUS else "X-Runner-Signature: s")
-        return "\r\n".join([*fields, "", ""]).encode() + body
+        whole = "\r\n".join([*fields, "", ""]).encode() + body
+        if not self.breaks_off:
+            return whole
+        return whole[: random.Random(f"length {attempt}").randrange(1, len(whole))]
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/basilpost/gateway/target_sender.py
+++ b/basilpost/gateway/target_sender.py
@@ -337,6 +337,7 @@
             if attribution is _Attribution.OWN:
                 sink.on_head(head)
                 return
+            channel.carried_extra = True
             self._log_stray_answer(progress, channel, head)
             if attribution is _Attribution.UNKNOWN:
                 self.pool.require_single_use(channel)
--- a/basilpost/soak/answer_scenarios.py
+++ b/basilpost/soak/answer_scenarios.py
@@ -14,6 +14,8 @@
 _REPEATS = (0, 3)
 # Share of the model runners whose streams are followed by copies; the others answer twice.
 _COPYING_SHARE = 0.5
+# Share of the runners that answer twice whose second answers break off.
+_BREAKING_SHARE = 0.3
 
 
 class RepeatingCaller(callers.RandomCaller):
@@ -63,6 +65,8 @@
             copies = second_answers.draw_stream_copies(rng)
             return dataclasses.replace(self.runner_options, copied_streams=copies)
         twice = second_answers.draw_second_answers(rng)
+        if random.Random(f"breaks/{seed}/{runner.vm_id}").random() < _BREAKING_SHARE:
+            twice = dataclasses.replace(twice, breaks_off=True)
         return dataclasses.replace(self.runner_options, answers_twice=twice)
 
     def draw(self, seed: int, *, seconds: float) -> tuple[faults.Fault, ...]:
--- a/tests/pool_second_answers_test.py
+++ b/tests/pool_second_answers_test.py
@@ -302,6 +302,26 @@
         assert [line for line in lines if line["event"] == "target_limit"] == []
 
 
+async def test_a_connection_that_carried_an_extra_answer_is_used_again():
+    """What else comes on it may join with the next answer."""
+    async with kept_connections() as bench:
+        pool = bench.forwarders[0].sender.pool
+        kept_after_extra = []
+        release = pool.release
+
+        def record(channel):
+            release(channel)
+            if channel.carried_extra:
+                kept_after_extra.append(not channel.stream.closed())
+
+        pool.release = record
+        set_plan(bench, share=0.5, first_status=200, first_named=True, second_status=200)
+        with structlog.testing.capture_logs() as lines:
+            await call_evenly(bench)
+        assert "stray_answer" in {line["event"] for line in lines}
+        assert kept_after_extra and not any(kept_after_extra)
+
+
 async def test_sound_runners_lose_their_kept_connections():
     """New connections to runners are priced, so calls one after another share one to each runner."""
     async with kept_connections() as bench:
