Epochs of other writers' entries are not taken for those of an earlier controller

Cause: the controller looks for the highest epoch that an earlier one may have used in all entries, whatever their service. It then took a fencing number whose epochs are beyond those that nodes read, so the entries of all runners that joined its groups counted as malformed.

Only groups of services with an engine count, whose name ends in their epoch as that of a controller's groups does, and only epochs below 2**52. An entry that imitates all of that below the bound leaves as many epochs above it.

--- a/basilpost/groups/pool_controller.py
+++ b/basilpost/groups/pool_controller.py
@@ -63,8 +63,9 @@
 REST_FACTOR = 3.0
 # The first epoch of a holder is its fencing number times this.
 EPOCHS_PER_FENCE = 10_000
-# Higher epochs are not the work of a controller: JSON numbers are exact up to here.
-MAX_EPOCH = 2**53
+# Higher epochs are not taken for the work of a controller: entries may come from other writers. Numbers
+# are read up to twice this, so the epochs that follow it are still read.
+MAX_EPOCH = 2**52
 # Loads that may start while they are not limited, in the first seconds of a new system.
 UNLIMITED_LOADS = 1_000_000
 
@@ -237,8 +238,15 @@
 
     def _used_fence(self) -> int:
         """Returns the highest fencing number that the epochs of the runners' groups show."""
-        members = (seen.vm.member for seen in self._knowledge.vms_by_id.values())
-        epochs = (member.epoch for member in members if member is not None)
+        configuration = self._knowledge.configuration
+        services = {} if configuration is None else configuration.services_by_name
+        names = {name for name, service in services.items() if service.engine is not None}
+        members = (
+            seen.vm.member
+            for seen in self._knowledge.vms_by_id.values()
+            if seen.vm.service in names and seen.vm.member is not None
+        )
+        epochs = (member.epoch for member in members if reported_groups.has_own_name(member))
         return max((epoch for epoch in epochs if epoch < MAX_EPOCH), default=0) // EPOCHS_PER_FENCE
 
     async def _keep_renewing(self) -> None:
--- a/basilpost/groups/reported_groups.py
+++ b/basilpost/groups/reported_groups.py
@@ -119,6 +119,11 @@
     return int(name.rpartition(_EPOCH_SEPARATOR)[2])
 
 
+def has_own_name(member: catalog.Membership) -> bool:
+    """Returns True if a group's name ends in its epoch, as those of all groups of a controller do."""
+    return member.group.endswith(f"{_EPOCH_SEPARATOR}{member.epoch}")
+
+
 def model_from_name(name: str) -> str:
     """Returns the model name that is part of the name of a serving or standby group."""
     return name.rpartition(_EPOCH_SEPARATOR)[0].removeprefix(_STANDBY_PREFIX)
--- a/tests/pool_odd_entries_test.py
+++ b/tests/pool_odd_entries_test.py
@@ -12,6 +12,8 @@
 LARGE = "9" * 401
 HUGE = "9" * 6_000
 HOST = "127.0.0.1"
+# The largest epoch that nodes read.
+HIGHEST_EPOCH = 2**53 - 1
 
 
 def group(name, *, epoch=1, rank=0):
@@ -121,3 +123,28 @@
 @pytest.mark.parametrize("name", ODD_ENTRIES)
 async def test_an_entry_that_is_odd_as_a_whole_ends_the_following_of_all_entries(name):
     await check_entries_are_followed(MARKER, ODD_ENTRIES[name])
+
+
+@pytest.mark.parametrize(
+    ("service", "name"),
+    [
+        ("other", "g1"),
+        (pool_fleet.PLAIN_SERVICE, f"{pool_fleet.LARGE}--{HIGHEST_EPOCH}"),
+        (pool_fleet.MODEL_SERVICE, "g1"),
+        (pool_fleet.MODEL_SERVICE, f"{pool_fleet.LARGE}--{HIGHEST_EPOCH}"),
+    ],
+    ids=["other-service", "plain-service", "other-name", "own-name"],
+)
+async def test_the_epoch_of_an_odd_entry_keeps_all_groups_from_being_formed(service, name):
+    """The epochs that follow it are beyond those that nodes read."""
+    odd_entry = entry(f"{HOST}:9", service)
+    member = {"name": name, "epoch": HIGHEST_EPOCH, "rank": 0, "state": "ready"}
+    bench = pool_nodes.Nodes(vms=3)
+    try:
+        await bench.fleet.start()
+        await bench.fleet.store.put("servers/0-odd", odd_entry | {"domain": "f", "group": member})
+        await bench.add("node-0")
+        await bench.wait_for_groups(1, pool_fleet.LARGE)
+        assert (await bench.draft()).code == 200
+    finally:
+        await bench.stop()
