A byte that is not UTF-8 costs the entry that holds it alone

Cause: an answer of the store holds many entries and was decoded as a whole, so one such byte spoiled each listing and watch.

Such a byte is read as a surrogate, which no field takes, as for other odd values.

Evidence: four cases of tests/pool_odd_entries_test.py (an unknown field, a zone, a group's name, the whole entry) failed before and pass, and one with such a name passes.

--- a/basilpost/core/tolerant_json.py
+++ b/basilpost/core/tolerant_json.py
@@ -24,7 +24,8 @@
     Raises:
         ValueError: If the text is not JSON.
     """
-    text = raw if isinstance(raw, str) else raw.decode()
+    # A byte that is not UTF-8 becomes a surrogate, which no field takes.
+    text = raw if isinstance(raw, str) else raw.decode(errors="surrogateescape")
     try:
         return json.loads(text, parse_int=_bounded_integer)
     except RecursionError:
--- a/basilpost/emulator/pool_store.py
+++ b/basilpost/emulator/pool_store.py
@@ -110,7 +110,8 @@
             text = text.replace(json.dumps(marker), raw)
         self.set_status(status)
         self.set_header("Content-Type", "application/json")
-        self.finish(text)
+        # A surrogate stands for a byte that is not UTF-8.
+        self.finish(text.encode(errors="surrogateescape"))
 
     async def prepare(self) -> None:
         await self.owner.silent_connections.block_if_silent(self.request)
--- a/tests/pool_odd_entries_test.py
+++ b/tests/pool_odd_entries_test.py
@@ -11,6 +11,8 @@
 LESS_DEEP = "[" * 900 + "]" * 900
 LARGE = "9" * 401
 HUGE = "9" * 6_000
+# The emulated store writes each of these surrogates as a byte that is not UTF-8.
+NO_UTF_8 = '"\udcff\udcfe\udc80"'
 HOST = "127.0.0.1"
 # The largest epoch that nodes read.
 HIGHEST_EPOCH = 2**53 - 1
@@ -62,6 +64,12 @@
     "header-in-host": ("address", f'"{HOST}\\r\\nX-Tenant: other:80"'),
     "surrogate-host": ("address", '"\\ud800:80"'),
     "space-in-host": ("address", '"a b:80"'),
+    "no-utf-8-unknown": ("unknown", NO_UTF_8),
+    "no-utf-8-zone": ("zone", NO_UTF_8),
+    "no-utf-8-group-name": (
+        "group",
+        f'{{"name": {NO_UTF_8}, "epoch": 1, "rank": 0, "state": "open"}}',
+    ),
 }
 ODD_ENTRIES = {
     "deep": DEEP,
@@ -71,6 +79,7 @@
     "list": "[]",
     "text": '"text"',
     "empty": "{}",
+    "no-utf-8": NO_UTF_8,
 }
 
 
@@ -88,12 +97,12 @@
     }
 
 
-async def check_entries_are_followed(odd_entry, raw):
+async def check_entries_are_followed(odd_entry, raw, *, name="0-odd"):
     """Serves requests and follows entries that come later, at old nodes and at one that starts."""
     with structlog.testing.capture_logs() as lines:
         async with pool_nodes.running(nodes=2, vms=3, plain_instances=3) as bench:
             bench.fleet.store.raw_text_by_marker[MARKER] = raw
-            await bench.fleet.store.put("servers/0-odd", odd_entry)
+            await bench.fleet.store.put(f"servers/{name}", odd_entry)
             await bench.wait_for_groups(1, pool_fleet.LARGE)
             await bench.wait_for_knowledge(lambda known: known.vms_age() < 2.0)
             await bench.add("late")
@@ -125,6 +134,10 @@
     await check_entries_are_followed(MARKER, ODD_ENTRIES[name])
 
 
+async def test_a_name_that_is_not_utf_8_ends_the_following_of_all_entries():
+    await check_entries_are_followed(entry(f"{HOST}:9"), NO_UTF_8, name=MARKER)
+
+
 @pytest.mark.parametrize(
     ("service", "name"),
     [
