An entry without version or sequence names no runner

Cause: fields that the node does not use were not asked for, though an entry that lacks fields names no runner by the users' pages.

Both fields are required.

Evidence: two cases of decode_test failed before and pass. The fixture of pool_knowledge_test got the two fields; no check was changed.

--- a/basilpost/platform/decode.py
+++ b/basilpost/platform/decode.py
@@ -66,6 +66,9 @@
         raise ValueError(f"address is not host:port: {address!r}")
     if not (vm_id.isascii() and vm_id.isprintable()):
         raise ValueError(f"name is no header value: {vm_id!r}")
+    # Every runner writes these two, which are not used; an entry without them has another writer.
+    if "version" not in raw or "sequence" not in raw:
+        raise ValueError("version or sequence is missing")
     return catalog.Vm(
         vm_id=vm_id,
         # The platform's documentation promises `born`, but its examples leave it out.
--- a/basilpost/platform/decode_test.py
+++ b/basilpost/platform/decode_test.py
@@ -148,6 +148,12 @@
     assert isinstance(decode.vm("i", encode({**ENTRY, **change})), decode.Malformed)
 
 
+@pytest.mark.parametrize("field", ["version", "sequence", "zone", "slots", "coldRemainingMs"])
+def test_an_entry_that_lacks_a_field_of_every_runner_is_taken_for_a_runner(field):
+    entry = {name: value for name, value in ENTRY.items() if name != field}
+    assert isinstance(decode.vm("i", encode(entry)), decode.Malformed)
+
+
 @pytest.mark.parametrize("data", [b"", b"\xff\xfe", b"null", b"[]", b'"text"', b"{"])
 def test_bytes_that_are_not_a_json_object_are_malformed(data):
     assert isinstance(decode.vm("i", data), decode.Malformed)
--- a/tests/pool_knowledge_test.py
+++ b/tests/pool_knowledge_test.py
@@ -75,6 +75,8 @@
         "service": "s",
         "address": "10.0.0.1:80",
         "zone": "a",
+        "version": "v1",
+        "sequence": 0,
         "slots": 4,
         "state": "ready",
         "coldRemainingMs": 0,
