A grace that the settings change takes effect while a node runs

Cause: settings were read only when the process started, and SIGHUP was noted without effect.

SIGHUP reads the file again, and so does a stop, as the file may change without a signal. `bounds.grace_seconds` takes effect at once, also during a drain. Other changed settings are named in a log line of level error and take effect at the next start; a file that cannot be read leaves all as it is.

--- a/basilpost/core/log_events.py
+++ b/basilpost/core/log_events.py
@@ -374,8 +374,16 @@
     "settings_fields_ignored": Event(
         meaning="the settings file has unknown fields", fields=("fields",)
     ),
+    "settings_reloaded": Event(
+        meaning="changed settings of the file take effect from now on", fields=("applied",)
+    ),
     "settings_reload_ignored": Event(
-        meaning="SIGHUP was received; settings cannot change while the process runs",
+        meaning="settings of the file have changed that cannot change while the process runs, or SIGHUP "
+        "was received without a change",
+        fields=("fields", "reason"),
+    ),
+    "settings_reload_refused": Event(
+        meaning="the settings file cannot be read again; the settings stay as they are",
         fields=("reason",),
     ),
     "task_failed": Event(
--- a/basilpost/gateway/relay.py
+++ b/basilpost/gateway/relay.py
@@ -204,6 +204,7 @@
         self._stop_began_at: float | None = None
         self._accept_likely_until = math.inf
         self._drain_until = math.inf
+        self._grace = settings.bounds.grace_seconds
         self._durations = durations.RecentDurations()
         self.recorder = request_recorder.RequestRecorder(kernel=kernel, knowledge=self.knowledge)
         open_connections = prometheus_client.Gauge(
@@ -245,14 +246,11 @@
         is read from callers any more. Requests that are still in flight at the end are cut.
         """
         self._draining = True
-        grace = self._settings.bounds.grace_seconds
         began_at = self._stop_began_at = clock.elapsed()
-        self._accept_likely_until = began_at + grace * DRAIN_ACCEPT_SHARE
-        margin = min(DRAIN_MARGIN_SECONDS, grace * DRAIN_MARGIN_SHARE)
-        self._drain_until = began_at + grace - margin
+        self._set_drain_end(began_at)
         for server in self._servers:
             server.announce_close()
-        await asyncio.sleep(min(READINESS_NOTICE_SECONDS, grace - margin))
+        await asyncio.sleep(min(READINESS_NOTICE_SECONDS, self._drain_until - began_at))
         await self._wait_until_answered()
         # No request can arrive between the last look at those in flight and the end of acceptance,
         # because there is no await between them.
@@ -268,6 +266,17 @@
         )
         await self._close_connections()
 
+    def set_grace(self, seconds: float) -> None:
+        """Sets the time between SIGTERM and SIGKILL, also while this node drains."""
+        self._grace = seconds
+        if self._stop_began_at is not None:
+            self._set_drain_end(self._stop_began_at)
+
+    def _set_drain_end(self, began_at: float) -> None:
+        margin = min(DRAIN_MARGIN_SECONDS, self._grace * DRAIN_MARGIN_SHARE)
+        self._accept_likely_until = began_at + self._grace * DRAIN_ACCEPT_SHARE
+        self._drain_until = began_at + self._grace - margin
+
     async def _wait_until_answered(self) -> None:
         """Waits until no request is in flight, at most until the end of the drain."""
         while clock.elapsed() < self._drain_until:
--- a/basilpost/node/pool_main.py
+++ b/basilpost/node/pool_main.py
@@ -19,7 +19,7 @@
 from basilpost.core import log, log_writer, names, tasks
 from basilpost.gateway import relay
 from basilpost.groups import pool_controller
-from basilpost.node import pool_assembly, process_end, signals
+from basilpost.node import pool_assembly, process_end, settings_file, signals
 from basilpost.settings import loader, pool_loader
 
 SETTINGS_VARIABLE = "BASILPOST_CONFIG"
@@ -31,12 +31,14 @@
 
 
 async def run(
-    loaded: pool_loader.Loaded, writer: log_writer.LineWriter, ending: process_end.ProcessEnd
+    source: settings_file.SettingsFile,
+    writer: log_writer.LineWriter,
+    ending: process_end.ProcessEnd,
 ) -> None:
     """Serves until SIGTERM or SIGINT, then drains requests in flight and stops.
 
     Args:
-        loaded: The settings.
+        source: The settings.
         writer: Writes the log.
         ending: Logs the end of the process.
     """
@@ -44,7 +46,7 @@
     background = tasks.TaskSet()
     background.keep_running(lambda: _tend_log(writer), name="log")
     try:
-        await _serve(loaded, writer, ending)
+        await _serve(source, writer, ending)
     finally:
         await background.close()
         writer.detach()
@@ -59,15 +61,22 @@
 
 
 async def _serve(
-    loaded: pool_loader.Loaded, writer: log_writer.LineWriter, ending: process_end.ProcessEnd
+    source: settings_file.SettingsFile,
+    writer: log_writer.LineWriter,
+    ending: process_end.ProcessEnd,
 ) -> None:
-    settings = loaded.settings
+    settings = source.loaded.settings
     kernel = ending.kernel = pool_assembly.build(settings)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for signal_number in signals.STOP:
         loop.add_signal_handler(signal_number, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, _ignore_reload, kernel)
+    node_relay = kernel.find(names.RELAY, relay.Relay)
+
+    def reload() -> None:
+        source.reload(node_relay, kernel.log)
+
+    loop.add_signal_handler(signal.SIGHUP, reload)
     logging.getLogger().addHandler(log.LibraryMessages(log=kernel.log))
     _add_metrics(kernel, writer)
     kernel.log.info(
@@ -77,13 +86,15 @@
         version=basilpost.__version__,
         memory_mb=settings.memory_mb,
     )
-    if loaded.ignored:
-        kernel.log.warning("settings_fields_ignored", fields=list(loaded.ignored))
+    if source.loaded.ignored:
+        kernel.log.warning("settings_fields_ignored", fields=list(source.loaded.ignored))
     await kernel.start()
     kernel.log.info("node_started")
     await stop.wait()
     kernel.log.info("node_stopping")
-    drain = asyncio.create_task(kernel.find(names.RELAY, relay.Relay).drain())
+    # The file may have changed without SIGHUP.
+    source.reload(node_relay, kernel.log, is_asked=False)
+    drain = asyncio.create_task(node_relay.drain())
     await kernel.find(names.CONTROLLER, pool_controller.Controller).stop()
     await drain
     await kernel.stop()
@@ -108,24 +119,20 @@
 
 def main() -> int:
     """Reads the settings and runs the node; returns the exit code."""
-    path = os.environ.get(SETTINGS_VARIABLE, "")
     try:
-        loaded = pool_loader.with_memory(
-            pool_loader.load(path), os.environ.get(MEMORY_VARIABLE, ""), variable=MEMORY_VARIABLE
-        )
-        loaded = pool_loader.with_descriptors(
-            loaded, os.environ.get(DESCRIPTORS_VARIABLE, ""), variable=DESCRIPTORS_VARIABLE
-        )
+        source = settings_file.SettingsFile(load=_load_settings)
     except loader.SettingsError as error:
         print(error, file=sys.stderr)
         return _EXIT_BAD_SETTINGS
-    writer = log.configure_bounded(descriptor=sys.stdout.fileno(), level=loaded.settings.log_level)
+    writer = log.configure_bounded(
+        descriptor=sys.stdout.fileno(), level=source.loaded.settings.log_level
+    )
     ending = process_end.ProcessEnd(writer=writer)
     ending.watch_signals()
     try:
         with asyncio.Runner() as runner:
             try:
-                runner.run(run(loaded, writer, ending))
+                runner.run(run(source, writer, ending))
             except BaseException:
                 # When the runner closes, it cancels them.
                 ending.capture_requests()
@@ -137,8 +144,17 @@
     return 0
 
 
-def _ignore_reload(kernel: kernel_.Kernel) -> None:
-    # Everything that may change while a node runs is in the configuration in the store.
-    kernel.log.info(
-        "settings_reload_ignored", reason="settings are read only when the process starts"
+def _load_settings() -> pool_loader.Loaded:
+    """Returns the settings of the file and the environment.
+
+    Raises:
+        loader.SettingsError: With all errors.
+    """
+    loaded = pool_loader.with_memory(
+        pool_loader.load(os.environ.get(SETTINGS_VARIABLE, "")),
+        os.environ.get(MEMORY_VARIABLE, ""),
+        variable=MEMORY_VARIABLE,
+    )
+    return pool_loader.with_descriptors(
+        loaded, os.environ.get(DESCRIPTORS_VARIABLE, ""), variable=DESCRIPTORS_VARIABLE
     )
--- a/tests/pool_process_test.py
+++ b/tests/pool_process_test.py
@@ -7,9 +7,11 @@
 import signal
 import sys
 
+import pyjson5
 import pytest
 import tornado.httpclient
 
+from basilpost.core import clock
 from basilpost.emulator import pool_fleet
 from basilpost.node import pool_demo
 from basilpost.settings import pool_loader
@@ -183,3 +185,89 @@
                 return
             except (OSError, tornado.httpclient.HTTPError):
                 await asyncio.sleep(0.05)
+
+
+async def reload_with(path, text, child, client, settings):
+    """Changes the settings file, sends SIGHUP, and returns once the node has read it."""
+    path.write_text(text)
+    child.send_signal(signal.SIGHUP)
+    await asyncio.sleep(0.3)
+    await wait_until_ready(client, settings.readiness)
+
+
+@pytest.mark.processes
+@pytest.mark.parametrize("is_told", [True, False], ids=["hangup", "at-the-stop"])
+async def test_a_grace_that_shrinks_is_ignored_until_the_next_start(tmp_path, is_told):
+    """Requests that the node took would be cut by SIGKILL at the end of the new grace."""
+    fleet = pool_fleet.PoolFleet(vms=0, plain_instances=1)
+    await fleet.start()
+    path = tmp_path / "node.jsonc"
+    raw = pyjson5.decode(node_settings(fleet.store.address))
+    raw["bounds"]["grace_seconds"] = 12.0
+    path.write_text(json.dumps(raw))
+    settings = pool_loader.load(str(path)).settings
+    short_grace = 3.0
+    child = await start(path)
+    client = tornado.httpclient.AsyncHTTPClient(force_instance=True)
+    try:
+        await wait_until_ready(client, settings.readiness)
+        raw["bounds"]["grace_seconds"] = short_grace
+        raw["region"] = "other"
+        if is_told:
+            await reload_with(path, json.dumps(raw), child, client, settings)
+        else:
+            path.write_text(json.dumps(raw))
+        for runner in fleet.runners_by_id.values():
+            # Longer than the new grace, and than the timeout of the route.
+            runner.options.work_seconds = 10.0
+        headers = pool_fleet.call_headers("slow", budget_ms=20_000)
+        slow = asyncio.ensure_future(
+            client.fetch(
+                f"http://{settings.callers}/filing/a",
+                method="POST",
+                body=b"x",
+                headers=headers,
+                raise_error=False,
+            )
+        )
+        await asyncio.sleep(0.2)
+        stopped_at = clock.elapsed()
+        child.send_signal(signal.SIGTERM)
+        out, _ = await asyncio.wait_for(child.communicate(), 15)
+        stopped_in = clock.elapsed() - stopped_at
+        await asyncio.gather(slow, return_exceptions=True)
+    finally:
+        if child.returncode is None:
+            child.kill()
+        await fleet.stop()
+    assert stopped_in < short_grace
+    lines = [json.loads(line) for line in out.decode().splitlines()]
+    assert [line["applied"] for line in lines if line["event"] == "settings_reloaded"] == [
+        ["bounds.grace_seconds"]
+    ]
+    refused = [line for line in lines if line["event"] == "settings_reload_ignored"]
+    assert [line["fields"] for line in refused] == [["region"]] * len(refused)
+    assert refused and {line["level"] for line in refused} == {"error"}
+
+
+@pytest.mark.processes
+async def test_a_settings_file_that_cannot_be_read_ends_a_running_node(tmp_path):
+    fleet = pool_fleet.PoolFleet(vms=0, plain_instances=1)
+    await fleet.start()
+    path = tmp_path / "node.jsonc"
+    path.write_text(node_settings(fleet.store.address))
+    settings = pool_loader.load(str(path)).settings
+    child = await start(path)
+    client = tornado.httpclient.AsyncHTTPClient(force_instance=True)
+    try:
+        await wait_until_ready(client, settings.readiness)
+        await reload_with(path, "{", child, client, settings)
+        child.send_signal(signal.SIGTERM)
+        out, _ = await asyncio.wait_for(child.communicate(), 15)
+    finally:
+        if child.returncode is None:
+            child.kill()
+        await fleet.stop()
+    assert child.returncode == 0
+    lines = [json.loads(line) for line in out.decode().splitlines()]
+    assert "settings_reload_refused" in {line["event"] for line in lines}
