--- a/basilpost/members/begun_loads.py
+++ b/basilpost/members/begun_loads.py
@@ -19,6 +19,8 @@
 KEEP_SECONDS = SPAN_SECONDS + ORDER_SECONDS
 # Names in a report; there is one for each decision that begins loads.
 MAX_NAMES = 64
+# Longer counts of a peer are malformed.
+MAX_COUNT_DIGITS = 6
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -58,7 +60,8 @@
         """Records loads of which another node tells; malformed names are left out."""
         for name in names:
             count = name.rpartition(PREFIX)[2]
-            if count.isdecimal() and name not in self._batches_by_name:
+            is_count = count.isdecimal() and len(count) <= MAX_COUNT_DIGITS
+            if is_count and name not in self._batches_by_name:
                 self._batches_by_name[name] = _Batch(count=int(count), at=now)
 
     def own_names(self, now: float) -> tuple[str, ...]:
--- a/basilpost/members/begun_loads_test.py
+++ b/basilpost/members/begun_loads_test.py
@@ -35,7 +35,7 @@
 
 def test_malformed_names_of_a_peer_are_counted():
     known = known_by()
-    known.record([".", "..", ".a.1.x", ".a.1.-3", ".a.1.", "", "²"], 100.0)
+    known.record([".", "..", ".a.1.x", ".a.1.-3", ".a.1.", "", "²", ".a.1." + "9" * 5000], 100.0)
     assert known.count(100.0) == 0
 
 
