--- a/tests/pool_process_test.py
+++ b/tests/pool_process_test.py
@@ -1,6 +1,8 @@
 """A pool's node as a real process: settings, readiness, logs and exit codes."""
 
 import asyncio
+import contextlib
+import dataclasses
 import json
 import os
 import pathlib
@@ -14,7 +16,7 @@
 from basilpost.core import clock
 from basilpost.emulator import pool_fleet
 from basilpost.node import pool_demo
-from basilpost.settings import pool_loader
+from basilpost.settings import pool_loader, pool_schema
 
 ROOT = pathlib.Path(__file__).parents[1]
 PROGRAM = (sys.executable, "-m", "basilpost.node.pool_process")
@@ -187,61 +189,82 @@
                 await asyncio.sleep(0.05)
 
 
-async def reload_with(path, text, child, client, settings):
-    """Changes the settings file, sends SIGHUP, and returns once the node has read it."""
-    path.write_text(text)
-    child.send_signal(signal.SIGHUP)
-    await asyncio.sleep(0.3)
-    await wait_until_ready(client, settings.readiness)
+@dataclasses.dataclass(frozen=True)
+class Running:
+    """A node process before a plain service, and a client of it."""
 
+    fleet: pool_fleet.PoolFleet
+    path: pathlib.Path
+    child: asyncio.subprocess.Process
+    client: tornado.httpclient.AsyncHTTPClient
+    settings: pool_schema.PoolNodeSettings
 
-@pytest.mark.processes
-@pytest.mark.parametrize("is_told", [True, False], ids=["hangup", "at-the-stop"])
-async def test_a_grace_that_shrinks_is_ignored_until_the_next_start(tmp_path, is_told):
-    """Requests that the node took would be cut by SIGKILL at the end of the new grace."""
+    async def reload(self, text):
+        """Changes the settings file, sends SIGHUP, and returns once the node has read it."""
+        self.path.write_text(text)
+        self.child.send_signal(signal.SIGHUP)
+        await asyncio.sleep(0.3)
+        await wait_until_ready(self.client, self.settings.readiness)
+
+    async def stop(self):
+        """Stops the node as planned; returns the lines of its log."""
+        self.child.send_signal(signal.SIGTERM)
+        out, _ = await asyncio.wait_for(self.child.communicate(), 15)
+        return [json.loads(line) for line in out.decode().splitlines()]
+
+
+@contextlib.asynccontextmanager
+async def running(folder, *, grace_seconds):
+    """Starts a node with a grace period; yields it and the content of its settings file."""
     fleet = pool_fleet.PoolFleet(vms=0, plain_instances=1)
     await fleet.start()
-    path = tmp_path / "node.jsonc"
+    path = folder / "node.jsonc"
     raw = pyjson5.decode(node_settings(fleet.store.address))
-    raw["bounds"]["grace_seconds"] = 12.0
+    raw["bounds"]["grace_seconds"] = grace_seconds
     path.write_text(json.dumps(raw))
     settings = pool_loader.load(str(path)).settings
-    short_grace = 3.0
     child = await start(path)
     client = tornado.httpclient.AsyncHTTPClient(force_instance=True)
     try:
         await wait_until_ready(client, settings.readiness)
+        yield Running(fleet, path, child, client, settings), raw
+    finally:
+        if child.returncode is None:
+            child.kill()
+            await child.wait()
+        await fleet.stop()
+
+
+@pytest.mark.processes
+@pytest.mark.parametrize("is_told", [True, False], ids=["hangup", "at-the-stop"])
+async def test_a_grace_that_shrinks_is_ignored_until_the_next_start(tmp_path, is_told):
+    """Requests that the node took would be cut by SIGKILL at the end of the new grace."""
+    short_grace = 3.0
+    async with running(tmp_path, grace_seconds=12.0) as (node, raw):
         raw["bounds"]["grace_seconds"] = short_grace
         raw["region"] = "other"
         if is_told:
-            await reload_with(path, json.dumps(raw), child, client, settings)
+            await node.reload(json.dumps(raw))
         else:
-            path.write_text(json.dumps(raw))
-        for runner in fleet.runners_by_id.values():
+            node.path.write_text(json.dumps(raw))
+        for runner in node.fleet.runners_by_id.values():
             # Longer than the new grace, and than the timeout of the route.
             runner.options.work_seconds = 10.0
-        headers = pool_fleet.call_headers("slow", budget_ms=20_000)
         slow = asyncio.ensure_future(
-            client.fetch(
-                f"http://{settings.callers}/filing/a",
+            node.client.fetch(
+                f"http://{node.settings.callers}/filing/a",
                 method="POST",
                 body=b"x",
-                headers=headers,
+                headers=pool_fleet.call_headers("slow", budget_ms=20_000),
                 raise_error=False,
             )
         )
         await asyncio.sleep(0.2)
         stopped_at = clock.elapsed()
-        child.send_signal(signal.SIGTERM)
-        out, _ = await asyncio.wait_for(child.communicate(), 15)
+        lines = await node.stop()
         stopped_in = clock.elapsed() - stopped_at
         await asyncio.gather(slow, return_exceptions=True)
-    finally:
-        if child.returncode is None:
-            child.kill()
-        await fleet.stop()
     assert stopped_in < short_grace
-    lines = [json.loads(line) for line in out.decode().splitlines()]
     assert [line["applied"] for line in lines if line["event"] == "settings_reloaded"] == [
         ["bounds.grace_seconds"]
     ]
@@ -252,22 +275,8 @@
 
 @pytest.mark.processes
 async def test_a_settings_file_that_cannot_be_read_ends_a_running_node(tmp_path):
-    fleet = pool_fleet.PoolFleet(vms=0, plain_instances=1)
-    await fleet.start()
-    path = tmp_path / "node.jsonc"
-    path.write_text(node_settings(fleet.store.address))
-    settings = pool_loader.load(str(path)).settings
-    child = await start(path)
-    client = tornado.httpclient.AsyncHTTPClient(force_instance=True)
-    try:
-        await wait_until_ready(client, settings.readiness)
-        await reload_with(path, "{", child, client, settings)
-        child.send_signal(signal.SIGTERM)
-        out, _ = await asyncio.wait_for(child.communicate(), 15)
-    finally:
-        if child.returncode is None:
-            child.kill()
-        await fleet.stop()
-    assert child.returncode == 0
-    lines = [json.loads(line) for line in out.decode().splitlines()]
+    async with running(tmp_path, grace_seconds=4.0) as (node, _):
+        await node.reload("{")
+        lines = await node.stop()
+        assert node.child.returncode == 0
     assert "settings_reload_refused" in {line["event"] for line in lines}
