Reading heads and reports costs less again

Headers are searched for a second status line only if they name HTTP, and a report is split in one pass where all its items are targets.

--- a/basilpost/core/channels.py
+++ b/basilpost/core/channels.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import dataclasses
-import itertools
 import re
 import socket
 import typing
@@ -165,10 +164,13 @@
 def _joins_answers(
     start_line: tornado.httputil.ResponseStartLine, headers: tornado.httputil.HTTPHeaders
 ) -> bool:
-    """Returns True if a head holds a second status line, in its first line or in a header."""
+    """Returns True if a head holds a second status line, in its first line or in a header's value.
+
+    One within a header's name is malformed already, as it has characters that no name has.
+    """
     # Tornado gives None for a status line without a reason, although it declares a text.
-    texts = [start_line.reason or "", *itertools.chain.from_iterable(headers.get_all())]
-    return any(_STATUS_LINE.search(text) for text in texts)
+    texts = [start_line.reason or "", *(value for _, value in headers.get_all())]
+    return any("HTTP/" in text and _STATUS_LINE.search(text) for text in texts)
 
 
 class Channel:
--- a/basilpost/members/path_states.py
+++ b/basilpost/members/path_states.py
@@ -16,6 +16,10 @@
 # First characters of entries; no short id contains them.
 _WITH_PATH = "/"
 _WITHOUT_PATH = ":"
+# First characters of all that is no short id of a target.
+_FIRST_CHARACTERS = frozenset(
+    (_WITH_PATH, _WITHOUT_PATH, unlisted_targets.PREFIX, begun_loads.PREFIX)
+)
 # Nodes of each kind that a hub names to its nodes, of all those in a fleet. Each hub names other ones
 # first, so that their requests are spread.
 MAX_NAMED_NODES = 64
@@ -93,14 +97,14 @@
 def split(writing: Iterable[str]) -> Split:
     """Returns the parts of the `writing` of a report."""
     writing = frozenset(writing)
-    entries = frozenset(one for one in writing if one[:1] in (_WITH_PATH, _WITHOUT_PATH))
-    unlisted = frozenset(one for one in writing if one[:1] == unlisted_targets.PREFIX)
-    loads = frozenset(one for one in writing if one[:1] == begun_loads.PREFIX)
+    others = frozenset(one for one in writing if one[:1] in _FIRST_CHARACTERS)
+    if not others:
+        return Split(target_ids=writing, entries=others)
     return Split(
-        target_ids=writing - entries - unlisted - loads,
-        entries=entries,
-        unlisted=unlisted,
-        loads=loads,
+        target_ids=writing - others,
+        entries=frozenset(one for one in others if one[0] in (_WITH_PATH, _WITHOUT_PATH)),
+        unlisted=frozenset(one for one in others if one[0] == unlisted_targets.PREFIX),
+        loads=frozenset(one for one in others if one[0] == begun_loads.PREFIX),
     )
 
 
