Members do not wait for a head that has left as ordered

Since each group that lost a member was replaced 0.4 s later: after its head had left as ordered, the other members waited as if the head's entry had been removed while it worked.

A group without a head counts as perhaps at work only if the head's entry was removed while it was the head, as this node saw it or another one tells.

test_the_members_of_a_head_that_has_left_as_ordered_wait_for_its_requests failed before and passes.

--- a/basilpost/core/channels_test.py
+++ b/basilpost/core/channels_test.py
@@ -330,3 +330,12 @@
         head, body, _ = await request(pool, address)
         assert (head.status, body) == (200, b"ok")
         pool.close()
+
+
+async def test_a_status_line_within_the_name_of_a_header_is_passed_over():
+    data = b"HTTP/1.1 200 OK\r\nX-AttHTTP/1.1 500 Error: locked\r\nContent-Length: 2\r\n\r\nok"
+    async with run_server(make_handler(data)) as address:
+        pool = channels.Pool()
+        head, _, _ = await request(pool, address)
+        assert isinstance(head, channels.Broken)
+        pool.close()
--- a/basilpost/groups/pool.py
+++ b/basilpost/groups/pool.py
@@ -387,7 +387,9 @@
     if group.name in view.stalled:
         return False
     seconds = view.now - state.incomplete_since_by_group.get(group.name, view.now)
-    if seconds < view.work_delay_seconds:
+    # A head that has left as ordered has an entry without the group, and no requests.
+    is_head_there = group.head is not None or group.name in view.unlisted_heads
+    if is_head_there and seconds < view.work_delay_seconds:
         return True
     return group.name in view.working and seconds < FINISH_SECONDS
 
--- a/basilpost/groups/pool_controller.py
+++ b/basilpost/groups/pool_controller.py
@@ -286,6 +286,9 @@
             models=engine.models,
             slots_per_group=engine.slots,
             slots_wanted=self._slots_wanted(service, engine),
+            unlisted_heads=frozenset(
+                group.name for group in groups if group.head is None and target_ids[group.name]
+            ),
             missing_since_by_group=missing_entries.missing_since(groups, removed),
             first_epoch=self._lease.fence * EPOCHS_PER_FENCE,
             next_epoch=self._lease.fence * EPOCHS_PER_FENCE + self._epochs_used,
--- a/basilpost/groups/pool_state.py
+++ b/basilpost/groups/pool_state.py
@@ -19,6 +19,7 @@
             measured.
         missing_since_by_group: When the first missing entry of a member of a group was removed, as far as
             this node saw it.
+        unlisted_heads: Names of groups whose head had an entry that was removed while it was the head.
         first_epoch: Groups with a lower epoch were formed by another controller.
         next_epoch: Lowest epoch that no group has used.
         loads_left: Loads from the weight store that may start now.
@@ -51,6 +52,7 @@
     changed_at_by_vm: dict[str, float] = dataclasses.field(default_factory=dict)
     missing_since_by_group: dict[str, float] = dataclasses.field(default_factory=dict)
     first_epoch: int = 0
+    unlisted_heads: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/basilpost/groups/pool_test.py
+++ b/basilpost/groups/pool_test.py
@@ -334,7 +334,12 @@
     vms = group("7", states)
 
     def decide(now, state, **fields):
-        seen = dataclasses.replace(view(vms, now=now), work_delay_seconds=0.4, **fields)
+        seen = dataclasses.replace(
+            view(vms, now=now),
+            work_delay_seconds=0.4,
+            unlisted_heads=frozenset(["large--7"] if states[0] is None else []),
+            **fields,
+        )
         return pool.decide(seen, state)
 
     before = decide(100.0, pool_state.State())
@@ -347,6 +352,15 @@
     assert any(order.kind is orders.Kind.LEAVE for order in stalled.orders)
 
 
+def test_the_members_of_a_head_that_has_left_as_ordered_wait_for_its_requests():
+    """It has none; the wait would delay each replacement of a lost member."""
+    vms = group("7", [None, READY, READY]) + [vm("7-0", staged=("large",))]
+    seen = dataclasses.replace(view(vms), work_delay_seconds=0.4)
+    decision = pool.decide(seen, pool_state.State())
+    leaves = {order.vm.vm_id for order in decision.orders if order.kind is orders.Kind.LEAVE}
+    assert leaves == {"7-1", "7-2"}
+
+
 def test_a_group_without_a_member_is_kept_for_ever():
     """Requests at it may hang, and a runner that stops as planned does so within ten seconds."""
     for states in ([None, READY, READY], [CLOSING, READY, None]):
