--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PY := $(VENV)/bin/python
 JOBS ?= 6
 
-.PHONY: test demo lint measure setup
+.PHONY: test known-red demo lint measure setup
 
 setup: $(VENV)/.ready
 
@@ -18,6 +18,9 @@
 	$(PY) -m pytest -m crowd; serial=$$?; \
 	test $$parallel -eq 0 -a $$serial -eq 0
 
+known-red: setup
+	$(PY) -m pytest -n $(JOBS) --dist loadfile --known-red
+
 demo: setup
 	$(PY) -m basilpost demo
 
--- a/conftest.py
+++ b/conftest.py
@@ -1,4 +1,7 @@
-"""Skips the tests that KNOWN-RED.txt lists, and prints its entries at the end of every run."""
+"""Skips the tests that KNOWN-RED.txt lists, and prints its entries at the end of every run.
+
+With `--known-red`, only the listed tests are run.
+"""
 
 import pathlib
 
@@ -13,8 +16,17 @@
     return [line for line in lines if line.strip() and not line.startswith("#")]
 
 
-def pytest_collection_modifyitems(items):
+def pytest_addoption(parser):
+    parser.addoption("--known-red", action="store_true", help="run only what KNOWN-RED.txt lists")
+
+
+def pytest_collection_modifyitems(config, items):
     listed = {line.split(SEPARATOR)[0].strip() for line in entries()}
+    if config.getoption("--known-red"):
+        others = [item for item in items if item.nodeid not in listed]
+        items[:] = [item for item in items if item.nodeid in listed]
+        config.hook.pytest_deselected(items=others)
+        return
     for item in items:
         if item.nodeid in listed:
             item.add_marker(pytest.mark.skip(reason="listed in KNOWN-RED.txt"))
