--- a/basilpost/core/log_events.py
+++ b/basilpost/core/log_events.py
@@ -315,6 +315,13 @@
     "node_record_not_written": Event(
         meaning="other nodes cannot find this one yet", fields=("reason",)
     ),
+    "node_record_removed": Event(
+        meaning="the record of a node that has been silent for long was removed from the store",
+        fields=("peer",),
+    ),
+    "node_record_lost": Event(
+        meaning="another node has removed this one's record, which is written again"
+    ),
     "pool_control_gained": Event(meaning="this node forms groups from now on", fields=("fence",)),
     "pool_control_overtaken": Event(
         meaning="a runner has accepted orders from a later controller; this one stops at once",
--- a/basilpost/members/connections.py
+++ b/basilpost/members/connections.py
@@ -42,6 +42,7 @@
     Attributes:
         address: Address at which this node listens, empty before the start.
         streams_by_id: The current stream of each connected peer.
+        wanted: Ids of the nodes to which this one is to keep a stream.
         metrics: Metrics of the streams.
     """
 
@@ -73,7 +74,7 @@
         self._failed_at_by_id: dict[str, float] = {}
         self._kept_connected: set[str] = set()
         self._opening_by_id: dict[str, asyncio.Event] = {}
-        self._wanted: frozenset[str] = frozenset()
+        self.wanted: frozenset[str] = frozenset()
         self._accepted = 0
         table.subscribe(self._update_wanted)
 
@@ -85,7 +86,7 @@
 
     async def stop(self) -> None:
         """Sends the queued frames and closes all streams."""
-        self._wanted = frozenset()
+        self.wanted = frozenset()
         for conn in self.streams_by_id.values():
             conn.finish()
         await self._transport.close()
@@ -116,13 +117,13 @@
         regions_by_id = self._table.regions_by_id()
         if self.is_full_mesh():
             regions_by_id |= {seed.node_id: "" for seed in self._settings.seeds}
-        self._wanted = topology.neighbours(
+        self.wanted = topology.neighbours(
             self._node_id,
             regions_by_id,
             self._settings,
         )
         if self.address:
-            for node_id in self._wanted - self._kept_connected:
+            for node_id in self.wanted - self._kept_connected:
                 self._kept_connected.add(node_id)
                 self._tasks.spawn(self._keep_connected(node_id), name=f"peer-{node_id}")
 
@@ -139,7 +140,7 @@
         if self._node_id > node_id and self.is_full_mesh():
             # The node with the smaller id dials first, so that both seldom dial at the same time.
             await asyncio.sleep(self._timing.heartbeat / 2)
-        while node_id in self._wanted:
+        while node_id in self.wanted:
             started_at = clock.monotonic()
             conn = self.streams_by_id.get(node_id)
             if conn is None or not conn.lasting:
@@ -312,7 +313,7 @@
         return (
             conn.lasting
             and conn.dialled_by == self._node_id
-            and conn.node_id not in self._wanted
+            and conn.node_id not in self.wanted
             and not self.is_full_mesh()
         )
 
@@ -353,7 +354,7 @@
 
     def _may_open(self, node_id: str) -> bool:
         """Returns True if the node is known, not wanted anyway, and did not fail recently."""
-        if node_id in self._wanted or not self._address_of(node_id) or not self.address:
+        if node_id in self.wanted or not self._address_of(node_id) or not self.address:
             return False
         failed_at = self._failed_at_by_id.get(node_id)
         return failed_at is None or clock.monotonic() - failed_at > self._timing.peer_silence
--- a/basilpost/members/node_registry.py
+++ b/basilpost/members/node_registry.py
@@ -1,7 +1,8 @@
 """Discovery of nodes: each node keeps a record in the store while it runs.
 
 A record only gives an address. Whether the node is alive is seen on the peer streams, so records
-are not renewed.
+are not renewed. Other nodes remove the record of one that has been silent for long (see
+`lost_nodes`); a node that is alive writes its record again.
 """
 
 import asyncio
@@ -9,7 +10,8 @@
 import random
 
 from basilpost.core import clock, codec, kernel, names, tasks
-from basilpost.members import feed, node_table
+from basilpost.members import feed, lost_nodes, node_table, peers
+from basilpost.settings import schema
 from basilpost.store import eras, objects
 
 PREFIX = "basilpost-nodes/"
@@ -24,6 +26,8 @@
 STOP_TIMEOUT_SECONDS = 0.4
 # Records are not renewed, so their lease outlasts any process.
 LEASE_SECONDS = 1e9
+# All neighbours of a lost node see its silence; one of them mostly removes the record before the others.
+REMOVAL_DELAY_SECONDS = 2.0
 
 
 class Registry(kernel.Service):
@@ -38,6 +42,11 @@
         self._tasks = tasks.TaskSet(log=kernel.log)
         self._version = 0
         self._has_written = False
+        self._peers = kernel.find(names.PEERS, peers.PeerNetwork)
+        self._silence_seconds = kernel.find(names.SETTINGS, schema.NodeSettings).timing.peer_silence
+        self._lost_nodes = lost_nodes.LostNodes(is_heard=self._is_heard)
+        self._versions_by_id: dict[str, int] = {}
+        self._is_stopping = False
         # The latest restore of the store, None once all nodes have written their records again.
         self._restored_at: float | None = None
         self._held_deletions_by_key: dict[str, objects.Change] = {}
@@ -48,11 +57,13 @@
         self._feed.subscribe_restore(self._write_again)
 
     async def start(self) -> None:
-        """Starts to write this node's record."""
+        """Starts to write this node's record, and to remove those of lost nodes."""
         self._tasks.keep_running(self._write_until_done, name="node-record")
+        self._tasks.keep_running(self._remove_lost, name="node-records-removed")
 
     async def stop(self) -> None:
         """Removes this node's record."""
+        self._is_stopping = True
         await self._tasks.close()
         if self._has_written and not self._version:
             # The answer to a write that was cut off is not known.
@@ -88,6 +99,48 @@
             for change in held.values():
                 self._apply_change(change)
 
+    # Records of nodes that are lost for good are removed by those that want streams to them.
+
+    def _is_heard(self, node_id: str) -> bool:
+        return self._peers.received_within(node_id, self._silence_seconds)
+
+    async def _remove_lost(self) -> None:
+        delay = random.uniform(0.0, REMOVAL_DELAY_SECONDS)
+        while True:
+            await asyncio.sleep(lost_nodes.CHECK_SECONDS)
+            incarnations_by_id = {
+                node_id: record.incarnation
+                for node_id, record in self._table.records_by_id.items()
+                if node_id != self._record.node_id
+            }
+            lost = self._lost_nodes.observe(
+                incarnations_by_id, self._peers.wanted(), now=clock.elapsed()
+            )
+            if lost and self._restored_at is None:
+                node_id = random.choice(lost)
+                version = self._versions_by_id[node_id]
+                await asyncio.sleep(delay)
+                if self._versions_by_id.get(node_id) == version:
+                    await self._remove_record(node_id, version)
+
+    async def _remove_record(self, node_id: str, version: int) -> None:
+        """Removes the record of a node from the store, unless it has changed."""
+        result = await self._store.delete(
+            PREFIX + node_id,
+            version=version,
+            timeout=STORE_TIMEOUT_SECONDS,
+            urgency=objects.Urgency.BACKGROUND,
+        )
+        if isinstance(result, objects.Written):
+            self._log.info("node_record_removed", peer=node_id)
+
+    def _write_removed(self, change: objects.Change) -> None:
+        """Writes this node's record again if another node has removed it."""
+        if change.stored is None and 0 < self._version < change.version and not self._is_stopping:
+            self._version = 0
+            self._log.info("node_record_lost")
+            self._tasks.spawn(self._write_until_done(), name="node-record")
+
     async def _write_until_done(self) -> None:
         while not await self._write():
             await asyncio.sleep(RETRY_SECONDS)
@@ -132,6 +185,17 @@
                 revision=eras.revision_of(change.version),
                 reason="the value is not a node record",
             )
+        if change.key == self._key:
+            self._write_removed(change)
+        self._record_version(change)
         key = names.NODE_PREFIX + change.key.removeprefix(PREFIX)
         stored = None if change.stored is None else dataclasses.replace(change.stored, key=key)
         self._table.apply(dataclasses.replace(change, key=key, stored=stored))
+
+    def _record_version(self, change: objects.Change) -> None:
+        node_id = change.key.removeprefix(PREFIX)
+        if change.stored is None:
+            self._versions_by_id.pop(node_id, None)
+            self._lost_nodes.record_removal(node_id)
+        else:
+            self._versions_by_id[node_id] = change.stored.version
--- a/basilpost/members/peers.py
+++ b/basilpost/members/peers.py
@@ -75,5 +75,9 @@
         """Returns the ids of the nodes to which this one keeps a stream open, sorted."""
         return tuple(node_id for node_id in self.live_nodes() if node_id != self.node_id)
 
+    def wanted(self) -> frozenset[str]:
+        """Returns the ids of the nodes to which this one is to keep a stream, open or not."""
+        return frozenset(self.neighbours())
+
     def subscribe(self, listener: StreamListener) -> None:
         """Calls the listener when a stream to a neighbour opens (True) or ends (False)."""
--- a/basilpost/members/streams.py
+++ b/basilpost/members/streams.py
@@ -154,6 +154,10 @@
             )
         )
 
+    def wanted(self) -> frozenset[str]:
+        """Returns the ids of the nodes to which this one is to keep a stream, open or not."""
+        return self._connections.wanted
+
     def live_nodes(self) -> tuple[str, ...]:
         """Returns this node and those with a stream or, beyond the full mesh, a valid lease."""
         live = {self._node_id, *self._connections.streams_by_id}
--- a/tests/pool_fleet_test.py
+++ b/tests/pool_fleet_test.py
@@ -32,7 +32,9 @@
     Its `seen` has the last version of each key, its `known_keys` those that are not deleted.
     """
 
-    def __init__(self, *, node_id, region, shared, network):
+    def __init__(
+        self, *, node_id, region, shared, network, full_mesh_nodes=FULL_MESH_NODES, **timing
+    ):
         self.node_id = node_id
         self.network = network
         self.store = members_fleet.NodeStore(shared=shared)
@@ -45,8 +47,9 @@
             region=region,
             platform=schema.Platform(object_api="", vm_list=""),
             peers=schema.PeerStreams(
-                full_mesh_nodes=FULL_MESH_NODES, neighbours=4, min_watchers=3, secret="s"
+                full_mesh_nodes=full_mesh_nodes, neighbours=4, min_watchers=3, secret="s"
             ),
+            timing=schema.Timing(**timing),
         )
         self.table = table = node_table.NodeTable()
         self.kernel.register(names.SETTINGS, settings)
@@ -85,7 +88,8 @@
 
 
 class Fleet:
-    def __init__(self):
+    def __init__(self, **options):
+        self.options = options
         self.store = memory.MemoryStore()
         self.network = memory_transport.MemoryNetwork()
         self.nodes = []
@@ -96,6 +100,7 @@
             region=REGIONS[number % len(REGIONS)],
             shared=self.store,
             network=self.network,
+            **self.options,
         )
         self.nodes.append(node)
         await node.kernel.start()
