Gateway: refuse repeats with outcome unknown while the configuration may be missing

Cause: a call with an idempotency key passes the check of the node's standing, as only the ledger knows whether it has run; but a node without a configuration finds neither its key nor its service, and judged both by what it lacked.

Change: such a node answers 503 with outcome unknown. A node in standing answers 401 and 404 as before.

--- a/basilpost/gateway/call_handler.py
+++ b/basilpost/gateway/call_handler.py
@@ -1,6 +1,7 @@
 """The base class of the handlers that forward requests; reads bodies under limits."""
 
 import asyncio
+import dataclasses
 from collections.abc import Awaitable
 
 import structlog
@@ -147,6 +148,17 @@
             return refusals.not_serving(verdict)
         return None
 
+    def without_current_view(self, refusal: failure.Refusal) -> failure.Refusal:
+        """Returns the refusal of what the configuration does not have, given by a node that may lack it.
+
+        Such a node, as one that has just started, knows neither keys and services nor whether a request
+        that may be a repeat has run.
+        """
+        verdict = self.context.standing.check()
+        if not isinstance(verdict, standing.NotServing):
+            return refusal
+        return dataclasses.replace(refusals.not_serving(verdict), outcome=failure.Outcome.UNKNOWN)
+
     def may_be_repeat(self) -> bool:
         """Returns True if the request may repeat one that has run, which only the ledger knows."""
         return False
@@ -202,7 +214,7 @@
             return refusal
         workspace = self.calling_workspace(context.directory.config())
         if isinstance(workspace, failure.Refusal):
-            return workspace
+            return self.without_current_view(workspace)
         limit = context.settings.gateway.max_body_bytes
         length = self.request.headers.get("Content-Length", "0").split(",")[0].strip()
         return refusals.too_large(limit) if length.isdigit() and int(length) > limit else None
--- a/basilpost/gateway/server_test.py
+++ b/basilpost/gateway/server_test.py
@@ -157,7 +157,8 @@
             peers=schema.PeerStreams(seeds=seeds),
         )
         node.register(names.SETTINGS, settings)
-        node.register(names.DIRECTORY, member_fakes.FakeDirectory(config=config, groups=groups))
+        self.directory = member_fakes.FakeDirectory(config=config, groups=groups)
+        node.register(names.DIRECTORY, self.directory)
         node.register(names.STANDING, self.standing)
         node.register(names.HEALTH, group_fakes.FakeHealth())
         node.register(names.ADMISSION, self.admission)
@@ -451,6 +452,21 @@
     assert alone.headers["Basilpost-Outcome"] == "unknown"
 
 
+@pytest.mark.parametrize("missing", ["workspaces_by_name", "services_by_name"])
+async def test_a_node_without_a_configuration_refuses_a_call_that_ran_as_not_run(bench, missing):
+    """A node that has just started answered the repeat of a filing with 401, which says that it never ran."""
+    await bench.start(Script())
+    await bench.call("/services/licences/filings", Idempotency_Key="k-1")
+    known = bench.directory.config()
+    bench.directory.set(config=dataclasses.replace(known, **{missing: {}}))
+    bench.standing.verdict = standing.NotServing(reason="no configuration is confirmed yet")
+    again = await bench.call("/services/licences/filings", Idempotency_Key="k-1")
+    assert (again.code, again.headers["Basilpost-Outcome"]) == (503, "unknown")
+    bench.standing.verdict = standing.InStanding()
+    refused = await bench.call("/services/licences/filings", Idempotency_Key="k-1")
+    assert refused.code == (401 if missing == "workspaces_by_name" else 404)
+
+
 async def test_a_request_that_comes_while_a_drain_ends_is_answered(bench):
     """A request on a connection that the node accepted must be answered, not reset."""
     await bench.start(Script())
--- a/basilpost/gateway/services.py
+++ b/basilpost/gateway/services.py
@@ -30,13 +30,14 @@
         service = config.services_by_name.get(self.path_args[0])
         key = request_parsing.idempotency_key(self.request.headers)
         if isinstance(workspace, failure.Refusal):
-            self.refuse(workspace)
+            self.refuse(self.without_current_view(workspace))
             return
         if isinstance(key, failure.Refusal):
             self.refuse(key)
             return
         if service is None or service.kind is not data.ServiceKind.PLAIN:
-            self.refuse(refusals.unknown_service(self.path_args[0]))
+            refusal = refusals.unknown_service(self.path_args[0])
+            self.refuse(self.without_current_view(refusal))
             return
         result = await self._admit_and_run(workspace, service, key, body)
         if isinstance(result, failure.Refusal):
