Core: notice that a caller leaves although bytes wait behind its request

Its request ran on (GONE). Cause: Tornado listens for the end of a connection by reading, and stops as soon as bytes that no reader takes wait in its buffer, such as a line end behind the body.

Change: while a request runs, the connection is read on until 16 KB wait, so that it holds 32 KB at most. A caller that ends its side of the connection counts as gone then, as it does without such bytes.

--- a/basilpost/core/caller_stream.py
+++ b/basilpost/core/caller_stream.py
@@ -5,12 +5,13 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import tornado.ioloop
 import tornado.iostream
 
 from basilpost.core import connection_memory, listener, turns
 
 # Most that is read at once, and that is passed on as one piece of a body. A connection that is not
-# read any more holds up to this.
+# read any more holds up to twice this.
 READ_BYTES = 16_384
 # Most that is discarded when a connection is closed.
 MAX_DISCARDED_BYTES = 1_048_576
@@ -137,6 +138,22 @@
                     break
         super().close_fd()
 
+    def _maybe_add_error_listener(self) -> None:
+        super()._maybe_add_error_listener()
+        self._listen_for_end()
+
+    def _handle_events(self, fd: Any, events: int) -> None:
+        super()._handle_events(fd, events)
+        self._listen_for_end()
+
+    def _listen_for_end(self) -> None:
+        """Goes on reading while a request runs behind which some bytes wait.
+
+        Tornado stops then, and would not notice that the caller leaves.
+        """
+        if self._close_callback is not None and 0 < self._read_buffer_size < READ_BYTES:
+            self._add_io_state(tornado.ioloop.IOLoop.READ)
+
     def close(self, exc_info: Any = False) -> None:
         """Closes the connection."""
         super().close(exc_info)
