--- a/basilpost/routing/crash_evidence.py
+++ b/basilpost/routing/crash_evidence.py
@@ -128,7 +128,7 @@
     for crash in crashes:
         if crash.traits.isdisjoint(known):
             for trait in crash.traits:
-                if _speaks_against(crash, trait, answered_at):
+                if speaks_against(crash, trait, answered_at):
                     crashes_by_trait.setdefault(trait, []).append(crash)
     return [_evidence(trait, found) for trait, found in crashes_by_trait.items()]
 
@@ -145,7 +145,7 @@
         for crash in crashes
         if trait in crash.traits
         and crash.traits.isdisjoint(known)
-        and _speaks_against(crash, trait, answered_at)
+        and speaks_against(crash, trait, answered_at)
     )
 
 
@@ -179,7 +179,8 @@
     return count
 
 
-def _speaks_against(crash: Crash, trait: Trait, answered_at: Mapping[Trait, float]) -> bool:
+def speaks_against(crash: Crash, trait: Trait, answered_at: Mapping[Trait, float]) -> bool:
+    """Returns True unless a request with a trait of a crash was answered shortly before it or since."""
     return crash.at > answered_at.get(trait, -math.inf) + CLEARING_SECONDS
 
 
--- a/basilpost/routing/crash_messages.py
+++ b/basilpost/routing/crash_messages.py
@@ -20,6 +20,21 @@
     requests: tuple[crash_evidence.LostRequest, ...]
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class StoredCrash:
+    """A crash as the platform's store keeps it, in case that all nodes are killed.
+
+    Attributes:
+        target_id: The target.
+        crashed_at: When it crashed, ISO 8601 in UTC.
+        requests: Fingerprints of the lost requests that were not answered since.
+    """
+
+    target_id: str
+    crashed_at: str
+    requests: tuple[str, ...]
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class AnsweredTrait:
     """A trait of a request that was answered `age` seconds ago."""
--- a/basilpost/routing/crash_store.py
+++ b/basilpost/routing/crash_store.py
@@ -2,6 +2,10 @@
 
 A cause must outlast all nodes. The node that found it writes it; if it cannot, another one that knows it
 does later. Nothing in the store expires by itself, so nodes delete causes whose time is over.
+
+The crashes before a cause is found must outlast them too, or a request would crash three more targets
+each time that all nodes are killed. A crash is kept by the requests that may have caused it, until these
+are answered or a cause explains it. It takes two calls, and is not written again if it is lost.
 """
 
 import asyncio
@@ -32,6 +36,12 @@
 KEEP_RELEASED_SECONDS = 600.0
 # Longer names, and those with unusual characters, are replaced by a digest.
 MAX_NAME_LENGTH = 64
+# Times after a crash at which a node that has seen it writes it to the store. The answers that arrive by
+# then spare most of the writes, and the first node to write it spares those of the others.
+CRASH_DELAY_SECONDS = (0.5, 1.0)
+# Crashes that are kept in the store. When many targets are lost at once, no request is the cause.
+MAX_STORED_CRASHES = 32
+_CRASH_PREFIX = f"{PREFIX}crash-"
 
 
 def key_of(trait: crash_evidence.Trait) -> str:
@@ -41,6 +51,22 @@
     return f"{PREFIX}{trait.kind}-{value}"
 
 
+def crash_key(target_id: str) -> str:
+    """Returns the key of a target's crash in the store."""
+    return f"{_CRASH_PREFIX}{xxhash.xxh3_64_hexdigest(target_id.encode())}"
+
+
+def decode_crash(stored: objects.Stored) -> tuple[crash_messages.StoredCrash, float] | None:
+    """Returns the crash that an object holds and its present age in seconds, None if it is malformed."""
+    try:
+        crash = codec.from_json(stored.value, crash_messages.StoredCrash)
+        crashed_at = datetime.datetime.fromisoformat(crash.crashed_at)
+        age = (datetime.datetime.now(datetime.UTC) - crashed_at).total_seconds()
+    except (ValueError, TypeError):
+        return None
+    return crash, max(0.0, age)
+
+
 def decode(stored: objects.Stored) -> crash_messages.CrashCause | None:
     """Returns the cause that an object holds, with its present age; None if it is malformed."""
     try:
@@ -63,10 +89,12 @@
         self._tasks = tasks.TaskSet(log=kernel.log)
         self._node_id = kernel.node_id
         self._stored_by_key: dict[str, objects.Stored] = {}
+        self._stored_crashes_by_key: dict[str, objects.Stored] = {}
         self._writing: set[str] = set()
         self._first_asked_at: float | None = None
         self._informed = False
         self._tracker.on_cause = self._write_soon
+        self._tracker.on_crash = self._write_crash_soon
         self._feed = kernel.find(names.FEED, feed.Feed)
         self._feed.follow(
             PREFIX, wait=WATCH_SECONDS, on_change=self._apply_change, age_bounded=False
@@ -103,6 +131,9 @@
         return waited > MAX_WAIT_SECONDS
 
     def _apply_change(self, change: objects.Change) -> None:
+        if change.key.startswith(_CRASH_PREFIX):
+            self._apply_crash(change)
+            return
         if change.stored is None:
             self._stored_by_key.pop(change.key, None)
             for known in self._tracker.causes_by_trait.values():
@@ -113,12 +144,7 @@
         self._stored_by_key[change.key] = change.stored
         cause = decode(change.stored)
         if cause is None:
-            self._log.warning(
-                "malformed_object",
-                key=change.key,
-                revision=eras.revision_of(change.version),
-                reason="the value is not a cause of crashes",
-            )
+            self._log_malformed(change, "the value is not a cause of crashes")
         elif self._tracker.apply_cause(cause) and not cause.released:
             self._log.info(
                 "crash_cause_learned",
@@ -127,9 +153,72 @@
                 source="store",
             )
 
+    def _log_malformed(self, change: objects.Change, reason: str) -> None:
+        self._log.warning(
+            "malformed_object",
+            key=change.key,
+            revision=eras.revision_of(change.version),
+            reason=reason,
+        )
+
+    # Crashes without a known cause.
+
+    def _apply_crash(self, change: objects.Change) -> None:
+        if change.stored is None:
+            self._stored_crashes_by_key.pop(change.key, None)
+            return
+        self._stored_crashes_by_key[change.key] = change.stored
+        found = decode_crash(change.stored)
+        if found is None:
+            self._log_malformed(change, "the value is not a crash")
+        else:
+            self._tracker.restore_crash(*found)
+
+    def _write_crash_soon(self, target_id: str) -> None:
+        key = crash_key(target_id)
+        if key not in self._writing:
+            self._writing.add(key)
+            self._tasks.spawn(self._write_crash(key, target_id), name="crash-write")
+
+    async def _write_crash(self, key: str, target_id: str) -> None:
+        try:
+            await asyncio.sleep(random.uniform(*CRASH_DELAY_SECONDS))
+            crash = self._tracker.unexplained(target_id)
+            is_full = len(self._stored_crashes_by_key) >= MAX_STORED_CRASHES
+            if crash is None or is_full or key in self._stored_crashes_by_key:
+                return
+            age = datetime.timedelta(seconds=clock.elapsed() - crash.at)
+            stored = crash_messages.StoredCrash(
+                target_id=target_id,
+                crashed_at=(datetime.datetime.now(datetime.UTC) - age).isoformat(),
+                requests=tuple(crash.requests),
+            )
+            await self._store.create(
+                key,
+                codec.to_json(stored),
+                timeout=TIMEOUT_SECONDS,
+                urgency=objects.Urgency.BACKGROUND,
+            )
+        finally:
+            self._writing.discard(key)
+
+    async def _delete_explained_crashes(self) -> None:
+        for key, stored in list(self._stored_crashes_by_key.items()):
+            found = decode_crash(stored)
+            if found is not None and self._tracker.unexplained(found[0].target_id) is None:
+                await self._store.delete(
+                    key,
+                    version=stored.version,
+                    timeout=TIMEOUT_SECONDS,
+                    urgency=objects.Urgency.BACKGROUND,
+                )
+
+    # Causes.
+
     def _write_again(self) -> None:
         """Writes the known causes to a restored store, which may lack them."""
         self._stored_by_key.clear()
+        self._stored_crashes_by_key.clear()
         for known in self._tracker.causes_by_trait.values():
             if not known.cause.released:
                 self._write_soon(known.cause)
@@ -180,6 +269,7 @@
         while True:
             await asyncio.sleep(EXPIRY_CHECK_SECONDS * random.uniform(0.5, 1.5))
             self._tracker.expire()
+            await self._delete_explained_crashes()
             for key, stored in list(self._stored_by_key.items()):
                 cause = decode(stored)
                 if cause is not None and cause.age > _kept_seconds(cause):
--- a/basilpost/routing/crash_store_test.py
+++ b/basilpost/routing/crash_store_test.py
@@ -63,6 +63,8 @@
 def short_waits(monkeypatch):
     monkeypatch.setattr(crash_store, "TAKE_OVER_SECONDS", (0.01, 0.02))
     monkeypatch.setattr(crash_store, "RETRY_SECONDS", 0.01)
+    monkeypatch.setattr(crash_store, "CRASH_DELAY_SECONDS", (0.01, 0.02))
+    monkeypatch.setattr(crash_store, "EXPIRY_CHECK_SECONDS", 0.02)
 
 
 def make_cause(node_id="n0", **changes):
@@ -128,8 +130,7 @@
     await node.close()
 
 
-async def test_a_cause_whose_time_is_over_is_removed_from_the_store(store, monkeypatch):
-    monkeypatch.setattr(crash_store, "EXPIRY_CHECK_SECONDS", 0.01)
+async def test_a_cause_whose_time_is_over_is_removed_from_the_store(store):
     node = Node("n0", store, fakes.PeerHub())
     await store.create(KEY, codec.to_json(make_cause(found_at="2020-01-01T00:00:00+00:00")))
     await node.read(await store.get(KEY))
@@ -203,3 +204,94 @@
     await asyncio.sleep(0.1)
     assert (await stored_cause(store)).cause_id == "c1"
     await node.close()
+
+
+def lost(*fingerprints, parts=()):
+    return [
+        crash_evidence.LostRequest(fingerprint=fingerprint, parts=parts)
+        for fingerprint in fingerprints
+    ]
+
+
+def stored_crashes(store):
+    return [
+        codec.from_json(value.value, crash_messages.StoredCrash)
+        for key, value in store._stored_by_key.items()
+        if key.startswith(f"{crash_store.PREFIX}crash-")
+    ]
+
+
+async def read_all(node, store):
+    for stored in (await store.list(crash_store.PREFIX)).objects:
+        await node.read(stored)
+
+
+async def test_crashes_before_a_cause_are_forgotten_when_all_nodes_are_killed(store):
+    """A request crashed three more runners each time that all nodes were killed (review/9 at c313194)."""
+    for number in range(crash_evidence.MIN_CRASHES):
+        node = Node(f"n{number}", store, fakes.PeerHub())
+        await read_all(node, store)
+        node.tracker.record_crash(f"t{number}", lost("bad", f"other-{number}"))
+        await asyncio.sleep(max(crash_evidence.SEPARATE_SECONDS, crashes.DECISION_DELAY_SECONDS))
+        await asyncio.sleep(0.1)
+        causes = list(node.tracker.causes_by_trait)
+        await node.close()
+    assert causes == [crash_evidence.Trait(kind="request", value="bad")]
+
+
+async def test_requests_that_were_answered_since_are_kept_as_suspects(store):
+    node = Node("n0", store, fakes.PeerHub())
+    await node.store.start()
+    sound = lost("sound")[0]
+    node.tracker.record_crash("t0", lost("bad", "sound"))
+    node.tracker.record_answer(sound.traits)
+    node.tracker.record_crash("t1", lost("sound"))
+    await asyncio.sleep(0.1)
+    (kept,) = stored_crashes(store)
+    assert (kept.target_id, kept.requests) == ("t0", ("bad",))
+    await read_all(node, store)
+    node.tracker.record_answer(lost("bad")[0].traits)
+    await asyncio.sleep(0.1)
+    assert not stored_crashes(store)
+    await node.close()
+
+
+async def test_a_part_is_blamed_for_crashes_before_the_answers_that_cleared_it_were_forgotten(
+    store,
+):
+    """Nodes that start know no answers from before; only a request that nobody answered may count."""
+    for number in range(crash_evidence.MIN_CRASHES_IN_DOUBT):
+        node = Node(f"n{number}", store, fakes.PeerHub())
+        await read_all(node, store)
+        node.tracker.record_crash(f"t{number}", lost(f"r{number}", parts=("shared",)))
+        await asyncio.sleep(crash_evidence.SEPARATE_SECONDS + 0.1)
+        assert not node.tracker.causes_by_trait
+        await node.close()
+
+
+async def test_the_loss_of_many_targets_at_once_fills_the_store(store):
+    node = Node("n0", store, fakes.PeerHub())
+    for number in range(100):
+        node.tracker.record_crash(f"t{number}", lost(f"r{number}"))
+        if number % 10 == 9:
+            await asyncio.sleep(0.03)
+            await read_all(node, store)
+    assert len(stored_crashes(store)) <= crash_store.MAX_STORED_CRASHES + 10
+    await node.close()
+
+
+async def test_a_crash_of_long_ago_or_a_malformed_one_speaks_against_a_request(store):
+    node = Node("n0", store, fakes.PeerHub())
+    await node.store.start()
+    old = crash_messages.StoredCrash(
+        target_id="t0", crashed_at="2020-01-01T00:00:00+00:00", requests=("bad",)
+    )
+    await store.create(crash_store.crash_key("t0"), codec.to_json(old))
+    for number, value in enumerate([b"null", b"{}", b'{"crashed_at": 3}', b"\xff"]):
+        await store.create(crash_store.crash_key(f"odd-{number}"), value)
+    await read_all(node, store)
+    assert node.tracker.unexplained("t0") is None
+    await asyncio.sleep(0.1)
+    left = {stored.key for stored in (await store.list(crash_store.PREFIX)).objects}
+    assert left == {crash_store.crash_key(f"odd-{number}") for number in range(4)}
+    await node.close()
--- a/basilpost/routing/crashes.py
+++ b/basilpost/routing/crashes.py
@@ -71,12 +71,14 @@
     Attributes:
         causes_by_trait: The causes in force.
         on_cause: Called with each cause that was found here or came from a peer.
+        on_crash: Called with the id of each target whose crash was seen here.
         heard_from_peer: True once a peer has sent what it knows.
     """
 
     def __init__(self, *, kernel: kernel.Kernel) -> None:
         self.causes_by_trait: dict[crash_evidence.Trait, KnownCause] = {}
         self.on_cause: Callable[[crash_messages.CrashCause], None] = lambda cause: None
+        self.on_crash: Callable[[str], None] = lambda target_id: None
         self.heard_from_peer = False
         self._node_id = kernel.node_id
         self._log = kernel.log
@@ -164,6 +166,37 @@
         self._add_crash(
             crash_messages.CrashReport(target_id=target_id, age=age, requests=tuple(requests))
         )
+        self.on_crash(target_id)
+
+    def unexplained(self, target_id: str) -> crash_evidence.Crash | None:
+        """Returns a crash with those of its lost requests that may have caused it, None without any.
+
+        They were not answered since, and no cause that is known explains the crash. Parts of their prompts
+        are left out: only the answers that nodes have seen clear a part that many requests share.
+        """
+        crash = self._crashes_by_target.get(target_id)
+        if crash is None or not crash.traits.isdisjoint(self.causes_by_trait.keys()):
+            return None
+        requests = {
+            lost.fingerprint: crash_evidence.LostRequest(fingerprint=lost.fingerprint, parts=())
+            for lost in crash.requests.values()
+            if crash_evidence.speaks_against(crash, lost.own_trait, self._answered_at)
+        }
+        return dataclasses.replace(crash, requests=requests) if requests else None
+
+    def restore_crash(self, stored: crash_messages.StoredCrash, age: float) -> None:
+        """Adds a crash of `age` seconds ago that the store has kept, unless it is known or forgotten."""
+        if stored.target_id not in self._crashes_by_target and age < MEMORY_SECONDS:
+            self._add_crash(
+                crash_messages.CrashReport(
+                    target_id=stored.target_id,
+                    age=age,
+                    requests=tuple(
+                        crash_evidence.LostRequest(fingerprint=fingerprint, parts=())
+                        for fingerprint in stored.requests
+                    ),
+                )
+            )
 
     def record_answer(self, traits: Iterable[crash_evidence.Trait]) -> None:
         """Records that a request was answered, which clears its traits here and elsewhere."""
