Tests: wait for a new node's own record before asking whether it watches the store

Trace: a node counts as a watcher until its own record is in its table, and the test asked as soon as the objects had arrived, often before that. By the topology none of n16 to n19 is a watcher. The bounds on time and listings are as before; the test now also waits for the record (3 s at most).

--- a/tests/pool_fleet_test.py
+++ b/tests/pool_fleet_test.py
@@ -176,6 +176,10 @@
             await fleet.add(number)
             late = fleet.nodes[-1]
             await pool_fleet.until(lambda late=late: late.seen.keys() >= keys, seconds=3)
+            # Until a node knows its own record, it counts as a watcher.
+            await pool_fleet.until(
+                lambda late=late: late.node_id in late.table.records_by_id, seconds=3
+            )
             if not late.feed.is_watcher:
                 break
         assert not late.feed.is_watcher
