Members: accept values of other writers up to 2 MB in messages between nodes

A node that received an object of 1,000,001 to 1,048,576 bytes from a peer took the message for malformed and closed the stream; the store of the users' platform takes values of 1,048,576 bytes. Cause: received values had the bound of this project's own objects. Only fleets beyond the full mesh pass objects on.

Change: a bound of its own, of 2 MB; a value that decompresses to more is refused as before.

No run of a fleet with such an object was made.

--- a/basilpost/members/messages.py
+++ b/basilpost/members/messages.py
@@ -8,6 +8,9 @@
 
 # Smaller values are sent uncompressed.
 MIN_COMPRESSED_BYTES = 200
+# Above the largest value of any store: other writers' objects may be larger than `objects.MAX_VALUE_BYTES`,
+# which bounds this project's own. The users' platform takes 1,048,576 bytes.
+MAX_RECEIVED_BYTES = 2 * 1_048_576
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -174,7 +177,7 @@
 
     Raises:
         peers.MalformedMessageError: If the value cannot be decompressed, or exceeds
-            `objects.MAX_VALUE_BYTES`.
+            `MAX_RECEIVED_BYTES`.
     """
     stored = None
     if change.value is not None:
@@ -184,10 +187,10 @@
 
 
 def _decompress(raw: bytes) -> bytes:
-    """Decompresses a value of at most `objects.MAX_VALUE_BYTES`, which bounds the memory used."""
+    """Decompresses a value of at most `MAX_RECEIVED_BYTES`, which bounds the memory used."""
     decompressor = zlib.decompressobj()
     try:
-        value = decompressor.decompress(raw, objects.MAX_VALUE_BYTES)
+        value = decompressor.decompress(raw, MAX_RECEIVED_BYTES)
     except zlib.error as error:
         raise peers.MalformedMessageError(f"the value cannot be decompressed: {error}") from error
     if not decompressor.eof:
