Gateway: ask idle targets for their status once another one is silent

A node that loses its links to half of the targets, on which nothing passes, found each of them by a request that hung there: 2 to 3 of 48 first tries later than 3 s after the cut. Cause: only a target with a silent request was asked for its status.

Measured: the new test fails without the questions (only the first target is avoided) and passes.

--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -91,6 +91,7 @@
             give_up=lambda target_id: self.sender.give_up_silent(
                 lambda request: request.target_id == target_id, self._spend_retry_of_silent
             ),
+            list_vms=targets.vms_by_target,
             log=log,
         )
         self._chooser = target_choice.TargetChooser(
--- a/basilpost/gateway/silent_targets_test.py
+++ b/basilpost/gateway/silent_targets_test.py
@@ -29,9 +29,13 @@
         self.contact = contact
         self.asked = []
         self.given_up = []
+        self.vms_by_target = {}
         self.seconds = path_probe.ANSWER_SECONDS
         self.targets = silent_targets.SilentTargets(
-            ask_vm=self.ask, give_up=self.given_up.append, log=structlog.get_logger()
+            ask_vm=self.ask,
+            give_up=self.given_up.append,
+            list_vms=lambda: self.vms_by_target,
+            log=structlog.get_logger(),
         )
         self.running = asyncio.create_task(self.targets.run())
 
@@ -104,3 +108,40 @@
     node.targets.record_sent("t", "vm")
     await asyncio.sleep(3 * path_probe.LATE_SECONDS)
     assert not node.is_silent
+
+
+async def test_requests_hang_at_each_target_that_was_cut_off_at_the_same_time():
+    """Each silent target was found by a request of its own."""
+    node = Node()
+    node.vms_by_target = {"t": "vm", "other": "vm-2"} | {
+        f"t-{number}": f"vm-{number}" for number in range(1_000)
+    }
+    node.targets.record_sent("t", "vm")
+    await asyncio.sleep(NOTICE_SECONDS)
+    seconds = path_probe.ANSWER_SECONDS * (
+        silent_targets.MAX_IDLE_CHECKS / silent_targets.MAX_IDLE_CHECKS_AT_ONCE
+    )
+    await asyncio.sleep(seconds + 0.1)
+    silent = node.targets.among(node.vms_by_target)
+    assert len(silent) == 1 + silent_targets.MAX_IDLE_CHECKS
+    node.contact = CONTACT.ANSWERED
+    await asyncio.sleep(service_paths.RETURN_CHECK_SECONDS[1] + path_probe.ANSWER_SECONDS + 0.1)
+    assert not node.targets.among(node.vms_by_target)
+    await node.targets.close()
+
+
+async def test_targets_that_answer_are_avoided_when_another_one_is_silent():
+    node = Node()
+    node.vms_by_target = {"t": "vm", "other": "vm-2"}
+    ask = node.ask
+
+    async def ask_one(vm_id):
+        node.contact = CONTACT.SILENT if vm_id == "vm" else CONTACT.ANSWERED
+        return await ask(vm_id)
+
+    node.targets._ask_vm = ask_one
+    node.targets.record_sent("t", "vm")
+    await asyncio.sleep(NOTICE_SECONDS + 0.1)
+    assert "vm-2" in node.asked
+    assert node.targets.among(node.vms_by_target) == {"t"}
+    await node.targets.close()
--- a/basilpost/routing/targets.py
+++ b/basilpost/routing/targets.py
@@ -195,8 +195,23 @@
         )
         self._knowledge.subscribe(self._mark_stale)
 
+    def vms_by_target(self) -> dict[str, str]:
+        """Returns the VM of each target of all services, by target id."""
+        self._derive()
+        return {
+            target.target_id: target.vm_id
+            for targets in self._targets_by_service.values()
+            for target in targets
+        }
+
     def matching(self, service: str, model: str) -> tuple[Target, ...]:
         """Returns the targets of a service that serve a model, all of them for an empty name."""
+        self._derive()
+        targets = self._targets_by_service.get(service, ())
+        return tuple(target for target in targets if target.model == model) if model else targets
+
+    def _derive(self) -> None:
+        """Derives the targets again if VMs or configuration have changed."""
         if self._stale and self._knowledge.configuration is not None:
             self._targets_by_service = find_targets(
                 self._knowledge.vms_by_id.values(),
@@ -212,8 +227,6 @@
             self._stale = False
             self._preferred_by_model.clear()
             self._update_metrics()
-        targets = self._targets_by_service.get(service, ())
-        return tuple(target for target in targets if target.model == model) if model else targets
 
     def closing(self) -> frozenset[str]:
         """Returns the ids of the groups that are closed because a member leaves or has left."""
