Store: list on after a page whose last name is unusable

If the last object of a page of the store's listing had a name with control characters or bytes that are not UTF-8, the listing failed.

Cause: the last name of a page is needed to ask for the next page, and one that is no name for the project was taken for a failed answer.

The page is now taken to go up to its last usable name, so the objects after it are listed again in the next page. Only a page without any usable name goes on after an unusable one, byte by byte as the store gave it. The emulated store reads that argument as it was sent.

--- a/basilpost/emulator/pool_store.py
+++ b/basilpost/emulator/pool_store.py
@@ -144,7 +144,9 @@
         if not isinstance(result, objects.Listing):
             self.drop_connection()
             return
-        after = self.get_argument("sinceRevision", "")
+        # Tornado's own reading of arguments changes control characters and refuses what is not UTF-8.
+        given = self.request.query_arguments.get("sinceRevision", [b""])
+        after = given[0].decode(errors="surrogateescape")
         remaining = [stored for stored in result.objects if stored.key.partition("/")[2] > after]
         items = [
             _object(stored.key, stored.version, stored.value)
--- a/basilpost/platform/store.py
+++ b/basilpost/platform/store.py
@@ -91,7 +91,7 @@
         """
         listed: list[objects.Stored] = []
         first_at: int | None = None
-        last_name = ""
+        last_name = b""
         while True:
             query = "?" + urllib.parse.urlencode({"sinceRevision": last_name}) if last_name else ""
             reply = await self._read(_path(prefix.rstrip("/")) + query, timeout=timeout)
@@ -109,11 +109,10 @@
             listed += [item for item in items if item is not None]
             if not page.get("hasMore") or not page["items"]:
                 return objects.Listing(objects=tuple(listed), revision=first_at)
-            # For the next page the platform expects the last item's name in `sinceRevision`.
-            last = page["items"][-1]
-            name = _name_of(last)
-            if not name or name == last_name:
-                return objects.Unavailable(reason=f"list {prefix}: the last item has no new name")
+            # For the next page the platform expects an item's name in `sinceRevision`.
+            name = _last_new_name(page["items"], last_name)
+            if not name:
+                return objects.Unavailable(reason=f"list {prefix}: the page has no new name")
             last_name = name
 
     async def create(
@@ -332,9 +331,34 @@
 
 def _name_of(raw: Any) -> str:
     """Returns the name of an object, empty if it has none of use."""
+    name = _given_name(raw)
+    return name if texts.is_plain(name) else ""
+
+
+def _given_name(raw: Any) -> str:
+    """Returns the name of an object as the store gave it, empty without one."""
     metadata = raw.get("metadata") if isinstance(raw, dict) else None
     name = metadata.get("name") if isinstance(metadata, dict) else None
-    return name if isinstance(name, str) and texts.is_plain(name) else ""
+    return name if isinstance(name, str) else ""
+
+
+def _last_new_name(items: list[Any], known: bytes) -> bytes:
+    """Returns the name of an item after which the next page begins, empty if the page has no new one.
+
+    It is the last usable name. Items of other writers may have unusable ones, which the store may not
+    take in a query; one of them is returned only if the page has no others.
+    """
+    usable = (_name_of(item).encode() for item in reversed(items))
+    given = (_encode_name(_given_name(item)) for item in reversed(items))
+    return next((name for name in (*usable, *given) if name and name != known), b"")
+
+
+def _encode_name(name: str) -> bytes:
+    try:
+        # `tolerant_json` reads bytes that are not UTF-8 as such surrogates.
+        return name.encode(errors="surrogateescape")
+    except UnicodeEncodeError:
+        return b""
 
 
 def _revision_of(raw: Any) -> int | None:
--- a/basilpost/platform/store_test.py
+++ b/basilpost/platform/store_test.py
@@ -1,5 +1,7 @@
 """Tests of the adapter to the platform's store, against the emulated store."""
 
+import json
+
 import prometheus_client
 import pytest
 import structlog
@@ -56,6 +58,21 @@
     assert [stored.key for stored in listing.objects] == [f"things/{name}" for name in "abcde"]
 
 
+@pytest.mark.parametrize("name", ["b\u0000", "b\udcff"], ids=["control", "no-utf-8"])
+@pytest.mark.parametrize("others", ["acd", "cd"], ids=["within", "alone"])
+async def test_a_page_that_ends_with_an_unusable_name_makes_the_listing_fail(
+    client, emulated_store, name, others
+):
+    """No node that started would have learned of any runner."""
+    emulated_store.page_size = len(others) - 1
+    # The store orders by the marker, which stands before all that begins with the odd name.
+    emulated_store.raw_text_by_marker["b"] = json.dumps(name, ensure_ascii=name.isascii())
+    for each in (*others, "b"):
+        await emulated_store.put(f"servers/{each}", {"n": each})
+    listing = await client.list("servers/")
+    assert [stored.key for stored in listing.objects] == [f"servers/{each}" for each in others]
+
+
 async def test_a_watch_reports_changes_and_removals(client, emulated_store):
     listing = await client.list("things/")
     await emulated_store.put("things/a", {"n": 1})
