Platform: entries with fields of another type name no runner

A group was formed late: a VM was ordered into it whose entry had a number as its version, or a text as its sequence. No runner stood behind it, so the order was never carried out. "An entry may come from another writer: fields missing or of another type [...]. It names no runner to use" (PROTOCOL.md, Service discovery).

A text or an object in place of the list of staged models was read as its characters or keys, and any empty value in place of the fabric domain or the group as none.

All are checked for their types now. Null and the empty value of the right type still stand for none.

Evidence: 13 of the 14 cases of test_an_entry_with_a_field_of_another_type_is_taken_for_a_runner and both of test_a_vm_whose_entry_has_a_field_of_another_type_is_ordered_into_a_group failed before the change, the latter with orders to the VM 0-odd, and pass.

--- a/basilpost/platform/decode.py
+++ b/basilpost/platform/decode.py
@@ -66,9 +66,9 @@
         raise ValueError(f"address is not host:port: {address!r}")
     if not (vm_id.isascii() and vm_id.isprintable()):
         raise ValueError(f"name is no header value: {vm_id!r}")
-    # Every runner writes these two, which are not used; an entry without them has another writer.
-    if "version" not in raw or "sequence" not in raw:
-        raise ValueError("version or sequence is missing")
+    # Every runner writes these two, which are not used; an entry with others has another writer.
+    _text(raw, "version")
+    _integer(raw, "sequence")
     return catalog.Vm(
         vm_id=vm_id,
         # The platform's documentation promises `born`, but its examples leave it out.
@@ -77,11 +77,11 @@
         address=address,
         failure_domain=_text(raw, "zone"),
         # `domain` is the fabric domain, not the failure domain.
-        fabric_domain=_text(raw, "domain") if raw.get("domain") else "",
+        fabric_domain="" if _is_empty(raw.get("domain"), "") else _text(raw, "domain"),
         slots=_integer(raw, "slots"),
         leaving=state == "draining",
         cold_seconds=_number(raw, "coldRemainingMs") / _MS_PER_SECOND,
-        staged=tuple(_text({"name": model}, "name") for model in raw.get("staged") or ()),
+        staged=_staged(raw.get("staged")),
         member=_membership(raw.get("group")),
     )
 
@@ -96,8 +96,16 @@
     )
 
 
+def _staged(raw: Any) -> tuple[str, ...]:
+    if _is_empty(raw, []):
+        return ()
+    if not isinstance(raw, list):
+        raise TypeError(f"staged is {raw!r}, expected a list")
+    return tuple(_text({"name": model}, "name") for model in raw)
+
+
 def _membership(raw: dict[str, Any] | None) -> catalog.Membership | None:
-    if not raw or not raw.get("name"):
+    if raw is None or _is_empty(raw, {}) or _is_empty(raw.get("name"), ""):
         return None
     return catalog.Membership(
         group=_text(raw, "name"),
@@ -220,6 +228,11 @@
     )
 
 
+def _is_empty(value: Any, empty: str | list[Any] | dict[str, Any]) -> bool:
+    """Returns True if an optional value is missing, null, or the empty one of its type."""
+    return value is None or (type(value) is type(empty) and not value)
+
+
 def _text(raw: dict[str, Any], name: str) -> str:
     value = raw[name]
     if not isinstance(value, str) or not value:
--- a/basilpost/platform/decode_test.py
+++ b/basilpost/platform/decode_test.py
@@ -154,6 +154,37 @@
     assert isinstance(decode.vm("i", encode(entry)), decode.Malformed)
 
 
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"version": 5},
+        {"version": None},
+        {"sequence": "4"},
+        {"sequence": None},
+        {"sequence": -1},
+        {"domain": 0},
+        {"domain": ["d3"]},
+        {"staged": "daka510000"},
+        {"staged": {"daka510000": 1}},
+        {"staged": 0},
+        {"group": ""},
+        {"group": []},
+        {"group": {"name": 0, "epoch": 1, "rank": 0, "state": "ready"}},
+        {"group": {"name": [], "epoch": 1, "rank": 0, "state": "ready"}},
+    ],
+)
+def test_an_entry_with_a_field_of_another_type_is_taken_for_a_runner(change):
+    """Groups were formed with VMs that have no runner."""
+    assert isinstance(decode.vm("i", encode({**ENTRY, **change})), decode.Malformed)
+
+
+@pytest.mark.parametrize(
+    "change", [{"domain": ""}, {"domain": None}, {"staged": None}, {"group": None}, {"group": {}}]
+)
+def test_an_empty_optional_field_costs_a_runner_its_entry(change):
+    assert isinstance(decode.vm("i", encode({**ENTRY, **change})), catalog.Vm)
+
+
 @pytest.mark.parametrize("data", [b"", b"\xff\xfe", b"null", b"[]", b'"text"', b"{"])
 def test_bytes_that_are_not_a_json_object_are_malformed(data):
     assert isinstance(decode.vm("i", data), decode.Malformed)
--- a/tests/pool_odd_entries_test.py
+++ b/tests/pool_odd_entries_test.py
@@ -161,3 +161,20 @@
         assert (await bench.draft()).code == 200
     finally:
         await bench.stop()
+
+
+@pytest.mark.parametrize("field", ["version", "sequence"])
+async def test_a_vm_whose_entry_has_a_field_of_another_type_is_ordered_into_a_group(field):
+    """Such an entry names no runner, so the order is never carried out and the group is formed late."""
+    odd_entry = entry(f"{HOST}:9", pool_fleet.MODEL_SERVICE) | {"domain": "f0", field: [1]}
+    bench = pool_nodes.Nodes(vms=3)
+    with structlog.testing.capture_logs() as lines:
+        try:
+            await bench.fleet.start()
+            await bench.fleet.store.put("servers/0-odd", odd_entry)
+            await bench.add("node-0")
+            await bench.wait_for_groups(1, pool_fleet.LARGE)
+        finally:
+            await bench.stop()
+    ordered = {line["vm"] for line in lines if line["event"] == "pool_order"}
+    assert ordered and "0-odd" not in ordered
