Reachability: ask only VMs of configured services for the path

A node took its path to the runners for lost, and sent its requests to other nodes or refused them, while entries of another writer in the list of runners named VMs that accept connections and do not answer.

Cause: the check of the path asks four VMs of as many failure domains as it can, out of all entries.

Only the VMs of configured services are asked now.

Evidence: test_a_node_takes_its_path_for_lost_as_vms_of_unknown_services_are_silent, 60 such entries beside 6 runners of one failure domain, failed before the change and passes.

--- a/basilpost/members/reachability.py
+++ b/basilpost/members/reachability.py
@@ -311,8 +311,7 @@
 
     async def _check_path(self, reason: str) -> None:
         try:
-            known = (seen.vm for seen in self._knowledge.vms_by_id.values())
-            vms = path_probe.choose_vms(filter(self.may_ask, known), rng=self._rng)
+            vms = path_probe.choose_vms(self._askable_vms(), rng=self._rng)
             if not vms or self.ask is None:
                 return
             began_at = clock.elapsed()
@@ -346,6 +345,12 @@
                 vms=[vm.vm_id for vm in vms],
             )
 
+    def _askable_vms(self) -> list[catalog.Vm]:
+        """Returns the VMs of the configured services; other writers' entries may name any others."""
+        configuration = self._knowledge.configuration
+        services = () if configuration is None else configuration.services_by_name
+        return [vm for service in services for vm in self._askable_vms_of(service)]
+
     def _askable_vms_of(self, service: str) -> list[catalog.Vm]:
         seen = self._knowledge.vms_by_id.values()
         return [
--- a/basilpost/members/reachability_test.py
+++ b/basilpost/members/reachability_test.py
@@ -56,7 +56,9 @@
         )
         seen = {f"vm-{n}": types.SimpleNamespace(vm=make_vm(n)) for n in range(vms)}
         services = {
-            names.KNOWLEDGE: types.SimpleNamespace(vms_by_id=seen),
+            names.KNOWLEDGE: types.SimpleNamespace(
+                vms_by_id=seen, configuration=types.SimpleNamespace(services_by_name={"s": None})
+            ),
             names.PEERS: types.SimpleNamespace(
                 handle=lambda kind, handler: None,
                 subscribe=lambda listener: None,
--- a/tests/pool_odd_entries_test.py
+++ b/tests/pool_odd_entries_test.py
@@ -1,5 +1,7 @@
 """Another writer leaves an odd entry among those of the runners in the platform's store."""
 
+import asyncio
+
 import pytest
 import structlog.testing
 
@@ -16,6 +18,9 @@
 HOST = "127.0.0.1"
 # The largest epoch that nodes read.
 HIGHEST_EPOCH = 2**53 - 1
+# Failure domains that only odd entries name, and checks of a path among them.
+ODD_DOMAINS = 60
+PATH_CHECKS = 5
 
 
 def group(name, *, epoch=1, rank=0):
@@ -178,3 +183,34 @@
             await bench.stop()
     ordered = {line["vm"] for line in lines if line["event"] == "pool_order"}
     assert ordered and "0-odd" not in ordered
+
+
+async def test_a_node_takes_its_path_for_lost_as_vms_of_unknown_services_are_silent():
+    """The check of the path asked four VMs of as many failure domains, whatever their service."""
+
+    async def hold(reader, writer):
+        await reader.read()
+        writer.close()
+
+    silent_server = await asyncio.start_server(hold, HOST, 0)
+    _, port = silent_server.sockets[0].getsockname()
+    bench = pool_nodes.Nodes(vms=3, plain_instances=3)
+    with structlog.testing.capture_logs() as lines:
+        try:
+            await bench.fleet.start()
+            for number in range(ODD_DOMAINS):
+                odd_entry = entry(f"{HOST}:{port}", "other") | {"zone": f"zone-{number}"}
+                await bench.fleet.store.put(f"servers/odd-{number}", odd_entry)
+            for number in range(2):
+                await bench.add(f"node-{number}")
+            await pool_fleet.until(lambda: all(relay.ready for relay in bench.relays))
+            await bench.wait_for_knowledge(lambda known: len(known.vms_by_id) > ODD_DOMAINS)
+            for reachability in bench.reachabilities:
+                for _ in range(PATH_CHECKS):
+                    assert await reachability.find_path(fresh=True)
+            answers = [await bench.call("/lookup/a", node=node) for node in (0, 1) * 10]
+            assert [answer.code for answer in answers] == [200] * 20
+        finally:
+            await bench.stop()
+            silent_server.close()
+    assert not [line for line in lines if line["event"] == "runner_path_lost"]
