Tests: share the runner whose answers are written byte by byte

The tests of answers without a length had a runner of their own. Tests of invalid statuses need one as well, so its connections, its entry and the nodes before it are in tests/raw_runners.py now.

--- a/tests/pool_unframed_answer_test.py
+++ b/tests/pool_unframed_answer_test.py
@@ -2,96 +2,29 @@
 
 import asyncio
 import contextlib
-import dataclasses
 
 import pytest
 from tornado import simple_httpclient
 
 from basilpost.emulator import pool_fleet
-from basilpost.node import pool_demo
-from tests import cut_links, pool_nodes
+from tests import cut_links, pool_nodes, raw_runners
 
 LINES = 8
 LINE_SECONDS = 0.05
-STREAM_ROUTE = {"streaming": ("news", True), "once": ("news-once", False)}
 
 
-@dataclasses.dataclass(frozen=True)
-class Request:
-    """A request as a runner read it."""
-
-    path: str
-    attempt: str
-    last_event: int
-
-
-class Runner:
+class Runner(raw_runners.Runner):
     """A runner of the plain service whose answers have no length.
 
     Attributes:
         crashes_after: Number of lines or events after which it crashes, None for never. As the system
             does for a process that ends, it closes its connections in order and listens no more.
-        requests: The requests that it ran.
-        connections: Number of connections that were opened to it.
     """
 
-    def __init__(self, vm_id):
-        self.vm_id = vm_id
-        self.crashes_after = None
-        self.requests = []
-        self.connections = 0
-        self._writers = set()
-
-    async def start(self, store):
-        self._server = await asyncio.start_server(self._serve, pool_demo.random_loopback_host(), 0)
-        host, port = self._server.sockets[0].getsockname()
-        entry = {
-            "service": pool_fleet.PLAIN_SERVICE,
-            "address": f"{host}:{port}",
-            "zone": "a",
-            "version": "v1",
-            "slots": 8,
-            "state": "ready",
-            "coldRemainingMs": 0,
-            "born": 1,
-            "sequence": 1,
-        }
-        await store.put(f"servers/{self.vm_id}", entry)
-
-    def end(self):
-        self._server.close()
-        for writer in self._writers:
-            writer.close()
-
-    async def _serve(self, reader, writer):
-        self.connections += 1
-        self._writers.add(writer)
-        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
-            while True:
-                head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
-                headers = {
-                    name.lower(): value
-                    for name, _, value in (line.partition(": ") for line in head[1:] if line)
-                }
-                await reader.readexactly(int(headers.get("content-length", 0)))
-                path = head[0].split(" ")[1]
-                if path.startswith(("/health", "/api")):
-                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
-                    continue
-                await self._answer(path, headers, writer)
-                break
-        self._writers.discard(writer)
-        writer.close()
-
-    async def _answer(self, path, headers, writer):
-        request = Request(
-            path=path,
-            attempt=headers["x-attempt-id"],
-            last_event=int(headers.get("last-event-id") or 0),
-        )
-        self.requests.append(request)
-        is_stream = path.startswith("/news")
-        media_type = "text/event-stream" if is_stream else "text/plain"
+    crashes_after = None
+
+    async def answer(self, request, writer):
+        media_type = "text/event-stream" if request.is_stream else "text/plain"
         writer.write(
             f"HTTP/1.1 200 OK\r\nX-Attempt-Id: {request.attempt}\r\nX-Runner-Signature: s\r\n"
             f"Content-Type: {media_type}\r\nConnection: close\r\n\r\n".encode()
@@ -99,10 +32,11 @@
         for number in range(request.last_event + 1, LINES + 1):
             if number - 1 == self.crashes_after:
                 self.end()
-                return
-            writer.write(piece(number) if is_stream else line(number))
+                break
+            writer.write(piece(number) if request.is_stream else line(number))
             await writer.drain()
             await asyncio.sleep(LINE_SECONDS)
+        return False
 
 
 def line(number):
@@ -119,25 +53,9 @@
 @contextlib.asynccontextmanager
 async def running(*, runners=2, nodes=1):
     """Starts nodes before runners whose answers have no length."""
-    spec = pool_fleet.configuration(1)
-    for name, resumable in STREAM_ROUTE.values():
-        route = next(route for route in spec["routes"] if route["name"] == "lookup")
-        spec["routes"].append(
-            route
-            | {"name": name, "pathPrefix": f"/{name}/", "kind": "streaming", "resumable": resumable}
-        )
-    async with pool_nodes.running(nodes=nodes, vms=3, plain_instances=0, spec=spec) as bench:
-        started = [Runner(f"raw-{number}") for number in range(runners)]
-        try:
-            for runner in started:
-                await runner.start(bench.fleet.store)
-            await bench.wait_for_knowledge(
-                lambda known: all(runner.vm_id in known.vms_by_id for runner in started)
-            )
-            yield bench, started
-        finally:
-            for runner in started:
-                runner.end()
+    started = [Runner(f"raw-{number}") for number in range(runners)]
+    async with raw_runners.running(started, nodes=nodes) as bench:
+        yield bench, started
 
 
 async def crash_in_an_answer(bench, runners, path, **options):
