--- a/basilpost/core/channels.py
+++ b/basilpost/core/channels.py
@@ -15,7 +15,7 @@
 import tornado.httputil
 import tornado.iostream
 
-from basilpost.core import clock, failure, idle_streams
+from basilpost.core import answer_status, clock, failure, idle_streams
 
 MAX_HEADER_BYTES = 65_536
 MAX_BODY_BYTES = 64 * 1024 * 1024
@@ -113,7 +113,13 @@
 
 
 class _Receiver(tornado.httputil.HTTPMessageDelegate):
-    """Passes the head and the body of an answer to callbacks."""
+    """Passes the head and the body of an answer to callbacks.
+
+    Attributes:
+        head: The head, None before it has arrived.
+        malformed: What is wrong with the head, empty if nothing is.
+        finished: True once the answer is complete.
+    """
 
     def __init__(
         self,
@@ -126,7 +132,7 @@
         self._on_head = on_head
         self._on_data = on_data
         self.head: Head | None = None
-        self.is_joined = False
+        self.malformed = ""
         self.finished = False
         self._pieces = 0
 
@@ -136,16 +142,19 @@
         headers: tornado.httputil.HTTPHeaders,
     ) -> None:
         assert isinstance(start_line, tornado.httputil.ResponseStartLine)
-        if _joins_answers(start_line, headers):
-            self.is_joined = True
+        self.malformed = _find_fault(start_line, headers)
+        if self.malformed:
             self._stream.close()
             return
-        if start_line.code < 200:
+        if answer_status.is_interim(start_line.code):
             return
         self.head = Head(status=start_line.code, reason=start_line.reason, headers=headers)
         self._on_head(self.head)
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        if self.head is None:
+            # What had arrived behind a malformed head.
+            return None
         self._pieces += 1
         waiting = self._on_data(chunk)
         if waiting is None and self._pieces % PIECES_PER_PASS == 0:
@@ -161,6 +170,17 @@
             self._stream.close()
 
 
+def _find_fault(
+    start_line: tornado.httputil.ResponseStartLine, headers: tornado.httputil.HTTPHeaders
+) -> str:
+    """Returns what is wrong with the head of an answer, empty if nothing is."""
+    if _joins_answers(start_line, headers):
+        return "sent two answers whose heads are joined"
+    if not (answer_status.is_interim(start_line.code) or answer_status.is_final(start_line.code)):
+        return f"sent an answer with the status {start_line.code:03}"
+    return ""
+
+
 def _joins_answers(
     start_line: tornado.httputil.ResponseStartLine, headers: tornado.httputil.HTTPHeaders
 ) -> bool:
@@ -267,14 +287,14 @@
         try:
             await connection.read_response(receiver)
         except tornado.iostream.StreamClosedError as error:
-            if receiver.is_joined:
-                return Broken(reason=f"{self.address} sent two answers whose heads are joined")
+            if receiver.malformed:
+                return Broken(reason=f"{self.address} {receiver.malformed}")
             return Broken(reason=f"{self.address} closed the connection: {error.real_error}")
         except tornado.httputil.HTTPInputError as error:
             return Broken(reason=f"{self.address} sent bytes that are not an HTTP answer: {error}")
         if receiver.head is None or not receiver.finished or connection.reset or self._closed:
             self.close()
-            return Broken(reason=f"{self.address} closed the connection")
+            return Broken(reason=f"{self.address} {receiver.malformed or 'closed the connection'}")
         self.ended_answer = connection.has_no_length
         self._set_idle_time(receiver.head.headers)
         return receiver.head
