--- a/basilpost/gateway/event_exchange.py
+++ b/basilpost/gateway/event_exchange.py
@@ -13,7 +13,7 @@
 
 import tornado.httputil
 
-from basilpost.core import clock
+from basilpost.core import answer_status, clock
 from basilpost.gateway import exchange
 
 _END_OF_HEAD = b"\r\n\r\n"
@@ -177,11 +177,14 @@
     def _parse_head(self, raw: str) -> None:
         first, _, rest = raw.partition("\r\n")
         start = tornado.httputil.parse_response_start_line(first)
-        if start.code < 200:
+        if answer_status.is_interim(start.code):
             self._interim_heads += 1
             if self._interim_heads > _MAX_INTERIM_HEADS:
                 self.abort("too many interim heads")
             return
+        if not answer_status.is_final(start.code):
+            self.abort(f"an answer with the status {start.code:03}")
+            return
         headers = tornado.httputil.HTTPHeaders.parse(rest)
         if "Transfer-Encoding" in headers:
             self.abort("chunks in answer to HTTP/1.0")
--- a/basilpost/gateway/event_exchange_test.py
+++ b/basilpost/gateway/event_exchange_test.py
@@ -73,3 +73,12 @@
     opened.data_received(b"HTTP/1.0 200 OK\r\nContent-Length: " + length + b"\r\n\r\nwhole")
     opened.connection_lost(None)
     assert isinstance(await opened.head(), exchange.Broken)
+
+
+@pytest.mark.parametrize("status", [b"000", b"001", b"099", b"101", b"600", b"999"])
+async def test_the_body_after_an_invalid_status_is_read_as_the_answer(status):
+    """It was taken for an interim answer, so that the next bytes were read as the head."""
+    opened = make_exchange()
+    opened.data_received(b"HTTP/1.1 " + status + b" Odd\r\nContent-Length: 45\r\n\r\n" + ANSWER)
+    opened.connection_lost(None)
+    assert isinstance(await opened.head(), exchange.Broken)
--- a/basilpost/gateway/exchange.py
+++ b/basilpost/gateway/exchange.py
@@ -13,7 +13,7 @@
 import tornado.httputil
 import tornado.iostream
 
-from basilpost.core import clock, failure
+from basilpost.core import answer_status, clock, failure
 
 _MAX_BUFFERED_BYTES = 262_144
 
@@ -156,7 +156,10 @@
     ) -> None:
         """Stores the head; part of Tornado's delegate interface."""
         assert isinstance(start_line, tornado.httputil.ResponseStartLine)
-        if start_line.code < 200:
+        if answer_status.is_interim(start_line.code):
+            return
+        if not answer_status.is_final(start_line.code):
+            self.abort(f"an answer with the status {start_line.code:03}")
             return
         self.first_byte_at = clock.monotonic()
         self.received_head = Head(status=start_line.code, headers=headers)
