Routing: a huge limit named by a runner ends no requests

Cause: the burst that a node may send is computed from the limit, and is infinite then; nodes tell each other of the limit.

Limits above a million per second count as that.

Evidence: two of the three cases of test_requests_end_with_an_error_after_a_runner_has_named_a_huge_limit raised OverflowError before the change, and pass.

--- a/basilpost/routing/named_limits.py
+++ b/basilpost/routing/named_limits.py
@@ -20,6 +20,8 @@
 REPEAT_SECONDS = 1.0
 # Limits below this count as this: answers to a few requests show when a runner has recovered.
 MIN_PER_SECOND = 0.25
+# Limits above this count as this: no target takes more, and the shares stay finite.
+MAX_PER_SECOND = 1e6
 # The runner allows for bursts of two seconds' requests and this many. Together, the nodes may have
 # fewer requests saved up.
 BURST_SECONDS = 2.0
@@ -81,7 +83,7 @@
 
 def share_of(lifetime: str, *, per_second: float, node_id: str, node_ids: frozenset[str]) -> Share:
     """Returns the share of a node; the shares of all nodes add up to the limit."""
-    limit = max(per_second, MIN_PER_SECOND)
+    limit = min(max(per_second, MIN_PER_SECOND), MAX_PER_SECOND)
     saved = BURST_SECONDS * limit + BURST_REQUESTS
     senders = min(len(node_ids), int(saved))
     if node_id not in node_ids:
--- a/basilpost/routing/named_limits_test.py
+++ b/basilpost/routing/named_limits_test.py
@@ -156,3 +156,15 @@
         await node._on_report(sender, message)
 
     return handle
+
+
+@pytest.mark.parametrize("limit", [1e308, 1.7e308, 1e18])
+async def test_requests_end_with_an_error_after_a_runner_has_named_a_huge_limit(now, limit):
+    """No node could compute its share, so requests that might have gone there ended at all nodes."""
+    nodes, node_ids = make_nodes(3)
+    nodes[0].record_named(RUNNER, "t", limit)
+    await settle()
+    for node in nodes:
+        assert node.may_send(RUNNER, node_ids=node_ids)
+        node.record_sent(RUNNER, node_ids=node_ids)
+        assert node.may_send(RUNNER, node_ids=node_ids)
