Core: an idle time in other digits breaks no answer

Cause: the superscript passes `isdigit`, and `float` does not take it.

Only ASCII digits count now.

Evidence: one of the four cases of test_an_odd_idle_time_breaks_a_sound_answer raised ValueError before the change, and passes.

--- a/basilpost/core/channels.py
+++ b/basilpost/core/channels.py
@@ -303,7 +303,7 @@
         idle_seconds = DEFAULT_IDLE_SECONDS
         for part in headers.get("Keep-Alive", "").split(","):
             name, _, value = part.strip().partition("=")
-            if name == "timeout" and value.isdigit():
+            if name == "timeout" and value.isascii() and value.isdigit():
                 idle_seconds = max(0.0, float(value) - IDLE_MARGIN_SECONDS)
         if headers.get("Connection", "").lower() == "close":
             idle_seconds = 0.0
--- a/basilpost/core/channels_test.py
+++ b/basilpost/core/channels_test.py
@@ -339,3 +339,14 @@
         head, _, _ = await request(pool, address)
         assert isinstance(head, channels.Broken)
         pool.close()
+
+
+@pytest.mark.parametrize("keep_alive", ["timeout=\xb2", "timeout=", "timeout=" + "9" * 400, "=;,"])
+async def test_an_odd_idle_time_breaks_a_sound_answer(keep_alive):
+    """Its time cannot be parsed, or is no finite number."""
+    data = f"HTTP/1.1 200 OK\r\nKeep-Alive: {keep_alive}\r\nContent-Length: 2\r\n\r\nok"
+    async with run_server(make_handler(data.encode("latin-1"))) as address:
+        pool = channels.Pool()
+        head, body, _ = await request(pool, address)
+        assert (head.status, body) == (200, b"ok")
+        pool.close()
