--- a/basilpost/core/channels.py
+++ b/basilpost/core/channels.py
@@ -61,7 +61,13 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Broken(failure.Failure):
-    """The connection failed, or carried invalid bytes, before an answer was complete."""
+    """The connection failed, or carried invalid bytes, before an answer was complete.
+
+    Attributes:
+        invalid_status: Status of an answer that has none of HTTP's, None for any other failure.
+    """
+
+    invalid_status: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -117,22 +123,24 @@
 
     Attributes:
         head: The head, None before it has arrived.
-        malformed: What is wrong with the head, empty if nothing is.
+        malformed: The failure if something is wrong with the head, else None.
         finished: True once the answer is complete.
     """
 
     def __init__(
         self,
         *,
+        address: str,
         stream: tornado.iostream.IOStream,
         on_head: Callable[[Head], None],
         on_data: OnData,
     ) -> None:
+        self._address = address
         self._stream = stream
         self._on_head = on_head
         self._on_data = on_data
         self.head: Head | None = None
-        self.malformed = ""
+        self.malformed: Broken | None = None
         self.finished = False
         self._pieces = 0
 
@@ -142,8 +150,8 @@
         headers: tornado.httputil.HTTPHeaders,
     ) -> None:
         assert isinstance(start_line, tornado.httputil.ResponseStartLine)
-        self.malformed = _find_fault(start_line, headers)
-        if self.malformed:
+        self.malformed = _find_fault(self._address, start_line, headers)
+        if self.malformed is not None:
             self._stream.close()
             return
         if answer_status.is_interim(start_line.code):
@@ -171,14 +179,19 @@
 
 
 def _find_fault(
-    start_line: tornado.httputil.ResponseStartLine, headers: tornado.httputil.HTTPHeaders
-) -> str:
-    """Returns what is wrong with the head of an answer, empty if nothing is."""
+    address: str,
+    start_line: tornado.httputil.ResponseStartLine,
+    headers: tornado.httputil.HTTPHeaders,
+) -> Broken | None:
+    """Returns what is wrong with the head of an answer from an address, None if nothing is."""
+    status = start_line.code
     if _joins_answers(start_line, headers):
-        return "sent two answers whose heads are joined"
-    if not (answer_status.is_interim(start_line.code) or answer_status.is_final(start_line.code)):
-        return f"sent an answer with the status {start_line.code:03}"
-    return ""
+        return Broken(reason=f"{address} sent two answers whose heads are joined")
+    if not (answer_status.is_interim(status) or answer_status.is_final(status)):
+        return Broken(
+            reason=f"{address} sent an answer with the status {status:03}", invalid_status=status
+        )
+    return None
 
 
 def _joins_answers(
@@ -283,18 +296,20 @@
             # The previous answer did not belong to the request; its own may follow.
             connection = _StreamingConnection(self.stream, True, _PARAMETERS)
             connection.finish()
-        receiver = _Receiver(stream=self.stream, on_head=on_head, on_data=on_data)
+        receiver = _Receiver(
+            address=self.address, stream=self.stream, on_head=on_head, on_data=on_data
+        )
         try:
             await connection.read_response(receiver)
         except tornado.iostream.StreamClosedError as error:
-            if receiver.malformed:
-                return Broken(reason=f"{self.address} {receiver.malformed}")
-            return Broken(reason=f"{self.address} closed the connection: {error.real_error}")
+            return receiver.malformed or Broken(
+                reason=f"{self.address} closed the connection: {error.real_error}"
+            )
         except tornado.httputil.HTTPInputError as error:
             return Broken(reason=f"{self.address} sent bytes that are not an HTTP answer: {error}")
         if receiver.head is None or not receiver.finished or connection.reset or self._closed:
             self.close()
-            return Broken(reason=f"{self.address} {receiver.malformed or 'closed the connection'}")
+            return receiver.malformed or Broken(reason=f"{self.address} closed the connection")
         self.ended_answer = connection.has_no_length
         self._set_idle_time(receiver.head.headers)
         return receiver.head
--- a/basilpost/emulator/odd_entries.py
+++ b/basilpost/emulator/odd_entries.py
@@ -192,6 +192,18 @@
     return OddEntry(name=name, key=f"servers/0-{name}", content=content)
 
 
+def of_highest_epochs() -> list[OddEntry]:
+    """Returns entries of groups with the highest epoch, but none of the plain service.
+
+    That one would take requests, and lose them.
+    """
+    return [
+        with_highest_epoch(name, service, group_name)
+        for name, (service, group_name) in GROUPS_BY_NAME.items()
+        if service != pool_fleet.PLAIN_SERVICE
+    ]
+
+
 def of_unknown_services(address: str) -> list[OddEntry]:
     """Returns whole entries of an unknown service, each of a failure domain of its own."""
     return [
--- a/basilpost/emulator/pool_runner.py
+++ b/basilpost/emulator/pool_runner.py
@@ -15,6 +15,7 @@
 
 from basilpost.core import clock
 from basilpost.emulator import (
+    invalid_answers,
     pool_store,
     second_answers,
     server,
@@ -68,6 +69,7 @@
         unnamed_stray_answers: True to leave the request id out of stray answers.
         refuses_as_stray: True to send refusals that say "not run" as stray answers.
         answers_twice: How requests are answered twice, None for once.
+        invalid_statuses: Which requests are answered with an invalid status, None for none.
         copied_streams: How copies of whole streams follow these on their connections, None for none.
         resumed_answer: What is sent on the connection of a stream that is resumed, in place of its
             answer; empty to resume it.
@@ -112,6 +114,7 @@
     refuses_as_stray: bool = False
     answers_twice: second_answers.SecondAnswers | None = None
     copied_streams: second_answers.StreamCopies | None = None
+    invalid_statuses: invalid_answers.InvalidAnswers | None = None
     resumed_answer: bytes = b""
     order_delay: float = 0.0
     late_order_share: float = 0.0
@@ -644,6 +647,8 @@
             )
         if self._options.endless:
             await self._send_endless(*_ENDLESS[self._options.endless])
+        elif (status := self._draw_invalid_status()) is not None:
+            self._send_invalid(status)
         elif self._options.lose_answers > 0:
             self._options.lose_answers -= 1
             self._drop()
@@ -911,6 +916,23 @@
         share = random.Random(self.request.headers.get(_ATTEMPT)).random()
         return float(shortest * (longest / shortest) ** share)
 
+    def _draw_invalid_status(self) -> int | None:
+        plan = self._options.invalid_statuses
+        if plan is None:
+            return None
+        attempt = self.request.headers.get(_ATTEMPT, "")
+        return plan.draw_status(random.Random(f"invalid {attempt} {self.owner.vm_id}"))
+
+    def _send_invalid(self, status: int) -> None:
+        """Writes an answer with an invalid status, and leaves the connection open."""
+        attempt = self.request.headers.get(_ATTEMPT, "")
+        self._finished = True
+        self.set_status(status, "Odd")
+        self._log_answer(b"")
+        rng = random.Random(f"framing {attempt} {self.owner.vm_id}")
+        with contextlib.suppress(iostream.StreamClosedError):
+            self._write_raw(invalid_answers.encode(attempt, status=status, rng=rng))
+
     async def _send_endless(self, begin: bytes, repeated: bytes) -> None:
         """Sends bytes as fast as they are read, until the caller closes the connection."""
         stream = silent_connections.stream_of(self.request)
--- a/basilpost/soak/__main__.py
+++ b/basilpost/soak/__main__.py
@@ -11,7 +11,14 @@
 
 import click
 
-from basilpost.soak import answer_scenarios, drain_scenarios, run, scenarios, version_scenarios
+from basilpost.soak import (
+    answer_scenarios,
+    drain_scenarios,
+    odd_scenarios,
+    run,
+    scenarios,
+    version_scenarios,
+)
 
 SCENARIOS_BY_PLAN: dict[str, Callable[..., scenarios.Scenario]] = {
     "faults": scenarios.AllFaults,
@@ -24,6 +31,7 @@
     "restores": scenarios.RestoredStore,
     "overload": scenarios.Overload,
     "second-answers": answer_scenarios.SecondAnswers,
+    "odd-writers": odd_scenarios.OddWriters,
     "planned-drains": drain_scenarios.PlannedDrains,
     "takeovers": drain_scenarios.Takeovers,
     "versions": version_scenarios.Versions,
@@ -45,7 +53,7 @@
     show_default=True,
     help="Faults of all kinds, planned stops, crashing requests, such whose callers leave, lost paths, paths on which nothing passes, "
     "lost paths of most nodes of a large fleet, restores of the store, callers that want more than there is, "
-    "runners that answer twice, runners that drain one after another, heads that leave the list beside changes of the controller, versions of the configuration beside kills of all nodes, or orders that are carried out late.",
+    "runners that answer twice, odd entries of other writers beside answers with invalid statuses, runners that drain one after another, heads that leave the list beside changes of the controller, versions of the configuration beside kills of all nodes, or orders that are carried out late.",
 )
 @click.option("--nodes", type=int, help="Number of nodes.")
 @click.option("--callers", "caller_count", type=int, help="Number of callers.")
--- a/basilpost/soak/callers.py
+++ b/basilpost/soak/callers.py
@@ -52,11 +52,13 @@
     Attributes:
         calls: The requests that it sent, with their answers.
         unread: A line for each connection on which a node sent bytes that no request asked for.
+        invalid: A line for each answer of a node with a status that HTTP does not have.
     """
 
     def __init__(self, *, name: str, seed: str) -> None:
         self.calls: list[checks.Call] = []
         self.unread: list[str] = []
+        self.invalid: list[str] = []
         self._name = name
         self._random = random.Random(seed)
         self._request_numbers = itertools.count()
@@ -133,6 +135,10 @@
             self._send(channel, method, f"/{path}/{self._name}", headers, body)
             async with asyncio.timeout(patience):
                 result = await channel.receive(on_head=heads.append, on_data=body_parts.append)
+        if isinstance(result, channels.Broken) and result.invalid_status is not None:
+            self.invalid.append(
+                f"an answer with the status {result.invalid_status:03}: {attempt}, {path}"
+            )
         head = heads[-1] if heads else None
         call = checks.Call(
             attempt=attempt,
--- a/basilpost/soak/faults.py
+++ b/basilpost/soak/faults.py
@@ -27,7 +27,7 @@
     later. FLEET_KILLED kills all nodes soon after a configuration was confirmed, and starts them again.
     RUNNERS_RESET and STORES_RESET reset all nodes' connections to runners, or to the store, at once.
     RUNNER_CRASHES ends a runner, which is back without a group. EVACUATED takes a failure domain out for a
-    shorter time than DOMAIN_OUT.
+    shorter time than DOMAIN_OUT. ODD_ENTRY leaves an odd entry of another writer among those of the runners.
     """
 
     KILL = "kill"
@@ -68,6 +68,7 @@
     STORES_RESET = "stores_reset"
     RUNNER_CRASHES = "runner_crashes"
     EVACUATED = "evacuated"
+    ODD_ENTRY = "odd_entry"
 
 
 # The kinds that `draw` picks from; their number and order decide what a seed draws.
@@ -148,6 +149,18 @@
     Kind.ANSWERS_LOST,
     Kind.STORE_SILENT,
 )
+# Odd entries come and go while nodes start anew, one by one and all at once, and groups lose members.
+ODD_KINDS = (
+    *(Kind.ODD_ENTRY,) * 6,
+    Kind.FLEET_KILLED,
+    Kind.KILL,
+    Kind.STOP,
+    Kind.PAUSE,
+    Kind.RUNNER_GONE,
+    Kind.RUNNER_CRASHES,
+    Kind.STORE_AWAY,
+    Kind.STORE_RESET,
+)
 # Beside runners that drain one after another, in seeds with planned work only and in others.
 PLANNED_BESIDE_DRAINS = (*(Kind.CONFIGURED,) * 3, *PLANNED)
 UNPLANNED_BESIDE_DRAINS = (
--- a/basilpost/soak/run.py
+++ b/basilpost/soak/run.py
@@ -21,6 +21,7 @@
     checks,
     faults,
     loss_checks,
+    odd_work,
     operator_work,
     processes,
     proxies,
@@ -139,6 +140,7 @@
         stack.push_async_callback(self._fleet.stop)
         await self._fleet.start()
         await self._operator.configure()
+        await self._scenario.prepare(self._fleet, stack, seed=self._seed)
         for runner in self._fleet.runners_by_id.values():
             proxy = proxies.Proxy(target=runner.address)
             await proxy.start()
@@ -222,7 +224,8 @@
             logged_requests=logged_requests,
             events=self._scenario.runner_options.events,
         )
-        self._violations += itertools.chain.from_iterable(caller.unread for caller in self._callers)
+        for caller in self._callers:
+            self._violations += [*caller.unread, *caller.invalid]
         self._violations += answer_checks.check_answers(calls, self._fleet.runners_by_id.values())
         self._violations += repeat_checks.check_repeats(
             calls,
@@ -380,6 +383,8 @@
                 return self._reset([node.store_proxy for node in self._nodes])
             case faults.Kind.RUNNER_CRASHES:
                 return self._crash_runner(vm_id)
+            case faults.Kind.ODD_ENTRY:
+                return odd_work.leave_for_a_while(self._fleet, fault)
             case faults.Kind.EVACUATED:
                 return self._operator.evacuate(fault)
             case faults.Kind.CONFIGURED:
--- a/basilpost/soak/scenarios.py
+++ b/basilpost/soak/scenarios.py
@@ -1,6 +1,7 @@
 """The scenarios of the soak test: their sizes, their callers and what happens to the nodes."""
 
 import abc
+import contextlib
 import dataclasses
 
 from basilpost.emulator import pool_fleet, pool_runner
@@ -58,6 +59,11 @@
     def extend_fleet(self, fleet: pool_fleet.PoolFleet) -> None:  # noqa: B027
         """Adds further runners to a fleet that has not started; a subclass may add some."""
 
+    async def prepare(  # noqa: B027
+        self, fleet: pool_fleet.PoolFleet, stack: contextlib.AsyncExitStack, *, seed: int
+    ) -> None:
+        """Prepares a fleet that has started, before the nodes start; the stack ends what needs an end."""
+
     def options_of(self, runner: pool_runner.PoolRunner, *, seed: int) -> pool_runner.Options:
         """Returns how a runner behaves; a subclass may draw it from the seed."""
         return dataclasses.replace(self.runner_options)
--- a/tests/soak_test.py
+++ b/tests/soak_test.py
@@ -8,6 +8,7 @@
     answer_scenarios,
     drain_scenarios,
     faults,
+    odd_scenarios,
     run,
     scenarios,
     version_scenarios,
@@ -79,6 +80,8 @@
 DRAIN_SEEDS = ((4, "a close order cut streams that no other group could go on with (issue 58)"),)
 TAKEOVER_SECONDS = 5.0
 TAKEOVER_SEEDS = ((4, "a new controller had members leave a head at work (issue 67)"),)
+ODD_SECONDS = 5.0
+ODD_SEEDS = ((2, "callers got the status 600, and odd epochs kept groups from being formed"),)
 VERSION_SECONDS = 5.0
 VERSION_SEEDS = (
     (45, "five series of versions, a large one, the fleet killed, all links reset (issue 61)"),
@@ -218,6 +221,17 @@
     assert report.served > report.calls / 4
 
 
+@pytest.mark.processes
+@pytest.mark.parametrize("seed", [seed for seed, _ in ODD_SEEDS])
+async def test_other_writers_leave_odd_entries_beside_invalid_answers(seed, tmp_path):
+    """Guards against odd entries that nodes count on, and invalid statuses that reach a caller."""
+    report = await run.Soak(seed=seed, folder=tmp_path, scenario=odd_scenarios.OddWriters()).run(
+        seconds=ODD_SECONDS
+    )
+    assert report.broken == ()
+    assert report.served > report.calls / 4
+
+
 @pytest.mark.processes
 @pytest.mark.parametrize("seed", [seed for seed, _ in VERSION_SEEDS])
 async def test_versions_come_in_series_beside_kills_of_the_whole_fleet(seed, tmp_path):
