Platform: an entry whose address is a name names no runner

Connections are opened on the event loop, and `connect` looks names up itself.

"TCP and UDP over IPv4 are available, by IP address, with no name lookups" (DEPLOY.md, Network), so such an entry names no runner to use. Shortened numbers, which the system takes for addresses, are refused as well.

Evidence: six cases of test_an_entry_with_an_unusable_field_is_malformed and two of test_an_odd_entry_is_taken_for_a_runner failed before the change and pass. The stop itself was not reproduced: the resolver of this machine fails within 2 ms.

--- a/basilpost/core/addresses_test.py
+++ b/basilpost/core/addresses_test.py
@@ -12,6 +12,22 @@
     assert addresses.is_valid(address)
 
 
+@pytest.mark.parametrize(
+    ("address", "is_number"),
+    [
+        ("10.3.64.35:8309", True),
+        ("10.3.64.35:0", False),
+        ("10.3.64:8309", False),
+        ("010.3.64.35:8309", False),
+        ("vm-1.rack_2.example:1", False),
+        ("[::1]:65535", False),
+        ("10.3.64.35", False),
+    ],
+)
+def test_a_name_is_taken_for_an_ipv4_address(address, is_number):
+    assert addresses.is_ipv4(address) == is_number
+
+
 @pytest.mark.parametrize(
     "address",
     [
--- a/basilpost/emulator/odd_entries.py
+++ b/basilpost/emulator/odd_entries.py
@@ -59,6 +59,8 @@
     "highest-slots": ("slots", str(2**53)),
     "highest-cold": ("coldRemainingMs", "1e300"),
     "negative-cold": ("coldRemainingMs", "-1e300"),
+    "name": ("address", '"vm-1.rack-2.example:80"'),
+    "short-number": ("address", '"127.1:80"'),
     "port-70000": ("address", f'"{HOST}:70000"'),
     "port-0": ("address", f'"{HOST}:0"'),
     "negative-port": ("address", f'"{HOST}:-1"'),
--- a/basilpost/platform/decode.py
+++ b/basilpost/platform/decode.py
@@ -62,8 +62,8 @@
     if state not in ("ready", "draining"):
         raise ValueError(f"unknown state {state!r}")
     address = _text(raw, "address")
-    if not addresses.is_valid(address):
-        raise ValueError(f"address is not host:port: {address!r}")
+    if not addresses.is_ipv4(address):
+        raise ValueError(f"address is not IPv4 address:port: {address!r}")
     if not (vm_id.isascii() and vm_id.isprintable()):
         raise ValueError(f"name is no header value: {vm_id!r}")
     # Every runner writes these two, which are not used; an entry with others has another writer.
