--- a/basilpost/groups/lease.py
+++ b/basilpost/groups/lease.py
@@ -7,6 +7,9 @@
 A store that is restored from a copy may lose the lease, show an earlier holder, and give revisions out
 again. The holder then writes the lease again, the others give it the time of a lease to do so, and a
 new holder's fencing number is above each one that is known to have been used.
+
+A write without an answer may have been lost, or may be carried out later. What the store then shows of
+this process counts from the time at which that renewal was sent: others count from a later time.
 """
 
 import dataclasses
@@ -33,6 +36,19 @@
     renewal: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Own:
+    """The lease in the store, with a record of this process.
+
+    Attributes:
+        version: Its version.
+        renewal: Number of the renewal that wrote it.
+    """
+
+    version: int
+    renewal: int
+
+
 @dataclasses.dataclass(kw_only=True)
 class Lease:
     """This node's view of the lease, and its hold on it if it has one.
@@ -62,6 +78,7 @@
     _highest_fence: int = 0
     _era: int | None = None
     _reclaimable_until: float = float("-inf")
+    _sent_at_by_renewal: dict[int, float] = dataclasses.field(default_factory=dict)
 
     @property
     def held(self) -> bool:
@@ -110,7 +127,9 @@
         else:
             result = await store.update(self.key, record, version=self._version, timeout=timeout)
         if isinstance(result, objects.Unknown):
-            version = await self._find_own_version(store, timeout=timeout)
+            own = await self._find_own(store, timeout=timeout)
+            # The record of an earlier time as the holder does not show that this write was done.
+            version = own.version if own is not None and own.version != self._version else 0
         else:
             version = result.version if isinstance(result, objects.Written) else 0
         self._is_acquiring = False
@@ -119,11 +138,13 @@
         self._version = version
         self.fence = max(eras.revision_of(version), self._highest_fence + 1)
         self.held_until = sent_at + self.seconds
+        self._sent_at_by_renewal = {0: sent_at}
         return True
 
     async def renew(self, store: objects.ObjectStore, *, renewal: int, timeout: float) -> bool:
         """Renews a held lease; returns False if the store shows that it is lost."""
         sent_at = clock.elapsed()
+        self._note_sent(renewal, sent_at)
         record = self._record(fence=self.fence, renewal=renewal)
         result = await store.update(self.key, record, version=self._version, timeout=timeout)
         if isinstance(result, objects.Written):
@@ -132,8 +153,14 @@
             return True
         if isinstance(result, objects.Unavailable):
             return True
-        version = await self._find_own_version(store, timeout=timeout)
-        if not version and store.era > eras.era_of(self._version):
+        own = await self._find_own(store, timeout=timeout)
+        if own is not None:
+            self._version = own.version
+            in_force_from = self._sent_at_by_renewal.get(own.renewal, float("-inf"))
+            self.held_until = max(self.held_until, in_force_from + self.seconds)
+            return self.fence > 0
+        version = 0
+        if store.era > eras.era_of(self._version):
             version = await self._reclaim(store, record, timeout=timeout)
         if version:
             self._version = version
@@ -142,6 +169,14 @@
             self.mark_lost()
         return self.fence > 0
 
+    def _note_sent(self, renewal: int, at: float) -> None:
+        """Records when a renewal was sent; earlier ones are forgotten after the time of a lease."""
+        self._sent_at_by_renewal = {
+            number: sent_at
+            for number, sent_at in self._sent_at_by_renewal.items()
+            if at - sent_at < self.seconds
+        } | {renewal: at}
+
     async def _reclaim(self, store: objects.ObjectStore, record: bytes, *, timeout: float) -> int:
         """Writes a held lease again that a restored store has lost.
 
@@ -159,16 +194,17 @@
         """Deletes a held lease, so that another node need not wait until it expires."""
         if self._is_acquiring:
             self._is_acquiring = False
-            self._version = await self._find_own_version(store, timeout=timeout)
+            own = await self._find_own(store, timeout=timeout)
+            self._version = 0 if own is None else own.version
             self.fence = eras.revision_of(self._version)
         if self.fence:
             self.mark_lost()
             result = await store.delete(self.key, version=self._version, timeout=timeout)
             if isinstance(result, objects.Conflict):
                 # A renewal may have been in flight and changed the version.
-                version = await self._find_own_version(store, timeout=timeout)
-                if version:
-                    await store.delete(self.key, version=version, timeout=timeout)
+                own = await self._find_own(store, timeout=timeout)
+                if own is not None:
+                    await store.delete(self.key, version=own.version, timeout=timeout)
 
     def mark_lost(self) -> None:
         """Records that this node no longer holds the lease."""
@@ -195,17 +231,17 @@
         self._version = self._seen_version
         return clock.elapsed() - self._seen_at > self.seconds
 
-    async def _find_own_version(self, store: objects.ObjectStore, *, timeout: float) -> int:
-        """Returns the version of the lease if this process holds it, otherwise 0."""
+    async def _find_own(self, store: objects.ObjectStore, *, timeout: float) -> "_Own | None":
+        """Returns the lease as stored if its record is of this process, else None."""
         found = await store.get(self.key, timeout=timeout)
         if not isinstance(found, objects.Stored):
-            return 0
+            return None
         try:
             record = codec.from_json(found.value, Record)
         except ValueError:
-            return 0
+            return None
         mine = (record.holder, record.incarnation) == (self.node_id, self.incarnation)
-        return found.version if mine else 0
+        return _Own(version=found.version, renewal=record.renewal) if mine else None
 
     def _record(self, *, fence: int, renewal: int) -> bytes:
         return codec.to_json(
--- a/basilpost/groups/lease_test.py
+++ b/basilpost/groups/lease_test.py
@@ -247,3 +247,75 @@
     assert not await observe_and_acquire(second, store)
     now[0] += SECONDS
     assert await observe_and_acquire(second, store)
+
+
+class LosingStore(memory.MemoryStore):
+    """Leaves updates unanswered; they have no effect unless the test carries them out later.
+
+    Attributes:
+        loses: True to lose updates.
+    """
+
+    loses = False
+
+    async def update(self, key, value, **options):
+        if not self.loses:
+            return await super().update(key, value, **options)
+        self._lost = key, value, options
+        return objects.Unknown(reason="no answer")
+
+    async def carry_out(self):
+        key, value, options = self._lost
+        return await super().update(key, value, **options)
+
+
+async def test_a_holder_whose_renewals_get_lost_holds_the_lease_beside_the_next_one(now):
+    """It found its own record in the store, and took an earlier renewal for the one it had sent."""
+    store = LosingStore()
+    first, second = holder("a"), holder("b")
+    await observe_and_acquire(first, store)
+    assert not await observe_and_acquire(second, store)
+    store.loses = True
+    for renewal in (1, 2):
+        now[0] += 1.0
+        await first.renew(store, renewal=renewal, timeout=1)
+        assert first.held
+    store.loses = False
+    now[0] += SECONDS - 2.0 + 0.1
+    assert await observe_and_acquire(second, store)
+    assert not first.held
+
+
+async def test_a_renewal_that_is_carried_out_late_prolongs_the_lease_from_a_later_time(now):
+    """Others count from the time at which it was carried out, the holder from when it was sent."""
+    store = LosingStore()
+    first, second = holder("a"), holder("b")
+    await observe_and_acquire(first, store)
+    store.loses = True
+    now[0] += 1.0
+    await first.renew(store, renewal=1, timeout=1)
+    store.loses = False
+    await store.carry_out()
+    assert not await observe_and_acquire(second, store)
+    now[0] += 1.5
+    assert await first.renew(store, renewal=2, timeout=1)
+    now[0] += SECONDS - 1.5 + 0.1
+    assert await observe_and_acquire(second, store)
+    assert not first.held
+
+
+async def test_an_acquisition_that_got_lost_is_taken_for_done(now):
+    """The record of an earlier time as the holder was found in its place."""
+    store = LosingStore()
+    first, second = holder("a"), holder("b")
+    await observe_and_acquire(first, store)
+    first.mark_lost()
+    assert not await first.observe(store, timeout=1)
+    assert not await observe_and_acquire(second, store)
+    now[0] += SECONDS + 0.1
+    store.loses = True
+    assert await first.observe(store, timeout=1)
+    assert not await first.acquire(store, timeout=1)
+    store.loses = False
+    assert await observe_and_acquire(second, store)
+    assert not first.held
