Core: ignore chunk extensions and trailers of answers

RFC 9112, 7.1: recipients ignore extensions that they do not know, and may discard trailers.

Cause: Tornado, which reads the answers, refuses both as malformed.

Chunked bodies are read here now. The line of a chunk and the trailers are bounded, and must have their form, so that a second answer behind a last chunk is still malformed.

Evidence: three of the four cases of test_a_sound_answer_in_chunks_is_taken_for_a_lost_one failed before the change, and pass; the 12 of test_an_answer_in_unsound_chunks_is_whole pass before and after.

--- a/basilpost/core/channels.py
+++ b/basilpost/core/channels.py
@@ -40,6 +40,13 @@
 # one's status would stand for that of the next.
 _STATUS_LINE = re.compile(r"HTTP/[0-9]\.[0-9] [0-9]{3}")
 
+# The line before a chunk: its size, and extensions, which are ignored. Its length is bounded.
+_CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(?:;[^\r\n]*)?\r\n")
+MAX_CHUNK_LINE_BYTES = 4_096
+# A header behind the last chunk.
+_TRAILER_LINE = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:[^\r\n]*\r\n")
+_LINE_END = b"\r\n"
+
 # Takes a part of a body; no more is read until what it returns is done.
 OnData = Callable[[bytes], Awaitable[None] | None]
 
@@ -97,6 +104,8 @@
 class _StreamingConnection(tornado.http1connection.HTTP1Connection):
     """Reads a body without a length in pieces until the connection ends.
 
+    Of a body in chunks, their extensions and the headers behind the last one are ignored; Tornado refuses both.
+
     Attributes:
         has_no_length: True if the end of the connection ends the answer.
         reset: True if the connection ended with an error, not with an orderly close.
@@ -117,6 +126,39 @@
             if waiting is not None:
                 await waiting
 
+    async def _read_chunked_body(self, delegate: tornado.httputil.HTTPMessageDelegate) -> None:
+        left = MAX_BODY_BYTES
+        while size := await self._read_chunk_size():
+            left -= size
+            if left < 0:
+                raise tornado.httputil.HTTPInputError("chunked body too large")
+            await self._read_chunk(size, delegate)
+            if await self.stream.read_bytes(len(_LINE_END)) != _LINE_END:
+                raise tornado.httputil.HTTPInputError("a chunk without its end")
+        await self._skip_trailers()
+
+    async def _read_chunk_size(self) -> int:
+        line = await self.stream.read_until(_LINE_END, max_bytes=MAX_CHUNK_LINE_BYTES)
+        match = _CHUNK_LINE.fullmatch(line)
+        if match is None:
+            raise tornado.httputil.HTTPInputError("invalid chunk size")
+        return int(match[1], 16)
+
+    async def _read_chunk(self, size: int, delegate: tornado.httputil.HTTPMessageDelegate) -> None:
+        while size:
+            piece = await self.stream.read_bytes(min(size, READ_BYTES), partial=True)
+            size -= len(piece)
+            waiting = delegate.data_received(piece)
+            if waiting is not None:
+                await waiting
+
+    async def _skip_trailers(self) -> None:
+        left = MAX_HEADER_BYTES
+        while (line := await self.stream.read_until(_LINE_END, max_bytes=left)) != _LINE_END:
+            left -= len(line)
+            if left < len(_LINE_END) or _TRAILER_LINE.fullmatch(line) is None:
+                raise tornado.httputil.HTTPInputError("invalid headers behind the last chunk")
+
 
 class _Receiver(tornado.httputil.HTTPMessageDelegate):
     """Passes the head and the body of an answer to callbacks.
--- a/basilpost/core/channels_test.py
+++ b/basilpost/core/channels_test.py
@@ -350,3 +350,51 @@
         head, body, _ = await request(pool, address)
         assert (head.status, body) == (200, b"ok")
         pool.close()
+
+
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"2;name=value\r\nok\r\n0\r\n\r\n",
+        b'2 ; a;b="c;d"\r\nok\r\n0;last\r\n\r\n',
+        b"1\r\no\r\n01\r\nk\r\n000\r\n\r\n",
+        b"2\r\nok\r\n0\r\nExpires: never\r\nX-Sum: 3\r\n\r\n",
+    ],
+    ids=["extension", "extensions", "zeros", "trailers"],
+)
+async def test_a_sound_answer_in_chunks_is_taken_for_a_lost_one(body):
+    """Chunks may have extensions, and headers may follow them; both are ignored (RFC 9112, 7.1)."""
+    async with run_server(make_handler(CHUNKED + body)) as address:
+        pool = channels.Pool()
+        for _ in range(2):
+            head, content, channel = await request(pool, address)
+            assert (head.status, content, channel.requests) == (200, b"ok", _ + 1)
+        pool.close()
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"2\r\nok\r\n0\r\n",
+        b"2\r\nok\r\n0\r\nX-Sum: 3\r\n",
+        b"2\r\nok0\r\n\r\n",
+        b"\r\nok\r\n0\r\n\r\n",
+        b"-2\r\nok\r\n0\r\n\r\n",
+        b"+2\r\nok\r\n0\r\n\r\n",
+        b"0x2\r\nok\r\n0\r\n\r\n",
+        b"1_0\r\nok\r\n0\r\n\r\n",
+        b";name\r\nok\r\n0\r\n\r\n",
+        b"2\r\nok\r\n" + b"1" * 20 + b"\r\n",
+        b"2" + b" " * 100_000 + b"\r\nok\r\n0\r\n\r\n",
+        b"2\r\nok\r\n0\r\n" + b"X-Sum: 3\r\n" * 10_000 + b"\r\n",
+    ],
+)
+async def test_an_answer_in_unsound_chunks_is_whole(body):
+    async with run_server(make_handler(CHUNKED + body, close=True)) as address:
+        pool = channels.Pool()
+        head, _, _ = await request(pool, address)
+        assert isinstance(head, channels.Broken)
+        pool.close()
