--- a/basilpost/core/channels.py
+++ b/basilpost/core/channels.py
@@ -104,7 +104,8 @@
 class _StreamingConnection(tornado.http1connection.HTTP1Connection):
     """Reads a body without a length in pieces until the connection ends.
 
-    Of a body in chunks, their extensions and the headers behind the last one are ignored; Tornado refuses both.
+    Of a body in chunks, their extensions and the headers behind the last one are ignored; Tornado
+    refuses both.
 
     Attributes:
         has_no_length: True if the end of the connection ends the answer.
--- a/basilpost/emulator/odd_entries.py
+++ b/basilpost/emulator/odd_entries.py
@@ -168,11 +168,10 @@
 def with_field(name: str, field: str, raw: str) -> OddEntry:
     """Returns an entry with an odd value of one field."""
     odd = OddEntry(name=name, key=f"servers/0-{name}", content=None, raw=raw)
-    content = entry() | {field: odd.marker}
+    whole = entry()
     if field in _ENGINE_FIELDS:
-        content = {"domain": "f0", "service": pool_fleet.MODEL_SERVICE} | content
-        content["service"] = pool_fleet.MODEL_SERVICE
-    return dataclasses.replace(odd, content=content)
+        whole = entry(service=pool_fleet.MODEL_SERVICE) | {"domain": "f0"}
+    return dataclasses.replace(odd, content=whole | {field: odd.marker})
 
 
 def with_text(name: str, raw: str) -> OddEntry:
