--- a/tests/pool_cut_off_test.py
+++ b/tests/pool_cut_off_test.py
@@ -142,7 +142,12 @@
 
 
 async def lose_path(bench, node, kind=cut_links.Kind.RESET):
-    """Cuts a node off and lets it notice by requests."""
+    """Cuts a node off and lets it notice by requests.
+
+    A node that has just started may not know yet which others could send its requests, and refuses them.
+    """
+    records_by_id = bench.relays[node]._detours._table.records_by_id
+    await pool_fleet.until(lambda: all(kernel.node_id in records_by_id for kernel in bench.kernels))
     bench.links[node].cut(kind)
     while bench.reachabilities[node].has_path:
         await bench.call("/filing/notice", node=node)
