Tests: the loss of all runners is taken for that of one service (KNOWN-RED)

A node that reaches no runner may believe that only one service is lost. It then keeps control of the pool, without reaching any runner with an order, until one of its requests to another service fails.

Cause: a check of the path that another node's loss has caused finds a path just before the cut. find_path skips a further check of all runners for 0.05 s, but checks the service, whose requests go by way of other nodes from then on.

--- a/basilpost/members/reachability_test.py
+++ b/basilpost/members/reachability_test.py
@@ -327,3 +327,15 @@
         assert not any(vm.leaving for vm in chosen)
     assert path_probe.choose_vms(vms[30:32], rng=rng)
     assert path_probe.choose_vms([], rng=rng) == []
+
+
+async def test_the_loss_of_all_runners_is_taken_for_that_of_one_service_after_another_check():
+    """A node that reaches no runner then keeps control of the pool, until it tries another service."""
+    node = Node()
+    await node.reachability._run_check("told")
+    node.open = set()
+    # All that the node sends goes to this service, by way of other nodes once it is lost.
+    for _ in range(30):
+        await node.reachability.find_path(service="s")
+        await asyncio.sleep(0.1)
+    assert not node.reachability.has_path
