--- a/review/lib-4/stage.py
+++ b/review/lib-4/stage.py
@@ -177,21 +177,40 @@
         self.status, self.headers, self.body = status, headers, body
 
 
-async def call(address, method, path, headers, body=b"", *, seconds=30.0, host=""):
-    """Sends one request on a new connection and returns the complete answer, or raises `Cut`."""
+async def call(address, method, path, headers, body=b"", *, seconds=30.0, host="", gap=None):
+    """Sends one request on a new connection and returns the complete answer, or raises `Cut`.
+
+    With `gap`, the caller leaves, with TimeoutError, after so many seconds without a byte of the answer.
+    """
     host_name, _, port = address.rpartition(":")
     reader, writer = await asyncio.wait_for(asyncio.open_connection(host_name, int(port)), 1.0)
     try:
         async with asyncio.timeout(seconds):
             writer.write(request_bytes(method, path, {"Host": host or address, **headers}, body))
             await writer.drain()
-            return await read_answer(reader, method)
+            return await read_answer(_Patient(reader, gap) if gap else reader, method)
     except ConnectionError as error:
         raise Cut(f"{type(error).__name__}") from error
     finally:
         writer.close()
 
 
+class _Patient:
+    """A reader that waits for each part of the answer for a limited time."""
+
+    def __init__(self, reader, seconds):
+        self._reader, self._seconds = reader, seconds
+
+    async def readuntil(self, separator):
+        return await asyncio.wait_for(self._reader.readuntil(separator), self._seconds)
+
+    async def readexactly(self, count):
+        return await asyncio.wait_for(self._reader.readexactly(count), self._seconds)
+
+    async def read(self, count):
+        return await asyncio.wait_for(self._reader.read(count), self._seconds)
+
+
 def request_bytes(method, path, headers, body):
     lines = [f"{method} {path} HTTP/1.1", *(f"{name}: {value}" for name, value in headers.items())]
     if body or method in ("POST", "PUT"):
@@ -235,6 +254,65 @@
     return Answer(status, headers, body)
 
 
+class Link:
+    """A proxy before a server that can hold back all bytes in both directions, as a silent cut does.
+
+    What one end has sent, and the end of its connection, arrive after the cut.
+    """
+
+    def __init__(self, target):
+        self._target = target
+        self._open = asyncio.Event()
+        self._open.set()
+        self._tasks = set()
+        self.address = ""
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+
+    def cut(self):
+        self._open.clear()
+
+    def heal(self):
+        self._open.set()
+
+    async def stop(self):
+        self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+
+    async def _serve(self, reader, writer):
+        self._tasks.add(asyncio.current_task())
+        try:
+            await self._open.wait()
+            host, _, port = self._target().rpartition(":")
+            there, back = await asyncio.open_connection(host, int(port))
+        except OSError:
+            # Nothing listens there.
+            writer.transport.abort()
+            return
+        finally:
+            self._tasks.discard(asyncio.current_task())
+        await asyncio.gather(self._pump(reader, back), self._pump(there, writer))
+
+    async def _pump(self, reader, writer):
+        self._tasks.add(asyncio.current_task())
+        try:
+            while data := await reader.read(65536):
+                await self._open.wait()
+                writer.write(data)
+                await writer.drain()
+            await self._open.wait()
+            writer.close()
+        except ConnectionError:
+            await self._open.wait()
+            writer.transport.abort()
+        finally:
+            self._tasks.discard(asyncio.current_task())
+
+
 def event_ids(body):
     return [int(line[4:]) for line in body.decode().splitlines() if line.startswith("id: ")]
 
