--- a/review/lib-4/stage.py
+++ b/review/lib-4/stage.py
@@ -98,7 +98,7 @@
         self.settings.write_text(text, encoding="utf-8")
         environment = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
         environment |= {
-            "PYTHONPATH": str(ROOT / "target" / "deps"),
+            "PYTHONPATH": str(pathlib.Path(__file__).resolve().parents[2] / "target" / "deps"),
             "BASILPOST_CONFIG": str(self.settings),
             "BASILPOST_MEMORY_MB": "300",
             "BASILPOST_MAX_DESCRIPTORS": "4100",
