Gateway: check an ended answer at its use, not at its end

Cause: between the end of an answer without a length and its result the node waits for the proof that the runner lives. A handover may take the stream meanwhile: it closes the connection, and the events that are held back are to come from the next target. The wait then still returned the head of the answer. As the held-back events are not in the stream yet, the stream had neither a gap nor an incomplete event, counted as complete, and the handover was cancelled.

Change: `AnswerSink.find_defect` says why an answer that has ended must not be used: its connection was closed to move the stream, it was given up, events are held back, skipped or incomplete. The forwarder asks it in one function, after the last await before each use, for own, joined and relayed answers. It replaces `StreamSink.is_complete`, of which it checks all that that checked.

The emulated runners can send successes without a length (`Options.unframed`), and end all connections at once when they stop, as the system does for a process that ends.

--- a/basilpost/emulator/pool_runner.py
+++ b/basilpost/emulator/pool_runner.py
@@ -21,6 +21,7 @@
     server,
     silent_connections,
     stream_endings,
+    unframed_answers,
 )
 
 SIGNATURE = "X-Runner-Signature"
@@ -71,6 +72,7 @@
         answers_twice: How requests are answered twice, None for once.
         invalid_statuses: Which requests are answered with an invalid status, None for none.
         copied_streams: How copies of whole streams follow these on their connections, None for none.
+        unframed: Which successes have no length, None for none; those that answer twice have one.
         resumed_answer: What is sent on the connection of a stream that is resumed, in place of its
             answer; empty to resume it.
         order_delay: Seconds by which coming orders are delayed; those get no answer. 0 for none.
@@ -115,6 +117,7 @@
     answers_twice: second_answers.SecondAnswers | None = None
     copied_streams: second_answers.StreamCopies | None = None
     invalid_statuses: invalid_answers.InvalidAnswers | None = None
+    unframed: unframed_answers.UnframedAnswers | None = None
     resumed_answer: bytes = b""
     order_delay: float = 0.0
     late_order_share: float = 0.0
@@ -508,8 +511,8 @@
     def _cut_off_requests(self) -> None:
         for handler, attempt in self._working.items():
             self.cut_off.append(attempt)
+            handler.cut_connection()
             handler.ended_by = stream_endings.EndedBy.ORDER
-            silent_connections.stream_of(handler.request).close()
         self._working.clear()
 
     async def _finish_close(self, order: dict[str, Any]) -> None:
@@ -612,6 +615,7 @@
         self._coming_crash: asyncio.Task[None] | None = None
         # Bytes that are written behind the whole answer, and how many seconds later.
         self._behind_answer: tuple[bytes, float] | None = None
+        self._is_unframed = False
         # What ends the stream if this end does; None for the other end.
         self.ended_by: stream_endings.EndedBy | None = None
 
@@ -769,8 +773,29 @@
         self._log_answer(body)
         if not self._says_not_run():
             self.set_header(SIGNATURE, "s")
+        await self._begin_unframed()
+        if self._is_unframed:
+            await self._write_part(body)
         self._end(body)
 
+    async def _begin_unframed(self) -> None:
+        """Draws whether the answer has a length, and sends its head if it has none."""
+        plan = self._options.unframed
+        if plan is None or self._behind_answer is not None or self.get_status() != 200:
+            return
+        attempt = self.request.headers.get(_ATTEMPT, "")
+        self._is_unframed = plan.draw(random.Random(f"unframed {attempt} {self.owner.vm_id}"))
+        if self._is_unframed:
+            self._finished = True
+            await self._write_part(unframed_answers.encode_head(self._headers))
+
+    async def _write_part(self, data: bytes) -> None:
+        if self._is_unframed:
+            await silent_connections.stream_of(self.request).write(data)
+        else:
+            self.write(data)
+            await self.flush()
+
     def _log_answer(self, body: bytes) -> None:
         self.owner.answers.append(
             Answer(
@@ -826,6 +851,7 @@
             return
         self.set_header(SIGNATURE, "s")
         self.set_header("Content-Type", "text/event-stream")
+        await self._begin_unframed()
         is_cut = self._options.cut_streams > 0
         self._options.cut_streams -= is_cut
         first = int(self.request.headers.get("Last-Event-Id") or 0) + 1
@@ -835,7 +861,7 @@
         for number in range(first, (events or self._options.events) + 1):
             await asyncio.sleep(pause)
             if crashes:
-                self._drop()
+                self._drop(by_crash=True)
                 self.owner.crash(self._prompt_parts(), self.request.body)
                 return
             while self._options.stalled or self._options.silent:
@@ -846,19 +872,17 @@
                 self._end_in_broken_group()
                 return
             if is_cut and number > self._options.cut_after_events:
-                self.write(b"id: ")
-                await self.flush()
+                await self._write_part(b"id: ")
                 self._drop()
                 return
-            self.write(self._event(number))
-            await self.flush()
+            await self._write_part(self._event(number))
         if self._options.copied_streams is not None:
             self._prepare_copy(self._options.copied_streams)
         self._end()
 
     def _end_in_broken_group(self) -> None:
         """Cuts the stream, or rejects its request if it has no event yet and so has not run."""
-        if self._headers_written:
+        if self._headers_written or self._is_unframed:
             self._drop()
             return
         attempt = self.request.headers.get(_ATTEMPT, "")
@@ -895,7 +919,10 @@
             data, delay = self._behind_answer
             stream = silent_connections.stream_of(self.request)
             self.owner._run_in_background(second_answers.write_late(stream, data, delay=delay))
-        self.finish(body)
+        if self._is_unframed:
+            silent_connections.stream_of(self.request).close()
+        else:
+            self.finish(body)
 
     def _crashes_runner(self) -> bool:
         return self.request.body in self._options.crash_bodies or not (
@@ -948,7 +975,16 @@
     def _write_raw(self, data: bytes) -> None:
         silent_connections.stream_of(self.request).write(data)
 
-    def _drop(self) -> None:
-        self._finished = True
+    def _drop(self, *, by_crash: bool = False) -> None:
         self.ended_by = stream_endings.EndedBy.RUNNER
-        silent_connections.stream_of(self.request).close()
+        self.cut_connection(by_crash=by_crash)
+
+    def cut_connection(self, *, by_crash: bool = False) -> None:
+        """Ends the connection before the answer is complete."""
+        self._finished = True
+        stream = silent_connections.stream_of(self.request)
+        if self._is_unframed and not by_crash:
+            # An orderly end would complete it. That of a crashed process is orderly all the same.
+            unframed_answers.reset(stream)
+        else:
+            stream.close()
--- a/basilpost/emulator/server.py
+++ b/basilpost/emulator/server.py
@@ -68,6 +68,10 @@
         if server is None:
             return
         server.stop()
+        # The system closes all connections of a process that ends at the same time.
+        open_connections: set[Any] = getattr(server, "_connections", set())
+        for connection in list(open_connections):
+            connection.stream.close()
         try:
             await asyncio.wait_for(server.close_all_connections(), _CLOSE_SECONDS)
         except TimeoutError:
--- a/basilpost/gateway/answer_sinks.py
+++ b/basilpost/gateway/answer_sinks.py
@@ -54,6 +54,14 @@
         """Returns why the answer was given up for its size, empty if it was not."""
         return ""
 
+    def find_defect(self) -> str:
+        """Returns why an answer that has ended must not be used as a whole one, empty if it may be.
+
+        No `await` may come between this and the use of the answer: until then a handover may take the
+        stream, or the answer may be given up for its size.
+        """
+        return self.excess
+
     @property
     def last_event(self) -> str:
         """Returns the id of the event after which a target is to go on, empty for the whole answer.
@@ -217,10 +225,17 @@
         self._head: channels.Head | None = None
         self._answer_end = AnswerEnd.CLOSE
 
-    @property
-    def is_complete(self) -> bool:
-        """Returns True if the stream has no gap, no incomplete event at its end, and was not given up."""
-        return not self.has_gap and not self._excess and self.stream.at_boundary
+    def find_defect(self) -> str:
+        """Returns why an answer that has ended must not be used as a whole one, empty if it may be."""
+        if self.abandoned:
+            return "its connection was closed because the stream goes on at another target"
+        if self._excess or not self.is_stream:
+            return self._excess
+        if self._held_back_bytes:
+            return "events at its end are held back"
+        if self.has_gap:
+            return "the stream skips an event"
+        return "" if self.stream.at_boundary else "the stream ended within an event"
 
     def ends_whole(self) -> bool:
         """Returns True if the stream is complete with the events that are held back."""
--- a/basilpost/gateway/forwarding.py
+++ b/basilpost/gateway/forwarding.py
@@ -11,7 +11,7 @@
 import dataclasses
 import random
 from collections.abc import Callable
-from typing import Any
+from typing import Any, TypeVar
 
 from basilpost.core import channels, failure
 from basilpost.gateway import (
@@ -44,6 +44,8 @@
 # probably sound.
 SOUND_WRITING_SECONDS = 0.5
 
+_Result = TypeVar("_Result")
+
 
 class Forwarder:
     """Forwards the requests of one node to targets.
@@ -189,8 +191,7 @@
             way = await self._choose_way(progress)
             if isinstance(way, failure.Refusal):
                 return attempts.final_result(progress, way)
-            sink.restart()
-            result = await self._send(progress, request, way, sink)
+            result = await self._collect(progress, request, way, sink)
             if isinstance(result, failure.Refusal):
                 return attempts.final_result(progress, result)
             if isinstance(result, channels.Head):
@@ -297,7 +298,7 @@
             spend_retry: The same for a stream whose group is closed as planned; None to leave it there.
         """
         # Streams that other nodes send are watched by node: the same ones watch them by target.
-        source = way.node_id if isinstance(way, detours.Detour) else way.target_id
+        source = _source_of(way)
         service = progress.admitted.service.name
 
         send_beside = self._silent_moves.make_send(progress, request)
@@ -341,8 +342,7 @@
                 predicted_seconds=progress.predicted_seconds,
                 seconds=sink.writing_since - progress.sent_at,
             )
-        if isinstance(result, channels.Head) and sink.is_stream and not sink.is_complete:
-            result = attempts.Lost(reason=f"{source}: the stream ended within an event")
+        result = _confirm(result, sink, source)
         if isinstance(result, attempts.Lost):
             return dataclasses.replace(
                 result,
@@ -448,8 +448,7 @@
                     progress, request, target, sink, may_move=lambda: progress.may_move
                 )
             else:
-                sink.restart()
-                result = await self._send(progress, request, target, sink)
+                result = await self._collect(progress, request, target, sink)
             if isinstance(result, failure.Refusal):
                 return result
             if isinstance(result, attempts.NotSent):
@@ -466,6 +465,18 @@
             self._log_failed_attempt(progress, result, again=False)
             return result
 
+    async def _collect(
+        self,
+        progress: attempts.Progress,
+        request: inbound.Request,
+        way: targets_.Target | detours.Detour,
+        sink: answer_sinks.Collector,
+    ) -> channels.Head | attempts.NotSent | attempts.NotRun | attempts.Lost | failure.Refusal:
+        """Sends a request and collects its whole answer in the sink."""
+        sink.restart()
+        result = await self._send(progress, request, way, sink)
+        return _confirm(result, sink, _source_of(way))
+
     async def _send(
         self,
         progress: attempts.Progress,
@@ -624,3 +635,16 @@
         elif self._may_crash_again(progress, result):
             denial = retry_budgets.Denial.CRASHES
         return self._retries.decide(progress, cause, denial=denial)
+
+
+def _source_of(way: targets_.Target | detours.Detour) -> str:
+    """Returns the id of the target, or of the node that sends the request."""
+    return way.node_id if isinstance(way, detours.Detour) else way.target_id
+
+
+def _confirm(
+    result: _Result, sink: answer_sinks.AnswerSink, source: str
+) -> _Result | attempts.Lost:
+    """Returns the result of an attempt, as lost if the sink has not got the whole answer."""
+    defect = sink.find_defect() if isinstance(result, channels.Head) else ""
+    return attempts.Lost(reason=f"{source}: {defect}") if defect else result
--- a/basilpost/gateway/handovers_test.py
+++ b/basilpost/gateway/handovers_test.py
@@ -513,7 +513,33 @@
 async def test_a_stream_that_was_given_up_for_its_size_counts_as_complete():
     bench = Bench()
     bench.sink.give_up("too long")
-    assert not bench.sink.is_complete
+    assert bench.sink.find_defect() == "too long"
+
+
+@pytest.mark.parametrize("end", ["gap", "taken"])
+async def test_a_stream_counts_as_complete_though_its_last_events_are_held_back(end):
+    """The next target sends them, as the old one skips an event or is not needed any more."""
+    bench = Bench()
+    await bench.start()
+    bench.say_old(3)
+    if end == "gap":
+        bench.say_old(5)
+    else:
+        bench.next.sink.on_head(head())
+        bench.say_next(3)
+    bench.settle(head())
+    assert bench.sink.find_defect()
+    bench.handovers.cancel(bench.progress)
+
+
+async def test_a_stream_that_is_whole_counts_as_cut_once_its_events_are_released():
+    bench = Bench()
+    await bench.start()
+    bench.say_old(3, 4)
+    assert bench.sink.find_defect()
+    bench.settle(head())
+    assert not bench.sink.find_defect()
+    bench.handovers.cancel(bench.progress)
 
 
 async def test_a_handover_that_fails_with_an_error_holds_events_back_for_good():
--- a/tests/handover_ends_test.py
+++ b/tests/handover_ends_test.py
@@ -43,7 +43,7 @@
     monkeypatch.setattr(answer_sinks, "MAX_STREAM_BYTES", 50)
     bench.settle(bench_.head())
     assert bench.sink.excess and len(bench.events) == 2
-    assert not bench.sink.is_complete
+    assert bench.sink.find_defect()
     bench.handovers.cancel(bench.progress)
 
 
