Soak: plan unframed, answers without a length at runners that are replaced and crash

- Emulated runners send a drawn share of their successes without a length, those of plain services in two halves.
What a runner breaks off is reset; a crash ends all its connections in order.
A crashed runner may be back before its entry expires.
- New faults: a runner drains, stops listening, ends its work and starts again as another run; one crashes behind a silent cut and is back at its address.
Plan unframed draws them beside stops, freezes, kills and moves of streams.
- A proxy of the soak listens only while its runner does, holds the end of a connection back in a silent cut as it does bytes, and resets where it is to reset.
It used to accept and close the connections of a runner that was down, to let ends pass a cut, and to close in order in place of a reset; for these answers each of these would be another case than the real one.

Not drawn: a runner that exits within 30 ms of its last answer, as that answer still counts as cut (docs/design/requests.md).

--- a/basilpost/emulator/pool_runner.py
+++ b/basilpost/emulator/pool_runner.py
@@ -94,7 +94,8 @@
             whether its caller still waits or not. None to crash when the answer would begin.
         crash_events: Number of events of its stream, 0 for as many as others have.
         down_seconds: Time from a crash to the runner's next start.
-        entry_seconds: Time from a crash until its entry is removed from the store.
+        entry_seconds: Time from a crash until its entry is removed from the store, unless it has started
+            again by then.
     """
 
     load_seconds: float = 0.2
@@ -244,7 +245,7 @@
         born: Number of its present start.
         crashes: Its crashes.
         announced_address: Address that its entry names, its own one if empty; such as a proxy's.
-        on_down: Called with True when it crashes, with False when it has started again.
+        on_down: Called with True when it listens no more, with False when it does so again after a crash.
         arrivals: When each request arrived, also of those that it rejected and of status requests.
         arrival_log: The requests that arrived, also those that it rejected, without status requests.
         ended_at: When it crashed or vanished.
@@ -351,9 +352,16 @@
     async def vanish(self) -> None:
         """Stops without notice and removes its entry from the store."""
         self.ended_at.append(clock.elapsed())
+        self.on_down(True)
         await self.stop()
         await self._store.remove(f"servers/{self.vm_id}")
 
+    def stop_listening(self) -> None:
+        """Takes no new connections; requests on those that are open go on."""
+        self.on_down(True)
+        if self._server is not None:
+            self._server.stop()
+
     def crash_after(
         self, seconds: float, parts: tuple[str, ...], body: bytes
     ) -> asyncio.Task[None]:
@@ -380,12 +388,17 @@
         self.highest_fence = self.highest_epoch = 0
         self.begun_orders = self._check_ins = 0
         self.born += 1
+        self.state = "ready"
         for task in list(self._tasks):
             task.cancel()
         await super().stop()
-        await asyncio.sleep(options.entry_seconds)
-        await self._store.remove(f"servers/{self.vm_id}")
-        await asyncio.sleep(max(0.0, options.down_seconds - options.entry_seconds))
+        if options.entry_seconds < options.down_seconds:
+            await asyncio.sleep(options.entry_seconds)
+            await self._store.remove(f"servers/{self.vm_id}")
+            await asyncio.sleep(options.down_seconds - options.entry_seconds)
+        else:
+            # Its entry has not expired when it reports again.
+            await asyncio.sleep(options.down_seconds)
         self.on_down(False)
         await self.start()
 
@@ -773,9 +786,13 @@
         self._log_answer(body)
         if not self._says_not_run():
             self.set_header(SIGNATURE, "s")
-        await self._begin_unframed()
-        if self._is_unframed:
-            await self._write_part(body)
+        try:
+            await self._begin_unframed()
+            if self._is_unframed:
+                await self._write_halves(body)
+        except iostream.StreamClosedError:
+            # The caller has left, or the runner has ended.
+            return
         self._end(body)
 
     async def _begin_unframed(self) -> None:
@@ -789,6 +806,13 @@
             self._finished = True
             await self._write_part(unframed_answers.encode_head(self._headers))
 
+    async def _write_halves(self, body: bytes) -> None:
+        assert self._options.unframed is not None
+        middle = len(body) // 2
+        await self._write_part(body[:middle])
+        await asyncio.sleep(self._options.unframed.pause_seconds)
+        await self._write_part(body[middle:])
+
     async def _write_part(self, data: bytes) -> None:
         if self._is_unframed:
             await silent_connections.stream_of(self.request).write(data)
@@ -976,12 +1000,12 @@
         silent_connections.stream_of(self.request).write(data)
 
     def _drop(self, *, by_crash: bool = False) -> None:
+        self._finished = True
         self.ended_by = stream_endings.EndedBy.RUNNER
         self.cut_connection(by_crash=by_crash)
 
     def cut_connection(self, *, by_crash: bool = False) -> None:
         """Ends the connection before the answer is complete."""
-        self._finished = True
         stream = silent_connections.stream_of(self.request)
         if self._is_unframed and not by_crash:
             # An orderly end would complete it. That of a crashed process is orderly all the same.
--- a/basilpost/emulator/pool_runner_test.py
+++ b/basilpost/emulator/pool_runner_test.py
@@ -7,7 +7,7 @@
 import tornado.httputil
 
 from basilpost.core import channels
-from basilpost.emulator import pool_fleet, pool_runner, pool_store, second_answers
+from basilpost.emulator import pool_fleet, pool_runner, pool_store, second_answers, unframed_answers
 from basilpost.store import objects
 
 
@@ -335,3 +335,49 @@
         assert head.has_lost_member()
     finally:
         await fleet.stop()
+
+
+@pytest.mark.parametrize("end", ["complete", "cut-off", "order", "crash"])
+async def test_an_answer_without_a_length_looks_complete_unless_its_runner_has_cut_it(end):
+    """A crashed process ends its connections in order; a runner that cuts an answer off resets its own."""
+    store = pool_store.PoolStore()
+    await store.start()
+    plan = unframed_answers.UnframedAnswers(share=1.0)
+    runner = await start_open_head(store, events=10, event_seconds=0.01, unframed=plan)
+    runner.options.cut_streams = int(end == "cut-off")
+    pieces = []
+    try:
+        channel = await connect(runner)
+        send(channel, "one", method="POST")
+        reading = asyncio.create_task(
+            channel.receive(on_head=lambda head: None, on_data=pieces.append)
+        )
+        await asyncio.sleep(0.05)
+        if end == "order":
+            await runner.handle_order(order("close", closeMode="cutoff"))
+        if end == "crash":
+            runner.crash()
+        result = await reading
+        assert isinstance(result, channels.Head) is (end in ("complete", "crash"))
+        if isinstance(result, channels.Head):
+            assert result.has_no_length and channel.ended_answer
+        assert (b"id: 10\n" in b"".join(pieces)) is (end == "complete")
+    finally:
+        await runner.stop()
+        await store.stop()
+
+
+async def test_a_plain_answer_without_a_length_is_whole():
+    store = pool_store.PoolStore()
+    await store.start()
+    plan = unframed_answers.UnframedAnswers(share=1.0, pause_seconds=0.01)
+    runner = await start_runner(store, unframed=plan)
+    pieces = []
+    try:
+        channel = await connect(runner)
+        send(channel, "one")
+        head = await channel.receive(on_head=lambda head: None, on_data=pieces.append)
+        assert head.has_no_length and b"".join(pieces) == runner.answers[0].body
+    finally:
+        await runner.stop()
+        await store.stop()
--- a/basilpost/emulator/unframed_answers.py
+++ b/basilpost/emulator/unframed_answers.py
@@ -8,7 +8,8 @@
 from tornado import httputil, iostream
 
 # Range of the share of answers that a runner of a drawn mix sends so.
-_DRAWN_SHARE = (0.2, 0.7)
+_DRAWN_SHARE = (0.4, 1.0)
+_DRAWN_PAUSE_SECONDS = (0.0, 0.2)
 _FRAMING = ("Content-Length", "Transfer-Encoding", "Connection")
 
 
@@ -18,9 +19,11 @@
 
     Attributes:
         share: Share of the answers, from 0 to 1.
+        pause_seconds: Pause within the answer of a plain service, in which a fault can cut it.
     """
 
     share: float
+    pause_seconds: float = 0.0
 
     def draw(self, rng: random.Random) -> bool:
         """Returns True if the answer to a request has no length."""
@@ -29,7 +32,9 @@
 
 def draw_unframed_answers(rng: random.Random) -> UnframedAnswers:
     """Returns how many answers of one runner have no length."""
-    return UnframedAnswers(share=rng.uniform(*_DRAWN_SHARE))
+    return UnframedAnswers(
+        share=rng.uniform(*_DRAWN_SHARE), pause_seconds=rng.uniform(*_DRAWN_PAUSE_SECONDS)
+    )
 
 
 def encode_head(headers: httputil.HTTPHeaders) -> bytes:
--- a/basilpost/soak/__main__.py
+++ b/basilpost/soak/__main__.py
@@ -17,6 +17,7 @@
     odd_scenarios,
     run,
     scenarios,
+    unframed_scenarios,
     version_scenarios,
 )
 
@@ -32,6 +33,7 @@
     "overload": scenarios.Overload,
     "second-answers": answer_scenarios.SecondAnswers,
     "odd-writers": odd_scenarios.OddWriters,
+    "unframed": unframed_scenarios.UnframedAnswers,
     "planned-drains": drain_scenarios.PlannedDrains,
     "takeovers": drain_scenarios.Takeovers,
     "versions": version_scenarios.Versions,
@@ -53,7 +55,7 @@
     show_default=True,
     help="Faults of all kinds, planned stops, crashing requests, such whose callers leave, lost paths, paths on which nothing passes, "
     "lost paths of most nodes of a large fleet, restores of the store, callers that want more than there is, "
-    "runners that answer twice, odd entries of other writers beside answers with invalid statuses, runners that drain one after another, heads that leave the list beside changes of the controller, versions of the configuration beside kills of all nodes, or orders that are carried out late.",
+    "runners that answer twice, odd entries of other writers beside answers with invalid statuses, answers without a length, runners that drain one after another, heads that leave the list beside changes of the controller, versions of the configuration beside kills of all nodes, or orders that are carried out late.",
 )
 @click.option("--nodes", type=int, help="Number of nodes.")
 @click.option("--callers", "caller_count", type=int, help="Number of callers.")
--- a/basilpost/soak/drain_scenarios.py
+++ b/basilpost/soak/drain_scenarios.py
@@ -17,12 +17,14 @@
 class DraftingCaller(callers.RandomCaller):
     """A client that mostly asks for streams, of all kinds."""
 
+    kinds: tuple[str, ...] = _REQUEST_KINDS
+
     async def run(self) -> None:
         """Sends requests with short pauses until `stop` is called."""
         while not self._stopping.is_set():
             await self.send_request(
                 self._random.choice(self._addresses),
-                self._random.choice(_REQUEST_KINDS),
+                self._random.choice(self.kinds),
                 pool_fleet.KEY,
                 budget_ms=_BUDGET_MS,
             )
--- a/basilpost/soak/faults.py
+++ b/basilpost/soak/faults.py
@@ -28,6 +28,8 @@
     RUNNERS_RESET and STORES_RESET reset all nodes' connections to runners, or to the store, at once.
     RUNNER_CRASHES ends a runner, which is back without a group. EVACUATED takes a failure domain out for a
     shorter time than DOMAIN_OUT. ODD_ENTRY leaves an odd entry of another writer among those of the runners.
+    RUNNER_REPLACED makes a runner drain, stop listening, end its work and start again as another run.
+    RUNNER_REBORN cuts a runner off silently, behind which it crashes and may be back.
     """
 
     KILL = "kill"
@@ -69,6 +71,8 @@
     RUNNER_CRASHES = "runner_crashes"
     EVACUATED = "evacuated"
     ODD_ENTRY = "odd_entry"
+    RUNNER_REPLACED = "runner_replaced"
+    RUNNER_REBORN = "runner_reborn"
 
 
 # The kinds that `draw` picks from; their number and order decide what a seed draws.
@@ -161,6 +165,27 @@
     Kind.STORE_AWAY,
     Kind.STORE_RESET,
 )
+# Beside runners whose answers have no length: they are replaced as planned, crash, are cut off and reset,
+# while nodes stop and freeze and streams move.
+PLANNED_UNFRAMED_KINDS = (
+    *(Kind.RUNNER_REPLACED,) * 5,
+    *(Kind.RUNNER_DRAINS,) * 2,
+    *(Kind.STOP,) * 2,
+    Kind.CONFIGURED,
+    Kind.RELOAD,
+)
+UNFRAMED_KINDS = (
+    *PLANNED_UNFRAMED_KINDS,
+    *(Kind.RUNNER_REBORN,) * 4,
+    *(Kind.RUNNER_CRASHES,) * 3,
+    *(Kind.PAUSE,) * 2,
+    Kind.KILL,
+    Kind.RUNNER_SILENT,
+    Kind.RUNNER_RESET,
+    Kind.PATH_RESET,
+)
+# Time from the begin of a cut to the crash behind it.
+CRASH_DELAY_SECONDS = 0.1
 # Beside runners that drain one after another, in seeds with planned work only and in others.
 PLANNED_BESIDE_DRAINS = (*(Kind.CONFIGURED,) * 3, *PLANNED)
 UNPLANNED_BESIDE_DRAINS = (
--- a/basilpost/soak/proxies.py
+++ b/basilpost/soak/proxies.py
@@ -4,8 +4,11 @@
 import contextlib
 import dataclasses
 import enum
+import socket
+import struct
 
 _READ_BYTES = 65_536
+_BACKLOG = 128
 
 
 class Direction(enum.Enum):
@@ -40,6 +43,7 @@
     _writers: set[asyncio.StreamWriter] = dataclasses.field(default_factory=set)
     _tasks: set[asyncio.Task[None]] = dataclasses.field(default_factory=set)
     _server: asyncio.Server | None = None
+    _listening: asyncio.Task[None] | None = None
     _changed: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
 
     async def start(self) -> None:
@@ -48,6 +52,19 @@
         host, port = self._server.sockets[0].getsockname()
         self.address = f"{host}:{port}"
 
+    def set_listening(self, listens: bool) -> None:
+        """Listens or not, as the target does; connections that are open go on."""
+        if not listens and self._server is not None:
+            self._server.close()
+            self._server = None
+        elif listens and self._server is None:
+            host, _, port = self.address.rpartition(":")
+            listener = socket.create_server((host, int(port)), backlog=_BACKLOG)
+            self._listening = asyncio.create_task(self._listen(listener))
+
+    async def _listen(self, listener: socket.socket) -> None:
+        self._server = await asyncio.start_server(self._serve, sock=listener)
+
     async def stop(self) -> None:
         """Stops listening and resets all connections."""
         if self._server is not None:
@@ -58,10 +75,10 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
     def reset(self, *, host: str = "") -> None:
-        """Aborts all open connections, or those of one client's address."""
+        """Resets all open connections, or those of one client's address."""
         for writer in self._writers:
             if not host or _host_of(writer) == host:
-                writer.transport.abort()
+                _reset(writer)
 
     def heal(self) -> None:
         """Ends all faults except for connections that were aborted."""
@@ -118,13 +135,17 @@
                     continue
                 if self.delay:
                     await asyncio.sleep(self.delay)
-                while direction in self.silent:
-                    self._changed.clear()
-                    await self._changed.wait()
+                await self._wait_until_heard(direction)
                 writer.write(data)
                 await writer.drain()
+            await self._wait_until_heard(direction)
             writer.write_eof()
 
+    async def _wait_until_heard(self, direction: Direction) -> None:
+        while direction in self.silent:
+            self._changed.clear()
+            await self._changed.wait()
+
 
 @dataclasses.dataclass(kw_only=True)
 class _Link:
@@ -134,6 +155,15 @@
     is_lost: bool = False
 
 
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Aborts a connection; its other end sees an error, not an orderly end."""
+    connection = writer.get_extra_info("socket")
+    if connection is not None and connection.fileno() >= 0:
+        linger = struct.pack("ii", 1, 0)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
 def _host_of(writer: asyncio.StreamWriter) -> str:
     peer = writer.get_extra_info("peername")
     return str(peer[0]) if peer else ""
--- a/basilpost/soak/run.py
+++ b/basilpost/soak/run.py
@@ -383,6 +383,10 @@
                 return self._reset([node.store_proxy for node in self._nodes])
             case faults.Kind.RUNNER_CRASHES:
                 return self._crash_runner(vm_id)
+            case faults.Kind.RUNNER_REBORN:
+                return self._crash_behind_cut(fault)
+            case faults.Kind.RUNNER_REPLACED:
+                return self._runner_work.replace(fault)
             case faults.Kind.ODD_ENTRY:
                 return odd_work.leave_for_a_while(self._fleet, fault)
             case faults.Kind.EVACUATED:
@@ -440,14 +444,30 @@
             runner.state = "ready"
             runner.born += 1
             runner.release_port()
-            proxy = self._proxies_by_vm[vm_id]
-            proxy.target = await runner.start()
+            self._proxies_by_vm[vm_id].target = await runner.start()
+            runner.on_down(False)
 
     async def _crash_runner(self, vm_id: str) -> None:
         runner = self._fleet.runners_by_id[vm_id]
         async with self._restart_locks_by_vm[vm_id]:
-            runner.crash()
-            await asyncio.sleep(runner.options.down_seconds)
+            if runner.is_serving:
+                runner.crash()
+                await asyncio.sleep(runner.options.down_seconds)
+
+    async def _crash_behind_cut(self, fault: faults.Fault) -> None:
+        """Cuts a runner that serves off silently, and has it crash and return meanwhile."""
+        runner = self._runner_work.choose_serving(fault.target_index)
+        if runner is None:
+            return
+        began_at = clock.elapsed()
+        proxy = self._proxies_by_vm[runner.vm_id]
+        cut = asyncio.create_task(
+            self._disturb(fault, [proxy], silent={proxies.Direction.UP, proxies.Direction.DOWN})
+        )
+        await asyncio.sleep(faults.CRASH_DELAY_SECONDS)
+        await self._crash_runner(runner.vm_id)
+        await cut
+        self._log_runner_faults([runner.vm_id], began_at)
 
     async def _kill_fleet(self, fault: faults.Fault) -> None:
         self._disturbances += await self._version_work.kill_fleet(fault)
@@ -519,7 +539,9 @@
 
 
 def _set_down(proxy: proxies.Proxy, down: bool) -> None:
-    """Makes a proxy refuse connections while the runner behind it is down."""
-    proxy.refuses_connections = down
-    if down:
-        proxy.reset()
+    """Makes a proxy refuse connections while the runner behind it does.
+
+    The ends of the runner's open connections pass through: the system ends those of a crashed process in
+    order, and a cut holds them up.
+    """
+    proxy.set_listening(not down)
--- a/basilpost/soak/runner_work.py
+++ b/basilpost/soak/runner_work.py
@@ -12,6 +12,8 @@
 LEAVE_TIMEOUT_SECONDS = 10.0
 # Share of the runners that may leave for good, so that the others can still form groups.
 RETIRED_SHARE = 0.25
+# Time from the end of its work to the end of a runner that is replaced, and to its next start.
+EXIT_SECONDS = 0.2
 _POLL_SECONDS = 0.05
 
 
@@ -50,12 +52,45 @@
             await asyncio.sleep(fault.seconds)
             await self._retire(runner)
 
+    async def replace(self, fault: faults.Fault) -> None:
+        """Has a runner drain, stop listening and end its work, and starts it again as another run."""
+        runner = self._choose(fault.target_index)
+        if runner is None:
+            return
+        self._draining.add(runner.vm_id)
+        born = runner.born
+        await self._set_state(runner, "draining")
+        await asyncio.sleep(faults.DRAIN_SECONDS)
+        if runner.born == born:
+            runner.stop_listening()
+            await self._wait_until_idle(runner)
+            await asyncio.sleep(EXIT_SECONDS)
+        # Otherwise another fault ended it meanwhile.
+        if runner.born == born and runner.is_serving:
+            await runner.vanish()
+            await asyncio.sleep(EXIT_SECONDS)
+            runner.member, runner.members, runner.state = None, [], "ready"
+            runner.born += 1
+            await runner.start()
+            runner.on_down(False)
+        self._draining.discard(runner.vm_id)
+
     async def _retire(self, runner: pool_runner.PoolRunner) -> None:
         self._retired.add(runner.vm_id)
         await self._wait_until_idle(runner)
         await runner.vanish()
         runner.member, runner.state, runner.is_listed = None, "ready", True
 
+    def choose_serving(self, index: int) -> pool_runner.PoolRunner | None:
+        """Returns a runner of the plain service or the head of an open group."""
+        serving = [
+            runner
+            for runner in self._fleet.runners_by_id.values()
+            if runner.service == pool_fleet.PLAIN_SERVICE
+            or (runner.member and runner.member["state"] == "open")
+        ]
+        return serving[index % len(serving)] if serving else None
+
     def _choose(self, index: int) -> pool_runner.PoolRunner | None:
         grouped = [
             runner
--- a/tests/soak_test.py
+++ b/tests/soak_test.py
@@ -11,6 +11,7 @@
     odd_scenarios,
     run,
     scenarios,
+    unframed_scenarios,
     version_scenarios,
 )
 
@@ -82,6 +83,11 @@
 TAKEOVER_SEEDS = ((4, "a new controller had members leave a head at work (issue 67)"),)
 ODD_SECONDS = 5.0
 ODD_SEEDS = ((2, "callers got the status 600, and odd epochs kept groups from being formed"),)
+UNFRAMED_SECONDS = 10.0
+UNFRAMED_SEEDS = (
+    (4, "whole answers of runners that drained were cut (issue 76)"),
+    (9, "cut answers of runners that were back behind a cut passed as whole (issue 76)"),
+)
 VERSION_SECONDS = 5.0
 VERSION_SEEDS = (
     (45, "five series of versions, a large one, the fleet killed, all links reset (issue 61)"),
@@ -232,6 +238,18 @@
     assert report.served > report.calls / 4
 
 
+@pytest.mark.processes
+@pytest.mark.parametrize("seed", [seed for seed, _ in UNFRAMED_SEEDS])
+async def test_runners_with_answers_without_a_length_are_replaced_and_crash(seed, tmp_path):
+    """Guards against whole answers that are cut, and cut ones that pass as whole."""
+    scenario = unframed_scenarios.UnframedAnswers()
+    report = await run.Soak(seed=seed, folder=tmp_path, scenario=scenario).run(
+        seconds=UNFRAMED_SECONDS
+    )
+    assert report.broken == ()
+    assert report.served > report.calls / 4
+
+
 @pytest.mark.processes
 @pytest.mark.parametrize("seed", [seed for seed, _ in VERSION_SEEDS])
 async def test_versions_come_in_series_beside_kills_of_the_whole_fleet(seed, tmp_path):
