Members: check all runners once a service is lost

Cause: a check of all runners that finds a path is taken for true for 0.05 s. If another node's loss caused one just before the cut, find_path skips it and checks only the service of the failed connection. That one is lost; from then on its requests go by way of others, so no further failed connection starts a check of all runners.

Change: a check of a service that finds it lost later than the last path to any runner was found is followed by one of all runners.

--- a/basilpost/members/reachability.py
+++ b/basilpost/members/reachability.py
@@ -193,6 +193,12 @@
         # A service of one VM tells nothing of the way to it: the VM may have ended.
         if service and self.has_path and self.ask and len(self._askable_vms_of(service)) > 1:
             await self._services.check(service, self.ask, fresh=fresh)
+            if (
+                self._services.is_lost(service)
+                and self._services.lost_at(service) >= self._found_at
+            ):
+                # It may be the loss of all runners, which the last check was too early to see.
+                await self._run_check("service lost")
 
     def record_sent(self, service: str) -> None:
         """Counts a request that is sent to a runner of a service."""
--- a/basilpost/members/service_paths.py
+++ b/basilpost/members/service_paths.py
@@ -64,6 +64,10 @@
         """Returns True if no VM of a service answered."""
         return service in self._lost_at_by_service
 
+    def lost_at(self, service: str) -> float:
+        """Returns when the path to a service that is lost was lost, on `clock.elapsed`."""
+        return self._lost_at_by_service[service]
+
     def back_at(self, service: str) -> float:
         """Returns when the path to a service came back, on `clock.elapsed`; minus infinity for never."""
         return self._back_at_by_service.get(service, -math.inf)
