Core: a connection that finds no free descriptor is a failure to connect

Cause: the socket of a new connection was made outside the handling of its errors. A node at its limit of descriptors raised OSError there: a request that had not been sent would end with an internal error (500), and the check of an answer's end, which opens connections too, with an error in the log.

Change: it is a `ConnectFailed` like any other, so the request goes another way or is refused as not run.

Evidence: core/channels_test.py::test_a_connection_without_a_free_descriptor_raises_an_error failed before the change (OSError: [Errno 24]) and passes now. That callers get a refusal in place of 500 follows from reading; no node was brought to its limit.

--- a/basilpost/core/channels.py
+++ b/basilpost/core/channels.py
@@ -546,14 +546,18 @@
     address: str, *, timeout: float, lifetime: str, source_host: str
 ) -> Channel | ConnectFailed:
     host, _, port = address.rpartition(":")
-    # An address that no socket takes raises ValueError or OverflowError.
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    except OSError as error:
+        # The process has no descriptor left.
+        return ConnectFailed(reason=f"{address}: {type(error).__name__} {error}")
     stream = tornado.iostream.IOStream(sock, max_buffer_size=MAX_BODY_BYTES)
     stream.set_nodelay(True)
     try:
         if source_host:
             sock.bind((source_host, 0))
         async with asyncio.timeout(timeout):
+            # An address that no socket takes raises ValueError or OverflowError.
             await stream.connect((host, int(port)))
     except (
         OSError,
--- a/basilpost/core/channels_test.py
+++ b/basilpost/core/channels_test.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import errno
 import socket
 import struct
 
@@ -244,6 +245,16 @@
         channel.close()
 
 
+# A request ended with an internal error, though nothing had been sent.
+async def test_a_connection_without_a_free_descriptor_raises_an_error(monkeypatch):
+    def fail(*args):
+        raise OSError(errno.EMFILE, "Too many open files")
+
+    monkeypatch.setattr(channels.socket, "socket", fail)
+    opened = await channels.Pool().acquire("127.0.0.1:1", timeout=1)
+    assert isinstance(opened, channels.ConnectFailed) and "Too many open files" in opened.reason
+
+
 async def test_a_refused_connection_is_a_failure_to_connect():
     async with run_server(make_handler(b"")) as address:
         pass
