--- a/basilpost/gateway/answer_ends.py
+++ b/basilpost/gateway/answer_ends.py
@@ -177,7 +177,7 @@
         """Returns what shows that the answer, which has ended, is whole or may not be."""
         self._record_silence(clock.elapsed())
         connection = self._process.find_opened_by(self._lived_at)
-        if connection is not None and not self._has_outlived(connection):
+        if connection is not None and not self._went_on_after(connection):
             has_ended = await connection.closes_within(self._wait_seconds())
             return Evidence.ENDED if has_ended else Evidence.OUTLIVED
         return await self._ends.ask(self._process)
@@ -190,8 +190,8 @@
         if now - self._heard_at >= SILENCE_SECONDS:
             self._silence, self._silent_until = now - self._heard_at, now
 
-    def _has_outlived(self, connection: _Connection) -> bool:
-        """Returns True if the answer went on after the end of a connection, as after one for idleness."""
+    def _went_on_after(self, connection: _Connection) -> bool:
+        """Returns True if the answer went on after a connection had ended, as one ends that was idle for long."""
         return connection.closed_at is not None and connection.closed_at < self._heard_at
 
     def _wait_seconds(self) -> float:
